--- /dev/null
+++ b/cmd/vpier/main.go
@@ -0,0 +1,4 @@
+// Command vpier is the operators' command line of vanillapier.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/vpierd/main.go
@@ -0,0 +1,4 @@
+// Command vpierd runs one entry host of vanillapier.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/cell/records.go
@@ -0,0 +1,99 @@
+// Package cell holds the state of one cell: its tasks, their attempts and the
+// resources committed on each worker. State changes only by applying records,
+// which the cell's owner first makes durable in the cell's journal. Applying is
+// deterministic and performs no input or output.
+package cell
+
+import (
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Record is one transition of a cell. Exactly one field is set.
+type Record struct {
+	Submitted   *Submitted   `cbor:"1,keyasint,omitempty"`
+	Placed      *Placed      `cbor:"2,keyasint,omitempty"`
+	Ended       *Ended       `cbor:"3,keyasint,omitempty"`
+	Cancelled   *Cancelled   `cbor:"4,keyasint,omitempty"`
+	Evicting    *Evicting    `cbor:"5,keyasint,omitempty"`
+	Checkpoint  *Checkpoint  `cbor:"6,keyasint,omitempty"`
+	Unrunnable  *Unrunnable  `cbor:"7,keyasint,omitempty"`
+	TransferOut *TransferOut `cbor:"8,keyasint,omitempty"`
+	TransferIn  *TransferIn  `cbor:"9,keyasint,omitempty"`
+	TransferEnd *TransferEnd `cbor:"10,keyasint,omitempty"`
+}
+
+// Submitted adds a job. Applying it again for the same job id has no effect.
+type Submitted struct {
+	Job model.JobSpec `cbor:"1,keyasint"`
+	// At is the submission time in Unix milliseconds; it is used for ranking and reports only.
+	At int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Placed commits a worker's resources to the next attempt of a task.
+type Placed struct {
+	Task    model.TaskID   `cbor:"1,keyasint"`
+	Attempt model.Attempt  `cbor:"2,keyasint"`
+	Worker  model.WorkerID `cbor:"3,keyasint"`
+}
+
+// Ended closes an attempt and frees its resources. Evicted and lost attempts
+// return the task to the queue with the checkpoint, if any.
+type Ended struct {
+	Task       model.TaskID  `cbor:"1,keyasint"`
+	Attempt    model.Attempt `cbor:"2,keyasint"`
+	Outcome    model.Outcome `cbor:"3,keyasint"`
+	Checkpoint string        `cbor:"4,keyasint,omitempty"`
+	Result     string        `cbor:"5,keyasint,omitempty"`
+	Error      string        `cbor:"6,keyasint,omitempty"`
+	// Charged is true when a failure counts against the job's retry budget.
+	Charged bool `cbor:"7,keyasint,omitempty"`
+}
+
+// Cancelled marks a job as cancelled. Queued tasks end at once; live attempts
+// end when the worker confirms.
+type Cancelled struct {
+	Job model.JobID `cbor:"1,keyasint"`
+}
+
+// Evicting asks for a checkpoint and stop of a live attempt.
+type Evicting struct {
+	Task    model.TaskID  `cbor:"1,keyasint"`
+	Attempt model.Attempt `cbor:"2,keyasint"`
+	Reason  string        `cbor:"3,keyasint,omitempty"`
+}
+
+// Checkpoint notes the last completed checkpoint of a live attempt.
+type Checkpoint struct {
+	Task    model.TaskID  `cbor:"1,keyasint"`
+	Attempt model.Attempt `cbor:"2,keyasint"`
+	Object  string        `cbor:"3,keyasint"`
+}
+
+// Unrunnable ends a task that fits no worker of the deployment.
+type Unrunnable struct {
+	Task   model.TaskID `cbor:"1,keyasint"`
+	Reason string       `cbor:"2,keyasint"`
+}
+
+// TransferOut hands a queued task over to another cell; the task can no longer
+// be placed here.
+type TransferOut struct {
+	Task model.TaskID `cbor:"1,keyasint"`
+	To   model.CellID `cbor:"2,keyasint"`
+}
+
+// TransferIn adds a task that another cell handed over. Applying it again for
+// the same task and attempt count has no effect.
+type TransferIn struct {
+	Spec       model.TaskSpec `cbor:"1,keyasint"`
+	From       model.CellID   `cbor:"2,keyasint"`
+	Attempts   model.Attempt  `cbor:"3,keyasint"`
+	Failures   int            `cbor:"4,keyasint,omitempty"`
+	Checkpoint string         `cbor:"5,keyasint,omitempty"`
+	At         int64          `cbor:"6,keyasint,omitempty"`
+}
+
+// TransferEnd removes a handed-over task after the destination made it durable.
+type TransferEnd struct {
+	Task model.TaskID `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,51 @@
+// Package control keeps the control journal: accepted declarations, data centre
+// states and members. Every node holds a View that only moves forward.
+package control
+
+import (
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Member is a node that has joined and has neither left nor been removed.
+type Member struct {
+	ID         model.NodeID     `json:"id" cbor:"1,keyasint"`
+	Addr       string           `json:"addr" cbor:"2,keyasint"`
+	DataCentre model.DataCentre `json:"data_centre" cbor:"3,keyasint"`
+	// Since is the control sequence of the join record.
+	Since uint64 `json:"since" cbor:"4,keyasint"`
+}
+
+// View is an immutable state of the control journal up to a sequence. A new
+// View replaces the old one; fields are never changed in place.
+type View struct {
+	// Sequence is the last applied control sequence; 0 means nothing applied.
+	Sequence uint64
+	// ConfirmedAt is the local monotonic time up to which the store is known,
+	// directly or through a peer, to have held no later record.
+	ConfirmedAt time.Time
+	// Declaration is the accepted declaration, or nil before the first one.
+	Declaration *declaration.Declaration
+	// Digest identifies the accepted declaration's text.
+	Digest string
+	// AcceptedSequence is the control sequence of the accepting record.
+	AcceptedSequence uint64
+	// Out holds the data centres that are out of service, with the sequence of
+	// the record that took each out.
+	Out map[model.DataCentre]uint64
+	// Members holds the current members by id.
+	Members map[model.NodeID]Member
+	// MembersSequence is the sequence of the last record that changed Members.
+	MembersSequence uint64
+}
+
+// Age returns how long ago v was last confirmed against the store.
+func (v *View) Age(now time.Time) time.Duration { return now.Sub(v.ConfirmedAt) }
+
+// IsOut reports whether operators have taken dc out of service.
+func (v *View) IsOut(dc model.DataCentre) bool {
+	_, out := v.Out[dc]
+	return out
+}
--- /dev/null
+++ b/internal/telemetry/log.go
@@ -0,0 +1,71 @@
+// Package telemetry sets up JSON logs and metrics and writes the decision log
+// lines: one for each routing or placement decision.
+package telemetry
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// NewLogger returns a logger that writes JSON lines of at least the given level
+// (debug, info, warning, error) to out and adds the node id to each line.
+func NewLogger(out io.Writer, level string, node model.NodeID) (*logrus.Entry, error) {
+	lvl, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, model.Wrap(model.KindInvalid, err, "use debug, info, warning or error", "log level %q", level)
+	}
+	l := logrus.New()
+	l.SetOutput(out)
+	l.SetLevel(lvl)
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
+	return l.WithField("node", string(node)), nil
+}
+
+// Decision is one routing or placement decision.
+type Decision struct {
+	// Kind is route, place, evict, throttle, refuse, hedge, retry, move and so on.
+	Kind string
+	// Subject is the request id or task id that was decided on.
+	Subject string
+	// Candidates is the number of candidates considered.
+	Candidates int
+	// Choice is the chosen runner, worker or outcome; empty when there was none.
+	Choice string
+	// Reason is a short code in kebab case, such as least-expected-completion.
+	Reason string
+	// Fields holds further values of the decision.
+	Fields logrus.Fields
+}
+
+// DecisionLogger receives one call for each decision. Implementations are safe
+// for concurrent use.
+type DecisionLogger interface {
+	LogDecision(d Decision)
+}
+
+// LogrusDecisions writes decisions as JSON lines at level info.
+type LogrusDecisions struct{ Log *logrus.Entry }
+
+// LogDecision writes d as one line.
+func (l LogrusDecisions) LogDecision(d Decision) {
+	entry := l.Log
+	if len(d.Fields) > 0 {
+		entry = entry.WithFields(d.Fields)
+	}
+	entry.WithFields(logrus.Fields{
+		"decision":   d.Kind,
+		"subject":    d.Subject,
+		"candidates": d.Candidates,
+		"choice":     d.Choice,
+		"reason":     d.Reason,
+	}).Info("decision")
+}
+
+// Discard drops decisions; it serves tests and replays that need no log.
+type Discard struct{}
+
+// LogDecision does nothing.
+func (Discard) LogDecision(Decision) {}
