--- /dev/null
+++ b/internal/journal/committer.go
@@ -0,0 +1,239 @@
+package journal
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// CommitterConfig sets how records are grouped into rows. Zero fields take the
+// defaults given with each field.
+type CommitterConfig struct {
+	// Interval is the longest time that a record waits for others. Default 100ms.
+	Interval time.Duration
+	// MaxBytes bounds the records of one row. Default 256 KiB.
+	MaxBytes int
+	// MaxRecord bounds one record. Default 1 MiB.
+	MaxRecord int
+	// UrgentPerSecond bounds the rows that urgent records flush early; beyond it
+	// they wait for the interval. Default 20, with the same burst for one second.
+	UrgentPerSecond float64
+	// MaxQueued bounds the bytes that wait. Default 16 MiB.
+	MaxQueued int
+}
+
+func (c CommitterConfig) withDefaults() CommitterConfig {
+	if c.Interval <= 0 {
+		c.Interval = 100 * time.Millisecond
+	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = 256 << 10
+	}
+	if c.MaxRecord <= 0 {
+		c.MaxRecord = 1 << 20
+	}
+	if c.UrgentPerSecond <= 0 {
+		c.UrgentPerSecond = 20
+	}
+	if c.MaxQueued <= 0 {
+		c.MaxQueued = 16 << 20
+	}
+	return c
+}
+
+// AppendFunc makes one batch of records durable and returns its sequence. It
+// returns only when the result is known or the writer has stopped for good.
+type AppendFunc func(ctx context.Context, records [][]byte) (uint64, error)
+
+// Committer groups submitted records into few rows. One append is in flight at
+// a time. Run must be running for Submit to return.
+type Committer struct {
+	cfg    CommitterConfig
+	append AppendFunc
+	urgent *rate.Limiter
+
+	mu     sync.Mutex
+	queue  []*submission
+	queued int
+	closed error
+	wake   chan struct{}
+}
+
+type submission struct {
+	records [][]byte
+	bytes   int
+	urgent  bool
+	at      time.Time
+	seq     uint64
+	err     error
+	done    chan struct{}
+}
+
+// NewCommitter returns a committer that makes records durable with appendFn.
+func NewCommitter(cfg CommitterConfig, appendFn AppendFunc) *Committer {
+	cfg = cfg.withDefaults()
+	return &Committer{
+		cfg:    cfg,
+		append: appendFn,
+		urgent: rate.NewLimiter(rate.Limit(cfg.UrgentPerSecond), max(1, int(cfg.UrgentPerSecond))),
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// Submit queues records and returns the sequence of their row once it is
+// durable. All records of one call go into the same row, in order, after those
+// of earlier calls.
+//
+// Errors: KindInvalid for an oversized record, KindExhausted when too much is
+// queued, KindUnknown when ctx ended while the records were queued (they may
+// still be written), otherwise the error of the append.
+func (c *Committer) Submit(ctx context.Context, records [][]byte, urgent bool) (uint64, error) {
+	s, err := c.enqueue(records, urgent)
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case <-s.done:
+		return s.seq, s.err
+	case <-ctx.Done():
+		return 0, model.Wrap(model.KindUnknown, ctx.Err(), "read the cell's state before repeating", "the records may still be written")
+	}
+}
+
+func (c *Committer) enqueue(records [][]byte, urgent bool) (*submission, error) {
+	s := &submission{records: records, urgent: urgent, at: time.Now(), done: make(chan struct{})}
+	for _, r := range records {
+		if len(r) > c.cfg.MaxRecord {
+			return nil, model.Errorf(model.KindInvalid, "split the record", "record of %d bytes exceeds %d", len(r), c.cfg.MaxRecord)
+		}
+		s.bytes += len(r)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed != nil {
+		return nil, c.closed
+	}
+	if c.queued+s.bytes > c.cfg.MaxQueued && len(c.queue) > 0 {
+		return nil, model.Errorf(model.KindExhausted, "retry later", "%d bytes wait for the journal", c.queued)
+	}
+	c.queue = append(c.queue, s)
+	c.queued += s.bytes
+	c.signal()
+	return s, nil
+}
+
+func (c *Committer) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run flushes batches until ctx ends or an append fails with an error that
+// leaves the writer without its place in the journal. It returns that error, and
+// fails everything queued with it.
+func (c *Committer) Run(ctx context.Context) error {
+	for {
+		if err := c.waitForBatch(ctx); err != nil {
+			return c.close(err)
+		}
+		batch := c.take()
+		seq, err := c.append(ctx, flatten(batch))
+		finish(batch, seq, err)
+		if err != nil && !nothingWritten(err) {
+			return c.close(err)
+		}
+	}
+}
+
+// nothingWritten reports whether the writer may continue at the same sequence.
+func nothingWritten(err error) bool {
+	kind := model.KindOf(err)
+	return kind == model.KindUnavailable || kind == model.KindExhausted
+}
+
+// waitForBatch returns when the queue is due: its oldest record has waited for
+// the interval, it fills a row, or it holds an urgent record within the budget.
+func (c *Committer) waitForBatch(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		wait, ok := c.untilDue()
+		if ok && wait <= 0 {
+			return nil
+		}
+		if ok {
+			timer.Reset(wait)
+		}
+		select {
+		case <-ctx.Done():
+			return model.Wrap(model.KindUnavailable, ctx.Err(), "send it to the cell's owner", "the journal writer has stopped")
+		case <-c.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+func (c *Committer) untilDue() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) == 0 {
+		return 0, false
+	}
+	if c.queued >= c.cfg.MaxBytes {
+		return 0, true
+	}
+	for _, s := range c.queue {
+		if s.urgent {
+			if c.urgent.Allow() {
+				return 0, true
+			}
+			break
+		}
+	}
+	return c.cfg.Interval - time.Since(c.queue[0].at), true
+}
+
+// take removes the submissions of the next row from the queue. It takes at
+// least one, even when that one exceeds MaxBytes.
+func (c *Committer) take() []*submission {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, bytes := 0, 0
+	for n < len(c.queue) && (n == 0 || bytes+c.queue[n].bytes <= c.cfg.MaxBytes) {
+		bytes += c.queue[n].bytes
+		n++
+	}
+	batch := c.queue[:n:n]
+	c.queue = c.queue[n:]
+	c.queued -= bytes
+	return batch
+}
+
+func (c *Committer) close(err error) error {
+	c.mu.Lock()
+	queue := c.queue
+	c.queue, c.queued, c.closed = nil, 0, err
+	c.mu.Unlock()
+	finish(queue, 0, err)
+	return err
+}
+
+func flatten(batch []*submission) [][]byte {
+	var records [][]byte
+	for _, s := range batch {
+		records = append(records, s.records...)
+	}
+	return records
+}
+
+func finish(batch []*submission, seq uint64, err error) {
+	for _, s := range batch {
+		s.seq, s.err = seq, err
+		close(s.done)
+	}
+}
--- /dev/null
+++ b/internal/journal/snapshot.go
@@ -0,0 +1,176 @@
+package journal
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+)
+
+// keptSnapshots is the number of snapshots kept, so that one corrupt snapshot
+// leaves an older one with its journal tail.
+const keptSnapshots = 2
+
+// Snapshot is the state after applying all entries up to Sequence.
+type Snapshot struct {
+	Sequence uint64
+	Data     []byte
+}
+
+// envelope is the stored form of a snapshot.
+type envelope struct {
+	Format   Format   `cbor:"1,keyasint"`
+	Sequence uint64   `cbor:"2,keyasint"`
+	Checksum [32]byte `cbor:"3,keyasint"`
+	Data     []byte   `cbor:"4,keyasint"`
+}
+
+// EncodeSnapshot returns the object value of s: format version, sequence,
+// SHA-256 checksum of the data, data.
+func EncodeSnapshot(s Snapshot) ([]byte, error) {
+	data, err := cbor.Marshal(envelope{
+		Format: CurrentFormat, Sequence: s.Sequence, Checksum: sha256.Sum256(s.Data), Data: s.Data,
+	})
+	if err != nil {
+		return nil, model.Wrap(model.KindInvalid, err, "report this fault", "encode snapshot")
+	}
+	return data, nil
+}
+
+// DecodeSnapshot reads an object value. Errors: KindInvalid for a newer major
+// format, KindCorrupt when the checksum or the structure is wrong.
+func DecodeSnapshot(data []byte) (Snapshot, error) {
+	if err := checkFormat(data, "snapshot"); err != nil {
+		return Snapshot{}, err
+	}
+	var e envelope
+	if err := decMode.Unmarshal(data, &e); err != nil {
+		return Snapshot{}, model.Wrap(model.KindCorrupt, err, "use an older snapshot", "decode snapshot")
+	}
+	if sha256.Sum256(e.Data) != e.Checksum {
+		return Snapshot{}, model.Errorf(model.KindCorrupt, "use an older snapshot", "checksum of snapshot %d does not match", e.Sequence)
+	}
+	return Snapshot{Sequence: e.Sequence, Data: e.Data}, nil
+}
+
+// Snapshots keeps the snapshots of one journal in the object store under
+// prefix/<sequence>, and truncates the journal behind the older one.
+type Snapshots struct {
+	objects platform.Objects
+	prefix  string
+	log     *Log
+}
+
+// NewSnapshots returns the snapshots under prefix. log is truncated by Save; nil
+// leaves the journal as it is.
+func NewSnapshots(objects platform.Objects, prefix string, log *Log) *Snapshots {
+	return &Snapshots{objects: objects, prefix: strings.TrimSuffix(prefix, "/") + "/", log: log}
+}
+
+func (s *Snapshots) name(seq uint64) string { return s.prefix + SequenceRow(seq) }
+
+// Save writes the state after sequence seq and verifies it by reading it back.
+// Then it removes snapshots but for the last two and truncates the journal
+// behind the older of these. An error after the snapshot itself is durable
+// leaves more snapshots or rows than needed, which the next Save removes.
+func (s *Snapshots) Save(ctx context.Context, seq uint64, data []byte) error {
+	value, err := EncodeSnapshot(Snapshot{Sequence: seq, Data: data})
+	if err != nil {
+		return err
+	}
+	if err := s.objects.Put(ctx, s.name(seq), value); err != nil {
+		return err
+	}
+	stored, err := s.objects.Get(ctx, s.name(seq))
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(stored, value) {
+		return model.Errorf(model.KindCorrupt, "check the object store", "snapshot %s reads back differently", s.name(seq))
+	}
+	return s.prune(ctx)
+}
+
+// prune keeps the newest two snapshots and the journal after the older one.
+func (s *Snapshots) prune(ctx context.Context) error {
+	seqs, err := s.List(ctx)
+	if err != nil || len(seqs) < keptSnapshots {
+		return err
+	}
+	kept := seqs[len(seqs)-keptSnapshots:]
+	if s.log != nil {
+		if err := s.log.Truncate(ctx, kept[0]); err != nil {
+			return err
+		}
+	}
+	for _, seq := range seqs[:len(seqs)-keptSnapshots] {
+		if err := s.objects.Delete(ctx, s.name(seq)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// List returns the sequences of the stored snapshots in ascending order.
+func (s *Snapshots) List(ctx context.Context) ([]uint64, error) {
+	names, err := s.objects.List(ctx, s.prefix)
+	if err != nil {
+		return nil, err
+	}
+	seqs := make([]uint64, 0, len(names))
+	for _, name := range names {
+		seq, err := ParseSequence(strings.TrimPrefix(name, s.prefix))
+		if err != nil {
+			continue // An object of another kind under the same prefix.
+		}
+		seqs = append(seqs, seq)
+	}
+	return seqs, nil
+}
+
+// Latest returns the newest valid snapshot. Errors: KindNotFound when there is
+// none at all, KindCorrupt when all are corrupt, KindInvalid when the newest has
+// a format that this build does not read.
+func (s *Snapshots) Latest(ctx context.Context) (Snapshot, error) {
+	seqs, err := s.List(ctx)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	var faults []error
+	for i := len(seqs) - 1; i >= 0; i-- {
+		snap, err := s.load(ctx, seqs[i])
+		if err == nil {
+			return snap, nil
+		}
+		if kind := model.KindOf(err); kind != model.KindCorrupt && kind != model.KindNotFound {
+			return Snapshot{}, err
+		}
+		faults = append(faults, err)
+	}
+	if len(seqs) == 0 {
+		return Snapshot{}, model.Errorf(model.KindNotFound, "read the journal from its start", "no snapshot under %s", s.prefix)
+	}
+	return Snapshot{}, model.Wrap(model.KindCorrupt, errors.Join(faults...),
+		"restore a snapshot from the object store's backup", "no valid snapshot under %s", s.prefix)
+}
+
+func (s *Snapshots) load(ctx context.Context, seq uint64) (Snapshot, error) {
+	value, err := s.objects.Get(ctx, s.name(seq))
+	if err != nil {
+		return Snapshot{}, err
+	}
+	snap, err := DecodeSnapshot(value)
+	if err != nil {
+		return Snapshot{}, err
+	}
+	if snap.Sequence != seq {
+		return Snapshot{}, model.Errorf(model.KindCorrupt, "use an older snapshot", "snapshot %d is stored as %d", snap.Sequence, seq)
+	}
+	return snap, nil
+}
