--- /dev/null
+++ b/internal/control/check.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// check decides whether rec makes sense after s. It performs no input or output;
+// the error names the remedy.
+func (s *state) check(rec Record, decode decodeFunc) error {
+	if n := rec.kinds(); n != 1 {
+		return model.Errorf(model.KindInvalid, "set exactly one record", "the control record holds %d kinds", n)
+	}
+	switch {
+	case rec.Proposed != nil:
+		return s.checkProposed(rec.Proposed, decode)
+	case rec.Accepted != nil:
+		return s.checkPending(rec.Accepted.Proposal, rec.Accepted.Digest)
+	case rec.Rejected != nil:
+		return s.checkPending(rec.Rejected.Proposal, rec.Rejected.Digest)
+	case rec.DataCentreOut != nil:
+		return s.checkOut(rec.DataCentreOut.DataCentre)
+	case rec.DataCentreIn != nil:
+		return s.checkIn(rec.DataCentreIn.DataCentre)
+	case rec.MemberJoined != nil:
+		return checkJoined(rec.MemberJoined.Member)
+	}
+	return nil
+}
+
+func (s *state) checkProposed(p *DeclarationProposed, decode decodeFunc) error {
+	if p.Digest == "" {
+		return model.Errorf(model.KindInvalid, "send the digest of the text", "the proposal has no digest")
+	}
+	if p.Base != s.view.Digest {
+		return model.Errorf(model.KindConflict, "compare with the accepted declaration (vpier diff) and propose again",
+			"the proposal was written against %s, but %s is in force", nameDigest(p.Base), nameDigest(s.view.Digest))
+	}
+	if _, err := decode(p.Text); err != nil {
+		return model.Wrap(model.KindInvalid, err, "correct the text (vpier check)", "the proposed declaration")
+	}
+	return nil
+}
+
+// checkPending accepts only a proposal that is neither rejected nor superseded.
+func (s *state) checkPending(seq uint64, digest string) error {
+	p, ok := s.proposals[seq]
+	switch {
+	case !ok:
+		return model.Errorf(model.KindNotFound, "list the proposals (vpier history)", "sequence %d is not a proposal", seq)
+	case p.digest != digest:
+		return model.Errorf(model.KindConflict, "review the proposal again (vpier history)",
+			"proposal %d has digest %s, not %s", seq, p.digest, digest)
+	case p.rejected:
+		return model.Errorf(model.KindConflict, "propose the declaration again", "proposal %d was rejected", seq)
+	case s.view.AcceptedSequence > seq && s.view.Digest == p.digest:
+		return model.Errorf(model.KindConflict, "nothing; the declaration is in force",
+			"proposal %d was accepted at sequence %d", seq, s.view.AcceptedSequence)
+	case s.view.AcceptedSequence > seq || p.base != s.view.Digest:
+		return model.Errorf(model.KindConflict, "propose the change again, based on the declaration in force",
+			"proposal %d is superseded: it was written against %s, but %s is in force since sequence %d",
+			seq, nameDigest(p.base), nameDigest(s.view.Digest), s.view.AcceptedSequence)
+	}
+	return nil
+}
+
+func nameDigest(digest string) string {
+	if digest == "" {
+		return "no declaration"
+	}
+	return digest
+}
+
+// known returns an error unless the accepted declaration lists dc.
+func (s *state) known(dc model.DataCentre) error {
+	if s.view.Declaration == nil {
+		return model.Errorf(model.KindNotFound, "propose and accept a declaration first", "no declaration is in force")
+	}
+	for _, d := range s.view.Declaration.DataCentres {
+		if d.Name == dc {
+			return nil
+		}
+	}
+	return model.Errorf(model.KindNotFound, "use a name from the declaration (vpier status)", "there is no data centre %q", dc)
+}
+
+func (s *state) checkOut(dc model.DataCentre) error {
+	if err := s.known(dc); err != nil {
+		return err
+	}
+	if seq, out := s.view.Out[dc]; out {
+		return model.Errorf(model.KindConflict, "nothing; it is out already", "data centre %s is out since sequence %d", dc, seq)
+	}
+	for _, d := range s.view.Declaration.DataCentres {
+		if d.Name != dc && !s.view.IsOut(d.Name) {
+			return nil
+		}
+	}
+	return model.Errorf(model.KindConflict, "return another data centre first (vpier return)", "%s is the last data centre in service", dc)
+}
+
+func (s *state) checkIn(dc model.DataCentre) error {
+	// A data centre that the declaration no longer lists may still be returned,
+	// so that its entry in the view can be removed.
+	if s.view.IsOut(dc) {
+		return nil
+	}
+	if err := s.known(dc); err != nil {
+		return err
+	}
+	return model.Errorf(model.KindConflict, "nothing; it is in service already", "data centre %s is in service", dc)
+}
+
+func checkJoined(m Member) error {
+	if m.ID == "" || m.Addr == "" {
+		return model.Errorf(model.KindInvalid, "set the node id and its address", "the join record lacks id or address")
+	}
+	return nil
+}
+
+// kinds counts the kinds that rec holds.
+func (r Record) kinds() int {
+	n := 0
+	for _, set := range []bool{
+		r.Proposed != nil, r.Accepted != nil, r.Rejected != nil,
+		r.DataCentreOut != nil, r.DataCentreIn != nil,
+		r.MemberJoined != nil, r.MemberLeft != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
+// Describe says what r does, for error messages and reports.
+func (r Record) Describe() string {
+	switch {
+	case r.Proposed != nil:
+		return "proposed declaration " + r.Proposed.Digest
+	case r.Accepted != nil:
+		return "accepted declaration " + r.Accepted.Digest
+	case r.Rejected != nil:
+		return "rejected declaration " + r.Rejected.Digest
+	case r.DataCentreOut != nil:
+		return fmt.Sprintf("took data centre %s out of service", r.DataCentreOut.DataCentre)
+	case r.DataCentreIn != nil:
+		return fmt.Sprintf("returned data centre %s to service", r.DataCentreIn.DataCentre)
+	case r.MemberJoined != nil:
+		return fmt.Sprintf("added node %s", r.MemberJoined.Member.ID)
+	case r.MemberLeft != nil:
+		return fmt.Sprintf("removed node %s", r.MemberLeft.Node)
+	}
+	return "appended an empty record"
+}
+
+// changesMembers reports whether r is a join or leave record.
+func (r Record) changesMembers() bool { return r.MemberJoined != nil || r.MemberLeft != nil }
+
+// identity tells requests with the same id apart.
+func (r Record) identity() string { return r.Actor + " " + r.Describe() }
--- /dev/null
+++ b/internal/control/run.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+// checkJitter spreads the checks of the nodes: each interval is multiplied by a
+// factor between 1-checkJitter and 1+checkJitter.
+const checkJitter = 0.2
+
+// retryDelay is the shortest time between two checks that fail.
+const retryDelay = 250 * time.Millisecond
+
+// nextCheck returns how long after now the node checks the store: its share of
+// the checks of all members, or earlier when its view would become too old.
+// jitter is between -1 and 1.
+func nextCheck(cfg Config, v *View, lastCheck, now time.Time, jitter float64) time.Duration {
+	factor := 1 + checkJitter*jitter
+	share := time.Duration(float64(max(1, len(v.Members))) * float64(cfg.CheckEvery) * factor)
+	byShare := lastCheck.Add(share).Sub(now)
+	byAge := v.ConfirmedAt.Add(time.Duration(float64(cfg.CheckAge) * factor)).Sub(now)
+	return max(0, min(byShare, byAge))
+}
+
+// Run checks the store at a bounded rate until ctx ends: once a second divided
+// over the members while peers keep the view confirmed, and otherwise when the
+// view reaches CheckAge. A failed check is repeated with backoff.
+func (s *Store) Run(ctx context.Context) error {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.cfg.Node))
+	random := rand.New(rand.NewPCG(h.Sum64(), 1))
+	var lastCheck time.Time
+	delay := retryDelay
+	for {
+		jitter := 2*random.Float64() - 1
+		if !s.waitUntilDue(ctx, lastCheck, jitter) {
+			return ctx.Err()
+		}
+		lastCheck = s.cfg.Now()
+		if s.Refresh(ctx) == nil {
+			delay = retryDelay
+			continue
+		}
+		// While the store fails, nodes spread their checks over a growing delay.
+		if !pause(ctx, delay/2+time.Duration(random.Float64()*float64(delay))) {
+			return ctx.Err()
+		}
+		delay = min(2*delay, s.cfg.CheckEvery)
+	}
+}
+
+// waitUntilDue sleeps until the next check. Confirmations by peers postpone it.
+func (s *Store) waitUntilDue(ctx context.Context, lastCheck time.Time, jitter float64) bool {
+	for {
+		wait := nextCheck(s.cfg, s.View(), lastCheck, s.cfg.Now(), jitter)
+		if wait <= 0 {
+			return ctx.Err() == nil
+		}
+		if !pause(ctx, wait) {
+			return false
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/control/store.go
@@ -0,0 +1,234 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/journal"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+)
+
+// Partition is the table partition of the control journal.
+const Partition = "control"
+
+// FreshnessBound is the confirmed age above which a node sends no start.
+const FreshnessBound = 2 * time.Second
+
+// Config configures a Store.
+type Config struct {
+	// Node is the node's id; it seeds the jitter.
+	Node model.NodeID
+	// Table keeps the journal. Required.
+	Table platform.Table
+	// Objects keeps declaration texts above 64 KiB. Required.
+	Objects platform.Objects
+	// Decode reads the text of a declaration and reports its faults. Required.
+	Decode func(text string) (*declaration.Declaration, error)
+	// Now returns the local monotonic time. Default time.Now.
+	Now func() time.Time
+	// CheckEvery is the interval at which the members together check the store.
+	// Default 1s; with n members each node checks every n seconds while peers
+	// keep its view confirmed.
+	CheckEvery time.Duration
+	// CheckAge is the confirmed age at which a node checks the store itself. It
+	// must leave room below FreshnessBound for one read. Default 1.2s.
+	CheckAge time.Duration
+	// CacheEntries is the number of recent entries kept for peers. Default 1024.
+	CacheEntries int
+	// OnChange, when set, is called after the view moved to a higher sequence.
+	OnChange func(*View)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.CheckEvery <= 0 {
+		c.CheckEvery = time.Second
+	}
+	if c.CheckAge <= 0 {
+		c.CheckAge = 1200 * time.Millisecond
+	}
+	if c.CacheEntries <= 0 {
+		c.CacheEntries = 1024
+	}
+	return c
+}
+
+// Entry is a record with its place in the control journal.
+type Entry struct {
+	Sequence uint64 `json:"sequence"`
+	Record   Record `json:"record"`
+}
+
+// Store is a node's copy of the control journal. Its view only moves forward.
+// It is safe for concurrent use.
+type Store struct {
+	cfg  Config
+	log  *journal.Log
+	view atomic.Pointer[View]
+
+	mu     sync.Mutex
+	state  *state
+	recent []Entry
+}
+
+// NewStore returns a store with an empty, unconfirmed view.
+func NewStore(cfg Config) *Store {
+	cfg = cfg.withDefaults()
+	s := &Store{
+		cfg:   cfg,
+		log:   journal.New(cfg.Table, Partition),
+		state: newState(),
+	}
+	s.view.Store(s.state.view)
+	return s
+}
+
+// View returns the current view. It is never nil.
+func (s *Store) View() *View { return s.view.Load() }
+
+// Fresh reports whether the view was confirmed within the freshness bound. A
+// node with a view that is not fresh sends no starts.
+func (s *Store) Fresh(now time.Time) bool {
+	v := s.View()
+	return !v.ConfirmedAt.IsZero() && v.Age(now) <= FreshnessBound
+}
+
+// refreshPage is the number of entries read from the store at once.
+const refreshPage = 500
+
+// Refresh reads the entries after the view's sequence from the store, applies
+// them and confirms the view as of the start of the last read.
+func (s *Store) Refresh(ctx context.Context) error {
+	for {
+		start := s.cfg.Now()
+		entries, err := s.read(ctx, s.View().Sequence+1, refreshPage)
+		if err != nil {
+			return err
+		}
+		full := len(entries) == refreshPage
+		if err := s.applyAll(ctx, entries, start, !full); err != nil || !full {
+			return err
+		}
+	}
+}
+
+func (s *Store) read(ctx context.Context, from uint64, limit int) ([]Entry, error) {
+	rows, err := s.log.Read(ctx, from, limit)
+	if err != nil {
+		return nil, err
+	}
+	return decodeEntries(rows)
+}
+
+// applyAll applies the entries that follow the view and ignores those that the
+// view already contains. With confirmed, the view is then known to have been
+// complete at the local time at.
+func (s *Store) applyAll(ctx context.Context, entries []Entry, at time.Time, confirmed bool) error {
+	texts, err := s.loadTexts(ctx, entries)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	before := s.state.view.Sequence
+	for _, e := range entries {
+		if e.Sequence <= s.state.view.Sequence {
+			continue
+		}
+		if err = s.state.apply(withText(e, texts), s.cfg.Decode); err != nil {
+			break
+		}
+		s.cache(e)
+	}
+	if err == nil && confirmed {
+		s.state.confirm(at)
+	}
+	view := s.state.view
+	s.view.Store(view)
+	s.mu.Unlock()
+	if view.Sequence > before && s.cfg.OnChange != nil {
+		s.cfg.OnChange(view)
+	}
+	return err
+}
+
+func (s *Store) cache(e Entry) {
+	s.recent = append(s.recent, e)
+	if excess := len(s.recent) - s.cfg.CacheEntries; excess > 0 {
+		s.recent = slices.Clone(s.recent[excess:])
+	}
+}
+
+// EntriesFrom returns up to limit cached entries from sequence seq, for peers
+// that are behind. It returns none when seq is no longer cached; the peer then
+// reads the store.
+func (s *Store) EntriesFrom(seq uint64, limit int) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.recent) == 0 || seq < s.recent[0].Sequence {
+		return nil
+	}
+	from := int(seq - s.recent[0].Sequence)
+	if from >= len(s.recent) {
+		return nil
+	}
+	return slices.Clone(s.recent[from:min(len(s.recent), from+limit)])
+}
+
+// Merge applies entries from a peer. confirmedAge is the age of the peer's
+// confirmation for the last of these entries, plus the time since the request to
+// that peer was sent, so that transit never makes the view look fresher than it
+// is. Errors: KindStale when entries are missing in between or all entries are
+// below the view's sequence.
+func (s *Store) Merge(entries []Entry, confirmedAge time.Duration) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	for i, e := range entries[1:] {
+		if e.Sequence != entries[i].Sequence+1 {
+			return model.Errorf(model.KindStale, "read the store", "control entries %d and %d are not adjacent", entries[i].Sequence, e.Sequence)
+		}
+	}
+	last, have := entries[len(entries)-1].Sequence, s.View().Sequence
+	if last < have || entries[0].Sequence > have+1 {
+		return model.Errorf(model.KindStale, "read the store",
+			"control entries %d to %d do not extend sequence %d", entries[0].Sequence, last, have)
+	}
+	// Texts are small or cached by digest; a peer never waits for the object store.
+	ctx, cancel := context.WithTimeout(context.Background(), textTimeout)
+	defer cancel()
+	return s.applyAll(ctx, entries, s.cfg.Now().Add(-confirmedAge), true)
+}
+
+// Confirm notes that a peer at sequence seq has had it confirmed age ago; age
+// includes the time since the request to the peer was sent. A peer with a lower
+// sequence confirms the view as well: the store held nothing after that sequence,
+// and so nothing after the view's. A peer that is ahead confirms nothing until
+// its entries are merged.
+func (s *Store) Confirm(seq uint64, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if seq > s.state.view.Sequence {
+		return
+	}
+	s.state.confirm(s.cfg.Now().Add(-age))
+	s.view.Store(s.state.view)
+}
+
+// History returns up to limit entries from sequence from, from memory when they
+// are cached there and otherwise from the store.
+func (s *Store) History(ctx context.Context, from uint64, limit int) ([]Entry, error) {
+	if cached := s.EntriesFrom(from, limit); len(cached) > 0 {
+		return cached, nil
+	}
+	if from > s.View().Sequence {
+		return nil, nil
+	}
+	return s.read(ctx, max(from, 1), limit)
+}
