--- a/internal/journal/committer.go
+++ b/internal/journal/committer.go
@@ -133,7 +133,28 @@
 	}
 }
 
-// Run flushes batches until ctx ends or an append fails with an error that
+// Close refuses further records with reason, flushes those that are queued and
+// returns once they are durable or have failed. Run then returns reason.
+func (c *Committer) Close(ctx context.Context, reason error) error {
+	marker := &submission{urgent: true, at: time.Now(), done: make(chan struct{})}
+	c.mu.Lock()
+	if c.closed != nil {
+		c.mu.Unlock()
+		return c.closed
+	}
+	c.queue = append(c.queue, marker)
+	c.closed = reason
+	c.signal()
+	c.mu.Unlock()
+	select {
+	case <-marker.done:
+		return marker.err
+	case <-ctx.Done():
+		return model.Wrap(model.KindUnknown, ctx.Err(), "wait for the lease to end", "records are still queued")
+	}
+}
+
+// Run flushes batches until Close, until ctx ends or an append fails with an error that
 // leaves the writer without its place in the journal. It returns that error, and
 // fails everything queued with it.
 func (c *Committer) Run(ctx context.Context) error {
@@ -147,7 +168,20 @@
 		if err != nil && !nothingWritten(err) {
 			return c.close(err)
 		}
+		if reason := c.drained(); reason != nil {
+			return reason
+		}
+	}
+}
+
+// drained returns the reason of Close once the queue is empty.
+func (c *Committer) drained() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) > 0 {
+		return nil
 	}
+	return c.closed
 }
 
 // nothingWritten reports whether the writer may continue at the same sequence.
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -21,6 +21,10 @@
 type Snapshot struct {
 	Sequence uint64
 	Data     []byte
+	// Epoch and Owner are the ownership after Sequence. The rows that changed it
+	// may have been truncated. Both are empty in journals without an owner.
+	Epoch model.Epoch
+	Owner *OwnerChange
 }
 
 // envelope is the stored form of a snapshot.
@@ -29,6 +33,9 @@
 	Sequence uint64   `cbor:"2,keyasint"`
 	Checksum [32]byte `cbor:"3,keyasint"`
 	Data     []byte   `cbor:"4,keyasint"`
+
+	Epoch model.Epoch  `cbor:"5,keyasint,omitempty"`
+	Owner *OwnerChange `cbor:"6,keyasint,omitempty"`
 }
 
 // EncodeSnapshot returns the object value of s: format version, sequence,
@@ -36,6 +43,7 @@
 func EncodeSnapshot(s Snapshot) ([]byte, error) {
 	data, err := cbor.Marshal(envelope{
 		Format: CurrentFormat, Sequence: s.Sequence, Checksum: sha256.Sum256(s.Data), Data: s.Data,
+		Epoch: s.Epoch, Owner: s.Owner,
 	})
 	if err != nil {
 		return nil, model.Wrap(model.KindInvalid, err, "report this fault", "encode snapshot")
@@ -56,7 +64,7 @@
 	if sha256.Sum256(e.Data) != e.Checksum {
 		return Snapshot{}, model.Errorf(model.KindCorrupt, "use an older snapshot", "checksum of snapshot %d does not match", e.Sequence)
 	}
-	return Snapshot{Sequence: e.Sequence, Data: e.Data}, nil
+	return Snapshot{Sequence: e.Sequence, Data: e.Data, Epoch: e.Epoch, Owner: e.Owner}, nil
 }
 
 // Snapshots keeps the snapshots of one journal in the object store under
@@ -75,12 +83,18 @@
 
 func (s *Snapshots) name(seq uint64) string { return s.prefix + SequenceRow(seq) }
 
-// Save writes the state after sequence seq and verifies it by reading it back.
-// Then it removes snapshots but for the last two and truncates the journal
+// Save writes the state after sequence seq of a journal without an owner. See
+// SaveSnapshot.
+func (s *Snapshots) Save(ctx context.Context, seq uint64, data []byte) error {
+	return s.SaveSnapshot(ctx, Snapshot{Sequence: seq, Data: data})
+}
+
+// SaveSnapshot writes snap and verifies it by reading it back. Then it removes snapshots but for the last two and truncates the journal
 // behind the older of these. An error after the snapshot itself is durable
 // leaves more snapshots or rows than needed, which the next Save removes.
-func (s *Snapshots) Save(ctx context.Context, seq uint64, data []byte) error {
-	value, err := EncodeSnapshot(Snapshot{Sequence: seq, Data: data})
+func (s *Snapshots) SaveSnapshot(ctx context.Context, snap Snapshot) error {
+	seq := snap.Sequence
+	value, err := EncodeSnapshot(snap)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/ownership/decide.go
@@ -0,0 +1,140 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/journal"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Observation is what a node has read of a cell's ownership.
+type Observation struct {
+	// Last is the last sequence read; 0 for an empty journal.
+	Last uint64
+	// Epoch is the epoch of the last row.
+	Epoch model.Epoch
+	// Owner is the last ownership record, nil when there was none.
+	Owner *journal.OwnerChange
+	// SeenAt is the local monotonic time at which the read that first returned
+	// row Last had ended.
+	SeenAt time.Time
+}
+
+// Observe returns o after reading e at the local time now. KindCorrupt means
+// that e has another epoch than the rows before it allow.
+func (o Observation) Observe(e journal.Entry, now time.Time) (Observation, error) {
+	want := o.Epoch
+	if e.Owner != nil && e.Owner.Action == journal.OwnerAcquired {
+		want++
+	}
+	if e.Epoch != want {
+		return o, model.Errorf(model.KindCorrupt, "restore the journal from the store's backup",
+			"sequence %d has epoch %d after epoch %d", e.Sequence, e.Epoch, o.Epoch)
+	}
+	o.Last, o.Epoch, o.SeenAt = e.Sequence, e.Epoch, now
+	if e.Owner != nil {
+		o.Owner = e.Owner
+	}
+	return o, nil
+}
+
+// Vacant reports whether nobody owns the cell by record.
+func (o Observation) Vacant() bool {
+	return o.Owner == nil || o.Owner.Action == journal.OwnerReleased
+}
+
+// AcquireAt returns the local time from which a member with the given rank may
+// append an acquire record at o.Last+1.
+func AcquireAt(cfg Config, o Observation, rank int) time.Time {
+	stagger := time.Duration(rank) * cfg.Stagger
+	switch {
+	case o.Owner == nil:
+		return o.SeenAt.Add(stagger)
+	case o.Owner.Action == journal.OwnerReleased:
+		if o.Owner.Successor == cfg.Node {
+			return o.SeenAt
+		}
+		if o.Owner.Successor != "" {
+			stagger += cfg.Stagger
+		}
+		return o.SeenAt.Add(stagger)
+	}
+	lease := max(cfg.Lease, time.Duration(o.Owner.LeaseMillis)*time.Millisecond)
+	expiry := lease + time.Duration(float64(lease)*cfg.Margin)
+	return o.SeenAt.Add(expiry + stagger)
+}
+
+// LeaseValid reports whether an owner may act at now when its last successful
+// append began at start.
+func LeaseValid(lease time.Duration, start, now time.Time) bool {
+	return !start.IsZero() && now.Sub(start) < lease
+}
+
+// maxPollRank is the rank from which members do not poll a cell. The journal of
+// a cell is read by at most this many nodes, however many members there are.
+const maxPollRank = 8
+
+// pollEvery returns how often a member with the given rank reads a cell's
+// journal. ok is false when it does not.
+func pollEvery(cfg Config, rank int) (interval time.Duration, ok bool) {
+	switch {
+	case rank < 0 || rank >= maxPollRank:
+		return 0, false
+	case rank == 0:
+		return cfg.Poll, true
+	}
+	return cfg.FarPoll << (rank - 1), true
+}
+
+// score is the rendezvous weight of a node for a cell.
+func score(cell model.CellID, node model.NodeID) uint64 {
+	return xxhash.Sum64String(string(cell) + "\x00" + string(node))
+}
+
+// Order returns the members from the best-placed to the worst-placed for cell.
+// A change of one member moves only the cells that it gains or loses.
+func Order(cell model.CellID, members []control.Member) []model.NodeID {
+	ids := make([]model.NodeID, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	slices.SortFunc(ids, func(a, b model.NodeID) int {
+		return cmp.Or(cmp.Compare(score(cell, b), score(cell, a)), cmp.Compare(a, b))
+	})
+	return ids
+}
+
+// rankOf returns the position of node in order without except, or -1.
+func rankOf(order []model.NodeID, node, except model.NodeID) int {
+	rank := 0
+	for _, id := range order {
+		switch id {
+		case node:
+			return rank
+		case except:
+		default:
+			rank++
+		}
+	}
+	return -1
+}
+
+// handOverTarget returns the member to which the owner self should hand a cell,
+// or "". stable holds the members present for long enough, refused those that
+// were offered the cell lately and did not take it.
+func handOverTarget(order []model.NodeID, self model.NodeID, stable, refused func(model.NodeID) bool) model.NodeID {
+	for _, id := range order {
+		if id == self {
+			return ""
+		}
+		if stable(id) && !refused(id) {
+			return id
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/ownership/manager.go
@@ -0,0 +1,236 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Manager runs the ownership of all cells on one node. It is safe for
+// concurrent use.
+type Manager struct {
+	cfg     Config
+	handler Handler
+
+	mu       sync.Mutex
+	ctx      context.Context
+	releases bool
+	cells    map[model.CellID]*cellActor
+	members  []control.Member
+	// present holds the local time since which each member has been present.
+	present map[model.NodeID]time.Time
+}
+
+// New returns a manager that reports gained and lost cells to handler. It does
+// nothing before Run and SetCells.
+func New(cfg Config, handler Handler) *Manager {
+	return &Manager{
+		cfg: cfg.withDefaults(), handler: handler,
+		cells: map[model.CellID]*cellActor{}, present: map[model.NodeID]time.Time{},
+	}
+}
+
+// Run follows and owns cells until ctx ends. Without a prior Release, the cells
+// are taken over by others only after the lease.
+func (m *Manager) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	for _, c := range m.cells {
+		m.start(c)
+	}
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.mu.Lock()
+	actors := m.actors()
+	m.mu.Unlock()
+	for _, c := range actors {
+		<-c.done
+	}
+	return ctx.Err()
+}
+
+// start runs c; m.mu is held.
+func (m *Manager) start(c *cellActor) {
+	ctx, stop := context.WithCancel(m.ctx)
+	c.stop = stop
+	go c.run(ctx)
+}
+
+func (m *Manager) actors() []*cellActor {
+	actors := make([]*cellActor, 0, len(m.cells))
+	for _, c := range m.cells {
+		actors = append(actors, c)
+	}
+	return actors
+}
+
+// SetCells sets the cells of the deployment and the members among which they are
+// divided. The caller leaves out members that it suspects to have failed, so that
+// no cell is handed to them. A cell that is no longer listed is released.
+func (m *Manager) SetCells(cells []model.CellID, members []control.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setMembers(members)
+	listed := make(map[model.CellID]bool, len(cells))
+	for _, id := range cells {
+		listed[id] = true
+		if m.cells[id] == nil {
+			m.add(id)
+		}
+	}
+	for id, c := range m.cells {
+		if !listed[id] {
+			delete(m.cells, id)
+			go m.remove(c)
+		}
+		c.wakeUp()
+	}
+}
+
+func (m *Manager) setMembers(members []control.Member) {
+	now := m.cfg.Now()
+	present := make(map[model.NodeID]time.Time, len(members))
+	for _, member := range members {
+		since, ok := m.present[member.ID]
+		if !ok {
+			since = now
+		}
+		present[member.ID] = since
+	}
+	m.members, m.present = members, present
+}
+
+func (m *Manager) add(id model.CellID) {
+	c := newCellActor(m, id)
+	m.cells[id] = c
+	if m.ctx != nil && m.ctx.Err() == nil {
+		m.start(c)
+	}
+}
+
+// remove ends the ownership of a cell that left the declaration.
+func (m *Manager) remove(c *cellActor) {
+	if c.stop == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.Lease)
+	defer cancel()
+	_ = c.release(ctx) // On failure, the lease ends the ownership.
+	c.stop()
+}
+
+// Owner returns the last owner that this node knows of for cell. ok is false
+// when the cell is vacant or unknown.
+func (m *Manager) Owner(cell model.CellID) (OwnerInfo, bool) {
+	m.mu.Lock()
+	c := m.cells[cell]
+	m.mu.Unlock()
+	if c == nil {
+		return OwnerInfo{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owner, c.known
+}
+
+// Learn notes an owner that a peer reported, for cells whose journal this node
+// does not read. A lower epoch than the known one is ignored.
+func (m *Manager) Learn(cell model.CellID, info OwnerInfo) {
+	m.mu.Lock()
+	c := m.cells[cell]
+	m.mu.Unlock()
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if info.Epoch > c.owner.Epoch {
+		c.owner, c.known = info, true
+	}
+}
+
+// Release releases all owned cells and acquires none afterwards. Appends that
+// are queued are flushed first. It returns the joined errors of cells whose
+// release record did not become durable; these are taken over after the lease.
+func (m *Manager) Release(ctx context.Context) error {
+	m.mu.Lock()
+	m.releases = true
+	actors := m.actors()
+	m.mu.Unlock()
+	errs := make([]error, len(actors))
+	var wg sync.WaitGroup
+	for i, c := range actors {
+		wg.Go(func() { errs[i] = c.release(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// release ends the ownership of the cell, if there is one.
+func (c *cellActor) release(ctx context.Context) error {
+	c.mu.Lock()
+	owned := c.owned
+	c.mu.Unlock()
+	if owned == nil {
+		return nil
+	}
+	r := release{ctx: ctx, result: make(chan error, 1)}
+	select {
+	case c.ending <- r:
+		return <-r.result
+	case <-owned.over:
+		return nil
+	case <-ctx.Done():
+		return model.Wrap(model.KindUnknown, ctx.Err(), "wait for the lease to end", "cell %s was not released", c.cell)
+	}
+}
+
+func (c *cellActor) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) leaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.releases
+}
+
+func (m *Manager) memberCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members)
+}
+
+func (m *Manager) order(cell model.CellID) []model.NodeID {
+	m.mu.Lock()
+	members := m.members
+	m.mu.Unlock()
+	return Order(cell, members)
+}
+
+// rank returns this node's position among the members that may acquire cell.
+func (m *Manager) rank(cell model.CellID, o Observation) int {
+	var owner model.NodeID
+	if !o.Vacant() {
+		owner = o.Owner.Node
+	}
+	if owner == m.cfg.Node {
+		owner = ""
+	}
+	return rankOf(m.order(cell), m.cfg.Node, owner)
+}
+
+// stable reports whether a member has been present for Config.StableFor.
+func (m *Manager) stable(id model.NodeID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since, ok := m.present[id]
+	return ok && m.cfg.Now().Sub(since) >= m.cfg.StableFor
+}
--- /dev/null
+++ b/internal/ownership/owned.go
@@ -0,0 +1,202 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/journal"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/storeclient"
+)
+
+// Owned is a cell that this node owns. It is safe for concurrent use.
+type Owned struct {
+	// Cell and Epoch identify the ownership; Epoch is the fencing token.
+	Cell  model.CellID
+	Epoch model.Epoch
+	// Snapshot is the recovered snapshot, nil when there was none, and
+	// SnapshotSequence the sequence that it covers.
+	Snapshot         []byte
+	SnapshotSequence uint64
+	// Tail holds the entries after the snapshot. The handler applies them and
+	// may then set Snapshot and Tail to nil to free memory.
+	Tail []journal.Entry
+
+	cfg       Config
+	owner     journal.OwnerChange
+	log       *journal.Log
+	snaps     *journal.Snapshots
+	committer *journal.Committer
+	// over is closed when the ownership has ended.
+	over chan struct{}
+
+	mu sync.Mutex
+	// last is the last durable sequence.
+	last uint64
+	// leaseStart is the time at which the last successful append began; zero
+	// after the ownership ended.
+	leaseStart time.Time
+}
+
+func newOwned(f *follower, state journal.Recovered, leaseStart time.Time) *Owned {
+	o := &Owned{
+		Cell: f.cell, Epoch: f.obs.Epoch,
+		Snapshot: state.Snapshot.Data, SnapshotSequence: state.Snapshot.Sequence, Tail: state.Tail,
+		cfg: f.cfg, owner: *f.obs.Owner, log: f.log, snaps: f.snaps,
+		over: make(chan struct{}), last: f.obs.Last, leaseStart: leaseStart,
+	}
+	o.committer = journal.NewCommitter(f.cfg.Commit, o.write)
+	return o
+}
+
+// Append makes records durable in one row and returns its sequence. Urgent
+// records are flushed before the group commit interval ends, within the budget.
+//
+// Errors: KindFenced when the ownership ended or the lease has expired (nothing
+// was written), KindUnavailable and KindExhausted when nothing was written and a
+// retry may succeed, KindUnknown when the records may be durable.
+func (o *Owned) Append(ctx context.Context, records [][]byte, urgent bool) (uint64, error) {
+	if !o.LeaseValid(o.cfg.Now()) {
+		return 0, model.Errorf(model.KindFenced, "ask the cell's current owner", "the lease on cell %s has ended", o.Cell)
+	}
+	return o.committer.Submit(ctx, records, urgent)
+}
+
+// LeaseValid reports whether this node may act as the owner at now, on the
+// monotonic clock of Config.Now. It is false from the lease duration after the
+// start of the last successful append.
+func (o *Owned) LeaseValid(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return LeaseValid(o.cfg.Lease, o.leaseStart, now)
+}
+
+// LastSequence returns the last durable sequence of the cell's journal.
+func (o *Owned) LastSequence() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last
+}
+
+// SaveSnapshot saves data as the state after all appends that have returned. The
+// caller must not have appends in flight; otherwise use SaveSnapshotAt.
+func (o *Owned) SaveSnapshot(ctx context.Context, data []byte) error {
+	return o.SaveSnapshotAt(ctx, o.LastSequence(), data)
+}
+
+// SaveSnapshotAt saves data as the state after sequence seq, keeps the last two
+// snapshots and truncates the journal behind the older one.
+func (o *Owned) SaveSnapshotAt(ctx context.Context, seq uint64, data []byte) error {
+	if !o.LeaseValid(o.cfg.Now()) {
+		return model.Errorf(model.KindFenced, "leave it to the cell's current owner", "the lease on cell %s has ended", o.Cell)
+	}
+	if last := o.LastSequence(); seq > last {
+		return model.Errorf(model.KindInvalid, "save at a durable sequence", "sequence %d is above the last durable one, %d", seq, last)
+	}
+	ctx = storeclient.WithPriority(ctx, storeclient.PriorityBulk)
+	return o.snaps.SaveSnapshot(ctx, journal.Snapshot{Sequence: seq, Data: data, Epoch: o.Epoch, Owner: &o.owner})
+}
+
+// write appends one batch at the next sequence. Only the committer, and release
+// after the committer has ended, call it.
+func (o *Owned) write(ctx context.Context, records [][]byte) (uint64, error) {
+	return o.writeBatch(ctx, journal.Batch{Epoch: o.Epoch, Records: records})
+}
+
+func (o *Owned) writeBatch(ctx context.Context, b journal.Batch) (uint64, error) {
+	o.mu.Lock()
+	seq, before := o.last+1, o.leaseStart
+	o.mu.Unlock()
+	start := o.cfg.Now()
+	if b.Owner != nil || start.Sub(before) >= o.cfg.Lease/renewalsPerLease {
+		ctx = storeclient.WithPriority(ctx, storeclient.PriorityFence)
+	}
+	if _, err := o.log.Append(ctx, seq, b); err != nil {
+		return 0, err
+	}
+	if !LeaseValid(o.cfg.Lease, before, o.cfg.Now()) {
+		if err := verifyLate(ctx, o.log, seq); err != nil {
+			return 0, err
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last, o.leaseStart = seq, start
+	return seq, nil
+}
+
+// verifyRetry is the wait between failed reads of verifyLate.
+const verifyRetry = 200 * time.Millisecond
+
+// verifyLate checks an append that ended after the lease it began under. By then
+// another node may have acquired the cell and truncated the journal beyond seq,
+// where a delayed put-if-absent succeeds without belonging to the journal.
+func verifyLate(ctx context.Context, log *journal.Log, seq uint64) error {
+	for {
+		err := log.VerifyHead(ctx, seq)
+		if err == nil {
+			return nil
+		}
+		if model.IsKind(err, model.KindFenced) {
+			return model.Wrap(model.KindUnknown, err, "read the cell's state from its current owner", "the records may be durable")
+		}
+		if !sleep(ctx, verifyRetry) {
+			return model.Wrap(model.KindUnknown, err, "read the cell's state from its current owner", "the append could not be verified")
+		}
+	}
+}
+
+// renewalsPerLease is the number of renewals in one lease of an idle owner.
+const renewalsPerLease = 3
+
+// renewRetry is the wait after a failed renewal; it is randomised by half.
+const renewRetry = 200 * time.Millisecond
+
+// renew keeps the lease while no records are appended, until ctx ends.
+func (o *Owned) renew(ctx context.Context, jitter func(time.Duration) time.Duration) {
+	for {
+		o.mu.Lock()
+		due := o.leaseStart.Add(o.cfg.Lease / renewalsPerLease)
+		o.mu.Unlock()
+		if wait := due.Sub(o.cfg.Now()); wait > 0 {
+			if !sleep(ctx, wait) {
+				return
+			}
+			continue
+		}
+		if _, err := o.committer.Submit(ctx, nil, true); err != nil && !sleep(ctx, jitter(renewRetry)) {
+			return
+		}
+	}
+}
+
+// end makes LeaseValid false for good.
+func (o *Owned) end() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaseStart = time.Time{}
+}
+
+// release flushes what is queued and appends the release record.
+func (o *Owned) release(ctx context.Context, successor model.NodeID) error {
+	ended := model.Errorf(model.KindFenced, "ask the cell's current owner", "cell %s was released", o.Cell)
+	if err := o.committer.Close(ctx, ended); err != nil {
+		return err
+	}
+	change := o.owner
+	change.Action, change.Successor = journal.OwnerReleased, successor
+	_, err := o.writeBatch(ctx, journal.Batch{Epoch: o.Epoch, Owner: &change})
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
