Add the state machine of a cell

Cause: the owner of a cell needs one deterministic state that refuses records which would break an invariant.

--- a/internal/cell/records.go
+++ b/internal/cell/records.go
@@ -80,10 +80,14 @@
 type TransferOut struct {
 	Task model.TaskID `cbor:"1,keyasint"`
 	To   model.CellID `cbor:"2,keyasint"`
+	// Group is the number of tasks of a gang that move together; 0 or 1 for a
+	// task that moves alone.
+	Group int `cbor:"3,keyasint,omitempty"`
 }
 
-// TransferIn adds a task that another cell handed over. Applying it again for
-// the same task and attempt count has no effect.
+// TransferIn adds a task that another cell handed over. Applying it has no
+// effect unless Hop is above the task's count of transfers in this cell, so a
+// repeated or late record cannot bring back a task that has moved on.
 type TransferIn struct {
 	Spec       model.TaskSpec `cbor:"1,keyasint"`
 	From       model.CellID   `cbor:"2,keyasint"`
@@ -91,6 +95,12 @@
 	Failures   int            `cbor:"4,keyasint,omitempty"`
 	Checkpoint string         `cbor:"5,keyasint,omitempty"`
 	At         int64          `cbor:"6,keyasint,omitempty"`
+	// Hop counts the transfers of the task, starting at 1.
+	Hop uint32 `cbor:"7,keyasint,omitempty"`
+	// Group is TransferOut.Group; the tasks wait here until all have arrived.
+	Group int `cbor:"8,keyasint,omitempty"`
+	// Cancelled is true when the job was cancelled during the transfer.
+	Cancelled bool `cbor:"9,keyasint,omitempty"`
 }
 
 // TransferEnd removes a handed-over task after the destination made it durable.
--- /dev/null
+++ b/internal/cell/task.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+)
+
+// TaskState is the position of a task in its life in this cell.
+type TaskState uint8
+
+const (
+	// TaskQueued waits for a placement.
+	TaskQueued TaskState = iota + 1
+	// TaskLive has an attempt on a worker.
+	TaskLive
+	// TaskEvicting has an attempt that was asked to checkpoint and stop.
+	TaskEvicting
+	// TaskCancelling has an attempt that was asked to stop for good.
+	TaskCancelling
+	// TaskTransferring waits for another cell to make its transfer durable.
+	TaskTransferring
+	// TaskDone ended with a result.
+	TaskDone
+	// TaskFailed used up its retries.
+	TaskFailed
+	// TaskCancelled ended because its job was cancelled.
+	TaskCancelled
+	// TaskUnrunnable fits no worker of the deployment.
+	TaskUnrunnable
+	// TaskTransferred now belongs to another cell.
+	TaskTransferred
+)
+
+var taskStateNames = [...]string{
+	"unknown", "queued", "live", "evicting", "cancelling", "transferring",
+	"done", "failed", "cancelled", "unrunnable", "transferred",
+}
+
+// String returns the state as it appears in status reports.
+func (s TaskState) String() string {
+	if int(s) >= len(taskStateNames) {
+		return taskStateNames[0]
+	}
+	return taskStateNames[s]
+}
+
+// HoldsWorker reports whether a task in state s has resources committed.
+func (s TaskState) HoldsWorker() bool {
+	return s == TaskLive || s == TaskEvicting || s == TaskCancelling
+}
+
+// Ended reports whether a task in state s will not run again in this cell.
+func (s TaskState) Ended() bool { return s >= TaskDone }
+
+// Task is one task of the cell. Callers outside the package must not change it.
+type Task struct {
+	Spec  model.TaskSpec
+	State TaskState
+	// Attempt is the number of the last attempt; 0 before the first.
+	Attempt model.Attempt
+	// Worker holds the live attempt, or held the last one.
+	Worker model.WorkerID
+	// Checkpoint is the object that the next attempt resumes from.
+	Checkpoint string
+	// Failures counts failed attempts that were charged.
+	Failures int
+	// SubmittedAt is in Unix milliseconds.
+	SubmittedAt int64
+	// To is the destination of a transfer.
+	To model.CellID
+	// Hops counts the transfers of the task.
+	Hops uint32
+	// Group is the number of gang members that a transfer moves together.
+	Group int
+	// Result, Error and Reason describe the end of the task.
+	Result string
+	Error  string
+	Reason string
+}
+
+// Ref returns the reference of the last attempt.
+func (t *Task) Ref() platform.AttemptRef {
+	return platform.AttemptRef{Task: t.Spec.ID, Attempt: t.Attempt}
+}
+
+// job groups the tasks of one submission.
+type job struct {
+	id         model.JobID
+	tasks      []*Task
+	cancelled  bool
+	unfinished int
+	// listed is true while the job is in the list of ended jobs.
+	listed bool
+}
+
+// JobStatus is a copy of the state of a job for reports.
+type JobStatus struct {
+	Job       model.JobID  `json:"job"`
+	Cancelled bool         `json:"cancelled,omitempty"`
+	Ended     bool         `json:"ended"`
+	Tasks     []TaskStatus `json:"tasks"`
+}
+
+// TaskStatus is a copy of the state of a task for reports.
+type TaskStatus struct {
+	Task     model.TaskID   `json:"task"`
+	State    string         `json:"state"`
+	Attempt  model.Attempt  `json:"attempt,omitempty"`
+	Worker   model.WorkerID `json:"worker,omitempty"`
+	Failures int            `json:"failures,omitempty"`
+	// Cell is the cell to ask about a transferred task.
+	Cell   model.CellID `json:"cell,omitempty"`
+	Result string       `json:"result,omitempty"`
+	Error  string       `json:"error,omitempty"`
+	Reason string       `json:"reason,omitempty"`
+}
+
+func (j *job) status() JobStatus {
+	out := JobStatus{Job: j.id, Cancelled: j.cancelled, Ended: j.unfinished == 0}
+	for _, t := range j.tasks {
+		out.Tasks = append(out.Tasks, TaskStatus{
+			Task: t.Spec.ID, State: t.State.String(), Attempt: t.Attempt, Worker: t.Worker,
+			Failures: t.Failures, Cell: t.To, Result: t.Result, Error: t.Error, Reason: t.Reason,
+		})
+	}
+	return out
+}
+
+// Transfer is a task on its way to another cell. In is the record to apply at
+// the destination.
+type Transfer struct {
+	To model.CellID
+	In TransferIn
+}
