Add the scheduler of a cell

Change: scheduler.Scheduler orders units by urgency, team share and age, finds candidates through an index by free capacity, filters, scores and reserves, and plans evictions, throttling, checkpoints, transfers and the end of what can never run.

--- /dev/null
+++ b/internal/scheduler/changes.go
@@ -0,0 +1,200 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// TaskChanged implements cell.Observer: it keeps the free capacity, the team's
+// use and the queue in step with the state.
+func (s *Scheduler) TaskChanged(t *cell.Task, from cell.TaskState) {
+	if t.State.HoldsWorker() && !from.HoldsWorker() {
+		s.began(t)
+	}
+	if !t.State.HoldsWorker() && from.HoldsWorker() {
+		s.stopped(t)
+	}
+	if from == cell.TaskQueued {
+		s.dequeue(t)
+	}
+	if t.State == cell.TaskQueued {
+		s.enqueue(t)
+	}
+	if t.Spec.Gang {
+		s.regroup[t.Spec.Job] = true
+	}
+	if t.State.Ended() {
+		delete(s.retries, t.Spec.ID)
+	}
+	s.changed = true
+}
+
+// began moves a task from reserved to committed on its worker.
+func (s *Scheduler) began(t *cell.Task) {
+	if p := s.pending[t.Spec.ID]; p != nil {
+		s.unreserve(t.Spec.ID, p)
+	}
+	h := s.host(t.Worker)
+	h.addLive(t)
+	run := h.run(t.Spec.ID)
+	run.since, run.checkpointAt, run.checkpoint = s.now, s.now, t.Checkpoint
+	s.quota.add(t.Spec.Team, t.Spec.Resources)
+	if h.health.quarantined && h.health.probe == "" {
+		h.health.probe, h.health.probeSince = t.Spec.ID, s.now
+	}
+	s.refresh(h)
+	h.note(s.now)
+}
+
+func (s *Scheduler) stopped(t *cell.Task) {
+	h := s.host(t.Worker)
+	h.removeLive(t)
+	h.health.released(t.Spec.ID)
+	delete(s.endings, t.Ref())
+	delete(s.pending, t.Spec.ID)
+	s.quota.release(t.Spec.Team, t.Spec.Resources)
+	s.refresh(h)
+	h.note(s.now)
+}
+
+// enqueue adds a unit for a task that may be placed alone; gangs are grouped
+// when the next plan starts.
+func (s *Scheduler) enqueue(t *cell.Task) {
+	if t.Spec.Gang {
+		return
+	}
+	u := &unit{
+		tasks: []*cell.Task{t}, urgency: t.Spec.Urgency, team: t.Spec.Team,
+		submitted: t.SubmittedAt, notBefore: s.retries[t.Spec.ID].until,
+	}
+	s.units[t.Spec.ID] = u
+	s.queue.add(u, s.now)
+}
+
+func (s *Scheduler) dequeue(t *cell.Task) {
+	if u := s.units[t.Spec.ID]; u != nil {
+		s.queue.remove(u)
+		delete(s.units, t.Spec.ID)
+	}
+	if u := s.gangs[t.Spec.Job]; u != nil && t.Spec.Gang {
+		s.queue.remove(u)
+		delete(s.gangs, t.Spec.Job)
+	}
+	if p := s.pending[t.Spec.ID]; p != nil {
+		s.unreserve(t.Spec.ID, p)
+		delete(s.pending, t.Spec.ID)
+	}
+}
+
+// unreserve gives a planned placement's capacity back.
+func (s *Scheduler) unreserve(id model.TaskID, p *planned) {
+	if p.host == nil {
+		return
+	}
+	t, ok := s.st.Task(id)
+	if ok {
+		p.host.reserved = p.host.reserved.Sub(t.Spec.Resources)
+		s.quota.release(t.Spec.Team, t.Spec.Resources)
+		s.refresh(p.host)
+	}
+	p.host = nil
+}
+
+// regroupGangs forms the units of gangs whose tasks changed since the last plan.
+func (s *Scheduler) regroupGangs() {
+	for _, id := range sortedKeys(s.regroup) {
+		if s.gangPending(id) {
+			continue
+		}
+		delete(s.regroup, id)
+		s.regroupGang(id)
+	}
+}
+
+func (s *Scheduler) gangPending(id model.JobID) bool {
+	for _, t := range s.st.JobTasks(id) {
+		if s.pending[t.Spec.ID] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// gangMembers is a gang's unfinished tasks by state.
+type gangMembers struct {
+	queued, live []*cell.Task
+	// others are being evicted, cancelled or transferred.
+	others int
+	// arrived counts the tasks that came with the gang's last transfer; group is
+	// the number that must have come.
+	arrived, group int
+}
+
+func (s *Scheduler) members(id model.JobID) gangMembers {
+	var m gangMembers
+	for _, t := range s.st.JobTasks(id) {
+		m.group = max(m.group, t.Group)
+		if t.Group > 0 && t.State != cell.TaskTransferring && t.State != cell.TaskTransferred {
+			m.arrived++
+		}
+		switch {
+		case t.State == cell.TaskQueued:
+			m.queued = append(m.queued, t)
+		case t.State == cell.TaskLive:
+			m.live = append(m.live, t)
+		case !t.State.Ended():
+			m.others++
+		}
+	}
+	return m
+}
+
+// regroupGang queues a gang when all of its unfinished tasks are queued. When
+// only some returned to the queue, the rest is evicted, because the tasks of a
+// gang run together or not at all.
+func (s *Scheduler) regroupGang(id model.JobID) {
+	if u := s.gangs[id]; u != nil {
+		s.queue.remove(u)
+		delete(s.gangs, id)
+	}
+	m := s.members(id)
+	if len(m.queued) == 0 || m.arrived < m.group {
+		return
+	}
+	for _, t := range m.live {
+		s.evict(t, "gang-restart")
+	}
+	if len(m.live)+m.others > 0 {
+		return
+	}
+	u := &unit{
+		tasks: m.queued, gang: true, urgency: m.queued[0].Spec.Urgency,
+		team: m.queued[0].Spec.Team, submitted: m.queued[0].SubmittedAt,
+	}
+	u.notBefore = s.latestRetry(m.queued)
+	s.gangs[id] = u
+	s.queue.add(u, s.now)
+}
+
+func (s *Scheduler) latestRetry(tasks []*cell.Task) time.Time {
+	var at time.Time
+	for _, t := range tasks {
+		if r := s.retries[t.Spec.ID]; r.until.After(at) {
+			at = r.until
+		}
+	}
+	return at
+}
+
+// evict plans the checkpoint and stop of a live attempt.
+func (s *Scheduler) evict(t *cell.Task, reason string) {
+	if s.pending[t.Spec.ID] != nil || t.State != cell.TaskLive {
+		return
+	}
+	s.emit(t.Spec.ID, &planned{}, cell.Record{Evicting: &cell.Evicting{
+		Task: t.Spec.ID, Attempt: t.Attempt, Reason: reason,
+	}})
+	s.decide("evict", string(t.Spec.ID), 0, string(t.Worker), reason)
+}
--- /dev/null
+++ b/internal/scheduler/filter.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// request is one choice of a worker: the task, its unit and what the unit's
+// other tasks already took in this plan.
+type request struct {
+	task  *cell.Task
+	unit  *unit
+	view  *control.View
+	now   time.Time
+	racks map[model.Rack]int
+}
+
+// urgent reports whether the submitter declared the task as urgent; age alone
+// gives no right to preempt or to pass filters.
+func (r *request) urgent() bool { return r.task.Spec.Urgency >= model.UrgencyUrgent }
+
+// Filter removes workers that must not or should not hold a task. Capacity is
+// checked by the index before the filters.
+type Filter interface {
+	// Name is the reason that is logged when the filter leaves no worker.
+	Name() string
+	keep(r *request, h *host) bool
+}
+
+// inService refuses workers that leave and those in a data centre that is out.
+type inService struct{}
+
+// Name implements Filter.
+func (inService) Name() string { return "out-of-service" }
+
+func (inService) keep(r *request, h *host) bool {
+	return h.present && !h.Leaving && !r.view.IsOut(h.DataCentre)
+}
+
+// notHeld refuses workers that are held for another unit.
+type notHeld struct{}
+
+// Name implements Filter.
+func (notHeld) Name() string { return "held" }
+
+func (notHeld) keep(r *request, h *host) bool {
+	free := h.heldFor == nil || h.heldFor.state == unitRemoved || !r.now.Before(h.heldUntil)
+	return free || h.heldFor == r.unit
+}
+
+// notQuarantined refuses quarantined workers, apart from one probe at a time.
+// Gangs and urgent work are no probes.
+type notQuarantined struct{}
+
+// Name implements Filter.
+func (notQuarantined) Name() string { return "quarantined" }
+
+func (notQuarantined) keep(r *request, h *host) bool {
+	if !h.health.quarantined {
+		return true
+	}
+	probe := !r.unit.gang && !r.urgent()
+	return probe && h.health.probe == "" && !r.now.Before(h.health.probeAt)
+}
+
+// notAvoided refuses the worker on which the task's last attempt failed.
+type notAvoided struct{ avoid map[model.TaskID]retry }
+
+// Name implements Filter.
+func (notAvoided) Name() string { return "failed-here" }
+
+func (f notAvoided) keep(r *request, h *host) bool {
+	past, failed := f.avoid[r.task.Spec.ID]
+	return !failed || past.worker != h.ID || r.now.After(past.until.Add(avoidFor))
+}
+
+// gradual bounds how full a worker may be after its data centre returned.
+type gradual struct {
+	returned map[model.DataCentre]time.Time
+	ramp     time.Duration
+}
+
+// Name implements Filter.
+func (gradual) Name() string { return "filling" }
+
+func (f gradual) keep(r *request, h *host) bool {
+	since, returned := f.returned[h.DataCentre]
+	if !returned || r.urgent() {
+		return true
+	}
+	allowed := rampShare(r.now.Sub(since), f.ramp)
+	after := h.Capacity.Sub(h.free).Add(r.task.Spec.Resources)
+	return allowed >= 1 || float64(after.MilliCPU) <= allowed*float64(h.Capacity.MilliCPU)
+}
+
+// rampStart is the share of a worker that may be filled right after the return.
+// It admits the common sizes, so that work returns at once, but not in bulk.
+const rampStart = 0.25
+
+// rampShare returns the share of a worker that may be filled after a time.
+func rampShare(after, ramp time.Duration) float64 {
+	if after >= ramp {
+		return 1
+	}
+	return rampStart + (1-rampStart)*float64(max(after, 0))/float64(ramp)
+}
+
+// slowdownBudget refuses workers where the expected slowdown of a service
+// would exceed the budget, or where batch work is being throttled. Urgent work
+// passes; the score still ranks the workers for it.
+type slowdownBudget struct {
+	model  *interference
+	budget float64
+}
+
+// Name implements Filter.
+func (slowdownBudget) Name() string { return "slowdown" }
+
+func (f slowdownBudget) keep(r *request, h *host) bool {
+	if r.urgent() || len(h.services) == 0 {
+		return true
+	}
+	if h.protection.strained() {
+		return false
+	}
+	return f.model.worst(h, r.task) <= 1+f.budget
+}
--- /dev/null
+++ b/internal/scheduler/interference.go
@@ -0,0 +1,243 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Constants of the estimates.
+const (
+	// priorSlope is the slowdown expected of an unknown class that uses a whole
+	// worker. It admits a few tasks, which then give samples.
+	priorSlope = 0.20
+	// priorWeight is the number of samples that the mean counts for when a pair
+	// has few samples of its own.
+	priorWeight = 4.0
+	// maxWeight bounds the number of samples that an estimate counts for, so
+	// that it follows a change of behaviour.
+	maxWeight = 60.0
+	// halfLife is the time after which a sample counts half.
+	halfLife = 30 * time.Minute
+	// learningRate is the step of the normalised gradient update.
+	learningRate = 0.25
+	// minPart is the smallest share of a worker from which a sample tells
+	// something about a class; below it, noise dominates.
+	minPart = 0.02
+	// maxSlope bounds an estimate against a few wild samples.
+	maxSlope = 20.0
+	// baseRate is the step of the estimate of a service's latency without batch.
+	baseRate = 0.1
+)
+
+type pair struct {
+	Service model.ServiceName `cbor:"1,keyasint"`
+	Class   model.ClassName   `cbor:"2,keyasint"`
+}
+
+// estimate is the slowdown that a class causes per worker it fills.
+type estimate struct {
+	Slope  float64 `cbor:"1,keyasint"`
+	Weight float64 `cbor:"2,keyasint"`
+	at     time.Time
+}
+
+// baseline is a service's tail latency in seconds without batch work, at the
+// present load.
+type baseline struct {
+	Seconds float64 `cbor:"1,keyasint"`
+	Samples float64 `cbor:"2,keyasint"`
+}
+
+// interference learns the pairwise slowdown of services by batch classes from
+// late reports. A service's expected slowdown is 1 plus the sum over classes of
+// slope times the class's share of the worker's processors.
+type interference struct {
+	pairs map[pair]*estimate
+	bases map[model.ServiceName]*baseline
+}
+
+func newInterference() *interference {
+	return &interference{pairs: map[pair]*estimate{}, bases: map[model.ServiceName]*baseline{}}
+}
+
+// mean returns the mean slope of the service over its classes, weighted by
+// samples, with the prior as one more class.
+func (m *interference) mean(service model.ServiceName) float64 {
+	sum, weight := priorSlope*priorWeight, priorWeight
+	for p, e := range m.pairs {
+		if p.Service == service {
+			w := min(e.Weight, priorWeight)
+			sum, weight = sum+e.Slope*w, weight+w
+		}
+	}
+	return sum / weight
+}
+
+// slope returns the estimate of a pair, shrunk to the prior when samples are few.
+func (m *interference) slope(service model.ServiceName, class model.ClassName) float64 {
+	e := m.pairs[pair{service, class}]
+	if e == nil {
+		return priorSlope
+	}
+	return (e.Slope*e.Weight + priorSlope*priorWeight) / (e.Weight + priorWeight)
+}
+
+// predict returns the expected slowdown of a service under a mix.
+func (m *interference) predict(service model.ServiceName, mix []share) float64 {
+	s := 1.0
+	for _, c := range mix {
+		s += m.slope(service, c.class) * c.part
+	}
+	return max(s, 1)
+}
+
+// worst returns the largest expected slowdown of the services on h when task
+// is added.
+func (m *interference) worst(h *host, task *cell.Task) float64 {
+	mix := h.mix()
+	if task != nil {
+		mix = addShare(mix, task.Spec.Class, h.part(task))
+	}
+	worst := 1.0
+	for _, s := range h.services {
+		worst = max(worst, m.predict(s.service, mix))
+	}
+	return worst
+}
+
+// observed returns a sample's slowdown against the service's baseline, and
+// false while the baseline is unknown.
+func (m *interference) observed(s serviceSample) (float64, bool) {
+	b := m.bases[s.service]
+	if b == nil || b.Samples < priorWeight {
+		return 1, false
+	}
+	return s.p99.Seconds() / b.Seconds, true
+}
+
+// learn takes one sample of a service under the mix of the time it was measured.
+func (m *interference) learn(s serviceSample, mix []share, now time.Time) {
+	m.learnBase(s, mix)
+	ratio, known := m.observed(s)
+	if !known {
+		return
+	}
+	norm := 0.0
+	for _, c := range mix {
+		norm += c.part * c.part
+	}
+	if norm < minPart*minPart {
+		return
+	}
+	miss := ratio - m.predict(s.service, mix)
+	for _, c := range mix {
+		if c.part >= minPart {
+			m.step(pair{s.service, c.class}, miss*c.part/norm, c.part/math.Sqrt(norm), now)
+		}
+	}
+}
+
+// learnBase moves the baseline towards the sample with the expected slowdown
+// taken out. Samples without batch work count most.
+func (m *interference) learnBase(s serviceSample, mix []share) {
+	value := s.p99.Seconds() / m.predict(s.service, mix)
+	b := m.bases[s.service]
+	if b == nil {
+		b = &baseline{Seconds: value}
+		m.bases[s.service] = b
+	}
+	used := 0.0
+	for _, c := range mix {
+		used += c.part
+	}
+	rate := baseRate / (1 + 20*used)
+	if b.Samples < 1/baseRate {
+		rate = max(rate, 1/(b.Samples+1))
+	}
+	b.Samples++
+	b.Seconds += rate * (value - b.Seconds)
+}
+
+// step moves one estimate by a correction; weight is the part of the sample
+// that the class accounts for.
+func (m *interference) step(p pair, correction, weight float64, now time.Time) {
+	e := m.pairs[p]
+	if e == nil {
+		e = &estimate{Slope: m.mean(p.Service), at: now}
+		m.pairs[p] = e
+	}
+	if e.at.IsZero() {
+		e.at = now
+	}
+	e.Weight *= math.Exp2(-float64(now.Sub(e.at)) / float64(halfLife))
+	e.at = now
+	e.Weight = min(e.Weight+weight, maxWeight)
+	e.Slope += learningRate * correction * weight
+	e.Slope = min(max(e.Slope, 0), maxSlope)
+}
+
+type interferenceSnapshot struct {
+	Pairs []pairSnapshot `cbor:"1,keyasint"`
+	Bases []baseSnapshot `cbor:"2,keyasint"`
+}
+
+type pairSnapshot struct {
+	Pair     pair     `cbor:"1,keyasint"`
+	Estimate estimate `cbor:"2,keyasint"`
+}
+
+type baseSnapshot struct {
+	Service  model.ServiceName `cbor:"1,keyasint"`
+	Baseline baseline          `cbor:"2,keyasint"`
+}
+
+// MarshalEstimates returns the learnt estimates for the cell's snapshot; the
+// owner passes them to cell.State.SetAux.
+func (s *Scheduler) MarshalEstimates() ([]byte, error) {
+	var out interferenceSnapshot
+	for p, e := range s.model.pairs {
+		out.Pairs = append(out.Pairs, pairSnapshot{p, *e})
+	}
+	for name, b := range s.model.bases {
+		out.Bases = append(out.Bases, baseSnapshot{name, *b})
+	}
+	slices.SortFunc(out.Pairs, func(a, b pairSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Pair.Service, b.Pair.Service), cmp.Compare(a.Pair.Class, b.Pair.Class))
+	})
+	slices.SortFunc(out.Bases, func(a, b baseSnapshot) int { return cmp.Compare(a.Service, b.Service) })
+	data, err := cbor.Marshal(out)
+	if err != nil {
+		return nil, model.Wrap(model.KindInvalid, err, "report this fault", "encode interference estimates")
+	}
+	return data, nil
+}
+
+// RestoreEstimates replaces the estimates by those of a snapshot. Empty data
+// starts from nothing. The error has kind corrupt; the estimates are relearnt.
+func (s *Scheduler) RestoreEstimates(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	var in interferenceSnapshot
+	if err := cbor.Unmarshal(data, &in); err != nil {
+		return model.Wrap(model.KindCorrupt, err, "continue; estimates are learnt again", "decode interference estimates")
+	}
+	s.model.pairs = map[pair]*estimate{}
+	s.model.bases = map[model.ServiceName]*baseline{}
+	for _, p := range in.Pairs {
+		e := p.Estimate
+		s.model.pairs[p.Pair] = &e
+	}
+	for _, b := range in.Bases {
+		base := b.Baseline
+		s.model.bases[b.Service] = &base
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scheduler/preempt.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// preemptSample bounds the workers searched for room to free for urgent work.
+const preemptSample = 64
+
+// makeRoom plans evictions for an urgent unit that finds no capacity, and holds
+// the workers for it. It returns the searches spent.
+func (s *Scheduler) makeRoom(u *unit) int {
+	if s.now.Before(u.heldUntil) {
+		return 0
+	}
+	promised := map[*host]model.Resources{}
+	var rooms []freedRoom
+	for _, t := range u.tasks {
+		h, victims := s.cheapestRoom(u, t, promised)
+		if h == nil {
+			return 1
+		}
+		promised[h] = promised[h].Add(t.Spec.Resources)
+		rooms = append(rooms, freedRoom{h, victims})
+	}
+	u.heldUntil = s.now.Add(s.cfg.HoldTime)
+	for _, room := range rooms {
+		room.host.heldFor, room.host.heldUntil = u, u.heldUntil
+		for _, v := range room.victims {
+			s.evict(v, "preempt")
+			s.plan.Urgent = true
+		}
+	}
+	return 1
+}
+
+// freedRoom is a worker and the tasks to evict there.
+type freedRoom struct {
+	host    *host
+	victims []*cell.Task
+}
+
+// cheapestRoom returns the worker, out of a sample, on which the least work is
+// lost to make room for t, and the tasks to evict there.
+func (s *Scheduler) cheapestRoom(u *unit, t *cell.Task, promised map[*host]model.Resources) (*host, []*cell.Task) {
+	var best *host
+	var victims []*cell.Task
+	lowest := 0.0
+	r := &request{task: t, unit: u, view: s.view, now: s.now}
+	n := len(s.order)
+	for i := range min(n, preemptSample) {
+		h := s.order[(s.preemptFrom+i)%n]
+		if !(inService{}).keep(r, h) || !(notHeld{}).keep(r, h) || h.health.quarantined {
+			continue
+		}
+		need := promised[h].Add(t.Spec.Resources)
+		evict, cost, ok := s.victims(h, need, u.urgency)
+		if ok && (best == nil || cost < lowest) {
+			best, victims, lowest = h, evict, cost
+		}
+	}
+	s.preemptFrom = (s.preemptFrom + preemptSample) % max(n, 1)
+	return best, victims
+}
+
+// victims returns the tasks of lower urgency to evict so that need becomes
+// free, least work lost first. Gang tasks are spared, because the whole gang
+// would have to restart.
+func (s *Scheduler) victims(h *host, need model.Resources, urgency model.Urgency) ([]*cell.Task, float64, bool) {
+	free := h.free
+	var choice []*cell.Task
+	for _, t := range h.live {
+		switch {
+		case t.State != cell.TaskLive || s.pending[t.Spec.ID] != nil:
+			free = free.Add(t.Spec.Resources)
+		case t.Spec.Urgency < urgency && !t.Spec.Gang:
+			choice = append(choice, t)
+		}
+	}
+	s.byWorkLost(h, choice)
+	cost := 0.0
+	for i, t := range choice {
+		if need.Fits(free) {
+			return choice[:i], cost, true
+		}
+		free = free.Add(t.Spec.Resources)
+		cost += s.workLost(h, t)
+	}
+	return choice, cost, need.Fits(free)
+}
+
+// byWorkLost sorts tasks by urgency, then by the work an eviction loses.
+func (s *Scheduler) byWorkLost(h *host, tasks []*cell.Task) {
+	slices.SortFunc(tasks, func(a, b *cell.Task) int {
+		return cmp.Or(
+			cmp.Compare(a.Spec.Urgency, b.Spec.Urgency),
+			cmp.Compare(s.workLost(h, a), s.workLost(h, b)),
+			cmp.Compare(a.Spec.ID, b.Spec.ID),
+		)
+	})
+}
+
+// workLost returns the core-seconds since the last checkpoint of a live
+// attempt. An eviction saves progress first, but when the worker fails or the
+// lease runs out before that, this much is repeated.
+func (s *Scheduler) workLost(h *host, t *cell.Task) float64 {
+	run := h.run(t.Spec.ID)
+	return s.now.Sub(run.checkpointAt).Seconds() * float64(t.Spec.Resources.MilliCPU) / 1000
+}
