--- /dev/null
+++ b/internal/declaration/decode.go
@@ -0,0 +1,292 @@
+package declaration
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// decoder fills Go values from a YAML tree. The library's own decoder stops at
+// the first fault and forgets positions; this one collects all faults and
+// records where each field is written. It accepts only the forms that the
+// declaration needs: no anchors, aliases, tags or merge keys.
+type decoder struct {
+	file      string
+	faults    Faults
+	positions map[string]token.Position
+}
+
+// newDecoder returns a decoder whose faults carry the given file name.
+func newDecoder(file string) *decoder {
+	return &decoder{file: file, positions: map[string]token.Position{}}
+}
+
+// decode fills target, a pointer to a struct, from node.
+func (d *decoder) decode(node ast.Node, path string, target any) {
+	d.value(node, path, reflect.ValueOf(target).Elem())
+}
+
+// fault records a fault at the position of node.
+func (d *decoder) fault(node ast.Node, path, remedy, format string, args ...any) {
+	pos := nodePosition(node)
+	d.faults = append(d.faults, Fault{
+		File: d.file, Line: pos.Line, Column: pos.Column,
+		Path: path, Reason: fmt.Sprintf(format, args...), Remedy: remedy,
+	})
+}
+
+// nodePosition returns where node starts. The token of a mapping is its first
+// colon, so the position of its first key is used instead.
+func nodePosition(node ast.Node) token.Position {
+	switch n := node.(type) {
+	case *ast.MappingValueNode:
+		return nodePosition(n.Key)
+	case *ast.MappingNode:
+		if len(n.Values) > 0 && !n.IsFlowStyle {
+			return nodePosition(n.Values[0])
+		}
+	}
+	if tok := node.GetToken(); tok != nil && tok.Position != nil {
+		return *tok.Position
+	}
+	return token.Position{Line: 1, Column: 1}
+}
+
+// value fills v from node.
+func (d *decoder) value(node ast.Node, path string, v reflect.Value) {
+	if _, ok := d.positions[path]; !ok {
+		d.positions[path] = nodePosition(node)
+	}
+	if _, null := node.(*ast.NullNode); null {
+		return
+	}
+	if v.Kind() == reflect.Pointer {
+		v.Set(reflect.New(v.Type().Elem()))
+		v = v.Elem()
+	}
+	if text, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		d.text(node, path, text)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.mapping(node, path, v)
+	case reflect.Slice:
+		d.sequence(node, path, v)
+	default:
+		d.scalar(node, path, v)
+	}
+}
+
+// mapping fills the fields of a struct.
+func (d *decoder) mapping(node ast.Node, path string, v reflect.Value) {
+	entries, ok := mappingEntries(node)
+	if !ok {
+		d.fault(node, path, "write fields as name: value", "expected fields, found %s", describe(node))
+		return
+	}
+	seen := map[string]token.Position{}
+	for _, entry := range entries {
+		d.entry(entry, path, v, seen)
+	}
+}
+
+// entry decodes one field of a mapping.
+func (d *decoder) entry(entry *ast.MappingValueNode, path string, v reflect.Value, seen map[string]token.Position) {
+	key := entry.Key.GetToken().Value
+	field, ok := fieldByKey(v, key)
+	if !ok {
+		d.fault(entry.Key, joinPath(path, key), unknownFieldRemedy(v.Type(), key), "unknown field %q", key)
+		return
+	}
+	if first, dup := seen[key]; dup {
+		d.fault(entry.Key, joinPath(path, key), "keep one of them", "field %q is already given in line %d", key, first.Line)
+		return
+	}
+	seen[key] = nodePosition(entry.Key)
+	d.positions[joinPath(path, key)] = seen[key]
+	d.value(entry.Value, joinPath(path, key), field)
+}
+
+// mappingEntries returns the entries of a mapping node.
+func mappingEntries(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+// sequence fills a slice.
+func (d *decoder) sequence(node ast.Node, path string, v reflect.Value) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		d.fault(node, path, "write each entry on its own line after a dash", "expected a list, found %s", describe(node))
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values)))
+	for i, entry := range list.Values {
+		d.value(entry, fmt.Sprintf("%s[%d]", path, i), v.Index(i))
+	}
+}
+
+// text fills a value that reads itself from a string.
+func (d *decoder) text(node ast.Node, path string, target encoding.TextUnmarshaler) {
+	value, ok := scalarText(node)
+	if !ok {
+		d.fault(node, path, "write one value", "expected one value, found %s", describe(node))
+		return
+	}
+	if err := target.UnmarshalText([]byte(value)); err != nil {
+		d.fault(node, path, "write a number with a unit such as 250ms, 5s or 72h", "%q is not a duration", value)
+	}
+}
+
+// scalar fills a string, boolean or number.
+func (d *decoder) scalar(node ast.Node, path string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		if s, ok := stringValue(node); ok {
+			v.SetString(s)
+			return
+		}
+		d.fault(node, path, "write text; put it in quotes when it looks like a number or true", "expected text, found %s", describe(node))
+	case reflect.Bool:
+		if b, ok := node.(*ast.BoolNode); ok {
+			v.SetBool(b.Value)
+			return
+		}
+		d.fault(node, path, "write true or false", "expected true or false, found %s", describe(node))
+	case reflect.Int, reflect.Int64:
+		if i, ok := intValue(node); ok {
+			v.SetInt(i)
+			return
+		}
+		d.fault(node, path, "write a whole number without quotes or a unit", "expected a whole number, found %s", describe(node))
+	case reflect.Float64:
+		if f, ok := floatValue(node); ok {
+			v.SetFloat(f)
+			return
+		}
+		d.fault(node, path, "write a number without quotes or a unit", "expected a number, found %s", describe(node))
+	default:
+		panic(fmt.Sprintf("declaration: field %s has unsupported kind %s", path, v.Kind()))
+	}
+}
+
+// stringValue returns the value of a text node.
+func stringValue(node ast.Node) (string, bool) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.LiteralNode:
+		return n.Value.Value, true
+	}
+	return "", false
+}
+
+// intValue returns the value of a whole number that an int64 can hold.
+func intValue(node ast.Node) (int64, bool) {
+	n, ok := node.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch i := n.Value.(type) {
+	case int64:
+		return i, true
+	case uint64:
+		return int64(i), i <= 1<<63-1
+	}
+	return 0, false
+}
+
+// floatValue returns the value of a number.
+func floatValue(node ast.Node) (float64, bool) {
+	if f, ok := node.(*ast.FloatNode); ok {
+		return f.Value, true
+	}
+	i, ok := intValue(node)
+	return float64(i), ok
+}
+
+// scalarText returns a text or number as it is written.
+func scalarText(node ast.Node) (string, bool) {
+	if s, ok := stringValue(node); ok {
+		return s, true
+	}
+	switch node.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+		return node.GetToken().Value, true
+	}
+	return "", false
+}
+
+// describe names the form of node for messages.
+func describe(node ast.Node) string {
+	switch n := node.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a group of fields"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.AnchorNode, *ast.AliasNode, *ast.MergeKeyNode:
+		return "a YAML anchor or alias, which a declaration cannot use"
+	case *ast.TagNode:
+		return "a YAML tag, which a declaration cannot use"
+	case *ast.StringNode:
+		return fmt.Sprintf("the text %q", shorten(n.Value))
+	}
+	return shorten(node.GetToken().Value)
+}
+
+// maxQuoted is the number of bytes of a value that a message repeats.
+const maxQuoted = 40
+
+// shorten cuts s to what fits a message.
+func shorten(s string) string {
+	if len(s) <= maxQuoted {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxQuoted], "") + "..."
+}
+
+// joinPath appends a field name to path.
+func joinPath(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// fieldByKey returns the field of struct v whose yaml name is key.
+func fieldByKey(v reflect.Value, key string) (reflect.Value, bool) {
+	for i := range v.NumField() {
+		if yamlName(v.Type().Field(i)) == key {
+			return v.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+// yamlName returns the name of a field in the text.
+func yamlName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
+
+// unknownFieldRemedy names the closest known field, or all of them.
+func unknownFieldRemedy(t reflect.Type, key string) string {
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, yamlName(t.Field(i)))
+	}
+	if best := closest(key, names); best != "" {
+		return fmt.Sprintf("did you mean %s? otherwise remove it", best)
+	}
+	return "remove it, or use one of " + strings.Join(names, ", ")
+}
