Add HTTP clients of the platform and stand-ins of its store

Cause: the daemon needs the platform's interfaces over HTTP, and tests need the other side with faults. Change: httpapi holds the clients and the wire format; standin holds the table service, object store and host list with a seeded fault controller. A write is sent at most once: its body cannot be read again, and a body that was never read proves that nothing happened.

--- /dev/null
+++ b/internal/platform/httpapi/services.go
@@ -0,0 +1,214 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+)
+
+// Paths of the protocol, relative to the base URL of each service.
+const (
+	// PathCommit accepts a CommitRequest by POST.
+	PathCommit = "/v1/table/commit"
+	// PathRow returns a platform.Row for the parameters partition and row.
+	PathRow = "/v1/table/row"
+	// PathRange returns a RangeResponse for partition, from and limit.
+	PathRange = "/v1/table/range"
+	// PathObjects is the prefix of objects, and lists names by prefix.
+	PathObjects = "/v1/objects"
+	// PathObjectDelete accepts an ObjectDelete by POST.
+	PathObjectDelete = "/v1/object-delete"
+	// PathHosts returns a HostsResponse.
+	PathHosts = "/v1/hosts"
+	// PathCommand accepts a platform.WorkerCommand by POST.
+	PathCommand = "/v1/worker/command"
+)
+
+const (
+	contentJSON   = "application/json"
+	contentBinary = "application/octet-stream"
+)
+
+// CommitRequest is the body of a table transaction.
+type CommitRequest struct {
+	Writes []platform.Write `json:"writes"`
+}
+
+// RangeResponse is the answer to a range read.
+type RangeResponse struct {
+	Rows []platform.Row `json:"rows"`
+}
+
+// ObjectDelete names the object to delete.
+type ObjectDelete struct {
+	Name string `json:"name"`
+}
+
+// ObjectNames is the answer to a list of objects.
+type ObjectNames struct {
+	Names []string `json:"names"`
+}
+
+// HostsResponse is the answer of the host list.
+type HostsResponse struct {
+	Hosts []platform.Host `json:"hosts"`
+}
+
+// Table is a client of the table service.
+type Table struct{ e endpoint }
+
+var _ platform.Table = (*Table)(nil)
+
+// NewTable returns a client of the table service at baseURL. A nil client
+// selects one with sensible limits; deadlines come from the contexts.
+func NewTable(baseURL string, client *http.Client) *Table {
+	return &Table{e: newEndpoint("table service", baseURL, client)}
+}
+
+// Commit applies all writes or none. KindConflict means that a condition failed.
+func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+	_, err := t.e.writeJSON(ctx, PathCommit, CommitRequest{Writes: writes}, maxErrorBody)
+	return err
+}
+
+// Get reads one row; KindNotFound means that it does not exist.
+func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+	var row platform.Row
+	q := url.Values{"partition": {key.Partition}, "row": {key.Row}}
+	data, err := t.e.read(ctx, PathRow+"?"+q.Encode(), MaxTableResponse)
+	if err != nil {
+		return row, err
+	}
+	return row, t.e.decode(data, &row, model.KindUnavailable)
+}
+
+// Range reads up to limit rows of a partition with Row >= from, in order.
+func (t *Table) Range(ctx context.Context, partition, from string, limit int) ([]platform.Row, error) {
+	q := url.Values{"partition": {partition}, "from": {from}, "limit": {strconv.Itoa(limit)}}
+	data, err := t.e.read(ctx, PathRange+"?"+q.Encode(), MaxTableResponse)
+	if err != nil {
+		return nil, err
+	}
+	var out RangeResponse
+	if err := t.e.decode(data, &out, model.KindUnavailable); err != nil {
+		return nil, err
+	}
+	return out.Rows, nil
+}
+
+// Objects is a client of the object store.
+type Objects struct{ e endpoint }
+
+var _ platform.Objects = (*Objects)(nil)
+
+// NewObjects returns a client of the object store at baseURL.
+func NewObjects(baseURL string, client *http.Client) *Objects {
+	return &Objects{e: newEndpoint("object store", baseURL, client)}
+}
+
+// objectPath escapes each segment of name, so that slashes stay separators.
+func objectPath(name string) (string, error) {
+	if name == "" || strings.HasPrefix(name, "/") {
+		return "", model.Errorf(model.KindInvalid, "use a name such as cell/1/20 without a leading slash", "object name %q", name)
+	}
+	parts := strings.Split(name, "/")
+	for i, p := range parts {
+		if p == "" || p == "." || p == ".." {
+			return "", model.Errorf(model.KindInvalid, "leave out empty, . and .. segments", "object name %q", name)
+		}
+		parts[i] = url.PathEscape(p)
+	}
+	return PathObjects + "/" + strings.Join(parts, "/"), nil
+}
+
+// Put stores data under name as a whole.
+func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
+	path, err := objectPath(name)
+	if err != nil {
+		return err
+	}
+	if len(data) > MaxObjectSize {
+		return model.Errorf(model.KindInvalid, "split the object", "object %q has %d bytes, limit %d", name, len(data), MaxObjectSize)
+	}
+	_, err = o.e.write(ctx, http.MethodPut, path, contentBinary, data, maxErrorBody)
+	return err
+}
+
+// Get reads an object; KindNotFound means that it does not exist.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	path, err := objectPath(name)
+	if err != nil {
+		return nil, err
+	}
+	return o.e.read(ctx, path, MaxObjectSize)
+}
+
+// List returns the names that start with prefix, in order.
+func (o *Objects) List(ctx context.Context, prefix string) ([]string, error) {
+	q := url.Values{"prefix": {prefix}}
+	data, err := o.e.read(ctx, PathObjects+"?"+q.Encode(), MaxTableResponse)
+	if err != nil {
+		return nil, err
+	}
+	var out ObjectNames
+	if err := o.e.decode(data, &out, model.KindUnavailable); err != nil {
+		return nil, err
+	}
+	return out.Names, nil
+}
+
+// Delete removes an object; deleting an absent object succeeds.
+func (o *Objects) Delete(ctx context.Context, name string) error {
+	_, err := o.e.writeJSON(ctx, PathObjectDelete, ObjectDelete{Name: name}, maxErrorBody)
+	return err
+}
+
+// HostList is a client of the platform's host list.
+type HostList struct{ e endpoint }
+
+var _ platform.HostList = (*HostList)(nil)
+
+// NewHostList returns a client of the host list at baseURL.
+func NewHostList(baseURL string, client *http.Client) *HostList {
+	return &HostList{e: newEndpoint("host list", baseURL, client)}
+}
+
+// Hosts returns the platform's list, which lags behind reality.
+func (h *HostList) Hosts(ctx context.Context) ([]platform.Host, error) {
+	data, err := h.e.read(ctx, PathHosts, MaxHostListResponse)
+	if err != nil {
+		return nil, err
+	}
+	var out HostsResponse
+	if err := h.e.decode(data, &out, model.KindUnavailable); err != nil {
+		return nil, err
+	}
+	return out.Hosts, nil
+}
+
+// Workers sends commands to workers at the addresses in the host list.
+type Workers struct{ e endpoint }
+
+var _ platform.WorkerAPI = (*Workers)(nil)
+
+// NewWorkers returns a client for all workers.
+func NewWorkers(client *http.Client) *Workers {
+	return &Workers{e: newEndpoint("worker", "", client)}
+}
+
+// Command sends cmd once. KindFenced means that nothing was carried out.
+func (w *Workers) Command(ctx context.Context, host platform.Host, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+	e := w.e
+	e.base, e.name = "http://"+host.Addr, "worker "+host.ID
+	var report platform.WorkerReport
+	data, err := e.writeJSON(ctx, PathCommand, cmd, MaxReportSize)
+	if err != nil {
+		return report, err
+	}
+	return report, e.decode(data, &report, model.KindUnknown)
+}
--- /dev/null
+++ b/internal/platform/standin/objects.go
@@ -0,0 +1,223 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
+)
+
+// Objects is the object store. It serves HTTP and, without faults, implements
+// platform.Objects directly.
+type Objects struct {
+	faults *Faults
+	mux    *http.ServeMux
+
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+var _ platform.Objects = (*Objects)(nil)
+
+// NewObjects returns an empty object store. A nil f means no faults.
+func NewObjects(f *Faults) *Objects {
+	o := &Objects{faults: f, mux: http.NewServeMux(), data: map[string][]byte{}}
+	o.mux.HandleFunc("GET "+httpapi.PathObjects, o.serveList)
+	o.mux.HandleFunc("GET "+httpapi.PathObjects+"/{name...}", o.serveGet)
+	o.mux.HandleFunc("PUT "+httpapi.PathObjects+"/{name...}", o.servePut)
+	o.mux.HandleFunc("POST "+httpapi.PathObjectDelete, o.serveDelete)
+	return o
+}
+
+// ServeHTTP serves the object protocol.
+func (o *Objects) ServeHTTP(w http.ResponseWriter, r *http.Request) { o.mux.ServeHTTP(w, r) }
+
+// Put stores data under name as a whole.
+func (o *Objects) Put(_ context.Context, name string, data []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.data[name] = slices.Clone(data)
+	return nil
+}
+
+// Get reads an object.
+func (o *Objects) Get(_ context.Context, name string) ([]byte, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.data[name]
+	if !ok {
+		return nil, model.Errorf(model.KindNotFound, "check the name", "object %q", name)
+	}
+	return slices.Clone(data), nil
+}
+
+// List returns the names that start with prefix, in order.
+func (o *Objects) List(_ context.Context, prefix string) ([]string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(o.data)) {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	return names, nil
+}
+
+// Delete removes an object; deleting an absent object succeeds.
+func (o *Objects) Delete(_ context.Context, name string) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.data, name)
+	return nil
+}
+
+func (o *Objects) servePut(w http.ResponseWriter, r *http.Request) {
+	data, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	fault, ok := serviceGate(w, o.faults, ServiceObjects)
+	if !ok {
+		return
+	}
+	err := o.Put(r.Context(), r.PathValue("name"), data)
+	finishWrite(w, o.faults, fault, err)
+}
+
+func (o *Objects) serveDelete(w http.ResponseWriter, r *http.Request) {
+	var req httpapi.ObjectDelete
+	if !readJSON(w, r, &req) {
+		return
+	}
+	fault, ok := serviceGate(w, o.faults, ServiceObjects)
+	if !ok {
+		return
+	}
+	err := o.Delete(r.Context(), req.Name)
+	finishWrite(w, o.faults, fault, err)
+}
+
+func (o *Objects) serveGet(w http.ResponseWriter, r *http.Request) {
+	fault, ok := serviceGate(w, o.faults, ServiceObjects)
+	if !ok {
+		return
+	}
+	data, err := o.Get(r.Context(), r.PathValue("name"))
+	pause(fault.Slow)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(data)
+}
+
+func (o *Objects) serveList(w http.ResponseWriter, r *http.Request) {
+	fault, ok := serviceGate(w, o.faults, ServiceObjects)
+	if !ok {
+		return
+	}
+	names, err := o.List(r.Context(), r.URL.Query().Get("prefix"))
+	finishRead(w, fault, httpapi.ObjectNames{Names: names}, err)
+}
+
+// listVersion is the host list from a point in time on.
+type listVersion struct {
+	at    time.Time
+	hosts []platform.Host
+}
+
+// HostList is the platform's host list. With a Lag fault it shows the list as it
+// was that long ago.
+type HostList struct {
+	faults *Faults
+
+	mu       sync.Mutex
+	versions []listVersion
+}
+
+var _ platform.HostList = (*HostList)(nil)
+
+// maxListVersions bounds the history that a lagging list can show.
+const maxListVersions = 256
+
+// NewHostList returns a list that holds hosts. A nil f means no faults.
+func NewHostList(f *Faults, hosts ...platform.Host) *HostList {
+	return &HostList{faults: f, versions: []listVersion{{hosts: slices.Clone(hosts)}}}
+}
+
+// Set adds host, or replaces the entry with the same id.
+func (l *HostList) Set(host platform.Host) {
+	l.change(func(hosts []platform.Host) []platform.Host {
+		i := slices.IndexFunc(hosts, func(h platform.Host) bool { return h.ID == host.ID })
+		if i < 0 {
+			return append(hosts, host)
+		}
+		hosts[i] = host
+		return hosts
+	})
+}
+
+// SetState changes the state of a host, if it is listed.
+func (l *HostList) SetState(id string, state platform.HostState) {
+	l.change(func(hosts []platform.Host) []platform.Host {
+		for i := range hosts {
+			if hosts[i].ID == id {
+				hosts[i].State = state
+			}
+		}
+		return hosts
+	})
+}
+
+// Remove deletes the entry with the given id.
+func (l *HostList) Remove(id string) {
+	l.change(func(hosts []platform.Host) []platform.Host {
+		return slices.DeleteFunc(hosts, func(h platform.Host) bool { return h.ID == id })
+	})
+}
+
+func (l *HostList) change(edit func([]platform.Host) []platform.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := l.versions[len(l.versions)-1].hosts
+	l.versions = append(l.versions, listVersion{at: time.Now(), hosts: edit(slices.Clone(current))})
+	if len(l.versions) > maxListVersions {
+		l.versions = slices.Delete(l.versions, 0, len(l.versions)-maxListVersions)
+	}
+}
+
+// Hosts returns the list as the lag fault shows it.
+func (l *HostList) Hosts(context.Context) ([]platform.Host, error) {
+	cutoff := time.Now().Add(-l.faults.Service(ServiceHosts).Lag)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range slices.Backward(l.versions) {
+		if !v.at.After(cutoff) {
+			return slices.Clone(v.hosts), nil
+		}
+	}
+	return slices.Clone(l.versions[0].hosts), nil
+}
+
+// ServeHTTP serves the host list protocol.
+func (l *HostList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != httpapi.PathHosts {
+		http.NotFound(w, r)
+		return
+	}
+	fault, ok := serviceGate(w, l.faults, ServiceHosts)
+	if !ok {
+		return
+	}
+	hosts, err := l.Hosts(r.Context())
+	finishRead(w, fault, httpapi.HostsResponse{Hosts: hosts}, err)
+}
