--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -197,9 +197,18 @@
 	Rejected []RejectedStart `json:"rejected,omitempty"`
 }
 
+// Reasons of a RejectedStart.
+const (
+	// RejectSession means that the session was unknown or too old.
+	RejectSession = "session"
+	// RejectCapacity means that the declared resources did not fit.
+	RejectCapacity = "capacity"
+)
+
 // RejectedStart is a start that a worker refused; the attempt did not run.
 type RejectedStart struct {
 	AttemptRef
+	// Reason is RejectSession, RejectCapacity or a text of the worker.
 	Reason string `json:"reason"`
 }
 
--- /dev/null
+++ b/internal/platform/standin/workercore.go
@@ -0,0 +1,353 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+)
+
+// Defaults of WorkerConfig.
+const (
+	// DefaultSessionTTL is the age S at which a session no longer admits starts.
+	DefaultSessionTTL = 2 * time.Second
+	// DefaultUsageLag is the delay of usage and service samples.
+	DefaultUsageLag = 5 * time.Second
+	// DefaultCheckpointTime is how long a checkpoint takes.
+	DefaultCheckpointTime = 50 * time.Millisecond
+	// DefaultRun is the run time of a task whose payload states none.
+	DefaultRun = time.Second
+	// failAfter is when a started attempt fails on a worker that fails everything.
+	failAfter = 20 * time.Millisecond
+)
+
+// Payload is the true behaviour of a task, as JSON in the task's payload.
+type Payload struct {
+	// RunMS is the true run time at full speed, in milliseconds. Default 1000.
+	RunMS int64 `json:"run_ms,omitempty"`
+	// Size is the true resource use. Default: the declared resources.
+	Size model.Resources `json:"size,omitzero"`
+	// FailAtMS makes each attempt fail after this much work, when above zero.
+	FailAtMS int64 `json:"fail_at_ms,omitempty"`
+	// CheckpointEveryMS makes the task save its progress by itself after each
+	// such amount of work, when above zero.
+	CheckpointEveryMS int64 `json:"checkpoint_every_ms,omitempty"`
+	// Result is reported when the task is done.
+	Result string `json:"result,omitempty"`
+}
+
+// Encode returns p as the payload of a task.
+func (p Payload) Encode() []byte {
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic(fmt.Sprintf("payload of plain fields does not encode: %v", err))
+	}
+	return data
+}
+
+// decodePayload falls back to defaults for a payload that is not a Payload.
+func decodePayload(data []byte, declared model.Resources) Payload {
+	var p Payload
+	if json.Unmarshal(data, &p) != nil {
+		p = Payload{}
+	}
+	if p.RunMS <= 0 {
+		p.RunMS = DefaultRun.Milliseconds()
+	}
+	if p.Size.IsZero() {
+		p.Size = declared
+	}
+	return p
+}
+
+// Interference declares by how much one attempt of a batch class at full speed
+// slows a service on the same worker: 0.2 raises its latency by a fifth.
+type Interference map[model.ServiceName]map[model.ClassName]float64
+
+// WorkerConfig describes a worker.
+type WorkerConfig struct {
+	// ID, DataCentre and Rack identify the worker. ID is required.
+	ID         model.WorkerID
+	DataCentre model.DataCentre
+	Rack       model.Rack
+	// Capacity bounds the declared resources of live attempts. Required.
+	Capacity model.Resources
+	// SessionTTL is S; default 2 s.
+	SessionTTL time.Duration
+	// UsageLag delays usage and service samples; default 5 s.
+	UsageLag time.Duration
+	// CheckpointTime is how long a checkpoint takes; default 50 ms.
+	CheckpointTime time.Duration
+	// Services holds the undisturbed p99 of each service on the worker.
+	Services map[model.ServiceName]time.Duration
+	// Interference raises the service samples.
+	Interference Interference
+	// Objects receives checkpoints; nil keeps progress in the checkpoint's name only.
+	Objects *Objects
+	// Ledger records executions; nil creates one.
+	Ledger *Ledger
+	// Faults injects faults; nil means none.
+	Faults *Faults
+	// Seed fixes session names and sample noise.
+	Seed uint64
+	// AcceptOldSessions switches the session check off, for tests that show
+	// which failure the check prevents.
+	AcceptOldSessions bool
+	// TrueTime converts the worker's clock to that of the ledger; nil is the identity.
+	TrueTime func(time.Time) time.Time
+}
+
+func (c *WorkerConfig) provision() {
+	if c.SessionTTL == 0 {
+		c.SessionTTL = DefaultSessionTTL
+	}
+	if c.UsageLag == 0 {
+		c.UsageLag = DefaultUsageLag
+	}
+	if c.CheckpointTime == 0 {
+		c.CheckpointTime = DefaultCheckpointTime
+	}
+	if c.Ledger == nil {
+		c.Ledger = NewLedger()
+	}
+	if c.TrueTime == nil {
+		c.TrueTime = func(t time.Time) time.Time { return t }
+	}
+}
+
+// WorkerCore is a worker without input, output and clock: its methods take the
+// time on the worker's own clock. It is not safe for concurrent use.
+type WorkerCore struct {
+	cfg      WorkerConfig
+	rng      *rand.Rand
+	boot     string
+	issued   uint64
+	sessions map[string]time.Time
+	epochs   map[model.CellID]model.Epoch
+	running  map[platform.AttemptRef]*execution
+	ended    map[platform.AttemptRef]endedExecution
+	paused   bool
+	dead     bool
+	samples  sampler
+}
+
+// endedExecution is an ended attempt that waits for its acknowledgement.
+type endedExecution struct {
+	cell model.CellID
+	platform.EndedAttempt
+}
+
+// NewWorkerCore returns an idle worker that starts at now.
+func NewWorkerCore(cfg WorkerConfig, now time.Time) *WorkerCore {
+	cfg.provision()
+	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(now.UnixNano())))
+	return &WorkerCore{
+		cfg:      cfg,
+		rng:      rng,
+		boot:     fmt.Sprintf("%08x", rng.Uint32()),
+		sessions: map[string]time.Time{},
+		epochs:   map[model.CellID]model.Epoch{},
+		running:  map[platform.AttemptRef]*execution{},
+		ended:    map[platform.AttemptRef]endedExecution{},
+		samples:  sampler{next: now},
+	}
+}
+
+// Command carries out cmd and returns the report. KindFenced means that the
+// worker has seen a higher epoch; nothing was carried out.
+func (w *WorkerCore) Command(now time.Time, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+	w.Advance(now)
+	if w.dead || w.paused {
+		return platform.WorkerReport{}, model.Errorf(model.KindUnavailable, "wait for the worker", "worker %s does not run", w.cfg.ID)
+	}
+	if high := w.epochs[cmd.Cell]; cmd.Epoch < high {
+		return platform.WorkerReport{}, model.Errorf(model.KindFenced, "stop acting for the cell",
+			"epoch %d of cell %s is below %d", cmd.Epoch, cmd.Cell, high)
+	}
+	w.epochs[cmd.Cell] = cmd.Epoch
+	w.acknowledge(cmd)
+	w.change(now, cmd)
+	var rejected []platform.RejectedStart
+	for _, s := range cmd.Starts {
+		if reason := w.start(now, cmd, s); reason != "" {
+			rejected = append(rejected, platform.RejectedStart{AttemptRef: s.AttemptRef, Reason: reason})
+		}
+	}
+	report := w.report(now, cmd.Cell)
+	report.Rejected = rejected
+	return report, nil
+}
+
+func (w *WorkerCore) acknowledge(cmd platform.WorkerCommand) {
+	for _, ref := range cmd.Ack {
+		if e, ok := w.ended[ref]; ok && e.cell == cmd.Cell {
+			delete(w.ended, ref)
+		}
+	}
+}
+
+// change applies everything but the starts. Attempts of other cells are untouched.
+func (w *WorkerCore) change(now time.Time, cmd platform.WorkerCommand) {
+	for _, ref := range cmd.Renew {
+		if e := w.owned(ref, cmd.Cell); e != nil {
+			e.leaseEnd = now.Add(cmd.RenewFor)
+			w.cfg.Ledger.Renewed(ref, w.cfg.ID, w.cfg.TrueTime(e.leaseEnd))
+		}
+	}
+	for _, t := range cmd.Throttle {
+		if e := w.owned(t.AttemptRef, cmd.Cell); e != nil {
+			e.percent = min(max(t.Percent, 1), 100)
+		}
+	}
+	for _, ref := range cmd.Checkpoint {
+		if e := w.owned(ref, cmd.Cell); e != nil {
+			e.beginCheckpoint(now, w.cfg.CheckpointTime)
+		}
+	}
+	for _, ref := range cmd.Evict {
+		if e := w.owned(ref, cmd.Cell); e != nil {
+			e.beginCheckpoint(now, w.cfg.CheckpointTime)
+			e.evict = true
+		}
+	}
+	for _, ref := range cmd.Stop {
+		if e := w.owned(ref, cmd.Cell); e != nil {
+			w.end(e, now, model.OutcomeCancelled, "")
+		}
+	}
+}
+
+func (w *WorkerCore) owned(ref platform.AttemptRef, cell model.CellID) *execution {
+	e := w.running[ref]
+	if e == nil || e.cell != cell {
+		return nil
+	}
+	return e
+}
+
+// start begins an attempt and returns an empty reason, or the reason of refusal.
+// A repeated start of a known attempt has no effect.
+func (w *WorkerCore) start(now time.Time, cmd platform.WorkerCommand, s platform.Start) string {
+	if !w.cfg.AcceptOldSessions && !w.sessionValid(now, cmd.Session) {
+		return platform.RejectSession
+	}
+	if _, ok := w.running[s.AttemptRef]; ok {
+		return ""
+	}
+	if _, ok := w.ended[s.AttemptRef]; ok {
+		return ""
+	}
+	if !s.Resources.Fits(w.free()) {
+		w.cfg.Ledger.Report(RuleCapacity, w.cfg.TrueTime(now), "worker %s: %s does not fit in %s", w.cfg.ID, s.Resources, w.free())
+		return platform.RejectCapacity
+	}
+	w.begin(now, cmd.Cell, s)
+	return ""
+}
+
+func (w *WorkerCore) begin(now time.Time, cell model.CellID, s platform.Start) {
+	p := decodePayload(s.Payload, s.Resources)
+	e := &execution{
+		cell: cell, start: s, payload: p, at: now, percent: 100,
+		leaseEnd: now.Add(s.Lease), checkpoint: s.Checkpoint,
+		failing: w.cfg.Faults.Worker(string(w.cfg.ID)).FailStarts, failBy: now.Add(failAfter),
+	}
+	e.done = time.Duration(w.loadProgress(s.Checkpoint) * float64(e.total()))
+	e.saved = e.done
+	w.running[s.AttemptRef] = e
+	w.cfg.Ledger.Started(StartRecord{
+		AttemptRef: s.AttemptRef, Worker: w.cfg.ID, DataCentre: w.cfg.DataCentre,
+		At: w.cfg.TrueTime(now), Checkpoint: s.Checkpoint,
+	}, w.cfg.TrueTime(e.leaseEnd))
+}
+
+// end closes an execution and keeps its report until it is acknowledged.
+func (w *WorkerCore) end(e *execution, at time.Time, outcome model.Outcome, fault string) {
+	ref := e.start.AttemptRef
+	delete(w.running, ref)
+	ended := platform.EndedAttempt{AttemptRef: ref, Outcome: outcome, Checkpoint: e.checkpoint, Error: fault}
+	if outcome == model.OutcomeDone {
+		ended.Result = e.payload.Result
+	}
+	w.ended[ref] = endedExecution{cell: e.cell, EndedAttempt: ended}
+	w.cfg.Ledger.Ended(EndRecord{AttemptRef: ref, Worker: w.cfg.ID, At: w.cfg.TrueTime(at), Outcome: outcome})
+}
+
+// free returns the capacity that no live attempt has reserved.
+func (w *WorkerCore) free() model.Resources {
+	free := w.cfg.Capacity
+	for _, e := range w.running {
+		free = free.Sub(e.start.Resources)
+	}
+	return free
+}
+
+func (w *WorkerCore) sessionValid(now time.Time, session string) bool {
+	at, ok := w.sessions[session]
+	return ok && now.Sub(at) <= w.cfg.SessionTTL
+}
+
+// newSession issues a session. Its name contains the boot name, so that a
+// restarted worker does not accept a session of its former life.
+func (w *WorkerCore) newSession(now time.Time) string {
+	for s, at := range w.sessions {
+		if now.Sub(at) > w.cfg.SessionTTL {
+			delete(w.sessions, s)
+		}
+	}
+	w.issued++
+	s := fmt.Sprintf("%s-%d", w.boot, w.issued)
+	w.sessions[s] = now
+	return s
+}
+
+func (w *WorkerCore) report(now time.Time, cell model.CellID) platform.WorkerReport {
+	r := platform.WorkerReport{Worker: w.cfg.ID, Session: w.newSession(now), SessionTTL: w.cfg.SessionTTL}
+	lag := w.lag()
+	for _, ref := range sortedRefs(w.running) {
+		if e := w.running[ref]; e.cell == cell {
+			r.Running = append(r.Running, e.report(now, lag))
+		}
+	}
+	for _, ref := range sortedRefs(w.ended) {
+		if e := w.ended[ref]; e.cell == cell {
+			r.Ended = append(r.Ended, e.EndedAttempt)
+		}
+	}
+	r.Services = w.samples.matured(now, lag)
+	return r
+}
+
+func (w *WorkerCore) lag() time.Duration {
+	if lag := w.cfg.Faults.Worker(string(w.cfg.ID)).UsageLag; lag > 0 {
+		return lag
+	}
+	return w.cfg.UsageLag
+}
+
+// Slowdown returns the factor by which a service on the worker is slowed now.
+func (w *WorkerCore) Slowdown(service model.ServiceName) float64 {
+	factor := 1.0
+	for _, e := range w.running {
+		factor += w.cfg.Interference[service][e.start.Class] * float64(e.percent) / 100
+	}
+	return factor
+}
+
+// Live returns the attempts that run now, in order.
+func (w *WorkerCore) Live() []platform.AttemptRef { return sortedRefs(w.running) }
+
+func sortedRefs[V any](m map[platform.AttemptRef]V) []platform.AttemptRef {
+	return slices.SortedFunc(maps.Keys(m), func(a, b platform.AttemptRef) int {
+		if c := strings.Compare(string(a.Task), string(b.Task)); c != 0 {
+			return c
+		}
+		return int(a.Attempt) - int(b.Attempt)
+	})
+}
