--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -27,27 +27,33 @@
 	Owner *OwnerChange
 }
 
-// envelope is the stored form of a snapshot.
+// envelope is the stored form of a snapshot. The checksum covers the body, so
+// that a fault in the sequence or the ownership is found as well as one in the data.
 type envelope struct {
 	Format   Format   `cbor:"1,keyasint"`
-	Sequence uint64   `cbor:"2,keyasint"`
-	Checksum [32]byte `cbor:"3,keyasint"`
-	Data     []byte   `cbor:"4,keyasint"`
+	Checksum [32]byte `cbor:"2,keyasint"`
+	Body     []byte   `cbor:"3,keyasint"`
+}
 
-	Epoch model.Epoch  `cbor:"5,keyasint,omitempty"`
-	Owner *OwnerChange `cbor:"6,keyasint,omitempty"`
+// body is the checked part of a snapshot.
+type body struct {
+	Sequence uint64       `cbor:"1,keyasint"`
+	Data     []byte       `cbor:"2,keyasint"`
+	Epoch    model.Epoch  `cbor:"3,keyasint,omitempty"`
+	Owner    *OwnerChange `cbor:"4,keyasint,omitempty"`
 }
 
-// EncodeSnapshot returns the object value of s: format version, sequence,
-// SHA-256 checksum of the data, data.
+// EncodeSnapshot returns the object value of s: format version, SHA-256 checksum
+// and the checked body.
 func EncodeSnapshot(s Snapshot) ([]byte, error) {
-	data, err := cbor.Marshal(envelope{
-		Format: CurrentFormat, Sequence: s.Sequence, Checksum: sha256.Sum256(s.Data), Data: s.Data,
-		Epoch: s.Epoch, Owner: s.Owner,
-	})
+	inner, err := cbor.Marshal(body(s))
 	if err != nil {
 		return nil, model.Wrap(model.KindInvalid, err, "report this fault", "encode snapshot")
 	}
+	data, err := cbor.Marshal(envelope{Format: CurrentFormat, Checksum: sha256.Sum256(inner), Body: inner})
+	if err != nil {
+		return nil, model.Wrap(model.KindInvalid, err, "report this fault", "encode snapshot envelope")
+	}
 	return data, nil
 }
 
@@ -61,10 +67,14 @@
 	if err := decMode.Unmarshal(data, &e); err != nil {
 		return Snapshot{}, model.Wrap(model.KindCorrupt, err, "use an older snapshot", "decode snapshot")
 	}
-	if sha256.Sum256(e.Data) != e.Checksum {
-		return Snapshot{}, model.Errorf(model.KindCorrupt, "use an older snapshot", "checksum of snapshot %d does not match", e.Sequence)
+	if sha256.Sum256(e.Body) != e.Checksum {
+		return Snapshot{}, model.Errorf(model.KindCorrupt, "use an older snapshot", "the checksum of a snapshot does not match")
+	}
+	var b body
+	if err := decMode.Unmarshal(e.Body, &b); err != nil {
+		return Snapshot{}, model.Wrap(model.KindCorrupt, err, "use an older snapshot", "decode the body of a snapshot")
 	}
-	return Snapshot{Sequence: e.Sequence, Data: e.Data, Epoch: e.Epoch, Owner: e.Owner}, nil
+	return Snapshot(b), nil
 }
 
 // Snapshots keeps the snapshots of one journal in the object store under
