Add the runtime of owned cells

Each owned cell runs in one goroutine: requests and worker reports become records, the scheduler plans, one row makes everything durable, and only then starts, acknowledgements and answers leave the process.

--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,113 @@
+// Package owner runs the cells that this node owns. Each cell has one goroutine
+// that takes in requests and worker reports, plans, makes the resulting records
+// durable in the cell's journal, and only then acts on them.
+//
+// The records of one iteration are applied to the cell's state before they are
+// durable. This is safe because an append has two results only: it becomes
+// durable, or the ownership has ended and the state is dropped. Whatever is
+// visible outside the process (starts, acknowledgements, answers) waits for the
+// append.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/scheduler"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+// Defaults of Config.
+const (
+	// DefaultTick is the longest time between two plans of a cell.
+	DefaultTick = 250 * time.Millisecond
+	// DefaultSnapshotRecords is the number of records after which a snapshot is saved.
+	DefaultSnapshotRecords = 5000
+	// requestBuffer is the number of requests that wait while an append is in flight.
+	requestBuffer = 256
+	// appendRetry is the wait before an append that wrote nothing is repeated.
+	appendRetry = 200 * time.Millisecond
+)
+
+// Config holds what the cells of a node need. Node, Workers, View, Hosts and Log
+// are required.
+type Config struct {
+	// Node is this node's id.
+	Node model.NodeID
+	// Workers carries commands to worker hosts.
+	Workers platform.WorkerAPI
+	// View returns the current control view.
+	View func() *control.View
+	// Fresh reports whether the view is recent enough for starts.
+	Fresh func(now time.Time) bool
+	// Hosts returns the latest host list.
+	Hosts func() []platform.Host
+	// OutageRenewal reports whether task leases of a cell may be renewed although
+	// the ownership lease has expired (store outage).
+	OutageRenewal func(id model.CellID, epoch model.Epoch) bool
+	// EpochAcknowledged reports whether a majority of the members knows the epoch.
+	EpochAcknowledged func(id model.CellID, epoch model.Epoch) bool
+	// Cells returns the last known summaries of the deployment's cells.
+	Cells func() []scheduler.CellSummary
+	// Transfer hands a task to the owner of another cell and returns once it is
+	// durable there.
+	Transfer func(ctx context.Context, to model.CellID, in cell.TransferIn) error
+	// Scheduler and Dispatch set placement and delivery.
+	Scheduler scheduler.Config
+	Dispatch  dispatch.Config
+	// Tick is the longest time between two plans. Default 250ms.
+	Tick time.Duration
+	// SnapshotRecords is the number of records between snapshots. Default 5000.
+	SnapshotRecords int
+	// Decisions receives one line for each placement decision.
+	Decisions telemetry.DecisionLogger
+	Metrics   *telemetry.Metrics
+	Log       *logrus.Entry
+	// Now returns the monotonic time. Default time.Now.
+	Now func() time.Time
+}
+
+func (c *Config) provision() {
+	if c.Tick == 0 {
+		c.Tick = DefaultTick
+	}
+	if c.SnapshotRecords == 0 {
+		c.SnapshotRecords = DefaultSnapshotRecords
+	}
+	if c.Decisions == nil {
+		c.Decisions = telemetry.Discard{}
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+}
+
+// Journal is the owned journal of a cell; *ownership.Owned implements it.
+type Journal interface {
+	Append(ctx context.Context, records [][]byte, urgent bool) (uint64, error)
+	LeaseValid(now time.Time) bool
+	LastSequence() uint64
+	SaveSnapshotAt(ctx context.Context, seq uint64, data []byte) error
+}
+
+// Dispatcher carries commands to workers; *dispatch.Dispatcher implements it.
+type Dispatcher interface {
+	SetWorkers(hosts []platform.Host)
+	SetEpochAcknowledged(at time.Time)
+	Start(worker model.WorkerID, s platform.Start) error
+	Evict(ref platform.AttemptRef)
+	Stop(ref platform.AttemptRef)
+	Checkpoint(ref platform.AttemptRef)
+	Throttle(ref platform.AttemptRef, percent int)
+	Ack(refs ...platform.AttemptRef)
+	Events() []dispatch.Event
+	Notify() <-chan struct{}
+	Run(ctx context.Context) error
+}
--- /dev/null
+++ b/internal/owner/runtime.go
@@ -0,0 +1,237 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/ownership"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/scheduler"
+)
+
+// Runtime runs one owned cell.
+type Runtime struct {
+	id      model.CellID
+	epoch   model.Epoch
+	cfg     *Config
+	journal Journal
+	state   *cell.State
+	sched   *scheduler.Scheduler
+	disp    Dispatcher
+	log     *logrus.Entry
+
+	requests chan request
+	// done is closed when the goroutine has ended.
+	done chan struct{}
+
+	// The fields below belong to the goroutine. batch, effects and urgent are
+	// those of the present iteration.
+	batch   []cell.Record
+	effects []func()
+	urgent  bool
+	// sending holds the tasks whose transfer is on its way.
+	sending map[model.TaskID]bool
+	// sinceSnapshot counts records since the last snapshot was begun.
+	sinceSnapshot int
+	saving        chan error
+	acknowledged  bool
+	// unsent holds placements whose start could not be given to the dispatcher.
+	unsent  []unsentStart
+	summary atomic.Pointer[scheduler.CellSummary]
+}
+
+// newRuntime recovers the cell's state and returns its runtime, not yet running.
+func newRuntime(cfg *Config, owned *ownership.Owned) (*Runtime, error) {
+	state, err := recoverState(owned)
+	if err != nil {
+		return nil, err
+	}
+	r := &Runtime{
+		id: owned.Cell, epoch: owned.Epoch, cfg: cfg, journal: owned, state: state,
+		sched:    scheduler.New(cfg.Scheduler, state),
+		log:      cfg.Log.WithFields(logrus.Fields{"cell": string(owned.Cell), "epoch": uint64(owned.Epoch)}),
+		requests: make(chan request, requestBuffer), done: make(chan struct{}),
+		sending: map[model.TaskID]bool{},
+	}
+	if err := r.sched.RestoreEstimates(state.Aux()); err != nil {
+		r.log.WithError(err).Warn("interference estimates dropped")
+	}
+	r.disp = r.newDispatcher(owned)
+	return r, nil
+}
+
+func (r *Runtime) newDispatcher(owned *ownership.Owned) Dispatcher {
+	dc := r.cfg.Dispatch
+	dc.Cell, dc.Epoch = owned.Cell, owned.Epoch
+	gates := dispatch.Gates{MayStart: r.mayStart, MayRenew: r.mayRenew}
+	opts := dispatch.Options{Now: r.cfg.Now, Metrics: r.cfg.Metrics}
+	return dispatch.New(dc, r.cfg.Workers, gates, knownAttempts(r.state), opts)
+}
+
+// mayStart is the gate for starts: ownership, freshness and data centre state.
+func (r *Runtime) mayStart(now time.Time) error {
+	switch {
+	case !r.journal.LeaseValid(now):
+		return model.Errorf(model.KindStale, "wait for the next successful append", "the ownership lease of cell %s has expired", r.id)
+	case !r.cfg.Fresh(now):
+		return model.Errorf(model.KindStale, "wait for a confirmed view", "the control view is too old for starts")
+	case r.cfg.View().IsOut(DataCentreOf(r.id)):
+		return model.Errorf(model.KindUnavailable, "wait for the data centre's return", "data centre %s is out", DataCentreOf(r.id))
+	}
+	return nil
+}
+
+// mayRenew is the gate for all commands.
+func (r *Runtime) mayRenew(now time.Time) error {
+	if r.journal.LeaseValid(now) || r.cfg.OutageRenewal(r.id, r.epoch) {
+		return nil
+	}
+	return model.Errorf(model.KindStale, "wait for the next successful append", "the ownership lease of cell %s has expired", r.id)
+}
+
+// run is the goroutine of the cell. It ends with ctx, which ends with the ownership.
+func (r *Runtime) run(ctx context.Context) {
+	defer close(r.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case req := <-r.requests:
+			r.take(req, r.cfg.Now())
+		case <-r.disp.Notify():
+		case <-timer.C:
+		}
+		next, err := r.iterate(ctx)
+		if err != nil {
+			r.log.WithError(err).Warn("cell stopped")
+			return
+		}
+		timer.Reset(next)
+	}
+}
+
+// iterate takes in what has arrived, plans, makes everything durable in one row
+// and carries it out. It returns the time until the next plan is due.
+func (r *Runtime) iterate(ctx context.Context) (time.Duration, error) {
+	now := r.cfg.Now()
+	r.refreshHosts()
+	r.takeEvents(now)
+	r.drainRequests(now)
+	plan := r.plan(now)
+	if err := r.commit(ctx); err != nil {
+		r.sched.Abort()
+		return 0, err
+	}
+	r.sched.Committed(plan.Records, r.cfg.Now())
+	r.carryOut(plan)
+	r.sendTransfers(ctx)
+	r.maybeSnapshot(ctx)
+	summary := r.sched.Summary()
+	r.summary.Store(&summary)
+	if plan.Next <= 0 || plan.Next > r.cfg.Tick {
+		return r.cfg.Tick, nil
+	}
+	return plan.Next, nil
+}
+
+func (r *Runtime) drainRequests(now time.Time) {
+	for range requestBuffer {
+		select {
+		case req := <-r.requests:
+			r.take(req, now)
+		default:
+			return
+		}
+	}
+}
+
+// apply applies a record to the state and adds it to the batch. A record that
+// the state refuses is not journaled.
+func (r *Runtime) apply(rec cell.Record) error {
+	if err := r.state.Apply(rec); err != nil {
+		return err
+	}
+	r.batch = append(r.batch, rec)
+	return nil
+}
+
+// after registers an effect for when the batch is durable.
+func (r *Runtime) after(f func()) { r.effects = append(r.effects, f) }
+
+// plan asks the scheduler and applies its records.
+func (r *Runtime) plan(now time.Time) scheduler.Plan {
+	r.sched.SetCells(r.cfg.Cells())
+	plan := r.sched.Plan(now, r.cfg.View())
+	for _, rec := range plan.Records {
+		if err := r.apply(rec); err != nil {
+			r.log.WithError(err).Error("the state refused a planned record")
+		}
+	}
+	r.urgent = r.urgent || plan.Urgent
+	return plan
+}
+
+// commit appends the batch in one row and returns once it is durable. Errors end
+// the ownership as far as this runtime is concerned.
+func (r *Runtime) commit(ctx context.Context) error {
+	if len(r.batch) == 0 {
+		return ctx.Err()
+	}
+	encoded := make([][]byte, len(r.batch))
+	for i, rec := range r.batch {
+		data, err := cell.EncodeRecord(rec)
+		if err != nil {
+			return err
+		}
+		encoded[i] = data
+	}
+	for {
+		_, err := r.journal.Append(ctx, encoded, r.urgent)
+		if err == nil {
+			r.sinceSnapshot += len(r.batch)
+			return nil
+		}
+		if model.IsKind(err, model.KindUnknown) || model.IsKind(err, model.KindInvalid) {
+			return err
+		}
+		// Nothing was written. The lease may have expired in a store outage without
+		// a successor; ctx ends when there is one.
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(appendRetry):
+		}
+	}
+}
+
+// refreshHosts passes the cell's part of the host list on.
+func (r *Runtime) refreshHosts() {
+	hosts := r.cfg.Hosts()
+	var mine []platform.Host
+	for _, h := range hosts {
+		if h.Role == platform.RoleWorker && CellOfWorker(r.cfg.View(), h) == r.id {
+			mine = append(mine, h)
+		}
+	}
+	r.disp.SetWorkers(mine)
+	workers := make([]scheduler.Worker, 0, len(mine))
+	for _, h := range mine {
+		workers = append(workers, scheduler.Worker{
+			ID: model.WorkerID(h.ID), DataCentre: h.DataCentre, Rack: h.Rack,
+			Capacity: h.Capacity, Leaving: h.State == platform.HostLeaving,
+		})
+	}
+	r.sched.SetWorkers(workers)
+	if !r.acknowledged && r.cfg.EpochAcknowledged(r.id, r.epoch) {
+		r.acknowledged = true
+		r.disp.SetEpochAcknowledged(r.cfg.Now())
+	}
+}
