Add request chain, runner selection and single-node shares

Cause: the daemon needs the request path's interface before its details.

Change: internal/request serves /v1/services and /v1/orders through the filters identify, deadline, receive, recall, admit, claim, route, forward, collect. internal/routing holds the balancers, the outlier back-off and the retry budget. internal/share holds the shares of a single node.

Measured: go test -race ./internal/request passes.

--- /dev/null
+++ b/internal/request/deps.go
@@ -0,0 +1,82 @@
+package request
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+// Deps holds what a Chain needs from the rest of the node. View, Hosts and
+// Shares are required. Without Claims, non-idempotent requests and orders are
+// refused; without Orders, orders are refused.
+type Deps struct {
+	// View returns the node's current view, or nil before the first one.
+	View func() *control.View
+	// Hosts returns the latest host list. It is called for each request and must
+	// return a slice that is replaced, never changed in place.
+	Hosts func() []platform.Host
+	// Shares grants this node's slots at runners.
+	Shares Shares
+	// Claims stores the claim rows.
+	Claims Claims
+	// Objects stores answers that are too large for a claim row. Optional.
+	Objects platform.Objects
+	// Orders hands batch jobs to the owners of their cells.
+	Orders Orders
+	// Decisions receives one line for each decision. Default: discard.
+	Decisions telemetry.DecisionLogger
+	// Metrics is where metrics are registered. Default: a registry of its own.
+	Metrics prometheus.Registerer
+	// Clock returns the time. Default time.Now.
+	Clock func() time.Time
+	// Node is this node's id.
+	Node model.NodeID
+	// Seed starts the random choices, so that runs can be repeated.
+	Seed uint64
+}
+
+// Shares is this node's part of the slots and connections of each runner. It is
+// implemented by share.Manager and is safe for concurrent use.
+type Shares interface {
+	// Acquire takes one slot of runner for a request. False means that this node
+	// has no free slot there now.
+	Acquire(service model.ServiceName, runner model.RunnerID) bool
+	// Release returns a slot taken by Acquire.
+	Release(service model.ServiceName, runner model.RunnerID)
+	// Limit returns the number of slots that this node may use at runner now.
+	Limit(service model.ServiceName, runner model.RunnerID) int
+}
+
+// OrderStatus is the progress of a batch job.
+type OrderStatus struct {
+	Job  model.JobID  `json:"job"`
+	Cell model.CellID `json:"cell"`
+	// State is queued, running, done, failed, cancelled or never (can never run).
+	State string `json:"state"`
+	// Tasks and Done count the tasks of the job.
+	Tasks int `json:"tasks"`
+	Done  int `json:"done"`
+	// Results holds the result of each task that is done, by task id.
+	Results map[model.TaskID]string `json:"results,omitempty"`
+	// Reason explains failed and never.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Orders hands batch jobs to the owners of their cells.
+type Orders interface {
+	// Submit makes the job durable in cell. It is idempotent by job id.
+	// KindUnknown means that the job may have been made durable.
+	Submit(ctx context.Context, cell model.CellID, job model.JobSpec) error
+	// Status returns the progress of a job; KindNotFound when the cell has none of that id.
+	Status(ctx context.Context, cell model.CellID, job model.JobID) (OrderStatus, error)
+	// Cancel ends a job. Cancelling an ended job has no effect.
+	Cancel(ctx context.Context, cell model.CellID, job model.JobID) error
+	// HomeCell chooses the cell that a new job is submitted to.
+	HomeCell(job model.JobSpec) (model.CellID, error)
+}
--- /dev/null
+++ b/internal/request/drain.go
@@ -0,0 +1,90 @@
+package request
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// drainState counts calls in flight and refuses new ones after close.
+type drainState struct {
+	mu     sync.Mutex
+	active int
+	closed bool
+	idle   chan struct{}
+}
+
+// enter admits a call unless draining has closed the chain.
+func (d *drainState) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	d.active++
+	return true
+}
+
+// hold counts work that outlives its call, such as recording an outcome.
+func (d *drainState) hold() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active++
+}
+
+// leave ends a call that enter admitted.
+func (d *drainState) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.active--
+	if d.closed && d.active == 0 && d.idle != nil {
+		close(d.idle)
+		d.idle = nil
+	}
+}
+
+// close refuses new calls and returns a channel that is closed once none are left.
+func (d *drainState) close() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	done := make(chan struct{})
+	if d.active == 0 {
+		close(done)
+		return done
+	}
+	d.idle = done
+	return done
+}
+
+// Drain prepares a graceful stop. The node turns its readiness off before the
+// call. New requests are still served for the drain delay, while the load
+// balancer notices; then they get 503 with Connection: close. Drain returns when
+// no request is in flight, or with the context's error.
+func (c *Chain) Drain(ctx context.Context) error {
+	timer := time.NewTimer(c.cfg.DrainDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	idle := c.drain.close()
+	select {
+	case <-idle:
+		c.up.close()
+		return nil
+	case <-ctx.Done():
+		return model.Wrap(model.KindUnavailable, ctx.Err(), "allow a longer stop time", "requests still in flight")
+	}
+}
+
+// drainRefusal is the answer to requests that arrive after the drain delay.
+func (c *Chain) drainRefusal() *Refusal {
+	f := refusal(http.StatusServiceUnavailable, model.KindUnavailable, time.Second,
+		"this node is shutting down", "retry; the load balancer will choose another node")
+	f.close = true
+	return f
+}
--- /dev/null
+++ b/internal/request/fixture_test.go
@@ -0,0 +1,205 @@
+package request
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/share"
+)
+
+// fakeTable is a table service in memory whose commits can be made to fail.
+type fakeTable struct {
+	mu   sync.Mutex
+	rows map[platform.Key]platform.Row
+	// fault decides the fate of the n-th commit (from 1); nil means no fault.
+	fault func(n int) (apply bool, err error)
+	// down fails every read.
+	down    bool
+	commits int
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[platform.Key]platform.Row{}} }
+
+func (f *fakeTable) Commit(_ context.Context, writes ...platform.Write) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.commits++
+	var fault error
+	if f.fault != nil {
+		apply, err := f.fault(f.commits)
+		if !apply && err != nil {
+			return err
+		}
+		fault = err
+	}
+	for _, w := range writes {
+		row, ok := f.rows[w.Key]
+		if w.Condition.Absent && ok || w.Condition.Version != 0 && row.Version != w.Condition.Version {
+			return model.Errorf(model.KindConflict, "read again", "condition failed")
+		}
+	}
+	for _, w := range writes {
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Key].Version + 1}
+	}
+	return fault
+}
+
+func (f *fakeTable) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Row{}, model.Errorf(model.KindUnavailable, "retry", "store down")
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return platform.Row{}, model.Errorf(model.KindNotFound, "check the key", "no row")
+	}
+	return row, nil
+}
+
+func (f *fakeTable) Range(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, nil
+}
+
+// fakeObjects is an object store in memory.
+type fakeObjects struct {
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+func (f *fakeObjects) Put(_ context.Context, name string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.data[name] = bytes.Clone(data)
+	return nil
+}
+
+func (f *fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, ok := f.data[name]
+	if !ok {
+		return nil, model.Errorf(model.KindNotFound, "check the name", "no object")
+	}
+	return d, nil
+}
+
+func (f *fakeObjects) List(context.Context, string) ([]string, error) { return nil, nil }
+func (f *fakeObjects) Delete(context.Context, string) error           { return nil }
+
+// world is a store, runners and one or more nodes that share them.
+type world struct {
+	t       testing.TB
+	table   *fakeTable
+	objects *fakeObjects
+	mu      sync.Mutex
+	hosts   []platform.Host
+	view    *control.View
+	orders  Orders
+	cfg     Config
+}
+
+func newWorld(t testing.TB) *world {
+	percent := 10
+	return &world{
+		t: t, table: newFakeTable(), objects: &fakeObjects{data: map[string][]byte{}},
+		view: &control.View{Sequence: 1, Declaration: &declaration.Declaration{
+			Services: []declaration.Service{
+				{Name: "desk", SlotsPerRunner: 8, ConnectionsPerRunner: 64, DefaultTimeout: declaration.Duration(5 * time.Second), RetryBudgetPercent: &percent},
+				{Name: "front", DependsOn: []model.ServiceName{"desk"}},
+			},
+			Teams:        []declaration.Team{{Name: "press"}},
+			BatchClasses: []declaration.BatchClass{{Name: "plates", Urgency: "high", Resources: declaration.Capacity{Cores: 1, MemoryGB: 1}}},
+		}},
+		cfg: Config{HedgeAfter: -1, DrainDelay: time.Millisecond, ClaimTimeout: 500 * time.Millisecond},
+	}
+}
+
+// runner adds an upstream runner of the service.
+func (w *world) runner(service, id string, h http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(h)
+	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	w.addHost(platform.Host{ID: id, Role: platform.RoleRunner, State: platform.HostLive, Addr: s.Listener.Addr().String(), Service: model.ServiceName(service), DataCentre: "gent"})
+	return s
+}
+
+// addHost publishes a new host list with h added.
+func (w *world) addHost(h platform.Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hosts = append(append([]platform.Host(nil), w.hosts...), h)
+}
+
+// setState publishes a new host list with one state changed.
+func (w *world) setState(id string, s platform.HostState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	hosts := append([]platform.Host(nil), w.hosts...)
+	for i := range hosts {
+		if hosts[i].ID == id {
+			hosts[i].State = s
+		}
+	}
+	w.hosts = hosts
+}
+
+// node starts a node and returns its chain and address.
+func (w *world) node(name string) (*Chain, string) {
+	c, err := New(w.cfg, Deps{
+		View: func() *control.View { return w.view },
+		Hosts: func() []platform.Host {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.hosts
+		},
+		Shares: &share.Solo{Slots: func(model.ServiceName) int { return 8 }},
+		Claims: NewClaims(w.table), Objects: w.objects, Orders: w.orders,
+		Node: model.NodeID(name), Seed: 1,
+	})
+	require.NoError(w.t, err)
+	s := httptest.NewServer(c)
+	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return c, s.URL
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	outcome string
+	header  http.Header
+	body    []byte
+	err     error
+}
+
+// ask sends a request with header pairs and reads the whole answer.
+func ask(t testing.TB, method, url string, body []byte, headers ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	require.NoError(t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, outcome: resp.Header.Get(headerOutcome), header: resp.Header, body: data, err: err}
+}
+
+// timeoutMS formats a timeout header value.
+func timeoutMS(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- /dev/null
+++ b/internal/request/orders.go
@@ -0,0 +1,365 @@
+package request
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+const (
+	ordersPath = "/v1/orders"
+	// maxOrderTasks bounds the tasks of one order, so that a job fits one journal batch.
+	maxOrderTasks = 1000
+	// defaultMaxRetries applies when the class states no limit.
+	defaultMaxRetries = 3
+)
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	Team  model.TeamName  `json:"team"`
+	Class model.ClassName `json:"class"`
+	// Urgency is bulk, normal, high or urgent; empty takes the class's urgency.
+	Urgency string      `json:"urgency,omitempty"`
+	Tasks   []OrderTask `json:"tasks"`
+}
+
+// OrderTask is one task of an order.
+type OrderTask struct {
+	// Resources is what the task reserves; zero takes the class's default.
+	Resources model.Resources `json:"resources"`
+	// DeclaredRun is the expected run time, such as 30s.
+	DeclaredRun declaration.Duration `json:"declared_run"`
+	// Payload is passed to the worker; base64 in JSON.
+	Payload []byte `json:"payload,omitempty"`
+}
+
+// OrderAccepted is the answer to an accepted order.
+type OrderAccepted struct {
+	Job   model.JobID  `json:"job"`
+	Cell  model.CellID `json:"cell"`
+	Tasks int          `json:"tasks"`
+}
+
+// serveOrders handles /v1/orders and /v1/orders/<job>.
+func (c *Chain) serveOrders(w http.ResponseWriter, r *http.Request) {
+	cl := &call{w: w, r: r, ctx: r.Context(), id: c.newID(), arrived: c.deps.Clock(), service: "orders"}
+	ctx, cancel := context.WithTimeout(cl.ctx, fallbackTimeout)
+	defer cancel()
+	cl.ctx = ctx
+	cl.w.Header().Set(headerRequestID, cl.id)
+	if c.deps.Orders == nil || c.deps.Claims == nil {
+		c.refuse(cl, refuseNoClaims(), "no-claims")
+		return
+	}
+	job := strings.Trim(strings.TrimPrefix(r.URL.Path, ordersPath), "/")
+	switch {
+	case job == "" && r.Method == http.MethodPost:
+		c.submitOrder(cl)
+	case job != "" && r.Method == http.MethodGet:
+		c.orderStatus(cl, job)
+	case job != "" && r.Method == http.MethodDelete:
+		c.cancelOrder(cl, job)
+	default:
+		w.Header().Set("Allow", "POST on /v1/orders; GET, DELETE on /v1/orders/<job>")
+		c.refuse(cl, refusal(http.StatusMethodNotAllowed, model.KindInvalid, 0, "method not allowed here", "see the Allow header"), "method")
+	}
+}
+
+// submitOrder claims the key, then submits the job to its home cell.
+func (c *Chain) submitOrder(cl *call) {
+	cl.key = cl.r.Header.Get(headerKey)
+	if cl.key == "" || len(cl.key) > maxKeyBytes {
+		c.refuse(cl, refusal(http.StatusBadRequest, model.KindInvalid, 0,
+			headerKey+" is missing or too long", "send a unique key of at most 256 bytes with each order"), "no-key")
+		return
+	}
+	body, release, err := c.mem.readBody(cl.r.Body, cl.r.ContentLength, c.cfg.MaxOrderBytes)
+	if err != nil {
+		c.refuse(cl, bodyRefusal(err), "bad-body")
+		return
+	}
+	defer release()
+	cl.body = body
+	view := c.deps.View()
+	if view == nil || view.Declaration == nil {
+		c.refuse(cl, refusal(http.StatusServiceUnavailable, model.KindStale, time.Second, "this node has no declaration yet", "retry, or use another node"), "no-view")
+		return
+	}
+	job, err := parseOrder(view, body, model.JobID(ClaimRow(cl.key)))
+	if err != nil {
+		c.refuse(cl, refuseInvalid(err), "invalid-order")
+		return
+	}
+	c.placeOrder(cl, job)
+}
+
+// parseOrder decodes and checks an order against the declaration.
+func parseOrder(view *control.View, body []byte, id model.JobID) (model.JobSpec, error) {
+	var o Order
+	if err := json.Unmarshal(body, &o); err != nil {
+		return model.JobSpec{}, model.Wrap(model.KindInvalid, err, "send the JSON body that docs/callers.md describes", "the order is not valid JSON")
+	}
+	class := classOf(view.Declaration, o.Class)
+	if class == nil {
+		return model.JobSpec{}, model.Errorf(model.KindInvalid, "use a batch class of the declaration", "unknown batch class %q", o.Class)
+	}
+	if !hasTeam(view.Declaration, o.Team) {
+		return model.JobSpec{}, model.Errorf(model.KindInvalid, "use a team of the declaration", "unknown team %q", o.Team)
+	}
+	if len(o.Tasks) == 0 || len(o.Tasks) > maxOrderTasks {
+		return model.JobSpec{}, model.Errorf(model.KindInvalid, "send 1 to 1000 tasks in one order", "the order has %d tasks", len(o.Tasks))
+	}
+	urgency, err := urgencyOf(o.Urgency, class.Urgency)
+	if err != nil {
+		return model.JobSpec{}, err
+	}
+	job := model.JobSpec{ID: id, Tasks: make([]model.TaskSpec, len(o.Tasks))}
+	for i, t := range o.Tasks {
+		spec, err := taskOf(t, class)
+		if err != nil {
+			return model.JobSpec{}, model.Wrap(model.KindInvalid, err, "correct the task", "task %d", i)
+		}
+		spec.ID = model.TaskID(fmt.Sprintf("%s/%d", id, i))
+		spec.Job, spec.Team, spec.Class, spec.Urgency = id, o.Team, o.Class, urgency
+		job.Tasks[i] = spec
+	}
+	return job, nil
+}
+
+// taskOf returns the specification of one task with the class's defaults.
+func taskOf(t OrderTask, class *declaration.BatchClass) (model.TaskSpec, error) {
+	res := t.Resources
+	if res.IsZero() {
+		res = class.Resources.Resources()
+	}
+	if res.Negative() || res.IsZero() {
+		return model.TaskSpec{}, model.Errorf(model.KindInvalid, "state positive amounts", "resources %s", res)
+	}
+	if t.DeclaredRun < 0 {
+		return model.TaskSpec{}, model.Errorf(model.KindInvalid, "state a positive run time", "declared run %s", t.DeclaredRun.D())
+	}
+	retries := defaultMaxRetries
+	if class.MaxRetries != nil {
+		retries = *class.MaxRetries
+	}
+	return model.TaskSpec{Resources: res, DeclaredRun: t.DeclaredRun.D(), Gang: class.Gang, MaxRetries: retries, Payload: t.Payload}, nil
+}
+
+// classOf returns the batch class, or nil.
+func classOf(d *declaration.Declaration, name model.ClassName) *declaration.BatchClass {
+	for i := range d.BatchClasses {
+		if d.BatchClasses[i].Name == name {
+			return &d.BatchClasses[i]
+		}
+	}
+	return nil
+}
+
+// hasTeam reports whether the declaration lists the team.
+func hasTeam(d *declaration.Declaration, name model.TeamName) bool {
+	for i := range d.Teams {
+		if d.Teams[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// urgencyOf returns the stated urgency, else the class's, else normal.
+func urgencyOf(stated, class string) (model.Urgency, error) {
+	if stated == "" {
+		stated = class
+	}
+	switch stated {
+	case "bulk":
+		return model.UrgencyBulk, nil
+	case "", "normal":
+		return model.UrgencyNormal, nil
+	case "high":
+		return model.UrgencyHigh, nil
+	case "urgent":
+		return model.UrgencyUrgent, nil
+	}
+	return 0, model.Errorf(model.KindInvalid, "use bulk, normal, high or urgent", "unknown urgency %q", stated)
+}
+
+// refuseInvalid answers an order that fails its checks.
+func refuseInvalid(err error) *Refusal {
+	f := refusal(http.StatusBadRequest, model.KindInvalid, 0, err.Error(), "correct the order")
+	var e *model.Error
+	if errors.As(err, &e) {
+		f.Remedy = e.Remedy
+	}
+	return f
+}
+
+// placeOrder writes the claim row first and submits afterwards. A claim that
+// another node left behind is taken over, so that an order cut off by that node's
+// death is completed by the caller's repetition.
+func (c *Chain) placeOrder(cl *call, job model.JobSpec) {
+	cell, err := c.deps.Orders.HomeCell(job)
+	if err != nil {
+		c.refuse(cl, refusal(http.StatusServiceUnavailable, model.KindOf(err), 2*time.Second, "no cell can take the order: "+err.Error(), "retry after the stated time"), "no-cell")
+		return
+	}
+	sum := sha256.Sum256(cl.body)
+	claim := Claim{ID: string(c.deps.Node) + "/" + c.newID(), Digest: "order/" + hex.EncodeToString(sum[:]), Job: job.ID, Cell: cell}
+	held, found, err := c.obtain(cl.ctx, ClaimRow(cl.key), claim)
+	switch {
+	case err != nil:
+		c.refuse(cl, refuseStore(), "store")
+	case held != nil:
+		c.submitClaimed(cl, held, job, false)
+	case found.Digest != claim.Digest:
+		c.refuse(cl, refusal(http.StatusConflict, model.KindConflict, 0, "the key was used for another order", "use a new "+headerKey+" for a new order"), "key-reused")
+	case found.State == model.OutcomeDone:
+		c.acceptOrder(cl, found, len(job.Tasks), true)
+	default:
+		c.resumeOrder(cl, found, claim, job)
+	}
+}
+
+// resumeOrder takes over an unfinished claim of the same order, then submits it
+// to the cell that the claim names.
+func (c *Chain) resumeOrder(cl *call, found, claim Claim, job model.JobSpec) {
+	claim.Cell = found.Cell
+	row := ClaimRow(cl.key)
+	current, version, err := c.deps.Claims.Get(cl.ctx, row)
+	if err == nil && current.ID == found.ID {
+		err = c.deps.Claims.Put(cl.ctx, row, claim, version)
+	}
+	if err != nil || current.ID != found.ID {
+		c.refuse(cl, unknown(http.StatusServiceUnavailable, "the same order is being submitted elsewhere", "repeat with the same "+headerKey), "order-in-doubt")
+		return
+	}
+	c.submitClaimed(cl, &heldClaim{row: row, claim: claim, version: version + 1}, job, true)
+}
+
+// submitClaimed submits a claimed order. Earlier is true when another attempt may
+// have submitted it already, so that a failure proves nothing.
+func (c *Chain) submitClaimed(cl *call, held *heldClaim, job model.JobSpec, earlier bool) {
+	err := c.deps.Orders.Submit(cl.ctx, held.claim.Cell, job)
+	cl.claim = held
+	if err == nil {
+		c.settle(cl, model.OutcomeDone, nil)
+		c.acceptOrder(cl, held.claim, len(job.Tasks), false)
+		return
+	}
+	if earlier || !provedNotRun(err) || !c.withdraw(cl, held) {
+		c.refuse(cl, unknown(http.StatusServiceUnavailable, "the order may have been submitted: "+err.Error(), "repeat with the same "+headerKey), "order-in-doubt")
+		return
+	}
+	c.refuse(cl, refusal(http.StatusServiceUnavailable, model.KindOf(err), 2*time.Second, "the order was not submitted: "+err.Error(), "repeat with the same "+headerKey+" after the stated time"), "order-refused")
+}
+
+// provedNotRun reports whether a failed submission certainly had no effect.
+func provedNotRun(err error) bool {
+	switch model.KindOf(err) {
+	case model.KindUnavailable, model.KindInvalid, model.KindNotFound, model.KindExhausted, model.KindDenied, model.KindStale, model.KindFenced, model.KindConflict:
+		return true
+	}
+	return false
+}
+
+// withdraw marks the claim as not run, unless another node has taken it over.
+func (c *Chain) withdraw(cl *call, held *heldClaim) bool {
+	claim := held.claim
+	claim.State = model.OutcomeNotRun
+	return c.deps.Claims.Put(cl.ctx, held.row, claim, held.version) == nil
+}
+
+// acceptOrder answers 202, or 200 when the order had been accepted before.
+func (c *Chain) acceptOrder(cl *call, claim Claim, tasks int, replayed bool) {
+	status := http.StatusAccepted
+	if replayed {
+		status = http.StatusOK
+		cl.w.Header().Set(headerReplayed, "true")
+	}
+	cl.w.Header().Set("Location", ordersPath+"/"+string(claim.Job))
+	c.deps.Decisions.LogDecision(telemetry.Decision{Kind: "order", Subject: string(claim.Job), Choice: string(claim.Cell), Reason: "accepted"})
+	c.writeJSON(cl, status, OrderAccepted{Job: claim.Job, Cell: claim.Cell, Tasks: tasks})
+}
+
+// orderStatus reports the progress of a job.
+func (c *Chain) orderStatus(cl *call, job string) {
+	claim, ok := c.orderClaim(cl, job)
+	if !ok {
+		return
+	}
+	status, err := c.deps.Orders.Status(cl.ctx, claim.Cell, claim.Job)
+	if err != nil {
+		c.refuse(cl, refuseOrderError(err, "the progress cannot be read now"), "order-status")
+		return
+	}
+	c.writeJSON(cl, http.StatusOK, status)
+}
+
+// cancelOrder cancels a job.
+func (c *Chain) cancelOrder(cl *call, job string) {
+	claim, ok := c.orderClaim(cl, job)
+	if !ok {
+		return
+	}
+	if err := c.deps.Orders.Cancel(cl.ctx, claim.Cell, claim.Job); err != nil {
+		c.refuse(cl, refuseOrderError(err, "the cancellation was not confirmed"), "order-cancel")
+		return
+	}
+	c.writeJSON(cl, http.StatusAccepted, OrderStatus{Job: claim.Job, Cell: claim.Cell, State: "cancelled"})
+}
+
+// orderClaim reads the claim of a job; a false result means that it has answered.
+func (c *Chain) orderClaim(cl *call, job string) (Claim, bool) {
+	if len(job) != 2*sha256.Size || strings.Trim(job, "0123456789abcdef") != "" {
+		c.refuse(cl, refuseNoOrder(), "no-order")
+		return Claim{}, false
+	}
+	claim, _, err := c.deps.Claims.Get(cl.ctx, job)
+	switch {
+	case model.IsKind(err, model.KindNotFound) || err == nil && claim.Job == "":
+		c.refuse(cl, refuseNoOrder(), "no-order")
+		return Claim{}, false
+	case err != nil:
+		c.refuse(cl, refuseOrderError(err, "the order cannot be looked up now"), "store")
+		return Claim{}, false
+	}
+	return claim, true
+}
+
+// refuseNoOrder is the answer for an unknown job.
+func refuseNoOrder() *Refusal {
+	return refusal(http.StatusNotFound, model.KindNotFound, 0, "no order has this job id", "use the id from the answer to POST /v1/orders")
+}
+
+// refuseOrderError is the answer when the owner of the cell gave an error.
+func refuseOrderError(err error, message string) *Refusal {
+	if model.IsKind(err, model.KindNotFound) {
+		return refuseNoOrder()
+	}
+	return unknown(http.StatusServiceUnavailable, message+": "+err.Error(), "retry after the stated time")
+}
+
+// writeJSON answers with v and outcome done.
+func (c *Chain) writeJSON(cl *call, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.refuse(cl, unknown(http.StatusInternalServerError, "the answer could not be encoded", "report this as a bug"), "encode")
+		return
+	}
+	h := cl.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(headerOutcome, string(model.OutcomeDone))
+	cl.w.WriteHeader(status)
+	_, _ = cl.w.Write(body) // the caller may be gone and can ask again
+	c.metrics.answered(cl.service, string(model.OutcomeDone), "answered")
+}
--- /dev/null
+++ b/internal/request/refuse.go
@@ -0,0 +1,77 @@
+package request
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Header names of the caller protocol.
+const (
+	headerService    = "Vpier-Service"
+	headerTimeout    = "Vpier-Timeout-Ms"
+	headerIdempotent = "Vpier-Idempotent"
+	headerOutcome    = "Vpier-Outcome"
+	headerLeaving    = "Vpier-Leaving"
+	headerRequestID  = "Vpier-Request-Id"
+	headerCaller     = "Vpier-Caller"
+	headerKey        = "Idempotency-Key"
+	headerReplayed   = "Vpier-Replayed"
+)
+
+// Refusal is the JSON body of an answer that this node wrote itself.
+type Refusal struct {
+	// Kind is one of the model error kinds.
+	Kind model.Kind `json:"kind"`
+	// Message tells what happened.
+	Message string `json:"message"`
+	// Remedy tells the caller what to do.
+	Remedy string `json:"remedy"`
+
+	status     int
+	outcome    model.Outcome
+	retryAfter time.Duration
+	close      bool
+	reason     string
+}
+
+// because sets the short reason code for logs and metrics.
+func (f *Refusal) because(reason string) *Refusal {
+	f.reason = reason
+	return f
+}
+
+// refusal returns a Refusal with outcome not-run.
+func refusal(status int, kind model.Kind, retryAfter time.Duration, message, remedy string) *Refusal {
+	return &Refusal{Kind: kind, Message: message, Remedy: remedy, status: status, outcome: model.OutcomeNotRun, retryAfter: retryAfter}
+}
+
+// unknown returns a Refusal for a request that may have been executed.
+func unknown(status int, message, remedy string) *Refusal {
+	return &Refusal{Kind: model.KindUnknown, Message: message, Remedy: remedy, status: status, outcome: model.OutcomeUnknown, retryAfter: time.Second}
+}
+
+// write sends f to the caller.
+func (f *Refusal) write(w http.ResponseWriter) {
+	body, err := json.Marshal(f)
+	if err != nil {
+		body = []byte(`{"kind":"unavailable","message":"the refusal could not be encoded","remedy":"retry later"}`)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerOutcome, string(f.outcome))
+	if f.retryAfter > 0 {
+		seconds := int(math.Ceil(f.retryAfter.Seconds()))
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	if f.close {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(f.status)
+	_, _ = w.Write(body) // the caller may be gone; there is nobody left to tell
+}
--- /dev/null
+++ b/internal/request/settle.go
@@ -0,0 +1,100 @@
+package request
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+const (
+	// settleFor bounds how long an outcome is written again when the store is down.
+	settleFor = 30 * time.Second
+	// settleFirst and settleMax bound the pause between two tries.
+	settleFirst = 20 * time.Millisecond
+	settleMax   = 2 * time.Second
+)
+
+// settleAttempt records how the exchange of a non-idempotent request ended.
+func (c *Chain) settleAttempt(cl *call, a attempt) {
+	switch {
+	case a.leaving || a.err != nil && !a.err.sent:
+		c.settle(cl, model.OutcomeNotRun, nil)
+	case a.err != nil:
+		c.settle(cl, model.OutcomeUnknown, nil)
+	default:
+		c.settle(cl, model.OutcomeDone, a.answer)
+	}
+}
+
+// settle records the outcome in the claim row. It waits for the write at most the
+// claim timeout; a write that fails for longer continues in the background.
+func (c *Chain) settle(cl *call, outcome model.Outcome, a *answer) {
+	if cl.claim == nil {
+		return
+	}
+	held := *cl.claim
+	held.claim.State = outcome
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.ClaimTimeout)
+	defer cancel()
+	if a != nil {
+		c.keepAnswer(ctx, &held, a)
+	}
+	if c.writeOutcome(ctx, &held) {
+		return
+	}
+	c.drain.hold()
+	go func() {
+		defer c.drain.leave()
+		ctx, cancel := context.WithTimeout(context.Background(), settleFor)
+		defer cancel()
+		c.writeOutcome(ctx, &held)
+	}()
+}
+
+// keepAnswer puts the answer into the claim, its body into an object when large.
+func (c *Chain) keepAnswer(ctx context.Context, held *heldClaim, a *answer) {
+	sum := sha256.Sum256(a.body)
+	held.claim.Status, held.claim.Header = a.status, a.header
+	held.claim.Size, held.claim.SHA256 = int64(len(a.body)), hex.EncodeToString(sum[:])
+	if a.bodyLost || int64(len(a.body)) > c.cfg.RecordLimit {
+		held.claim.BodyLost = true
+		return
+	}
+	if len(a.body) <= c.cfg.InlineOutcome {
+		held.claim.Body = a.body
+		return
+	}
+	name := "outcomes/" + held.row[:2] + "/" + held.row
+	if c.deps.Objects == nil || c.deps.Objects.Put(ctx, name, a.body) != nil {
+		held.claim.BodyLost = true
+		return
+	}
+	held.claim.Object = name
+}
+
+// writeOutcome writes held's claim until it is durable or ctx ends. After a result
+// that is unknown the row is read before the write is repeated.
+func (c *Chain) writeOutcome(ctx context.Context, held *heldClaim) bool {
+	for pause := settleFirst; ; pause = min(2*pause, settleMax) {
+		err := c.deps.Claims.Put(ctx, held.row, held.claim, held.version)
+		if err == nil {
+			return true
+		}
+		found, version, getErr := c.deps.Claims.Get(ctx, held.row)
+		if getErr == nil {
+			if found.ID != held.claim.ID {
+				return true // the row belongs to a later claim
+			}
+			if found.State == held.claim.State {
+				return true
+			}
+			held.version = version
+		}
+		if sleep(ctx, pause) != nil {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/outlier.go
@@ -0,0 +1,144 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// OutlierConfig tunes the back-off from runners that fail or are slow.
+type OutlierConfig struct {
+	// Failures is the number of consecutive failures that backs off. Default 3.
+	Failures int
+	// SlowFactor is the multiple of the typical latency that backs off. Default 3.
+	SlowFactor float64
+	// SlowSamples is the number of samples needed to call a runner slow. Default 3.
+	SlowSamples int
+	// Base and Max bound the back-off, which doubles with each failed probe.
+	// Defaults 1s and 30s.
+	Base, Max time.Duration
+	// MaxOutPercent caps the share of runners that may be out at once. Default 30.
+	MaxOutPercent int
+}
+
+// provision fills in defaults.
+func (c OutlierConfig) provision() OutlierConfig {
+	if c.Failures == 0 {
+		c.Failures = 3
+	}
+	if c.SlowFactor == 0 {
+		c.SlowFactor = 3
+	}
+	if c.SlowSamples == 0 {
+		c.SlowSamples = 3
+	}
+	if c.Base == 0 {
+		c.Base = time.Second
+	}
+	if c.Max == 0 {
+		c.Max = 30 * time.Second
+	}
+	if c.MaxOutPercent == 0 {
+		c.MaxOutPercent = 30
+	}
+	return c
+}
+
+// outage is the back-off state of one runner.
+type outage struct {
+	active   bool
+	failures int
+	backoff  time.Duration
+	probeAt  time.Time
+	probing  bool
+}
+
+// judge updates r's back-off after a result. Slow and failed results back off.
+func (p *Pool) judge(r *Runner, now time.Time, latency time.Duration, failed bool) {
+	if r.out.active {
+		p.judgeProbe(r, now, latency, failed)
+		return
+	}
+	if failed {
+		r.out.failures++
+	} else {
+		r.out.failures = 0
+	}
+	if r.out.failures >= p.outlier.Failures || p.slow(r) {
+		p.backOff(r, now)
+	}
+}
+
+// judgeProbe ends or extends the back-off after a result from a backed-off runner.
+// Results of requests sent before the back-off count as well.
+func (p *Pool) judgeProbe(r *Runner, now time.Time, latency time.Duration, failed bool) {
+	r.out.probing = false
+	if failed || p.slowLatency(float64(latency)) {
+		r.out.backoff = min(2*r.out.backoff, p.outlier.Max)
+		r.out.probeAt = now.Add(p.jitter(r.out.backoff))
+		return
+	}
+	r.out = outage{}
+	r.est.Reset(latency)
+	p.outCount--
+	p.place(r)
+}
+
+// slow reports whether r's mean is far above the typical latency.
+func (p *Pool) slow(r *Runner) bool {
+	return r.est.samples >= p.outlier.SlowSamples && p.slowLatency(r.est.mean)
+}
+
+// slowLatency reports whether d nanoseconds are far above the typical latency.
+func (p *Pool) slowLatency(d float64) bool {
+	return p.typical > 0 && d > p.outlier.SlowFactor*float64(p.typical) && d > float64(slowFloor)
+}
+
+// slowFloor is the latency below which no runner is called slow: differences of
+// a few milliseconds are scheduling noise.
+const slowFloor = 5 * time.Millisecond
+
+// backOff takes r out unless too many runners are out already.
+func (p *Pool) backOff(r *Runner, now time.Time) {
+	if (p.outCount+1)*100 > p.outlier.MaxOutPercent*p.serving() {
+		return
+	}
+	r.out.active = true
+	r.out.backoff = p.outlier.Base
+	r.out.probeAt = now.Add(p.jitter(p.outlier.Base))
+	p.outCount++
+	p.place(r)
+}
+
+// jitter spreads d over 75% to 125%, so that nodes do not probe in step.
+func (p *Pool) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*p.rand.Float64()))
+}
+
+// probeDue returns a backed-off runner whose probe is due, or nil.
+func (p *Pool) probeDue(now time.Time) *Runner {
+	if p.outCount == 0 {
+		return nil
+	}
+	for _, r := range p.order {
+		due := r.out.active && !r.out.probing && !now.Before(r.out.probeAt)
+		if due && !r.leaving && r.inFlight < r.limit {
+			return r
+		}
+	}
+	return nil
+}
+
+// updateTypical recomputes the median of the runners' means.
+func (p *Pool) updateTypical() {
+	p.scratch = p.scratch[:0]
+	for _, r := range p.order {
+		if r.est.samples > 0 && !r.leaving {
+			p.scratch = append(p.scratch, r.est.mean)
+		}
+	}
+	if len(p.scratch) == 0 {
+		return
+	}
+	slices.Sort(p.scratch)
+	p.typical = time.Duration(p.scratch[len(p.scratch)/2])
+}
