--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -147,6 +147,9 @@
 	Capacity   model.Resources
 	// Leaving is true when the worker is about to leave; it gets no new work.
 	Leaving bool
+	// Unreachable is true when the worker has missed reports. It gets no new
+	// work, but its tasks are not evicted.
+	Unreachable bool
 }
 
 // CellSummary describes another cell, as its owner last reported it. It serves
--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -235,6 +235,51 @@
 	})
 }
 
+// ChooseCell returns the cell in service to submit a job to: the one with the
+// largest free part among those that have room for its tasks now, or else among
+// those that could ever hold them, or else among all. Jobs thereby spread over
+// data centres; the tasks of one gang stay in one cell. It returns an empty id
+// when every data centre is out.
+func ChooseCell(job model.JobSpec, cells []CellSummary, out func(model.DataCentre) bool) model.CellID {
+	u := &unit{gang: len(job.Tasks) > 0 && job.Tasks[0].Gang}
+	for _, spec := range job.Tasks {
+		u.tasks = append(u.tasks, &cell.Task{Spec: spec})
+	}
+	var best *CellSummary
+	level := -1
+	for i := range cells {
+		c := &cells[i]
+		if out(c.DataCentre) {
+			continue
+		}
+		l := fitLevel(u, c)
+		if l > level || (l == level && freePart(c) > freePart(best)) {
+			best, level = c, l
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.ID
+}
+
+// fitLevel is 2 for a cell with room now, 1 for one that could hold the unit
+// when idle, and 0 otherwise.
+func fitLevel(u *unit, c *CellSummary) int {
+	for _, t := range u.tasks {
+		if !t.Spec.Resources.Fits(c.Largest) {
+			return 0
+		}
+	}
+	if u.gang && !gangFits(u, *c) {
+		return 0
+	}
+	if hasRoom(u, c) {
+		return 2
+	}
+	return 1
+}
+
 // nearestFit names the cell that falls short by least, and by how much.
 func (s *Scheduler) nearestFit(u *unit) string {
 	need := u.tasks[0].Spec.Resources
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -37,7 +37,7 @@
 func (inService) Name() string { return "out-of-service" }
 
 func (inService) keep(r *request, h *host) bool {
-	return h.present && !h.Leaving && !r.view.IsOut(h.DataCentre)
+	return h.present && !h.Leaving && !h.Unreachable && !r.view.IsOut(h.DataCentre)
 }
 
 // notHeld refuses workers that are held for another unit.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -208,7 +208,7 @@
 	out := s.own
 	out.ID = s.st.ID()
 	for _, h := range s.order {
-		if h.Leaving || h.health.quarantined {
+		if h.Leaving || h.Unreachable || h.health.quarantined {
 			continue
 		}
 		out.Free = out.Free.Add(h.free)
@@ -237,7 +237,7 @@
 // refresh recomputes the free capacity of a host and its place in the index.
 func (s *Scheduler) refresh(h *host) {
 	h.free = h.Capacity.Sub(s.st.Committed(h.ID)).Sub(h.reserved)
-	if !h.present || h.Leaving || h.free.Negative() {
+	if !h.present || h.Leaving || h.Unreachable || h.free.Negative() {
 		s.index.remove(h)
 		return
 	}
