Record durable checkpoints in replays

Cause: the replay noted the checkpoints of ended attempts only, so attempts that resumed from a journaled checkpoint of a running attempt were listed as R3.

Change: a durable Checkpoint record updates the replay's own last checkpoint.

--- a/internal/replay/owner.go
+++ b/internal/replay/owner.go
@@ -167,6 +167,8 @@
 		o.sim.closeCancelled(o, r.TransferIn.Spec.Job)
 	case r.TransferEnd != nil:
 		o.followCancel(r.TransferEnd.Task)
+	case r.Checkpoint != nil:
+		o.sim.durable[r.Checkpoint.Task] = r.Checkpoint.Object
 	case r.Unrunnable != nil:
 		t, _ := o.st.Task(r.Unrunnable.Task)
 		o.sim.unrunnable(r.Unrunnable)
