Compute a team's home cell only for units above a share

Change: the home cell is computed when a unit exceeds the whole share, with xxhash instead of formatting into FNV.

--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -3,17 +3,18 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // withinQuota reports whether the unit's team may use what the unit needs.
 func (s *Scheduler) withinQuota(u *unit) bool {
-	return s.quota.allows(u.team, u.need(), s.homeCell(u.team) == s.st.ID())
+	return s.quota.allows(u.team, u.need(), func() bool { return s.homeCell(u.team) == s.st.ID() })
 }
 
 // homeCell returns the cell in service with the highest hash for the team. It
@@ -29,9 +30,7 @@
 }
 
 func hashOf(team model.TeamName, id model.CellID) uint64 {
-	f := fnv.New64a()
-	fmt.Fprintf(f, "%s\x00%s", team, id)
-	return f.Sum64()
+	return xxhash.Sum64String(string(team) + "\x00" + string(id))
 }
 
 // overQuota handles a unit beyond its team's share here: it ends when the whole
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -84,7 +84,7 @@
 // allows reports whether need stays within the team's share. A unit that is
 // larger than the whole share is allowed in the team's home cell when the team
 // has nothing else running there; otherwise small quotas could never be used.
-func (q *quotas) allows(team model.TeamName, need model.Resources, home bool) bool {
+func (q *quotas) allows(team model.TeamName, need model.Resources, home func() bool) bool {
 	share, limited := q.limit(team)
 	if !limited {
 		return true
@@ -94,7 +94,7 @@
 		return true
 	}
 	quota, _ := q.whole(team)
-	return home && use.IsZero() && !need.Fits(share) && need.Fits(quota)
+	return use.IsZero() && !need.Fits(share) && need.Fits(quota) && home()
 }
 
 // ratio returns the largest part of its share that the team uses in any dimension.
