Queue each batch class by itself and bound the backfill

Cause: units of a class that no worker takes hid those of other classes of the same team and urgency, and long queues were walked in each plan.

Change: the class is part of the queue's key, and at most 32 units of a queue are passed over in a plan.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -12,6 +12,10 @@
 // a change, because ageing, holds and gradual filling depend on time alone.
 const fullScanEvery = time.Second
 
+// backfillDepth bounds the units of one queue that are passed over in a plan in
+// search of one that fits.
+const backfillDepth = 32
+
 // maxTurns bounds the units looked at in one plan, as a multiple of the bound
 // on searches; units that need at least what was not found cost no search.
 const maxTurns = 16
@@ -38,7 +42,10 @@
 		result := s.placeUnit(u)
 		started += result.started
 		blocked += result.searches
-		if c.unit != nil {
+		if result.started == 0 {
+			c.misses++
+		}
+		if c.unit != nil && c.misses < backfillDepth {
 			c.rank = s.rankOf(c)
 			heap.Push(turns, c)
 		}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -55,13 +55,17 @@
 	return sum
 }
 
-// queueKey separates units that are ordered by age alone.
+// queueKey separates units that are ordered by age alone. The class is part of
+// it so that units of a class that finds no worker do not hide those of others.
 type queueKey struct {
 	urgency model.Urgency
 	team    model.TeamName
+	class   model.ClassName
 }
 
-// teamQueue holds the waiting units of one team and urgency, oldest first.
+func (u *unit) key() queueKey { return queueKey{u.urgency, u.team, u.tasks[0].Spec.Class} }
+
+// teamQueue holds the waiting units of one key, oldest first.
 type teamQueue struct {
 	key   queueKey
 	units *btree.BTreeG[*unit]
@@ -94,7 +98,7 @@
 		return
 	}
 	u.state, u.since = unitWaiting, now
-	key := queueKey{u.urgency, u.team}
+	key := u.key()
 	tq := q.waiting[key]
 	if tq == nil {
 		tq = &teamQueue{key, btree.NewG(btreeDegree, older)}
@@ -108,7 +112,7 @@
 func (q *queue) remove(u *unit) {
 	switch u.state {
 	case unitWaiting:
-		q.waiting[queueKey{u.urgency, u.team}].units.Delete(u)
+		q.waiting[u.key()].units.Delete(u)
 		q.count--
 	case unitDelayed:
 		heap.Remove(&q.delayed, u.heapIndex)
@@ -184,9 +188,10 @@
 
 // cursor walks one team queue during a plan.
 type cursor struct {
-	tq   *teamQueue
-	unit *unit
-	rank rank
+	tq     *teamQueue
+	unit   *unit
+	rank   rank
+	misses int
 }
 
 // turnHeap yields cursors in the order of rank.
