--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -33,7 +33,11 @@
 	// maxSlope bounds an estimate against a few wild samples.
 	maxSlope = 20.0
 	// baseRate is the step of the estimate of a service's latency without batch.
-	baseRate = 0.1
+	// The load of services changes within minutes, and a cell of 16 workers gives
+	// some three samples a second.
+	baseRate = 0.06
+	// baseTrust lowers the step by the expected slowdown, which may be wrong.
+	baseTrust = 10.0
 )
 
 type pair struct {
@@ -147,17 +151,14 @@
 // learnBase moves the baseline towards the sample with the expected slowdown
 // taken out. Samples without batch work count most.
 func (m *interference) learnBase(s serviceSample, mix []share) {
-	value := s.p99.Seconds() / m.predict(s.service, mix)
+	expected := m.predict(s.service, mix)
+	value := s.p99.Seconds() / expected
 	b := m.bases[s.service]
 	if b == nil {
 		b = &baseline{Seconds: value}
 		m.bases[s.service] = b
 	}
-	used := 0.0
-	for _, c := range mix {
-		used += c.part
-	}
-	rate := baseRate / (1 + 20*used)
+	rate := baseRate / (1 + baseTrust*(expected-1))
 	if b.Samples < 1/baseRate {
 		rate = max(rate, 1/(b.Samples+1))
 	}
