Serve the operators' API

Cause: operators change the declaration and data centre states through any node, and race one another. Change: commands under /v1/admin/ carry the sequence seen and a request id; the loser of a race gets 409 with the winning record; a repeated command has no second effect. Operators are identified by token or client certificate. Conclusion: member records do not defeat an operator's command, because they do not touch the decision.

--- /dev/null
+++ b/internal/adminapi/adminapi.go
@@ -0,0 +1,164 @@
+// Package adminapi serves the operators' HTTP API of a node under /v1/admin/:
+// proposing, accepting and rejecting declarations, taking data centres out of
+// service and returning them, the history of these commands, and status.
+//
+// Each command carries the control sequence that the operator has seen. The
+// loser of a race gets 409 with the record that won. Each command also carries
+// a request id, so that a repeated command has no second effect.
+package adminapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Prefix is the path under which the API is served.
+const Prefix = "/v1/admin/"
+
+// Config holds the settings of the API. Zero values select the defaults.
+type Config struct {
+	// OperatorsFile lists the operators; see Operators. Required.
+	OperatorsFile string
+	// AllowPlaintext accepts requests without TLS from other hosts than this
+	// one. Default false; requests over loopback are always accepted.
+	AllowPlaintext bool
+	// MaxBodyBytes bounds the body of a command. Default 2 MB: a check of a
+	// 10 MB text takes about 10 s of processor time.
+	MaxBodyBytes int64
+	// RequestsPerSecond and Burst bound the requests of one operator. Default
+	// 20 a second with bursts of 40.
+	RequestsPerSecond float64
+	Burst             int
+	// CommandTimeout bounds one command. Default 10 s.
+	CommandTimeout time.Duration
+}
+
+// Default values of Config.
+const (
+	defaultMaxBodyBytes      = 2_000_000
+	defaultRequestsPerSecond = 20
+	defaultBurst             = 40
+	defaultCommandTimeout    = 10 * time.Second
+)
+
+// withDefaults fills in the zero values of c.
+func (c Config) withDefaults() Config {
+	if c.MaxBodyBytes == 0 {
+		c.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if c.RequestsPerSecond == 0 {
+		c.RequestsPerSecond = defaultRequestsPerSecond
+	}
+	if c.Burst == 0 {
+		c.Burst = defaultBurst
+	}
+	if c.CommandTimeout == 0 {
+		c.CommandTimeout = defaultCommandTimeout
+	}
+	return c
+}
+
+// Control is the control journal as seen from this node.
+type Control interface {
+	// View returns the latest applied view, or nil before the first one.
+	View() *control.View
+	// Append writes rec as the record after seen and returns its sequence. The
+	// error is of kind conflict when another record took that place, unknown
+	// when rec may have been written, and unavailable when it was not.
+	Append(ctx context.Context, seen uint64, rec control.Record) (uint64, error)
+	// History returns up to limit entries with a sequence of at least from, in
+	// order.
+	History(ctx context.Context, from uint64, limit int) ([]control.Entry, error)
+}
+
+// Status reports the state of the node and what it knows of its peers.
+type Status interface {
+	Status(ctx context.Context) (NodeStatus, error)
+}
+
+// Deps are the parts of the node that the API uses.
+type Deps struct {
+	Control Control
+	Status  Status
+	// Log receives one line for each command. Required.
+	Log *logrus.Entry
+	// Now returns the time written into records. Default time.Now.
+	Now func() time.Time
+}
+
+// server holds the state behind the handlers.
+type server struct {
+	cfg       Config
+	deps      Deps
+	operators *operatorsFile
+	limits    *limits
+}
+
+// New returns the handler of the API. The error tells what is wrong with the
+// settings or the operators file.
+func New(cfg Config, deps Deps) (http.Handler, error) {
+	if deps.Control == nil || deps.Status == nil || deps.Log == nil {
+		return nil, model.Errorf(model.KindInvalid, "set Control, Status and Log", "the admin API lacks a dependency")
+	}
+	if deps.Now == nil {
+		deps.Now = time.Now
+	}
+	cfg = cfg.withDefaults()
+	operators, err := openOperators(cfg.OperatorsFile, deps.Log)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{
+		cfg: cfg, deps: deps, operators: operators,
+		limits: newLimits(rate.Limit(cfg.RequestsPerSecond), cfg.Burst),
+	}
+	return s.routes(), nil
+}
+
+// routes returns the handlers by path.
+func (s *server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+Prefix+"view", s.handle(s.view))
+	mux.Handle("GET "+Prefix+"status", s.handle(s.status))
+	mux.Handle("GET "+Prefix+"history", s.handle(s.history))
+	mux.Handle("POST "+Prefix+"propose", s.handle(s.propose))
+	mux.Handle("POST "+Prefix+"accept", s.handle(s.accept))
+	mux.Handle("POST "+Prefix+"reject", s.handle(s.reject))
+	mux.Handle("POST "+Prefix+"data-centres/{name}/out", s.handle(s.dataCentreOut))
+	mux.Handle("POST "+Prefix+"data-centres/{name}/in", s.handle(s.dataCentreIn))
+	mux.Handle("/", s.handle(func(r *http.Request, _ string) (any, error) {
+		return nil, model.Errorf(model.KindNotFound, "see docs/operations.md for the paths", "there is no %s %s", r.Method, r.URL.Path)
+	}))
+	return mux
+}
+
+// handle authenticates the operator, applies the limits, runs fn and writes its
+// result as JSON.
+func (s *server) handle(fn func(r *http.Request, actor string) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		actor, err := s.authenticate(r)
+		if err == nil {
+			err = s.limits.allow(actor)
+		}
+		if err != nil {
+			s.writeError(w, r, actor, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), s.cfg.CommandTimeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes)
+		reply, err := fn(r.WithContext(ctx), actor)
+		if err != nil {
+			s.writeError(w, r, actor, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, reply)
+	})
+}
--- /dev/null
+++ b/internal/adminapi/decide.go
@@ -0,0 +1,112 @@
+package adminapi
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// accept puts a proposal in force.
+func (s *server) accept(r *http.Request, actor string) (any, error) {
+	var req AcceptRequest
+	if err := readJSON(r, &req); err != nil {
+		return nil, err
+	}
+	cmd := command{Command: req.Command, actor: actor}
+	cmd.matches = func(rec control.Record) bool { return rec.Accepted != nil && rec.Accepted.Proposal == req.Proposal }
+	cmd.plan = func(ctx context.Context, v *control.View) (control.Record, error) {
+		proposed, err := s.openProposal(ctx, req.Proposal)
+		if err != nil {
+			return control.Record{}, err
+		}
+		if req.Digest != "" && req.Digest != proposed.Digest {
+			return control.Record{}, model.Errorf(model.KindConflict, "review the proposal again with vpier history",
+				"proposal %d has digest %s, not the reviewed %s", req.Proposal, Short(proposed.Digest), Short(req.Digest))
+		}
+		if proposed.Base != v.Digest {
+			return control.Record{}, superseded(req.Proposal, v)
+		}
+		return control.Record{Accepted: &control.DeclarationAccepted{Digest: proposed.Digest, Proposal: req.Proposal}}, nil
+	}
+	return s.run(r.Context(), cmd)
+}
+
+// superseded returns the error for a proposal that was written against a
+// declaration which is no longer in force. Accepting it would undo the
+// declaration that was accepted since.
+func superseded(proposal uint64, v *control.View) error {
+	return model.Errorf(model.KindConflict, "apply the change to the declaration in force and propose it again",
+		"proposal %d is superseded: declaration %s was accepted after it was written, as sequence %d", proposal, Short(v.Digest), v.AcceptedSequence)
+}
+
+// reject sends a proposal back.
+func (s *server) reject(r *http.Request, actor string) (any, error) {
+	var req RejectRequest
+	if err := readJSON(r, &req); err != nil {
+		return nil, err
+	}
+	if strings.TrimSpace(req.Reason) == "" {
+		return nil, model.Errorf(model.KindInvalid, "give a reason for the author", "a rejection needs a reason")
+	}
+	if err := checkNote(req.Reason); err != nil {
+		return nil, err
+	}
+	cmd := command{Command: req.Command, actor: actor}
+	cmd.matches = func(rec control.Record) bool { return rec.Rejected != nil && rec.Rejected.Proposal == req.Proposal }
+	cmd.plan = func(ctx context.Context, _ *control.View) (control.Record, error) {
+		proposed, err := s.openProposal(ctx, req.Proposal)
+		if err != nil {
+			return control.Record{}, err
+		}
+		return control.Record{Rejected: &control.DeclarationRejected{Digest: proposed.Digest, Proposal: req.Proposal, Reason: req.Reason}}, nil
+	}
+	return s.run(r.Context(), cmd)
+}
+
+// openProposal returns the proposal at a sequence if it was neither accepted
+// nor rejected.
+func (s *server) openProposal(ctx context.Context, seq uint64) (*control.DeclarationProposed, error) {
+	if seq == 0 {
+		return nil, model.Errorf(model.KindInvalid, "give the sequence of the proposal; vpier history lists them", "no proposal is given")
+	}
+	var proposed *control.DeclarationProposed
+	for from := seq; ; {
+		entries, err := s.deps.Control.History(ctx, from, historyPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range entries {
+			if entry.Sequence == seq {
+				proposed = entry.Record.Proposed
+			}
+			if err := decided(entry, seq); err != nil {
+				return nil, err
+			}
+		}
+		if len(entries) < historyPage {
+			break
+		}
+		from = entries[len(entries)-1].Sequence + 1
+	}
+	if proposed == nil {
+		return nil, model.Errorf(model.KindNotFound, "vpier history lists the proposals", "sequence %d is not a proposal", seq)
+	}
+	return proposed, nil
+}
+
+// decided returns an error when entry accepted or rejected the proposal.
+func decided(entry control.Entry, proposal uint64) error {
+	rec := entry.Record
+	switch {
+	case rec.Accepted != nil && rec.Accepted.Proposal == proposal:
+		return model.Errorf(model.KindConflict, "nothing to do; vpier status shows the declaration in force",
+			"proposal %d was accepted by %s as sequence %d", proposal, rec.Actor, entry.Sequence)
+	case rec.Rejected != nil && rec.Rejected.Proposal == proposal:
+		return model.Errorf(model.KindConflict, "propose the text again if it is still wanted",
+			"proposal %d was rejected by %s as sequence %d: %s", proposal, rec.Actor, entry.Sequence, rec.Rejected.Reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adminapi/errors.go
@@ -0,0 +1,134 @@
+package adminapi
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// raceError tells the loser of a race which record won.
+type raceError struct {
+	err    *model.Error
+	winner control.Entry
+}
+
+// Error returns the message and the remedy.
+func (e *raceError) Error() string { return e.err.Error() }
+
+// Unwrap gives the error its kind.
+func (e *raceError) Unwrap() error { return e.err }
+
+// lostRace returns the error for a command that was overtaken by winner.
+func lostRace(winner control.Entry) error {
+	rec := winner.Record
+	at := time.UnixMilli(rec.At).UTC().Format(time.RFC3339)
+	return &raceError{
+		err: model.Errorf(model.KindConflict,
+			"look at vpier status and vpier history, then repeat the command if it is still wanted",
+			"%s was first: %s, at %s as sequence %d; nothing was changed by this command",
+			rec.Actor, Action(rec), at, winner.Sequence),
+		winner: winner,
+	}
+}
+
+// Action says in a few words what a record did.
+func Action(rec control.Record) string {
+	switch {
+	case rec.Proposed != nil:
+		return "proposed declaration " + Short(rec.Proposed.Digest)
+	case rec.Accepted != nil:
+		return fmt.Sprintf("accepted declaration %s (proposal %d)", Short(rec.Accepted.Digest), rec.Accepted.Proposal)
+	case rec.Rejected != nil:
+		return fmt.Sprintf("rejected proposal %d: %s", rec.Rejected.Proposal, rec.Rejected.Reason)
+	case rec.DataCentreOut != nil:
+		return "took data centre " + string(rec.DataCentreOut.DataCentre) + " out of service"
+	case rec.DataCentreIn != nil:
+		return "returned data centre " + string(rec.DataCentreIn.DataCentre) + " to service"
+	case rec.MemberJoined != nil:
+		return "node " + string(rec.MemberJoined.Member.ID) + " joined"
+	case rec.MemberLeft != nil:
+		return "node " + string(rec.MemberLeft.Node) + " left"
+	}
+	return "wrote a record that this build does not know"
+}
+
+// shortDigest is the number of digits of a digest that people see.
+const shortDigest = 12
+
+// Short cuts a digest to what people see.
+func Short(digest string) string { return digest[:min(len(digest), shortDigest)] }
+
+// statusCodes gives the HTTP status of each error kind.
+var statusCodes = map[model.Kind]int{
+	model.KindInvalid:     http.StatusBadRequest,
+	model.KindDenied:      http.StatusUnauthorized,
+	model.KindNotFound:    http.StatusNotFound,
+	model.KindConflict:    http.StatusConflict,
+	model.KindExhausted:   http.StatusTooManyRequests,
+	model.KindUnavailable: http.StatusServiceUnavailable,
+	model.KindStale:       http.StatusServiceUnavailable,
+	model.KindUnknown:     http.StatusGatewayTimeout,
+}
+
+// writeError logs err and writes it as an ErrorReply.
+func (s *server) writeError(w http.ResponseWriter, r *http.Request, actor string, err error) {
+	reply := errorReply(err)
+	code, ok := statusCodes[reply.Kind]
+	if !ok {
+		code = http.StatusInternalServerError
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		code = http.StatusRequestEntityTooLarge
+	}
+	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", "1")
+	}
+	s.deps.Log.WithFields(logrus.Fields{
+		"actor": actor, "method": r.Method, "path": r.URL.Path, "remote": r.RemoteAddr, "kind": reply.Kind, "status": code,
+	}).Warning(reply.Message)
+	writeJSON(w, code, reply)
+}
+
+// errorReply converts err into the body of a response.
+func errorReply(err error) ErrorReply {
+	reply := ErrorReply{Kind: model.KindOf(err), Message: err.Error(), Remedy: "see the log of the node"}
+	var typed *model.Error
+	if errors.As(err, &typed) {
+		reply.Remedy = typed.Remedy
+		reply.Message = typed.Message
+		if typed.Err != nil {
+			reply.Message = fmt.Sprintf("%s: %v", typed.Message, typed.Err)
+		}
+	}
+	var race *raceError
+	if errors.As(err, &race) {
+		reply.Winner = &race.winner
+	}
+	errors.As(err, &reply.Faults)
+	if len(reply.Faults) > maxFaults {
+		reply.Faults = append(declaration.Faults{}, reply.Faults[:maxFaults]...)
+	}
+	return reply
+}
+
+// maxFaults bounds the faults in one response.
+const maxFaults = 200
+
+// writeJSON writes v with the given status.
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(code)
+	// A failed write means that the client is gone; it resolves the command by
+	// its request id.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/adminapi/fake_test.go
@@ -0,0 +1,181 @@
+package adminapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// memControl is a control journal in memory.
+type memControl struct {
+	mu      sync.Mutex
+	entries []control.Entry
+	view    *control.View
+	// before runs once ahead of the next append, as another node would.
+	before func()
+	// loseAnswer makes the next append take effect without an answer.
+	loseAnswer bool
+}
+
+func (m *memControl) View() *control.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view
+}
+
+func (m *memControl) Append(_ context.Context, seen uint64, rec control.Record) (uint64, error) {
+	if hook := m.before; hook != nil {
+		m.before = nil
+		hook()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if seen != m.view.Sequence {
+		return 0, model.Errorf(model.KindConflict, "", "sequence %d is taken", seen+1)
+	}
+	entry := control.Entry{Sequence: seen + 1, Record: rec}
+	m.entries = append(m.entries, entry)
+	m.view = apply(m.view, m.entries, entry)
+	if m.loseAnswer {
+		m.loseAnswer = false
+		return 0, model.Errorf(model.KindUnknown, "", "no answer")
+	}
+	return entry.Sequence, nil
+}
+
+func (m *memControl) History(_ context.Context, from uint64, limit int) ([]control.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if from > uint64(len(m.entries)) {
+		return nil, nil
+	}
+	rest := m.entries[from-1:]
+	return rest[:min(limit, len(rest))], nil
+}
+
+// apply returns the view after entry.
+func apply(v *control.View, entries []control.Entry, entry control.Entry) *control.View {
+	next := *v
+	next.Sequence, next.Out = entry.Sequence, maps.Clone(v.Out)
+	switch rec := entry.Record; {
+	case rec.Accepted != nil:
+		doc, err := declaration.Parse("", []byte(entries[rec.Accepted.Proposal-1].Record.Proposed.Text))
+		if err != nil {
+			panic(err)
+		}
+		next.Declaration, next.Digest, next.AcceptedSequence = doc.Declaration, doc.Digest, entry.Sequence
+	case rec.DataCentreOut != nil:
+		next.Out[rec.DataCentreOut.DataCentre] = entry.Sequence
+	case rec.DataCentreIn != nil:
+		delete(next.Out, rec.DataCentreIn.DataCentre)
+	}
+	return &next
+}
+
+// append adds a record as another node would.
+func (m *memControl) append(rec control.Record) {
+	if _, err := m.Append(context.Background(), m.View().Sequence, rec); err != nil {
+		panic(err)
+	}
+}
+
+type fixedStatus struct{}
+
+func (fixedStatus) Status(context.Context) (NodeStatus, error) { return NodeStatus{Node: "n1"}, nil }
+
+// api is a handler over a memControl with the operators anna and ben.
+type api struct {
+	control *memControl
+	handler http.Handler
+	file    string
+}
+
+func digestOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// fataler is what *testing.T and *rapid.T share.
+type fataler interface {
+	Helper()
+	Errorf(format string, args ...any)
+	FailNow()
+}
+
+func newAPI(t fataler, dir string, cfg Config) *api {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := &api{
+		control: &memControl{view: &control.View{Out: map[model.DataCentre]uint64{}}},
+		file:    filepath.Join(dir, "operators"),
+	}
+	content := "# operators\nanna:" + digestOf("anna-token") + "\nben:" + digestOf("ben-token") + "\ncarl:certificate\n"
+	require.NoError(t, os.WriteFile(a.file, []byte(content), 0o600))
+	cfg.OperatorsFile = a.file
+	handler, err := New(cfg, Deps{Control: a.control, Status: fixedStatus{}, Log: logrus.NewEntry(log), Now: func() time.Time { return time.UnixMilli(1_000_000) }})
+	require.NoError(t, err)
+	a.handler = handler
+	return a
+}
+
+// call sends body as JSON with the token of an operator.
+func (a *api) call(method, path, token string, body any) (int, []byte) {
+	data, _ := json.Marshal(body)
+	return a.raw(method, path, "Bearer "+token, data)
+}
+
+func (a *api) raw(method, path, auth string, body []byte) (int, []byte) {
+	r := httptest.NewRequest(method, Prefix+path, bytes.NewReader(body))
+	r.RemoteAddr = "127.0.0.1:1"
+	r.Header.Set("Authorization", auth)
+	w := httptest.NewRecorder()
+	a.handler.ServeHTTP(w, r)
+	return w.Code, w.Body.Bytes()
+}
+
+// command posts a command as anna and decodes either reply.
+func (a *api) command(path string, body any) (int, CommandReply, ErrorReply) {
+	code, data := a.call(http.MethodPost, path, "anna-token", body)
+	var ok CommandReply
+	var bad ErrorReply
+	if code == http.StatusOK {
+		_ = json.Unmarshal(data, &ok)
+	} else {
+		_ = json.Unmarshal(data, &bad)
+	}
+	return code, ok, bad
+}
+
+const sample = `version: 1
+deployment: test
+data_centres: [{name: a}, {name: b}]
+services: [{name: web, runners: 2}]
+`
+
+// accepted returns an API on which sample is in force, at sequence 2.
+func accepted(t *testing.T, cfg Config) *api {
+	a := newAPI(t, t.TempDir(), cfg)
+	code, reply, bad := a.command("propose", ProposeRequest{Command{"request-1", 0}, sample, ""})
+	require.Equal(t, 200, code, bad)
+	code, _, bad = a.command("accept", AcceptRequest{Command{"request-2", reply.Sequence}, reply.Sequence, reply.Digest})
+	require.Equal(t, 200, code, bad)
+	return a
+}
--- /dev/null
+++ b/internal/adminapi/read.go
@@ -0,0 +1,101 @@
+package adminapi
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+const (
+	// historyPage is the number of entries read from the journal at once.
+	historyPage = 500
+	// maxHistory is the largest number of entries in one response.
+	maxHistory = 1000
+	// maxScanned bounds the entries read to find a request id.
+	maxScanned = 20_000
+)
+
+// view returns the node's view of the control journal.
+func (s *server) view(*http.Request, string) (any, error) {
+	v, err := s.viewAt(0)
+	if err != nil {
+		return nil, err
+	}
+	members := slices.Collect(maps.Values(v.Members))
+	slices.SortFunc(members, func(a, b control.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return ViewReply{
+		Sequence: v.Sequence, ConfirmedAgeMS: v.Age(s.deps.Now()).Milliseconds(),
+		AcceptedSequence: v.AcceptedSequence, Digest: v.Digest,
+		Declaration: v.Declaration, Out: v.Out, Members: members,
+	}, nil
+}
+
+// status returns the node's state.
+func (s *server) status(r *http.Request, _ string) (any, error) {
+	return s.deps.Status.Status(r.Context())
+}
+
+// history returns entries of the journal: from the sequence from, at most
+// limit, or the one with a request id.
+func (s *server) history(r *http.Request, _ string) (any, error) {
+	from, err := queryNumber(r, "from", 1, 1<<62)
+	if err != nil {
+		return nil, err
+	}
+	if id := r.URL.Query().Get("request_id"); id != "" {
+		return s.findRequest(r.Context(), from, id)
+	}
+	limit, err := queryNumber(r, "limit", 100, maxHistory)
+	if err != nil {
+		return nil, err
+	}
+	entries, err := s.deps.Control.History(r.Context(), from, int(limit))
+	if err != nil {
+		return nil, err
+	}
+	reply := HistoryReply{Entries: entries}
+	if len(entries) == int(limit) {
+		reply.Next = entries[len(entries)-1].Sequence + 1
+	}
+	return reply, nil
+}
+
+// findRequest returns the entry of a request id. Next is set when the search
+// ended before the end of the journal.
+func (s *server) findRequest(ctx context.Context, from uint64, id string) (HistoryReply, error) {
+	for scanned := 0; scanned < maxScanned; scanned += historyPage {
+		entries, err := s.deps.Control.History(ctx, from, historyPage)
+		if err != nil {
+			return HistoryReply{}, err
+		}
+		for _, entry := range entries {
+			if entry.Record.RequestID == id {
+				return HistoryReply{Entries: []control.Entry{entry}}, nil
+			}
+		}
+		if len(entries) < historyPage {
+			return HistoryReply{}, nil
+		}
+		from = entries[len(entries)-1].Sequence + 1
+	}
+	return HistoryReply{Next: from}, nil
+}
+
+// queryNumber reads a positive number from the query; it is fallback when absent.
+func queryNumber(r *http.Request, name string, fallback, high uint64) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n == 0 || n > high {
+		return 0, model.Errorf(model.KindInvalid, "write a whole number from 1 to "+strconv.FormatUint(high, 10), "%s=%q", name, text)
+	}
+	return n, nil
+}
