Report one fault for a text that is no declaration

Cause: a wrong file gave the syntax fault and three faults of missing fields. Change: content is not checked when nothing could be decoded. Conclusion: the first line names the fault that matters.

--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -48,7 +48,7 @@
 // lists the faults of form and of content together.
 func Check(name string, text []byte) (*Document, error) {
 	doc, faults := read(name, text)
-	if doc == nil {
+	if doc == nil || doc.Declaration.isEmpty() && len(faults) > 0 {
 		return nil, faults.orNil()
 	}
 	for _, fault := range doc.contentFaults() {
@@ -62,6 +62,12 @@
 	return doc, nil
 }
 
+// isEmpty reports whether nothing was decoded, as from a text that is no
+// declaration at all; its content needs no check.
+func (d *Declaration) isEmpty() bool {
+	return d.Version == 0 && d.Deployment == "" && d.DataCentres == nil && d.Services == nil
+}
+
 // Validate checks the content of the document and reports all faults at once
 // with their positions. The error is a Faults.
 func (d *Document) Validate() error { return d.contentFaults().orNil() }
--- a/internal/declaration/validate_test.go
+++ b/internal/declaration/validate_test.go
@@ -80,7 +80,7 @@
 		{"one long line", bytes.Repeat([]byte("a"), MaxBytes/100), "expected fields"},
 		{"nested lists", bytes.Repeat([]byte("["), MaxBytes/100), "nested more than 32 deep"},
 		{"nested entries", bytes.Repeat([]byte("- "), MaxBytes/100), "indented by more than 200"},
-		{"prose", []byte("Dear board,\n"), "expected fields"},
+		{"prose", []byte("Dear board,\n"), "f:1:1: expected fields"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
