Add the vpier commands

Cause: operators work through the admin API and need one tool with clear results. Change: check, diff, propose, accept, reject, history (with export), drain, return, status, submit, cancel, replay, dev, trace-summary and completion. Misspelled variables are refused. Conclusion: replay and dev call functions that main passes in.

--- a/internal/adminapi/command.go
+++ b/internal/adminapi/command.go
@@ -198,16 +198,7 @@
 
 // replyFor describes a record in the journal.
 func replyFor(entry control.Entry) CommandReply {
-	reply := CommandReply{Sequence: entry.Sequence, Actor: entry.Record.Actor}
-	switch rec := entry.Record; {
-	case rec.Proposed != nil:
-		reply.Digest = rec.Proposed.Digest
-	case rec.Accepted != nil:
-		reply.Digest = rec.Accepted.Digest
-	case rec.Rejected != nil:
-		reply.Digest = rec.Rejected.Digest
-	}
-	return reply
+	return CommandReply{Sequence: entry.Sequence, Actor: entry.Record.Actor, Digest: DigestOf(entry.Record)}
 }
 
 // logCommand writes one line for a command that took effect.
--- a/internal/adminapi/errors.go
+++ b/internal/adminapi/errors.go
@@ -132,3 +132,17 @@
 	// its request id.
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// DigestOf returns the digest of the declaration that a record concerns, or
+// the empty string.
+func DigestOf(rec control.Record) string {
+	switch {
+	case rec.Proposed != nil:
+		return rec.Proposed.Digest
+	case rec.Accepted != nil:
+		return rec.Accepted.Digest
+	case rec.Rejected != nil:
+		return rec.Rejected.Digest
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,197 @@
+// Package operator implements the commands of vpier, the operators' command
+// line: checking, comparing and deciding on declarations, taking data centres
+// out of service, status, orders, replay and the local development mode.
+package operator
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// ReplayArgs are the arguments of vpier replay.
+type ReplayArgs struct {
+	// Trace is the path of the recorded trace.
+	Trace string
+	// Configs are the paths of the configurations to compare, at least one.
+	Configs []string
+	// Seed seeds every random choice of the replay.
+	Seed uint64
+	// Output is text or json.
+	Output string
+	// HTMLFile is where the HTML report goes; empty for none.
+	HTMLFile string
+}
+
+// ReplayFunc replays a trace under several configurations and writes the
+// comparison to the writer.
+type ReplayFunc func(ctx context.Context, args ReplayArgs, out io.Writer) error
+
+// DevArgs are the arguments of vpier dev.
+type DevArgs struct {
+	// Seed seeds load and faults.
+	Seed uint64
+	// Nodes is the number of nodes to run.
+	Nodes int
+	// Deployment is the path of the declaration.
+	Deployment string
+	// Trace is the path of a recorded trace; empty for generated load.
+	Trace string
+	// Keep leaves the processes' endpoints up after the run until interrupted.
+	Keep bool
+	// Duration is how long the load runs.
+	Duration time.Duration
+	// Output is text or json.
+	Output string
+}
+
+// DevFunc runs the system and its stand-ins in this process and writes progress
+// and the table of requirements to the writer.
+type DevFunc func(ctx context.Context, args DevArgs, out io.Writer) error
+
+// Program is one run of vpier. Stdout, Stderr and Stdin are required.
+type Program struct {
+	Stdin  io.Reader
+	Stdout io.Writer
+	Stderr io.Writer
+	// Version is shown by --version.
+	Version string
+	// Environ lists the environment as NAME=VALUE. The values are read from the
+	// process's environment; the list serves to find misspelled names.
+	Environ []string
+	// Replay and Dev run the commands of the same name; nil when the build
+	// lacks them.
+	Replay ReplayFunc
+	Dev    DevFunc
+
+	// pollInterval is the pause between two looks of a waiting command.
+	pollInterval time.Duration
+	// newID returns a fresh request id.
+	newID func() string
+
+	args   *rootArgs
+	client *client
+}
+
+// defaultPollInterval is the pause between two looks of a waiting command. A
+// declaration is in force everywhere within 4 s.
+const defaultPollInterval = 500 * time.Millisecond
+
+// Run executes the command line argv, without the program's name, and returns
+// the exit code.
+func (p *Program) Run(ctx context.Context, argv []string) int {
+	if p.pollInterval == 0 {
+		p.pollInterval = defaultPollInterval
+	}
+	if p.newID == nil {
+		p.newID = randomID
+	}
+	args, stop, err := p.parse(argv)
+	if err != nil {
+		return p.fail(err)
+	}
+	if stop {
+		return ExitOK
+	}
+	p.args = args
+	if err := p.dispatch(ctx); err != nil {
+		return p.fail(err)
+	}
+	return ExitOK
+}
+
+// dispatch runs the chosen command.
+func (p *Program) dispatch(ctx context.Context) error {
+	a := p.args
+	switch {
+	case a.Check != nil:
+		return p.check(a.Check)
+	case a.Completion != nil:
+		return p.completion(a.Completion)
+	case a.TraceSummary != nil:
+		return p.traceSummary(a.TraceSummary)
+	case a.Replay != nil:
+		return p.replay(ctx, a.Replay)
+	case a.Dev != nil:
+		return p.dev(ctx, a.Dev)
+	case a.Diff != nil:
+		return p.diff(ctx, a.Diff)
+	}
+	if err := p.connect(); err != nil {
+		return err
+	}
+	switch {
+	case a.Propose != nil:
+		return p.propose(ctx, a.Propose)
+	case a.Accept != nil:
+		return p.accept(ctx, a.Accept)
+	case a.Reject != nil:
+		return p.reject(ctx, a.Reject)
+	case a.History != nil:
+		return p.history(ctx, a.History)
+	case a.Drain != nil:
+		return p.drain(ctx, a.Drain)
+	case a.Return != nil:
+		return p.returnDataCentre(ctx, a.Return)
+	case a.Status != nil:
+		return p.status(ctx, a.Status)
+	case a.Submit != nil:
+		return p.submit(ctx, a.Submit)
+	case a.Cancel != nil:
+		return p.cancel(ctx, a.Cancel)
+	}
+	return model.Errorf(model.KindInvalid, "run vpier --help for the list", "no command is given")
+}
+
+// connect sets up the client to the nodes.
+func (p *Program) connect() error {
+	c, err := newClient(p.args.clientArgs)
+	p.client = c
+	return err
+}
+
+// replay runs vpier replay.
+func (p *Program) replay(ctx context.Context, a *replayArgs) error {
+	if p.Replay == nil {
+		return model.Errorf(model.KindInvalid, "use a complete build of vpier", "this build has no replay")
+	}
+	if len(a.Configs) == 0 {
+		return model.Errorf(model.KindInvalid, "give --config once for each configuration to compare", "no configuration is given")
+	}
+	for _, path := range append([]string{a.Trace}, a.Configs...) {
+		if err := checkReadable(path); err != nil {
+			return err
+		}
+	}
+	return p.Replay(ctx, ReplayArgs{Trace: a.Trace, Configs: a.Configs, Seed: a.Seed, Output: string(p.args.Output), HTMLFile: a.HTML}, p.Stdout)
+}
+
+// dev runs vpier dev.
+func (p *Program) dev(ctx context.Context, a *devArgs) error {
+	if p.Dev == nil {
+		return model.Errorf(model.KindInvalid, "use a complete build of vpier", "this build has no dev mode")
+	}
+	if a.Nodes < 1 || a.Nodes > maxDevNodes {
+		return model.Errorf(model.KindInvalid, "give --nodes from 1 to 64", "%d nodes", a.Nodes)
+	}
+	if a.Duration <= 0 {
+		return model.Errorf(model.KindInvalid, "give a duration above 0, such as 30s", "--duration %s", a.Duration)
+	}
+	for _, path := range []string{a.Deployment, a.Trace} {
+		if path == "" {
+			continue
+		}
+		if err := checkReadable(path); err != nil {
+			return err
+		}
+	}
+	return p.Dev(ctx, DevArgs{
+		Seed: a.Seed, Nodes: a.Nodes, Deployment: a.Deployment, Trace: a.Trace,
+		Keep: a.Keep, Duration: a.Duration, Output: string(p.args.Output),
+	}, p.Stdout)
+}
+
+// maxDevNodes bounds the nodes that run in one process.
+const maxDevNodes = 64
--- /dev/null
+++ b/internal/operator/output.go
@@ -0,0 +1,44 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// print writes v as JSON, or calls text when the output is for people.
+func (p *Program) print(v any, text func(w io.Writer)) error {
+	if p.args.Output == outputJSON {
+		enc := json.NewEncoder(p.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	var b strings.Builder
+	text(&b)
+	_, err := io.WriteString(p.Stdout, b.String())
+	return err
+}
+
+// table writes rows with aligned columns.
+func table(w io.Writer, rows [][]string) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	tw.Flush()
+}
+
+// progress writes a line about a wait to the error output.
+func (p *Program) progress(format string, args ...any) {
+	fmt.Fprintf(p.Stderr, format+"\n", args...)
+}
+
+// plural writes a count with its noun.
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,189 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// systemStatus is what all nodes report, put together.
+type systemStatus struct {
+	// Sequence and Digest are the newest that any node has applied.
+	Sequence uint64 `json:"sequence"`
+	Digest   string `json:"digest"`
+	// Nodes are the nodes that answered.
+	Nodes []adminapi.NodeStatus `json:"nodes"`
+	// Missing are members that neither answered nor were heard by a node that did.
+	Missing []model.NodeID `json:"missing,omitempty"`
+	// Unreachable are the addresses that did not answer, with the reason.
+	Unreachable []string `json:"unreachable,omitempty"`
+	// DataCentres adds up what the nodes own in each data centre.
+	DataCentres []dataCentreTotal `json:"data_centres"`
+	// Members maps each member to the newest sequence known of it.
+	Members map[model.NodeID]uint64 `json:"members"`
+}
+
+// dataCentreTotal is the sum over the nodes that answered.
+type dataCentreTotal struct {
+	adminapi.DataCentreStatus
+	// DeclaredCells is the number of cells that the declaration gives it.
+	DeclaredCells int `json:"declared_cells"`
+}
+
+// collect asks every node for its status and one for its view.
+func (p *Program) collect(ctx context.Context) (systemStatus, error) {
+	view, err := p.view(ctx)
+	if err != nil {
+		return systemStatus{}, err
+	}
+	statuses := make([]adminapi.NodeStatus, len(p.client.nodes))
+	errs := make([]error, len(p.client.nodes))
+	var wg sync.WaitGroup
+	for i, node := range p.client.nodes {
+		wg.Go(func() { errs[i] = p.client.get(ctx, node, "status", &statuses[i]) })
+	}
+	wg.Wait()
+	var answered []adminapi.NodeStatus
+	var unreachable []string
+	for i, err := range errs {
+		if err != nil {
+			unreachable = append(unreachable, fmt.Sprintf("%s: %v", p.client.nodes[i], err))
+			continue
+		}
+		answered = append(answered, statuses[i])
+	}
+	if len(answered) == 0 {
+		return systemStatus{}, allFailed(len(errs), errs[len(errs)-1])
+	}
+	s := combine(view, answered)
+	s.Unreachable = unreachable
+	return s, nil
+}
+
+// combine puts the view and the answers together. Two addresses of the same
+// node, as behind a load balancer, count once.
+func combine(view adminapi.ViewReply, answered []adminapi.NodeStatus) systemStatus {
+	s := systemStatus{Sequence: view.Sequence, Digest: view.Digest, Members: map[model.NodeID]uint64{}}
+	for _, member := range view.Members {
+		s.Members[member.ID] = 0
+	}
+	for _, node := range answered {
+		if slices.ContainsFunc(s.Nodes, func(n adminapi.NodeStatus) bool { return n.Node == node.Node }) {
+			continue
+		}
+		s.Nodes = append(s.Nodes, node)
+		if node.Sequence > s.Sequence {
+			s.Sequence, s.Digest = node.Sequence, node.Digest
+		}
+		s.Members[node.Node] = max(s.Members[node.Node], node.Sequence)
+		for _, peer := range node.Peers {
+			if known, member := s.Members[peer.Node]; member {
+				s.Members[peer.Node] = max(known, peer.Sequence)
+			}
+		}
+	}
+	slices.SortFunc(s.Nodes, func(a, b adminapi.NodeStatus) int { return cmp.Compare(a.Node, b.Node) })
+	for id, sequence := range s.Members {
+		if sequence == 0 {
+			s.Missing = append(s.Missing, id)
+		}
+	}
+	slices.Sort(s.Missing)
+	s.DataCentres = totals(view, s.Nodes)
+	return s
+}
+
+// totals adds up the data centres over the nodes.
+func totals(view adminapi.ViewReply, nodes []adminapi.NodeStatus) []dataCentreTotal {
+	if view.Declaration == nil {
+		return nil
+	}
+	var out []dataCentreTotal
+	for _, dc := range view.Declaration.DataCentres {
+		_, isOut := view.Out[dc.Name]
+		total := dataCentreTotal{DeclaredCells: dc.Cells}
+		total.Name, total.Out = dc.Name, isOut
+		for _, node := range nodes {
+			for _, part := range node.DataCentres {
+				if part.Name == dc.Name {
+					total.Cells += part.Cells
+					total.LiveAttempts += part.LiveAttempts
+					// Every node sends to the same runners.
+					total.Services = max(total.Services, part.Services)
+				}
+			}
+		}
+		out = append(out, total)
+	}
+	return out
+}
+
+// status runs vpier status.
+func (p *Program) status(ctx context.Context, a *statusArgs) error {
+	if !a.Wait && (a.DataCentre != "" || a.Sequence != 0) {
+		return model.Errorf(model.KindInvalid, "add --wait", "--data-centre and --sequence only say what to wait for")
+	}
+	s, err := p.statusOrWait(ctx, a)
+	if err != nil {
+		return err
+	}
+	return p.print(s, func(w io.Writer) { writeStatus(w, s) })
+}
+
+// statusOrWait returns the status, after waiting when that is asked for.
+func (p *Program) statusOrWait(ctx context.Context, a *statusArgs) (systemStatus, error) {
+	switch {
+	case !a.Wait:
+		return p.collect(ctx)
+	case a.DataCentre != "":
+		return p.waitForEmpty(ctx, a.waitArgs, model.DataCentre(a.DataCentre))
+	}
+	return p.waitForSequence(ctx, a.waitArgs, a.Sequence)
+}
+
+// writeStatus writes a status for people.
+func writeStatus(w io.Writer, s systemStatus) {
+	digest := adminapi.Short(s.Digest)
+	if digest == "" {
+		digest = "none"
+	}
+	fmt.Fprintf(w, "sequence %d, declaration %s\n\n", s.Sequence, digest)
+	rows := [][]string{{"NODE", "DATA CENTRE", "VERSION", "SEQUENCE", "DECLARATION", "CONFIRMED", "CELLS"}}
+	for _, n := range s.Nodes {
+		cells := make([]string, len(n.OwnedCells))
+		for i, c := range n.OwnedCells {
+			cells[i] = string(c)
+		}
+		rows = append(rows, []string{
+			string(n.Node), string(n.DataCentre), n.Version, strconv.FormatUint(n.Sequence, 10),
+			adminapi.Short(n.Digest), fmt.Sprintf("%d ms ago", n.ConfirmedAgeMS), strings.Join(cells, ","),
+		})
+	}
+	table(w, rows)
+	fmt.Fprintln(w)
+	rows = [][]string{{"DATA CENTRE", "STATE", "CELLS", "LIVE ATTEMPTS", "SERVICES"}}
+	for _, dc := range s.DataCentres {
+		state := "in service"
+		if dc.Out {
+			state = "out of service"
+		}
+		rows = append(rows, []string{
+			string(dc.Name), state, fmt.Sprintf("%d of %d", dc.Cells, dc.DeclaredCells), strconv.Itoa(dc.LiveAttempts), strconv.Itoa(dc.Services),
+		})
+	}
+	table(w, rows)
+	for _, id := range s.Missing {
+		fmt.Fprintf(w, "member %s was not heard\n", id)
+	}
+	for _, line := range s.Unreachable {
+		fmt.Fprintf(w, "no answer from %s\n", line)
+	}
+}
