Test dispatch; send a start in doubt only once

A start whose answer was lost was sent again after a report without the attempt, but the worker had run it and restarted in between. Change: a start whose result is unknown is never repeated. If reports still do not list it when its session can no longer be accepted, it ends as lost, and the owner places the next attempt. Delayed acknowledgements are not needed any more.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,17 +36,14 @@
 	ref    platform.AttemptRef
 	worker *workerState
 	start  platform.Start
-	// own is false for an attempt of a former owner, whose start is not repeated.
-	own   bool
-	phase phase
-	want  want
-	// absent is set when a report showed that the worker has not seen the start.
-	absent bool
-	// riskUntil is how long a copy of the start whose result is unknown could
-	// still be accepted; it follows from the age bound of the copy's session.
+	phase  phase
+	want   want
+	// riskUntil is how long a start whose result is unknown could still be
+	// accepted; it follows from the age bound of the session that it quoted. It
+	// is zero for an attempt of a former owner: a worker that has reported under
+	// the current epoch refuses that owner's starts.
 	riskUntil  time.Time
 	queuedAt   time.Time
-	reason     string
 	lost       bool
 	checkpoint string
 	// saveNow and throttle are orders not yet delivered.
@@ -61,8 +58,8 @@
 	attempts map[platform.AttemptRef]*attempt
 	// unknown holds running attempts that the owner did not place.
 	unknown map[platform.AttemptRef]struct{}
-	// acks holds acknowledgements with the time from which they may be sent.
-	acks map[platform.AttemptRef]time.Time
+	// acks holds acknowledgements that the worker has not received.
+	acks map[platform.AttemptRef]struct{}
 
 	session      string
 	sessionTTL   time.Duration
@@ -124,7 +121,7 @@
 			host: platform.Host{ID: string(id)}, index: -1,
 			attempts: map[platform.AttemptRef]*attempt{},
 			unknown:  map[platform.AttemptRef]struct{}{},
-			acks:     map[platform.AttemptRef]time.Time{},
+			acks:     map[platform.AttemptRef]struct{}{},
 		}
 		c.workers[id] = w
 		c.reschedule(w, now)
@@ -181,7 +178,7 @@
 		return nil
 	}
 	s.Lease = c.cfg.TaskLease
-	a := &attempt{ref: s.AttemptRef, worker: w, start: s, own: true, queuedAt: now}
+	a := &attempt{ref: s.AttemptRef, worker: w, start: s, queuedAt: now}
 	c.attempts[a.ref], w.attempts[a.ref] = a, a
 	c.hasten(w, now)
 	return nil
@@ -224,16 +221,16 @@
 	}
 }
 
-// Ack states that the end or loss of an attempt is durable. The worker forgets
-// its report, but not before a late copy of the start has become harmless.
-func (c *Core) Ack(now time.Time, ref platform.AttemptRef) {
+// Ack states that the end or loss of an attempt is durable, so that the worker
+// may forget its report.
+func (c *Core) Ack(ref platform.AttemptRef) {
 	a := c.attempts[ref]
 	if a == nil || a.phase != phaseEnded {
 		return
 	}
 	c.forget(a)
 	if !a.lost {
-		a.worker.acks[ref] = a.riskUntil
+		a.worker.acks[ref] = struct{}{}
 	}
 	c.dropIfUnused(a.worker)
 }
--- /dev/null
+++ b/internal/dispatch/core_test.go
@@ -0,0 +1,308 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
+	"github.com/vanillapier/vanillapier/internal/platform/standin"
+)
+
+var errUnknown = model.Errorf(model.KindUnknown, "", "no answer")
+
+var first = platform.AttemptRef{Task: "a", Attempt: 1}
+
+// script drives a core with one worker by hand.
+type script struct {
+	t       *testing.T
+	c       *Core
+	now     time.Time
+	session int
+}
+
+func newScript(t *testing.T, known ...Known) *script {
+	s := &script{t: t, c: NewCore(Config{Cell: "c", Epoch: 1}, origin, known), now: origin}
+	s.c.SetWorkers(origin, []platform.Host{{ID: "w", Addr: "w"}})
+	s.c.SetEpochAcknowledged(origin)
+	return s
+}
+
+// plan moves to the next message and returns it.
+func (s *script) plan() Outgoing {
+	s.t.Helper()
+	due, ok := s.c.NextDue()
+	require.True(s.t, ok)
+	if due.After(s.now) {
+		s.now = due
+	}
+	out := s.c.Plan(s.now, 1, true)
+	require.Len(s.t, out, 1)
+	return out[0]
+}
+
+// answer gives the report to a command.
+func (s *script) answer(out Outgoing, r platform.WorkerReport) {
+	s.session++
+	r.Worker, r.Session, r.SessionTTL = "w", string(rune('a'+s.session)), DefaultSessionTTL
+	s.c.Done(s.now, out, r, nil)
+}
+
+func running(refs ...platform.AttemptRef) platform.WorkerReport {
+	var r platform.WorkerReport
+	for _, ref := range refs {
+		r.Running = append(r.Running, platform.RunningAttempt{AttemptRef: ref})
+	}
+	return r
+}
+
+func kinds(events []Event) []EventKind {
+	var out []EventKind
+	for _, e := range events {
+		out = append(out, e.Kind)
+	}
+	return out
+}
+
+// begin fetches a session and plans the command with the start of the attempt.
+func (s *script) begin() Outgoing {
+	require.NoError(s.t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	s.answer(s.plan(), platform.WorkerReport{})
+	out := s.plan()
+	require.Len(s.t, out.Command.Starts, 1)
+	return out
+}
+
+// Guards against a start in doubt that is sent again, or given up while it could
+// still be accepted: either way an attempt could run twice.
+func TestStartInDoubtIsSentOnce(t *testing.T) {
+	for _, stop := range []bool{false, true} {
+		s := newScript(t)
+		s.c.Done(s.now, s.begin(), platform.WorkerReport{}, errUnknown)
+		risk := s.now.Add(withMargin(DefaultSessionTTL))
+		if stop {
+			s.c.Stop(s.now, first)
+		}
+		var sent time.Time
+		for s.c.attempts[first].phase == phaseSent {
+			out := s.plan()
+			require.Empty(t, out.Command.Starts)
+			sent = s.now
+			s.answer(out, platform.WorkerReport{})
+		}
+		require.False(t, sent.Before(risk))
+		require.Equal(t, []EventKind{EventAdopted, EventEnded}, kinds(s.c.Events()))
+	}
+}
+
+// Guards against an attempt that counts as lost while a renewal could still keep
+// it alive, or before a majority knows the owner's epoch.
+func TestLostOnlyAfterSilence(t *testing.T) {
+	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
+	s.answer(s.plan(), running(first))
+	s.c.Events()
+	contact, renewed := s.now, s.now
+	for s.c.attempts[first].phase == phaseRunning {
+		out := s.plan()
+		if len(out.Command.Renew) > 0 {
+			renewed = s.now
+		}
+		s.c.Done(s.now, out, platform.WorkerReport{}, errUnknown)
+	}
+	require.Less(t, renewed.Sub(contact), DefaultOwnershipLease)
+	require.Greater(t, renewed.Sub(contact), DefaultTaskLease/3)
+	require.GreaterOrEqual(t, s.now.Sub(contact), (Config{}).LostAfter())
+	require.Equal(t, 20900*time.Millisecond, (Config{}).LostAfter())
+	require.Equal(t, []EventKind{EventLost}, kinds(s.c.Events()))
+
+	s = newScript(t, Known{AttemptRef: first, Worker: "w"})
+	s.c.ackedAt = time.Time{}
+	for s.now.Before(origin.Add(time.Hour)) {
+		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, errUnknown)
+	}
+	require.Empty(t, s.c.Events())
+}
+
+// Guards against starts on a worker that still runs what the owner does not know,
+// and against endings that nobody waits for staying on the worker.
+func TestUnknownAttemptsAreStoppedFirst(t *testing.T) {
+	s := newScript(t)
+	stray, old := platform.AttemptRef{Task: "x", Attempt: 4}, platform.AttemptRef{Task: "y", Attempt: 1}
+	require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	r := running(stray)
+	r.Ended = []platform.EndedAttempt{{AttemptRef: old}}
+	s.answer(s.plan(), r)
+	out := s.plan()
+	require.Equal(t, []platform.AttemptRef{stray}, out.Command.Stop)
+	require.Equal(t, []platform.AttemptRef{old}, out.Command.Ack)
+	require.Empty(t, out.Command.Starts)
+	s.answer(out, platform.WorkerReport{})
+	require.Len(t, s.plan().Command.Starts, 1)
+	require.Equal(t, []EventKind{EventAdopted}, kinds(s.c.Events()))
+}
+
+// Guards against a start that leaves after the session or the gate that allowed
+// it: this is how an owner that was paused would start a task too late.
+func TestReleaseWithholdsStarts(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		delay              time.Duration
+		mayStart, maySend  bool
+		wantStart, wantOut bool
+	}{
+		{"allowed", 0, true, true, true, true},
+		{"session aged", DefaultSessionTTL/2 + 1, true, true, false, true},
+		{"gate closed", 0, false, true, false, true},
+		{"ownership lease ended", 0, true, false, true, false},
+	} {
+		s := newScript(t)
+		out := s.begin()
+		require.Equal(t, c.wantOut, s.c.Release(s.now.Add(c.delay), &out, c.mayStart, c.maySend), c.name)
+		require.Equal(t, c.wantStart, len(out.Command.Starts) == 1, c.name)
+	}
+}
+
+// Guards against messages without pause while starts wait: for the gate, for an
+// unknown attempt to stop, or on a worker that refuses every session.
+func TestWaitingStartsDoNotFloodTheWorker(t *testing.T) {
+	reject := func(out Outgoing) platform.WorkerReport {
+		var r platform.WorkerReport
+		for _, st := range out.Command.Starts {
+			r.Rejected = append(r.Rejected, platform.RejectedStart{AttemptRef: st.AttemptRef, Reason: platform.RejectSession})
+		}
+		return r
+	}
+	for name, report := range map[string]func(Outgoing) platform.WorkerReport{
+		"gate":    func(Outgoing) platform.WorkerReport { return platform.WorkerReport{} },
+		"unknown": func(Outgoing) platform.WorkerReport { return running(platform.AttemptRef{Task: "x"}) },
+		"session": reject,
+	} {
+		s := newScript(t)
+		require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+		sent := 0
+		for s.now.Before(origin.Add(10 * time.Second)) {
+			due, _ := s.c.NextDue()
+			s.now = due
+			for _, out := range s.c.Plan(s.now, 1, name != "gate") {
+				sent++
+				s.answer(out, report(out))
+			}
+			require.LessOrEqual(t, sent, 101+1, name)
+		}
+		require.NotNil(t, s.c.attempts[first], name)
+	}
+}
+
+// Guards against a start that waits forever for a worker that cannot be reached.
+func TestUnsentStartIsGivenBack(t *testing.T) {
+	s := newScript(t)
+	require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	for s.c.attempts[first] != nil {
+		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, model.Errorf(model.KindUnavailable, "", "refused"))
+	}
+	require.Equal(t, ReasonUnreachable, s.c.Events()[0].Reason)
+	require.GreaterOrEqual(t, s.now.Sub(origin), DefaultStartTimeout)
+}
+
+// Guards against orders that are not delivered, or delivered again for ever.
+func TestOrdersAreDeliveredOnce(t *testing.T) {
+	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
+	s.answer(s.plan(), running(first))
+	s.c.Checkpoint(s.now, first)
+	s.c.Throttle(s.now, first, 40)
+	out := s.plan()
+	require.Equal(t, []platform.AttemptRef{first}, out.Command.Checkpoint)
+	require.Equal(t, []platform.Throttle{{AttemptRef: first, Percent: 40}}, out.Command.Throttle)
+	s.c.Done(s.now, out, platform.WorkerReport{}, errUnknown)
+	out = s.plan()
+	require.Len(t, out.Command.Throttle, 1, "not repeated after a lost answer")
+	r := running(first)
+	r.Running[0].Checkpoint = "k"
+	s.answer(out, r)
+	out = s.plan()
+	require.Empty(t, out.Command.Checkpoint)
+	require.Empty(t, out.Command.Throttle)
+	require.Equal(t, EventCheckpointed, s.c.Events()[2].Kind)
+	s.c.Done(s.now, out, platform.WorkerReport{}, model.Errorf(model.KindFenced, "", "newer owner"))
+	require.True(t, s.c.Fenced())
+	require.Empty(t, s.c.Plan(s.now.Add(time.Hour), 9, true))
+}
+
+// overlap counts commands in flight for each worker.
+type overlap struct {
+	platform.WorkerAPI
+	mu       sync.Mutex
+	flying   map[string]int
+	most     int
+	together int
+}
+
+func (o *overlap) Command(ctx context.Context, h platform.Host, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+	o.mu.Lock()
+	o.flying[h.ID]++
+	o.most = max(o.most, o.flying[h.ID])
+	total := 0
+	for _, n := range o.flying {
+		total += n
+	}
+	o.together = max(o.together, total)
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		o.flying[h.ID]--
+		o.mu.Unlock()
+	}()
+	return o.WorkerAPI.Command(ctx, h, cmd)
+}
+
+// Guards against faults between core, HTTP client and worker: all tasks complete
+// once, with one command in flight for each worker and bounded concurrency.
+func TestDispatcherOverHTTP(t *testing.T) {
+	p := standin.NewPlatform(standin.Shape{Seed: 1, DataCentres: []standin.DataCentreShape{{
+		Name: "dc", Racks: 2, WorkersPerRack: 4, Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 800},
+	}}})
+	require.NoError(t, p.Start())
+	defer func() { require.NoError(t, p.Close()) }()
+	for _, h := range p.Hosts() {
+		p.Faults().SetWorker(h.ID, standin.WorkerFault{LoseAnswer: 0.2})
+	}
+	api := &overlap{WorkerAPI: httpapi.NewWorkers(nil), flying: map[string]int{}}
+	open := func(time.Time) error { return nil }
+	d := New(Config{Cell: "c", Epoch: 1, Concurrency: 3}, api, Gates{MayStart: open, MayRenew: open}, nil, Options{})
+	d.SetWorkers(p.Hosts())
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Run(ctx) }()
+	const tasks = 24
+	for i := range tasks {
+		s := platform.Start{AttemptRef: platform.AttemptRef{Task: model.TaskID(rune('a' + i)), Attempt: 1}, Resources: unit}
+		s.Payload = standin.Payload{RunMS: 100}.Encode()
+		require.NoError(t, d.Start(model.WorkerID(p.Hosts()[i%8].ID), s))
+	}
+	ended := map[platform.AttemptRef]int{}
+	for len(ended) < tasks {
+		<-d.Notify()
+		for _, e := range d.Events() {
+			if e.Kind == EventEnded {
+				require.Equal(t, model.OutcomeDone, e.Ended.Outcome)
+				ended[e.Ref]++
+				d.Ack(e.Ref)
+			}
+			require.NotEqual(t, EventRejected, e.Kind)
+		}
+	}
+	cancel()
+	require.NoError(t, errors.Join(<-stopped))
+	for ref, n := range ended {
+		require.Equal(t, 1, n, "%v", ref)
+	}
+	require.Empty(t, p.Ledger().Violations())
+	require.Equal(t, 1, api.most)
+	require.LessOrEqual(t, api.together, 3)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -138,9 +138,9 @@
 
 // Ack states that the end or loss of an attempt is durable.
 func (d *Dispatcher) Ack(refs ...platform.AttemptRef) {
-	d.do(func(c *Core, now time.Time) {
+	d.do(func(c *Core, _ time.Time) {
 		for _, ref := range refs {
-			c.Ack(now, ref)
+			c.Ack(ref)
 		}
 	})
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -48,14 +48,10 @@
 }
 
 func reasonOf(a *attempt) string {
-	switch {
-	case a.reason != "":
-		return a.reason
-	case a.want != wantRun:
+	if a.want != wantRun {
 		return ReasonWithdrawn
-	default:
-		return ReasonUnreachable
 	}
+	return ReasonUnreachable
 }
 
 // silence returns how long the worker has not answered under this epoch.
@@ -100,11 +96,7 @@
 		c.addOrders(&cmd, a, renew)
 	}
 	cmd.Stop = append(cmd.Stop, sortedRefs(w.unknown)...)
-	for _, ref := range sortedRefs(w.acks) {
-		if !now.Before(w.acks[ref]) {
-			cmd.Ack = append(cmd.Ack, ref)
-		}
-	}
+	cmd.Ack = sortedRefs(w.acks)
 	if mayStart {
 		c.addStarts(now, &cmd, w)
 	} else {
@@ -163,12 +155,10 @@
 	}
 }
 
-// startable reports whether the start is to be sent, or sent again because a
-// report showed that the worker has not seen it. A worker ignores a second copy.
-func (a *attempt) startable() bool {
-	return a.own && a.want == wantRun && a.reason == "" &&
-		(a.phase == phasePending || a.phase == phaseSent && a.absent)
-}
+// startable reports whether the start is to be sent. A start whose result is
+// unknown is not repeated: the worker may have run it and restarted since, and
+// the attempt would run twice.
+func (a *attempt) startable() bool { return a.phase == phasePending && a.want == wantRun }
 
 // sessionFresh reports whether the session is at most S/2 old. Its age counts
 // from the start of the exchange that brought it, which is before its issue.
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -49,7 +49,7 @@
 	case model.KindInvalid:
 		for _, s := range out.Command.Starts {
 			if a := c.attempts[s.AttemptRef]; a != nil {
-				c.refuse(now, a, fmt.Sprintf("worker refused the command: %v", err))
+				c.reject(a, fmt.Sprintf("worker refused the command: %v", err))
 			}
 		}
 	default:
@@ -68,10 +68,7 @@
 		if a == nil || a.phase == phaseEnded {
 			continue
 		}
-		a.phase, a.absent = phaseSent, false
-		if until.After(a.riskUntil) {
-			a.riskUntil = until
-		}
+		a.phase, a.riskUntil = phaseSent, until
 	}
 	w.session = ""
 }
@@ -96,7 +93,7 @@
 	for _, rej := range r.Rejected {
 		if a := c.attempts[rej.AttemptRef]; a != nil && a.worker == w {
 			seen[rej.AttemptRef] = struct{}{}
-			c.rejected(now, w, a, rej.Reason)
+			c.rejected(a, rej.Reason)
 		}
 	}
 	for _, a := range w.ordered() {
@@ -155,9 +152,7 @@
 	a := c.attempts[e.AttemptRef]
 	if a == nil || a.worker != w || a.lost {
 		// An outcome that nobody waits for; the worker may forget it.
-		if _, ok := w.acks[e.AttemptRef]; !ok {
-			w.acks[e.AttemptRef] = time.Time{}
-		}
+		w.acks[e.AttemptRef] = struct{}{}
 		return
 	}
 	if a.phase == phaseEnded {
@@ -169,53 +164,24 @@
 
 // rejected handles a start that the worker refused in this command. An old
 // session only means that the start is sent again with a new one.
-func (c *Core) rejected(now time.Time, w *workerState, a *attempt, reason string) {
-	if reason != platform.RejectSession {
-		c.refuse(now, a, reason)
-		return
-	}
-	a.absent = true
-	if now.After(a.riskUntil) {
+func (c *Core) rejected(a *attempt, reason string) {
+	switch {
+	case a.want != wantRun:
+		c.reject(a, ReasonWithdrawn)
+	case reason == platform.RejectSession:
 		a.phase = phasePending
-	}
-	if a.want != wantRun {
-		c.refuse(now, a, ReasonWithdrawn)
-	}
-}
-
-// refuse gives an attempt back when no copy of its start can be accepted any
-// more; otherwise missing does so later.
-func (c *Core) refuse(now time.Time, a *attempt, reason string) {
-	if now.After(a.riskUntil) {
+	default:
 		c.reject(a, reason)
-		return
 	}
-	a.reason, a.phase = reason, phaseSent
 }
 
 // missing handles an attempt that a report under the current epoch did not list.
-// sentAt is when the command was sent, which is before the report was made.
+// sentAt is when the command was sent, which is before the report was made. A
+// start whose result is unknown may have run and may have ended with a restart
+// of the worker, so it counts as lost and not as rejected.
 func (c *Core) missing(a *attempt, sentAt time.Time) {
-	switch a.phase {
-	case phaseRunning:
+	if a.phase == phaseRunning || a.phase == phaseSent && !sentAt.Before(a.riskUntil) {
 		c.gone(a)
-	case phaseSent:
-		if !a.own {
-			c.gone(a)
-			return
-		}
-		a.absent = true
-		if sentAt.Before(a.riskUntil) {
-			return
-		}
-		a.phase = phasePending
-		if a.want != wantRun || a.reason != "" {
-			c.reject(a, reasonOf(a))
-		}
-	case phasePending:
-		if a.want != wantRun {
-			c.reject(a, reasonOf(a))
-		}
 	}
 }
 
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -138,7 +138,7 @@
 	// owner makes this durable and calls Ack.
 	EventLost EventKind = "lost"
 	// EventRejected means that the attempt did not run and will not; the
-	// dispatcher has forgotten it.
+	// dispatcher has forgotten it. A start in doubt ends as lost instead.
 	EventRejected EventKind = "rejected"
 	// EventCheckpointed means that a checkpoint of a live attempt completed.
 	EventCheckpointed EventKind = "checkpointed"
