--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,241 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/vanillapier/vanillapier/examples"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Options selects what a run does.
+type Options struct {
+	// Sample names a sample deployment of package examples. Default: the first.
+	Sample string
+	// DeclarationFile and TraceFile replace the sample's files.
+	DeclarationFile string
+	TraceFile       string
+	// Seed replaces the trace's seed when it is not 0.
+	Seed uint64
+	// Nodes is the number of nodes. Default 6.
+	Nodes int
+	// Keep leaves everything running after the table, until the context ends.
+	Keep bool
+	// JSON writes the result as JSON in place of the table.
+	JSON bool
+	// Logs receives the nodes' log lines. Default: dropped.
+	Logs io.Writer
+}
+
+const (
+	// DefaultSample is the sample deployment that runs when none is named.
+	DefaultSample = "feestbadge"
+	// DefaultNodes is the number of nodes.
+	DefaultNodes = 6
+	// readyTimeout bounds the start of all nodes.
+	readyTimeout = 20 * time.Second
+	// settleTimeout bounds the wait for requests and orders after the last event.
+	settleTimeout = 25 * time.Second
+)
+
+// Run starts everything, replays the trace, writes progress and the result to
+// out, and returns KindConflict when a row of the result does not hold.
+func Run(ctx context.Context, o Options, out io.Writer) error {
+	text, trace, err := load(&o)
+	if err != nil {
+		return err
+	}
+	doc, err := declaration.Parse("declaration", []byte(text))
+	if err != nil {
+		return err
+	}
+	progress := out
+	if o.JSON {
+		progress = io.Discard
+	}
+	_, _ = fmt.Fprintf(progress, "starting %d nodes and the stand-ins of %s (seed %d)\n", o.Nodes, doc.Declaration.Deployment, o.Seed) // progress is best effort
+	c, err := startCluster(doc.Declaration, trace.Header, o.Nodes, o.Seed, o.Logs)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	result, err := replay(ctx, c, o, text, trace, progress)
+	if err != nil {
+		return err
+	}
+	if err := write(result, o.JSON, out); err != nil {
+		return err
+	}
+	if o.Keep {
+		keep(ctx, c, progress)
+	}
+	if n := result.Failed(); n > 0 {
+		return model.Errorf(model.KindConflict, "see the rows marked NO", "%d requirements or stated outcomes do not hold", n)
+	}
+	return nil
+}
+
+// load reads declaration and trace and fills in defaults.
+func load(o *Options) (string, *Trace, error) {
+	if o.Sample == "" {
+		o.Sample = DefaultSample
+	}
+	if o.Nodes == 0 {
+		o.Nodes = DefaultNodes
+	}
+	if o.Logs == nil {
+		o.Logs = io.Discard
+	}
+	if o.Nodes < 3 || o.Nodes > 32 {
+		return "", nil, model.Errorf(model.KindInvalid, "choose 3 to 32 nodes", "%d nodes", o.Nodes)
+	}
+	text, err := readInput(o.DeclarationFile, o.Sample+".yaml")
+	if err != nil {
+		return "", nil, err
+	}
+	trace, err := loadTrace(o, string(text))
+	if err != nil {
+		return "", nil, err
+	}
+	if o.Seed == 0 {
+		o.Seed = trace.Header.Seed
+	}
+	return string(text), trace, nil
+}
+
+// loadTrace reads the recorded trace. A declaration of the user's own without a
+// trace gets a generated one, as the samples' classes and teams do not fit it.
+func loadTrace(o *Options, text string) (*Trace, error) {
+	if o.DeclarationFile != "" && o.TraceFile == "" {
+		doc, err := declaration.Parse(o.DeclarationFile, []byte(text))
+		if err != nil {
+			return nil, err
+		}
+		return Generate(doc.Declaration, max(1, o.Seed)), nil
+	}
+	data, err := readInput(o.TraceFile, o.Sample+".trace.jsonl")
+	if err != nil {
+		return nil, err
+	}
+	return LoadTrace(bytes.NewReader(data))
+}
+
+// readInput reads a file of the user's, or a sample when none is named.
+func readInput(file, sample string) ([]byte, error) {
+	if file != "" {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, model.Wrap(model.KindInvalid, err, "name a readable file", "%s", file)
+		}
+		return data, nil
+	}
+	data, err := examples.Files.ReadFile(sample)
+	if err != nil {
+		return nil, model.Errorf(model.KindNotFound, "name a sample such as "+DefaultSample, "there is no sample %s", sample)
+	}
+	return data, nil
+}
+
+// replay brings the cluster up, plays the trace and collects the result.
+func replay(ctx context.Context, c *cluster, o Options, text string, trace *Trace, progress io.Writer) (*Result, error) {
+	background, stop := context.WithCancel(ctx)
+	defer stop()
+	b := newBalancer(c)
+	go b.run(background)
+	s := &scenario{
+		cluster: c, callers: newCallers(b, o.Seed), operator: &operator{cluster: c, client: &http.Client{}},
+		book: &orderBook{}, watch: newWatch(c), trace: trace, text: text, progress: progress, begun: time.Now(),
+	}
+	if err := s.bringUp(ctx, o.Nodes); err != nil {
+		return nil, err
+	}
+	go s.watch.run(background)
+	s.play(ctx)
+	s.settle(ctx)
+	if err := ctx.Err(); err != nil {
+		return nil, model.Wrap(model.KindUnavailable, err, "let the run end by itself", "the run was interrupted")
+	}
+	return &Result{Trace: trace.Header.Name, Seed: o.Seed, Nodes: o.Nodes, Rows: s.result()}, nil
+}
+
+// bringUp waits until all nodes are ready and puts the declaration in force.
+func (s *scenario) bringUp(ctx context.Context, nodes int) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for s.callers.balancer.readyCount() < nodes {
+		if !pause(ctx, checkEvery) {
+			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d nodes became ready", s.callers.balancer.readyCount(), nodes)
+		}
+	}
+	s.say("%d nodes are ready", nodes)
+	reply, err := s.operator.putInForce(ctx, s.text, "first declaration")
+	if err != nil {
+		return err
+	}
+	s.say("the declaration is in force (control sequence %d)", reply.Sequence)
+	return s.waitForCells(ctx)
+}
+
+// waitForCells waits until every cell has an owner that accepts work.
+func (s *scenario) waitForCells(ctx context.Context) error {
+	for {
+		owned := 0
+		for _, n := range s.cluster.running() {
+			status, err := n.Status(ctx)
+			if err != nil {
+				return err
+			}
+			owned += len(status.OwnedCells)
+		}
+		if owned >= len(s.cluster.dcs) {
+			s.say("%d cells have owners", owned)
+			return nil
+		}
+		if !pause(ctx, checkEvery) {
+			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d cells have owners", owned, len(s.cluster.dcs))
+		}
+	}
+}
+
+// settle waits for requests and orders to end.
+func (s *scenario) settle(ctx context.Context) {
+	s.say("the trace has ended; waiting for work in flight")
+	done := make(chan struct{})
+	go func() {
+		s.actions.Wait()
+		s.callers.pending.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(settleTimeout):
+		s.say("work is still open after %s", settleTimeout)
+	case <-ctx.Done():
+	}
+}
+
+func write(r *Result, asJSON bool, out io.Writer) error {
+	if !asJSON {
+		return r.WriteText(out)
+	}
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// keep prints how to reach the nodes and waits for the context's end.
+func keep(ctx context.Context, c *cluster, out io.Writer) {
+	for i, n := range c.running() {
+		callers, admin, _ := n.Addrs()
+		_, _ = fmt.Fprintf(out, "node %d: callers http://%s, operators http://%s\n", i+1, callers, admin) // best effort
+	}
+	_, _ = fmt.Fprintf(out, "operator token: %s\nstop with Ctrl-C\n", c.token) // best effort
+	<-ctx.Done()
+}
--- /dev/null
+++ b/internal/node/control_loop.go
@@ -0,0 +1,200 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/owner"
+)
+
+const (
+	// controlTick is the interval of the control goroutine's periodic work.
+	controlTick = 250 * time.Millisecond
+	// removeAfter is how long a member's host must be absent from the host list
+	// and silent before its leave record is written.
+	removeAfter = 10 * time.Second
+	// commandBuffer is the number of messages that wait for the control goroutine.
+	commandBuffer = 64
+	// joinRetry is the wait between attempts to join.
+	joinRetry = 500 * time.Millisecond
+)
+
+// command is a message to the control goroutine. Exactly one field is set.
+type command struct {
+	// view is a new control view.
+	view *control.View
+	// release asks for the release of all cells and the end of the membership.
+	release *releaseCommand
+}
+
+type releaseCommand struct {
+	ctx  context.Context
+	done chan error
+}
+
+// viewChanged passes a new view to the control goroutine. A full queue holds a
+// later view already or makes the periodic work pick this one up.
+func (n *Node) viewChanged(v *control.View) {
+	n.shares.Apply(v)
+	select {
+	case n.commands <- command{view: v}:
+	default:
+	}
+}
+
+// controlLoop owns the node's control state: which cells and members there are,
+// which members are to be removed, and the release of cells on a graceful stop.
+func (n *Node) controlLoop(ctx context.Context) error {
+	if err := n.join(ctx); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	absent := map[model.NodeID]time.Time{}
+	released := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-n.commands:
+			if c.release != nil {
+				released = true
+				c.release.done <- n.leave(c.release.ctx)
+			}
+		case <-ticker.C:
+			n.removeGone(ctx, absent)
+		}
+		if !released {
+			n.assignCells()
+		}
+	}
+}
+
+// epochLoop makes epochs known to the members and watches for store outages. It
+// calls peers and therefore runs apart from the control goroutine.
+func (n *Node) epochLoop(ctx context.Context) error {
+	ticker := time.NewTicker(controlTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.announceEpochs(ctx)
+			n.checkOutage(ctx)
+		}
+	}
+}
+
+// join reads the control journal, ends the membership of a former process at the
+// same address, and appends this node's join record.
+func (n *Node) join(ctx context.Context) error {
+	for {
+		err := n.tryJoin(ctx)
+		if err == nil {
+			n.joined.Store(true)
+			n.log.WithField("members", len(n.control.View().Members)).Info("joined")
+			return nil
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		n.log.WithError(err).Warn("not joined yet")
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(joinRetry):
+		}
+	}
+}
+
+func (n *Node) tryJoin(ctx context.Context) error {
+	if err := n.control.Refresh(ctx); err != nil {
+		return err
+	}
+	self := control.Member{ID: n.id, Addr: n.settings.Advertise, DataCentre: model.DataCentre(n.settings.DataCentre)}
+	for id, m := range n.control.View().Members {
+		if m.Addr != self.Addr || id == n.id {
+			continue
+		}
+		// One address serves one process: this node holds the listener, so the
+		// former member has ended.
+		if err := n.appendLeft(ctx, id, "replaced at the same address"); err != nil {
+			return err
+		}
+	}
+	_, err := n.control.AppendMember(ctx, n.record(control.Record{MemberJoined: &control.MemberJoined{Member: self}}))
+	return err
+}
+
+func (n *Node) record(rec control.Record) control.Record {
+	rec.Actor, rec.At = "node/"+string(n.id), time.Now().UnixMilli()
+	return rec
+}
+
+func (n *Node) appendLeft(ctx context.Context, id model.NodeID, reason string) error {
+	_, err := n.control.AppendMember(ctx, n.record(control.Record{MemberLeft: &control.MemberLeft{Node: id, Reason: reason}}))
+	return err
+}
+
+// assignCells tells the ownership layer the cells and the members that are not
+// suspected.
+func (n *Node) assignCells() {
+	view := n.control.View()
+	var alive []control.Member
+	for id, m := range view.Members {
+		if id == n.id || !n.suspected(id) {
+			alive = append(alive, m)
+		}
+	}
+	slices.SortFunc(alive, func(a, b control.Member) int { return int(a.Since) - int(b.Since) })
+	n.owners.SetCells(owner.CellsOf(view), alive)
+	n.heard.keep(view.Members)
+}
+
+// removeGone writes the leave record of members whose hosts the platform has
+// removed. The first remaining member in order does it, so that nodes do not race.
+func (n *Node) removeGone(ctx context.Context, absent map[model.NodeID]time.Time) {
+	view, now := n.control.View(), time.Now()
+	for id, m := range view.Members {
+		if id == n.id || !n.hosts.Gone(m.Addr) || !n.suspected(id) {
+			delete(absent, id)
+			continue
+		}
+		since, seen := absent[id]
+		if !seen {
+			absent[id] = now
+			continue
+		}
+		if now.Sub(since) < removeAfter*time.Duration(1+n.rank(view)) {
+			continue
+		}
+		if err := n.appendLeft(ctx, id, "its host left the platform's host list"); err != nil {
+			n.log.WithError(err).WithField("member", string(id)).Warn("member not removed yet")
+			continue
+		}
+		delete(absent, id)
+	}
+}
+
+// rank returns this node's position among the members that are not suspected.
+func (n *Node) rank(view *control.View) int {
+	rank := 0
+	for id := range view.Members {
+		if id < n.id && !n.suspected(id) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// leave releases the cells and ends the membership.
+func (n *Node) leave(ctx context.Context) error {
+	if err := n.owners.Release(ctx); err != nil {
+		return err
+	}
+	return n.appendLeft(ctx, n.id, "graceful stop")
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/journal"
+	"github.com/vanillapier/vanillapier/internal/membership"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/owner"
+	"github.com/vanillapier/vanillapier/internal/ownership"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
+	"github.com/vanillapier/vanillapier/internal/request"
+	"github.com/vanillapier/vanillapier/internal/scheduler"
+	"github.com/vanillapier/vanillapier/internal/share"
+	"github.com/vanillapier/vanillapier/internal/storeclient"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+// Node is one vpierd process.
+type Node struct {
+	id       model.NodeID
+	settings Settings
+	log      *logrus.Entry
+	metrics  *telemetry.Metrics
+
+	hosts     *hostCache
+	control   *control.Store
+	owners    *ownership.Manager
+	cells     *owner.Cells
+	router    *owner.Router
+	shares    *share.Manager
+	chain     *request.Chain
+	peers     *membership.Service
+	epochs    *epochTable
+	summaries *summaryTable
+	heard     *heardTable
+
+	// fetching is held while control entries are read from a peer.
+	fetching sync.Mutex
+	// joined is true once this node's join record is durable, stopping once the
+	// graceful stop has begun.
+	joined   atomic.Bool
+	stopping atomic.Bool
+	// aborted is closed by Abort.
+	aborted   chan struct{}
+	abortOnce sync.Once
+
+	callers, admin    *http.Server
+	callerLn, adminLn net.Listener
+	peerLn            net.Listener
+	commands          chan command
+	store             platform.Table
+	objects           platform.Objects
+	decisions         telemetry.DecisionLogger
+	seed              uint64
+}
+
+// New builds a node and opens its listeners. Nothing is served before Run. The
+// error names the setting to change; after an error nothing stays open.
+func New(settings Settings, log *logrus.Entry) (*Node, error) {
+	settings.Provision()
+	if err := settings.Validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		id: model.NodeID(settings.ID), settings: settings, log: log,
+		metrics:   telemetry.NewMetrics(Version),
+		epochs:    newEpochTable(),
+		summaries: newSummaryTable(),
+		heard:     newHeardTable(),
+		commands:  make(chan command, commandBuffer),
+		aborted:   make(chan struct{}),
+		decisions: telemetry.LogrusDecisions{Log: log},
+		seed:      settings.Seed,
+	}
+	if n.seed == 0 {
+		n.seed = uint64(time.Now().UnixNano())
+	}
+	if err := n.build(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+// build opens the listeners first, because peers are told the address of one.
+func (n *Node) build() error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	if n.settings.Advertise == "" {
+		n.settings.Advertise = n.peerLn.Addr().String()
+	}
+	n.buildState()
+	if err := n.buildTraffic(); err != nil {
+		return err
+	}
+	if err := n.buildPeers(); err != nil {
+		return err
+	}
+	return n.buildServers()
+}
+
+// buildState creates the clients of the platform and the state layers.
+func (n *Node) buildState() {
+	s := n.settings
+	client := &http.Client{Transport: platformTransport()}
+	n.store, n.objects = storeclient.New(
+		httpapi.NewTable(s.TableURL, client),
+		httpapi.NewObjects(s.ObjectsURL, client),
+		storeclient.Config{
+			ReadsPerSecond: s.StoreReads, WritesPerSecond: s.StoreWrites,
+			Timeout: s.StoreTimeout, Seed: n.seed, Observe: observeStore(n.metrics),
+		},
+	)
+	n.hosts = newHostCache(httpapi.NewHostList(s.HostsURL, client), n.log)
+	n.control = control.NewStore(control.Config{
+		Node: n.id, Table: n.store, Objects: n.objects,
+		Decode: decodeDeclaration, OnChange: n.viewChanged,
+	})
+	n.cells = owner.New(n.ownerConfig(httpapi.NewWorkers(client)))
+	n.owners = ownership.New(ownership.Config{
+		Node: n.id, Addr: s.Advertise, Table: n.store, Objects: n.objects,
+		Lease: s.CellLease, Commit: journal.CommitterConfig{Interval: s.CommitEvery},
+		Seed: n.seed, Decisions: n.decisions,
+	}, n.cells)
+	n.router = &owner.Router{Cells: n.cells, Owner: n.owners.Owner, Call: n.callPeer, Self: n.id}
+}
+
+// decodeDeclaration reads the text of an accepted declaration.
+func decodeDeclaration(text string) (*declaration.Declaration, error) {
+	doc, err := declaration.Parse("declaration", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	return doc.Declaration, nil
+}
+
+func (n *Node) ownerConfig(workers platform.WorkerAPI) owner.Config {
+	return owner.Config{
+		Node: n.id, Workers: workers,
+		View:  n.control.View,
+		Fresh: n.control.Fresh,
+		Hosts: n.hosts.Hosts,
+		OutageRenewal: func(id model.CellID, epoch model.Epoch) bool {
+			return n.epochs.mayRenew(id, epoch, time.Now())
+		},
+		EpochAcknowledged: n.epochs.isAcknowledged,
+		Cells:             n.recentSummaries,
+		Transfer:          n.transfer,
+		Scheduler:         scheduler.Config{Seed: n.seed},
+		Dispatch:          dispatch.Config{TaskLease: n.settings.TaskLease, OwnershipLease: n.settings.CellLease},
+		Decisions:         n.decisions, Metrics: n.metrics, Log: n.log,
+	}
+}
+
+func (n *Node) recentSummaries() []scheduler.CellSummary { return n.summaries.recent(time.Now()) }
+
+// callPeer reaches a peer; it exists so that layers built before the peer
+// service can refer to it.
+func (n *Node) callPeer(ctx context.Context, addr, method string, params, result any) error {
+	return n.peers.Call(ctx, addr, method, params, result)
+}
+
+// buildTraffic creates the slot shares and the callers' filter chain.
+func (n *Node) buildTraffic() error {
+	n.shares = share.NewManager(share.Options{
+		Node: n.id, View: n.control.View, Gone: n.memberGone,
+	})
+	chain, err := request.New(request.Config{DrainDelay: n.settings.DrainWait}, request.Deps{
+		View: n.control.View, Hosts: n.hosts.Hosts, Shares: n.shares,
+		Claims: request.NewClaims(n.store), Objects: n.objects,
+		Orders:    &orders{router: n.router, view: n.control.View, cells: n.recentSummaries},
+		Decisions: n.decisions, Metrics: n.metrics.Registry(), Node: n.id, Seed: n.seed,
+	})
+	n.chain = chain
+	return err
+}
+
+// memberGone reports whether the platform has removed a member's host.
+func (n *Node) memberGone(id model.NodeID) bool {
+	m, ok := n.control.View().Members[id]
+	return ok && n.hosts.Gone(m.Addr)
+}
+
+// Run serves until ctx ends, then stops gracefully: readiness off, requests in
+// flight finished, cells released, membership left. It returns nil after a
+// graceful stop.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.closeListeners()
+	defer n.cells.Close()
+	return n.runGroup(ctx)
+}
+
+// transfer hands a task to the owner of another cell.
+func (n *Node) transfer(ctx context.Context, to model.CellID, in cell.TransferIn) error {
+	return n.router.Transfer(ctx, to, in)
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
@@ -22,7 +24,8 @@
 	ID         string `arg:"--id,env:VPIERD_ID" help:"node id; a random one is chosen when empty" placeholder:"ID"`
 	DataCentre string `arg:"--data-centre,env:VPIERD_DATA_CENTRE" help:"data centre of this host (required)" placeholder:"NAME"`
 
-	Listen    string `arg:"--listen,env:VPIERD_LISTEN" default:"127.0.0.1:8080" help:"IP address and port for callers, operators, metrics and health" placeholder:"IP:PORT"`
+	Listen    string `arg:"--listen,env:VPIERD_LISTEN" default:"127.0.0.1:8080" help:"IP address and port for callers and health" placeholder:"IP:PORT"`
+	AdminBind string `arg:"--admin-listen,env:VPIERD_ADMIN_LISTEN" default:"127.0.0.1:8082" help:"IP address and port for operators, metrics and health" placeholder:"IP:PORT"`
 	PeerBind  string `arg:"--peer-listen,env:VPIERD_PEER_LISTEN" default:"127.0.0.1:8081" help:"IP address and port for peers" placeholder:"IP:PORT"`
 	Advertise string `arg:"--advertise,env:VPIERD_ADVERTISE" help:"IP address and port at which peers reach this node; the peer listener's address when empty" placeholder:"IP:PORT"`
 	Seeds     string `arg:"--seeds,env:VPIERD_SEEDS" help:"comma-separated peer addresses tried before the member list is known" placeholder:"IP:PORT,..."`
@@ -36,6 +39,10 @@
 	PeerKey       string `arg:"--peer-key,env:VPIERD_PEER_KEY" help:"PEM file with this node's private key" placeholder:"FILE"`
 	PeerPlaintext bool   `arg:"--peer-plaintext,env:VPIERD_PEER_PLAINTEXT" help:"talk to peers without TLS; only for loopback and tests"`
 
+	AdminCert     string `arg:"--admin-cert,env:VPIERD_ADMIN_CERT" help:"PEM file with the certificate of the operators' interface; without it only loopback is served" placeholder:"FILE"`
+	AdminKey      string `arg:"--admin-key,env:VPIERD_ADMIN_KEY" help:"PEM file with the private key of the operators' interface" placeholder:"FILE"`
+	AdminClientCA string `arg:"--admin-client-ca,env:VPIERD_ADMIN_CLIENT_CA" help:"PEM file with the authority of operators' client certificates" placeholder:"FILE"`
+
 	OperatorTokens string `arg:"--operator-tokens,env:VPIERD_OPERATOR_TOKENS" help:"file with one NAME:SHA256-OF-TOKEN line for each operator; without it the operators' interface is closed" placeholder:"FILE"`
 
 	LogLevel string `arg:"--log-level,env:VPIERD_LOG_LEVEL" default:"info" help:"debug, info, warning or error" placeholder:"LEVEL"`
@@ -64,14 +71,24 @@
 	return "vpierd runs one entry host of vanillapier. All instances are equal and keep nothing on disk."
 }
 
+// DefaultSettings returns the settings that no flag or variable changes.
+func DefaultSettings() Settings {
+	var s Settings
+	parser, err := arg.NewParser(arg.Config{IgnoreEnv: true}, &s)
+	if err == nil {
+		err = parser.Parse(nil)
+	}
+	if err != nil {
+		panic(fmt.Sprintf("defaults of the settings do not parse: %v", err))
+	}
+	return s
+}
+
 // Provision fills in the values that are derived from others.
 func (s *Settings) Provision() {
 	if s.ID == "" {
 		s.ID = randomID()
 	}
-	if s.Advertise == "" {
-		s.Advertise = s.PeerBind
-	}
 }
 
 // Validate reports all faults of the settings at once. Each names the setting
@@ -88,7 +105,9 @@
 	}
 	add(checkAddress("--listen", s.Listen, false))
 	add(checkAddress("--peer-listen", s.PeerBind, false))
-	add(checkAddress("--advertise", s.Advertise, true))
+	if s.Advertise != "" {
+		add(checkAddress("--advertise", s.Advertise, true))
+	}
 	for _, seed := range s.SeedList() {
 		add(checkAddress("--seeds", seed, true))
 	}
@@ -96,6 +115,8 @@
 	add(checkURL("--objects-url", s.ObjectsURL))
 	add(checkURL("--hosts-url", s.HostsURL))
 	add(s.checkTLS())
+	add(checkAddress("--admin-listen", s.AdminBind, false))
+	add(s.checkAdminTLS())
 	add(checkReadable("--operator-tokens", s.OperatorTokens))
 	add(s.checkDurations())
 	if s.StoreReads <= 0 || s.StoreWrites <= 0 {
@@ -126,6 +147,20 @@
 	)
 }
 
+func (s *Settings) checkAdminTLS() error {
+	if (s.AdminCert == "") != (s.AdminKey == "") {
+		return settingError("--admin-cert and --admin-key", "belong together", "give both files or neither")
+	}
+	if s.AdminClientCA != "" && s.AdminCert == "" {
+		return settingError("--admin-client-ca", "needs --admin-cert and --admin-key", "give these files as well")
+	}
+	return errors.Join(
+		checkReadable("--admin-cert", s.AdminCert),
+		checkReadable("--admin-key", s.AdminKey),
+		checkReadable("--admin-client-ca", s.AdminClientCA),
+	)
+}
+
 func (s *Settings) checkDurations() error {
 	var faults []error
 	for _, d := range []struct {
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+)
+
+// Status describes this node for operators. It implements adminapi.Status.
+func (n *Node) Status(context.Context) (adminapi.NodeStatus, error) {
+	view := n.control.View()
+	status := adminapi.NodeStatus{
+		Node: n.id, DataCentre: model.DataCentre(n.settings.DataCentre), Version: Version,
+		Sequence: view.Sequence, Digest: view.Digest,
+		ConfirmedAgeMS: confirmedAge(view, time.Now()).Milliseconds(),
+		Peers:          n.heard.list(),
+	}
+	for id := range n.cells.Epochs() {
+		status.OwnedCells = append(status.OwnedCells, id)
+	}
+	slices.Sort(status.OwnedCells)
+	status.DataCentres = n.dataCentres(view)
+	return status, nil
+}
+
+// dataCentres counts what this node's own cells run in each data centre.
+func (n *Node) dataCentres(view *control.View) []adminapi.DataCentreStatus {
+	if view.Declaration == nil {
+		return nil
+	}
+	runners := map[model.DataCentre]int{}
+	for _, h := range n.hosts.Hosts() {
+		if h.Role == platform.RoleRunner && h.State == platform.HostLive {
+			runners[h.DataCentre]++
+		}
+	}
+	reports := n.cells.Reports()
+	var out []adminapi.DataCentreStatus
+	for _, dc := range view.Declaration.DataCentres {
+		s := adminapi.DataCentreStatus{Name: dc.Name, Out: view.IsOut(dc.Name), Services: runners[dc.Name]}
+		for _, r := range reports {
+			if r.Summary.DataCentre == dc.Name {
+				s.Cells++
+				s.LiveAttempts += r.Live
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/internal/owner/cells.go
+++ b/internal/owner/cells.go
@@ -6,7 +6,6 @@
 
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/ownership"
-	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
 
 // Cells holds the runtimes of the cells that this node owns. It implements
@@ -105,14 +104,14 @@
 	return epochs
 }
 
-// Summaries describes the owned cells for the owners of the others.
-func (c *Cells) Summaries() []scheduler.CellSummary {
+// Reports describes the owned cells.
+func (c *Cells) Reports() []Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []scheduler.CellSummary
+	var out []Report
 	for _, rc := range c.running {
-		if s := rc.runtime.summary.Load(); s != nil {
-			out = append(out, *s)
+		if report := rc.runtime.report.Load(); report != nil {
+			out = append(out, *report)
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,238 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/journal"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/ownership"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/scheduler"
+)
+
+const testCell = model.CellID("south.0")
+
+// fakeJournal keeps rows in memory. fail, when set, is returned once for each
+// append before anything is written.
+type fakeJournal struct {
+	rows [][][]byte
+	fail []error
+	// before runs inside Append, before the row is written.
+	before func()
+}
+
+func (j *fakeJournal) Append(_ context.Context, records [][]byte, _ bool) (uint64, error) {
+	if j.before != nil {
+		j.before()
+	}
+	if len(j.fail) > 0 {
+		err := j.fail[0]
+		j.fail = j.fail[1:]
+		return 0, err
+	}
+	j.rows = append(j.rows, records)
+	return uint64(len(j.rows)), nil
+}
+func (j *fakeJournal) LeaseValid(time.Time) bool                            { return true }
+func (j *fakeJournal) LastSequence() uint64                                 { return uint64(len(j.rows)) }
+func (j *fakeJournal) SaveSnapshotAt(context.Context, uint64, []byte) error { return nil }
+
+// fakeDispatcher notes what it is told.
+type fakeDispatcher struct {
+	started, acked []platform.AttemptRef
+	events         []dispatch.Event
+}
+
+func (d *fakeDispatcher) SetWorkers([]platform.Host)        {}
+func (d *fakeDispatcher) SetEpochAcknowledged(time.Time)    {}
+func (d *fakeDispatcher) Evict(platform.AttemptRef)         {}
+func (d *fakeDispatcher) Stop(platform.AttemptRef)          {}
+func (d *fakeDispatcher) Checkpoint(platform.AttemptRef)    {}
+func (d *fakeDispatcher) Throttle(platform.AttemptRef, int) {}
+func (d *fakeDispatcher) Notify() <-chan struct{}           { return nil }
+func (d *fakeDispatcher) Run(context.Context) error         { return nil }
+func (d *fakeDispatcher) Ack(refs ...platform.AttemptRef)   { d.acked = append(d.acked, refs...) }
+func (d *fakeDispatcher) Start(_ model.WorkerID, s platform.Start) error {
+	d.started = append(d.started, s.AttemptRef)
+	return nil
+}
+func (d *fakeDispatcher) Events() []dispatch.Event {
+	events := d.events
+	d.events = nil
+	return events
+}
+
+func testRuntime() (*Runtime, *fakeJournal, *fakeDispatcher) {
+	view := &control.View{
+		Sequence: 1,
+		Declaration: &declaration.Declaration{
+			DataCentres:  []declaration.DataCentre{{Name: "south", Cells: 1}},
+			Teams:        []declaration.Team{{Name: "print", Quota: declaration.Capacity{Cores: 100, MemoryGB: 1000}}},
+			BatchClasses: []declaration.BatchClass{{Name: "plate"}},
+		},
+	}
+	hosts := []platform.Host{}
+	for i := range 3 {
+		hosts = append(hosts, platform.Host{
+			ID: fmt.Sprintf("w%d", i), Role: platform.RoleWorker, State: platform.HostLive, DataCentre: "south",
+			Rack: "r0", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 16000},
+		})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	now := time.Unix(1000, 0)
+	cfg := &Config{
+		View: func() *control.View { return view }, Fresh: func(time.Time) bool { return true },
+		Hosts:             func() []platform.Host { return hosts },
+		OutageRenewal:     func(model.CellID, model.Epoch) bool { return false },
+		EpochAcknowledged: func(model.CellID, model.Epoch) bool { return true },
+		Cells:             func() []scheduler.CellSummary { return nil },
+		Log:               logrus.NewEntry(log),
+		Now:               func() time.Time { now = now.Add(50 * time.Millisecond); return now },
+	}
+	cfg.provision()
+	j, d := &fakeJournal{}, &fakeDispatcher{}
+	r := assemble(cfg, 1, j, cell.NewState(testCell))
+	r.disp = d
+	return r, j, d
+}
+
+func testJob(id string, tasks int) model.JobSpec {
+	job := model.JobSpec{ID: model.JobID(id)}
+	for i := range tasks {
+		job.Tasks = append(job.Tasks, model.TaskSpec{
+			ID: model.TaskID(fmt.Sprintf("%s/%d", id, i)), Job: job.ID, Team: "print", Class: "plate",
+			Resources: model.Resources{MilliCPU: 1000, MemoryMB: 1000},
+		})
+	}
+	return job
+}
+
+// submit queues a submission and returns the channel of its answer.
+func submit(r *Runtime, job model.JobSpec) chan answer {
+	reply := make(chan answer, 1)
+	r.requests <- request{submit: &job, reply: reply}
+	return reply
+}
+
+// Guards against a start or an answer that leaves the process before the records
+// behind it are durable.
+func TestNothingLeavesBeforeTheAppend(t *testing.T) {
+	r, j, d := testRuntime()
+	reply := submit(r, testJob("a", 2))
+	j.before = func() {
+		require.Empty(t, d.started, "a start left before the append")
+		require.Empty(t, reply, "an answer left before the append")
+	}
+	_, err := r.iterate(t.Context())
+	require.NoError(t, err)
+	require.Len(t, d.started, 2)
+	require.NoError(t, (<-reply).err)
+}
+
+// Guards against carrying out a batch whose append found a newer owner.
+func TestNothingIsCarriedOutAfterALostAppend(t *testing.T) {
+	r, j, d := testRuntime()
+	reply := submit(r, testJob("a", 1))
+	j.fail = []error{model.Errorf(model.KindUnknown, "", "ownership ended")}
+	_, err := r.iterate(t.Context())
+	require.Error(t, err)
+	require.Empty(t, d.started)
+	require.Empty(t, reply)
+}
+
+// Guards against a batch that is dropped or doubled when the store refuses an
+// append for a while.
+func TestUnavailableAppendIsRepeated(t *testing.T) {
+	r, j, d := testRuntime()
+	reply := submit(r, testJob("a", 1))
+	down := model.Errorf(model.KindUnavailable, "", "store down")
+	j.fail = []error{down, down}
+	_, err := r.iterate(t.Context())
+	require.NoError(t, err)
+	require.Len(t, j.rows, 1)
+	require.Len(t, d.started, 1)
+	require.NoError(t, (<-reply).err)
+}
+
+// Guards against an end that the worker forgets before it is durable, and
+// against one that is never acknowledged because it is repeated.
+func TestEndsAreAcknowledgedOnceDurable(t *testing.T) {
+	r, j, d := testRuntime()
+	submit(r, testJob("a", 1))
+	_, err := r.iterate(t.Context())
+	require.NoError(t, err)
+	task, _ := r.state.Task("a/0")
+	ended := dispatch.Event{
+		Kind: dispatch.EventEnded, Worker: task.Worker, Ref: task.Ref(),
+		Ended: platform.EndedAttempt{AttemptRef: task.Ref(), Outcome: model.OutcomeDone, Result: "x"},
+	}
+	j.before = func() { require.Empty(t, d.acked) }
+	d.events = []dispatch.Event{ended}
+	_, err = r.iterate(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, []platform.AttemptRef{ended.Ref}, d.acked)
+	j.before = nil
+	d.events = []dispatch.Event{ended}
+	_, err = r.iterate(t.Context())
+	require.NoError(t, err)
+	require.Len(t, d.acked, 2, "a repeated end must be acknowledged again")
+}
+
+// Guards against a journal that a successor cannot replay: whatever mix of
+// submissions, ends and cancellations is journaled, recovery gives the same state.
+func TestRecoveryEqualsTheState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, j, d := testRuntime()
+		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "submit") {
+				submit(r, testJob(fmt.Sprintf("j%d", step), rapid.IntRange(1, 4).Draw(t, "tasks")))
+			}
+			if rapid.IntRange(0, 3).Draw(t, "cancel") == 0 {
+				r.requests <- request{cancel: model.JobID(fmt.Sprintf("j%d", rapid.IntRange(0, step).Draw(t, "job"))), reply: make(chan answer, 1)}
+			}
+			d.events = drawEnds(t, r)
+			_, err := r.iterate(context.Background())
+			require.NoError(t, err)
+		}
+		owned := &ownership.Owned{Cell: testCell}
+		for i, row := range j.rows {
+			owned.Tail = append(owned.Tail, journal.Entry{Sequence: uint64(i + 1), Batch: journal.Batch{Records: row}})
+		}
+		recovered, err := recoverState(owned)
+		require.NoError(t, err)
+		want, err := r.state.MarshalSnapshot()
+		require.NoError(t, err)
+		got, err := recovered.MarshalSnapshot()
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	})
+}
+
+// drawEnds ends some live attempts, some of them twice.
+func drawEnds(t *rapid.T, r *Runtime) []dispatch.Event {
+	outcomes := []model.Outcome{model.OutcomeDone, model.OutcomeFailed, model.OutcomeLost, model.OutcomeEvicted}
+	var events []dispatch.Event
+	for _, task := range r.state.Live() {
+		for range rapid.IntRange(0, 2).Draw(t, "ends") {
+			outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
+			events = append(events, dispatch.Event{
+				Kind: dispatch.EventEnded, Worker: task.Worker, Ref: task.Ref(),
+				Ended: platform.EndedAttempt{AttemptRef: task.Ref(), Outcome: outcome},
+			})
+		}
+	}
+	return events
+}
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -42,8 +42,8 @@
 	saving        chan error
 	acknowledged  bool
 	// unsent holds placements whose start could not be given to the dispatcher.
-	unsent  []unsentStart
-	summary atomic.Pointer[scheduler.CellSummary]
+	unsent []unsentStart
+	report atomic.Pointer[Report]
 }
 
 // newRuntime recovers the cell's state and returns its runtime, not yet running.
@@ -52,26 +52,27 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runtime{
-		id: owned.Cell, epoch: owned.Epoch, cfg: cfg, journal: owned, state: state,
-		sched:    scheduler.New(cfg.Scheduler, state),
-		log:      cfg.Log.WithFields(logrus.Fields{"cell": string(owned.Cell), "epoch": uint64(owned.Epoch)}),
-		requests: make(chan request, requestBuffer), done: make(chan struct{}),
-		sending: map[model.TaskID]bool{},
-	}
+	r := assemble(cfg, owned.Epoch, owned, state)
 	if err := r.sched.RestoreEstimates(state.Aux()); err != nil {
 		r.log.WithError(err).Warn("interference estimates dropped")
 	}
-	r.disp = r.newDispatcher(owned)
+	dc := cfg.Dispatch
+	dc.Cell, dc.Epoch = owned.Cell, owned.Epoch
+	gates := dispatch.Gates{MayStart: r.mayStart, MayRenew: r.mayRenew}
+	opts := dispatch.Options{Now: cfg.Now, Metrics: cfg.Metrics}
+	r.disp = dispatch.New(dc, cfg.Workers, gates, knownAttempts(state), opts)
 	return r, nil
 }
 
-func (r *Runtime) newDispatcher(owned *ownership.Owned) Dispatcher {
-	dc := r.cfg.Dispatch
-	dc.Cell, dc.Epoch = owned.Cell, owned.Epoch
-	gates := dispatch.Gates{MayStart: r.mayStart, MayRenew: r.mayRenew}
-	opts := dispatch.Options{Now: r.cfg.Now, Metrics: r.cfg.Metrics}
-	return dispatch.New(dc, r.cfg.Workers, gates, knownAttempts(r.state), opts)
+// assemble returns a runtime without a dispatcher.
+func assemble(cfg *Config, epoch model.Epoch, journal Journal, state *cell.State) *Runtime {
+	return &Runtime{
+		id: state.ID(), epoch: epoch, cfg: cfg, journal: journal, state: state,
+		sched:    scheduler.New(cfg.Scheduler, state),
+		log:      cfg.Log.WithFields(logrus.Fields{"cell": string(state.ID()), "epoch": uint64(epoch)}),
+		requests: make(chan request, requestBuffer), done: make(chan struct{}),
+		sending: map[model.TaskID]bool{},
+	}
 }
 
 // mayStart is the gate for starts: ownership, freshness and data centre state.
@@ -134,14 +135,26 @@
 	r.carryOut(plan)
 	r.sendTransfers(ctx)
 	r.maybeSnapshot(ctx)
-	summary := r.sched.Summary()
-	r.summary.Store(&summary)
+	r.publish()
 	if plan.Next <= 0 || plan.Next > r.cfg.Tick {
 		return r.cfg.Tick, nil
 	}
 	return plan.Next, nil
 }
 
+// Report is what the rest of the node may know of an owned cell.
+type Report struct {
+	Summary scheduler.CellSummary
+	// Queued and Live count tasks; Known counts all tasks that are remembered.
+	Queued, Live, Known int
+}
+
+func (r *Runtime) publish() {
+	report := Report{Summary: r.sched.Summary()}
+	report.Queued, report.Live, report.Known = r.state.Counts()
+	r.report.Store(&report)
+}
+
 func (r *Runtime) drainRequests(now time.Time) {
 	for range requestBuffer {
 		select {
