--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,6 +27,10 @@
 	Seed uint64
 	// Nodes is the number of nodes. Default 6.
 	Nodes int
+	// Duration is how much of the trace is replayed; 0 is all of it.
+	Duration time.Duration
+	// WriteTrace is a file for a generated trace; nothing runs then.
+	WriteTrace string
 	// Keep leaves everything running after the table, until the context ends.
 	Keep bool
 	// JSON writes the result as JSON in place of the table.
@@ -45,8 +50,11 @@
 	settleTimeout = 25 * time.Second
 )
 
+// ErrNotHeld is returned when a row of the result does not hold.
+var ErrNotHeld = errors.New("requirements or stated outcomes do not hold")
+
 // Run starts everything, replays the trace, writes progress and the result to
-// out, and returns KindConflict when a row of the result does not hold.
+// out, and returns ErrNotHeld when a row of the result does not hold.
 func Run(ctx context.Context, o Options, out io.Writer) error {
 	text, trace, err := load(&o)
 	if err != nil {
@@ -56,6 +64,9 @@
 	if err != nil {
 		return err
 	}
+	if o.WriteTrace != "" {
+		return writeTrace(o.WriteTrace, Generate(doc.Declaration, max(1, o.Seed)))
+	}
 	progress := out
 	if o.JSON {
 		progress = io.Discard
@@ -77,7 +88,7 @@
 		keep(ctx, c, progress)
 	}
 	if n := result.Failed(); n > 0 {
-		return model.Errorf(model.KindConflict, "see the rows marked NO", "%d requirements or stated outcomes do not hold", n)
+		return fmt.Errorf("%d of the rows, marked NO: %w", n, ErrNotHeld)
 	}
 	return nil
 }
@@ -100,10 +111,16 @@
 	if err != nil {
 		return "", nil, err
 	}
+	if o.WriteTrace != "" {
+		return string(text), nil, nil
+	}
 	trace, err := loadTrace(o, string(text))
 	if err != nil {
 		return "", nil, err
 	}
+	if o.Duration > 0 {
+		trace.cut(o.Duration)
+	}
 	if o.Seed == 0 {
 		o.Seed = trace.Header.Seed
 	}
@@ -127,6 +144,15 @@
 	return LoadTrace(bytes.NewReader(data))
 }
 
+// writeTrace writes a trace to a file.
+func writeTrace(path string, t *Trace) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return model.Wrap(model.KindInvalid, err, "name a file that can be written", "trace file")
+	}
+	return errors.Join(t.Write(f), f.Close())
+}
+
 // readInput reads a file of the user's, or a sample when none is named.
 func readInput(file, sample string) ([]byte, error) {
 	if file != "" {
--- a/internal/dev/trace.go
+++ b/internal/dev/trace.go
@@ -164,6 +164,17 @@
 	return model.Wrap(model.KindInvalid, err, remedy, "line %d of the trace", line)
 }
 
+// cut drops the events after d.
+func (t *Trace) cut(d time.Duration) {
+	limit := d.Milliseconds()
+	end := len(t.Events)
+	for end > 0 && t.Events[end-1].At > limit {
+		end--
+	}
+	t.Events = t.Events[:end]
+	t.Header.DurationMS = min(t.Header.DurationMS, limit)
+}
+
 // Write writes a trace in the form that LoadTrace reads.
 func (t *Trace) Write(w io.Writer) error {
 	enc := json.NewEncoder(w)
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,298 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform/standin"
+	"github.com/vanillapier/vanillapier/internal/request"
+)
+
+const (
+	token = "e2e-token"
+	// poll is the interval at which conditions are looked at again. The tests wait
+	// for conditions without a bound of their own; go test ends a run that hangs.
+	poll = 100 * time.Millisecond
+)
+
+const text = `version: 1
+deployment: e2e
+data_centres:
+  - {name: north, region: r, racks: 2, workers_per_rack: 3, worker: {cores: 16, memory_gb: 64}}
+  - {name: south, region: r, racks: 2, workers_per_rack: 3, worker: {cores: 16, memory_gb: 64}}
+services:
+  - {name: desk, runners: 12, slots_per_runner: 8, connections_per_runner: 64, target_p99: 400ms, default_timeout: 5s}
+teams:
+  - {name: print, quota: {cores: 192, memory_gb: 768}}
+batch_classes:
+  - {name: plate, urgency: normal, resources: {cores: 1, memory_gb: 1}}
+`
+
+// binary is the path of vpierd, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "vpierd-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "vpierd")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/vpierd")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build vpierd: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// cluster is a platform with nodes in processes of their own.
+type cluster struct {
+	t        *testing.T
+	platform *standin.Platform
+	tokens   string
+	nodes    []*process
+}
+
+// process is one vpierd.
+type process struct {
+	cmd            *exec.Cmd
+	callers, admin string
+	done           chan struct{}
+}
+
+func newCluster(t *testing.T, nodes int) *cluster {
+	doc, err := declaration.Parse("e2e", []byte(text))
+	require.NoError(t, err)
+	c := &cluster{t: t, platform: standin.NewPlatform(shape(doc.Declaration))}
+	require.NoError(t, c.platform.Start())
+	t.Cleanup(func() { _ = c.platform.Close() })
+	sum := sha256.Sum256([]byte(token))
+	c.tokens = filepath.Join(t.TempDir(), "operators")
+	require.NoError(t, os.WriteFile(c.tokens, []byte("e2e:"+hex.EncodeToString(sum[:])+"\n"), 0o600))
+	for i := range nodes {
+		c.nodes = append(c.nodes, c.start(i))
+	}
+	c.accept()
+	return c
+}
+
+func shape(d *declaration.Declaration) standin.Shape {
+	s := standin.Shape{Seed: 1}
+	for _, dc := range d.DataCentres {
+		s.DataCentres = append(s.DataCentres, standin.DataCentreShape{
+			Name: dc.Name, Racks: dc.Racks, WorkersPerRack: dc.WorkersPerRack, Capacity: dc.Worker.Resources(),
+		})
+	}
+	s.Services = []standin.ServiceShape{{Name: "desk", Runners: 12, Time: standin.ServiceTime{Median: 15 * time.Millisecond}}}
+	return s
+}
+
+var listening = regexp.MustCompile(`"admin":"([^"]+)","callers":"([^"]+)"`)
+
+// start runs a node and waits until it is ready.
+func (c *cluster) start(index int) *process {
+	p := &process{done: make(chan struct{})}
+	dc := []string{"north", "south"}[index%2]
+	p.cmd = exec.Command(binary, "--data-centre", dc, "--listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+		"--peer-listen", "127.0.0.1:0", "--peer-plaintext", "--operator-tokens", c.tokens, "--drain-wait", "1s",
+		"--table-url", c.platform.URL(), "--objects-url", c.platform.URL(), "--hosts-url", c.platform.URL(),
+		"--seed", fmt.Sprint(index+1), "--log-level", "info")
+	log, err := p.cmd.StderrPipe()
+	require.NoError(c.t, err)
+	require.NoError(c.t, p.cmd.Start())
+	addresses := make(chan []string, 1)
+	go p.readLog(log, addresses)
+	c.t.Cleanup(func() { p.kill() })
+	found := <-addresses
+	require.Len(c.t, found, 3, "the node ended before it listened")
+	p.admin, p.callers = found[1], found[2]
+	c.wait("node ready", func() bool { return status("http://"+p.callers+"/readyz") == http.StatusOK })
+	return p
+}
+
+// readLog passes the addresses on and drains the rest.
+func (p *process) readLog(log io.Reader, addresses chan<- []string) {
+	defer close(p.done)
+	var seen bytes.Buffer
+	buffer := make([]byte, 64<<10)
+	sent := false
+	for {
+		n, err := log.Read(buffer)
+		if !sent {
+			seen.Write(buffer[:n])
+			if found := listening.FindStringSubmatch(seen.String()); found != nil || err != nil {
+				addresses <- found
+				sent = true
+			}
+		}
+		if err != nil {
+			_ = p.cmd.Wait()
+			return
+		}
+	}
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// wait returns once the condition holds.
+func (c *cluster) wait(what string, condition func() bool) {
+	c.t.Helper()
+	for !condition() {
+		select {
+		case <-c.t.Context().Done():
+			c.t.Fatalf("test ended while waiting: %s", what)
+		case <-time.After(poll):
+		}
+	}
+}
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+func status(url string) int {
+	resp, err := client.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// do sends one request and decodes a JSON answer.
+func do(ctx context.Context, method, url string, header map[string]string, body []byte, into any) (int, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && into != nil {
+		_ = json.Unmarshal(data, into)
+	}
+	return resp.StatusCode, resp.Header, err
+}
+
+// command gives an operator's command to a node until it has taken effect.
+func (c *cluster) command(p *process, path, id string, build func(adminapi.Command) any) adminapi.CommandReply {
+	c.t.Helper()
+	var reply adminapi.CommandReply
+	auth := map[string]string{"Authorization": "Bearer " + token}
+	c.wait("command "+path, func() bool {
+		var view adminapi.ViewReply
+		base := "http://" + p.admin + adminapi.Prefix
+		if code, _, _ := do(c.t.Context(), http.MethodGet, base+"view", auth, nil, &view); code != http.StatusOK {
+			return false
+		}
+		body, _ := json.Marshal(build(adminapi.Command{RequestID: id, Seen: view.Sequence}))
+		code, _, _ := do(c.t.Context(), http.MethodPost, base+path, auth, body, &reply)
+		return code == http.StatusOK
+	})
+	return reply
+}
+
+func (c *cluster) accept() {
+	p := c.nodes[0]
+	proposed := c.command(p, "propose", "request-propose", func(cmd adminapi.Command) any {
+		return adminapi.ProposeRequest{Command: cmd, Text: text}
+	})
+	c.command(p, "accept", "request-accept", func(cmd adminapi.Command) any {
+		return adminapi.AcceptRequest{Command: cmd, Proposal: proposed.Sequence}
+	})
+}
+
+// owner returns the index of the node that owns a cell, or -1.
+func (c *cluster) owner(cell model.CellID) int {
+	for i, p := range c.nodes {
+		var s adminapi.NodeStatus
+		auth := map[string]string{"Authorization": "Bearer " + token}
+		if code, _, _ := do(c.t.Context(), http.MethodGet, "http://"+p.admin+adminapi.Prefix+"status", auth, nil, &s); code != http.StatusOK {
+			continue
+		}
+		for _, owned := range s.OwnedCells {
+			if owned == cell {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// order submits a job through any node until it is accepted.
+func (c *cluster) order(key string, tasks int, runMS int64) model.JobID {
+	c.t.Helper()
+	payload := standin.Payload{RunMS: runMS, CheckpointEveryMS: 200, Result: "ok"}.Encode()
+	order := request.Order{Team: "print", Class: "plate"}
+	for range tasks {
+		order.Tasks = append(order.Tasks, request.OrderTask{Payload: payload})
+	}
+	body, err := json.Marshal(order)
+	require.NoError(c.t, err)
+	var accepted request.OrderAccepted
+	try := 0
+	c.wait("order "+key, func() bool {
+		p := c.nodes[try%len(c.nodes)]
+		try++
+		code, _, _ := do(c.t.Context(), http.MethodPost, "http://"+p.callers+"/v1/orders", map[string]string{"Idempotency-Key": key}, body, &accepted)
+		return code == http.StatusAccepted || code == http.StatusOK
+	})
+	return accepted.Job
+}
+
+// finish waits until a job is done.
+func (c *cluster) finish(job model.JobID) {
+	c.t.Helper()
+	try := 0
+	c.wait("job done", func() bool {
+		p := c.nodes[try%len(c.nodes)]
+		try++
+		var s request.OrderStatus
+		_, _, _ = do(c.t.Context(), http.MethodGet, "http://"+p.callers+"/v1/orders/"+string(job), nil, nil, &s)
+		return s.State == "done"
+	})
+}
+
+// noViolations checks the stand-ins' record of what must never happen.
+func (c *cluster) noViolations() {
+	c.t.Helper()
+	require.Empty(c.t, c.platform.Ledger().Violations())
+	require.Empty(c.t, c.platform.Ledger().RepeatedRequests())
+	done := map[model.TaskID]int{}
+	for _, e := range c.platform.Ledger().Ends() {
+		if e.Outcome == model.OutcomeDone {
+			done[e.Task]++
+		}
+	}
+	for task, n := range done {
+		require.Equal(c.t, 1, n, "task %s was done more than once", task)
+	}
+}
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -166,12 +166,15 @@
 }
 
 type devArgs struct {
-	Seed       uint64        `arg:"--seed,env:SEED" default:"1" placeholder:"NUMBER" help:"seed of load and faults"`
-	Nodes      int           `arg:"--nodes,env:DEV_NODES" default:"3" placeholder:"COUNT" help:"number of nodes, 1 to 64"`
-	Deployment string        `arg:"--deployment,env:DEPLOYMENT" placeholder:"FILE" help:"declaration to load; the built-in sample when absent"`
-	Trace      string        `arg:"--trace,env:TRACE" placeholder:"FILE" help:"recorded trace; generated load when absent"`
+	Seed       uint64        `arg:"--seed,env:SEED" default:"0" placeholder:"NUMBER" help:"seed of load and faults; 0 takes the trace's"`
+	Nodes      int           `arg:"--nodes,env:DEV_NODES" default:"6" placeholder:"COUNT" help:"number of nodes, 3 to 32"`
+	Sample     string        `arg:"--sample,env:SAMPLE" default:"feestbadge" placeholder:"NAME" help:"built-in sample deployment: feestbadge or umvoti"`
+	Deployment string        `arg:"--deployment,env:DEPLOYMENT" placeholder:"FILE" help:"declaration to load in place of the sample's"`
+	Trace      string        `arg:"--trace,env:TRACE" placeholder:"FILE" help:"recorded trace; the sample's, or a generated one for --deployment, when absent"`
+	WriteTrace string        `arg:"--write-trace,env:WRITE_TRACE" placeholder:"FILE" help:"write a generated trace for the declaration and end"`
 	Keep       bool          `arg:"--keep,env:KEEP" help:"keep the endpoints up after the run until interrupted"`
-	Duration   time.Duration `arg:"--duration,env:DURATION" default:"30s" placeholder:"DURATION" help:"how long the load runs, such as 30s or 5m"`
+	Duration   time.Duration `arg:"--duration,env:DURATION" default:"0s" placeholder:"DURATION" help:"replay only this much of the trace; 0s replays all of it"`
+	LogFile    string        `arg:"--log-file,env:LOG_FILE" placeholder:"FILE" help:"file for the nodes' log lines; dropped when absent"`
 }
 
 type traceSummaryArgs struct {
--- a/internal/operator/exit.go
+++ b/internal/operator/exit.go
@@ -30,6 +30,9 @@
 // failedError marks an error as a failed check, with exit code 1.
 type failedError struct{ error }
 
+// Failed marks err as a failed check, so that vpier ends with ExitFailed.
+func Failed(err error) error { return failedError{err} }
+
 // Unwrap returns the cause.
 func (e failedError) Unwrap() error { return e.error }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -31,18 +31,24 @@
 
 // DevArgs are the arguments of vpier dev.
 type DevArgs struct {
-	// Seed seeds load and faults.
+	// Seed seeds load and faults; 0 takes the trace's.
 	Seed uint64
 	// Nodes is the number of nodes to run.
 	Nodes int
-	// Deployment is the path of the declaration.
+	// Sample names the built-in sample deployment.
+	Sample string
+	// Deployment is the path of a declaration in place of the sample's.
 	Deployment string
-	// Trace is the path of a recorded trace; empty for generated load.
+	// Trace is the path of a recorded trace in place of the sample's.
 	Trace string
+	// WriteTrace is the path for a generated trace; nothing runs then.
+	WriteTrace string
 	// Keep leaves the processes' endpoints up after the run until interrupted.
 	Keep bool
-	// Duration is how long the load runs.
+	// Duration is how much of the trace is replayed; 0 is all of it.
 	Duration time.Duration
+	// LogFile receives the nodes' log lines; empty drops them.
+	LogFile string
 	// Output is text or json.
 	Output string
 }
@@ -173,11 +179,11 @@
 	if p.Dev == nil {
 		return model.Errorf(model.KindInvalid, "use a complete build of vpier", "this build has no dev mode")
 	}
-	if a.Nodes < 1 || a.Nodes > maxDevNodes {
-		return model.Errorf(model.KindInvalid, "give --nodes from 1 to 64", "%d nodes", a.Nodes)
+	if a.Nodes < minDevNodes || a.Nodes > maxDevNodes {
+		return model.Errorf(model.KindInvalid, "give --nodes from 3 to 32", "%d nodes", a.Nodes)
 	}
-	if a.Duration <= 0 {
-		return model.Errorf(model.KindInvalid, "give a duration above 0, such as 30s", "--duration %s", a.Duration)
+	if a.Duration < 0 {
+		return model.Errorf(model.KindInvalid, "give a duration such as 30s, or 0s for all of the trace", "--duration %s", a.Duration)
 	}
 	for _, path := range []string{a.Deployment, a.Trace} {
 		if path == "" {
@@ -188,10 +194,15 @@
 		}
 	}
 	return p.Dev(ctx, DevArgs{
-		Seed: a.Seed, Nodes: a.Nodes, Deployment: a.Deployment, Trace: a.Trace,
-		Keep: a.Keep, Duration: a.Duration, Output: string(p.args.Output),
+		Seed: a.Seed, Nodes: a.Nodes, Sample: a.Sample, Deployment: a.Deployment, Trace: a.Trace,
+		WriteTrace: a.WriteTrace, Keep: a.Keep, Duration: a.Duration, LogFile: a.LogFile,
+		Output: string(p.args.Output),
 	}, p.Stdout)
 }
 
-// maxDevNodes bounds the nodes that run in one process.
-const maxDevNodes = 64
+// minDevNodes and maxDevNodes bound the nodes that run in one process: fewer
+// leave no majority when one is stopped and one is killed.
+const (
+	minDevNodes = 3
+	maxDevNodes = 32
+)
