Learn slopes from differences between workers

Change: the baseline follows the common movement quickly, the step of a slope shrinks with its samples, and samples with little batch work are damped.

--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -25,19 +25,26 @@
 	maxWeight = 60.0
 	// halfLife is the time after which a sample counts half.
 	halfLife = 30 * time.Minute
-	// learningRate is the step of the normalised gradient update.
-	learningRate = 0.25
+	// firstRate and lastRate are the step of an estimate with few and with many
+	// samples.
+	firstRate = 0.4
+	lastRate  = 0.05
+	// damping keeps samples with little batch work from moving estimates far:
+	// two percent of noise under a task with 3% of a worker would otherwise count
+	// as a slope of 0.7.
+	damping = 0.05
+	// maxMiss bounds the deviation taken from one sample.
+	maxMiss = 0.5
 	// minPart is the smallest share of a worker from which a sample tells
 	// something about a class; below it, noise dominates.
 	minPart = 0.02
 	// maxSlope bounds an estimate against a few wild samples.
 	maxSlope = 20.0
 	// baseRate is the step of the estimate of a service's latency without batch.
-	// The load of services changes within minutes, and a cell of 16 workers gives
-	// some three samples a second.
-	baseRate = 0.06
-	// baseTrust lowers the step by the expected slowdown, which may be wrong.
-	baseTrust = 10.0
+	// It must follow the load of services faster than the slopes can: the load
+	// moves all workers alike, and slopes are to be learnt from the differences
+	// between workers. A cell of 16 workers gives some three samples a second.
+	baseRate = 0.15
 )
 
 type pair struct {
@@ -140,10 +147,10 @@
 	if norm < minPart*minPart {
 		return
 	}
-	miss := ratio - m.predict(s.service, mix)
+	miss := min(max(ratio-m.predict(s.service, mix), -maxMiss), maxMiss)
 	for _, c := range mix {
 		if c.part >= minPart {
-			m.step(pair{s.service, c.class}, miss*c.part/norm, c.part/math.Sqrt(norm), now)
+			m.step(pair{s.service, c.class}, miss*c.part/(norm+damping), c.part/math.Sqrt(norm), now)
 		}
 	}
 }
@@ -151,17 +158,13 @@
 // learnBase moves the baseline towards the sample with the expected slowdown
 // taken out. Samples without batch work count most.
 func (m *interference) learnBase(s serviceSample, mix []share) {
-	expected := m.predict(s.service, mix)
-	value := s.p99.Seconds() / expected
+	value := s.p99.Seconds() / m.predict(s.service, mix)
 	b := m.bases[s.service]
 	if b == nil {
 		b = &baseline{Seconds: value}
 		m.bases[s.service] = b
 	}
-	rate := baseRate / (1 + baseTrust*(expected-1))
-	if b.Samples < 1/baseRate {
-		rate = max(rate, 1/(b.Samples+1))
-	}
+	rate := max(baseRate, 1/(b.Samples+1))
 	b.Samples++
 	b.Seconds += rate * (value - b.Seconds)
 }
@@ -180,7 +183,8 @@
 	e.Weight *= math.Exp2(-float64(now.Sub(e.at)) / float64(halfLife))
 	e.at = now
 	e.Weight = min(e.Weight+weight, maxWeight)
-	e.Slope += learningRate * correction * weight
+	rate := max(lastRate, firstRate/(1+e.Weight/priorWeight))
+	e.Slope += rate * correction
 	e.Slope = min(max(e.Slope, 0), maxSlope)
 }
 
