--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -135,8 +135,8 @@
 func (s *Scheduler) members(id model.JobID) gangMembers {
 	var m gangMembers
 	for _, t := range s.st.JobTasks(id) {
-		m.group = max(m.group, t.Group)
 		if t.Group > 0 && t.State != cell.TaskTransferring && t.State != cell.TaskTransferred {
+			m.group = max(m.group, t.Group)
 			m.arrived++
 		}
 		switch {
