Take the latency baseline from the least loaded workers

Cause: the baseline was 3% low, because slopes that were too high lowered it on full workers, and slopes stayed high in turn.

Change: a sample's step falls with its expected slowdown.

--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -44,7 +44,10 @@
 	// It must follow the load of services faster than the slopes can: the load
 	// moves all workers alike, and slopes are to be learnt from the differences
 	// between workers. A cell of 16 workers gives some three samples a second.
-	baseRate = 0.15
+	baseRate = 0.3
+	// baseTrust lowers the step by the expected slowdown, so that the workers
+	// with least batch work determine the baseline.
+	baseTrust = 20.0
 )
 
 type pair struct {
@@ -158,13 +161,14 @@
 // learnBase moves the baseline towards the sample with the expected slowdown
 // taken out. Samples without batch work count most.
 func (m *interference) learnBase(s serviceSample, mix []share) {
-	value := s.p99.Seconds() / m.predict(s.service, mix)
+	expected := m.predict(s.service, mix)
+	value := s.p99.Seconds() / expected
 	b := m.bases[s.service]
 	if b == nil {
 		b = &baseline{Seconds: value}
 		m.bases[s.service] = b
 	}
-	rate := max(baseRate, 1/(b.Samples+1))
+	rate := max(baseRate/(1+baseTrust*(expected-1)), 1/(b.Samples+1))
 	b.Samples++
 	b.Seconds += rate * (value - b.Seconds)
 }
