Keep room for quiet work beside noisy tasks

Cause: a few tasks of a noisy class used up the slowdown budget of a worker and left its processors idle.

Change: a task of a class that could not fill a worker within the budget is placed only when the rest of the worker can still take quiet work.

--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -41,6 +41,7 @@
 	run := h.run(t.Spec.ID)
 	run.since, run.checkpointAt, run.checkpoint = s.now, s.now, t.Checkpoint
 	s.quota.add(t.Spec.Team, t.Spec.Resources)
+	s.classCPU[t.Spec.Class] += t.Spec.Resources.MilliCPU
 	if h.health.quarantined && h.health.probe == "" {
 		h.health.probe, h.health.probeSince = t.Spec.ID, s.now
 	}
@@ -55,6 +56,9 @@
 	delete(s.endings, t.Ref())
 	delete(s.pending, t.Spec.ID)
 	s.quota.release(t.Spec.Team, t.Spec.Resources)
+	if s.classCPU[t.Spec.Class] -= t.Spec.Resources.MilliCPU; s.classCPU[t.Spec.Class] == 0 {
+		delete(s.classCPU, t.Spec.Class)
+	}
 	s.refresh(h)
 	h.note(s.now)
 }
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -109,11 +109,15 @@
 }
 
 // slowdownBudget refuses workers where the expected slowdown of a service
-// would exceed the budget, or where batch work is being throttled. Urgent work
-// passes; the score still ranks the workers for it.
+// would exceed the budget, also after the rest of the worker has been filled
+// with quiet work, or where a miss is being dealt with. Without that reserve, a
+// few tasks of a noisy class would use up the budget and leave processors idle.
+// Urgent work passes; the score still ranks the workers for it.
 type slowdownBudget struct {
 	model  *interference
 	budget float64
+	// quiet returns the slowdown that quiet work causes per worker it fills.
+	quiet func() float64
 }
 
 // Name implements Filter.
@@ -123,8 +127,13 @@
 	if r.urgent() || len(h.services) == 0 {
 		return true
 	}
-	if h.protection.strained() {
+	if h.protection.missed {
 		return false
 	}
-	return f.model.worst(h, r.task) <= 1+f.budget
+	left := h.free.MilliCPU - r.task.Spec.Resources.MilliCPU
+	reserve := 0.0
+	if f.model.noisiest(h, r.task.Spec.Class) > f.budget {
+		reserve = f.quiet() * part(left, h.Capacity.MilliCPU)
+	}
+	return f.model.worst(h, r.task)+reserve <= 1+f.budget
 }
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -126,6 +126,36 @@
 	return worst
 }
 
+// noisiest returns the largest slope of a class over the services on h.
+func (m *interference) noisiest(h *host, class model.ClassName) float64 {
+	most := 0.0
+	for _, s := range h.services {
+		most = max(most, m.slope(s.service, class))
+	}
+	return most
+}
+
+// quietSlope returns the mean slope of the cell's live work, over the classes
+// that may fill a whole worker within the budget. It is computed once a plan.
+func (s *Scheduler) quietSlope() float64 {
+	if s.quietAt.Equal(s.now) {
+		return s.quiet
+	}
+	sum, cores := 0.0, 0.0
+	for _, class := range sortedKeys(s.classCPU) {
+		slope := 0.0
+		for _, service := range sortedKeys(s.model.bases) {
+			slope = max(slope, s.model.slope(service, class))
+		}
+		if slope <= s.cfg.SlowdownBudget {
+			sum += slope * float64(s.classCPU[class])
+			cores += float64(s.classCPU[class])
+		}
+	}
+	s.quiet, s.quietAt = sum/max(cores, 1), s.now
+	return s.quiet
+}
+
 // observed returns a sample's slowdown against the service's baseline, and
 // false while the baseline is unknown.
 func (m *interference) observed(s serviceSample) (float64, bool) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -79,6 +79,11 @@
 	shapes  []model.Resources
 	own     CellSummary
 
+	// classCPU is the live work in the cell by class, in thousandths of a core.
+	classCPU map[model.ClassName]int64
+	quiet    float64
+	quietAt  time.Time
+
 	quarantined []*host
 	strained    map[model.WorkerID]*host
 	evictions   []time.Time
@@ -129,6 +134,7 @@
 	s.queue = newQueue()
 	s.quota = newQuotas(s.cfg.QuotaSettle)
 	s.units, s.gangs = map[model.TaskID]*unit{}, map[model.JobID]*unit{}
+	s.classCPU = map[model.ClassName]int64{}
 	s.regroup, s.pending = map[model.JobID]bool{}, map[model.TaskID]*planned{}
 	for _, h := range s.hosts {
 		h.live, h.reserved, h.runs = nil, model.Resources{}, map[model.TaskID]*runInfo{}
