--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -56,7 +56,7 @@
 		{"no file", []string{"check", "nowhere.yaml"}, 2, "there is no file nowhere.yaml"},
 		{"directory", []string{"check", r.dir}, 2, "is a directory"},
 		{"wrong file", []string{"check", "operator.go"}, 1, "remedy"},
-		{"binary", []string{"check", os.Args[0]}, 1, "limit"},
+		{"binary", []string{"check", r.file("binary.yaml", "\x7fELF\x00")}, 1, "is binary"},
 		{"UTF-16", []string{"check", wide}, 1, "UTF-16"},
 		{"10 MB", []string{"propose", large}, 2, "the limit is 10000000"},
 		{"empty", []string{"check", r.file("empty.yaml", "")}, 1, "is empty"},
--- a/internal/operator/orders.go
+++ b/internal/operator/orders.go
@@ -73,7 +73,7 @@
 
 // readJob turns a job in YAML or JSON into JSON. The nodes check its fields.
 func readJob(name string, text []byte) ([]byte, error) {
-	const remedy = "pass a job as YAML or JSON; docs/operations.md shows one"
+	const remedy = "pass a job as YAML or JSON"
 	if len(text) > declaration.MaxBytes {
 		return nil, model.Errorf(model.KindInvalid, remedy, "%s is larger than 10 MB", name)
 	}
