--- a/internal/node/digest.go
+++ b/internal/node/digest.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/membership"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/ownership"
 	"github.com/vanillapier/vanillapier/internal/request"
@@ -32,20 +35,63 @@
 // unconfirmedAge is the age reported for a view that was never confirmed.
 const unconfirmedAge = 24 * time.Hour
 
-// localDigest describes this node.
-func (n *Node) localDigest() (json.RawMessage, error) {
+// localDigest describes this node in at most limit bytes. What does not fit is
+// left out, least needed first: cells' summaries and the load repeat with every
+// exchange, while confirmations and slot shares must arrive.
+func (n *Node) localDigest(limit int) json.RawMessage {
 	now := time.Now()
 	view := n.control.View()
-	var cells []scheduler.CellSummary
+	d := Digest{
+		Sequence: view.Sequence, ConfirmedAge: confirmedAge(view, now).Milliseconds(),
+		Owned: n.cells.Epochs(), Leaving: n.chain.Leaving(), Load: n.chain.Load(), Share: n.shares.Digest(),
+	}
 	for _, report := range n.cells.Reports() {
-		cells = append(cells, report.Summary)
+		d.Cells = append(d.Cells, report.Summary)
+	}
+	n.summaries.set(d.Cells, now)
+	n.rotateCells(&d)
+	for range digestSteps {
+		data, err := json.Marshal(d)
+		if err != nil {
+			n.log.WithError(err).Error("digest could not be encoded")
+			return nil
+		}
+		if len(data) <= limit {
+			return data
+		}
+		d.shrink()
+	}
+	return nil
+}
+
+// digestSteps bounds the attempts to make a digest fit.
+const digestSteps = 12
+
+// rotateCells starts the list at another cell each time, so that each fits into
+// some digest.
+func (n *Node) rotateCells(d *Digest) {
+	if len(d.Cells) < 2 {
+		return
+	}
+	slices.SortFunc(d.Cells, func(a, b scheduler.CellSummary) int { return cmp.Compare(a.ID, b.ID) })
+	at := int(n.digests.Add(1)) % len(d.Cells)
+	d.Cells = append(d.Cells[at:], d.Cells[:at]...)
+}
+
+// shrink drops the least needed part that is left.
+func (d *Digest) shrink() {
+	switch {
+	case len(d.Cells) > 1:
+		d.Cells = d.Cells[:len(d.Cells)/2]
+	case len(d.Load.Services) > 0:
+		d.Load = request.Load{}
+	case len(d.Cells) > 0:
+		d.Cells = nil
+	case len(d.Leaving) > 0:
+		d.Leaving = d.Leaving[:len(d.Leaving)/2]
+	default:
+		d.Owned = nil
 	}
-	n.summaries.set(cells, now)
-	return json.Marshal(Digest{
-		Sequence: view.Sequence, ConfirmedAge: confirmedAge(view, now).Milliseconds(),
-		Owned: n.cells.Epochs(), Cells: cells,
-		Leaving: n.chain.Leaving(), Load: n.chain.Load(), Share: n.shares.Digest(),
-	})
 }
 
 func confirmedAge(view *control.View, now time.Time) time.Duration {
@@ -55,28 +101,32 @@
 	return min(view.Age(now), unconfirmedAge)
 }
 
-// mergeDigest takes over what a peer said in an exchange that began at begun on
-// this node's clock. All ages are counted from there, so that transit never
-// makes them look smaller.
-func (n *Node) mergeDigest(peer model.NodeID, addr string, data json.RawMessage, begun time.Time) error {
+// mergeDigest takes over what a peer said. Ages are counted from when this node
+// began the exchange, so that transit never makes them look smaller; an exchange
+// that the peer began confirms nothing, as its time under way is unknown.
+func (n *Node) mergeDigest(peer membership.Peer, data json.RawMessage) {
 	var d Digest
 	if err := json.Unmarshal(data, &d); err != nil {
-		return model.Wrap(model.KindInvalid, err, "upgrade the older node", "digest of node %s", peer)
+		n.log.WithError(err).WithField("peer", string(peer.Node)).Warn("digest not readable; upgrade the older node")
+		return
 	}
 	now := time.Now()
-	age := now.Sub(begun) + time.Duration(d.ConfirmedAge)*time.Millisecond
-	n.control.Confirm(d.Sequence, age)
+	n.heard.set(peer.Node, d.Sequence, now.Add(-time.Duration(d.ConfirmedAge)*time.Millisecond))
+	if !peer.Begun.IsZero() {
+		age := now.Sub(peer.Begun) + time.Duration(d.ConfirmedAge)*time.Millisecond
+		n.control.Confirm(d.Sequence, age)
+		n.shares.Observe(peer.Node, d.Share, peer.Begun)
+		n.chain.Observe(peer.Node, now.Sub(peer.Begun), d.Load)
+	}
 	if d.Sequence > n.control.View().Sequence {
-		n.fetchControl(addr)
+		n.fetchControl(peer.Addr)
 	}
 	for id, epoch := range d.Owned {
-		n.owners.Learn(id, ownership.OwnerInfo{Node: peer, Addr: addr, Epoch: epoch})
+		n.epochs.learn(id, epoch)
+		n.owners.Learn(id, ownership.OwnerInfo{Node: peer.Node, Addr: peer.Addr, Epoch: epoch})
 	}
 	n.summaries.set(d.Cells, now)
 	n.chain.MarkLeaving(d.Leaving)
-	n.chain.Observe(peer, now.Sub(begun), d.Load)
-	n.shares.Observe(peer, d.Share, begun)
-	return nil
 }
 
 // summaryTable holds the latest summary of each cell in the deployment.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,8 @@
 	objects           platform.Objects
 	decisions         telemetry.DecisionLogger
 	seed              uint64
+	// digests counts digests, to rotate what does not fit into one.
+	digests atomic.Uint64
 }
 
 // New builds a node and opens its listeners. Nothing is served before Run. The
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/membership"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/owner"
 )
@@ -72,7 +74,7 @@
 	}, nil
 }
 
-// handleCell serves the calls for cells that this node owns.
+// handleSubmit makes a job durable in an owned cell.
 func (n *Node) handleSubmit(ctx context.Context, raw json.RawMessage) (any, error) {
 	var p owner.SubmitParams
 	if err := decodeParams(raw, &p); err != nil {
@@ -130,6 +132,45 @@
 	return nil, model.Errorf(model.KindUnavailable, "retry; the owner has changed", "this node does not run cell %s", id)
 }
 
+// buildPeers creates the peer service and registers the methods of this node.
+func (n *Node) buildPeers() error {
+	s := n.settings
+	peers, err := membership.New(membership.Config{
+		Node: n.id, Addr: s.Advertise, DataCentre: model.DataCentre(s.DataCentre), Listen: s.PeerBind,
+		TLS:       membership.TLSFiles{Cert: s.PeerCert, Key: s.PeerKey, CA: s.PeerCA},
+		Plaintext: s.PeerPlaintext, Seeds: s.SeedList(),
+		Members: n.members, Digest: n.localDigest, Merge: n.mergeDigest,
+		Seed: n.seed, Log: n.log, Metrics: n.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	n.peers = peers
+	for method, handler := range map[string]membership.Handler{
+		methodFetch: n.handleFetch, methodLearn: n.handleLearn, methodState: n.handleState,
+		owner.MethodSubmit: n.handleSubmit, owner.MethodCancel: n.handleCancel,
+		owner.MethodStatus: n.handleJobStatus, owner.MethodTransfer: n.handleTransfer,
+	} {
+		peers.Handle(method, handler)
+	}
+	return nil
+}
+
+// members lists the members of the current view.
+func (n *Node) members() []control.Member {
+	return slices.Collect(maps.Values(n.control.View().Members))
+}
+
+// suspected reports whether a member has been silent for the suspicion time.
+func (n *Node) suspected(id model.NodeID) bool {
+	for _, p := range n.peers.Peers() {
+		if p.Node == id {
+			return p.Suspect
+		}
+	}
+	return false
+}
+
 // heardTable holds what each peer last reported, for operators.
 type heardTable struct {
 	mu   sync.Mutex
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -29,7 +29,7 @@
 	var g run.Group
 	n.addServer(&g, n.callers, n.callerLn)
 	n.addServer(&g, n.admin, n.adminLn)
-	n.addLoop(&g, n.peers.Run)
+	n.addLoop(&g, func(ctx context.Context) error { return n.peers.Run(ctx, n.peerLn) })
 	n.addLoop(&g, n.control.Run)
 	n.addLoop(&g, n.owners.Run)
 	n.addLoop(&g, func(ctx context.Context) error { return n.hosts.Run(ctx, n.settings.HostsEvery) })
@@ -87,9 +87,7 @@
 	if err := n.releaseCells(ctx); err != nil {
 		n.log.WithError(err).Warn("not everything was released; leases run out instead")
 	}
-	if err := n.peers.Leave(ctx); err != nil {
-		n.log.WithError(err).Debug("peers not told of the stop")
-	}
+	n.peers.Leave(ctx)
 	n.log.Info("graceful stop ends")
 }
 
