--- /dev/null
+++ b/internal/share/main_test.go
@@ -0,0 +1,18 @@
+package share
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and length of the property-based tests; a flag on the
+// command line overrides them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
