--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -195,18 +195,31 @@
 func (s *scenario) bringUp(ctx context.Context, nodes int) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for s.callers.balancer.readyCount() < nodes {
-		if !pause(ctx, checkEvery) {
-			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d nodes became ready", s.callers.balancer.readyCount(), nodes)
-		}
+	if err := s.waitForNodes(ctx, nodes); err != nil {
+		return err
 	}
-	s.say("%d nodes are ready", nodes)
+	s.say("%d nodes have joined", nodes)
 	reply, err := s.operator.putInForce(ctx, s.text, "first declaration")
 	if err != nil {
 		return err
 	}
 	s.say("the declaration is in force (control sequence %d)", reply.Sequence)
-	return s.waitForCells(ctx)
+	if err := s.waitForCells(ctx); err != nil {
+		return err
+	}
+	err = s.waitForNodes(ctx, nodes)
+	s.say("%d nodes hold slots and are ready", nodes)
+	return err
+}
+
+// waitForNodes waits until the balancer finds all nodes ready.
+func (s *scenario) waitForNodes(ctx context.Context, nodes int) error {
+	for s.callers.balancer.readyCount() < nodes {
+		if !pause(ctx, checkEvery) {
+			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d nodes became ready", s.callers.balancer.readyCount(), nodes)
+		}
+	}
+	return nil
 }
 
 // waitForCells waits until every cell has an owner that accepts work.
--- a/internal/node/digest.go
+++ b/internal/node/digest.go
@@ -112,10 +112,10 @@
 	}
 	now := time.Now()
 	n.heard.set(peer.Node, d.Sequence, now.Add(-time.Duration(d.ConfirmedAge)*time.Millisecond))
+	n.shares.Observe(peer.Node, d.Share, peer.Begun)
 	if !peer.Begun.IsZero() {
 		age := now.Sub(peer.Begun) + time.Duration(d.ConfirmedAge)*time.Millisecond
 		n.control.Confirm(d.Sequence, age)
-		n.shares.Observe(peer.Node, d.Share, peer.Begun)
 		n.chain.Observe(peer.Node, now.Sub(peer.Begun), d.Load)
 	}
 	if d.Sequence > n.control.View().Sequence {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -150,6 +150,8 @@
 		return "the node is stopping"
 	case !n.joined.Load():
 		return "the node has not joined with a confirmed view yet"
+	case n.control.View().Declaration != nil && !n.holdsSlots():
+		return "the node holds no slots of a service at present"
 	}
 	return ""
 }
