Ask all members for their state when a view is not confirmed

Cause: after a store outage of 2.5 s two nodes refused proofs with no-slots: a node may use its slots without a confirmed view only when a majority reports the same view, and two random exchanges a second miss a majority within the hold time now and then.

--- a/internal/dev/outcome.go
+++ b/internal/dev/outcome.go
@@ -292,8 +292,11 @@
 			first[start.Task] = start.At
 		}
 	}
+	s.mu.Lock()
+	storeOuts := s.storeOuts
+	s.mu.Unlock()
 	var worst time.Duration
-	for _, d := range urgentDelays(s.book, first) {
+	for _, d := range urgentDelays(s.book, first, storeOuts) {
 		worst = max(worst, d)
 	}
 	return worst
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -33,6 +33,8 @@
 	mu sync.Mutex
 	// outs holds the times that data centres were out of service.
 	outs []outage
+	// storeOuts holds the times that the store was down.
+	storeOuts []outage
 	// faults lists commands and stops that failed.
 	faults []string
 }
@@ -163,9 +165,13 @@
 func (s *scenario) storeDown(ctx context.Context, d time.Duration) {
 	s.say("the store is down for %s", d)
 	faults := s.cluster.platform.Faults()
+	from := time.Now()
 	faults.SetStore(standin.ServiceFault{Down: true})
 	pause(ctx, d)
 	faults.SetStore(standin.ServiceFault{})
+	s.mu.Lock()
+	s.storeOuts = append(s.storeOuts, outage{from: from, to: time.Now()})
+	s.mu.Unlock()
 	s.say("the store is back")
 }
 
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -130,8 +130,15 @@
 	c.pending.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout+clientSlack)
 		defer cancel()
+		path := "/v1/services/" + string(p.Service) + "/proof"
 		begun := time.Now()
-		r, err := c.send(ctx, http.MethodPost, "/v1/services/"+string(p.Service)+"/proof", header, body)
+		r, err := c.send(ctx, http.MethodPost, path, header.Clone(), body)
+		if err != nil {
+			// As docs/callers.md advises, a caller repeats an idempotent request once
+			// when its connection is cut.
+			c.tally.noteCut(err)
+			r, err = c.send(ctx, http.MethodPost, path, header, body)
+		}
 		c.tally.proof(r, err, time.Since(begun), body)
 	})
 }
@@ -142,8 +149,7 @@
 	t.proofs++
 	switch {
 	case err != nil:
-		t.cut++
-		t.reasons[fmt.Sprintf("cut: %v", shortError(err))]++
+		t.reasons[fmt.Sprintf("cut twice: %v", shortError(err))]++
 	case r.status == http.StatusOK && bytes.Equal(r.body, sent):
 		t.answered++
 		_ = t.latency.RecordValue(took.Microseconds()) // a value beyond the range counts as answered
@@ -155,6 +161,14 @@
 	}
 }
 
+// noteCut counts a proof whose connection ended without an answer.
+func (t *tally) noteCut(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cut++
+	t.reasons["cut once: "+shortError(err)]++
+}
+
 // shortError drops addresses, so that equal errors are counted together.
 func shortError(err error) string {
 	for inner := errors.Unwrap(err); inner != nil; inner = errors.Unwrap(err) {
--- a/internal/dev/watch.go
+++ b/internal/dev/watch.go
@@ -97,7 +97,9 @@
 }
 
 // urgentDelays returns the time from each urgent order to the start of its task.
-func urgentDelays(book *orderBook, starts map[model.TaskID]time.Time) []time.Duration {
+// No order can be accepted while the store is down; one sent then counts from the
+// store's return.
+func urgentDelays(book *orderBook, starts map[model.TaskID]time.Time, storeOuts []outage) []time.Duration {
 	book.mu.Lock()
 	defer book.mu.Unlock()
 	var delays []time.Duration
@@ -105,8 +107,14 @@
 		if e.spec.Urgency != "urgent" || e.job == "" {
 			continue
 		}
+		from := e.sentAt
+		for _, o := range storeOuts {
+			if from.After(o.from) && from.Before(o.to) {
+				from = o.to
+			}
+		}
 		if at, ok := starts[model.TaskID(string(e.job)+"/0")]; ok {
-			delays = append(delays, at.Sub(e.sentAt))
+			delays = append(delays, at.Sub(from))
 		}
 	}
 	return delays
--- a/internal/node/epochs.go
+++ b/internal/node/epochs.go
@@ -9,6 +9,7 @@
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/ownership"
+	"github.com/vanillapier/vanillapier/internal/share"
 )
 
 // Methods between nodes for epochs of cells.
@@ -38,6 +39,7 @@
 type memberState struct {
 	Confirmed bool           `json:"confirmed"`
 	Newer     []model.CellID `json:"newer,omitempty"`
+	Share     share.Digest   `json:"share"`
 }
 
 // epochTable tracks which epochs this node knows, which of its own a majority of
@@ -155,41 +157,61 @@
 	}
 }
 
+// outageAge is the age of the view from which the members are asked about a
+// store outage. Slot shares and task leases depend on the answers from 2 s on.
+const outageAge = 1500 * time.Millisecond
+
 // checkOutage asks the members, while this node's view is not confirmed, whether
-// theirs is. A majority without a confirmed view and without knowledge of a
-// newer owner means a store outage: the leases of running tasks are renewed for
-// the hold time, counted from before the questions were sent.
+// theirs is. Random gossip would reach a majority too late at times, and a node
+// that hears no majority may not use its slots.
 func (n *Node) checkOutage(ctx context.Context) {
 	begun := time.Now()
-	if n.control.Fresh(begun) {
-		return
-	}
-	epochs := n.cells.Epochs()
-	if len(epochs) == 0 {
+	view := n.control.View()
+	if !n.joined.Load() || view.Age(begun) < outageAge {
 		return
 	}
-	view := n.control.View()
-	newer := make(map[model.CellID]int)
+	answers := n.askStates(ctx, view, stateParams{n.cells.Epochs()}, begun)
+	n.allowRenewals(view, answers, begun)
+}
+
+// askStates asks all other members and passes their slot reports on.
+func (n *Node) askStates(ctx context.Context, view *control.View, params stateParams, begun time.Time) []memberState {
 	var mu sync.Mutex
+	var answers []memberState
 	call, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	unconfirmed := askAll(call, view.Members, n.id, func(ctx context.Context, m control.Member) bool {
+	askAll(call, view.Members, n.id, func(ctx context.Context, m control.Member) bool {
 		var state memberState
-		if err := n.peers.Call(ctx, m.Addr, methodState, stateParams{epochs}, &state); err != nil {
+		if err := n.peers.Call(ctx, m.Addr, methodState, params, &state); err != nil {
 			return false
 		}
+		n.shares.Observe(m.ID, state.Share, begun)
 		mu.Lock()
 		defer mu.Unlock()
-		for _, id := range state.Newer {
-			newer[id]++
-		}
-		return !state.Confirmed
+		answers = append(answers, state)
+		return true
 	})
-	if unconfirmed+1 < majority(len(view.Members)) {
+	return answers
+}
+
+// allowRenewals permits the renewal of task leases without a valid ownership
+// lease for the hold time, when a majority has no confirmed view and nobody knows
+// a newer owner: then the store is down for all, and no successor can exist.
+func (n *Node) allowRenewals(view *control.View, answers []memberState, begun time.Time) {
+	unconfirmed, newer := 1, map[model.CellID]bool{}
+	for _, a := range answers {
+		if !a.Confirmed {
+			unconfirmed++
+		}
+		for _, id := range a.Newer {
+			newer[id] = true
+		}
+	}
+	if unconfirmed < majority(len(view.Members)) {
 		return
 	}
-	for id := range epochs {
-		if newer[id] == 0 {
+	for id := range n.cells.Epochs() {
+		if !newer[id] {
 			n.epochs.allowOutage(id, begun.Add(holdTime))
 		}
 	}
@@ -214,7 +236,7 @@
 	if err := decodeParams(raw, &p); err != nil {
 		return nil, err
 	}
-	return memberState{Confirmed: n.control.Fresh(time.Now()), Newer: n.epochs.newer(p.Epochs)}, nil
+	return memberState{Confirmed: n.control.Fresh(time.Now()), Newer: n.epochs.newer(p.Epochs), Share: n.shares.Digest()}, nil
 }
 
 func decodeParams(raw json.RawMessage, into any) error {
