--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -34,6 +34,8 @@
 
 	mu    sync.Mutex
 	nodes []*nodeProcess
+	// killed holds the callers' addresses of the nodes that were killed.
+	killed map[string]bool
 }
 
 // nodeProcess is one place for a node; a replacement takes the same place and
@@ -67,7 +69,7 @@
 
 // startCluster starts the stand-ins and the nodes. After an error nothing runs.
 func startCluster(d *declaration.Declaration, h Header, nodes int, seed uint64, logs io.Writer) (*cluster, error) {
-	c := &cluster{platform: standin.NewPlatform(shapeOf(d, h, seed)), logs: logs, seed: seed}
+	c := &cluster{platform: standin.NewPlatform(shapeOf(d, h, seed)), logs: logs, seed: seed, killed: map[string]bool{}}
 	for _, dc := range d.DataCentres {
 		c.dcs = append(c.dcs, dc.Name)
 	}
@@ -170,11 +172,20 @@
 	if p.cancel == nil {
 		return
 	}
+	callers, _, _ := p.node.Addrs()
+	c.killed[callers] = true
 	p.node.Abort()
 	p.cancel = nil
 	c.platform.HostList().Remove(hostID(p))
 }
 
+// wasKilled reports whether the node with this callers' address was killed.
+func (c *cluster) wasKilled(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.killed[addr]
+}
+
 func (c *cluster) take(index int) (context.CancelFunc, chan error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/dev/outcome.go
+++ b/internal/dev/outcome.go
@@ -186,12 +186,9 @@
 	s.mu.Lock()
 	faults := strings.Join(s.faults, "; ")
 	s.mu.Unlock()
-	t := s.callers.tally
-	t.mu.Lock()
-	cut := t.cut
-	t.mu.Unlock()
+	cut, killed := s.cuts()
 	rows := []Row{
-		{ID: "R9", What: "a graceful stop cuts off no request", Observed: s.cutDetail(cut), Holds: s.cutsAllowed(cut)},
+		count("R9", "a graceful stop cuts off no request", cut, fmt.Sprintf("%d more cut by the killed node", killed)),
 		{
 			ID: "R10", What: "accepted configuration is in force everywhere in time and never reverts",
 			Observed: fmt.Sprintf("%d records, slowest %.2f s, %d outstanding, %d reverted", inForce, slowest.Seconds(), waiting, reverted),
@@ -204,29 +201,20 @@
 	return append(rows, Row{ID: "commands", What: "operators' commands and node stops succeed", Observed: "faults: " + faults, Holds: faults == "none"})
 }
 
-// cutsAllowed reports whether the cut requests are explained by the kill of a
-// node; a graceful stop explains none. At most the requests in flight on that
-// node and those sent before the balancer noticed may be cut.
-func (s *scenario) cutsAllowed(cut int) bool {
-	return cut <= s.killAllowance()
-}
-
-// killAllowance bounds the requests that a killed node may cut: its part of the
-// arrivals within the balancer's check interval and one service time.
-func (s *scenario) killAllowance() int {
-	kills := 0
-	for _, e := range s.trace.Events {
-		if e.KillNode > 0 {
-			kills++
+// cuts counts the requests that were cut by nodes which were not killed, and by
+// those which were.
+func (s *scenario) cuts() (cut, killed int) {
+	t := s.callers.tally
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, addr := range t.cuts {
+		if s.cluster.wasKilled(addr) {
+			killed++
+		} else {
+			cut++
 		}
 	}
-	const window = 2*checkEvery + 200*time.Millisecond
-	perSecond := float64(s.callers.tally.proofs) / (float64(s.trace.Header.DurationMS) / 1000)
-	return kills * int(1+2*perSecond*window.Seconds()/float64(len(s.cluster.nodes)))
-}
-
-func (s *scenario) cutDetail(cut int) string {
-	return fmt.Sprintf("%d proofs cut, %d explained by the killed node", cut, min(cut, s.killAllowance()))
+	return cut, killed
 }
 
 func (s *scenario) outcomeRows() []Row {
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -32,11 +32,13 @@
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
 	proofs  int
-	// answered, refused and cut count proofs; wrong counts answers that were not
-	// the caller's own or not whole.
-	answered, refused, cut, wrong int
-	reasons                       map[string]int
-	prints                        map[string]*printResult
+	// answered and refused count proofs; wrong counts answers that were not the
+	// caller's own or not whole.
+	answered, refused, wrong int
+	// cuts holds the node of each request that was cut.
+	cuts    []string
+	reasons map[string]int
+	prints  map[string]*printResult
 }
 
 // printResult is what the callers of one non-idempotent request saw.
@@ -70,6 +72,19 @@
 	kind    string
 }
 
+// cutError is a connection that ended without a whole answer.
+type cutError struct {
+	// addr is the node that the request was sent to.
+	addr string
+	err  error
+}
+
+// Error returns the cause.
+func (e *cutError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *cutError) Unwrap() error { return e.err }
+
 // errNoNode means that no node was ready.
 var errNoNode = errors.New("no node is ready")
 
@@ -86,12 +101,12 @@
 	req.Header = header
 	resp, err := c.balancer.client.Do(req)
 	if err != nil {
-		return reply{}, err
+		return reply{}, &cutError{addr, err}
 	}
 	defer func() { _ = resp.Body.Close() }() // a read error is reported below
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return reply{}, err
+		return reply{}, &cutError{addr, err}
 	}
 	r := reply{status: resp.StatusCode, outcome: model.Outcome(resp.Header.Get("Vpier-Outcome")), body: answer}
 	if r.status >= http.StatusBadRequest {
@@ -165,7 +180,10 @@
 func (t *tally) noteCut(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cut++
+	var cut *cutError
+	if errors.As(err, &cut) {
+		t.cuts = append(t.cuts, cut.addr)
+	}
 	t.reasons["cut once: "+shortError(err)]++
 }
 
@@ -234,6 +252,10 @@
 	defer t.mu.Unlock()
 	p := t.prints[key]
 	p.sent++
+	var cut *cutError
+	if errors.As(err, &cut) {
+		t.cuts = append(t.cuts, cut.addr)
+	}
 	switch {
 	case err != nil || r.outcome == model.OutcomeUnknown:
 		p.unknown++
