Keep connections of lent slots within the limit

Change: lending closes surplus idle connections first. A request on a borrowed slot uses a connection that is closed afterwards. Manager.Tick closes surplus connections as time passes.

Idle connections of a paused host that the host list wrongly dropped are outside of the node's control and not counted.

--- a/internal/share/lease.go
+++ b/internal/share/lease.go
@@ -57,6 +57,9 @@
 	return kept
 }
 
+// own returns the held slots that are not lent.
+func (a *account) own() int { return max(0, a.held-len(a.lent)) }
+
 // limit returns the slots that new requests may use now.
 func (a *account) limit(now time.Time) int {
 	n := a.held - len(a.lent)
--- a/internal/share/manager.go
+++ b/internal/share/manager.go
@@ -191,23 +191,44 @@
 	return a.limit(now)
 }
 
-// Connections returns the number of connections that this node may have open to a
-// runner: in proportion to its slots, and never fewer than its requests there.
+// Connections returns the number of connections that this node may keep open to a
+// runner: in proportion to its own slots, and never fewer than its requests there.
+// A request on a borrowed slot uses one connection of its own that is closed
+// afterwards, see Borrowed.
 func (m *Manager) Connections(service model.ServiceName, runner model.RunnerID) int {
-	limit := m.Limit(service, runner)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.services[service]
-	a := m.accounts[accountKey{service, runner}]
-	return max(Connections(limit, s.Slots, s.Connections), a.inFlightOr0())
+	now := m.clock()
+	m.sync(now)
+	return m.connections(now, accountKey{service, runner}, m.account(now, service, runner))
 }
 
-// inFlightOr0 returns the requests in execution; 0 without an account.
-func (a *account) inFlightOr0() int {
-	if a == nil {
-		return 0
+// connections returns the bound on open connections for an account.
+func (m *Manager) connections(now time.Time, key accountKey, a *account) int {
+	s, n := m.services[key.service], 0
+	if m.state.Active(now) {
+		n = Connections(a.own(), s.Slots, s.Connections)
 	}
-	return a.inFlight
+	return max(n, a.inFlight)
+}
+
+// Borrowed reports whether this node has more requests at a runner than slots of
+// its own, so that the latest request must not leave an idle connection behind.
+func (m *Manager) Borrowed(service model.ServiceName, runner model.RunnerID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := m.account(m.clock(), service, runner)
+	return a.inFlight > a.own()
+}
+
+// Tick takes over the effect of passing time and closes surplus connections. The
+// node calls it a few times a second.
+func (m *Manager) Tick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock()
+	m.sync(now)
+	m.use(now)
 }
 
 // SetTrimmer sets the function that closes idle connections before a lost slot is
@@ -249,14 +270,12 @@
 	return within, idle
 }
 
-// trimmed closes surplus connections. It is called for each digest only.
+// trimmed closes surplus connections and reports whether none are left.
 func (m *Manager) trimmed(now time.Time, key accountKey, a *account) bool {
 	if m.trim == nil {
 		return true
 	}
-	s := m.services[key.service]
-	limit := max(Connections(a.limit(now), s.Slots, s.Connections), a.inFlight)
-	return m.trim(key.service, key.runner, limit)
+	return m.trim(key.service, key.runner, m.connections(now, key, a))
 }
 
 // Digest is what a node tells its peers about views in the gossip digest.
@@ -320,10 +339,15 @@
 			break
 		}
 		a := m.account(now, service, key.runner)
-		if a.spare() > 0 {
-			a.lent = append(a.lent, loan{id: l.ID, lender: m.me, until: until})
-			l.Runners = append(l.Runners, key.runner)
+		if a.spare() == 0 {
+			continue
+		}
+		a.lent = append(a.lent, loan{id: l.ID, lender: m.me, until: until})
+		if !m.trimmed(now, key, a) {
+			a.lent = a.lent[:len(a.lent)-1] // its connections are still open
+			continue
 		}
+		l.Runners = append(l.Runners, key.runner)
 	}
 	return l
 }
