Read claim versions off the dispatch path, bound connections by share

Cause: a row's version after a write is not known, and a claim whose write has an unknown result left its key in doubt for good. Empty POST bodies went out chunked.

Change: the version is read when the outcome is recorded. A claim that stays unresolved is released in the background. Connections follow the node's share. Runner address and limit are copied at the choice, under the lock.

--- a/internal/request/chain.go
+++ b/internal/request/chain.go
@@ -53,9 +53,11 @@
 	up      *upstreams
 	leaving leavingTable
 	pools   sync.Map // model.ServiceName to *pool
-	drain   drainState
-	metrics *metrics
-	mem     memory
+	// connections is nil when Shares does not divide connections.
+	connections ConnectionShares
+	drain       drainState
+	metrics     *metrics
+	mem         memory
 
 	randMu sync.Mutex
 	rand   *rand.Rand
@@ -85,6 +87,10 @@
 		mem:     memory{limit: cfg.BodyMemory},
 		rand:    rand.New(rand.NewPCG(deps.Seed, 1)),
 	}
+	if cs, ok := deps.Shares.(ConnectionShares); ok {
+		c.connections = cs
+		cs.SetTrimmer(func(_ model.ServiceName, r model.RunnerID, limit int) bool { return c.up.trim(r, limit) })
+	}
 	c.run = c.build()
 	return c, nil
 }
--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -10,11 +10,11 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// heldClaim is a claim that this node wrote for a call.
+// heldClaim is a claim that this node wrote for a call. The version of its row is
+// read when the outcome is recorded, off the path before the dispatch.
 type heldClaim struct {
-	row     string
-	claim   Claim
-	version uint64
+	row   string
+	claim Claim
 }
 
 // digestOf returns the digest that a key is bound to: service, method, target and body.
@@ -63,31 +63,53 @@
 func (c *Chain) obtain(ctx context.Context, row string, claim Claim) (*heldClaim, Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.ClaimTimeout)
 	defer cancel()
+	held, found, unsure, err := c.tryObtain(ctx, row, claim)
+	if err != nil && unsure {
+		c.release(row, claim)
+	}
+	return held, found, err
+}
+
+// tryObtain repeats the write until its result is known. After an unknown result
+// the row is read and the claim ids are compared. Unsure is true when a write had
+// an unknown result.
+func (c *Chain) tryObtain(ctx context.Context, row string, claim Claim) (held *heldClaim, found Claim, unsure bool, err error) {
 	version := uint64(0)
-	for {
+	for pause := settleFirst; ; pause = min(2*pause, settleMax) {
 		err := c.deps.Claims.Put(ctx, row, claim, version)
-		if err != nil && !model.IsKind(err, model.KindConflict) && !model.IsKind(err, model.KindUnknown) {
-			return nil, Claim{}, err
+		if err == nil {
+			return &heldClaim{row: row, claim: claim}, Claim{}, unsure, nil
 		}
+		if !model.IsKind(err, model.KindConflict) && !model.IsKind(err, model.KindUnknown) {
+			return nil, Claim{}, unsure, err
+		}
+		unsure = unsure || model.IsKind(err, model.KindUnknown)
 		found, at, getErr := c.deps.Claims.Get(ctx, row)
 		switch {
-		case model.IsKind(getErr, model.KindNotFound):
-			// The write may still arrive; the same write is repeated.
+		case getErr != nil && !model.IsKind(getErr, model.KindNotFound):
+			// The result stays unknown until the row can be read.
 		case getErr != nil:
-			return nil, Claim{}, getErr
+			version = 0 // the write may still arrive; the same write is repeated
 		case found.ID == claim.ID:
-			return &heldClaim{row: row, claim: claim, version: at}, Claim{}, nil
+			return &heldClaim{row: row, claim: claim}, Claim{}, unsure, nil
 		case found.State == model.OutcomeNotRun && found.Digest == claim.Digest:
 			version = at
 		default:
-			return nil, found, nil
+			return nil, found, unsure, nil
 		}
-		if err := sleep(ctx, 5*time.Millisecond); err != nil {
-			return nil, Claim{}, err
+		if err := sleep(ctx, pause); err != nil {
+			return nil, Claim{}, unsure, model.Wrap(model.KindUnavailable, err, "retry with the same key", "the claim's result is not known")
 		}
 	}
 }
 
+// release records in the background that a claim whose write had no known result
+// was not used, so that the key does not stay in doubt if the write took effect.
+func (c *Chain) release(row string, claim Claim) {
+	claim.State = model.OutcomeNotRun
+	c.settleLater(&heldClaim{row: row, claim: claim})
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
--- a/internal/request/deps.go
+++ b/internal/request/deps.go
@@ -9,6 +9,7 @@
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/share"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
@@ -53,6 +54,17 @@
 	Limit(service model.ServiceName, runner model.RunnerID) int
 }
 
+// ConnectionShares is implemented by Shares that also divide connections.
+type ConnectionShares interface {
+	// Connections returns the number of connections that may be open to runner.
+	Connections(service model.ServiceName, runner model.RunnerID) int
+	// Borrowed reports whether the latest request at runner uses a borrowed slot, so
+	// that its connection must be closed after it.
+	Borrowed(service model.ServiceName, runner model.RunnerID) bool
+	// SetTrimmer sets the function that closes idle connections beyond a limit.
+	SetTrimmer(share.Trimmer)
+}
+
 // OrderStatus is the progress of a batch job.
 type OrderStatus struct {
 	Job  model.JobID  `json:"job"`
--- a/internal/request/forward.go
+++ b/internal/request/forward.go
@@ -41,17 +41,17 @@
 // send performs one exchange on g and reads the answer as far as it is held in
 // memory. The slot is given back when the answer is complete or has failed.
 func (c *Chain) send(ctx context.Context, cl *call, g *grant, single bool) attempt {
-	r := g.choice.Runner
-	up := c.up.get(r.ID, r.Addr, r.Limit())
+	id := g.choice.Runner.ID
+	up, closing := c.connect(cl.service, g.choice)
 	bound := executionBound(cl.svc)
 	ctx, cancel := context.WithTimeout(ctx, bound)
-	resp, err := up.exchange(ctx, cl, c.remaining(cl, bound), single)
+	resp, err := up.exchange(ctx, cl, c.remaining(cl, bound), single || closing)
 	if err != nil {
 		cancel()
 		g.finish(resultOf(ctx, err))
 		return attempt{err: err, grant: g}
 	}
-	if c.sawLeaving(r.ID, resp, single) {
+	if c.sawLeaving(id, resp, single || closing) {
 		_ = resp.Body.Close()
 		cancel()
 		g.finish(routing.Neutral)
@@ -61,6 +61,17 @@
 	return attempt{answer: ans, err: err, grant: g}
 }
 
+// connect returns the connections to a runner. Closing is true when the request's
+// connection must not be kept.
+func (c *Chain) connect(service model.ServiceName, to routing.Choice) (up *upstream, closing bool) {
+	id := to.Runner.ID
+	if c.connections == nil {
+		return c.up.get(id, to.Addr, connectionsPerSlot*to.Limit), false
+	}
+	up = c.up.get(id, to.Addr, c.connections.Connections(service, id))
+	return up, c.connections.Borrowed(service, id)
+}
+
 // remaining returns the time until cl's deadline, at most bound.
 func (c *Chain) remaining(cl *call, bound time.Duration) time.Duration {
 	return min(bound, cl.deadline.Sub(c.deps.Clock()))
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -243,7 +243,7 @@
 		c.refuse(cl, unknown(http.StatusServiceUnavailable, "the same order is being submitted elsewhere", "repeat with the same "+headerKey), "order-in-doubt")
 		return
 	}
-	c.submitClaimed(cl, &heldClaim{row: row, claim: claim, version: version + 1}, job, true)
+	c.submitClaimed(cl, &heldClaim{row: row, claim: claim}, job, true)
 }
 
 // submitClaimed submits a claimed order. Earlier is true when another attempt may
@@ -274,9 +274,13 @@
 
 // withdraw marks the claim as not run, unless another node has taken it over.
 func (c *Chain) withdraw(cl *call, held *heldClaim) bool {
+	found, version, err := c.deps.Claims.Get(cl.ctx, held.row)
+	if err != nil || found.ID != held.claim.ID {
+		return false
+	}
 	claim := held.claim
 	claim.State = model.OutcomeNotRun
-	return c.deps.Claims.Put(cl.ctx, held.row, claim, held.version) == nil
+	return c.deps.Claims.Put(cl.ctx, held.row, claim, version) == nil
 }
 
 // acceptOrder answers 202, or 200 when the order had been accepted before.
--- a/internal/request/pool.go
+++ b/internal/request/pool.go
@@ -17,6 +17,8 @@
 	defaultRetryPercent = 10
 	// limitsEvery bounds how long a change of shares goes unnoticed.
 	limitsEvery = 100 * time.Millisecond
+	// updateEvery bounds how long the end of a leaving sign goes unnoticed.
+	updateEvery = time.Second
 )
 
 // pool is the admission state of one service with its lock and its inputs.
@@ -26,11 +28,12 @@
 	admission
 
 	// hosts, view and marks identify the inputs of the last update.
-	hosts    *platform.Host
-	hostsLen int
-	view     *control.View
-	marks    uint64
-	limitsAt time.Time
+	hosts     *platform.Host
+	hostsLen  int
+	view      *control.View
+	marks     uint64
+	limitsAt  time.Time
+	updatedAt time.Time
 }
 
 // pool returns the pool of svc, which is created on first use.
@@ -62,8 +65,9 @@
 // refresh takes over changed hosts, declaration, leaving marks and shares.
 func (p *pool) refresh(now time.Time) {
 	hosts, view, marks := p.chain.deps.Hosts(), p.chain.deps.View(), p.chain.leaving.version()
-	changed := p.differs(hosts) || view != p.view || marks != p.marks
+	changed := p.differs(hosts) || view != p.view || marks != p.marks || now.Sub(p.updatedAt) >= updateEvery
 	if changed {
+		p.updatedAt = now
 		p.remember(hosts, view, marks)
 		p.chain.leaving.observe(now, hosts)
 		p.route.Update(p.targets(now, hosts, view))
--- a/internal/request/recall.go
+++ b/internal/request/recall.go
@@ -24,7 +24,7 @@
 		case model.IsKind(err, model.KindNotFound):
 			next(cl)
 		case err != nil:
-			c.refuse(cl, refuseStore(), "store")
+			c.refuse(cl, refuseUnchecked(cl), "store")
 		case found.State == model.OutcomeNotRun && found.Digest == digestOf(cl):
 			next(cl)
 		default:
@@ -33,6 +33,17 @@
 	}
 }
 
+// refuseUnchecked is the answer when a key cannot be looked up. This request was
+// not run; a caller that says it is repeating itself is also told that the earlier
+// request is not accounted for.
+func refuseUnchecked(cl *call) *Refusal {
+	f := refuseStore()
+	if n, err := strconv.Atoi(cl.r.Header.Get(headerAttempt)); err == nil && n > 1 {
+		f.outcome = model.OutcomeUnknown
+	}
+	return f
+}
+
 // replay answers cl from a claim that another request wrote.
 func (c *Chain) replay(cl *call, found Claim) {
 	if found.Digest != digestOf(cl) {
--- a/internal/request/refuse.go
+++ b/internal/request/refuse.go
@@ -21,6 +21,7 @@
 	headerCaller     = "Vpier-Caller"
 	headerKey        = "Idempotency-Key"
 	headerReplayed   = "Vpier-Replayed"
+	headerAttempt    = "Vpier-Attempt"
 )
 
 // Refusal is the JSON body of an answer that this node wrote itself.
--- a/internal/request/settle.go
+++ b/internal/request/settle.go
@@ -13,7 +13,7 @@
 	// settleFor bounds how long an outcome is written again when the store is down.
 	settleFor = 30 * time.Second
 	// settleFirst and settleMax bound the pause between two tries.
-	settleFirst = 20 * time.Millisecond
+	settleFirst = 5 * time.Millisecond
 	settleMax   = 2 * time.Second
 )
 
@@ -45,12 +45,17 @@
 	if c.writeOutcome(ctx, &held) {
 		return
 	}
+	c.settleLater(&held)
+}
+
+// settleLater writes an outcome in the background until it is durable.
+func (c *Chain) settleLater(held *heldClaim) {
 	c.drain.hold()
 	go func() {
 		defer c.drain.leave()
 		ctx, cancel := context.WithTimeout(context.Background(), settleFor)
 		defer cancel()
-		c.writeOutcome(ctx, &held)
+		c.writeOutcome(ctx, held)
 	}()
 }
 
@@ -75,23 +80,19 @@
 	held.claim.Object = name
 }
 
-// writeOutcome writes held's claim until it is durable or ctx ends. After a result
-// that is unknown the row is read before the write is repeated.
+// writeOutcome replaces the row of held's claim by held.claim until that is durable
+// or ctx ends. It reads the row before each write: a row with another claim id
+// belongs to somebody else and is left alone.
 func (c *Chain) writeOutcome(ctx context.Context, held *heldClaim) bool {
 	for pause := settleFirst; ; pause = min(2*pause, settleMax) {
-		err := c.deps.Claims.Put(ctx, held.row, held.claim, held.version)
-		if err == nil {
+		found, version, err := c.deps.Claims.Get(ctx, held.row)
+		switch {
+		case err == nil && (found.ID != held.claim.ID || found.State == held.claim.State):
 			return true
-		}
-		found, version, getErr := c.deps.Claims.Get(ctx, held.row)
-		if getErr == nil {
-			if found.ID != held.claim.ID {
-				return true // the row belongs to a later claim
-			}
-			if found.State == held.claim.State {
+		case err == nil:
+			if c.deps.Claims.Put(ctx, held.row, held.claim, version) == nil {
 				return true
 			}
-			held.version = version
 		}
 		if sleep(ctx, pause) != nil {
 			return false
--- a/internal/request/upstream.go
+++ b/internal/request/upstream.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// connectionsPerSlot is the platform's ratio of connections to slots.
+	// connectionsPerSlot is the ratio of connections to slots that applies when
+	// Shares does not implement ConnectionShares.
 	connectionsPerSlot = 8
 	// idlePerRunner bounds idle connections kept to one runner.
 	idlePerRunner = 16
@@ -53,8 +54,8 @@
 	return &upstreams{cfg: cfg, byKey: map[model.RunnerID]*upstream{}}
 }
 
-// get returns the connections to a runner and sets their limit from its slots.
-func (u *upstreams) get(id model.RunnerID, addr string, slots int) *upstream {
+// get returns the connections to a runner and sets their limit.
+func (u *upstreams) get(id model.RunnerID, addr string, limit int) *upstream {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	up := u.byKey[id]
@@ -65,10 +66,38 @@
 		up = u.connect(addr)
 		u.byKey[id] = up
 	}
-	up.limit.Store(int64(max(1, slots) * connectionsPerSlot))
+	up.limit.Store(int64(max(1, limit)))
 	return up
 }
 
+// trim closes the idle connections to a runner when more than limit are open. It
+// reports whether at most limit remain.
+func (u *upstreams) trim(id model.RunnerID, limit int) bool {
+	u.mu.Lock()
+	up := u.byKey[id]
+	u.mu.Unlock()
+	if up == nil {
+		return true
+	}
+	up.limit.Store(int64(limit))
+	if up.open.Load() > int64(limit) {
+		up.close()
+	}
+	return up.open.Load() <= int64(limit)
+}
+
+// forget drops the connections to runners that keep does not name.
+func (u *upstreams) forget(keep func(model.RunnerID) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, up := range u.byKey {
+		if !keep(id) {
+			up.close()
+			delete(u.byKey, id)
+		}
+	}
+}
+
 // connect prepares the transports for one address without opening a connection.
 func (u *upstreams) connect(addr string) *upstream {
 	up := &upstream{addr: addr}
@@ -186,7 +215,7 @@
 		got.Store(true)
 		reused.Store(info.Reused)
 	}}
-	req, err := up.newRequest(httptrace.WithClientTrace(ctx, trace), cl, timeout)
+	req, err := up.newRequest(httptrace.WithClientTrace(ctx, trace), cl, timeout, single)
 	if err != nil {
 		return nil, &sendError{err: err}
 	}
@@ -202,8 +231,9 @@
 	return resp, nil
 }
 
-// newRequest builds the upstream request of cl.
-func (up *upstream) newRequest(ctx context.Context, cl *call, timeout time.Duration) (*http.Request, error) {
+// newRequest builds the upstream request of cl. A connection that is opened for
+// one request cannot cause a replay, so that an empty body may be sent as such.
+func (up *upstream) newRequest(ctx context.Context, cl *call, timeout time.Duration, single bool) (*http.Request, error) {
 	target := "http://" + up.addr + cl.path
 	if cl.r.URL.RawQuery != "" {
 		target += "?" + cl.r.URL.RawQuery
@@ -212,8 +242,10 @@
 	if err != nil {
 		return nil, model.Wrap(model.KindInvalid, err, "check the request path", "build upstream request")
 	}
-	req.Body = onceBody{bytes.NewReader(cl.body)}
-	req.ContentLength = int64(len(cl.body))
+	if len(cl.body) > 0 || !single {
+		req.Body = onceBody{bytes.NewReader(cl.body)}
+		req.ContentLength = int64(len(cl.body))
+	}
 	copyHeader(req.Header, cl.r.Header)
 	req.Header.Set(headerRequestID, cl.id)
 	req.Header.Set(headerTimeout, strconv.FormatInt(max(1, timeout.Milliseconds()), 10))
@@ -231,7 +263,7 @@
 var hopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-	headerService: true, headerTimeout: true, headerOutcome: true, headerReplayed: true, headerRequestID: true,
+	headerService: true, headerTimeout: true, headerOutcome: true, headerReplayed: true, headerRequestID: true, headerAttempt: true,
 }
 
 // copyHeader copies end-to-end headers, without those that Connection names.
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -139,6 +139,10 @@
 type Choice struct {
 	// Runner is nil when the request has to wait.
 	Runner *Runner
+	// Addr and Limit are the runner's address and this node's slots there at the
+	// time of the choice.
+	Addr  string
+	Limit int
 	// Candidates is the number of runners with a free slot.
 	Candidates int
 	// Reason is a short code for the decision log.
@@ -162,7 +166,7 @@
 func (p *Pool) Pick(now time.Time, o PickOptions) Choice {
 	if o.Probe {
 		if r := p.probeDue(now); r != nil && r.ID != o.Exclude {
-			return Choice{Runner: r, Candidates: len(p.free), Reason: "probe"}
+			return p.choose(r, "probe")
 		}
 	}
 	if len(p.free) == 0 {
@@ -181,7 +185,12 @@
 	if i == Wait {
 		return Choice{Candidates: len(p.free), Reason: "wait-for-faster"}
 	}
-	return Choice{Runner: p.free[i], Candidates: len(p.free), Reason: p.balancer.Name()}
+	return p.choose(p.free[i], p.balancer.Name())
+}
+
+// choose returns the choice of r.
+func (p *Pool) choose(r *Runner, reason string) Choice {
+	return Choice{Runner: r, Addr: r.Addr, Limit: r.limit, Candidates: len(p.free), Reason: reason}
 }
 
 // hide removes a runner from the free list until the returned function is called.
