Test store failures, orders and request properties

Cause: claims, orders and the at-most-once rule need tests for a store that is down, slow or loses responses, and for one key at several nodes.

Connections to runners that left the host list are closed.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -19,7 +19,6 @@
 	// queueLimit and callerShare bound the queue as in the declaration and Config.
 	queueLimit  int
 	callerShare int
-	logGrant    func(w *waiter, c routing.Choice)
 }
 
 // arrive grants a slot to w, queues it or refuses it. When it returns true, the
--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
+	"net/url"
 	"sync"
 	"testing"
 	"time"
@@ -110,6 +110,8 @@
 	view    *control.View
 	orders  Orders
 	cfg     Config
+	// shares makes the shares of a node; nil gives all slots to every node.
+	shares func(node model.NodeID) Shares
 }
 
 func newWorld(t testing.TB) *world {
@@ -158,6 +160,10 @@
 
 // node starts a node and returns its chain and address.
 func (w *world) node(name string) (*Chain, string) {
+	var shares Shares = &share.Solo{Slots: func(model.ServiceName) int { return 8 }}
+	if w.shares != nil {
+		shares = w.shares(model.NodeID(name))
+	}
 	c, err := New(w.cfg, Deps{
 		View: func() *control.View { return w.view },
 		Hosts: func() []platform.Host {
@@ -165,7 +171,7 @@
 			defer w.mu.Unlock()
 			return w.hosts
 		},
-		Shares: &share.Solo{Slots: func(model.ServiceName) int { return 8 }},
+		Shares: shares,
 		Claims: NewClaims(w.table), Objects: w.objects, Orders: w.orders,
 		Node: model.NodeID(name), Seed: 1,
 	})
@@ -201,5 +207,18 @@
 	return reply{status: resp.StatusCode, outcome: resp.Header.Get(headerOutcome), header: resp.Header, body: data, err: err}
 }
 
-// timeoutMS formats a timeout header value.
-func timeoutMS(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+// setFault replaces the fault of later commits.
+func (f *fakeTable) setFault(fault func(int) (bool, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+// mustURL parses a URL that is known to be valid.
+func mustURL(s string) *url.URL {
+	u, err := url.Parse(s)
+	if err != nil {
+		panic(err)
+	}
+	return u
+}
--- a/internal/request/main_test.go
+++ b/internal/request/main_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"os"
 	"testing"
-
-	_ "pgregory.net/rapid" // defines the flags
 )
 
 // TestMain fixes the seed of the property-based tests; a flag on the command line
--- /dev/null
+++ b/internal/request/orders_test.go
@@ -0,0 +1,118 @@
+package request
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// fakeOrders keeps jobs in memory; fault decides the fate of each submission.
+type fakeOrders struct {
+	mu    sync.Mutex
+	jobs  map[model.JobID]model.JobSpec
+	fault func() (apply bool, err error)
+}
+
+func (f *fakeOrders) Submit(_ context.Context, _ model.CellID, job model.JobSpec) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	apply, err := true, error(nil)
+	if f.fault != nil {
+		apply, err = f.fault()
+	}
+	if apply {
+		f.jobs[job.ID] = job
+	}
+	return err
+}
+
+func (f *fakeOrders) Status(_ context.Context, cell model.CellID, id model.JobID) (OrderStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	job, ok := f.jobs[id]
+	if !ok {
+		return OrderStatus{}, model.Errorf(model.KindNotFound, "check the id", "no job")
+	}
+	return OrderStatus{Job: id, Cell: cell, State: "queued", Tasks: len(job.Tasks)}, nil
+}
+
+func (f *fakeOrders) Cancel(_ context.Context, _ model.CellID, id model.JobID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.jobs, id)
+	return nil
+}
+
+func (f *fakeOrders) HomeCell(model.JobSpec) (model.CellID, error) { return "gent-0", nil }
+
+const plateOrder = `{"team":"press","class":"plates","tasks":[{"declared_run":"30s","payload":"YQ=="},{"resources":{"milli_cpu":500,"memory_mb":10}}]}`
+
+// Guards against a job that is submitted twice, checked wrongly or lost track of.
+func TestOrders(t *testing.T) {
+	w := newWorld(t)
+	orders := &fakeOrders{jobs: map[model.JobID]model.JobSpec{}}
+	w.orders = orders
+	_, n1 := w.node("n1")
+	_, n2 := w.node("n2")
+	r := ask(t, post, n1+ordersPath, []byte(plateOrder), headerKey, "k")
+	require.Equal(t, []any{202, "done"}, []any{r.status, r.outcome}, string(r.body))
+	var got OrderAccepted
+	require.NoError(t, json.Unmarshal(r.body, &got))
+	job := orders.jobs[got.Job]
+	require.Len(t, job.Tasks, 2)
+	require.Equal(t, []any{model.UrgencyHigh, int64(1000), int64(500), "a", 3},
+		[]any{job.Tasks[0].Urgency, job.Tasks[0].Resources.MilliCPU, job.Tasks[1].Resources.MilliCPU, string(job.Tasks[0].Payload), job.Tasks[0].MaxRetries})
+	require.Equal(t, 200, ask(t, post, n2+ordersPath, []byte(plateOrder), headerKey, "k").status)
+	require.Equal(t, 409, ask(t, post, n2+ordersPath, []byte(strings.Replace(plateOrder, "30s", "31s", 1)), headerKey, "k").status)
+	path := n2 + ordersPath + "/" + string(got.Job)
+	require.Contains(t, string(ask(t, get, path, nil).body), `"queued"`)
+	require.Equal(t, 202, ask(t, "DELETE", path, nil).status)
+	require.Equal(t, 404, ask(t, get, path, nil).status)
+	require.Equal(t, 404, ask(t, get, n2+ordersPath+"/none", nil).status)
+	for _, bad := range []string{"{", strings.Replace(plateOrder, "press", "none", 1), strings.Replace(plateOrder, "plates", "none", 1), `{"team":"press","class":"plates"}`} {
+		r := ask(t, post, n1+ordersPath, []byte(bad), headerKey, "bad")
+		require.Equal(t, []any{400, "not-run"}, []any{r.status, r.outcome}, bad)
+	}
+	require.Equal(t, 400, ask(t, post, n1+ordersPath, []byte(plateOrder)).status, "no key")
+}
+
+// Guards against "not-run" for an order that was submitted: the submission's
+// result is unknown, or an earlier attempt under the key may have succeeded.
+func TestOrderFailures(t *testing.T) {
+	unavailable := model.Errorf(model.KindUnavailable, "retry", "owner away")
+	lost := model.Errorf(model.KindUnknown, "retry", "answer lost")
+	tests := []struct {
+		name    string
+		apply   bool
+		err     error
+		outcome string
+	}{
+		{"owner away", false, unavailable, "not-run"},
+		{"answer lost", true, lost, "unknown"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			orders := &fakeOrders{jobs: map[model.JobID]model.JobSpec{}, fault: func() (bool, error) { return test.apply, test.err }}
+			w.orders = orders
+			_, n1 := w.node("n1")
+			_, n2 := w.node("n2")
+			r := ask(t, post, n1+ordersPath, []byte(plateOrder), headerKey, "k")
+			require.Equal(t, []any{503, test.outcome}, []any{r.status, r.outcome})
+			if test.outcome == "unknown" {
+				orders.fault = func() (bool, error) { return false, unavailable }
+				r = ask(t, post, n2+ordersPath, []byte(plateOrder), headerKey, "k")
+				require.Equal(t, "unknown", r.outcome, "the first attempt may have succeeded")
+			}
+			orders.fault = nil
+			require.Equal(t, 202, ask(t, post, n2+ordersPath, []byte(plateOrder), headerKey, "k").status)
+			require.Len(t, orders.jobs, 1)
+		})
+	}
+}
--- a/internal/request/pool.go
+++ b/internal/request/pool.go
@@ -68,6 +68,9 @@
 	changed := p.differs(hosts) || view != p.view || marks != p.marks || now.Sub(p.updatedAt) >= updateEvery
 	if changed {
 		p.updatedAt = now
+		if p.differs(hosts) {
+			p.chain.forgetRunners(hosts)
+		}
 		p.remember(hosts, view, marks)
 		p.chain.leaving.observe(now, hosts)
 		p.route.Update(p.targets(now, hosts, view))
@@ -140,3 +143,12 @@
 	p.refresh(p.chain.deps.Clock())
 	return p.route.Serving() > 0
 }
+
+// forgetRunners closes connections to runners that the host list no longer contains.
+func (c *Chain) forgetRunners(hosts []platform.Host) {
+	listed := make(map[model.RunnerID]bool, len(hosts))
+	for _, h := range hosts {
+		listed[model.RunnerID(h.ID)] = true
+	}
+	c.up.forget(func(id model.RunnerID) bool { return listed[id] })
+}
