--- a/internal/request/pool.go
+++ b/internal/request/pool.go
@@ -17,6 +17,8 @@
 	defaultRetryPercent = 10
 	// limitsEvery bounds how long a change of shares goes unnoticed.
 	limitsEvery = 100 * time.Millisecond
+	// updateEvery bounds how long the end of a leaving sign goes unnoticed.
+	updateEvery = time.Second
 )
 
 // pool is the admission state of one service with its lock and its inputs.
@@ -26,11 +28,12 @@
 	admission
 
 	// hosts, view and marks identify the inputs of the last update.
-	hosts    *platform.Host
-	hostsLen int
-	view     *control.View
-	marks    uint64
-	limitsAt time.Time
+	hosts     *platform.Host
+	hostsLen  int
+	view      *control.View
+	marks     uint64
+	limitsAt  time.Time
+	updatedAt time.Time
 }
 
 // pool returns the pool of svc, which is created on first use.
@@ -62,8 +65,12 @@
 // refresh takes over changed hosts, declaration, leaving marks and shares.
 func (p *pool) refresh(now time.Time) {
 	hosts, view, marks := p.chain.deps.Hosts(), p.chain.deps.View(), p.chain.leaving.version()
-	changed := p.differs(hosts) || view != p.view || marks != p.marks
+	changed := p.differs(hosts) || view != p.view || marks != p.marks || now.Sub(p.updatedAt) >= updateEvery
 	if changed {
+		p.updatedAt = now
+		if p.differs(hosts) {
+			p.chain.forgetRunners(hosts)
+		}
 		p.remember(hosts, view, marks)
 		p.chain.leaving.observe(now, hosts)
 		p.route.Update(p.targets(now, hosts, view))
@@ -136,3 +143,12 @@
 	p.refresh(p.chain.deps.Clock())
 	return p.route.Serving() > 0
 }
+
+// forgetRunners closes connections to runners that the host list no longer contains.
+func (c *Chain) forgetRunners(hosts []platform.Host) {
+	listed := make(map[model.RunnerID]bool, len(hosts))
+	for _, h := range hosts {
+		listed[model.RunnerID(h.ID)] = true
+	}
+	c.up.forget(func(id model.RunnerID) bool { return listed[id] })
+}
