--- a/internal/journal/journaltest/store.go
+++ b/internal/journal/journaltest/store.go
@@ -48,8 +48,7 @@
 	writes  int
 	// Latency passes before each operation.
 	Latency time.Duration
-	// Inject, when set, chooses the fault of each operation.
-	Inject func(Op) Fault
+	inject  func(Op) Fault
 }
 
 type partition struct {
@@ -67,6 +66,13 @@
 	return &Store{rows: map[string]*partition{}, objects: map[string][]byte{}}
 }
 
+// SetInject sets the hook that chooses the fault of each operation; nil removes it.
+func (s *Store) SetInject(hook func(Op) Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inject = hook
+}
+
 // Counts returns the operations so far.
 func (s *Store) Counts() (reads, writes int) {
 	s.mu.Lock()
@@ -91,10 +97,38 @@
 
 	mu    sync.Mutex
 	until time.Time
+	// left is the number of operations until the process crashes; negative for
+	// never. With lastEffect the last one still takes effect.
+	left       int
+	lastEffect bool
 }
 
 // Node returns the access of the named process.
-func (s *Store) Node(name string) *Node { return &Node{store: s, name: name} }
+func (s *Store) Node(name string) *Node { return &Node{store: s, name: name, left: -1} }
+
+// CrashAfter lets the process finish ops more operations. The one after these
+// takes effect when lastEffect is set, but its answer and all that follow fail.
+func (n *Node) CrashAfter(ops int, lastEffect bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.left, n.lastEffect = ops, lastEffect
+}
+
+// crash counts an operation down and returns whether the process is dead, and
+// whether this operation was its last and takes effect.
+func (n *Node) crash() (dead, effect bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.left < 0 {
+		return false, true
+	}
+	if n.left > 0 {
+		n.left--
+		return false, true
+	}
+	effect, n.lastEffect = n.lastEffect, false
+	return true, effect
+}
 
 // Pause stops the process for d: its clock readings and operations wait.
 func (n *Node) Pause(d time.Duration) {
@@ -125,6 +159,12 @@
 	defer n.waitPaused()
 	op.Node = n.name
 	fault := n.store.count(op)
+	if dead, takesEffect := n.crash(); dead {
+		if takesEffect && !fault.Down && !fault.Drop {
+			_ = effect(fault)
+		}
+		return model.Errorf(model.KindUnknown, "", "the process has crashed")
+	}
 	if fault.Down {
 		return model.Errorf(model.KindUnavailable, "retry", "injected outage of %s", op.Name)
 	}
@@ -156,7 +196,7 @@
 	} else {
 		s.reads++
 	}
-	inject := s.Inject
+	inject := s.inject
 	s.mu.Unlock()
 	if inject == nil {
 		return Fault{}
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -33,13 +33,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := journaltest.New()
 				first := true
-				store.Inject = func(op journaltest.Op) journaltest.Fault {
+				store.SetInject(func(op journaltest.Op) journaltest.Fault {
 					if op.Name != "commit" || !first {
 						return journaltest.Fault{}
 					}
 					first = false
 					return fault
-				}
+				})
 				log := journal.New(store.Node("a"), "p")
 				seq, err := log.Append(t.Context(), 1, journal.Batch{Records: records("x")})
 				require.NoError(t, err)
@@ -62,7 +62,7 @@
 			log := journal.New(store.Node("a"), "p")
 			_, err := log.Append(t.Context(), 1, journal.Batch{})
 			require.NoError(t, err)
-			store.Inject = func(op journaltest.Op) journaltest.Fault { return journaltest.Fault{Lost: lost && op.Write} }
+			store.SetInject(func(op journaltest.Op) journaltest.Fault { return journaltest.Fault{Lost: lost && op.Write} })
 			_, err = log.Append(t.Context(), 1, journal.Batch{})
 			require.Equal(t, model.KindFenced, model.KindOf(err))
 		})
@@ -74,16 +74,16 @@
 func TestAppendStaysUnknownUntilResolved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := journaltest.New()
-		store.Inject = func(op journaltest.Op) journaltest.Fault {
+		store.SetInject(func(op journaltest.Op) journaltest.Fault {
 			return journaltest.Fault{Lost: op.Write, Down: !op.Write}
-		}
+		})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		batch := journal.Batch{AppendID: journal.NewAppendID()}
 		log := journal.New(store.Node("a"), "p")
 		_, err := log.Append(ctx, 1, batch)
 		require.Equal(t, model.KindUnknown, model.KindOf(err))
-		store.Inject = nil
+		store.SetInject(nil)
 		_, err = log.Append(t.Context(), 1, batch)
 		require.NoError(t, err, "the same append at the same sequence is recognised")
 	})
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -72,9 +72,10 @@
 // divided. The caller leaves out members that it suspects to have failed, so that
 // no cell is handed to them. A cell that is no longer listed is released.
 func (m *Manager) SetCells(cells []model.CellID, members []control.Member) {
+	now := m.cfg.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.setMembers(members)
+	m.setMembers(members, now)
 	listed := make(map[model.CellID]bool, len(cells))
 	for _, id := range cells {
 		listed[id] = true
@@ -91,8 +92,7 @@
 	}
 }
 
-func (m *Manager) setMembers(members []control.Member) {
-	now := m.cfg.Now()
+func (m *Manager) setMembers(members []control.Member, now time.Time) {
 	present := make(map[model.NodeID]time.Time, len(members))
 	for _, member := range members {
 		since, ok := m.present[member.ID]
@@ -229,8 +229,9 @@
 
 // stable reports whether a member has been present for Config.StableFor.
 func (m *Manager) stable(id model.NodeID) bool {
+	now := m.cfg.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	since, ok := m.present[id]
-	return ok && m.cfg.Now().Sub(since) >= m.cfg.StableFor
+	return ok && now.Sub(since) >= m.cfg.StableFor
 }
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -19,6 +19,8 @@
 	// SnapshotSequence the sequence that it covers.
 	Snapshot         []byte
 	SnapshotSequence uint64
+	// Sequence is that of the acquire record, which ends the recovered state.
+	Sequence uint64
 	// Tail holds the entries after the snapshot. The handler applies them and
 	// may then set Snapshot and Tail to nil to free memory.
 	Tail []journal.Entry
@@ -43,7 +45,7 @@
 	o := &Owned{
 		Cell: f.cell, Epoch: f.obs.Epoch,
 		Snapshot: state.Snapshot.Data, SnapshotSequence: state.Snapshot.Sequence, Tail: state.Tail,
-		cfg: f.cfg, owner: *f.obs.Owner, log: f.log, snaps: f.snaps,
+		Sequence: f.obs.Last, cfg: f.cfg, owner: *f.obs.Owner, log: f.log, snaps: f.snaps,
 		over: make(chan struct{}), last: f.obs.Last, leaseStart: leaseStart,
 	}
 	o.committer = journal.NewCommitter(f.cfg.Commit, o.write)
@@ -91,8 +93,10 @@
 	if !o.LeaseValid(o.cfg.Now()) {
 		return model.Errorf(model.KindFenced, "leave it to the cell's current owner", "the lease on cell %s has ended", o.Cell)
 	}
-	if last := o.LastSequence(); seq > last {
-		return model.Errorf(model.KindInvalid, "save at a durable sequence", "sequence %d is above the last durable one, %d", seq, last)
+	// A snapshot before the acquire record would carry this epoch too early.
+	if last := o.LastSequence(); seq > last || seq < o.Sequence {
+		return model.Errorf(model.KindInvalid, "save at a durable sequence of this ownership",
+			"sequence %d is outside %d to %d", seq, o.Sequence, last)
 	}
 	ctx = storeclient.WithPriority(ctx, storeclient.PriorityBulk)
 	return o.snaps.SaveSnapshot(ctx, journal.Snapshot{Sequence: seq, Data: data, Epoch: o.Epoch, Owner: &o.owner})
