--- a/internal/scheduler/protect.go
+++ b/internal/scheduler/protect.go
@@ -103,11 +103,8 @@
 		return
 	}
 	h.protection.steppedAt = s.now
-	for _, t := range tasks {
-		if run := h.run(t.Spec.ID); run.throttle > s.cfg.MinThrottle {
-			s.throttle(h, t, max(run.throttle/2, s.cfg.MinThrottle), "target-missed")
-			return
-		}
+	if s.throttleDown(h, tasks) {
+		return
 	}
 	victim := s.cheapest(h, tasks)
 	run := h.run(victim.Spec.ID)
@@ -122,6 +119,48 @@
 	}
 }
 
+// throttleDown halves the shares of tasks, those that slow the services most
+// first, until the expected relief brings the measured slowdown well below the
+// limit. It returns false when nothing is left to throttle.
+func (s *Scheduler) throttleDown(h *host, tasks []*cell.Task) bool {
+	excess, scale := s.excess(h)
+	throttled := false
+	for _, t := range tasks {
+		run := h.run(t.Spec.ID)
+		if run.throttle <= s.cfg.MinThrottle {
+			continue
+		}
+		before := s.contribution(h, t)
+		s.throttle(h, t, max(run.throttle/2, s.cfg.MinThrottle), "target-missed")
+		throttled = true
+		excess -= scale * (before - s.contribution(h, t))
+		if excess <= 0 {
+			break
+		}
+	}
+	return throttled
+}
+
+// excess returns how far the measured slowdown on h is above what is aimed at, and
+// the factor by which it exceeds the expected one.
+func (s *Scheduler) excess(h *host) (excess, scale float64) {
+	measured := 1.0
+	for _, sample := range h.services {
+		if ratio, known := s.model.observed(sample); known {
+			measured = max(measured, ratio)
+		}
+	}
+	expected := s.model.worst(h, nil)
+	scale = 1
+	if expected > 1 {
+		scale = min(max((measured-1)/(expected-1), 1), maxScale)
+	}
+	return measured - 1 - s.cfg.SlowdownLimit*s.cfg.RelaxBelow, scale
+}
+
+// maxScale bounds the correction of the expected slowdown by one measurement.
+const maxScale = 4
+
 // spendEviction takes one eviction from the cap for the last minute.
 func (s *Scheduler) spendEviction() bool {
 	s.evictions = slices.DeleteFunc(s.evictions, func(at time.Time) bool {
