Evict fewer tasks for urgent work

Change: victims that are not needed are dropped, an eviction has a fixed cost besides the work at risk, and urgent work moves to a cell with room first. A unit for which evictions are planned stays.

--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -87,7 +87,15 @@
 
 // mayOverflow reports whether a blocked unit has waited long enough to move.
 // The wait grows with the square of its moves, so that units do not circulate.
+// Urgent work moves once without a wait, which is cheaper than evictions here,
+// but stays when evictions have been planned for it.
 func (s *Scheduler) mayOverflow(u *unit) bool {
+	if s.now.Before(u.heldUntil) {
+		return false
+	}
+	if u.urgency >= model.UrgencyUrgent && u.tasks[0].Hops == 0 {
+		return true
+	}
 	moves := time.Duration(u.tasks[0].Hops + 1)
 	return s.now.Sub(u.since) >= s.cfg.OverflowAfter*moves*moves
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -82,15 +82,39 @@
 		}
 	}
 	s.byWorkLost(h, choice)
+	count := 0
+	for count < len(choice) && !need.Fits(free) {
+		free = free.Add(choice[count].Spec.Resources)
+		count++
+	}
+	if !need.Fits(free) {
+		return nil, 0, false
+	}
+	evict := needed(choice[:count], free, need)
 	cost := 0.0
-	for i, t := range choice {
-		if need.Fits(free) {
-			return choice[:i], cost, true
+	for _, t := range evict {
+		cost += evictionCost + s.workLost(h, t)
+	}
+	return evict, cost, true
+}
+
+// evictionCost is the cost of an eviction besides the work it puts at risk, in
+// core-seconds: the checkpoint, the wait in the queue and the new start.
+const evictionCost = 120
+
+// needed drops the tasks whose eviction is not needed for need to fit, the most
+// costly first.
+func needed(choice []*cell.Task, free, need model.Resources) []*cell.Task {
+	var out []*cell.Task
+	for i := len(choice) - 1; i >= 0; i-- {
+		without := free.Sub(choice[i].Spec.Resources)
+		if need.Fits(without) {
+			free = without
+			continue
 		}
-		free = free.Add(t.Spec.Resources)
-		cost += s.workLost(h, t)
+		out = append(out, choice[i])
 	}
-	return choice, cost, need.Fits(free)
+	return out
 }
 
 // byWorkLost sorts tasks by urgency, then by the work an eviction loses.
