Offer room in a returned data centre only as fast as it is filled

Change: the summary of a cell offers nothing while its share settles, and then what gradual filling allows.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -209,16 +209,27 @@
 	slices.SortFunc(s.cells, func(a, b CellSummary) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// Summary describes this cell to the schedulers of the others.
+// Summary describes this cell to the schedulers of the others. After the return
+// of its data centre it offers room only as fast as it may be filled.
 func (s *Scheduler) Summary() CellSummary {
 	out := s.own
 	out.ID = s.st.ID()
+	if s.quota.weight < s.quota.grow {
+		return out
+	}
+	allowed := 1.0
+	if since, returned := s.returned[out.DataCentre]; returned {
+		allowed = rampShare(s.now.Sub(since), s.cfg.RampTime)
+	}
 	for _, h := range s.order {
 		if h.Leaving || h.Unreachable || h.health.quarantined {
 			continue
 		}
-		out.Free = out.Free.Add(h.free)
-		out.Room = larger(out.Room, h.free)
+		room := h.free.Sub(scale(h.Capacity, 1-allowed))
+		if !room.Negative() {
+			out.Free = out.Free.Add(room)
+			out.Room = larger(out.Room, room)
+		}
 	}
 	return out
 }
