Flush records that urgent work waits for

Cause: the end of an evicted attempt waited for the group commit, and the plan for a durable urgent submission for another interval (up to 1.6 s in all).

Change: Scheduler.Urgent tells the owner which records to flush early; the replay's owner plans at once after such a batch.

--- a/internal/replay/owner.go
+++ b/internal/replay/owner.go
@@ -46,10 +46,10 @@
 	wakeAt time.Duration
 }
 
-// submit takes a record from outside; urgent records are flushed early.
-func (o *owner) submit(urgent bool, records ...cell.Record) {
+// submit takes records from outside; urgent ones are flushed early.
+func (o *owner) submit(records ...cell.Record) {
 	o.inbox = append(o.inbox, records...)
-	if urgent {
+	if o.sched.Urgent(records) {
 		o.wake(urgentCommit)
 		return
 	}
@@ -126,6 +126,7 @@
 			o.wake(storeRetry)
 			return
 		}
+		urgent := o.sched.Urgent(o.flight)
 		o.flight = nil
 		o.durable(batch)
 		o.sched.Committed(p.Records, o.sim.time())
@@ -133,6 +134,9 @@
 			o.due = 0
 			o.wake(urgentCommit)
 		}
+		if urgent {
+			o.wake(0)
+		}
 		o.wake(min(p.Next, groupCommit))
 	})
 }
@@ -181,7 +185,7 @@
 func (o *owner) start(p *cell.Placed) {
 	ref := platform.AttemptRef{Task: p.Task, Attempt: p.Attempt}
 	if o.view.IsOut(o.dc) {
-		o.submit(false, cell.Record{Ended: &cell.Ended{Task: p.Task, Attempt: p.Attempt, Outcome: model.OutcomeNotRun}})
+		o.submit(cell.Record{Ended: &cell.Ended{Task: p.Task, Attempt: p.Attempt, Outcome: model.OutcomeNotRun}})
 		return
 	}
 	t, _ := o.st.Task(p.Task)
@@ -229,7 +233,7 @@
 	to := o.sim.owners[r.To]
 	o.sim.after(peerDelay, func() {
 		if !to.down {
-			to.submit(t.Spec.Urgency == model.UrgencyUrgent, cell.Record{TransferIn: &in})
+			to.submit(cell.Record{TransferIn: &in})
 		}
 	})
 	o.sim.after(2*time.Second, func() { o.send(r) })
@@ -240,7 +244,7 @@
 	from := o.sim.owners[in.From]
 	o.sim.after(peerDelay, func() {
 		if t, ok := from.st.Task(in.Spec.ID); ok && t.State == cell.TaskTransferring && t.Hops == in.Hop {
-			from.submit(false, cell.Record{TransferEnd: &cell.TransferEnd{Task: in.Spec.ID}})
+			from.submit(cell.Record{TransferEnd: &cell.TransferEnd{Task: in.Spec.ID}})
 		}
 	})
 }
@@ -255,7 +259,7 @@
 
 func (o *owner) cancel(id model.JobID) {
 	if _, known := o.st.Job(id); known {
-		o.submit(false, cell.Record{Cancelled: &cell.Cancelled{Job: id}})
+		o.submit(cell.Record{Cancelled: &cell.Cancelled{Job: id}})
 	}
 }
 
@@ -286,7 +290,7 @@
 	}
 	records = append(records, o.missing(w, report)...)
 	if len(records) > 0 {
-		o.submit(false, records...)
+		o.submit(records...)
 	}
 }
 
@@ -338,7 +342,7 @@
 	for _, t := range o.st.LiveOn(w.ID) {
 		if ref := t.Ref(); !o.known[ref] {
 			o.known[ref] = true
-			o.submit(false, cell.Record{Ended: &cell.Ended{Task: t.Spec.ID, Attempt: t.Attempt, Outcome: model.OutcomeLost}})
+			o.submit(cell.Record{Ended: &cell.Ended{Task: t.Spec.ID, Attempt: t.Attempt, Outcome: model.OutcomeLost}})
 		}
 	}
 }
@@ -371,7 +375,7 @@
 func (o *owner) recover(lost []cell.Record) {
 	for _, r := range lost {
 		if r.Submitted != nil || r.Cancelled != nil || r.TransferIn != nil || r.TransferEnd != nil {
-			o.submit(false, r)
+			o.submit(r)
 		}
 	}
 	for _, t := range o.st.Live() {
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -247,19 +247,19 @@
 		s.open++
 	}
 	s.out.Tasks += e.Tasks
-	s.deliver(job, urgency, s.now)
+	s.deliver(job, s.now)
 }
 
 // deliver submits a job, again while no data centre is in service.
-func (s *sim) deliver(job model.JobSpec, urgency model.Urgency, at time.Duration) {
+func (s *sim) deliver(job model.JobSpec, at time.Duration) {
 	to := scheduler.ChooseCell(job, s.summaries, s.view.IsOut)
 	o := s.owners[to]
 	if o == nil || o.down {
-		s.after(time.Second, func() { s.deliver(job, urgency, at) })
+		s.after(time.Second, func() { s.deliver(job, at) })
 		return
 	}
 	record := cell.Record{Submitted: &cell.Submitted{Job: job, At: epoch.Add(at).UnixMilli()}}
-	s.after(peerDelay, func() { o.submit(urgency == model.UrgencyUrgent, record) })
+	s.after(peerDelay, func() { o.submit(record) })
 }
 
 func (s *sim) class(name model.ClassName) *Class {
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
@@ -62,3 +65,29 @@
 	h.services = append(h.services, sample)
 	return true
 }
+
+// Urgent reports whether records from outside should not wait for the group
+// commit: urgent work that arrives, and the end of an attempt on a worker that
+// is held for urgent work.
+func (s *Scheduler) Urgent(records []cell.Record) bool {
+	return slices.ContainsFunc(records, s.urgentRecord)
+}
+
+func (s *Scheduler) urgentRecord(r cell.Record) bool {
+	switch {
+	case r.Submitted != nil:
+		return slices.ContainsFunc(r.Submitted.Job.Tasks, func(t model.TaskSpec) bool {
+			return t.Urgency >= model.UrgencyUrgent
+		})
+	case r.TransferIn != nil:
+		return r.TransferIn.Spec.Urgency >= model.UrgencyUrgent
+	case r.Ended != nil:
+		t, ok := s.st.Task(r.Ended.Task)
+		return ok && s.heldForUrgent(s.hosts[t.Worker])
+	}
+	return false
+}
+
+func (s *Scheduler) heldForUrgent(h *host) bool {
+	return h != nil && h.heldFor != nil && h.heldFor.urgency >= model.UrgencyUrgent && s.now.Before(h.heldUntil)
+}
