Exempt urgent starts that were sent to a failed host

Cause: a start that reaches a host after its failure may or may not have arrived.

Change: the replay's check of the start time leaves these tasks out; R1 to R4 are checked for them as before.

Conclusion: the check covers every urgent task whose start was delivered.

--- a/internal/replay/worker.go
+++ b/internal/replay/worker.go
@@ -106,6 +106,9 @@
 // start accepts a start command and checks what the platform must never see.
 func (w *worker) start(ref platform.AttemptRef, t *work, checkpoint string) {
 	if !w.up() {
+		// The owner cannot know whether the start arrived, so R2 makes it wait
+		// until the lease of the attempt would have run out.
+		t.exempt = true
 		return
 	}
 	w.sim.checkStart(w, t, ref)
