Let the offline packing wait for the store too

Cause: the traces with a store outage stated no share of the offline packing, because the packing started work during the outage.

--- a/internal/replay/offline.go
+++ b/internal/replay/offline.go
@@ -68,17 +68,19 @@
 }
 
 type packing struct {
-	trace  *Trace
-	order  func(a, b *offlineTask) int
-	hosts  []*offlineHost
-	queue  []*offlineTask
-	jobs   map[model.JobID][]*offlineTask
-	out    map[model.DataCentre]bool
-	ends   eventHeap
-	now    time.Duration
-	serial uint64
-	done   float64
-	use    map[model.TeamName]int64
+	trace *Trace
+	order func(a, b *offlineTask) int
+	hosts []*offlineHost
+	queue []*offlineTask
+	jobs  map[model.JobID][]*offlineTask
+	out   map[model.DataCentre]bool
+	// blocked is true while the store is out: nothing starts without it.
+	blocked bool
+	ends    eventHeap
+	now     time.Duration
+	serial  uint64
+	done    float64
+	use     map[model.TeamName]int64
 }
 
 func newPacking(t *Trace, order func(a, b *offlineTask) int) *packing {
@@ -111,6 +113,9 @@
 	case e.Down != nil:
 		p.at(e.At.D(), func() { p.setDown(e.Down.Workers, true) })
 		p.at((e.At + e.Down.For).D(), func() { p.setDown(e.Down.Workers, false) })
+	case e.Store != nil:
+		p.at(e.At.D(), func() { p.blocked = true })
+		p.at((e.At + e.Store.For).D(), func() { p.blocked = false })
 	case e.Operate != nil && e.Operate.Out != "":
 		p.at(e.At.D(), func() { p.setOut(e.Operate.Out, true) })
 	case e.Operate != nil && e.Operate.In != "":
@@ -211,6 +216,9 @@
 
 // fill starts what fits, in the packing's order.
 func (p *packing) fill() {
+	if p.blocked {
+		return
+	}
 	slices.SortStableFunc(p.queue, p.order)
 	failed := map[*Class][]model.Resources{}
 	kept := p.queue[:0]
