Keep headroom for urgent work that has been seen lately

Cause: on a full cell each urgent task cost an eviction.

Change: other work leaves the size of the largest urgent task of the last minutes free in the cell, at most 2% of its processors.

--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -73,6 +73,9 @@
 		tasks: []*cell.Task{t}, urgency: t.Spec.Urgency, team: t.Spec.Team,
 		submitted: t.SubmittedAt, notBefore: s.retries[t.Spec.ID].until,
 	}
+	if t.Spec.Urgency >= model.UrgencyUrgent {
+		s.noteUrgent(t)
+	}
 	s.units[t.Spec.ID] = u
 	s.queue.add(u, s.now)
 }
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/cell"
@@ -137,3 +138,41 @@
 	}
 	return f.model.worst(h, r.task)+reserve <= 1+f.budget
 }
+
+// headroom keeps a little of the cell free for urgent work while such work has
+// been seen lately, because each preemption is an eviction.
+type headroom struct{ s *Scheduler }
+
+// Name implements Filter.
+func (headroom) Name() string { return "headroom" }
+
+func (f headroom) keep(r *request, h *host) bool {
+	if r.urgent() || f.s.urgentCPU == 0 {
+		return true
+	}
+	return f.s.freeCPU-r.task.Spec.Resources.MilliCPU >= f.s.headroom()
+}
+
+const (
+	// headroomPart bounds the headroom as a part of the cell's processors.
+	headroomPart = 0.02
+	// headroomHalfLife is the time after which the largest urgent job seen
+	// counts half.
+	headroomHalfLife = 3 * time.Minute
+)
+
+// headroom returns the processors to keep free, in thousandths of a core.
+func (s *Scheduler) headroom() int64 {
+	most := headroomPart * float64(s.own.Capacity.MilliCPU)
+	return int64(min(s.decayedUrgent(), most))
+}
+
+func (s *Scheduler) decayedUrgent() float64 {
+	return s.urgentCPU * math.Exp2(-float64(s.now.Sub(s.urgentAt))/float64(headroomHalfLife))
+}
+
+// noteUrgent remembers the size of the largest urgent unit seen lately.
+func (s *Scheduler) noteUrgent(t *cell.Task) {
+	s.urgentCPU = max(s.decayedUrgent(), float64(t.Spec.Resources.MilliCPU))
+	s.urgentAt = s.now
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -84,6 +84,12 @@
 	quiet    float64
 	quietAt  time.Time
 
+	// freeCPU is the sum over indexed hosts; urgentCPU is the largest urgent task
+	// seen lately. Both are in thousandths of a core.
+	freeCPU   int64
+	urgentCPU float64
+	urgentAt  time.Time
+
 	quarantined []*host
 	strained    map[model.WorkerID]*host
 	evictions   []time.Time
@@ -167,7 +173,7 @@
 			h.Capacity = model.Resources{}
 		}
 		if !h.present && len(h.live) == 0 && h.reserved.IsZero() {
-			s.index.remove(h)
+			s.refresh(h)
 			delete(s.hosts, id)
 			continue
 		}
@@ -253,12 +259,16 @@
 
 // refresh recomputes the free capacity of a host and its place in the index.
 func (s *Scheduler) refresh(h *host) {
+	if h.indexed {
+		s.freeCPU -= h.free.MilliCPU
+	}
 	h.free = h.Capacity.Sub(s.st.Committed(h.ID)).Sub(h.reserved)
 	if !h.present || h.Leaving || h.Unreachable || h.free.Negative() {
 		s.index.remove(h)
 		return
 	}
 	s.index.put(h)
+	s.freeCPU += h.free.MilliCPU
 }
 
 // Plan decides what to do now, under a view of the control journal. It changes
