Parse the declaration with fewer allocations

Change: paths become text only for faults and positions; Parse keeps no positions and Validate reads them again when it finds a fault; field names are read from the tags once; the digest is encoded into one buffer.

--- a/internal/declaration/decode.go
+++ b/internal/declaration/decode.go
@@ -4,6 +4,7 @@
 	"encoding"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-yaml/ast"
@@ -15,27 +16,59 @@
 // records where each field is written. It accepts only the forms that the
 // declaration needs: no anchors, aliases, tags or merge keys.
 type decoder struct {
-	file      string
-	faults    Faults
+	file   string
+	faults Faults
+	// positions is nil when they are not needed: they take a third of the time.
 	positions map[string]token.Position
 }
 
-// newDecoder returns a decoder whose faults carry the given file name.
-func newDecoder(file string) *decoder {
-	return &decoder{file: file, positions: map[string]token.Position{}}
+// fieldPath leads to a field. It becomes text only when a fault or a position
+// is recorded.
+type fieldPath struct {
+	parent *fieldPath
+	key    string
+	index  int // of a list entry, which has no key
+}
+
+// String returns the path as services[0].runners.
+func (p *fieldPath) String() string {
+	if p == nil {
+		return ""
+	}
+	parent := p.parent.String()
+	switch {
+	case p.key == "":
+		return parent + "[" + strconv.Itoa(p.index) + "]"
+	case parent == "":
+		return p.key
+	}
+	return parent + "." + p.key
+}
+
+// field returns the path of a field of p.
+func (p *fieldPath) field(key string) *fieldPath { return &fieldPath{parent: p, key: key} }
+
+// entry returns the path of a list entry of p.
+func (p *fieldPath) entry(i int) *fieldPath { return &fieldPath{parent: p, index: i} }
+
+// place records where a path is written.
+func (d *decoder) place(path *fieldPath, pos token.Position) {
+	if d.positions != nil {
+		d.positions[path.String()] = pos
+	}
 }
 
 // decode fills target, a pointer to a struct, from node.
-func (d *decoder) decode(node ast.Node, path string, target any) {
-	d.value(node, path, reflect.ValueOf(target).Elem())
+func (d *decoder) decode(node ast.Node, target any) {
+	d.value(node, nil, reflect.ValueOf(target).Elem())
 }
 
 // fault records a fault at the position of node.
-func (d *decoder) fault(node ast.Node, path, remedy, format string, args ...any) {
+func (d *decoder) fault(node ast.Node, path *fieldPath, remedy, format string, args ...any) {
 	pos := nodePosition(node)
 	d.faults = append(d.faults, Fault{
 		File: d.file, Line: pos.Line, Column: pos.Column,
-		Path: path, Reason: fmt.Sprintf(format, args...), Remedy: remedy,
+		Path: path.String(), Reason: fmt.Sprintf(format, args...), Remedy: remedy,
 	})
 }
 
@@ -57,10 +90,7 @@
 }
 
 // value fills v from node.
-func (d *decoder) value(node ast.Node, path string, v reflect.Value) {
-	if _, ok := d.positions[path]; !ok {
-		d.positions[path] = nodePosition(node)
-	}
+func (d *decoder) value(node ast.Node, path *fieldPath, v reflect.Value) {
 	if _, null := node.(*ast.NullNode); null {
 		return
 	}
@@ -83,7 +113,7 @@
 }
 
 // mapping fills the fields of a struct.
-func (d *decoder) mapping(node ast.Node, path string, v reflect.Value) {
+func (d *decoder) mapping(node ast.Node, path *fieldPath, v reflect.Value) {
 	entries, ok := mappingEntries(node)
 	if !ok {
 		d.fault(node, path, "write fields as name: value", "expected fields, found %s", describe(node))
@@ -96,20 +126,21 @@
 }
 
 // entry decodes one field of a mapping.
-func (d *decoder) entry(entry *ast.MappingValueNode, path string, v reflect.Value, seen map[string]token.Position) {
+func (d *decoder) entry(entry *ast.MappingValueNode, path *fieldPath, v reflect.Value, seen map[string]token.Position) {
 	key := entry.Key.GetToken().Value
-	field, ok := fieldByKey(v, key)
+	i, ok := infoOf(v.Type()).byName[key]
 	if !ok {
-		d.fault(entry.Key, joinPath(path, key), unknownFieldRemedy(v.Type(), key), "unknown field %q", key)
+		d.fault(entry.Key, path.field(key), unknownFieldRemedy(v.Type(), key), "unknown field %q", key)
 		return
 	}
 	if first, dup := seen[key]; dup {
-		d.fault(entry.Key, joinPath(path, key), "keep one of them", "field %q is already given in line %d", key, first.Line)
+		d.fault(entry.Key, path.field(key), "keep one of them", "field %q is already given in line %d", key, first.Line)
 		return
 	}
 	seen[key] = nodePosition(entry.Key)
-	d.positions[joinPath(path, key)] = seen[key]
-	d.value(entry.Value, joinPath(path, key), field)
+	inner := path.field(key)
+	d.place(inner, seen[key])
+	d.value(entry.Value, inner, v.Field(i))
 }
 
 // mappingEntries returns the entries of a mapping node.
@@ -124,7 +155,7 @@
 }
 
 // sequence fills a slice.
-func (d *decoder) sequence(node ast.Node, path string, v reflect.Value) {
+func (d *decoder) sequence(node ast.Node, path *fieldPath, v reflect.Value) {
 	list, ok := node.(*ast.SequenceNode)
 	if !ok {
 		d.fault(node, path, "write each entry on its own line after a dash", "expected a list, found %s", describe(node))
@@ -132,12 +163,14 @@
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values)))
 	for i, entry := range list.Values {
-		d.value(entry, fmt.Sprintf("%s[%d]", path, i), v.Index(i))
+		inner := path.entry(i)
+		d.place(inner, nodePosition(entry))
+		d.value(entry, inner, v.Index(i))
 	}
 }
 
 // text fills a value that reads itself from a string.
-func (d *decoder) text(node ast.Node, path string, target encoding.TextUnmarshaler) {
+func (d *decoder) text(node ast.Node, path *fieldPath, target encoding.TextUnmarshaler) {
 	value, ok := scalarText(node)
 	if !ok {
 		d.fault(node, path, "write one value", "expected one value, found %s", describe(node))
@@ -149,7 +182,7 @@
 }
 
 // scalar fills a string, boolean or number.
-func (d *decoder) scalar(node ast.Node, path string, v reflect.Value) {
+func (d *decoder) scalar(node ast.Node, path *fieldPath, v reflect.Value) {
 	switch v.Kind() {
 	case reflect.String:
 		if s, ok := stringValue(node); ok {
@@ -176,7 +209,7 @@
 		}
 		d.fault(node, path, "write a number without quotes or a unit", "expected a number, found %s", describe(node))
 	default:
-		panic(fmt.Sprintf("declaration: field %s has unsupported kind %s", path, v.Kind()))
+		panic("declaration: field " + path.String() + " has an unsupported kind")
 	}
 }
 
@@ -255,36 +288,9 @@
 	return strings.ToValidUTF8(s[:maxQuoted], "") + "..."
 }
 
-// joinPath appends a field name to path.
-func joinPath(path, key string) string {
-	if path == "" {
-		return key
-	}
-	return path + "." + key
-}
-
-// fieldByKey returns the field of struct v whose yaml name is key.
-func fieldByKey(v reflect.Value, key string) (reflect.Value, bool) {
-	for i := range v.NumField() {
-		if yamlName(v.Type().Field(i)) == key {
-			return v.Field(i), true
-		}
-	}
-	return reflect.Value{}, false
-}
-
-// yamlName returns the name of a field in the text.
-func yamlName(field reflect.StructField) string {
-	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
-	return name
-}
-
 // unknownFieldRemedy names the closest known field, or all of them.
 func unknownFieldRemedy(t reflect.Type, key string) string {
-	var names []string
-	for i := range t.NumField() {
-		names = append(names, yamlName(t.Field(i)))
-	}
+	names := infoOf(t).names
 	if best := closest(key, names); best != "" {
 		return fmt.Sprintf("did you mean %s? otherwise remove it", best)
 	}
--- a/internal/declaration/digest.go
+++ b/internal/declaration/digest.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"reflect"
 	"slices"
+	"strconv"
 )
 
 // Digest returns the digest of a declaration's text as 64 hexadecimal digits,
@@ -19,7 +19,7 @@
 // written out gives another digest than one that is left out, because another
 // build may have another default.
 func Digest(text []byte) string {
-	doc, faults := read("", text)
+	doc, faults := read("", text, nil)
 	if doc == nil || len(faults) > 0 {
 		return ""
 	}
@@ -28,48 +28,60 @@
 
 // digest returns the digest of d as decoded, before Provision.
 func (d *Declaration) digest() string {
-	sum := sha256.Sum256(canonical(reflect.ValueOf(*d)))
+	sum := sha256.Sum256(appendCanonical(nil, reflect.ValueOf(d).Elem()))
 	return hex.EncodeToString(sum[:])
 }
 
-// canonical encodes v as JSON without zero fields and with list entries
-// sorted: every list of the declaration is a set. Fields that a later build
-// adds leave the encoding of earlier texts unchanged.
-func canonical(v reflect.Value) []byte {
+// appendCanonical appends an encoding of v without zero fields, with fields by
+// name and with list entries sorted: every list of the declaration is a set.
+// Fields that a later build adds leave the encoding of earlier texts unchanged.
+func appendCanonical(out []byte, v reflect.Value) []byte {
 	switch v.Kind() {
 	case reflect.Struct:
-		return canonicalStruct(v)
+		return appendStruct(out, v)
 	case reflect.Slice:
-		entries := make([][]byte, v.Len())
-		for i := range entries {
-			entries[i] = canonical(v.Index(i))
-		}
-		slices.SortFunc(entries, bytes.Compare)
-		return enclose('[', entries, ']')
-	}
-	data, err := json.Marshal(v.Interface())
-	if err != nil {
-		panic("declaration: " + err.Error()) // the types hold nothing that JSON cannot express
+		return appendSet(out, v)
+	case reflect.Pointer:
+		return appendCanonical(out, v.Elem())
+	case reflect.String:
+		return strconv.AppendQuote(out, v.String())
+	case reflect.Bool:
+		return strconv.AppendBool(out, v.Bool())
+	case reflect.Int, reflect.Int64:
+		return strconv.AppendInt(out, v.Int(), 10)
+	case reflect.Float64:
+		return strconv.AppendFloat(out, v.Float(), 'g', -1, 64)
 	}
-	return data
+	panic("declaration: no canonical form of " + v.Type().String())
 }
 
-// canonicalStruct encodes the fields of a struct that are not zero, by name.
-func canonicalStruct(v reflect.Value) []byte {
-	var fields [][]byte
-	for i := range v.NumField() {
+// appendStruct appends the fields that are not zero, sorted by name.
+func appendStruct(out []byte, v reflect.Value) []byte {
+	info := infoOf(v.Type())
+	out = append(out, '{')
+	for _, i := range info.sorted {
 		if v.Field(i).IsZero() {
 			continue
 		}
-		name := `"` + yamlName(v.Type().Field(i)) + `":`
-		fields = append(fields, append([]byte(name), canonical(v.Field(i))...))
+		out = append(out, info.names[i]...)
+		out = append(out, ':')
+		out = appendCanonical(out, v.Field(i))
+		out = append(out, ',')
 	}
-	slices.SortFunc(fields, bytes.Compare)
-	return enclose('{', fields, '}')
+	return append(out, '}')
 }
 
-// enclose joins parts with commas between two brackets.
-func enclose(first byte, parts [][]byte, last byte) []byte {
-	out := append([]byte{first}, bytes.Join(parts, []byte{','})...)
-	return append(out, last)
+// appendSet appends the entries of a list, sorted by their encoding.
+func appendSet(out []byte, v reflect.Value) []byte {
+	entries := make([][]byte, v.Len())
+	for i := range entries {
+		entries[i] = appendCanonical(nil, v.Index(i))
+	}
+	slices.SortFunc(entries, bytes.Compare)
+	out = append(out, '[')
+	for _, entry := range entries {
+		out = append(out, entry...)
+		out = append(out, ',')
+	}
+	return append(out, ']')
 }
--- /dev/null
+++ b/internal/declaration/fields.go
@@ -0,0 +1,63 @@
+package declaration
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// documentedTypes are the structs of a declaration in the order of the
+// reference page.
+var documentedTypes = []reflect.Type{
+	reflect.TypeFor[Declaration](),
+	reflect.TypeFor[DataCentre](),
+	reflect.TypeFor[Service](),
+	reflect.TypeFor[Team](),
+	reflect.TypeFor[BatchClass](),
+	reflect.TypeFor[Limits](),
+	reflect.TypeFor[Capacity](),
+}
+
+// structInfo holds the names of a struct's fields in the text, so that tags
+// are read once and not for each entry.
+type structInfo struct {
+	names  []string
+	byName map[string]int
+	// sorted lists the fields by name.
+	sorted []int
+}
+
+var structInfos = readStructInfos()
+
+func readStructInfos() map[reflect.Type]*structInfo {
+	infos := map[reflect.Type]*structInfo{}
+	for _, t := range documentedTypes {
+		info := &structInfo{byName: map[string]int{}}
+		for i := range t.NumField() {
+			name := yamlName(t.Field(i))
+			info.names = append(info.names, name)
+			info.byName[name] = i
+			info.sorted = append(info.sorted, i)
+		}
+		slices.SortFunc(info.sorted, func(a, b int) int { return cmp.Compare(info.names[a], info.names[b]) })
+		infos[t] = info
+	}
+	return infos
+}
+
+// infoOf returns the names of a struct's fields. A struct that is missing from
+// documentedTypes is a fault of the program, which any test of Parse shows.
+func infoOf(t reflect.Type) *structInfo {
+	info, ok := structInfos[t]
+	if !ok {
+		panic("declaration: " + t.Name() + " is missing from documentedTypes")
+	}
+	return info
+}
+
+// yamlName returns the name of a field in the text.
+func yamlName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -28,6 +28,8 @@
 	// Declaration is the decoded content with defaults filled in.
 	Declaration *Declaration
 
+	// positions tells where each field is written; nil after Parse, which
+	// Validate makes good when it finds a fault.
 	positions map[string]token.Position
 }
 
@@ -37,7 +39,7 @@
 // text that was accepted under an earlier build's rules; use Check for new
 // texts. The name is used in messages only.
 func Parse(name string, text []byte) (*Document, error) {
-	doc, faults := read(name, text)
+	doc, faults := read(name, text, nil)
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
@@ -47,7 +49,7 @@
 // Check parses text and validates its content. The error is a Faults that
 // lists the faults of form and of content together.
 func Check(name string, text []byte) (*Document, error) {
-	doc, faults := read(name, text)
+	doc, faults := read(name, text, map[string]token.Position{})
 	if doc == nil || doc.Declaration.isEmpty() && len(faults) > 0 {
 		return nil, faults.orNil()
 	}
@@ -75,6 +77,9 @@
 // contentFaults validates the declaration and adds positions to the faults.
 func (d *Document) contentFaults() Faults {
 	faults := d.Declaration.faults()
+	if len(faults) > 0 && d.positions == nil {
+		d.locate()
+	}
 	for i := range faults {
 		faults[i].File = d.Name
 		pos := d.position(faults[i].Path)
@@ -83,6 +88,14 @@
 	return faults
 }
 
+// locate reads the text again for the positions that Parse did not keep.
+func (d *Document) locate() {
+	d.positions = map[string]token.Position{}
+	if again, _ := read(d.Name, d.Text, d.positions); again == nil {
+		d.positions = nil // the text was replaced by one that cannot be read
+	}
+}
+
 // position returns where path is written, or where the nearest enclosing
 // field is when path itself is absent from the text.
 func (d *Document) position(path string) token.Position {
@@ -118,8 +131,9 @@
 	return false
 }
 
-// read decodes text. The document is nil when nothing could be decoded.
-func read(name string, text []byte) (*Document, Faults) {
+// read decodes text and fills positions unless it is nil. The document is nil
+// when nothing could be decoded.
+func read(name string, text []byte, positions map[string]token.Position) (*Document, Faults) {
 	if fault := checkEncoding(text); fault != nil {
 		fault.File = name
 		return nil, Faults{*fault}
@@ -129,10 +143,10 @@
 		fault.File = name
 		return nil, Faults{*fault}
 	}
-	dec := newDecoder(name)
+	dec := &decoder{file: name, positions: positions}
 	decl := &Declaration{}
-	dec.decode(body, "", decl)
-	doc := &Document{Name: name, Text: text, Declaration: decl, positions: dec.positions}
+	dec.decode(body, decl)
+	doc := &Document{Name: name, Text: text, Declaration: decl, positions: positions}
 	doc.Digest = decl.digest()
 	decl.Provision()
 	return doc, dec.faults
--- a/internal/declaration/schema.go
+++ b/internal/declaration/schema.go
@@ -83,17 +83,6 @@
 	}
 }
 
-// documentedTypes are the structs of a declaration in the order of the page.
-var documentedTypes = []reflect.Type{
-	reflect.TypeFor[Declaration](),
-	reflect.TypeFor[DataCentre](),
-	reflect.TypeFor[Service](),
-	reflect.TypeFor[Team](),
-	reflect.TypeFor[BatchClass](),
-	reflect.TypeFor[Limits](),
-	reflect.TypeFor[Capacity](),
-}
-
 // defaultOf returns the value that Provision gives to field i of t, or nil.
 func defaultOf(t reflect.Type, i int) any {
 	d := Declaration{DataCentres: make([]DataCentre, 1), Services: make([]Service, 1), BatchClasses: make([]BatchClass, 1)}
