Keep long texts out of records and check proposals when they are accepted

Cause: a declaration of the target size has 117 KB, above the 64 KiB of a record; a page of history could carry tens of megabytes; a proposal made by a newer build, or one whose data centres are all out, could be accepted. Change: the optional dependency Texts takes long texts; history leaves texts out unless asked; accept reads the text under this build and refuses a declaration without a data centre in service; one text is checked at a time.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -29,8 +29,9 @@
 	// AllowPlaintext accepts requests without TLS from other hosts than this
 	// one. Default false; requests over loopback are always accepted.
 	AllowPlaintext bool
-	// MaxBodyBytes bounds the body of a command. Default 2 MB: a check of a
-	// 10 MB text takes about 10 s of processor time.
+	// MaxBodyBytes bounds the body of a command. Default 2 MB, about 15 times a
+	// declaration of the target size; a check of 10 MB takes about 10 s of
+	// processor time.
 	MaxBodyBytes int64
 	// RequestsPerSecond and Burst bound the requests of one operator. Default
 	// 20 a second with bursts of 40.
@@ -83,10 +84,19 @@
 	Status(ctx context.Context) (NodeStatus, error)
 }
 
+// Texts keeps the texts that are too long for a journal record, by digest.
+type Texts interface {
+	PutText(ctx context.Context, digest string, text []byte) error
+	Text(ctx context.Context, digest string) ([]byte, error)
+}
+
 // Deps are the parts of the node that the API uses.
 type Deps struct {
 	Control Control
 	Status  Status
+	// Texts takes texts above 64 KiB. When it is nil, Control gets every text
+	// inside its record.
+	Texts Texts
 	// Log receives one line for each command. Required.
 	Log *logrus.Entry
 	// Now returns the time written into records. Default time.Now.
@@ -99,6 +109,8 @@
 	deps      Deps
 	operators *operatorsFile
 	limits    *limits
+	// checking admits one check of a text at a time, which bounds memory.
+	checking chan struct{}
 }
 
 // New returns the handler of the API. The error tells what is wrong with the
@@ -117,7 +129,8 @@
 	}
 	s := &server{
 		cfg: cfg, deps: deps, operators: operators,
-		limits: newLimits(rate.Limit(cfg.RequestsPerSecond), cfg.Burst),
+		limits:   newLimits(rate.Limit(cfg.RequestsPerSecond), cfg.Burst),
+		checking: make(chan struct{}, 1),
 	}
 	return s.routes(), nil
 }
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -31,9 +33,15 @@
 	a.command("reject", RejectRequest{Command{"request-6", 5}, first.Sequence, "too many"})
 	a.command("accept", AcceptRequest{Command{"request-7", 6}, second.Sequence, ""})
 	a.command("data-centres/a/out", DataCentreRequest{Command{"request-8", 7}, ""})
+	propose := func(text string) uint64 { // as a node of another build would
+		a.control.append(control.Record{Actor: "ben", Proposed: &control.DeclarationProposed{Text: text, Base: a.control.View().Digest}})
+		return a.control.View().Sequence
+	}
+	allOut := propose("version: 1\ndeployment: test\ndata_centres: [{name: a}]\n")
+	newField := propose(sample + "speed: 3\n")
 	before := len(a.control.entries)
-	require.Equal(t, 8, before)
-	now := Command{"request-9", 8}
+	require.Equal(t, 10, before)
+	now := Command{"request-9", 10}
 	rows := []struct {
 		name, path string
 		body       any
@@ -55,9 +63,11 @@
 		{"return twice", "data-centres/b/in", DataCentreRequest{now, ""}, 409, "is in service"},
 		{"same content", "propose", ProposeRequest{now, "# other comment\n" + changed, ""}, 409, "already in force"},
 		{"bad text", "propose", ProposeRequest{now, "version: 2\n", ""}, 400, "faults in the declaration"},
-		{"no request id", "propose", ProposeRequest{Command{"", 8}, sample, ""}, 400, "request id"},
+		{"accept all out", "accept", AcceptRequest{now, allOut, ""}, 400, "every data centre of the proposal is out"},
+		{"accept new field", "accept", AcceptRequest{now, newField, ""}, 400, "build cannot read the proposal"},
+		{"no request id", "propose", ProposeRequest{Command{"", 10}, sample, ""}, 400, "request id"},
 		{"lost race", "data-centres/a/in", DataCentreRequest{Command{"request-9", 7}, ""}, 409, "anna was first: took data centre a out of service"},
-		{"node behind", "data-centres/a/in", DataCentreRequest{Command{"request-9", 9}, ""}, 503, "has applied sequence 8"},
+		{"node behind", "data-centres/a/in", DataCentreRequest{Command{"request-9", 11}, ""}, 503, "has applied sequence 10"},
 		{"unknown field", "accept", map[string]any{"proposl": 1}, 400, "unknown field"},
 		{"long reason", "data-centres/a/in", DataCentreRequest{now, strings.Repeat("x", maxNote+1)}, 400, "limit is 4096"},
 		{"too large", "propose", ProposeRequest{now, strings.Repeat("#", defaultMaxBodyBytes), ""}, 413, "too large"},
@@ -242,6 +252,49 @@
 	assert.Equal(t, map[model.Kind]int{model.KindDenied: failuresBurst, model.KindExhausted: 5}, kinds)
 }
 
+// Guards against two operators who take out the last two data centres at the
+// same time, each seeing the other one in service.
+func TestConcurrentOperators(t *testing.T) {
+	for round := range 20 {
+		a := accepted(t, Config{})
+		var wg sync.WaitGroup
+		codes := make([]int, 2)
+		for i, dc := range []string{"a", "b"} {
+			wg.Go(func() {
+				codes[i], _, _ = a.command("data-centres/"+dc+"/out", DataCentreRequest{Command{"request-of-" + dc, 2}, ""})
+			})
+		}
+		wg.Wait()
+		slices.Sort(codes)
+		require.Equal(t, []int{200, 409}, codes, "round %d", round)
+		require.Len(t, a.control.View().Out, 1)
+	}
+}
+
+// Guards against long texts in journal records, against a proposal whose text
+// is lost, and against pages of history that carry texts nobody asked for.
+func TestTexts(t *testing.T) {
+	a := newAPI(t, t.TempDir(), Config{})
+	long := sample + strings.Repeat("# comment\n", maxRecordText/10)
+	code, reply, bad := a.command("propose", ProposeRequest{Command{"request-1", 0}, long, ""})
+	require.Equal(t, 200, code, bad)
+	assert.Empty(t, a.control.entries[0].Record.Proposed.Text)
+	assert.Len(t, a.texts, 1)
+	for query, want := range map[string]string{"history": "", "history?texts=true": long} {
+		_, data := a.call(http.MethodGet, query, "anna-token", nil)
+		var page HistoryReply
+		require.NoError(t, json.Unmarshal(data, &page))
+		assert.Equal(t, want, page.Entries[0].Record.Proposed.Text)
+	}
+	stored := a.texts[reply.Digest]
+	delete(a.texts, reply.Digest)
+	code, _, _ = a.command("accept", AcceptRequest{Command{"request-2", 1}, 1, ""})
+	assert.Equal(t, 404, code, "a declaration whose text is lost is not accepted")
+	a.texts[reply.Digest] = stored
+	code, _, bad = a.command("accept", AcceptRequest{Command{"request-2", 1}, 1, ""})
+	assert.Equal(t, 200, code, bad)
+}
+
 // Guards against history pages that skip or repeat entries and against a
 // request id that is not found behind the first page.
 func TestHistory(t *testing.T) {
--- a/internal/adminapi/decide.go
+++ b/internal/adminapi/decide.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
@@ -29,11 +30,33 @@
 		if proposed.Base != v.Digest {
 			return control.Record{}, superseded(req.Proposal, v)
 		}
+		if err := s.checkAcceptable(ctx, proposed, v); err != nil {
+			return control.Record{}, err
+		}
 		return control.Record{Accepted: &control.DeclarationAccepted{Digest: proposed.Digest, Proposal: req.Proposal}}, nil
 	}
 	return s.run(r.Context(), cmd)
 }
 
+// checkAcceptable checks that this build can read the proposal and that it
+// leaves a data centre in service.
+func (s *server) checkAcceptable(ctx context.Context, proposed *control.DeclarationProposed, v *control.View) error {
+	text, err := s.loadText(ctx, proposed)
+	if err != nil || text == nil {
+		return err
+	}
+	doc, err := declaration.Parse("", text)
+	if err != nil {
+		return model.Wrap(model.KindInvalid, err, "upgrade every node before a declaration uses new fields", "this node's build cannot read the proposal")
+	}
+	for _, dc := range doc.Declaration.DataCentres {
+		if !v.IsOut(dc.Name) {
+			return nil
+		}
+	}
+	return model.Errorf(model.KindInvalid, "return one of them to service first", "every data centre of the proposal is out of service")
+}
+
 // superseded returns the error for a proposal that was written against a
 // declaration which is no longer in force. Accepting it would undo the
 // declaration that was accepted since.
--- a/internal/adminapi/errors.go
+++ b/internal/adminapi/errors.go
@@ -92,9 +92,12 @@
 	if code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests {
 		w.Header().Set("Retry-After", "1")
 	}
-	s.deps.Log.WithFields(logrus.Fields{
-		"actor": actor, "method": r.Method, "path": r.URL.Path, "remote": r.RemoteAddr, "kind": reply.Kind, "status": code,
-	}).Warning(reply.Message)
+	// Refusals by a limit are not logged, so that a flood does not fill the log.
+	if reply.Kind != model.KindExhausted {
+		s.deps.Log.WithFields(logrus.Fields{
+			"actor": actor, "method": r.Method, "path": r.URL.Path, "remote": r.RemoteAddr, "kind": reply.Kind, "status": code,
+		}).Warning(reply.Message)
+	}
 	writeJSON(w, code, reply)
 }
 
--- a/internal/adminapi/fake_test.go
+++ b/internal/adminapi/fake_test.go
@@ -77,7 +77,11 @@
 	next.Sequence, next.Out = entry.Sequence, maps.Clone(v.Out)
 	switch rec := entry.Record; {
 	case rec.Accepted != nil:
-		doc, err := declaration.Parse("", []byte(entries[rec.Accepted.Proposal-1].Record.Proposed.Text))
+		text := entries[rec.Accepted.Proposal-1].Record.Proposed.Text
+		if text == "" {
+			text = sample // long texts of the tests differ from it in comments only
+		}
+		doc, err := declaration.Parse("", []byte(text))
 		if err != nil {
 			panic(err)
 		}
@@ -97,6 +101,21 @@
 	}
 }
 
+// memTexts is an object store for texts.
+type memTexts map[string][]byte
+
+func (m memTexts) PutText(_ context.Context, digest string, text []byte) error {
+	m[digest] = text
+	return nil
+}
+
+func (m memTexts) Text(_ context.Context, digest string) ([]byte, error) {
+	if text, ok := m[digest]; ok {
+		return text, nil
+	}
+	return nil, model.Errorf(model.KindNotFound, "", "no text %s", digest)
+}
+
 type fixedStatus struct{}
 
 func (fixedStatus) Status(context.Context) (NodeStatus, error) { return NodeStatus{Node: "n1"}, nil }
@@ -104,6 +123,7 @@
 // api is a handler over a memControl with the operators anna and ben.
 type api struct {
 	control *memControl
+	texts   memTexts
 	handler http.Handler
 	file    string
 }
@@ -125,12 +145,13 @@
 	log.SetOutput(io.Discard)
 	a := &api{
 		control: &memControl{view: &control.View{Out: map[model.DataCentre]uint64{}}},
+		texts:   memTexts{},
 		file:    filepath.Join(dir, "operators"),
 	}
 	content := "# operators\nanna:" + digestOf("anna-token") + "\nben:" + digestOf("ben-token") + "\ncarl:certificate\n"
 	require.NoError(t, os.WriteFile(a.file, []byte(content), 0o600))
 	cfg.OperatorsFile = a.file
-	handler, err := New(cfg, Deps{Control: a.control, Status: fixedStatus{}, Log: logrus.NewEntry(log), Now: func() time.Time { return time.UnixMilli(1_000_000) }})
+	handler, err := New(cfg, Deps{Control: a.control, Status: fixedStatus{}, Texts: a.texts, Log: logrus.NewEntry(log), Now: func() time.Time { return time.UnixMilli(1_000_000) }})
 	require.NoError(t, err)
 	a.handler = handler
 	return a
--- a/internal/adminapi/read.go
+++ b/internal/adminapi/read.go
@@ -42,7 +42,8 @@
 }
 
 // history returns entries of the journal: from the sequence from, at most
-// limit, or the one with a request id.
+// limit, or the one with a request id. Texts of declarations are left out
+// unless texts=true, because a page of them may have tens of megabytes.
 func (s *server) history(r *http.Request, _ string) (any, error) {
 	from, err := queryNumber(r, "from", 1, 1<<62)
 	if err != nil {
@@ -59,13 +60,35 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := HistoryReply{Entries: entries}
+	reply := HistoryReply{Entries: make([]control.Entry, len(entries))}
+	for i, entry := range entries {
+		reply.Entries[i] = entry
+		if reply.Entries[i].Record, err = s.withText(r.Context(), entry.Record, r.URL.Query().Get("texts") == "true"); err != nil {
+			return nil, err
+		}
+	}
 	if len(entries) == int(limit) {
 		reply.Next = entries[len(entries)-1].Sequence + 1
 	}
 	return reply, nil
 }
 
+// withText returns a copy of rec that has the text of its declaration or lacks it.
+func (s *server) withText(ctx context.Context, rec control.Record, wanted bool) (control.Record, error) {
+	if rec.Proposed == nil {
+		return rec, nil
+	}
+	proposed := *rec.Proposed
+	rec.Proposed = &proposed
+	if !wanted {
+		proposed.Text = ""
+		return rec, nil
+	}
+	text, err := s.loadText(ctx, &proposed)
+	proposed.Text = string(text)
+	return rec, err
+}
+
 // findRequest returns the entry of a request id. Next is set when the search
 // ended before the end of the journal.
 func (s *server) findRequest(ctx context.Context, from uint64, id string) (HistoryReply, error) {
@@ -76,7 +99,8 @@
 		}
 		for _, entry := range entries {
 			if entry.Record.RequestID == id {
-				return HistoryReply{Entries: []control.Entry{entry}}, nil
+				entry.Record, err = s.withText(ctx, entry.Record, false)
+				return HistoryReply{Entries: []control.Entry{entry}}, err
 			}
 		}
 		if len(entries) < historyPage {
--- a/internal/operator/declaration.go
+++ b/internal/operator/declaration.go
@@ -120,7 +120,8 @@
 	if err != nil {
 		return err
 	}
-	if _, err := declaration.Check(a.File, text); err != nil {
+	doc, err := declaration.Check(a.File, text)
+	if err != nil {
 		return err
 	}
 	view, err := p.view(ctx)
@@ -132,6 +133,9 @@
 	if err != nil {
 		return err
 	}
+	if len(reply.Changes) == 0 { // as for a command that was found in the history
+		reply.Changes = declaration.Diff(view.Declaration, doc.Declaration)
+	}
 	return p.print(reply, func(w io.Writer) {
 		fmt.Fprintf(w, "proposed as %d by %s, digest %s\n", reply.Sequence, reply.Actor, reply.Digest)
 		writeChanges(w, reply.Changes)
--- a/internal/operator/history.go
+++ b/internal/operator/history.go
@@ -93,7 +93,7 @@
 func (p *Program) exportTo(ctx context.Context, from uint64, out io.Writer) (int, error) {
 	var proposals []control.Entry
 	decisions := map[uint64]string{}
-	err := p.eachEntry(ctx, from, func(entry control.Entry) {
+	err := p.eachEntry(ctx, from, true, func(entry control.Entry) {
 		switch rec := entry.Record; {
 		case rec.Proposed != nil:
 			proposals = append(proposals, entry)
--- a/internal/operator/proposals.go
+++ b/internal/operator/proposals.go
@@ -12,8 +12,12 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// pageSize is the number of history entries read at once.
-const pageSize = 500
+// Numbers of history entries read at once. With texts, which have up to 64 KiB
+// and may be longer, a page stays within what is read of a response.
+const (
+	pageSize         = 500
+	pageSizeWithText = 50
+)
 
 // chooseProposal returns the given proposal, or the only open one. Proposals
 // from before the last acceptance are superseded, so the search starts there.
@@ -22,7 +26,7 @@
 		return given, nil
 	}
 	open := map[uint64]string{}
-	err := p.eachEntry(ctx, view.AcceptedSequence+1, func(entry control.Entry) { trackOpen(open, entry) })
+	err := p.eachEntry(ctx, view.AcceptedSequence+1, false, func(entry control.Entry) { trackOpen(open, entry) })
 	if err != nil {
 		return 0, err
 	}
@@ -52,11 +56,16 @@
 	}
 }
 
-// eachEntry calls fn for the entries of the journal from a sequence to its end.
-func (p *Program) eachEntry(ctx context.Context, from uint64, fn func(control.Entry)) error {
+// eachEntry calls fn for the entries of the journal from a sequence to its
+// end, with or without the texts of declarations.
+func (p *Program) eachEntry(ctx context.Context, from uint64, texts bool, fn func(control.Entry)) error {
+	limit := pageSize
+	if texts {
+		limit = pageSizeWithText
+	}
 	for from != 0 {
 		var page adminapi.HistoryReply
-		if err := p.client.getAny(ctx, fmt.Sprintf("history?from=%d&limit=%d", from, pageSize), &page); err != nil {
+		if err := p.client.getAny(ctx, fmt.Sprintf("history?from=%d&limit=%d&texts=%t", from, limit, texts), &page); err != nil {
 			return err
 		}
 		for _, entry := range page.Entries {
