Classify a refused TLS connection as unavailable

Cause: a node that refuses the client certificate answers with a TLS alert, which a command reported as an unknown result. Change: an alert means that no request was read; the message names the certificate flags.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -185,6 +185,8 @@
 	switch {
 	case errors.As(err, &cert):
 		return model.Wrap(model.KindUnavailable, cert.Err, "set --ca to the authority of the nodes' certificates", "%s is not trusted", node)
+	case errors.As(err, &op) && op.Op == "remote error": // a TLS alert, so no request was read
+		return model.Wrap(model.KindUnavailable, err, "check --cert and --key, and that the node trusts their authority", "node %s refused the TLS connection", node)
 	case errors.As(err, &op) && op.Op == "dial", method == http.MethodGet:
 		return model.Wrap(model.KindUnavailable, err, remedy, "node %s did not answer", node)
 	}
