--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
+)
+
+// cpu returns the processor time that the process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func benchRef(i int) platform.AttemptRef {
+	return platform.AttemptRef{Task: model.TaskID(fmt.Sprintf("job-%012d-%03d", i, i%100)), Attempt: 1}
+}
+
+// canned answers every request with the same report.
+type canned struct{ data []byte }
+
+func (c canned) RoundTrip(r *http.Request) (*http.Response, error) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(c.data)), ContentLength: int64(len(c.data))}, nil
+}
+
+// BenchmarkCommand measures the bytes and the processor time of one command on
+// the owner's side: plan, encode, decode and apply, without sockets.
+func BenchmarkCommand(b *testing.B) {
+	for _, live := range []int{0, 1, 10, 40} {
+		for _, starts := range []int{0, 1, 10} {
+			b.Run(fmt.Sprintf("running=%d/starts=%d", live, starts), func(b *testing.B) { benchCommand(b, live, starts) })
+		}
+	}
+}
+
+func benchCommand(b *testing.B, live, starts int) {
+	var known []Known
+	report := platform.WorkerReport{Worker: "w", Session: "01234567-1", SessionTTL: DefaultSessionTTL}
+	for i := range live {
+		known = append(known, Known{AttemptRef: benchRef(i), Worker: "w"})
+		report.Running = append(report.Running, platform.RunningAttempt{AttemptRef: benchRef(i), Class: "plate-run", Used: unit, UsageAge: 5 * time.Second, Progress: 0.5})
+	}
+	data, err := json.Marshal(report)
+	if err != nil {
+		b.Fatal(err)
+	}
+	api := httpapi.NewWorkers(&http.Client{Transport: canned{data}})
+	c := NewCore(Config{Cell: "kzn-durban/0", Epoch: 7}, origin, known)
+	now := origin
+	c.SetWorkers(now, []platform.Host{{ID: "w", Addr: "10.1.2.3:7000"}})
+	begin := cpu()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(4 * time.Second) // every command renews
+		out := c.Plan(now, 1, true)[0]
+		for j := range starts {
+			out.Command.Starts = append(out.Command.Starts, platform.Start{
+				AttemptRef: benchRef(1000 + j), Class: "plate-run", Resources: unit, Lease: DefaultTaskLease, Payload: make([]byte, 100),
+			})
+		}
+		r, err := api.Command(b.Context(), out.Host, out.Command)
+		c.Done(now, out, r, err)
+		c.Events()
+	}
+	t := api.Traffic()
+	b.ReportMetric(float64(cpu()-begin)/1e3/float64(t.Messages), "cpu-us/op")
+	b.ReportMetric(float64(t.Sent)/float64(t.Messages), "sent-B/op")
+	b.ReportMetric(float64(t.Received)/float64(t.Messages), "received-B/op")
+}
+
+// steady is a worker that keeps a fixed number of attempts: each start replaces
+// the oldest one.
+type steady struct {
+	running []platform.RunningAttempt
+	ended   []platform.EndedAttempt
+}
+
+func (s *steady) apply(cmd platform.WorkerCommand) platform.WorkerReport {
+	if len(cmd.Ack) > 0 {
+		s.ended = s.ended[:0]
+	}
+	for _, st := range cmd.Starts {
+		s.ended = append(s.ended, platform.EndedAttempt{AttemptRef: s.running[0].AttemptRef, Outcome: model.OutcomeDone})
+		s.running = append(s.running[1:], platform.RunningAttempt{AttemptRef: st.AttemptRef, Class: st.Class, Used: st.Resources, UsageAge: 5 * time.Second, Progress: 0.5})
+	}
+	return platform.WorkerReport{Running: s.running, Ended: s.ended, Session: "01234567-123", SessionTTL: DefaultSessionTTL}
+}
+
+// BenchmarkNode measures a node in virtual time: one operation is one second of a
+// node that owns the workers, each with 12 attempts and 0.115 starts a second,
+// which is the share of one worker at the size in section 2.6.
+func BenchmarkNode(b *testing.B) {
+	for _, workers := range []int{48, 160, 1050} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchNode(b, workers) })
+	}
+}
+
+func benchNode(b *testing.B, workers int) {
+	const live, startsPerSecond = 12, 0.115
+	var known []Known
+	hosts, states, next := []platform.Host{}, map[string]*steady{}, 0
+	for w := range workers {
+		h := platform.Host{ID: fmt.Sprintf("worker-%06d", w), Addr: "10.1.2.3:7000"}
+		hosts, states[h.ID] = append(hosts, h), &steady{}
+		for range live {
+			known = append(known, Known{AttemptRef: benchRef(next), Worker: model.WorkerID(h.ID)})
+			states[h.ID].running = append(states[h.ID].running, platform.RunningAttempt{AttemptRef: benchRef(next), Class: "plate-run", Used: unit, UsageAge: 5 * time.Second, Progress: 0.5})
+			next++
+		}
+	}
+	c := NewCore(Config{Cell: "kzn-durban/0", Epoch: 7}, origin, known)
+	c.SetWorkers(origin, hosts)
+	var sent, received, messages int
+	owed, second := 0.0, 0
+	begin := cpu()
+	for b.Loop() {
+		now := origin.Add(time.Duration(second) * time.Second)
+		end := now.Add(time.Second)
+		second++
+		for owed += startsPerSecond * float64(workers); owed >= 1; owed-- {
+			next++
+			s := platform.Start{AttemptRef: benchRef(next), Class: "plate-run", Resources: unit, Payload: make([]byte, 100)}
+			if err := c.Start(now, model.WorkerID(hosts[next%workers].ID), s); err != nil {
+				b.Fatal(err)
+			}
+		}
+		for due, ok := c.NextDue(); ok && due.Before(end); due, ok = c.NextDue() {
+			if due.After(now) {
+				now = due
+			}
+			for _, out := range c.Plan(now, workers, true) {
+				cmd, _ := json.Marshal(out.Command)
+				r := states[out.Host.ID].apply(out.Command)
+				r.Worker = model.WorkerID(out.Host.ID)
+				rep, _ := json.Marshal(r)
+				var decoded platform.WorkerReport
+				if err := json.Unmarshal(rep, &decoded); err != nil {
+					b.Fatal(err)
+				}
+				messages, sent, received = messages+1, sent+len(cmd), received+len(rep)
+				c.Done(now, out, decoded, nil)
+			}
+			for _, e := range c.Events() {
+				if e.Kind == EventEnded {
+					c.Ack(e.Ref)
+				}
+			}
+		}
+	}
+	n := float64(second)
+	b.ReportMetric(float64(messages)/n, "messages/s")
+	b.ReportMetric(float64(sent)/n, "sent-B/s")
+	b.ReportMetric(float64(received)/n, "received-B/s")
+	b.ReportMetric(float64(cpu()-begin)/1e4/n/1e3, "core-%")
+}
--- a/internal/platform/httpapi/services.go
+++ b/internal/platform/httpapi/services.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/platform"
@@ -191,8 +193,19 @@
 	return out.Hosts, nil
 }
 
+// Traffic counts the exchanges of a client. Bytes are those of the bodies; the
+// HTTP headers add about 250 bytes to each exchange.
+type Traffic struct {
+	Messages uint64
+	Sent     uint64
+	Received uint64
+}
+
 // Workers sends commands to workers at the addresses in the host list.
-type Workers struct{ e endpoint }
+type Workers struct {
+	e                        endpoint
+	messages, sent, received atomic.Uint64
+}
 
 var _ platform.WorkerAPI = (*Workers)(nil)
 
@@ -201,14 +214,26 @@
 	return &Workers{e: newEndpoint("worker", "", client)}
 }
 
+// Traffic returns the counts so far.
+func (w *Workers) Traffic() Traffic {
+	return Traffic{Messages: w.messages.Load(), Sent: w.sent.Load(), Received: w.received.Load()}
+}
+
 // Command sends cmd once. KindFenced means that nothing was carried out.
 func (w *Workers) Command(ctx context.Context, host platform.Host, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
 	e := w.e
 	e.base, e.name = "http://"+host.Addr, "worker "+host.ID
 	var report platform.WorkerReport
-	data, err := e.writeJSON(ctx, PathCommand, cmd, MaxReportSize)
+	body, err := json.Marshal(cmd)
+	if err != nil {
+		return report, e.invalid(err)
+	}
+	w.messages.Add(1)
+	w.sent.Add(uint64(len(body)))
+	data, err := e.write(ctx, http.MethodPost, PathCommand, contentJSON, body, MaxReportSize)
 	if err != nil {
 		return report, err
 	}
+	w.received.Add(uint64(len(data)))
 	return report, e.decode(data, &report, model.KindUnknown)
 }
