--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -224,22 +224,19 @@
 }
 
 // sampleBeats returns beats of random peers that are not suspect; those of
-// suspects are no news.
+// suspects are no news. It shuffles only as far as it needs.
 func (s *Service) sampleBeats(limit int) []beat {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	horizon := s.cfg.Now().Add(-s.suspectAfter())
-	var fresh []*peer
-	for _, p := range s.peers {
-		if p.Incarnation > 0 && p.heard().After(horizon) {
-			fresh = append(fresh, p)
-		}
-	}
-	slices.SortFunc(fresh, func(a, b *peer) int { return strings.Compare(string(a.Node), string(b.Node)) })
-	s.rng.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
+	limit = min(limit, maxBeats)
 	var out []beat
-	for _, p := range fresh[:max(0, min(len(fresh), limit, maxBeats))] {
-		out = append(out, beat{p.Node, p.Incarnation, p.beat})
+	for i := 0; i < len(s.order) && len(out) < limit; i++ {
+		j := i + s.rng.IntN(len(s.order)-i)
+		s.order[i], s.order[j] = s.order[j], s.order[i]
+		if p := s.order[i]; p.Incarnation > 0 && p.heard().After(horizon) {
+			out = append(out, beat{p.Node, p.Incarnation, p.beat})
+		}
 	}
 	return out
 }
@@ -305,6 +302,7 @@
 	if p == nil {
 		p = &peer{Peer: Peer{Node: id, State: StateLive}, known: now}
 		s.peers[id] = p
+		s.order = append(s.order, p)
 	}
 	return p
 }
@@ -324,12 +322,14 @@
 		p.Addr, p.DataCentre, p.Member = m.Addr, m.DataCentre, true
 	}
 	horizon := now.Add(-s.suspectAfter())
-	for id, p := range s.peers {
-		p.Member = members[id]
-		if !p.Member && p.heard().Before(horizon) {
-			delete(s.peers, id)
+	s.order = slices.DeleteFunc(s.order, func(p *peer) bool {
+		p.Member = members[p.Node]
+		gone := !p.Member && p.heard().Before(horizon)
+		if gone {
+			delete(s.peers, p.Node)
 		}
-	}
+		return gone
+	})
 	s.dropLinks(addrs)
 }
 
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -61,6 +61,7 @@
 	leaving  bool
 	beat     uint64
 	peers    map[model.NodeID]*peer
+	order    []*peer // the values of peers, in an order that sampling permutes
 	addr     string
 }
 
