Bound handlers and probes, revive stand-in workers

Cause: handlers outlived a stopped service; workers that hang could hold all commands in flight; tests had no way to replace a dead worker. Change: handlers end with Run and refusals slow the sender down; at most half of the commands in flight go to workers that did not answer the last one; ReviveWorker starts a new process under the old id. Benchmarks separate full from short reports.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -32,7 +32,7 @@
 // canned answers every request with the same report.
 type canned struct{ data []byte }
 
-func (c canned) RoundTrip(r *http.Request) (*http.Response, error) {
+func (c *canned) RoundTrip(r *http.Request) (*http.Response, error) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(c.data)), ContentLength: int64(len(c.data))}, nil
 }
@@ -42,12 +42,13 @@
 func BenchmarkCommand(b *testing.B) {
 	for _, live := range []int{0, 1, 10, 40} {
 		for _, starts := range []int{0, 1, 10} {
-			b.Run(fmt.Sprintf("running=%d/starts=%d", live, starts), func(b *testing.B) { benchCommand(b, live, starts) })
+			b.Run(fmt.Sprintf("running=%d/starts=%d", live, starts), func(b *testing.B) { benchCommand(b, live, starts, 1) })
 		}
+		b.Run(fmt.Sprintf("running=%d/unchanged", live), func(b *testing.B) { benchCommand(b, live, 0, 1<<60) })
 	}
 }
 
-func benchCommand(b *testing.B, live, starts int) {
+func benchCommand(b *testing.B, live, starts int, fullReport time.Duration) {
 	var known []Known
 	report := platform.WorkerReport{Worker: "w", Session: "01234567-1", SessionTTL: DefaultSessionTTL}
 	for i := range live {
@@ -58,10 +59,18 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	api := httpapi.NewWorkers(&http.Client{Transport: canned{data}})
-	c := NewCore(Config{Cell: "kzn-durban/0", Epoch: 7}, origin, known)
+	transport := &canned{data}
+	api := httpapi.NewWorkers(&http.Client{Transport: transport})
+	c := NewCore(Config{Cell: "kzn-durban/0", Epoch: 7, FullReport: fullReport}, origin, known)
 	now := origin
 	c.SetWorkers(now, []platform.Host{{ID: "w", Addr: "10.1.2.3:7000"}})
+	if fullReport > 1 {
+		c.Done(now, c.Plan(now, 1, true)[0], report, nil)
+		report.Running, report.Unchanged = nil, true
+		if transport.data, err = json.Marshal(report); err != nil {
+			b.Fatal(err)
+		}
+	}
 	begin := cpu()
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -73,6 +73,7 @@
 	blockedUntil time.Time
 	failures     int
 	inFlight     bool
+	probe        bool // the command in flight counts in Core.probing
 	due          time.Time
 	index        int // position in the heap, or -1
 }
@@ -88,6 +89,7 @@
 	schedule  dueHeap
 	events    []Event
 	fenced    bool
+	probing   int // commands in flight to workers that failed to answer the last one
 	stats     Stats
 	lostAfter time.Duration
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -246,6 +246,32 @@
 	require.Equal(t, DefaultMinInterval, s.now.Sub(before))
 }
 
+// Guards against workers that hang holding all commands in flight, so that those
+// that answer get none.
+func TestSilentWorkersLeaveRoom(t *testing.T) {
+	c := NewCore(Config{Cell: "c", Epoch: 1, Concurrency: 4}, origin, nil)
+	var hosts []platform.Host
+	for i := range 10 {
+		id := string(rune('a' + i))
+		hosts = append(hosts, platform.Host{ID: id, Addr: id})
+	}
+	c.SetWorkers(origin, hosts)
+	for _, out := range c.Plan(origin, len(hosts), true) {
+		if out.Host.ID != "j" {
+			c.Done(origin, out, platform.WorkerReport{}, errUnknown)
+		} else {
+			c.Done(origin, out, platform.WorkerReport{Worker: "j"}, nil)
+		}
+	}
+	later := origin.Add(time.Minute)
+	var planned []string
+	for _, out := range c.Plan(later, 4, true) {
+		planned = append(planned, out.Host.ID)
+	}
+	require.Len(t, planned, 3)
+	require.Contains(t, planned, "j")
+}
+
 // Guards against orders that are not delivered, or delivered again for ever.
 func TestOrdersAreDeliveredOnce(t *testing.T) {
 	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -27,6 +27,10 @@
 			c.reschedule(w, now.Add(c.cfg.FastPoll))
 			continue
 		}
+		if w.failures > 0 && c.probing >= max(1, c.cfg.Concurrency/probeShare) {
+			c.reschedule(w, now.Add(c.cfg.FastPoll))
+			continue
+		}
 		out = append(out, c.command(now, w, mayStart))
 	}
 	return out
@@ -103,6 +107,10 @@
 		w.blockedUntil = now.Add(c.cfg.FastPoll)
 	}
 	c.shorten(now, w, &cmd)
+	if w.failures > 0 {
+		w.probe = true
+		c.probing++
+	}
 	w.inFlight, w.lastSent = true, now
 	return Outgoing{Host: w.host, Command: cmd, sentAt: now}
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -21,6 +21,10 @@
 		return
 	}
 	w.inFlight = false
+	if w.probe {
+		w.probe = false
+		c.probing--
+	}
 	if err == errWithheld {
 		c.reschedule(w, now.Add(c.cfg.FastPoll))
 		return
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -40,6 +40,10 @@
 	DefaultConcurrency = 64
 	// DefaultStartTimeout is when a start that was never sent is given back.
 	DefaultStartTimeout = 3 * time.Second
+	// probeShare is the divisor of Concurrency for commands to workers that did not
+	// answer the last one: many of them would otherwise hold all commands in flight
+	// for the command timeout, and delay starts elsewhere.
+	probeShare = 2
 	// maxStartsPerCommand bounds the size of one command.
 	maxStartsPerCommand = 64
 	// maxFailureShift bounds the backoff of an unreachable worker at 2^4 intervals.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -236,7 +236,13 @@
 		return nil, nil
 	})
 	hold := make(chan struct{})
-	b.Handle("test.hang", func(context.Context, json.RawMessage) (any, error) { <-hold; return nil, nil })
+	b.Handle("test.hang", func(ctx context.Context, _ json.RawMessage) (any, error) {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+		}
+		return nil, nil
+	})
 	defer close(hold)
 
 	err := a.Call(t.Context(), b.addr, "test.fail", 1, nil)
@@ -267,6 +273,25 @@
 	require.Equal(t, model.KindUnavailable, model.KindOf(a.Call(t.Context(), b.addr, "test.echo", 1, nil)))
 }
 
+// Guards against a peer that makes a node run any number of requests at once.
+func TestHandlersAreBounded(t *testing.T) {
+	n, nodes := cluster(t, 1)
+	busy := n.start("busy", "127.0.0.1:0", func(c *Config) { c.Handlers = 1 })
+	entered, hold := make(chan struct{}), make(chan struct{})
+	busy.Handle("test.hang", func(context.Context, json.RawMessage) (any, error) {
+		entered <- struct{}{}
+		<-hold
+		return nil, nil
+	})
+	first := make(chan error, 1)
+	go func() { first <- nodes[0].Call(t.Context(), busy.addr, "test.hang", 1, nil) }()
+	<-entered
+	err := nodes[0].Call(t.Context(), busy.addr, "test.hang", 1, nil)
+	require.Equal(t, model.KindExhausted, model.KindOf(err))
+	close(hold)
+	require.NoError(t, <-first)
+}
+
 // Guards against a peer that stops a node or fills its memory with messages that
 // are malformed, oversize or of the wrong type.
 func TestMalformedMessages(t *testing.T) {
--- a/internal/membership/rpc.go
+++ b/internal/membership/rpc.go
@@ -305,34 +305,38 @@
 	s.handlers[method] = h
 }
 
-var errorBusy = model.Errorf(model.KindExhausted, "retry later", "node handles too many requests")
+var errorBusy = model.Errorf(model.KindExhausted, "retry later", "node handles too many requests or is stopping")
 
-// serve executes a request in one of a bounded number of goroutines.
+// serve executes a request in one of a bounded number of goroutines. It runs on
+// the goroutine that reads from the connection; a refusal is written there too,
+// so that a peer that floods the node has to wait.
 func (s *Service) serve(rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if e := s.begin(rpc, req); e != nil && !req.Notif {
+		_ = rpc.ReplyWithError(s.base, req.ID, e) // fails when the connection is gone
+	}
+}
+
+// begin starts the execution of a request, or returns the reason of refusal.
+func (s *Service) begin(rpc *jsonrpc2.Conn, req *jsonrpc2.Request) *jsonrpc2.Error {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	h := s.handlers[req.Method]
-	s.mu.Unlock()
-	if h == nil {
-		if req.Notif {
-			return
-		}
-		_ = rpc.ReplyWithError(context.Background(), req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"})
-		return
+	switch {
+	case h == nil:
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
+	case s.closed || len(s.slots) == cap(s.slots):
+		return rpcError(errorBusy)
 	}
-	select {
-	case s.slots <- struct{}{}:
-	default:
-		_ = rpc.ReplyWithError(context.Background(), req.ID, rpcError(errorBusy))
-		return
-	}
-	go func() {
+	s.slots <- struct{}{} // has room: only begin adds, under the lock
+	s.closing.Go(func() {
 		defer func() { <-s.slots }()
 		s.execute(rpc, req, h)
-	}()
+	})
+	return nil
 }
 
 func (s *Service) execute(rpc *jsonrpc2.Conn, req *jsonrpc2.Request, h Handler) {
-	ctx, cancel := context.WithTimeout(context.Background(), handlerTimeout)
+	ctx, cancel := context.WithTimeout(s.base, handlerTimeout)
 	defer cancel()
 	var params json.RawMessage
 	if req.Params != nil {
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -49,6 +49,9 @@
 	keys    *keyStore // nil for plaintext
 	metrics metrics
 	slots   chan struct{}
+	// base ends when Run does; closing waits for connections and handlers.
+	base    context.Context
+	stop    context.CancelFunc
 	closing sync.WaitGroup
 
 	mu       sync.Mutex
@@ -75,6 +78,7 @@
 		handlers: map[string]Handler{}, links: map[string]*link{},
 		conns: map[*jsonrpc2.Conn]struct{}{}, peers: map[model.NodeID]*peer{}, addr: cfg.Addr,
 	}
+	s.base, s.stop = context.WithCancel(context.Background())
 	if !cfg.Plaintext {
 		keys, err := newKeyStore(cfg.TLS, cfg.Log)
 		if err != nil {
@@ -95,8 +99,8 @@
 	h.s.serve(c, req)
 }
 
-// Listen opens the listener; Run calls it when it has not been called. It
-// returns the address, which tells the port when the settings leave it open.
+// Listen opens the listener for Run at the address in the settings. KindInvalid
+// means that the address cannot be used.
 func (s *Service) Listen() (net.Listener, error) {
 	ln, err := net.Listen("tcp", s.cfg.Listen)
 	if err != nil {
@@ -187,6 +191,7 @@
 func (s *Service) close() {
 	s.mu.Lock()
 	s.closed = true
+	s.stop()
 	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
--- a/internal/platform/httpapi/httpapi_test.go
+++ b/internal/platform/httpapi/httpapi_test.go
@@ -308,4 +308,15 @@
 	require.NoError(t, err)
 	require.Equal(t, hosts[0].ID, string(report.Worker))
 	require.Equal(t, 2*time.Second, report.SessionTTL)
+
+	id := model.WorkerID(hosts[0].ID)
+	require.Error(t, p.ReviveWorker(id))
+	p.KillWorker(id)
+	_, err = httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], platform.WorkerCommand{Cell: "c", Epoch: 1})
+	require.Equal(t, model.KindUnavailable, model.KindOf(err))
+	require.NoError(t, p.ReviveWorker(id))
+	hosts, err = httpapi.NewHostList(p.URL(), nil).Hosts(t.Context())
+	require.NoError(t, err)
+	_, err = httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], platform.WorkerCommand{Cell: "c", Epoch: 1})
+	require.NoError(t, err)
 }
--- a/internal/platform/standin/platform.go
+++ b/internal/platform/standin/platform.go
@@ -193,6 +193,31 @@
 	}
 }
 
+// ReviveWorker replaces a killed worker by a new process under the same id, at a
+// new address, and updates the host list.
+func (p *Platform) ReviveWorker(id model.WorkerID) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.workers[id]
+	if old == nil || p.servers[string(id)] != nil {
+		return model.Errorf(model.KindInvalid, "kill the worker first", "worker %q", id)
+	}
+	w := NewWorker(old.cfg)
+	addr, err := p.serve(string(id), w, nil)
+	if err != nil {
+		w.Close()
+		return err
+	}
+	p.workers[id] = w
+	for i := range p.hosts {
+		if p.hosts[i].ID == string(id) {
+			p.hosts[i].Addr = addr
+			p.list.Set(p.hosts[i])
+		}
+	}
+	return nil
+}
+
 func (p *Platform) startStore() error {
 	mux := http.NewServeMux()
 	mux.Handle("/v1/table/", p.table)
@@ -267,8 +292,8 @@
 		ID: id, Service: s.Name, Slots: s.Slots, Connections: s.Connections, Time: s.Time,
 		Ledger: p.ledger, Faults: p.faults, Seed: p.shape.Seed + uint64(len(p.runners)),
 	}
-	if w := p.workers[model.WorkerID(on.ID)]; w != nil {
-		cfg.Slowdown = func() float64 { return w.Slowdown(s.Name) }
+	if id := model.WorkerID(on.ID); p.workers[id] != nil {
+		cfg.Slowdown = func() float64 { return p.Worker(id).Slowdown(s.Name) }
 	}
 	r := NewRunner(cfg)
 	p.runners[id] = r
