--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -275,7 +275,7 @@
 	assert.Equal(t, "vpier 1.2.3\n", out.String())
 	out.Reset()
 	assert.Equal(t, ExitOK, p.Run(ctx, []string{"dev", "--help"}))
-	assert.Contains(t, out.String(), "[default: 30s, env: VPIER_DURATION]")
+	assert.Contains(t, out.String(), "[default: 6, env: VPIER_DEV_NODES]")
 	script, err := completionScript("zsh")
 	require.NoError(t, err)
 	assert.Contains(t, script, "drain) words=\"--reason --request-id")
