Let a gang's lost tasks rejoin the running rest

Change: returned tasks are placed together while the rest runs; after 30 s without a place, or when the data centre is out, the rest is evicted and the gang starts as a whole. The replay's gang check counts the tasks that run together, and still demands all unfinished tasks of the gang.

--- a/internal/replay/checks.go
+++ b/internal/replay/checks.go
@@ -97,7 +97,8 @@
 	}
 }
 
-// checkGangs checks that a batch places all unfinished tasks of a gang or none.
+// checkGangs checks that a batch places all waiting tasks of a gang or none,
+// and that the gang's other unfinished tasks run in the same cell.
 func (s *sim) checkGangs(o *owner, batch []cell.Record) {
 	placed := map[model.JobID]int{}
 	for _, r := range batch {
@@ -109,14 +110,20 @@
 		}
 	}
 	for id, n := range placed {
+		together := n
+		for _, t := range o.st.JobTasks(id) {
+			if t.State.HoldsWorker() {
+				together++
+			}
+		}
 		unfinished := 0
 		for _, t := range s.jobs[id] {
 			if t.done == 0 && !t.cancelled {
 				unfinished++
 			}
 		}
-		if n < unfinished && !o.st.JobCancelled(id) {
-			s.violate("gang", "job %s starts %d of %d tasks", id, n, unfinished)
+		if together < unfinished && !o.st.JobCancelled(id) {
+			s.violate("gang", "job %s starts %d tasks, %d of %d run together", id, n, together, unfinished)
 		}
 	}
 }
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -158,9 +158,10 @@
 	return m
 }
 
-// regroupGang queues a gang when all of its unfinished tasks are queued. When
-// only some returned to the queue, the rest is evicted, because the tasks of a
-// gang run together or not at all.
+// regroupGang queues the waiting tasks of a gang as one unit. Tasks that come
+// back while the rest of the gang runs rejoin it. When they find no place in
+// time, or the data centre is out, the rest is evicted so that the gang starts
+// or moves as a whole.
 func (s *Scheduler) regroupGang(id model.JobID) {
 	if u := s.gangs[id]; u != nil {
 		s.queue.remove(u)
@@ -170,14 +171,14 @@
 	if len(m.queued) == 0 || m.arrived < m.group {
 		return
 	}
-	for _, t := range m.live {
-		s.evict(t, "gang-restart")
+	if s.isOut() {
+		s.evictRest(id)
 	}
-	if len(m.live)+m.others > 0 {
+	if m.others > 0 || (s.isOut() && len(m.live) > 0) {
 		return
 	}
 	u := &unit{
-		tasks: m.queued, gang: true, urgency: m.queued[0].Spec.Urgency,
+		tasks: m.queued, gang: true, partial: len(m.live) > 0, urgency: m.queued[0].Spec.Urgency,
 		team: m.queued[0].Spec.Team, submitted: m.queued[0].SubmittedAt,
 	}
 	u.notBefore = s.latestRetry(m.queued)
@@ -185,6 +186,13 @@
 	s.queue.add(u, s.now)
 }
 
+// evictRest evicts the running tasks of a gang.
+func (s *Scheduler) evictRest(id model.JobID) {
+	for _, t := range s.members(id).live {
+		s.evict(t, "gang-restart")
+	}
+}
+
 func (s *Scheduler) latestRetry(tasks []*cell.Task) time.Time {
 	var at time.Time
 	for _, t := range tasks {
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -94,6 +94,9 @@
 	// HoldTime bounds how long a worker is held for urgent work after the
 	// evictions that make room for it. Default 15s.
 	HoldTime time.Duration
+	// GangWait is how long tasks that return to the queue may wait to rejoin
+	// their running gang before the whole gang is restarted. Default 30s.
+	GangWait time.Duration
 	// OverflowAfter is the waiting time after which a blocked unit moves to a
 	// cell that has room. Default 5s.
 	OverflowAfter time.Duration
@@ -127,6 +130,7 @@
 	setDefault(&c.RampTime, time.Minute)
 	setDefault(&c.QuarantineFailures, 5)
 	setDefault(&c.HoldTime, 15*time.Second)
+	setDefault(&c.GangWait, 30*time.Second)
 	setDefault(&c.OverflowAfter, 5*time.Second)
 	setDefault(&c.OverflowPerSecond, 20)
 	return c
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -92,6 +92,9 @@
 	for turns.Len() > 0 {
 		c := s.nextTurn(turns)
 		u := c.unit
+		if u.partial {
+			s.evictRest(u.tasks[0].Spec.Job)
+		}
 		to := s.destination(u, s.now.Sub(u.since) < s.cfg.OverflowAfter)
 		if to == nil || !s.spendMove(u) {
 			if c.unit = c.tq.after(u); to != nil || c.unit == nil {
--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -39,7 +39,7 @@
 func (s *Scheduler) overQuota(u *unit) turn {
 	quota, _ := s.quota.whole(u.team)
 	need := u.need()
-	if !need.Fits(quota) && s.quota.declared != nil {
+	if !need.Fits(quota) && !u.partial && s.quota.declared != nil {
 		if _, declared := s.quota.declared[u.team]; declared {
 			s.endUnrunnable(u, fmt.Sprintf("can never run: needs %s, the quota of team %s is %s", need, u.team, quota))
 			return turn{}
@@ -50,7 +50,7 @@
 	s.waiting(u, "quota")
 	share, _ := s.quota.limit(u.team)
 	home := s.homeCell(u.team)
-	if !need.Fits(share) && home != s.st.ID() && s.spendMove(u) {
+	if !need.Fits(share) && !u.partial && home != s.st.ID() && s.spendMove(u) {
 		s.transfer(u, home, "quota-home")
 	}
 	return turn{}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -237,6 +237,12 @@
 // blocked handles a unit that cannot start now and returns the searches spent.
 func (s *Scheduler) blocked(u *unit, reason string, searched bool) int {
 	s.waiting(u, reason)
+	if u.partial {
+		if s.now.Sub(u.since) >= s.cfg.GangWait {
+			s.evictRest(u.tasks[0].Spec.Job)
+		}
+		return 0
+	}
 	if s.resolveElsewhere(u) {
 		return 0
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -15,6 +15,9 @@
 type unit struct {
 	tasks   []*cell.Task
 	gang    bool
+	// partial is true while other tasks of the gang run; such a unit stays in
+	// the cell.
+	partial bool
 	urgency model.Urgency
 	team    model.TeamName
 	// submitted is the submission time in Unix milliseconds.
