Learn slopes from deviations from the mean over workers

Change: a sample's classes and its miss are taken as deviations from the recent mean over workers, so a movement that all workers share moves the baseline only. Throttles are relaxed several at a time, and the limit is 0.18.

--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -63,7 +63,7 @@
 	// batch work is added to its worker. Default 0.10.
 	SlowdownBudget float64
 	// SlowdownLimit is the measured slowdown, above 1, at which batch work on
-	// the worker is throttled even when the target is met. Default 0.20.
+	// the worker is throttled even when the target is met. Default 0.18.
 	SlowdownLimit float64
 	// RelaxBelow is the share of a limit below which throttling is relaxed; the
 	// gap to 1 is the hysteresis. Default 0.7.
@@ -119,7 +119,7 @@
 	setDefault(&c.ProbeMax, 10*time.Minute)
 	setDefault(&c.ProbeRun, time.Minute)
 	setDefault(&c.SlowdownBudget, 0.10)
-	setDefault(&c.SlowdownLimit, 0.20)
+	setDefault(&c.SlowdownLimit, 0.18)
 	setDefault(&c.RelaxBelow, 0.7)
 	setDefault(&c.RelaxSamples, 3)
 	setDefault(&c.MinThrottle, 25)
--- a/internal/scheduler/interference.go
+++ b/internal/scheduler/interference.go
@@ -45,6 +45,8 @@
 	// moves all workers alike, and slopes are to be learnt from the differences
 	// between workers. A cell of 16 workers gives some three samples a second.
 	baseRate = 0.3
+	// meanRate is the step of the mean over workers that samples are compared with.
+	meanRate = 0.03
 	// baseTrust lowers the step by the expected slowdown, so that the workers
 	// with least batch work determine the baseline.
 	baseTrust = 20.0
@@ -75,10 +77,46 @@
 type interference struct {
 	pairs map[pair]*estimate
 	bases map[model.ServiceName]*baseline
+	means map[model.ServiceName]*sampleMean
 }
 
 func newInterference() *interference {
-	return &interference{pairs: map[pair]*estimate{}, bases: map[model.ServiceName]*baseline{}}
+	return &interference{
+		pairs: map[pair]*estimate{}, bases: map[model.ServiceName]*baseline{},
+		means: map[model.ServiceName]*sampleMean{},
+	}
+}
+
+// sampleMean is the recent mean of a service's samples over all workers: the
+// share of each class, in order of first use, and the deviation from what was
+// expected. Slopes are learnt from what differs from it.
+type sampleMean struct {
+	mix  []share
+	miss float64
+}
+
+// deviations returns by how much each class's share in mix differs from the
+// mean, and moves the mean.
+func (a *sampleMean) deviations(mix []share) []share {
+	for _, c := range mix {
+		a.mix = addShare(a.mix, c.class, 0)
+	}
+	out := make([]share, len(a.mix))
+	for i := range a.mix {
+		now := partOf(mix, a.mix[i].class)
+		out[i] = share{a.mix[i].class, now - a.mix[i].part}
+		a.mix[i].part += meanRate * (now - a.mix[i].part)
+	}
+	return out
+}
+
+func partOf(mix []share, class model.ClassName) float64 {
+	for _, c := range mix {
+		if c.class == class {
+			return c.part
+		}
+	}
+	return 0
 }
 
 // mean returns the mean slope of the service over its classes, weighted by
@@ -173,17 +211,27 @@
 	if !known {
 		return
 	}
+	mean := m.means[s.service]
+	if mean == nil {
+		mean = &sampleMean{}
+		m.means[s.service] = mean
+	}
+	miss := min(max(ratio-m.predict(s.service, mix), -maxMiss), maxMiss)
+	differs := miss - mean.miss
+	mean.miss += meanRate * differs
+	m.learnSlopes(s.service, mean.deviations(mix), differs, now)
+}
+
+// learnSlopes moves the slopes of the classes whose share on the worker differs
+// from the mean.
+func (m *interference) learnSlopes(service model.ServiceName, diff []share, differs float64, now time.Time) {
 	norm := 0.0
-	for _, c := range mix {
+	for _, c := range diff {
 		norm += c.part * c.part
 	}
-	if norm < minPart*minPart {
-		return
-	}
-	miss := min(max(ratio-m.predict(s.service, mix), -maxMiss), maxMiss)
-	for _, c := range mix {
-		if c.part >= minPart {
-			m.step(pair{s.service, c.class}, miss*c.part/(norm+damping), c.part/math.Sqrt(norm), now)
+	for _, c := range diff {
+		if math.Abs(c.part) >= minPart {
+			m.step(pair{service, c.class}, differs*c.part/(norm+damping), math.Abs(c.part)/math.Sqrt(norm), now)
 		}
 	}
 }
@@ -270,6 +318,7 @@
 	}
 	s.model.pairs = map[pair]*estimate{}
 	s.model.bases = map[model.ServiceName]*baseline{}
+	s.model.means = map[model.ServiceName]*sampleMean{}
 	for _, p := range in.Pairs {
 		e := p.Estimate
 		s.model.pairs[p.Pair] = &e
--- a/internal/scheduler/protect.go
+++ b/internal/scheduler/protect.go
@@ -230,12 +230,13 @@
 	s.decide("throttle", string(t.Spec.ID), len(h.live), string(h.ID), reason)
 }
 
-// stepDown relaxes the throttle of the task that slows the services least,
-// unless the expected slowdown would exceed the limit again.
+// stepDown relaxes the throttles of tasks, those that slow the services least
+// first, as far as the expected slowdown stays well below the limit.
 func (s *Scheduler) stepDown(h *host) {
 	h.protection.good = 0
 	tasks := s.contributors(h)
 	slices.Reverse(tasks)
+	room := 1 + s.cfg.SlowdownLimit*s.cfg.RelaxBelow - s.model.worst(h, nil)
 	for _, t := range tasks {
 		run := h.run(t.Spec.ID)
 		if run.throttle == fullSpeed {
@@ -243,11 +244,11 @@
 		}
 		more := min(2*run.throttle, fullSpeed)
 		extra := s.contribution(h, t) * float64(more-run.throttle) / float64(run.throttle)
-		if s.model.worst(h, nil)+extra > 1+s.cfg.SlowdownLimit*s.cfg.RelaxBelow {
+		if extra > room {
 			continue
 		}
+		room -= extra
 		h.protection.steppedAt = s.now
 		s.throttle(h, t, more, "target-met")
-		return
 	}
 }
