--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -63,7 +63,7 @@
 	// batch work is added to its worker. Default 0.10.
 	SlowdownBudget float64
 	// SlowdownLimit is the measured slowdown, above 1, at which batch work on
-	// the worker is throttled even when the target is met. Default 0.20.
+	// the worker is throttled even when the target is met. Default 0.18.
 	SlowdownLimit float64
 	// RelaxBelow is the share of a limit below which throttling is relaxed; the
 	// gap to 1 is the hysteresis. Default 0.7.
@@ -94,6 +94,9 @@
 	// HoldTime bounds how long a worker is held for urgent work after the
 	// evictions that make room for it. Default 15s.
 	HoldTime time.Duration
+	// GangWait is how long tasks that return to the queue may wait to rejoin
+	// their running gang before the whole gang is restarted. Default 30s.
+	GangWait time.Duration
 	// OverflowAfter is the waiting time after which a blocked unit moves to a
 	// cell that has room. Default 5s.
 	OverflowAfter time.Duration
@@ -116,7 +119,7 @@
 	setDefault(&c.ProbeMax, 10*time.Minute)
 	setDefault(&c.ProbeRun, time.Minute)
 	setDefault(&c.SlowdownBudget, 0.10)
-	setDefault(&c.SlowdownLimit, 0.20)
+	setDefault(&c.SlowdownLimit, 0.18)
 	setDefault(&c.RelaxBelow, 0.7)
 	setDefault(&c.RelaxSamples, 3)
 	setDefault(&c.MinThrottle, 25)
@@ -127,6 +130,7 @@
 	setDefault(&c.RampTime, time.Minute)
 	setDefault(&c.QuarantineFailures, 5)
 	setDefault(&c.HoldTime, 15*time.Second)
+	setDefault(&c.GangWait, 30*time.Second)
 	setDefault(&c.OverflowAfter, 5*time.Second)
 	setDefault(&c.OverflowPerSecond, 20)
 	return c
