Report an unknown result when nothing proves the contrary

Cause: three answers passed for proof that nothing was changed: an error of Append without a kind, a load balancer's 502 to a command, and a refusal by another node after the first answer was lost.

--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -125,6 +125,11 @@
 	assert.Equal(t, 409, code)
 	assert.Contains(t, bad.Message, "ben was first: took data centre b out of service")
 	assert.Equal(t, uint64(6), bad.Winner.Sequence)
+
+	a.control.unkind = true
+	code, reply, bad = a.command("data-centres/b/in", DataCentreRequest{Command{"request-6", 6}, ""})
+	require.Equal(t, 200, code, bad)
+	assert.Equal(t, uint64(7), reply.Sequence, "an error without a kind proves nothing")
 }
 
 // Guards against request ids that take effect twice, data centres that are all
--- a/internal/adminapi/command.go
+++ b/internal/adminapi/command.go
@@ -162,7 +162,7 @@
 // answer of not written cannot be given from a read that finds nothing,
 // because the write may still be under way.
 func (s *server) resolve(ctx context.Context, cmd command, cause error) (CommandReply, error) {
-	if !model.IsKind(cause, model.KindUnknown) && ctx.Err() == nil {
+	if notWritten(cause) && ctx.Err() == nil {
 		return CommandReply{}, cause
 	}
 	for range unknownReads {
@@ -181,6 +181,16 @@
 		"ask vpier history for the request id, or repeat the command with the same request id", "request %s may have taken effect", cmd.RequestID)
 }
 
+// notWritten reports whether an error of Append proves that nothing was
+// written. An error without a kind proves nothing.
+func notWritten(err error) bool {
+	switch model.KindOf(err) {
+	case model.KindUnknown, model.KindCorrupt, "":
+		return false
+	}
+	return true
+}
+
 // pause waits before the next look at the journal.
 func pause(ctx context.Context) error {
 	select {
--- a/internal/adminapi/fake_test.go
+++ b/internal/adminapi/fake_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
@@ -33,6 +34,8 @@
 	before func()
 	// loseAnswer makes the next append take effect without an answer.
 	loseAnswer bool
+	// unkind makes the next append fail without a kind after it took effect.
+	unkind bool
 }
 
 func (m *memControl) View() *control.View {
@@ -58,6 +61,10 @@
 		m.loseAnswer = false
 		return 0, model.Errorf(model.KindUnknown, "", "no answer")
 	}
+	if m.unkind {
+		m.unkind = false
+		return 0, errors.New("connection reset")
+	}
 	return entry.Sequence, nil
 }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -199,7 +199,7 @@
 	if err != nil {
 		return err
 	}
-	return decodeReply(node, res, reply)
+	return decodeReply(node, http.MethodGet, res, reply)
 }
 
 // getAny reads JSON from the first node that answers.
@@ -252,21 +252,22 @@
 }
 
 // decodeReply decodes a 200 response or returns the node's error.
-func decodeReply(node string, res response, reply any) error {
+func decodeReply(node, method string, res response, reply any) error {
 	if res.status != http.StatusOK {
-		return replyError(node, res)
+		return replyError(node, unexplainedKind(method, res.status), res)
 	}
 	if err := json.Unmarshal(res.body, reply); err != nil {
-		return model.Wrap(model.KindUnavailable, err, "check that the address is that of a node and that versions match", "%s sent something else than JSON", node)
+		return model.Wrap(unexplainedKind(method, res.status), err, "check that the address is that of a node and that versions match", "%s sent something else than JSON", node)
 	}
 	return nil
 }
 
-// replyError turns an error response into an error of its kind.
-func replyError(node string, res response) error {
+// replyError turns an error response into an error of the kind that it states,
+// or of the kind unexplained when it states none.
+func replyError(node string, unexplained model.Kind, res response) error {
 	var reply adminapi.ErrorReply
 	if err := json.Unmarshal(res.body, &reply); err != nil || reply.Kind == "" {
-		return model.Errorf(model.KindUnavailable, "check that the address is that of a node", "%s answered with HTTP status %d", node, res.status)
+		return model.Errorf(unexplained, "check that the address is that of a node", "%s answered with HTTP status %d", node, res.status)
 	}
 	if len(reply.Faults) > 0 {
 		return declaration.Faults(reply.Faults)
@@ -274,6 +275,27 @@
 	return model.Errorf(reply.Kind, reply.Remedy, "%s", reply.Message)
 }
 
+// unexplainedKind is the kind of a response that states none, as one of a load
+// balancer. A request that may change something may have reached a node.
+func unexplainedKind(method string, status int) model.Kind {
+	refused := status >= http.StatusMultipleChoices && status < http.StatusInternalServerError
+	if method == http.MethodGet || refused {
+		return model.KindUnavailable
+	}
+	return model.KindUnknown
+}
+
+// settles reports whether a result ends the search for a node. Once an answer
+// was lost, only a result that takes the lost request into account does: a
+// success, or a conflict after the node has looked for the request. Another
+// refusal, such as one of a node with other operators, says nothing about it.
+func settles(err, lost error) bool {
+	if err == nil || lost == nil {
+		return err == nil || !tryNext(err)
+	}
+	return model.IsKind(err, model.KindConflict)
+}
+
 // randomID returns 128 random bits as hexadecimal digits.
 func randomID() string {
 	var id [16]byte
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -42,7 +42,7 @@
 	var last, unknown error
 	for _, node := range p.client.nodes {
 		reply, err := p.sendCommand(ctx, node, path, data)
-		if err == nil || !tryNext(err) {
+		if settles(err, unknown) {
 			return reply, err
 		}
 		last = err
@@ -69,7 +69,7 @@
 	if err != nil {
 		return reply, err
 	}
-	return reply, decodeReply(node, res, &reply)
+	return reply, decodeReply(node, http.MethodPost, res, &reply)
 }
 
 // findCommand asks each node's history for the command. Finding nothing proves
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -170,6 +170,29 @@
 	assert.ErrorContains(t, err, "--request-id request-x --seen 3")
 }
 
+// Guards against a refusal by another node that hides a lost answer, and
+// against a load balancer's error that passes for one of the node.
+func TestUnknownResults(t *testing.T) {
+	r := newRig(t)
+	calls := 0
+	r.orders = func(w http.ResponseWriter, req *http.Request) {
+		if calls++; calls == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusUnauthorized)
+		_, _ = io.WriteString(w, `{"kind":"denied","message":"no","remedy":"ask"}`)
+	}
+	job := r.file("job.yaml", "team: t")
+	code, _, errs := r.run("--node", r.url, "submit", job)
+	assert.Equal(t, ExitUnknown, code, errs)
+	assert.GreaterOrEqual(t, calls, 2)
+	for status, want := range map[int]int{http.StatusBadGateway: ExitUnknown, http.StatusNotFound: ExitUnavailable} {
+		r.orders = func(w http.ResponseWriter, req *http.Request) { http.Error(w, "<html>", status) }
+		code, _, errs = r.run("cancel", "j")
+		assert.Equal(t, want, code, errs)
+	}
+}
+
 // Guards against waits that end before all nodes run the version or while work
 // is left, and against results that do not say what to do next.
 func TestWaiting(t *testing.T) {
--- a/internal/operator/orders.go
+++ b/internal/operator/orders.go
@@ -119,9 +119,9 @@
 	for _, node := range p.client.orders {
 		res, err := p.client.send(ctx, node, r)
 		if err == nil {
-			err = orderError(node, res)
+			err = orderError(node, r.method, res)
 		}
-		if err == nil || !tryNext(err) {
+		if settles(err, unknown) {
 			return res, err
 		}
 		last = err
@@ -136,15 +136,17 @@
 }
 
 // orderError returns the error that a response states, or nil.
-func orderError(node string, res response) error {
+func orderError(node, method string, res response) error {
 	outcome := model.Outcome(res.header.Get(headerOutcome))
 	switch {
 	case outcome == model.OutcomeUnknown:
 		return model.Errorf(model.KindUnknown, "repeat the command", "%s does not know the outcome", node)
 	case res.status >= 200 && res.status < 300:
 		return nil
+	case outcome == model.OutcomeNotRun:
+		return replyError(node, model.KindUnavailable, res)
 	}
-	return replyError(node, res)
+	return replyError(node, unexplainedKind(method, res.status), res)
 }
 
 // jsonBody returns a body that is JSON as it is, and any other as a JSON text.
