Report faults of content independently of each other

Cause: a trial mutation showed that a fault of a part, such as a dependency listed twice, hid a fault of the whole, such as a circle. Change: only faults of form hide faults of content. Conclusion: one run of check shows both.

--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -53,8 +53,9 @@
 	if doc == nil || doc.Declaration.isEmpty() && len(faults) > 0 {
 		return nil, faults.orNil()
 	}
+	form := faults
 	for _, fault := range doc.contentFaults() {
-		if !faults.cover(fault.Path) {
+		if !form.cover(fault.Path) {
 			faults = append(faults, fault)
 		}
 	}
--- a/internal/declaration/validate_test.go
+++ b/internal/declaration/validate_test.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// Guards against a fault of content that hides another one of its parts.
+func TestFaultsDoNotHideEachOther(t *testing.T) {
+	_, err := Check("f", []byte(base+"  - {name: x, runners: 1, depends_on: [y, y]}\n  - {name: y, runners: 1, depends_on: [x]}\n"))
+	assert.ErrorContains(t, err, "listed twice")
+	assert.ErrorContains(t, err, "x -> y -> x")
+}
+
 // Guards against texts that are not declarations reaching the YAML parser, and
 // against a reader that hangs or crashes on them.
 func TestEncodings(t *testing.T) {
