Keep the outcome of a lost attempt until its loss is durable

Cause: in a store outage the owner counted an attempt as lost, could not record it, and acknowledged the outcome that the worker reported later. A next owner would have found neither record nor report, and the checkpoint was lost. Change: an outcome is acknowledged only after the owner has acknowledged the loss. The state machine has store outages in which a former owner renews within the hold time, and delayed acknowledgement of epochs.

--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -129,6 +129,25 @@
 	require.Empty(t, s.c.Events())
 }
 
+// Guards against the outcome of an attempt that counts as lost being forgotten by
+// its worker before the loss is durable, as happened in a store outage.
+func TestOutcomeAfterLossStaysUntilDurable(t *testing.T) {
+	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
+	s.answer(s.plan(), running(first))
+	for s.c.attempts[first].phase != phaseEnded {
+		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, errUnknown)
+	}
+	late := platform.WorkerReport{Ended: []platform.EndedAttempt{{AttemptRef: first, Outcome: model.OutcomeDone}}}
+	for range 3 {
+		out := s.plan()
+		require.Empty(t, out.Command.Ack)
+		s.answer(out, late)
+	}
+	s.c.Ack(first)
+	s.answer(s.plan(), late)
+	require.Equal(t, []platform.AttemptRef{first}, s.plan().Command.Ack)
+}
+
 // Guards against starts on a worker that still runs what the owner does not know,
 // and against endings that nobody waits for staying on the worker.
 func TestUnknownAttemptsAreStoppedFirst(t *testing.T) {
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -54,6 +54,12 @@
 	core        *Core
 	lastAppend  time.Time
 	pausedUntil time.Time
+	// ackedAt is when a majority knows the epoch. Former owners may then have
+	// reports of a majority against it for the hold time.
+	ackedAt time.Time
+	// holding is true when the ownership lease ran out in a store outage, so that
+	// the owner renews as long as the rule for outages allows.
+	holding bool
 }
 
 // delivery is a command on its way.
@@ -80,6 +86,23 @@
 	owners   []*owner
 	traffic  []delivery
 	healed   bool
+	// outageUntil is when the store answers again.
+	outageUntil time.Time
+}
+
+func (m *machine) outage() bool { return m.now.Before(m.outageUntil) }
+
+// mayHold is the rule for renewals in a store outage: a majority has reported
+// within the hold time that it has no view either and knows no higher epoch.
+func (m *machine) mayHold(o *owner) bool {
+	if !o.holding {
+		return false
+	}
+	limit := m.outageUntil.Add(DefaultHold)
+	if o.epoch != m.epoch {
+		limit = m.owners[int(o.epoch)].ackedAt.Add(DefaultHold) // the next owner, as epochs count from 1
+	}
+	return m.now.Before(limit)
 }
 
 // local converts true time to the clock of a worker, which runs at its own rate.
@@ -133,8 +156,8 @@
 		}
 	}
 	o := &owner{epoch: m.epoch, lastAppend: m.now, core: NewCore(Config{Cell: "c", Epoch: m.epoch}, m.now, known)}
+	o.ackedAt = m.now.Add(m.duration("acknowledged", 3*time.Second))
 	o.core.SetWorkers(m.now, m.hosts)
-	o.core.SetEpochAcknowledged(m.now)
 	m.owners = append(m.owners, o)
 }
 
@@ -148,6 +171,9 @@
 
 // append makes a record durable, or fences the owner.
 func (m *machine) append(o *owner) bool {
+	if m.outage() {
+		return false
+	}
 	if o.epoch != m.epoch {
 		o.core.fenced = true
 		return false
@@ -161,8 +187,12 @@
 	if o.core.Fenced() || m.now.Before(o.pausedUntil) {
 		return
 	}
-	if m.now.Sub(o.lastAppend) > DefaultOwnershipLease/3 && !m.append(o) {
-		return
+	if !m.now.Before(o.ackedAt) {
+		o.core.SetEpochAcknowledged(o.ackedAt)
+	}
+	o.holding = o.holding && m.now.Sub(o.lastAppend) >= DefaultOwnershipLease || m.outage() && m.now.Sub(o.lastAppend) >= DefaultOwnershipLease
+	if !m.mayHold(o) && m.now.Sub(o.lastAppend) > DefaultOwnershipLease/3 {
+		m.append(o)
 	}
 	m.handle(o)
 	m.place(o)
@@ -176,7 +206,7 @@
 // between the two.
 func (m *machine) send(o *owner, out Outgoing) {
 	owns := m.now.Sub(o.lastAppend) < DefaultOwnershipLease
-	if !o.core.Release(m.now, &out, owns, owns) {
+	if !o.core.Release(m.now, &out, owns, owns || m.mayHold(o)) {
 		o.core.Done(m.now, out, platform.WorkerReport{}, Withheld())
 		return
 	}
@@ -244,6 +274,9 @@
 
 // handle makes events durable and acknowledges them.
 func (m *machine) handle(o *owner) {
+	if m.outage() || m.mayHold(o) {
+		return // events wait for the store
+	}
 	for _, e := range o.core.Events() {
 		switch e.Kind {
 		case EventEnded, EventLost, EventRejected:
@@ -276,6 +309,9 @@
 
 // place puts queued tasks on adopted workers with room.
 func (m *machine) place(o *owner) {
+	if m.mayHold(o) {
+		return
+	}
 	for _, id := range m.taskIDs() {
 		k := m.tasks[id]
 		w, ok := m.room(o)
@@ -315,7 +351,7 @@
 	k := m.tasks[ref.Task]
 	ref.Attempt = k.attempt
 	active := !o.core.Fenced() && !m.now.Before(o.pausedUntil) && k.worker != ""
-	switch rapid.SampledFrom([]string{"", "", "", "pause owner", "pause worker", "cut", "heal", "restart", "evict", "stop"}).Draw(m.t, "action") {
+	switch rapid.SampledFrom([]string{"", "", "", "pause owner", "pause worker", "cut", "heal", "restart", "outage", "evict", "stop"}).Draw(m.t, "action") {
 	case "pause owner":
 		o.pausedUntil = m.now.Add(m.duration("owner pause", 40*time.Second))
 	case "pause worker":
@@ -326,6 +362,10 @@
 	case "restart":
 		m.workers[id].Kill(m.local(id, m.now))
 		m.boot(id)
+	case "outage":
+		if !m.outage() {
+			m.outageUntil = m.now.Add(m.duration("outage", 60*time.Second))
+		}
 	case "cut":
 		m.cut[id] = true
 	case "heal":
@@ -354,7 +394,7 @@
 		m.workers[id].Advance(m.local(id, m.now))
 	}
 	m.deliver()
-	if m.now.Sub(m.appended) > withMargin(DefaultOwnershipLease) {
+	if !m.outage() && m.now.Sub(m.appended) > withMargin(DefaultOwnershipLease) {
 		m.takeOver()
 	}
 	for _, o := range m.owners {
@@ -367,8 +407,8 @@
 
 // Guards against two live attempts of a task, an attempt that runs twice, an
 // ending that is lost or recorded twice, and overcommitment, with owners and
-// workers that pause, answers that are lost, commands that arrive late, and
-// owners that take over from one another.
+// workers that pause, answers that are lost, commands that arrive late, store
+// outages in which a former owner renews, and owners that take over.
 func TestDispatchMachine(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newMachine(rt)
@@ -377,6 +417,7 @@
 			m.step(m.duration("dt", 1500*time.Millisecond))
 		}
 		m.healed = true
+		m.outageUntil = m.now
 		clear(m.cut)
 		for range 1000 {
 			m.step(150 * time.Millisecond)
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -157,8 +157,10 @@
 
 func (c *Core) ended(w *workerState, e platform.EndedAttempt) {
 	a := c.attempts[e.AttemptRef]
-	if a == nil || a.worker != w || a.lost {
-		// An outcome that nobody waits for; the worker may forget it.
+	if a == nil || a.worker != w {
+		// An outcome that nobody waits for; the worker may forget it. That of a
+		// lost attempt stays until the loss is durable, as the next owner would
+		// otherwise find neither.
 		w.acks[e.AttemptRef] = struct{}{}
 		return
 	}
