--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 	if err := n.buildPeers(); err != nil {
 		return err
 	}
+	n.metrics.Registry().MustRegister(newCollector(n))
 	return n.buildServers()
 }
 
