Use slow runners for the last waiters of a long queue

Cause: runners backed off as slow left their slots unused while requests were refused.

Change: once the queue's wait exceeds the typical latency, the last waiters go to slow backed-off runners that are expected to answer well before the deadline.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -103,8 +103,25 @@
 		}
 		c := a.take(now, w)
 		if c.Runner == nil {
+			break
+		}
+		a.queue.remove(w)
+		w.result <- grantResult{choice: c}
+	}
+	a.overflow(now)
+}
+
+// overflow sends the last waiters to slow runners that are backed off, once the
+// wait in the queue exceeds the typical latency. A slow answer beats a refusal, and
+// the slots of slow runners are missed when the others are full.
+func (a *admission) overflow(now time.Time) {
+	for time.Duration(a.queue.len())*a.spacing() > a.route.Typical() {
+		w := a.queue.last(func(*waiter) bool { return true })
+		c := a.route.Overflow(w.deadline.Sub(now))
+		if c.Runner == nil || !a.shares.Acquire(a.service, c.Runner.ID) {
 			return
 		}
+		a.route.Start(c.Runner)
 		a.queue.remove(w)
 		w.result <- grantResult{choice: c}
 	}
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -50,6 +50,8 @@
 	backoff  time.Duration
 	probeAt  time.Time
 	probing  bool
+	// slow is true when the runner answers, but too late.
+	slow bool
 }
 
 // judge updates r's back-off after a result. Slow and failed results back off.
@@ -63,7 +65,9 @@
 	} else {
 		r.out.failures = 0
 	}
-	if r.out.failures >= p.outlier.Failures || p.slow(r) {
+	failing := r.out.failures >= p.outlier.Failures
+	if failing || p.slow(r) {
+		r.out.slow = !failing
 		p.backOff(r, now)
 	}
 }
@@ -72,6 +76,7 @@
 // Results of requests sent before the back-off count as well.
 func (p *Pool) judgeProbe(r *Runner, now time.Time, latency time.Duration, failed bool) {
 	r.out.probing = false
+	r.out.slow = !failed
 	if failed || p.slowLatency(float64(latency)) {
 		r.out.backoff = min(2*r.out.backoff, p.outlier.Max)
 		r.out.probeAt = now.Add(p.jitter(r.out.backoff))
@@ -119,7 +124,7 @@
 	if p.outCount == 0 {
 		return nil
 	}
-	for _, r := range p.order {
+	for _, r := range p.outs {
 		due := r.out.active && !r.out.probing && !now.Before(r.out.probeAt)
 		if due && !r.leaving && r.inFlight < r.limit {
 			return r
@@ -128,6 +133,27 @@
 	return nil
 }
 
+// Overflow returns a free runner that is backed off because it is slow, for a
+// request that would otherwise wait long or be refused. No runner is returned when
+// there is none that is expected to answer within the given time.
+func (p *Pool) Overflow(within time.Duration) Choice {
+	var best *Runner
+	for _, r := range p.outs {
+		usable := r.out.active && r.out.slow && !r.leaving && r.inFlight < r.limit
+		if usable && overflowMargin*r.est.Mean() <= within && (best == nil || r.est.mean < best.est.mean) {
+			best = r
+		}
+	}
+	if best == nil {
+		return Choice{Reason: "no-overflow"}
+	}
+	return p.choose(best, "overflow")
+}
+
+// overflowMargin is the multiple of a slow runner's mean latency that must fit
+// before the deadline.
+const overflowMargin = 2
+
 // updateTypical recomputes the median of the runners' means.
 func (p *Pool) updateTypical() {
 	p.scratch = p.scratch[:0]
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -29,6 +29,8 @@
 	busy     int
 	slots    int
 	outCount int
+	// outs lists the backed-off runners; entries may have returned since.
+	outs []*Runner
 	typical  time.Duration
 	finished int
 	scratch  []float64
@@ -83,13 +85,14 @@
 
 // refresh recounts slots and outages after a change of runners or limits.
 func (p *Pool) refresh() {
-	p.slots, p.outCount = 0, 0
+	p.slots, p.outCount, p.outs = 0, 0, p.outs[:0]
 	for _, r := range p.order {
 		if r.leaving {
 			r.out = outage{}
 		}
 		if r.out.active {
 			p.outCount++
+			p.outs = append(p.outs, r)
 		}
 		if !r.leaving && !r.out.active {
 			p.slots += r.limit
