Raise the bar for slow runners with few samples, merge four seeds

Cause: with three samples, chance took healthy runners out. At 95% load one seed is too noisy to compare balancers.

Change: the slow factor is doubled at 8 samples and higher below. The benchmark merges seeds 1 to 4.

Measured: go test -run xxx -bench Balance -benchtime 1x ./internal/request.

--- a/internal/request/balance_bench_test.go
+++ b/internal/request/balance_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,26 +48,48 @@
 }
 
 // BenchmarkBalance reports latency quantiles for each scenario, load and balancer
-// from the queue model in virtual time, seed 1. Run it with -benchtime 1x.
+// from the queue model in virtual time, seeds 1 to 4 together. Run it with
+// -benchtime 1x.
 func BenchmarkBalance(b *testing.B) {
 	for _, s := range scenarios {
 		for _, load := range []float64{0.5, 0.8, 0.95} {
 			for _, c := range contenders {
 				b.Run(fmt.Sprintf("%s/load=%.0f%%/%s", s.name, load*100, c.name), func(b *testing.B) {
-					var m *queueModel
 					for b.Loop() {
-						m = newQueueModel(modelConfig{
+						report(b, runSeeds(modelConfig{
 							nodes: 8, balancer: c.balancer, plain: c.plain, hedge: c.hedge, load: load,
-							timeout: 5 * time.Second, length: 40 * time.Second, speed: s.speed, leaveAt: s.leaveAt, seed: 1,
-						}).run()
+							timeout: 5 * time.Second, length: 25 * time.Second, speed: s.speed, leaveAt: s.leaveAt,
+						}))
 					}
-					report(b, m)
 				})
 			}
 		}
 	}
 }
 
+// runSeeds runs seeds 1 to 4 side by side and merges their results.
+func runSeeds(cfg modelConfig) *queueModel {
+	models := make([]*queueModel, 4)
+	var wg sync.WaitGroup
+	for i := range models {
+		wg.Go(func() {
+			c := cfg
+			c.seed = uint64(i + 1)
+			models[i] = newQueueModel(c).run()
+		})
+	}
+	wg.Wait()
+	sum := models[0]
+	for _, m := range models[1:] {
+		sum.latency.Merge(m.latency)
+		sum.good += m.good
+		sum.offered += m.offered
+		sum.refused += m.refused
+		sum.extra += m.extra
+	}
+	return sum
+}
+
 // report prints the results of a run.
 func report(b *testing.B, m *queueModel) {
 	b.ReportMetric(m.quantile(50), "p50-ms")
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -11,7 +11,8 @@
 	Failures int
 	// SlowFactor is the multiple of the typical latency that backs off. Default 3.
 	SlowFactor float64
-	// SlowSamples is the number of samples needed to call a runner slow. Default 3.
+	// SlowSamples is the number of samples at which the factor has doubled; with few
+	// samples more is needed to call a runner slow. Default 8.
 	SlowSamples int
 	// Base and Max bound the back-off, which doubles with each failed probe.
 	// Defaults 1s and 30s.
@@ -29,7 +30,7 @@
 		c.SlowFactor = 3
 	}
 	if c.SlowSamples == 0 {
-		c.SlowSamples = 3
+		c.SlowSamples = 8
 	}
 	if c.Base == 0 {
 		c.Base = time.Second
@@ -88,9 +89,11 @@
 	p.place(r)
 }
 
-// slow reports whether r's mean is far above the typical latency.
+// slow reports whether r's mean is far above the typical latency. The bar is higher
+// with few samples: one or two long requests are no sign of a slow runner.
 func (p *Pool) slow(r *Runner) bool {
-	return r.est.samples >= p.outlier.SlowSamples && p.slowLatency(r.est.mean)
+	doubt := 1 + float64(p.outlier.SlowSamples)/float64(max(1, r.est.samples))
+	return p.slowLatency(r.est.mean / doubt)
 }
 
 // slowLatency reports whether d nanoseconds are far above the typical latency.
