Never wait for a busy runner

Cause: a runner shunned after one long request kept its slot idle and was never measured again.

Change: least expected completion takes the best of a few free runners; the wait rule is gone. Slow runners are left to the back-off.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -44,10 +44,10 @@
 }
 
 // take picks a runner for w and takes its slot. The choice has no runner when
-// none is free or waiting is better.
+// none is free.
 func (a *admission) take(now time.Time, w *waiter) routing.Choice {
 	for range 4 { // a lost slot lowers one limit; four misses mean a change of shares
-		c := a.route.Pick(now, routing.PickOptions{Waiting: a.queue.len(), Probe: w.probe, Exclude: w.exclude, NoWait: w.noWait})
+		c := a.route.Pick(now, routing.PickOptions{Probe: w.probe, Exclude: w.exclude})
 		if c.Runner == nil {
 			return c
 		}
@@ -135,7 +135,7 @@
 	if a.queue.len() > 0 {
 		return routing.Choice{Reason: "queue-not-empty"}
 	}
-	return a.take(now, &waiter{exclude: exclude, noWait: true})
+	return a.take(now, &waiter{exclude: exclude})
 }
 
 // finish returns a slot and hands it on.
--- a/internal/request/queue.go
+++ b/internal/request/queue.go
@@ -22,8 +22,6 @@
 	probe bool
 	// exclude is a runner that must not get the request again.
 	exclude model.RunnerID
-	// noWait takes the best free runner even if waiting looks better.
-	noWait bool
 	result  chan grantResult
 	index   int
 }
--- a/internal/routing/balancers.go
+++ b/internal/routing/balancers.go
@@ -1,7 +1,5 @@
 package routing
 
-import "time"
-
 // RoundRobin takes the free runners in turn. It is a baseline.
 type RoundRobin struct{ last int }
 
@@ -48,15 +46,12 @@
 	tailPart = 0.25
 	// loadPart scales the growth of latency with a runner's utilisation.
 	loadPart = 0.5
-	// waitMargin is the factor by which waiting must beat the best free runner. The
-	// estimates of equal runners differ by up to a factor of two, and at a margin of
-	// 1 requests waited for no reason (p50 57 ms instead of 44 ms at half load).
-	waitMargin = 3
 )
 
 // LeastExpected takes the runner with the least expected completion among a few
-// random free ones. It weighs latency, tail, own and peers' requests in flight,
-// and waits when a queued slot is expected to finish earlier.
+// random free ones. It weighs latency, tail, own and peers' requests in flight. It
+// never waits for a busy runner: slow runners are left to the back-off, and a
+// runner shunned for one long request would never be measured again.
 type LeastExpected struct {
 	// Choices is the number of runners compared. Default 6.
 	Choices int
@@ -65,22 +60,18 @@
 // Name returns "least-expected-completion".
 func (LeastExpected) Name() string { return "least-expected-completion" }
 
-// Pick returns the best of a few random candidates, or Wait.
+// Pick returns the best of a few random candidates.
 func (b LeastExpected) Pick(candidates []*Runner, s Situation) int {
 	choices := b.Choices
 	if choices <= 0 {
 		choices = defaultChoices
 	}
-	best, cost := b.best(candidates, s, choices)
-	if s.Typical > 0 && s.Busy > 0 && cost > waitMargin*waitCost(s) {
-		return Wait
-	}
-	return best
+	return cheapest(candidates, s, choices)
 }
 
-// best returns the cheapest of n distinct random candidates. Distinctness comes
+// cheapest returns the best of n distinct random candidates. Distinctness comes
 // from stepping through the list with a stride from a random start.
-func (b LeastExpected) best(candidates []*Runner, s Situation, n int) (int, float64) {
+func cheapest(candidates []*Runner, s Situation, n int) int {
 	size := len(candidates)
 	n = min(n, size)
 	start := s.Rand.IntN(size)
@@ -93,7 +84,7 @@
 			best, cost = i, c
 		}
 	}
-	return best, cost
+	return best
 }
 
 // expected returns the expected completion time of a request sent to r now.
@@ -119,13 +110,6 @@
 	return mean, max(mean, tail)
 }
 
-// waitCost returns the expected completion when the request waits for the next
-// slot of a typical runner instead.
-func waitCost(s Situation) float64 {
-	perSlot := float64(s.Typical) / float64(max(1, s.Slots))
-	return float64(s.Typical) + perSlot*float64(s.Waiting+1)
-}
-
 // New returns the balancer of the given name: least-expected-completion (also
 // for the empty name), round-robin or power-of-two. Nil means an unknown name.
 func New(name string) Balancer {
@@ -139,6 +123,3 @@
 	}
 	return nil
 }
-
-// Typical returns the wait before a hedge for latency estimates mean and tail.
-func hedgeDelay(tail, floor time.Duration) time.Duration { return max(tail, floor) }
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -30,7 +30,7 @@
 	slots    int
 	outCount int
 	// outs lists the backed-off runners; entries may have returned since.
-	outs []*Runner
+	outs     []*Runner
 	typical  time.Duration
 	finished int
 	scratch  []float64
@@ -154,14 +154,10 @@
 
 // PickOptions qualifies one Pick.
 type PickOptions struct {
-	// Waiting is the number of requests queued ahead.
-	Waiting int
 	// Probe allows a due probe of a backed-off runner.
 	Probe bool
 	// Exclude is a runner that the request has been sent to already.
 	Exclude model.RunnerID
-	// NoWait takes the best free runner even if waiting looks better.
-	NoWait bool
 }
 
 // Pick chooses a runner. The caller then reports Start, or SetLimits if the
@@ -180,14 +176,7 @@
 	if len(p.free) == 0 {
 		return Choice{Reason: "no-other-runner"}
 	}
-	s := Situation{Now: now, Waiting: o.Waiting, Busy: p.busy, Slots: p.slots, Typical: p.typical, Rand: p.rand}
-	if o.NoWait {
-		s.Busy = 0
-	}
-	i := p.balancer.Pick(p.free, s)
-	if i == Wait {
-		return Choice{Candidates: len(p.free), Reason: "wait-for-faster"}
-	}
+	i := p.balancer.Pick(p.free, Situation{Now: now, Typical: p.typical, Rand: p.rand})
 	return p.choose(p.free[i], p.balancer.Name())
 }
 
@@ -302,5 +291,5 @@
 
 // HedgeDelay returns how long to wait for r's answer before a hedge.
 func (p *Pool) HedgeDelay(r *Runner, floor time.Duration) time.Duration {
-	return hedgeDelay(r.est.Tail(), floor)
+	return max(r.est.Tail(), floor)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -15,28 +15,18 @@
 type Situation struct {
 	// Now is the time of the decision.
 	Now time.Time
-	// Waiting is the number of requests queued ahead of this one.
-	Waiting int
-	// Busy is the number of this node's requests in execution.
-	Busy int
-	// Slots is the number of slots that this node may use at runners in service.
-	Slots int
 	// Typical is the median of the runners' latency estimates; 0 when unknown.
 	Typical time.Duration
 	// Rand is the source of random choices.
 	Rand *rand.Rand
 }
 
-// Wait is returned by Balancer.Pick when waiting for another slot is expected to
-// complete the request earlier than any candidate would.
-const Wait = -1
-
 // Balancer chooses among runners with a free slot.
 type Balancer interface {
 	// Name identifies the balancer in decision logs.
 	Name() string
 	// Pick returns an index into candidates, which is not empty and is in no
-	// particular order, or Wait.
+	// particular order.
 	Pick(candidates []*Runner, s Situation) int
 }
 
