Add round robin in turn and steady service times to the benchmark

Cause: round robin that skips full runners is protected by the slot limits; the textbook form waits for the runner whose turn it is. Requests that ended at their deadline were left out of the quantiles.

--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -32,6 +32,8 @@
 	balancer       func() routing.Balancer
 	plain          bool // without back-off, as the textbook baselines
 	hedge          bool
+	inTurn         bool    // round robin that waits for the runner whose turn it is
+	sigma          float64 // of the service times; 0 takes modelSigma
 	load           float64 // offered load as a part of all slots
 	timeout        time.Duration
 	length         time.Duration
@@ -48,6 +50,9 @@
 	waiting []*modelRequest
 	used    map[model.RunnerID]int
 	limits  map[model.RunnerID]int
+	// turn and lines serve round robin in turn.
+	turn  int
+	lines map[int][]*modelRequest
 }
 
 func (n *modelNode) Limit(_ model.ServiceName, r model.RunnerID) int { return n.limits[r] }
@@ -115,6 +120,7 @@
 	good     int
 	offered  int
 	refused  int
+	late     int // ended by the deadline; their latency counts as the timeout
 	extra    int
 }
 
@@ -139,7 +145,7 @@
 
 // newNode builds a node with its share of each runner.
 func (m *queueModel) newNode(i int, id model.NodeID, members []model.NodeID) *modelNode {
-	n := &modelNode{used: map[model.RunnerID]int{}, limits: map[model.RunnerID]int{}}
+	n := &modelNode{used: map[model.RunnerID]int{}, limits: map[model.RunnerID]int{}, lines: map[int][]*modelRequest{}}
 	outlier := routing.OutlierConfig{}
 	if m.plain {
 		outlier = routing.OutlierConfig{Failures: math.MaxInt, SlowFactor: math.Inf(1)}
@@ -234,10 +240,17 @@
 	m.after(time.Duration(m.rand.ExpFloat64()/rate*float64(time.Second)), m.arrive)
 	n := m.nodes[m.rand.IntN(len(m.nodes))]
 	q := &modelRequest{node: n, arrived: m.now}
-	q.w = &waiter{deadline: m.clock().Add(m.timeout), caller: fmt.Sprint(m.rand.IntN(20)), probe: true, result: make(chan grantResult, 1)}
+	q.w = &waiter{index: -1, deadline: m.clock().Add(m.timeout), caller: fmt.Sprint(m.rand.IntN(20)), probe: true, result: make(chan grantResult, 1)}
 	if m.counts(q) {
 		m.offered++
 	}
+	if m.inTurn {
+		n.turn = (n.turn + 1) % m.runners
+		n.lines[n.turn] = append(n.lines[n.turn], q)
+		m.serveTurn(n, n.turn)
+		m.after(m.timeout, func() { m.expire(q) })
+		return
+	}
 	n.budget.Earn()
 	n.admission.arrive(m.clock(), q.w)
 	n.waiting = append(n.waiting, q)
@@ -245,6 +258,20 @@
 	m.after(m.timeout, func() { m.expire(q) })
 }
 
+// serveTurn starts the requests that wait for a runner in turn.
+func (m *queueModel) serveTurn(n *modelNode, i int) {
+	r := n.route.Runner(runnerName(i))
+	for len(n.lines[i]) > 0 && n.used[r.ID] < n.limits[r.ID] {
+		q := n.lines[i][0]
+		n.lines[i] = n.lines[i][1:]
+		if !q.done {
+			n.Acquire("", r.ID)
+			n.route.Start(r)
+			m.start(q, r)
+		}
+	}
+}
+
 // counts leaves out the warm-up.
 func (m *queueModel) counts(q *modelRequest) bool { return q.arrived > m.length/10 }
 
@@ -277,11 +304,14 @@
 	if q.done {
 		return
 	}
-	if q.node.cancel(q.w) || len(q.runs) == 0 {
-		m.refuse(q)
-		return
+	if m.counts(q) {
+		m.late++
+		_ = m.latency.RecordValue(int64(m.timeout / time.Microsecond))
 	}
 	q.done = true
+	if q.w.index >= 0 {
+		q.node.cancel(q.w)
+	}
 	m.endOthers(q, routing.Failure)
 }
 
@@ -292,8 +322,12 @@
 	m.inFlight[r.ID]++
 	var runner int
 	_, _ = fmt.Sscan(r.Addr, &runner)
+	sigma := m.sigma
+	if sigma == 0 {
+		sigma = modelSigma
+	}
 	mean := float64(modelMean) * m.speedOf(runner)
-	took := time.Duration(mean * math.Exp(modelSigma*m.rand.NormFloat64()-modelSigma*modelSigma/2))
+	took := time.Duration(mean * math.Exp(sigma*m.rand.NormFloat64()-sigma*sigma/2))
 	m.after(took, func() { m.complete(q, i) })
 	if i == 0 && m.hedge {
 		m.after(q.node.route.HedgeDelay(r, 20*time.Millisecond), func() { m.hedgeNow(q) })
@@ -351,6 +385,12 @@
 	r.ended = true
 	m.inFlight[r.runner.ID]--
 	q.node.finish(m.clock(), r.runner, m.now-r.started, result)
+	if m.inTurn {
+		var runner int
+		_, _ = fmt.Sscan(r.runner.Addr, &runner)
+		m.serveTurn(q.node, runner)
+		return
+	}
 	m.collect(q.node)
 }
 
