--- a/internal/journal/journaltest/store.go
+++ b/internal/journal/journaltest/store.go
@@ -34,6 +34,8 @@
 	Late time.Duration
 	// Delay passes before the operation takes effect.
 	Delay time.Duration
+	// Answer passes between the effect and the answer.
+	Answer time.Duration
 	// Stale hides the last commits from a read.
 	Stale int
 }
@@ -183,6 +185,7 @@
 		return model.Wrap(model.KindUnknown, ctx.Err(), "read", "%s", op.Name)
 	}
 	err := effect(fault)
+	time.Sleep(fault.Answer)
 	if fault.Lost {
 		return unknown
 	}
--- a/internal/ownership/cell.go
+++ b/internal/ownership/cell.go
@@ -134,7 +134,7 @@
 		return nil, err
 	}
 	// The rows before the acquire record may have been truncated meanwhile.
-	if err := verifyLate(ctx, f.log, entry.Sequence); err != nil {
+	if err := verify(ctx, f.log, entry.Sequence, false); err != nil {
 		f.positioned = false
 		return nil, err
 	}
--- a/internal/ownership/decide.go
+++ b/internal/ownership/decide.go
@@ -75,6 +75,35 @@
 	return !start.IsZero() && now.Sub(start) < lease
 }
 
+// AfterWrite decides what a writer does after its row was accepted. valid is
+// whether the lease under which the append began was still valid when the answer
+// came. Otherwise another node may have acquired the cell and truncated the
+// journal beyond the row, where a delayed put-if-absent succeeds without
+// belonging to the journal, so the rows after it must be read first.
+func AfterWrite(valid, headRead, rowsFollow bool) WriteVerdict {
+	switch {
+	case valid:
+		return WriteAccepted
+	case !headRead:
+		return WriteUnverified
+	case rowsFollow:
+		return WriteSuperseded
+	}
+	return WriteAccepted
+}
+
+// WriteVerdict is the outcome of AfterWrite.
+type WriteVerdict uint8
+
+const (
+	// WriteAccepted means that the row belongs to the journal.
+	WriteAccepted WriteVerdict = iota
+	// WriteUnverified means that the head of the journal must be read first.
+	WriteUnverified
+	// WriteSuperseded means that the writer is no longer the owner.
+	WriteSuperseded
+)
+
 // maxPollRank is the rank from which members do not poll a cell. The journal of
 // a cell is read by at most this many nodes, however many members there are.
 const maxPollRank = 8
--- a/internal/ownership/follower.go
+++ b/internal/ownership/follower.go
@@ -51,7 +51,13 @@
 	if err != nil {
 		return err
 	}
-	return f.absorb(entries, f.cfg.Now())
+	if err := f.absorb(entries, f.cfg.Now()); err != nil {
+		// Delayed puts may have filled sequences that were truncated before this
+		// node read them. The newest snapshot covers these sequences.
+		f.positioned = false
+		return f.position(ctx, warm)
+	}
+	return nil
 }
 
 // position recovers the cell's state and the ownership from the store, or with
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -266,7 +266,7 @@
 		if random.IntN(100) >= percent {
 			return f
 		}
-		switch random.IntN(5) {
+		switch random.IntN(6) {
 		case 0:
 			f.Down = true
 		case 1:
@@ -276,6 +276,8 @@
 		case 3:
 			f.Delay = time.Duration(random.Int64N(int64(12 * time.Second)))
 		case 4:
+			f.Answer = time.Duration(random.Int64N(int64(12 * time.Second)))
+		case 5:
 			if op.Name == "commit" {
 				f.Late = time.Duration(random.Int64N(int64(20 * time.Second)))
 			}
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -119,10 +119,8 @@
 	if _, err := o.log.Append(ctx, seq, b); err != nil {
 		return 0, err
 	}
-	if !LeaseValid(o.cfg.Lease, before, o.cfg.Now()) {
-		if err := verifyLate(ctx, o.log, seq); err != nil {
-			return 0, err
-		}
+	if err := verify(ctx, o.log, seq, LeaseValid(o.cfg.Lease, before, o.cfg.Now())); err != nil {
+		return 0, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -130,22 +128,25 @@
 	return seq, nil
 }
 
-// verifyRetry is the wait between failed reads of verifyLate.
+// verifyRetry is the wait between failed reads of verify.
 const verifyRetry = 200 * time.Millisecond
 
-// verifyLate checks an append that ended after the lease it began under. By then
-// another node may have acquired the cell and truncated the journal beyond seq,
-// where a delayed put-if-absent succeeds without belonging to the journal.
-func verifyLate(ctx context.Context, log *journal.Log, seq uint64) error {
+// verify applies AfterWrite to an accepted row. valid is whether the lease under
+// which the append began is still valid.
+func verify(ctx context.Context, log *journal.Log, seq uint64, valid bool) error {
+	headRead, rowsFollow := false, false
 	for {
-		err := log.VerifyHead(ctx, seq)
-		if err == nil {
+		switch AfterWrite(valid, headRead, rowsFollow) {
+		case WriteAccepted:
 			return nil
+		case WriteSuperseded:
+			return model.Errorf(model.KindUnknown, "read the cell's state from its current owner",
+				"journal %s continues after sequence %d; the records may be durable", log.Partition(), seq)
 		}
-		if model.IsKind(err, model.KindFenced) {
-			return model.Wrap(model.KindUnknown, err, "read the cell's state from its current owner", "the records may be durable")
-		}
-		if !sleep(ctx, verifyRetry) {
+		err := log.VerifyHead(ctx, seq)
+		rowsFollow = model.IsKind(err, model.KindFenced)
+		headRead = err == nil || rowsFollow
+		if !headRead && !sleep(ctx, verifyRetry) {
 			return model.Wrap(model.KindUnknown, err, "read the cell's state from its current owner", "the append could not be verified")
 		}
 	}
