--- a/internal/ownership/follower.go
+++ b/internal/ownership/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/journal"
@@ -21,9 +22,13 @@
 
 	positioned bool
 	obs        Observation
-	warm       bool
-	state      journal.Recovered
-	bytes      int
+	coldUntil  time.Time
+
+	// mu guards the state, which peers may read.
+	mu    sync.Mutex
+	warm  bool
+	state journal.Recovered
+	bytes int
 }
 
 func newFollower(cfg Config, cell model.CellID) *follower {
@@ -34,12 +39,16 @@
 // poll reads the rows after the last one seen. With warm, it makes sure that
 // the state is in memory.
 func (f *follower) poll(ctx context.Context, warm bool) error {
+	warm = warm && !f.cfg.Now().Before(f.coldUntil)
 	if !f.positioned || (warm && !f.warm) {
-		return f.position(ctx, warm)
+		err := f.position(ctx, warm)
+		f.limit()
+		return err
 	}
 	if !warm {
 		f.drop()
 	}
+	defer f.limit()
 	entries, err := f.log.Read(ctx, f.obs.Last+1, followPage)
 	if err == nil && len(entries) > 0 && entries[0].Sequence != f.obs.Last+1 {
 		err = model.Errorf(model.KindStale, "read the newest snapshot", "the journal was truncated")
@@ -72,7 +81,7 @@
 	f.obs = Observation{Last: rec.Snapshot.Sequence, Epoch: rec.Snapshot.Epoch, Owner: rec.Snapshot.Owner}
 	now := f.cfg.Now()
 	f.obs.SeenAt = now
-	f.warm, f.state.Snapshot = warm, rec.Snapshot
+	f.warmUp(warm, rec.Snapshot)
 	if err := f.absorb(rec.Tail, now); err != nil {
 		return err
 	}
@@ -90,15 +99,42 @@
 			return err
 		}
 		f.obs = obs
-		if f.warm {
-			f.state.Tail = append(f.state.Tail, e)
-			f.bytes += entryBytes(e)
-		}
 	}
+	f.keep(entries)
+	return nil
+}
+
+func (f *follower) warmUp(warm bool, snap journal.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.warm, f.state.Snapshot, f.bytes = warm, snap, len(snap.Data)
+}
+
+// keep adds entries to a warm state.
+func (f *follower) keep(entries []journal.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.warm {
+		return
+	}
+	for _, e := range entries {
+		f.bytes += entryBytes(e)
+	}
+	f.state.Tail = append(f.state.Tail, entries...)
+}
+
+// coldTime is how long a follower whose state was too large does not read it
+// again. By then the owner has usually saved a snapshot.
+const coldTime = time.Minute
+
+// limit gives the state up when it is too large to be kept for each cell that
+// this node follows. A node that acquires a cell needs the state whatever its
+// size, so acquire does not call it.
+func (f *follower) limit() {
 	if f.bytes > f.cfg.WarmBytes {
 		f.drop()
+		f.coldUntil = f.cfg.Now().Add(coldTime)
 	}
-	return nil
 }
 
 // entryOverhead is the memory of a cached entry besides its records, in bytes.
@@ -114,5 +150,7 @@
 
 // drop frees the state; the observation stays.
 func (f *follower) drop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.warm, f.state, f.bytes = false, journal.Recovered{}, 0
 }
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -39,6 +39,7 @@
 	store *journaltest.Store
 	nodes []*node
 	born  int
+	warm  int // Config.WarmBytes
 
 	mu    sync.Mutex
 	acked map[string]uint64 // record to sequence
@@ -60,8 +61,8 @@
 	applied map[uint64][]string
 }
 
-func newFleet(t require.TestingT, size int) *fleet {
-	f := &fleet{t: t, store: journaltest.New(), acked: map[string]uint64{}, seqs: map[uint64]model.NodeID{}}
+func newFleet(t require.TestingT, size, warm int) *fleet {
+	f := &fleet{t: t, warm: warm, store: journaltest.New(), acked: map[string]uint64{}, seqs: map[uint64]model.NodeID{}}
 	for range size {
 		f.nodes = append(f.nodes, f.start())
 	}
@@ -74,7 +75,7 @@
 	id := model.NodeID(fmt.Sprintf("n%d", f.born))
 	n := &node{f: f, id: id, access: f.store.Node(string(id)), ended: make(chan struct{})}
 	n.m = ownership.New(ownership.Config{
-		Node: id, Addr: string(id), Table: n.access, Objects: n.access.Objects(), Now: n.access.Now, Seed: uint64(f.born),
+		Node: id, Addr: string(id), Table: n.access, Objects: n.access.Objects(), Now: n.access.Now, Seed: uint64(f.born), WarmBytes: f.warm,
 	}, n)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -358,10 +359,11 @@
 func TestOwnershipStateMachine(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		size := rapid.IntRange(2, 4).Draw(rt, "nodes")
+		warm := rapid.SampledFrom([]int{0, 400}).Draw(rt, "warm")
 		script := rapid.SliceOfN(actions, 5, 60).Draw(rt, "script")
 		var found failures
 		synctest.Test(t, func(*testing.T) {
-			f := newFleet(&found, size)
+			f := newFleet(&found, size, warm)
 			time.Sleep(time.Second)
 			for _, a := range script {
 				f.do(a)
@@ -378,7 +380,7 @@
 // before its acquire record; no node could follow the journal after it.
 func TestSnapshotBeforeAcquireIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 2)
+		f := newFleet(t, 2, 0)
 		time.Sleep(time.Second)
 		for _, n := range f.nodes {
 			if o := n.current(); o != nil {
@@ -391,34 +393,39 @@
 	})
 }
 
-// Guards against a successor whose state misses rows that were truncated.
+// Guards against a successor whose state misses rows: those that were truncated,
+// and those of a state that was too large to be kept warm.
 func TestTakeOverRecoversTail(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 3)
-		time.Sleep(time.Second)
-		for i := range 20 {
+	for _, warm := range []int{0, 300} {
+		synctest.Test(t, func(t *testing.T) { takeOver(t, warm) })
+	}
+}
+
+func takeOver(t *testing.T, warm int) {
+	f := newFleet(t, 3, warm)
+	time.Sleep(time.Second)
+	for i := range 20 {
+		for _, n := range f.nodes {
+			n.append(false)
+		}
+		time.Sleep(500 * time.Millisecond)
+		if i%5 == 2 {
 			for _, n := range f.nodes {
-				n.append(false)
-			}
-			time.Sleep(500 * time.Millisecond)
-			if i%5 == 4 {
-				for _, n := range f.nodes {
-					n.snapshot()
-				}
+				n.snapshot()
 			}
 		}
-		log := journal.New(f.store.Node("reader"), ownership.Partition(cell))
-		entries, err := log.Read(t.Context(), 1, 100)
-		require.NoError(t, err)
-		require.Greater(t, entries[0].Sequence, uint64(1), "the journal was truncated")
-		for i, n := range f.nodes {
-			if n.current() != nil {
-				f.replace(i, 0, false)
-				break
-			}
+	}
+	log := journal.New(f.store.Node("reader"), ownership.Partition(cell))
+	entries, err := log.Read(t.Context(), 1, 100)
+	require.NoError(t, err)
+	require.Greater(t, entries[0].Sequence, uint64(1), "the journal was truncated")
+	for i, n := range f.nodes {
+		if n.current() != nil {
+			f.replace(i, 0, false)
+			break
 		}
-		time.Sleep(10 * time.Second)
-		f.finish()
-		require.Len(t, f.acked, 21)
-	})
+	}
+	time.Sleep(10 * time.Second)
+	f.finish()
+	require.Len(t, f.acked, 21)
 }
