Decide on recovery from a peer's warm state

A state that is too large is given up only when no acquisition is due, and a peer's state is fetched once while the store fails.

--- a/internal/ownership/cell.go
+++ b/internal/ownership/cell.go
@@ -84,6 +84,7 @@
 	}
 	due := AcquireAt(c.m.cfg, c.follow.obs, rank).Sub(c.m.cfg.Now())
 	if due > 0 {
+		c.follow.limit()
 		return min(due, c.jitter(interval))
 	}
 	owned, err := c.acquire(ctx)
--- a/internal/ownership/follower.go
+++ b/internal/ownership/follower.go
@@ -23,6 +23,8 @@
 	positioned bool
 	obs        Observation
 	coldUntil  time.Time
+	// fetched is a peer's state that could not be compared with the journal yet.
+	fetched *FollowerState
 
 	// mu guards the state, which peers may read.
 	mu    sync.Mutex
@@ -41,14 +43,11 @@
 func (f *follower) poll(ctx context.Context, warm bool) error {
 	warm = warm && !f.cfg.Now().Before(f.coldUntil)
 	if !f.positioned || (warm && !f.warm) {
-		err := f.position(ctx, warm)
-		f.limit()
-		return err
+		return f.position(ctx, warm)
 	}
 	if !warm {
 		f.drop()
 	}
-	defer f.limit()
 	entries, err := f.log.Read(ctx, f.obs.Last+1, followPage)
 	if err == nil && len(entries) > 0 && entries[0].Sequence != f.obs.Last+1 {
 		err = model.Errorf(model.KindStale, "read the newest snapshot", "the journal was truncated")
@@ -128,8 +127,8 @@
 const coldTime = time.Minute
 
 // limit gives the state up when it is too large to be kept for each cell that
-// this node follows. A node that acquires a cell needs the state whatever its
-// size, so acquire does not call it.
+// this node follows. It is not called before an acquisition, which needs the
+// state whatever its size.
 func (f *follower) limit() {
 	if f.bytes > f.cfg.WarmBytes {
 		f.drop()
--- a/internal/ownership/peer.go
+++ b/internal/ownership/peer.go
@@ -57,22 +57,36 @@
 // that is not possible, snapshot and tail from the store.
 func (f *follower) recover(ctx context.Context) (journal.Recovered, error) {
 	if f.cfg.Peers != nil {
-		if rec, err := f.recoverFromPeer(ctx); err == nil {
-			return rec, nil
+		rec, err := f.recoverFromPeer(ctx)
+		if err == nil || f.fetched != nil {
+			return rec, err
 		}
 	}
 	return journal.Recover(ctx, f.log, f.snaps)
 }
 
-// recoverFromPeer checks that the peer's rows follow one another and extends
-// them with the journal. The last row of the peer is read again from the journal
-// and must be the same append, so that a peer which followed rows that never
-// belonged to the journal is not believed.
+// recoverFromPeer reads the state from a peer and extends it with the journal.
 func (f *follower) recoverFromPeer(ctx context.Context) (journal.Recovered, error) {
-	state, err := f.cfg.Peers.FollowerState(ctx, f.cell)
-	if err != nil {
-		return journal.Recovered{}, err
+	// While the store fails, the state that was fetched before is used again.
+	if f.fetched == nil {
+		state, err := f.cfg.Peers.FollowerState(ctx, f.cell)
+		if err != nil {
+			return journal.Recovered{}, err
+		}
+		f.fetched = &state
 	}
+	rec, err := f.extend(ctx, *f.fetched)
+	if !model.IsKind(err, model.KindUnavailable) {
+		f.fetched = nil
+	}
+	return rec, err
+}
+
+// extend checks that the peer's rows follow one another and adds the rows of the
+// journal after them. The peer's last row is read again from the journal and must
+// be the same append, so that a peer which followed rows that never belonged to
+// the journal is not believed.
+func (f *follower) extend(ctx context.Context, state FollowerState) (journal.Recovered, error) {
 	if len(state.Tail) == 0 {
 		return journal.Recovered{}, model.Errorf(model.KindStale, "read the store", "the peer's state of cell %s has no row to compare", f.cell)
 	}
