Add metrics; tell an expired lease from an ended one

An append under an expired lease was refused as fenced although nobody had taken over. A release of all cells could miss one that was being acquired.

Append returns KindUnavailable while the lease is expired and KindFenced once the ownership has ended. A cell acquired during a release is released at once.

Conclusion: callers can tell a retry from a redirect.

--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -54,9 +54,11 @@
 		lastCheck = s.cfg.Now()
 		if s.Refresh(ctx) == nil {
 			delay = retryDelay
+			s.checksOK.Add(1)
 			s.saveDueSnapshot(ctx)
 			continue
 		}
+		s.checksFailed.Add(1)
 		// While the store fails, nodes spread their checks over a growing delay.
 		if !pause(ctx, delay/2+time.Duration(random.Float64()*float64(delay))) {
 			return ctx.Err()
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -73,6 +73,9 @@
 	log  *journal.Log
 	view atomic.Pointer[View]
 
+	checksOK     atomic.Uint64
+	checksFailed atomic.Uint64
+
 	mu     sync.Mutex
 	state  *state
 	recent []Entry
--- a/internal/ownership/cell.go
+++ b/internal/ownership/cell.go
@@ -161,6 +161,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c.setOwned(o)
 	c.publish()
+	c.m.countAcquired()
 	c.log("acquire", string(c.m.cfg.Node), "acquired", logrus.Fields{"epoch": uint64(o.Epoch), "sequence": o.last})
 	ended := make(chan error, 1)
 	go func() { ended <- o.committer.Run(ctx) }()
@@ -179,6 +180,7 @@
 	c.setOwned(nil)
 	close(o.over)
 	c.follow.positioned = false
+	c.m.countLost(reason)
 	c.m.handler.Lost(c.cell, reason)
 	c.log("lose", "", reason, logrus.Fields{"epoch": uint64(o.Epoch)})
 }
@@ -186,6 +188,13 @@
 // watch waits for the end of the ownership and returns the reason. It hands the
 // cell to a better-placed member once that one is stable.
 func (c *cellActor) watch(ctx context.Context, o *Owned, ended chan error) string {
+	// A release of all cells may have missed one that was being acquired.
+	if c.m.leaving() {
+		if err := c.letGo(ctx, o, ended, ""); err != nil {
+			return lossReason(ctx, err)
+		}
+		return "released"
+	}
 	for {
 		select {
 		case err := <-ended:
@@ -240,6 +249,12 @@
 	return handOverTarget(c.m.order(c.cell), c.m.cfg.Node, c.m.stable, refused)
 }
 
+func (c *cellActor) current() *Owned {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owned
+}
+
 func (c *cellActor) setOwned(o *Owned) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -22,7 +22,8 @@
 	cells    map[model.CellID]*cellActor
 	members  []control.Member
 	// present holds the local time since which each member has been present.
-	present map[model.NodeID]time.Time
+	present  map[model.NodeID]time.Time
+	counters counters
 }
 
 // New returns a manager that reports gained and lost cells to handler. It does
@@ -31,6 +32,7 @@
 	return &Manager{
 		cfg: cfg.withDefaults(), handler: handler,
 		cells: map[model.CellID]*cellActor{}, present: map[model.NodeID]time.Time{},
+		counters: counters{lost: map[string]int{}},
 	}
 }
 
@@ -172,9 +174,7 @@
 
 // release ends the ownership of the cell, if there is one.
 func (c *cellActor) release(ctx context.Context) error {
-	c.mu.Lock()
-	owned := c.owned
-	c.mu.Unlock()
+	owned := c.current()
 	if owned == nil {
 		return nil
 	}
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -39,6 +39,7 @@
 	// leaseStart is the time at which the last successful append began; zero
 	// after the ownership ended.
 	leaseStart time.Time
+	ended      bool
 }
 
 func newOwned(f *follower, state journal.Recovered, leaseStart time.Time) *Owned {
@@ -55,12 +56,13 @@
 // Append makes records durable in one row and returns its sequence. Urgent
 // records are flushed before the group commit interval ends, within the budget.
 //
-// Errors: KindFenced when the ownership ended or the lease has expired (nothing
-// was written), KindUnavailable and KindExhausted when nothing was written and a
-// retry may succeed, KindUnknown when the records may be durable.
+// Errors: KindFenced when the ownership has ended, KindUnavailable when the lease
+// has expired for the moment or the store is down, KindExhausted when too much is
+// queued (nothing was written in these cases), KindUnknown when the records may
+// be durable.
 func (o *Owned) Append(ctx context.Context, records [][]byte, urgent bool) (uint64, error) {
-	if !o.LeaseValid(o.cfg.Now()) {
-		return 0, model.Errorf(model.KindFenced, "ask the cell's current owner", "the lease on cell %s has ended", o.Cell)
+	if err := o.mayAct(); err != nil {
+		return 0, err
 	}
 	return o.committer.Submit(ctx, records, urgent)
 }
@@ -74,6 +76,22 @@
 	return LeaseValid(o.cfg.Lease, o.leaseStart, now)
 }
 
+// mayAct returns an error unless the lease is valid. An expired lease may be
+// renewed by the next append that the journal accepts; an ended one may not.
+func (o *Owned) mayAct() error {
+	now := o.cfg.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case o.leaseStart.IsZero():
+		return model.Errorf(model.KindFenced, "ask the cell's current owner", "the ownership of cell %s has ended", o.Cell)
+	case !LeaseValid(o.cfg.Lease, o.leaseStart, now):
+		return model.Errorf(model.KindUnavailable, "retry; the lease is renewed when the store answers",
+			"the lease on cell %s has expired", o.Cell)
+	}
+	return nil
+}
+
 // LastSequence returns the last durable sequence of the cell's journal.
 func (o *Owned) LastSequence() uint64 {
 	o.mu.Lock()
@@ -90,8 +108,8 @@
 // SaveSnapshotAt saves data as the state after sequence seq, keeps the last two
 // snapshots and truncates the journal behind the older one.
 func (o *Owned) SaveSnapshotAt(ctx context.Context, seq uint64, data []byte) error {
-	if !o.LeaseValid(o.cfg.Now()) {
-		return model.Errorf(model.KindFenced, "leave it to the cell's current owner", "the lease on cell %s has ended", o.Cell)
+	if err := o.mayAct(); err != nil {
+		return err
 	}
 	// A snapshot before the acquire record would carry this epoch too early.
 	if last := o.LastSequence(); seq > last || seq < o.Sequence {
@@ -124,7 +142,10 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.last, o.leaseStart = seq, start
+	o.last = seq
+	if !o.ended {
+		o.leaseStart = start
+	}
 	return seq, nil
 }
 
@@ -180,7 +201,7 @@
 func (o *Owned) end() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.leaseStart = time.Time{}
+	o.leaseStart, o.ended = time.Time{}, true
 }
 
 // release flushes what is queued and appends the release record.
