--- a/internal/ownership/follower.go
+++ b/internal/ownership/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/journal"
@@ -21,9 +22,15 @@
 
 	positioned bool
 	obs        Observation
-	warm       bool
-	state      journal.Recovered
-	bytes      int
+	coldUntil  time.Time
+	// fetched is a peer's state that could not be compared with the journal yet.
+	fetched *FollowerState
+
+	// mu guards the state, which peers may read.
+	mu    sync.Mutex
+	warm  bool
+	state journal.Recovered
+	bytes int
 }
 
 func newFollower(cfg Config, cell model.CellID) *follower {
@@ -34,6 +41,7 @@
 // poll reads the rows after the last one seen. With warm, it makes sure that
 // the state is in memory.
 func (f *follower) poll(ctx context.Context, warm bool) error {
+	warm = warm && !f.cfg.Now().Before(f.coldUntil)
 	if !f.positioned || (warm && !f.warm) {
 		return f.position(ctx, warm)
 	}
@@ -51,7 +59,13 @@
 	if err != nil {
 		return err
 	}
-	return f.absorb(entries, f.cfg.Now())
+	if err := f.absorb(entries, f.cfg.Now()); err != nil {
+		// Delayed puts may have filled sequences that were truncated before this
+		// node read them. The newest snapshot covers these sequences.
+		f.positioned = false
+		return f.position(ctx, warm)
+	}
+	return nil
 }
 
 // position recovers the cell's state and the ownership from the store, or with
@@ -66,7 +80,7 @@
 	f.obs = Observation{Last: rec.Snapshot.Sequence, Epoch: rec.Snapshot.Epoch, Owner: rec.Snapshot.Owner}
 	now := f.cfg.Now()
 	f.obs.SeenAt = now
-	f.warm, f.state.Snapshot = warm, rec.Snapshot
+	f.warmUp(warm, rec.Snapshot)
 	if err := f.absorb(rec.Tail, now); err != nil {
 		return err
 	}
@@ -84,15 +98,42 @@
 			return err
 		}
 		f.obs = obs
-		if f.warm {
-			f.state.Tail = append(f.state.Tail, e)
-			f.bytes += entryBytes(e)
-		}
 	}
+	f.keep(entries)
+	return nil
+}
+
+func (f *follower) warmUp(warm bool, snap journal.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.warm, f.state.Snapshot, f.bytes = warm, snap, len(snap.Data)
+}
+
+// keep adds entries to a warm state.
+func (f *follower) keep(entries []journal.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.warm {
+		return
+	}
+	for _, e := range entries {
+		f.bytes += entryBytes(e)
+	}
+	f.state.Tail = append(f.state.Tail, entries...)
+}
+
+// coldTime is how long a follower whose state was too large does not read it
+// again. By then the owner has usually saved a snapshot.
+const coldTime = time.Minute
+
+// limit gives the state up when it is too large to be kept for each cell that
+// this node follows. It is not called before an acquisition, which needs the
+// state whatever its size.
+func (f *follower) limit() {
 	if f.bytes > f.cfg.WarmBytes {
 		f.drop()
+		f.coldUntil = f.cfg.Now().Add(coldTime)
 	}
-	return nil
 }
 
 // entryOverhead is the memory of a cached entry besides its records, in bytes.
@@ -108,5 +149,7 @@
 
 // drop frees the state; the observation stays.
 func (f *follower) drop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.warm, f.state, f.bytes = false, journal.Recovered{}, 0
 }
