--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -60,10 +60,10 @@
 	// quarantine. Default 60s.
 	ProbeRun time.Duration
 	// SlowdownBudget is the expected slowdown of a service, above 1, up to which
-	// batch work is added to its worker. Default 0.10.
+	// batch work is added to its worker. Default 0.095.
 	SlowdownBudget float64
 	// SlowdownLimit is the measured slowdown, above 1, at which batch work on
-	// the worker is throttled even when the target is met. Default 0.18.
+	// the worker is throttled even when the target is met. Default 0.17.
 	SlowdownLimit float64
 	// RelaxBelow is the share of a limit below which throttling is relaxed; the
 	// gap to 1 is the hysteresis. Default 0.7.
@@ -118,8 +118,8 @@
 	setDefault(&c.ProbeBase, 30*time.Second)
 	setDefault(&c.ProbeMax, 10*time.Minute)
 	setDefault(&c.ProbeRun, time.Minute)
-	setDefault(&c.SlowdownBudget, 0.10)
-	setDefault(&c.SlowdownLimit, 0.18)
+	setDefault(&c.SlowdownBudget, 0.095)
+	setDefault(&c.SlowdownLimit, 0.17)
 	setDefault(&c.RelaxBelow, 0.7)
 	setDefault(&c.RelaxSamples, 3)
 	setDefault(&c.MinThrottle, 25)
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -63,7 +63,7 @@
 	if !h.health.quarantined {
 		return true
 	}
-	probe := !r.unit.gang && !r.urgent()
+	probe := !r.unit.gang && !r.urgent() && h.reserved.IsZero()
 	return probe && h.health.probe == "" && !r.now.Before(h.health.probeAt)
 }
 
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -35,7 +35,7 @@
 	h.failures++
 	charged := !h.quarantined && len(h.streak) <= suspectFailures
 	switch {
-	case h.quarantined:
+	case h.quarantined && h.probe == task:
 		h.probe = ""
 		h.probeDelay = min(2*h.probeDelay, most)
 		h.probeAt = now.Add(h.probeDelay)
