--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -35,7 +35,7 @@
 
 // overQuota handles a unit beyond its team's share here: it ends when the whole
 // quota is too small, moves to the team's home cell when it exceeds a share by
-// itself, and waits otherwise.
+// itself, evicts other work of the team when it is urgent, and waits otherwise.
 func (s *Scheduler) overQuota(u *unit) turn {
 	quota, _ := s.quota.whole(u.team)
 	need := u.need()
@@ -52,6 +52,10 @@
 	home := s.homeCell(u.team)
 	if !need.Fits(share) && !u.partial && home != s.st.ID() && s.spendMove(u) {
 		s.transfer(u, home, "quota-home")
+		return turn{}
+	}
+	if u.urgency >= model.UrgencyUrgent {
+		return turn{searches: s.makeRoom(u, true)}
 	}
 	return turn{}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -247,7 +247,7 @@
 		return 0
 	}
 	if u.urgency >= model.UrgencyUrgent {
-		return s.makeRoom(u)
+		return s.makeRoom(u, false)
 	}
 	if searched {
 		s.holdForStarved(u)
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -12,15 +12,17 @@
 const preemptSample = 64
 
 // makeRoom plans evictions for an urgent unit that finds no capacity, and holds
-// the workers for it. It returns the searches spent.
-func (s *Scheduler) makeRoom(u *unit) int {
+// the workers for it. With ownTeam, only work of the unit's team is evicted, as
+// much as the unit needs, which frees the team's quota too. It returns the
+// searches spent.
+func (s *Scheduler) makeRoom(u *unit, ownTeam bool) int {
 	if s.now.Before(u.heldUntil) {
 		return 0
 	}
 	promised := map[*host]model.Resources{}
 	var rooms []freedRoom
 	for _, t := range u.tasks {
-		h, victims := s.cheapestRoom(u, t, promised)
+		h, victims := s.cheapestRoom(u, t, promised, ownTeam)
 		if h == nil {
 			return 1
 		}
@@ -46,7 +48,7 @@
 
 // cheapestRoom returns the worker, out of a sample, on which the least work is
 // lost to make room for t, and the tasks to evict there.
-func (s *Scheduler) cheapestRoom(u *unit, t *cell.Task, promised map[*host]model.Resources) (*host, []*cell.Task) {
+func (s *Scheduler) cheapestRoom(u *unit, t *cell.Task, promised map[*host]model.Resources, ownTeam bool) (*host, []*cell.Task) {
 	var best *host
 	var victims []*cell.Task
 	lowest := 0.0
@@ -58,7 +60,7 @@
 			continue
 		}
 		need := promised[h].Add(t.Spec.Resources)
-		evict, cost, ok := s.victims(h, need, u.urgency)
+		evict, cost, ok := s.victims(h, need, u, ownTeam)
 		if ok && (best == nil || cost < lowest) {
 			best, victims, lowest = h, evict, cost
 		}
@@ -70,14 +72,18 @@
 // victims returns the tasks of lower urgency to evict so that need becomes
 // free, least work lost first. Gang tasks are spared, because the whole gang
 // would have to restart.
-func (s *Scheduler) victims(h *host, need model.Resources, urgency model.Urgency) ([]*cell.Task, float64, bool) {
+func (s *Scheduler) victims(h *host, need model.Resources, u *unit, ownTeam bool) ([]*cell.Task, float64, bool) {
 	free := h.free
+	if ownTeam {
+		free = model.Resources{}
+	}
 	var choice []*cell.Task
 	for _, t := range h.live {
 		switch {
+		case ownTeam && t.Spec.Team != u.team:
 		case t.State != cell.TaskLive || s.pending[t.Spec.ID] != nil:
 			free = free.Add(t.Spec.Resources)
-		case t.Spec.Urgency < urgency && !t.Spec.Gang:
+		case t.Spec.Urgency < u.urgency && !t.Spec.Gang:
 			choice = append(choice, t)
 		}
 	}
