--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -220,7 +220,7 @@
 func (s *Scheduler) Summary() CellSummary {
 	out := s.own
 	out.ID = s.st.ID()
-	if s.quota.weight < s.quota.grow {
+	if s.quota.stated && (s.quota.weight == 0 || s.quota.weight < s.quota.grow) {
 		return out
 	}
 	allowed := 1.0
