Keep a team's reserve for its urgent work

Change: other work of a team leaves the size of its largest urgent job of the last minutes free in its share; within one team, gang tasks may be evicted too.

--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -12,9 +12,18 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// withinQuota reports whether the unit's team may use what the unit needs.
+// withinQuota reports whether the unit's team may use what the unit needs. Work
+// that is not urgent leaves the team's reserve for urgent work free.
 func (s *Scheduler) withinQuota(u *unit) bool {
-	return s.quota.allows(u.team, u.need(), func() bool { return s.homeCell(u.team) == s.st.ID() })
+	need := u.need()
+	home := func() bool { return s.homeCell(u.team) == s.st.ID() }
+	if !s.quota.allows(u.team, need, home) {
+		return false
+	}
+	if u.urgency >= model.UrgencyUrgent || s.quota.use[u.team].IsZero() {
+		return true
+	}
+	return s.quota.allows(u.team, need.Add(s.quota.reserved(u.team, s.now)), home)
 }
 
 // homeCell returns the cell in service with the highest hash for the team. It
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -156,7 +156,7 @@
 const (
 	// headroomPart bounds the headroom as a part of the cell's processors.
 	headroomPart = 0.02
-	// headroomHalfLife is the time after which the largest urgent job seen
+	// headroomHalfLife is the time after which the largest urgent job seen lately
 	// counts half.
 	headroomHalfLife = 3 * time.Minute
 )
@@ -171,8 +171,13 @@
 	return s.urgentCPU * math.Exp2(-float64(s.now.Sub(s.urgentAt))/float64(headroomHalfLife))
 }
 
-// noteUrgent remembers the size of the largest urgent unit seen lately.
+// noteUrgent remembers the size of the largest urgent job seen lately.
 func (s *Scheduler) noteUrgent(t *cell.Task) {
-	s.urgentCPU = max(s.decayedUrgent(), float64(t.Spec.Resources.MilliCPU))
+	var need model.Resources
+	for _, other := range s.st.JobTasks(t.Spec.Job) {
+		need = need.Add(other.Spec.Resources)
+	}
+	s.urgentCPU = max(s.decayedUrgent(), float64(need.MilliCPU))
 	s.urgentAt = s.now
+	s.quota.noteUrgent(t.Spec.Team, need, s.now)
 }
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -70,8 +70,8 @@
 }
 
 // victims returns the tasks of lower urgency to evict so that need becomes
-// free, least work lost first. Gang tasks are spared, because the whole gang
-// would have to restart.
+// free, least work lost first. Gang tasks are spared, because the whole gang may
+// have to restart, unless the room must come from one team.
 func (s *Scheduler) victims(h *host, need model.Resources, u *unit, ownTeam bool) ([]*cell.Task, float64, bool) {
 	free := h.free
 	if ownTeam {
@@ -83,7 +83,7 @@
 		case ownTeam && t.Spec.Team != u.team:
 		case t.State != cell.TaskLive || s.pending[t.Spec.ID] != nil:
 			free = free.Add(t.Spec.Resources)
-		case t.Spec.Urgency < u.urgency && !t.Spec.Gang:
+		case t.Spec.Urgency < u.urgency && (ownTeam || !t.Spec.Gang):
 			choice = append(choice, t)
 		}
 	}
@@ -100,6 +100,9 @@
 	cost := 0.0
 	for _, t := range evict {
 		cost += evictionCost + s.workLost(h, t)
+		if t.Spec.Gang {
+			cost += evictionCost * float64(len(s.st.JobTasks(t.Spec.Job)))
+		}
 	}
 	return evict, cost, true
 }
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/control"
@@ -20,12 +21,13 @@
 	since    time.Time
 	settle   time.Duration
 	use      map[model.TeamName]model.Resources
+	urgent   map[model.TeamName]urgentReserve
 	declared map[model.TeamName]model.Resources
 	source   *declaration.Declaration
 }
 
 func newQuotas(settle time.Duration) *quotas {
-	return &quotas{settle: settle, use: map[model.TeamName]model.Resources{}}
+	return &quotas{settle: settle, use: map[model.TeamName]model.Resources{}, urgent: map[model.TeamName]urgentReserve{}}
 }
 
 // setWeight states this cell's part of the capacity in service, from 0 to 1.
@@ -81,6 +83,31 @@
 	}
 }
 
+// urgentReserve is the part of a team's share that its other work leaves free,
+// because the team has submitted urgent work of that size lately.
+type urgentReserve struct {
+	need model.Resources
+	at   time.Time
+}
+
+// noteUrgent remembers the size of an urgent job of a team.
+func (q *quotas) noteUrgent(team model.TeamName, need model.Resources, now time.Time) {
+	kept := q.reserved(team, now)
+	q.urgent[team] = urgentReserve{model.Resources{
+		MilliCPU: max(need.MilliCPU, kept.MilliCPU), MemoryMB: max(need.MemoryMB, kept.MemoryMB),
+		Accelerators: max(need.Accelerators, kept.Accelerators),
+	}, now}
+}
+
+// reserved returns the reserve of a team; it halves with each half-life.
+func (q *quotas) reserved(team model.TeamName, now time.Time) model.Resources {
+	r, ok := q.urgent[team]
+	if !ok {
+		return model.Resources{}
+	}
+	return scale(r.need, math.Exp2(-float64(now.Sub(r.at))/float64(headroomHalfLife)))
+}
+
 // allows reports whether need stays within the team's share. A unit that is
 // larger than the whole share is allowed in the team's home cell when the team
 // has nothing else running there; otherwise small quotas could never be used.
