Cut the time of replays

Cause: during a store outage the replay's owner noted every checkpoint once a second, and the index walked empty classes.

Change: a checkpoint is submitted once; the index keeps a bitmap of processor classes.

--- a/internal/replay/owner.go
+++ b/internal/replay/owner.go
@@ -40,6 +40,8 @@
 	// flight is the part of the batch being appended that came from outside.
 	flight []cell.Record
 	known  map[platform.AttemptRef]bool
+	// noted holds the last checkpoint of each attempt that was submitted.
+	noted  map[platform.AttemptRef]string
 	busy   bool
 	down   bool
 	due    time.Duration
@@ -213,6 +215,7 @@
 	t, _ := o.st.Task(e.Task)
 	ref := platform.AttemptRef{Task: e.Task, Attempt: e.Attempt}
 	delete(o.known, ref)
+	delete(o.noted, ref)
 	if w := o.sim.workers[t.Worker]; w != nil {
 		o.sim.after(commandDelay, func() { w.acknowledge(ref) })
 	}
@@ -284,7 +287,9 @@
 	records := o.sched.EndedRecords(w.ID, fresh, o.sim.time())
 	for _, r := range report.Running {
 		t, ok := o.st.Task(r.Task)
-		if ok && t.Attempt == r.Attempt && t.State.HoldsWorker() && r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
+		fresh := r.Checkpoint != "" && r.Checkpoint != o.noted[r.AttemptRef]
+		if ok && fresh && t.Attempt == r.Attempt && t.State.HoldsWorker() && r.Checkpoint != t.Checkpoint {
+			o.noted[r.AttemptRef] = r.Checkpoint
 			records = append(records, cell.Record{Checkpoint: &cell.Checkpoint{Task: r.Task, Attempt: r.Attempt, Object: r.Checkpoint}})
 		}
 	}
@@ -363,7 +368,7 @@
 		o.sim.must(o.st.RestoreSnapshot(snapshot))
 		o.sched = scheduler.New(o.sim.config, o.st)
 		o.sim.must(o.sched.RestoreEstimates(o.st.Aux()))
-		o.known = map[platform.AttemptRef]bool{}
+		o.known, o.noted = map[platform.AttemptRef]bool{}, map[platform.AttemptRef]string{}
 		o.down = false
 		o.recover(lost)
 		o.watch()
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -117,7 +117,8 @@
 }
 
 func (s *sim) addDataCentre(dc DataCentre) {
-	o := &owner{sim: s, id: model.CellID(dc.Name + "-0"), dc: dc.Name, view: s.view, known: map[platform.AttemptRef]bool{}}
+	o := &owner{sim: s, id: model.CellID(dc.Name + "-0"), dc: dc.Name, view: s.view}
+	o.known, o.noted = map[platform.AttemptRef]bool{}, map[platform.AttemptRef]string{}
 	o.st = cell.NewState(o.id)
 	o.sched = scheduler.New(s.config, o.st)
 	s.owners[o.id] = o
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -35,7 +35,9 @@
 // capacityIndex finds hosts with enough free capacity without a scan of all.
 type capacityIndex struct {
 	buckets [accelClasses][sizeClasses][]*bucketRow
+	// rows and columns mark the memory and processor classes that are not empty.
 	rows    [accelClasses][sizeClasses]uint64
+	columns [accelClasses]uint64
 }
 
 // bucketRow holds the hosts of one class.
@@ -61,6 +63,7 @@
 	h.indexed, h.accel, h.cpu, h.mem, h.pos = true, a, c, m, len(row.hosts)
 	row.hosts = append(row.hosts, h)
 	x.rows[a][c] |= 1 << m
+	x.columns[a] |= 1 << c
 }
 
 func (x *capacityIndex) remove(h *host) {
@@ -76,6 +79,9 @@
 	if last == 0 {
 		x.rows[h.accel][h.cpu] &^= 1 << h.mem
 	}
+	if x.rows[h.accel][h.cpu] == 0 {
+		x.columns[h.accel] &^= 1 << h.cpu
+	}
 	h.indexed = false
 }
 
@@ -107,14 +113,12 @@
 
 // eachRow visits the non-empty classes that may hold need, in ascending order.
 func (x *capacityIndex) eachRow(need model.Resources, visit func(*bucketRow) bool) {
-	minMem := sizeClass(need.MemoryMB)
+	minCPU, minMem := sizeClass(need.MilliCPU), sizeClass(need.MemoryMB)
 	for a := accelClass(need.Accelerators); a < accelClasses; a++ {
-		for c := sizeClass(need.MilliCPU); c < sizeClasses; c++ {
-			word := x.rows[a][c] >> minMem << minMem
-			for word != 0 {
-				m := bits.TrailingZeros64(word)
-				word &= word - 1
-				if !visit(x.buckets[a][c][m]) {
+		for columns := x.columns[a] >> minCPU << minCPU; columns != 0; columns &= columns - 1 {
+			c := bits.TrailingZeros64(columns)
+			for rows := x.rows[a][c] >> minMem << minMem; rows != 0; rows &= rows - 1 {
+				if !visit(x.buckets[a][c][bits.TrailingZeros64(rows)]) {
 					return
 				}
 			}
