Let work that exceeds the slowdown budget by itself run in the end

Cause: a property test found a gang whose tasks alone exceed the budget of a worker with a service; it waited for ever (rapid).

Change: the budget no longer refuses a unit that has waited for StarveAfter, and the wait survives an aborted plan. The property test drives a scheduler with random events under all policies.

--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -113,10 +113,13 @@
 // would exceed the budget, also after the rest of the worker has been filled
 // with quiet work, or where a miss is being dealt with. Without that reserve, a
 // few tasks of a noisy class would use up the budget and leave processors idle.
-// Urgent work passes; the score still ranks the workers for it.
+// Urgent work passes, and so does work that has waited too long, because a task
+// that exceeds the budget by itself would otherwise never run; the score still
+// ranks the workers for them, and misses are throttled.
 type slowdownBudget struct {
 	model  *interference
 	budget float64
+	starve time.Duration
 	// quiet returns the slowdown that quiet work causes per worker it fills.
 	quiet func() float64
 }
@@ -125,7 +128,7 @@
 func (slowdownBudget) Name() string { return "slowdown" }
 
 func (f slowdownBudget) keep(r *request, h *host) bool {
-	if r.urgent() || len(h.services) == 0 {
+	if r.urgent() || len(h.services) == 0 || r.now.Sub(r.unit.since) >= f.starve {
 		return true
 	}
 	if h.protection.missed {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -100,7 +100,10 @@
 		heap.Push(&q.delayed, u)
 		return
 	}
-	u.state, u.since = unitWaiting, now
+	u.state = unitWaiting
+	if u.since.IsZero() {
+		u.since = now
+	}
 	key := u.key()
 	tq := q.waiting[key]
 	if tq == nil {
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -138,7 +138,7 @@
 			{slowdown{s.model}, weightSlowdown}, {leftOver{}, weightPacking},
 			{imbalance{}, weightBalance}, {rackSpread{}, weightSpread},
 		}
-		return append(base, headroom{s}, slowdownBudget{s.model, s.cfg.SlowdownBudget, s.quietSlope}), byCost(score), nil
+		return append(base, headroom{s}, slowdownBudget{s.model, s.cfg.SlowdownBudget, s.cfg.StarveAfter, s.quietSlope}), byCost(score), nil
 	}
 	return nil, nil, model.Errorf(model.KindInvalid, "use learned, best-fit or first-fit", "policy %q", p)
 }
