--- a/internal/scheduler/elsewhere.go
+++ b/internal/scheduler/elsewhere.go
@@ -12,9 +12,18 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// withinQuota reports whether the unit's team may use what the unit needs.
+// withinQuota reports whether the unit's team may use what the unit needs. Work
+// that is not urgent leaves the team's reserve for urgent work free.
 func (s *Scheduler) withinQuota(u *unit) bool {
-	return s.quota.allows(u.team, u.need(), func() bool { return s.homeCell(u.team) == s.st.ID() })
+	need := u.need()
+	home := func() bool { return s.homeCell(u.team) == s.st.ID() }
+	if !s.quota.allows(u.team, need, home) {
+		return false
+	}
+	if u.urgency >= model.UrgencyUrgent || s.quota.use[u.team].IsZero() {
+		return true
+	}
+	return s.quota.allows(u.team, need.Add(s.quota.reserved(u.team, s.now)), home)
 }
 
 // homeCell returns the cell in service with the highest hash for the team. It
@@ -35,7 +44,7 @@
 
 // overQuota handles a unit beyond its team's share here: it ends when the whole
 // quota is too small, moves to the team's home cell when it exceeds a share by
-// itself, and waits otherwise.
+// itself, evicts other work of the team when it is urgent, and waits otherwise.
 func (s *Scheduler) overQuota(u *unit) turn {
 	quota, _ := s.quota.whole(u.team)
 	need := u.need()
@@ -52,6 +61,10 @@
 	home := s.homeCell(u.team)
 	if !need.Fits(share) && !u.partial && home != s.st.ID() && s.spendMove(u) {
 		s.transfer(u, home, "quota-home")
+		return turn{}
+	}
+	if u.urgency >= model.UrgencyUrgent {
+		return turn{searches: s.makeRoom(u, true)}
 	}
 	return turn{}
 }
--- a/internal/scheduler/filter.go
+++ b/internal/scheduler/filter.go
@@ -63,7 +63,7 @@
 	if !h.health.quarantined {
 		return true
 	}
-	probe := !r.unit.gang && !r.urgent()
+	probe := !r.unit.gang && !r.urgent() && h.reserved.IsZero()
 	return probe && h.health.probe == "" && !r.now.Before(h.health.probeAt)
 }
 
@@ -113,10 +113,13 @@
 // would exceed the budget, also after the rest of the worker has been filled
 // with quiet work, or where a miss is being dealt with. Without that reserve, a
 // few tasks of a noisy class would use up the budget and leave processors idle.
-// Urgent work passes; the score still ranks the workers for it.
+// Urgent work passes, and so does work that has waited too long, because a task
+// that exceeds the budget by itself would otherwise never run; the score still
+// ranks the workers for them, and misses are throttled.
 type slowdownBudget struct {
 	model  *interference
 	budget float64
+	starve time.Duration
 	// quiet returns the slowdown that quiet work causes per worker it fills.
 	quiet func() float64
 }
@@ -125,7 +128,7 @@
 func (slowdownBudget) Name() string { return "slowdown" }
 
 func (f slowdownBudget) keep(r *request, h *host) bool {
-	if r.urgent() || len(h.services) == 0 {
+	if r.urgent() || len(h.services) == 0 || r.now.Sub(r.unit.since) >= f.starve {
 		return true
 	}
 	if h.protection.missed {
@@ -156,7 +159,7 @@
 const (
 	// headroomPart bounds the headroom as a part of the cell's processors.
 	headroomPart = 0.02
-	// headroomHalfLife is the time after which the largest urgent job seen
+	// headroomHalfLife is the time after which the largest urgent job seen lately
 	// counts half.
 	headroomHalfLife = 3 * time.Minute
 )
@@ -171,8 +174,13 @@
 	return s.urgentCPU * math.Exp2(-float64(s.now.Sub(s.urgentAt))/float64(headroomHalfLife))
 }
 
-// noteUrgent remembers the size of the largest urgent unit seen lately.
+// noteUrgent remembers the size of the largest urgent job seen lately.
 func (s *Scheduler) noteUrgent(t *cell.Task) {
-	s.urgentCPU = max(s.decayedUrgent(), float64(t.Spec.Resources.MilliCPU))
+	var need model.Resources
+	for _, other := range s.st.JobTasks(t.Spec.Job) {
+		need = need.Add(other.Spec.Resources)
+	}
+	s.urgentCPU = max(s.decayedUrgent(), float64(need.MilliCPU))
 	s.urgentAt = s.now
+	s.quota.noteUrgent(t.Spec.Team, need, s.now)
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,8 +13,8 @@
 
 // unit is what is placed together: one task, or the unfinished tasks of a gang.
 type unit struct {
-	tasks   []*cell.Task
-	gang    bool
+	tasks []*cell.Task
+	gang  bool
 	// partial is true while other tasks of the gang run; such a unit stays in
 	// the cell.
 	partial bool
@@ -100,7 +100,10 @@
 		heap.Push(&q.delayed, u)
 		return
 	}
-	u.state, u.since = unitWaiting, now
+	u.state = unitWaiting
+	if u.since.IsZero() {
+		u.since = now
+	}
 	key := u.key()
 	tq := q.waiting[key]
 	if tq == nil {
