--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,8 +13,8 @@
 
 // unit is what is placed together: one task, or the unfinished tasks of a gang.
 type unit struct {
-	tasks   []*cell.Task
-	gang    bool
+	tasks []*cell.Task
+	gang  bool
 	// partial is true while other tasks of the gang run; such a unit stays in
 	// the cell.
 	partial bool
