Renew by list after a digest that did not match

All lost attempts were on one worker and ended one task lease (8 s) after their start: their leases were never renewed. The tasks checkpoint every 200 ms, and the digest in a short renewal names the checkpoints, so that it was outdated when it arrived. The worker answers with its full list and renews nothing; the next command, 100 ms later, again carried a digest. Ruled out: the outage rule for renewals (the last renewal would be 6 s into the outage, but there was none), the store (a unit test without one shows the same). Change: after a digest that did not match, the next renewal names its attempts. Conclusion: a worker with frequent checkpoints costs two commands for each poll in place of one, and keeps its leases.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -70,6 +70,7 @@
 	lastSent     time.Time
 	lastRenewal  time.Time
 	lastFull     time.Time // last report that listed the running attempts
+	listRenewals bool      // the next renewal names its attempts, as a digest did not match
 	blockedUntil time.Time
 	failures     int
 	inFlight     bool
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -265,6 +266,23 @@
 	require.Equal(t, DefaultMinInterval, s.now.Sub(before))
 }
 
+// Guards against leases that run out although the worker answers: attempts that
+// checkpoint often change the digest before each command arrives.
+func TestOftenChangedAttemptsAreRenewed(t *testing.T) {
+	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
+	renewed := s.now
+	for n := range 400 {
+		out := s.plan()
+		require.Less(t, s.now.Sub(renewed), DefaultTaskLease, "the lease ran out")
+		if len(out.Command.Renew) > 0 {
+			renewed = s.now
+		}
+		report := running(first)
+		report.Running[0].Checkpoint = strconv.Itoa(n)
+		s.answer(out, report)
+	}
+}
+
 // Guards against workers that hang holding all commands in flight, so that those
 // that answer get none.
 func TestSilentWorkersLeaveRoom(t *testing.T) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -117,10 +117,12 @@
 
 // shorten replaces the list of renewals, and that of running attempts in the
 // report, by a digest when the command orders nothing else. With 12 attempts on a
-// worker, the lists are nine tenths of all bytes.
+// worker, the lists are nine tenths of all bytes. After a digest that did not
+// match, the list follows: attempts that checkpoint more often than every
+// MinInterval never match, and their leases would run out.
 func (c *Core) shorten(now time.Time, w *workerState, cmd *platform.WorkerCommand) {
 	orders := len(cmd.Starts) + len(cmd.Stop) + len(cmd.Checkpoint) + len(cmd.Evict) + len(cmd.Throttle)
-	if orders > 0 || w.failures > 0 || !w.lastFull.Add(c.cfg.FullReport).After(now) {
+	if orders > 0 || w.failures > 0 || w.listRenewals || !w.lastFull.Add(c.cfg.FullReport).After(now) {
 		return
 	}
 	for _, a := range w.attempts {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -116,8 +116,10 @@
 // delivered clears orders that the worker has carried out.
 func (c *Core) delivered(w *workerState, out Outgoing, unchanged bool) {
 	if len(out.Command.Renew) > 0 || out.Command.RenewExpected && unchanged {
-		w.lastRenewal = out.sentAt
+		w.lastRenewal, w.listRenewals = out.sentAt, false
 		c.stats.Renewals++
+	} else if out.Command.RenewExpected {
+		w.listRenewals = true
 	}
 	for _, ref := range out.Command.Ack {
 		delete(w.acks, ref)
