Answer status requests while an append is blocked

Cause: a cell's goroutine waits for its append, for as long as a store outage lasts, and status requests waited in its queue behind it. They also started a plan each. Change: the append runs beside the goroutine, which answers status requests meanwhile. Between iterations the state is the durable one and is read directly, without a plan. The checks inside the fake's Append use assert, because require must not end another goroutine than the test's. Before (from reading, not run): a status request stays in the queue. Conclusion: nothing that is not durable is shown. One exception is the retention limit: a job that the batch prunes, as the oldest of 4096 ended ones, is unknown at once.

--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -129,6 +129,15 @@
 	return j.status(), true
 }
 
+// JobSummary returns what Job returns, without the tasks.
+func (s *State) JobSummary(id model.JobID) (JobStatus, bool) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return JobStatus{}, false
+	}
+	return j.summary(), true
+}
+
 // JobTasks returns the tasks of a job in the order of submission.
 func (s *State) JobTasks(id model.JobID) []*Task {
 	j := s.jobs[id]
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -116,16 +116,25 @@
 }
 
 func (j *job) status() JobStatus {
-	out := JobStatus{Job: j.id, Cancelled: j.cancelled, Ended: j.unfinished == 0}
+	out := j.summary()
 	for _, t := range j.tasks {
-		out.Tasks = append(out.Tasks, TaskStatus{
-			Task: t.Spec.ID, State: t.State.String(), Attempt: t.Attempt, Worker: t.Worker,
-			Failures: t.Failures, Cell: t.To, Result: t.Result, Error: t.Error, Reason: t.Reason,
-		})
+		out.Tasks = append(out.Tasks, t.Status())
 	}
 	return out
 }
 
+func (j *job) summary() JobStatus {
+	return JobStatus{Job: j.id, Cancelled: j.cancelled, Ended: j.unfinished == 0}
+}
+
+// Status returns a copy of the task's state for reports.
+func (t *Task) Status() TaskStatus {
+	return TaskStatus{
+		Task: t.Spec.ID, State: t.State.String(), Attempt: t.Attempt, Worker: t.Worker,
+		Failures: t.Failures, Cell: t.To, Result: t.Result, Error: t.Error, Reason: t.Reason,
+	}
+}
+
 // Transfer is a task on its way to another cell. In is the record to apply at
 // the destination.
 type Transfer struct {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -15,9 +16,7 @@
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
-	"github.com/vanillapier/vanillapier/internal/journal"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/ownership"
 	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
@@ -133,8 +132,8 @@
 	r, j, d := testRuntime()
 	reply := submit(r, testJob("a", 2))
 	j.before = func() {
-		require.Empty(t, d.started, "a start left before the append")
-		require.Empty(t, reply, "an answer left before the append")
+		assert.Empty(t, d.started, "a start left before the append")
+		assert.Empty(t, reply, "an answer left before the append")
 	}
 	_, err := r.iterate(t.Context())
 	require.NoError(t, err)
@@ -179,7 +178,7 @@
 		Kind: dispatch.EventEnded, Worker: task.Worker, Ref: task.Ref(),
 		Ended: platform.EndedAttempt{AttemptRef: task.Ref(), Outcome: model.OutcomeDone, Result: "x"},
 	}
-	j.before = func() { require.Empty(t, d.acked) }
+	j.before = func() { assert.Empty(t, d.acked) }
 	d.events = []dispatch.Event{ended}
 	_, err = r.iterate(t.Context())
 	require.NoError(t, err)
@@ -207,15 +206,11 @@
 			_, err := r.iterate(context.Background())
 			require.NoError(t, err)
 		}
-		owned := &ownership.Owned{Cell: testCell}
-		for i, row := range j.rows {
-			owned.Tail = append(owned.Tail, journal.Entry{Sequence: uint64(i + 1), Batch: journal.Batch{Records: row}})
-		}
-		recovered, err := recoverState(owned)
+		successor, err := recovered(j.rows)
 		require.NoError(t, err)
 		want, err := r.state.MarshalSnapshot()
 		require.NoError(t, err)
-		got, err := recovered.MarshalSnapshot()
+		got, err := successor.MarshalSnapshot()
 		require.NoError(t, err)
 		require.Equal(t, want, got)
 	})
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -27,6 +27,8 @@
 	log     *logrus.Entry
 
 	requests chan request
+	// statuses are answered between iterations and while an append is in flight.
+	statuses chan statusRequest
 	// done is closed when the goroutine has ended.
 	done chan struct{}
 
@@ -35,6 +37,8 @@
 	batch   []cell.Record
 	effects []func()
 	urgent  bool
+	// durable shows the state without the batch.
+	durable durableView
 	// sending holds the tasks whose transfer is on its way.
 	sending map[model.TaskID]bool
 	// sinceSnapshot counts records since the last snapshot was begun.
@@ -70,7 +74,8 @@
 		id: state.ID(), epoch: epoch, cfg: cfg, journal: journal, state: state,
 		sched:    scheduler.New(cfg.Scheduler, state),
 		log:      cfg.Log.WithFields(logrus.Fields{"cell": string(state.ID()), "epoch": uint64(epoch)}),
-		requests: make(chan request, requestBuffer), done: make(chan struct{}),
+		requests: make(chan request, requestBuffer), statuses: make(chan statusRequest),
+		done: make(chan struct{}), durable: newDurableView(),
 		sending: map[model.TaskID]bool{},
 	}
 }
@@ -105,6 +110,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case req := <-r.statuses:
+			r.answerStatus(req)
+			continue
 		case req := <-r.requests:
 			r.take(req, r.cfg.Now())
 		case <-r.disp.Notify():
@@ -169,6 +177,7 @@
 // apply applies a record to the state and adds it to the batch. A record that
 // the state refuses is not journaled.
 func (r *Runtime) apply(rec cell.Record) error {
+	r.durable.note(r.state, rec)
 	if err := r.state.Apply(rec); err != nil {
 		return err
 	}
@@ -196,6 +205,7 @@
 // the ownership as far as this runtime is concerned.
 func (r *Runtime) commit(ctx context.Context) error {
 	if len(r.batch) == 0 {
+		r.durable.clear() // a refused record was noted and changed nothing
 		return ctx.Err()
 	}
 	encoded := make([][]byte, len(r.batch))
@@ -206,13 +216,35 @@
 		}
 		encoded[i] = data
 	}
+	if err := r.appendAndAnswer(ctx, encoded); err != nil {
+		return err
+	}
+	r.sinceSnapshot += len(r.batch)
+	r.durable.clear()
+	return nil
+}
+
+// appendAndAnswer answers status requests until the append has ended. The state
+// does not change meanwhile.
+func (r *Runtime) appendAndAnswer(ctx context.Context, encoded [][]byte) error {
+	result, urgent := make(chan error, 1), r.urgent
+	go func() { result <- r.append(ctx, encoded, urgent) }()
 	for {
-		_, err := r.journal.Append(ctx, encoded, r.urgent)
-		if err == nil {
-			r.sinceSnapshot += len(r.batch)
-			return nil
+		select {
+		case err := <-result:
+			return err
+		case req := <-r.statuses:
+			r.answerStatus(req)
 		}
-		if model.IsKind(err, model.KindUnknown) || model.IsKind(err, model.KindInvalid) {
+	}
+}
+
+// append writes one row. It returns once the row is durable or the ownership has
+// ended.
+func (r *Runtime) append(ctx context.Context, encoded [][]byte, urgent bool) error {
+	for {
+		_, err := r.journal.Append(ctx, encoded, urgent)
+		if err == nil || model.IsKind(err, model.KindUnknown) || model.IsKind(err, model.KindInvalid) {
 			return err
 		}
 		// Nothing was written. The lease may have expired in a store outage without
