Look up orders in the cells while the store is down

Cause: GET /v1/orders/<job> reads the claim row to learn the job's cell. In a store outage the claim cannot be read, and the request was refused although the cells' owners know the job. Ruled out: a cache of claims in each node (a node that did not take the order would not have it). Change: when the claim cannot be read, the node asks all cells of the declaration. An owner that does not answer makes the whole lookup fail, since the answer would lack its tasks. A job that no cell knows keeps the store's refusal, as it may have a claim. Cancellation still needs the claim. Conclusion: one call for each cell, in store outages only.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -64,9 +64,15 @@
 	return o.router.Cancel(ctx, id, job)
 }
 
-// Status returns the progress of a job.
+// Status returns the progress of a job. Without a cell, all cells are asked.
 func (o *orders) Status(ctx context.Context, id model.CellID, job model.JobID) (request.OrderStatus, error) {
-	status, err := o.router.Status(ctx, id, job)
+	var status cell.JobStatus
+	var err error
+	if id == "" {
+		status, err = o.router.StatusIn(ctx, owner.CellsOf(o.view()), job)
+	} else {
+		status, err = o.router.Status(ctx, id, job)
+	}
 	if err != nil {
 		return request.OrderStatus{}, err
 	}
--- a/internal/owner/router.go
+++ b/internal/owner/router.go
@@ -121,24 +121,62 @@
 // Status returns the status of a job with each task as the cell that holds it
 // reports it.
 func (r *Router) Status(ctx context.Context, home model.CellID, job model.JobID) (cell.JobStatus, error) {
-	merged := cell.JobStatus{Job: job}
-	at := map[model.TaskID]int{}
-	collect := func(s cell.JobStatus) {
-		merged.Cancelled = merged.Cancelled || s.Cancelled
-		for _, t := range s.Tasks {
-			i, seen := at[t.Task]
-			switch {
-			case !seen:
-				at[t.Task] = len(merged.Tasks)
-				merged.Tasks = append(merged.Tasks, t)
-			case t.Cell == "":
-				merged.Tasks[i] = t
-			}
+	merged := newMergedStatus(job)
+	err := r.visit(ctx, home, job, nil, merged.add)
+	return merged.result(), err
+}
+
+// StatusIn returns the status of a job whose home cell is not known, as while the
+// store that holds its claim is down. It asks all of the given cells; an error of
+// one is an error of the whole, because the answer would lack its tasks.
+// KindNotFound means that none of them has the job.
+func (r *Router) StatusIn(ctx context.Context, cells []model.CellID, job model.JobID) (cell.JobStatus, error) {
+	merged := newMergedStatus(job)
+	for _, id := range cells {
+		status, err := r.statusIn(ctx, id, job)
+		if model.IsKind(err, model.KindNotFound) {
+			continue
 		}
+		if err != nil {
+			return cell.JobStatus{}, err
+		}
+		merged.add(status)
+	}
+	if len(merged.at) == 0 {
+		return cell.JobStatus{}, model.Errorf(model.KindNotFound, "check the job id", "no cell has job %q", job)
 	}
-	err := r.visit(ctx, home, job, nil, collect)
-	merged.Ended = allEnded(merged.Tasks)
-	return merged, err
+	return merged.result(), nil
+}
+
+// mergedStatus combines what several cells report of one job.
+type mergedStatus struct {
+	status cell.JobStatus
+	at     map[model.TaskID]int
+}
+
+func newMergedStatus(job model.JobID) *mergedStatus {
+	return &mergedStatus{status: cell.JobStatus{Job: job}, at: map[model.TaskID]int{}}
+}
+
+// add takes over a cell's report. The cell that holds a task knows it better than
+// those that it has left.
+func (m *mergedStatus) add(s cell.JobStatus) {
+	m.status.Cancelled = m.status.Cancelled || s.Cancelled
+	for _, t := range s.Tasks {
+		i, seen := m.at[t.Task]
+		switch {
+		case !seen:
+			m.at[t.Task] = len(m.status.Tasks)
+			m.status.Tasks = append(m.status.Tasks, t)
+		case t.Cell == "":
+			m.status.Tasks[i] = t
+		}
+	}
+}
+
+func (m *mergedStatus) result() cell.JobStatus {
+	m.status.Ended = allEnded(m.status.Tasks)
+	return m.status
 }
 
 // visit follows a job's tasks from cell to cell, each once. act is called before
--- a/internal/request/deps.go
+++ b/internal/request/deps.go
@@ -85,7 +85,8 @@
 	// Submit makes the job durable in cell. It is idempotent by job id.
 	// KindUnknown means that the job may have been made durable.
 	Submit(ctx context.Context, cell model.CellID, job model.JobSpec) error
-	// Status returns the progress of a job; KindNotFound when the cell has none of that id.
+	// Status returns the progress of a job; KindNotFound when the cell has none of that
+	// id. An empty cell means that the job's cell is not known.
 	Status(ctx context.Context, cell model.CellID, job model.JobID) (OrderStatus, error)
 	// Cancel ends a job. Cancelling an ended job has no effect.
 	Cancel(ctx context.Context, cell model.CellID, job model.JobID) error
--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -214,6 +214,13 @@
 	f.fault = fault
 }
 
+// setDown makes later reads fail or work again.
+func (f *fakeTable) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
 // mustURL parses a URL that is known to be valid.
 func mustURL(s string) *url.URL {
 	u, err := url.Parse(s)
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -297,8 +297,13 @@
 
 // orderStatus reports the progress of a job.
 func (c *Chain) orderStatus(cl *call, job string) {
-	claim, ok := c.orderClaim(cl, job)
-	if !ok {
+	claim, err := c.orderClaim(cl, job)
+	if err != nil && !model.IsKind(err, model.KindNotFound) {
+		c.orderStatusWithoutClaim(cl, model.JobID(job), err)
+		return
+	}
+	if err != nil {
+		c.refuse(cl, refuseNoOrder(), "no-order")
 		return
 	}
 	status, err := c.deps.Orders.Status(cl.ctx, claim.Cell, claim.Job)
@@ -309,10 +314,27 @@
 	c.writeJSON(cl, http.StatusOK, status)
 }
 
+// orderStatusWithoutClaim asks the cells themselves while the store does not
+// answer for the claim. A job that no cell knows may still have a claim, so the
+// store's error stands then.
+func (c *Chain) orderStatusWithoutClaim(cl *call, job model.JobID, claimErr error) {
+	status, err := c.deps.Orders.Status(cl.ctx, "", job)
+	if err != nil {
+		c.refuse(cl, refuseOrderError(claimErr, "the order cannot be looked up now"), "store")
+		return
+	}
+	c.writeJSON(cl, http.StatusOK, status)
+}
+
 // cancelOrder cancels a job.
 func (c *Chain) cancelOrder(cl *call, job string) {
-	claim, ok := c.orderClaim(cl, job)
-	if !ok {
+	claim, err := c.orderClaim(cl, job)
+	switch {
+	case model.IsKind(err, model.KindNotFound):
+		c.refuse(cl, refuseNoOrder(), "no-order")
+		return
+	case err != nil:
+		c.refuse(cl, refuseOrderError(err, "the order cannot be looked up now"), "store")
 		return
 	}
 	if err := c.deps.Orders.Cancel(cl.ctx, claim.Cell, claim.Job); err != nil {
@@ -322,22 +344,17 @@
 	c.writeJSON(cl, http.StatusAccepted, OrderStatus{Job: claim.Job, Cell: claim.Cell, State: "cancelled"})
 }
 
-// orderClaim reads the claim of a job; a false result means that it has answered.
-func (c *Chain) orderClaim(cl *call, job string) (Claim, bool) {
+// orderClaim reads the claim of a job; KindNotFound means that there is none.
+func (c *Chain) orderClaim(cl *call, job string) (Claim, error) {
+	notFound := model.Errorf(model.KindNotFound, "check the job id", "no order %q", job)
 	if len(job) != 2*sha256.Size || strings.Trim(job, "0123456789abcdef") != "" {
-		c.refuse(cl, refuseNoOrder(), "no-order")
-		return Claim{}, false
+		return Claim{}, notFound
 	}
 	claim, _, err := c.deps.Claims.Get(cl.ctx, job)
-	switch {
-	case model.IsKind(err, model.KindNotFound) || err == nil && claim.Job == "":
-		c.refuse(cl, refuseNoOrder(), "no-order")
-		return Claim{}, false
-	case err != nil:
-		c.refuse(cl, refuseOrderError(err, "the order cannot be looked up now"), "store")
-		return Claim{}, false
+	if err == nil && claim.Job == "" {
+		return Claim{}, notFound
 	}
-	return claim, true
+	return claim, err
 }
 
 // refuseNoOrder is the answer for an unknown job.
