Count starts that a worker could not be given against the worker

A start that the gates held back has a reason of its own and does not count. Before: TestUnreachableWorkerIsAvoided places on one worker only, in 20 rounds. After: it passes.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -52,8 +52,11 @@
 }
 
 func reasonOf(a *attempt) string {
-	if a.want != wantRun {
+	switch {
+	case a.want != wantRun:
 		return ReasonWithdrawn
+	case a.worker.listed && a.worker.failures == 0:
+		return ReasonWithheld
 	}
 	return ReasonUnreachable
 }
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -163,8 +163,12 @@
 const (
 	// ReasonWithdrawn means that the owner stopped the attempt before it ran.
 	ReasonWithdrawn = "withdrawn"
-	// ReasonUnreachable means that the start could not be sent in time.
+	// ReasonUnreachable means that the start could not be sent in time, because the
+	// worker does not answer or is not listed.
 	ReasonUnreachable = "unreachable"
+	// ReasonWithheld means that the start was not sent in time although nothing
+	// speaks against the worker: the gates were closed.
+	ReasonWithheld = "withheld"
 )
 
 // Event is something that a worker reported or that the rules conclude.
--- a/internal/owner/effects.go
+++ b/internal/owner/effects.go
@@ -19,9 +19,15 @@
 	r.unsent = nil
 	for _, e := range r.disp.Events() {
 		switch e.Kind {
-		case dispatch.EventEnded, dispatch.EventLost:
+		case dispatch.EventEnded:
+			r.takeEnd(e.Worker, e.Ended, now)
+		case dispatch.EventLost:
+			r.sched.NoteUnreachable(e.Worker, e.Ref.Task, now)
 			r.takeEnd(e.Worker, e.Ended, now)
 		case dispatch.EventRejected:
+			if e.Reason == dispatch.ReasonUnreachable {
+				r.sched.NoteUnreachable(e.Worker, e.Ref.Task, now)
+			}
 			r.takeEnd(e.Worker, platform.EndedAttempt{AttemptRef: e.Ref, Outcome: model.OutcomeNotRun, Error: e.Reason}, now)
 		case dispatch.EventCheckpointed:
 			r.takeCheckpoint(e)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -190,6 +190,35 @@
 	require.Len(t, d.acked, 2, "a repeated end must be acknowledged again")
 }
 
+// Guards against work that waits for a worker which the owner cannot reach: the
+// worker looks empty, so that each placement chose it again.
+func TestUnreachableWorkerIsAvoided(t *testing.T) {
+	r, _, d := testRuntime()
+	submit(r, testJob("a", 4))
+	unreachable, elsewhere := model.WorkerID(""), 0
+	for range 20 {
+		_, err := r.iterate(t.Context())
+		require.NoError(t, err)
+		for _, task := range r.state.Live() {
+			if unreachable == "" {
+				unreachable = task.Worker
+			}
+			if task.Worker != unreachable {
+				elsewhere++
+				continue
+			}
+			d.events = append(d.events, dispatch.Event{
+				Kind: dispatch.EventRejected, Worker: task.Worker, Ref: task.Ref(), Reason: dispatch.ReasonUnreachable,
+			})
+		}
+	}
+	require.NotZero(t, elsewhere)
+	status, _ := r.state.Job("a")
+	for _, task := range status.Tasks {
+		require.Zero(t, task.Failures, "an unreachable worker is not the job's failure")
+	}
+}
+
 // Guards against a journal that a successor cannot replay: whatever mix of
 // submissions, ends and cancellations is journaled, recovery gives the same state.
 func TestRecoveryEqualsTheState(t *testing.T) {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -125,6 +125,17 @@
 	return false
 }
 
+// NoteUnreachable counts a start that a worker could not be given, or an attempt
+// that was lost with it, as a failure of the worker that is charged to no job. An
+// unreachable worker looks empty and attracts every placement otherwise. It
+// precedes EndedRecords for the attempt.
+func (s *Scheduler) NoteUnreachable(worker model.WorkerID, task model.TaskID, now time.Time) {
+	s.now = now
+	if t, ok := s.st.Task(task); ok && s.hosts[worker] != nil {
+		s.chargeFailure(s.hosts[worker], t)
+	}
+}
+
 func (s *Scheduler) chargeFailure(h *host, t *cell.Task) bool {
 	before := h.health.quarantined
 	charged := h.health.failed(t.Spec.ID, s.now, s.limits.quarantineFailures, s.cfg.ProbeBase, s.cfg.ProbeMax)
