--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -148,6 +149,67 @@
 	require.Equal(t, []platform.AttemptRef{first}, s.plan().Command.Ack)
 }
 
+// Guards against a wait for lost attempts that is too short for a former owner
+// that renews in a store outage until the hold time after a majority knows the
+// new epoch, on a worker that the new owner cannot reach.
+func TestFormerOwnerRenewsInOutage(t *testing.T) {
+	const (
+		takeOver     = 20 * time.Second
+		acknowledged = 22 * time.Second
+	)
+	ledger := standin.NewLedger()
+	newWorker := func(id model.WorkerID) *standin.WorkerCore {
+		return standin.NewWorkerCore(standin.WorkerConfig{ID: id, Capacity: unit, Ledger: ledger}, origin)
+	}
+	workers := map[string]*standin.WorkerCore{"a": newWorker("a"), "b": newWorker("b")}
+	hosts := []platform.Host{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}}
+	tick := func(c *Core, now time.Time, reaches ...string) {
+		for _, out := range c.Plan(now, 2, true) {
+			report, err := platform.WorkerReport{}, error(errUnknown)
+			if slices.Contains(reaches, out.Host.ID) {
+				report, err = workers[out.Host.ID].Command(now, out.Command)
+			}
+			c.Done(now, out, report, err)
+		}
+	}
+	start := platform.Start{AttemptRef: first, Resources: unit, Payload: standin.Payload{RunMS: 60000}.Encode()}
+	former := NewCore(Config{Cell: "c", Epoch: 1}, origin, nil)
+	former.SetWorkers(origin, hosts)
+	require.NoError(t, former.Start(origin, "a", start))
+	var latter *Core
+	var lostAt time.Duration
+	for at := time.Duration(0); at < time.Minute; at += 100 * time.Millisecond {
+		now := origin.Add(at)
+		workers["a"].Advance(now)
+		if at < acknowledged+DefaultHold {
+			tick(former, now, "a")
+		}
+		if at == takeOver {
+			latter = NewCore(Config{Cell: "c", Epoch: 2}, now, []Known{{AttemptRef: first, Worker: "a"}})
+			latter.SetWorkers(now, hosts)
+		}
+		if at < takeOver {
+			continue
+		}
+		if at == acknowledged {
+			latter.SetEpochAcknowledged(now)
+		}
+		tick(latter, now, "b")
+		for _, e := range latter.Events() {
+			if e.Kind == EventLost {
+				lostAt = at
+				start.Attempt++
+				require.NoError(t, latter.Start(now, "b", start))
+			}
+		}
+	}
+	require.GreaterOrEqual(t, lostAt, acknowledged+(Config{}).LostAfter())
+	require.Len(t, ledger.Starts(), 2)
+	require.Empty(t, ledger.Violations())
+	// The former owner's last renewal was still alive after the hold time.
+	require.Greater(t, ledger.Ends()[0].At.Sub(origin), acknowledged+DefaultHold+DefaultTaskLease/2)
+}
+
 // Guards against starts on a worker that still runs what the owner does not know,
 // and against endings that nobody waits for staying on the worker.
 func TestUnknownAttemptsAreStoppedFirst(t *testing.T) {
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -72,13 +72,15 @@
 
 // machine is a cell in virtual time: workers, a journal and successive owners.
 type machine struct {
-	t        *rapid.T
-	now      time.Time
-	ledger   *standin.Ledger
-	workers  map[model.WorkerID]*standin.WorkerCore
-	rates    map[model.WorkerID]float64
-	paused   map[model.WorkerID]time.Time
-	cut      map[model.WorkerID]bool
+	t       *rapid.T
+	now     time.Time
+	ledger  *standin.Ledger
+	workers map[model.WorkerID]*standin.WorkerCore
+	rates   map[model.WorkerID]float64
+	paused  map[model.WorkerID]time.Time
+	// cut holds the lowest epoch whose owner cannot reach the worker; a former
+	// owner may still reach one that the present owner cannot.
+	cut      map[model.WorkerID]model.Epoch
 	hosts    []platform.Host
 	tasks    map[model.TaskID]*task
 	epoch    model.Epoch
@@ -114,7 +116,7 @@
 	m := &machine{
 		t: t, now: origin, ledger: standin.NewLedger(), tasks: map[model.TaskID]*task{},
 		workers: map[model.WorkerID]*standin.WorkerCore{}, rates: map[model.WorkerID]float64{},
-		paused: map[model.WorkerID]time.Time{}, cut: map[model.WorkerID]bool{},
+		paused: map[model.WorkerID]time.Time{}, cut: map[model.WorkerID]model.Epoch{},
 	}
 	for i := range machineWorkers {
 		id := model.WorkerID(fmt.Sprintf("w%d", i))
@@ -215,7 +217,7 @@
 	if !m.healed {
 		fate = rapid.SampledFrom([]string{"ok", "ok", "ok", "lost answer", "dropped", "refused", "late", "held"}).Draw(m.t, "fate")
 	}
-	if m.cut[model.WorkerID(out.Host.ID)] {
+	if from, ok := m.cut[model.WorkerID(out.Host.ID)]; ok && o.epoch >= from {
 		fate = "dropped"
 	}
 	switch fate {
@@ -367,9 +369,9 @@
 			m.outageUntil = m.now.Add(m.duration("outage", 60*time.Second))
 		}
 	case "cut":
-		m.cut[id] = true
+		m.cut[id] = rapid.SampledFrom([]model.Epoch{1, m.epoch, m.epoch + 1}).Draw(m.t, "from epoch")
 	case "heal":
-		m.cut[id] = false
+		delete(m.cut, id)
 	case "evict":
 		if active && m.append(o) {
 			k.evicting = true
