Poll at the usual rate while the gate forbids starts

Cause: a start that waited for the gate made its worker be polled every 250 ms, so a store outage would have quadrupled the messages.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -81,17 +81,18 @@
 // Core holds the rules of dispatch without input, output and clock. It is not
 // safe for concurrent use.
 type Core struct {
-	cfg       Config
-	created   time.Time
-	ackedAt   time.Time
-	workers   map[model.WorkerID]*workerState
-	attempts  map[platform.AttemptRef]*attempt
-	schedule  dueHeap
-	events    []Event
-	fenced    bool
-	probing   int // commands in flight to workers that failed to answer the last one
-	stats     Stats
-	lostAfter time.Duration
+	cfg        Config
+	created    time.Time
+	ackedAt    time.Time
+	workers    map[model.WorkerID]*workerState
+	attempts   map[platform.AttemptRef]*attempt
+	schedule   dueHeap
+	events     []Event
+	fenced     bool
+	gateClosed bool // whether the last Plan forbade starts
+	probing    int  // commands in flight to workers that failed to answer the last one
+	stats      Stats
+	lostAfter  time.Duration
 }
 
 // NewCore returns the dispatch of a cell under a new epoch. known holds the live
@@ -335,6 +336,10 @@
 	}
 }
 
+// GateClosed reports whether the last Plan forbade starts; Plan should then be
+// called often enough to notice that the gate has opened.
+func (c *Core) GateClosed() bool { return c.gateClosed }
+
 // NextDue returns when Plan has something to do again.
 func (c *Core) NextDue() (time.Time, bool) {
 	if c.fenced || len(c.schedule) == 0 {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -277,6 +277,13 @@
 			require.LessOrEqual(t, sent, 101+1, name)
 		}
 		require.NotNil(t, s.c.attempts[first], name)
+		if name == "gate" {
+			require.LessOrEqual(t, sent, 6, "a closed gate makes polls more frequent")
+			opened := s.c.workers["w"].lastSent.Add(DefaultMinInterval)
+			planned := s.c.Plan(opened, 1, true) // the last poll's session is still fresh
+			require.Len(t, planned, 1, "waiting starts are not hastened when the gate opens")
+			require.Len(t, planned[0].Command.Starts, 1)
+		}
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -199,7 +199,11 @@
 	if !ok || len(d.slots) == cap(d.slots) {
 		return d.cfg.IdlePoll
 	}
-	return max(0, due.Sub(d.now()))
+	wait := max(0, due.Sub(d.now()))
+	if d.core.GateClosed() {
+		return min(wait, d.cfg.MinInterval)
+	}
+	return wait
 }
 
 // Tick sends the commands that are due and does not wait for their reports.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -15,6 +15,10 @@
 // the gate forbids starts, so that none is planned in vain.
 func (c *Core) Plan(now time.Time, limit int, mayStart bool) []Outgoing {
 	var out []Outgoing
+	if mayStart && c.gateClosed {
+		c.hastenStarts(now)
+	}
+	c.gateClosed = !mayStart
 	for !c.fenced && len(out) < limit && len(c.schedule) > 0 && !c.schedule[0].due.After(now) {
 		w := heap.Pop(&c.schedule).(*workerState)
 		c.expire(now, w)
@@ -36,6 +40,17 @@
 	return out
 }
 
+// hastenStarts brings the messages to workers with waiting starts forward, after
+// the gate has opened.
+func (c *Core) hastenStarts(now time.Time) {
+	for _, a := range c.attempts {
+		if a.startable() {
+			a.worker.blockedUntil = time.Time{}
+			c.hasten(a.worker, now)
+		}
+	}
+}
+
 // expire applies the rules that need no report: lost attempts, and starts that a
 // silent worker could not be sent.
 func (c *Core) expire(now time.Time, w *workerState) {
@@ -103,8 +118,6 @@
 	cmd.Ack = sortedRefs(w.acks)
 	if mayStart {
 		c.addStarts(now, &cmd, w)
-	} else {
-		w.blockedUntil = now.Add(c.cfg.FastPoll)
 	}
 	c.shorten(now, w, &cmd)
 	if w.failures > 0 {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -227,6 +227,7 @@
 		live = live || a.phase != phaseEnded
 	}
 	unrenewed := out.Command.RenewExpected && w.lastRenewal.Before(out.sentAt)
+	starts = starts && !c.gateClosed // otherwise Plan hastens them when the gate opens
 	canStart := starts && w.listed && len(w.unknown) == 0 && !now.Before(w.blockedUntil)
 	switch {
 	case canStart && len(out.Command.Starts) == 0:
