--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -84,6 +84,12 @@
 	Status(ctx context.Context) (NodeStatus, error)
 }
 
+// Cluster reports the state of all nodes that answer this one. A Status that
+// implements it serves status/all.
+type Cluster interface {
+	Cluster(ctx context.Context) (ClusterStatus, error)
+}
+
 // Texts keeps the texts that are too long for a journal record, by digest.
 type Texts interface {
 	PutText(ctx context.Context, digest string, text []byte) error
@@ -140,6 +146,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+Prefix+"view", s.handle(s.view))
 	mux.Handle("GET "+Prefix+"status", s.handle(s.status))
+	mux.Handle("GET "+Prefix+"status/all", s.handle(s.cluster))
 	mux.Handle("GET "+Prefix+"history", s.handle(s.history))
 	mux.Handle("POST "+Prefix+"propose", s.handle(s.propose))
 	mux.Handle("POST "+Prefix+"accept", s.handle(s.accept))
--- a/internal/adminapi/read.go
+++ b/internal/adminapi/read.go
@@ -41,6 +41,16 @@
 	return s.deps.Status.Status(r.Context())
 }
 
+// cluster returns the states of all nodes that answer this one; without Cluster,
+// that of this node alone.
+func (s *server) cluster(r *http.Request, _ string) (any, error) {
+	if c, ok := s.deps.Status.(Cluster); ok {
+		return c.Cluster(r.Context())
+	}
+	status, err := s.deps.Status.Status(r.Context())
+	return ClusterStatus{Nodes: []NodeStatus{status}}, err
+}
+
 // history returns entries of the journal: from the sequence from, at most
 // limit, or the one with a request id. Texts of declarations are left out
 // unless texts=true, because a page of them may have tens of megabytes.
--- a/internal/adminapi/types.go
+++ b/internal/adminapi/types.go
@@ -94,6 +94,13 @@
 	Peers []PeerStatus `json:"peers"`
 }
 
+// ClusterStatus holds the states of the nodes that answered one of them.
+type ClusterStatus struct {
+	Nodes []NodeStatus `json:"nodes"`
+	// Unreachable lists the members that did not answer, with the reason.
+	Unreachable []string `json:"unreachable,omitempty"`
+}
+
 // DataCentreStatus is what one node owns in a data centre. The counts cover
 // the node's own cells only, so that those of all nodes can be added up.
 type DataCentreStatus struct {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
@@ -28,6 +31,38 @@
 	return status, nil
 }
 
+// methodNodeStatus returns a node's state for operators.
+const methodNodeStatus = "node.status"
+
+// Cluster asks all members for their states. It implements adminapi.Cluster.
+func (n *Node) Cluster(ctx context.Context) (adminapi.ClusterStatus, error) {
+	own, err := n.Status(ctx)
+	if err != nil {
+		return adminapi.ClusterStatus{}, err
+	}
+	out := adminapi.ClusterStatus{Nodes: []adminapi.NodeStatus{own}}
+	var mu sync.Mutex
+	call, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	askAll(call, n.control.View().Members, n.id, func(ctx context.Context, m control.Member) bool {
+		var status adminapi.NodeStatus
+		err := n.peers.Call(ctx, m.Addr, methodNodeStatus, struct{}{}, &status)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			out.Unreachable = append(out.Unreachable, fmt.Sprintf("member %s: %v", m.ID, err))
+			return false
+		}
+		out.Nodes = append(out.Nodes, status)
+		return true
+	})
+	return out, nil
+}
+
+func (n *Node) handleNodeStatus(ctx context.Context, _ json.RawMessage) (any, error) {
+	return n.Status(ctx)
+}
+
 // dataCentres counts what this node's own cells run in each data centre.
 func (n *Node) dataCentres(view *control.View) []adminapi.DataCentreStatus {
 	if view.Declaration == nil {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -44,11 +44,11 @@
 	if err != nil {
 		return systemStatus{}, err
 	}
-	statuses := make([]adminapi.NodeStatus, len(p.client.nodes))
+	statuses := make([]adminapi.ClusterStatus, len(p.client.nodes))
 	errs := make([]error, len(p.client.nodes))
 	var wg sync.WaitGroup
 	for i, node := range p.client.nodes {
-		wg.Go(func() { errs[i] = p.client.get(ctx, node, "status", &statuses[i]) })
+		wg.Go(func() { statuses[i], errs[i] = p.clusterStatus(ctx, node) })
 	}
 	wg.Wait()
 	var answered []adminapi.NodeStatus
@@ -58,16 +58,31 @@
 			unreachable = append(unreachable, fmt.Sprintf("%s: %v", p.client.nodes[i], err))
 			continue
 		}
-		answered = append(answered, statuses[i])
+		answered = append(answered, statuses[i].Nodes...)
+		unreachable = append(unreachable, statuses[i].Unreachable...)
 	}
 	if len(answered) == 0 {
 		return systemStatus{}, allFailed(len(errs), errs[len(errs)-1])
 	}
 	s := combine(view, answered)
-	s.Unreachable = unreachable
+	slices.Sort(unreachable)
+	s.Unreachable = slices.Compact(unreachable)
 	return s, nil
 }
 
+// clusterStatus asks a node for the states of all nodes, so that one address is
+// enough. A node of an earlier version gives its own state only.
+func (p *Program) clusterStatus(ctx context.Context, node string) (adminapi.ClusterStatus, error) {
+	var all adminapi.ClusterStatus
+	err := p.client.get(ctx, node, "status/all", &all)
+	if !model.IsKind(err, model.KindNotFound) {
+		return all, err
+	}
+	var own adminapi.NodeStatus
+	err = p.client.get(ctx, node, "status", &own)
+	return adminapi.ClusterStatus{Nodes: []adminapi.NodeStatus{own}}, err
+}
+
 // combine puts the view and the answers together. Two addresses of the same
 // node, as behind a load balancer, count once.
 func combine(view adminapi.ViewReply, answered []adminapi.NodeStatus) systemStatus {
