--- /dev/null
+++ b/internal/compare/build.go
@@ -0,0 +1,149 @@
+package compare
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/vanillapier/vanillapier/internal/replay"
+	"github.com/vanillapier/vanillapier/internal/report"
+)
+
+// requirements that a replay can show, with their texts.
+var requirements = []struct{ id, text string }{
+	{"R1", "no host is committed beyond its capacity"},
+	{"R2", "no task runs in two places at once"},
+	{"R3", "evicted work resumes exactly once"},
+	{"R4", "no task starts in a data centre that is out"},
+	{"R10", "accepted configuration is in force and never reverts"},
+}
+
+// build puts the outcomes side by side.
+func build(t *replay.Trace, configs []Config, outcomes []replay.Outcome) *report.Report {
+	r := &report.Report{
+		Title:   "Replay of " + t.Header.Name,
+		Summary: fmt.Sprintf("One recorded trace under %d configurations, replayed through the placement code in virtual time.", len(configs)),
+		Facts: []report.Fact{
+			{Name: "trace", Value: t.Header.Name},
+			{Name: "seed", Value: fmt.Sprint(outcomes[0].Seed)},
+			{Name: "horizon", Value: t.Header.Horizon.D().String()},
+			{Name: "events", Value: fmt.Sprint(len(t.Events))},
+		},
+	}
+	for _, c := range configs {
+		r.Configs = append(r.Configs, c.Name)
+	}
+	r.Metrics = metrics(outcomes)
+	r.Requirements = verdicts(t, outcomes)
+	r.Plots = plots(outcomes)
+	return r
+}
+
+// metrics lists the four measures first, then what explains them.
+func metrics(outcomes []replay.Outcome) []report.Metric {
+	row := func(name, unit string, better report.Better, value func(replay.Outcome) report.Value) report.Metric {
+		m := report.Metric{Name: name, Unit: unit, Better: better}
+		for _, o := range outcomes {
+			m.Values = append(m.Values, value(o))
+		}
+		return m
+	}
+	number := func(n int) report.Value { return report.Value(n) }
+	return []report.Metric{
+		row("tail latency with batch to without", "ratio", report.BetterLower, func(o replay.Outcome) report.Value { return report.Value(o.TailRatio) }),
+		row("batch work done", "core-seconds", report.BetterHigher, func(o replay.Outcome) report.Value { return report.Value(o.CoreSeconds) }),
+		row("evictions", "", report.BetterLower, func(o replay.Outcome) report.Value { return number(total(o.Evictions)) }),
+		row("work while a data centre is out", "share", report.BetterHigher, func(o replay.Outcome) report.Value { return orMissing(o.OutShare) }),
+		row("batch work against offline packing", "share", report.BetterHigher, func(o replay.Outcome) report.Value { return orMissing(o.OfflineShare) }),
+		row("urgent work, slowest start", "ms", report.BetterLower, func(o replay.Outcome) report.Value { return number(int(o.UrgentWorstMs)) }),
+		row("work repeated", "core-seconds", report.BetterLower, func(o replay.Outcome) report.Value { return report.Value(o.LostCoreSeconds) }),
+		row("tasks done", "", report.BetterHigher, func(o replay.Outcome) report.Value { return number(o.Done) }),
+		row("tasks failed", "", report.BetterLower, func(o replay.Outcome) report.Value { return number(o.Failed) }),
+		row("tasks unfinished", "", report.BetterLower, func(o replay.Outcome) report.Value { return number(o.Unfinished) }),
+		row("starts", "", report.BetterNeither, func(o replay.Outcome) report.Value { return number(o.Starts) }),
+		row("throttle changes", "", report.BetterNeither, func(o replay.Outcome) report.Value { return number(o.Throttles) }),
+	}
+}
+
+func orMissing(share float64) report.Value {
+	if share == 0 {
+		return report.Missing
+	}
+	return report.Value(share)
+}
+
+func total(counts map[string]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// verdicts lists each requirement, and the stated outcomes that were missed.
+func verdicts(t *replay.Trace, outcomes []replay.Outcome) []report.Requirement {
+	missed := make([]map[string][]replay.Violation, len(outcomes))
+	stated := map[string]bool{}
+	for i, o := range outcomes {
+		missed[i] = map[string][]replay.Violation{}
+		for _, v := range o.Check(t.Header.Expect) {
+			missed[i][v.Requirement] = append(missed[i][v.Requirement], v)
+			stated[v.Requirement] = true
+		}
+	}
+	var out []report.Requirement
+	for _, q := range requirements {
+		out = append(out, verdict(q.id, q.text, missed))
+		delete(stated, q.id)
+	}
+	for _, id := range slices.Sorted(maps.Keys(stated)) {
+		out = append(out, verdict(id, "stated outcome of the trace", missed))
+	}
+	return out
+}
+
+// notedViolations bounds the violations that a verdict's note shows.
+const notedViolations = 2
+
+func verdict(id, text string, missed []map[string][]replay.Violation) report.Requirement {
+	q := report.Requirement{ID: id, Text: text}
+	for _, m := range missed {
+		violations := m[id]
+		if len(violations) == 0 {
+			q.Results = append(q.Results, report.Result{Verdict: report.Pass})
+			continue
+		}
+		var notes []string
+		for _, v := range violations[:min(notedViolations, len(violations))] {
+			notes = append(notes, v.String())
+		}
+		if more := len(violations) - len(notes); more > 0 {
+			notes = append(notes, fmt.Sprintf("and %d more", more))
+		}
+		q.Results = append(q.Results, report.Result{Verdict: report.Fail, Note: strings.Join(notes, "; ")})
+	}
+	return q
+}
+
+// plots draws evictions by reason.
+func plots(outcomes []replay.Outcome) []report.Plot {
+	reasons := map[string]bool{}
+	for _, o := range outcomes {
+		for reason := range o.Evictions {
+			reasons[reason] = true
+		}
+	}
+	p := report.Plot{Title: "Evictions by reason", XLabel: "configuration, in the order of the table", YLabel: "evictions"}
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		s := report.Series{Name: reason}
+		for i, o := range outcomes {
+			s.Points = append(s.Points, report.Point{X: report.Value(i + 1), Y: report.Value(o.Evictions[reason])})
+		}
+		p.Series = append(p.Series, s)
+	}
+	if len(p.Series) == 0 {
+		return nil
+	}
+	return []report.Plot{p}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,7 +15,7 @@
 type ReplayArgs struct {
 	// Trace is the path of the recorded trace.
 	Trace string
-	// Configs are the paths of the configurations to compare, at least one.
+	// Configs are the configurations to compare, at least one: policies or files.
 	Configs []string
 	// Seed seeds every random choice of the replay.
 	Seed uint64
@@ -166,10 +166,8 @@
 	if len(a.Configs) == 0 {
 		return model.Errorf(model.KindInvalid, "give --config once for each configuration to compare", "no configuration is given")
 	}
-	for _, path := range append([]string{a.Trace}, a.Configs...) {
-		if err := checkReadable(path); err != nil {
-			return err
-		}
+	if err := checkReadable(a.Trace); err != nil {
+		return err
 	}
 	return p.Replay(ctx, ReplayArgs{Trace: a.Trace, Configs: a.Configs, Seed: a.Seed, Output: string(p.args.Output), HTMLFile: a.HTML}, p.Stdout)
 }
