End the lease before the release record is sent

Cause: between the moment when the release record was durable and its answer, the old owner's lease was valid, and a successor could already have acquired.

Change: release ends the lease first. A delayed answer to a release is tested.

Conclusion: at most one lease is valid at any time, also during a release.

--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -130,8 +130,9 @@
 	}
 	n.f.checkState(applied)
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.owned, n.applied = o, applied
+	n.mu.Unlock()
+	n.f.checkOwners()
 }
 
 func (n *node) Lost(model.CellID, string) {
@@ -429,3 +430,26 @@
 	f.finish()
 	require.Len(t, f.acked, 21)
 }
+
+// Guards against an owner whose lease is still valid while its release record is
+// durable but not yet answered; the successor acquires in that time.
+func TestReleaseEndsLeaseFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 0)
+		time.Sleep(time.Second)
+		var old *node
+		for _, n := range f.nodes {
+			if n.current() != nil {
+				old = n
+			}
+		}
+		f.store.SetInject(func(op journaltest.Op) (fault journaltest.Fault) {
+			if op.Node == string(old.id) && op.Write {
+				fault.Answer = 3 * time.Second
+			}
+			return fault
+		})
+		require.NoError(t, old.m.Release(t.Context()))
+		f.finish()
+	})
+}
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -120,21 +120,16 @@
 	return o.snaps.SaveSnapshot(ctx, journal.Snapshot{Sequence: seq, Data: data, Epoch: o.Epoch, Owner: &o.owner})
 }
 
-// write appends one batch at the next sequence. Only the committer, and release
-// after the committer has ended, call it.
+// write appends one batch at the next sequence. Only the committer calls it.
 func (o *Owned) write(ctx context.Context, records [][]byte) (uint64, error) {
-	return o.writeBatch(ctx, journal.Batch{Epoch: o.Epoch, Records: records})
-}
-
-func (o *Owned) writeBatch(ctx context.Context, b journal.Batch) (uint64, error) {
 	o.mu.Lock()
 	seq, before := o.last+1, o.leaseStart
 	o.mu.Unlock()
 	start := o.cfg.Now()
-	if b.Owner != nil || start.Sub(before) >= o.cfg.Lease/renewalsPerLease {
+	if start.Sub(before) >= o.cfg.Lease/renewalsPerLease {
 		ctx = storeclient.WithPriority(ctx, storeclient.PriorityFence)
 	}
-	if _, err := o.log.Append(ctx, seq, b); err != nil {
+	if _, err := o.log.Append(ctx, seq, journal.Batch{Epoch: o.Epoch, Records: records}); err != nil {
 		return 0, err
 	}
 	if err := verify(ctx, o.log, seq, LeaseValid(o.cfg.Lease, before, o.cfg.Now())); err != nil {
@@ -210,9 +205,13 @@
 	if err := o.committer.Close(ctx, ended); err != nil {
 		return err
 	}
+	// The lease ends before the record is sent, because a successor may acquire
+	// the cell before the answer arrives.
+	o.end()
 	change := o.owner
 	change.Action, change.Successor = journal.OwnerReleased, successor
-	_, err := o.writeBatch(ctx, journal.Batch{Epoch: o.Epoch, Owner: &change})
+	ctx = storeclient.WithPriority(ctx, storeclient.PriorityFence)
+	_, err := o.log.Append(ctx, o.LastSequence()+1, journal.Batch{Epoch: o.Epoch, Owner: &change})
 	return err
 }
 
