Remove data races from the ownership tests

Cause: the race detector reported reads of the tests' own notes beside the handlers that write them.

Conclusion: no change to the product.

--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -63,9 +64,11 @@
 
 func newFleet(t require.TestingT, size, warm int) *fleet {
 	f := &fleet{t: t, warm: warm, store: journaltest.New(), acked: map[string]uint64{}, seqs: map[uint64]model.NodeID{}}
+	f.mu.Lock()
 	for range size {
 		f.nodes = append(f.nodes, f.start())
 	}
+	f.mu.Unlock()
 	f.setMembers()
 	return f
 }
@@ -103,7 +106,10 @@
 	time.Sleep(time.Duration(ops) * 100 * time.Millisecond)
 	old.access.CrashAfter(0, false)
 	old.cancel()
-	f.nodes[i] = f.start()
+	successor := f.start()
+	f.mu.Lock()
+	f.nodes[i] = successor
+	f.mu.Unlock()
 	f.setMembers()
 }
 
@@ -223,8 +229,11 @@
 
 // checkOwners requires that at most one node may act for the cell.
 func (f *fleet) checkOwners() {
+	f.mu.Lock()
+	nodes := slices.Clone(f.nodes)
+	f.mu.Unlock()
 	var valid []string
-	for _, n := range f.nodes {
+	for _, n := range nodes {
 		if o := n.current(); o != nil && o.LeaseValid(time.Now()) {
 			valid = append(valid, string(n.id))
 		}
