--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -52,13 +52,17 @@
 			return ctx.Err()
 		}
 		lastCheck = s.cfg.Now()
-		if s.Refresh(ctx) == nil {
+		err := s.Refresh(ctx)
+		if err == nil {
 			delay = retryDelay
 			s.checksOK.Add(1)
 			s.saveDueSnapshot(ctx)
 			continue
 		}
 		s.checksFailed.Add(1)
+		if s.cfg.OnError != nil && ctx.Err() == nil {
+			s.cfg.OnError(err)
+		}
 		// While the store fails, nodes spread their checks over a growing delay.
 		if !pause(ctx, delay/2+time.Duration(random.Float64()*float64(delay))) {
 			return ctx.Err()
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -42,6 +42,10 @@
 	CacheEntries int
 	// OnChange, when set, is called after the view moved to a higher sequence.
 	OnChange func(*View)
+	// OnError, when set, is called after each check of the store that failed. A
+	// view that cannot be moved forward becomes stale and stops starts, so the
+	// error belongs in the log.
+	OnError func(error)
 }
 
 func (c Config) withDefaults() Config {
