--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -40,11 +41,21 @@
 	nodes []*node
 	born  int
 	warm  int // Config.WarmBytes
+	cells []model.CellID
+
+	mu sync.Mutex
+	// events holds the acquisitions in order.
+	events []event
+	acked  map[string]uint64 // record to sequence
+	seqs   map[uint64]model.NodeID
+	next   int
+}
 
-	mu    sync.Mutex
-	acked map[string]uint64 // record to sequence
-	seqs  map[uint64]model.NodeID
-	next  int
+// event is one acquisition.
+type event struct {
+	at    time.Time
+	owned *ownership.Owned
+	node  *node
 }
 
 // node is one process. Its state is the list of records that it has applied.
@@ -62,10 +73,16 @@
 }
 
 func newFleet(t require.TestingT, size, warm int) *fleet {
-	f := &fleet{t: t, warm: warm, store: journaltest.New(), acked: map[string]uint64{}, seqs: map[uint64]model.NodeID{}}
+	return newCells(t, size, warm, cell)
+}
+
+func newCells(t require.TestingT, size, warm int, cells ...model.CellID) *fleet {
+	f := &fleet{t: t, warm: warm, cells: cells, store: journaltest.New(), acked: map[string]uint64{}, seqs: map[uint64]model.NodeID{}}
+	f.mu.Lock()
 	for range size {
 		f.nodes = append(f.nodes, f.start())
 	}
+	f.mu.Unlock()
 	f.setMembers()
 	return f
 }
@@ -74,9 +91,11 @@
 	f.born++
 	id := model.NodeID(fmt.Sprintf("n%d", f.born))
 	n := &node{f: f, id: id, access: f.store.Node(string(id)), ended: make(chan struct{})}
-	n.m = ownership.New(ownership.Config{
+	cfg := ownership.Config{
 		Node: id, Addr: string(id), Table: n.access, Objects: n.access.Objects(), Now: n.access.Now, Seed: uint64(f.born), WarmBytes: f.warm,
-	}, n)
+	}
+	require.NoError(f.t, cfg.Validate())
+	n.m = ownership.New(cfg, n)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
@@ -92,7 +111,7 @@
 		members = append(members, control.Member{ID: n.id, Addr: string(n.id)})
 	}
 	for _, n := range f.nodes {
-		n.m.SetCells([]model.CellID{cell}, members)
+		n.m.SetCells(f.cells, members)
 	}
 }
 
@@ -103,7 +122,10 @@
 	time.Sleep(time.Duration(ops) * 100 * time.Millisecond)
 	old.access.CrashAfter(0, false)
 	old.cancel()
-	f.nodes[i] = f.start()
+	successor := f.start()
+	f.mu.Lock()
+	f.nodes[i] = successor
+	f.mu.Unlock()
 	f.setMembers()
 }
 
@@ -121,6 +143,12 @@
 // Acquired applies the recovered state and checks it against what any owner has
 // acknowledged before.
 func (n *node) Acquired(o *ownership.Owned) {
+	n.f.mu.Lock()
+	n.f.events = append(n.f.events, event{time.Now(), o, n})
+	n.f.mu.Unlock()
+	if o.Cell != cell {
+		return
+	}
 	applied := map[uint64][]string{}
 	applied[o.SnapshotSequence] = strings.Fields(string(o.Snapshot))
 	for _, e := range o.Tail {
@@ -130,8 +158,9 @@
 	}
 	n.f.checkState(applied)
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.owned, n.applied = o, applied
+	n.mu.Unlock()
+	n.f.checkOwners()
 }
 
 func (n *node) Lost(model.CellID, string) {
@@ -222,8 +251,11 @@
 
 // checkOwners requires that at most one node may act for the cell.
 func (f *fleet) checkOwners() {
+	f.mu.Lock()
+	nodes := slices.Clone(f.nodes)
+	f.mu.Unlock()
 	var valid []string
-	for _, n := range f.nodes {
+	for _, n := range nodes {
 		if o := n.current(); o != nil && o.LeaseValid(time.Now()) {
 			valid = append(valid, string(n.id))
 		}
@@ -429,3 +461,26 @@
 	f.finish()
 	require.Len(t, f.acked, 21)
 }
+
+// Guards against an owner whose lease is still valid while its release record is
+// durable but not yet answered; the successor acquires in that time.
+func TestReleaseEndsLeaseFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, 0)
+		time.Sleep(time.Second)
+		var old *node
+		for _, n := range f.nodes {
+			if n.current() != nil {
+				old = n
+			}
+		}
+		f.store.SetInject(func(op journaltest.Op) (fault journaltest.Fault) {
+			if op.Node == string(old.id) && op.Write {
+				fault.Answer = 3 * time.Second
+			}
+			return fault
+		})
+		require.NoError(t, old.m.Release(t.Context()))
+		f.finish()
+	})
+}
