State the bound on evictions in more traces

Change: the traces with a data centre out, a store outage and several faults at once state it too. Rack loss and bad workers state none: their few evictions follow from the failures.

--- a/internal/replay/tracegen/scenarios.go
+++ b/internal/replay/tracegen/scenarios.go
@@ -37,14 +37,14 @@
 var scenarios = []scenario{
 	{"day", 40, expect(func(e *replay.Expectations) { e.MaxEvictionShare = evictionTarget; e.Unrunnable = count(2) }), day},
 	{"noisy-waves", 20, expect(func(e *replay.Expectations) { e.MaxEvictionShare = evictionTarget }), noisyWaves},
-	{"dc-out", 25, expect(func(e *replay.Expectations) { e.MinOutShare = outTarget }), dataCentreOut},
-	{"store-outage", 25, expect(nil), storeOutage},
+	{"dc-out", 25, expect(func(e *replay.Expectations) { e.MinOutShare = outTarget; e.MaxEvictionShare = evictionTarget }), dataCentreOut},
+	{"store-outage", 25, expect(func(e *replay.Expectations) { e.MaxEvictionShare = evictionTarget }), storeOutage},
 	{"rack-lost", 15, expect(nil), rackLost},
 	{"wrong-sizes", 20, expect(nil), wrongSizes},
 	{"cancel-wave", 15, expect(nil), cancelWave},
 	{"bad-worker", 20, expect(func(e *replay.Expectations) { e.Failed = count(0) }), badWorker},
 	{"operators", 15, expect(func(e *replay.Expectations) { e.Refused = count(2) }), operators},
-	{"several", 30, expect(func(e *replay.Expectations) { e.MinOutShare = outTarget }), several},
+	{"several", 30, expect(func(e *replay.Expectations) { e.MinOutShare = outTarget; e.MaxEvictionShare = evictionTarget }), several},
 }
 
 // day is a compressed day: the services' load rises and falls, batch work is
