--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -16,23 +16,31 @@
 // search of one that fits.
 const backfillDepth = 32
 
-// maxTurns bounds the units looked at in one plan, as a multiple of the bound
-// on searches; units that need at least what was not found cost no search.
-const maxTurns = 16
+// Bounds on the units looked at without a start: in a plan that follows a
+// change, and in the full scan once a second. A turn costs some 3 us even when
+// it needs no search, and a full cell plans ten times a second.
+const (
+	missesPerChange = 96
+	missesPerScan   = 1024
+)
 
 // place takes units in order of rank and reserves workers for them.
 func (s *Scheduler) place() {
 	if !s.changed && s.now.Sub(s.lastFull) < fullScanEvery {
 		return
 	}
-	s.changed, s.lastFull = false, s.now
+	allowed := missesPerChange
+	if s.now.Sub(s.lastFull) >= fullScanEvery {
+		allowed, s.lastFull = missesPerScan, s.now
+	}
+	s.changed = false
 	if s.isOut() {
 		return
 	}
 	s.failed = map[model.ClassName][]model.Resources{}
 	turns := s.turns()
 	blocked, started := 0, 0
-	for n := 0; turns.Len() > 0 && n < maxTurns*s.cfg.MaxBlockedPerPlan+s.cfg.MaxStartsPerPlan; n++ {
+	for misses := 0; turns.Len() > 0 && misses < allowed; {
 		if blocked >= s.cfg.MaxBlockedPerPlan || started >= s.cfg.MaxStartsPerPlan {
 			break
 		}
@@ -44,6 +52,7 @@
 		blocked += result.searches
 		if result.started == 0 {
 			c.misses++
+			misses++
 		}
 		if c.unit != nil && c.misses < backfillDepth {
 			c.rank = s.rankOf(c)
