Report faults of flags on stderr with a remedy

Cause: the flag library's MustParse prints usage and error on stdout and names no remedy; TestBadSettings found an empty stderr for an unknown flag. Before: nothing on stderr. Conclusion: all refused starts print one line in one form.

--- a/cmd/vpierd/main.go
+++ b/cmd/vpierd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -26,8 +27,10 @@
 }
 
 func run() int {
-	var settings node.Settings
-	arg.MustParse(&settings)
+	settings, code, done := parse(os.Args[1:])
+	if done {
+		return code
+	}
 	settings.Provision()
 	log, err := telemetry.NewLogger(os.Stderr, settings.LogLevel, model.NodeID(settings.ID))
 	if err != nil {
@@ -47,6 +50,27 @@
 	return 0
 }
 
+// parse reads flags and environment. done is true when the process ends with the
+// code: after --help, --version or a fault.
+func parse(args []string) (settings node.Settings, code int, done bool) {
+	parser, err := arg.NewParser(arg.Config{}, &settings)
+	if err == nil {
+		err = parser.Parse(args)
+	}
+	switch {
+	case err == nil:
+		return settings, 0, false
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(os.Stdout)
+		return settings, 0, true
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Println(settings.Version())
+		return settings, 0, true
+	}
+	err = model.Wrap(model.KindInvalid, err, "see vpierd --help", "flags and environment")
+	return settings, fail(err, exitInvalid), true
+}
+
 // fail prints err and returns the exit code.
 func fail(err error, code int) int {
 	fmt.Fprintf(os.Stderr, "vpierd: %v\n", err)
