--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -225,7 +225,11 @@
 		"Idempotency-Key":  {key},
 		"Vpier-Timeout-Ms": {fmt.Sprint(defaultTimeout.Milliseconds())},
 	}
-	for range printTries {
+	for try := range printTries {
+		header.Del("Vpier-Attempt")
+		if try == 0 && !p.Twice {
+			header.Set("Vpier-Attempt", "1") // only then a refusal can be a proof in a store outage
+		}
 		call, cancel := context.WithTimeout(ctx, defaultTimeout+clientSlack)
 		r, err := c.send(call, http.MethodPost, "/v1/services/"+string(p.Service)+"/print", header.Clone(), body)
 		cancel()
--- /dev/null
+++ b/internal/node/followers.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/ownership"
+)
+
+// methodTail returns the state of a cell that a member follows.
+const methodTail = "cell.tail"
+
+const (
+	// followerBytes bounds the state that is sent to a peer; a larger one is read
+	// from the store. In JSON it grows by a third and must fit one message.
+	followerBytes = 2 << 20
+	// followerPeers is the number of members asked for a state. The standby of a
+	// cell is the best-placed member and follows it.
+	followerPeers = 2
+	// followerTimeout bounds one call; the store is the fallback.
+	followerTimeout = 500 * time.Millisecond
+)
+
+type tailParams struct {
+	Cell model.CellID `json:"cell"`
+}
+
+// FollowerState asks the best-placed members for their state of a cell. It
+// implements ownership.PeerSource.
+func (n *Node) FollowerState(ctx context.Context, id model.CellID) (ownership.FollowerState, error) {
+	asked := 0
+	for _, member := range ownership.Order(id, n.members()) {
+		m, ok := n.control.View().Members[member]
+		if !ok || member == n.id || n.suspected(member) {
+			continue
+		}
+		if state, err := n.askFollower(ctx, m, id); err == nil {
+			return state, nil
+		}
+		if asked++; asked == followerPeers {
+			break
+		}
+	}
+	return ownership.FollowerState{}, model.Errorf(model.KindNotFound, "read the store", "no member follows cell %s", id)
+}
+
+func (n *Node) askFollower(ctx context.Context, m control.Member, id model.CellID) (ownership.FollowerState, error) {
+	ctx, cancel := context.WithTimeout(ctx, followerTimeout)
+	defer cancel()
+	var state ownership.FollowerState
+	err := n.peers.Call(ctx, m.Addr, methodTail, tailParams{id}, &state)
+	return state, err
+}
+
+func (n *Node) handleTail(_ context.Context, raw json.RawMessage) (any, error) {
+	var p tailParams
+	if err := decodeParams(raw, &p); err != nil {
+		return nil, err
+	}
+	state, err := n.owners.FollowerState(p.Cell)
+	if err != nil {
+		return nil, err
+	}
+	size := len(state.Snapshot.Data)
+	for _, entry := range state.Tail {
+		for _, record := range entry.Records {
+			size += len(record)
+		}
+	}
+	if size > followerBytes {
+		return nil, model.Errorf(model.KindExhausted, "read the store", "the state of cell %s has %d bytes", p.Cell, size)
+	}
+	return state, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,7 @@
 	n.owners = ownership.New(ownership.Config{
 		Node: n.id, Addr: s.Advertise, Table: n.store, Objects: n.objects,
 		Lease: s.CellLease, Commit: journal.CommitterConfig{Interval: s.CommitEvery},
-		Seed: n.seed, Decisions: n.decisions,
+		Seed: n.seed, Decisions: n.decisions, Peers: n,
 	}, n.cells)
 	n.router = &owner.Router{Cells: n.cells, Owner: n.owners.Owner, Call: n.callPeer, Self: n.id}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -148,7 +148,7 @@
 	n.peers = peers
 	for method, handler := range map[string]membership.Handler{
 		methodFetch: n.handleFetch, methodLearn: n.handleLearn, methodState: n.handleState,
-		methodNodeStatus: n.handleNodeStatus, methodLend: n.handleLend, methodReturn: n.handleReturn,
+		methodTail: n.handleTail, methodNodeStatus: n.handleNodeStatus, methodLend: n.handleLend, methodReturn: n.handleReturn,
 		owner.MethodSubmit: n.handleSubmit, owner.MethodCancel: n.handleCancel,
 		owner.MethodStatus: n.handleJobStatus, owner.MethodTransfer: n.handleTransfer,
 	} {
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -250,6 +250,12 @@
 // have submitted it already, so that a failure proves nothing.
 func (c *Chain) submitClaimed(cl *call, held *heldClaim, job model.JobSpec, earlier bool) {
 	err := c.deps.Orders.Submit(cl.ctx, held.claim.Cell, job)
+	for range maxOtherCells {
+		if earlier || !model.IsKind(err, model.KindUnavailable) || !c.moveClaim(cl, held, job) {
+			break
+		}
+		err = c.deps.Orders.Submit(cl.ctx, held.claim.Cell, job)
+	}
 	cl.claim, cl.checked = held, true
 	if err == nil {
 		c.settle(cl, model.OutcomeDone, nil)
@@ -263,6 +269,31 @@
 	c.refuse(cl, refusal(http.StatusServiceUnavailable, model.KindOf(err), 2*time.Second, "the order was not submitted: "+err.Error(), "repeat with the same "+headerKey+" after the stated time"), "order-refused")
 }
 
+// maxOtherCells bounds the cells that one request tries after the first. A cell
+// without an owner is taken over within seconds, but urgent work must start sooner.
+const maxOtherCells = 2
+
+// moveClaim points a claim to another cell after its cell had certainly not taken
+// the order. It reports false when there is no other cell or the row could not be
+// changed.
+func (c *Chain) moveClaim(cl *call, held *heldClaim, job model.JobSpec) bool {
+	cell, err := c.deps.Orders.HomeCell(job)
+	if err != nil || cell == held.claim.Cell {
+		return false
+	}
+	found, version, err := c.deps.Claims.Get(cl.ctx, held.row)
+	if err != nil || found.ID != held.claim.ID {
+		return false
+	}
+	claim := held.claim
+	claim.Cell = cell
+	if c.deps.Claims.Put(cl.ctx, held.row, claim, version) != nil {
+		return false
+	}
+	held.claim = claim
+	return true
+}
+
 // provedNotRun reports whether a failed submission certainly had no effect.
 func provedNotRun(err error) bool {
 	switch model.KindOf(err) {
--- a/internal/request/orders_test.go
+++ b/internal/request/orders_test.go
@@ -122,3 +122,42 @@
 		})
 	}
 }
+
+// cellOrders has one cell without an owner; it offers it first.
+type cellOrders struct {
+	fakeOrders
+	tried []model.CellID
+}
+
+func (f *cellOrders) HomeCell(model.JobSpec) (model.CellID, error) {
+	if len(f.tried) == 0 {
+		return "vacant", nil
+	}
+	return "owned", nil
+}
+
+func (f *cellOrders) Submit(ctx context.Context, cell model.CellID, job model.JobSpec) error {
+	f.tried = append(f.tried, cell)
+	if cell == "vacant" {
+		return model.Errorf(model.KindUnavailable, "retry", "no owner")
+	}
+	return f.fakeOrders.Submit(ctx, cell, job)
+}
+
+// Guards against an order that waits for a take-over although another cell can
+// have it, and against a claim that names the wrong cell afterwards.
+func TestOrderGoesToAnotherCell(t *testing.T) {
+	w := newWorld(t)
+	orders := &cellOrders{fakeOrders: fakeOrders{jobs: map[model.JobID]model.JobSpec{}}}
+	w.orders = orders
+	_, n1 := w.node("n1")
+	r := ask(t, post, n1+ordersPath, []byte(plateOrder), headerKey, "k")
+	require.Equal(t, 202, r.status, string(r.body))
+	require.Equal(t, []model.CellID{"vacant", "owned"}, orders.tried)
+	var accepted OrderAccepted
+	require.NoError(t, json.Unmarshal(r.body, &accepted))
+	status := ask(t, get, n1+ordersPath+"/"+string(accepted.Job), nil)
+	require.Contains(t, string(status.body), `"cell":"owned"`)
+	require.Equal(t, 200, ask(t, post, n1+ordersPath, []byte(plateOrder), headerKey, "k").status)
+	require.Len(t, orders.tried, 2, "a repeated order is answered from its claim")
+}
