Bound the memory of cached control entries and proposals

Cause: 1024 cached proposals of 64 KiB or 4096 pending ones exceed the memory that a node may use for control.

Change: the cache for peers is bounded to 4 MiB as well as 1024 entries, and 256 proposals are kept.

Conclusion: at most 20 MiB for cache and pending texts.

--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -48,7 +48,8 @@
 	p, ok := s.proposals[seq]
 	switch {
 	case !ok:
-		return model.Errorf(model.KindNotFound, "list the proposals (vpier history)", "sequence %d is not a proposal", seq)
+		return model.Errorf(model.KindNotFound, "list the proposals (vpier history), or propose again",
+			"sequence %d is not a proposal, or has %d newer ones", seq, proposalMemory)
 	case p.digest != digest:
 		return model.Errorf(model.KindConflict, "review the proposal again (vpier history)",
 			"proposal %d has digest %s, not %s", seq, p.digest, digest)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -18,9 +18,10 @@
 // journal itself is not truncated; it is the history.
 const SnapshotEvery = 1000
 
-// proposalMemory is the number of proposals that are kept for error messages and
-// acceptance.
-const proposalMemory = 4096
+// proposalMemory is the number of proposals that are kept for acceptance and for
+// error messages. With texts of 64 KiB it bounds their memory to 16 MiB. The
+// texts are dropped when a declaration is accepted.
+const proposalMemory = 256
 
 // stored is the content of a control snapshot.
 type stored struct {
@@ -134,7 +135,7 @@
 	defer s.mu.Unlock()
 	if s.state.view.Sequence < loaded.view.Sequence {
 		loaded.view.ConfirmedAt = s.state.view.ConfirmedAt
-		s.state, s.recent = loaded, nil
+		s.state, s.recent, s.recentBytes = loaded, nil, 0
 		s.view.Store(loaded.view)
 	}
 	return nil
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -38,8 +38,10 @@
 	// CheckAge is the confirmed age at which a node checks the store itself. It
 	// must leave room below FreshnessBound for one read. Default 1.7s.
 	CheckAge time.Duration
-	// CacheEntries is the number of recent entries kept for peers. Default 1024.
+	// CacheEntries and CacheBytes bound the recent entries kept for peers. Defaults
+	// 1024 and 4 MiB.
 	CacheEntries int
+	CacheBytes   int
 	// OnChange, when set, is called after the view moved to a higher sequence.
 	OnChange func(*View)
 	// OnError, when set, is called after each check of the store that failed. A
@@ -61,6 +63,9 @@
 	if c.CacheEntries <= 0 {
 		c.CacheEntries = 1024
 	}
+	if c.CacheBytes <= 0 {
+		c.CacheBytes = 4 << 20
+	}
 	return c
 }
 
@@ -83,6 +88,8 @@
 	mu     sync.Mutex
 	state  *state
 	recent []Entry
+	// recentBytes is the memory of recent.
+	recentBytes int
 	// snapshotDue is set when this node appended a record at which a snapshot is
 	// to be saved.
 	snapshotDue bool
@@ -174,11 +181,28 @@
 	return err
 }
 
+// cache keeps e for peers, within the bounds on entries and bytes.
 func (s *Store) cache(e Entry) {
 	s.recent = append(s.recent, e)
-	if excess := len(s.recent) - s.cfg.CacheEntries; excess > 0 {
-		s.recent = slices.Clone(s.recent[excess:])
+	s.recentBytes += e.memory()
+	drop := 0
+	for len(s.recent)-drop > s.cfg.CacheEntries || (s.recentBytes > s.cfg.CacheBytes && len(s.recent)-drop > 1) {
+		s.recentBytes -= s.recent[drop].memory()
+		drop++
+	}
+	if drop > 0 {
+		s.recent = slices.Clone(s.recent[drop:])
+	}
+}
+
+// entryOverhead is the memory of a cached entry besides texts, in bytes.
+const entryOverhead = 256
+
+func (e Entry) memory() int {
+	if e.Record.Proposed != nil {
+		return entryOverhead + len(e.Record.Proposed.Text)
 	}
+	return entryOverhead
 }
 
 // EntriesFrom returns up to limit cached entries from sequence seq, for peers
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -197,6 +197,21 @@
 	})
 }
 
+// Guards against a cache that large proposals fill beyond its bound, and against
+// entries that are missing between those that it still holds.
+func TestCacheIsBounded(t *testing.T) {
+	s := newStore(journaltest.New().Node("a"), "a")
+	text := "gent " + strings.Repeat(" ", 60<<10)
+	for seq := range uint64(100) {
+		_, err := s.Append(t.Context(), seq, proposed("d", text, ""))
+		require.NoError(t, err)
+	}
+	require.Empty(t, s.EntriesFrom(1, 1000))
+	cached := s.EntriesFrom(50, 1000)
+	require.Len(t, cached, 51)
+	require.EqualValues(t, 100, cached[50].Sequence)
+}
+
 // Guards against a start that reads the whole history, and against a snapshot
 // that loses part of the state.
 func TestStartFromSnapshot(t *testing.T) {
