Keep the node's loops from waiting for each other

Cause (from reading): the control goroutine wrote leave records of removed members itself, so that with a slow store the cells were not assigned and a graceful stop waited behind it. One loop announced epochs cell by cell, up to a second each with a member that is down, and only then looked for a store outage, whose answers count for three seconds; after the take-over of several cells the renewals of task leases could have lapsed in an outage. A node that was stopped while it tried to join could still append its join record and never leave. Ruled out: shorter timeouts (they would refuse slow members). Change: loops of their own for the removal of members and for outages; cells are announced at the same time; no attempt to join after the stop has begun, and no assignment of cells before the join; the rule for renewals is a function of its own. The table of absent members forgets those that have left. Conclusion: between join and release the control goroutine does not wait for the store.

--- a/internal/node/control_loop.go
+++ b/internal/node/control_loop.go
@@ -46,14 +46,14 @@
 }
 
 // controlLoop owns the node's control state: which cells and members there are,
-// which members are to be removed, and the release of cells on a graceful stop.
+// and the release of cells on a graceful stop. Between join and release it does
+// not wait for the store, which may be down for long.
 func (n *Node) controlLoop(ctx context.Context) error {
 	if err := n.join(ctx); err != nil {
 		return err
 	}
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
-	absent := map[model.NodeID]time.Time{}
 	released := false
 	for {
 		select {
@@ -65,34 +65,55 @@
 				c.release.done <- n.leave(c.release.ctx)
 			}
 		case <-ticker.C:
-			n.removeGone(ctx, absent)
 		}
-		if !released {
+		if !released && n.joined.Load() {
 			n.assignCells()
 		}
 	}
 }
 
-// epochLoop makes epochs known to the members and watches for store outages. It
-// calls peers and therefore runs apart from the control goroutine.
-func (n *Node) epochLoop(ctx context.Context) error {
-	ticker := time.NewTicker(controlTick)
+// every calls f at each tick until ctx ends.
+func every(ctx context.Context, tick time.Duration, f func(context.Context)) error {
+	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			n.announceEpochs(ctx)
-			n.checkOutage(ctx)
+			f(ctx)
 		}
 	}
 }
 
+// epochLoop makes epochs known to the members.
+func (n *Node) epochLoop(ctx context.Context) error {
+	return every(ctx, controlTick, n.announceEpochs)
+}
+
+// outageLoop watches for store outages. It has a goroutine of its own, because
+// its answers count for the hold time only and must not wait for other calls.
+func (n *Node) outageLoop(ctx context.Context) error {
+	return every(ctx, controlTick, n.checkOutage)
+}
+
+// removalLoop removes members whose hosts are gone. It waits for the store.
+func (n *Node) removalLoop(ctx context.Context) error {
+	absent := map[model.NodeID]time.Time{}
+	return every(ctx, controlTick, func(ctx context.Context) {
+		if n.joined.Load() && !n.stopping.Load() {
+			n.removeGone(ctx, absent)
+		}
+	})
+}
+
 // join reads the control journal, ends the membership of a former process at the
 // same address, and appends this node's join record.
 func (n *Node) join(ctx context.Context) error {
 	for {
+		if n.stopping.Load() {
+			return nil // a member that never served would have to be removed by others
+		}
 		err := n.tryJoin(ctx)
 		if err == nil {
 			n.joined.Store(true)
@@ -159,6 +180,11 @@
 // removed. The first remaining member in order does it, so that nodes do not race.
 func (n *Node) removeGone(ctx context.Context, absent map[model.NodeID]time.Time) {
 	view, now := n.control.View(), time.Now()
+	for id := range absent {
+		if _, member := view.Members[id]; !member {
+			delete(absent, id)
+		}
+	}
 	for id, m := range view.Members {
 		if id == n.id || !n.hosts.Gone(m.Addr) || !n.suspected(id) {
 			delete(absent, id)
--- a/internal/node/epochs.go
+++ b/internal/node/epochs.go
@@ -137,24 +137,30 @@
 }
 
 // announceEpochs tells the members of each owned cell whose epoch a majority has
-// not acknowledged yet.
+// not acknowledged yet. The cells do not wait for each other: a member that is
+// down delays each call by the timeout, and a node may take over many cells at once.
 func (n *Node) announceEpochs(ctx context.Context) {
 	view := n.control.View()
+	var cells sync.WaitGroup
 	for id, epoch := range n.cells.Epochs() {
-		if n.epochs.isAcknowledged(id, epoch) {
-			continue
-		}
-		n.epochs.learn(id, epoch)
-		params := learnParams{Cell: id, Epoch: epoch, Node: n.id, Addr: n.settings.Advertise}
-		call, cancel := context.WithTimeout(ctx, time.Second)
-		acks := askAll(call, view.Members, n.id, func(ctx context.Context, m control.Member) bool {
-			return n.peers.Call(ctx, m.Addr, methodLearn, params, nil) == nil
-		})
-		cancel()
-		if acks+1 >= majority(len(view.Members)) {
-			n.epochs.acknowledge(id, epoch)
+		if !n.epochs.isAcknowledged(id, epoch) {
+			cells.Go(func() { n.announceEpoch(ctx, view, id, epoch) })
 		}
 	}
+	cells.Wait()
+}
+
+func (n *Node) announceEpoch(ctx context.Context, view *control.View, id model.CellID, epoch model.Epoch) {
+	n.epochs.learn(id, epoch)
+	params := learnParams{Cell: id, Epoch: epoch, Node: n.id, Addr: n.settings.Advertise}
+	call, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	acks := askAll(call, view.Members, n.id, func(ctx context.Context, m control.Member) bool {
+		return n.peers.Call(ctx, m.Addr, methodLearn, params, nil) == nil
+	})
+	if acks+1 >= majority(len(view.Members)) {
+		n.epochs.acknowledge(id, epoch)
+	}
 }
 
 // outageAge is the age of the view from which the members are asked about a
@@ -195,9 +201,17 @@
 }
 
 // allowRenewals permits the renewal of task leases without a valid ownership
-// lease for the hold time, when a majority has no confirmed view and nobody knows
-// a newer owner: then the store is down for all, and no successor can exist.
+// lease for the hold time.
 func (n *Node) allowRenewals(view *control.View, answers []memberState, begun time.Time) {
+	for _, id := range renewable(n.cells.Epochs(), answers, len(view.Members)) {
+		n.epochs.allowOutage(id, begun.Add(holdTime))
+	}
+}
+
+// renewable lists the owned cells whose task leases may be renewed: a majority of
+// the members, this node included, has no confirmed view, and nobody who answered
+// knows a newer owner. Then the store is down for all, and no successor can exist.
+func renewable(owned map[model.CellID]model.Epoch, answers []memberState, members int) []model.CellID {
 	unconfirmed, newer := 1, map[model.CellID]bool{}
 	for _, a := range answers {
 		if !a.Confirmed {
@@ -207,14 +221,16 @@
 			newer[id] = true
 		}
 	}
-	if unconfirmed < majority(len(view.Members)) {
-		return
+	if unconfirmed < majority(members) {
+		return nil
 	}
-	for id := range n.cells.Epochs() {
+	var out []model.CellID
+	for id := range owned {
 		if !newer[id] {
-			n.epochs.allowOutage(id, begun.Add(holdTime))
+			out = append(out, id)
 		}
 	}
+	return out
 }
 
 // handleLearn takes over who owns a cell.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -35,6 +35,8 @@
 	n.addLoop(&g, func(ctx context.Context) error { return n.hosts.Run(ctx, n.settings.HostsEvery) })
 	n.addLoop(&g, n.controlLoop)
 	n.addLoop(&g, n.epochLoop)
+	n.addLoop(&g, n.outageLoop)
+	n.addLoop(&g, n.removalLoop)
 	n.addLoop(&g, n.lendingLoop)
 	n.addLoop(&g, func(actor context.Context) error {
 		select {
