Shrink a digest until it fits

Cause: a digest was shrunk at most 11 times. With 16 cells and 20 leaving runners it needs more steps; then no digest was sent at all, and confirmations and slot shares did not reach the peers. Change: it shrinks until it fits or nothing may be left out any more; the latter is an error in the log. Before (from counting steps): an empty digest for such inputs. Conclusion: confirmations and slot shares are always sent when they fit at all.

--- a/internal/node/digest.go
+++ b/internal/node/digest.go
@@ -50,23 +50,27 @@
 	}
 	n.summaries.set(d.Cells, now)
 	n.rotateCells(&d)
-	for range digestSteps {
+	data, err := d.encode(limit)
+	if err != nil {
+		n.log.WithError(err).Error("digest could not be encoded")
+	}
+	return data
+}
+
+// encode returns the digest in at most limit bytes, without what does not fit.
+func (d *Digest) encode(limit int) (json.RawMessage, error) {
+	for {
 		data, err := json.Marshal(d)
-		if err != nil {
-			n.log.WithError(err).Error("digest could not be encoded")
-			return nil
+		if err != nil || len(data) <= limit {
+			return data, err
 		}
-		if len(data) <= limit {
-			return data
+		if !d.shrink() {
+			return nil, model.Errorf(model.KindExhausted, "report this fault: confirmations and slot shares must fit",
+				"a digest of %d bytes exceeds %d", len(data), limit)
 		}
-		d.shrink()
 	}
-	return nil
 }
 
-// digestSteps bounds the attempts to make a digest fit.
-const digestSteps = 12
-
 // rotateCells starts the list at another cell each time, so that each fits into
 // some digest.
 func (n *Node) rotateCells(d *Digest) {
@@ -78,8 +82,9 @@
 	d.Cells = append(d.Cells[at:], d.Cells[:at]...)
 }
 
-// shrink drops the least needed part that is left.
-func (d *Digest) shrink() {
+// shrink drops the least needed part that is left, and reports false when
+// nothing more may be left out.
+func (d *Digest) shrink() bool {
 	switch {
 	case len(d.Cells) > 1:
 		d.Cells = d.Cells[:len(d.Cells)/2]
@@ -89,9 +94,12 @@
 		d.Cells = nil
 	case len(d.Leaving) > 0:
 		d.Leaving = d.Leaving[:len(d.Leaving)/2]
-	default:
+	case len(d.Owned) > 0:
 		d.Owned = nil
+	default:
+		return false
 	}
+	return true
 }
 
 func confirmedAge(view *control.View, now time.Time) time.Duration {
