--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -274,6 +274,6 @@
 		callers, admin, _ := n.Addrs()
 		_, _ = fmt.Fprintf(out, "node %d: callers http://%s, operators http://%s\n", i+1, callers, admin) // best effort
 	}
-	_, _ = fmt.Fprintf(out, "operator token: %s\nstop with Ctrl-C\n", c.token) // best effort
+	_, _ = fmt.Fprintf(out, "platform: %s\noperator token: %s\nstop with Ctrl-C\n", c.platform.URL(), c.token) // best effort
 	<-ctx.Done()
 }
