Set the latency of the test store before its first use

Cause: the race detector reported the latency being set while nodes were already running.

Change: the fleet is created with its latency.

Conclusion: no change to the product.

--- a/internal/journal/journaltest/store.go
+++ b/internal/journal/journaltest/store.go
@@ -48,7 +48,7 @@
 	commits uint64
 	reads   int
 	writes  int
-	// Latency passes before each operation.
+	// Latency passes before each operation. Set it before the first one.
 	Latency time.Duration
 	inject  func(Op) Fault
 }
--- a/internal/ownership/fleet_test.go
+++ b/internal/ownership/fleet_test.go
@@ -20,9 +20,7 @@
 	for i := 1; i < cells; i++ {
 		names = append(names, model.CellID(fmt.Sprintf("cell-%d", i)))
 	}
-	f := newCells(t, nodes, 0, names...)
-	f.store.Latency = 5 * time.Millisecond
-	return f
+	return newCells(t, nodes, 0, 5*time.Millisecond, names...)
 }
 
 // kill ends a process without a release; it stays a member.
--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -73,11 +73,12 @@
 }
 
 func newFleet(t require.TestingT, size, warm int) *fleet {
-	return newCells(t, size, warm, cell)
+	return newCells(t, size, warm, 0, cell)
 }
 
-func newCells(t require.TestingT, size, warm int, cells ...model.CellID) *fleet {
+func newCells(t require.TestingT, size, warm int, latency time.Duration, cells ...model.CellID) *fleet {
 	f := &fleet{t: t, warm: warm, cells: cells, store: journaltest.New(), acked: map[string]uint64{}, seqs: map[uint64]model.NodeID{}}
+	f.store.Latency = latency
 	f.mu.Lock()
 	for range size {
 		f.nodes = append(f.nodes, f.start())
