Log decisions that are made between plans

Cause: a quarantine decided while ended attempts were taken in was added to the plan that had been handed over already, and was lost.

Change: the plan is handed over as a whole; later decisions go into the next. Scenario tests for spread, gradual filling and restored states are added.

Conclusion: go test ./internal/scheduler is green; the new assertion failed before.

--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -237,7 +237,9 @@
 	}
 	require.Equal(t, 1, r.task("j/0").Failures)
 	require.Zero(t, r.task("j/3").Failures, "failures of a suspect worker are not charged")
-	require.Zero(t, kinds(r.step(time.Second))["place"])
+	p := r.step(time.Second)
+	require.Zero(t, kinds(p)["place"])
+	require.Equal(t, 1, kinds(p)["quarantine"], "decisions made between plans are logged")
 	r.now = r.now.Add(40 * time.Second)
 	require.Equal(t, 1, kinds(r.step(time.Second))["place"], "one probe")
 	require.Zero(t, kinds(r.step(time.Second))["place"])
@@ -325,3 +327,55 @@
 	}
 	require.Equal(t, cell.TaskLive, r.task("large/0").State)
 }
+
+// Guards against a gang whose tasks all stop with one rack.
+func TestGangSpreadsOverRacks(t *testing.T) {
+	r := newRig(t, Config{}, 12)
+	r.submit("g", 6, gang)
+	r.step(time.Second)
+	racks := map[model.Rack]int{}
+	for _, h := range r.s.order {
+		racks[h.Rack] += len(h.live)
+	}
+	require.Equal(t, map[model.Rack]int{"r0": 3, "r1": 3}, racks)
+}
+
+// Guards against a returned data centre that takes in work at once, in its own
+// plans or through the room it offers to others.
+func TestReturnedDataCentreIsFilledGradually(t *testing.T) {
+	r := newRig(t, Config{}, 2)
+	r.out()
+	r.step(time.Second)
+	require.Zero(t, r.s.Summary().Free, "no share, no room")
+	r.view = &control.View{Sequence: 9}
+	r.submit("j", 8, nil)
+	r.step(time.Second)
+	require.Equal(t, 2, r.states("j")["live"], "a quarter of each worker")
+	r.now = r.now.Add(30 * time.Second)
+	r.step(time.Second)
+	require.Equal(t, 4, r.states("j")["live"])
+	r.now = r.now.Add(time.Minute)
+	r.step(time.Second)
+	require.Equal(t, 8, r.states("j")["live"])
+}
+
+// Guards against starting while a new owner's queue is lost: the scheduler of a
+// restored state must go on where the former one stopped.
+func TestSchedulerOverARestoredState(t *testing.T) {
+	r := newRig(t, Config{}, 1)
+	r.submit("j", 6, nil)
+	r.submit("g", 2, gang)
+	r.step(time.Second)
+	data, err := r.st.MarshalSnapshot()
+	require.NoError(t, err)
+	n := newRig(t, Config{}, 1)
+	require.NoError(t, n.st.RestoreSnapshot(data))
+	require.Equal(t, r.s.order[0].free, n.s.order[0].free)
+	n.now = r.now
+	for i := range 4 {
+		n.end(fmt.Sprintf("j/%d", i), model.OutcomeDone)
+	}
+	n.step(time.Second)
+	require.Equal(t, 2, n.states("j")["live"])
+	require.Equal(t, 2, n.states("g")["live"])
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -280,7 +280,7 @@
 	s.notes = nil
 	if view == nil {
 		s.plan.Next = planIdle
-		return *s.plan
+		return s.handOver()
 	}
 	s.adopt(view)
 	if s.queue.wake(now) {
@@ -292,7 +292,14 @@
 	s.drain()
 	s.place()
 	s.plan.Next = s.nextPlan()
-	return *s.plan
+	return s.handOver()
+}
+
+// handOver returns the plan; later decisions go into the next one.
+func (s *Scheduler) handOver() Plan {
+	p := *s.plan
+	s.plan = nil
+	return p
 }
 
 // Intervals between plans without new events.
