Earn retry budget from idempotent requests that were sent

Cause: TestRequestProperties failed: 31 exchanges for 28 idempotent requests. Non-idempotent and refused requests earned retries as well.

Change: the first exchange of an idempotent request earns the budget.

--- a/internal/request/admit.go
+++ b/internal/request/admit.go
@@ -60,7 +60,6 @@
 	p.mu.Lock()
 	now := p.chain.deps.Clock()
 	p.refresh(now)
-	p.budget.Earn()
 	p.arrive(now, w)
 	p.mu.Unlock()
 	select {
--- a/internal/request/flight.go
+++ b/internal/request/flight.go
@@ -24,7 +24,7 @@
 // run sends the request and returns the first complete answer, or the last
 // failure. Other exchanges are cancelled and their answers dropped.
 func (f *flight) run() attempt {
-	hedge := time.NewTimer(f.hedgeDelay())
+	hedge := time.NewTimer(f.begin())
 	f.start(f.cl.grant)
 	f.cl.grant = nil
 	defer hedge.Stop()
@@ -121,16 +121,15 @@
 	return true
 }
 
-// hedgeDelay returns how long to wait for the first answer before a hedge.
-func (f *flight) hedgeDelay() time.Duration {
+// begin earns the budget for the first exchange and returns how long to wait for
+// its answer before a hedge.
+func (f *flight) begin() time.Duration {
+	p := f.cl.grant.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Earn()
 	if f.chain.cfg.HedgeAfter < 0 {
 		return time.Hour
 	}
-	g := f.cl.grant
-	if g == nil {
-		return time.Hour
-	}
-	g.pool.mu.Lock()
-	defer g.pool.mu.Unlock()
-	return g.pool.route.HedgeDelay(g.choice.Runner, f.chain.cfg.HedgeAfter)
+	return p.route.HedgeDelay(f.cl.grant.choice.Runner, f.chain.cfg.HedgeAfter)
 }
--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -251,7 +251,6 @@
 		m.after(m.timeout, func() { m.expire(q) })
 		return
 	}
-	n.budget.Earn()
 	n.admission.arrive(m.clock(), q.w)
 	n.waiting = append(n.waiting, q)
 	m.collect(n)
@@ -329,6 +328,9 @@
 	mean := float64(modelMean) * m.speedOf(runner)
 	took := time.Duration(mean * math.Exp(sigma*m.rand.NormFloat64()-sigma*sigma/2))
 	m.after(took, func() { m.complete(q, i) })
+	if i == 0 {
+		q.node.budget.Earn()
+	}
 	if i == 0 && m.hedge {
 		m.after(q.node.route.HedgeDelay(r, 20*time.Millisecond), func() { m.hedgeNow(q) })
 	}
