Read until an empty page

Cause: a store may return fewer rows than asked for, for instance to bound the size of a response. A short page was taken for the end: the control view would have been confirmed although later records existed.

Change: Tail, Truncate and Refresh read until a page is empty. The test store can cut pages short.

Conclusion: a short page never makes a view look fresh.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -135,8 +135,10 @@
 		if err != nil {
 			return err
 		}
-		full := len(entries) == refreshPage
-		if err := s.applyAll(ctx, entries, start, !full); err != nil || !full {
+		// A store may return fewer rows than asked for, so only an empty page shows
+		// that there are no more.
+		end := len(entries) == 0
+		if err := s.applyAll(ctx, entries, start, end); err != nil || end {
 			return err
 		}
 	}
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -197,6 +197,19 @@
 	})
 }
 
+// Guards against a view that is confirmed after a page which the store cut short.
+func TestRefreshReadsShortPages(t *testing.T) {
+	store := journaltest.New()
+	a, b := newStore(store.Node("a"), "a"), newStore(store.Node("b"), "b")
+	for i := range 10 {
+		_, err := a.AppendMember(t.Context(), joined(fmt.Sprint("n", i)))
+		require.NoError(t, err)
+	}
+	store.Page = 3
+	require.NoError(t, b.Refresh(t.Context()))
+	require.EqualValues(t, 10, b.View().Sequence)
+}
+
 // Guards against a cache that large proposals fill beyond its bound, and against
 // entries that are missing between those that it still holds.
 func TestCacheIsBounded(t *testing.T) {
--- a/internal/journal/journaltest/store.go
+++ b/internal/journal/journaltest/store.go
@@ -50,7 +50,9 @@
 	writes  int
 	// Latency passes before each operation. Set it before the first one.
 	Latency time.Duration
-	inject  func(Op) Fault
+	// Page, when set, bounds the rows of one range, whatever its limit.
+	Page   int
+	inject func(Op) Fault
 }
 
 type partition struct {
@@ -274,6 +276,9 @@
 	err = n.do(ctx, Op{Name: "range", Key: platform.Key{Partition: partition, Row: from}}, func(f Fault) error {
 		n.store.mu.Lock()
 		defer n.store.mu.Unlock()
+		if n.store.Page > 0 {
+			limit = min(limit, n.store.Page)
+		}
 		p := n.store.part(partition)
 		i, _ := slices.BinarySearch(p.names, from)
 		for ; i < len(p.names) && len(rows) < limit; i++ {
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -118,10 +118,12 @@
 		if len(page) > 0 && page[0].Sequence != next {
 			return nil, gapError(l.partition, next, page[0].Sequence)
 		}
-		all = append(all, page...)
-		if len(page) < readPage {
+		// A store may return fewer rows than asked for, so only an empty page shows
+		// that there are no more.
+		if len(page) == 0 {
 			return all, nil
 		}
+		all = append(all, page...)
 		next = page[len(page)-1].Sequence + 1
 	}
 }
@@ -167,9 +169,6 @@
 		if err := l.table.Commit(ctx, deletes...); err != nil {
 			return err
 		}
-		if len(deletes) < truncatePage {
-			return nil
-		}
 	}
 }
 
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -123,6 +123,7 @@
 		require.EqualValues(t, 10, rec.Last())
 	}
 	check(8)
+	store.Page = 2 // The store may cut pages short.
 	store.Corrupt("cell/x/" + journal.SequenceRow(8))
 	check(4)
 	store.Corrupt("cell/x/" + journal.SequenceRow(4))
