Take restored work's waiting time from the first plan

Cause: units that were restored before the first plan had a zero waiting start, so after a change of owner all of them counted as starved.

Change: the first plan that looks at such a unit states its start.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -122,6 +122,10 @@
 // way: another cell, an eviction for urgent work, or the end of a unit that can
 // never run.
 func (s *Scheduler) placeUnit(u *unit) turn {
+	if u.since.IsZero() {
+		// The unit was restored before the first plan stated the time.
+		u.since = s.now
+	}
 	if !s.withinQuota(u) {
 		return s.overQuota(u)
 	}
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -378,4 +378,65 @@
 	n.step(time.Second)
 	require.Equal(t, 2, n.states("j")["live"])
 	require.Equal(t, 2, n.states("g")["live"])
+	n.submit("late", 1, nil)
+	data, err = n.st.MarshalSnapshot()
+	require.NoError(t, err)
+	l := newRig(t, Config{}, 1)
+	require.NoError(t, l.st.RestoreSnapshot(data))
+	l.step(time.Second)
+	require.Equal(t, start, l.s.units["late/0"].since, "restored work is not taken for starved")
+}
+
+// Guards against a gang that waits for ever for a task that ended elsewhere
+// between two transfers.
+func TestReturnedGangDoesNotWaitForTasksThatMovedOn(t *testing.T) {
+	r := newRig(t, Config{}, 2)
+	r.submit("g", 3, gang)
+	for i := range 3 {
+		id := model.TaskID(fmt.Sprintf("g/%d", i))
+		r.apply(cell.Record{TransferOut: &cell.TransferOut{Task: id, To: "leuven-0", Group: 3}}, cell.Record{TransferEnd: &cell.TransferEnd{Task: id}})
+	}
+	for i := range 2 {
+		spec := r.task(fmt.Sprintf("g/%d", i)).Spec
+		r.apply(cell.Record{TransferIn: &cell.TransferIn{Spec: spec, From: "leuven-0", Attempts: 1, Hop: 2, Group: 2}})
+		if i == 0 {
+			r.step(time.Second)
+			require.Zero(t, r.states("g")["live"], "the second task has not arrived")
+		}
+	}
+	r.step(time.Second)
+	require.Equal(t, 2, r.states("g")["live"])
+}
+
+// Guards against evictions for urgent work that then moves to another cell.
+func TestUrgentWorkStaysWhereRoomIsMade(t *testing.T) {
+	r := newRig(t, Config{}, 1)
+	r.submit("bulk", 4, nil)
+	r.step(time.Second)
+	r.submit("u", 1, urgent)
+	require.Equal(t, 1, kinds(r.step(time.Second))["evict"])
+	r.other(64)
+	require.Zero(t, kinds(r.step(time.Second))["move"])
+	r.submit("v", 1, urgent)
+	require.Equal(t, 1, kinds(r.step(time.Second))["move"], "moving is cheaper than an eviction")
+}
+
+// Guards against a team whose own work leaves no share for its urgent work, and
+// a cell that leaves no room for it.
+func TestHeadroomForUrgentWorkSeenLately(t *testing.T) {
+	r := newRig(t, Config{}, 13)
+	r.view.Declaration = &declaration.Declaration{Teams: []declaration.Team{{Name: "press", Quota: declaration.Capacity{Cores: 16, MemoryGB: 100}}}}
+	team := func(s *model.TaskSpec) { s.Team = "press" }
+	r.step(time.Second)
+	r.submit("u", 1, func(s *model.TaskSpec) { team(s); urgent(s) })
+	r.step(time.Second)
+	r.submit("bulk", 4, team)
+	r.step(time.Second)
+	r.submit("other", 60, nil)
+	r.step(time.Second)
+	require.Equal(t, 2, r.states("bulk")["live"], "one task runs, one is reserved")
+	require.Equal(t, 48, r.states("other")["live"], "one place of 52 stays free")
+	r.now = r.now.Add(time.Hour)
+	r.step(time.Second)
+	require.Equal(t, 49, r.states("other")["live"], "the headroom has decayed")
 }
