Remove the relaxation that trusts measurements alone

Change: throttles are relaxed as far as the expected slowdown allows, as before.

Conclusion: removed.

--- a/internal/scheduler/protect.go
+++ b/internal/scheduler/protect.go
@@ -230,15 +230,9 @@
 	s.decide("throttle", string(t.Spec.ID), len(h.live), string(h.ID), reason)
 }
 
-// trustMeasured is the multiple of RelaxSamples after which good samples count
-// more than the expected slowdown: without differences between workers, an
-// estimate that is too high would otherwise keep a task throttled for ever.
-const trustMeasured = 4
-
 // stepDown relaxes the throttles of tasks, those that slow the services least
 // first, as far as the expected slowdown stays well below the limit.
 func (s *Scheduler) stepDown(h *host) {
-	trusted := h.protection.good >= trustMeasured*s.cfg.RelaxSamples
 	tasks := s.contributors(h)
 	slices.Reverse(tasks)
 	room := 1 + s.cfg.SlowdownLimit*s.cfg.RelaxBelow - s.model.worst(h, nil)
@@ -249,10 +243,10 @@
 		}
 		more := min(2*run.throttle, fullSpeed)
 		extra := s.contribution(h, t) * float64(more-run.throttle) / float64(run.throttle)
-		if extra > room && !trusted {
+		if extra > room {
 			continue
 		}
-		room, trusted = room-extra, false
+		room -= extra
 		h.protection.good, h.protection.steppedAt = 0, s.now
 		s.throttle(h, t, more, "target-met")
 	}
