--- /dev/null
+++ b/internal/e2e/helpers_test.go
@@ -0,0 +1,106 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/platform/standin"
+	"github.com/vanillapier/vanillapier/internal/request"
+)
+
+// auth is the header of an operator.
+var auth = map[string]string{"Authorization": "Bearer " + token}
+
+// node returns the process that serves as a node now.
+func (c *cluster) node(index int) *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[index%len(c.nodes)]
+}
+
+// replace makes a process serve as a node.
+func (c *cluster) replace(index int, p *process) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[index] = p
+}
+
+// nodeStatus asks a node for its status.
+func (c *cluster) nodeStatus(p *process) (adminapi.NodeStatus, bool) {
+	var s adminapi.NodeStatus
+	code, _, _ := do(c.t.Context(), http.MethodGet, "http://"+p.admin+adminapi.Prefix+"status", auth, nil, &s)
+	return s, code == http.StatusOK
+}
+
+// owns reports whether a node says that it owns a cell.
+func (c *cluster) owns(p *process, cell model.CellID) bool {
+	s, _ := c.nodeStatus(p)
+	for _, owned := range s.OwnedCells {
+		if owned == cell {
+			return true
+		}
+	}
+	return false
+}
+
+// waitOwner waits until a node other than the one at index except owns the cell,
+// and returns its index.
+func (c *cluster) waitOwner(cell model.CellID, except int) int {
+	c.t.Helper()
+	found := -1
+	c.wait("owner of "+string(cell), func() bool {
+		for i := range c.nodes {
+			if i != except && c.owns(c.node(i), cell) {
+				found = i
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+// isolate cuts a node off from all peers and the store, or ends that.
+func (c *cluster) isolate(cut bool, index int) {
+	c.network.both(cut, c.node(index).name, append(c.others(index), "store")...)
+}
+
+// orders submits several jobs at the same time.
+func (c *cluster) orders(prefix string, count, tasks int, runMS int64) []model.JobID {
+	jobs := make([]model.JobID, count)
+	var wg sync.WaitGroup
+	for i := range count {
+		wg.Go(func() { jobs[i] = c.order(prefix+"-"+string(rune('a'+i)), tasks, runMS) })
+	}
+	wg.Wait()
+	return jobs
+}
+
+// finishAll waits until all jobs are done.
+func (c *cluster) finishAll(jobs []model.JobID) {
+	c.t.Helper()
+	for _, job := range jobs {
+		c.finish(job)
+	}
+}
+
+// orderStatus asks a node for the status of a job.
+func (c *cluster) orderStatus(p *process, job model.JobID) (request.OrderStatus, int) {
+	var s request.OrderStatus
+	code, _, _ := do(c.t.Context(), http.MethodGet, "http://"+p.callers+"/v1/orders/"+string(job), nil, nil, &s)
+	return s, code
+}
+
+// tryOrder submits a job of one task once and returns the status and outcome.
+func (c *cluster) tryOrder(p *process, key string) (int, string) {
+	body, _ := json.Marshal(request.Order{Team: "print", Class: "plate", Tasks: []request.OrderTask{{Payload: standin.Payload{RunMS: 100}.Encode()}}})
+	code, header, _ := do(c.t.Context(), http.MethodPost, "http://"+p.callers+"/v1/orders", map[string]string{"Idempotency-Key": key}, body, nil)
+	return code, header.Get("Vpier-Outcome")
+}
+
+// view reads a node's control view.
+func (c *cluster) view(p *process, into *adminapi.ViewReply) {
+	_, _, _ = do(c.t.Context(), http.MethodGet, "http://"+p.admin+adminapi.Prefix+"view", auth, nil, into)
+}
--- /dev/null
+++ b/internal/e2e/tls_test.go
@@ -0,0 +1,149 @@
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// authority signs the certificates of nodes.
+type authority struct {
+	t    *testing.T
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	pem  []byte
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	return &authority{t: t, key: key, cert: cert, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+}
+
+// keyFiles are the TLS files of one node.
+type keyFiles struct{ dir string }
+
+func (f keyFiles) path(name string) string { return filepath.Join(f.dir, name) }
+
+func (f keyFiles) flags() []string {
+	return []string{"--peer-ca", f.path("ca"), "--peer-cert", f.path("cert"), "--peer-key", f.path("key")}
+}
+
+// trust replaces the authorities that a node accepts.
+func (f keyFiles) trust(t *testing.T, authorities ...*authority) {
+	var bundle []byte
+	for _, a := range authorities {
+		bundle = append(bundle, a.pem...)
+	}
+	require.NoError(t, os.WriteFile(f.path("ca"), bundle, 0o600))
+}
+
+// issue replaces a node's certificate and key.
+func (a *authority) issue(f keyFiles) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "node"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	require.NoError(a.t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	require.NoError(a.t, err)
+	require.NoError(a.t, os.WriteFile(f.path("key"), pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: private}), 0o600))
+	require.NoError(a.t, os.WriteFile(f.path("cert"), pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+}
+
+// hears reports whether a node has heard from another one.
+func (c *cluster) hears(p *process, id model.NodeID) bool {
+	s, _ := c.nodeStatus(p)
+	return slices.ContainsFunc(s.Peers, func(peer adminapi.PeerStatus) bool { return peer.Node == id })
+}
+
+// id returns a node's id.
+func (c *cluster) id(p *process) model.NodeID {
+	var id model.NodeID
+	c.wait("status", func() bool {
+		s, ok := c.nodeStatus(p)
+		id = s.Node
+		return ok
+	})
+	return id
+}
+
+// Guards against keys that need a restart to be replaced, and against peers that
+// talk to a node whose key comes from another authority.
+func TestPeerKeysAreReplacedWithoutRestart(t *testing.T) {
+	c := newPlatform(t)
+	former, next, foreign := newAuthority(t, "former"), newAuthority(t, "next"), newAuthority(t, "foreign")
+	files := map[int]keyFiles{}
+	for i := range 4 {
+		files[i] = keyFiles{t.TempDir()}
+		files[i].trust(t, former)
+		former.issue(files[i])
+	}
+	c.peerFlags = func(i int) []string { return files[i].flags() }
+	c.nodes = append(c.nodes, c.start(0), c.start(1))
+	c.accept()
+	first, second := c.id(c.node(0)), c.id(c.node(1))
+	c.wait("nodes hear each other", func() bool { return c.hears(c.node(0), second) && c.hears(c.node(1), first) })
+
+	foreign.issue(files[2])
+	files[2].trust(t, foreign, former)
+	stranger := c.launch(2)
+	strangerID := c.id(stranger)
+	c.wait("stranger listed", func() bool {
+		var view adminapi.ViewReply
+		c.view(c.node(0), &view)
+		return len(view.Members) == 3
+	})
+	c.finishAll(c.orders("with-stranger", 2, 2, 2000)) // several gossip rounds
+	require.False(t, c.hears(c.node(0), strangerID))
+	require.False(t, c.hears(c.node(1), strangerID))
+	require.False(t, c.hears(stranger, first))
+	stranger.signal(syscall.SIGTERM) // a member that is killed keeps new nodes from taking slots
+	<-stranger.done
+
+	for i := range 2 {
+		files[i].trust(t, former, next)
+	}
+	for i := range 2 {
+		next.issue(files[i])
+	}
+	for i := range 2 {
+		files[i].trust(t, next)
+	}
+	next.issue(files[3])
+	files[3].trust(t, next)
+	joined := c.start(3)
+	third := c.id(joined)
+	c.wait("a node with the next authority's key is heard", func() bool {
+		return c.hears(c.node(0), third) && c.hears(c.node(1), third) && c.hears(joined, first)
+	})
+	c.finishAll(c.orders("rotated", 2, 2, 200))
+	c.noViolations()
+}
