--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// lendingTick is the interval at which waiting requests are looked at. It must
-	// be well below the time that a caller waits.
-	lendingTick = 50 * time.Millisecond
+	// lendingTick is the interval at which waiting requests are looked at while
+	// slots are borrowed, lendingIdleTick otherwise: an idle node spends most of its
+	// processor time on timers.
+	lendingTick     = 50 * time.Millisecond
+	lendingIdleTick = 150 * time.Millisecond
 	// lendingTries is the number of peers asked in one tick.
 	lendingTries = 2
 	// lendingBatch bounds the slots asked for at once.
@@ -56,16 +58,21 @@
 // lendingLoop borrows slots while requests wait, and gives leases back when they
 // end. One goroutine owns the list of leases.
 func (n *Node) lendingLoop(ctx context.Context) error {
-	ticker := time.NewTicker(lendingTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(lendingIdleTick)
+	defer timer.Stop()
 	var leases []*borrowed
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-			leases = n.giveBack(ctx, leases, time.Now())
-			leases = append(leases, n.borrow(ctx)...)
+		case <-timer.C:
+		}
+		leases = n.giveBack(ctx, leases, time.Now())
+		leases = append(leases, n.borrow(ctx)...)
+		if len(leases) > 0 {
+			timer.Reset(lendingTick)
+		} else {
+			timer.Reset(lendingIdleTick)
 		}
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,18 +1,17 @@
 package node
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
-// collector computes the node's gauges when they are read.
+// collector computes the gauges of the node itself; the state layers have
+// collectors of their own.
 type collector struct {
 	node *Node
 
-	ready, sequence, age, members, cells, tasks *prometheus.Desc
+	ready, members, tasks *prometheus.Desc
 }
 
 func newCollector(n *Node) *collector {
@@ -22,17 +21,14 @@
 	return &collector{
 		node:     n,
 		ready:    desc("node", "ready", "1 while the node is ready for callers."),
-		sequence: desc("control", "sequence", "Last applied sequence of the control journal."),
-		age:      desc("control", "confirmed_age_seconds", "Time since the control view was last confirmed."),
 		members:  desc("membership", "members", "Members of the control view by state.", "state"),
-		cells:    desc("cell", "owned", "Cells that this node owns."),
 		tasks:    desc("cell", "tasks", "Tasks of the owned cells by state.", "cell", "state"),
 	}
 }
 
 // Describe sends the descriptions of all gauges.
 func (c *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.ready, c.sequence, c.age, c.members, c.cells, c.tasks} {
+	for _, d := range []*prometheus.Desc{c.ready, c.members, c.tasks} {
 		ch <- d
 	}
 }
@@ -48,8 +44,6 @@
 	}
 	view := c.node.control.View()
 	gauge(c.ready, ready)
-	gauge(c.sequence, float64(view.Sequence))
-	gauge(c.age, confirmedAge(view, time.Now()).Seconds())
 	suspect := 0
 	for id := range view.Members {
 		if c.node.suspected(id) {
@@ -58,7 +52,6 @@
 	}
 	gauge(c.members, float64(suspect), "suspect")
 	gauge(c.members, float64(len(view.Members)-suspect), "live")
-	gauge(c.cells, float64(len(c.node.cells.Epochs())))
 	for _, r := range c.node.cells.Reports() {
 		gauge(c.tasks, float64(r.Queued), string(r.Summary.ID), "queued")
 		gauge(c.tasks, float64(r.Live), string(r.Summary.ID), "live")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,27 +105,33 @@
 	if n.settings.Advertise == "" {
 		n.settings.Advertise = n.peerLn.Addr().String()
 	}
-	n.buildState()
+	if err := n.buildState(); err != nil {
+		return err
+	}
 	if err := n.buildTraffic(); err != nil {
 		return err
 	}
 	if err := n.buildPeers(); err != nil {
 		return err
 	}
-	n.metrics.Registry().MustRegister(newCollector(n))
+	n.metrics.Registry().MustRegister(newCollector(n), n.control.Collector(), n.owners.Collector())
 	return n.buildServers()
 }
 
 // buildState creates the clients of the platform and the state layers.
-func (n *Node) buildState() {
+func (n *Node) buildState() error {
 	s := n.settings
 	client := &http.Client{Transport: platformTransport()}
+	storeMetrics, err := storeclient.NewMetrics(n.metrics.Registry())
+	if err != nil {
+		return err
+	}
 	n.store, n.objects = storeclient.New(
 		httpapi.NewTable(s.TableURL, client),
 		httpapi.NewObjects(s.ObjectsURL, client),
 		storeclient.Config{
 			ReadsPerSecond: s.StoreReads, WritesPerSecond: s.StoreWrites,
-			Timeout: s.StoreTimeout, Seed: n.seed, Observe: observeStore(n.metrics),
+			Timeout: s.StoreTimeout, Seed: n.seed, Observe: storeMetrics.Observe,
 		},
 	)
 	n.hosts = newHostCache(httpapi.NewHostList(s.HostsURL, client), n.log)
@@ -140,6 +146,7 @@
 		Seed: n.seed, Decisions: n.decisions, Peers: n,
 	}, n.cells)
 	n.router = &owner.Router{Cells: n.cells, Owner: n.owners.Owner, Call: n.callPeer, Self: n.id}
+	return nil
 }
 
 // decodeDeclaration reads the text of an accepted declaration.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -11,12 +11,8 @@
 	"os"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/vanillapier/vanillapier/internal/adminapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/storeclient"
-	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
 const (
@@ -207,19 +203,3 @@
 		_ = s.Close() // the context has ended; what remains is cut
 	}
 }
-
-// observeStore counts operations on the store.
-func observeStore(m *telemetry.Metrics) func(storeclient.Operation) {
-	total := m.Counter("store", "operations_total", "Operations that reached the store, by name and result.", "operation", "result")
-	seconds := m.Histogram("store", "operation_seconds", "Time of one operation on the wire.", telemetry.LatencyBuckets, "operation")
-	waited := m.Histogram("store", "budget_wait_seconds", "Time that an operation waited for the node's budget.", telemetry.LatencyBuckets, "operation")
-	return func(op storeclient.Operation) {
-		result := string(op.Kind)
-		if result == "" {
-			result = "ok"
-		}
-		total.With(prometheus.Labels{"operation": op.Name, "result": result}).Inc()
-		seconds.WithLabelValues(op.Name).Observe(op.Took.Seconds())
-		waited.WithLabelValues(op.Name).Observe(op.Waited.Seconds())
-	}
-}
