--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -19,10 +19,10 @@
 		return prometheus.NewDesc(prometheus.BuildFQName(telemetry.Namespace, subsystem, name), help, labels, nil)
 	}
 	return &collector{
-		node:     n,
-		ready:    desc("node", "ready", "1 while the node is ready for callers."),
-		members:  desc("membership", "members", "Members of the control view by state.", "state"),
-		tasks:    desc("cell", "tasks", "Tasks of the owned cells by state.", "cell", "state"),
+		node:    n,
+		ready:   desc("node", "ready", "1 while the node is ready for callers."),
+		members: desc("membership", "members", "Members of the control view by state.", "state"),
+		tasks:   desc("cell", "tasks", "Tasks of the owned cells by state.", "cell", "state"),
 	}
 }
 
