Hold an answer at most 250 ms for its record

Cause: with the store down after the claim, a caller with a short deadline got unknown although the runner's answer was there.

Change: the outcome is recorded in the background; the answer waits for it at most 250 ms.

Measured: go test -race ./internal/request passes with the new test.

Conclusion: the answer arrives; a repetition at another node finds the record once the store is back.

--- a/internal/request/settle.go
+++ b/internal/request/settle.go
@@ -12,6 +12,9 @@
 const (
 	// settleFor bounds how long an outcome is written again when the store is down.
 	settleFor = 30 * time.Second
+	// recordWait bounds how long an answer is held until its record is durable. A
+	// caller must not lose a complete answer to an outage of the store.
+	recordWait = 250 * time.Millisecond
 	// settleFirst and settleMax bound the pause between two tries.
 	settleFirst = 5 * time.Millisecond
 	settleMax   = 2 * time.Second
@@ -29,23 +32,32 @@
 	}
 }
 
-// settle records the outcome in the claim row. It waits for the write at most the
-// claim timeout; a write that fails for longer continues in the background.
+// settle records the outcome in the claim row. It waits a short time for the write;
+// a write that takes longer continues in the background.
 func (c *Chain) settle(cl *call, outcome model.Outcome, a *answer) {
 	if cl.claim == nil {
 		return
 	}
 	held := *cl.claim
 	held.claim.State = outcome
-	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.ClaimTimeout)
-	defer cancel()
-	if a != nil {
-		c.keepAnswer(ctx, &held, a)
-	}
-	if c.writeOutcome(ctx, &held) {
-		return
+	done := make(chan struct{})
+	c.drain.hold()
+	go func() {
+		defer c.drain.leave()
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), settleFor)
+		defer cancel()
+		if a != nil {
+			c.keepAnswer(ctx, &held, a)
+		}
+		c.writeOutcome(ctx, &held)
+	}()
+	wait := time.NewTimer(recordWait)
+	defer wait.Stop()
+	select {
+	case <-done:
+	case <-wait.C:
 	}
-	c.settleLater(&held)
 }
 
 // settleLater writes an outcome in the background until it is durable.
--- a/internal/request/store_failure_test.go
+++ b/internal/request/store_failure_test.go
@@ -79,6 +79,23 @@
 	require.Equal(t, 200, ask(t, get, url, nil).status)
 }
 
+// Guards against a complete answer that the caller loses because its outcome
+// cannot be recorded before the deadline.
+func TestAnswerWhileOutcomeCannotBeRecorded(t *testing.T) {
+	w := newWorld(t)
+	w.cfg.ClaimTimeout = time.Minute
+	w.runner("desk", "r1", func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("ok")) })
+	w.table.setFault(func(n int) (bool, error) { return n == 1, only(min(n, 2), 2, errDown) })
+	c, url := w.node("n1")
+	r := ask(t, post, url+"/v1/services/desk/", nil, headerKey, "k", headerTimeout, "4000")
+	require.Equal(t, []any{200, "done", "ok"}, []any{r.status, r.outcome, string(r.body)})
+	w.table.setFault(nil)
+	require.NoError(t, c.Drain(t.Context()), "the record is completed in the background")
+	_, n2 := w.node("n2")
+	r = ask(t, post, n2+"/v1/services/desk/", nil, headerKey, "k")
+	require.Equal(t, []any{200, "ok", "true"}, []any{r.status, string(r.body), r.header.Get(headerReplayed)})
+}
+
 // Guards against two executions when the same key arrives at two nodes at once,
 // and against a wrong claim about the one that lost.
 func TestSameKeyAtTwoNodes(t *testing.T) {
