--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -151,7 +151,9 @@
 		return
 	}
 	applied := map[uint64][]string{}
-	applied[o.SnapshotSequence] = strings.Fields(string(o.Snapshot))
+	if fields := strings.Fields(string(o.Snapshot)); len(fields) > 0 {
+		applied[o.SnapshotSequence] = fields
+	}
 	for _, e := range o.Tail {
 		for _, r := range e.Records {
 			applied[e.Sequence] = append(applied[e.Sequence], string(r))
