--- a/internal/node/control_loop.go
+++ b/internal/node/control_loop.go
@@ -88,7 +88,10 @@
 
 // epochLoop makes epochs known to the members.
 func (n *Node) epochLoop(ctx context.Context) error {
-	return every(ctx, controlTick, n.announceEpochs)
+	return every(ctx, controlTick, func(ctx context.Context) {
+		n.shares.Tick()
+		n.announceEpochs(ctx)
+	})
 }
 
 // outageLoop watches for store outages. It has a goroutine of its own, because
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -170,6 +170,7 @@
 		EpochAcknowledged: n.epochs.isAcknowledged,
 		Cells:             n.recentSummaries,
 		Transfer:          n.transfer,
+		CancelIn:          n.cancelIn,
 		Scheduler:         scheduler.Config{Seed: n.seed},
 		Dispatch:          dispatch.Config{TaskLease: n.settings.TaskLease, OwnershipLease: n.settings.CellLease},
 		Decisions:         n.decisions, Metrics: n.metrics, Log: n.log,
@@ -218,3 +219,8 @@
 func (n *Node) transfer(ctx context.Context, to model.CellID, in cell.TransferIn) error {
 	return n.router.Transfer(ctx, to, in)
 }
+
+// cancelIn cancels a job in another cell.
+func (n *Node) cancelIn(ctx context.Context, id model.CellID, job model.JobID) error {
+	return n.router.CancelIn(ctx, id, job)
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -86,7 +86,7 @@
 	if err := n.chain.Drain(ctx); err != nil {
 		n.log.WithError(err).Error("requests were still in flight at the end of the stop timeout")
 	}
-	n.shares.Leave()
+	n.leaveShares(ctx)
 	if err := n.releaseCells(ctx); err != nil {
 		n.log.WithError(err).Warn("not everything was released; leases run out instead")
 	}
@@ -94,6 +94,23 @@
 	n.log.Info("graceful stop ends")
 }
 
+// sharesIdle is the wait between two looks at the slots of a leaving node.
+const sharesIdle = 50 * time.Millisecond
+
+// leaveShares gives the node's slots up and tells a peer, so that the others need
+// not wait for them to rest. Slots that are lent come back by their leases.
+func (n *Node) leaveShares(ctx context.Context) {
+	n.shares.Leave()
+	for !n.shares.Idle() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sharesIdle):
+		}
+	}
+	n.peers.GossipOnce(ctx)
+}
+
 // releaseCells asks the control goroutine to release the cells and to end the
 // membership. Without a join there is nothing to release.
 func (n *Node) releaseCells(ctx context.Context) error {
--- a/internal/owner/effects.go
+++ b/internal/owner/effects.go
@@ -181,6 +181,36 @@
 	}
 }
 
+// followCancel cancels a task's job at its destination when the job was cancelled
+// here while the task was on its way: the transfer may have been sent before.
+func (r *Runtime) followCancel(id model.TaskID) {
+	task, ok := r.state.Task(id)
+	if !ok || !r.state.JobCancelled(task.Spec.Job) {
+		return
+	}
+	to, job := task.To, task.Spec.Job
+	r.after(func() { go r.cancelElsewhere(to, job) })
+}
+
+// cancelElsewhere repeats the cancellation until the destination has made it
+// durable or this ownership ends.
+func (r *Runtime) cancelElsewhere(to model.CellID, job model.JobID) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+		err := r.cfg.CancelIn(ctx, to, job)
+		cancel()
+		if err == nil || model.IsKind(err, model.KindNotFound) {
+			return
+		}
+		r.log.WithError(err).WithField("job", string(job)).Debug("cancellation not confirmed yet")
+		select {
+		case <-r.done:
+			return
+		case <-time.After(transferRetry):
+		}
+	}
+}
+
 // maybeSnapshot saves a snapshot in the background after enough records. The
 // state is encoded here, where no append is in flight.
 func (r *Runtime) maybeSnapshot(ctx context.Context) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -59,6 +59,8 @@
 	// Transfer hands a task to the owner of another cell and returns once it is
 	// durable there.
 	Transfer func(ctx context.Context, to model.CellID, in cell.TransferIn) error
+	// CancelIn cancels a job in another cell.
+	CancelIn func(ctx context.Context, id model.CellID, job model.JobID) error
 	// Scheduler and Dispatch set placement and delivery.
 	Scheduler scheduler.Config
 	Dispatch  dispatch.Config
--- a/internal/owner/requests.go
+++ b/internal/owner/requests.go
@@ -113,6 +113,7 @@
 	case req.transferred != "":
 		err = r.apply(cell.Record{TransferEnd: &cell.TransferEnd{Task: req.transferred}})
 		delete(r.sending, req.transferred)
+		r.followCancel(req.transferred)
 	}
 	if req.reply == nil {
 		return
--- a/internal/owner/router.go
+++ b/internal/owner/router.go
@@ -86,8 +86,8 @@
 	return r.Call(ctx, addr, MethodTransfer, TransferParams{id, in}, nil)
 }
 
-// cancelIn cancels a job in one cell.
-func (r *Router) cancelIn(ctx context.Context, id model.CellID, job model.JobID) error {
+// CancelIn cancels a job in one cell.
+func (r *Router) CancelIn(ctx context.Context, id model.CellID, job model.JobID) error {
 	if local, ok := r.Cells.Local(id); ok {
 		return local.Cancel(ctx, job)
 	}
@@ -115,7 +115,7 @@
 // Cancel cancels a job in its home cell and wherever its tasks have moved. It is
 // repeated by the caller after an error.
 func (r *Router) Cancel(ctx context.Context, home model.CellID, job model.JobID) error {
-	return r.visit(ctx, home, job, func(id model.CellID) error { return r.cancelIn(ctx, id, job) }, nil)
+	return r.visit(ctx, home, job, func(id model.CellID) error { return r.CancelIn(ctx, id, job) }, nil)
 }
 
 // Status returns the status of a job with each task as the cell that holds it
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -201,7 +201,7 @@
 			r.log.WithError(err).Error("the state refused a planned record")
 		}
 	}
-	r.urgent = r.urgent || plan.Urgent
+	r.urgent = r.urgent || plan.Urgent || r.sched.Urgent(r.batch)
 	return plan
 }
 
--- a/internal/replay/tracegen/generate.go
+++ b/internal/replay/tracegen/generate.go
@@ -1,4 +1,4 @@
-package main
+package tracegen
 
 import (
 	"cmp"
