--- a/internal/ownership/machine_test.go
+++ b/internal/ownership/machine_test.go
@@ -121,8 +121,8 @@
 // acknowledged before.
 func (n *node) Acquired(o *ownership.Owned) {
 	applied := map[uint64][]string{}
-	for _, r := range strings.Fields(string(o.Snapshot)) {
-		applied[o.SnapshotSequence] = append(applied[o.SnapshotSequence], r)
+	if fields := strings.Fields(string(o.Snapshot)); len(fields) > 0 {
+		applied[o.SnapshotSequence] = fields
 	}
 	for _, e := range o.Tail {
 		for _, r := range e.Records {
--- a/internal/replay/worker.go
+++ b/internal/replay/worker.go
@@ -18,7 +18,6 @@
 	class  *Class
 	need   model.Resources
 	run    time.Duration
-	cell   model.CellID
 	// progress is the work, in time at full speed, behind the last checkpoint
 	// or, for an ended task, in total.
 	progress  time.Duration
