--- /dev/null
+++ b/internal/node/seed_test.go
@@ -0,0 +1,5 @@
+package node
+
+import "github.com/vanillapier/vanillapier/internal/rapidseed"
+
+func init() { rapidseed.Fix() }
--- /dev/null
+++ b/internal/owner/seed_test.go
@@ -0,0 +1,5 @@
+package owner
+
+import "github.com/vanillapier/vanillapier/internal/rapidseed"
+
+func init() { rapidseed.Fix() }
