--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -230,6 +230,17 @@
 	require.GreaterOrEqual(t, s.now.Sub(origin), DefaultStartTimeout)
 }
 
+// Guards against a worker that is blamed for starts that closed gates held back:
+// after a pause of the owner, all workers would be quarantined.
+func TestWithheldStartIsNotTheWorkersFault(t *testing.T) {
+	s := newScript(t)
+	require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	for s.c.attempts[first] != nil {
+		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, Withheld())
+	}
+	require.Equal(t, ReasonWithheld, s.c.Events()[0].Reason)
+}
+
 // Guards against an ending that is reported twice while its record is on the way.
 func TestEndingIsReportedOnce(t *testing.T) {
 	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
