--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,11 @@
 	return n.buildServers()
 }
 
+// storeBreakerOpen is the time between two probes of a failing store. Urgent work
+// must start within 1.4 s of the store's return, of which the caller's own pause
+// takes a part; 8 nodes send at most 16 probes a second.
+const storeBreakerOpen = 500 * time.Millisecond
+
 // buildState creates the clients of the platform and the state layers.
 func (n *Node) buildState() error {
 	s := n.settings
@@ -132,6 +137,7 @@
 		storeclient.Config{
 			ReadsPerSecond: s.StoreReads, WritesPerSecond: s.StoreWrites,
 			Timeout: s.StoreTimeout, Seed: n.seed, Observe: storeMetrics.Observe,
+			BreakerOpen: storeBreakerOpen,
 		},
 	)
 	n.hosts = newHostCache(httpapi.NewHostList(s.HostsURL, client), n.log)
