--- a/internal/node/epochs.go
+++ b/internal/node/epochs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -234,11 +233,7 @@
 }
 
 // handleLearn takes over who owns a cell.
-func (n *Node) handleLearn(_ context.Context, raw json.RawMessage) (any, error) {
-	var p learnParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleLearn(_ context.Context, p learnParams) (any, error) {
 	if !n.epochs.learn(p.Cell, p.Epoch) {
 		return nil, model.Errorf(model.KindFenced, "ask the cell's current owner", "a newer owner of cell %s is known", p.Cell)
 	}
@@ -247,17 +242,6 @@
 }
 
 // handleState answers whether this node's view is confirmed.
-func (n *Node) handleState(_ context.Context, raw json.RawMessage) (any, error) {
-	var p stateParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleState(_ context.Context, p stateParams) (any, error) {
 	return memberState{Confirmed: n.control.Fresh(time.Now()), Newer: n.epochs.newer(p.Epochs), Share: n.shares.Digest()}, nil
 }
-
-func decodeParams(raw json.RawMessage, into any) error {
-	if err := json.Unmarshal(raw, into); err != nil {
-		return model.Wrap(model.KindInvalid, err, "upgrade the older node", "parameters of a peer's call")
-	}
-	return nil
-}
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/control"
@@ -55,11 +54,7 @@
 	return state, err
 }
 
-func (n *Node) handleTail(_ context.Context, raw json.RawMessage) (any, error) {
-	var p tailParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleTail(_ context.Context, p tailParams) (any, error) {
 	state, err := n.owners.FollowerState(p.Cell)
 	if err != nil {
 		return nil, err
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -163,11 +162,7 @@
 	return out
 }
 
-func (n *Node) handleLend(_ context.Context, raw json.RawMessage) (any, error) {
-	var p lendParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleLend(_ context.Context, p lendParams) (any, error) {
 	load := n.chain.Load().Services[p.Service]
 	if load.Waiting > 0 {
 		return share.Lease{}, nil
@@ -175,11 +170,7 @@
 	return n.shares.Lend(p.Service, share.LendAmount(load.Free, p.Waiting)), nil
 }
 
-func (n *Node) handleReturn(_ context.Context, raw json.RawMessage) (any, error) {
-	var p returnParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleReturn(_ context.Context, p returnParams) (any, error) {
 	n.shares.Returned(p.Lease, p.Runners)
 	return struct{}{}, nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -62,11 +62,7 @@
 	}()
 }
 
-func (n *Node) handleFetch(_ context.Context, raw json.RawMessage) (any, error) {
-	var p fetchParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleFetch(_ context.Context, p fetchParams) (any, error) {
 	view := n.control.View()
 	return fetchReply{
 		Entries:      n.control.EntriesFrom(p.From, fetchLimit),
@@ -75,11 +71,7 @@
 }
 
 // handleSubmit makes a job durable in an owned cell.
-func (n *Node) handleSubmit(ctx context.Context, raw json.RawMessage) (any, error) {
-	var p owner.SubmitParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleSubmit(ctx context.Context, p owner.SubmitParams) (any, error) {
 	local, err := n.local(p.Cell)
 	if err != nil {
 		return nil, err
@@ -87,11 +79,7 @@
 	return struct{}{}, local.Submit(ctx, p.Job)
 }
 
-func (n *Node) handleCancel(ctx context.Context, raw json.RawMessage) (any, error) {
-	var p owner.JobParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleCancel(ctx context.Context, p owner.JobParams) (any, error) {
 	local, err := n.local(p.Cell)
 	if err != nil {
 		return nil, err
@@ -99,11 +87,7 @@
 	return struct{}{}, local.Cancel(ctx, p.Job)
 }
 
-func (n *Node) handleJobStatus(ctx context.Context, raw json.RawMessage) (any, error) {
-	var p owner.JobParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleJobStatus(ctx context.Context, p owner.JobParams) (any, error) {
 	local, err := n.local(p.Cell)
 	if err != nil {
 		return nil, err
@@ -111,11 +95,7 @@
 	return local.Status(ctx, p.Job)
 }
 
-func (n *Node) handleTransfer(ctx context.Context, raw json.RawMessage) (any, error) {
-	var p owner.TransferParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleTransfer(ctx context.Context, p owner.TransferParams) (any, error) {
 	local, err := n.local(p.Cell)
 	if err != nil {
 		return nil, err
@@ -147,16 +127,27 @@
 	}
 	n.peers = peers
 	for method, handler := range map[string]membership.Handler{
-		methodFetch: n.handleFetch, methodLearn: n.handleLearn, methodState: n.handleState,
-		methodTail: n.handleTail, methodNodeStatus: n.handleNodeStatus, methodLend: n.handleLend, methodReturn: n.handleReturn,
-		owner.MethodSubmit: n.handleSubmit, owner.MethodCancel: n.handleCancel,
-		owner.MethodStatus: n.handleJobStatus, owner.MethodTransfer: n.handleTransfer,
+		methodFetch: typed(n.handleFetch), methodLearn: typed(n.handleLearn), methodState: typed(n.handleState),
+		methodTail: typed(n.handleTail), methodNodeStatus: n.handleNodeStatus, methodLend: typed(n.handleLend), methodReturn: typed(n.handleReturn),
+		owner.MethodSubmit: typed(n.handleSubmit), owner.MethodCancel: typed(n.handleCancel),
+		owner.MethodStatus: typed(n.handleJobStatus), owner.MethodTransfer: typed(n.handleTransfer),
 	} {
 		peers.Handle(method, handler)
 	}
 	return nil
 }
 
+// typed turns a function with parameters of type P into a handler of a peer's call.
+func typed[P any](f func(context.Context, P) (any, error)) membership.Handler {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, model.Wrap(model.KindInvalid, err, "upgrade the older node", "parameters of a peer's call")
+		}
+		return f(ctx, params)
+	}
+}
+
 // members lists the members of the current view.
 func (n *Node) members() []control.Member {
 	return slices.Collect(maps.Values(n.control.View().Members))
