--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -38,6 +38,7 @@
 	n.addLoop(&g, n.outageLoop)
 	n.addLoop(&g, n.removalLoop)
 	n.addLoop(&g, n.lendingLoop)
+	n.addLoop(&g, n.sweepLoop)
 	n.addLoop(&g, func(actor context.Context) error {
 		select {
 		case <-actor.Done():
--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -43,7 +43,7 @@
 			cl.key = string(c.deps.Node) + "/" + cl.id
 		}
 		cl.w.Header().Set(headerKey, cl.key)
-		claim := Claim{ID: string(c.deps.Node) + "/" + c.newID(), Digest: digestOf(cl)}
+		claim := Claim{ID: string(c.deps.Node) + "/" + c.newID(), Digest: digestOf(cl), At: c.deps.Clock().UnixMilli()}
 		held, found, err := c.obtain(cl.ctx, ClaimRow(cl.key), claim)
 		switch {
 		case err != nil:
--- a/internal/request/claims.go
+++ b/internal/request/claims.go
@@ -17,6 +17,8 @@
 	ID string `json:"id"`
 	// Digest covers method, target and body; another digest under the key is refused.
 	Digest string `json:"digest"`
+	// At is when the claim was written, in Unix milliseconds; it serves retention only.
+	At int64 `json:"at,omitempty"`
 	// State is empty while the request runs, or its outcome.
 	State model.Outcome `json:"state,omitempty"`
 	// Job and Cell are set for an order.
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -214,7 +214,7 @@
 		return
 	}
 	sum := sha256.Sum256(cl.body)
-	claim := Claim{ID: string(c.deps.Node) + "/" + c.newID(), Digest: "order/" + hex.EncodeToString(sum[:]), Job: job.ID, Cell: cell}
+	claim := Claim{ID: string(c.deps.Node) + "/" + c.newID(), Digest: "order/" + hex.EncodeToString(sum[:]), At: c.deps.Clock().UnixMilli(), Job: job.ID, Cell: cell}
 	held, found, err := c.obtain(cl.ctx, ClaimRow(cl.key), claim)
 	switch {
 	case err != nil:
