Turn decision logs into traces for replay

Orders, ends of attempts and data centre changes are logged for it. trace-summary reads logs as a stream; it stopped silently at 10 MB before.

--- a/internal/node/control_loop.go
+++ b/internal/node/control_loop.go
@@ -5,9 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/owner"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
 const (
@@ -54,7 +57,7 @@
 	}
 	ticker := time.NewTicker(controlTick)
 	defer ticker.Stop()
-	released := false
+	released, out := false, map[model.DataCentre]bool{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -66,12 +69,37 @@
 			}
 		case <-ticker.C:
 		}
+		n.logDataCentres(out)
 		if !released && n.joined.Load() {
 			n.assignCells()
 		}
 	}
 }
 
+// logDataCentres writes a line for each data centre whose state has changed since
+// the last call.
+func (n *Node) logDataCentres(out map[model.DataCentre]bool) {
+	view := n.control.View()
+	if view.Declaration == nil {
+		return
+	}
+	for _, dc := range view.Declaration.DataCentres {
+		isOut := view.IsOut(dc.Name)
+		if out[dc.Name] == isOut {
+			continue
+		}
+		out[dc.Name] = isOut
+		choice := telemetry.ChoiceIn
+		if isOut {
+			choice = telemetry.ChoiceOut
+		}
+		n.decisions.LogDecision(telemetry.Decision{
+			Kind: telemetry.KindDataCentre, Subject: string(dc.Name), Choice: choice, Reason: "operators",
+			Fields: logrus.Fields{"sequence": view.Sequence},
+		})
+	}
+}
+
 // every calls f at each tick until ctx ends.
 func every(ctx context.Context, tick time.Duration, f func(context.Context)) error {
 	ticker := time.NewTicker(tick)
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -62,6 +62,7 @@
 	Replay       *replayArgs       `arg:"subcommand:replay" help:"replay a trace under several configurations"`
 	Dev          *devArgs          `arg:"subcommand:dev" help:"run the system and its stand-ins in one process"`
 	TraceSummary *traceSummaryArgs `arg:"subcommand:trace-summary" help:"summarise decision log lines"`
+	Trace        *traceArgs        `arg:"subcommand:trace" help:"turn decision log lines into a trace for replay"`
 	Completion   *completionArgs   `arg:"subcommand:completion" help:"print a shell completion script"`
 
 	clientArgs
@@ -181,6 +182,13 @@
 	File string `arg:"positional,required" placeholder:"FILE" help:"log of a node, one JSON object on each line, or - for standard input"`
 }
 
+type traceArgs struct {
+	File       string  `arg:"positional,required" placeholder:"FILE" help:"logs of all nodes, in any order, or - for standard input"`
+	Deployment string  `arg:"--deployment,required,env:DEPLOYMENT" placeholder:"FILE" help:"declaration that was in force"`
+	Out        string  `arg:"--out,required,env:TRACE_OUT" placeholder:"FILE" help:"file for the trace"`
+	Slope      float64 `arg:"--slope,env:TRACE_SLOPE" default:"0.05" placeholder:"NUMBER" help:"slowdown of a service by a batch class that uses a whole worker"`
+}
+
 type completionArgs struct {
 	Shell string `arg:"positional,required" placeholder:"SHELL" help:"bash or zsh"`
 }
--- a/internal/operator/input.go
+++ b/internal/operator/input.go
@@ -16,18 +16,11 @@
 // readInput reads a file or standard input. It stops one byte behind the size
 // limit of a declaration, so that a huge file is not read as a whole.
 func (p *Program) readInput(path string) ([]byte, error) {
-	in := p.Stdin
-	if path != stdinName {
-		if err := checkReadable(path); err != nil {
-			return nil, err
-		}
-		file, err := os.Open(path)
-		if err != nil {
-			return nil, fileError(path, err)
-		}
-		defer file.Close()
-		in = file
+	in, err := p.openInput(path)
+	if err != nil {
+		return nil, err
 	}
+	defer in.Close()
 	data, err := io.ReadAll(io.LimitReader(in, declaration.MaxBytes+1))
 	if err != nil {
 		return nil, fileError(path, err)
@@ -58,3 +51,19 @@
 	}
 	return model.Wrap(model.KindInvalid, err, remedy, "%s cannot be read", path)
 }
+
+// openInput opens a file, or standard input for -, to be read as a stream. Logs
+// are too large to be held as a whole.
+func (p *Program) openInput(path string) (io.ReadCloser, error) {
+	if path == stdinName {
+		return io.NopCloser(p.Stdin), nil
+	}
+	if err := checkReadable(path); err != nil {
+		return nil, err
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fileError(path, err)
+	}
+	return file, nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -118,6 +118,8 @@
 		return p.completion(a.Completion)
 	case a.TraceSummary != nil:
 		return p.traceSummary(a.TraceSummary)
+	case a.Trace != nil:
+		return p.trace(a.Trace)
 	case a.Replay != nil:
 		return p.replay(ctx, a.Replay)
 	case a.Dev != nil:
--- /dev/null
+++ b/internal/operator/trace.go
@@ -0,0 +1,74 @@
+package operator
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/logtrace"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/replay"
+)
+
+// traceResult is the result of vpier trace.
+type traceResult struct {
+	File   string `json:"file"`
+	Events int    `json:"events"`
+	// HorizonSeconds is the time that the log covers.
+	HorizonSeconds float64 `json:"horizon_s"`
+}
+
+// trace runs vpier trace.
+func (p *Program) trace(a *traceArgs) error {
+	text, err := p.readInput(a.Deployment)
+	if err != nil {
+		return err
+	}
+	doc, err := declaration.Check(a.Deployment, text)
+	if err != nil {
+		return err
+	}
+	in, err := p.openInput(a.File)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	name := strings.TrimSuffix(filepath.Base(a.Out), filepath.Ext(a.Out))
+	t, err := logtrace.Convert(in, doc.Declaration, logtrace.Options{Name: name, Slope: a.Slope})
+	if err != nil {
+		return err
+	}
+	if err := writeTrace(a.Out, t); err != nil {
+		return err
+	}
+	result := traceResult{File: a.Out, Events: len(t.Events), HorizonSeconds: float64(t.Header.Horizon)}
+	return p.print(result, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: %s over %s\n", a.Out, plural(result.Events, "event"), t.Header.Horizon.D())
+	})
+}
+
+// writeTrace writes a trace: the header and one event on each line.
+func writeTrace(path string, t *replay.Trace) (err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return model.Wrap(model.KindInvalid, err, "name a file that can be written", "--out")
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	w := bufio.NewWriter(f)
+	enc := json.NewEncoder(w)
+	if err := enc.Encode(t.Header); err != nil {
+		return err
+	}
+	for _, e := range t.Events {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/internal/operator/tracesummary.go
+++ b/internal/operator/tracesummary.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -54,11 +53,12 @@
 
 // traceSummary runs vpier trace-summary.
 func (p *Program) traceSummary(a *traceSummaryArgs) error {
-	text, err := p.readInput(a.File)
+	in, err := p.openInput(a.File)
 	if err != nil {
 		return err
 	}
-	result, err := summarize(bytes.NewReader(text))
+	defer in.Close()
+	result, err := summarize(in)
 	if err != nil {
 		return err
 	}
--- a/internal/owner/effects.go
+++ b/internal/owner/effects.go
@@ -4,11 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
 // takeEvents turns what workers reported into records.
@@ -49,6 +52,17 @@
 		}
 	}
 	r.after(func() { r.disp.Ack(ended.AttemptRef) })
+	if len(records) > 0 {
+		r.after(func() { r.logEnd(worker, ended) })
+	}
+}
+
+// logEnd writes the line that tells how an attempt ended.
+func (r *Runtime) logEnd(worker model.WorkerID, ended platform.EndedAttempt) {
+	r.cfg.Decisions.LogDecision(telemetry.Decision{
+		Kind: telemetry.KindEnd, Subject: string(ended.Task), Choice: string(worker), Reason: string(ended.Outcome),
+		Fields: logrus.Fields{"cell": string(r.id), "attempt": uint32(ended.Attempt)},
+	})
 }
 
 func (r *Runtime) takeCheckpoint(e dispatch.Event) {
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -224,7 +226,7 @@
 	case found.Digest != claim.Digest:
 		c.refuse(cl, refusal(http.StatusConflict, model.KindConflict, 0, "the key was used for another order", "use a new "+headerKey+" for a new order"), "key-reused")
 	case found.State == model.OutcomeDone:
-		c.acceptOrder(cl, found, len(job.Tasks), true)
+		c.acceptOrder(cl, found, job, true)
 	default:
 		c.resumeOrder(cl, found, claim, job)
 	}
@@ -259,7 +261,7 @@
 	cl.claim, cl.checked = held, true
 	if err == nil {
 		c.settle(cl, model.OutcomeDone, nil)
-		c.acceptOrder(cl, held.claim, len(job.Tasks), false)
+		c.acceptOrder(cl, held.claim, job, false)
 		return
 	}
 	if earlier || !provedNotRun(err) || !c.withdraw(cl, held) {
@@ -315,15 +317,28 @@
 }
 
 // acceptOrder answers 202, or 200 when the order had been accepted before.
-func (c *Chain) acceptOrder(cl *call, claim Claim, tasks int, replayed bool) {
+func (c *Chain) acceptOrder(cl *call, claim Claim, job model.JobSpec, replayed bool) {
 	status := http.StatusAccepted
 	if replayed {
 		status = http.StatusOK
 		cl.w.Header().Set(headerReplayed, "true")
 	}
 	cl.w.Header().Set("Location", ordersPath+"/"+string(claim.Job))
-	c.deps.Decisions.LogDecision(telemetry.Decision{Kind: "order", Subject: string(claim.Job), Choice: string(claim.Cell), Reason: "accepted"})
-	c.writeJSON(cl, status, OrderAccepted{Job: claim.Job, Cell: claim.Cell, Tasks: tasks})
+	c.deps.Decisions.LogDecision(telemetry.Decision{
+		Kind: telemetry.KindOrder, Subject: string(claim.Job), Choice: string(claim.Cell), Reason: "accepted", Fields: describeOrder(job),
+	})
+	c.writeJSON(cl, status, OrderAccepted{Job: claim.Job, Cell: claim.Cell, Tasks: len(job.Tasks)})
+}
+
+// describeOrder returns the fields of an order's decision from which a trace can
+// be made; all tasks count as equal to the first.
+func describeOrder(job model.JobSpec) logrus.Fields {
+	first := job.Tasks[0]
+	return logrus.Fields{
+		"team": string(first.Team), "class": string(first.Class), "urgency": int(first.Urgency),
+		"tasks": len(job.Tasks), "gang": first.Gang, "milli_cpu": first.Resources.MilliCPU,
+		"memory_mb": first.Resources.MemoryMB, "declared_ms": first.DeclaredRun.Milliseconds(),
+	}
 }
 
 // orderStatus reports the progress of a job.
@@ -372,6 +387,7 @@
 		c.refuse(cl, refuseOrderError(err, "the cancellation was not confirmed"), "order-cancel")
 		return
 	}
+	c.deps.Decisions.LogDecision(telemetry.Decision{Kind: telemetry.KindCancel, Subject: string(claim.Job), Choice: string(claim.Cell), Reason: "caller"})
 	c.writeJSON(cl, http.StatusAccepted, OrderStatus{Job: claim.Job, Cell: claim.Cell, State: "cancelled"})
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
 // fullScanEvery is the interval at which blocked units are tried again without
@@ -257,7 +258,7 @@
 	s.emit(t.Spec.ID, &planned{host: h, unit: u}, cell.Record{Placed: &cell.Placed{
 		Task: t.Spec.ID, Attempt: t.Attempt + 1, Worker: h.ID,
 	}})
-	s.decide("place", string(t.Spec.ID), candidates, string(h.ID), string(s.cfg.Policy))
+	s.decide(telemetry.KindPlace, string(t.Spec.ID), candidates, string(h.ID), string(s.cfg.Policy))
 }
 
 // blocked handles a unit that cannot start now and returns the searches spent.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -24,6 +24,26 @@
 	return l.WithField("node", string(node)), nil
 }
 
+// Kinds of the decisions that a trace can be made from; package logtrace reads them.
+const (
+	// KindOrder is an accepted order; its fields describe the tasks.
+	KindOrder = "order"
+	// KindCancel is a cancelled order.
+	KindCancel = "cancel"
+	// KindPlace is the placement of a task on a worker.
+	KindPlace = "place"
+	// KindEnd is the end of an attempt; the reason is its outcome.
+	KindEnd = "end"
+	// KindDataCentre is a data centre taken out of service or returned.
+	KindDataCentre = "data-centre"
+)
+
+// Choices of KindDataCentre.
+const (
+	ChoiceOut = "out"
+	ChoiceIn  = "in"
+)
+
 // Decision is one routing or placement decision.
 type Decision struct {
 	// Kind is route, place, evict, throttle, refuse, hedge, retry, move and so on.
