--- a/internal/control/run.go
+++ b/internal/control/run.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"time"
+
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // checkJitter spreads the checks of the nodes: each interval is multiplied by a
@@ -64,7 +66,7 @@
 			s.cfg.OnError(err)
 		}
 		// While the store fails, nodes spread their checks over a growing delay.
-		if !pause(ctx, delay/2+time.Duration(random.Float64()*float64(delay))) {
+		if !waiting.Sleep(ctx, delay/2+time.Duration(random.Float64()*float64(delay))) {
 			return ctx.Err()
 		}
 		delay = min(2*delay, s.cfg.CheckEvery)
@@ -90,19 +92,8 @@
 		if wait <= 0 {
 			return ctx.Err() == nil
 		}
-		if !pause(ctx, wait) {
+		if !waiting.Sleep(ctx, wait) {
 			return false
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -15,6 +15,7 @@
 	"github.com/vanillapier/vanillapier/examples"
 	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // Options selects what a run does.
@@ -214,7 +215,7 @@
 // waitForNodes waits until the balancer finds all nodes ready.
 func (s *scenario) waitForNodes(ctx context.Context, nodes int) error {
 	for s.callers.balancer.readyCount() < nodes {
-		if !pause(ctx, checkEvery) {
+		if !waiting.Sleep(ctx, checkEvery) {
 			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d nodes became ready", s.callers.balancer.readyCount(), nodes)
 		}
 	}
@@ -236,7 +237,7 @@
 			s.say("%d cells have owners", owned)
 			return nil
 		}
-		if !pause(ctx, checkEvery) {
+		if !waiting.Sleep(ctx, checkEvery) {
 			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d cells have owners", owned, len(s.cluster.dcs))
 		}
 	}
--- a/internal/dev/operator.go
+++ b/internal/dev/operator.go
@@ -15,6 +15,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // operator gives operators' commands to the nodes.
@@ -52,7 +53,7 @@
 			return reply, nil
 		}
 		last = err
-		if !pause(ctx, commandRetry) {
+		if !waiting.Sleep(ctx, commandRetry) {
 			break
 		}
 	}
--- a/internal/dev/orders.go
+++ b/internal/dev/orders.go
@@ -12,6 +12,7 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/platform/standin"
 	"github.com/vanillapier/vanillapier/internal/request"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // orderBook follows the batch orders of a run.
@@ -90,7 +91,7 @@
 			book.mu.Unlock()
 			return true
 		}
-		if !pause(ctx, orderRetry) {
+		if !waiting.Sleep(ctx, orderRetry) {
 			return false
 		}
 	}
@@ -98,7 +99,7 @@
 }
 
 func (c *callers) cancelLater(ctx context.Context, book *orderBook, entry *orderEntry) {
-	if !pause(ctx, time.Duration(entry.spec.CancelAfterMS)*time.Millisecond) {
+	if !waiting.Sleep(ctx, time.Duration(entry.spec.CancelAfterMS)*time.Millisecond) {
 		return
 	}
 	for range orderTries {
@@ -111,7 +112,7 @@
 			book.mu.Unlock()
 			return
 		}
-		if !pause(ctx, orderRetry) {
+		if !waiting.Sleep(ctx, orderRetry) {
 			return
 		}
 	}
@@ -119,7 +120,7 @@
 
 // follow asks for the order's status until it has ended or ctx ends.
 func (c *callers) follow(ctx context.Context, book *orderBook, entry *orderEntry) {
-	for pause(ctx, orderRetry) {
+	for waiting.Sleep(ctx, orderRetry) {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		r, err := c.send(call, http.MethodGet, "/v1/orders/"+string(entry.job), http.Header{}, nil)
 		cancel()
@@ -150,15 +151,3 @@
 	}
 	return e.status.State == "done" && e.status.Done == e.spec.Tasks
 }
-
-// pause waits for d; false means that ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -12,6 +12,7 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/platform/standin"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // slowFactor is how much slower a slow runner is.
@@ -50,7 +51,7 @@
 func (s *scenario) play(ctx context.Context) {
 	s.begun = time.Now()
 	for i, e := range s.trace.Events {
-		if wait := time.Until(s.begun.Add(e.Time())); wait > 0 && !pause(ctx, wait) {
+		if wait := time.Until(s.begun.Add(e.Time())); wait > 0 && !waiting.Sleep(ctx, wait) {
 			return
 		}
 		s.act(ctx, i, e)
@@ -167,7 +168,7 @@
 	faults := s.cluster.platform.Faults()
 	from := time.Now()
 	faults.SetStore(standin.ServiceFault{Down: true})
-	pause(ctx, d)
+	waiting.Sleep(ctx, d)
 	faults.SetStore(standin.ServiceFault{})
 	s.mu.Lock()
 	s.storeOuts = append(s.storeOuts, outage{from: from, to: time.Now()})
--- a/internal/dev/watch.go
+++ b/internal/dev/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/node"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // watchEvery is the interval at which each node's view is read.
@@ -43,7 +44,7 @@
 
 // run reads the views until ctx ends.
 func (w *watch) run(ctx context.Context) {
-	for pause(ctx, watchEvery) {
+	for waiting.Sleep(ctx, watchEvery) {
 		w.read(ctx)
 	}
 }
--- a/internal/ownership/owned.go
+++ b/internal/ownership/owned.go
@@ -8,6 +8,7 @@
 	"github.com/vanillapier/vanillapier/internal/journal"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/storeclient"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // Owned is a cell that this node owns. It is safe for concurrent use.
@@ -162,7 +163,7 @@
 		err := log.VerifyHead(ctx, seq)
 		rowsFollow = model.IsKind(err, model.KindFenced)
 		headRead = err == nil || rowsFollow
-		if !headRead && !sleep(ctx, verifyRetry) {
+		if !headRead && !waiting.Sleep(ctx, verifyRetry) {
 			return model.Wrap(model.KindUnknown, err, "read the cell's state from its current owner", "the append could not be verified")
 		}
 	}
@@ -181,12 +182,12 @@
 		due := o.leaseStart.Add(o.cfg.Lease / renewalsPerLease)
 		o.mu.Unlock()
 		if wait := due.Sub(o.cfg.Now()); wait > 0 {
-			if !sleep(ctx, wait) {
+			if !waiting.Sleep(ctx, wait) {
 				return
 			}
 			continue
 		}
-		if _, err := o.committer.Submit(ctx, nil, true); err != nil && !sleep(ctx, jitter(renewRetry)) {
+		if _, err := o.committer.Submit(ctx, nil, true); err != nil && !waiting.Sleep(ctx, jitter(renewRetry)) {
 			return
 		}
 	}
@@ -214,14 +215,3 @@
 	_, err := o.log.Append(ctx, o.LastSequence()+1, journal.Batch{Epoch: o.Epoch, Owner: &change})
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/replay/validate.go
+++ b/internal/replay/validate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
@@ -146,16 +147,10 @@
 	return fmt.Errorf("%s %q is not known at this line", kind, name)
 }
 
+// urgencyOf returns the urgency of a class; normal when it states none.
 func urgencyOf(name string) (model.Urgency, error) {
-	switch name {
-	case "bulk":
-		return model.UrgencyBulk, nil
-	case "", "normal":
+	if name == "" {
 		return model.UrgencyNormal, nil
-	case "high":
-		return model.UrgencyHigh, nil
-	case "urgent":
-		return model.UrgencyUrgent, nil
 	}
-	return 0, fmt.Errorf("urgency %q is not one of bulk, normal, high, urgent", name)
+	return declaration.ParseUrgency(name)
 }
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -183,17 +183,10 @@
 	if stated == "" {
 		stated = class
 	}
-	switch stated {
-	case "bulk":
-		return model.UrgencyBulk, nil
-	case "", "normal":
+	if stated == "" {
 		return model.UrgencyNormal, nil
-	case "high":
-		return model.UrgencyHigh, nil
-	case "urgent":
-		return model.UrgencyUrgent, nil
 	}
-	return 0, model.Errorf(model.KindInvalid, "use bulk, normal, high or urgent", "unknown urgency %q", stated)
+	return declaration.ParseUrgency(stated)
 }
 
 // refuseInvalid answers an order that fails its checks.
