Keep long declaration texts under their own checksum

Cause: texts above 64 KiB were kept under the declaration's digest, which texts that differ in comments only share; the later one replaced the earlier, and its comments were lost to the review.

--- a/internal/control/codec.go
+++ b/internal/control/codec.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -56,7 +58,12 @@
 	return entries, nil
 }
 
-func textObject(digest string) string { return "declarations/" + digest }
+func textObject(sum string) string { return "declarations/" + sum }
+
+func textSum(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
 
 // storeText moves a large text to the object store, before the record that
 // refers to it is appended.
@@ -64,16 +71,18 @@
 	if rec.Proposed == nil || len(rec.Proposed.Text) <= MaxInlineText {
 		return rec, nil
 	}
-	if err := s.cfg.Objects.Put(ctx, textObject(rec.Proposed.Digest), []byte(rec.Proposed.Text)); err != nil {
+	short := *rec.Proposed
+	short.TextSHA256 = textSum([]byte(short.Text))
+	if err := s.cfg.Objects.Put(ctx, textObject(short.TextSHA256), []byte(short.Text)); err != nil {
 		return rec, err
 	}
-	short := *rec.Proposed
 	short.Text = ""
 	rec.Proposed = &short
 	return rec, nil
 }
 
-// loadTexts reads the texts that entries refer to, by digest.
+// loadTexts reads the texts that entries refer to, by their sums. KindCorrupt means
+// that an object does not hold the text that was proposed.
 func (s *Store) loadTexts(ctx context.Context, entries []Entry) (map[string]string, error) {
 	texts := map[string]string{}
 	for _, e := range entries {
@@ -81,11 +90,14 @@
 		if p == nil || p.Text != "" || e.Sequence <= s.View().Sequence {
 			continue
 		}
-		data, err := s.cfg.Objects.Get(ctx, textObject(p.Digest))
+		data, err := s.cfg.Objects.Get(ctx, textObject(p.TextSHA256))
 		if err != nil {
 			return nil, err
 		}
-		texts[p.Digest] = string(data)
+		if textSum(data) != p.TextSHA256 {
+			return nil, model.Errorf(model.KindCorrupt, "restore the object from the store's backup", "the text of control entry %d fails its check", e.Sequence)
+		}
+		texts[p.TextSHA256] = string(data)
 	}
 	return texts, nil
 }
@@ -96,7 +108,7 @@
 		return e
 	}
 	full := *p
-	full.Text = texts[p.Digest]
+	full.Text = texts[p.TextSHA256]
 	e.Record.Proposed = &full
 	return e
 }
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -25,11 +25,14 @@
 type DeclarationProposed struct {
 	Digest string `json:"digest" cbor:"1,keyasint"`
 	// Text is the declaration's text. A text above 64 KiB is kept in the object
-	// store under declarations/<digest>, and Text is empty.
+	// store under declarations/<TextSHA256>, and Text is empty.
 	Text string `json:"text,omitempty" cbor:"2,keyasint,omitempty"`
 	// Base is the digest of the accepted declaration that the proposal was written against.
 	Base string `json:"base,omitempty" cbor:"3,keyasint,omitempty"`
 	Note string `json:"note,omitempty" cbor:"4,keyasint,omitempty"`
+	// TextSHA256 is the SHA-256 of a text in the object store, in hexadecimal. The
+	// digest would not do: texts that differ in comments only share it.
+	TextSHA256 string `json:"text_sha256,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // DeclarationAccepted puts a proposed text in force.
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -357,3 +357,20 @@
 		require.Equal(t, r, decoded)
 	})
 }
+
+// Guards against a long text that replaces another one with the same digest, as
+// texts that differ in comments only have it.
+func TestLongTextsWithOneDigest(t *testing.T) {
+	store := journaltest.New()
+	a := newStore(store.Node("a"), "a")
+	pad := strings.Repeat(" ", control.MaxInlineText)
+	for i, text := range []string{"gent leuven" + pad, "durban" + pad} {
+		_, err := a.Append(t.Context(), uint64(i), proposed("d", text, ""))
+		require.NoError(t, err)
+	}
+	_, err := a.Append(t.Context(), 2, accepted("d", 1))
+	require.NoError(t, err)
+	b := newStore(store.Node("b"), "b")
+	require.NoError(t, b.Refresh(t.Context()))
+	require.Len(t, b.View().Declaration.DataCentres, 2)
+}
