--- a/internal/compare/build.go
+++ b/internal/compare/build.go
@@ -53,16 +53,16 @@
 	return []report.Metric{
 		row("tail latency with batch to without", "ratio", report.BetterLower, func(o replay.Outcome) report.Value { return report.Value(o.TailRatio) }),
 		row("batch work done", "core-seconds", report.BetterHigher, func(o replay.Outcome) report.Value { return report.Value(o.CoreSeconds) }),
-		row("evictions", "", report.BetterLower, func(o replay.Outcome) report.Value { return number(total(o.Evictions)) }),
+		row("evictions", "count", report.BetterLower, func(o replay.Outcome) report.Value { return number(total(o.Evictions)) }),
 		row("work while a data centre is out", "share", report.BetterHigher, func(o replay.Outcome) report.Value { return orMissing(o.OutShare) }),
 		row("batch work against offline packing", "share", report.BetterHigher, func(o replay.Outcome) report.Value { return orMissing(o.OfflineShare) }),
 		row("urgent work, slowest start", "ms", report.BetterLower, func(o replay.Outcome) report.Value { return number(int(o.UrgentWorstMs)) }),
 		row("work repeated", "core-seconds", report.BetterLower, func(o replay.Outcome) report.Value { return report.Value(o.LostCoreSeconds) }),
-		row("tasks done", "", report.BetterHigher, func(o replay.Outcome) report.Value { return number(o.Done) }),
-		row("tasks failed", "", report.BetterLower, func(o replay.Outcome) report.Value { return number(o.Failed) }),
-		row("tasks unfinished", "", report.BetterLower, func(o replay.Outcome) report.Value { return number(o.Unfinished) }),
-		row("starts", "", report.BetterNeither, func(o replay.Outcome) report.Value { return number(o.Starts) }),
-		row("throttle changes", "", report.BetterNeither, func(o replay.Outcome) report.Value { return number(o.Throttles) }),
+		row("tasks done", "count", report.BetterHigher, func(o replay.Outcome) report.Value { return number(o.Done) }),
+		row("tasks failed", "count", report.BetterLower, func(o replay.Outcome) report.Value { return number(o.Failed) }),
+		row("tasks unfinished", "count", report.BetterLower, func(o replay.Outcome) report.Value { return number(o.Unfinished) }),
+		row("starts", "count", report.BetterNeither, func(o replay.Outcome) report.Value { return number(o.Starts) }),
+		row("throttle changes", "count", report.BetterNeither, func(o replay.Outcome) report.Value { return number(o.Throttles) }),
 	}
 }
 
