--- a/internal/dev/generate.go
+++ b/internal/dev/generate.go
@@ -118,10 +118,13 @@
 
 func (g *generator) disturbances() {
 	dc := g.decl.DataCentres[0].Name
-	g.add(Event{At: slowAt, RunnerSlow: 2})
+	// Runners are numbered by data centre; these two are not in the first, which is
+	// taken out and then gets no requests.
+	runners := g.decl.Services[0].Runners
+	g.add(Event{At: slowAt, RunnerSlow: runners / 2})
 	g.add(Event{At: acceptAt, Accept: true})
 	g.add(Event{At: outAt, Out: dc})
-	g.add(Event{At: leaveAt, RunnerLeaves: 5})
+	g.add(Event{At: leaveAt, RunnerLeaves: runners - 2})
 	g.add(Event{At: storeDownAt, StoreDownMS: storeDownFor})
 	g.add(Event{At: inAt, In: dc})
 	g.add(Event{At: stopNodeAt, StopNode: 2})
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -89,7 +89,7 @@
 	case e.StoreDownMS > 0:
 		s.storeDown(ctx, time.Duration(e.StoreDownMS)*time.Millisecond)
 	case e.RunnerLeaves > 0:
-		s.runnerLeaves(e.RunnerLeaves - 1)
+		s.runnerLeaves(ctx, e.RunnerLeaves-1)
 	case e.RunnerSlow > 0:
 		id := s.runner(e.RunnerSlow - 1)
 		s.say("runner %s becomes %d times slower", id, slowFactor)
@@ -176,11 +176,16 @@
 	s.say("the store is back")
 }
 
-func (s *scenario) runnerLeaves(index int) {
+// hostListLag is how much later the host list shows that a runner leaves. The
+// runner's own refusals are the first sign.
+const hostListLag = 3 * time.Second
+
+func (s *scenario) runnerLeaves(ctx context.Context, index int) {
 	id := s.runner(index)
 	s.say("runner %s leaves", id)
-	s.cluster.platform.HostList().SetState(id, platform.HostLeaving)
 	s.cluster.platform.Faults().SetRunner(id, standin.RunnerFault{Leaving: true})
+	waiting.Sleep(ctx, hostListLag)
+	s.cluster.platform.HostList().SetState(id, platform.HostLeaving)
 }
 
 // runner returns the id of a runner by number.
