--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -195,7 +195,7 @@
 func (s *scenario) bringUp(ctx context.Context, nodes int) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	if err := s.waitForNodes(ctx, nodes); err != nil {
+	if err := s.waitForMembers(ctx, nodes); err != nil {
 		return err
 	}
 	s.say("%d nodes have joined", nodes)
@@ -212,6 +212,21 @@
 	return err
 }
 
+// waitForMembers waits until all nodes have joined. They are not ready for callers
+// before a declaration is in force.
+func (s *scenario) waitForMembers(ctx context.Context, nodes int) error {
+	_, admin, _ := s.cluster.running()[0].Addrs()
+	for {
+		view, err := s.operator.view(ctx, admin)
+		if err == nil && len(view.Members) >= nodes {
+			return nil
+		}
+		if !waiting.Sleep(ctx, checkEvery) {
+			return model.Errorf(model.KindUnavailable, "look at the nodes' logs with --log-file", "%d of %d nodes joined", len(view.Members), nodes)
+		}
+	}
+}
+
 // waitForNodes waits until the balancer finds all nodes ready.
 func (s *scenario) waitForNodes(ctx context.Context, nodes int) error {
 	for s.callers.balancer.readyCount() < nodes {
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -102,7 +102,7 @@
 // fill starts nodes and puts the declaration in force.
 func (c *cluster) fill(nodes int) {
 	for i := range nodes {
-		c.nodes = append(c.nodes, c.start(i))
+		c.nodes = append(c.nodes, c.launch(i)) // ready only with a declaration
 	}
 	c.accept()
 }
--- a/internal/e2e/settings_test.go
+++ b/internal/e2e/settings_test.go
@@ -87,7 +87,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Equal(t, "unknown", outcome, "an earlier order under the key cannot be ruled out")
 	c.network.both(false, p.name, "store")
-	c.wait("node ready", p.ready)
+	c.nodes = append(c.nodes, p)
+	c.accept()
 	stopped := c.launchCut(1)
 	stopped.signal(syscall.SIGTERM)
 	<-stopped.done
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -107,7 +107,7 @@
 		former.issue(files[i])
 	}
 	c.peerFlags = func(i int) []string { return files[i].flags() }
-	c.nodes = append(c.nodes, c.start(0), c.start(1))
+	c.nodes = append(c.nodes, c.launch(0), c.launch(1))
 	c.accept()
 	first, second := c.id(c.node(0)), c.id(c.node(1))
 	c.wait("nodes hear each other", func() bool { return c.hears(c.node(0), second) && c.hears(c.node(1), first) })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -95,14 +95,15 @@
 	require.NoError(t, again.Close())
 }
 
-// Guards against a node that is ready before it has joined or while it stops.
+// Guards against a node that is ready before it has joined, before it knows a
+// declaration, or while it stops. internal/e2e waits for nodes that are ready.
 func TestReadiness(t *testing.T) {
 	n, err := New(testSettings(), testLog())
 	require.NoError(t, err)
 	defer n.closeListeners()
 	require.Contains(t, n.notReady(), "not joined")
 	n.joined.Store(true)
-	require.Empty(t, n.notReady())
+	require.Contains(t, n.notReady(), "no accepted declaration")
 	n.stopping.Store(true)
 	require.Contains(t, n.notReady(), "stopping")
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -146,7 +146,9 @@
 		return "the node is stopping"
 	case !n.joined.Load():
 		return "the node has not joined with a confirmed view yet"
-	case n.control.View().Declaration != nil && !n.holdsSlots():
+	case n.control.View().Declaration == nil:
+		return "no accepted declaration is known to the node"
+	case !n.holdsSlots():
 		return "the node holds no slots of a service at present"
 	}
 	return ""
