Refuse to change the cells of a data centre in service

Change: accepting such a declaration, or one that removes a data centre in service, is refused with the remedy.

--- a/internal/control/check.go
+++ b/internal/control/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
@@ -16,7 +17,7 @@
 	case rec.Proposed != nil:
 		return s.checkProposed(rec.Proposed, decode)
 	case rec.Accepted != nil:
-		return s.checkPending(rec.Accepted.Proposal, rec.Accepted.Digest)
+		return s.checkAccepted(rec.Accepted, decode)
 	case rec.Rejected != nil:
 		return s.checkPending(rec.Rejected.Proposal, rec.Rejected.Digest)
 	case rec.DataCentreOut != nil:
@@ -43,6 +44,39 @@
 	return nil
 }
 
+// checkAccepted refuses, besides proposals that are not pending, a declaration that
+// changes the cells of a data centre in service or removes it: its workers would
+// pass to cells that do not know what runs on them, and be committed twice.
+func (s *state) checkAccepted(a *DeclarationAccepted, decode decodeFunc) error {
+	if err := s.checkPending(a.Proposal, a.Digest); err != nil {
+		return err
+	}
+	next, err := decode(s.proposals[a.Proposal].text)
+	if err != nil {
+		return model.Wrap(model.KindInvalid, err, "propose the declaration again", "the text of proposal %d", a.Proposal)
+	}
+	if s.view.Declaration == nil {
+		return nil
+	}
+	for _, old := range s.view.Declaration.DataCentres {
+		if !s.view.IsOut(old.Name) && cellsOf(next, old.Name) != max(1, old.Cells) {
+			return model.Errorf(model.KindConflict, "take the data centre out first and wait until no work is left there (vpier drain --wait)",
+				"proposal %d changes the cells of data centre %s, which is in service", a.Proposal, old.Name)
+		}
+	}
+	return nil
+}
+
+// cellsOf returns the number of cells of a data centre; 0 when d does not list it.
+func cellsOf(d *declaration.Declaration, name model.DataCentre) int {
+	for _, dc := range d.DataCentres {
+		if dc.Name == name {
+			return max(1, dc.Cells)
+		}
+	}
+	return 0
+}
+
 // checkPending accepts only a proposal that is neither rejected nor superseded.
 func (s *state) checkPending(seq uint64, digest string) error {
 	p, ok := s.proposals[seq]
--- a/internal/control/store_test.go
+++ b/internal/control/store_test.go
@@ -374,3 +374,23 @@
 	require.NoError(t, b.Refresh(t.Context()))
 	require.Len(t, b.View().Declaration.DataCentres, 2)
 }
+
+// Guards against workers that pass to another cell while tasks run on them (R1): a
+// data centre in service keeps its cells, and is not removed.
+func TestCellsOfADataCentreInServiceStay(t *testing.T) {
+	s := newStore(journaltest.New().Node("a"), "a")
+	for _, step := range []struct {
+		rec  control.Record
+		kind model.Kind
+	}{
+		{proposed("d1", "gent leuven", ""), ""},
+		{accepted("d1", 1), ""},
+		{proposed("d2", "gent", "d1"), ""}, // sequence 3
+		{accepted("d2", 3), model.KindConflict},
+		{out("leuven"), ""},
+		{accepted("d2", 3), ""},
+	} {
+		_, err := s.Append(t.Context(), s.View().Sequence, step.rec)
+		require.Equal(t, step.kind, model.KindOf(err), "%s: %v", step.rec.Describe(), err)
+	}
+}
