Judge a single worker's services by their target alone

Cause: the baseline of a service rests on the workers with least batch work. In a cell with one worker a shift of load looks like interference, and batch work was throttled for it. Change: the relative limit applies from two workers on. The new test fails without the change (1 worker) and passes with it.

--- a/internal/scheduler/protect.go
+++ b/internal/scheduler/protect.go
@@ -58,7 +58,9 @@
 	if target := targetOf(s.view, sample.service); target > 0 {
 		level = sample.p99.Seconds() / target.Seconds()
 	}
-	if ratio, known := s.model.observed(sample); known {
+	// On a single worker a shift of load cannot be told from interference, because
+	// the baseline rests on workers with less batch work; there the target decides.
+	if ratio, known := s.model.observed(sample); known && len(s.hosts) > 1 {
 		level = max(level, (ratio-1)/s.cfg.SlowdownLimit)
 	}
 	return level
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -91,3 +91,14 @@
 		require.Equal(t, map[string]int{"live": 8, "queued": 2}, r.states("j"), p)
 	}
 }
+
+// Guards against batch work that is throttled for a shift of load in a cell with a
+// single worker, whose baseline has nothing to be compared with.
+func TestRelativeLimitNeedsSeveralWorkers(t *testing.T) {
+	sample := serviceSample{service: "desk", p99: 130 * time.Millisecond}
+	for workers, strained := range map[int]bool{1: false, 2: true} {
+		r := newRig(t, Config{}, workers)
+		r.s.model.bases["desk"] = &baseline{Seconds: 0.1, Samples: priorWeight}
+		require.Equal(t, strained, r.s.strain(sample) > 1, "%d workers", workers)
+	}
+}
