Ask for suspects once; drop what was unused or twice

Read-through of the whole change; behaviour stays. Each look at one member copied and sorted the list of all peers, four times a second for every member.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -176,7 +176,7 @@
 	b := newBalancer(c)
 	go b.run(background)
 	s := &scenario{
-		cluster: c, callers: newCallers(b, o.Seed), operator: &operator{cluster: c, client: &http.Client{}},
+		cluster: c, callers: newCallers(b), operator: &operator{cluster: c, client: &http.Client{}},
 		book: &orderBook{}, watch: newWatch(c), trace: trace, text: text, progress: progress, begun: time.Now(),
 	}
 	if err := s.bringUp(ctx, o.Nodes); err != nil {
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -198,6 +197,6 @@
 	return ids[index%len(ids)]
 }
 
-func newCallers(b *balancer, seed uint64) *callers {
-	return &callers{balancer: b, tally: newTally(), rng: rand.New(rand.NewPCG(seed, 2))}
+func newCallers(b *balancer) *callers {
+	return &callers{balancer: b, tally: newTally()}
 }
--- a/internal/dev/traffic.go
+++ b/internal/dev/traffic.go
@@ -60,7 +60,6 @@
 type callers struct {
 	balancer *balancer
 	tally    *tally
-	rng      *rand.Rand
 	pending  sync.WaitGroup
 }
 
--- a/internal/node/control_loop.go
+++ b/internal/node/control_loop.go
@@ -27,8 +27,8 @@
 
 // command is a message to the control goroutine. Exactly one field is set.
 type command struct {
-	// view is a new control view.
-	view *control.View
+	// viewChanged says that there is a new control view, which is read from the store.
+	viewChanged bool
 	// release asks for the release of all cells and the end of the membership.
 	release *releaseCommand
 }
@@ -43,7 +43,7 @@
 func (n *Node) viewChanged(v *control.View) {
 	n.shares.Apply(v)
 	select {
-	case n.commands <- command{view: v}:
+	case n.commands <- command{viewChanged: true}:
 	default:
 	}
 }
@@ -197,8 +197,9 @@
 func (n *Node) assignCells() {
 	view := n.control.View()
 	var alive []control.Member
+	suspects := n.suspects()
 	for id, m := range view.Members {
-		if id == n.id || !n.suspected(id) {
+		if id == n.id || !suspects[id] {
 			alive = append(alive, m)
 		}
 	}
@@ -216,8 +217,9 @@
 			delete(absent, id)
 		}
 	}
+	suspects := n.suspects()
 	for id, m := range view.Members {
-		if id == n.id || !n.hosts.Gone(m.Addr) || !n.suspected(id) {
+		if id == n.id || !n.hosts.Gone(m.Addr) || !suspects[id] {
 			delete(absent, id)
 			continue
 		}
@@ -239,9 +241,9 @@
 
 // rank returns this node's position among the members that are not suspected.
 func (n *Node) rank(view *control.View) int {
-	rank := 0
+	rank, suspects := 0, n.suspects()
 	for id := range view.Members {
-		if id < n.id && !n.suspected(id) {
+		if id < n.id && !suspects[id] {
 			rank++
 		}
 	}
--- a/internal/node/followers.go
+++ b/internal/node/followers.go
@@ -30,10 +30,10 @@
 // FollowerState asks the best-placed members for their state of a cell. It
 // implements ownership.PeerSource.
 func (n *Node) FollowerState(ctx context.Context, id model.CellID) (ownership.FollowerState, error) {
-	asked := 0
+	asked, suspects := 0, n.suspects()
 	for _, member := range ownership.Order(id, n.members()) {
 		m, ok := n.control.View().Members[member]
-		if !ok || member == n.id || n.suspected(member) {
+		if !ok || member == n.id || suspects[member] {
 			continue
 		}
 		if state, err := n.askFollower(ctx, m, id); err == nil {
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -97,8 +97,9 @@
 // somePeers returns up to count random members other than this node.
 func (n *Node) somePeers(count int) []control.Member {
 	var out []control.Member
+	suspects := n.suspects()
 	for _, m := range n.members() {
-		if m.ID != n.id && !n.suspected(m.ID) {
+		if m.ID != n.id && !suspects[m.ID] {
 			out = append(out, m)
 		}
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -44,9 +44,9 @@
 	}
 	view := c.node.control.View()
 	gauge(c.ready, ready)
-	suspect := 0
+	suspect, suspects := 0, c.node.suspects()
 	for id := range view.Members {
-		if c.node.suspected(id) {
+		if suspects[id] {
 			suspect++
 		}
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -153,14 +153,16 @@
 	return slices.Collect(maps.Values(n.control.View().Members))
 }
 
-// suspected reports whether a member has been silent for the suspicion time.
-func (n *Node) suspected(id model.NodeID) bool {
+// suspects returns the members that have been silent for the suspicion time. A
+// caller that looks at several members asks once, as each call copies the peers.
+func (n *Node) suspects() map[model.NodeID]bool {
+	out := map[model.NodeID]bool{}
 	for _, p := range n.peers.Peers() {
-		if p.Node == id {
-			return p.Suspect
+		if p.Suspect {
+			out[p.Node] = true
 		}
 	}
-	return false
+	return out
 }
 
 // heardTable holds what each peer last reported, for operators.
--- a/internal/request/claim.go
+++ b/internal/request/claim.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 // heldClaim is a claim that this node wrote for a call. The version of its row is
@@ -97,8 +98,8 @@
 		default:
 			return nil, found, unsure, nil
 		}
-		if err := sleep(ctx, pause); err != nil {
-			return nil, Claim{}, unsure, model.Wrap(model.KindUnavailable, err, "retry with the same key", "the claim's result is not known")
+		if !waiting.Sleep(ctx, pause) {
+			return nil, Claim{}, unsure, model.Wrap(model.KindUnavailable, ctx.Err(), "retry with the same key", "the claim's result is not known")
 		}
 	}
 }
@@ -110,18 +111,6 @@
 	c.settleLater(&heldClaim{row: row, claim: claim})
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // abandon refuses a claimed call that was not sent and frees its key.
 func (c *Chain) abandon(cl *call, f *Refusal) {
 	c.settle(cl, model.OutcomeNotRun, nil)
--- a/internal/request/settle.go
+++ b/internal/request/settle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
 const (
@@ -106,7 +107,7 @@
 				return true
 			}
 		}
-		if sleep(ctx, pause) != nil {
+		if !waiting.Sleep(ctx, pause) {
 			return false
 		}
 	}
