--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -1,8 +1,8 @@
 package cell
 
 import (
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // TaskState is the position of a task in its life in this cell.
@@ -79,8 +79,8 @@
 }
 
 // Ref returns the reference of the last attempt.
-func (t *Task) Ref() platform.AttemptRef {
-	return platform.AttemptRef{Task: t.Spec.ID, Attempt: t.Attempt}
+func (t *Task) Ref() external.AttemptRef {
+	return external.AttemptRef{Task: t.Spec.ID, Attempt: t.Attempt}
 }
 
 // job groups the tasks of one submission.
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/journal"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Partition is the table partition of the control journal.
@@ -24,9 +24,9 @@
 	// Node is the node's id; it seeds the jitter.
 	Node model.NodeID
 	// Table keeps the journal. Required.
-	Table platform.Table
+	Table external.Table
 	// Objects keeps declaration texts above 64 KiB. Required.
-	Objects platform.Objects
+	Objects external.Objects
 	// Decode reads the text of a declaration and reports its faults. Required.
 	Decode func(text string) (*declaration.Declaration, error)
 	// Now returns the local monotonic time. Default time.Now.
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/node"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
@@ -128,8 +128,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	p.node, p.cancel, p.ended = n, cancel, ended
-	c.platform.HostList().Set(platform.Host{
-		ID: hostID(p), Role: platform.RoleEntry, State: platform.HostLive, Addr: hostIP(p) + ":0",
+	c.platform.HostList().Set(external.Host{
+		ID: hostID(p), Role: external.RoleEntry, State: external.HostLive, Addr: hostIP(p) + ":0",
 		DataCentre: c.dcs[index%len(c.dcs)],
 	})
 	go func() { ended <- n.Run(ctx) }()
--- a/internal/dev/orders.go
+++ b/internal/dev/orders.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 	"github.com/vanillapier/vanillapier/internal/request"
 	"github.com/vanillapier/vanillapier/internal/waiting"
 )
--- a/internal/dev/outcome.go
+++ b/internal/dev/outcome.go
@@ -8,8 +8,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 // Row is one line of the result: a requirement or stated outcome, what was
--- a/internal/dev/scenario.go
+++ b/internal/dev/scenario.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 	"github.com/vanillapier/vanillapier/internal/waiting"
 )
 
@@ -184,7 +184,7 @@
 	s.say("runner %s leaves", id)
 	s.cluster.platform.Faults().SetRunner(id, standin.RunnerFault{Leaving: true})
 	waiting.Sleep(ctx, hostListLag)
-	s.cluster.platform.HostList().SetState(id, platform.HostLeaving)
+	s.cluster.platform.HostList().SetState(id, external.HostLeaving)
 }
 
 // runner returns the id of a runner by number.
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 // cpu returns the processor time that the process has used.
@@ -25,8 +25,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-func benchRef(i int) platform.AttemptRef {
-	return platform.AttemptRef{Task: model.TaskID(fmt.Sprintf("job-%012d-%03d", i, i%100)), Attempt: 1}
+func benchRef(i int) external.AttemptRef {
+	return external.AttemptRef{Task: model.TaskID(fmt.Sprintf("job-%012d-%03d", i, i%100)), Attempt: 1}
 }
 
 // canned answers every request with the same report.
@@ -50,10 +50,10 @@
 
 func benchCommand(b *testing.B, live, starts int, fullReport time.Duration) {
 	var known []Known
-	report := platform.WorkerReport{Worker: "w", Session: "01234567-1", SessionTTL: DefaultSessionTTL}
+	report := external.WorkerReport{Worker: "w", Session: "01234567-1", SessionTTL: DefaultSessionTTL}
 	for i := range live {
 		known = append(known, Known{AttemptRef: benchRef(i), Worker: "w"})
-		report.Running = append(report.Running, platform.RunningAttempt{AttemptRef: benchRef(i), Class: "plate-run", Used: unit, UsageAge: 5 * time.Second, Progress: 0.5})
+		report.Running = append(report.Running, external.RunningAttempt{AttemptRef: benchRef(i), Class: "plate-run", Used: unit, UsageAge: 5 * time.Second, Progress: 0.5})
 	}
 	data, err := json.Marshal(report)
 	if err != nil {
@@ -63,7 +63,7 @@
 	api := httpapi.NewWorkers(&http.Client{Transport: transport})
 	c := NewCore(Config{Cell: "kzn-durban/0", Epoch: 7, FullReport: fullReport}, origin, known)
 	now := origin
-	c.SetWorkers(now, []platform.Host{{ID: "w", Addr: "10.1.2.3:7000"}})
+	c.SetWorkers(now, []external.Host{{ID: "w", Addr: "10.1.2.3:7000"}})
 	if fullReport > 1 {
 		c.Done(now, c.Plan(now, 1, true)[0], report, nil)
 		report.Running, report.Unchanged = nil, true
@@ -77,7 +77,7 @@
 		now = now.Add(4 * time.Second) // every command renews
 		out := c.Plan(now, 1, true)[0]
 		for j := range starts {
-			out.Command.Starts = append(out.Command.Starts, platform.Start{
+			out.Command.Starts = append(out.Command.Starts, external.Start{
 				AttemptRef: benchRef(1000 + j), Class: "plate-run", Resources: unit, Lease: DefaultTaskLease, Payload: make([]byte, 100),
 			})
 		}
@@ -94,20 +94,20 @@
 // steady is a worker that keeps a fixed number of attempts: each start replaces
 // the oldest one.
 type steady struct {
-	running []platform.RunningAttempt
-	ended   []platform.EndedAttempt
+	running []external.RunningAttempt
+	ended   []external.EndedAttempt
 }
 
-func (s *steady) apply(cmd platform.WorkerCommand) platform.WorkerReport {
+func (s *steady) apply(cmd external.WorkerCommand) external.WorkerReport {
 	if len(cmd.Ack) > 0 {
 		s.ended = s.ended[:0]
 	}
 	for _, st := range cmd.Starts {
-		s.ended = append(s.ended, platform.EndedAttempt{AttemptRef: s.running[0].AttemptRef, Outcome: model.OutcomeDone})
-		s.running = append(s.running[1:], platform.RunningAttempt{AttemptRef: st.AttemptRef, Class: st.Class, Used: st.Resources, UsageAge: 5 * time.Second, Progress: 0.5})
+		s.ended = append(s.ended, external.EndedAttempt{AttemptRef: s.running[0].AttemptRef, Outcome: model.OutcomeDone})
+		s.running = append(s.running[1:], external.RunningAttempt{AttemptRef: st.AttemptRef, Class: st.Class, Used: st.Resources, UsageAge: 5 * time.Second, Progress: 0.5})
 	}
-	r := platform.WorkerReport{Running: s.running, Ended: s.ended, Session: "01234567-123", SessionTTL: DefaultSessionTTL}
-	digest := platform.RunningDigest(func(yield func(platform.AttemptRef, string) bool) {
+	r := external.WorkerReport{Running: s.running, Ended: s.ended, Session: "01234567-123", SessionTTL: DefaultSessionTTL}
+	digest := external.RunningDigest(func(yield func(external.AttemptRef, string) bool) {
 		for _, a := range s.running {
 			yield(a.AttemptRef, a.Checkpoint)
 		}
@@ -131,13 +131,13 @@
 func benchNode(b *testing.B, workers int) {
 	const live, startsPerSecond = 12, 0.115
 	var known []Known
-	hosts, states, next := []platform.Host{}, map[string]*steady{}, 0
+	hosts, states, next := []external.Host{}, map[string]*steady{}, 0
 	for w := range workers {
-		h := platform.Host{ID: fmt.Sprintf("worker-%06d", w), Addr: "10.1.2.3:7000"}
+		h := external.Host{ID: fmt.Sprintf("worker-%06d", w), Addr: "10.1.2.3:7000"}
 		hosts, states[h.ID] = append(hosts, h), &steady{}
 		for range live {
 			known = append(known, Known{AttemptRef: benchRef(next), Worker: model.WorkerID(h.ID)})
-			states[h.ID].running = append(states[h.ID].running, platform.RunningAttempt{AttemptRef: benchRef(next), Class: "plate-run", Used: unit, UsageAge: 5 * time.Second, Progress: 0.5})
+			states[h.ID].running = append(states[h.ID].running, external.RunningAttempt{AttemptRef: benchRef(next), Class: "plate-run", Used: unit, UsageAge: 5 * time.Second, Progress: 0.5})
 			next++
 		}
 	}
@@ -153,7 +153,7 @@
 		second++
 		for owed += startsPerSecond * float64(workers); owed >= 1; owed-- {
 			next++
-			s := platform.Start{AttemptRef: benchRef(next), Class: "plate-run", Resources: unit, Payload: make([]byte, 100)}
+			s := external.Start{AttemptRef: benchRef(next), Class: "plate-run", Resources: unit, Payload: make([]byte, 100)}
 			if err := c.Start(now, model.WorkerID(hosts[next%workers].ID), s); err != nil {
 				b.Fatal(err)
 			}
@@ -169,7 +169,7 @@
 				r.Worker = model.WorkerID(out.Host.ID)
 				rep, _ := json.Marshal(r)
 				begin = time.Now()
-				var decoded platform.WorkerReport
+				var decoded external.WorkerReport
 				if err := json.Unmarshal(rep, &decoded); err != nil {
 					b.Fatal(err)
 				}
@@ -199,7 +199,7 @@
 	}
 	defer func() { _ = p.Close() }()
 	api, host := httpapi.NewWorkers(nil), p.Hosts()[0]
-	cmd := platform.WorkerCommand{Cell: "c", Epoch: 1, Expect: "0-0", RenewExpected: true, RenewFor: DefaultTaskLease}
+	cmd := external.WorkerCommand{Cell: "c", Epoch: 1, Expect: "0-0", RenewExpected: true, RenewFor: DefaultTaskLease}
 	begin, n := cpu(), 0
 	for b.Loop() {
 		if _, err := api.Command(b.Context(), host, cmd); err != nil {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -4,8 +4,8 @@
 	"container/heap"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // phase is what the owner knows about an attempt on its worker.
@@ -33,9 +33,9 @@
 
 // attempt is the state of one attempt that the owner has placed.
 type attempt struct {
-	ref    platform.AttemptRef
+	ref    external.AttemptRef
 	worker *workerState
-	start  platform.Start
+	start  external.Start
 	phase  phase
 	want   want
 	// riskUntil is how long a start whose result is unknown could still be
@@ -53,13 +53,13 @@
 
 // workerState is what the owner knows about one worker.
 type workerState struct {
-	host     platform.Host
+	host     external.Host
 	listed   bool
-	attempts map[platform.AttemptRef]*attempt
+	attempts map[external.AttemptRef]*attempt
 	// unknown holds running attempts that the owner did not place.
-	unknown map[platform.AttemptRef]struct{}
+	unknown map[external.AttemptRef]struct{}
 	// acks holds acknowledgements that the worker has not received.
-	acks map[platform.AttemptRef]struct{}
+	acks map[external.AttemptRef]struct{}
 
 	session      string
 	sessionTTL   time.Duration
@@ -86,7 +86,7 @@
 	created    time.Time
 	ackedAt    time.Time
 	workers    map[model.WorkerID]*workerState
-	attempts   map[platform.AttemptRef]*attempt
+	attempts   map[external.AttemptRef]*attempt
 	schedule   dueHeap
 	events     []Event
 	fenced     bool
@@ -102,7 +102,7 @@
 	cfg.provision()
 	c := &Core{
 		cfg: cfg, created: now, lostAfter: cfg.LostAfter(),
-		workers: map[model.WorkerID]*workerState{}, attempts: map[platform.AttemptRef]*attempt{},
+		workers: map[model.WorkerID]*workerState{}, attempts: map[external.AttemptRef]*attempt{},
 	}
 	for _, k := range known {
 		w := c.worker(now, k.Worker)
@@ -123,10 +123,10 @@
 	w := c.workers[id]
 	if w == nil {
 		w = &workerState{
-			host: platform.Host{ID: string(id)}, index: -1,
-			attempts: map[platform.AttemptRef]*attempt{},
-			unknown:  map[platform.AttemptRef]struct{}{},
-			acks:     map[platform.AttemptRef]struct{}{},
+			host: external.Host{ID: string(id)}, index: -1,
+			attempts: map[external.AttemptRef]*attempt{},
+			unknown:  map[external.AttemptRef]struct{}{},
+			acks:     map[external.AttemptRef]struct{}{},
 		}
 		c.workers[id] = w
 		c.reschedule(w, now)
@@ -145,7 +145,7 @@
 
 // SetWorkers replaces the list of workers. A worker that is no longer listed
 // gets no starts, and is kept while it has attempts.
-func (c *Core) SetWorkers(now time.Time, hosts []platform.Host) {
+func (c *Core) SetWorkers(now time.Time, hosts []external.Host) {
 	listed := make(map[model.WorkerID]struct{}, len(hosts))
 	for _, h := range hosts {
 		id := model.WorkerID(h.ID)
@@ -174,7 +174,7 @@
 
 // Start asks for an attempt to be started. The caller has made the placement
 // durable. A repeated call has no effect.
-func (c *Core) Start(now time.Time, id model.WorkerID, s platform.Start) error {
+func (c *Core) Start(now time.Time, id model.WorkerID, s external.Start) error {
 	w := c.workers[id]
 	if w == nil || !w.listed {
 		return model.Errorf(model.KindNotFound, "place the task on a listed worker", "worker %q", id)
@@ -191,13 +191,13 @@
 
 // Evict asks for a checkpoint and the end of an attempt. It ends with
 // EventEnded, or with EventRejected when it never ran.
-func (c *Core) Evict(now time.Time, ref platform.AttemptRef) { c.demand(now, ref, wantEvict) }
+func (c *Core) Evict(now time.Time, ref external.AttemptRef) { c.demand(now, ref, wantEvict) }
 
 // Stop asks for the end of an attempt without a checkpoint. It ends with
 // EventEnded, or with EventRejected when it never ran.
-func (c *Core) Stop(now time.Time, ref platform.AttemptRef) { c.demand(now, ref, wantStop) }
+func (c *Core) Stop(now time.Time, ref external.AttemptRef) { c.demand(now, ref, wantStop) }
 
-func (c *Core) demand(now time.Time, ref platform.AttemptRef, to want) {
+func (c *Core) demand(now time.Time, ref external.AttemptRef, to want) {
 	a := c.attempts[ref]
 	if a == nil || a.phase == phaseEnded || a.want >= to {
 		return
@@ -211,7 +211,7 @@
 }
 
 // Checkpoint asks for a checkpoint of a live attempt.
-func (c *Core) Checkpoint(now time.Time, ref platform.AttemptRef) {
+func (c *Core) Checkpoint(now time.Time, ref external.AttemptRef) {
 	if a := c.attempts[ref]; a != nil && a.phase != phaseEnded {
 		a.saveNow = true
 		c.hasten(a.worker, now)
@@ -219,7 +219,7 @@
 }
 
 // Throttle sets the share of its processors, in percent, that an attempt may use.
-func (c *Core) Throttle(now time.Time, ref platform.AttemptRef, percent int) {
+func (c *Core) Throttle(now time.Time, ref external.AttemptRef, percent int) {
 	if a := c.attempts[ref]; a != nil && a.phase != phaseEnded {
 		a.throttle = min(max(percent, 1), 100)
 		c.hasten(a.worker, now)
@@ -228,7 +228,7 @@
 
 // Ack states that the end or loss of an attempt is durable, so that the worker
 // may forget its report.
-func (c *Core) Ack(ref platform.AttemptRef) {
+func (c *Core) Ack(ref external.AttemptRef) {
 	a := c.attempts[ref]
 	if a == nil || a.phase != phaseEnded {
 		return
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -11,15 +11,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 var errUnknown = model.Errorf(model.KindUnknown, "", "no answer")
 
-var first = platform.AttemptRef{Task: "a", Attempt: 1}
+var first = external.AttemptRef{Task: "a", Attempt: 1}
 
 // script drives a core with one worker by hand.
 type script struct {
@@ -31,7 +31,7 @@
 
 func newScript(t *testing.T, known ...Known) *script {
 	s := &script{t: t, c: NewCore(Config{Cell: "c", Epoch: 1}, origin, known), now: origin}
-	s.c.SetWorkers(origin, []platform.Host{{ID: "w", Addr: "w"}})
+	s.c.SetWorkers(origin, []external.Host{{ID: "w", Addr: "w"}})
 	s.c.SetEpochAcknowledged(origin)
 	return s
 }
@@ -50,16 +50,16 @@
 }
 
 // answer gives the report to a command.
-func (s *script) answer(out Outgoing, r platform.WorkerReport) {
+func (s *script) answer(out Outgoing, r external.WorkerReport) {
 	s.session++
 	r.Worker, r.Session, r.SessionTTL = "w", string(rune('a'+s.session)), DefaultSessionTTL
 	s.c.Done(s.now, out, r, nil)
 }
 
-func running(refs ...platform.AttemptRef) platform.WorkerReport {
-	var r platform.WorkerReport
+func running(refs ...external.AttemptRef) external.WorkerReport {
+	var r external.WorkerReport
 	for _, ref := range refs {
-		r.Running = append(r.Running, platform.RunningAttempt{AttemptRef: ref})
+		r.Running = append(r.Running, external.RunningAttempt{AttemptRef: ref})
 	}
 	return r
 }
@@ -74,8 +74,8 @@
 
 // begin fetches a session and plans the command with the start of the attempt.
 func (s *script) begin() Outgoing {
-	require.NoError(s.t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
-	s.answer(s.plan(), platform.WorkerReport{})
+	require.NoError(s.t, s.c.Start(s.now, "w", external.Start{AttemptRef: first}))
+	s.answer(s.plan(), external.WorkerReport{})
 	out := s.plan()
 	require.Len(s.t, out.Command.Starts, 1)
 	return out
@@ -86,7 +86,7 @@
 func TestStartInDoubtIsSentOnce(t *testing.T) {
 	for _, stop := range []bool{false, true} {
 		s := newScript(t)
-		s.c.Done(s.now, s.begin(), platform.WorkerReport{}, errUnknown)
+		s.c.Done(s.now, s.begin(), external.WorkerReport{}, errUnknown)
 		risk := s.now.Add(withMargin(DefaultSessionTTL))
 		if stop {
 			s.c.Stop(s.now, first)
@@ -96,7 +96,7 @@
 			out := s.plan()
 			require.Empty(t, out.Command.Starts)
 			sent = s.now
-			s.answer(out, platform.WorkerReport{})
+			s.answer(out, external.WorkerReport{})
 		}
 		require.False(t, sent.Before(risk))
 		require.Equal(t, []EventKind{EventAdopted, EventEnded}, kinds(s.c.Events()))
@@ -115,7 +115,7 @@
 		if len(out.Command.Renew) > 0 || out.Command.RenewExpected {
 			renewed = s.now
 		}
-		s.c.Done(s.now, out, platform.WorkerReport{}, errUnknown)
+		s.c.Done(s.now, out, external.WorkerReport{}, errUnknown)
 	}
 	require.Less(t, renewed.Sub(contact), DefaultOwnershipLease)
 	require.Greater(t, renewed.Sub(contact), DefaultTaskLease/3)
@@ -126,7 +126,7 @@
 	s = newScript(t, Known{AttemptRef: first, Worker: "w"})
 	s.c.ackedAt = time.Time{}
 	for s.now.Before(origin.Add(time.Hour)) {
-		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, errUnknown)
+		s.c.Done(s.now, s.plan(), external.WorkerReport{}, errUnknown)
 	}
 	require.Empty(t, s.c.Events())
 }
@@ -137,9 +137,9 @@
 	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
 	s.answer(s.plan(), running(first))
 	for s.c.attempts[first].phase != phaseEnded {
-		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, errUnknown)
+		s.c.Done(s.now, s.plan(), external.WorkerReport{}, errUnknown)
 	}
-	late := platform.WorkerReport{Ended: []platform.EndedAttempt{{AttemptRef: first, Outcome: model.OutcomeDone}}}
+	late := external.WorkerReport{Ended: []external.EndedAttempt{{AttemptRef: first, Outcome: model.OutcomeDone}}}
 	for range 3 {
 		out := s.plan()
 		require.Empty(t, out.Command.Ack)
@@ -147,7 +147,7 @@
 	}
 	s.c.Ack(first)
 	s.answer(s.plan(), late)
-	require.Equal(t, []platform.AttemptRef{first}, s.plan().Command.Ack)
+	require.Equal(t, []external.AttemptRef{first}, s.plan().Command.Ack)
 }
 
 // Guards against a wait for lost attempts that is too short for a former owner
@@ -163,17 +163,17 @@
 		return standin.NewWorkerCore(standin.WorkerConfig{ID: id, Capacity: unit, Ledger: ledger}, origin)
 	}
 	workers := map[string]*standin.WorkerCore{"a": newWorker("a"), "b": newWorker("b")}
-	hosts := []platform.Host{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}}
+	hosts := []external.Host{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}}
 	tick := func(c *Core, now time.Time, reaches ...string) {
 		for _, out := range c.Plan(now, 2, true) {
-			report, err := platform.WorkerReport{}, error(errUnknown)
+			report, err := external.WorkerReport{}, error(errUnknown)
 			if slices.Contains(reaches, out.Host.ID) {
 				report, err = workers[out.Host.ID].Command(now, out.Command)
 			}
 			c.Done(now, out, report, err)
 		}
 	}
-	start := platform.Start{AttemptRef: first, Resources: unit, Payload: standin.Payload{RunMS: 60000}.Encode()}
+	start := external.Start{AttemptRef: first, Resources: unit, Payload: standin.Payload{RunMS: 60000}.Encode()}
 	former := NewCore(Config{Cell: "c", Epoch: 1}, origin, nil)
 	former.SetWorkers(origin, hosts)
 	require.NoError(t, former.Start(origin, "a", start))
@@ -215,16 +215,16 @@
 // and against endings that nobody waits for staying on the worker.
 func TestUnknownAttemptsAreStoppedFirst(t *testing.T) {
 	s := newScript(t)
-	stray, old := platform.AttemptRef{Task: "x", Attempt: 4}, platform.AttemptRef{Task: "y", Attempt: 1}
-	require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	stray, old := external.AttemptRef{Task: "x", Attempt: 4}, external.AttemptRef{Task: "y", Attempt: 1}
+	require.NoError(t, s.c.Start(s.now, "w", external.Start{AttemptRef: first}))
 	r := running(stray)
-	r.Ended = []platform.EndedAttempt{{AttemptRef: old}}
+	r.Ended = []external.EndedAttempt{{AttemptRef: old}}
 	s.answer(s.plan(), r)
 	out := s.plan()
-	require.Equal(t, []platform.AttemptRef{stray}, out.Command.Stop)
-	require.Equal(t, []platform.AttemptRef{old}, out.Command.Ack)
+	require.Equal(t, []external.AttemptRef{stray}, out.Command.Stop)
+	require.Equal(t, []external.AttemptRef{old}, out.Command.Ack)
 	require.Empty(t, out.Command.Starts)
-	s.answer(out, platform.WorkerReport{})
+	s.answer(out, external.WorkerReport{})
 	require.Len(t, s.plan().Command.Starts, 1)
 	require.Equal(t, []EventKind{EventAdopted}, kinds(s.c.Events()))
 }
@@ -253,20 +253,20 @@
 // Guards against messages without pause while starts wait: for the gate, for an
 // unknown attempt to stop, or on a worker that refuses every session.
 func TestWaitingStartsDoNotFloodTheWorker(t *testing.T) {
-	reject := func(out Outgoing) platform.WorkerReport {
-		var r platform.WorkerReport
+	reject := func(out Outgoing) external.WorkerReport {
+		var r external.WorkerReport
 		for _, st := range out.Command.Starts {
-			r.Rejected = append(r.Rejected, platform.RejectedStart{AttemptRef: st.AttemptRef, Reason: platform.RejectSession})
+			r.Rejected = append(r.Rejected, external.RejectedStart{AttemptRef: st.AttemptRef, Reason: external.RejectSession})
 		}
 		return r
 	}
-	for name, report := range map[string]func(Outgoing) platform.WorkerReport{
-		"gate":    func(Outgoing) platform.WorkerReport { return platform.WorkerReport{} },
-		"unknown": func(Outgoing) platform.WorkerReport { return running(platform.AttemptRef{Task: "x"}) },
+	for name, report := range map[string]func(Outgoing) external.WorkerReport{
+		"gate":    func(Outgoing) external.WorkerReport { return external.WorkerReport{} },
+		"unknown": func(Outgoing) external.WorkerReport { return running(external.AttemptRef{Task: "x"}) },
 		"session": reject,
 	} {
 		s := newScript(t)
-		require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+		require.NoError(t, s.c.Start(s.now, "w", external.Start{AttemptRef: first}))
 		sent := 0
 		for s.now.Before(origin.Add(10 * time.Second)) {
 			due, _ := s.c.NextDue()
@@ -291,9 +291,9 @@
 // Guards against a start that waits forever for a worker that cannot be reached.
 func TestUnsentStartIsGivenBack(t *testing.T) {
 	s := newScript(t)
-	require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	require.NoError(t, s.c.Start(s.now, "w", external.Start{AttemptRef: first}))
 	for s.c.attempts[first] != nil {
-		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, model.Errorf(model.KindUnavailable, "", "refused"))
+		s.c.Done(s.now, s.plan(), external.WorkerReport{}, model.Errorf(model.KindUnavailable, "", "refused"))
 	}
 	require.Equal(t, ReasonUnreachable, s.c.Events()[0].Reason)
 	require.GreaterOrEqual(t, s.now.Sub(origin), DefaultStartTimeout)
@@ -303,9 +303,9 @@
 // after a pause of the owner, all workers would be quarantined.
 func TestWithheldStartIsNotTheWorkersFault(t *testing.T) {
 	s := newScript(t)
-	require.NoError(t, s.c.Start(s.now, "w", platform.Start{AttemptRef: first}))
+	require.NoError(t, s.c.Start(s.now, "w", external.Start{AttemptRef: first}))
 	for s.c.attempts[first] != nil {
-		s.c.Done(s.now, s.plan(), platform.WorkerReport{}, Withheld())
+		s.c.Done(s.now, s.plan(), external.WorkerReport{}, Withheld())
 	}
 	require.Equal(t, ReasonWithheld, s.c.Events()[0].Reason)
 }
@@ -313,7 +313,7 @@
 // Guards against an ending that is reported twice while its record is on the way.
 func TestEndingIsReportedOnce(t *testing.T) {
 	s := newScript(t, Known{AttemptRef: first, Worker: "w"})
-	r := platform.WorkerReport{Ended: []platform.EndedAttempt{{AttemptRef: first, Outcome: model.OutcomeDone}}}
+	r := external.WorkerReport{Ended: []external.EndedAttempt{{AttemptRef: first, Outcome: model.OutcomeDone}}}
 	for range 3 {
 		out := s.plan()
 		require.Empty(t, out.Command.Ack)
@@ -321,7 +321,7 @@
 	}
 	require.Equal(t, []EventKind{EventAdopted, EventEnded}, kinds(s.c.Events()))
 	s.c.Ack(first)
-	require.Equal(t, []platform.AttemptRef{first}, s.plan().Command.Ack)
+	require.Equal(t, []external.AttemptRef{first}, s.plan().Command.Ack)
 }
 
 // Guards against leases that are not renewed because the worker's attempts differ
@@ -332,17 +332,17 @@
 	out := s.plan()
 	require.True(t, out.Command.RenewExpected)
 	require.Empty(t, out.Command.Renew)
-	digest := func(yield func(platform.AttemptRef, string) bool) { yield(first, "") }
-	require.Equal(t, platform.RunningDigest(digest), out.Command.Expect)
-	s.answer(out, platform.WorkerReport{Unchanged: true})
+	digest := func(yield func(external.AttemptRef, string) bool) { yield(first, "") }
+	require.Equal(t, external.RunningDigest(digest), out.Command.Expect)
+	s.answer(out, external.WorkerReport{Unchanged: true})
 	require.Equal(t, phaseRunning, s.c.attempts[first].phase)
 
 	out = s.plan()
 	require.True(t, out.Command.RenewExpected)
-	s.answer(out, running(first, platform.AttemptRef{Task: "x"}))
+	s.answer(out, running(first, external.AttemptRef{Task: "x"}))
 	before := s.now
 	out = s.plan()
-	require.Equal(t, []platform.AttemptRef{first}, out.Command.Renew)
+	require.Equal(t, []external.AttemptRef{first}, out.Command.Renew)
 	require.Equal(t, DefaultMinInterval, s.now.Sub(before))
 }
 
@@ -367,17 +367,17 @@
 // that answer get none.
 func TestSilentWorkersLeaveRoom(t *testing.T) {
 	c := NewCore(Config{Cell: "c", Epoch: 1, Concurrency: 4}, origin, nil)
-	var hosts []platform.Host
+	var hosts []external.Host
 	for i := range 10 {
 		id := string(rune('a' + i))
-		hosts = append(hosts, platform.Host{ID: id, Addr: id})
+		hosts = append(hosts, external.Host{ID: id, Addr: id})
 	}
 	c.SetWorkers(origin, hosts)
 	for _, out := range c.Plan(origin, len(hosts), true) {
 		if out.Host.ID != "j" {
-			c.Done(origin, out, platform.WorkerReport{}, errUnknown)
+			c.Done(origin, out, external.WorkerReport{}, errUnknown)
 		} else {
-			c.Done(origin, out, platform.WorkerReport{Worker: "j"}, nil)
+			c.Done(origin, out, external.WorkerReport{Worker: "j"}, nil)
 		}
 	}
 	later := origin.Add(time.Minute)
@@ -396,9 +396,9 @@
 	s.c.Checkpoint(s.now, first)
 	s.c.Throttle(s.now, first, 40)
 	out := s.plan()
-	require.Equal(t, []platform.AttemptRef{first}, out.Command.Checkpoint)
-	require.Equal(t, []platform.Throttle{{AttemptRef: first, Percent: 40}}, out.Command.Throttle)
-	s.c.Done(s.now, out, platform.WorkerReport{}, errUnknown)
+	require.Equal(t, []external.AttemptRef{first}, out.Command.Checkpoint)
+	require.Equal(t, []external.Throttle{{AttemptRef: first, Percent: 40}}, out.Command.Throttle)
+	s.c.Done(s.now, out, external.WorkerReport{}, errUnknown)
 	out = s.plan()
 	require.Len(t, out.Command.Throttle, 1, "not repeated after a lost answer")
 	r := running(first)
@@ -408,21 +408,21 @@
 	require.Empty(t, out.Command.Checkpoint)
 	require.Empty(t, out.Command.Throttle)
 	require.Equal(t, []EventKind{EventAdopted, EventStarted, EventReport, EventCheckpointed}, kinds(s.c.Events()))
-	s.c.Done(s.now, out, platform.WorkerReport{}, model.Errorf(model.KindFenced, "", "newer owner"))
+	s.c.Done(s.now, out, external.WorkerReport{}, model.Errorf(model.KindFenced, "", "newer owner"))
 	require.True(t, s.c.Fenced())
 	require.Empty(t, s.c.Plan(s.now.Add(time.Hour), 9, true))
 }
 
 // overlap counts commands in flight for each worker.
 type overlap struct {
-	platform.WorkerAPI
+	external.WorkerAPI
 	mu       sync.Mutex
 	flying   map[string]int
 	most     int
 	together int
 }
 
-func (o *overlap) Command(ctx context.Context, h platform.Host, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+func (o *overlap) Command(ctx context.Context, h external.Host, cmd external.WorkerCommand) (external.WorkerReport, error) {
 	o.mu.Lock()
 	o.flying[h.ID]++
 	o.most = max(o.most, o.flying[h.ID])
@@ -460,11 +460,11 @@
 	go func() { stopped <- d.Run(ctx) }()
 	const tasks = 24
 	for i := range tasks {
-		s := platform.Start{AttemptRef: platform.AttemptRef{Task: model.TaskID(rune('a' + i)), Attempt: 1}, Resources: unit}
+		s := external.Start{AttemptRef: external.AttemptRef{Task: model.TaskID(rune('a' + i)), Attempt: 1}, Resources: unit}
 		s.Payload = standin.Payload{RunMS: 100}.Encode()
 		require.NoError(t, d.Start(model.WorkerID(p.Hosts()[i%8].ID), s))
 	}
-	ended := map[platform.AttemptRef]int{}
+	ended := map[external.AttemptRef]int{}
 	for len(ended) < tasks {
 		<-d.Notify()
 		for _, e := range d.Events() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,8 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
@@ -43,7 +43,7 @@
 // methods are safe for concurrent use.
 type Dispatcher struct {
 	cfg     Config
-	workers platform.WorkerAPI
+	workers external.WorkerAPI
 	gates   Gates
 	now     func() time.Time
 	metrics metrics
@@ -58,7 +58,7 @@
 
 // New returns the dispatcher of a cell under a new epoch. known holds the live
 // attempts from the cell's journal; whatever else workers report is stopped.
-func New(cfg Config, workers platform.WorkerAPI, gates Gates, known []Known, opts Options) *Dispatcher {
+func New(cfg Config, workers external.WorkerAPI, gates Gates, known []Known, opts Options) *Dispatcher {
 	cfg.provision()
 	if opts.Now == nil {
 		opts.Now = time.Now
@@ -91,10 +91,10 @@
 
 // SetWorkers replaces the list of the cell's workers; hosts in other roles are
 // left out.
-func (d *Dispatcher) SetWorkers(hosts []platform.Host) {
-	var workers []platform.Host
+func (d *Dispatcher) SetWorkers(hosts []external.Host) {
+	var workers []external.Host
 	for _, h := range hosts {
-		if h.Role == platform.RoleWorker {
+		if h.Role == external.RoleWorker {
 			workers = append(workers, h)
 		}
 	}
@@ -110,34 +110,34 @@
 
 // Start asks for an attempt whose placement is durable. KindNotFound means that
 // the worker is not listed.
-func (d *Dispatcher) Start(worker model.WorkerID, s platform.Start) error {
+func (d *Dispatcher) Start(worker model.WorkerID, s external.Start) error {
 	var err error
 	d.do(func(c *Core, now time.Time) { err = c.Start(now, worker, s) })
 	return err
 }
 
 // Evict asks for a checkpoint and the end of an attempt.
-func (d *Dispatcher) Evict(ref platform.AttemptRef) {
+func (d *Dispatcher) Evict(ref external.AttemptRef) {
 	d.do(func(c *Core, now time.Time) { c.Evict(now, ref) })
 }
 
 // Stop asks for the end of an attempt without a checkpoint.
-func (d *Dispatcher) Stop(ref platform.AttemptRef) {
+func (d *Dispatcher) Stop(ref external.AttemptRef) {
 	d.do(func(c *Core, now time.Time) { c.Stop(now, ref) })
 }
 
 // Checkpoint asks for a checkpoint of a live attempt.
-func (d *Dispatcher) Checkpoint(ref platform.AttemptRef) {
+func (d *Dispatcher) Checkpoint(ref external.AttemptRef) {
 	d.do(func(c *Core, now time.Time) { c.Checkpoint(now, ref) })
 }
 
 // Throttle sets the share of its processors, in percent, that an attempt may use.
-func (d *Dispatcher) Throttle(ref platform.AttemptRef, percent int) {
+func (d *Dispatcher) Throttle(ref external.AttemptRef, percent int) {
 	d.do(func(c *Core, now time.Time) { c.Throttle(now, ref, percent) })
 }
 
 // Ack states that the end or loss of an attempt is durable.
-func (d *Dispatcher) Ack(refs ...platform.AttemptRef) {
+func (d *Dispatcher) Ack(refs ...external.AttemptRef) {
 	d.do(func(c *Core, _ time.Time) {
 		for _, ref := range refs {
 			c.Ack(ref)
@@ -226,7 +226,7 @@
 
 // send checks the gates, sends one command and applies its result.
 func (d *Dispatcher) send(ctx context.Context, out Outgoing) {
-	report, err := platform.WorkerReport{}, Withheld()
+	report, err := external.WorkerReport{}, Withheld()
 	now := d.now()
 	mayRenew, mayStart := d.gates.MayRenew(now) == nil, d.gates.MayStart(now) == nil
 	d.mu.Lock()
@@ -239,7 +239,7 @@
 	d.do(func(c *Core, now time.Time) { c.Done(now, out, report, err) })
 }
 
-func (d *Dispatcher) exchange(ctx context.Context, out Outgoing) (platform.WorkerReport, error) {
+func (d *Dispatcher) exchange(ctx context.Context, out Outgoing) (external.WorkerReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.CommandTimeout)
 	defer cancel()
 	begin := time.Now()
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
@@ -81,7 +81,7 @@
 	// cut holds the lowest epoch whose owner cannot reach the worker; a former
 	// owner may still reach one that the present owner cannot.
 	cut      map[model.WorkerID]model.Epoch
-	hosts    []platform.Host
+	hosts    []external.Host
 	tasks    map[model.TaskID]*task
 	epoch    model.Epoch
 	appended time.Time
@@ -122,7 +122,7 @@
 		id := model.WorkerID(fmt.Sprintf("w%d", i))
 		m.rates[id] = rapid.SampledFrom([]float64{0.96, 1, 1.04}).Draw(t, "rate")
 		m.boot(id)
-		m.hosts = append(m.hosts, platform.Host{ID: string(id), Addr: string(id), Role: platform.RoleWorker})
+		m.hosts = append(m.hosts, external.Host{ID: string(id), Addr: string(id), Role: external.RoleWorker})
 	}
 	for i := range machineTasks {
 		m.tasks[model.TaskID(fmt.Sprintf("t%d", i))] = &task{endings: map[model.Attempt]int{}}
@@ -153,7 +153,7 @@
 	var known []Known
 	for _, id := range m.taskIDs() {
 		if k := m.tasks[id]; k.worker != "" {
-			ref := platform.AttemptRef{Task: id, Attempt: k.attempt}
+			ref := external.AttemptRef{Task: id, Attempt: k.attempt}
 			known = append(known, Known{AttemptRef: ref, Worker: k.worker, Evicting: k.evicting})
 		}
 	}
@@ -209,7 +209,7 @@
 func (m *machine) send(o *owner, out Outgoing) {
 	owns := m.now.Sub(o.lastAppend) < DefaultOwnershipLease
 	if !o.core.Release(m.now, &out, owns, owns || m.mayHold(o)) {
-		o.core.Done(m.now, out, platform.WorkerReport{}, Withheld())
+		o.core.Done(m.now, out, external.WorkerReport{}, Withheld())
 		return
 	}
 	d := delivery{at: m.now, owner: o, out: out, answer: true}
@@ -230,14 +230,14 @@
 		o.pausedUntil = m.now.Add(m.duration("held", 30*time.Second))
 		d.at = o.pausedUntil
 	case "refused":
-		o.core.Done(m.now, out, platform.WorkerReport{}, model.Errorf(model.KindUnavailable, "", "refused"))
+		o.core.Done(m.now, out, external.WorkerReport{}, model.Errorf(model.KindUnavailable, "", "refused"))
 		return
 	}
 	if fate != "dropped" {
 		m.traffic = append(m.traffic, d)
 	}
 	if fate == "dropped" || !d.answer {
-		o.core.Done(m.now, out, platform.WorkerReport{}, model.Errorf(model.KindUnknown, "", "no answer"))
+		o.core.Done(m.now, out, external.WorkerReport{}, model.Errorf(model.KindUnknown, "", "no answer"))
 	}
 }
 
@@ -265,7 +265,7 @@
 }
 
 // checkAcks fails when a worker is told to forget an ending that is not durable.
-func (m *machine) checkAcks(cmd platform.WorkerCommand) {
+func (m *machine) checkAcks(cmd external.WorkerCommand) {
 	for _, ref := range cmd.Ack {
 		k := m.tasks[ref.Task]
 		if k.attempt == ref.Attempt && k.worker != "" {
@@ -323,8 +323,8 @@
 		k.attempt++
 		k.worker = w
 		run := standin.Payload{RunMS: 3000, FailAtMS: 0}
-		err := o.core.Start(m.now, w, platform.Start{
-			AttemptRef: platform.AttemptRef{Task: id, Attempt: k.attempt}, Resources: unit,
+		err := o.core.Start(m.now, w, external.Start{
+			AttemptRef: external.AttemptRef{Task: id, Attempt: k.attempt}, Resources: unit,
 			Checkpoint: k.checkpoint, Payload: run.Encode(),
 		})
 		require.NoError(m.t, err)
@@ -349,7 +349,7 @@
 func (m *machine) disturb() {
 	o := m.owners[len(m.owners)-1]
 	id := model.WorkerID(rapid.SampledFrom(m.hosts).Draw(m.t, "worker").ID)
-	ref := platform.AttemptRef{Task: rapid.SampledFrom(m.taskIDs()).Draw(m.t, "task")}
+	ref := external.AttemptRef{Task: rapid.SampledFrom(m.taskIDs()).Draw(m.t, "task")}
 	k := m.tasks[ref.Task]
 	ref.Attempt = k.attempt
 	active := !o.core.Fenced() && !m.now.Before(o.pausedUntil) && k.worker != ""
@@ -428,7 +428,7 @@
 			require.True(rt, k.done, "task %s did not finish: %+v", id, k)
 		}
 		for id, w := range m.workers {
-			r, err := w.Command(m.local(id, m.now), platform.WorkerCommand{Cell: "c", Epoch: m.epoch})
+			r, err := w.Command(m.local(id, m.now), external.WorkerCommand{Cell: "c", Epoch: m.epoch})
 			require.NoError(rt, err)
 			require.Empty(rt, r.Ended, "worker %s still waits for acknowledgements", id)
 			require.Empty(rt, r.Running)
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Plan returns at most limit commands that are due, one for each worker, and
@@ -95,7 +95,7 @@
 
 func (c *Core) lose(a *attempt) {
 	a.phase, a.lost = phaseEnded, true
-	ended := platform.EndedAttempt{
+	ended := external.EndedAttempt{
 		AttemptRef: a.ref, Outcome: model.OutcomeLost, Checkpoint: a.lastCheckpoint(),
 		Error: "worker was silent until every lease had run out",
 	}
@@ -112,7 +112,7 @@
 
 // command builds the next command to w and marks it as in flight.
 func (c *Core) command(now time.Time, w *workerState, mayStart bool) Outgoing {
-	cmd := platform.WorkerCommand{Cell: c.cfg.Cell, Epoch: c.cfg.Epoch}
+	cmd := external.WorkerCommand{Cell: c.cfg.Cell, Epoch: c.cfg.Epoch}
 	renew := c.renewalDue(now, w)
 	for _, a := range w.ordered() {
 		c.addOrders(&cmd, a, renew)
@@ -136,7 +136,7 @@
 // worker, the lists are nine tenths of all bytes. After a digest that did not
 // match, the list follows: attempts that checkpoint more often than every
 // MinInterval never match, and their leases would run out.
-func (c *Core) shorten(now time.Time, w *workerState, cmd *platform.WorkerCommand) {
+func (c *Core) shorten(now time.Time, w *workerState, cmd *external.WorkerCommand) {
 	orders := len(cmd.Starts) + len(cmd.Stop) + len(cmd.Checkpoint) + len(cmd.Evict) + len(cmd.Throttle)
 	if orders > 0 || w.failures > 0 || w.listRenewals || !w.lastFull.Add(c.cfg.FullReport).After(now) {
 		return
@@ -153,7 +153,7 @@
 
 // digest identifies the attempts that the worker is known to run.
 func (w *workerState) digest() string {
-	return platform.RunningDigest(func(yield func(platform.AttemptRef, string) bool) {
+	return external.RunningDigest(func(yield func(external.AttemptRef, string) bool) {
 		for ref, a := range w.attempts {
 			if a.phase == phaseRunning && !yield(ref, a.lastCheckpoint()) {
 				return
@@ -173,7 +173,7 @@
 }
 
 // addOrders adds everything but the start of an attempt.
-func (c *Core) addOrders(cmd *platform.WorkerCommand, a *attempt, renew bool) {
+func (c *Core) addOrders(cmd *external.WorkerCommand, a *attempt, renew bool) {
 	if a.phase != phaseRunning && a.phase != phaseSent {
 		return
 	}
@@ -191,13 +191,13 @@
 		cmd.Checkpoint = append(cmd.Checkpoint, a.ref)
 	}
 	if a.throttle > 0 {
-		cmd.Throttle = append(cmd.Throttle, platform.Throttle{AttemptRef: a.ref, Percent: a.throttle})
+		cmd.Throttle = append(cmd.Throttle, external.Throttle{AttemptRef: a.ref, Percent: a.throttle})
 	}
 }
 
 // addStarts adds starts when the session is at most S/2 old and nothing that the
 // owner did not place occupies the worker.
-func (c *Core) addStarts(now time.Time, cmd *platform.WorkerCommand, w *workerState) {
+func (c *Core) addStarts(now time.Time, cmd *external.WorkerCommand, w *workerState) {
 	if !c.sessionFresh(now, w) || len(w.unknown) > 0 || !w.listed || now.Before(w.blockedUntil) {
 		return
 	}
@@ -265,18 +265,18 @@
 	return out
 }
 
-func compareRefs(a, b platform.AttemptRef) int {
+func compareRefs(a, b external.AttemptRef) int {
 	if n := strings.Compare(string(a.Task), string(b.Task)); n != 0 {
 		return n
 	}
 	return int(a.Attempt) - int(b.Attempt)
 }
 
-func sortedRefs[V any](m map[platform.AttemptRef]V) []platform.AttemptRef {
+func sortedRefs[V any](m map[external.AttemptRef]V) []external.AttemptRef {
 	if len(m) == 0 {
 		return nil
 	}
-	out := make([]platform.AttemptRef, 0, len(m))
+	out := make([]external.AttemptRef, 0, len(m))
 	for ref := range m {
 		out = append(out, ref)
 	}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // errWithheld is the result of a command that Release did not let through.
@@ -15,7 +15,7 @@
 func Withheld() error { return errWithheld }
 
 // Done takes the result of a command that Plan returned.
-func (c *Core) Done(now time.Time, out Outgoing, report platform.WorkerReport, err error) {
+func (c *Core) Done(now time.Time, out Outgoing, report external.WorkerReport, err error) {
 	w := c.workers[model.WorkerID(out.Host.ID)]
 	if w == nil || !w.inFlight {
 		return
@@ -79,13 +79,13 @@
 
 // answered applies a report. Reports of one worker arrive in the order of its
 // commands, because only one is in flight.
-func (c *Core) answered(now time.Time, w *workerState, out Outgoing, r platform.WorkerReport) {
+func (c *Core) answered(now time.Time, w *workerState, out Outgoing, r external.WorkerReport) {
 	first := !w.adopted
 	w.adopted, w.failures, w.lastContact = true, 0, now
 	w.session, w.sessionTTL, w.sessionSent, w.sessionBy = r.Session, r.SessionTTL, out.sentAt, now
 	c.reportEvent(w, r, first)
 	c.delivered(w, out, r.Unchanged)
-	seen := make(map[platform.AttemptRef]struct{}, len(r.Running)+len(r.Ended)+len(r.Rejected))
+	seen := make(map[external.AttemptRef]struct{}, len(r.Running)+len(r.Ended)+len(r.Rejected))
 	clear(w.unknown)
 	if !r.Unchanged {
 		w.lastFull = now
@@ -141,7 +141,7 @@
 	}
 }
 
-func (c *Core) running(w *workerState, r platform.RunningAttempt) {
+func (c *Core) running(w *workerState, r external.RunningAttempt) {
 	a := c.attempts[r.AttemptRef]
 	if a == nil || a.worker != w || a.phase == phaseEnded {
 		w.unknown[r.AttemptRef] = struct{}{}
@@ -157,7 +157,7 @@
 	}
 }
 
-func (c *Core) ended(w *workerState, e platform.EndedAttempt) {
+func (c *Core) ended(w *workerState, e external.EndedAttempt) {
 	a := c.attempts[e.AttemptRef]
 	if a == nil || a.worker != w {
 		// An outcome that nobody waits for; the worker may forget it. That of a
@@ -179,7 +179,7 @@
 	switch {
 	case a.want != wantRun:
 		c.reject(a, ReasonWithdrawn)
-	case reason == platform.RejectSession:
+	case reason == external.RejectSession:
 		a.phase = phasePending
 	default:
 		c.reject(a, reason)
@@ -199,14 +199,14 @@
 // gone ends an attempt that its worker, under the current epoch, does not have.
 func (c *Core) gone(a *attempt) {
 	a.phase = phaseEnded
-	ended := platform.EndedAttempt{
+	ended := external.EndedAttempt{
 		AttemptRef: a.ref, Outcome: model.OutcomeLost, Checkpoint: a.lastCheckpoint(),
 		Error: "worker reported without the attempt",
 	}
 	c.emit(Event{Kind: EventEnded, Worker: a.id(), Ref: a.ref, Ended: ended})
 }
 
-func (c *Core) reportEvent(w *workerState, r platform.WorkerReport, first bool) {
+func (c *Core) reportEvent(w *workerState, r external.WorkerReport, first bool) {
 	id := model.WorkerID(w.host.ID)
 	if first {
 		c.emit(Event{Kind: EventAdopted, Worker: id, Running: r.Running, Services: r.Services})
--- a/internal/dispatch/types.go
+++ b/internal/dispatch/types.go
@@ -7,8 +7,8 @@
 import (
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Defaults of Config.
@@ -125,7 +125,7 @@
 
 // Known is a live attempt that a new owner found in the cell's journal.
 type Known struct {
-	platform.AttemptRef
+	external.AttemptRef
 	Worker model.WorkerID
 	// Evicting is true when the journal asks for its eviction.
 	Evicting bool
@@ -176,22 +176,22 @@
 	Kind   EventKind
 	Worker model.WorkerID
 	// Ref is set except for adopted, report and fenced.
-	Ref platform.AttemptRef
+	Ref external.AttemptRef
 	// Ended is set for ended and lost.
-	Ended platform.EndedAttempt
+	Ended external.EndedAttempt
 	// Reason is set for rejected and fenced.
 	Reason string
 	// Checkpoint is set for checkpointed.
 	Checkpoint string
 	// Running and Services are set for adopted and report.
-	Running  []platform.RunningAttempt
-	Services []platform.ServiceSample
+	Running  []external.RunningAttempt
+	Services []external.ServiceSample
 }
 
 // Outgoing is a command to send. Its fields are not changed after Plan.
 type Outgoing struct {
-	Host    platform.Host
-	Command platform.WorkerCommand
+	Host    external.Host
+	Command external.WorkerCommand
 	sentAt  time.Time
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -24,9 +24,9 @@
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 	"github.com/vanillapier/vanillapier/internal/request"
 )
 
@@ -127,7 +127,7 @@
 	c.store = c.network.proxy(t, "store")
 	c.store.open(strings.TrimPrefix(c.platform.URL(), "http://"))
 	for _, h := range c.platform.Hosts() {
-		if h.Role != platform.RoleWorker {
+		if h.Role != external.RoleWorker {
 			continue
 		}
 		worker := c.network.proxy(t, h.ID)
@@ -142,7 +142,7 @@
 func (c *cluster) workers() []string {
 	var ids []string
 	for _, h := range c.platform.Hosts() {
-		if h.Role == platform.RoleWorker {
+		if h.Role == external.RoleWorker {
 			ids = append(ids, h.ID)
 		}
 	}
--- a/internal/e2e/failures_test.go
+++ b/internal/e2e/failures_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 // Guards against work that is lost or doubled when the process that owns a cell
--- a/internal/e2e/helpers_test.go
+++ b/internal/e2e/helpers_test.go
@@ -6,8 +6,8 @@
 	"sync"
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 	"github.com/vanillapier/vanillapier/internal/request"
 )
 
--- a/internal/e2e/store_test.go
+++ b/internal/e2e/store_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 )
 
 // Guards against joins, commands of operators, submissions and placements that
--- a/internal/e2e/upstream_test.go
+++ b/internal/e2e/upstream_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 // Guards against a request or an order that runs twice when its key reaches all
--- a/internal/platform/platform.go
+++ b/internal/external/external.go
@@ -1,4 +1,4 @@
-// Package platform defines the interfaces through which the system uses the
+// Package external defines the interfaces through which the system uses the
 // platform: the table service, the object store, the host list and the workers.
 // Decision code depends on these interfaces only. Package httpapi implements
 // them over HTTP; package standin serves the other side for tests and vpier dev.
@@ -6,7 +6,7 @@
 // Errors are *model.Error. KindConflict means that a condition failed and nothing
 // was written; KindUnavailable that nothing happened; KindUnknown that the
 // operation may have taken effect; KindNotFound that the row or object is absent.
-package platform
+package external
 
 import (
 	"context"
--- a/internal/platform/httpapi/httpapi_test.go
+++ b/internal/external/httpapi/httpapi_test.go
@@ -14,16 +14,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
-func put(row string) platform.Write {
-	return platform.Write{
-		Key: platform.Key{Partition: "p", Row: row}, Value: []byte("v"),
-		Condition: platform.Condition{Absent: true},
+func put(row string) external.Write {
+	return external.Write{
+		Key: external.Key{Partition: "p", Row: row}, Value: []byte("v"),
+		Condition: external.Condition{Absent: true},
 	}
 }
 
@@ -38,7 +38,7 @@
 		return httpapi.NewTable(base, nil).Commit(ctx, put("r"))
 	}},
 	{"get", false, func(ctx context.Context, base string) error {
-		_, err := httpapi.NewTable(base, nil).Get(ctx, platform.Key{Partition: "p", Row: "r"})
+		_, err := httpapi.NewTable(base, nil).Get(ctx, external.Key{Partition: "p", Row: "r"})
 		return err
 	}},
 	{"range", false, func(ctx context.Context, base string) error {
@@ -63,8 +63,8 @@
 		return err
 	}},
 	{"command", true, func(ctx context.Context, base string) error {
-		host := platform.Host{ID: "w", Addr: strings.TrimPrefix(base, "http://")}
-		_, err := httpapi.NewWorkers(nil).Command(ctx, host, platform.WorkerCommand{Cell: "c"})
+		host := external.Host{ID: "w", Addr: strings.TrimPrefix(base, "http://")}
+		_, err := httpapi.NewWorkers(nil).Command(ctx, host, external.WorkerCommand{Cell: "c"})
 		return err
 	}},
 }
@@ -198,7 +198,7 @@
 		case "object delete":
 			err = objects.Delete(t.Context(), "a")
 		case "command":
-			_, err = workers.Command(t.Context(), platform.Host{Addr: srv.Listener.Addr().String()}, platform.WorkerCommand{})
+			_, err = workers.Command(t.Context(), external.Host{Addr: srv.Listener.Addr().String()}, external.WorkerCommand{})
 		}
 		require.Equal(t, model.KindUnknown, model.KindOf(err), op.name)
 		require.Equal(t, int32(1), count.Load(), "%s reached the server more than once", op.name)
@@ -273,7 +273,7 @@
 	defer srv.Close()
 	_, err := httpapi.NewTable(srv.URL, nil).Range(t.Context(), "p", "", 1)
 	require.Equal(t, model.KindExhausted, model.KindOf(err))
-	_, err = httpapi.NewWorkers(nil).Command(t.Context(), platform.Host{Addr: srv.Listener.Addr().String()}, platform.WorkerCommand{})
+	_, err = httpapi.NewWorkers(nil).Command(t.Context(), external.Host{Addr: srv.Listener.Addr().String()}, external.WorkerCommand{})
 	require.Equal(t, model.KindUnknown, model.KindOf(err), "the command was carried out")
 }
 
@@ -304,7 +304,7 @@
 	hosts, err := httpapi.NewHostList(p.URL(), nil).Hosts(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, p.Hosts(), hosts)
-	report, err := httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], platform.WorkerCommand{Cell: "c", Epoch: 1})
+	report, err := httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], external.WorkerCommand{Cell: "c", Epoch: 1})
 	require.NoError(t, err)
 	require.Equal(t, hosts[0].ID, string(report.Worker))
 	require.Equal(t, 2*time.Second, report.SessionTTL)
@@ -312,11 +312,11 @@
 	id := model.WorkerID(hosts[0].ID)
 	require.Error(t, p.ReviveWorker(id))
 	p.KillWorker(id)
-	_, err = httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], platform.WorkerCommand{Cell: "c", Epoch: 1})
+	_, err = httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], external.WorkerCommand{Cell: "c", Epoch: 1})
 	require.Equal(t, model.KindUnavailable, model.KindOf(err))
 	require.NoError(t, p.ReviveWorker(id))
 	hosts, err = httpapi.NewHostList(p.URL(), nil).Hosts(t.Context())
 	require.NoError(t, err)
-	_, err = httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], platform.WorkerCommand{Cell: "c", Epoch: 1})
+	_, err = httpapi.NewWorkers(nil).Command(t.Context(), hosts[0], external.WorkerCommand{Cell: "c", Epoch: 1})
 	require.NoError(t, err)
 }
--- a/internal/platform/httpapi/services.go
+++ b/internal/external/httpapi/services.go
@@ -9,15 +9,15 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Paths of the protocol, relative to the base URL of each service.
 const (
 	// PathCommit accepts a CommitRequest by POST.
 	PathCommit = "/v1/table/commit"
-	// PathRow returns a platform.Row for the parameters partition and row.
+	// PathRow returns a external.Row for the parameters partition and row.
 	PathRow = "/v1/table/row"
 	// PathRange returns a RangeResponse for partition, from and limit.
 	PathRange = "/v1/table/range"
@@ -27,7 +27,7 @@
 	PathObjectDelete = "/v1/object-delete"
 	// PathHosts returns a HostsResponse.
 	PathHosts = "/v1/hosts"
-	// PathCommand accepts a platform.WorkerCommand by POST.
+	// PathCommand accepts a external.WorkerCommand by POST.
 	PathCommand = "/v1/worker/command"
 )
 
@@ -38,12 +38,12 @@
 
 // CommitRequest is the body of a table transaction.
 type CommitRequest struct {
-	Writes []platform.Write `json:"writes"`
+	Writes []external.Write `json:"writes"`
 }
 
 // RangeResponse is the answer to a range read.
 type RangeResponse struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []external.Row `json:"rows"`
 }
 
 // ObjectDelete names the object to delete.
@@ -58,13 +58,13 @@
 
 // HostsResponse is the answer of the host list.
 type HostsResponse struct {
-	Hosts []platform.Host `json:"hosts"`
+	Hosts []external.Host `json:"hosts"`
 }
 
 // Table is a client of the table service.
 type Table struct{ e endpoint }
 
-var _ platform.Table = (*Table)(nil)
+var _ external.Table = (*Table)(nil)
 
 // NewTable returns a client of the table service at baseURL. A nil client
 // selects one with sensible limits; deadlines come from the contexts.
@@ -73,14 +73,14 @@
 }
 
 // Commit applies all writes or none. KindConflict means that a condition failed.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+func (t *Table) Commit(ctx context.Context, writes ...external.Write) error {
 	_, err := t.e.writeJSON(ctx, PathCommit, CommitRequest{Writes: writes}, maxErrorBody)
 	return err
 }
 
 // Get reads one row; KindNotFound means that it does not exist.
-func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
-	var row platform.Row
+func (t *Table) Get(ctx context.Context, key external.Key) (external.Row, error) {
+	var row external.Row
 	q := url.Values{"partition": {key.Partition}, "row": {key.Row}}
 	data, err := t.e.read(ctx, PathRow+"?"+q.Encode(), MaxTableResponse)
 	if err != nil {
@@ -90,7 +90,7 @@
 }
 
 // Range reads up to limit rows of a partition with Row >= from, in order.
-func (t *Table) Range(ctx context.Context, partition, from string, limit int) ([]platform.Row, error) {
+func (t *Table) Range(ctx context.Context, partition, from string, limit int) ([]external.Row, error) {
 	q := url.Values{"partition": {partition}, "from": {from}, "limit": {strconv.Itoa(limit)}}
 	data, err := t.e.read(ctx, PathRange+"?"+q.Encode(), MaxTableResponse)
 	if err != nil {
@@ -106,7 +106,7 @@
 // Objects is a client of the object store.
 type Objects struct{ e endpoint }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ external.Objects = (*Objects)(nil)
 
 // NewObjects returns a client of the object store at baseURL.
 func NewObjects(baseURL string, client *http.Client) *Objects {
@@ -173,7 +173,7 @@
 // HostList is a client of the platform's host list.
 type HostList struct{ e endpoint }
 
-var _ platform.HostList = (*HostList)(nil)
+var _ external.HostList = (*HostList)(nil)
 
 // NewHostList returns a client of the host list at baseURL.
 func NewHostList(baseURL string, client *http.Client) *HostList {
@@ -181,7 +181,7 @@
 }
 
 // Hosts returns the platform's list, which lags behind reality.
-func (h *HostList) Hosts(ctx context.Context) ([]platform.Host, error) {
+func (h *HostList) Hosts(ctx context.Context) ([]external.Host, error) {
 	data, err := h.e.read(ctx, PathHosts, MaxHostListResponse)
 	if err != nil {
 		return nil, err
@@ -207,7 +207,7 @@
 	messages, sent, received atomic.Uint64
 }
 
-var _ platform.WorkerAPI = (*Workers)(nil)
+var _ external.WorkerAPI = (*Workers)(nil)
 
 // NewWorkers returns a client for all workers.
 func NewWorkers(client *http.Client) *Workers {
@@ -220,10 +220,10 @@
 }
 
 // Command sends cmd once. KindFenced means that nothing was carried out.
-func (w *Workers) Command(ctx context.Context, host platform.Host, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+func (w *Workers) Command(ctx context.Context, host external.Host, cmd external.WorkerCommand) (external.WorkerReport, error) {
 	e := w.e
 	e.base, e.name = "http://"+host.Addr, "worker "+host.ID
-	var report platform.WorkerReport
+	var report external.WorkerReport
 	body, err := json.Marshal(cmd)
 	if err != nil {
 		return report, e.invalid(err)
--- a/internal/platform/standin/execution.go
+++ b/internal/external/standin/execution.go
@@ -10,14 +10,14 @@
 	"strings"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // execution is a live attempt. Work is measured in run time at full speed.
 type execution struct {
 	cell    model.CellID
-	start   platform.Start
+	start   external.Start
 	payload Payload
 	// at is the time up to which done was computed.
 	at       time.Time
@@ -61,8 +61,8 @@
 	}
 }
 
-func (e *execution) report(now time.Time, lag time.Duration) platform.RunningAttempt {
-	r := platform.RunningAttempt{
+func (e *execution) report(now time.Time, lag time.Duration) external.RunningAttempt {
+	r := external.RunningAttempt{
 		AttemptRef: e.start.AttemptRef, Class: e.start.Class,
 		Checkpoint: e.checkpoint, Progress: e.progress(), UsageAge: lag,
 	}
@@ -301,14 +301,14 @@
 }
 
 // matured removes and returns the latest samples that are older than the lag.
-func (s *sampler) matured(now time.Time, lag time.Duration) []platform.ServiceSample {
+func (s *sampler) matured(now time.Time, lag time.Duration) []external.ServiceSample {
 	n := 0
 	for n < len(s.waiting) && now.Sub(s.waiting[n].at) >= lag {
 		n++
 	}
-	var out []platform.ServiceSample
+	var out []external.ServiceSample
 	for _, t := range s.waiting[max(0, n-maxReportedSamples):n] {
-		out = append(out, platform.ServiceSample{Service: t.service, P99: t.p99, Age: now.Sub(t.at)})
+		out = append(out, external.ServiceSample{Service: t.service, P99: t.p99, Age: now.Sub(t.at)})
 	}
 	s.waiting = slices.Delete(s.waiting, 0, n)
 	return out
--- a/internal/platform/standin/http.go
+++ b/internal/external/standin/http.go
@@ -11,8 +11,8 @@
 	"io"
 	"net/http"
 
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 )
 
 // maxRequestBody bounds the body of a request to a stand-in, in bytes.
--- a/internal/platform/standin/ledger.go
+++ b/internal/external/standin/ledger.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Rule names the requirement of the design page that a violation concerns.
@@ -37,7 +37,7 @@
 
 // StartRecord is one execution that a worker began.
 type StartRecord struct {
-	platform.AttemptRef
+	external.AttemptRef
 	Worker     model.WorkerID
 	DataCentre model.DataCentre
 	At         time.Time
@@ -47,7 +47,7 @@
 
 // EndRecord is one execution that ended.
 type EndRecord struct {
-	platform.AttemptRef
+	external.AttemptRef
 	Worker  model.WorkerID
 	At      time.Time
 	Outcome model.Outcome
@@ -55,7 +55,7 @@
 
 // liveAttempt is an execution that has not ended. Its lease ends it at the latest.
 type liveAttempt struct {
-	ref      platform.AttemptRef
+	ref      external.AttemptRef
 	worker   model.WorkerID
 	leaseEnd time.Time
 }
@@ -68,7 +68,7 @@
 	live       map[model.TaskID][]liveAttempt
 	starts     []StartRecord
 	ends       []EndRecord
-	executed   map[platform.AttemptRef]int
+	executed   map[external.AttemptRef]int
 	requests   map[string]int
 }
 
@@ -76,7 +76,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		live:     map[model.TaskID][]liveAttempt{},
-		executed: map[platform.AttemptRef]int{},
+		executed: map[external.AttemptRef]int{},
 		requests: map[string]int{},
 	}
 }
@@ -100,7 +100,7 @@
 }
 
 // Renewed records a new end of the lease of an execution on worker.
-func (l *Ledger) Renewed(ref platform.AttemptRef, worker model.WorkerID, leaseEnd time.Time) {
+func (l *Ledger) Renewed(ref external.AttemptRef, worker model.WorkerID, leaseEnd time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, a := range l.live[ref.Task] {
--- a/internal/platform/standin/objects.go
+++ b/internal/external/standin/objects.go
@@ -9,13 +9,13 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 )
 
 // Objects is the object store. It serves HTTP and, without faults, implements
-// platform.Objects directly.
+// external.Objects directly.
 type Objects struct {
 	faults *Faults
 	mux    *http.ServeMux
@@ -24,7 +24,7 @@
 	data map[string][]byte
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ external.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object store. A nil f means no faults.
 func NewObjects(f *Faults) *Objects {
@@ -132,7 +132,7 @@
 // listVersion is the host list from a point in time on.
 type listVersion struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []external.Host
 }
 
 // HostList is the platform's host list. With a Lag fault it shows the list as it
@@ -144,20 +144,20 @@
 	versions []listVersion
 }
 
-var _ platform.HostList = (*HostList)(nil)
+var _ external.HostList = (*HostList)(nil)
 
 // maxListVersions bounds the history that a lagging list can show.
 const maxListVersions = 256
 
 // NewHostList returns a list that holds hosts. A nil f means no faults.
-func NewHostList(f *Faults, hosts ...platform.Host) *HostList {
+func NewHostList(f *Faults, hosts ...external.Host) *HostList {
 	return &HostList{faults: f, versions: []listVersion{{hosts: slices.Clone(hosts)}}}
 }
 
 // Set adds host, or replaces the entry with the same id.
-func (l *HostList) Set(host platform.Host) {
-	l.change(func(hosts []platform.Host) []platform.Host {
-		i := slices.IndexFunc(hosts, func(h platform.Host) bool { return h.ID == host.ID })
+func (l *HostList) Set(host external.Host) {
+	l.change(func(hosts []external.Host) []external.Host {
+		i := slices.IndexFunc(hosts, func(h external.Host) bool { return h.ID == host.ID })
 		if i < 0 {
 			return append(hosts, host)
 		}
@@ -167,8 +167,8 @@
 }
 
 // SetState changes the state of a host, if it is listed.
-func (l *HostList) SetState(id string, state platform.HostState) {
-	l.change(func(hosts []platform.Host) []platform.Host {
+func (l *HostList) SetState(id string, state external.HostState) {
+	l.change(func(hosts []external.Host) []external.Host {
 		for i := range hosts {
 			if hosts[i].ID == id {
 				hosts[i].State = state
@@ -180,12 +180,12 @@
 
 // Remove deletes the entry with the given id.
 func (l *HostList) Remove(id string) {
-	l.change(func(hosts []platform.Host) []platform.Host {
-		return slices.DeleteFunc(hosts, func(h platform.Host) bool { return h.ID == id })
+	l.change(func(hosts []external.Host) []external.Host {
+		return slices.DeleteFunc(hosts, func(h external.Host) bool { return h.ID == id })
 	})
 }
 
-func (l *HostList) change(edit func([]platform.Host) []platform.Host) {
+func (l *HostList) change(edit func([]external.Host) []external.Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	current := l.versions[len(l.versions)-1].hosts
@@ -196,7 +196,7 @@
 }
 
 // Hosts returns the list as the lag fault shows it.
-func (l *HostList) Hosts(context.Context) ([]platform.Host, error) {
+func (l *HostList) Hosts(context.Context) ([]external.Host, error) {
 	cutoff := time.Now().Add(-l.faults.Service(ServiceHosts).Lag)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/platform/standin/platform.go
+++ b/internal/external/standin/platform.go
@@ -12,9 +12,9 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 )
 
 // DataCentreShape describes the workers of one data centre.
@@ -68,7 +68,7 @@
 
 	mu      sync.Mutex
 	url     string
-	hosts   []platform.Host
+	hosts   []external.Host
 	workers map[model.WorkerID]*Worker
 	runners map[model.RunnerID]*Runner
 	servers map[string]*http.Server
@@ -134,7 +134,7 @@
 func (p *Platform) URL() string { return p.url }
 
 // Hosts returns all workers and runners as started.
-func (p *Platform) Hosts() []platform.Host {
+func (p *Platform) Hosts() []external.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.hosts)
@@ -261,8 +261,8 @@
 	})
 	p.workers[id] = w
 	addr, err := p.serve(string(id), w, nil)
-	p.hosts = append(p.hosts, platform.Host{
-		ID: string(id), Role: platform.RoleWorker, State: platform.HostLive, Addr: addr,
+	p.hosts = append(p.hosts, external.Host{
+		ID: string(id), Role: external.RoleWorker, State: external.HostLive, Addr: addr,
 		DataCentre: dc.Name, Rack: rackName, Capacity: dc.Capacity,
 	})
 	return err
@@ -273,7 +273,7 @@
 	next := 0
 	for _, s := range p.shape.Services {
 		for i := range s.Runners {
-			var on platform.Host
+			var on external.Host
 			if len(workers) > 0 {
 				on = workers[next%len(workers)]
 			}
@@ -286,7 +286,7 @@
 	return nil
 }
 
-func (p *Platform) startRunner(s ServiceShape, i int, on platform.Host) error {
+func (p *Platform) startRunner(s ServiceShape, i int, on external.Host) error {
 	id := model.RunnerID(fmt.Sprintf("%s-%02d", s.Name, i+1))
 	cfg := RunnerConfig{
 		ID: id, Service: s.Name, Slots: s.Slots, Connections: s.Connections, Time: s.Time,
@@ -298,8 +298,8 @@
 	r := NewRunner(cfg)
 	p.runners[id] = r
 	addr, err := p.serve(string(id), r, r.ConnState)
-	p.hosts = append(p.hosts, platform.Host{
-		ID: string(id), Role: platform.RoleRunner, State: platform.HostLive, Addr: addr,
+	p.hosts = append(p.hosts, external.Host{
+		ID: string(id), Role: external.RoleRunner, State: external.HostLive, Addr: addr,
 		DataCentre: on.DataCentre, Rack: on.Rack, Service: s.Name,
 	})
 	return err
--- a/internal/platform/standin/services_test.go
+++ b/internal/external/standin/services_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
@@ -32,13 +32,13 @@
 // journal and ownership rest. The model is a plain map.
 func TestTableMatchesModel(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		table, rows := NewTable(nil), map[string]platform.Row{}
+		table, rows := NewTable(nil), map[string]external.Row{}
 		names := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 		for range rapid.IntRange(1, 20).Draw(rt, "transactions") {
-			var writes []platform.Write
+			var writes []external.Write
 			ok := true
 			for _, name := range rapid.SliceOfNDistinct(names, 1, 3, rapid.ID[string]).Draw(rt, "rows") {
-				w := platform.Write{Key: platform.Key{Partition: "p", Row: name}, Value: []byte{rapid.Byte().Draw(rt, "value")}}
+				w := external.Write{Key: external.Key{Partition: "p", Row: name}, Value: []byte{rapid.Byte().Draw(rt, "value")}}
 				w.Delete = rapid.Bool().Draw(rt, "delete")
 				row, exists := rows[name]
 				switch rapid.IntRange(0, 2).Draw(rt, "condition") {
@@ -83,7 +83,7 @@
 	table := NewTable(faults)
 	srv := httptest.NewServer(table)
 	defer srv.Close()
-	w := platform.Write{Key: platform.Key{Partition: "p", Row: "r"}}
+	w := external.Write{Key: external.Key{Partition: "p", Row: "r"}}
 	require.NoError(t, table.Commit(t.Context(), w))
 	status := func() int {
 		resp, err := http.Get(srv.URL + "/v1/table/row?partition=p&row=r")
@@ -99,9 +99,9 @@
 // Guards against a host list without lag when the fault asks for one.
 func TestHostListLags(t *testing.T) {
 	faults := NewFaults(1)
-	list := NewHostList(faults, platform.Host{ID: "a", State: platform.HostLive})
-	list.SetState("a", platform.HostLeaving)
-	for lag, want := range map[time.Duration]platform.HostState{0: platform.HostLeaving, time.Hour: platform.HostLive} {
+	list := NewHostList(faults, external.Host{ID: "a", State: external.HostLive})
+	list.SetState("a", external.HostLeaving)
+	for lag, want := range map[time.Duration]external.HostState{0: external.HostLeaving, time.Hour: external.HostLive} {
 		faults.SetService(ServiceHosts, ServiceFault{Lag: lag})
 		hosts, err := list.Hosts(t.Context())
 		require.NoError(t, err)
--- a/internal/platform/standin/shell_test.go
+++ b/internal/external/standin/shell_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 )
 
 // small returns a started platform with one worker and one runner.
@@ -35,12 +35,12 @@
 	p.Faults().SetWorker(host.ID, WorkerFault{Paused: true})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err := api.Command(ctx, host, platform.WorkerCommand{Cell: "c", Epoch: 5})
+	_, err := api.Command(ctx, host, external.WorkerCommand{Cell: "c", Epoch: 5})
 	require.Equal(t, model.KindUnknown, model.KindOf(err))
 	p.Faults().SetWorker(host.ID, WorkerFault{})
 	// The old command raises the epoch whenever it is carried out.
 	require.Eventually(t, func() bool {
-		_, err := api.Command(t.Context(), host, platform.WorkerCommand{Cell: "c", Epoch: 4})
+		_, err := api.Command(t.Context(), host, external.WorkerCommand{Cell: "c", Epoch: 4})
 		return model.IsKind(err, model.KindFenced)
 	}, time.Minute, time.Millisecond)
 }
@@ -53,10 +53,10 @@
 	api := httpapi.NewWorkers(nil)
 	for i, want := range []model.Outcome{model.OutcomeDone, model.OutcomeFailed} {
 		p.Faults().SetWorker(host.ID, WorkerFault{FailStarts: want == model.OutcomeFailed})
-		r, err := api.Command(t.Context(), host, platform.WorkerCommand{Cell: "c", Epoch: 1})
+		r, err := api.Command(t.Context(), host, external.WorkerCommand{Cell: "c", Epoch: 1})
 		require.NoError(t, err)
 		s := startOf(model.Attempt(i+1), Payload{RunMS: 50})
-		_, err = api.Command(t.Context(), host, platform.WorkerCommand{Cell: "c", Epoch: 1, Session: r.Session, Starts: []platform.Start{s}})
+		_, err = api.Command(t.Context(), host, external.WorkerCommand{Cell: "c", Epoch: 1, Session: r.Session, Starts: []external.Start{s}})
 		require.NoError(t, err)
 		require.Eventually(t, func() bool { return len(p.Ledger().Ends()) == i+1 }, time.Minute, time.Millisecond)
 		require.Equal(t, want, p.Ledger().Ends()[i].Outcome)
@@ -68,7 +68,7 @@
 	p := small(t)
 	var addr string
 	for _, h := range p.Hosts() {
-		if h.Role == platform.RoleRunner {
+		if h.Role == external.RoleRunner {
 			addr = h.Addr
 		}
 	}
--- a/internal/platform/standin/table.go
+++ b/internal/external/standin/table.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"sync"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 )
 
 // defaultRangeLimit applies to a range read without a limit.
@@ -18,19 +18,19 @@
 
 // partition holds the rows of one partition and their names in order.
 type partition struct {
-	rows  map[string]platform.Row
+	rows  map[string]external.Row
 	names []string
 }
 
 // change is the state of one row before the last transaction, for stale reads.
 type change struct {
-	key platform.Key
-	row platform.Row
+	key external.Key
+	row external.Row
 	had bool
 }
 
 // Table is the table service. It serves HTTP and, without faults, implements
-// platform.Table directly.
+// external.Table directly.
 type Table struct {
 	faults *Faults
 	mux    *http.ServeMux
@@ -43,7 +43,7 @@
 	reads   uint64
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ external.Table = (*Table)(nil)
 
 // NewTable returns an empty table service. A nil f means no faults.
 func NewTable(f *Faults) *Table {
@@ -66,11 +66,11 @@
 }
 
 // Commit applies all writes or none.
-func (t *Table) Commit(_ context.Context, writes ...platform.Write) error {
+func (t *Table) Commit(_ context.Context, writes ...external.Write) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
-	seen := map[platform.Key]bool{}
+	seen := map[external.Key]bool{}
 	for _, w := range writes {
 		if w.Key.Partition == "" || w.Key.Row == "" || seen[w.Key] {
 			return model.Errorf(model.KindInvalid, "name each row once, with partition and row", "write to %v", w.Key)
@@ -87,7 +87,7 @@
 	return nil
 }
 
-func (t *Table) check(w platform.Write) error {
+func (t *Table) check(w external.Write) error {
 	row, ok := t.row(w.Key)
 	switch {
 	case w.Condition.Absent && ok:
@@ -98,21 +98,21 @@
 	return nil
 }
 
-func (t *Table) row(k platform.Key) (platform.Row, bool) {
+func (t *Table) row(k external.Key) (external.Row, bool) {
 	p, ok := t.parts[k.Partition]
 	if !ok {
-		return platform.Row{}, false
+		return external.Row{}, false
 	}
 	row, ok := p.rows[k.Row]
 	return row, ok
 }
 
-func (t *Table) apply(w platform.Write) {
+func (t *Table) apply(w external.Write) {
 	old, had := t.row(w.Key)
 	t.last = append(t.last, change{key: w.Key, row: old, had: had})
 	p := t.parts[w.Key.Partition]
 	if p == nil {
-		p = &partition{rows: map[string]platform.Row{}}
+		p = &partition{rows: map[string]external.Row{}}
 		t.parts[w.Key.Partition] = p
 	}
 	i, found := slices.BinarySearch(p.names, w.Key.Row)
@@ -127,15 +127,15 @@
 		p.names = slices.Insert(p.names, i, w.Key.Row)
 	}
 	t.version++
-	p.rows[w.Key.Row] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+	p.rows[w.Key.Row] = external.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
 }
 
 // Get reads one row.
-func (t *Table) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (t *Table) Get(_ context.Context, key external.Key) (external.Row, error) {
 	return t.get(key, false)
 }
 
-func (t *Table) get(key platform.Key, stale bool) (platform.Row, error) {
+func (t *Table) get(key external.Key, stale bool) (external.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
@@ -150,7 +150,7 @@
 }
 
 // before returns the row as it was before the last transaction.
-func (t *Table) before(key platform.Key, row platform.Row, ok bool) (platform.Row, bool) {
+func (t *Table) before(key external.Key, row external.Row, ok bool) (external.Row, bool) {
 	for _, c := range t.last {
 		if c.key == key {
 			return c.row, c.had
@@ -160,11 +160,11 @@
 }
 
 // Range reads up to limit rows of a partition with Row >= from, in order.
-func (t *Table) Range(_ context.Context, name, from string, limit int) ([]platform.Row, error) {
+func (t *Table) Range(_ context.Context, name, from string, limit int) ([]external.Row, error) {
 	return t.list(name, from, limit, false), nil
 }
 
-func (t *Table) list(name, from string, limit int, stale bool) []platform.Row {
+func (t *Table) list(name, from string, limit int, stale bool) []external.Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
@@ -175,7 +175,7 @@
 	if limit <= 0 {
 		limit = defaultRangeLimit
 	}
-	var out []platform.Row
+	var out []external.Row
 	for i := sort.SearchStrings(p.names, from); i < len(p.names) && len(out) < limit; i++ {
 		row, ok := p.rows[p.names[i]], true
 		if stale {
@@ -207,7 +207,7 @@
 		return
 	}
 	q := r.URL.Query()
-	key := platform.Key{Partition: q.Get("partition"), Row: q.Get("row")}
+	key := external.Key{Partition: q.Get("partition"), Row: q.Get("row")}
 	row, err := t.get(key, t.faults.chance(fault.StaleReads))
 	finishRead(w, fault, row, err)
 }
--- a/internal/platform/standin/worker.go
+++ b/internal/external/standin/worker.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 )
 
 // Worker serves a WorkerCore over HTTP and runs its tasks by a timer.
@@ -56,7 +56,7 @@
 }
 
 // Live returns the attempts that run now.
-func (w *Worker) Live() []platform.AttemptRef {
+func (w *Worker) Live() []external.AttemptRef {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.core.Advance(time.Now())
@@ -76,7 +76,7 @@
 		http.NotFound(rw, r)
 		return
 	}
-	var cmd platform.WorkerCommand
+	var cmd external.WorkerCommand
 	if !readJSON(rw, r, &cmd) {
 		return
 	}
@@ -99,7 +99,7 @@
 
 // command waits for the end of a pause and then carries cmd out, as a resumed
 // process does with what its socket received, whether or not the sender waits.
-func (w *Worker) command(cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+func (w *Worker) command(cmd external.WorkerCommand) (external.WorkerReport, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for w.resume != nil {
--- a/internal/platform/standin/worker_test.go
+++ b/internal/external/standin/worker_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 var (
@@ -17,12 +17,12 @@
 
 func at(d time.Duration) time.Time { return epochStart.Add(d) }
 
-func ref(attempt model.Attempt) platform.AttemptRef {
-	return platform.AttemptRef{Task: "t", Attempt: attempt}
+func ref(attempt model.Attempt) external.AttemptRef {
+	return external.AttemptRef{Task: "t", Attempt: attempt}
 }
 
-func startOf(attempt model.Attempt, p Payload) platform.Start {
-	return platform.Start{AttemptRef: ref(attempt), Class: "plate", Resources: unit, Lease: 8 * time.Second, Payload: p.Encode()}
+func startOf(attempt model.Attempt, p Payload) external.Start {
+	return external.Start{AttemptRef: ref(attempt), Class: "plate", Resources: unit, Lease: 8 * time.Second, Payload: p.Encode()}
 }
 
 // newTestWorker returns a worker that holds two units.
@@ -35,10 +35,10 @@
 }
 
 // send fetches a session and sends the command with it.
-func send(t *testing.T, w *WorkerCore, now time.Time, cmd platform.WorkerCommand) platform.WorkerReport {
+func send(t *testing.T, w *WorkerCore, now time.Time, cmd external.WorkerCommand) external.WorkerReport {
 	t.Helper()
 	cmd.Cell = "c"
-	r, err := w.Command(now, platform.WorkerCommand{Cell: "c", Epoch: cmd.Epoch})
+	r, err := w.Command(now, external.WorkerCommand{Cell: "c", Epoch: cmd.Epoch})
 	require.NoError(t, err)
 	cmd.Session = r.Session
 	r, err = w.Command(now, cmd)
@@ -49,12 +49,12 @@
 // Guards against a start under an old or foreign session.
 func TestSessionsExpireAndBelongToOneLife(t *testing.T) {
 	w := newTestWorker("w", nil)
-	r, err := w.Command(epochStart, platform.WorkerCommand{Cell: "c", Epoch: 1})
+	r, err := w.Command(epochStart, external.WorkerCommand{Cell: "c", Epoch: 1})
 	require.NoError(t, err)
-	start := platform.WorkerCommand{Cell: "c", Epoch: 1, Session: r.Session, Starts: []platform.Start{startOf(1, Payload{})}}
+	start := external.WorkerCommand{Cell: "c", Epoch: 1, Session: r.Session, Starts: []external.Start{startOf(1, Payload{})}}
 	late, err := w.Command(at(2*time.Second+1), start)
 	require.NoError(t, err)
-	require.Equal(t, []platform.RejectedStart{{AttemptRef: ref(1), Reason: platform.RejectSession}}, late.Rejected)
+	require.Equal(t, []external.RejectedStart{{AttemptRef: ref(1), Reason: external.RejectSession}}, late.Rejected)
 
 	other := NewWorkerCore(WorkerConfig{ID: "w", Capacity: unit, Seed: 1}, at(time.Second))
 	start.Session = late.Session
@@ -71,9 +71,9 @@
 // Guards against commands of a superseded owner, including renewals.
 func TestLowerEpochIsFenced(t *testing.T) {
 	w := newTestWorker("w", nil)
-	send(t, w, epochStart, platform.WorkerCommand{Epoch: 2, Starts: []platform.Start{startOf(1, Payload{RunMS: 60000})}})
-	_, err := w.Command(at(7*time.Second), platform.WorkerCommand{
-		Cell: "c", Epoch: 1, Renew: []platform.AttemptRef{ref(1)}, RenewFor: time.Minute, Stop: []platform.AttemptRef{ref(1)},
+	send(t, w, epochStart, external.WorkerCommand{Epoch: 2, Starts: []external.Start{startOf(1, Payload{RunMS: 60000})}})
+	_, err := w.Command(at(7*time.Second), external.WorkerCommand{
+		Cell: "c", Epoch: 1, Renew: []external.AttemptRef{ref(1)}, RenewFor: time.Minute, Stop: []external.AttemptRef{ref(1)},
 	})
 	require.Equal(t, model.KindFenced, model.KindOf(err))
 	require.Len(t, w.Live(), 1)
@@ -89,11 +89,11 @@
 		ledger := NewLedger()
 		edit := func(c *WorkerConfig) { c.Ledger, c.AcceptOldSessions = ledger, accept }
 		a, b := newTestWorker("a", edit), newTestWorker("b", edit)
-		r, err := a.Command(epochStart, platform.WorkerCommand{Cell: "c", Epoch: 1})
+		r, err := a.Command(epochStart, external.WorkerCommand{Cell: "c", Epoch: 1})
 		require.NoError(t, err)
-		held := platform.WorkerCommand{Cell: "c", Epoch: 1, Session: r.Session, Starts: []platform.Start{startOf(1, Payload{RunMS: 60000})}}
+		held := external.WorkerCommand{Cell: "c", Epoch: 1, Session: r.Session, Starts: []external.Start{startOf(1, Payload{RunMS: 60000})}}
 		// The new owner cannot reach worker a, so a has not seen epoch 2.
-		send(t, b, at(30*time.Second), platform.WorkerCommand{Epoch: 2, Starts: []platform.Start{startOf(2, Payload{RunMS: 60000})}})
+		send(t, b, at(30*time.Second), external.WorkerCommand{Epoch: 2, Starts: []external.Start{startOf(2, Payload{RunMS: 60000})}})
 		_, err = a.Command(at(31*time.Second), held)
 		require.NoError(t, err)
 		want := 0
@@ -107,12 +107,12 @@
 // Guards against a paused worker that resumes an attempt after its lease.
 func TestLeaseExpiresDuringPause(t *testing.T) {
 	w := newTestWorker("w", nil)
-	send(t, w, epochStart, platform.WorkerCommand{Epoch: 1, Starts: []platform.Start{startOf(1, Payload{RunMS: 9000})}})
+	send(t, w, epochStart, external.WorkerCommand{Epoch: 1, Starts: []external.Start{startOf(1, Payload{RunMS: 9000})}})
 	w.Pause(at(time.Second))
 	_, ok := w.NextEvent()
 	require.False(t, ok)
 	w.Resume(at(20 * time.Second))
-	r := send(t, w, at(20*time.Second), platform.WorkerCommand{Epoch: 1})
+	r := send(t, w, at(20*time.Second), external.WorkerCommand{Epoch: 1})
 	require.Empty(t, r.Running)
 	require.Equal(t, model.OutcomeLost, r.Ended[0].Outcome)
 	require.Equal(t, at(8*time.Second), w.cfg.Ledger.Ends()[0].At)
@@ -122,13 +122,13 @@
 func TestEndedReportStaysUntilAcknowledged(t *testing.T) {
 	w := newTestWorker("w", nil)
 	start := startOf(1, Payload{RunMS: 100, Result: "out"})
-	send(t, w, epochStart, platform.WorkerCommand{Epoch: 1, Starts: []platform.Start{start}})
+	send(t, w, epochStart, external.WorkerCommand{Epoch: 1, Starts: []external.Start{start}})
 	for range 2 {
-		r := send(t, w, at(time.Second), platform.WorkerCommand{Epoch: 1, Starts: []platform.Start{start}})
+		r := send(t, w, at(time.Second), external.WorkerCommand{Epoch: 1, Starts: []external.Start{start}})
 		require.Empty(t, r.Running, "a repeated start ran again")
-		require.Equal(t, platform.EndedAttempt{AttemptRef: ref(1), Outcome: model.OutcomeDone, Result: "out"}, r.Ended[0])
+		require.Equal(t, external.EndedAttempt{AttemptRef: ref(1), Outcome: model.OutcomeDone, Result: "out"}, r.Ended[0])
 	}
-	r := send(t, w, at(time.Second), platform.WorkerCommand{Epoch: 1, Ack: []platform.AttemptRef{ref(1)}})
+	r := send(t, w, at(time.Second), external.WorkerCommand{Epoch: 1, Ack: []external.AttemptRef{ref(1)}})
 	require.Empty(t, r.Ended)
 }
 
@@ -137,15 +137,15 @@
 func TestEvictAndResume(t *testing.T) {
 	for _, objects := range []*Objects{nil, NewObjects(nil)} {
 		w := newTestWorker("w", func(c *WorkerConfig) { c.Objects = objects; c.CheckpointTime = time.Second })
-		send(t, w, epochStart, platform.WorkerCommand{Epoch: 1, Starts: []platform.Start{startOf(1, Payload{RunMS: 10000})}})
-		send(t, w, at(2*time.Second), platform.WorkerCommand{Epoch: 1, Throttle: []platform.Throttle{{AttemptRef: ref(1), Percent: 50}}})
-		send(t, w, at(4*time.Second), platform.WorkerCommand{Epoch: 1, Evict: []platform.AttemptRef{ref(1)}})
-		r := send(t, w, at(6*time.Second), platform.WorkerCommand{Epoch: 1})
+		send(t, w, epochStart, external.WorkerCommand{Epoch: 1, Starts: []external.Start{startOf(1, Payload{RunMS: 10000})}})
+		send(t, w, at(2*time.Second), external.WorkerCommand{Epoch: 1, Throttle: []external.Throttle{{AttemptRef: ref(1), Percent: 50}}})
+		send(t, w, at(4*time.Second), external.WorkerCommand{Epoch: 1, Evict: []external.AttemptRef{ref(1)}})
+		r := send(t, w, at(6*time.Second), external.WorkerCommand{Epoch: 1})
 		require.Equal(t, model.OutcomeEvicted, r.Ended[0].Outcome)
 
 		resumed := startOf(2, Payload{RunMS: 10000})
 		resumed.Checkpoint = r.Ended[0].Checkpoint
-		r = send(t, w, at(6*time.Second), platform.WorkerCommand{Epoch: 1, Starts: []platform.Start{resumed}})
+		r = send(t, w, at(6*time.Second), external.WorkerCommand{Epoch: 1, Starts: []external.Start{resumed}})
 		// 2 s at full speed and 3 s at half of it, of 10 s.
 		require.InDelta(t, 0.35, r.Running[0].Progress, 1e-3)
 		require.Equal(t, 1, w.cfg.Ledger.Resumes("t"))
@@ -155,15 +155,15 @@
 // Guards against overcommitment going unnoticed.
 func TestCapacityIsEnforced(t *testing.T) {
 	w := newTestWorker("w", nil)
-	var starts []platform.Start
+	var starts []external.Start
 	for i := range 3 {
 		s := startOf(1, Payload{RunMS: 60000})
 		s.Task = model.TaskID(string(rune('a' + i)))
 		starts = append(starts, s)
 	}
-	r := send(t, w, epochStart, platform.WorkerCommand{Epoch: 1, Starts: starts})
+	r := send(t, w, epochStart, external.WorkerCommand{Epoch: 1, Starts: starts})
 	require.Len(t, r.Running, 2)
-	require.Equal(t, platform.RejectCapacity, r.Rejected[0].Reason)
+	require.Equal(t, external.RejectCapacity, r.Rejected[0].Reason)
 	require.Equal(t, 1, w.cfg.Ledger.Count(RuleCapacity))
 }
 
@@ -175,12 +175,12 @@
 		c.Services = map[model.ServiceName]time.Duration{"desk": 100 * time.Millisecond}
 		c.Interference = Interference{"desk": {"plate": 1}}
 	})
-	send(t, w, at(2*time.Second), platform.WorkerCommand{Epoch: 1, Starts: []platform.Start{startOf(1, Payload{RunMS: 60000})}})
-	r := send(t, w, at(2*time.Second+sampleInterval), platform.WorkerCommand{Epoch: 1})
+	send(t, w, at(2*time.Second), external.WorkerCommand{Epoch: 1, Starts: []external.Start{startOf(1, Payload{RunMS: 60000})}})
+	r := send(t, w, at(2*time.Second+sampleInterval), external.WorkerCommand{Epoch: 1})
 	require.Empty(t, r.Services)
 	var before, after time.Duration
 	for now := at(3 * time.Second); now.Before(at(8 * time.Second)); now = now.Add(sampleInterval) {
-		cmd := platform.WorkerCommand{Cell: "c", Epoch: 1, Renew: []platform.AttemptRef{ref(1)}, RenewFor: time.Minute}
+		cmd := external.WorkerCommand{Cell: "c", Epoch: 1, Renew: []external.AttemptRef{ref(1)}, RenewFor: time.Minute}
 		r, err := w.Command(now, cmd)
 		require.NoError(t, err)
 		for _, s := range r.Services {
--- a/internal/platform/standin/workercore.go
+++ b/internal/external/standin/workercore.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Defaults of WorkerConfig.
@@ -130,8 +130,8 @@
 	issued   uint64
 	sessions map[string]time.Time
 	epochs   map[model.CellID]model.Epoch
-	running  map[platform.AttemptRef]*execution
-	ended    map[platform.AttemptRef]endedExecution
+	running  map[external.AttemptRef]*execution
+	ended    map[external.AttemptRef]endedExecution
 	paused   bool
 	dead     bool
 	samples  sampler
@@ -140,7 +140,7 @@
 // endedExecution is an ended attempt that waits for its acknowledgement.
 type endedExecution struct {
 	cell model.CellID
-	platform.EndedAttempt
+	external.EndedAttempt
 }
 
 // NewWorkerCore returns an idle worker that starts at now.
@@ -153,30 +153,30 @@
 		boot:     fmt.Sprintf("%08x", rng.Uint32()),
 		sessions: map[string]time.Time{},
 		epochs:   map[model.CellID]model.Epoch{},
-		running:  map[platform.AttemptRef]*execution{},
-		ended:    map[platform.AttemptRef]endedExecution{},
+		running:  map[external.AttemptRef]*execution{},
+		ended:    map[external.AttemptRef]endedExecution{},
 		samples:  sampler{next: now},
 	}
 }
 
 // Command carries out cmd and returns the report. KindFenced means that the
 // worker has seen a higher epoch; nothing was carried out.
-func (w *WorkerCore) Command(now time.Time, cmd platform.WorkerCommand) (platform.WorkerReport, error) {
+func (w *WorkerCore) Command(now time.Time, cmd external.WorkerCommand) (external.WorkerReport, error) {
 	w.Advance(now)
 	if w.dead || w.paused {
-		return platform.WorkerReport{}, model.Errorf(model.KindUnavailable, "wait for the worker", "worker %s does not run", w.cfg.ID)
+		return external.WorkerReport{}, model.Errorf(model.KindUnavailable, "wait for the worker", "worker %s does not run", w.cfg.ID)
 	}
 	if high := w.epochs[cmd.Cell]; cmd.Epoch < high {
-		return platform.WorkerReport{}, model.Errorf(model.KindFenced, "stop acting for the cell",
+		return external.WorkerReport{}, model.Errorf(model.KindFenced, "stop acting for the cell",
 			"epoch %d of cell %s is below %d", cmd.Epoch, cmd.Cell, high)
 	}
 	w.epochs[cmd.Cell] = cmd.Epoch
 	w.acknowledge(cmd)
 	w.change(now, cmd)
-	var rejected []platform.RejectedStart
+	var rejected []external.RejectedStart
 	for _, s := range cmd.Starts {
 		if reason := w.start(now, cmd, s); reason != "" {
-			rejected = append(rejected, platform.RejectedStart{AttemptRef: s.AttemptRef, Reason: reason})
+			rejected = append(rejected, external.RejectedStart{AttemptRef: s.AttemptRef, Reason: reason})
 		}
 	}
 	report := w.report(now, cmd)
@@ -184,7 +184,7 @@
 	return report, nil
 }
 
-func (w *WorkerCore) acknowledge(cmd platform.WorkerCommand) {
+func (w *WorkerCore) acknowledge(cmd external.WorkerCommand) {
 	for _, ref := range cmd.Ack {
 		if e, ok := w.ended[ref]; ok && e.cell == cmd.Cell {
 			delete(w.ended, ref)
@@ -193,7 +193,7 @@
 }
 
 // change applies everything but the starts. Attempts of other cells are untouched.
-func (w *WorkerCore) change(now time.Time, cmd platform.WorkerCommand) {
+func (w *WorkerCore) change(now time.Time, cmd external.WorkerCommand) {
 	renew := cmd.Renew
 	if cmd.RenewExpected && cmd.Expect == w.digest(cmd.Cell) {
 		renew = w.Live()
@@ -227,7 +227,7 @@
 	}
 }
 
-func (w *WorkerCore) owned(ref platform.AttemptRef, cell model.CellID) *execution {
+func (w *WorkerCore) owned(ref external.AttemptRef, cell model.CellID) *execution {
 	e := w.running[ref]
 	if e == nil || e.cell != cell {
 		return nil
@@ -237,9 +237,9 @@
 
 // start begins an attempt and returns an empty reason, or the reason of refusal.
 // A repeated start of a known attempt has no effect.
-func (w *WorkerCore) start(now time.Time, cmd platform.WorkerCommand, s platform.Start) string {
+func (w *WorkerCore) start(now time.Time, cmd external.WorkerCommand, s external.Start) string {
 	if !w.cfg.AcceptOldSessions && !w.sessionValid(now, cmd.Session) {
-		return platform.RejectSession
+		return external.RejectSession
 	}
 	if _, ok := w.running[s.AttemptRef]; ok {
 		return ""
@@ -249,13 +249,13 @@
 	}
 	if !s.Resources.Fits(w.free()) {
 		w.cfg.Ledger.Report(RuleCapacity, w.cfg.TrueTime(now), "worker %s: %s does not fit in %s", w.cfg.ID, s.Resources, w.free())
-		return platform.RejectCapacity
+		return external.RejectCapacity
 	}
 	w.begin(now, cmd.Cell, s)
 	return ""
 }
 
-func (w *WorkerCore) begin(now time.Time, cell model.CellID, s platform.Start) {
+func (w *WorkerCore) begin(now time.Time, cell model.CellID, s external.Start) {
 	p := decodePayload(s.Payload, s.Resources)
 	e := &execution{
 		cell: cell, start: s, payload: p, at: now, percent: 100,
@@ -275,7 +275,7 @@
 func (w *WorkerCore) end(e *execution, at time.Time, outcome model.Outcome, fault string) {
 	ref := e.start.AttemptRef
 	delete(w.running, ref)
-	ended := platform.EndedAttempt{AttemptRef: ref, Outcome: outcome, Checkpoint: e.checkpoint, Error: fault}
+	ended := external.EndedAttempt{AttemptRef: ref, Outcome: outcome, Checkpoint: e.checkpoint, Error: fault}
 	if outcome == model.OutcomeDone {
 		ended.Result = e.payload.Result
 	}
@@ -311,8 +311,8 @@
 	return s
 }
 
-func (w *WorkerCore) report(now time.Time, cmd platform.WorkerCommand) platform.WorkerReport {
-	r := platform.WorkerReport{Worker: w.cfg.ID, Session: w.newSession(now), SessionTTL: w.cfg.SessionTTL}
+func (w *WorkerCore) report(now time.Time, cmd external.WorkerCommand) external.WorkerReport {
+	r := external.WorkerReport{Worker: w.cfg.ID, Session: w.newSession(now), SessionTTL: w.cfg.SessionTTL}
 	r.Unchanged = cmd.Expect != "" && cmd.Expect == w.digest(cmd.Cell)
 	lag := w.lag()
 	for _, ref := range sortedRefs(w.running) {
@@ -331,7 +331,7 @@
 
 // digest identifies the cell's running attempts.
 func (w *WorkerCore) digest(cell model.CellID) string {
-	return platform.RunningDigest(func(yield func(platform.AttemptRef, string) bool) {
+	return external.RunningDigest(func(yield func(external.AttemptRef, string) bool) {
 		for ref, e := range w.running {
 			if e.cell == cell && !yield(ref, e.checkpoint) {
 				return
@@ -357,10 +357,10 @@
 }
 
 // Live returns the attempts that run now, in order.
-func (w *WorkerCore) Live() []platform.AttemptRef { return sortedRefs(w.running) }
+func (w *WorkerCore) Live() []external.AttemptRef { return sortedRefs(w.running) }
 
-func sortedRefs[V any](m map[platform.AttemptRef]V) []platform.AttemptRef {
-	return slices.SortedFunc(maps.Keys(m), func(a, b platform.AttemptRef) int {
+func sortedRefs[V any](m map[external.AttemptRef]V) []external.AttemptRef {
+	return slices.SortedFunc(maps.Keys(m), func(a, b external.AttemptRef) int {
 		if c := strings.Compare(string(a.Task), string(b.Task)); c != 0 {
 			return c
 		}
--- /dev/null
+++ b/internal/fleet/commit.go
@@ -0,0 +1,300 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Sizes and times of the leader's transactions.
+const (
+	// commitInterval spaces transactions: each has a price, and one takes about
+	// 12 ms, so a shorter interval would only make them smaller.
+	commitInterval = 30 * time.Millisecond
+	// commitRows bounds the rows of a transaction; the store allows 100 entries.
+	commitRows = 90
+	// commitBytes bounds the values of a transaction; the store allows 1 MB of
+	// JSON, which holds them as base64.
+	commitBytes = 500_000
+	// delayedCommit is the age of a transaction that counts as delayed.
+	delayedCommit = 200 * time.Millisecond
+	// commitBackoff is the first pause after a failed try; it doubles up to the
+	// maximum.
+	commitBackoff    = 30 * time.Millisecond
+	commitBackoffMax = 300 * time.Millisecond
+)
+
+// commitTimeouts bound the tries of a transaction in turn; the last one repeats.
+// A slow store takes most of a second.
+var commitTimeouts = []time.Duration{600 * time.Millisecond, 1000 * time.Millisecond, 1500 * time.Millisecond}
+
+// commit is a transaction on its way.
+type commit struct {
+	tx      Transaction
+	nonce   uint64
+	begun   time.Time
+	renews  bool
+	release bool
+	shown   []shownJob
+	used    []Lifetime
+	unused  []Lifetime
+	// ends maps workers to the highest end that the transaction covers; empty when
+	// some progress did not fit.
+	ends map[*worker]uint64
+	done chan struct{} // closed when the transaction has been applied
+}
+
+// shownJob is the state that callers may see once the transaction is applied.
+type shownJob struct {
+	job   *job
+	state State
+}
+
+// committed is the result of a transaction.
+type committed struct {
+	commit *commit
+	// version is that of the rows; 0 when the term has been superseded.
+	version uint64
+	// sent is when the successful try began.
+	sent  time.Time
+	tries int
+}
+
+// commitDelayed reports whether the store keeps the leader waiting.
+func (t *term) commitDelayed() bool {
+	return t.commit != nil && t.now.Sub(t.commit.begun) > delayedCommit
+}
+
+// flush starts a transaction when there is something to store or to renew.
+func (t *term) flush() {
+	if t.commit != nil || t.now.Before(t.nextCommit) || t.ctx.Err() != nil || t.released {
+		return
+	}
+	renew := t.now.Sub(t.lastRenewal) >= renewInterval
+	c := t.collect()
+	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping {
+		return
+	}
+	if t.stopping && t.ordersPending() {
+		return
+	}
+	t.seal(c, renew || t.stopping)
+	t.commit = c
+	t.nextCommit = t.now.Add(commitInterval)
+	go t.send(c)
+}
+
+// collect gathers progress and used workers for a transaction.
+func (t *term) collect() *commit {
+	c := &commit{nonce: t.random.Uint64(), begun: t.now, ends: map[*worker]uint64{}, done: make(chan struct{})}
+	size, complete := 0, true
+	for _, j := range t.jobs {
+		if !j.dirty {
+			continue
+		}
+		if len(c.tx.Puts) >= commitRows-2 || size > commitBytes {
+			complete = false
+			break
+		}
+		value := encode(j.progress())
+		size += len(value)
+		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(j.id), Value: value})
+		c.shown = append(c.shown, shownJob{j, j.state()})
+		j.dirty = false
+	}
+	t.collectUsed(c)
+	if complete {
+		for _, w := range t.allWorkers() {
+			if w.lastEnd > w.committed {
+				c.ends[w] = w.lastEnd
+			}
+		}
+	}
+	return c
+}
+
+// collectUsed adds workers that are about to get their first task, and removes
+// lifetimes that are over.
+func (t *term) collectUsed(c *commit) {
+	for life, u := range t.usedDirty {
+		if len(c.tx.Puts)+len(c.tx.Delete) >= commitRows {
+			return
+		}
+		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(life), Value: encode(u)})
+		c.used = append(c.used, life)
+		delete(t.usedDirty, life)
+	}
+	for life := range t.usedGone {
+		if len(c.tx.Puts)+len(c.tx.Delete) >= commitRows {
+			return
+		}
+		c.tx.Delete = append(c.tx.Delete, usedRow(life))
+		c.unused = append(c.unused, life)
+		delete(t.usedGone, life)
+	}
+}
+
+// usedRow addresses the row of a lifetime.
+func usedRow(l Lifetime) RowID {
+	return RowID{tableUsed, leaderPart, string(l.Worker) + "/" + time.UnixMilli(l.Born).UTC().Format("20060102T150405.000")}
+}
+
+// seal adds the fence and, where due, the renewal.
+func (t *term) seal(c *commit, renew bool) {
+	fence := RowID{tableFence, leaderPart, keyLeader}
+	c.tx.Expect = []Expectation{{fence, t.fenceVersion}}
+	c.tx.Puts = append(c.tx.Puts, Row{RowID: fence, Value: encode(fenceRecord{t.number, c.nonce})})
+	c.renews, c.release = renew, t.stopping
+	if renew {
+		c.tx.Puts = append(c.tx.Puts, t.cfg.renewal(t.number, t.stopping))
+	}
+}
+
+// renewal returns the row by which followers know that the leader lives.
+func (c Config) renewal(term uint64, released bool) Row {
+	return Row{RowID: RowID{tableLeader, leaderPart, keyLeader}, Value: encode(leaderRecord{
+		Term: term, Node: c.Node, Process: c.Process, Addr: c.PeerAddr, Released: released,
+	})}
+}
+
+// send tries a transaction until its result is known. Repeating it is safe: it
+// expects a version of the fence that it replaces, and a repetition that finds
+// its own nonce knows that an earlier try was applied.
+func (t *term) send(c *commit) {
+	pause := commitBackoff
+	for try := 0; t.ctx.Err() == nil; try++ {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[min(try, len(commitTimeouts)-1)])
+		result, err := t.cfg.Store.Commit(ctx, c.tx)
+		cancel()
+		t.counters.commits.WithLabelValues(outcome(err)).Inc()
+		if err == nil {
+			t.post(committed{c, result.Version, sent, try + 1})
+			return
+		}
+		var conflict *ConflictError
+		if errors.As(err, &conflict) {
+			t.post(committed{c, ownFence(conflict.Rows, c.nonce), sent, try + 1})
+			return
+		}
+		if try == 0 {
+			t.log.WithError(err).Warn("transaction failed; it is repeated")
+		}
+		select {
+		case <-t.ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, commitBackoffMax)
+	}
+}
+
+// outcome labels the result of a store call.
+func outcome(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	if kind := model.KindOf(err); kind != "" {
+		return string(kind)
+	}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return string(model.KindConflict)
+	}
+	return "error"
+}
+
+// ownFence returns the version of the fence if the transaction with nonce wrote it.
+func ownFence(rows []Row, nonce uint64) uint64 {
+	for _, row := range rows {
+		var f fenceRecord
+		if row.Table == tableFence && decodeRecord(row, &f) == nil && f.Nonce == nonce {
+			return row.Version
+		}
+	}
+	return 0
+}
+
+func (e committed) handle(t *term) {
+	c := e.commit
+	t.commit = nil
+	if e.version == 0 {
+		t.retire("another node has taken the lead")
+		return
+	}
+	t.fenceVersion = e.version
+	// The fence proves that the term was in force when the transaction was sent.
+	if e.sent.After(t.lastRenewal) && c.renews {
+		t.lastRenewal = e.sent
+	}
+	t.counters.commitSeconds.Observe(time.Since(c.begun).Seconds())
+	if e.tries > 1 {
+		t.log.WithFields(logrus.Fields{"tries": e.tries, "took_ms": time.Since(c.begun).Milliseconds()}).Info("transaction applied")
+	}
+	for _, s := range c.shown {
+		s.job.shown = s.state
+	}
+	for w, n := range c.ends {
+		w.committed = max(w.committed, n)
+		if !w.lookBusy {
+			w.nextLook = t.now
+		}
+	}
+	for _, life := range c.used {
+		if w := t.workers[life.Worker]; w != nil && w.info.Lifetime == life {
+			w.durable, t.dirty = true, true
+		}
+	}
+	close(c.done)
+	if c.release {
+		t.released = true
+		t.retire("released")
+		return
+	}
+	t.scheduleLooks()
+}
+
+// markUsed asks for the row that must be stored before a worker's first task.
+func (t *term) markUsed(w *worker) {
+	if !w.durable && w.listed {
+		t.usedDirty[w.info.Lifetime] = usedRecord{w.info.Lifetime, w.info.Addr, w.info.DataCentre, w.info.Service}
+	}
+}
+
+// ordersPending reports whether a start or stop waits for its answer.
+func (t *term) ordersPending() bool {
+	for _, w := range t.allWorkers() {
+		for _, r := range w.runs {
+			if r.state == runSent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stepDown asks the loop to give the lead up.
+type stepDown struct{}
+
+func (stepDown) handle(t *term) {
+	t.stopping = true
+	t.nextCommit = t.now
+	t.log.Info("leader gives up the lead")
+}
+
+// removeJob deletes the rows of a job after its retention. The result does not
+// matter: a row that stays is removed by a later term.
+func (t *term) removeJob(id string) {
+	ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[0])
+	defer cancel()
+	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{jobRow(id), cancelRow(id)}})
+	if err == nil {
+		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{progressRow(id)}})
+	}
+	if err != nil {
+		t.log.WithError(err).WithField("job", id).Warn("rows of a finished job stay")
+	}
+}
--- /dev/null
+++ b/internal/fleet/doc.go
@@ -0,0 +1,117 @@
+// Package fleet schedules jobs on a fleet of workers over a table service that
+// all nodes share. Every node takes jobs from callers and stores them; one node
+// at a time, the leader, decides where their tasks run.
+//
+// State and its place: a job is one row, written by the node that took it; its
+// progress is another row, written by the leader; what runs is known to the
+// workers alone. A leader fences its writes with one row and its orders with the
+// term number, so that a former leader can change neither. A new leader reads the
+// rows, raises the fence at the workers, reads what runs and has ended there, and
+// only then starts anything.
+//
+// One goroutine, the term's loop, owns all control state. Calls run in goroutines
+// of their own and post their results to the loop as events.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Limits are the sizes and call rates that the platform grants.
+type Limits struct {
+	// StoreWrites and StoreReads are calls a second, of all nodes together.
+	StoreWrites float64
+	StoreReads  float64
+	// PartWrites is the number of transactions a second on one part.
+	PartWrites float64
+	// RowBytes bounds the value of a row.
+	RowBytes int
+	// InventoryReads is list calls a second, of all nodes together.
+	InventoryReads float64
+	// CPUShare is this host's share of a core, MemoryMB its memory in megabytes.
+	CPUShare float64
+	MemoryMB int64
+}
+
+// Bounds are the times that the platform's contract names.
+type Bounds struct {
+	// Heartbeat is the interval at which workers renew their entries.
+	Heartbeat time.Duration
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// LeaseMax is the longest lease that a worker grants.
+	LeaseMax time.Duration
+	// Stop is the longest time that a worker takes to stop a run.
+	Stop time.Duration
+	// GangTimeout is how long a member of a gang waits for the others.
+	GangTimeout time.Duration
+	// Early is how long before its due time an occurrence may start.
+	Early time.Duration
+	// Retention is how long the state of a finished job must stay readable.
+	Retention time.Duration
+	// Visible is the time in which every node must know an accepted job.
+	Visible time.Duration
+	// FarFactor multiplies the run time of a task away from its data or its peers.
+	FarFactor float64
+	// Harm is how long fillers may keep a serving task above its target.
+	Harm time.Duration
+	// Checkpoint is the interval of checkpoints, Restore the time to resume one.
+	Checkpoint time.Duration
+	Restore    time.Duration
+	// Notice is how long a task may be away before it counts as missing.
+	Notice time.Duration
+	// Maintenance is how long the upkeep of a machine takes.
+	Maintenance time.Duration
+}
+
+// State is what a caller sees of a job.
+type State string
+
+// States of a job.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether a job in state s has ended for good.
+func (s State) Final() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
+
+// Intake answers callers. Errors of KindNotFound name an unknown queue, of
+// KindGone an unknown job, of KindUnavailable, KindStale and KindExhausted a
+// request that had no effect and never will, of KindUnknown one that may have.
+type Intake interface {
+	// Route finds the queue of a request and the rest of its path.
+	Route(host, path string) (Queue, string, error)
+	// MaxBody bounds the body of a submission in bytes; 0 when unknown.
+	MaxBody() int64
+	Submit(ctx context.Context, queue Queue, id string, spec Spec) error
+	State(ctx context.Context, queue Queue, id string) (State, error)
+	Cancel(ctx context.Context, queue Queue, id string) error
+	// Pending counts the accepted jobs of a queue of which no task has started.
+	Pending(ctx context.Context, queue Queue) (int, error)
+}
+
+// RetryError tells when a refused request may be sent again.
+type RetryError struct {
+	After time.Duration
+	Err   error
+}
+
+// Error returns the refusal and the time.
+func (e *RetryError) Error() string { return fmt.Sprintf("%v; retry after %v", e.Err, e.After) }
+
+// Unwrap returns the refusal.
+func (e *RetryError) Unwrap() error { return e.Err }
+
+func retryAfter(after time.Duration, kind model.Kind, remedy, format string, args ...any) error {
+	return &RetryError{After: after, Err: model.Errorf(kind, remedy, format, args...)}
+}
--- /dev/null
+++ b/internal/fleet/intake.go
@@ -0,0 +1,284 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Times of callers' requests.
+const (
+	// answerMargin is kept of a caller's deadline for the way back.
+	answerMargin = 150 * time.Millisecond
+	// refuseAfter is how long a submission that has had no effect is tried again
+	// before it is refused: a short part of the least latency objective.
+	refuseAfter = 60 * time.Millisecond
+	// acceptPause is the pause between two tries.
+	acceptPause = 15 * time.Millisecond
+	// retryShort and retryLong are sent to callers that were refused: the first
+	// when this node alone may be the cause, the second when the store is lost.
+	retryShort = 1 * time.Second
+	retryLong  = 2 * time.Second
+	// stateTimeout bounds the question to the leader before the store is read.
+	stateTimeout = 250 * time.Millisecond
+	// pendingAge is how old a cached count may be.
+	pendingAge = 400 * time.Millisecond
+	// pendingAgeMax is how old a count may be when the leader does not answer.
+	pendingAgeMax = 1800 * time.Millisecond
+)
+
+// acceptTimeouts bound the tries to store a job. A try without an answer is
+// repeated: the row of the first, if it was written, tells that it was accepted.
+var acceptTimeouts = []time.Duration{700 * time.Millisecond, 1000 * time.Millisecond}
+
+// Submit implements Intake. A job is accepted when its row is stored.
+func (n *Node) Submit(ctx context.Context, q Queue, id string, spec Spec) error {
+	begun := time.Now()
+	tries, err := n.accept(ctx, q, id, spec)
+	n.observeRequest("submit", id, q, begun, err, tries)
+	return err
+}
+
+func (n *Node) accept(ctx context.Context, q Queue, id string, spec Spec) (tries int, err error) {
+	begun := time.Now()
+	if n.store.lost() {
+		return 0, retryAfter(retryLong, model.KindUnavailable, "retry later", "the store does not answer this node")
+	}
+	row := Row{RowID: jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.get()})}
+	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
+		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
+	}
+	tx := Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}
+	doubt := 0
+	for {
+		tries++
+		call, cancel := acceptContext(ctx, doubt)
+		result, err := n.cfg.Store.Commit(call, tx)
+		cancel()
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			n.storeAnswered()
+			n.clock.set(result.Now)
+			row.Version = result.Version
+			go n.offer(row)
+			return tries, nil
+		case errors.As(err, &conflict):
+			n.storeAnswered()
+			return tries, nil // stored before, by this or by another node
+		case model.IsKind(err, model.KindUnknown):
+			if doubt++; doubt >= len(acceptTimeouts) || ctx.Err() != nil {
+				return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
+			}
+		case model.IsKind(err, model.KindInvalid):
+			return tries, err
+		default:
+			if doubt == 0 && time.Since(begun) > refuseAfter {
+				return tries, &RetryError{retryShort, model.Wrap(model.KindUnavailable, err, "retry later", "the store refuses")}
+			}
+			if doubt > 0 && time.Since(begun) > acceptTimeouts[0]+acceptTimeouts[1] || ctx.Err() != nil {
+				return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
+			}
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
+// acceptContext bounds a try by its time-out and the caller's deadline.
+func acceptContext(ctx context.Context, doubt int) (context.Context, context.CancelFunc) {
+	until := time.Now().Add(acceptTimeouts[min(doubt, len(acceptTimeouts)-1)])
+	if d, ok := ctx.Deadline(); ok && d.Add(-answerMargin).Before(until) {
+		until = d.Add(-answerMargin)
+	}
+	// The caller's leaving must not leave the row's fate open without need.
+	return context.WithDeadline(context.WithoutCancel(ctx), until)
+}
+
+// State implements Intake.
+func (n *Node) State(ctx context.Context, q Queue, id string) (State, error) {
+	begun := time.Now()
+	state, source, err := n.state(ctx, id)
+	n.observeRequest("state", id, q, begun, err, 1)
+	if err == nil && time.Since(begun) > stateTimeout {
+		n.log.WithFields(logrus.Fields{"decision": "state", "job": id, "choice": state, "source": source, "took_ms": time.Since(begun).Milliseconds()}).Info("slow answer")
+	}
+	return state, err
+}
+
+func (n *Node) state(ctx context.Context, id string) (State, string, error) {
+	if s, ok := n.askState(ctx, id); ok {
+		return s, "leader", nil
+	}
+	s, err := n.storedState(ctx, id)
+	return s, "store", err
+}
+
+// storedState reads a job's state from its rows.
+func (n *Node) storedState(ctx context.Context, id string) (State, error) {
+	var jobs, progress Page
+	var errs [2]error
+	var wg sync.WaitGroup
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	wg.Go(func() {
+		r := jobRow(id)
+		jobs, errs[0] = n.cfg.Store.List(call, r.Table, r.Part, id, id+"~", 2)
+	})
+	wg.Go(func() {
+		progress, errs[1] = n.cfg.Store.List(call, tableProgress, leaderPart, id, id+"\x00", 1)
+	})
+	wg.Wait()
+	if err := errors.Join(errs[:]...); err != nil {
+		n.store.failed()
+		return "", &RetryError{retryShort, model.Wrap(model.KindUnavailable, err, "ask again", "neither leader nor store answers")}
+	}
+	n.storeAnswered()
+	return stateOf(id, jobs.Rows, progress.Rows)
+}
+
+// stateOf derives the state from a job's rows.
+func stateOf(id string, jobs, progress []Row) (State, error) {
+	state, found := StateQueued, false
+	for _, row := range jobs {
+		found = found || row.Key == id
+	}
+	if !found {
+		return "", model.Errorf(model.KindGone, "check the id", "no job %s", id)
+	}
+	for _, row := range progress {
+		var p progressRecord
+		if row.Key != id {
+			continue
+		}
+		if err := decodeRecord(row, &p); err != nil {
+			return "", err
+		}
+		state = p.State
+	}
+	for _, row := range jobs {
+		if row.Key == id+cancelSuffix && !state.Final() {
+			state = StateCancelled
+		}
+	}
+	return state, nil
+}
+
+// Cancel implements Intake. The cancellation is acknowledged when it is stored.
+func (n *Node) Cancel(ctx context.Context, q Queue, id string) error {
+	begun := time.Now()
+	err := n.cancelJob(ctx, id)
+	n.observeRequest("cancel", id, q, begun, err, 1)
+	return err
+}
+
+func (n *Node) cancelJob(ctx context.Context, id string) error {
+	known := false
+	for try := 0; ; try++ {
+		err := n.tryCancel(ctx, id, &known)
+		if err == nil || model.IsKind(err, model.KindGone) {
+			return err
+		}
+		n.store.failed()
+		if d, ok := ctx.Deadline(); ctx.Err() != nil || (ok && time.Until(d) < 2*answerMargin) || try >= 4 {
+			return &RetryError{retryShort, model.Wrap(model.KindUnavailable, err, "send the cancellation again", "cancellation is not confirmed")}
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
+// tryCancel checks that the job exists and stores its cancellation.
+func (n *Node) tryCancel(ctx context.Context, id string, known *bool) error {
+	call, cancel := acceptContext(ctx, 0)
+	defer cancel()
+	if !*known {
+		r := jobRow(id)
+		page, err := n.cfg.Store.List(call, r.Table, r.Part, id, id+"\x00", 1)
+		if err != nil {
+			return err
+		}
+		n.storeAnswered()
+		if len(page.Rows) == 0 {
+			return model.Errorf(model.KindGone, "check the id", "no job %s", id)
+		}
+		*known = true
+	}
+	row := Row{RowID: cancelRow(id), Value: []byte{1}}
+	if _, err := n.cfg.Store.Commit(call, Transaction{Puts: []Row{row}}); err != nil {
+		return err
+	}
+	go n.offer(row)
+	return nil
+}
+
+// Pending implements Intake.
+func (n *Node) Pending(ctx context.Context, q Queue) (int, error) {
+	begun := time.Now()
+	count, err := n.countPending(ctx, q.Name)
+	n.observeRequest("pending", "", q, begun, err, 1)
+	return count, err
+}
+
+// pendingCache holds the counts of the queues.
+type pendingCache struct {
+	mu     sync.Mutex
+	counts map[string]int
+	at     time.Time
+}
+
+func (c *pendingCache) get(queue string, age time.Duration) (int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil || time.Since(c.at) > age {
+		return 0, false
+	}
+	return c.counts[queue], true
+}
+
+func (c *pendingCache) set(counts map[string]int, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.at) {
+		c.counts, c.at = counts, at
+	}
+}
+
+func (n *Node) countPending(ctx context.Context, queue string) (int, error) {
+	if count, ok := n.pending.get(queue, pendingAge); ok {
+		return count, nil
+	}
+	asked := time.Now()
+	if counts, ok := n.askPending(ctx); ok {
+		n.pending.set(counts, asked)
+		return counts[queue], nil
+	}
+	if count, ok := n.pending.get(queue, pendingAgeMax); ok {
+		return count, nil
+	}
+	return 0, retryAfter(retryShort, model.KindUnavailable, "ask again", "the leader does not answer")
+}
+
+// observeRequest counts a request and logs it when it matters for a failure.
+func (n *Node) observeRequest(kind, id string, q Queue, begun time.Time, err error, tries int) {
+	took := time.Since(begun)
+	result := "ok"
+	if err != nil {
+		result = string(model.KindOf(err))
+	}
+	n.metrics.requests.WithLabelValues(kind, result).Inc()
+	n.metrics.requestSeconds.WithLabelValues(kind).Observe(took.Seconds())
+	if err == nil && kind != "submit" && kind != "cancel" {
+		return
+	}
+	entry := n.log.WithFields(logrus.Fields{"decision": kind, "job": id, "queue": q.Name, "choice": result,
+		"took_ms": took.Milliseconds(), "tries": tries})
+	if err != nil && !model.IsKind(err, model.KindGone) {
+		entry.WithError(err).Warn("request")
+		return
+	}
+	entry.Info("request")
+}
--- /dev/null
+++ b/internal/fleet/load.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Times and sizes of reads.
+const (
+	// pageRows is the most rows that the store returns at once.
+	pageRows = 500
+	// readTimeout bounds one page; a slow store takes a quarter of a second.
+	readTimeout = 1200 * time.Millisecond
+	// readPause is the pause after a failed read, with up to as much jitter.
+	readPause = 100 * time.Millisecond
+	// watchWait is how long the store holds the answer of a watch. A watch that
+	// has gone silent is noticed soon after.
+	watchWait = 1000 * time.Millisecond
+	// watchTimeout is the time beyond the wait after which a watch is given up.
+	watchTimeout = 700 * time.Millisecond
+	// jobWatchPause and workerWatchPause collect changes between two watches: the
+	// leader hears of jobs from the nodes that take them, and workers renew their
+	// entries all the time.
+	jobWatchPause    = 250 * time.Millisecond
+	workerWatchPause = 250 * time.Millisecond
+)
+
+// listAll reads a part of a table. The version is the one to watch from.
+func listAll(ctx context.Context, s Store, table, part string) ([]Row, Page, error) {
+	var rows []Row
+	var first Page
+	from := ""
+	for {
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := s.List(call, table, part, from, "", pageRows)
+		cancel()
+		if err != nil {
+			return nil, Page{}, err
+		}
+		if first.Version == 0 {
+			first = page
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, first, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+// source is a table, or the parts of one, that is read whole and then watched.
+type source struct {
+	store Store
+	table string
+	parts []string
+	pause time.Duration
+	// take gets the whole content (all) or changes.
+	take func(rows []Row, all bool, storeNow time.Duration)
+	// failed gets errors of calls.
+	failed func(error)
+	jitter func() time.Duration
+}
+
+// list reads all parts at once.
+func (s source) list(ctx context.Context) ([]Row, Page, error) {
+	pages := make([]Page, len(s.parts))
+	rows := make([][]Row, len(s.parts))
+	errs := make([]error, len(s.parts))
+	var wg sync.WaitGroup
+	for i, part := range s.parts {
+		wg.Go(func() { rows[i], pages[i], errs[i] = listAll(ctx, s.store, s.table, part) })
+	}
+	wg.Wait()
+	var all []Row
+	first := pages[0]
+	for i := range pages {
+		if errs[i] != nil {
+			return nil, Page{}, errs[i]
+		}
+		all = append(all, rows[i]...)
+		if pages[i].Version < first.Version {
+			first = pages[i]
+		}
+	}
+	return all, first, nil
+}
+
+// listUntil repeats list until it succeeds or ctx ends.
+func (s source) listUntil(ctx context.Context) ([]Row, Page, bool) {
+	for ctx.Err() == nil {
+		rows, page, err := s.list(ctx)
+		if err == nil {
+			return rows, page, true
+		}
+		s.failed(err)
+		s.sleep(ctx, readPause+s.jitter())
+	}
+	return nil, Page{}, false
+}
+
+// watch follows the table from a version until ctx ends. When the history is gone
+// it reads the table again.
+func (s source) watch(ctx context.Context, after uint64) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
+		page, err := s.store.Watch(call, s.table, after, watchWait)
+		cancel()
+		switch {
+		case err == nil && page.Version < after:
+			err = model.Errorf(model.KindStale, "read the table again", "watch of %s went back from %d to %d", s.table, after, page.Version)
+			fallthrough
+		case model.IsKind(err, model.KindStale):
+			s.failed(err)
+			rows, first, ok := s.listUntil(ctx)
+			if !ok {
+				return
+			}
+			s.take(rows, true, first.Now)
+			after = first.Version
+		case err != nil:
+			s.failed(err)
+			s.sleep(ctx, readPause+s.jitter())
+		default:
+			after = page.Version
+			s.take(page.Rows, false, page.Now)
+			if len(page.Rows) > 0 {
+				s.sleep(ctx, s.pause)
+			}
+		}
+	}
+}
+
+func (s source) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// jobPartNames lists the parts of the jobs' table.
+func jobPartNames() []string {
+	names := make([]string, jobParts)
+	for i := range names {
+		names[i] = strconv.Itoa(i)
+	}
+	return names
+}
+
+// source returns a source whose failures are logged and counted.
+func (t *term) source(table string, parts []string, pause time.Duration, take func([]Row, bool, time.Duration)) source {
+	return source{
+		store: t.cfg.Store, table: table, parts: parts, pause: pause, take: take,
+		failed: func(err error) {
+			t.counters.readErrors.WithLabelValues(outcome(err)).Inc()
+			t.log.WithError(err).WithField("table", table).Debug("read failed")
+		},
+		jitter: jitter,
+	}
+}
+
+// load reads what the term starts from, then follows the changes.
+func (t *term) load() {
+	workersTable, operatorTable := t.cfg.Decoder.Tables()
+	jobs := t.source(tableJobs, jobPartNames(), jobWatchPause, func(rows []Row, _ bool, now time.Duration) { t.post(jobRows{rows, now}) })
+	workers := t.source(workersTable, []string{""}, workerWatchPause, func(rows []Row, all bool, _ time.Duration) { t.post(workerRows{rows, all}) })
+	operator := t.source(operatorTable, []string{""}, 0, func(rows []Row, all bool, _ time.Duration) { t.post(operatorRows{rows, all}) })
+	progress := t.source(tableProgress, []string{leaderPart}, 0, nil)
+	used := t.source(tableUsed, []string{leaderPart}, 0, nil)
+
+	all := []source{jobs, workers, operator, progress, used}
+	rows := make([][]Row, len(all))
+	pages := make([]Page, len(all))
+	ok := make([]bool, len(all))
+	var wg sync.WaitGroup
+	for i, s := range all {
+		wg.Go(func() { rows[i], pages[i], ok[i] = s.listUntil(t.ctx) })
+	}
+	wg.Wait()
+	for _, done := range ok {
+		if !done {
+			return
+		}
+	}
+	t.post(loadedEvent{jobs: rows[0], workers: rows[1], operator: rows[2], progress: rows[3], used: rows[4], storeNow: pages[0].Now})
+	for i, s := range all[:3] {
+		go s.watch(t.ctx, pages[i].Version)
+	}
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/membership"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+// Config configures a Node. All fields but Advisor, Inventory and Seed are required.
+type Config struct {
+	Node       model.NodeID
+	DataCentre model.DataCentre
+	// PeerAddr is the address and port at which peers call this node.
+	PeerAddr string
+	// Process distinguishes processes of one node; default the start time.
+	Process uint64
+	// Seed fixes random choices; default the start time.
+	Seed uint64
+	// Started and StartedUnix are the same moment on the steady clock and, in Unix
+	// milliseconds, by the time of day. Later jumps of the time of day have no effect.
+	Started     time.Time
+	StartedUnix int64
+	Limits      Limits
+	Bounds      Bounds
+	Store       Store
+	Workers     Workers
+	Decoder     Decoder
+	Advisor     Advisor
+	Inventory   Inventory
+	Log         *logrus.Entry
+	Metrics     *telemetry.Metrics
+}
+
+func (c *Config) provision() {
+	now := time.Now()
+	if c.Started.IsZero() {
+		c.Started, c.StartedUnix = now, now.UnixMilli()
+	}
+	if c.Process == 0 {
+		c.Process = uint64(now.UnixNano())
+	}
+	if c.Seed == 0 {
+		c.Seed = c.Process
+	}
+}
+
+// Node is one process of the system: it takes requests, and leads when it has won
+// the lead.
+type Node struct {
+	cfg      Config
+	log      *logrus.Entry
+	metrics  *metrics
+	peers    *membership.Service
+	view     atomic.Pointer[view]
+	term     atomic.Pointer[term]
+	leader   atomic.Pointer[leaderRecord]
+	draining atomic.Bool
+	store    storeHealth
+	link     linkHealth
+	pending  pendingCache
+	clock    storeClock
+	wait     sync.WaitGroup
+}
+
+// view is the configuration that requests are routed by.
+type view struct {
+	configuration Configuration
+	queues        routeTable
+}
+
+// NewNode returns a node that does nothing yet.
+func NewNode(cfg Config) (*Node, error) {
+	cfg.provision()
+	n := &Node{cfg: cfg, log: cfg.Log, metrics: newMetrics(cfg.Metrics)}
+	peers, err := membership.New(membership.Config{
+		Node: cfg.Node, Addr: cfg.PeerAddr, DataCentre: cfg.DataCentre, Plaintext: true, ManualGossip: true,
+		Dial: dialPeer, Log: cfg.Log, Metrics: cfg.Metrics, Seed: cfg.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.peers = peers
+	n.handlePeers()
+	return n, nil
+}
+
+// peerDialTimeout bounds the opening of a connection to a peer.
+const peerDialTimeout = 400 * time.Millisecond
+
+func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+}
+
+// Run follows the store, serves peers and leads when elected, until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	ln, err := n.peers.Listen()
+	if err != nil {
+		return err
+	}
+	n.log.WithFields(logrus.Fields{"event": "start", "dc": n.cfg.DataCentre, "peers": n.cfg.PeerAddr, "process": n.cfg.Process}).Info("node starts")
+	n.wait.Go(func() { n.followOperator(ctx) })
+	n.wait.Go(func() { n.followLeader(ctx) })
+	err = n.peers.Run(ctx, ln)
+	if t := n.term.Load(); t != nil {
+		t.cancel()
+	}
+	n.wait.Wait()
+	n.log.WithField("event", "stop").Info("node stops")
+	return err
+}
+
+// Drain prepares a planned stop: the node reports that it is not ready and hands
+// the lead over. It returns when the lead is given up, or when ctx ends.
+func (n *Node) Drain(ctx context.Context) {
+	n.draining.Store(true)
+	n.log.WithField("event", "drain").Info("node prepares to stop")
+	t := n.term.Load()
+	if t == nil || !t.post(stepDown{}) {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+}
+
+// readyWithin is how recent an answer of the store must be for a ready node.
+const readyWithin = 3 * time.Second
+
+// Ready reports whether the balancer should send new connections.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.view.Load() != nil && n.store.answeredWithin(readyWithin)
+}
+
+// followOperator keeps the routes up to date. A configuration is never replaced
+// by an older one.
+func (n *Node) followOperator(ctx context.Context) {
+	_, table := n.cfg.Decoder.Tables()
+	s := n.source(table, func(rows []Row, _ bool, now time.Duration) {
+		n.clock.set(now)
+		for _, row := range rows {
+			if !row.Removed && n.cfg.Decoder.OperatorRow(row).Configuration {
+				n.configure(row)
+			}
+		}
+	})
+	rows, page, ok := s.listUntil(ctx)
+	if !ok {
+		return
+	}
+	n.store.ok()
+	s.take(rows, true, page.Now)
+	s.watch(ctx, page.Version)
+}
+
+func (n *Node) configure(row Row) {
+	c, err := n.cfg.Decoder.Configuration(row)
+	if err != nil {
+		n.log.WithError(err).Error("configuration ignored")
+		return
+	}
+	if v := n.view.Load(); v != nil && c.Version <= v.configuration.Version {
+		return
+	}
+	n.view.Store(&view{configuration: c, queues: newRouteTable(c.Queues)})
+	n.metrics.configuration.Set(float64(c.Version))
+	n.log.WithFields(logrus.Fields{"event": "reload", "configuration": c.Version, "store_version": row.Version, "queues": len(c.Queues)}).Info("routes are in force")
+}
+
+// source returns a table of one part whose answers inform the node's health.
+func (n *Node) source(table string, take func([]Row, bool, time.Duration)) source {
+	return source{
+		store: n.cfg.Store, table: table, parts: []string{""}, jitter: jitter,
+		take: func(rows []Row, all bool, now time.Duration) {
+			if n.store.ok() {
+				n.log.WithField("event", "regained").Info("store answers again")
+			}
+			take(rows, all, now)
+		},
+		failed: func(err error) {
+			n.metrics.readErrors.WithLabelValues(outcome(err)).Inc()
+			if !model.IsKind(err, model.KindStale) && n.store.failed() {
+				n.log.WithError(err).WithField("event", "lost").Warn("store does not answer")
+			}
+		},
+	}
+}
+
+// jitter spreads retries of the nodes.
+func jitter() time.Duration { return time.Duration(rand.Int64N(int64(readPause))) }
+
+// storeHealth tracks whether the store answers this node.
+type storeHealth struct {
+	mu       sync.Mutex
+	answered time.Time
+	failures int
+}
+
+// ok notes an answer and reports whether the store was lost before.
+func (h *storeHealth) ok() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lost := h.failures >= lostAfter
+	h.answered, h.failures = time.Now(), 0
+	return lost
+}
+
+// failed notes a call without an answer and reports whether the store counts as
+// lost from now on.
+func (h *storeHealth) failed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures++
+	return h.failures == lostAfter
+}
+
+// lostAfter is how many failures in a row mean that the store is lost.
+const lostAfter = 2
+
+// lost reports whether the store has failed several times in a row.
+func (h *storeHealth) lost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.failures >= lostAfter
+}
+
+func (h *storeHealth) answeredWithin(d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.answered) < d
+}
+
+// storeClock estimates the store's steady clock.
+type storeClock struct {
+	mu  sync.Mutex
+	now time.Duration
+	at  time.Time
+}
+
+func (c *storeClock) set(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now > 0 {
+		c.now, c.at = now, time.Now()
+	}
+}
+
+// get returns the store's time, or 0 when it is unknown.
+func (c *storeClock) get() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at.IsZero() {
+		return 0
+	}
+	return c.now + time.Since(c.at)
+}
--- /dev/null
+++ b/internal/fleet/order.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lateFactor times the objective is the time after which a job earns nothing.
+	lateFactor = 3
+	// estimateFloor is the least estimate that is believed.
+	estimateFloor = 50 * time.Millisecond
+)
+
+// urgency classes, in the order of placement.
+const (
+	// inTime work can still meet its objective.
+	inTime = iota
+	// late work has missed its objective and still counts.
+	late
+	// hopeless work counts no more; it is done when nothing else wants the room.
+	hopeless
+)
+
+// want is a step with tasks that wait for a worker.
+type want struct {
+	job      *job
+	occ      *occurrence
+	index    int
+	step     *Step
+	queue    Queue
+	tasks    []int
+	class    int
+	priority int
+	// slack is how much later the step could start and the job still meet its
+	// objective, or the age of work without one.
+	slack time.Duration
+}
+
+// key returns the key of the task with an index.
+func (w *want) key(i int) taskKey { return taskKey{w.occ.number, w.index, i} }
+
+// objective returns when occurrence o of j should be complete.
+func objective(j *job, o *occurrence, q Queue) (due, end time.Time) {
+	begin := j.arrived
+	if !o.due.IsZero() {
+		begin = o.due
+	}
+	chain := time.Duration(0)
+	for i, s := range j.spec.Steps {
+		if len(s.After) == 0 {
+			chain = max(chain, j.chains[i])
+		}
+	}
+	allowed := time.Duration(q.Stretch*float64(max(chain, estimateFloor))) + q.Objective
+	return begin.Add(allowed), begin.Add(lateFactor * allowed)
+}
+
+// classify ranks a step of a job at now.
+func classify(now time.Time, j *job, o *occurrence, step int, q Queue) (class int, slack time.Duration) {
+	if j.spec.Steps[step].Lasting {
+		return inTime, o.steps[step].ready.Add(q.Objective).Sub(now)
+	}
+	due, end := objective(j, o, q)
+	slack = due.Sub(now) - j.remaining(step)
+	switch {
+	case now.After(end):
+		return hopeless, slack
+	case now.After(due):
+		return late, slack
+	}
+	return inTime, slack
+}
+
+// sortWants orders waiting steps: by class, so that late work does not make other
+// work late; by priority; by slack. It answers bursts of more work than room.
+func sortWants(wants []*want) {
+	slices.SortFunc(wants, func(a, b *want) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+	})
+}
+
+// collectWants lists the steps with tasks that may start now.
+func (t *term) collectWants() []*want {
+	var wants []*want
+	settled := t.settled()
+	for _, j := range t.jobs {
+		if j.over() || j.shown.Final() || (j.inherited && !settled) {
+			continue
+		}
+		q, known := t.queues[j.queue]
+		if !known {
+			continue
+		}
+		for _, o := range j.occurrences {
+			wants = t.occurrenceWants(wants, j, o, q)
+		}
+	}
+	return wants
+}
+
+func (t *term) occurrenceWants(wants []*want, j *job, o *occurrence, q Queue) []*want {
+	for i := range o.steps {
+		s := &o.steps[i]
+		if s.ready.IsZero() || s.left == 0 {
+			continue
+		}
+		idle := t.idleTasks(&j.spec.Steps[i], s)
+		if len(idle) == 0 {
+			continue
+		}
+		w := &want{job: j, occ: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: idle, priority: q.Priority}
+		w.class, w.slack = classify(t.now, j, o, i, q)
+		wants = append(wants, w)
+	}
+	return wants
+}
+
+// idleTasks lists the tasks of a step without a run. A gang starts only when no
+// member runs any more.
+func (t *term) idleTasks(spec *Step, s *stepState) []int {
+	var idle []int
+	for i := range s.tasks {
+		tk := &s.tasks[i]
+		switch {
+		case tk.done:
+		case len(tk.runs) > 0, t.now.Before(tk.notBefore):
+			if spec.Gang {
+				return nil
+			}
+		default:
+			idle = append(idle, i)
+		}
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/fleet/place.go
@@ -0,0 +1,165 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Weights of the score of a worker; the lowest score wins. The unit is the share
+// of a worker's processors that a placement leaves free.
+const (
+	// servingBias steers work that reserves its processors to workers with
+	// services, which it does not disturb, and leaves the others to fillers.
+	servingBias = 0.3
+	// failureBias keeps work from workers whose last run failed.
+	failureBias = 2.0
+	// slowBias is the cost of a run time that is twice as long.
+	slowBias = 1.5
+	// farBias is the cost of a rack away from the data.
+	farBias = 1.5
+	// fillerShare is the least share of a filler's demand that must be left over.
+	fillerShare = 0.6
+	// crowdBias spreads the lasting tasks of one step.
+	crowdBias = 0.2
+)
+
+// placement is the view of workers while a plan is made.
+type placement struct {
+	now     time.Time
+	workers []*worker
+	harm    *interference
+	// guarded tells whether the workers of a service reject what does not fit.
+	far float64
+}
+
+// request describes one task that wants a worker.
+type request struct {
+	step *Step
+	// task may be nil for a task without a history.
+	task *task
+	// onWorker counts the tasks of the step per worker.
+	onWorker map[*worker]int
+	// rack restricts the choice, unless empty.
+	rack string
+	// tickets restricts the choice to workers with a ticket, unless nil.
+	tickets map[model.WorkerID]string
+}
+
+// choose returns the best worker for a task, or nil. It packs work that reserves
+// processors as tightly as it fits, so that large tasks find room later, and
+// spreads fillers over what is left.
+func (p *placement) choose(r request) *worker {
+	var best *worker
+	bestScore := 0.0
+	for _, w := range p.workers {
+		if !p.feasible(w, r) {
+			continue
+		}
+		if score := p.score(w, r); best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// feasible reports whether w may run the task.
+func (p *placement) feasible(w *worker, r request) bool {
+	s := r.step
+	if !s.Reserved().Fits(w.free()) || !w.hasLabel(s.Label) {
+		return false
+	}
+	if s.PerWorker > 0 && r.onWorker[w] >= s.PerWorker {
+		return false
+	}
+	if r.rack != "" && w.rack != r.rack {
+		return false
+	}
+	if r.tickets != nil && r.tickets[w.info.Worker] == "" {
+		return false
+	}
+	if r.task != nil {
+		for _, other := range r.task.runs {
+			if other.worker == w {
+				return false
+			}
+		}
+	}
+	if s.Filler {
+		return p.fillerFits(w, s)
+	}
+	return true
+}
+
+// fillerFits reports whether enough processor time is left for a filler, and
+// whether the services beside it bear it.
+func (p *placement) fillerFits(w *worker, s *Step) bool {
+	if float64(w.leftover()) < fillerShare*float64(s.Needs.MilliCPU) {
+		return false
+	}
+	return p.harm.bears(w, s.Image, p.now)
+}
+
+// score rates a feasible worker.
+func (p *placement) score(w *worker, r request) float64 {
+	s := r.step
+	capacity := float64(max(w.info.Capacity.MilliCPU, 1))
+	score := 0.0
+	serving := w.serving()
+	if s.Filler {
+		score = -float64(w.leftover()) / capacity
+		if serving {
+			score += 1
+		}
+	} else {
+		score = float64(w.free().MilliCPU-s.Needs.MilliCPU) / capacity
+		if !serving {
+			score += servingBias
+		}
+		// Work that reserves processors takes them from fillers.
+		score += 0.5 * float64(w.fillers) / capacity
+	}
+	if s.Lasting {
+		score += crowdBias * float64(r.onWorker[w])
+	}
+	if s.Near != "" && w.rack != s.Near {
+		score += farBias
+	}
+	if w.health.failures > 0 || (r.task != nil && len(r.task.failed) > 0 && !w.health.trusted) {
+		score += failureBias
+	}
+	if w.health.slow > 1.3 {
+		score += slowBias * (w.health.slow - 1)
+	}
+	return score
+}
+
+// feasibleRacks counts the workers of each rack on which a task fits, and how
+// many tasks fit there.
+func (p *placement) feasibleRacks(r request) map[string]int {
+	room := map[string]int{}
+	for _, w := range p.workers {
+		if w.rack != "" && p.feasible(w, r) {
+			room[w.rack] += copies(r.step, w)
+		}
+	}
+	return room
+}
+
+// copies returns how many tasks of a step fit on a worker.
+func copies(s *Step, w *worker) int {
+	n := 1 << 20
+	free, need := w.free(), s.Reserved()
+	for _, d := range [][2]int64{{free.MilliCPU, need.MilliCPU}, {free.MemoryMB, need.MemoryMB}, {free.Accelerators, need.Accelerators}} {
+		if d[1] > 0 {
+			n = min(n, int(d[0]/d[1]))
+		}
+	}
+	if s.Filler && s.Needs.MilliCPU > 0 {
+		n = min(n, int(w.leftover()/s.Needs.MilliCPU))
+	}
+	if s.PerWorker > 0 {
+		n = min(n, s.PerWorker)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fleet/record.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Tables of the product.
+const (
+	// tableJobs holds accepted jobs and their cancellations. Written by the nodes
+	// that take requests; the leader follows it.
+	tableJobs = "vp-jobs"
+	// tableProgress holds a row per job, written by the leader.
+	tableProgress = "vp-progress"
+	// tableFence holds the row that every transaction of the leader expects.
+	tableFence = "vp-fence"
+	// tableLeader holds the leader's renewals; all nodes follow it.
+	tableLeader = "vp-leader"
+	// tableUsed holds the lifetimes of workers on which tasks may have started.
+	tableUsed = "vp-used"
+)
+
+const (
+	// jobParts spreads jobs over parts of the store, which limits the
+	// transactions of one part.
+	jobParts = 4
+	// leaderPart holds all rows that the leader writes: a transaction has one part.
+	leaderPart = "leader"
+	// keyLeader is the key of the fence and of the renewals.
+	keyLeader = "leader"
+	// cancelSuffix follows the job's id in the key of its cancellation.
+	cancelSuffix = "/cancel"
+)
+
+// jobPart returns the part that holds a job.
+func jobPart(id string) string {
+	return strconv.FormatUint(xxhash.Sum64String(id)%jobParts, 10)
+}
+
+// jobRow addresses the row of a job.
+func jobRow(id string) RowID { return RowID{tableJobs, jobPart(id), id} }
+
+// cancelRow addresses the row of a job's cancellation.
+func cancelRow(id string) RowID { return RowID{tableJobs, jobPart(id), id + cancelSuffix} }
+
+// progressRow addresses the row of a job's progress.
+func progressRow(id string) RowID { return RowID{tableProgress, leaderPart, id} }
+
+// jobRecord is the stored form of a job.
+type jobRecord struct {
+	Queue string `cbor:"1,keyasint"`
+	Spec  Spec   `cbor:"2,keyasint"`
+	// AcceptedAt is the store's steady clock at acceptance.
+	AcceptedAt time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// taskRecord is the stored form of a task that has a history.
+type taskRecord struct {
+	Index      int    `cbor:"1,keyasint"`
+	Done       bool   `cbor:"2,keyasint,omitempty"`
+	Failed     []int  `cbor:"3,keyasint,omitempty"`
+	Attempt    int    `cbor:"4,keyasint,omitempty"`
+	Checkpoint string `cbor:"5,keyasint,omitempty"`
+}
+
+// occurrenceRecord is the stored form of an open occurrence.
+type occurrenceRecord struct {
+	Number int            `cbor:"1,keyasint"`
+	Steps  [][]taskRecord `cbor:"2,keyasint"`
+}
+
+// progressRecord is the stored form of a job's progress.
+type progressRecord struct {
+	State State `cbor:"1,keyasint"`
+	// Failed is the reason of StateFailed.
+	Failed  string `cbor:"2,keyasint,omitempty"`
+	Started bool   `cbor:"3,keyasint,omitempty"`
+	// Finished lists finished occurrences.
+	Finished []int              `cbor:"4,keyasint,omitempty"`
+	Open     []occurrenceRecord `cbor:"5,keyasint,omitempty"`
+}
+
+// fenceRecord is the value of the fence row.
+type fenceRecord struct {
+	Term uint64 `cbor:"1,keyasint"`
+	// Nonce identifies the transaction that wrote the row, so that a leader
+	// recognizes its own write after a lost answer.
+	Nonce uint64 `cbor:"2,keyasint"`
+}
+
+// leaderRecord is the value of the renewal row.
+type leaderRecord struct {
+	Term uint64       `cbor:"1,keyasint"`
+	Node model.NodeID `cbor:"2,keyasint"`
+	// Process distinguishes processes of one node.
+	Process uint64 `cbor:"3,keyasint"`
+	Addr    string `cbor:"4,keyasint"`
+	// Released means that the leader has stopped sending orders.
+	Released bool `cbor:"5,keyasint,omitempty"`
+}
+
+// usedRecord is the value of a row of tableUsed.
+type usedRecord struct {
+	Life       Lifetime          `cbor:"1,keyasint"`
+	Addr       string            `cbor:"2,keyasint"`
+	DataCentre model.DataCentre  `cbor:"3,keyasint"`
+	Service    model.ServiceName `cbor:"4,keyasint"`
+}
+
+// encode marshals a record. The records hold nothing that CBOR cannot encode.
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// decodeRecord unmarshals a stored record.
+func decodeRecord(row Row, v any) error {
+	if err := cbor.Unmarshal(row.Value, v); err != nil {
+		return model.Wrap(model.KindCorrupt, err, "remove the row", "row %s %q", row.Table, row.Key)
+	}
+	return nil
+}
+
+// progress returns the stored form of j's progress.
+func (j *job) progress() progressRecord {
+	p := progressRecord{State: j.state(), Failed: j.failed, Started: j.started}
+	for k := range j.finished {
+		p.Finished = append(p.Finished, k)
+	}
+	if p.State.Final() {
+		return p
+	}
+	for _, o := range j.occurrences {
+		r := occurrenceRecord{Number: o.number, Steps: make([][]taskRecord, len(o.steps))}
+		for i := range o.steps {
+			for n := range o.steps[i].tasks {
+				if t := &o.steps[i].tasks[n]; t.done || t.attempt > 0 || t.checkpoint != "" {
+					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint})
+				}
+			}
+		}
+		p.Open = append(p.Open, r)
+	}
+	return p
+}
+
+// restore applies stored progress to a job that was just read.
+func (j *job) restore(p progressRecord, now time.Time, wall func(int64) time.Time) {
+	j.started, j.failed = p.Started, p.Failed
+	j.cancelled = j.cancelled || p.State == StateCancelled
+	for _, k := range p.Finished {
+		j.finished[k] = true
+	}
+	if p.State.Final() {
+		j.shown, j.ended = p.State, now
+		return
+	}
+	for _, r := range p.Open {
+		if j.find(r.Number) != nil || j.finished[r.Number] || r.Number >= j.spec.Occurrences() {
+			continue
+		}
+		j.restoreOccurrence(r, now, wall)
+	}
+	j.shown = j.state()
+}
+
+func (j *job) restoreOccurrence(r occurrenceRecord, now time.Time, wall func(int64) time.Time) {
+	o := j.add(r.Number, j.dueAt(r.Number, wall), now)
+	for i := range min(len(r.Steps), len(o.steps)) {
+		s := &o.steps[i]
+		for _, t := range r.Steps[i] {
+			if t.Index < 0 || t.Index >= len(s.tasks) {
+				continue
+			}
+			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint}
+			if t.Done {
+				s.left--
+			}
+		}
+		if s.left == 0 {
+			o.left--
+		}
+	}
+	o.advance(j.spec, now)
+}
--- /dev/null
+++ b/internal/fleet/rows.go
@@ -0,0 +1,312 @@
+package fleet
+
+import (
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// jobRows reports changed rows of the jobs' table.
+type jobRows struct {
+	rows     []Row
+	storeNow time.Duration
+}
+
+func (e jobRows) handle(t *term) {
+	for _, row := range e.rows {
+		t.jobRow(row, e.storeNow)
+	}
+}
+
+// jobRow takes a job or a cancellation.
+func (t *term) jobRow(row Row, storeNow time.Duration) {
+	if row.Removed {
+		return
+	}
+	if id, ok := strings.CutSuffix(row.Key, cancelSuffix); ok {
+		t.cancelJob(id)
+		return
+	}
+	if t.jobs[row.Key] != nil {
+		return
+	}
+	var r jobRecord
+	if err := decodeRecord(row, &r); err != nil {
+		t.log.WithError(err).Error("job cannot be read")
+		return
+	}
+	arrived := t.now
+	if storeNow > r.AcceptedAt && r.AcceptedAt > 0 {
+		arrived = t.now.Add(r.AcceptedAt - storeNow)
+	}
+	j := newJob(row.Key, r, row.Version, arrived)
+	j.inherited = row.Version <= t.began
+	t.jobs[j.id] = j
+	j.open(t.now, 0, t.wall)
+	t.dirty = true
+	t.counters.accepted.Inc()
+	t.log.WithFields(logrus.Fields{"decision": "order", "job": j.id, "queue": j.queue, "version": row.Version,
+		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps)}).Info("job is known")
+}
+
+// progressRow applies the progress that an earlier term has stored.
+func (t *term) progressRow(row Row) {
+	j := t.jobs[row.Key]
+	if j == nil {
+		return
+	}
+	var p progressRecord
+	if err := decodeRecord(row, &p); err != nil {
+		t.log.WithError(err).Error("progress cannot be read")
+		return
+	}
+	cancelled := j.cancelled
+	j.occurrences, j.opened = nil, 0
+	j.restore(p, t.now, t.wall)
+	j.cancelled = j.cancelled || cancelled
+	if !j.over() {
+		j.open(t.now, 0, t.wall)
+	}
+}
+
+// cancelJob stops all work of a job. A cancellation may arrive before its job
+// only by a row that was read later; then the job's row follows.
+func (t *term) cancelJob(id string) {
+	j := t.jobs[id]
+	if j == nil || j.cancelled || j.shown.Final() {
+		return
+	}
+	j.cancelled, j.dirty, j.ended = true, true, t.now
+	stopped := 0
+	for _, w := range t.allWorkers() {
+		for _, r := range w.runs {
+			if r.job == j {
+				t.stop(r, "cancelled")
+				stopped++
+			}
+		}
+	}
+	t.dirty = true
+	t.log.WithFields(logrus.Fields{"decision": "cancel", "job": id, "runs": stopped}).Info("job is cancelled")
+}
+
+// allWorkers returns present workers and former lifetimes that may hold runs.
+func (t *term) allWorkers() []*worker {
+	all := make([]*worker, 0, len(t.workers)+len(t.gone))
+	for _, w := range t.workers {
+		all = append(all, w)
+	}
+	for _, w := range t.gone {
+		all = append(all, w)
+	}
+	return all
+}
+
+// workerRows reports changed entries of the platform's list of workers. All is
+// true when the rows are the whole list.
+type workerRows struct {
+	rows []Row
+	all  bool
+}
+
+func (e workerRows) handle(t *term) {
+	if e.all {
+		listed := map[string]bool{}
+		for _, row := range e.rows {
+			listed[row.Key] = true
+		}
+		for id, w := range t.workers {
+			if !listed[string(id)] {
+				t.unlist(w)
+			}
+		}
+	}
+	for _, row := range e.rows {
+		t.workerRow(row)
+	}
+}
+
+// workerRow takes an entry of the list. An entry that cannot be read names no
+// worker; what is known of that worker stays.
+func (t *term) workerRow(row Row) {
+	id := model.WorkerID(row.Key)
+	w := t.workers[id]
+	if row.Removed {
+		if w != nil {
+			t.unlist(w)
+		}
+		return
+	}
+	info, err := t.cfg.Decoder.Worker(row)
+	if err != nil {
+		t.counters.unreadable.Inc()
+		t.log.WithError(err).Debug("entry of the list ignored")
+		return
+	}
+	switch {
+	case w == nil:
+		t.workers[id] = newWorker(info)
+		t.dirty = true
+		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": id, "choice": "listed", "dc": info.DataCentre,
+			"address": info.Addr, "capacity": info.Capacity.String(), "labels": info.Labels}).Info("worker is known")
+	case info.Born != 0 && w.info.Born != 0 && info.Born < w.info.Born:
+		return // an entry of an earlier life
+	case info.Born != w.info.Born && w.info.Born != 0 && info.Born != 0:
+		t.replace(w, info)
+	default:
+		t.update(w, info)
+	}
+}
+
+// update takes a newer entry of the same lifetime.
+func (t *term) update(w *worker, info WorkerInfo) {
+	if info.Draining != w.info.Draining || !w.listed {
+		t.dirty = true
+		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": info.Worker, "choice": "draining",
+			"draining": info.Draining, "leaving_ms": info.Leaving.Milliseconds()}).Info("worker has changed")
+	}
+	if w.info.Born == 0 || info.Born != 0 {
+		w.info = info
+	}
+	w.listed, w.rack = true, rackOf(info.Labels)
+}
+
+// unlist notes that the list lacks a worker. Its runs may go on.
+func (t *term) unlist(w *worker) {
+	if !w.listed {
+		return
+	}
+	w.listed = false
+	t.dirty = true
+	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "unlisted", "runs": len(w.runs),
+		"answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Info("worker left the list")
+}
+
+// replace takes a new lifetime of a worker: all runs of the former one have ended.
+func (t *term) replace(w *worker, info WorkerInfo) {
+	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": info.Worker, "choice": "restarted", "runs": len(w.runs),
+		"born": info.Born, "former": w.info.Born}).Warn("worker has started again")
+	t.bury(w, "worker-restarted")
+	t.workers[info.Worker] = newWorker(info)
+	t.dirty = true
+}
+
+// bury drops a lifetime that holds nothing any more.
+func (t *term) bury(w *worker, reason string) {
+	for _, r := range w.runs {
+		t.lose(r, reason)
+	}
+	if w.durable {
+		t.usedGone[w.info.Lifetime] = true
+	}
+	delete(t.usedDirty, w.info.Lifetime)
+	delete(t.gone, w.info.Lifetime)
+	if t.workers[w.info.Worker] == w {
+		delete(t.workers, w.info.Worker)
+	}
+	w.inherited = false
+}
+
+// expire drops the runs of workers whose leases have certainly ended, and forgets
+// workers that have left.
+func (t *term) expire() {
+	for _, w := range t.allWorkers() {
+		if w.inherited && !w.raised && t.now.After(w.deadBy) {
+			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired"}).Warn("unreachable worker holds nothing any more")
+			t.bury(w, "lease-over")
+			continue
+		}
+		if w.failures == 0 || w.clockAt.IsZero() || t.now.Before(w.leaseOver()) {
+			continue
+		}
+		if len(w.runs) > 0 {
+			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "lapsed", "runs": len(w.runs),
+				"failures": w.failures, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of a silent worker are over")
+			for _, r := range w.runs {
+				t.lose(r, "lease-over")
+			}
+			t.dirty = true
+		}
+		if !w.listed && t.now.Sub(w.clockAt) > unlistedMemory {
+			t.bury(w, "left")
+		}
+	}
+	t.forgetJobs()
+}
+
+const (
+	// unlistedMemory is how long a silent worker that is not listed is asked for.
+	unlistedMemory = 15 * time.Second
+	// retentionMargin is added to the promised retention of finished jobs.
+	retentionMargin = 30 * time.Second
+)
+
+// forgetJobs drops finished jobs after their retention; their rows go with the
+// next transaction.
+func (t *term) forgetJobs() {
+	for id, j := range t.jobs {
+		if j.shown.Final() && !j.dirty && t.now.Sub(j.ended) > t.cfg.Bounds.Retention+retentionMargin {
+			delete(t.jobs, id)
+			go t.removeJob(id)
+		}
+	}
+}
+
+// operatorRows reports changed rows of the operators' table.
+type operatorRows struct {
+	rows []Row
+	all  bool
+}
+
+func (e operatorRows) handle(t *term) {
+	if e.all {
+		clear(t.out)
+	}
+	for _, row := range e.rows {
+		t.operatorRow(row)
+	}
+	t.dirty = true
+}
+
+func (t *term) operatorRow(row Row) {
+	o := t.cfg.Decoder.OperatorRow(row)
+	switch {
+	case o.Configuration && !row.Removed:
+		t.configure(row)
+	case o.DataCentre != "":
+		if row.Removed {
+			delete(t.out, o.DataCentre)
+		} else {
+			t.out[o.DataCentre] = true
+		}
+		t.log.WithFields(logrus.Fields{"decision": "data-centre", "dc": o.DataCentre, "out": !row.Removed, "version": row.Version}).Info("data centre")
+	case o.Wave != nil && !row.Removed:
+		t.addWave(*o.Wave)
+	}
+}
+
+// configure takes a configuration, unless it is older than the one in force.
+// Queues that are dropped stay known for the jobs that they took.
+func (t *term) configure(row Row) {
+	c, err := t.cfg.Decoder.Configuration(row)
+	if err != nil {
+		t.log.WithError(err).Error("configuration ignored")
+		return
+	}
+	if t.setting != nil && c.Version < t.setting.Version {
+		return
+	}
+	t.setting = &c
+	for _, q := range c.Queues {
+		t.queues[q.Name] = q
+	}
+	t.log.WithFields(logrus.Fields{"decision": "configuration", "version": c.Version, "queues": len(c.Queues)}).Info("configuration in force")
+}
+
+// guards reports whether the workers of a service reject what does not fit.
+func (t *term) guards(s model.ServiceName) bool {
+	return t.setting != nil && t.setting.Services[s].Guards
+}
--- /dev/null
+++ b/internal/fleet/spec.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Limits of a job.
+const (
+	maxSteps = 64
+	// maxTasks bounds the tasks of one occurrence; its progress must fit in a row.
+	maxTasks   = 4096
+	maxRepeats = 100_000
+)
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	Count int             `cbor:"1,keyasint"`
+	Needs model.Resources `cbor:"2,keyasint"`
+	// Estimate is the submitter's rough idea of a task's duration.
+	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// After lists earlier steps that must be done first.
+	After []int `cbor:"4,keyasint,omitempty"`
+	// Checkpoints means that tasks save their progress.
+	Checkpoints bool `cbor:"5,keyasint,omitempty"`
+	// Gang means that the tasks run only all together.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// SameRack means that the tasks are slow unless they share a rack.
+	SameRack bool `cbor:"7,keyasint,omitempty"`
+	// Label must be among the worker's labels, unless empty.
+	Label string `cbor:"8,keyasint,omitempty"`
+	// Near is the rack that holds the data; elsewhere the tasks are slow.
+	Near string `cbor:"9,keyasint,omitempty"`
+	// PerWorker bounds tasks of the step on one worker; 0 means no bound.
+	PerWorker int `cbor:"10,keyasint,omitempty"`
+	// Speculative allows copies that run in parallel.
+	Speculative bool `cbor:"11,keyasint,omitempty"`
+	// Lasting tasks run until the job is cancelled and are restarted when they end.
+	Lasting bool `cbor:"12,keyasint,omitempty"`
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string `cbor:"13,keyasint,omitempty"`
+	// LatencyTarget bounds the tail latency of a lasting task that serves users.
+	LatencyTarget time.Duration `cbor:"14,keyasint,omitempty"`
+	// Filler tasks use the processor time that others leave; they reserve none.
+	Filler bool `cbor:"15,keyasint,omitempty"`
+	// MayMiss bounds lasting tasks that the system itself takes away at once.
+	MayMiss int `cbor:"16,keyasint,omitempty"`
+}
+
+// Reserved returns what a task of the step reserves on its worker.
+func (s Step) Reserved() model.Resources {
+	r := s.Needs
+	if s.Filler {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// Spec is a job as submitted.
+type Spec struct {
+	// Text is passed to the workers unchanged.
+	Text  string `cbor:"1,keyasint,omitempty"`
+	Steps []Step `cbor:"2,keyasint"`
+	// Repeats is the number of scheduled occurrences; 0 means once, at once.
+	Repeats int `cbor:"3,keyasint,omitempty"`
+	// StartAt is the due time of occurrence 0 in Unix milliseconds, Interval the
+	// time from one to the next.
+	StartAt  int64         `cbor:"4,keyasint,omitempty"`
+	Interval time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Occurrences returns how many times the steps run.
+func (s Spec) Occurrences() int { return max(s.Repeats, 1) }
+
+// Lasting reports whether the job runs until it is cancelled.
+func (s Spec) Lasting() bool {
+	for _, step := range s.Steps {
+		if step.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Validate checks a submission. Errors are of KindInvalid.
+func (s Spec) Validate() error {
+	invalid := func(remedy, format string, args ...any) error {
+		return model.Errorf(model.KindInvalid, remedy, "submission: "+format, args...)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return invalid("give 1 to 64 steps", "%d steps", len(s.Steps))
+	}
+	if s.Repeats < 0 || s.Repeats > maxRepeats || s.Interval < 0 {
+		return invalid("give a count and an interval of 0 or more", "%d repeats every %v", s.Repeats, s.Interval)
+	}
+	tasks := 0
+	for i, step := range s.Steps {
+		tasks += step.Count
+		if step.Count < 1 || tasks > maxTasks {
+			return invalid("give each step at least one task, and all together at most 4096", "step %d has %d tasks", i, step.Count)
+		}
+		if step.Needs.Negative() || step.Estimate < 0 || step.PerWorker < 0 || step.MayMiss < 0 {
+			return invalid("use figures of 0 or more", "step %d has a negative figure", i)
+		}
+		for _, a := range step.After {
+			if a < 0 || a >= i {
+				return invalid("name earlier steps only", "step %d comes after step %d", i, a)
+			}
+		}
+	}
+	return nil
+}
+
+// Chains returns, for each step, the estimated time from its start to the end of
+// the longest chain of steps that begins with it.
+func (s Spec) Chains() []time.Duration {
+	chains := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		chains[i] += s.Steps[i].Estimate
+		for _, a := range s.Steps[i].After {
+			chains[a] = max(chains[a], chains[i])
+		}
+	}
+	return chains
+}
--- /dev/null
+++ b/internal/fleet/term.go
@@ -0,0 +1,259 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Times of a term.
+const (
+	// tickInterval paces the work that no event triggers.
+	tickInterval = 25 * time.Millisecond
+	// renewInterval is how often a leader renews; followers wait several of them.
+	renewInterval = 400 * time.Millisecond
+	// orderLimit is how long a leader that cannot renew goes on giving orders.
+	// Store outages of some seconds must not stop running work.
+	orderLimit = 9 * time.Second
+	// mailboxSize bounds events that wait for the loop; senders wait beyond it.
+	mailboxSize = 8192
+	// eventsPerRound bounds the events handled before a plan is made.
+	eventsPerRound = 256
+)
+
+// event is something that happened; handle runs on the term's loop.
+type event interface{ handle(t *term) }
+
+// term is the time during which this node leads. All fields belong to the loop
+// unless they say otherwise.
+type term struct {
+	cfg    Config
+	log    *logrus.Entry
+	number uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+	mail   chan event
+	// retired tells why the term has ended.
+	retired atomic.Pointer[string]
+
+	now     time.Time
+	random  *rand.Rand
+	loaded  bool
+	jobs    map[string]*job
+	workers map[model.WorkerID]*worker
+	// gone holds lifetimes that were replaced or removed and may still hold runs.
+	gone    map[Lifetime]*worker
+	queues  map[string]Queue
+	setting *Configuration
+	out     map[model.DataCentre]bool
+	waves   map[int]*wave
+
+	// fenceVersion is the version of the fence row after the last transaction.
+	fenceVersion uint64
+	// began is the version of the store at which the term began.
+	began       uint64
+	commit      *commit
+	nextCommit  time.Time
+	lastRenewal time.Time // when the last successful renewal was sent
+	released    bool      // the last renewal says that the leader has stopped
+	usedDirty   map[Lifetime]usedRecord
+	usedGone    map[Lifetime]bool
+
+	// stopping means that no order is given any more.
+	stopping bool
+	dirty    bool // a plan is due
+	speeds   map[string]*speed
+	harm     interference
+	machines upkeep
+	counters *metrics
+}
+
+func newTerm(cfg Config, number, fenceVersion uint64, log *logrus.Entry, m *metrics) *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Now()
+	return &term{
+		cfg: cfg, log: log.WithField("term", number), number: number, ctx: ctx, cancel: cancel,
+		mail: make(chan event, mailboxSize), now: now, random: rand.New(rand.NewPCG(cfg.Seed, number)),
+		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{}, gone: map[Lifetime]*worker{},
+		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
+		fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
+		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
+		speeds: map[string]*speed{}, harm: newInterference(), counters: m,
+	}
+}
+
+// post hands an event to the loop. It drops the event when the term is over.
+func (t *term) post(e event) bool {
+	select {
+	case t.mail <- e:
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
+// retire ends the term.
+func (t *term) retire(reason string) {
+	if t.retired.CompareAndSwap(nil, &reason) {
+		t.log.WithField("reason", reason).Warn("term ends")
+	}
+	t.cancel()
+}
+
+// run is the loop. It returns when the term is over.
+func (t *term) run() {
+	t.log.WithField("fence_version", t.fenceVersion).Info("term begins")
+	t.counters.leading.Set(1)
+	defer t.counters.leading.Set(0)
+	go t.load()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for t.ctx.Err() == nil {
+		select {
+		case <-t.ctx.Done():
+			return
+		case e := <-t.mail:
+			t.now = time.Now()
+			e.handle(t)
+			t.drain()
+		case <-tick.C:
+			t.now = time.Now()
+			t.onTick()
+		}
+		if t.loaded && t.dirty && t.ctx.Err() == nil {
+			t.dirty = false
+			t.plan()
+		}
+		t.flush()
+	}
+}
+
+// drain handles further events that have arrived, up to a bound.
+func (t *term) drain() {
+	for range eventsPerRound {
+		select {
+		case e := <-t.mail:
+			e.handle(t)
+		default:
+			return
+		}
+	}
+}
+
+// onTick does what is due by time.
+func (t *term) onTick() {
+	if !t.loaded {
+		return
+	}
+	t.openOccurrences()
+	t.expire()
+	t.watchRuns()
+	t.sweepRuns()
+	t.scheduleLooks()
+	t.runUpkeep()
+	t.dirty = true
+}
+
+// active reports whether orders may be given: the term has renewed recently.
+func (t *term) active() bool {
+	return !t.stopping && t.now.Sub(t.lastRenewal) < orderLimit
+}
+
+// wall converts a time of day to this node's steady clock.
+func (t *term) wall(unixMS int64) time.Time {
+	return t.cfg.Started.Add(time.Duration(unixMS-t.cfg.StartedUnix) * time.Millisecond)
+}
+
+// openOccurrences opens the scheduled occurrences that are due.
+func (t *term) openOccurrences() {
+	for _, j := range t.jobs {
+		if j.opened < j.spec.Occurrences() && !j.over() {
+			j.open(t.now, 0, t.wall)
+		}
+	}
+}
+
+// loadedEvent carries the rows that a term starts from.
+type loadedEvent struct {
+	jobs, progress, used, workers, operator []Row
+	storeNow                                time.Duration
+}
+
+func (e loadedEvent) handle(t *term) {
+	for _, row := range e.workers {
+		t.workerRow(row)
+	}
+	for _, row := range e.operator {
+		t.operatorRow(row)
+	}
+	for _, row := range e.jobs {
+		t.jobRow(row, e.storeNow)
+	}
+	for _, row := range e.progress {
+		t.progressRow(row)
+	}
+	inherited := 0
+	for _, row := range e.used {
+		if t.usedRow(row) {
+			inherited++
+		}
+	}
+	t.loaded, t.dirty = true, true
+	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
+		"configuration": t.configurationVersion()}).Info("term has read the store")
+	t.scheduleLooks()
+}
+
+func (t *term) configurationVersion() uint64 {
+	if t.setting == nil {
+		return 0
+	}
+	return t.setting.Version
+}
+
+// usedRow marks a worker that may hold runs of earlier terms.
+func (t *term) usedRow(row Row) bool {
+	var u usedRecord
+	if decodeRecord(row, &u) != nil {
+		return false
+	}
+	w := t.workers[u.Life.Worker]
+	if w != nil && w.info.Born != u.Life.Born && u.Life.Born != 0 && w.info.Born != 0 {
+		if w.info.Born > u.Life.Born {
+			t.usedGone[u.Life] = true // that life is over
+			return false
+		}
+		w = nil
+	}
+	if w == nil {
+		w = newWorker(WorkerInfo{Lifetime: u.Life, Addr: u.Addr, DataCentre: u.DataCentre, Service: u.Service})
+		w.listed = false
+		t.workers[u.Life.Worker] = w
+	}
+	w.durable, w.inherited = true, true
+	w.deadBy = t.now.Add(orderLimit + time.Duration(float64(t.leaseLength())/clockSlack) + leaseMargin)
+	return true
+}
+
+// settled reports whether every worker that may hold unseen runs of earlier terms
+// has answered or holds nothing any more.
+func (t *term) settled() bool {
+	for _, w := range t.workers {
+		if w.inherited && !w.raised && t.now.Before(w.deadBy) {
+			return false
+		}
+	}
+	return true
+}
+
+// leaseMaximum bounds leases: long enough for a change of leader, short enough
+// that the work of a lost worker restarts soon.
+const leaseMaximum = 5 * time.Second
+
+// leaseLength is the lease that workers are granted.
+func (t *term) leaseLength() time.Duration { return min(t.cfg.Bounds.LeaseMax, leaseMaximum) }
--- /dev/null
+++ b/internal/fleet/worker.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+const (
+	// clockSlack is how much slower a worker's clock may be: 2% by its contract.
+	clockSlack = 0.98
+	// leaseMargin covers rounding of clocks to milliseconds.
+	leaseMargin = 50 * time.Millisecond
+)
+
+// runState is the leader's knowledge of a run.
+type runState int
+
+const (
+	// runSent: the start has no answer yet.
+	runSent runState = iota
+	// runLive: the worker has confirmed the run.
+	runLive
+	// runDoubt: the start got no answer; it may be carried out now or later.
+	runDoubt
+	// runStopping: a stop is to be answered, or its end to be listed.
+	runStopping
+)
+
+// run is one attempt of a task on a worker.
+type run struct {
+	ref    RunRef
+	job    *job
+	key    taskKey
+	worker *worker
+	step   *Step
+	state  runState
+	// reserved is what the run takes from its worker until its end is listed.
+	reserved model.Resources
+	// since is when the start was sent, or when the run was adopted.
+	since time.Time
+	// changed is when the state was entered.
+	changed time.Time
+	// confirmed is when the worker last answered an order for the run.
+	confirmed time.Time
+	stopSent  bool // a stop is on its way
+	stopped   bool // a stop was answered
+	reason    string
+	// percent is the last reported progress and moved when it last changed.
+	percent    int
+	moved      time.Time
+	reading    int
+	checkpoint string
+	// above is since when a serving task is over its target; zero otherwise.
+	above time.Time
+	// pace is the share of its speed that a filler was given.
+	pace     int
+	paceBusy bool
+	paceAt   time.Time
+	// adopted runs were started by an earlier term.
+	adopted bool
+}
+
+// live reports whether the run is expected to work on.
+func (r *run) live() bool { return r.state != runStopping }
+
+// worker is the leader's view of one lifetime of a worker.
+type worker struct {
+	info WorkerInfo
+	rack string
+	// listed is false once the platform's list lacks the entry.
+	listed bool
+	runs   map[RunRef]*run
+	used   model.Resources
+	// fillers is processor demand of filler runs in thousandths of a core.
+	fillers int64
+
+	// clock is the worker's clock in its latest answer, clockAt the time of receipt.
+	clock   time.Duration
+	clockAt time.Time
+	// lease is the highest deadline that was sent, on the worker's clock.
+	lease time.Duration
+
+	// raised means that the worker has answered in this term.
+	raised bool
+	// durable means that the worker's row of tableUsed is stored.
+	durable bool
+	// inherited workers may hold runs of earlier terms that nobody has seen.
+	inherited bool
+	// deadBy is when an unreachable inherited worker holds nothing any more.
+	deadBy time.Time
+
+	lookBusy bool
+	// probe asks for a look without waiting.
+	probe     bool
+	nextLook  time.Time
+	lookOK    time.Time // when the last answered look was sent
+	failures  int       // looks and orders without an answer, in a row
+	lastEnd   uint64    // highest end that was processed
+	committed uint64    // highest end that is durable
+	acked     uint64    // highest end that was acknowledged
+
+	health health
+}
+
+func newWorker(info WorkerInfo) *worker {
+	return &worker{info: info, rack: rackOf(info.Labels), listed: true, runs: map[RunRef]*run{}, health: newHealth()}
+}
+
+// rackOf returns the label that names the rack: the last one, after the kind.
+func rackOf(labels []string) string {
+	if len(labels) < 2 {
+		return ""
+	}
+	return labels[len(labels)-1]
+}
+
+// observe notes the worker's clock in an answer that was received at now.
+func (w *worker) observe(clock time.Duration, now time.Time) {
+	if clock > w.clock || w.clockAt.IsZero() {
+		w.clock, w.clockAt = clock, now
+	}
+	w.failures = 0
+}
+
+// deadline returns a lease end on the worker's clock, length from now, and
+// remembers it. The worker's clock must be known.
+func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
+	d := w.clock + now.Sub(w.clockAt) + length
+	w.lease = max(w.lease, d)
+	return d
+}
+
+// leaseOver returns when everything that was started under the leases sent so far
+// has ended, even on a slow clock.
+func (w *worker) leaseOver() time.Time {
+	if w.clockAt.IsZero() {
+		return time.Time{}
+	}
+	return w.clockAt.Add(time.Duration(float64(w.lease-w.clock)/clockSlack) + leaseMargin)
+}
+
+// free returns the capacity that no run reserves.
+func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
+
+// leftover is the processor capacity for one more filler, after those reserved.
+func (w *worker) leftover() int64 { return w.free().MilliCPU - w.fillers }
+
+// attach adds a run and reserves its resources.
+func (w *worker) attach(r *run) {
+	w.runs[r.ref] = r
+	w.used = w.used.Add(r.reserved)
+	if r.step != nil && r.step.Filler {
+		w.fillers += r.step.Needs.MilliCPU
+	}
+}
+
+// detach removes a run and frees its resources.
+func (w *worker) detach(r *run) {
+	if w.runs[r.ref] != r {
+		return
+	}
+	delete(w.runs, r.ref)
+	w.used = w.used.Sub(r.reserved)
+	if r.step != nil && r.step.Filler {
+		w.fillers -= r.step.Needs.MilliCPU
+	}
+}
+
+// hasLabel reports whether the worker carries a label.
+func (w *worker) hasLabel(label string) bool {
+	return label == "" || slices.ContainsFunc(w.info.Labels, func(l string) bool { return strings.EqualFold(l, label) })
+}
+
+// serving reports whether a run with a latency target is on the worker.
+func (w *worker) serving() bool {
+	for _, r := range w.runs {
+		if r.step != nil && r.step.LatencyTarget > 0 && r.live() {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether new runs may be sent to the worker.
+func (w *worker) usable(now time.Time, out map[model.DataCentre]bool) bool {
+	return w.listed && w.raised && w.durable && !w.info.Draining && w.failures == 0 &&
+		!out[w.info.DataCentre] && !w.health.resting(now)
+}
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/storeclient"
 )
 
@@ -99,10 +99,10 @@
 }
 
 func (a *appendOp) put(ctx context.Context) Step {
-	err := a.log.table.Commit(ctx, platform.Write{
+	err := a.log.table.Commit(ctx, external.Write{
 		Key:       a.log.key(a.seq),
 		Value:     a.value,
-		Condition: platform.Condition{Absent: true},
+		Condition: external.Condition{Absent: true},
 	})
 	kind := kindOf(err)
 	step := AfterPut(kind, a.unresolved)
--- a/internal/journal/journaltest/store.go
+++ b/internal/journal/journaltest/store.go
@@ -10,15 +10,15 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Op is an operation as the fault hook sees it.
 type Op struct {
 	Node  string
 	Name  string
-	Key   platform.Key
+	Key   external.Key
 	Write bool
 }
 
@@ -61,7 +61,7 @@
 }
 
 type stored struct {
-	platform.Row
+	external.Row
 	commit uint64
 }
 
@@ -93,8 +93,8 @@
 	s.objects[name] = data
 }
 
-// Node is one process's access to the store. It implements platform.Table;
-// Objects returns its platform.Objects.
+// Node is one process's access to the store. It implements external.Table;
+// Objects returns its external.Objects.
 type Node struct {
 	store *Store
 	name  string
@@ -209,13 +209,13 @@
 	return inject(op)
 }
 
-// Commit implements platform.Table.
-func (n *Node) Commit(ctx context.Context, writes ...platform.Write) error {
+// Commit implements external.Table.
+func (n *Node) Commit(ctx context.Context, writes ...external.Write) error {
 	op := Op{Name: "commit", Key: writes[0].Key, Write: true}
 	return n.do(ctx, op, func(Fault) error { return n.store.commit(writes) })
 }
 
-func (s *Store) commit(writes []platform.Write) error {
+func (s *Store) commit(writes []external.Write) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, w := range writes {
@@ -240,7 +240,7 @@
 	return p
 }
 
-func (p *partition) put(w platform.Write, commit uint64) {
+func (p *partition) put(w external.Write, commit uint64) {
 	i, found := slices.BinarySearch(p.names, w.Key.Row)
 	if w.Delete {
 		delete(p.rows, w.Key.Row)
@@ -250,14 +250,14 @@
 		return
 	}
 	version := p.rows[w.Key.Row].Version + 1
-	p.rows[w.Key.Row] = stored{Row: platform.Row{Key: w.Key, Value: w.Value, Version: version}, commit: commit}
+	p.rows[w.Key.Row] = stored{Row: external.Row{Key: w.Key, Value: w.Value, Version: version}, commit: commit}
 	if !found {
 		p.names = slices.Insert(p.names, i, w.Key.Row)
 	}
 }
 
-// Get implements platform.Table.
-func (n *Node) Get(ctx context.Context, key platform.Key) (row platform.Row, err error) {
+// Get implements external.Table.
+func (n *Node) Get(ctx context.Context, key external.Key) (row external.Row, err error) {
 	err = n.do(ctx, Op{Name: "get", Key: key}, func(f Fault) error {
 		n.store.mu.Lock()
 		defer n.store.mu.Unlock()
@@ -271,9 +271,9 @@
 	return row, err
 }
 
-// Range implements platform.Table.
-func (n *Node) Range(ctx context.Context, partition, from string, limit int) (rows []platform.Row, err error) {
-	err = n.do(ctx, Op{Name: "range", Key: platform.Key{Partition: partition, Row: from}}, func(f Fault) error {
+// Range implements external.Table.
+func (n *Node) Range(ctx context.Context, partition, from string, limit int) (rows []external.Row, err error) {
+	err = n.do(ctx, Op{Name: "range", Key: external.Key{Partition: partition, Row: from}}, func(f Fault) error {
 		n.store.mu.Lock()
 		defer n.store.mu.Unlock()
 		if n.store.Page > 0 {
@@ -292,12 +292,12 @@
 }
 
 // Objects returns the process's access to the object store.
-func (n *Node) Objects() platform.Objects { return objects{n} }
+func (n *Node) Objects() external.Objects { return objects{n} }
 
 type objects struct{ n *Node }
 
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
-	op := Op{Name: "object-put", Key: platform.Key{Row: name}, Write: true}
+	op := Op{Name: "object-put", Key: external.Key{Row: name}, Write: true}
 	return o.locked(ctx, op, func(m map[string][]byte) error {
 		m[name] = slices.Clone(data)
 		return nil
@@ -305,7 +305,7 @@
 }
 
 func (o objects) Get(ctx context.Context, name string) (data []byte, err error) {
-	err = o.locked(ctx, Op{Name: "object-get", Key: platform.Key{Row: name}}, func(m map[string][]byte) error {
+	err = o.locked(ctx, Op{Name: "object-get", Key: external.Key{Row: name}}, func(m map[string][]byte) error {
 		var ok bool
 		if data, ok = m[name]; !ok {
 			return model.Errorf(model.KindNotFound, "", "no object %s", name)
@@ -316,7 +316,7 @@
 }
 
 func (o objects) List(ctx context.Context, prefix string) (names []string, err error) {
-	err = o.locked(ctx, Op{Name: "object-list", Key: platform.Key{Row: prefix}}, func(m map[string][]byte) error {
+	err = o.locked(ctx, Op{Name: "object-list", Key: external.Key{Row: prefix}}, func(m map[string][]byte) error {
 		for name := range m {
 			if strings.HasPrefix(name, prefix) {
 				names = append(names, name)
@@ -329,7 +329,7 @@
 }
 
 func (o objects) Delete(ctx context.Context, name string) error {
-	op := Op{Name: "object-delete", Key: platform.Key{Row: name}, Write: true}
+	op := Op{Name: "object-delete", Key: external.Key{Row: name}, Write: true}
 	return o.locked(ctx, op, func(m map[string][]byte) error {
 		delete(m, name)
 		return nil
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"strconv"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // sequenceDigits is the width of a sequence in row and object names, so that
@@ -31,20 +31,20 @@
 // Log is a journal in one partition of the table service. It holds no state of
 // its own and is safe for concurrent use.
 type Log struct {
-	table     platform.Table
+	table     external.Table
 	partition string
 }
 
 // New returns the journal kept in partition.
-func New(table platform.Table, partition string) *Log {
+func New(table external.Table, partition string) *Log {
 	return &Log{table: table, partition: partition}
 }
 
 // Partition returns the name of the journal's partition.
 func (l *Log) Partition() string { return l.partition }
 
-func (l *Log) key(seq uint64) platform.Key {
-	return platform.Key{Partition: l.partition, Row: SequenceRow(seq)}
+func (l *Log) key(seq uint64) external.Key {
+	return external.Key{Partition: l.partition, Row: SequenceRow(seq)}
 }
 
 // Append writes b at seq, which must be one above the last sequence that the
@@ -92,7 +92,7 @@
 	return entries, nil
 }
 
-func decodeRow(row platform.Row) (Entry, error) {
+func decodeRow(row external.Row) (Entry, error) {
 	seq, err := ParseSequence(row.Key.Row)
 	if err != nil {
 		return Entry{}, err
@@ -172,13 +172,13 @@
 	}
 }
 
-func deletesUpTo(rows []platform.Row, last string) []platform.Write {
-	var deletes []platform.Write
+func deletesUpTo(rows []external.Row, last string) []external.Write {
+	var deletes []external.Write
 	for _, row := range rows {
 		if row.Key.Row > last {
 			break
 		}
-		deletes = append(deletes, platform.Write{Key: row.Key, Delete: true})
+		deletes = append(deletes, external.Write{Key: row.Key, Delete: true})
 	}
 	return deletes
 }
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -9,8 +9,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // keptSnapshots is the number of snapshots kept, so that one corrupt snapshot
@@ -80,14 +80,14 @@
 // Snapshots keeps the snapshots of one journal in the object store under
 // prefix/<sequence>, and truncates the journal behind the older one.
 type Snapshots struct {
-	objects platform.Objects
+	objects external.Objects
 	prefix  string
 	log     *Log
 }
 
 // NewSnapshots returns the snapshots under prefix. log is truncated by Save; nil
 // leaves the journal as it is.
-func NewSnapshots(objects platform.Objects, prefix string, log *Log) *Snapshots {
+func NewSnapshots(objects external.Objects, prefix string, log *Log) *Snapshots {
 	return &Snapshots{objects: objects, prefix: strings.TrimSuffix(prefix, "/") + "/", log: log}
 }
 
--- a/internal/model/errors.go
+++ b/internal/model/errors.go
@@ -13,6 +13,9 @@
 	KindInvalid Kind = "invalid"
 	// KindNotFound is a reference to something that does not exist.
 	KindNotFound Kind = "not-found"
+	// KindGone is a reference to something that does not exist any more, or that
+	// nobody has created.
+	KindGone Kind = "gone"
 	// KindConflict is a lost race or a failed condition; nothing was written.
 	KindConflict Kind = "conflict"
 	// KindFenced means that a newer owner has taken over.
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 
-	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/external"
 )
 
 // fakeHosts is a host list in memory.
 type fakeHosts struct {
-	hosts []platform.Host
+	hosts []external.Host
 	err   error
 }
 
-// Hosts implements platform.HostList.
-func (f *fakeHosts) Hosts(context.Context) ([]platform.Host, error) { return f.hosts, f.err }
+// Hosts implements external.HostList.
+func (f *fakeHosts) Hosts(context.Context) ([]external.Host, error) { return f.hosts, f.err }
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -9,15 +9,15 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/external"
 )
 
 // hostCache holds the latest host list and remembers which entry hosts were ever
 // listed.
 type hostCache struct {
-	source platform.HostList
+	source external.HostList
 	log    *logrus.Entry
-	hosts  atomic.Pointer[[]platform.Host]
+	hosts  atomic.Pointer[[]external.Host]
 
 	mu sync.Mutex
 	// entry holds the IP addresses of entry hosts ever listed; true while listed.
@@ -25,12 +25,12 @@
 	read  bool
 }
 
-func newHostCache(source platform.HostList, log *logrus.Entry) *hostCache {
+func newHostCache(source external.HostList, log *logrus.Entry) *hostCache {
 	return &hostCache{source: source, log: log, entry: map[string]bool{}}
 }
 
 // Hosts returns the latest list; the slice is replaced, never changed in place.
-func (h *hostCache) Hosts() []platform.Host {
+func (h *hostCache) Hosts() []external.Host {
 	if p := h.hosts.Load(); p != nil {
 		return *p
 	}
@@ -88,7 +88,7 @@
 		h.entry[ip] = false
 	}
 	for _, host := range hosts {
-		if host.Role == platform.RoleEntry {
+		if host.Role == external.RoleEntry {
 			h.entry[ipOf(host.Addr)] = true
 		}
 	}
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/share"
 )
 
@@ -181,7 +181,7 @@
 func (n *Node) holdsSlots() bool {
 	held := map[model.ServiceName]bool{}
 	for _, h := range n.hosts.Hosts() {
-		if h.Role != platform.RoleRunner || h.State != platform.HostLive || held[h.Service] {
+		if h.Role != external.RoleRunner || h.State != external.HostLive || held[h.Service] {
 			continue
 		}
 		held[h.Service] = n.shares.Limit(h.Service, model.RunnerID(h.ID)) > 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,13 +14,13 @@
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/httpapi"
 	"github.com/vanillapier/vanillapier/internal/journal"
 	"github.com/vanillapier/vanillapier/internal/membership"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/owner"
 	"github.com/vanillapier/vanillapier/internal/ownership"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/httpapi"
 	"github.com/vanillapier/vanillapier/internal/request"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 	"github.com/vanillapier/vanillapier/internal/share"
@@ -61,8 +61,8 @@
 	callerLn, adminLn net.Listener
 	peerLn            net.Listener
 	commands          chan command
-	store             platform.Table
-	objects           platform.Objects
+	store             external.Table
+	objects           external.Objects
 	decisions         telemetry.DecisionLogger
 	seed              uint64
 	// digests counts digests, to rotate what does not fit into one.
@@ -164,7 +164,7 @@
 	return doc.Declaration, nil
 }
 
-func (n *Node) ownerConfig(workers platform.WorkerAPI) owner.Config {
+func (n *Node) ownerConfig(workers external.WorkerAPI) owner.Config {
 	return owner.Config{
 		Node: n.id, Workers: workers,
 		View:  n.control.View,
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/request"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 	"github.com/vanillapier/vanillapier/internal/share"
@@ -237,7 +237,7 @@
 // Guards against members that are removed although the platform never listed
 // their hosts, or still does.
 func TestHostsGone(t *testing.T) {
-	listed := []platform.Host{{ID: "e", Role: platform.RoleEntry, Addr: "10.0.0.1:1"}, {ID: "w", Role: platform.RoleWorker, Addr: "10.0.0.2:1"}}
+	listed := []external.Host{{ID: "e", Role: external.RoleEntry, Addr: "10.0.0.1:1"}, {ID: "w", Role: external.RoleWorker, Addr: "10.0.0.2:1"}}
 	source := &fakeHosts{hosts: listed}
 	h := newHostCache(source, testLog())
 	require.False(t, h.Gone("10.0.0.1:9"))
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -10,8 +10,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/adminapi"
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Status describes this node for operators. It implements adminapi.Status.
@@ -70,7 +70,7 @@
 	}
 	runners := map[model.DataCentre]int{}
 	for _, h := range n.hosts.Hosts() {
-		if h.Role == platform.RoleRunner && h.State == platform.HostLive {
+		if h.Role == external.RoleRunner && h.State == external.HostLive {
 			runners[h.DataCentre]++
 		}
 	}
--- a/internal/owner/effects.go
+++ b/internal/owner/effects.go
@@ -8,8 +8,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
@@ -31,11 +31,11 @@
 			if e.Reason == dispatch.ReasonUnreachable {
 				r.sched.NoteUnreachable(e.Worker, e.Ref.Task, now)
 			}
-			r.takeEnd(e.Worker, platform.EndedAttempt{AttemptRef: e.Ref, Outcome: model.OutcomeNotRun, Error: e.Reason}, now)
+			r.takeEnd(e.Worker, external.EndedAttempt{AttemptRef: e.Ref, Outcome: model.OutcomeNotRun, Error: e.Reason}, now)
 		case dispatch.EventCheckpointed:
 			r.takeCheckpoint(e)
 		case dispatch.EventAdopted, dispatch.EventReport:
-			r.sched.Observe(platform.WorkerReport{Worker: e.Worker, Running: e.Running, Services: e.Services}, now)
+			r.sched.Observe(external.WorkerReport{Worker: e.Worker, Running: e.Running, Services: e.Services}, now)
 		case dispatch.EventFenced:
 			r.log.WithField("reason", e.Reason).Warn("a worker knows a newer owner")
 		}
@@ -44,8 +44,8 @@
 
 // takeEnd records the end of an attempt. An end that is not the live attempt's
 // is a repetition of one that is durable already, and is acknowledged at once.
-func (r *Runtime) takeEnd(worker model.WorkerID, ended platform.EndedAttempt, now time.Time) {
-	records := r.sched.EndedRecords(worker, []platform.EndedAttempt{ended}, now)
+func (r *Runtime) takeEnd(worker model.WorkerID, ended external.EndedAttempt, now time.Time) {
+	records := r.sched.EndedRecords(worker, []external.EndedAttempt{ended}, now)
 	for _, rec := range records {
 		if err := r.apply(rec); err != nil {
 			r.log.WithError(err).Warn("the state refused the end of an attempt")
@@ -58,7 +58,7 @@
 }
 
 // logEnd writes the line that tells how an attempt ended.
-func (r *Runtime) logEnd(worker model.WorkerID, ended platform.EndedAttempt) {
+func (r *Runtime) logEnd(worker model.WorkerID, ended external.EndedAttempt) {
 	r.cfg.Decisions.LogDecision(telemetry.Decision{
 		Kind: telemetry.KindEnd, Subject: string(ended.Task), Choice: string(worker), Reason: string(ended.Outcome),
 		Fields: logrus.Fields{"cell": string(r.id), "attempt": uint32(ended.Attempt)},
@@ -103,7 +103,7 @@
 	case rec.Placed != nil:
 		r.start(rec.Placed)
 	case rec.Evicting != nil:
-		r.disp.Evict(platform.AttemptRef{Task: rec.Evicting.Task, Attempt: rec.Evicting.Attempt})
+		r.disp.Evict(external.AttemptRef{Task: rec.Evicting.Task, Attempt: rec.Evicting.Attempt})
 	case rec.Cancelled != nil:
 		r.stopCancelled(rec.Cancelled.Job)
 	}
@@ -114,8 +114,8 @@
 	if !ok || task.Attempt != p.Attempt || !task.State.HoldsWorker() {
 		return
 	}
-	ref := platform.AttemptRef{Task: p.Task, Attempt: p.Attempt}
-	err := r.disp.Start(p.Worker, platform.Start{
+	ref := external.AttemptRef{Task: p.Task, Attempt: p.Attempt}
+	err := r.disp.Start(p.Worker, external.Start{
 		AttemptRef: ref, Class: task.Spec.Class, Resources: task.Spec.Resources,
 		Lease: r.cfg.Dispatch.TaskLease, Checkpoint: task.Checkpoint, Payload: task.Spec.Payload,
 	})
@@ -131,12 +131,12 @@
 // unsentStart is a durable placement that no worker was told of.
 type unsentStart struct {
 	worker model.WorkerID
-	ended  platform.EndedAttempt
+	ended  external.EndedAttempt
 }
 
 // requeue records that an attempt was never sent.
-func (r *Runtime) requeue(worker model.WorkerID, ref platform.AttemptRef, cause error) {
-	ended := platform.EndedAttempt{AttemptRef: ref, Outcome: model.OutcomeNotRun, Error: cause.Error()}
+func (r *Runtime) requeue(worker model.WorkerID, ref external.AttemptRef, cause error) {
+	ended := external.EndedAttempt{AttemptRef: ref, Outcome: model.OutcomeNotRun, Error: cause.Error()}
 	r.unsent = append(r.unsent, unsentStart{worker: worker, ended: ended})
 }
 
--- a/internal/owner/layout.go
+++ b/internal/owner/layout.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // cellSeparator stands between the data centre and the number of a cell.
@@ -46,7 +46,7 @@
 
 // CellOfWorker returns the cell that a worker belongs to. A data centre that the
 // declaration does not list has no cells; the result is empty.
-func CellOfWorker(view *control.View, h platform.Host) model.CellID {
+func CellOfWorker(view *control.View, h external.Host) model.CellID {
 	if view == nil || view.Declaration == nil {
 		return ""
 	}
