--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -18,8 +18,8 @@
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
@@ -42,13 +42,13 @@
 	// Node is this node's id.
 	Node model.NodeID
 	// Workers carries commands to worker hosts.
-	Workers platform.WorkerAPI
+	Workers external.WorkerAPI
 	// View returns the current control view.
 	View func() *control.View
 	// Fresh reports whether the view is recent enough for starts.
 	Fresh func(now time.Time) bool
 	// Hosts returns the latest host list.
-	Hosts func() []platform.Host
+	Hosts func() []external.Host
 	// OutageRenewal reports whether task leases of a cell may be renewed although
 	// the ownership lease has expired (store outage).
 	OutageRenewal func(id model.CellID, epoch model.Epoch) bool
@@ -101,14 +101,14 @@
 
 // Dispatcher carries commands to workers; *dispatch.Dispatcher implements it.
 type Dispatcher interface {
-	SetWorkers(hosts []platform.Host)
+	SetWorkers(hosts []external.Host)
 	SetEpochAcknowledged(at time.Time)
-	Start(worker model.WorkerID, s platform.Start) error
-	Evict(ref platform.AttemptRef)
-	Stop(ref platform.AttemptRef)
-	Checkpoint(ref platform.AttemptRef)
-	Throttle(ref platform.AttemptRef, percent int)
-	Ack(refs ...platform.AttemptRef)
+	Start(worker model.WorkerID, s external.Start) error
+	Evict(ref external.AttemptRef)
+	Stop(ref external.AttemptRef)
+	Checkpoint(ref external.AttemptRef)
+	Throttle(ref external.AttemptRef, percent int)
+	Ack(refs ...external.AttemptRef)
 	Events() []dispatch.Event
 	Notify() <-chan struct{}
 	Run(ctx context.Context) error
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -16,8 +16,8 @@
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
 
@@ -50,20 +50,20 @@
 
 // fakeDispatcher notes what it is told.
 type fakeDispatcher struct {
-	started, acked []platform.AttemptRef
+	started, acked []external.AttemptRef
 	events         []dispatch.Event
 }
 
-func (d *fakeDispatcher) SetWorkers([]platform.Host)        {}
+func (d *fakeDispatcher) SetWorkers([]external.Host)        {}
 func (d *fakeDispatcher) SetEpochAcknowledged(time.Time)    {}
-func (d *fakeDispatcher) Evict(platform.AttemptRef)         {}
-func (d *fakeDispatcher) Stop(platform.AttemptRef)          {}
-func (d *fakeDispatcher) Checkpoint(platform.AttemptRef)    {}
-func (d *fakeDispatcher) Throttle(platform.AttemptRef, int) {}
+func (d *fakeDispatcher) Evict(external.AttemptRef)         {}
+func (d *fakeDispatcher) Stop(external.AttemptRef)          {}
+func (d *fakeDispatcher) Checkpoint(external.AttemptRef)    {}
+func (d *fakeDispatcher) Throttle(external.AttemptRef, int) {}
 func (d *fakeDispatcher) Notify() <-chan struct{}           { return nil }
 func (d *fakeDispatcher) Run(context.Context) error         { return nil }
-func (d *fakeDispatcher) Ack(refs ...platform.AttemptRef)   { d.acked = append(d.acked, refs...) }
-func (d *fakeDispatcher) Start(_ model.WorkerID, s platform.Start) error {
+func (d *fakeDispatcher) Ack(refs ...external.AttemptRef)   { d.acked = append(d.acked, refs...) }
+func (d *fakeDispatcher) Start(_ model.WorkerID, s external.Start) error {
 	d.started = append(d.started, s.AttemptRef)
 	return nil
 }
@@ -75,21 +75,21 @@
 
 func testRuntime() (*Runtime, *fakeJournal, *fakeDispatcher) {
 	hosts := testHosts(3)
-	return testRuntimeWith(func() []platform.Host { return hosts })
+	return testRuntimeWith(func() []external.Host { return hosts })
 }
 
-func testHosts(count int) []platform.Host {
-	var hosts []platform.Host
+func testHosts(count int) []external.Host {
+	var hosts []external.Host
 	for i := range count {
-		hosts = append(hosts, platform.Host{
-			ID: fmt.Sprintf("w%d", i), Role: platform.RoleWorker, State: platform.HostLive, DataCentre: "south",
+		hosts = append(hosts, external.Host{
+			ID: fmt.Sprintf("w%d", i), Role: external.RoleWorker, State: external.HostLive, DataCentre: "south",
 			Rack: "r0", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 16000},
 		})
 	}
 	return hosts
 }
 
-func testRuntimeWith(hosts func() []platform.Host) (*Runtime, *fakeJournal, *fakeDispatcher) {
+func testRuntimeWith(hosts func() []external.Host) (*Runtime, *fakeJournal, *fakeDispatcher) {
 	view := &control.View{
 		Sequence: 1,
 		Declaration: &declaration.Declaration{
@@ -185,13 +185,13 @@
 	task, _ := r.state.Task("a/0")
 	ended := dispatch.Event{
 		Kind: dispatch.EventEnded, Worker: task.Worker, Ref: task.Ref(),
-		Ended: platform.EndedAttempt{AttemptRef: task.Ref(), Outcome: model.OutcomeDone, Result: "x"},
+		Ended: external.EndedAttempt{AttemptRef: task.Ref(), Outcome: model.OutcomeDone, Result: "x"},
 	}
 	j.before = func() { assert.Empty(t, d.acked) }
 	d.events = []dispatch.Event{ended}
 	_, err = r.iterate(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, []platform.AttemptRef{ended.Ref}, d.acked)
+	require.Equal(t, []external.AttemptRef{ended.Ref}, d.acked)
 	j.before = nil
 	d.events = []dispatch.Event{ended}
 	_, err = r.iterate(t.Context())
@@ -231,7 +231,7 @@
 // Guards against a host list that is taken for the former one.
 func TestChangedHostListIsUsed(t *testing.T) {
 	hosts := testHosts(1)
-	r, _, d := testRuntimeWith(func() []platform.Host { return hosts })
+	r, _, d := testRuntimeWith(func() []external.Host { return hosts })
 	submit(r, testJob("a", 16))
 	for _, count := range []int{1, 2, 1} {
 		hosts = testHosts(count)
@@ -246,7 +246,7 @@
 // workers, the target size.
 func BenchmarkIdleIteration(b *testing.B) {
 	hosts := testHosts(21_000)
-	r, _, _ := testRuntimeWith(func() []platform.Host { return hosts })
+	r, _, _ := testRuntimeWith(func() []external.Host { return hosts })
 	for b.Loop() {
 		if _, err := r.iterate(b.Context()); err != nil {
 			b.Fatal(err)
@@ -289,7 +289,7 @@
 			outcome := rapid.SampledFrom(outcomes).Draw(t, "outcome")
 			events = append(events, dispatch.Event{
 				Kind: dispatch.EventEnded, Worker: task.Worker, Ref: task.Ref(),
-				Ended: platform.EndedAttempt{AttemptRef: task.Ref(), Outcome: outcome},
+				Ended: external.EndedAttempt{AttemptRef: task.Ref(), Outcome: outcome},
 			})
 		}
 	}
--- a/internal/owner/runtime.go
+++ b/internal/owner/runtime.go
@@ -11,9 +11,9 @@
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
 	"github.com/vanillapier/vanillapier/internal/dispatch"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/ownership"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
 
@@ -284,14 +284,14 @@
 // declarations are replaced, never changed in place.
 type hostSource struct {
 	declaration *declaration.Declaration
-	first       *platform.Host
+	first       *external.Host
 	count       int
 }
 
-func (r *Runtime) setHosts(hosts []platform.Host, view *control.View) {
-	var mine []platform.Host
+func (r *Runtime) setHosts(hosts []external.Host, view *control.View) {
+	var mine []external.Host
 	for _, h := range hosts {
-		if h.Role == platform.RoleWorker && CellOfWorker(view, h) == r.id {
+		if h.Role == external.RoleWorker && CellOfWorker(view, h) == r.id {
 			mine = append(mine, h)
 		}
 	}
@@ -300,7 +300,7 @@
 	for _, h := range mine {
 		workers = append(workers, scheduler.Worker{
 			ID: model.WorkerID(h.ID), DataCentre: h.DataCentre, Rack: h.Rack,
-			Capacity: h.Capacity, Leaving: h.State == platform.HostLeaving,
+			Capacity: h.Capacity, Leaving: h.State == external.HostLeaving,
 		})
 	}
 	r.sched.SetWorkers(workers)
--- a/internal/ownership/config.go
+++ b/internal/ownership/config.go
@@ -6,9 +6,9 @@
 import (
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/journal"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
@@ -20,8 +20,8 @@
 	// Addr is the address at which peers reach this node. Required.
 	Addr string
 	// Table and Objects keep journals and snapshots. Required.
-	Table   platform.Table
-	Objects platform.Objects
+	Table   external.Table
+	Objects external.Objects
 	// Peers, when set, serves state of warm followers for recovery.
 	Peers PeerSource
 	// Lease is the ownership lease L. Default 6s.
--- a/internal/ownership/recovery_test.go
+++ b/internal/ownership/recovery_test.go
@@ -11,11 +11,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/journal"
 	"github.com/vanillapier/vanillapier/internal/journal/journaltest"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/ownership"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // peer is a warm follower on another node, one network round trip away.
@@ -30,9 +30,9 @@
 func transfer(n int) { time.Sleep(time.Duration(n) * time.Second / bytesPerSecond) }
 
 // linked adds the transfer time of what is read from the store.
-type linked struct{ platform.Table }
+type linked struct{ external.Table }
 
-func (l linked) Range(ctx context.Context, partition, from string, limit int) ([]platform.Row, error) {
+func (l linked) Range(ctx context.Context, partition, from string, limit int) ([]external.Row, error) {
 	rows, err := l.Table.Range(ctx, partition, from, limit)
 	for _, r := range rows {
 		transfer(len(r.Value))
@@ -40,7 +40,7 @@
 	return rows, err
 }
 
-type linkedObjects struct{ platform.Objects }
+type linkedObjects struct{ external.Objects }
 
 func (l linkedObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	data, err := l.Objects.Get(ctx, name)
--- a/internal/replay/checks.go
+++ b/internal/replay/checks.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Bounds of section 2 of the design page.
@@ -44,7 +44,7 @@
 }
 
 // checkStart checks from the worker's side that a start may happen.
-func (s *sim) checkStart(w *worker, t *work, ref platform.AttemptRef) {
+func (s *sim) checkStart(w *worker, t *work, ref external.AttemptRef) {
 	used := t.need
 	for _, r := range w.runs {
 		used = used.Add(r.work.need)
--- a/internal/replay/owner.go
+++ b/internal/replay/owner.go
@@ -6,8 +6,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
 
@@ -42,9 +42,9 @@
 	inbox   []cell.Record
 	// flight is the part of the batch being appended that came from outside.
 	flight []cell.Record
-	known  map[platform.AttemptRef]bool
+	known  map[external.AttemptRef]bool
 	// noted holds the last checkpoint of each attempt that was submitted.
-	noted  map[platform.AttemptRef]string
+	noted  map[external.AttemptRef]string
 	busy   bool
 	down   bool
 	due    time.Duration
@@ -188,7 +188,7 @@
 // start sends a start, unless the view says by now that the data centre is out;
 // the attempt then ends without having run.
 func (o *owner) start(p *cell.Placed) {
-	ref := platform.AttemptRef{Task: p.Task, Attempt: p.Attempt}
+	ref := external.AttemptRef{Task: p.Task, Attempt: p.Attempt}
 	if o.view.IsOut(o.dc) {
 		o.submit(cell.Record{Ended: &cell.Ended{Task: p.Task, Attempt: p.Attempt, Outcome: model.OutcomeNotRun}})
 		return
@@ -200,7 +200,7 @@
 	o.sim.after(commandDelay, func() { w.start(ref, o.sim.tasks[p.Task], checkpoint) })
 }
 
-func (o *owner) command(id model.TaskID, send func(*worker, platform.AttemptRef)) {
+func (o *owner) command(id model.TaskID, send func(*worker, external.AttemptRef)) {
 	t, _ := o.st.Task(id)
 	w, ref := o.sim.workers[t.Worker], t.Ref()
 	o.sim.after(commandDelay, func() { send(w, ref) })
@@ -216,7 +216,7 @@
 
 func (o *owner) ended(e *cell.Ended) {
 	t, _ := o.st.Task(e.Task)
-	ref := platform.AttemptRef{Task: e.Task, Attempt: e.Attempt}
+	ref := external.AttemptRef{Task: e.Task, Attempt: e.Attempt}
 	delete(o.known, ref)
 	delete(o.noted, ref)
 	if w := o.sim.workers[t.Worker]; w != nil {
@@ -271,13 +271,13 @@
 
 // observe takes in a report: samples, checkpoints, ended attempts, and attempts
 // that the worker no longer runs.
-func (o *owner) observe(w *worker, report platform.WorkerReport) {
+func (o *owner) observe(w *worker, report external.WorkerReport) {
 	w.contact = o.sim.now
 	if o.down {
 		return
 	}
 	o.sched.Observe(report, o.sim.time())
-	var fresh []platform.EndedAttempt
+	var fresh []external.EndedAttempt
 	for _, e := range report.Ended {
 		if !o.known[e.AttemptRef] {
 			o.known[e.AttemptRef] = true
@@ -306,7 +306,7 @@
 
 // missing returns ends for attempts that a worker has lost by a restart: it
 // reports, the start was sent long enough ago, and it knows nothing of them.
-func (o *owner) missing(w *worker, report platform.WorkerReport) []cell.Record {
+func (o *owner) missing(w *worker, report external.WorkerReport) []cell.Record {
 	var out []cell.Record
 	for _, t := range o.st.LiveOn(w.ID) {
 		ref := t.Ref()
@@ -319,7 +319,7 @@
 	return out
 }
 
-func hasEnded(report platform.WorkerReport, ref platform.AttemptRef) bool {
+func hasEnded(report external.WorkerReport, ref external.AttemptRef) bool {
 	for _, e := range report.Ended {
 		if e.AttemptRef == ref {
 			return true
@@ -373,7 +373,7 @@
 		o.sim.must(o.st.RestoreSnapshot(snapshot))
 		o.sched = scheduler.New(o.sim.config, o.st)
 		o.sim.must(o.sched.RestoreEstimates(o.st.Aux()))
-		o.known, o.noted = map[platform.AttemptRef]bool{}, map[platform.AttemptRef]string{}
+		o.known, o.noted = map[external.AttemptRef]bool{}, map[external.AttemptRef]string{}
 		o.down = false
 		o.recover(lost)
 		o.watch()
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -10,8 +10,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
 
@@ -29,7 +29,7 @@
 	tasks     map[model.TaskID]*work
 	jobs      map[model.JobID][]*work
 	summaries []scheduler.CellSummary
-	placedAt  map[platform.AttemptRef]time.Duration
+	placedAt  map[external.AttemptRef]time.Duration
 	// checkpoints maps a checkpoint object to the progress behind it, and
 	// durable a task to its last checkpoint in the journal.
 	checkpoints map[string]time.Duration
@@ -102,7 +102,7 @@
 		engine: newEngine(seed), trace: t, config: cfg,
 		owners: map[model.CellID]*owner{}, workers: map[model.WorkerID]*worker{},
 		tasks: map[model.TaskID]*work{}, jobs: map[model.JobID][]*work{},
-		placedAt: map[platform.AttemptRef]time.Duration{}, checkpoints: map[string]time.Duration{},
+		placedAt: map[external.AttemptRef]time.Duration{}, checkpoints: map[string]time.Duration{},
 		durable: map[model.TaskID]string{},
 		outAt:   map[model.DataCentre]time.Duration{}, loads: map[model.DataCentre]float64{},
 		noises: map[model.ClassName]float64{}, teams: t.Header.Teams,
@@ -122,7 +122,7 @@
 
 func (s *sim) addDataCentre(dc DataCentre) {
 	o := &owner{sim: s, id: model.CellID(dc.Name + "-0"), dc: dc.Name, view: s.view}
-	o.known, o.noted = map[platform.AttemptRef]bool{}, map[platform.AttemptRef]string{}
+	o.known, o.noted = map[external.AttemptRef]bool{}, map[external.AttemptRef]string{}
 	o.st = cell.NewState(o.id)
 	o.sched = scheduler.New(s.config, o.st)
 	s.owners[o.id] = o
--- a/internal/replay/traces_test.go
+++ b/internal/replay/traces_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 const traceDir = "../../testdata/traces"
@@ -45,6 +45,6 @@
 	}
 }
 
-func placedRef(task string, attempt uint32) platform.AttemptRef {
-	return platform.AttemptRef{Task: model.TaskID(task), Attempt: model.Attempt(attempt)}
+func placedRef(task string, attempt uint32) external.AttemptRef {
+	return external.AttemptRef{Task: model.TaskID(task), Attempt: model.Attempt(attempt)}
 }
--- a/internal/replay/worker.go
+++ b/internal/replay/worker.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/scheduler"
 )
 
@@ -51,7 +51,7 @@
 
 // run is an attempt on a worker.
 type run struct {
-	platform.AttemptRef
+	external.AttemptRef
 	work     *work
 	started  time.Duration
 	updated  time.Duration
@@ -71,10 +71,10 @@
 	sim      *sim
 	cell     *owner
 	runs     []*run
-	ended    []platform.EndedAttempt
+	ended    []external.EndedAttempt
 	downTill time.Duration
 	badTill  time.Duration
-	samples  []platform.ServiceSample
+	samples  []external.ServiceSample
 	sampled  time.Duration
 	contact  time.Duration
 	reports  int
@@ -83,7 +83,7 @@
 func (w *worker) up() bool  { return w.sim.now >= w.downTill }
 func (w *worker) bad() bool { return w.sim.now < w.badTill }
 
-func (w *worker) find(ref platform.AttemptRef) *run {
+func (w *worker) find(ref external.AttemptRef) *run {
 	for _, r := range w.runs {
 		if r.AttemptRef == ref {
 			return r
@@ -103,7 +103,7 @@
 }
 
 // start accepts a start command and checks what the platform must never see.
-func (w *worker) start(ref platform.AttemptRef, t *work, checkpoint string) {
+func (w *worker) start(ref external.AttemptRef, t *work, checkpoint string) {
 	if !w.up() {
 		// The owner cannot know whether the start arrived, so R2 makes it wait
 		// until the lease of the attempt would have run out.
@@ -153,7 +153,7 @@
 func (w *worker) end(r *run, outcome model.Outcome, text string) {
 	w.advance(r)
 	w.remove(r)
-	e := platform.EndedAttempt{AttemptRef: r.AttemptRef, Outcome: outcome, Error: text, Checkpoint: r.checkpoint}
+	e := external.EndedAttempt{AttemptRef: r.AttemptRef, Outcome: outcome, Error: text, Checkpoint: r.checkpoint}
 	if outcome == model.OutcomeDone {
 		e.Result = fmt.Sprintf("result/%s", r.Task)
 	}
@@ -178,7 +178,7 @@
 }
 
 // evict checkpoints a run and stops it after the time that this takes.
-func (w *worker) evict(ref platform.AttemptRef) {
+func (w *worker) evict(ref external.AttemptRef) {
 	r := w.find(ref)
 	if r == nil || r.stopping || !w.up() {
 		return
@@ -193,13 +193,13 @@
 	})
 }
 
-func (w *worker) stop(ref platform.AttemptRef) {
+func (w *worker) stop(ref external.AttemptRef) {
 	if r := w.find(ref); r != nil && w.up() {
 		w.end(r, model.OutcomeCancelled, "")
 	}
 }
 
-func (w *worker) setThrottle(ref platform.AttemptRef, percent int) {
+func (w *worker) setThrottle(ref external.AttemptRef, percent int) {
 	r := w.find(ref)
 	if r == nil || !w.up() {
 		return
@@ -251,11 +251,11 @@
 	load := w.sim.load(w.DataCentre)
 	slow := w.slowdown(load)
 	measured := w.sim.now
-	var out []platform.ServiceSample
+	var out []external.ServiceSample
 	for _, s := range w.sim.trace.Header.Services {
 		noise := 1 + sampleNoise*(2*w.sim.rng.Float64()-1)
 		p99 := s.P99 * latencyAt(load) * slow * noise
-		out = append(out, platform.ServiceSample{Service: s.Name, P99: time.Duration(p99 * float64(time.Millisecond))})
+		out = append(out, external.ServiceSample{Service: s.Name, P99: time.Duration(p99 * float64(time.Millisecond))})
 	}
 	w.sim.after(sampleLag, func() { w.samples, w.sampled = out, measured })
 }
@@ -265,8 +265,8 @@
 	if !w.up() {
 		return
 	}
-	out := platform.WorkerReport{Worker: w.ID, Ended: slices.Clone(w.ended)}
-	out.Running = make([]platform.RunningAttempt, 0, len(w.runs))
+	out := external.WorkerReport{Worker: w.ID, Ended: slices.Clone(w.ended)}
+	out.Running = make([]external.RunningAttempt, 0, len(w.runs))
 	for _, s := range w.samples {
 		s.Age = w.sim.now - w.sampled
 		out.Services = append(out.Services, s)
@@ -275,7 +275,7 @@
 		if !r.stopping && w.sim.now-r.savedAt >= r.work.class.Checkpoint.D() {
 			w.save(r)
 		}
-		out.Running = append(out.Running, platform.RunningAttempt{
+		out.Running = append(out.Running, external.RunningAttempt{
 			AttemptRef: r.AttemptRef, Class: r.work.class.Name, UsageAge: sampleLag,
 			Checkpoint: r.checkpoint, Progress: float64(r.progress) / float64(r.work.run),
 		})
@@ -285,6 +285,6 @@
 }
 
 // acknowledge forgets ended attempts whose outcome is durable.
-func (w *worker) acknowledge(ref platform.AttemptRef) {
-	w.ended = slices.DeleteFunc(w.ended, func(e platform.EndedAttempt) bool { return e.AttemptRef == ref })
+func (w *worker) acknowledge(ref external.AttemptRef) {
+	w.ended = slices.DeleteFunc(w.ended, func(e external.EndedAttempt) bool { return e.AttemptRef == ref })
 }
--- a/internal/request/chain_test.go
+++ b/internal/request/chain_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/external"
 )
 
 // Guards against an answer that is altered, and a service that is not found by
@@ -65,7 +65,7 @@
 	got := make(chan reply)
 	go func() { got <- ask(t, "GET", url+"/v1/services/desk/", nil) }()
 	<-started
-	w.setState("r1", platform.HostLeaving)
+	w.setState("r1", external.HostLeaving)
 	require.Equal(t, 503, ask(t, "GET", url+"/v1/services/desk/", nil).status)
 	require.Equal(t, []string{"r1"}, c.Leaving())
 	drained := make(chan error)
--- a/internal/request/claims.go
+++ b/internal/request/claims.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // Claim is the row that makes a non-idempotent request or an order run at most once.
@@ -53,14 +53,14 @@
 }
 
 // tableClaims keeps claims in the table service.
-type tableClaims struct{ table platform.Table }
+type tableClaims struct{ table external.Table }
 
 // NewClaims returns Claims over table, spread over 256 partitions.
-func NewClaims(table platform.Table) Claims { return tableClaims{table: table} }
+func NewClaims(table external.Table) Claims { return tableClaims{table: table} }
 
 // claimKey returns the table key of a claim row.
-func claimKey(row string) platform.Key {
-	return platform.Key{Partition: "claim/" + row[:2], Row: row}
+func claimKey(row string) external.Key {
+	return external.Key{Partition: "claim/" + row[:2], Row: row}
 }
 
 // Get reads a claim.
@@ -82,6 +82,6 @@
 	if err != nil {
 		return model.Wrap(model.KindInvalid, err, "report this as a bug", "encode claim")
 	}
-	cond := platform.Condition{Absent: version == 0, Version: version}
-	return t.table.Commit(ctx, platform.Write{Key: claimKey(row), Value: value, Condition: cond})
+	cond := external.Condition{Absent: version == 0, Version: version}
+	return t.table.Commit(ctx, external.Write{Key: claimKey(row), Value: value, Condition: cond})
 }
--- a/internal/request/deps.go
+++ b/internal/request/deps.go
@@ -7,8 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/share"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
@@ -21,13 +21,13 @@
 	View func() *control.View
 	// Hosts returns the latest host list. It is called for each request and must
 	// return a slice that is replaced, never changed in place.
-	Hosts func() []platform.Host
+	Hosts func() []external.Host
 	// Shares grants this node's slots at runners.
 	Shares Shares
 	// Claims stores the claim rows.
 	Claims Claims
 	// Objects stores answers that are too large for a claim row. Optional.
-	Objects platform.Objects
+	Objects external.Objects
 	// Orders hands batch jobs to the owners of their cells.
 	Orders Orders
 	// Decisions receives one line for each decision. Default: discard.
--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -15,15 +15,15 @@
 
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/share"
 )
 
 // fakeTable is a table service in memory whose commits can be made to fail.
 type fakeTable struct {
 	mu   sync.Mutex
-	rows map[platform.Key]platform.Row
+	rows map[external.Key]external.Row
 	// fault decides the fate of the n-th commit (from 1); nil means no fault.
 	fault func(n int) (apply bool, err error)
 	// down fails every read.
@@ -31,9 +31,9 @@
 	commits int
 }
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[platform.Key]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[external.Key]external.Row{}} }
 
-func (f *fakeTable) Commit(_ context.Context, writes ...platform.Write) error {
+func (f *fakeTable) Commit(_ context.Context, writes ...external.Write) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.commits++
@@ -52,25 +52,25 @@
 		}
 	}
 	for _, w := range writes {
-		f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Key].Version + 1}
+		f.rows[w.Key] = external.Row{Key: w.Key, Value: w.Value, Version: f.rows[w.Key].Version + 1}
 	}
 	return fault
 }
 
-func (f *fakeTable) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key external.Key) (external.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Row{}, model.Errorf(model.KindUnavailable, "retry", "store down")
+		return external.Row{}, model.Errorf(model.KindUnavailable, "retry", "store down")
 	}
 	row, ok := f.rows[key]
 	if !ok {
-		return platform.Row{}, model.Errorf(model.KindNotFound, "check the key", "no row")
+		return external.Row{}, model.Errorf(model.KindNotFound, "check the key", "no row")
 	}
 	return row, nil
 }
 
-func (f *fakeTable) Range(context.Context, string, string, int) ([]platform.Row, error) {
+func (f *fakeTable) Range(context.Context, string, string, int) ([]external.Row, error) {
 	return nil, nil
 }
 
@@ -106,7 +106,7 @@
 	table   *fakeTable
 	objects *fakeObjects
 	mu      sync.Mutex
-	hosts   []platform.Host
+	hosts   []external.Host
 	view    *control.View
 	orders  Orders
 	cfg     Config
@@ -134,22 +134,22 @@
 func (w *world) runner(service, id string, h http.HandlerFunc) *httptest.Server {
 	s := httptest.NewServer(h)
 	w.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	w.addHost(platform.Host{ID: id, Role: platform.RoleRunner, State: platform.HostLive, Addr: s.Listener.Addr().String(), Service: model.ServiceName(service), DataCentre: "gent"})
+	w.addHost(external.Host{ID: id, Role: external.RoleRunner, State: external.HostLive, Addr: s.Listener.Addr().String(), Service: model.ServiceName(service), DataCentre: "gent"})
 	return s
 }
 
 // addHost publishes a new host list with h added.
-func (w *world) addHost(h platform.Host) {
+func (w *world) addHost(h external.Host) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hosts = append(append([]platform.Host(nil), w.hosts...), h)
+	w.hosts = append(append([]external.Host(nil), w.hosts...), h)
 }
 
 // setState publishes a new host list with one state changed.
-func (w *world) setState(id string, s platform.HostState) {
+func (w *world) setState(id string, s external.HostState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	hosts := append([]platform.Host(nil), w.hosts...)
+	hosts := append([]external.Host(nil), w.hosts...)
 	for i := range hosts {
 		if hosts[i].ID == id {
 			hosts[i].State = s
@@ -166,7 +166,7 @@
 	}
 	c, err := New(w.cfg, Deps{
 		View: func() *control.View { return w.view },
-		Hosts: func() []platform.Host {
+		Hosts: func() []external.Host {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			return w.hosts
--- a/internal/request/http_bench_test.go
+++ b/internal/request/http_bench_test.go
@@ -15,8 +15,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/routing"
 	"github.com/vanillapier/vanillapier/internal/share"
 )
@@ -200,7 +200,7 @@
 	}
 	var targets []routing.Target
 	for i := range runners {
-		targets = append(targets, routing.Target{ID: runnerName(i), Addr: string(platform.RoleRunner)})
+		targets = append(targets, routing.Target{ID: runnerName(i), Addr: string(external.RoleRunner)})
 	}
 	a.route.Update(targets)
 	a.route.SetLimits(func(id model.RunnerID) int { return m.Limit("desk", id) })
--- a/internal/request/leaving.go
+++ b/internal/request/leaving.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vanillapier/vanillapier/internal/platform"
+	"github.com/vanillapier/vanillapier/internal/external"
 )
 
 // leavingTable holds the signs that runners are leaving. A mark ends when the
@@ -53,15 +53,15 @@
 
 // observe takes over the host list: a runner that returned from leaving to live
 // loses its mark.
-func (t *leavingTable) observe(_ time.Time, hosts []platform.Host) {
+func (t *leavingTable) observe(_ time.Time, hosts []external.Host) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	listed := map[string]bool{}
 	for _, h := range hosts {
-		if h.Role != platform.RoleRunner {
+		if h.Role != external.RoleRunner {
 			continue
 		}
-		if h.State == platform.HostLeaving {
+		if h.State == external.HostLeaving {
 			listed[h.ID] = true
 		} else if t.listed[h.ID] {
 			delete(t.marks, h.ID)
--- a/internal/request/pool.go
+++ b/internal/request/pool.go
@@ -6,8 +6,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/routing"
 )
 
@@ -28,7 +28,7 @@
 	admission
 
 	// hosts, view and marks identify the inputs of the last update.
-	hosts     *platform.Host
+	hosts     *external.Host
 	hostsLen  int
 	view      *control.View
 	marks     uint64
@@ -85,7 +85,7 @@
 }
 
 // differs reports whether hosts is another list than the last one seen.
-func (p *pool) differs(hosts []platform.Host) bool {
+func (p *pool) differs(hosts []external.Host) bool {
 	if len(hosts) == 0 {
 		return p.hostsLen != 0 || p.hosts != nil
 	}
@@ -93,7 +93,7 @@
 }
 
 // remember notes the inputs of an update.
-func (p *pool) remember(hosts []platform.Host, view *control.View, marks uint64) {
+func (p *pool) remember(hosts []external.Host, view *control.View, marks uint64) {
 	p.hosts, p.hostsLen, p.view, p.marks = nil, len(hosts), view, marks
 	if len(hosts) > 0 {
 		p.hosts = &hosts[0]
@@ -120,17 +120,17 @@
 }
 
 // targets lists the runners of the service with the leaving signs applied.
-func (p *pool) targets(now time.Time, hosts []platform.Host, view *control.View) []routing.Target {
+func (p *pool) targets(now time.Time, hosts []external.Host, view *control.View) []routing.Target {
 	var targets []routing.Target
 	for _, h := range hosts {
-		if h.Role != platform.RoleRunner || h.Service != p.service {
+		if h.Role != external.RoleRunner || h.Service != p.service {
 			continue
 		}
 		out := view != nil && view.IsOut(h.DataCentre)
 		marked := p.chain.leaving.marked(now, h.ID)
 		targets = append(targets, routing.Target{
 			ID: model.RunnerID(h.ID), Addr: h.Addr, DataCentre: h.DataCentre,
-			Leaving: h.State == platform.HostLeaving || out || marked,
+			Leaving: h.State == external.HostLeaving || out || marked,
 		})
 	}
 	return targets
@@ -145,7 +145,7 @@
 }
 
 // forgetRunners closes connections to runners that the host list no longer contains.
-func (c *Chain) forgetRunners(hosts []platform.Host) {
+func (c *Chain) forgetRunners(hosts []external.Host) {
 	listed := make(map[model.RunnerID]bool, len(hosts))
 	for _, h := range hosts {
 		listed[model.RunnerID(h.ID)] = true
--- a/internal/request/property_test.go
+++ b/internal/request/property_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/share"
 )
 
@@ -219,7 +219,7 @@
 // Guards against a crash or a wait when the host list holds no runner.
 func TestHostListWithoutRunners(t *testing.T) {
 	w := newWorld(t)
-	w.addHost(platform.Host{ID: "w1", Role: platform.RoleWorker, Addr: (&net.TCPAddr{}).String()})
+	w.addHost(external.Host{ID: "w1", Role: external.RoleWorker, Addr: (&net.TCPAddr{}).String()})
 	_, url := w.node("n1")
 	r := ask(t, get, url+"/v1/services/desk/", nil)
 	require.Equal(t, []any{503, "not-run"}, []any{r.status, r.outcome})
--- a/internal/request/retention.go
+++ b/internal/request/retention.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 const (
@@ -22,8 +22,8 @@
 // compared with a retention of hours or days, never with a lease.
 type Sweeper struct {
 	// Table and Objects hold claims and large answers. Required.
-	Table   platform.Table
-	Objects platform.Objects
+	Table   external.Table
+	Objects external.Objects
 	// Now returns the wall-clock time. Default time.Now.
 	Now func() time.Time
 }
@@ -61,12 +61,12 @@
 
 // expire deletes one claim when it is old enough. The row goes first: a claim
 // without its answer would be reported as unreadable.
-func (s Sweeper) expire(ctx context.Context, row platform.Row, before int64) (bool, error) {
+func (s Sweeper) expire(ctx context.Context, row external.Row, before int64) (bool, error) {
 	var c Claim
 	if err := json.Unmarshal(row.Value, &c); err != nil || c.At == 0 || c.At >= before {
 		return false, nil // a row that cannot be read is left for the operators
 	}
-	err := s.Table.Commit(ctx, platform.Write{Key: row.Key, Delete: true, Condition: platform.Condition{Version: row.Version}})
+	err := s.Table.Commit(ctx, external.Write{Key: row.Key, Delete: true, Condition: external.Condition{Version: row.Version}})
 	switch {
 	case model.IsKind(err, model.KindConflict) || model.IsKind(err, model.KindNotFound):
 		return false, nil
--- a/internal/request/retention_test.go
+++ b/internal/request/retention_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
+	"github.com/vanillapier/vanillapier/internal/external/standin"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
-	"github.com/vanillapier/vanillapier/internal/platform/standin"
 )
 
 // Guards against claims that are deleted while their key is still protected, and
@@ -26,7 +26,7 @@
 		}
 		value, err := json.Marshal(c)
 		require.NoError(t, err)
-		require.NoError(t, table.Commit(t.Context(), platform.Write{Key: claimKey(row), Value: value}))
+		require.NoError(t, table.Commit(t.Context(), external.Write{Key: claimKey(row), Value: value}))
 		return row
 	}
 	require.NoError(t, objects.Put(t.Context(), "outcomes/old", []byte("x")))
--- a/internal/request/upstream_failure_test.go
+++ b/internal/request/upstream_failure_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/routing"
 )
 
@@ -49,7 +49,7 @@
 			}()
 		}
 	}()
-	w.addHost(platform.Host{ID: id, Role: platform.RoleRunner, State: platform.HostLive, Addr: l.Addr().String(), Service: "desk"})
+	w.addHost(external.Host{ID: id, Role: external.RoleRunner, State: external.HostLive, Addr: l.Addr().String(), Service: "desk"})
 	return &requests
 }
 
@@ -157,11 +157,11 @@
 	require.NoError(t, err)
 	addr := l.Addr().String()
 	require.NoError(t, l.Close())
-	w.addHost(platform.Host{ID: "r1", Role: platform.RoleRunner, State: platform.HostLive, Addr: addr, Service: "desk"})
+	w.addHost(external.Host{ID: "r1", Role: external.RoleRunner, State: external.HostLive, Addr: addr, Service: "desk"})
 	_, url := w.node("n1")
 	r := ask(t, post, url+"/v1/services/desk/", []byte("a"), headerKey, "k")
 	require.Equal(t, []any{503, "not-run"}, []any{r.status, r.outcome})
-	w.setState("r1", platform.HostLeaving)
+	w.setState("r1", external.HostLeaving)
 	w.runner("desk", "r2", func(rw http.ResponseWriter, _ *http.Request) { _, _ = rw.Write([]byte("ok")) })
 	r = ask(t, post, url+"/v1/services/desk/", []byte("a"), headerKey, "k")
 	require.Equal(t, []any{200, "ok"}, []any{r.status, string(r.body)}, "the key is free again")
@@ -220,7 +220,7 @@
 // Guards against new work for a runner after each sign that it is leaving.
 func TestSignsOfLeaving(t *testing.T) {
 	signs := map[string]func(w *world, c *Chain){
-		"host list": func(w *world, _ *Chain) { w.setState("r1", platform.HostLeaving) },
+		"host list": func(w *world, _ *Chain) { w.setState("r1", external.HostLeaving) },
 		"peer":      func(_ *world, c *Chain) { c.MarkLeaving([]string{"r1"}) },
 		"operator": func(w *world, _ *Chain) {
 			v := *w.view
@@ -286,7 +286,7 @@
 	w.runner("desk", "r1", func(http.ResponseWriter, *http.Request) {})
 	_, url := w.node("n1")
 	require.Equal(t, 200, ask(t, get, url+"/v1/services/front/", nil).status)
-	w.setState("r1", platform.HostLeaving)
+	w.setState("r1", external.HostLeaving)
 	r := ask(t, get, url+"/v1/services/front/", nil)
 	require.Equal(t, []any{503, "not-run"}, []any{r.status, r.outcome})
 	require.Contains(t, string(r.body), "desk")
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // The target fleet: workers, accelerators, service and batch tasks, teams.
@@ -76,7 +76,7 @@
 		i := f.rng.IntN(len(f.live))
 		t := f.live[i]
 		if t.State == cell.TaskLive {
-			f.apply(f.s.EndedRecords(t.Worker, []platform.EndedAttempt{{AttemptRef: t.Ref(), Outcome: model.OutcomeDone}}, f.now)...)
+			f.apply(f.s.EndedRecords(t.Worker, []external.EndedAttempt{{AttemptRef: t.Ref(), Outcome: model.OutcomeDone}}, f.now)...)
 		}
 		f.task("batch", model.UrgencyNormal, 2000)
 		f.live[i], _ = f.st.Task(model.TaskID(fmt.Sprintf("job-%08d/0", f.next)))
@@ -109,11 +109,11 @@
 // the progress of its tasks.
 func BenchmarkReport(b *testing.B) {
 	f := newFleet(b, 1050)
-	reports := make([]platform.WorkerReport, len(f.s.order))
+	reports := make([]external.WorkerReport, len(f.s.order))
 	for i, h := range f.s.order {
-		r := platform.WorkerReport{Worker: h.ID, Services: []platform.ServiceSample{{Service: "desk", P99: 100 * time.Millisecond}}}
+		r := external.WorkerReport{Worker: h.ID, Services: []external.ServiceSample{{Service: "desk", P99: 100 * time.Millisecond}}}
 		for _, t := range h.live {
-			r.Running = append(r.Running, platform.RunningAttempt{AttemptRef: t.Ref(), Class: t.Spec.Class, Checkpoint: "ck"})
+			r.Running = append(r.Running, external.RunningAttempt{AttemptRef: t.Ref(), Class: t.Spec.Class, Checkpoint: "ck"})
 		}
 		reports[i] = r
 	}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // suspectFailures is the number of distinct tasks that must have failed in a
@@ -83,7 +83,7 @@
 // task are skipped; the caller acknowledges those to the worker at once, and
 // the others once the records are durable. Repeated reports give the same
 // records until the records are applied.
-func (s *Scheduler) EndedRecords(worker model.WorkerID, ended []platform.EndedAttempt, now time.Time) []cell.Record {
+func (s *Scheduler) EndedRecords(worker model.WorkerID, ended []external.EndedAttempt, now time.Time) []cell.Record {
 	s.now = now
 	var out []cell.Record
 	for _, e := range ended {
--- a/internal/scheduler/observe.go
+++ b/internal/scheduler/observe.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/cell"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // maxSampleAge bounds the age of samples that are used; older ones say little
@@ -16,7 +16,7 @@
 // Observe takes in a worker's report: samples of services, progress and
 // checkpoints of attempts, and the attempts that ended. The caller turns ended
 // attempts into records with EndedRecords.
-func (s *Scheduler) Observe(report platform.WorkerReport, now time.Time) {
+func (s *Scheduler) Observe(report external.WorkerReport, now time.Time) {
 	s.now = now
 	h := s.hosts[report.Worker]
 	if h == nil {
@@ -30,7 +30,7 @@
 	}
 }
 
-func (s *Scheduler) observeRun(h *host, a platform.RunningAttempt) {
+func (s *Scheduler) observeRun(h *host, a external.RunningAttempt) {
 	run := h.runs[a.Task]
 	if run == nil || a.Checkpoint == "" || a.Checkpoint == run.checkpoint {
 		return
@@ -38,7 +38,7 @@
 	run.checkpoint, run.checkpointAt = a.Checkpoint, s.now
 }
 
-func (s *Scheduler) observeService(h *host, in platform.ServiceSample) {
+func (s *Scheduler) observeService(h *host, in external.ServiceSample) {
 	sample := serviceSample{in.Service, in.P99, s.now.Add(-in.Age)}
 	if in.Age > maxSampleAge || !h.remember(sample) {
 		return
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -11,8 +11,8 @@
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 func urgent(s *model.TaskSpec) { s.Urgency = model.UrgencyUrgent }
@@ -30,7 +30,7 @@
 // end closes the live attempt of a task as a worker's report does.
 func (r *rig) end(id string, o model.Outcome) {
 	t := r.task(id)
-	ended := []platform.EndedAttempt{{AttemptRef: t.Ref(), Outcome: o}}
+	ended := []external.EndedAttempt{{AttemptRef: t.Ref(), Outcome: o}}
 	r.apply(r.s.EndedRecords(t.Worker, ended, r.now)...)
 }
 
@@ -249,8 +249,8 @@
 
 // report sends a sample of the service on the first worker.
 func (r *rig) report(p99 time.Duration) {
-	r.s.Observe(platform.WorkerReport{
-		Worker: r.s.order[0].ID, Services: []platform.ServiceSample{{Service: "desk", P99: p99}},
+	r.s.Observe(external.WorkerReport{
+		Worker: r.s.order[0].ID, Services: []external.ServiceSample{{Service: "desk", P99: p99}},
 	}, r.now)
 }
 
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -12,8 +12,8 @@
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/control"
 	"github.com/vanillapier/vanillapier/internal/declaration"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // machine drives a scheduler with random events and checks its plans.
@@ -26,7 +26,7 @@
 	jobs int
 	// resumed holds the checkpoint that the next attempt must start from.
 	resumed map[model.TaskID]string
-	starts  map[platform.AttemptRef]bool
+	starts  map[external.AttemptRef]bool
 }
 
 const propertyQuota = 24
@@ -36,7 +36,7 @@
 	st := cell.NewState("gent-0")
 	m := &machine{
 		T: rt, st: st, s: New(Config{Policy: policy}, st), now: start,
-		resumed: map[model.TaskID]string{}, starts: map[platform.AttemptRef]bool{},
+		resumed: map[model.TaskID]string{}, starts: map[external.AttemptRef]bool{},
 	}
 	d := &declaration.Declaration{Teams: []declaration.Team{{Name: "a", Quota: declaration.Capacity{Cores: propertyQuota, MemoryGB: 1000}}}}
 	m.view = &control.View{Sequence: 1, Declaration: d, Out: map[model.DataCentre]uint64{}}
@@ -80,12 +80,12 @@
 	if t.State == cell.TaskEvicting {
 		outcome = model.OutcomeEvicted
 	}
-	e := platform.EndedAttempt{AttemptRef: t.Ref(), Outcome: outcome}
+	e := external.EndedAttempt{AttemptRef: t.Ref(), Outcome: outcome}
 	if outcome == model.OutcomeEvicted {
 		e.Checkpoint = fmt.Sprintf("ck/%s/%d", t.Spec.ID, t.Attempt)
 		m.resumed[t.Spec.ID] = e.Checkpoint
 	}
-	m.apply(m.s.EndedRecords(t.Worker, []platform.EndedAttempt{e}, m.now)...)
+	m.apply(m.s.EndedRecords(t.Worker, []external.EndedAttempt{e}, m.now)...)
 }
 
 func (m *machine) cancel() {
@@ -96,7 +96,7 @@
 	m.apply(cell.Record{Cancelled: &cell.Cancelled{Job: id}})
 	for _, t := range m.st.JobTasks(id) {
 		if t.State == cell.TaskCancelling {
-			m.apply(m.s.EndedRecords(t.Worker, []platform.EndedAttempt{{AttemptRef: t.Ref(), Outcome: model.OutcomeCancelled}}, m.now)...)
+			m.apply(m.s.EndedRecords(t.Worker, []external.EndedAttempt{{AttemptRef: t.Ref(), Outcome: model.OutcomeCancelled}}, m.now)...)
 		}
 	}
 }
@@ -114,7 +114,7 @@
 }
 
 func (m *machine) report() {
-	m.s.Observe(platform.WorkerReport{Worker: "gent-w00001", Services: []platform.ServiceSample{
+	m.s.Observe(external.WorkerReport{Worker: "gent-w00001", Services: []external.ServiceSample{
 		{Service: "desk", P99: time.Duration(rapid.IntRange(80, 200).Draw(m.T, "p99")) * time.Millisecond},
 	}}, m.now)
 }
@@ -140,7 +140,7 @@
 	require.False(m, m.view.IsOut("gent"), "placed in a data centre that is out")
 	t, _ := m.st.Task(p.Task)
 	require.Equal(m, m.resumed[p.Task], t.Checkpoint, "resumes from the last checkpoint")
-	ref := platform.AttemptRef{Task: p.Task, Attempt: p.Attempt}
+	ref := external.AttemptRef{Task: p.Task, Attempt: p.Attempt}
 	require.False(m, m.starts[ref], "an attempt starts once")
 	m.starts[ref] = true
 }
@@ -225,7 +225,7 @@
 				outcome = model.OutcomeEvicted
 				m.resumed[t.Spec.ID] = t.Checkpoint
 			}
-			m.apply(m.s.EndedRecords(t.Worker, []platform.EndedAttempt{{AttemptRef: t.Ref(), Outcome: outcome}}, m.now)...)
+			m.apply(m.s.EndedRecords(t.Worker, []external.EndedAttempt{{AttemptRef: t.Ref(), Outcome: outcome}}, m.now)...)
 		}
 		m.now = m.now.Add(15 * time.Second)
 		m.plan()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,8 +9,8 @@
 
 	"github.com/vanillapier/vanillapier/internal/cell"
 	"github.com/vanillapier/vanillapier/internal/control"
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
 
@@ -33,14 +33,14 @@
 // ThrottleChange sets the share of its processors that an attempt may use.
 type ThrottleChange struct {
 	Worker model.WorkerID
-	platform.AttemptRef
+	external.AttemptRef
 	Percent int
 }
 
 // CheckpointRequest asks a worker to save an attempt's progress.
 type CheckpointRequest struct {
 	Worker model.WorkerID
-	platform.AttemptRef
+	external.AttemptRef
 }
 
 // fullSpeed is the throttle percentage without a limit.
@@ -74,7 +74,7 @@
 	filters []Filter
 	choose  chooser
 	retries map[model.TaskID]retry
-	endings map[platform.AttemptRef]bool
+	endings map[external.AttemptRef]bool
 	cells   []CellSummary
 	shapes  []model.Resources
 	own     CellSummary
@@ -125,7 +125,7 @@
 		cfg: cfg.withDefaults(), st: st,
 		hosts: map[model.WorkerID]*host{}, strained: map[model.WorkerID]*host{},
 		outSince: map[model.DataCentre]time.Time{}, returned: map[model.DataCentre]time.Time{},
-		model: newInterference(), retries: map[model.TaskID]retry{}, endings: map[platform.AttemptRef]bool{},
+		model: newInterference(), retries: map[model.TaskID]retry{}, endings: map[external.AttemptRef]bool{},
 	}
 	filters, choose, err := s.policyOf(s.cfg.Policy)
 	if err != nil {
--- a/internal/storeclient/client.go
+++ b/internal/storeclient/client.go
@@ -9,8 +9,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sony/gobreaker/v2"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
 // New wraps table and objects. Both share the node's read and write budgets;
@@ -19,7 +19,7 @@
 // Errors keep the kinds of package platform. In addition KindUnavailable is
 // returned when the breaker is open or the budget was not granted in time, and
 // KindExhausted when too many operations wait.
-func New(table platform.Table, objects platform.Objects, cfg Config) (*Table, *Objects) {
+func New(table external.Table, objects external.Objects, cfg Config) (*Table, *Objects) {
 	cfg = cfg.withDefaults()
 	reads := newBudget("read", cfg.ReadsPerSecond, cfg.Burst, cfg.MaxWaiting)
 	writes := newBudget("write", cfg.WritesPerSecond, cfg.Burst, cfg.MaxWaiting)
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/journal/journaltest"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 	"github.com/vanillapier/vanillapier/internal/storeclient"
 )
 
-func write(row string) platform.Write {
-	return platform.Write{Key: platform.Key{Partition: "p", Row: row}, Condition: platform.Condition{Absent: true}}
+func write(row string) external.Write {
+	return external.Write{Key: external.Key{Partition: "p", Row: row}, Condition: external.Condition{Absent: true}}
 }
 
 // Guards against the blind repetition of a write whose answer was lost, and
@@ -120,7 +120,7 @@
 			for range workers {
 				wg.Go(func() {
 					for ctx.Err() == nil {
-						_, err := table.Get(ctx, platform.Key{Partition: "p", Row: "r"})
+						_, err := table.Get(ctx, external.Key{Partition: "p", Row: "r"})
 						if !model.IsKind(err, model.KindNotFound) {
 							time.Sleep(3 * time.Second)
 						}
--- a/internal/storeclient/wrap.go
+++ b/internal/storeclient/wrap.go
@@ -3,22 +3,22 @@
 import (
 	"context"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/platform"
 )
 
-// Table is a platform.Table with deadlines, budgets, retries and a breaker.
+// Table is a external.Table with deadlines, budgets, retries and a breaker.
 type Table struct {
-	next   platform.Table
+	next   external.Table
 	caller caller
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ external.Table = (*Table)(nil)
 
 // Commit applies all writes or none. It is repeated after KindUnavailable,
 // which means that nothing was written. After KindUnknown it is repeated only
 // when ctx carries WithIdempotentWrite.
-func (t *Table) Commit(ctx context.Context, writes ...platform.Write) error {
+func (t *Table) Commit(ctx context.Context, writes ...external.Write) error {
 	op := operation{name: "commit", write: true, repeatUnknown: idempotentWrite(ctx)}
 	_, err := call(ctx, &t.caller, op, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, t.next.Commit(ctx, writes...)
@@ -27,26 +27,26 @@
 }
 
 // Get reads one row.
-func (t *Table) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
-	return call(ctx, &t.caller, operation{name: "get"}, func(ctx context.Context) (platform.Row, error) {
+func (t *Table) Get(ctx context.Context, key external.Key) (external.Row, error) {
+	return call(ctx, &t.caller, operation{name: "get"}, func(ctx context.Context) (external.Row, error) {
 		return t.next.Get(ctx, key)
 	})
 }
 
 // Range reads rows of a partition in order.
-func (t *Table) Range(ctx context.Context, partition, from string, limit int) ([]platform.Row, error) {
-	return call(ctx, &t.caller, operation{name: "range"}, func(ctx context.Context) ([]platform.Row, error) {
+func (t *Table) Range(ctx context.Context, partition, from string, limit int) ([]external.Row, error) {
+	return call(ctx, &t.caller, operation{name: "range"}, func(ctx context.Context) ([]external.Row, error) {
 		return t.next.Range(ctx, partition, from, limit)
 	})
 }
 
-// Objects is a platform.Objects with deadlines, budgets, retries and a breaker.
+// Objects is a external.Objects with deadlines, budgets, retries and a breaker.
 type Objects struct {
-	next   platform.Objects
+	next   external.Objects
 	caller caller
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ external.Objects = (*Objects)(nil)
 
 // Put replaces an object. It is idempotent by content and therefore repeated.
 func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
