--- a/cmd/vpierd/main.go
+++ b/cmd/vpierd/main.go
@@ -14,6 +14,7 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/node"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
+	"github.com/vanillapier/vanillapier/platform"
 )
 
 // Exit codes of vpierd.
@@ -23,10 +24,13 @@
 )
 
 func main() {
-	os.Exit(run())
+	os.Exit(start())
 }
 
-func run() int {
+func start() int {
+	if path := platform.SettingsPath(); path != "" {
+		return runOnPlatform(path)
+	}
 	settings, code, done := parse(os.Args[1:])
 	if done {
 		return code
