--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -18,8 +18,16 @@
 	slowBias = 1.5
 	// farBias is the cost of a rack away from the data.
 	farBias = 1.5
-	// fillerShare is the least share of a filler's demand that must be left over.
-	fillerShare = 0.6
+	// satisfiedShare is the least share of a filler's demand that must be left over.
+	satisfiedShare = 0.7
+	// servingLoad is the share of its reservation that a service uses on average;
+	// fillers get the rest.
+	servingLoad = 0.5
+	// imageBias gathers services of one image on the same workers, so that each
+	// filler finds workers whose services bear it.
+	imageBias = 0.6
+	// burdenBias is the cost of the predicted pressure on services.
+	burdenBias = 2.0
 	// crowdBias spreads the lasting tasks of one step.
 	crowdBias = 0.2
 )
@@ -94,10 +102,11 @@
 // fillerFits reports whether enough processor time is left for a filler, and
 // whether the services beside it bear it.
 func (p *placement) fillerFits(w *worker, s *Step) bool {
-	if float64(w.leftover()) < fillerShare*float64(s.Needs.MilliCPU) {
+	if float64(w.leftover()) < satisfiedShare*float64(s.Needs.MilliCPU) {
 		return false
 	}
-	return p.harm.bears(w, s.Image, p.now)
+	_, bears := p.harm.burden(w, s, p.now)
+	return bears
 }
 
 // score rates a feasible worker.
@@ -107,10 +116,8 @@
 	score := 0.0
 	serving := w.serving()
 	if s.Filler {
-		score = -float64(w.leftover()) / capacity
-		if serving {
-			score += 1
-		}
+		burden, _ := p.harm.burden(w, s, p.now)
+		score = burdenBias*burden - float64(w.leftover())/capacity
 	} else {
 		score = float64(w.free().MilliCPU-s.Needs.MilliCPU) / capacity
 		if !serving {
@@ -120,7 +127,7 @@
 		score += 0.5 * float64(w.fillers) / capacity
 	}
 	if s.Lasting {
-		score += crowdBias * float64(r.onWorker[w])
+		score += crowdBias*float64(r.onWorker[w]) + imageBias*otherImages(w, s.Image)
 	}
 	if s.Near != "" && w.rack != s.Near {
 		score += farBias
@@ -134,6 +141,23 @@
 	return score
 }
 
+// otherImages is the share of the lasting runs on w that have another image.
+func otherImages(w *worker, image string) float64 {
+	others, all := 0, 0
+	for _, r := range w.runs {
+		if r.step != nil && r.step.Lasting && r.live() {
+			all++
+			if r.step.Image != image {
+				others++
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(others) / float64(all)
+}
+
 // feasibleRacks counts the workers of each rack on which a task fits, and how
 // many tasks fit there.
 func (p *placement) feasibleRacks(r request) map[string]int {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -76,6 +76,8 @@
 	used   model.Resources
 	// fillers is processor demand of filler runs in thousandths of a core.
 	fillers int64
+	// serves is processor capacity that lasting runs reserve, in thousandths.
+	serves int64
 
 	// clock is the worker's clock in its latest answer, clockAt the time of receipt.
 	clock   time.Duration
@@ -145,8 +147,11 @@
 // free returns the capacity that no run reserves.
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used) }
 
-// leftover is the processor capacity for one more filler, after those reserved.
-func (w *worker) leftover() int64 { return w.free().MilliCPU - w.fillers }
+// leftover is the processor capacity that one more filler would get: what is not
+// reserved, and what services reserve without using it.
+func (w *worker) leftover() int64 {
+	return w.free().MilliCPU + int64((1-servingLoad)*float64(w.serves)) - w.fillers
+}
 
 // attach adds a run and reserves its resources.
 func (w *worker) attach(r *run) {
@@ -155,6 +160,9 @@
 	if r.step != nil && r.step.Filler {
 		w.fillers += r.step.Needs.MilliCPU
 	}
+	if r.step != nil && r.step.Lasting && !r.step.Filler {
+		w.serves += r.step.Needs.MilliCPU
+	}
 }
 
 // detach removes a run and frees its resources.
@@ -167,6 +175,9 @@
 	if r.step != nil && r.step.Filler {
 		w.fillers -= r.step.Needs.MilliCPU
 	}
+	if r.step != nil && r.step.Lasting && !r.step.Filler {
+		w.serves -= r.step.Needs.MilliCPU
+	}
 }
 
 // hasLabel reports whether the worker carries a label.
