Start a job only after a transaction that follows its acceptance; bound copies per worker

Ruled out: late orders (the two starts came from two leaders, and the fence was not raised at the first worker yet). Change: a start needs a transaction of the term after the job's version, which proves that no later term had begun; copies count like first runs.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -76,14 +76,14 @@
 	}
 	renew := t.now.Sub(t.lastRenewal) >= renewInterval
 	c := t.collect()
-	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping {
+	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping && !t.unconfirmed {
 		return
 	}
 	if t.stopping && t.ordersPending() {
 		return
 	}
 	t.seal(c, renew || t.stopping)
-	t.commit = c
+	t.commit, t.unconfirmed = c, false
 	t.nextCommit = t.now.Add(commitInterval)
 	go t.send(c)
 }
@@ -226,6 +226,7 @@
 		return
 	}
 	t.fenceVersion = e.version
+	t.confirmAll()
 	// The fence proves that the term was in force when the transaction was sent.
 	if e.sent.After(t.lastRenewal) && c.renews {
 		t.lastRenewal = e.sent
@@ -257,6 +258,17 @@
 	t.scheduleLooks()
 }
 
+// confirmAll plans for jobs that this transaction confirmed, and asks for another
+// one when jobs arrived after it was sent.
+func (t *term) confirmAll() {
+	for _, j := range t.jobs {
+		if !j.started && !j.over() {
+			t.dirty = true
+			t.unconfirmed = t.unconfirmed || !t.confirmed(j)
+		}
+	}
+}
+
 // markUsed asks for the row that must be stored before a worker's first task.
 func (t *term) markUsed(w *worker) {
 	if !w.durable && w.listed {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -87,7 +87,7 @@
 	var wants []*want
 	settled := t.settled()
 	for _, j := range t.jobs {
-		if j.over() || j.shown.Final() || (j.inherited && !settled) {
+		if j.over() || j.shown.Final() || (j.inherited && !settled) || !t.confirmed(j) {
 			continue
 		}
 		q, known := t.queues[j.queue]
@@ -101,6 +101,11 @@
 	return wants
 }
 
+// confirmed reports whether the term was in force after the job was accepted. A
+// later term can therefore rely on it that jobs accepted after its own begin were
+// started by no earlier one.
+func (t *term) confirmed(j *job) bool { return j.accepted <= t.fenceVersion }
+
 func (t *term) occurrenceWants(wants []*want, j *job, o *occurrence, q Queue) []*want {
 	for i := range o.steps {
 		s := &o.steps[i]
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -55,7 +55,7 @@
 
 // placeStep starts tasks of a step and returns how many.
 func (t *term) placeStep(p *placement, w *want) int {
-	r := request{step: w.step, onWorker: t.stepWorkers(w)}
+	r := request{step: w.step, onWorker: stepWorkers(&w.occ.steps[w.index])}
 	if w.queue.Advised {
 		if r.tickets = t.tickets(p, w); r.tickets == nil {
 			return 0
@@ -85,10 +85,10 @@
 }
 
 // stepWorkers counts the runs of a step per worker.
-func (t *term) stepWorkers(w *want) map[*worker]int {
+func stepWorkers(s *stepState) map[*worker]int {
 	n := map[*worker]int{}
-	for i := range w.occ.steps[w.index].tasks {
-		for _, r := range w.occ.steps[w.index].tasks[i].runs {
+	for i := range s.tasks {
+		for _, r := range s.tasks[i].runs {
 			n[r.worker]++
 		}
 	}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -45,6 +45,7 @@
 	j := newJob(row.Key, r, row.Version, arrived)
 	j.inherited = row.Version <= t.began
 	t.jobs[j.id] = j
+	t.unconfirmed = t.unconfirmed || !t.confirmed(j)
 	j.open(t.now, 0, t.wall)
 	t.dirty = true
 	t.counters.accepted.Inc()
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -60,6 +60,7 @@
 	commit      *commit
 	nextCommit  time.Time
 	lastRenewal time.Time // when the last successful renewal was sent
+	unconfirmed bool      // jobs wait for a transaction before their first start
 	released    bool      // the last renewal says that the leader has stopped
 	usedDirty   map[Lifetime]usedRecord
 	usedGone    map[Lifetime]bool
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -128,7 +128,8 @@
 	}
 	q := t.queues[r.job.queue]
 	p := t.pool(q.Service)
-	w := p.choose(request{step: r.step, task: tk, onWorker: map[*worker]int{}})
+	o := r.job.find(r.key.occurrence)
+	w := p.choose(request{step: r.step, task: tk, onWorker: stepWorkers(&o.steps[r.key.step])})
 	tk.notBefore = t.now.Add(hungAfter / 2)
 	if w == nil || w.health.isSlow() || q.Advised {
 		return
