Cache the services' view within a plan; space plans by 6 ms

Cause: on the second site (0.16 core a host) the leader ran out of processor time: calls to workers timed out (153) and 114 starts went unanswered. Each plan evaluated the pressure on every service for every waiting step and worker. Change: one summary per worker and plan; steps that need no less than one that found no room are skipped; events share a plan within 6 ms.

--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -102,43 +102,66 @@
 	return float64(s.Needs.MilliCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
 }
 
-// pressure predicts the rise of the tail of a service's image on w, with one more
-// filler unless extra is nil.
-func (h *interference) pressure(w *worker, image string, extra *Step, now time.Time) float64 {
-	m := h.model(image)
+// servedImage is the fillers' pressure on a service's image on one worker.
+type servedImage struct {
+	model    *serviceModel
+	pressure float64
+}
+
+// harmView summarizes the services of a worker for the choice of fillers. It is
+// computed once for a plan and dropped when a run comes or goes.
+type harmView struct {
+	at     time.Time
+	images []servedImage
+	// disturbed means that a service is over its target, or was a moment ago.
+	disturbed bool
+}
+
+// viewFor returns the summary of w at now.
+func (h *interference) viewFor(w *worker, now time.Time) *harmView {
+	if w.harm != nil && w.harm.at.Equal(now) {
+		return w.harm
+	}
+	v := &harmView{at: now}
+	w.harm = v
+	seen := map[string]bool{}
+	for _, r := range w.runs {
+		if r.step == nil || r.step.LatencyTarget == 0 || !r.live() {
+			continue
+		}
+		v.disturbed = v.disturbed || !r.above.IsZero()
+		if !seen[r.step.Image] {
+			seen[r.step.Image] = true
+			m := h.model(r.step.Image)
+			v.images = append(v.images, servedImage{m, pressureOf(m, w, now)})
+		}
+	}
+	v.disturbed = v.disturbed || (len(v.images) > 0 && now.Sub(h.breached[w.info.Worker]) < calmAfter)
+	return v
+}
+
+// pressureOf predicts the rise of a service's tail by the fillers on w.
+func pressureOf(m *serviceModel, w *worker, now time.Time) float64 {
 	sum := 0.0
 	for _, r := range w.runs {
 		if r.step != nil && r.step.Filler && r.live() {
 			sum += m.coefficient(r.step.Image, now) * fillerShare(r.step, w)
 		}
 	}
-	if extra != nil {
-		sum += m.coefficient(extra.Image, now) * fillerShare(extra, w)
-	}
 	return sum
 }
 
 // burden returns the highest predicted pressure on the services of w with one
 // more filler, and whether they bear it.
 func (h *interference) burden(w *worker, s *Step, now time.Time) (float64, bool) {
-	worst, serving := 0.0, false
-	seen := map[string]bool{}
-	for _, r := range w.runs {
-		if r.step == nil || r.step.LatencyTarget == 0 || !r.live() {
-			continue
-		}
-		serving = true
-		if !r.above.IsZero() {
-			return 0, false
-		}
-		if !seen[r.step.Image] {
-			seen[r.step.Image] = true
-			worst = max(worst, h.pressure(w, r.step.Image, s, now))
-		}
-	}
-	if serving && now.Sub(h.breached[w.info.Worker]) < calmAfter {
+	v := h.viewFor(w, now)
+	if v.disturbed {
 		return 0, false
 	}
+	worst, share := 0.0, fillerShare(s, w)
+	for _, i := range v.images {
+		worst = max(worst, i.pressure+i.model.coefficient(s.Image, now)*share)
+	}
 	return worst, worst <= pressureLimit
 }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -37,8 +37,41 @@
 	now     time.Time
 	workers []*worker
 	harm    *interference
-	// guarded tells whether the workers of a service reject what does not fit.
-	far float64
+	// full holds the smallest needs that found no worker in this plan.
+	full map[fullKey]model.Resources
+}
+
+// fullKey groups steps that compete for the same room.
+type fullKey struct {
+	filler bool
+	image  string
+}
+
+func keyOf(s *Step) fullKey {
+	if s.Filler {
+		return fullKey{true, s.Image}
+	}
+	return fullKey{}
+}
+
+// refused reports whether a smaller step has found no worker in this plan: a plan
+// only takes room, so this one would find none either.
+func (p *placement) refused(s *Step) bool {
+	need, ok := p.full[keyOf(s)]
+	return ok && need.Fits(s.Needs)
+}
+
+// noteRefused remembers that a step without further conditions found no worker.
+func (p *placement) noteRefused(s *Step) {
+	if s.Label != "" || s.PerWorker > 0 || s.SameRack || s.Gang {
+		return
+	}
+	if p.full == nil {
+		p.full = map[fullKey]model.Resources{}
+	}
+	if need, ok := p.full[keyOf(s)]; !ok || s.Needs.Fits(need) {
+		p.full[keyOf(s)] = s.Needs
+	}
 }
 
 // request describes one task that wants a worker.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -9,6 +9,9 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
+// planInterval spaces plans: events that come in a burst share one.
+const planInterval = 6 * time.Millisecond
+
 // startsPerRound bounds the starts of one plan, so that the loop keeps up with
 // answers; the next round goes on.
 const startsPerRound = 200
@@ -44,7 +47,7 @@
 
 // pool collects the workers of a service that take new runs.
 func (t *term) pool(service model.ServiceName) *placement {
-	p := &placement{now: t.now, harm: &t.harm, far: t.cfg.Bounds.FarFactor}
+	p := &placement{now: t.now, harm: &t.harm}
 	for _, w := range t.workers {
 		if w.info.Service == service && w.usable(t.now, t.out) && !t.machines.closing[w.info.Worker] {
 			p.workers = append(p.workers, w)
@@ -55,6 +58,9 @@
 
 // placeStep starts tasks of a step and returns how many.
 func (t *term) placeStep(p *placement, w *want) int {
+	if p.refused(w.step) {
+		return 0
+	}
 	r := request{step: w.step, onWorker: stepWorkers(&w.occ.steps[w.index])}
 	if w.queue.Advised {
 		if r.tickets = t.tickets(p, w); r.tickets == nil {
@@ -75,6 +81,7 @@
 		r.task = &w.occ.steps[w.index].tasks[i]
 		worker := p.choose(r)
 		if worker == nil {
+			p.noteRefused(w.step)
 			break
 		}
 		t.start(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -68,6 +68,7 @@
 	// stopping means that no order is given any more.
 	stopping bool
 	dirty    bool // a plan is due
+	planned  time.Time
 	speeds   map[string]*speed
 	harm     interference
 	machines upkeep
@@ -126,8 +127,8 @@
 			t.now = time.Now()
 			t.onTick()
 		}
-		if t.loaded && t.dirty && t.ctx.Err() == nil {
-			t.dirty = false
+		if t.loaded && t.dirty && t.ctx.Err() == nil && t.now.Sub(t.planned) >= planInterval {
+			t.dirty, t.planned = false, t.now
 			t.plan()
 		}
 		t.flush()
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -105,6 +105,8 @@
 	acked     uint64    // highest end that was acknowledged
 
 	health health
+	// harm is the summary of services for the current plan.
+	harm *harmView
 }
 
 func newWorker(info WorkerInfo) *worker {
@@ -156,6 +158,7 @@
 // attach adds a run and reserves its resources.
 func (w *worker) attach(r *run) {
 	w.runs[r.ref] = r
+	w.harm = nil
 	w.used = w.used.Add(r.reserved)
 	if r.step != nil && r.step.Filler {
 		w.fillers += r.step.Needs.MilliCPU
@@ -171,6 +174,7 @@
 		return
 	}
 	delete(w.runs, r.ref)
+	w.harm = nil
 	w.used = w.used.Sub(r.reserved)
 	if r.step != nil && r.step.Filler {
 		w.fillers -= r.step.Needs.MilliCPU
