--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -107,10 +107,12 @@
 	if s.Addresses.Inventory != "" {
 		cfg.Inventory = platform.NewInventory(s.Addresses.Inventory, platform.NewTransport(2))
 	}
-	node, err := fleet.NewNode(cfg)
+	peers, err := fleet.NewPeers(cfg)
 	if err != nil {
 		return nil, err
 	}
+	cfg.Peers = peers
+	node := fleet.NewNode(cfg)
 	p := &process{settings: s, path: path, log: log, node: node}
 	p.callers = &http.Server{Handler: platform.Callers{Intake: node}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.ready = &http.Server{Handler: platform.Ready(node.Ready), ReadHeaderTimeout: headerTimeout}
--- /dev/null
+++ b/internal/fleet/cluster_test.go
@@ -0,0 +1,226 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// settle is the time that a started cluster needs until it has a leader that
+// knows its workers.
+const settle = 3 * time.Second
+
+var small = model.Resources{MilliCPU: 1000, MemoryMB: 500}
+
+// behaviour returns a task of a second that saves its progress.
+func behaviour(fleet.TaskName) fleettest.Task {
+	return fleettest.Task{Work: time.Second, Needs: small, Checkpoint: true}
+}
+
+// twoSteps is a job of four tasks, then two more.
+func twoSteps() fleet.Spec {
+	return fleet.Spec{Text: "x", Steps: []fleet.Step{
+		{Count: 4, Needs: small, Estimate: time.Second, Checkpoints: true},
+		{Count: 2, Needs: small, Estimate: time.Second, Checkpoints: true, After: []int{0}},
+	}}
+}
+
+// run starts a cluster in virtual time, waits until it has settled and checks the
+// ledger at the end.
+func run(t *testing.T, seed uint64, nodes, workers int, tasks func(fleet.TaskName) fleettest.Task, test func(*testing.T, *fleettest.Cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := fleettest.NewCluster(seed, nodes, workers, tasks)
+		if os.Getenv("FLEET_LOG") != "" {
+			c.Log = os.Stderr
+		}
+		defer c.StopAll()
+		c.StartAll()
+		time.Sleep(settle)
+		require.NotNil(t, c.Leader(), "a leader after %v", settle)
+		test(t, c)
+		c.StopAll()
+		require.Empty(t, c.Ledger.Broken())
+	})
+}
+
+// submit hands a job in at a node, and again elsewhere while the outcome is open.
+func submit(t *testing.T, c *fleettest.Cluster, id string, spec fleet.Spec) {
+	t.Helper()
+	var err error
+	for try := range 12 {
+		m := c.Nodes[try%len(c.Nodes)]
+		if !m.Up() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		err = m.Node.Submit(ctx, c.Queue, id, spec)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	require.NoError(t, err)
+}
+
+func jobID(i int) string { return fmt.Sprintf("%016x", i+1) }
+
+// waitState waits until a job has a state at every node that is up.
+func waitState(t *testing.T, c *fleettest.Cluster, id string, want fleet.State, limit time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	var got fleet.State
+	var err error
+	for _, m := range c.Nodes {
+		for m.Up() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			got, err = m.Node.State(ctx, c.Queue, id)
+			cancel()
+			if err == nil && got == want {
+				break
+			}
+			require.False(t, time.Now().After(deadline), "job %s at %s: state %q, error %v, want %q", id, m.Name, got, err, want)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func waitAll(t *testing.T, c *fleettest.Cluster, n int, limit time.Duration) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for i := range n {
+		waitState(t, c, jobID(i), fleet.StateCompleted, time.Until(deadline))
+	}
+}
+
+func TestJobsCompleteOnce(t *testing.T) {
+	run(t, 1, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		begun := time.Now()
+		for i := range 5 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		waitAll(t, c, 5, 20*time.Second)
+		require.Equal(t, 30, c.Ledger.Starts, "each task starts once")
+		// 30 tasks of a second, 32 cores: two rounds and the system's own time.
+		require.Less(t, time.Since(begun), 2500*time.Millisecond)
+	})
+}
+
+func TestSameSubmissionTwiceIsOneJob(t *testing.T) {
+	run(t, 2, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		for _, m := range c.Nodes {
+			require.NoError(t, m.Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps()))
+		}
+		waitAll(t, c, 1, 10*time.Second)
+		require.Equal(t, 6, c.Ledger.Starts)
+	})
+}
+
+func TestUnknownJobIsGone(t *testing.T) {
+	run(t, 3, 2, 1, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		_, err := c.Nodes[0].Node.State(t.Context(), c.Queue, jobID(7))
+		require.True(t, model.IsKind(err, model.KindGone), "%v", err)
+		require.True(t, model.IsKind(c.Nodes[1].Node.Cancel(t.Context(), c.Queue, jobID(7)), model.KindGone))
+	})
+}
+
+func TestCancelStopsWork(t *testing.T) {
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: time.Minute, Needs: small} }
+	run(t, 4, 3, 2, long, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), twoSteps())
+		time.Sleep(500 * time.Millisecond)
+		require.NoError(t, c.Nodes[1].Node.Cancel(t.Context(), c.Queue, jobID(0)))
+		c.Ledger.Cancelled(jobID(0))
+		time.Sleep(time.Second)
+		for _, w := range c.Fleet {
+			require.Zero(t, c.Workers.Running(w))
+		}
+		waitState(t, c, jobID(0), fleet.StateCancelled, time.Second)
+	})
+}
+
+func TestBudgetOfFailures(t *testing.T) {
+	fails := func(n int) func(fleet.TaskName) fleettest.Task {
+		return func(fleet.TaskName) fleettest.Task {
+			return fleettest.Task{Work: 100 * time.Millisecond, Needs: small, Fails: n}
+		}
+	}
+	one := fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: small, Estimate: 100 * time.Millisecond}}}
+	run(t, 5, 3, 6, fails(1), func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), one)
+		waitState(t, c, jobID(0), fleet.StateCompleted, 5*time.Second)
+	})
+	run(t, 6, 3, 6, fails(2), func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), one)
+		waitState(t, c, jobID(0), fleet.StateFailed, 5*time.Second)
+		require.Equal(t, 2, c.Ledger.Starts)
+	})
+}
+
+func TestDataCentreOutGetsNoStart(t *testing.T) {
+	run(t, 7, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.TakeOut("dc0", true)
+		time.Sleep(time.Second)
+		for i := range 3 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		waitAll(t, c, 3, 20*time.Second)
+		require.Zero(t, c.Workers.Running(c.Fleet[0]))
+	})
+}
+
+func TestLastingTasksAreRestarted(t *testing.T) {
+	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
+	run(t, 8, 3, 3, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, Needs: small, Lasting: true}}})
+		time.Sleep(time.Second)
+		var victim *fleettest.Worker
+		for _, w := range c.Fleet {
+			if c.Workers.Running(w) > 0 {
+				victim = w
+			}
+		}
+		c.Workers.Kill(victim)
+		c.Unlist(victim)
+		time.Sleep(8 * time.Second)
+		total := 0
+		for _, w := range c.Fleet {
+			total += c.Workers.Running(w)
+		}
+		require.Equal(t, 3, total)
+	})
+}
+
+func TestGangStartsTogether(t *testing.T) {
+	run(t, 9, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 20, Needs: small, Gang: true, Estimate: time.Second}}})
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 12, Needs: small, Gang: true, Estimate: time.Second}}})
+		waitState(t, c, jobID(1), fleet.StateCompleted, 10*time.Second)
+		require.Equal(t, 12, c.Ledger.Starts, "a gang that cannot fit starts no member")
+	})
+}
+
+func TestRepeatsStartWhenDue(t *testing.T) {
+	run(t, 10, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		begun := time.Now()
+		submit(t, c, jobID(0), fleet.Spec{
+			Steps:   []fleet.Step{{Count: 1, Needs: small, Estimate: time.Second}},
+			Repeats: 3, StartAt: begun.Add(2 * time.Second).UnixMilli(), Interval: 500 * time.Millisecond,
+		})
+		time.Sleep(1500 * time.Millisecond)
+		require.Zero(t, c.Ledger.Starts)
+		waitState(t, c, jobID(0), fleet.StateCompleted, 10*time.Second)
+		require.Equal(t, 3, c.Ledger.Starts)
+		require.GreaterOrEqual(t, time.Since(begun), 4*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/fleet/faults_test.go
@@ -0,0 +1,259 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+)
+
+// slowTask is a task of three seconds, so that faults strike while it runs.
+func slowTask(fleet.TaskName) fleettest.Task {
+	return fleettest.Task{Work: 3 * time.Second, Needs: small, Checkpoint: true}
+}
+
+func TestLeaderKilled(t *testing.T) {
+	run(t, 20, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 4 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		time.Sleep(time.Second)
+		old := c.Leader()
+		c.Kill(old)
+		time.Sleep(3 * time.Second)
+		require.NotNil(t, c.Leader(), "a new leader within 3 s")
+		waitAll(t, c, 4, 30*time.Second)
+		require.Equal(t, 24, c.Ledger.Starts, "the new leader adopts what runs")
+	})
+}
+
+func TestLeaderDrains(t *testing.T) {
+	run(t, 21, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), twoSteps())
+		time.Sleep(time.Second)
+		old := c.Leader()
+		old.Node.Drain(t.Context())
+		time.Sleep(400 * time.Millisecond)
+		require.NotNil(t, c.Leader(), "the lead is handed over at once")
+		require.NotSame(t, old, c.Leader())
+		require.False(t, old.Node.Ready())
+		waitAll(t, c, 1, 20*time.Second)
+		require.Equal(t, 6, c.Ledger.Starts)
+	})
+}
+
+// A leader that is cut off from the store goes on giving orders for a while and
+// hears of new jobs from its peers. Jobs that the next leader takes up must not
+// start twice.
+func TestLeaderCutFromStore(t *testing.T) {
+	run(t, 22, 4, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		const jobs = 60
+		one := fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: small, Estimate: time.Second, Checkpoints: true}}}
+		old := c.Leader()
+		old.Store.Set(fleettest.Silent)
+		var slow *fleettest.Member
+		for _, m := range c.Nodes {
+			if m != old {
+				slow = m
+				m.Work.Cut(c.Fleet[0], true) // the next leader cannot fence this worker
+			}
+		}
+		slow.Store.Slow(300 * time.Millisecond) // it hears late of the next leader
+		for i := range jobs {
+			go func() { _ = slow.Node.Submit(t.Context(), c.Queue, jobID(i), one) }()
+			time.Sleep(60 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		slow.Store.Slow(0)
+		for _, m := range c.Nodes {
+			m.Work.Cut(c.Fleet[0], false)
+		}
+		old.Store.Set(fleettest.Healthy)
+		waitAll(t, c, jobs, 60*time.Second)
+	})
+}
+
+// The former leader reaches workers that the new leader does not: their runs may
+// go on under its leases, so nothing of them may start elsewhere meanwhile.
+func TestLeaderCutFromStoreHoldsWorkersThatOthersMiss(t *testing.T) {
+	run(t, 23, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 4 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		time.Sleep(200 * time.Millisecond)
+		old := c.Leader()
+		for _, m := range c.Nodes {
+			if m != old {
+				m.Work.Cut(c.Fleet[0], true)
+				m.Work.Cut(c.Fleet[1], true)
+			}
+		}
+		old.Store.Set(fleettest.Busy)
+		time.Sleep(8 * time.Second)
+		for _, m := range c.Nodes {
+			m.Work.Cut(c.Fleet[0], false)
+			m.Work.Cut(c.Fleet[1], false)
+		}
+		old.Store.Set(fleettest.Healthy)
+		waitAll(t, c, 4, 60*time.Second)
+	})
+}
+
+func TestAllNodesKilledAtOnce(t *testing.T) {
+	run(t, 24, 4, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 6 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		c.StopAll()
+		time.Sleep(time.Second)
+		c.StartAll()
+		waitAll(t, c, 6, 60*time.Second)
+	})
+}
+
+func TestStoreDownForAll(t *testing.T) {
+	for _, fault := range []fleettest.Fault{fleettest.Silent, fleettest.Busy} {
+		run(t, 25, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+			for i := range 4 {
+				submit(t, c, jobID(i), twoSteps())
+			}
+			time.Sleep(time.Second)
+			old := c.Leader()
+			for _, m := range c.Nodes {
+				m.Store.Set(fault)
+			}
+			time.Sleep(5 * time.Second)
+			for _, m := range c.Nodes {
+				require.False(t, m.Node.Ready(), "a node without the store is not ready")
+				m.Store.Set(fleettest.Healthy)
+			}
+			waitAll(t, c, 4, 30*time.Second)
+			require.Equal(t, 24, c.Ledger.Starts, "work goes on during an outage")
+			require.Same(t, old, c.Leader(), "an outage for all changes no leader")
+		})
+	}
+}
+
+func TestStoreForgetsHistory(t *testing.T) {
+	run(t, 26, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 8 {
+			submit(t, c, jobID(i), twoSteps())
+			c.Store.Compact()
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.TakeOut("dc1", true)
+		c.Store.Compact()
+		waitAll(t, c, 8, 30*time.Second)
+	})
+}
+
+func TestTransactionsLostAndLate(t *testing.T) {
+	for seed := range uint64(5) {
+		run(t, 30+seed, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+			c.Store.Lost, c.Store.Late = 0.25, 0.15
+			for i := range 5 {
+				submit(t, c, jobID(i), twoSteps())
+			}
+			c.Kill(c.Leader())
+			waitAll(t, c, 5, 120*time.Second)
+		})
+	}
+}
+
+func TestOrdersLate(t *testing.T) {
+	for seed := range uint64(5) {
+		run(t, 40+seed, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+			c.Workers.Set(func() { c.Workers.LateShare = 0.2 })
+			for i := range 6 {
+				submit(t, c, jobID(i), twoSteps())
+			}
+			waitAll(t, c, 6, 120*time.Second)
+		})
+	}
+}
+
+func TestWorkerLost(t *testing.T) {
+	run(t, 50, 3, 3, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 3 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		time.Sleep(time.Second)
+		c.Workers.Kill(c.Fleet[0])
+		waitAll(t, c, 3, 40*time.Second)
+	})
+}
+
+func TestWorkerStartsAgain(t *testing.T) {
+	run(t, 51, 3, 2, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), twoSteps())
+		time.Sleep(time.Second)
+		for _, w := range c.Fleet {
+			c.Workers.Kill(w)
+		}
+		c.AddWorker("w0")
+		c.AddWorker("w1")
+		begun := time.Now()
+		waitAll(t, c, 1, 40*time.Second)
+		require.Less(t, time.Since(begun), 8*time.Second, "a new lifetime frees the tasks of the former one at once")
+	})
+}
+
+func TestWorkerCutAndBack(t *testing.T) {
+	run(t, 52, 3, 3, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 3 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range c.Nodes {
+			m.Work.Cut(c.Fleet[0], true)
+		}
+		time.Sleep(7 * time.Second)
+		for _, m := range c.Nodes {
+			m.Work.Cut(c.Fleet[0], false)
+		}
+		waitAll(t, c, 3, 40*time.Second)
+	})
+}
+
+func TestWorkerFailsAll(t *testing.T) {
+	run(t, 53, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.Workers.Set(func() { c.Fleet[0].Fail = true })
+		for i := range 6 {
+			submit(t, c, jobID(i), twoSteps())
+			time.Sleep(200 * time.Millisecond)
+		}
+		waitAll(t, c, 6, 40*time.Second)
+	})
+}
+
+func TestWorkerHangs(t *testing.T) {
+	run(t, 54, 3, 3, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.Workers.Set(func() { c.Fleet[0].Hang = true })
+		for i := range 3 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		waitAll(t, c, 3, 30*time.Second)
+	})
+}
+
+func TestClusterWithoutNoteOfDoneStartsNothingTwice(t *testing.T) {
+	run(t, 55, 3, 3, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), twoSteps())
+		time.Sleep(950 * time.Millisecond)
+		for _, m := range c.Nodes {
+			m.Store.Set(fleettest.Silent) // ends of the first step cannot be stored
+		}
+		time.Sleep(1500 * time.Millisecond)
+		c.Kill(c.Leader())
+		for _, m := range c.Nodes {
+			if m.Up() {
+				m.Store.Set(fleettest.Healthy)
+			}
+		}
+		waitAll(t, c, 1, 30*time.Second)
+		require.Equal(t, 6, c.Ledger.Starts, "ends that the former leader saw are listed again")
+	})
+}
--- /dev/null
+++ b/internal/fleet/fleettest/calls.go
@@ -0,0 +1,230 @@
+package fleettest
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// answerTime is how long a worker takes to answer.
+const answerTime = time.Millisecond
+
+// WorkerView is the fleet as one node reaches it.
+type WorkerView struct {
+	f   *Workers
+	mu  sync.Mutex
+	cut map[string]bool // addresses that do not answer
+	all bool
+}
+
+// View returns a new access to the workers.
+func (f *Workers) View() *WorkerView { return &WorkerView{f: f, cut: map[string]bool{}} }
+
+// Cut stops or restores the traffic to a worker.
+func (v *WorkerView) Cut(w *Worker, cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.cut[w.Info.Addr] = cut
+}
+
+// CutAll stops or restores the traffic to all workers.
+func (v *WorkerView) CutAll(cut bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.all = cut
+}
+
+func (v *WorkerView) reachable(addr string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.all && !v.cut[addr]
+}
+
+// order carries do out at the lifetime that w names. An order may get no answer
+// and be carried out later.
+func (v *WorkerView) order(ctx context.Context, w fleet.WorkerInfo, do func(*Worker) fleet.StartVerdict) (fleet.WorkerReply, error) {
+	if !v.reachable(w.Addr) {
+		<-ctx.Done()
+		return fleet.WorkerReply{}, unknown(ErrUnreachable)
+	}
+	if err := sleep(ctx, answerTime); err != nil {
+		return fleet.WorkerReply{}, err
+	}
+	f := v.f
+	f.mu.Lock()
+	target := f.workers[w.Addr]
+	if target == nil {
+		f.mu.Unlock()
+		return fleet.WorkerReply{}, model.Wrap(model.KindUnavailable, ErrUnreachable, "retry later", "connection refused")
+	}
+	if f.random.Float64() < f.LateShare {
+		delay := time.Second + time.Duration(f.random.Int64N(int64(3*time.Second)))
+		f.mu.Unlock()
+		time.AfterFunc(delay, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !target.dead {
+				do(target)
+			}
+		})
+		<-ctx.Done()
+		return fleet.WorkerReply{}, unknown(ctx.Err())
+	}
+	defer f.mu.Unlock()
+	if target.Info.Lifetime != w.Lifetime {
+		return fleet.WorkerReply{Verdict: fleet.StartOtherLife, Clock: target.clock()}, nil
+	}
+	verdict := do(target)
+	return fleet.WorkerReply{Verdict: verdict, Clock: target.clock()}, nil
+}
+
+// Start implements fleet.Workers.
+func (v *WorkerView) Start(ctx context.Context, w fleet.WorkerInfo, o fleet.StartOrder) (fleet.WorkerReply, error) {
+	return v.order(ctx, w, func(t *Worker) fleet.StartVerdict { return t.start(o) })
+}
+
+// Stop implements fleet.Workers.
+func (v *WorkerView) Stop(ctx context.Context, w fleet.WorkerInfo, r fleet.RunRef, fence uint64) (fleet.WorkerReply, error) {
+	return v.order(ctx, w, func(t *Worker) fleet.StartVerdict { return t.stopRun(r, fence) })
+}
+
+// Pace implements fleet.Workers.
+func (v *WorkerView) Pace(ctx context.Context, w fleet.WorkerInfo, r fleet.RunRef, percent int, fence uint64) (fleet.WorkerReply, error) {
+	return v.order(ctx, w, func(t *Worker) fleet.StartVerdict {
+		if fence < t.fence {
+			return fleet.StartFenced
+		}
+		if k := t.runs[r]; k != nil {
+			k.pace = percent
+		}
+		return fleet.StartRunning
+	})
+}
+
+// Look implements fleet.Workers.
+func (v *WorkerView) Look(ctx context.Context, w fleet.WorkerInfo, o fleet.LookOrder) (fleet.Report, error) {
+	var wake chan struct{}
+	var report fleet.Report
+	reply, err := v.order(ctx, w, func(t *Worker) fleet.StartVerdict {
+		if o.Fence < t.fence {
+			return fleet.StartFenced
+		}
+		t.fence = o.Fence
+		if o.Deadline > 0 {
+			t.extend(o.Deadline)
+		}
+		for len(t.ended) > 0 && t.ended[0].Number <= o.Acknowledged {
+			t.fleet.ledger.acknowledged(t, t.ended[0])
+			t.ended = t.ended[1:]
+		}
+		report, wake = t.report(), t.wake
+		return fleet.StartRunning
+	})
+	if err != nil || reply.Verdict != fleet.StartRunning || o.Wait == 0 || len(report.Ended) > 0 {
+		report.Verdict, report.Clock = reply.Verdict, reply.Clock
+		return report, err
+	}
+	timer := time.NewTimer(o.Wait)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-timer.C:
+	case <-ctx.Done():
+		return fleet.Report{}, unknown(ctx.Err())
+	}
+	if !v.reachable(w.Addr) {
+		<-ctx.Done()
+		return fleet.Report{}, unknown(ErrUnreachable)
+	}
+	v.f.mu.Lock()
+	defer v.f.mu.Unlock()
+	t := v.f.workers[w.Addr]
+	if t == nil || t.Info.Lifetime != w.Lifetime {
+		return fleet.Report{}, unknown(ErrUnreachable)
+	}
+	return t.report(), nil
+}
+
+// Net connects the nodes of a test.
+type Net struct {
+	mu    sync.Mutex
+	nodes map[string]*Peers
+}
+
+// NewNet returns a network without nodes.
+func NewNet() *Net { return &Net{nodes: map[string]*Peers{}} }
+
+// Peers implements fleet.Peers for one node.
+type Peers struct {
+	net      *Net
+	addr     string
+	handlers map[string]func(context.Context, json.RawMessage) (any, error)
+	up, cut  bool
+}
+
+// Peers returns the links of the node at addr.
+func (n *Net) Peers(addr string) *Peers {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := &Peers{net: n, addr: addr, handlers: map[string]func(context.Context, json.RawMessage) (any, error){}}
+	n.nodes[addr] = p
+	return p
+}
+
+// Cut stops or restores all traffic between the node and its peers.
+func (p *Peers) Cut(cut bool) {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.cut = cut
+}
+
+// Handle implements fleet.Peers.
+func (p *Peers) Handle(method string, h func(context.Context, json.RawMessage) (any, error)) {
+	p.handlers[method] = h
+}
+
+// Run implements fleet.Peers.
+func (p *Peers) Run(ctx context.Context) error {
+	p.set(true)
+	<-ctx.Done()
+	p.set(false)
+	return nil
+}
+
+func (p *Peers) set(up bool) {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.up = up
+}
+
+// Call implements fleet.Peers.
+func (p *Peers) Call(ctx context.Context, addr, method string, params, result any) error {
+	p.net.mu.Lock()
+	target, cut := p.net.nodes[addr], p.cut
+	usable := target != nil && target.up && !target.cut
+	p.net.mu.Unlock()
+	if cut || !usable {
+		<-ctx.Done()
+		return unknown(ErrUnreachable)
+	}
+	if err := sleep(ctx, answerTime); err != nil {
+		return err
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	v, err := target.handlers[method](ctx, raw)
+	if err != nil || result == nil {
+		return err
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
--- /dev/null
+++ b/internal/fleet/fleettest/cluster.go
@@ -0,0 +1,205 @@
+package fleettest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Names in the rows of other writers.
+const (
+	TableWorkers  = "workers"
+	TableOperator = "operator"
+	keyConfig     = "config"
+	prefixOut     = "out/"
+	// Service is the service of all workers, Queue the queue that they serve.
+	Service = model.ServiceName("svc")
+	Queue   = "jobs"
+)
+
+// Decoder reads rows that hold the product's types as JSON.
+type Decoder struct{}
+
+// Tables implements fleet.Decoder.
+func (Decoder) Tables() (workers, operator string) { return TableWorkers, TableOperator }
+
+// Worker implements fleet.Decoder.
+func (Decoder) Worker(row fleet.Row) (fleet.WorkerInfo, error) {
+	var w fleet.WorkerInfo
+	err := json.Unmarshal(row.Value, &w)
+	return w, err
+}
+
+// Configuration implements fleet.Decoder.
+func (Decoder) Configuration(row fleet.Row) (fleet.Configuration, error) {
+	var c fleet.Configuration
+	err := json.Unmarshal(row.Value, &c)
+	return c, err
+}
+
+// OperatorRow implements fleet.Decoder.
+func (Decoder) OperatorRow(row fleet.Row) fleet.OperatorRow {
+	if row.Key == keyConfig {
+		return fleet.OperatorRow{Configuration: true}
+	}
+	if len(row.Key) > len(prefixOut) && row.Key[:len(prefixOut)] == prefixOut {
+		return fleet.OperatorRow{DataCentre: model.DataCentre(row.Key[len(prefixOut):])}
+	}
+	return fleet.OperatorRow{}
+}
+
+// WaveStatus implements fleet.Decoder.
+func (Decoder) WaveStatus(int, bool) fleet.Row { return fleet.Row{} }
+
+// Cluster is a whole system in one process.
+type Cluster struct {
+	Store   *Store
+	Workers *Workers
+	Ledger  *Ledger
+	Net     *Net
+	Nodes   []*Member
+	Fleet   []*Worker
+	Queue   fleet.Queue
+	seed    uint64
+	born    int64
+	// Log receives the nodes' logs; default discarded.
+	Log io.Writer
+}
+
+// Member is a node with its access to the rest.
+type Member struct {
+	Name   string
+	Node   *fleet.Node
+	Store  *View
+	Work   *WorkerView
+	Peers  *Peers
+	cancel context.CancelFunc
+	done   chan struct{}
+	starts uint64
+}
+
+// NewCluster starts the given numbers of nodes and workers. Tasks behave as tasks
+// says.
+func NewCluster(seed uint64, nodes, workers int, tasks func(fleet.TaskName) Task) *Cluster {
+	l := NewLedger()
+	c := &Cluster{Store: NewStore(seed), Workers: NewWorkers(seed, tasks, l), Ledger: l, Net: NewNet(), seed: seed, Log: io.Discard}
+	c.Configure(1, 2)
+	for i := range workers {
+		c.AddWorker(fmt.Sprintf("w%d", i))
+	}
+	for i := range nodes {
+		m := &Member{Name: fmt.Sprintf("n%d", i)}
+		c.Nodes = append(c.Nodes, m)
+	}
+	return c
+}
+
+// Configure writes a configuration with the version and the attempts of a task.
+func (c *Cluster) Configure(version uint64, attempts int) {
+	c.Queue = fleet.Queue{Name: Queue, Host: "h", Prefix: "/q/", Service: Service, MaxAttempts: attempts, Stretch: 2, Objective: time.Second}
+	c.write(TableOperator, keyConfig, fleet.Configuration{Version: version, Queues: []fleet.Queue{c.Queue},
+		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
+}
+
+// TakeOut asks for a data centre to be taken out of service, or returns it.
+func (c *Cluster) TakeOut(dc string, out bool) {
+	if out {
+		c.write(TableOperator, prefixOut+dc, struct{}{})
+		return
+	}
+	c.Store.Delete(TableOperator, "", prefixOut+dc)
+}
+
+func (c *Cluster) write(table, key string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	c.Store.Put(table, "", key, data)
+}
+
+// AddWorker starts a worker, or a new lifetime of one, and lists it.
+func (c *Cluster) AddWorker(id string) *Worker {
+	c.born++
+	info := fleet.WorkerInfo{
+		Lifetime: fleet.Lifetime{Worker: model.WorkerID(id), Born: c.born}, Addr: id + ":1", DataCentre: model.DataCentre("dc" + id[len(id)-1:]),
+		Service: Service, Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}, Labels: []string{"a", "r" + id[len(id)-1:]},
+	}
+	w := c.Workers.Add(info)
+	c.List(w)
+	c.Fleet = append(c.Fleet, w)
+	return w
+}
+
+// List writes the worker's entry; Unlist removes it.
+func (c *Cluster) List(w *Worker) { c.write(TableWorkers, string(w.Info.Worker), w.Info) }
+
+// Unlist removes the worker's entry.
+func (c *Cluster) Unlist(w *Worker) { c.Store.Delete(TableWorkers, "", string(w.Info.Worker)) }
+
+// Start starts a node's process.
+func (c *Cluster) Start(m *Member) {
+	m.starts++
+	logger := logrus.New()
+	logger.SetOutput(c.Log)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	m.Store, m.Work, m.Peers = c.Store.View(), c.Workers.View(), c.Net.Peers(m.Name)
+	m.Node = fleet.NewNode(fleet.Config{
+		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
+		Limits: fleet.Limits{RowBytes: 65536},
+		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Stop: stopTime, Retention: 2 * time.Minute,
+			Early: 250 * time.Millisecond, GangTimeout: 3 * time.Second, Harm: 4 * time.Second},
+		Store: m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
+	})
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(context.Background())
+	m.done = make(chan struct{})
+	node, done := m.Node, m.done
+	go func() {
+		defer close(done)
+		_ = node.Run(ctx) // fails only with the listener, which the stand-in has not
+	}()
+}
+
+// StartAll starts all nodes.
+func (c *Cluster) StartAll() {
+	for _, m := range c.Nodes {
+		c.Start(m)
+	}
+}
+
+// Kill ends a node's process: its calls in flight get no answer.
+func (c *Cluster) Kill(m *Member) {
+	if m.cancel != nil {
+		m.cancel()
+		<-m.done
+		m.cancel = nil
+	}
+}
+
+// Up reports whether the node's process runs.
+func (m *Member) Up() bool { return m.cancel != nil }
+
+// StopAll ends all nodes.
+func (c *Cluster) StopAll() {
+	for _, m := range c.Nodes {
+		c.Kill(m)
+	}
+}
+
+// Leader returns the node that leads, or nil.
+func (c *Cluster) Leader() *Member {
+	for _, m := range c.Nodes {
+		if m.Up() && m.Node.Leading() {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleettest/ledger.go
@@ -0,0 +1,95 @@
+package fleettest
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+)
+
+// Ledger checks the promises about runs, from what the workers see. Its methods
+// are called with the fleet's lock held.
+type Ledger struct {
+	mu      sync.Mutex
+	running map[fleet.TaskName]map[string]int // attempts by worker
+	noted   map[fleet.TaskName]bool           // ended done, and taken note of
+	pending map[string]string                 // ends that may still be taken note of
+	begun   time.Time
+	// Starts and Done count.
+	Starts, Done int
+	broken       []string
+	// cancelled holds the jobs whose cancellation was acknowledged, and when.
+	cancelled map[string]time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{running: map[fleet.TaskName]map[string]int{}, noted: map[fleet.TaskName]bool{}, begun: time.Now(), cancelled: map[string]time.Time{}}
+}
+
+func (l *Ledger) breach(format string, args ...any) {
+	l.broken = append(l.broken, fmt.Sprintf("%v: ", time.Since(l.begun).Round(time.Millisecond))+fmt.Sprintf(format, args...))
+}
+
+func (l *Ledger) started(w *Worker, o fleet.StartOrder, task Task) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Starts++
+	if l.running[o.Task] == nil {
+		l.running[o.Task] = map[string]int{}
+	}
+	if !task.Speculative {
+		for other, attempt := range l.running[o.Task] {
+			l.breach("task %s attempt %d starts on %s while attempt %d runs on %s", o.Task, o.Attempt, w.Info.Worker, attempt, other)
+		}
+		if l.noted[o.Task] {
+			l.breach("task %s attempt %d starts on %s after it was done", o.Task, o.Attempt, w.Info.Worker)
+		}
+	}
+	job, _, _ := strings.Cut(string(o.Task), ".")
+	if at, ok := l.cancelled[job]; ok && time.Since(at) > cancelBound {
+		l.breach("task %s starts %v after its job was cancelled", o.Task, time.Since(at))
+	}
+	l.running[o.Task][string(w.Info.Worker)] = o.Attempt
+}
+
+// cancelBound is the contract's time between a cancellation and the last start.
+const cancelBound = 3 * time.Second
+
+// Cancelled notes an acknowledged cancellation.
+func (l *Ledger) Cancelled(job string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancelled[job] = time.Now()
+}
+
+func (l *Ledger) ended(w *Worker, r fleet.RunRef, _ Task, _ fleet.EndKind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.running[r.Task], string(w.Info.Worker))
+}
+
+func (l *Ledger) acknowledged(_ *Worker, e fleet.RunEnd) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.How == fleet.EndDone {
+		l.noted[e.Task] = true
+		l.Done++
+	}
+}
+
+// Broken returns the promises that were broken.
+func (l *Ledger) Broken() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.broken...)
+}
+
+// Noted reports whether the leader has taken note that a task is done.
+func (l *Ledger) Noted(task fleet.TaskName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.noted[task]
+}
--- /dev/null
+++ b/internal/fleet/fleettest/store.go
@@ -0,0 +1,292 @@
+// Package fleettest provides in-process stand-ins of what package fleet uses: the
+// store, the workers and the links between nodes. They keep the contract's
+// semantics, with faults that tests switch on. All of them work in virtual time.
+package fleettest
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Fault is a state of the store towards one node.
+type Fault int
+
+// Faults of the store.
+const (
+	// Healthy answers calls.
+	Healthy Fault = iota
+	// Silent gives no answer and does nothing.
+	Silent
+	// Busy answers that nothing was done.
+	Busy
+)
+
+// Store is a table service. Calls go through a View, so that faults can differ
+// from node to node.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[fleet.RowID]fleet.Row
+	version uint64
+	// history holds changes for watches; horizon is the version before the first.
+	history []fleet.Row
+	horizon uint64
+	changed chan struct{}
+	begun   time.Time
+	random  *rand.Rand
+
+	// Latency is the time of an answer; a transaction takes twice as long.
+	Latency time.Duration
+	// Lost is the share of transactions that are applied and not answered.
+	Lost float64
+	// Late is the share of transactions that are not answered and applied between
+	// one and four seconds later, if their condition still holds.
+	Late float64
+	// Transactions counts applied transactions.
+	Transactions int
+}
+
+// NewStore returns an empty store.
+func NewStore(seed uint64) *Store {
+	return &Store{
+		rows: map[fleet.RowID]fleet.Row{}, changed: make(chan struct{}), begun: time.Now(),
+		random: rand.New(rand.NewPCG(seed, 1)), Latency: 4 * time.Millisecond,
+	}
+}
+
+// Compact drops the history, so that watches must read again.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.horizon = nil, s.version
+	s.wake()
+}
+
+// wake lets waiting watches look again. The lock is held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Put writes a row without a condition, as other writers do.
+func (s *Store) Put(table, part, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(fleet.Transaction{Puts: []fleet.Row{{RowID: fleet.RowID{Table: table, Part: part, Key: key}, Value: value}}})
+}
+
+// Delete removes a row, as other writers do.
+func (s *Store) Delete(table, part, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(fleet.Transaction{Delete: []fleet.RowID{{Table: table, Part: part, Key: key}}})
+}
+
+// Rows returns the rows of a table in order of key.
+func (s *Store) Rows(table string) []fleet.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selectRows(func(id fleet.RowID) bool { return id.Table == table })
+}
+
+func (s *Store) selectRows(match func(fleet.RowID) bool) []fleet.Row {
+	var rows []fleet.Row
+	for id, row := range s.rows {
+		if match(id) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows
+}
+
+// apply runs a transaction; the lock is held. It returns nil, or the conflict.
+func (s *Store) apply(tx fleet.Transaction) error {
+	var present []fleet.Row
+	failed := false
+	for _, e := range tx.Expect {
+		row, ok := s.rows[e.RowID]
+		if ok {
+			present = append(present, row)
+		}
+		if row.Version != e.Version {
+			failed = true
+		}
+	}
+	if failed {
+		return &fleet.ConflictError{Rows: present}
+	}
+	s.version++
+	s.Transactions++
+	for _, p := range tx.Puts {
+		row := fleet.Row{RowID: p.RowID, Value: append([]byte(nil), p.Value...), Version: s.version}
+		s.rows[p.RowID] = row
+		s.history = append(s.history, row)
+	}
+	for _, id := range tx.Delete {
+		if _, ok := s.rows[id]; ok {
+			delete(s.rows, id)
+			s.history = append(s.history, fleet.Row{RowID: id, Version: s.version, Removed: true})
+		}
+	}
+	s.wake()
+	return nil
+}
+
+// View is the store as one node reaches it.
+type View struct {
+	s     *Store
+	mu    sync.Mutex
+	fault Fault
+	slow  time.Duration
+}
+
+// View returns a new access to the store.
+func (s *Store) View() *View { return &View{s: s} }
+
+// Set changes the fault of the view.
+func (v *View) Set(f Fault) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fault = f
+}
+
+// Slow adds a delay to each answer.
+func (v *View) Slow(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.slow = d
+}
+
+func (v *View) state() (Fault, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fault, v.slow
+}
+
+func unknown(err error) error {
+	return model.Wrap(model.KindUnknown, err, "repeat the call", "no answer")
+}
+
+var errBusy = model.Errorf(model.KindUnavailable, "retry later", "store is down")
+
+// pass waits for the time of a call, or fails as the view's fault says.
+func (v *View) pass(ctx context.Context, times int) error {
+	fault, slow := v.state()
+	switch fault {
+	case Busy:
+		return errBusy
+	case Silent:
+		<-ctx.Done()
+		return unknown(ctx.Err())
+	}
+	return sleep(ctx, time.Duration(times)*v.s.Latency+slow)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return unknown(ctx.Err())
+	}
+}
+
+// Commit implements fleet.Store.
+func (v *View) Commit(ctx context.Context, tx fleet.Transaction) (fleet.Commit, error) {
+	if err := v.pass(ctx, 2); err != nil {
+		return fleet.Commit{}, err
+	}
+	s := v.s
+	s.mu.Lock()
+	lost, late := s.random.Float64() < s.Lost, s.random.Float64() < s.Late
+	delay := time.Second + time.Duration(s.random.Int64N(int64(3*time.Second)))
+	if late {
+		time.AfterFunc(delay, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_ = s.apply(tx) // a condition that no longer holds: nothing happens
+		})
+		s.mu.Unlock()
+		<-ctx.Done()
+		return fleet.Commit{}, unknown(ctx.Err())
+	}
+	err := s.apply(tx)
+	version := s.version
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return fleet.Commit{}, unknown(ctx.Err())
+	}
+	return fleet.Commit{Version: version, Now: time.Since(s.begun)}, err
+}
+
+// List implements fleet.Store.
+func (v *View) List(ctx context.Context, table, part, from, to string, limit int) (fleet.Page, error) {
+	if err := v.pass(ctx, 1); err != nil {
+		return fleet.Page{}, err
+	}
+	s := v.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := s.selectRows(func(id fleet.RowID) bool {
+		return id.Table == table && id.Part == part && id.Key >= from && (to == "" || id.Key < to)
+	})
+	more := limit > 0 && len(rows) > limit
+	if more {
+		rows = rows[:limit]
+	}
+	return fleet.Page{Rows: rows, More: more, Version: s.version, Now: time.Since(s.begun)}, nil
+}
+
+// Watch implements fleet.Store.
+func (v *View) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (fleet.Page, error) {
+	if err := v.pass(ctx, 1); err != nil {
+		return fleet.Page{}, err
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		page, changed, err := v.s.changes(table, after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return page, nil
+		case <-ctx.Done():
+			return fleet.Page{}, unknown(ctx.Err())
+		}
+		if fault, _ := v.state(); fault == Silent {
+			<-ctx.Done()
+			return fleet.Page{}, unknown(ctx.Err())
+		}
+	}
+}
+
+func (s *Store) changes(table string, after uint64) (fleet.Page, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.horizon {
+		return fleet.Page{}, nil, model.Errorf(model.KindStale, "read the table again", "history is gone")
+	}
+	page := fleet.Page{Version: s.version, Now: time.Since(s.begun)}
+	for _, row := range s.history {
+		if row.Version > after && row.Table == table {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, s.changed, nil
+}
+
+// ErrUnreachable is the cause of calls that got no answer.
+var ErrUnreachable = errors.New("unreachable")
--- /dev/null
+++ b/internal/fleet/fleettest/worker.go
@@ -0,0 +1,295 @@
+package fleettest
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Task describes how a task behaves on any worker.
+type Task struct {
+	// Work is the time that it takes; Lasting tasks have none.
+	Work    time.Duration
+	Lasting bool
+	// Fails is the number of attempts that fail before one succeeds.
+	Fails int
+	Needs model.Resources
+	// Checkpoint means that a stop saves the progress.
+	Checkpoint bool
+	// Target is the latency target of a serving task, in milliseconds.
+	Target int
+	Filler bool
+	// Speculative tasks may run in copies.
+	Speculative bool
+	// Members is the number of tasks of a gang; 0 for others.
+	Members int
+}
+
+// Workers is the fleet, as one node reaches it through a View.
+type Workers struct {
+	mu      sync.Mutex
+	workers map[string]*Worker // by address
+	tasks   func(fleet.TaskName) Task
+	ledger  *Ledger
+	random  *rand.Rand
+	// LateShare of the orders get no answer and are carried out one to four
+	// seconds later.
+	LateShare float64
+	// Disturb returns the tail of a serving task beside filler work, in
+	// milliseconds; nil means no disturbance.
+	Disturb func(service fleet.TaskName, fillers []fleet.TaskName) int
+}
+
+// NewWorkers returns an empty fleet whose tasks behave as tasks says.
+func NewWorkers(seed uint64, tasks func(fleet.TaskName) Task, l *Ledger) *Workers {
+	return &Workers{workers: map[string]*Worker{}, tasks: tasks, ledger: l, random: rand.New(rand.NewPCG(seed, 2))}
+}
+
+// Worker is one process that runs tasks.
+type Worker struct {
+	Info   fleet.WorkerInfo
+	fleet  *Workers
+	begun  time.Time
+	fence  uint64
+	lease  time.Duration // on the worker's clock
+	runs   map[fleet.RunRef]*work
+	ended  []fleet.RunEnd
+	number uint64
+	// highest holds, per task, the highest attempt that was stopped or ended.
+	highest map[fleet.TaskName]int
+	wake    chan struct{}
+	dead    bool
+	expiry  *time.Timer
+
+	// Hang keeps tasks from progress, Fail makes all tasks fail.
+	Hang, Fail bool
+}
+
+type work struct {
+	ref   fleet.RunRef
+	task  Task
+	begun time.Time
+	done  time.Duration // progress at begin, from a checkpoint
+	timer *time.Timer
+	stop  bool
+	pace  int
+}
+
+// Add starts a worker.
+func (f *Workers) Add(info fleet.WorkerInfo) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := &Worker{Info: info, fleet: f, begun: time.Now(), runs: map[fleet.RunRef]*work{}, highest: map[fleet.TaskName]int{}, wake: make(chan struct{})}
+	f.workers[info.Addr] = w
+	return w
+}
+
+// Kill ends a worker without notice.
+func (f *Workers) Kill(w *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.dead = true
+	for ref := range w.runs {
+		w.drop(ref)
+	}
+	if f.workers[w.Info.Addr] == w {
+		delete(f.workers, w.Info.Addr)
+	}
+}
+
+// Set changes the worker under the fleet's lock.
+func (f *Workers) Set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// Running counts the runs on w.
+func (f *Workers) Running(w *Worker) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(w.runs)
+}
+
+func (w *Worker) clock() time.Duration { return time.Second + time.Since(w.begun) }
+
+// drop forgets a run without an end; the lock is held.
+func (w *Worker) drop(ref fleet.RunRef) *work {
+	k := w.runs[ref]
+	if k == nil {
+		return nil
+	}
+	if k.timer != nil {
+		k.timer.Stop()
+	}
+	delete(w.runs, ref)
+	w.fleet.ledger.ended(w, ref, k.task, "")
+	return k
+}
+
+// end lists the end of a run; the lock is held.
+func (w *Worker) end(ref fleet.RunRef, how fleet.EndKind) {
+	k := w.drop(ref)
+	if k == nil {
+		return
+	}
+	saved := ""
+	if k.task.Checkpoint && how != fleet.EndDone {
+		saved = (k.done + time.Since(k.begun)).String()
+	}
+	w.number++
+	w.highest[ref.Task] = max(w.highest[ref.Task], ref.Attempt)
+	w.ended = append(w.ended, fleet.RunEnd{Number: w.number, RunRef: ref, How: how, Checkpoint: saved})
+	w.fleet.ledger.ended(w, ref, k.task, how)
+	close(w.wake)
+	w.wake = make(chan struct{})
+}
+
+// extend moves the lease on, never back; the lock is held.
+func (w *Worker) extend(deadline time.Duration) {
+	const leaseMax = 6 * time.Second
+	deadline = min(deadline, w.clock()+leaseMax)
+	if deadline <= w.lease {
+		return
+	}
+	w.lease = deadline
+	if w.expiry != nil {
+		w.expiry.Stop()
+	}
+	w.expiry = time.AfterFunc(w.lease-w.clock(), func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		if w.clock() < w.lease {
+			return
+		}
+		for ref := range w.runs {
+			w.end(ref, fleet.EndLapsed)
+		}
+	})
+}
+
+// used sums what the runs reserve.
+func (w *Worker) used() model.Resources {
+	var sum model.Resources
+	for _, k := range w.runs {
+		sum = sum.Add(k.reserved())
+	}
+	return sum
+}
+
+func (k *work) reserved() model.Resources {
+	r := k.task.Needs
+	if k.task.Filler {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// start carries a start out; the lock is held.
+func (w *Worker) start(o fleet.StartOrder) fleet.StartVerdict {
+	if o.Fence < w.fence {
+		return fleet.StartFenced
+	}
+	w.fence = o.Fence
+	if w.runs[o.RunRef] != nil {
+		w.extend(o.Deadline)
+		return fleet.StartRunning
+	}
+	if o.Deadline <= w.clock() {
+		return fleet.StartLate
+	}
+	w.extend(o.Deadline)
+	if o.Attempt <= w.highest[o.Task] {
+		return fleet.StartOld
+	}
+	task := w.fleet.tasks(o.Task)
+	k := &work{ref: o.RunRef, task: task, begun: time.Now(), pace: 100}
+	if !w.used().Add(k.reserved()).Fits(w.Info.Capacity) {
+		return fleet.StartNoRoom
+	}
+	if o.Checkpoint != "" {
+		k.done, _ = time.ParseDuration(o.Checkpoint)
+	}
+	w.runs[o.RunRef] = k
+	w.fleet.ledger.started(w, o, task)
+	w.arm(k)
+	return fleet.StartRunning
+}
+
+// arm sets the timer that ends a run by itself; the lock is held.
+func (w *Worker) arm(k *work) {
+	if k.task.Lasting || (w.Hang && !w.Fail) {
+		return
+	}
+	fails := w.Fail || k.ref.Attempt <= k.task.Fails
+	how := fleet.EndDone
+	left := max(k.task.Work-k.done, time.Millisecond)
+	if fails {
+		how, left = fleet.EndFailed, left/2
+	}
+	k.timer = time.AfterFunc(left, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		if !w.dead {
+			w.end(k.ref, how)
+		}
+	})
+}
+
+// stopTime is how long a stop takes.
+const stopTime = 100 * time.Millisecond
+
+// stopRun carries a stop out; the lock is held.
+func (w *Worker) stopRun(r fleet.RunRef, fence uint64) fleet.StartVerdict {
+	if fence < w.fence {
+		return fleet.StartFenced
+	}
+	w.fence = fence
+	w.highest[r.Task] = max(w.highest[r.Task], r.Attempt)
+	if k := w.runs[r]; k != nil && !k.stop {
+		k.stop = true
+		time.AfterFunc(stopTime, func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			if w.runs[r] == k {
+				w.end(r, fleet.EndStopped)
+			}
+		})
+	}
+	return fleet.StartRunning
+}
+
+// report lists runs and ends; the lock is held.
+func (w *Worker) report() fleet.Report {
+	r := fleet.Report{Verdict: fleet.StartRunning, Clock: w.clock(), Ended: append([]fleet.RunEnd(nil), w.ended...)}
+	for ref, k := range w.runs {
+		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
+		if !k.task.Lasting && k.task.Work > 0 {
+			s.Percent = int(100 * (k.done + time.Since(k.begun)) / k.task.Work)
+			if w.Hang {
+				s.Percent = 0
+			}
+		}
+		if k.task.Target > 0 {
+			s.Reading = w.tail(ref.Task)
+		}
+		r.Running = append(r.Running, s)
+	}
+	return r
+}
+
+func (w *Worker) tail(service fleet.TaskName) int {
+	if w.fleet.Disturb == nil {
+		return 1
+	}
+	var fillers []fleet.TaskName
+	for ref, k := range w.runs {
+		if k.task.Filler && k.pace > 0 {
+			fillers = append(fillers, ref.Task)
+		}
+	}
+	return w.fleet.Disturb(service, fillers)
+}
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -79,5 +79,9 @@
 	}
 }
 
+// onProbation reports whether the worker has rested and not succeeded since. It
+// gets one task at a time, and none whose budget a further failure would strain.
+func (h *health) onProbation() bool { return h.rests > 0 }
+
 // isSlow reports whether runs take much longer on the worker than elsewhere.
 func (h *health) isSlow() bool { return h.slow > slowFactor }
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // attemptsPerTerm separates the attempt numbers of terms: a new leader does not
@@ -47,6 +49,8 @@
 	// failed lists the attempts that ended by failure, so that an end that is
 	// reported twice counts once.
 	failed []int
+	// failedOn lists the workers of these attempts, as far as this term knows.
+	failedOn []model.WorkerID
 	// attempt is the highest number that was used.
 	attempt int
 	// checkpoint is the newest that is known.
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -205,3 +205,9 @@
 	n.leader.Store(&leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr})
 	n.wait.Go(t.run)
 }
+
+// Leading reports whether this node leads and knows of no newer leader.
+func (n *Node) Leading() bool {
+	t := n.term.Load()
+	return t != nil && t.ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/fleet/links.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/membership"
+)
+
+// peerDialTimeout bounds the opening of a connection to a peer.
+const peerDialTimeout = 400 * time.Millisecond
+
+// links implements Peers with the JSON-RPC connections of package membership.
+// Nodes need no gossip: they know the leader from the store, and call no other.
+type links struct {
+	service *membership.Service
+	ln      net.Listener
+}
+
+// NewPeers listens on cfg.PeerAddr and returns the connections between nodes.
+func NewPeers(cfg Config) (Peers, error) {
+	s, err := membership.New(membership.Config{
+		Node: cfg.Node, Addr: cfg.PeerAddr, DataCentre: cfg.DataCentre, Plaintext: true, ManualGossip: true,
+		Dial: dialPeer, Log: cfg.Log, Metrics: cfg.Metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ln, err := s.Listen()
+	if err != nil {
+		return nil, err
+	}
+	return &links{s, ln}, nil
+}
+
+func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+}
+
+// Handle implements Peers.
+func (l *links) Handle(method string, h func(context.Context, json.RawMessage) (any, error)) {
+	l.service.Handle(method, h)
+}
+
+// Call implements Peers.
+func (l *links) Call(ctx context.Context, addr, method string, params, result any) error {
+	return l.service.Call(ctx, addr, method, params, result)
+}
+
+// Run implements Peers.
+func (l *links) Run(ctx context.Context) error { return l.service.Run(ctx, l.ln) }
--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -58,7 +58,8 @@
 	if len(w.runs) > 0 && w.raised && w.failures == 0 && w.committed == w.lastEnd && !w.probe {
 		o.Wait = lookWait
 	}
-	if len(w.runs) > 0 && w.raised && t.active() {
+	// A silent worker's lease is not renewed: its end must come in known time.
+	if len(w.runs) > 0 && w.raised && w.failures == 0 && t.active() {
 		o.Deadline = w.deadline(t.now, t.leaseLength())
 	}
 	w.lookBusy, w.probe = true, false
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/vanillapier/vanillapier/internal/membership"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 )
@@ -36,6 +34,7 @@
 	Decoder     Decoder
 	Advisor     Advisor
 	Inventory   Inventory
+	Peers       Peers
 	Log         *logrus.Entry
 	Metrics     *telemetry.Metrics
 }
@@ -59,7 +58,6 @@
 	cfg      Config
 	log      *logrus.Entry
 	metrics  *metrics
-	peers    *membership.Service
 	view     atomic.Pointer[view]
 	term     atomic.Pointer[term]
 	leader   atomic.Pointer[leaderRecord]
@@ -78,38 +76,19 @@
 }
 
 // NewNode returns a node that does nothing yet.
-func NewNode(cfg Config) (*Node, error) {
+func NewNode(cfg Config) *Node {
 	cfg.provision()
 	n := &Node{cfg: cfg, log: cfg.Log, metrics: newMetrics(cfg.Metrics)}
-	peers, err := membership.New(membership.Config{
-		Node: cfg.Node, Addr: cfg.PeerAddr, DataCentre: cfg.DataCentre, Plaintext: true, ManualGossip: true,
-		Dial: dialPeer, Log: cfg.Log, Metrics: cfg.Metrics, Seed: cfg.Seed,
-	})
-	if err != nil {
-		return nil, err
-	}
-	n.peers = peers
 	n.handlePeers()
-	return n, nil
-}
-
-// peerDialTimeout bounds the opening of a connection to a peer.
-const peerDialTimeout = 400 * time.Millisecond
-
-func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	return n
 }
 
 // Run follows the store, serves peers and leads when elected, until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
-	ln, err := n.peers.Listen()
-	if err != nil {
-		return err
-	}
 	n.log.WithFields(logrus.Fields{"event": "start", "dc": n.cfg.DataCentre, "peers": n.cfg.PeerAddr, "process": n.cfg.Process}).Info("node starts")
 	n.wait.Go(func() { n.followOperator(ctx) })
 	n.wait.Go(func() { n.followLeader(ctx) })
-	err = n.peers.Run(ctx, ln)
+	err := n.cfg.Peers.Run(ctx)
 	if t := n.term.Load(); t != nil {
 		t.cancel()
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -49,7 +49,7 @@
 
 // handlePeers registers the methods that peers call.
 func (n *Node) handlePeers() {
-	n.peers.Handle(methodOffer, func(_ context.Context, raw json.RawMessage) (any, error) {
+	n.cfg.Peers.Handle(methodOffer, func(_ context.Context, raw json.RawMessage) (any, error) {
 		var p offerParams
 		if err := decodeParams(raw, &p); err != nil {
 			return nil, err
@@ -57,14 +57,14 @@
 		n.takeOffer(Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
 		return true, nil
 	})
-	n.peers.Handle(methodState, func(ctx context.Context, raw json.RawMessage) (any, error) {
+	n.cfg.Peers.Handle(methodState, func(ctx context.Context, raw json.RawMessage) (any, error) {
 		var p stateParams
 		if err := decodeParams(raw, &p); err != nil {
 			return nil, err
 		}
 		return n.localState(ctx, p.Job), nil
 	})
-	n.peers.Handle(methodPending, func(ctx context.Context, _ json.RawMessage) (any, error) {
+	n.cfg.Peers.Handle(methodPending, func(ctx context.Context, _ json.RawMessage) (any, error) {
 		return n.localPending(ctx), nil
 	})
 }
@@ -119,7 +119,7 @@
 	if leader == nil || leader.Released || leader.Node == n.cfg.Node || !n.link.usable(leader.Term) {
 		return false
 	}
-	if err := n.peers.Call(ctx, leader.Addr, method, params, result); err != nil {
+	if err := n.cfg.Peers.Call(ctx, leader.Addr, method, params, result); err != nil {
 		if !model.IsKind(err, model.KindExhausted) {
 			n.link.failed(leader.Term)
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -119,6 +120,9 @@
 	if r.tickets != nil && r.tickets[w.info.Worker] == "" {
 		return false
 	}
+	if w.health.onProbation() && (len(w.runs) > 0 || (r.task != nil && len(r.task.failed) > 0)) {
+		return false
+	}
 	if r.task != nil {
 		for _, other := range r.task.runs {
 			if other.worker == w {
@@ -165,15 +169,32 @@
 	if s.Near != "" && w.rack != s.Near {
 		score += farBias
 	}
-	if w.health.failures > 0 || (r.task != nil && len(r.task.failed) > 0 && !w.health.trusted) {
-		score += failureBias
-	}
+	score += p.distrust(w, r)
 	if w.health.slow > 1.3 {
 		score += slowBias * (w.health.slow - 1)
 	}
 	return score
 }
 
+// distrust is the cost of a worker whose runs failed, which grows for a task that
+// has failed itself, and most where it did.
+func (p *placement) distrust(w *worker, r request) float64 {
+	cost := 0.0
+	if w.health.failures > 0 {
+		cost += failureBias
+	}
+	if r.task == nil || len(r.task.failed) == 0 {
+		return cost
+	}
+	if !w.health.trusted {
+		cost += failureBias / 2
+	}
+	if slices.Contains(r.task.failedOn, w.info.Worker) {
+		cost += 2 * failureBias
+	}
+	return cost
+}
+
 // otherImages is the share of the lasting runs on w that have another image.
 func otherImages(w *worker, image string) float64 {
 	others, all := 0, 0
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -218,6 +219,16 @@
 	Advise(ctx context.Context, step string, workers []model.WorkerID) (Advice, error)
 }
 
+// Peers connects the nodes of the system.
+type Peers interface {
+	// Handle registers the handler of a method, before Run.
+	Handle(method string, h func(ctx context.Context, params json.RawMessage) (any, error))
+	// Call asks the node at addr.
+	Call(ctx context.Context, addr, method string, params, result any) error
+	// Run serves peers until ctx ends.
+	Run(ctx context.Context) error
+}
+
 // Machine is a physical host of the platform's inventory.
 type Machine struct {
 	ID     string
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -366,6 +366,9 @@
 		t.log.WithFields(logrus.Fields{"decision": "rest", "worker": w.info.Worker, "failures": w.health.failures,
 			"until_ms": w.health.until.Sub(t.now).Milliseconds()}).Warn("worker rests: its tasks fail")
 	}
+	if _, tk := j.task(key); tk != nil {
+		tk.failedOn = append(tk.failedOn, w.info.Worker)
+	}
 	q := t.queues[j.queue]
 	if r.step.Gang {
 		o := j.find(key.occurrence)
