Learn pressure from differences of headroom; pace fillers in proportion

Cause: tails follow 1/(1-load) (undisturbed readings of 31 to 92 ms beside a target of 150 are loads of 0.24 to 0.73), and a service's own load swings by as much as a filler adds, so that the regression on levels explained 0.2 to 0.33 of the variance and blamed the wrong images.

--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -1,55 +1,42 @@
 package fleet
 
 import (
-	"context"
+	"maps"
 	"time"
-
-	"github.com/sirupsen/logrus"
-
-	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// Constants of the protection of services from fillers.
+// Constants of the protection of services from fillers. Headroom is target/tail.
 const (
-	// pressureLimit bounds the predicted rise of a service's tail by the fillers
-	// beside it, as a logarithm. The load of a service alone moves its tail from a
-	// third to two thirds of its target, which leaves a factor of 1.5.
-	pressureLimit = 0.42
-	// blameShare is the least contribution, as a logarithm, for which a filler is
-	// paused before others.
-	blameShare = 0.12
+	// marginShare of the highest headroom is kept between the target and what is
+	// expected: readings are rough, and a load may rise until the next look.
+	marginShare = 0.09
+	// slightShare of the highest headroom is a pressure too small to act on.
+	slightShare = 0.015
+	// loadWeight and meanWeight are the weights of a new report in the estimates of
+	// a service's own load, now and on average.
+	loadWeight = 0.6
+	meanWeight = 0.08
 	// calmAfter is how long no filler is added beside a service that was over its
 	// target.
-	calmAfter = 1500 * time.Millisecond
-	// pausedLimit is how long fillers stay paused beside a service that is over its
-	// target before they are moved; the contract's bound is 4 s.
-	pausedLimit = 1300 * time.Millisecond
-	// allPausedAfter is when all fillers are paused beside a service that stays over
-	// its target.
-	allPausedAfter = 700 * time.Millisecond
-	// harmLook is the interval of looks at a worker with a disturbed service.
-	harmLook = 350 * time.Millisecond
-	// resumeTime is how long fillers stay paused at least.
-	resumeTime = 700 * time.Millisecond
-	// settleTime is how long after a filler's start or change of pace reports of
-	// the last half second do not show its effect yet.
-	settleTime = 650 * time.Millisecond
-	// paceTimeout bounds an order that sets a pace.
-	paceTimeout = 400 * time.Millisecond
+	calmAfter = 700 * time.Millisecond
 )
 
+// serviceLoad is what is known of one serving run.
+type serviceLoad struct {
+	seen     time.Time
+	headroom float64            // at the last report
+	beside   map[string]float64 // filler work at the last report
+	// own and mean are the headroom without any filler, now and on average.
+	own, mean float64
+}
+
 // interference tracks how much fillers of each image disturb services of each
 // image. It answers fillers that come in waves beside services whose load swings.
 type interference struct {
 	models map[string]*serviceModel
-	// breached is when a service on a worker was last above its target.
-	breached map[model.WorkerID]time.Time
-	probed   map[model.WorkerID]time.Time
 }
 
-func newInterference() interference {
-	return interference{models: map[string]*serviceModel{}, breached: map[model.WorkerID]time.Time{}, probed: map[model.WorkerID]time.Time{}}
-}
+func newInterference() interference { return interference{models: map[string]*serviceModel{}} }
 
 func (h *interference) model(image string) *serviceModel {
 	m := h.models[image]
@@ -60,41 +47,41 @@
 	return m
 }
 
-// observe notes the tail latency of a serving run.
-func (h *interference) observe(t *term, r *run) {
-	target := r.step.LatencyTarget
-	over := time.Duration(r.reading)*time.Millisecond > target
+// observe takes the tail latency of a serving run from a report.
+func (h *interference) observe(r *run, now time.Time) {
+	target := float64(r.step.LatencyTarget.Milliseconds())
+	if r.reading <= 0 || r.percent < readyPercent {
+		return
+	}
+	headroom := min(target/float64(r.reading), maxHeadroom)
 	switch {
-	case !over:
+	case headroom >= 1:
 		r.above = time.Time{}
 	case r.above.IsZero():
-		r.above = t.now
-	}
-	if over {
-		h.breached[r.worker.info.Worker] = t.now
+		r.above = now
+	}
+	m := h.model(r.step.Image)
+	m.highest = max(m.highest, headroom)
+	beside := r.worker.exposed.average(now)
+	l := &r.load
+	if !l.seen.IsZero() && now.Sub(l.seen) > readingWindow/2 {
+		change := maps.Clone(beside)
+		for image, share := range l.beside {
+			change[image] -= share
+		}
+		m.observe(l.headroom-headroom, change)
 	}
-	if r.percent < readyPercent || t.now.Sub(r.since) < settleTime || r.reading == 0 {
-		return
+	own := headroom
+	for image, share := range beside {
+		own += m.coefficient(image, now) * share
 	}
-	if shares, settled := fillerShares(r.worker, t.now); settled {
-		h.model(r.step.Image).observe(float64(r.reading)/float64(target.Milliseconds()), shares)
+	if l.seen.IsZero() {
+		l.own, l.mean = own, own
+	} else {
+		l.own += loadWeight * (own - l.own)
+		l.mean += meanWeight * (own - l.mean)
 	}
-}
-
-// fillerShares returns the share of the host that fillers of each image demand.
-// It is not settled while a filler's effect may not show yet.
-func fillerShares(w *worker, now time.Time) (map[string]float64, bool) {
-	shares := map[string]float64{}
-	for _, r := range w.runs {
-		if r.step == nil || !r.step.Filler {
-			continue
-		}
-		if now.Sub(r.since) < settleTime || now.Sub(r.paceAt) < settleTime {
-			return nil, false
-		}
-		shares[r.step.Image] += fillerShare(r.step, w) * float64(r.pace) / 100
-	}
-	return shares, true
+	l.seen, l.headroom, l.beside = now, headroom, beside
 }
 
 // fillerShare is the share of its host that a filler demands.
@@ -102,19 +89,22 @@
 	return float64(s.Needs.MilliCPU) / float64(max(w.info.Capacity.MilliCPU, 1))
 }
 
-// servedImage is the fillers' pressure on a service's image on one worker.
-type servedImage struct {
-	model    *serviceModel
-	pressure float64
+// served is the state of one service's image on a worker: the run with the least
+// headroom stands for all.
+type served struct {
+	model *serviceModel
+	// now and mean are the headroom without fillers, above target and margin.
+	now, mean float64
+	pressure  float64 // of the fillers present, at full pace
 }
 
-// harmView summarizes the services of a worker for the choice of fillers. It is
-// computed once for a plan and dropped when a run comes or goes.
+// harmView summarizes the services of a worker. It is computed once for a plan
+// and dropped when a run comes or goes.
 type harmView struct {
 	at     time.Time
-	images []servedImage
-	// disturbed means that a service is over its target, or was a moment ago.
-	disturbed bool
+	images map[string]*served
+	// disturbed is since when a service is over its target; zero if none.
+	disturbed time.Time
 }
 
 // viewFor returns the summary of w at now.
@@ -122,25 +112,32 @@
 	if w.harm != nil && w.harm.at.Equal(now) {
 		return w.harm
 	}
-	v := &harmView{at: now}
+	v := &harmView{at: now, images: map[string]*served{}}
 	w.harm = v
-	seen := map[string]bool{}
 	for _, r := range w.runs {
 		if r.step == nil || r.step.LatencyTarget == 0 || !r.live() {
 			continue
 		}
-		v.disturbed = v.disturbed || !r.above.IsZero()
-		if !seen[r.step.Image] {
-			seen[r.step.Image] = true
-			m := h.model(r.step.Image)
-			v.images = append(v.images, servedImage{m, pressureOf(m, w, now)})
+		if !r.above.IsZero() && (v.disturbed.IsZero() || r.above.Before(v.disturbed)) {
+			v.disturbed = r.above
+		}
+		m := h.model(r.step.Image)
+		keep := 1 + marginShare*m.highest
+		own, mean := m.highest/2, m.highest/2 // before the first report
+		if !r.load.seen.IsZero() {
+			own, mean = r.load.own, r.load.mean
+		}
+		s := v.images[r.step.Image]
+		if s == nil {
+			s = &served{model: m, now: own - keep, mean: mean - keep, pressure: pressureOf(m, w, now)}
+			v.images[r.step.Image] = s
 		}
+		s.now, s.mean = min(s.now, own-keep), min(s.mean, mean-keep)
 	}
-	v.disturbed = v.disturbed || (len(v.images) > 0 && now.Sub(h.breached[w.info.Worker]) < calmAfter)
 	return v
 }
 
-// pressureOf predicts the rise of a service's tail by the fillers on w.
+// pressureOf sums the pressure of the fillers on w at full pace.
 func pressureOf(m *serviceModel, w *worker, now time.Time) float64 {
 	sum := 0.0
 	for _, r := range w.runs {
@@ -151,131 +148,26 @@
 	return sum
 }
 
-// burden returns the highest predicted pressure on the services of w with one
-// more filler, and whether they bear it.
+// burden returns the highest ratio of pressure to headroom on the services of w
+// with one more filler, and whether they bear it. Headroom is taken between what
+// it is now and what it is on average, as fillers run for some seconds and can be
+// slowed down when the load rises.
 func (h *interference) burden(w *worker, s *Step, now time.Time) (float64, bool) {
 	v := h.viewFor(w, now)
-	if v.disturbed {
-		return 0, false
-	}
 	worst, share := 0.0, fillerShare(s, w)
 	for _, i := range v.images {
-		worst = max(worst, i.pressure+i.model.coefficient(s.Image, now)*share)
-	}
-	return worst, worst <= pressureLimit
-}
-
-// disturbed returns since when a service on w is over its target; zero if none.
-func disturbed(w *worker) time.Time {
-	var since time.Time
-	for _, r := range w.runs {
-		if r.live() && !r.above.IsZero() && (since.IsZero() || r.above.Before(since)) {
-			since = r.above
-		}
-	}
-	return since
-}
-
-// blamed returns the highest contribution of a filler to the pressure on the
-// services of its worker that are over their targets.
-func (h *interference) blamed(filler *run, now time.Time) float64 {
-	worst := 0.0
-	for _, r := range filler.worker.runs {
-		if r.live() && !r.above.IsZero() {
-			worst = max(worst, h.model(r.step.Image).coefficient(filler.step.Image, now)*fillerShare(filler.step, filler.worker))
-		}
-	}
-	return worst
-}
-
-// control paces the fillers of a worker: those that are to blame are paused at
-// once when a service is over its target, all of them when that does not help;
-// they are moved when the service stays over, resumed when it is calm again.
-func (h *interference) control(t *term, w *worker) {
-	if w.fillers == 0 {
-		return
-	}
-	since := disturbed(w)
-	if since.IsZero() {
-		h.resume(t, w)
-		return
-	}
-	var chief *run
-	chiefShare := 0.0
-	for _, r := range w.runs {
-		if r.step == nil || !r.step.Filler || r.state != runLive {
+		own := i.model.coefficient(s.Image, now) * share
+		if own < slightShare*i.model.highest && v.disturbed.IsZero() {
 			continue
 		}
-		share := h.blamed(r, t.now)
-		if r.pace > 0 && share > chiefShare {
-			chief, chiefShare = r, share
+		if !v.disturbed.IsZero() && now.Sub(v.disturbed) >= 0 {
+			return 0, false
 		}
-		switch {
-		case r.pace == 0 && t.now.Sub(r.paceAt) > pausedLimit:
-			t.stop(r, "disturbs")
-		case r.pace > 0 && (share > blameShare || t.now.Sub(since) > allPausedAfter):
-			h.pace(t, r, 0, "service-over-target")
+		room := (i.now + i.mean) / 2
+		if room <= 0 {
+			return 0, false
 		}
+		worst = max(worst, (i.pressure+own)/room)
 	}
-	if chief != nil {
-		h.pace(t, chief, 0, "service-over-target")
-	}
-	if t.now.Sub(h.probed[w.info.Worker]) > harmLook {
-		h.probed[w.info.Worker] = t.now
-		t.probe(w)
-	}
-}
-
-// resume lets paused fillers of a calm worker go on, one at a time.
-func (h *interference) resume(t *term, w *worker) {
-	if t.now.Sub(h.breached[w.info.Worker]) < resumeTime {
-		return
-	}
-	for _, r := range w.runs {
-		if r.step != nil && r.step.Filler && r.state == runLive && r.pace < 100 && t.now.Sub(r.paceAt) > resumeTime {
-			h.pace(t, r, 100, "calm")
-			return
-		}
-	}
-}
-
-// paced is the answer to an order that sets a pace.
-type paced struct {
-	run     *run
-	percent int
-	err     error
-}
-
-// pace sets the share of its speed at which a filler works.
-func (h *interference) pace(t *term, r *run, percent int, reason string) {
-	if r.paceBusy || r.pace == percent {
-		return
-	}
-	r.paceBusy = true
-	t.counters.paces.Inc()
-	t.log.WithFields(logrus.Fields{"decision": "pace", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
-		"percent": percent, "reason": reason, "pressure": h.blamed(r, t.now)}).Info("pace")
-	go func(info WorkerInfo) {
-		ctx, cancel := context.WithTimeout(t.ctx, paceTimeout)
-		defer cancel()
-		reply, err := t.cfg.Workers.Pace(ctx, info, r.ref, percent, t.number)
-		if err == nil && reply.Verdict != StartRunning {
-			err = model.Errorf(model.KindUnavailable, "the run has ended or a newer leader is in charge", "pace refused: verdict %d", reply.Verdict)
-		}
-		t.post(paced{r, percent, err})
-	}(r.worker.info)
-}
-
-func (e paced) handle(t *term) {
-	r := e.run
-	r.paceBusy, r.paceAt = false, t.now
-	if e.err == nil {
-		r.pace = e.percent
-		return
-	}
-	t.log.WithError(e.err).WithField("task", r.ref.Task).Debug("pace failed")
-	// An order to slow down that got no answer may not hold: stop instead.
-	if e.percent == 0 && r.worker.runs[r.ref] == r && r.state == runLive {
-		t.stop(r, "disturbs")
-	}
+	return worst, worst <= 1
 }
--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -198,7 +198,7 @@
 	if !ok || j == nil || !t.loaded {
 		if t.loaded {
 			t.log.WithFields(logrus.Fields{"decision": "stop", "task": s.Task, "attempt": s.Attempt, "worker": w.info.Worker, "reason": "unknown"}).Warn("unknown run")
-			w.attach(r)
+			w.attach(r, t.now)
 			t.stop(r, "unknown")
 		}
 		return nil
@@ -209,7 +209,7 @@
 		r.step = &j.spec.Steps[key.step]
 		r.reserved = r.step.Reserved()
 	}
-	w.attach(r)
+	w.attach(r, t.now)
 	if tk == nil && !j.over() && r.step != nil && key.occurrence < j.spec.Occurrences() && !j.finished[key.occurrence] {
 		j.add(key.occurrence, j.dueAt(key.occurrence, t.wall), t.now)
 		_, tk = j.task(key)
@@ -261,7 +261,7 @@
 	id, key, ok := parseTask(e.Task)
 	r := w.runs[e.RunRef]
 	if r != nil {
-		w.detach(r)
+		w.detach(r, t.now)
 	}
 	j := t.jobs[id]
 	if !ok || j == nil {
--- /dev/null
+++ b/internal/fleet/pace.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Constants of the pace of fillers.
+const (
+	// paceStep is the granularity of paces, in percent.
+	paceStep = 10
+	// raiseStep is the least rise that is worth an order.
+	raiseStep = 20
+	// raiseInterval spaces rises, so that a report shows the effect of each.
+	raiseInterval = 700 * time.Millisecond
+	// allPausedAfter is when all fillers are paused beside a service that stays over
+	// its target.
+	allPausedAfter = 1200 * time.Millisecond
+	// stalledLimit is how long a filler may stand still before it is moved; the
+	// contract's bound for a disturbed service is 4 s.
+	stalledLimit = 1500 * time.Millisecond
+	// youngPercent is the progress up to which a filler without checkpoints is moved.
+	youngPercent = 40
+	// tightLook is the interval of looks at a worker whose services have little
+	// headroom beside fillers that press on them.
+	tightLook = 450 * time.Millisecond
+	// paceTimeout bounds an order that sets a pace.
+	paceTimeout = 400 * time.Millisecond
+)
+
+// control sets the paces of the fillers on a worker so that the expected headroom
+// of each service stays above its target, and moves fillers that stand still.
+func (t *term) control(w *worker) {
+	if w.fillers == 0 {
+		return
+	}
+	v := t.harm.viewFor(w, t.now)
+	if len(v.images) == 0 {
+		return
+	}
+	tight := !v.disturbed.IsZero()
+	for _, r := range w.runs {
+		if r.step == nil || !r.step.Filler || r.state != runLive {
+			continue
+		}
+		want := t.paceFor(v, r)
+		tight = tight || want < 100
+		switch {
+		case want < r.pace:
+			t.setPace(r, want)
+		case want >= r.pace+raiseStep && t.now.Sub(r.paceAt) > raiseInterval && v.disturbed.IsZero():
+			t.setPace(r, want)
+		case r.pace == 0 && t.now.Sub(r.paceAt) > stalledLimit && (r.step.Checkpoints || r.percent < youngPercent):
+			t.stop(r, "disturbs")
+		}
+	}
+	if tight && t.now.Sub(w.probed) > tightLook && t.now.Sub(w.clockAt) > tightLook {
+		w.probed = t.now
+		t.probe(w)
+	}
+}
+
+// paceFor returns the pace at which a filler's worker keeps its services within
+// their targets, in percent.
+func (t *term) paceFor(v *harmView, r *run) int {
+	if !v.disturbed.IsZero() && t.now.Sub(v.disturbed) > allPausedAfter {
+		return 0
+	}
+	share := fillerShare(r.step, r.worker)
+	factor := 1.0
+	for _, s := range v.images {
+		own := s.model.coefficient(r.step.Image, t.now) * share
+		if own < slightShare*s.model.highest || s.pressure <= 0 {
+			continue
+		}
+		factor = min(factor, max(s.now/s.pressure, 0))
+	}
+	if factor >= 0.95 {
+		return 100
+	}
+	return int(100*factor) / paceStep * paceStep
+}
+
+// paced is the answer to an order that sets a pace.
+type paced struct {
+	run     *run
+	percent int
+	err     error
+}
+
+// setPace sets the share of its speed at which a filler works.
+func (t *term) setPace(r *run, percent int) {
+	if r.paceBusy {
+		return
+	}
+	r.paceBusy = true
+	t.counters.paces.Inc()
+	t.log.WithFields(logrus.Fields{"decision": "pace", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
+		"percent": percent, "was": r.pace, "report_ms_ago": t.now.Sub(r.worker.clockAt).Milliseconds()}).Info("pace")
+	go func(info WorkerInfo) {
+		ctx, cancel := context.WithTimeout(t.ctx, paceTimeout)
+		defer cancel()
+		reply, err := t.cfg.Workers.Pace(ctx, info, r.ref, percent, t.number)
+		if err == nil && reply.Verdict != StartRunning {
+			err = model.Errorf(model.KindUnavailable, "the run has ended or a newer leader is in charge", "pace refused: verdict %d", reply.Verdict)
+		}
+		t.post(paced{r, percent, err})
+	}(r.worker.info)
+}
+
+func (e paced) handle(t *term) {
+	r := e.run
+	r.paceBusy = false
+	if r.worker.runs[r.ref] != r {
+		return
+	}
+	if e.err == nil {
+		r.pace, r.paceAt = e.percent, t.now
+		r.worker.exposed.set(r, fillerShare(r.step, r.worker)*float64(e.percent)/100, t.now)
+		return
+	}
+	t.log.WithError(e.err).WithField("task", r.ref.Task).Debug("pace failed")
+	// An order to slow down that got no answer may not hold: stop instead.
+	if e.percent == 0 && r.state == runLive {
+		t.stop(r, "disturbs")
+	}
+}
--- a/internal/fleet/pressure.go
+++ b/internal/fleet/pressure.go
@@ -5,47 +5,49 @@
 	"time"
 )
 
-// Constants of the pressure model.
+// Constants of the pressure model. Its unit is headroom: target/tail, which is
+// linear in the load of a service and in the work beside it, as the tail of a
+// queue grows with 1/(1-load). A headroom of 1 is the target.
 const (
 	// priorPressure is assumed of a pair of images that was not seen together: the
-	// logarithm of the rise of the tail latency for each whole host of filler work.
-	priorPressure = 4.0
-	// priorWeight is the weight of that assumption, as a sum of squared shares: that
-	// of about eight reports beside a filler on a tenth of a host.
-	priorWeight = 0.1
-	// priorBase is the assumed logarithm of the ratio of an undisturbed tail to its
-	// target, with the weight of some reports.
-	priorBase       = -1.2
-	priorBaseWeight = 5.0
+	// loss of headroom for a whole host of filler work, as a share of the highest
+	// headroom seen.
+	priorPressure = 0.45
+	// priorWeight is the weight of that assumption, as a sum of squared changes of
+	// shares: that of about four starts of a filler on a tenth of a host.
+	priorWeight = 0.04
+	// firstHeadroom is the highest headroom that is assumed before reports.
+	firstHeadroom = 4.0
 	// pressureDecay discounts a report when the next one of the same image arrives;
 	// behaviour may change over minutes.
-	pressureDecay = 0.9995
+	pressureDecay = 0.9997
 	// solveInterval is how often the coefficients are computed anew.
-	solveInterval = 250 * time.Millisecond
-	// floorRatio bounds the logarithm of small readings.
-	floorRatio = 0.02
+	solveInterval = 200 * time.Millisecond
+	// maxHeadroom bounds readings near 0.
+	maxHeadroom = 50.0
 )
 
-// serviceModel predicts the tail latency of a service's image from the filler
-// work beside it: log(tail/target) = base + sum over filler images of
-// coefficient x share of the host. It is a ridge regression over reports that
-// arrive late, and shrinks to the prior where reports are few.
+// serviceModel learns how much filler work of each image takes from the headroom
+// of a service's image. It is a ridge regression of the change from one report to
+// the next on the change of the filler work beside the service: the service's own
+// load, which swings widely, changes little in between.
 type serviceModel struct {
-	fillers map[string]int // position of a filler's image; 0 is the base
+	fillers map[string]int // position of a filler's image
 	a       [][]float64    // sum of x x'
 	b       []float64      // sum of x y
-	beta    []float64
+	beta    []float64      // loss of headroom for a whole host of filler work
+	highest float64        // highest headroom seen
 	solved  time.Time
 	stale   bool
 }
 
 func newServiceModel() *serviceModel {
-	return &serviceModel{
-		fillers: map[string]int{}, a: [][]float64{{priorBaseWeight}},
-		b: []float64{priorBaseWeight * priorBase}, beta: []float64{priorBase},
-	}
+	return &serviceModel{fillers: map[string]int{}, highest: firstHeadroom}
 }
 
+// prior is the coefficient of an unknown image.
+func (m *serviceModel) prior() float64 { return priorPressure * m.highest }
+
 // position returns the place of a filler's image and adds it if it is new.
 func (m *serviceModel) position(image string) int {
 	if i, ok := m.fillers[image]; ok {
@@ -56,36 +58,32 @@
 	for k := range m.a {
 		m.a[k] = append(m.a[k], 0)
 	}
-	row := make([]float64, i+1)
-	row[i] = priorWeight
-	m.a = append(m.a, row)
-	m.b = append(m.b, priorWeight*priorPressure)
-	m.beta = append(m.beta, priorPressure)
+	m.a = append(m.a, make([]float64, i+1))
+	m.b = append(m.b, 0)
+	m.beta = append(m.beta, m.prior())
 	return i
 }
 
-// observe adds a report: the ratio of tail to target beside shares of a host that
-// fillers of each image work on.
-func (m *serviceModel) observe(ratio float64, shares map[string]float64) {
-	x := map[int]float64{0: 1}
-	for image, share := range shares {
-		x[m.position(image)] = share
+// observe adds a report: the loss of headroom since the one before, beside the
+// change of the share of the host that fillers of each image work on.
+func (m *serviceModel) observe(loss float64, change map[string]float64) {
+	x := map[int]float64{}
+	for image, share := range change {
+		if math.Abs(share) > 1e-4 {
+			x[m.position(image)] = share
+		}
+	}
+	if len(x) == 0 {
+		return
 	}
-	y := math.Log(max(ratio, floorRatio))
 	for i := range m.a {
 		for k := range m.a[i] {
 			m.a[i][k] *= pressureDecay
 		}
 		m.b[i] *= pressureDecay
-		prior, mean := priorWeight, priorPressure
-		if i == 0 {
-			prior, mean = priorBaseWeight, priorBase
-		}
-		m.a[i][i] += (1 - pressureDecay) * prior // the prior does not fade
-		m.b[i] += (1 - pressureDecay) * prior * mean
 	}
 	for i, xi := range x {
-		m.b[i] += xi * y
+		m.b[i] += xi * loss
 		for k, xk := range x {
 			m.a[i][k] += xi * xk
 		}
@@ -99,60 +97,113 @@
 	m.refresh(now)
 	i, ok := m.fillers[image]
 	if !ok {
-		return priorPressure
+		return m.prior()
 	}
 	return max(m.beta[i], 0)
 }
 
-// base returns the expected logarithm of tail to target without fillers.
-func (m *serviceModel) base(now time.Time) float64 {
-	m.refresh(now)
-	return m.beta[0]
-}
-
+// refresh solves the regression when reports have arrived since the last time.
 func (m *serviceModel) refresh(now time.Time) {
 	if !m.stale || now.Sub(m.solved) < solveInterval {
 		return
 	}
 	m.stale, m.solved = false, now
-	if beta, ok := solve(m.a, m.b); ok {
+	a := make([][]float64, len(m.a))
+	b := make([]float64, len(m.b))
+	for i := range a {
+		a[i] = append([]float64(nil), m.a[i]...)
+		a[i][i] += priorWeight
+		b[i] = m.b[i] + priorWeight*m.prior()
+	}
+	if beta, ok := solve(a, b); ok {
 		m.beta = beta
 	}
 }
 
-// solve returns x with a x = b, by elimination with pivots. The matrices have a
-// row for each filler image, about ten.
+// solve returns x with a x = b, by elimination with pivots; it overwrites a and b.
+// The matrices have a row for each filler image, about ten.
 func solve(a [][]float64, b []float64) ([]float64, bool) {
 	n := len(b)
-	m := make([][]float64, n)
-	for i := range m {
-		m[i] = append(append(make([]float64, 0, n+1), a[i]...), b[i])
-	}
 	for i := range n {
 		p := i
 		for k := i + 1; k < n; k++ {
-			if math.Abs(m[k][i]) > math.Abs(m[p][i]) {
+			if math.Abs(a[k][i]) > math.Abs(a[p][i]) {
 				p = k
 			}
 		}
-		m[i], m[p] = m[p], m[i]
-		if math.Abs(m[i][i]) < 1e-9 {
+		a[i], a[p], b[i], b[p] = a[p], a[i], b[p], b[i]
+		if math.Abs(a[i][i]) < 1e-9 {
 			return nil, false
 		}
 		for k := i + 1; k < n; k++ {
-			f := m[k][i] / m[i][i]
-			for c := i; c <= n; c++ {
-				m[k][c] -= f * m[i][c]
+			f := a[k][i] / a[i][i]
+			for c := i; c < n; c++ {
+				a[k][c] -= f * a[i][c]
 			}
+			b[k] -= f * b[i]
 		}
 	}
-	x := make([]float64, n)
 	for i := n - 1; i >= 0; i-- {
-		x[i] = m[i][n]
 		for k := i + 1; k < n; k++ {
-			x[i] -= m[i][k] * x[k]
+			b[i] -= a[i][k] * b[k]
+		}
+		b[i] /= a[i][i]
+	}
+	return b, true
+}
+
+// Window of a report's reading.
+const (
+	// readingWindow is the time that a reading covers, before the report.
+	readingWindow = 500 * time.Millisecond
+	// exposureMemory is how long past filler work is remembered.
+	exposureMemory = 3 * time.Second
+)
+
+// exposure is filler work of an image on a worker from one moment to another; to
+// is zero while it goes on.
+type exposure struct {
+	image    string
+	share    float64 // of the host, at the pace given
+	from, to time.Time
+	run      *run
+}
+
+// exposures is the recent filler work on a worker.
+type exposures []exposure
+
+// set ends the present work of a run and, unless share is 0, begins it anew.
+func (l *exposures) set(r *run, share float64, now time.Time) {
+	kept := (*l)[:0]
+	for _, e := range *l {
+		if e.run == r && e.to.IsZero() {
+			e.to = now
+		}
+		if e.to.IsZero() || now.Sub(e.to) < exposureMemory {
+			kept = append(kept, e)
+		}
+	}
+	if share > 0 {
+		kept = append(kept, exposure{image: r.step.Image, share: share, from: now, run: r})
+	}
+	*l = kept
+}
+
+// average returns the mean share of each image over the window before end.
+func (l exposures) average(end time.Time) map[string]float64 {
+	begin := end.Add(-readingWindow)
+	mean := map[string]float64{}
+	for _, e := range l {
+		from, to := e.from, e.to
+		if from.Before(begin) {
+			from = begin
+		}
+		if to.IsZero() || to.After(end) {
+			to = end
+		}
+		if d := to.Sub(from); d > 0 {
+			mean[e.image] += e.share * float64(d) / float64(readingWindow)
 		}
-		x[i] /= m[i][i]
 	}
-	return x, true
+	return mean
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -41,7 +41,7 @@
 	tk.attempt = attempt
 	r := &run{ref: RunRef{key.Name(j.id), attempt}, job: j, key: key, worker: w, step: step, reserved: step.Reserved(),
 		since: t.now, changed: t.now, moved: t.now, pace: 100, checkpoint: checkpoint}
-	w.attach(r)
+	w.attach(r, t.now)
 	tk.runs = append(tk.runs, r)
 	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
 		Deadline: w.deadline(t.now, t.leaseLength()), Fence: t.number}
@@ -245,7 +245,7 @@
 
 // lose drops a run that certainly does not work any more and has no listed end.
 func (t *term) lose(r *run, reason string) {
-	r.worker.detach(r)
+	r.worker.detach(r, t.now)
 	t.dirty = true
 	if r.job == nil {
 		return
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if r.step.LatencyTarget > 0 {
-		t.harm.observe(t, r)
+		t.harm.observe(r, t.now)
 	}
 }
 
@@ -88,7 +88,7 @@
 				t.watchRun(w, r)
 			}
 		}
-		t.harm.control(t, w)
+		t.control(w)
 	}
 }
 
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -55,6 +55,7 @@
 	checkpoint string
 	// above is since when a serving task is over its target; zero otherwise.
 	above time.Time
+	load  serviceLoad
 	// pace is the share of its speed that a filler was given.
 	pace     int
 	paceBusy bool
@@ -105,6 +106,9 @@
 	acked     uint64    // highest end that was acknowledged
 
 	health health
+	// exposed is the recent filler work; probed is when a tight service was looked at.
+	exposed exposures
+	probed  time.Time
 	// harm is the summary of services for the current plan.
 	harm *harmView
 }
@@ -156,12 +160,13 @@
 }
 
 // attach adds a run and reserves its resources.
-func (w *worker) attach(r *run) {
+func (w *worker) attach(r *run, now time.Time) {
 	w.runs[r.ref] = r
 	w.harm = nil
 	w.used = w.used.Add(r.reserved)
 	if r.step != nil && r.step.Filler {
 		w.fillers += r.step.Needs.MilliCPU
+		w.exposed.set(r, fillerShare(r.step, w)*float64(r.pace)/100, now)
 	}
 	if r.step != nil && r.step.Lasting && !r.step.Filler {
 		w.serves += r.step.Needs.MilliCPU
@@ -169,7 +174,7 @@
 }
 
 // detach removes a run and frees its resources.
-func (w *worker) detach(r *run) {
+func (w *worker) detach(r *run, now time.Time) {
 	if w.runs[r.ref] != r {
 		return
 	}
@@ -178,6 +183,7 @@
 	w.used = w.used.Sub(r.reserved)
 	if r.step != nil && r.step.Filler {
 		w.fillers -= r.step.Needs.MilliCPU
+		w.exposed.set(r, 0, now)
 	}
 	if r.step != nil && r.step.Lasting && !r.step.Filler {
 		w.serves -= r.step.Needs.MilliCPU
