Estimate headroom per run with a trend per job; gather lasting tasks of one job

Loads of one job's tasks swing together (correlation 0.94 over 405 pairs), those of other jobs and of one image do not (0.04 and -0.02): what fillers find on a worker is the least headroom of all services present.

--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -12,31 +12,68 @@
 	marginShare = 0.09
 	// slightShare of the highest headroom is a pressure too small to act on.
 	slightShare = 0.015
-	// loadWeight and meanWeight are the weights of a new report in the estimates of
-	// a service's own load, now and on average.
-	loadWeight = 0.6
-	meanWeight = 0.08
+	// runWeight is the weight of a new report in a run's own headroom.
+	runWeight = 0.6
+	// levelWeight and slopeWeight are the weights of a new report in the estimates
+	// of a service's own load and of its trend. A job's tasks report several times a
+	// second together.
+	levelWeight = 0.35
+	slopeWeight = 0.06
+	// slopeLimit bounds the trend, as a share of the highest headroom per second.
+	slopeLimit = 0.08
+	// staleLoad is the age at which an estimate starts anew.
+	staleLoad = 5 * time.Second
+	// paceHorizon and placeHorizon are how far ahead the load is expected for the
+	// pace of fillers and for their placement; they run for some seconds.
+	paceHorizon  = 0.7
+	placeHorizon = 1.5
 	// calmAfter is how long no filler is added beside a service that was over its
 	// target.
 	calmAfter = 700 * time.Millisecond
 )
 
-// serviceLoad is what is known of one serving run.
+// serviceLoad is the headroom of a serving step without any filler. The tasks of
+// one step share the load of their users, so their reports are pooled.
 type serviceLoad struct {
-	seen     time.Time
-	headroom float64            // at the last report
-	beside   map[string]float64 // filler work at the last report
-	// own and mean are the headroom without any filler, now and on average.
-	own, mean float64
+	at    time.Time
+	level float64
+	slope float64 // change of level per second
+}
+
+// observe takes a report of one of the tasks.
+func (l *serviceLoad) observe(own, highest float64, now time.Time) {
+	if l.at.IsZero() || now.Sub(l.at) > staleLoad {
+		l.at, l.level, l.slope = now, own, 0
+		return
+	}
+	dt := now.Sub(l.at).Seconds()
+	err := own - (l.level + l.slope*dt)
+	l.level += l.slope*dt + levelWeight*err
+	limit := slopeLimit * highest
+	l.slope = max(min(l.slope+slopeWeight*err/max(dt, 0.2), limit), -limit)
+	l.at = now
+}
+
+// reading is the last report of a serving run.
+type reading struct {
+	at       time.Time
+	headroom float64
+	beside   map[string]float64 // filler work during the report's window
+	// own is the headroom of this run without fillers. It is estimated for each run:
+	// errors in the pressure of the fillers beside it cancel out.
+	own float64
 }
 
 // interference tracks how much fillers of each image disturb services of each
 // image. It answers fillers that come in waves beside services whose load swings.
 type interference struct {
 	models map[string]*serviceModel
+	loads  map[string]*serviceLoad // by step
 }
 
-func newInterference() interference { return interference{models: map[string]*serviceModel{}} }
+func newInterference() interference {
+	return interference{models: map[string]*serviceModel{}, loads: map[string]*serviceLoad{}}
+}
 
 func (h *interference) model(image string) *serviceModel {
 	m := h.models[image]
@@ -63,25 +100,36 @@
 	m := h.model(r.step.Image)
 	m.highest = max(m.highest, headroom)
 	beside := r.worker.exposed.average(now)
-	l := &r.load
-	if !l.seen.IsZero() && now.Sub(l.seen) > readingWindow/2 {
+	load, last := h.loadOf(r), r.last
+	if dt := now.Sub(last.at); !last.at.IsZero() && dt > readingWindow/2 && dt < staleLoad {
 		change := maps.Clone(beside)
-		for image, share := range l.beside {
+		for image, share := range last.beside {
 			change[image] -= share
 		}
-		m.observe(l.headroom-headroom, change)
+		m.observe(last.headroom+load.slope*dt.Seconds()-headroom, change)
 	}
 	own := headroom
 	for image, share := range beside {
 		own += m.coefficient(image, now) * share
 	}
-	if l.seen.IsZero() {
-		l.own, l.mean = own, own
-	} else {
-		l.own += loadWeight * (own - l.own)
-		l.mean += meanWeight * (own - l.mean)
+	load.observe(own, m.highest, now)
+	level := own
+	if !last.at.IsZero() && now.Sub(last.at) < staleLoad {
+		before := last.own + load.slope*now.Sub(last.at).Seconds()
+		level = before + runWeight*(own-before)
 	}
-	l.seen, l.headroom, l.beside = now, headroom, beside
+	r.last = reading{now, headroom, beside, level}
+}
+
+// loadOf returns the load that a serving run shares with the others of its step.
+func (h *interference) loadOf(r *run) *serviceLoad {
+	key := r.key.StepName(r.job.id)
+	l := h.loads[key]
+	if l == nil {
+		l = &serviceLoad{}
+		h.loads[key] = l
+	}
+	return l
 }
 
 // fillerShare is the share of its host that a filler demands.
@@ -93,9 +141,10 @@
 // headroom stands for all.
 type served struct {
 	model *serviceModel
-	// now and mean are the headroom without fillers, above target and margin.
-	now, mean float64
-	pressure  float64 // of the fillers present, at full pace
+	// soon and later are the headroom without fillers, above target and margin,
+	// that is expected at the next look and while a new filler runs.
+	soon, later float64
+	pressure    float64 // of the fillers present, at full pace
 }
 
 // harmView summarizes the services of a worker. It is computed once for a plan
@@ -123,16 +172,18 @@
 		}
 		m := h.model(r.step.Image)
 		keep := 1 + marginShare*m.highest
-		own, mean := m.highest/2, m.highest/2 // before the first report
-		if !r.load.seen.IsZero() {
-			own, mean = r.load.own, r.load.mean
+		soon, later := m.highest/2, m.highest/2 // before the first report
+		if l := h.loadOf(r); !r.last.at.IsZero() {
+			age := min(now.Sub(r.last.at).Seconds(), 1)
+			soon = r.last.own + min(l.slope*(age+paceHorizon), 0)
+			later = r.last.own + l.slope*(age+placeHorizon)
 		}
 		s := v.images[r.step.Image]
 		if s == nil {
-			s = &served{model: m, now: own - keep, mean: mean - keep, pressure: pressureOf(m, w, now)}
+			s = &served{model: m, soon: soon - keep, later: later - keep, pressure: pressureOf(m, w, now)}
 			v.images[r.step.Image] = s
 		}
-		s.now, s.mean = min(s.now, own-keep), min(s.mean, mean-keep)
+		s.soon, s.later = min(s.soon, soon-keep), min(s.later, later-keep)
 	}
 	return v
 }
@@ -148,26 +199,30 @@
 	return sum
 }
 
-// burden returns the highest ratio of pressure to headroom on the services of w
-// with one more filler, and whether they bear it. Headroom is taken between what
-// it is now and what it is on average, as fillers run for some seconds and can be
-// slowed down when the load rises.
+// burden returns the cost of one more filler on w, and whether its services bear
+// it. The cost is the share of the headroom that the filler takes, and some for
+// the headroom itself, which others may need more.
 func (h *interference) burden(w *worker, s *Step, now time.Time) (float64, bool) {
 	v := h.viewFor(w, now)
-	worst, share := 0.0, fillerShare(s, w)
+	cost, share := 0.0, fillerShare(s, w)
 	for _, i := range v.images {
 		own := i.model.coefficient(s.Image, now) * share
-		if own < slightShare*i.model.highest && v.disturbed.IsZero() {
-			continue
-		}
-		if !v.disturbed.IsZero() && now.Sub(v.disturbed) >= 0 {
+		if !v.disturbed.IsZero() {
 			return 0, false
 		}
-		room := (i.now + i.mean) / 2
-		if room <= 0 {
+		if own < slightShare*i.model.highest {
+			cost = max(cost, roomBias*max(i.later, 0)/i.model.highest)
+			continue
+		}
+		room := max(i.later, i.soon)
+		if room <= 0 || i.pressure+own > room {
 			return 0, false
 		}
-		worst = max(worst, (i.pressure+own)/room)
+		cost = max(cost, own/room+roomBias*i.later/i.model.highest)
 	}
-	return worst, worst <= 1
+	return cost, true
 }
+
+// roomBias is the cost of using up a worker whose services have headroom for
+// fillers that press on them.
+const roomBias = 0.3
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -77,7 +77,7 @@
 		if own < slightShare*s.model.highest || s.pressure <= 0 {
 			continue
 		}
-		factor = min(factor, max(s.now/s.pressure, 0))
+		factor = min(factor, max(s.soon/s.pressure, 0))
 	}
 	if factor >= 0.95 {
 		return 100
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -20,17 +20,17 @@
 	// farBias is the cost of a rack away from the data.
 	farBias = 1.5
 	// satisfiedShare is the least share of a filler's demand that must be left over.
-	satisfiedShare = 0.7
+	satisfiedShare = 0.4
 	// servingLoad is the share of its reservation that a service uses on average;
 	// fillers get the rest.
 	servingLoad = 0.5
-	// imageBias gathers services of one image on the same workers, so that each
-	// filler finds workers whose services bear it.
+	// jobBias and imageBias gather the lasting tasks of one job, whose loads swing
+	// together, and those of one image on the same workers: what fillers find there
+	// is the least headroom of all services present.
+	jobBias   = 0.8
 	imageBias = 0.6
 	// burdenBias is the cost of the predicted pressure on services.
 	burdenBias = 2.0
-	// crowdBias spreads the lasting tasks of one step.
-	crowdBias = 0.2
 )
 
 // placement is the view of workers while a plan is made.
@@ -164,7 +164,8 @@
 		score += 0.5 * float64(w.fillers) / capacity
 	}
 	if s.Lasting {
-		score += crowdBias*float64(r.onWorker[w]) + imageBias*otherImages(w, s.Image)
+		jobs, images := strangers(w, s, r.onWorker[w])
+		score += jobBias*jobs + imageBias*images
 	}
 	if s.Near != "" && w.rack != s.Near {
 		score += farBias
@@ -195,21 +196,22 @@
 	return cost
 }
 
-// otherImages is the share of the lasting runs on w that have another image.
-func otherImages(w *worker, image string) float64 {
-	others, all := 0, 0
+// strangers returns the shares of the lasting runs on w that are of another step
+// than the one with own runs there, and that have another image.
+func strangers(w *worker, s *Step, own int) (steps, images float64) {
+	all, others := 0, 0
 	for _, r := range w.runs {
 		if r.step != nil && r.step.Lasting && r.live() {
 			all++
-			if r.step.Image != image {
+			if r.step.Image != s.Image {
 				others++
 			}
 		}
 	}
 	if all == 0 {
-		return 0
+		return 0, 0
 	}
-	return float64(others) / float64(all)
+	return float64(max(all-own, 0)) / float64(all), float64(others) / float64(all)
 }
 
 // feasibleRacks counts the workers of each rack on which a task fits, and how
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -55,7 +55,7 @@
 	checkpoint string
 	// above is since when a serving task is over its target; zero otherwise.
 	above time.Time
-	load  serviceLoad
+	last  reading
 	// pace is the share of its speed that a filler was given.
 	pace     int
 	paceBusy bool
