--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -36,6 +36,8 @@
 	// slack is how much later the step could start and the job still meet its
 	// objective, or the age of work without one.
 	slack time.Duration
+	// work is what is left of the occurrence, in core-seconds.
+	work float64
 }
 
 // key returns the key of the task with an index.
@@ -63,22 +65,37 @@
 		return inTime, o.steps[step].ready.Add(q.Objective).Sub(now)
 	}
 	due, end := objective(j, o, q)
-	slack = due.Sub(now) - j.remaining(step)
+	left := j.remaining(step)
+	slack = due.Sub(now) - left
 	switch {
 	case now.After(end):
 		return hopeless, slack
-	case now.After(due):
+	case now.After(due), float64(slack) < -missShare*float64(left):
 		return late, slack
 	}
 	return inTime, slack
 }
 
+// missShare of the time that is left to work must be missing before a job counts
+// as late: estimates are rough.
+const missShare = 0.25
+
+// workLeft sums what is left to do of an occurrence, in core-seconds.
+func workLeft(spec Spec, o *occurrence) float64 {
+	sum := 0.0
+	for i := range o.steps {
+		s := &spec.Steps[i]
+		sum += float64(o.steps[i].left) * float64(s.Needs.MilliCPU) / 1000 * s.Estimate.Seconds()
+	}
+	return sum
+}
+
 // sortWants orders waiting steps: by class, so that late work does not make other
 // work late; by priority; by slack. It answers bursts of more work than room.
 func sortWants(wants []*want) {
 	slices.SortFunc(wants, func(a, b *want) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+			cmp.Compare(a.work, b.work), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
 	})
 }
 
@@ -118,6 +135,9 @@
 		}
 		w := &want{job: j, occ: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: idle, priority: q.Priority}
 		w.class, w.slack = classify(t.now, j, o, i, q)
+		if !w.step.Lasting {
+			w.work = workLeft(j.spec, o)
+		}
 		wants = append(wants, w)
 	}
 	return wants
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -20,15 +20,15 @@
 	// farBias is the cost of a rack away from the data.
 	farBias = 1.5
 	// satisfiedShare is the least share of a filler's demand that must be left over.
-	satisfiedShare = 0.4
+	satisfiedShare = 1.0
 	// servingLoad is the share of its reservation that a service uses on average;
 	// fillers get the rest.
 	servingLoad = 0.5
 	// jobBias and imageBias gather the lasting tasks of one job, whose loads swing
 	// together, and those of one image on the same workers: what fillers find there
 	// is the least headroom of all services present.
-	jobBias   = 0.8
-	imageBias = 0.6
+	jobBias   = 1.0
+	imageBias = 1.0
 	// burdenBias is the cost of the predicted pressure on services.
 	burdenBias = 2.0
 )
