--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -92,11 +92,12 @@
 
 // sortWants orders waiting steps: by class, so that late work does not make other
 // work late; by priority; by slack. It answers bursts of more work than room.
-func sortWants(wants []*want) {
-	slices.SortFunc(wants, func(a, b *want) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
-			cmp.Compare(a.work, b.work), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
-	})
+func sortWants(wants []*want) { slices.SortFunc(wants, compareWants) }
+
+// compareWants orders two waiting steps.
+func compareWants(a, b *want) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.work, b.work), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
 }
 
 // collectWants lists the steps with tasks that may start now.
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,7 +35,9 @@
 )
 
 // control sets the paces of the fillers on a worker so that the expected headroom
-// of each service stays above its target, and moves fillers that stand still.
+// of each service stays above its target, and moves fillers that stand still. The
+// headroom goes to the most urgent fillers first: a job is as late as its last
+// task, so sharing it would make all of them late.
 func (t *term) control(w *worker) {
 	if w.fillers == 0 {
 		return
@@ -42,12 +46,13 @@
 	if len(v.images) == 0 {
 		return
 	}
+	room := map[*served]float64{}
+	for _, s := range v.images {
+		room[s] = max(s.soon, 0)
+	}
 	tight := !v.disturbed.IsZero()
-	for _, r := range w.runs {
-		if r.step == nil || !r.step.Filler || r.state != runLive {
-			continue
-		}
-		want := t.paceFor(v, r)
+	for _, r := range t.fillersByUrgency(w) {
+		want := t.paceFor(v, r, room)
 		tight = tight || want < 100
 		switch {
 		case want < r.pace:
@@ -64,9 +69,40 @@
 	}
 }
 
-// paceFor returns the pace at which a filler's worker keeps its services within
-// their targets, in percent.
-func (t *term) paceFor(v *harmView, r *run) int {
+// fillersByUrgency returns the fillers that work on w, in the order in which
+// their steps would be placed.
+func (t *term) fillersByUrgency(w *worker) []*run {
+	type ranked struct {
+		run  *run
+		want want
+	}
+	var list []ranked
+	for _, r := range w.runs {
+		if r.step == nil || !r.step.Filler || r.state != runLive || r.job == nil {
+			continue
+		}
+		o := r.job.find(r.key.occurrence)
+		if o == nil {
+			continue
+		}
+		q := t.queues[r.job.queue]
+		x := ranked{r, want{job: r.job, occ: o, index: r.key.step, step: r.step, queue: q, priority: q.Priority, work: workLeft(r.job.spec, o)}}
+		x.want.class, x.want.slack = classify(t.now, r.job, o, r.key.step, q)
+		list = append(list, x)
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(compareWants(&a.want, &b.want), cmp.Compare(a.run.key.index, b.run.key.index))
+	})
+	runs := make([]*run, len(list))
+	for i, x := range list {
+		runs[i] = x.run
+	}
+	return runs
+}
+
+// paceFor returns the pace at which a filler leaves the services of its worker
+// within their targets, in percent, and takes its pressure from the room.
+func (t *term) paceFor(v *harmView, r *run, room map[*served]float64) int {
 	if !v.disturbed.IsZero() && t.now.Sub(v.disturbed) > allPausedAfter {
 		return 0
 	}
@@ -74,15 +110,18 @@
 	factor := 1.0
 	for _, s := range v.images {
 		own := s.model.coefficient(r.step.Image, t.now) * share
-		if own < slightShare*s.model.highest || s.pressure <= 0 {
-			continue
+		if own >= slightShare*s.model.highest {
+			factor = min(factor, room[s]/own)
 		}
-		factor = min(factor, max(s.soon/s.pressure, 0))
 	}
+	pace := int(100*factor) / paceStep * paceStep
 	if factor >= 0.95 {
-		return 100
+		pace = 100
+	}
+	for _, s := range v.images {
+		room[s] = max(room[s]-s.model.coefficient(r.step.Image, t.now)*share*float64(pace)/100, 0)
 	}
-	return int(100*factor) / paceStep * paceStep
+	return pace
 }
 
 // paced is the answer to an order that sets a pace.
