--- a/internal/fleet/pressure.go
+++ b/internal/fleet/pressure.go
@@ -207,3 +207,42 @@
 	}
 	return mean
 }
+
+// modelRecord is the stored form of a serviceModel.
+type modelRecord struct {
+	Fillers map[string]int `cbor:"1,keyasint"`
+	A       [][]float64    `cbor:"2,keyasint"`
+	B       []float64      `cbor:"3,keyasint"`
+	Highest float64        `cbor:"4,keyasint"`
+}
+
+// record returns the stored form.
+func (m *serviceModel) record() modelRecord {
+	return modelRecord{m.fillers, m.a, m.b, m.highest}
+}
+
+// restoreModel returns the model of a record, or nil when its sizes disagree.
+func restoreModel(r modelRecord) *serviceModel {
+	n := len(r.B)
+	if len(r.A) != n || len(r.Fillers) != n || r.Highest <= 0 {
+		return nil
+	}
+	for _, row := range r.A {
+		if len(row) != n {
+			return nil
+		}
+	}
+	for _, i := range r.Fillers {
+		if i < 0 || i >= n {
+			return nil
+		}
+	}
+	m := &serviceModel{fillers: r.Fillers, a: r.A, b: r.B, highest: r.Highest, beta: make([]float64, n), stale: true}
+	if m.fillers == nil {
+		m.fillers = map[string]int{}
+	}
+	for i := range m.beta {
+		m.beta[i] = m.prior()
+	}
+	return m
+}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -21,6 +21,8 @@
 	tableFence = "vp-fence"
 	// tableLeader holds the leader's renewals; all nodes follow it.
 	tableLeader = "vp-leader"
+	// tableModels holds what was learnt of images, for the next leader.
+	tableModels = "vp-models"
 	// tableUsed holds the lifetimes of workers on which tasks may have started.
 	tableUsed = "vp-used"
 )
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -71,8 +71,10 @@
 	planned  time.Time
 	speeds   map[string]*speed
 	harm     interference
-	machines upkeep
-	counters *metrics
+	// modelsStored is when what was learnt of images was last stored.
+	modelsStored time.Time
+	machines     upkeep
+	counters     *metrics
 }
 
 func newTerm(cfg Config, number, fenceVersion uint64, log *logrus.Entry, m *metrics) *term {
@@ -182,8 +184,8 @@
 
 // loadedEvent carries the rows that a term starts from.
 type loadedEvent struct {
-	jobs, progress, used, workers, operator []Row
-	storeNow                                time.Duration
+	jobs, progress, used, models, workers, operator []Row
+	storeNow                                        time.Duration
 }
 
 func (e loadedEvent) handle(t *term) {
@@ -199,6 +201,9 @@
 	for _, row := range e.progress {
 		t.progressRow(row)
 	}
+	for _, row := range e.models {
+		t.modelsRow(row)
+	}
 	inherited := 0
 	for _, row := range e.used {
 		if t.usedRow(row) {
