Set the pace of adopted fillers anew; judge hung runs by progress and use

Cause: a filler keeps the pace that a former leader gave it, and an order on pace may be carried out after a newer one. Members of a gang that had finished their part were taken for hung. Ruled out: that percent is the pace (it moves with the work, and stays at 100 for a member that waits). Change: adopted fillers count as paused until told otherwise; a filler that stands still at full pace is told once more, then moved; runs without use of the processor hang after 1.5 s instead of 2.5 s, others after 5 s. Test: TestPaceOfAdoptedFillerIsSetAnew fails without the change.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -268,3 +268,23 @@
 		require.Equal(t, 6, c.Ledger.Starts, "ends that the former leader saw are listed again")
 	})
 }
+
+// The pace that a former leader gave a filler stays with the worker.
+func TestPaceOfAdoptedFillerIsSetAnew(t *testing.T) {
+	filler := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: time.Minute, Needs: small, Filler: true}
+	}
+	for _, change := range []string{"leader", "late order"} {
+		run(t, 56, 3, 1, filler, func(t *testing.T, c *fleettest.Cluster) {
+			submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: small, Filler: true, Image: "f", Estimate: time.Minute}}})
+			time.Sleep(time.Second)
+			c.Workers.SetPaces(c.Fleet[0], 0)
+			if change == "leader" {
+				c.Kill(c.Leader())
+			}
+			time.Sleep(6 * time.Second)
+			require.Equal(t, []int{100, 100}, c.Workers.Paces(c.Fleet[0]), change)
+			require.Equal(t, 2, c.Ledger.Starts, "no task is moved")
+		})
+	}
+}
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -107,6 +107,26 @@
 	change()
 }
 
+// SetPaces sets the pace of all runs on w, and Paces returns them.
+func (f *Workers) SetPaces(w *Worker, percent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range w.runs {
+		k.pace = percent
+	}
+}
+
+// Paces returns the paces of the runs on w.
+func (f *Workers) Paces(w *Worker) []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var paces []int
+	for _, k := range w.runs {
+		paces = append(paces, k.pace)
+	}
+	return paces
+}
+
 // Running counts the runs on w.
 func (f *Workers) Running(w *Worker) int {
 	f.mu.Lock()
@@ -268,9 +288,9 @@
 	for ref, k := range w.runs {
 		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
 		if !k.task.Lasting && k.task.Work > 0 {
-			s.Percent = int(100 * (k.done + time.Since(k.begun)) / k.task.Work)
-			if w.Hang {
-				s.Percent = 0
+			s.Percent = min(int(100*(k.done+time.Since(k.begun))/k.task.Work), 100)
+			if w.Hang || (k.task.Filler && k.pace == 0) {
+				s.Percent, s.Reading = 0, 0
 			}
 		}
 		if k.task.Target > 0 {
--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -182,7 +182,7 @@
 			r.checkpoint = s.Checkpoint
 		}
 		if s.Percent != r.percent || r.moved.IsZero() {
-			r.percent, r.moved = s.Percent, t.now
+			r.percent, r.moved, r.paceAgain = s.Percent, t.now, false
 		}
 		r.reading = s.Reading
 		if r.state == runSent || r.state == runDoubt {
@@ -211,6 +211,9 @@
 	if key.step < len(j.spec.Steps) {
 		r.step = &j.spec.Steps[key.step]
 		r.reserved = r.step.Reserved()
+		if r.step.Filler {
+			r.pace = 0 // unknown: it is set as for a run that stands still
+		}
 	}
 	w.attach(r, t.now)
 	if tk == nil && !j.over() && r.step != nil && key.occurrence < j.spec.Occurrences() && !j.finished[key.occurrence] {
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -45,9 +45,6 @@
 		return
 	}
 	v := t.harm.viewFor(w, t.now)
-	if len(v.images) == 0 {
-		return
-	}
 	room := map[*served]float64{}
 	for _, s := range v.images {
 		room[s] = max(s.soon, 0)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -404,8 +404,8 @@
 	}
 	for _, w := range t.allWorkers() {
 		for _, r := range w.runs {
-			if r.job == j && r.live() {
-				t.stop(r, "job-over")
+			if r.job == j && r.live() && !(j.state() == StateCompleted && r.step.Gang) {
+				t.stop(r, "job-over") // members of a finished gang end by themselves
 			}
 		}
 	}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -8,9 +8,12 @@
 
 // Constants of the watch over runs.
 const (
-	// hungAfter is the time without progress that marks a run as hung. Progress
-	// is reported once a second.
-	hungAfter = 2500 * time.Millisecond
+	// hungAfter is the time without progress and without use of the processor that
+	// marks a run as hung. Progress is reported once a second; a run that resumes
+	// from a checkpoint stands still for some hundred milliseconds.
+	hungAfter = 1500 * time.Millisecond
+	// stuckAfter is the time without progress that marks a run that uses processors.
+	stuckAfter = 5 * time.Second
 	// copyFactor times the expected run time is when a speculative task gets a copy.
 	copyFactor = 1.6
 	// minRatioTime is the least run time from which speed is judged.
@@ -93,21 +96,51 @@
 }
 
 func (t *term) watchRun(w *worker, r *run) {
-	ran := t.now.Sub(r.since)
 	switch {
 	case r.step.Lasting:
-		if r.percent < readyPercent && ran > startupTime && t.now.Sub(r.moved) > hungAfter && w.lookOK.After(r.moved.Add(hungAfter)) {
+		if r.percent < readyPercent && t.now.Sub(r.since) > startupTime && w.lookOK.Sub(r.moved) > stuckAfter {
 			t.hung(w, r)
 		}
+	case r.percent >= readyPercent:
+		// A member of a gang waits for the others to finish.
 	case r.step.Filler:
-		// Progress depends on what the other tasks leave.
-	case w.lookOK.Sub(r.moved) > hungAfter:
+		t.watchFiller(w, r)
+	case standsStill(w, r, r.moved):
 		t.hung(w, r)
-	case r.step.Speculative && ran > time.Duration(copyFactor*float64(t.expected(r.job, r.step))):
+	case r.step.Speculative && t.now.Sub(r.since) > time.Duration(copyFactor*float64(t.expected(r.job, r.step))):
 		t.duplicate(r)
 	}
 }
 
+// standsStill reports whether a run has made no progress since a moment, as far
+// as the worker's reports tell.
+func standsStill(w *worker, r *run, since time.Time) bool {
+	limit := stuckAfter
+	if r.reading == 0 {
+		limit = hungAfter
+	}
+	return w.lookOK.Sub(since) > limit
+}
+
+// watchFiller finds fillers that stand still although they were told to work. An
+// order on pace may have been carried out late, after a newer one, so the pace is
+// set once more before the run counts as hung.
+func (t *term) watchFiller(w *worker, r *run) {
+	since := r.moved
+	if r.paceAt.After(since) {
+		since = r.paceAt
+	}
+	if r.pace < readyPercent || r.paceBusy || r.reading > 0 || !standsStill(w, r, since) {
+		return
+	}
+	if !r.paceAgain {
+		r.paceAgain = true
+		t.setPace(r, readyPercent)
+		return
+	}
+	t.hung(w, r)
+}
+
 // hung stops a run that makes no progress, so that the task starts elsewhere.
 func (t *term) hung(w *worker, r *run) {
 	w.health.rest(t.now)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -60,6 +60,8 @@
 	pace     int
 	paceBusy bool
 	paceAt   time.Time
+	// paceAgain means that the pace was repeated as the run stood still.
+	paceAgain bool
 	// adopted runs were started by an earlier term.
 	adopted bool
 }
