Let tasks of workers that were lost before a change of leader restart at once

Ruled out: room (the rule names capacity), rests (the task had no failure). Change: a leader removes a worker's row as soon as its leases are over; the wait counts from the last renewal seen, which the campaign verifies; a leader that cannot renew gives orders for 7 s instead of 9. Test: TestWorkerGoneBeforeLeaderChanges fails without the removal.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -308,10 +308,21 @@
 // markUsed asks for the row that must be stored before a worker's first task.
 func (t *term) markUsed(w *worker) {
 	if !w.durable && w.listed {
+		delete(t.usedGone, w.info.Lifetime)
 		t.usedDirty[w.info.Lifetime] = usedRecord{w.info.Lifetime, w.info.Addr, w.info.DataCentre, w.info.Service}
 	}
 }
 
+// markUnused removes the row of a worker that certainly runs nothing, so that the
+// next leader need not wait for it.
+func (t *term) markUnused(w *worker) {
+	delete(t.usedDirty, w.info.Lifetime)
+	if w.durable {
+		w.durable = false
+		t.usedGone[w.info.Lifetime] = true
+	}
+}
+
 // ordersPending reports whether a start or stop waits for its answer.
 func (t *term) ordersPending() bool {
 	for _, w := range t.allWorkers() {
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -288,3 +288,21 @@
 		})
 	}
 }
+
+// A worker that has gone before a change of leader does not hold the tasks back
+// that it ran: the former leader has seen its leases end.
+func TestWorkerGoneBeforeLeaderChanges(t *testing.T) {
+	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
+	run(t, 57, 3, 3, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, PerWorker: 2, Needs: small, Lasting: true}}})
+		time.Sleep(time.Second)
+		c.Workers.Kill(c.Fleet[0])
+		c.Unlist(c.Fleet[0])
+		time.Sleep(5500 * time.Millisecond) // its leases are over, the bound keeps its tasks waiting
+		c.Kill(c.Leader())
+		time.Sleep(500 * time.Millisecond)
+		c.AddWorker("w7")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 2, c.Workers.Running(c.Fleet[3]))
+	})
+}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -47,6 +47,18 @@
 	return max(limit-now.Sub(f.changed), time.Millisecond)
 }
 
+// formerAlive returns the latest moment at which the former leader may have
+// renewed: its last renewal was sent before this node saw it.
+func (f *follow) formerAlive(now time.Time) time.Time {
+	switch {
+	case !f.known:
+		return now
+	case f.record.Released:
+		return now.Add(-orderLimit) // it gives no order any more
+	}
+	return f.changed
+}
+
 // due reports whether this node should try to take the lead.
 func (f *follow) due(now time.Time, node model.NodeID, process uint64) bool {
 	silent := now.Sub(f.changed)
@@ -164,6 +176,12 @@
 		f.changed = time.Now()
 		return
 	}
+	// A renewal that this node has not seen would make the former leader's orders
+	// last longer than it reckons. One after the read of the fence fails the
+	// transaction.
+	if !n.unchanged(ctx, f) {
+		return
+	}
 	number, nonce := fence.Term+1, rand.Uint64()
 	id := RowID{tableFence, leaderPart, keyLeader}
 	tx := Transaction{
@@ -190,7 +208,26 @@
 		}
 		result.Version = version
 	}
-	n.lead(number, result.Version)
+	n.lead(number, result.Version, f.formerAlive(time.Now()))
+}
+
+// unchanged reads the leader's row and reports whether it is the one known.
+func (n *Node) unchanged(ctx context.Context, f *follow) bool {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := n.cfg.Store.List(call, tableLeader, leaderPart, keyLeader, keyLeader+"\x00", 1)
+	if err != nil {
+		f.changed = time.Now()
+		return false
+	}
+	if len(page.Rows) == 0 {
+		return !f.known
+	}
+	if page.Rows[0].Version == f.version {
+		return true
+	}
+	n.leaderRow(f, page.Rows[0])
+	return false
 }
 
 func (n *Node) readFence(ctx context.Context) (fenceRecord, uint64, error) {
@@ -208,8 +245,8 @@
 }
 
 // lead runs a term in the background.
-func (n *Node) lead(number, fenceVersion uint64) {
-	t := newTerm(n.cfg, number, fenceVersion, n.log, n.metrics)
+func (n *Node) lead(number, fenceVersion uint64, formerAlive time.Time) {
+	t := newTerm(n.cfg, number, fenceVersion, formerAlive, n.log, n.metrics)
 	n.term.Store(t)
 	n.leader.Store(&leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr})
 	n.wait.Go(t.run)
--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -161,6 +161,8 @@
 	if first {
 		w.inherited = false
 		t.dirty = true
+	}
+	if !w.durable {
 		t.markUsed(w)
 	}
 	if t.lookDue(w) {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -200,10 +200,7 @@
 	for _, r := range w.runs {
 		t.lose(r, reason)
 	}
-	if w.durable {
-		t.usedGone[w.info.Lifetime] = true
-	}
-	delete(t.usedDirty, w.info.Lifetime)
+	t.markUnused(w)
 	delete(t.gone, w.info.Lifetime)
 	if t.workers[w.info.Worker] == w {
 		delete(t.workers, w.info.Worker)
@@ -231,6 +228,7 @@
 			}
 			t.dirty = true
 		}
+		t.markUnused(w)
 		if !w.listed && t.now.Sub(w.clockAt) > unlistedMemory {
 			t.bury(w, "left")
 		}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -19,7 +19,7 @@
 	renewInterval = 400 * time.Millisecond
 	// orderLimit is how long a leader that cannot renew goes on giving orders.
 	// Store outages of some seconds must not stop running work.
-	orderLimit = 9 * time.Second
+	orderLimit = 7 * time.Second
 	// mailboxSize bounds events that wait for the loop; senders wait beyond it.
 	mailboxSize = 8192
 	// eventsPerRound bounds the events handled before a plan is made.
@@ -53,6 +53,9 @@
 	out     map[model.DataCentre]bool
 	waves   map[int]*wave
 
+	// formerAlive is when the former leader may have renewed last. It gives orders
+	// for orderLimit longer at most.
+	formerAlive time.Time
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
 	// began is the version of the store at which the term began.
@@ -77,7 +80,7 @@
 	counters     *metrics
 }
 
-func newTerm(cfg Config, number, fenceVersion uint64, log *logrus.Entry, m *metrics) *term {
+func newTerm(cfg Config, number, fenceVersion uint64, formerAlive time.Time, log *logrus.Entry, m *metrics) *term {
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	return &term{
@@ -85,7 +88,7 @@
 		mail: make(chan event, mailboxSize), now: now, random: rand.New(rand.NewPCG(cfg.Seed, number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{}, gone: map[Lifetime]*worker{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
-		fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
+		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
 		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
 		speeds: map[string]*speed{}, harm: newInterference(), counters: m,
 	}
@@ -243,7 +246,7 @@
 		t.workers[u.Life.Worker] = w
 	}
 	w.durable, w.inherited = true, true
-	w.deadBy = t.now.Add(orderLimit + time.Duration(float64(t.leaseLength())/clockSlack) + leaseMargin)
+	w.deadBy = t.formerAlive.Add(orderLimit + time.Duration(float64(t.leaseLength())/clockSlack) + leaseMargin)
 	return true
 }
 
