--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -154,7 +154,7 @@
 	mux.Handle("POST "+Prefix+"data-centres/{name}/out", s.handle(s.dataCentreOut))
 	mux.Handle("POST "+Prefix+"data-centres/{name}/in", s.handle(s.dataCentreIn))
 	mux.Handle("/", s.handle(func(r *http.Request, _ string) (any, error) {
-		return nil, model.Errorf(model.KindNotFound, "see docs/operations.md for the paths", "there is no %s %s", r.Method, r.URL.Path)
+		return nil, model.Errorf(model.KindNotFound, "see docs/OPERATIONS.md for the paths", "there is no %s %s", r.Method, r.URL.Path)
 	}))
 	return mux
 }
--- /dev/null
+++ b/internal/fleet/random_test.go
@@ -0,0 +1,150 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+)
+
+// randomSeeds is how many seeded sequences of faults a run plays; the variable
+// FLEET_SEEDS names a first seed and a number, as "100,50".
+const randomSeeds = 12
+
+// TestRandomFaults plays sequences of faults, one or several at a time, while jobs
+// arrive, and checks that no task runs twice and that every accepted job is done
+// after the faults are over.
+func TestRandomFaults(t *testing.T) {
+	first, count := 1, randomSeeds
+	if v := os.Getenv("FLEET_SEEDS"); v != "" {
+		_, err := fmt.Sscanf(v, "%d,%d", &first, &count)
+		require.NoError(t, err)
+	}
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed)) })
+	}
+}
+
+// faults is a sequence in progress.
+type faults struct {
+	c      *fleettest.Cluster
+	random *rand.Rand
+	next   int // number of the next worker
+}
+
+func playFaults(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	tasks := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 1500 * time.Millisecond, Needs: small, Checkpoint: true}
+	}
+	run(t, seed, 4, 5, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		f := &faults{c: c, random: random, next: 5}
+		accepted := 0
+		for range 24 {
+			if random.IntN(3) > 0 {
+				f.strike()
+			}
+			for _, m := range c.Nodes {
+				if m.Up() && m.Node.Submit(t.Context(), c.Queue, jobID(accepted), twoSteps()) == nil {
+					accepted++
+					break
+				}
+			}
+			time.Sleep(time.Duration(200+random.IntN(1200)) * time.Millisecond)
+		}
+		f.heal()
+		require.Positive(t, accepted)
+		waitAll(t, c, accepted, 200*time.Second)
+	})
+}
+
+func (f *faults) node() *fleettest.Member { return f.c.Nodes[f.random.IntN(len(f.c.Nodes))] }
+
+func (f *faults) worker() *fleettest.Worker { return f.c.Fleet[f.random.IntN(len(f.c.Fleet))] }
+
+// strike makes one fault, or ends one.
+func (f *faults) strike() {
+	m := f.node()
+	switch f.random.IntN(14) {
+	case 0, 1:
+		if l := f.c.Leader(); l != nil {
+			f.c.Kill(l)
+		}
+	case 2:
+		if !m.Up() {
+			f.c.Start(m)
+		}
+	case 3:
+		f.store(m, fleettest.Silent)
+	case 4:
+		f.store(f.c.Leader(), fleettest.Busy)
+	case 5:
+		f.store(m, fleettest.Healthy)
+	case 6:
+		if m.Up() {
+			m.Work.Cut(f.worker(), f.random.IntN(2) == 0)
+		}
+	case 7:
+		if m.Up() {
+			m.Work.CutAll(f.random.IntN(2) == 0)
+		}
+	case 8:
+		f.c.Store.Compact()
+	case 9:
+		late := f.random.Float64() * 0.3
+		f.c.Workers.Set(func() { f.c.Workers.LateShare = late })
+	case 10:
+		f.c.Store.Lost, f.c.Store.Late = f.random.Float64()*0.3, f.random.Float64()*0.2
+	case 11:
+		w := f.worker()
+		f.c.Workers.Kill(w)
+		if f.random.IntN(2) == 0 {
+			f.c.Unlist(w)
+		}
+		f.c.AddWorker("w" + strconv.Itoa(f.next%10))
+		f.next++
+	case 12:
+		if m.Up() {
+			m.Peers.Cut(f.random.IntN(2) == 0)
+		}
+	case 13:
+		if l := f.c.Leader(); l != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			l.Node.Drain(ctx)
+			cancel()
+			f.c.Kill(l)
+		}
+	}
+}
+
+func (f *faults) store(m *fleettest.Member, fault fleettest.Fault) {
+	if m != nil && m.Up() {
+		m.Store.Set(fault)
+	}
+}
+
+// heal ends all faults.
+func (f *faults) heal() {
+	f.c.Workers.Set(func() { f.c.Workers.LateShare = 0 })
+	f.c.Store.Lost, f.c.Store.Late = 0, 0
+	for _, m := range f.c.Nodes {
+		if !m.Up() {
+			f.c.Start(m)
+			continue
+		}
+		m.Store.Set(fleettest.Healthy)
+		m.Work.CutAll(false)
+		m.Peers.Cut(false)
+		for _, w := range f.c.Fleet {
+			m.Work.Cut(w, false)
+		}
+	}
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -214,7 +214,11 @@
 	for _, w := range t.allWorkers() {
 		if w.inherited && !w.raised && t.now.After(w.deadBy) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired"}).Warn("unreachable worker holds nothing any more")
+			info, listed := w.info, w.listed
 			t.bury(w, "lease-over")
+			if listed { // it may come back, and nothing of before can run there
+				t.workers[info.Worker] = newWorker(info)
+			}
 			continue
 		}
 		if w.failures == 0 || w.clockAt.IsZero() || t.now.Before(w.leaseOver()) {
