--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -306,3 +307,24 @@
 		require.Equal(t, 2, c.Workers.Running(c.Fleet[3]))
 	})
 }
+
+// Lasting tasks never end, so their work must be enough to trust a worker again
+// after a rest; otherwise its room stays unused.
+func TestWorkerIsTrustedAgainByLastingTask(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		if strings.HasPrefix(string(n), jobID(0)) {
+			return fleettest.Task{Work: time.Second, Needs: small}
+		}
+		return fleettest.Task{Lasting: true, Needs: small}
+	}
+	run(t, 58, 3, 1, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		c.Workers.Set(func() { c.Fleet[0].Hang = true })
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: small, Estimate: time.Second}}})
+		time.Sleep(4 * time.Second)
+		c.Workers.Set(func() { c.Fleet[0].Hang = false })
+		require.NoError(t, c.Nodes[0].Node.Cancel(t.Context(), c.Queue, jobID(0)))
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 4, Needs: small, Lasting: true}}})
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 4, c.Workers.Running(c.Fleet[0]))
+	})
+}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -86,6 +86,7 @@
 		if w.failures > 0 {
 			continue
 		}
+		t.endProbation(w)
 		for _, r := range w.runs {
 			if r.state == runLive && r.job != nil && !r.job.over() {
 				t.watchRun(w, r)
@@ -95,6 +96,26 @@
 	}
 }
 
+// probationTime is how long a run must work on a worker after its rest.
+const probationTime = 2 * time.Second
+
+// endProbation trusts a worker again when a run has worked there since its rest;
+// lasting tasks never end to prove it.
+func (t *term) endProbation(w *worker) {
+	if !w.health.onProbation() || w.health.resting(t.now) {
+		return
+	}
+	for _, r := range w.runs {
+		working := r.percent >= readyPercent || w.lookOK.Sub(r.moved) < hungAfter
+		if r.state == runLive && r.since.After(w.health.until) && t.now.Sub(r.since) > probationTime && working {
+			w.health.succeeded(0)
+			t.dirty = true
+			t.log.WithFields(logrus.Fields{"decision": "rest", "worker": w.info.Worker, "choice": "over", "reason": "working"}).Info("worker is trusted again")
+			return
+		}
+	}
+}
+
 func (t *term) watchRun(w *worker, r *run) {
 	switch {
 	case r.step.Lasting:
