--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -63,11 +63,15 @@
 	}
 }
 
-// rest keeps work away from the worker for a time that grows with each rest.
+// rest keeps work away from the worker for a time that grows with each rest. Runs
+// that show the same trouble during a rest do not lengthen it.
 func (h *health) rest(now time.Time) {
+	h.trusted = false
+	if h.resting(now) && h.rests > 0 {
+		return
+	}
 	d := min(restTime<<min(h.rests, 4), restMax)
 	h.rests++
-	h.trusted = false
 	h.failures = failuresToRest - 1 // the next failure rests it again
 	h.until = now.Add(d)
 }
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -107,7 +107,7 @@
 	}
 	for _, r := range w.runs {
 		working := r.percent >= readyPercent || w.lookOK.Sub(r.moved) < hungAfter
-		if r.state == runLive && r.since.After(w.health.until) && t.now.Sub(r.since) > probationTime && working {
+		if r.state == runLive && !r.since.Before(w.health.until) && t.now.Sub(r.since) > probationTime && working {
 			w.health.succeeded(0)
 			t.dirty = true
 			t.log.WithFields(logrus.Fields{"decision": "rest", "worker": w.info.Worker, "choice": "over", "reason": "working"}).Info("worker is trusted again")
