Tests of the decisions, the records and the decoders

Found: a failure of a task without a known attempt was not stored; records now hold each task that has failed.

--- /dev/null
+++ b/internal/fleet/decisions_test.go
@@ -0,0 +1,338 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+
+// testWorker returns a worker of 16 cores that may be used.
+func testWorker(id string) *worker {
+	w := newWorker(WorkerInfo{Lifetime: Lifetime{Worker: model.WorkerID(id), Born: 1}, Service: "svc", DataCentre: "dc",
+		Capacity: model.Resources{MilliCPU: 16000, MemoryMB: 16000}, Labels: []string{"a", "r1"}})
+	w.raised, w.durable = true, true
+	return w
+}
+
+func testRun(w *worker, s *Step, index int) *run {
+	r := &run{ref: RunRef{TaskName(fmt.Sprint("j.0.0.", index)), 1}, worker: w, step: s, reserved: s.Reserved(), since: epoch,
+		state: runLive, pace: 100, percent: 100, job: &job{id: "j"}, key: taskKey{0, 0, index}}
+	w.attach(r, epoch)
+	return r
+}
+
+// Pairs of images that press on a service are told from those that do not,
+// although the load of the service swings by more than a filler adds.
+func TestPressureOfPairsIsLearnt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		heavy := rapid.Float64Range(4, 8).Draw(t, "heavy")
+		period := rapid.Float64Range(10, 20).Draw(t, "period")
+		step := rapid.Uint64().Draw(t, "pattern")
+		h := newInterference()
+		service := &Step{Count: 1, Needs: model.Resources{MilliCPU: 4000}, Lasting: true, Image: "s", LatencyTarget: 150 * time.Millisecond}
+		w := testWorker("w")
+		r := testRun(w, service, 0)
+		fillers := []*Step{
+			{Needs: model.Resources{MilliCPU: 1600}, Filler: true, Image: "heavy"},
+			{Needs: model.Resources{MilliCPU: 1600}, Filler: true, Image: "mild"},
+		}
+		present := map[int]*run{}
+		for i := range 400 {
+			now := at(float64(i) * 0.7)
+			for k := range fillers {
+				step = step*6364136223846793005 + 1442695040888963407
+				if step>>61 != 0 {
+					continue
+				}
+				if f := present[k]; f != nil {
+					w.detach(f, now)
+					delete(present, k)
+				} else {
+					f = &run{ref: RunRef{TaskName(fmt.Sprint("f.0.0.", k)), i}, worker: w, step: fillers[k], state: runLive, pace: 100}
+					w.attach(f, now)
+					present[k] = f
+				}
+			}
+			now = now.Add(600 * time.Millisecond)
+			z := 3.0 + 1.4*math.Sin(2*math.Pi*now.Sub(epoch).Seconds()/period)
+			if present[0] != nil {
+				z -= heavy * 0.1
+			}
+			r.reading = int(150 / max(z, 0.1))
+			h.observe(r, now)
+		}
+		m := h.model("s")
+		end := at(1000)
+		require.Greater(t, m.coefficient("heavy", end), heavy/2)
+		require.Less(t, m.coefficient("heavy", end), heavy*2)
+		require.Less(t, m.coefficient("mild", end), heavy/3)
+		require.InDelta(t, m.prior(), m.coefficient("unknown", end), 1e-9)
+	})
+}
+
+func TestModelSurvivesItsRecord(t *testing.T) {
+	m := newServiceModel()
+	for i := range 50 {
+		m.observe(float64(i%3), map[string]float64{"a": 0.1, "b": float64(i%2) * 0.1})
+	}
+	m.highest = 5
+	back := restoreModel(m.record())
+	require.NotNil(t, back)
+	for _, image := range []string{"a", "b", "c"} {
+		require.InDelta(t, m.coefficient(image, at(1)), back.coefficient(image, at(1)), 1e-9)
+	}
+	bad := m.record()
+	bad.A = bad.A[:1]
+	require.Nil(t, restoreModel(bad))
+}
+
+func TestSolve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "n")
+		x := make([]float64, n)
+		a := make([][]float64, n)
+		for i := range n {
+			x[i] = rapid.Float64Range(-5, 5).Draw(t, "x")
+			a[i] = make([]float64, n)
+			for k := range n {
+				a[i][k] = rapid.Float64Range(-1, 1).Draw(t, "a")
+			}
+			a[i][i] += 10 // well conditioned, as the ridge makes it
+		}
+		b := make([]float64, n)
+		for i := range n {
+			for k := range n {
+				b[i] += a[i][k] * x[k]
+			}
+		}
+		got, ok := solve(a, b)
+		require.True(t, ok)
+		for i := range n {
+			require.InDelta(t, x[i], got[i], 1e-6)
+		}
+	})
+}
+
+func TestExposureIsAveragedOverTheWindow(t *testing.T) {
+	w := testWorker("w")
+	f := &run{ref: RunRef{"f.0.0.0", 1}, worker: w, step: &Step{Image: "f"}}
+	w.exposed.set(f, 0.2, at(0))
+	require.InDelta(t, 0.1, w.exposed.average(at(0.25))["f"], 1e-9, "half of the window")
+	require.InDelta(t, 0.2, w.exposed.average(at(3))["f"], 1e-9)
+	w.exposed.set(f, 0.1, at(3))
+	require.InDelta(t, 0.15, w.exposed.average(at(3.25))["f"], 1e-9, "a change of pace")
+	w.exposed.set(f, 0, at(4))
+	require.Zero(t, w.exposed.average(at(5))["f"])
+}
+
+func TestClassOfWork(t *testing.T) {
+	q := Queue{Stretch: 2, Objective: time.Second}
+	spec := Spec{Steps: []Step{{Count: 1, Estimate: 2 * time.Second}, {Count: 1, Estimate: time.Second, After: []int{0}}}}
+	j := &job{spec: spec, chains: spec.Chains(), arrived: epoch}
+	require.Equal(t, []time.Duration{3 * time.Second, time.Second}, j.chains)
+	o := j.add(0, time.Time{}, epoch)
+	for _, c := range []struct {
+		now   float64
+		step  int
+		class int
+	}{
+		{0, 0, inTime}, {4, 0, inTime}, {4.7, 0, inTime}, {5, 0, late}, {6.2, 1, inTime}, {6.5, 1, late}, {8, 1, late}, {20.9, 1, late}, {21.1, 1, hopeless},
+	} {
+		class, _ := classify(at(c.now), j, o, c.step, q)
+		require.Equal(t, c.class, class, "at %v s, step %d", c.now, c.step)
+	}
+}
+
+func TestOrderOfWaitingWork(t *testing.T) {
+	id := func(s string) *job { return &job{id: s} }
+	wants := []*want{
+		{job: id("late"), class: late}, {job: id("large"), priority: 2, work: 9}, {job: id("small"), priority: 2, work: 1},
+		{job: id("first"), priority: 0, work: 100}, {job: id("urgent"), priority: 2, work: 1, slack: -time.Second},
+	}
+	sortWants(wants)
+	var got []string
+	for _, w := range wants {
+		got = append(got, w.job.id)
+	}
+	require.Equal(t, []string{"first", "urgent", "small", "large", "late"}, got)
+}
+
+func TestFeasibleWorkers(t *testing.T) {
+	small := model.Resources{MilliCPU: 1000, MemoryMB: 1000}
+	for name, c := range map[string]struct {
+		change func(*worker, *request)
+		want   bool
+	}{
+		"free":                      {func(*worker, *request) {}, true},
+		"no room":                   {func(w *worker, _ *request) { w.used = w.info.Capacity }, false},
+		"no memory":                 {func(w *worker, _ *request) { w.used.MemoryMB = 15500 }, false},
+		"label missing":             {func(_ *worker, r *request) { r.step.Label = "b" }, false},
+		"label there":               {func(_ *worker, r *request) { r.step.Label = "a" }, true},
+		"bound per worker":          {func(w *worker, r *request) { r.step.PerWorker = 2; r.onWorker[w] = 2 }, false},
+		"other rack":                {func(_ *worker, r *request) { r.rack = "r2" }, false},
+		"no ticket":                 {func(_ *worker, r *request) { r.tickets = map[model.WorkerID]string{"x": "t"} }, false},
+		"its copy is there":         {func(w *worker, r *request) { r.task.runs = []*run{{worker: w}} }, false},
+		"probation":                 {func(w *worker, _ *request) { w.health.rests = 1 }, true},
+		"probation with a run":      {func(w *worker, r *request) { w.health.rests = 1; testRun(w, r.step, 1) }, false},
+		"probation of failed tasks": {func(w *worker, r *request) { w.health.rests = 1; r.task.failed = []int{1} }, false},
+	} {
+		w := testWorker("w")
+		r := request{step: &Step{Count: 1, Needs: small}, task: &task{}, onWorker: map[*worker]int{}}
+		c.change(w, &r)
+		h := newInterference()
+		p := &placement{now: epoch, workers: []*worker{w}, harm: &h}
+		require.Equal(t, c.want, p.choose(r) != nil, name)
+	}
+}
+
+// Whatever is placed, no worker is committed beyond its capacity.
+func TestPlacementNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newInterference()
+		p := &placement{now: epoch, harm: &h}
+		for i := range rapid.IntRange(1, 5).Draw(t, "workers") {
+			p.workers = append(p.workers, testWorker(fmt.Sprint(i)))
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "tasks") {
+			s := &Step{Count: 1, Filler: rapid.Bool().Draw(t, "filler"), Image: "i", Needs: model.Resources{
+				MilliCPU: rapid.Int64Range(0, 9000).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(0, 9000).Draw(t, "memory")}}
+			if w := p.choose(request{step: s, onWorker: map[*worker]int{}}); w != nil {
+				testRun(w, s, i)
+			}
+		}
+		for _, w := range p.workers {
+			require.False(t, w.free().Negative(), "%v", w.used)
+		}
+	})
+}
+
+// A lease is never taken to be over before it is, on a clock that is up to 2% slow.
+func TestLeaseOverIsLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.98, 1.02).Draw(t, "rate")
+		w := testWorker("w")
+		clock := func(now time.Time) time.Duration {
+			return time.Second + time.Duration(rate*float64(now.Sub(epoch)))
+		}
+		now := epoch
+		var lease time.Duration
+		for range rapid.IntRange(1, 8).Draw(t, "looks") {
+			w.observe(clock(now).Truncate(time.Millisecond), now.Add(time.Duration(rapid.Int64Range(0, 50).Draw(t, "answer"))*time.Millisecond))
+			now = now.Add(time.Duration(rapid.Int64Range(50, 3000).Draw(t, "pause")) * time.Millisecond)
+			lease = max(lease, w.deadline(now, 5*time.Second))
+		}
+		require.GreaterOrEqual(t, clock(w.leaseOver()), lease)
+	})
+}
+
+func TestProgressSurvivesItsRecord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := Spec{Steps: []Step{{Count: 3}, {Count: 2, After: []int{0}}}, Repeats: rapid.IntRange(0, 2).Draw(t, "repeats"), Interval: time.Second}
+		wall := func(ms int64) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+		j := newJob("j", jobRecord{Spec: spec}, 1, epoch)
+		j.open(at(10), 0, wall)
+		for range rapid.IntRange(0, 20).Draw(t, "ends") {
+			k := taskKey{rapid.IntRange(0, 1).Draw(t, "k"), rapid.IntRange(0, 1).Draw(t, "step"), rapid.IntRange(0, 2).Draw(t, "task")}
+			if rapid.IntRange(0, 3).Draw(t, "fails") == 0 {
+				j.failTask(k, rapid.IntRange(1, 5).Draw(t, "attempt"), 4, epoch)
+			} else if o := j.find(k.occurrence); o != nil && !o.steps[k.step].ready.IsZero() && k.index < spec.Steps[k.step].Count {
+				j.finishTask(k, epoch)
+			}
+		}
+		var p progressRecord
+		require.NoError(t, decodeRecord(Row{Value: encode(j.progress())}, &p))
+		back := newJob("j", jobRecord{Spec: spec}, 1, epoch)
+		back.restore(p, epoch, wall)
+		back.open(at(10), 0, wall)
+		require.Equal(t, j.state(), back.state())
+		require.Equal(t, j.finished, back.finished)
+		if j.over() {
+			return
+		}
+		for _, o := range j.occurrences {
+			b := back.find(o.number)
+			require.NotNil(t, b)
+			for s := range o.steps {
+				require.Equal(t, o.steps[s].left, b.steps[s].left)
+				require.Equal(t, o.steps[s].ready.IsZero(), b.steps[s].ready.IsZero(), "step %d", s)
+				for n := range o.steps[s].tasks {
+					require.Equal(t, o.steps[s].tasks[n].done, b.steps[s].tasks[n].done)
+					require.ElementsMatch(t, o.steps[s].tasks[n].failed, b.steps[s].tasks[n].failed)
+				}
+			}
+		}
+	})
+}
+
+func TestAttemptsOfTermsDoNotMeet(t *testing.T) {
+	j := &job{inherited: true}
+	require.Equal(t, 1, (&job{}).nextAttempt(&task{}, 9), "a job of this term begins at 1")
+	require.Equal(t, 2*attemptsPerTerm+1, j.nextAttempt(&task{attempt: 3}, 3))
+	require.Equal(t, 2*attemptsPerTerm+6, j.nextAttempt(&task{attempt: 2*attemptsPerTerm + 5}, 3))
+}
+
+func TestRoutes(t *testing.T) {
+	table := newRouteTable([]Queue{{Name: "a", Host: "x", Prefix: "/a/"}, {Name: "ab", Host: "x", Prefix: "/a/b/"}, {Name: "y", Host: "y", Prefix: "/a/"}})
+	for _, c := range []struct{ host, path, name, rest string }{
+		{"x", "/a/1", "a", "1"}, {"X:80", "/a/b/1", "ab", "1"}, {"y", "/a/", "y", ""}, {"z", "/a/1", "", ""}, {"x", "/c/1", "", ""},
+	} {
+		q, rest, ok := table.find(c.host, c.path)
+		require.Equal(t, c.name != "", ok)
+		require.Equal(t, c.name, q.Name)
+		require.Equal(t, c.rest, rest)
+	}
+}
+
+func TestCampaignIsDue(t *testing.T) {
+	f := follow{record: leaderRecord{Node: "a", Process: 1}, known: true, changed: epoch, spread: 100 * time.Millisecond}
+	require.False(t, f.due(at(1.9), "b", 1))
+	require.True(t, f.due(at(2.1), "b", 1))
+	require.True(t, f.due(at(0.1), "a", 2), "a former process of this node led")
+	require.False(t, f.due(at(0.1), "a", 1))
+	f.record.Released = true
+	require.True(t, f.due(at(0.1), "b", 1))
+	require.True(t, (&follow{changed: epoch}).due(at(0.1), "b", 1), "nobody has led yet")
+}
+
+func TestHealth(t *testing.T) {
+	h := newHealth()
+	h.failed(at(0))
+	require.False(t, h.resting(at(0)), "one failure may be the task's own")
+	h.failed(at(0))
+	require.True(t, h.resting(at(3.9)))
+	require.False(t, h.resting(at(4.1)))
+	require.True(t, h.onProbation())
+	h.failed(at(5))
+	require.True(t, h.resting(at(12.9)), "rests grow")
+	h.succeeded(1)
+	require.False(t, h.onProbation())
+	for range 5 {
+		h.succeeded(4)
+	}
+	require.True(t, h.isSlow())
+}
+
+func TestSpecs(t *testing.T) {
+	one := Step{Count: 1}
+	for name, s := range map[string]Spec{
+		"no steps":       {},
+		"no tasks":       {Steps: []Step{{}}},
+		"too many":       {Steps: []Step{{Count: maxTasks + 1}}},
+		"itself":         {Steps: []Step{{Count: 1, After: []int{0}}}},
+		"negative needs": {Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: -1}}}},
+		"repeats":        {Steps: []Step{one}, Repeats: -1},
+	} {
+		require.True(t, model.IsKind(s.Validate(), model.KindInvalid), name)
+	}
+	require.NoError(t, Spec{Steps: []Step{one, {Count: 2, After: []int{0}}}}.Validate())
+}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -144,7 +144,7 @@
 		r := occurrenceRecord{Number: o.number, Steps: make([][]taskRecord, len(o.steps))}
 		for i := range o.steps {
 			for n := range o.steps[i].tasks {
-				if t := &o.steps[i].tasks[n]; t.done || t.attempt > 0 || t.checkpoint != "" {
+				if t := &o.steps[i].tasks[n]; t.done || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" {
 					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint})
 				}
 			}
--- /dev/null
+++ b/internal/telemetry/async_test.go
@@ -0,0 +1,34 @@
+package telemetry
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stuck is an output that does not take anything until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) { <-s.release; return len(p), nil }
+
+func TestAsyncWriterNeverBlocks(t *testing.T) {
+	out := stuck{make(chan struct{})}
+	w := NewAsyncWriter(out, nil)
+	for range 3 * asyncLines {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.Positive(t, w.Dropped())
+	close(out.release)
+	w.Close()
+}
+
+func TestAsyncWriterFlushesAtClose(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out, nil)
+	_, _ = w.Write([]byte("a\n"))
+	_, _ = w.Write([]byte("b\n"))
+	w.Close()
+	require.Equal(t, "a\nb\n", out.String())
+}
