Let the leader store what this node cannot; answer truly and at once

Cause: callers do not come back after a 503. Tests: TestNodeCutFromStoreForwardsJobs, TestSilentStoreLeavesOutcomeOpen.

--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -91,6 +91,8 @@
 type Intake interface {
 	// Route finds the queue of a request and the rest of its path.
 	Route(host, path string) (Queue, string, error)
+	// Ready reports whether callers should keep their connections to this node.
+	Ready() bool
 	// MaxBody bounds the body of a submission in bytes; 0 when unknown.
 	MaxBody() int64
 	Submit(ctx context.Context, queue Queue, id string, spec Spec) error
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // slowTask is a task of three seconds, so that faults strike while it runs.
@@ -328,3 +329,48 @@
 		require.Equal(t, 4, c.Workers.Running(c.Fleet[0]))
 	})
 }
+
+// A node that the store turns away lets the leader store the job. Without a
+// leader that can, its refusal is at once and true.
+func TestNodeCutFromStoreForwardsJobs(t *testing.T) {
+	run(t, 59, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		var cut *fleettest.Member
+		for _, m := range c.Nodes {
+			if m != c.Leader() {
+				cut = m
+			}
+		}
+		cut.Store.Set(fleettest.Busy)
+		require.NoError(t, cut.Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps()))
+		for _, m := range c.Nodes {
+			m.Store.Set(fleettest.Busy)
+		}
+		begun := time.Now()
+		err := cut.Node.Submit(t.Context(), c.Queue, jobID(1), twoSteps())
+		require.True(t, model.IsKind(err, model.KindUnavailable), "%v", err)
+		var retry *fleet.RetryError
+		require.ErrorAs(t, err, &retry)
+		require.Less(t, time.Since(begun), c.Queue.Objective/2, "a refusal is not held back")
+		for _, m := range c.Nodes {
+			m.Store.Set(fleettest.Healthy)
+		}
+		time.Sleep(5 * time.Second)
+		_, err = c.Nodes[0].Node.State(t.Context(), c.Queue, jobID(1))
+		require.True(t, model.IsKind(err, model.KindGone), "a refused job is never stored: %v", err)
+		waitAll(t, c, 1, 20*time.Second)
+	})
+}
+
+// A silent store leaves the outcome of a submission open; the answer says so soon.
+func TestSilentStoreLeavesOutcomeOpen(t *testing.T) {
+	run(t, 60, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		for _, m := range c.Nodes {
+			m.Store.Set(fleettest.Silent)
+		}
+		time.Sleep(4 * time.Second)
+		begun := time.Now()
+		err := c.Nodes[0].Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps())
+		require.True(t, model.IsKind(err, model.KindUnknown), "%v", err)
+		require.Less(t, time.Since(begun), time.Second)
+	})
+}
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -219,6 +219,9 @@
 		return err
 	}
 	v, err := target.handlers[method](ctx, raw)
+	if ctx.Err() != nil {
+		return unknown(ctx.Err())
+	}
 	if err != nil || result == nil {
 		return err
 	}
--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -15,7 +15,6 @@
 	mu      sync.Mutex
 	running map[fleet.TaskName]map[string]int // attempts by worker
 	noted   map[fleet.TaskName]bool           // ended done, and taken note of
-	pending map[string]string                 // ends that may still be taken note of
 	begun   time.Time
 	// Starts and Done count.
 	Starts, Done int
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -15,9 +15,11 @@
 const (
 	// answerMargin is kept of a caller's deadline for the way back.
 	answerMargin = 150 * time.Millisecond
-	// refuseAfter is how long a submission that has had no effect is tried again
-	// before it is refused: a short part of the least latency objective.
-	refuseAfter = 60 * time.Millisecond
+	// refuseShare of a queue's latency objective is how long a submission that has
+	// had no effect is tried again before it is refused.
+	refuseShare = 0.25
+	// forwardTimeout bounds the try to store a job through the leader.
+	forwardTimeout = 600 * time.Millisecond
 	// acceptPause is the pause between two tries.
 	acceptPause = 15 * time.Millisecond
 	// retryShort and retryLong are sent to callers that were refused: the first
@@ -45,14 +47,31 @@
 }
 
 func (n *Node) accept(ctx context.Context, q Queue, id string, spec Spec) (tries int, err error) {
-	begun := time.Now()
-	if n.store.lost() {
-		return 0, retryAfter(retryLong, model.KindUnavailable, "retry later", "the store does not answer this node")
-	}
 	row := Row{RowID: jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.get()})}
 	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
 		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
 	}
+	tries, err = n.storeJob(ctx, row, time.Duration(refuseShare*float64(q.Objective)))
+	if !model.IsKind(err, model.KindUnavailable) {
+		return tries, err
+	}
+	switch forwarded := n.forward(ctx, row); {
+	case forwarded == nil:
+		return tries + 1, nil
+	case !model.IsKind(forwarded, model.KindUnavailable):
+		return tries + 1, model.Wrap(model.KindUnknown, forwarded, "send the same id again", "the job may have been accepted")
+	}
+	after := retryShort
+	if n.store.lost() {
+		after = retryLong
+	}
+	return tries, &RetryError{after, err}
+}
+
+// storeJob writes the row of a job. KindUnavailable means that it is not stored
+// and will not be; KindUnknown that it may be.
+func (n *Node) storeJob(ctx context.Context, row Row, patience time.Duration) (tries int, err error) {
+	begun := time.Now()
 	tx := Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}
 	doubt := 0
 	for {
@@ -71,24 +90,40 @@
 		case errors.As(err, &conflict):
 			n.storeAnswered()
 			return tries, nil // stored before, by this or by another node
-		case model.IsKind(err, model.KindUnknown):
-			if doubt++; doubt >= len(acceptTimeouts) || ctx.Err() != nil {
-				return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
-			}
 		case model.IsKind(err, model.KindInvalid):
 			return tries, err
-		default:
-			if doubt == 0 && time.Since(begun) > refuseAfter {
-				return tries, &RetryError{retryShort, model.Wrap(model.KindUnavailable, err, "retry later", "the store refuses")}
-			}
-			if doubt > 0 && time.Since(begun) > acceptTimeouts[0]+acceptTimeouts[1] || ctx.Err() != nil {
+		case model.IsKind(err, model.KindUnknown):
+			doubt++
+			// A store that is known to be silent gets one try: the caller asks again,
+			// at a node that may reach it.
+			if doubt >= len(acceptTimeouts) || ctx.Err() != nil || n.store.lost() {
 				return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
 			}
+		case doubt > 0 && (time.Since(begun) > acceptTimeouts[0]+acceptTimeouts[1] || ctx.Err() != nil):
+			return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
+		case doubt == 0 && time.Since(begun) > patience:
+			return tries, model.Wrap(model.KindUnavailable, err, "retry later", "the store refuses")
 		}
 		time.Sleep(acceptPause)
 	}
 }
 
+// forward lets the leader store a job that this node cannot store. KindUnavailable
+// means that it is not stored and will not be.
+func (n *Node) forward(ctx context.Context, row Row) error {
+	leader := n.leader.Load()
+	if leader == nil || leader.Node == n.cfg.Node || !n.link.usable(leader.Term) {
+		return model.Errorf(model.KindUnavailable, "retry later", "no leader to forward to")
+	}
+	call, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	err := n.cfg.Peers.Call(call, leader.Addr, methodAccept, offerParams{Key: row.Key, Part: row.Part, Value: row.Value}, nil)
+	if err != nil && !model.IsKind(err, model.KindUnavailable) {
+		n.link.failed(leader.Term)
+	}
+	return err
+}
+
 // acceptContext bounds a try by its time-out and the caller's deadline.
 func acceptContext(ctx context.Context, doubt int) (context.Context, context.CancelFunc) {
 	until := time.Now().Add(acceptTimeouts[min(doubt, len(acceptTimeouts)-1)])
--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -27,9 +27,6 @@
 	// pace of fillers and for their placement; they run for some seconds.
 	paceHorizon  = 0.7
 	placeHorizon = 1.5
-	// calmAfter is how long no filler is added beside a service that was over its
-	// target.
-	calmAfter = 700 * time.Millisecond
 )
 
 // serviceLoad is the headroom of a serving step without any filler. The tasks of
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -75,10 +75,7 @@
 	tasks []task
 	left  int // tasks that are not done
 	// ready is when the steps before were done; zero while they are not.
-	ready time.Time
-	// rack is the rack of a step whose tasks should share one.
-	rack string
-	// warmSince is when a lasting step's tasks were last placed.
+	ready  time.Time
 	advice *advice
 }
 
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -12,6 +12,7 @@
 // Methods between the system's own nodes.
 const (
 	methodOffer   = "jobs.offer"
+	methodAccept  = "jobs.accept"
 	methodState   = "jobs.state"
 	methodPending = "jobs.pending"
 )
@@ -57,6 +58,14 @@
 		n.takeOffer(Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
 		return true, nil
 	})
+	n.cfg.Peers.Handle(methodAccept, func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var p offerParams
+		if err := decodeParams(raw, &p); err != nil {
+			return nil, err
+		}
+		_, err := n.storeJob(ctx, Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value}, 0)
+		return err == nil, err
+	})
 	n.cfg.Peers.Handle(methodState, func(ctx context.Context, raw json.RawMessage) (any, error) {
 		var p stateParams
 		if err := decodeParams(raw, &p); err != nil {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -308,8 +308,3 @@
 	}
 	t.log.WithFields(logrus.Fields{"decision": "configuration", "version": c.Version, "queues": len(c.Queues)}).Info("configuration in force")
 }
-
-// guards reports whether the workers of a service reject what does not fit.
-func (t *term) guards(s model.ServiceName) bool {
-	return t.setting != nil && t.setting.Services[s].Guards
-}
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -32,7 +32,6 @@
 	status string
 	// writing is set while the status row is written.
 	writing bool
-	version uint64
 }
 
 // upkeepTurn is a machine that is being emptied.
