--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -37,6 +37,9 @@
 	graceMargin = 1200 * time.Millisecond
 	// memoryShare of the host's memory is the soft limit of the Go heap.
 	memoryShare = 0.75
+	// gcPercent lets the heap grow before it is collected: a node keeps some
+	// megabytes, and collecting them often costs more than memory does.
+	gcPercent = 400
 )
 
 // runOnPlatform runs a node with the platform's settings file.
@@ -52,6 +55,7 @@
 	if err != nil {
 		return fail(err, exitInvalid)
 	}
+	debug.SetGCPercent(gcPercent)
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
 	}
