Tests of upkeep; a task that is being stopped counts as missing

Found while writing the test: two machines that were emptied in the same moment could take two tasks of a step that may miss one.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -224,3 +224,43 @@
 		require.GreaterOrEqual(t, time.Since(begun), 4*time.Second)
 	})
 }
+
+// Machines get their upkeep under the cap. Lasting tasks are moved before, and no
+// more of a step than may miss at once; a change of leader does not disturb it.
+func TestWaveOfUpkeep(t *testing.T) {
+	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
+	synctest.Test(t, func(t *testing.T) {
+		c := fleettest.NewCluster(11, 3, 5, lasting)
+		c.Inventory = fleettest.NewInventory(c)
+		defer c.StopAll()
+		c.StartAll()
+		time.Sleep(settle)
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 4, PerWorker: 1, Needs: small, Lasting: true, MayMiss: 1}}})
+		time.Sleep(time.Second)
+		c.Wave([]string{"w0", "w1", "w2", "w3", "w4"}, 2)
+		time.Sleep(6 * time.Second)
+		require.False(t, c.WaveCompleted())
+		c.Kill(c.Leader())
+		for range 120 {
+			if len(c.Inventory.Begun()) >= 5 && c.WaveCompleted() {
+				break
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.True(t, c.WaveCompleted())
+		begun := map[string]bool{}
+		for _, m := range c.Inventory.Begun() {
+			begun[m] = true
+		}
+		require.Len(t, begun, 5, "a wave is completed when each machine's upkeep has begun")
+		require.LessOrEqual(t, c.Inventory.MostDown, 2)
+		time.Sleep(5 * time.Second)
+		running := 0
+		for _, w := range c.Fleet {
+			running += c.Workers.Running(w)
+		}
+		require.Equal(t, 4, running)
+		c.StopAll()
+		require.Empty(t, c.Ledger.Broken())
+	})
+}
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -336,3 +336,29 @@
 	}
 	require.NoError(t, Spec{Steps: []Step{one, {Count: 2, After: []int{0}}}}.Validate())
 }
+
+// A task that is being stopped counts as away: two machines that are emptied in
+// the same moment must not take two tasks of a step that may miss one.
+func TestTasksThatMayMiss(t *testing.T) {
+	spec := Spec{Steps: []Step{{Count: 3, Lasting: true, MayMiss: 1}}}
+	j := newJob("j", jobRecord{Spec: spec}, 1, epoch)
+	j.open(epoch, 0, nil)
+	w := testWorker("w")
+	var runs []*run
+	for i := range 3 {
+		_, tk := j.task(taskKey{0, 0, i})
+		r := &run{job: j, key: taskKey{0, 0, i}, step: &j.spec.Steps[0], worker: w, state: runLive, percent: readyPercent}
+		tk.runs = append(tk.runs, r)
+		runs = append(runs, r)
+	}
+	tm := &term{}
+	require.True(t, tm.mayMiss(runs[0]))
+	runs[0].state = runStopping
+	require.False(t, tm.mayMiss(runs[1]))
+	runs[0].state, runs[0].percent = runLive, 50
+	require.False(t, tm.mayMiss(runs[1]), "a task that starts up is away")
+	runs[0].percent = readyPercent
+	_, tk := j.task(taskKey{0, 0, 2})
+	tk.runs = nil
+	require.False(t, tm.mayMiss(runs[1]))
+}
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -52,12 +53,15 @@
 	if len(row.Key) > len(prefixOut) && row.Key[:len(prefixOut)] == prefixOut {
 		return fleet.OperatorRow{DataCentre: model.DataCentre(row.Key[len(prefixOut):])}
 	}
+	if strings.HasPrefix(row.Key, prefixWave) {
+		var w fleet.Wave
+		if json.Unmarshal(row.Value, &w) == nil {
+			return fleet.OperatorRow{Wave: &w}
+		}
+	}
 	return fleet.OperatorRow{}
 }
 
-// WaveStatus implements fleet.Decoder.
-func (Decoder) WaveStatus(int, bool) fleet.Row { return fleet.Row{} }
-
 // Cluster is a whole system in one process.
 type Cluster struct {
 	Store   *Store
@@ -67,8 +71,10 @@
 	Nodes   []*Member
 	Fleet   []*Worker
 	Queue   fleet.Queue
-	seed    uint64
-	born    int64
+	// Inventory is nil unless a test sets it before the nodes start.
+	Inventory *Inventory
+	seed      uint64
+	born      int64
 	// Log receives the nodes' logs; default discarded.
 	Log io.Writer
 }
@@ -151,13 +157,17 @@
 	logger.SetOutput(c.Log)
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	m.Store, m.Work, m.Peers = c.Store.View(), c.Workers.View(), c.Net.Peers(m.Name)
-	m.Node = fleet.NewNode(fleet.Config{
+	cfg := fleet.Config{
 		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
 		Limits: fleet.Limits{RowBytes: 65536},
 		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Stop: stopTime, Retention: 2 * time.Minute,
-			Early: 250 * time.Millisecond, GangTimeout: 3 * time.Second, Harm: 4 * time.Second},
+			Early: 250 * time.Millisecond, GangTimeout: 3 * time.Second, Harm: 4 * time.Second, Maintenance: UpkeepTime},
 		Store: m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
-	})
+	}
+	if c.Inventory != nil {
+		cfg.Inventory = c.Inventory
+	}
+	m.Node = fleet.NewNode(cfg)
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
 	m.done = make(chan struct{})
--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -32,6 +32,13 @@
 	l.broken = append(l.broken, fmt.Sprintf("%v: ", time.Since(l.begun).Round(time.Millisecond))+fmt.Sprintf(format, args...))
 }
 
+// Break notes a promise that another stand-in saw broken.
+func (l *Ledger) Break(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breach("%s", what)
+}
+
 func (l *Ledger) started(w *Worker, o fleet.StartOrder, task Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -188,7 +188,7 @@
 	away := 0
 	for i := range o.steps[r.key.step].tasks {
 		tk := &o.steps[r.key.step].tasks[i]
-		if i != r.key.index && (len(tk.runs) == 0 || tk.runs[0].percent < readyPercent) {
+		if i != r.key.index && (len(tk.runs) == 0 || !tk.runs[0].live() || tk.runs[0].percent < readyPercent) {
 			away++
 		}
 	}
