Go through the leader at once on a node that has lost the store

Change: a node that has lost the store asks the leader to store a job or a cancellation before it tries itself; a cancelled job is shown as cancelled as soon as the leader hears of it. Test: TestNodeThatLostTheStoreGoesThroughTheLeader.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -361,6 +361,32 @@
 	})
 }
 
+// A node that has lost a silent store alone goes through the leader at once, for
+// submissions and cancellations.
+func TestNodeThatLostTheStoreGoesThroughTheLeader(t *testing.T) {
+	run(t, 61, 3, 2, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		var cut *fleettest.Member
+		for _, m := range c.Nodes {
+			if m != c.Leader() {
+				cut = m
+			}
+		}
+		cut.Store.Set(fleettest.Silent)
+		time.Sleep(4 * time.Second)
+		begun := time.Now()
+		require.NoError(t, cut.Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps()))
+		time.Sleep(500 * time.Millisecond)
+		require.NoError(t, cut.Node.Cancel(t.Context(), c.Queue, jobID(0)))
+		c.Ledger.Cancelled(jobID(0))
+		require.Less(t, time.Since(begun), 700*time.Millisecond)
+		time.Sleep(20 * time.Millisecond) // the leader hears of it
+		state, err := cut.Node.State(t.Context(), c.Queue, jobID(0))
+		require.NoError(t, err)
+		require.Equal(t, fleet.StateCancelled, state)
+		require.True(t, model.IsKind(cut.Node.Cancel(t.Context(), c.Queue, jobID(9)), model.KindGone))
+	})
+}
+
 // A silent store leaves the outcome of a submission open; the answer says so soon.
 func TestSilentStoreLeavesOutcomeOpen(t *testing.T) {
 	run(t, 60, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -51,15 +51,18 @@
 	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
 		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
 	}
+	if n.store.lost() {
+		// No write was sent yet, so a refusal by the leader leaves all open.
+		if err := n.forward(ctx, methodAccept, rowParams(row)); !model.IsKind(err, model.KindUnavailable) {
+			return 1, unknownOutcome(err)
+		}
+	}
 	tries, err = n.storeJob(ctx, row, time.Duration(refuseShare*float64(q.Objective)))
 	if !model.IsKind(err, model.KindUnavailable) {
 		return tries, err
 	}
-	switch forwarded := n.forward(ctx, row); {
-	case forwarded == nil:
-		return tries + 1, nil
-	case !model.IsKind(forwarded, model.KindUnavailable):
-		return tries + 1, model.Wrap(model.KindUnknown, forwarded, "send the same id again", "the job may have been accepted")
+	if err := n.forward(ctx, methodAccept, rowParams(row)); !model.IsKind(err, model.KindUnavailable) {
+		return tries + 1, unknownOutcome(err)
 	}
 	after := retryShort
 	if n.store.lost() {
@@ -97,10 +100,10 @@
 			// A store that is known to be silent gets one try: the caller asks again,
 			// at a node that may reach it.
 			if doubt >= len(acceptTimeouts) || ctx.Err() != nil || n.store.lost() {
-				return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
+				return tries, unknownOutcome(err)
 			}
 		case doubt > 0 && (time.Since(begun) > acceptTimeouts[0]+acceptTimeouts[1] || ctx.Err() != nil):
-			return tries, model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
+			return tries, unknownOutcome(err)
 		case doubt == 0 && time.Since(begun) > patience:
 			return tries, model.Wrap(model.KindUnavailable, err, "retry later", "the store refuses")
 		}
@@ -108,17 +111,30 @@
 	}
 }
 
-// forward lets the leader store a job that this node cannot store. KindUnavailable
-// means that it is not stored and will not be.
-func (n *Node) forward(ctx context.Context, row Row) error {
+// unknownOutcome wraps the error of a write that may land; nil stays nil.
+func unknownOutcome(err error) error {
+	if err == nil {
+		return nil
+	}
+	return model.Wrap(model.KindUnknown, err, "send the same id again", "the job may have been accepted")
+}
+
+// rowParams are the parameters of calls about a row that is to be stored.
+func rowParams(row Row) offerParams {
+	return offerParams{Key: row.Key, Part: row.Part, Value: row.Value}
+}
+
+// forward lets the leader make a change in the store that this node cannot make.
+// KindUnavailable means that it is not made and will not be.
+func (n *Node) forward(ctx context.Context, method string, params any) error {
 	leader := n.leader.Load()
 	if leader == nil || leader.Node == n.cfg.Node || !n.link.usable(leader.Term) {
 		return model.Errorf(model.KindUnavailable, "retry later", "no leader to forward to")
 	}
 	call, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	err := n.cfg.Peers.Call(call, leader.Addr, methodAccept, offerParams{Key: row.Key, Part: row.Part, Value: row.Value}, nil)
-	if err != nil && !model.IsKind(err, model.KindUnavailable) {
+	err := n.cfg.Peers.Call(call, leader.Addr, method, params, nil)
+	if model.IsKind(err, model.KindUnknown) {
 		n.link.failed(leader.Term)
 	}
 	return err
@@ -213,6 +229,11 @@
 
 func (n *Node) cancelJob(ctx context.Context, id string) error {
 	known := false
+	if n.store.lost() {
+		if err := n.forward(ctx, methodCancel, stateParams{id}); err == nil || model.IsKind(err, model.KindGone) {
+			return err
+		}
+	}
 	for try := 0; ; try++ {
 		err := n.tryCancel(ctx, id, &known)
 		if err == nil || model.IsKind(err, model.KindGone) {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -13,6 +13,7 @@
 const (
 	methodOffer   = "jobs.offer"
 	methodAccept  = "jobs.accept"
+	methodCancel  = "jobs.cancel"
 	methodState   = "jobs.state"
 	methodPending = "jobs.pending"
 )
@@ -66,6 +67,15 @@
 		_, err := n.storeJob(ctx, Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value}, 0)
 		return err == nil, err
 	})
+	n.cfg.Peers.Handle(methodCancel, func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var p stateParams
+		if err := decodeParams(raw, &p); err != nil {
+			return nil, err
+		}
+		known := false
+		err := n.tryCancel(ctx, p.Job, &known)
+		return err == nil, err
+	})
 	n.cfg.Peers.Handle(methodState, func(ctx context.Context, raw json.RawMessage) (any, error) {
 		var p stateParams
 		if err := decodeParams(raw, &p); err != nil {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -81,6 +81,7 @@
 		return
 	}
 	j.cancelled, j.dirty, j.ended = true, true, t.now
+	j.shown = StateCancelled // the cancellation is stored
 	stopped := 0
 	for _, w := range t.allWorkers() {
 		for _, r := range w.runs {
