--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -256,7 +256,7 @@
 		require.LessOrEqual(t, c.Inventory.MostDown, 2)
 		time.Sleep(5 * time.Second)
 		running := 0
-		for _, w := range c.Fleet {
+		for _, w := range c.All() {
 			running += c.Workers.Running(w)
 		}
 		require.Equal(t, 4, running)
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -163,7 +163,7 @@
 func TestTransactionsLostAndLate(t *testing.T) {
 	for seed := range uint64(5) {
 		run(t, 30+seed, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
-			c.Store.Lost, c.Store.Late = 0.25, 0.15
+			c.Store.Lose(0.25, 0.15)
 			for i := range 5 {
 				submit(t, c, jobID(i), twoSteps())
 			}
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -124,9 +124,12 @@
 		report, wake = t.report(), t.wake
 		return fleet.StartRunning
 	})
-	if err != nil || reply.Verdict != fleet.StartRunning || o.Wait == 0 || len(report.Ended) > 0 {
+	if err != nil {
+		return fleet.Report{}, err // the order may still be carried out
+	}
+	if reply.Verdict != fleet.StartRunning || o.Wait == 0 || len(report.Ended) > 0 {
 		report.Verdict, report.Clock = reply.Verdict, reply.Clock
-		return report, err
+		return report, nil
 	}
 	timer := time.NewTimer(o.Wait)
 	defer timer.Stop()
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -133,17 +133,30 @@
 
 // AddWorker starts a worker, or a new lifetime of one, and lists it.
 func (c *Cluster) AddWorker(id string) *Worker {
+	c.Workers.mu.Lock()
 	c.born++
+	born := c.born
+	c.Workers.mu.Unlock()
 	info := fleet.WorkerInfo{
-		Lifetime: fleet.Lifetime{Worker: model.WorkerID(id), Born: c.born}, Addr: id + ":1", DataCentre: model.DataCentre("dc" + id[len(id)-1:]),
+		Lifetime: fleet.Lifetime{Worker: model.WorkerID(id), Born: born}, Addr: id + ":1", DataCentre: model.DataCentre("dc" + id[len(id)-1:]),
 		Service: Service, Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}, Labels: []string{"a", "r" + id[len(id)-1:]},
 	}
 	w := c.Workers.Add(info)
 	c.List(w)
+	c.Workers.mu.Lock()
+	defer c.Workers.mu.Unlock()
 	c.Fleet = append(c.Fleet, w)
 	return w
 }
 
+// All returns the workers that were ever added; tests in which workers are added
+// by the inventory use it instead of Fleet.
+func (c *Cluster) All() []*Worker {
+	c.Workers.mu.Lock()
+	defer c.Workers.mu.Unlock()
+	return append([]*Worker(nil), c.Fleet...)
+}
+
 // List writes the worker's entry; Unlist removes it.
 func (c *Cluster) List(w *Worker) { c.write(TableWorkers, string(w.Info.Worker), w.Info) }
 
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -43,11 +43,11 @@
 
 	// Latency is the time of an answer; a transaction takes twice as long.
 	Latency time.Duration
-	// Lost is the share of transactions that are applied and not answered.
-	Lost float64
-	// Late is the share of transactions that are not answered and applied between
+	// lost is the share of transactions that are applied and not answered.
+	lost float64
+	// late is the share of transactions that are not answered and applied between
 	// one and four seconds later, if their condition still holds.
-	Late float64
+	late float64
 	// Transactions counts applied transactions.
 	Transactions int
 }
@@ -60,6 +60,13 @@
 	}
 }
 
+// Lose sets the shares of lost and of late transactions.
+func (s *Store) Lose(lost, late float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost, s.late = lost, late
+}
+
 // Compact drops the history, so that watches must read again.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -207,7 +214,7 @@
 	}
 	s := v.s
 	s.mu.Lock()
-	lost, late := s.random.Float64() < s.Lost, s.random.Float64() < s.Late
+	lost, late := s.random.Float64() < s.lost, s.random.Float64() < s.late
 	delay := time.Second + time.Duration(s.random.Int64N(int64(3*time.Second)))
 	if late {
 		time.AfterFunc(delay, func() {
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -102,7 +102,7 @@
 		late := f.random.Float64() * 0.3
 		f.c.Workers.Set(func() { f.c.Workers.LateShare = late })
 	case 10:
-		f.c.Store.Lost, f.c.Store.Late = f.random.Float64()*0.3, f.random.Float64()*0.2
+		f.c.Store.Lose(f.random.Float64()*0.3, f.random.Float64()*0.2)
 	case 11:
 		w := f.worker()
 		f.c.Workers.Kill(w)
@@ -134,7 +134,7 @@
 // heal ends all faults.
 func (f *faults) heal() {
 	f.c.Workers.Set(func() { f.c.Workers.LateShare = 0 })
-	f.c.Store.Lost, f.c.Store.Late = 0, 0
+	f.c.Store.Lose(0, 0)
 	for _, m := range f.c.Nodes {
 		if !m.Up() {
 			f.c.Start(m)
