One long try while the store is slow; 64 parts for jobs

Cause: on a slow store (a transaction takes half a second, one after another on a part) two tries of each submission doubled the load; bursts met on the same part and were answered 429, which callers take as final.

--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -34,9 +34,18 @@
 	pendingAgeMax = 1800 * time.Millisecond
 )
 
-// acceptTimeouts bound the tries to store a job. A try without an answer is
-// repeated: the row of the first, if it was written, tells that it was accepted.
-var acceptTimeouts = []time.Duration{700 * time.Millisecond, 1000 * time.Millisecond}
+// Bounds of the tries to store a job. A try without an answer is repeated: the row
+// of the first, if it was written, tells that the job was accepted.
+const (
+	acceptTimeout    = 700 * time.Millisecond
+	acceptTimeoutMax = 2200 * time.Millisecond
+	// acceptTries is the number of tries without an answer after which the outcome
+	// is left open.
+	acceptTries = 2
+	// slowStore is the time of a transaction from which the store counts as slow:
+	// a repetition would only make it slower.
+	slowStore = 250 * time.Millisecond
+)
 
 // Submit implements Intake. A job is accepted when its row is stored.
 func (n *Node) Submit(ctx context.Context, q Queue, id string, spec Spec) error {
@@ -77,21 +86,25 @@
 	begun := time.Now()
 	tx := Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}
 	doubt := 0
+	timeout, limit := n.store.acceptBounds()
 	for {
 		tries++
-		call, cancel := acceptContext(ctx, doubt)
+		sent := time.Now()
+		call, cancel := acceptContext(ctx, timeout)
 		result, err := n.cfg.Store.Commit(call, tx)
 		cancel()
 		var conflict *ConflictError
 		switch {
 		case err == nil:
 			n.storeAnswered()
+			n.store.took(time.Since(sent))
 			n.clock.set(result.Now)
 			row.Version = result.Version
 			go n.offer(row)
 			return tries, nil
 		case errors.As(err, &conflict):
 			n.storeAnswered()
+			n.store.took(time.Since(sent))
 			return tries, nil // stored before, by this or by another node
 		case model.IsKind(err, model.KindInvalid):
 			return tries, err
@@ -99,10 +112,10 @@
 			doubt++
 			// A store that is known to be silent gets one try: the caller asks again,
 			// at a node that may reach it.
-			if doubt >= len(acceptTimeouts) || ctx.Err() != nil || n.store.lost() {
+			if doubt >= limit || ctx.Err() != nil || n.store.lost() {
 				return tries, unknownOutcome(err)
 			}
-		case doubt > 0 && (time.Since(begun) > acceptTimeouts[0]+acceptTimeouts[1] || ctx.Err() != nil):
+		case doubt > 0 && (time.Since(begun) > acceptTries*acceptTimeout || ctx.Err() != nil):
 			return tries, unknownOutcome(err)
 		case doubt == 0 && time.Since(begun) > patience:
 			return tries, model.Wrap(model.KindUnavailable, err, "retry later", "the store refuses")
@@ -141,8 +154,8 @@
 }
 
 // acceptContext bounds a try by its time-out and the caller's deadline.
-func acceptContext(ctx context.Context, doubt int) (context.Context, context.CancelFunc) {
-	until := time.Now().Add(acceptTimeouts[min(doubt, len(acceptTimeouts)-1)])
+func acceptContext(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	until := time.Now().Add(timeout)
 	if d, ok := ctx.Deadline(); ok && d.Add(-answerMargin).Before(until) {
 		until = d.Add(-answerMargin)
 	}
@@ -249,7 +262,8 @@
 
 // tryCancel checks that the job exists and stores its cancellation.
 func (n *Node) tryCancel(ctx context.Context, id string, known *bool) error {
-	call, cancel := acceptContext(ctx, 0)
+	timeout, _ := n.store.acceptBounds()
+	call, cancel := acceptContext(ctx, timeout)
 	defer cancel()
 	if !*known {
 		r := jobRow(id)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -182,6 +182,29 @@
 	mu       sync.Mutex
 	answered time.Time
 	failures int
+	// latency is the longest time of a recent transaction; it fades with each.
+	latency time.Duration
+}
+
+// latencyFade is what is left of a long latency after each shorter one.
+const latencyFade = 0.8
+
+// took notes the time of a transaction that was answered.
+func (h *storeHealth) took(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.latency = max(d, time.Duration(latencyFade*float64(h.latency)))
+}
+
+// acceptBounds returns the time-out of a try to store a job and the number of
+// tries without an answer. A slow store gets one long try.
+func (h *storeHealth) acceptBounds() (time.Duration, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failures >= lostAfter || h.latency < slowStore {
+		return acceptTimeout, acceptTries
+	}
+	return acceptTimeoutMax, 1
 }
 
 // ok notes an answer and reports whether the store was lost before.
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -30,7 +30,7 @@
 const (
 	// jobParts spreads jobs over parts of the store, which limits the
 	// transactions of one part.
-	jobParts = 4
+	jobParts = 64
 	// leaderPart holds all rows that the leader writes: a transaction has one part.
 	leaderPart = "leader"
 	// keyLeader is the key of the fence and of the renewals.
