--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -108,7 +108,7 @@
 	}
 	t.collectUsed(c)
 	if complete {
-		for _, w := range t.allWorkers() {
+		for _, w := range t.workers {
 			if w.lastEnd > w.committed {
 				c.ends[w] = w.lastEnd
 			}
@@ -325,7 +325,7 @@
 
 // ordersPending reports whether a start or stop waits for its answer.
 func (t *term) ordersPending() bool {
-	for _, w := range t.allWorkers() {
+	for _, w := range t.workers {
 		for _, r := range w.runs {
 			if r.state == runSent {
 				return true
--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -35,7 +35,7 @@
 
 // scheduleLooks sends the looks that are due.
 func (t *term) scheduleLooks() {
-	for _, w := range t.allWorkers() {
+	for _, w := range t.workers {
 		if t.lookDue(w) {
 			t.look(w)
 		}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -83,7 +83,7 @@
 	j.cancelled, j.dirty, j.ended = true, true, t.now
 	j.shown = StateCancelled // the cancellation is stored
 	stopped := 0
-	for _, w := range t.allWorkers() {
+	for _, w := range t.workers {
 		for _, r := range w.runs {
 			if r.job == j {
 				t.stop(r, "cancelled")
@@ -95,18 +95,6 @@
 	t.log.WithFields(logrus.Fields{"decision": "cancel", "job": id, "runs": stopped}).Info("job is cancelled")
 }
 
-// allWorkers returns present workers and former lifetimes that may hold runs.
-func (t *term) allWorkers() []*worker {
-	all := make([]*worker, 0, len(t.workers)+len(t.gone))
-	for _, w := range t.workers {
-		all = append(all, w)
-	}
-	for _, w := range t.gone {
-		all = append(all, w)
-	}
-	return all
-}
-
 // workerRows reports changed entries of the platform's list of workers. All is
 // true when the rows are the whole list.
 type workerRows struct {
@@ -202,7 +190,6 @@
 		t.lose(r, reason)
 	}
 	t.markUnused(w)
-	delete(t.gone, w.info.Lifetime)
 	if t.workers[w.info.Worker] == w {
 		delete(t.workers, w.info.Worker)
 	}
@@ -212,7 +199,7 @@
 // expire drops the runs of workers whose leases have certainly ended, and forgets
 // workers that have left.
 func (t *term) expire() {
-	for _, w := range t.allWorkers() {
+	for _, w := range t.workers {
 		if w.inherited && !w.raised && t.now.After(w.deadBy) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired"}).Warn("unreachable worker holds nothing any more")
 			info, listed := w.info, w.listed
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -231,7 +231,7 @@
 	if t.stopping {
 		return
 	}
-	for _, w := range t.allWorkers() {
+	for _, w := range t.workers {
 		if w.failures > 4 {
 			continue
 		}
@@ -402,7 +402,7 @@
 	if j.ended.IsZero() {
 		j.ended = t.now
 	}
-	for _, w := range t.allWorkers() {
+	for _, w := range t.workers {
 		for _, r := range w.runs {
 			if r.job == j && r.live() && !(j.state() == StateCompleted && r.step.Gang) {
 				t.stop(r, "job-over") // members of a finished gang end by themselves
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -73,16 +73,6 @@
 // Occurrences returns how many times the steps run.
 func (s Spec) Occurrences() int { return max(s.Repeats, 1) }
 
-// Lasting reports whether the job runs until it is cancelled.
-func (s Spec) Lasting() bool {
-	for _, step := range s.Steps {
-		if step.Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // Validate checks a submission. Errors are of KindInvalid.
 func (s Spec) Validate() error {
 	invalid := func(remedy, format string, args ...any) error {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -46,8 +46,6 @@
 	loaded  bool
 	jobs    map[string]*job
 	workers map[model.WorkerID]*worker
-	// gone holds lifetimes that were replaced or removed and may still hold runs.
-	gone    map[Lifetime]*worker
 	queues  map[string]Queue
 	setting *Configuration
 	out     map[model.DataCentre]bool
@@ -86,7 +84,7 @@
 	return &term{
 		cfg: cfg, log: log.WithField("term", number), number: number, ctx: ctx, cancel: cancel,
 		mail: make(chan event, mailboxSize), now: now, random: rand.New(rand.NewPCG(cfg.Seed, number)),
-		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{}, gone: map[Lifetime]*worker{},
+		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
 		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
