--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -9,7 +9,7 @@
 const (
 	// marginShare of the highest headroom is kept between the target and what is
 	// expected: readings are rough, and a load may rise until the next look.
-	marginShare = 0.06
+	marginShare = 0.10
 	// slightShare of the highest headroom is a pressure too small to act on.
 	slightShare = 0.015
 	// runWeight is the weight of a new report in a run's own headroom.
