A leader without the store restarts nothing for the end of a lease

Change: the end of a lease counts only when a transaction of the term that was sent after it has been applied, which proves that no later leader could renew it. Test: TestCutOffLeaderRestartsNothing fails without the change (tried).

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -264,6 +264,9 @@
 	t.fenceVersion = e.version
 	t.confirmAll()
 	// The fence proves that the term was in force when the transaction was sent.
+	if e.sent.After(t.confirmed) {
+		t.confirmed = e.sent
+	}
 	if e.sent.After(t.lastRenewal) && c.renews {
 		t.lastRenewal = e.sent
 	}
@@ -300,7 +303,7 @@
 	for _, j := range t.jobs {
 		if !j.started && !j.over() {
 			t.dirty = true
-			t.unconfirmed = t.unconfirmed || !t.confirmed(j)
+			t.unconfirmed = t.unconfirmed || !t.jobConfirmed(j)
 		}
 	}
 }
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -400,3 +400,29 @@
 		require.Less(t, time.Since(begun), time.Second)
 	})
 }
+
+// A leader that is cut off from the store and from a worker sees the leases there
+// end by its own reckoning, while the next leader has renewed them.
+func TestCutOffLeaderRestartsNothing(t *testing.T) {
+	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
+	run(t, 62, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 4, Needs: small, Lasting: true}}})
+		time.Sleep(time.Second)
+		old := c.Leader()
+		held, free := c.Fleet[0], c.Fleet[1]
+		if c.Workers.Running(held) == 0 {
+			held, free = free, held
+		}
+		require.Equal(t, 4, c.Workers.Running(held))
+		old.Store.Set(fleettest.Silent)
+		old.Work.Cut(held, true)
+		for _, m := range c.Nodes {
+			if m != old {
+				m.Work.Cut(free, true)
+			}
+		}
+		time.Sleep(9 * time.Second)
+		require.Equal(t, 4, c.Workers.Running(held))
+		require.Zero(t, c.Workers.Running(free))
+	})
+}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -105,7 +105,7 @@
 	var wants []*want
 	settled := t.settled()
 	for _, j := range t.jobs {
-		if j.over() || j.shown.Final() || (j.inherited && !settled) || !t.confirmed(j) {
+		if j.over() || j.shown.Final() || (j.inherited && !settled) || !t.jobConfirmed(j) {
 			continue
 		}
 		q, known := t.queues[j.queue]
@@ -119,10 +119,10 @@
 	return wants
 }
 
-// confirmed reports whether the term was in force after the job was accepted. A
+// jobConfirmed reports whether the term was in force after the job was accepted. A
 // later term can therefore rely on it that jobs accepted after its own begin were
 // started by no earlier one.
-func (t *term) confirmed(j *job) bool { return j.accepted <= t.fenceVersion }
+func (t *term) jobConfirmed(j *job) bool { return j.accepted <= t.fenceVersion }
 
 func (t *term) occurrenceWants(wants []*want, j *job, o *occurrence, q Queue) []*want {
 	for i := range o.steps {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -45,7 +45,7 @@
 	j := newJob(row.Key, r, row.Version, arrived)
 	j.inherited = row.Version <= t.began
 	t.jobs[j.id] = j
-	t.unconfirmed = t.unconfirmed || !t.confirmed(j)
+	t.unconfirmed = t.unconfirmed || !t.jobConfirmed(j)
 	j.open(t.now, 0, t.wall)
 	t.dirty = true
 	t.counters.accepted.Inc()
@@ -197,10 +197,11 @@
 }
 
 // expire drops the runs of workers whose leases have certainly ended, and forgets
-// workers that have left.
+// workers that have left. A transaction of this term that was sent after the end
+// of a lease proves that no later leader has renewed it.
 func (t *term) expire() {
 	for _, w := range t.workers {
-		if w.inherited && !w.raised && t.now.After(w.deadBy) {
+		if w.inherited && !w.raised && t.confirmed.After(w.deadBy) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired"}).Warn("unreachable worker holds nothing any more")
 			info, listed := w.info, w.listed
 			t.bury(w, "lease-over")
@@ -209,7 +210,7 @@
 			}
 			continue
 		}
-		if w.failures == 0 || w.clockAt.IsZero() || t.now.Before(w.leaseOver()) {
+		if w.failures == 0 || w.clockAt.IsZero() || !t.confirmed.After(w.leaseOver()) {
 			continue
 		}
 		if len(w.runs) > 0 {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -61,8 +61,11 @@
 	commit      *commit
 	nextCommit  time.Time
 	lastRenewal time.Time // when the last successful renewal was sent
-	unconfirmed bool      // jobs wait for a transaction before their first start
-	released    bool      // the last renewal says that the leader has stopped
+	// confirmed is when the last successful transaction was sent: until then no
+	// later term had begun.
+	confirmed   time.Time
+	unconfirmed bool // jobs wait for a transaction before their first start
+	released    bool // the last renewal says that the leader has stopped
 	usedDirty   map[Lifetime]usedRecord
 	usedGone    map[Lifetime]bool
 
@@ -252,7 +255,7 @@
 // has answered or holds nothing any more.
 func (t *term) settled() bool {
 	for _, w := range t.workers {
-		if w.inherited && !w.raised && t.now.Before(w.deadBy) {
+		if w.inherited && !w.raised && !t.confirmed.After(w.deadBy) {
 			return false
 		}
 	}
