--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -39,7 +39,7 @@
 	memoryShare = 0.75
 	// gcPercent lets the heap grow before it is collected: a node keeps some
 	// megabytes, and collecting them often costs more than memory does.
-	gcPercent = 400
+	gcPercent = 800
 )
 
 // runOnPlatform runs a node with the platform's settings file.
