--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -91,7 +91,9 @@
 }
 
 // sortWants orders waiting steps: by class, so that late work does not make other
-// work late; by priority; by slack. It answers bursts of more work than room.
+// work late; by priority; by the work that is left of the job, so that as many jobs
+// as possible are in time; by slack. It answers bursts of more work than room,
+// where an order by slack alone makes all jobs late.
 func sortWants(wants []*want) { slices.SortFunc(wants, compareWants) }
 
 // compareWants orders two waiting steps.
