Tests of older configurations, draining workers and disturbed services

TestDataCentreOutGetsNoStart did not fail without its mechanism (EVAC): it looked only after the work was done; it now looks while work starts.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,6 +174,8 @@
 		time.Sleep(time.Second)
 		for i := range 3 {
 			submit(t, c, jobID(i), twoSteps())
+			time.Sleep(300 * time.Millisecond)
+			require.Zero(t, c.Workers.Running(c.Fleet[0]))
 		}
 		waitAll(t, c, 3, 20*time.Second)
 		require.Zero(t, c.Workers.Running(c.Fleet[0]))
@@ -264,3 +267,73 @@
 		require.Empty(t, c.Ledger.Broken())
 	})
 }
+
+func TestOlderConfigurationChangesNothing(t *testing.T) {
+	run(t, 12, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.Configure(5, 2)
+		time.Sleep(time.Second)
+		c.ConfigureEmpty(4)
+		c.Store.Compact() // nodes read the table again
+		time.Sleep(2 * time.Second)
+		for _, m := range c.Nodes {
+			_, _, err := m.Node.Route("h", "/q/x")
+			require.NoError(t, err, m.Name)
+		}
+		c.ConfigureEmpty(6)
+		time.Sleep(time.Second)
+		for _, m := range c.Nodes {
+			_, _, err := m.Node.Route("h", "/q/x")
+			require.True(t, model.IsKind(err, model.KindNotFound), m.Name)
+		}
+	})
+}
+
+func TestDrainingWorkerGetsNoStart(t *testing.T) {
+	run(t, 13, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.Drain(c.Fleet[0])
+		time.Sleep(time.Second)
+		for i := range 3 {
+			submit(t, c, jobID(i), twoSteps())
+			time.Sleep(200 * time.Millisecond)
+			require.Zero(t, c.Workers.Running(c.Fleet[0]))
+		}
+		waitAll(t, c, 3, 20*time.Second)
+	})
+}
+
+// A filler that disturbs a service beyond its target works on for less than the
+// contract's bound.
+func TestFillerBesideDisturbedServiceIsPaused(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		if strings.HasPrefix(string(n), jobID(0)) {
+			return fleettest.Task{Lasting: true, Needs: small, Target: 150}
+		}
+		return fleettest.Task{Work: 30 * time.Second, Needs: small, Filler: true, Checkpoint: true}
+	}
+	run(t, 14, 3, 1, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		c.Workers.Set(func() {
+			c.Workers.Disturb = func(_ fleet.TaskName, fillers []fleet.TaskName) int {
+				if len(fillers) > 0 {
+					return 400
+				}
+				return 30
+			}
+		})
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: small, Lasting: true, LatencyTarget: 150 * time.Millisecond, Image: "s"}}})
+		time.Sleep(2 * time.Second)
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: small, Filler: true, Checkpoints: true, Estimate: 30 * time.Second, Image: "f"}}})
+		pressed, longest, ever := time.Duration(0), time.Duration(0), false
+		const sample = 50 * time.Millisecond
+		for range 400 {
+			time.Sleep(sample)
+			if c.Workers.Pressed(c.Fleet[0]) {
+				pressed, ever = pressed+sample, true
+			} else {
+				pressed = 0
+			}
+			longest = max(longest, pressed)
+		}
+		require.True(t, ever, "an unknown filler is tried")
+		require.Less(t, longest, 4*time.Second)
+	})
+}
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -114,6 +114,11 @@
 		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
 }
 
+// ConfigureEmpty writes a configuration without queues.
+func (c *Cluster) ConfigureEmpty(version uint64) {
+	c.write(TableOperator, keyConfig, fleet.Configuration{Version: version})
+}
+
 // TakeOut asks for a data centre to be taken out of service, or returns it.
 func (c *Cluster) TakeOut(dc string, out bool) {
 	if out {
@@ -163,6 +168,13 @@
 // Unlist removes the worker's entry.
 func (c *Cluster) Unlist(w *Worker) { c.Store.Delete(TableWorkers, "", string(w.Info.Worker)) }
 
+// Drain writes the entry of a worker that is about to leave.
+func (c *Cluster) Drain(w *Worker) {
+	info := w.Info
+	info.Draining = true
+	c.write(TableWorkers, string(info.Worker), info)
+}
+
 // Start starts a node's process.
 func (c *Cluster) Start(m *Member) {
 	m.starts++
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -127,6 +127,18 @@
 	return paces
 }
 
+// Pressed reports whether a filler works on w.
+func (f *Workers) Pressed(w *Worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range w.runs {
+		if k.task.Filler && k.pace > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Running counts the runs on w.
 func (f *Workers) Running(w *Worker) int {
 	f.mu.Lock()
