Drop limits and bounds that no decision reads

Found on the read-through: the adapter decoded call rates and contract times into fields that nothing used, which read as if budgets were kept. No behaviour changes; RowBytes, MemoryMB, Grace, LeaseMax, Retention and Maintenance stay.

--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -21,49 +21,22 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// Limits are the sizes and call rates that the platform grants.
+// Limits are the sizes that the platform grants.
 type Limits struct {
-	// StoreWrites and StoreReads are calls a second, of all nodes together.
-	StoreWrites float64
-	StoreReads  float64
-	// PartWrites is the number of transactions a second on one part.
-	PartWrites float64
-	// RowBytes bounds the value of a row.
+	// RowBytes bounds the value of a row of the store.
 	RowBytes int
-	// InventoryReads is list calls a second, of all nodes together.
-	InventoryReads float64
-	// CPUShare is this host's share of a core, MemoryMB its memory in megabytes.
-	CPUShare float64
+	// MemoryMB is this host's memory in megabytes.
 	MemoryMB int64
 }
 
-// Bounds are the times that the platform's contract names.
+// Bounds are the times of the platform's contract that decisions use.
 type Bounds struct {
-	// Heartbeat is the interval at which workers renew their entries.
-	Heartbeat time.Duration
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
-	// Stop is the longest time that a worker takes to stop a run.
-	Stop time.Duration
-	// GangTimeout is how long a member of a gang waits for the others.
-	GangTimeout time.Duration
-	// Early is how long before its due time an occurrence may start.
-	Early time.Duration
 	// Retention is how long the state of a finished job must stay readable.
 	Retention time.Duration
-	// Visible is the time in which every node must know an accepted job.
-	Visible time.Duration
-	// FarFactor multiplies the run time of a task away from its data or its peers.
-	FarFactor float64
-	// Harm is how long fillers may keep a serving task above its target.
-	Harm time.Duration
-	// Checkpoint is the interval of checkpoints, Restore the time to resume one.
-	Checkpoint time.Duration
-	Restore    time.Duration
-	// Notice is how long a task may be away before it counts as missing.
-	Notice time.Duration
 	// Maintenance is how long the upkeep of a machine takes.
 	Maintenance time.Duration
 }
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -185,9 +185,8 @@
 	cfg := fleet.Config{
 		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
 		Limits: fleet.Limits{RowBytes: 65536},
-		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Stop: stopTime, Retention: 2 * time.Minute,
-			Early: 250 * time.Millisecond, GangTimeout: 3 * time.Second, Harm: 4 * time.Second, Maintenance: UpkeepTime},
-		Store: m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
+		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: UpkeepTime},
+		Store:  m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
 	}
 	if c.Inventory != nil {
 		cfg.Inventory = c.Inventory
