Ledger of the tests: ends whose lease lapsed before their acknowledgement

Ruled out: equal attempt numbers, a second term, stops overtaken by starts; the logs of the four breaches that were read show 'lease-over' before the later attempt.

Change: the ledger leaves out ends that lapsed before their acknowledgement, and is stricter elsewhere: a start between an end and its later acknowledgement breaks the promise too. Tests of the ledger itself; TestEndOfLapsedWorkerBesideLateStart fails with the former ledger.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -188,6 +188,41 @@
 	}
 }
 
+// A worker ends a task unheard and its lease lapses, so the task starts again; that
+// start is carried out late, after the first end was heard of and acknowledged.
+// The contract allows it: the leader could not know. The task still counts once.
+func TestEndOfLapsedWorkerBesideLateStart(t *testing.T) {
+	one := fleet.Spec{Text: "x", Steps: []fleet.Step{{Count: 1, Needs: small, Estimate: time.Second}}}
+	for seed := range uint64(5) {
+		run(t, 45+seed, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+			reach := func(w *fleettest.Worker, ok bool) {
+				for _, m := range c.Nodes {
+					m.Work.Cut(w, !ok)
+				}
+			}
+			submit(t, c, jobID(0), one)
+			time.Sleep(500 * time.Millisecond)
+			first, second := c.Fleet[0], c.Fleet[1]
+			if c.Workers.Running(first) == 0 {
+				first, second = second, first
+			}
+			reach(first, false)
+			time.Sleep(4500 * time.Millisecond)
+			c.Workers.Set(func() { c.Workers.LateShare = 1 })
+			time.Sleep(1500 * time.Millisecond) // the lease is over: the second start is sent
+			c.Workers.Set(func() { c.Workers.LateShare = 0 })
+			reach(second, false)
+			reach(first, true)
+			waitAll(t, c, 1, 5*time.Second)
+			time.Sleep(4 * time.Second)
+			require.Equal(t, 2, c.Ledger.Starts)
+			reach(second, true)
+			time.Sleep(2 * time.Second)
+			require.Zero(t, c.Workers.Running(second), "what started late is stopped")
+		})
+	}
+}
+
 func TestWorkerLost(t *testing.T) {
 	run(t, 50, 3, 3, slowTask, func(t *testing.T, c *fleettest.Cluster) {
 		for i := range 3 {
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -118,7 +118,7 @@
 			t.extend(o.Deadline)
 		}
 		for len(t.ended) > 0 && t.ended[0].Number <= o.Acknowledged {
-			t.fleet.ledger.acknowledged(t, t.ended[0])
+			t.fleet.ledger.acknowledged(t.ended[0], t.fleet.tasks(t.ended[0].Task))
 			t.ended = t.ended[1:]
 		}
 		report, wake = t.report(), t.wake
--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -15,6 +15,7 @@
 	mu      sync.Mutex
 	running map[fleet.TaskName]map[string]int // attempts by worker
 	noted   map[fleet.TaskName]bool           // ended done, and taken note of
+	latest  map[fleet.TaskName]time.Time      // when the last attempt began
 	begun   time.Time
 	// Starts and Done count.
 	Starts, Done int
@@ -25,7 +26,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{running: map[fleet.TaskName]map[string]int{}, noted: map[fleet.TaskName]bool{}, begun: time.Now(), cancelled: map[string]time.Time{}}
+	return &Ledger{running: map[fleet.TaskName]map[string]int{}, noted: map[fleet.TaskName]bool{}, latest: map[fleet.TaskName]time.Time{}, begun: time.Now(), cancelled: map[string]time.Time{}}
 }
 
 func (l *Ledger) breach(format string, args ...any) {
@@ -59,6 +60,7 @@
 		l.breach("task %s starts %v after its job was cancelled", o.Task, time.Since(at))
 	}
 	l.running[o.Task][string(w.Info.Worker)] = o.Attempt
+	l.latest[o.Task] = time.Now()
 }
 
 // cancelBound is the contract's time between a cancellation and the last start.
@@ -77,12 +79,22 @@
 	delete(l.running[r.Task], string(w.Info.Worker))
 }
 
-func (l *Ledger) acknowledged(_ *Worker, e fleet.RunEnd) {
+// acknowledged notes that the leader has taken note of an end. One whose lease
+// lapsed in between does not count: the leader had to give the run up, so another
+// attempt may be on its way.
+func (l *Ledger) acknowledged(e listedEnd, task Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e.How == fleet.EndDone {
-		l.noted[e.Task] = true
-		l.Done++
+	if e.How != fleet.EndDone {
+		return
+	}
+	l.Done++
+	if e.lapsed {
+		return
+	}
+	l.noted[e.Task] = true
+	if !task.Speculative && l.latest[e.Task].After(e.at) {
+		l.breach("task %s started again after attempt %d was done", e.Task, e.Attempt)
 	}
 }
 
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -56,7 +56,7 @@
 	fence  uint64
 	lease  time.Duration // on the worker's clock
 	runs   map[fleet.RunRef]*work
-	ended  []fleet.RunEnd
+	ended  []listedEnd
 	number uint64
 	// highest holds, per task, the highest attempt that was stopped or ended.
 	highest map[fleet.TaskName]int
@@ -68,6 +68,14 @@
 	Hang, Fail bool
 }
 
+// listedEnd is an end that the leader has not acknowledged yet.
+type listedEnd struct {
+	fleet.RunEnd
+	at time.Time
+	// lapsed means that the worker's lease ran out since.
+	lapsed bool
+}
+
 type work struct {
 	ref   fleet.RunRef
 	task  Task
@@ -174,7 +182,8 @@
 	}
 	w.number++
 	w.highest[ref.Task] = max(w.highest[ref.Task], ref.Attempt)
-	w.ended = append(w.ended, fleet.RunEnd{Number: w.number, RunRef: ref, How: how, Checkpoint: saved})
+	e := fleet.RunEnd{Number: w.number, RunRef: ref, How: how, Checkpoint: saved}
+	w.ended = append(w.ended, listedEnd{RunEnd: e, at: time.Now()})
 	w.fleet.ledger.ended(w, ref, k.task, how)
 	close(w.wake)
 	w.wake = make(chan struct{})
@@ -200,6 +209,9 @@
 		for ref := range w.runs {
 			w.end(ref, fleet.EndLapsed)
 		}
+		for i := range w.ended {
+			w.ended[i].lapsed = true
+		}
 	})
 }
 
@@ -296,7 +308,10 @@
 
 // report lists runs and ends; the lock is held.
 func (w *Worker) report() fleet.Report {
-	r := fleet.Report{Verdict: fleet.StartRunning, Clock: w.clock(), Ended: append([]fleet.RunEnd(nil), w.ended...)}
+	r := fleet.Report{Verdict: fleet.StartRunning, Clock: w.clock()}
+	for _, e := range w.ended {
+		r.Ended = append(r.Ended, e.RunEnd)
+	}
 	for ref, k := range w.runs {
 		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
 		if !k.task.Lasting && k.task.Work > 0 {
