End-to-end tests: the source of each connection is known by its address

A connection from any other address is refused and fails the test. TestCutHoldsForEveryConnection counts what passes the links of a node that is cut off from all. Waits end after 30 cell leases and tell what was awaited, the nodes' state, the cuts and the tasks.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -32,9 +32,13 @@
 
 const (
 	token = "e2e-token"
-	// poll is the interval at which conditions are looked at again. The tests wait
-	// for conditions without a bound of their own; go test ends a run that hangs.
+	// poll is the interval at which conditions are looked at again.
 	poll = 100 * time.Millisecond
+	// cellLease is the nodes' default lease of a cell.
+	cellLease = 6 * time.Second
+	// waitLimit ends a wait: every condition follows within a few leases of the
+	// fault that precedes it, or within the run time of tasks of some seconds.
+	waitLimit = 30 * cellLease
 )
 
 const text = `version: 1
@@ -193,12 +197,11 @@
 	p := &process{name: fmt.Sprintf("node-%d.%d", index, lives.Add(1)), done: make(chan struct{})}
 	c.network.both(cut, p.name, "store")
 	peer := c.network.proxy(c.t, p.name)
-	flags := append(append(c.flags(index), "--advertise", peer.addr()), c.extra...)
+	flags := append(append(c.flags(index), "--advertise", peer.addr(), "--source-address", c.network.register(p.name)), c.extra...)
 	p.cmd = exec.Command(binary, append(flags, c.peerFlags(index)...)...)
 	log, err := p.cmd.StderrPipe()
 	require.NoError(c.t, err)
 	require.NoError(c.t, p.cmd.Start())
-	c.network.register(p.cmd.Process.Pid, p.name)
 	addresses := make(chan []string, 1)
 	go p.readLog(log, addresses)
 	c.t.Cleanup(func() { p.kill() })
@@ -250,18 +253,38 @@
 	<-p.done
 }
 
-// wait returns once the condition holds.
+// wait returns once the condition holds. It fails the test, with the state of the
+// nodes, when that takes longer than waitLimit.
 func (c *cluster) wait(what string, condition func() bool) {
 	c.t.Helper()
+	limit := time.NewTimer(waitLimit)
+	defer limit.Stop()
 	for !condition() {
 		select {
 		case <-c.t.Context().Done():
 			c.t.Fatalf("test ended while waiting: %s", what)
+		case <-limit.C:
+			c.t.Fatalf("not within %v (%d cell leases): %s\n%s", waitLimit, waitLimit/cellLease, what, c.describe())
 		case <-time.After(poll):
 		}
 	}
 }
 
+// describe tells the state of each node and the cuts in force.
+func (c *cluster) describe() string {
+	var text strings.Builder
+	c.mu.Lock()
+	nodes := append([]*process(nil), c.nodes...)
+	c.mu.Unlock()
+	for _, p := range nodes {
+		s, answered := c.nodeStatus(p)
+		fmt.Fprintf(&text, "%s: answers %t, ready %t, owns %v\n", p.name, answered, p.ready(), s.OwnedCells)
+	}
+	fmt.Fprintf(&text, "cut: %v\n", c.network.cuts())
+	fmt.Fprintf(&text, "tasks started %d, ended %d", len(c.platform.Ledger().Starts()), len(c.platform.Ledger().Ends()))
+	return text.String()
+}
+
 var client = &http.Client{Timeout: 10 * time.Second}
 
 func status(url string) int {
--- a/internal/e2e/network_test.go
+++ b/internal/e2e/network_test.go
@@ -1,13 +1,8 @@
 package e2e
 
 import (
-	"bufio"
 	"fmt"
-	"maps"
 	"net"
-	"os"
-	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,16 +22,22 @@
 	cut     map[link]bool
 	delay   map[link]time.Duration
 	changed chan struct{}
-	names   map[int]string // nodes by process id
+	names   map[string]string // nodes by the address that their connections come from
+	unknown []string          // connections that no node owns
+	// carried counts the bytes that each link has let through.
+	carried map[link]int
 	closed  chan struct{}
 }
 
 func newNetwork(t *testing.T) *network {
 	n := &network{
 		cut: map[link]bool{}, delay: map[link]time.Duration{}, changed: make(chan struct{}),
-		names: map[int]string{}, closed: make(chan struct{}),
+		names: map[string]string{}, carried: map[link]int{}, closed: make(chan struct{}),
 	}
-	t.Cleanup(func() { close(n.closed) })
+	t.Cleanup(func() {
+		close(n.closed)
+		require.Empty(t, n.strangers(), "connections of unknown source: no cut would hold for them")
+	})
 	return n
 }
 
@@ -66,6 +67,19 @@
 	}
 }
 
+// cuts lists the links that carry nothing.
+func (n *network) cuts() []link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var found []link
+	for l, cut := range n.cut {
+		if cut {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
 // slow delays what from sends to another.
 func (n *network) slow(from, to string, delay time.Duration) {
 	n.update(func() { n.delay[link{from, to}] = delay })
@@ -89,11 +103,45 @@
 	}
 }
 
-// register names the node that a process runs.
-func (n *network) register(pid int, name string) {
+func (n *network) count(l link, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.carried[l] += bytes
+}
+
+// register gives a node an address of its own, from which it has to open all of
+// its connections.
+func (n *network) register(name string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	i := len(n.names) + 1
+	address := fmt.Sprintf("127.1.%d.%d", i/250, i%250+1)
+	n.names[address] = name
+	return address
+}
+
+// strangersShown bounds the list of connections of unknown source.
+const strangersShown = 10
+
+// source returns the node that a connection comes from, and notes a connection of
+// unknown source.
+func (n *network) source(addr net.Addr) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	name, ok := n.names[addr.(*net.TCPAddr).IP.String()]
+	if !ok && len(n.unknown) < strangersShown {
+		n.unknown = append(n.unknown, addr.String())
+	}
+	return name, ok
+}
+
+// strangers returns the connections of unknown source so far and forgets them.
+func (n *network) strangers() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.names[pid] = name
+	found := n.unknown
+	n.unknown = nil
+	return found
 }
 
 // proxy is a listener for one party. Connections wait until its target is set.
@@ -136,9 +184,9 @@
 	case <-p.net.closed:
 		return
 	}
-	source := p.net.source(client.RemoteAddr().(*net.TCPAddr).Port)
-	if source == "" {
-		return // a link from nobody could not be cut; the caller connects again
+	source, ok := p.net.source(client.RemoteAddr())
+	if !ok {
+		return // a link from nobody could not be cut
 	}
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
@@ -161,6 +209,7 @@
 			return
 		}
 		if count > 0 {
+			n.count(l, count)
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
 			}
@@ -171,57 +220,6 @@
 	}
 }
 
-// sourceTries bounds the search for the process of a connection, 2 ms apart: it
-// may be registered shortly after it has started, or be gone, and the kernel's
-// table of connections is no snapshot.
-const sourceTries = 500
-
-// source returns the node whose process holds the other end of a connection: peers
-// share one advertised address, so that the address does not tell them apart.
-func (n *network) source(port int) string {
-	for range sourceTries {
-		// An entry may be missed while others come and go, so one miss proves nothing.
-		if inode := socketInode(port); inode != "" {
-			if name := n.holder("socket:[" + inode + "]"); name != "" {
-				return name
-			}
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-	return ""
-}
-
-func (n *network) holder(socket string) string {
-	n.mu.Lock()
-	names := maps.Clone(n.names)
-	n.mu.Unlock()
-	for pid, name := range names {
-		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-		for _, file := range files {
-			if to, err := os.Readlink(file); err == nil && to == socket {
-				return name
-			}
-		}
-	}
-	return ""
-}
-
-// socketInode finds the socket with a local port in the kernel's table.
-func socketInode(port int) string {
-	table, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = table.Close() }()
-	want := fmt.Sprintf("0100007F:%04X", port)
-	for lines := bufio.NewScanner(table); lines.Scan(); {
-		if f := strings.Fields(lines.Text()); len(f) > 9 && f[1] == want && f[9] != "0" {
-			return f[9]
-		}
-	}
-	return ""
-}
-
 // A connection whose source cannot be found must not pass data: no cut would hold
 // for it as long as it is kept open.
 func TestConnectionFromUnknownSourceIsRefused(t *testing.T) {
@@ -231,23 +229,47 @@
 	t.Cleanup(func() { _ = upstream.Close() })
 	p := n.proxy(t, "store")
 	p.open(upstream.Addr().String())
-	dial := func() (int, error) {
-		c, err := net.Dial("tcp", p.addr())
+	dial := func(from string) (int, error) {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+		c, err := d.DialContext(t.Context(), "tcp", p.addr())
 		require.NoError(t, err)
 		defer func() { _ = c.Close() }()
 		_, err = c.Write([]byte("x"))
 		require.NoError(t, err)
 		return c.Read(make([]byte, 1))
 	}
-	_, err = dial() // this process is not registered as a node
+	_, err = dial("127.0.0.1") // no node's address
 	require.Error(t, err, "the proxy closes the connection")
-	n.register(os.Getpid(), "node")
+	require.Len(t, n.strangers(), 1, "the test would fail")
 	go func() {
 		if c, err := upstream.Accept(); err == nil {
 			_, _ = c.Write([]byte("y")) // fails only when the test has ended
 		}
 	}()
-	count, err := dial()
+	count, err := dial(n.register("node"))
 	require.NoError(t, err)
 	require.Equal(t, 1, count)
 }
+
+// Each connection of a node is one that cuts hold for: to the store, to workers and
+// to peers.
+func TestCutHoldsForEveryConnection(t *testing.T) {
+	c := newCluster(t, 3)
+	owner := c.waitOwner("north.0", -1)
+	c.finishAll(c.orders("before", 3, 2, 100))
+	p := c.node(owner)
+	everything := append(append(c.others(owner), "store"), c.workers()...)
+	c.network.both(true, p.name, everything...)
+	c.network.update(func() { c.network.carried = map[link]int{} })
+	c.waitOwner("north.0", owner)
+	c.finishAll(c.orders("during", 3, 2, 100))
+	c.network.mu.Lock()
+	for l, bytes := range c.network.carried {
+		require.False(t, l.from == p.name || l.to == p.name, "%d bytes from %s to %s over a cut link", bytes, l.from, l.to)
+	}
+	require.NotEmpty(t, c.network.carried)
+	c.network.mu.Unlock()
+	c.network.both(false, p.name, everything...)
+	c.wait("the node that was cut off is ready", p.ready)
+	c.noViolations()
+}
--- a/internal/e2e/settings_test.go
+++ b/internal/e2e/settings_test.go
@@ -53,6 +53,7 @@
 		"--table-url":       with(good, "--table-url", "127.0.0.1:7000"),
 		"--hosts-url":       with(good, "--hosts-url", ""),
 		"--advertise":       with(good, "--advertise", "127.0.0.1:0"),
+		"--source-address":  with(good, "--source-address", "here"),
 		"--seeds":           with(good, "--seeds", "localhost:80"),
 		"--cell-lease":      with(good, "--cell-lease", "2m"),
 		"--store-timeout":   with(good, "--store-timeout", "20s"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,7 @@
 // buildState creates the clients of the platform and the state layers.
 func (n *Node) buildState() error {
 	s := n.settings
-	client := &http.Client{Transport: platformTransport()}
+	client := &http.Client{Transport: platformTransport(s.Source)}
 	storeMetrics, err := storeclient.NewMetrics(n.metrics.Registry())
 	if err != nil {
 		return err
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -120,6 +121,9 @@
 		TLS:       membership.TLSFiles{Cert: s.PeerCert, Key: s.PeerKey, CA: s.PeerCA},
 		Plaintext: s.PeerPlaintext, Seeds: s.SeedList(),
 		Members: n.members, Digest: n.localDigest, Merge: n.mergeDigest,
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return dialer(s.Source, 0).DialContext(ctx, "tcp", addr)
+		},
 		Seed: n.seed, Log: n.log, Metrics: n.metrics,
 	})
 	if err != nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -27,11 +27,24 @@
 	platformConnections = 32
 )
 
+// dialTimeout bounds the opening of a connection to the platform or to a worker.
+const dialTimeout = time.Second
+
+// dialer opens connections from the given local address, or from one that the
+// system chooses.
+func dialer(source string, timeout time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout}
+	if source != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	return d
+}
+
 // platformTransport returns the transport towards the platform. Connections stay
 // open between calls because every journal append needs one.
-func platformTransport() *http.Transport {
+func platformTransport(source string) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dialer(source, dialTimeout).DialContext,
 		MaxIdleConnsPerHost: platformConnections,
 		IdleConnTimeout:     idleTimeout,
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -28,6 +28,7 @@
 	AdminBind string `arg:"--admin-listen,env:VPIERD_ADMIN_LISTEN" default:"127.0.0.1:8082" help:"IP address and port for operators, metrics and health" placeholder:"IP:PORT"`
 	PeerBind  string `arg:"--peer-listen,env:VPIERD_PEER_LISTEN" default:"127.0.0.1:8081" help:"IP address and port for peers" placeholder:"IP:PORT"`
 	Advertise string `arg:"--advertise,env:VPIERD_ADVERTISE" help:"IP address and port at which peers reach this node; the peer listener's address when empty" placeholder:"IP:PORT"`
+	Source    string `arg:"--source-address,env:VPIERD_SOURCE_ADDRESS" help:"local IP address of connections to the platform, workers and peers; chosen by the system when empty" placeholder:"IP"`
 	Seeds     string `arg:"--seeds,env:VPIERD_SEEDS" help:"comma-separated peer addresses tried before the member list is known" placeholder:"IP:PORT,..."`
 
 	TableURL   string `arg:"--table-url,env:VPIERD_TABLE_URL" help:"base URL of the table service (required)" placeholder:"URL"`
@@ -108,6 +109,9 @@
 	if s.Advertise != "" {
 		add(checkAddress("--advertise", s.Advertise, true))
 	}
+	if s.Source != "" && net.ParseIP(s.Source) == nil {
+		add(settingError("--source-address", fmt.Sprintf("is %q", s.Source), "write an IP address of this host such as 10.0.0.5"))
+	}
 	for _, seed := range s.SeedList() {
 		add(checkAddress("--seeds", seed, true))
 	}
