Leader reads the parts of a table some at a time and repeats only what failed

Cause: a new leader read all 64 parts of the jobs' table at once, and read all of them again when one failed. On a narrow link, or while the store loses calls, the whole may never succeed.

Change: eight reads at a time, each repeated by itself.

Test: TestLeaderReadsStoreOverPoorLinks; with the former code the narrow link fails (jobs stay queued for 30 s), with this one both links pass. The lossy case passed before, too: 24 reads at 30% need a handful of rounds there.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+// A new leader reads many parts over a link that carries them one after the other,
+// or from a store that loses calls: reading them all together would time out again
+// and again.
+func TestLeaderReadsStoreOverPoorLinks(t *testing.T) {
+	for name, impair := range map[string]func(*fleettest.View){
+		"narrow": func(v *fleettest.View) { v.Narrow(50 * time.Millisecond) },
+		"lossy":  func(v *fleettest.View) { v.LoseReads(0.3) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 27, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+				for i := range 4 {
+					submit(t, c, jobID(i), twoSteps())
+				}
+				for _, m := range c.Nodes {
+					impair(m.Store)
+				}
+				c.Kill(c.Leader())
+				waitAll(t, c, 4, 30*time.Second)
+			})
+		})
+	}
+}
+
 func TestStoreForgetsHistory(t *testing.T) {
 	run(t, 26, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
 		for i := range 8 {
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -152,10 +152,15 @@
 	mu    sync.Mutex
 	fault Fault
 	slow  time.Duration
+	// narrow is the time that each answer takes on a link that carries one at once.
+	narrow time.Duration
+	link   chan struct{}
+	// lost is the share of reads that get no answer.
+	lost float64
 }
 
 // View returns a new access to the store.
-func (s *Store) View() *View { return &View{s: s} }
+func (s *Store) View() *View { return &View{s: s, link: make(chan struct{}, 1)} }
 
 // Set changes the fault of the view.
 func (v *View) Set(f Fault) {
@@ -171,6 +176,44 @@
 	v.slow = d
 }
 
+// Narrow lets the answers to reads pass one after the other, each in d.
+func (v *View) Narrow(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.narrow = d
+}
+
+// LoseReads leaves a share of the reads without an answer.
+func (v *View) LoseReads(share float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lost = share
+}
+
+// receive waits for the answer to a read.
+func (v *View) receive(ctx context.Context) error {
+	v.mu.Lock()
+	narrow, lost := v.narrow, v.lost
+	v.mu.Unlock()
+	v.s.mu.Lock()
+	lose := lost > 0 && v.s.random.Float64() < lost
+	v.s.mu.Unlock()
+	if lose {
+		<-ctx.Done()
+		return unknown(ctx.Err())
+	}
+	if narrow == 0 {
+		return nil
+	}
+	v.link <- struct{}{} // what is given up still takes its time on the link
+	time.Sleep(narrow)
+	<-v.link
+	if ctx.Err() != nil {
+		return unknown(ctx.Err())
+	}
+	return nil
+}
+
 func (v *View) state() (Fault, time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -241,6 +284,9 @@
 	if err := v.pass(ctx, 1); err != nil {
 		return fleet.Page{}, err
 	}
+	if err := v.receive(ctx); err != nil {
+		return fleet.Page{}, err
+	}
 	s := v.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -15,6 +15,8 @@
 	pageRows = 500
 	// readTimeout bounds one page; a slow store takes a quarter of a second.
 	readTimeout = 1200 * time.Millisecond
+	// readsAtOnce bounds the parts of a table that are read at the same time.
+	readsAtOnce = 8
 	// readPause is the pause after a failed read, with up to as much jitter.
 	readPause = 100 * time.Millisecond
 	// watchWait is how long the store holds the answer of a watch. A watch that
@@ -65,41 +67,46 @@
 	jitter func() time.Duration
 }
 
-// list reads all parts at once.
-func (s source) list(ctx context.Context) ([]Row, Page, error) {
+// listUntil reads all parts, some at a time, and repeats what fails until ctx
+// ends. The page is that of the oldest part, from which a watch misses nothing.
+func (s source) listUntil(ctx context.Context) ([]Row, Page, bool) {
 	pages := make([]Page, len(s.parts))
 	rows := make([][]Row, len(s.parts))
-	errs := make([]error, len(s.parts))
+	turns := make(chan struct{}, readsAtOnce)
 	var wg sync.WaitGroup
 	for i, part := range s.parts {
-		wg.Go(func() { rows[i], pages[i], errs[i] = listAll(ctx, s.store, s.table, part) })
+		wg.Go(func() { rows[i], pages[i] = s.listPart(ctx, part, turns) })
 	}
 	wg.Wait()
+	if ctx.Err() != nil {
+		return nil, Page{}, false
+	}
 	var all []Row
 	first := pages[0]
 	for i := range pages {
-		if errs[i] != nil {
-			return nil, Page{}, errs[i]
-		}
 		all = append(all, rows[i]...)
 		if pages[i].Version < first.Version {
 			first = pages[i]
 		}
 	}
-	return all, first, nil
+	return all, first, true
 }
 
-// listUntil repeats list until it succeeds or ctx ends.
-func (s source) listUntil(ctx context.Context) ([]Row, Page, bool) {
+// listPart reads one part, again until it succeeds or ctx ends. A failure repeats
+// no other part: on a narrow link, or while the store loses calls, a read of all
+// parts together might never succeed.
+func (s source) listPart(ctx context.Context, part string, turns chan struct{}) ([]Row, Page) {
 	for ctx.Err() == nil {
-		rows, page, err := s.list(ctx)
+		turns <- struct{}{}
+		rows, page, err := listAll(ctx, s.store, s.table, part)
+		<-turns
 		if err == nil {
-			return rows, page, true
+			return rows, page
 		}
 		s.failed(err)
 		s.sleep(ctx, readPause+s.jitter())
 	}
-	return nil, Page{}, false
+	return nil, Page{}
 }
 
 // watch follows the table from a version until ctx ends. When the history is gone
