A leader hands the lead to a clearly larger host

Change: the row of the leader names its processor share. A node with at least 1.5 times as much asks it to hand over; the leader releases the lead with the name of the successor, which campaigns at once while the others wait 400 ms. Not while the store keeps transactions waiting.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -150,7 +150,7 @@
 	c.tx.Puts = append(c.tx.Puts, Row{RowID: fence, Value: encode(fenceRecord{t.number, c.nonce})})
 	c.renews, c.release = renew, t.stopping
 	if renew {
-		c.tx.Puts = append(c.tx.Puts, t.cfg.renewal(t.number, t.stopping))
+		c.tx.Puts = append(c.tx.Puts, t.cfg.renewal(t.number, t.stopping, t.successor))
 		t.addModels(c)
 	}
 }
@@ -191,9 +191,10 @@
 }
 
 // renewal returns the row by which followers know that the leader lives.
-func (c Config) renewal(term uint64, released bool) Row {
+func (c Config) renewal(term uint64, released bool, successor model.NodeID) Row {
 	return Row{RowID: RowID{tableLeader, leaderPart, keyLeader}, Value: encode(leaderRecord{
 		Term: term, Node: c.Node, Process: c.Process, Addr: c.PeerAddr, Released: released,
+		MilliCPU: c.Limits.MilliCPU, Successor: successor,
 	})}
 }
 
@@ -270,7 +271,8 @@
 	if e.sent.After(t.lastRenewal) && c.renews {
 		t.lastRenewal = e.sent
 	}
-	t.counters.commitSeconds.Observe(time.Since(c.begun).Seconds())
+	t.commitTook = time.Since(c.begun)
+	t.counters.commitSeconds.Observe(t.commitTook.Seconds())
 	if e.tries > 1 {
 		t.log.WithFields(logrus.Fields{"tries": e.tries, "took_ms": time.Since(c.begun).Milliseconds()}).Info("transaction applied")
 	}
@@ -338,13 +340,16 @@
 	return false
 }
 
-// stepDown asks the loop to give the lead up.
-type stepDown struct{}
+// stepDown asks the loop to give the lead up, to a given node or to any.
+type stepDown struct{ successor model.NodeID }
 
-func (stepDown) handle(t *term) {
-	t.stopping = true
+func (e stepDown) handle(t *term) {
+	if t.stopping || (e.successor != "" && !t.mayHandOver()) {
+		return
+	}
+	t.stopping, t.successor = true, e.successor
 	t.nextCommit = t.now
-	t.log.Info("leader gives up the lead")
+	t.log.WithField("successor", e.successor).Info("leader gives up the lead")
 }
 
 // removeJob deletes the rows of a job after its retention. The result does not
--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -25,6 +25,8 @@
 type Limits struct {
 	// RowBytes bounds the value of a row of the store.
 	RowBytes int
+	// MilliCPU is this host's processor share in thousandths of a core; 0 when unknown.
+	MilliCPU int64
 	// MemoryMB is this host's memory in megabytes.
 	MemoryMB int64
 }
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -89,6 +89,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	starts uint64
+	// MilliCPU is the processor share that the node is told at its start.
+	MilliCPU int64
 }
 
 // NewCluster starts the given numbers of nodes and workers. Tasks behave as tasks
@@ -184,7 +186,7 @@
 	m.Store, m.Work, m.Peers = c.Store.View(), c.Workers.View(), c.Net.Peers(m.Name)
 	cfg := fleet.Config{
 		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
-		Limits: fleet.Limits{RowBytes: 65536},
+		Limits: fleet.Limits{RowBytes: 65536, MilliCPU: m.MilliCPU},
 		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: UpkeepTime},
 		Store:  m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
 	}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -39,12 +39,25 @@
 }
 
 // dueIn returns the time until due can become true without further news.
-func (f *follow) dueIn(now time.Time) time.Duration {
-	limit := silenceLimit + f.spread
-	if !f.known || f.record.Released {
-		limit = f.spread * releasedSpread / campaignSpread
+func (f *follow) dueIn(now time.Time, node model.NodeID) time.Duration {
+	return max(f.patience(node)-now.Sub(f.changed), time.Millisecond)
+}
+
+// patience is how long this node leaves the leader's row unchanged before it
+// campaigns.
+func (f *follow) patience(node model.NodeID) time.Duration {
+	free := f.spread * releasedSpread / campaignSpread
+	switch {
+	case !f.known:
+		return free
+	case !f.record.Released:
+		return silenceLimit + f.spread
+	case f.record.Successor == node:
+		return 0
+	case f.record.Successor != "":
+		return successorWait + free
 	}
-	return max(limit-now.Sub(f.changed), time.Millisecond)
+	return free
 }
 
 // formerAlive returns the latest moment at which the former leader may have
@@ -61,14 +74,10 @@
 
 // due reports whether this node should try to take the lead.
 func (f *follow) due(now time.Time, node model.NodeID, process uint64) bool {
-	silent := now.Sub(f.changed)
-	switch {
-	case !f.known, f.record.Released:
-		return silent >= f.spread*releasedSpread/campaignSpread
-	case f.record.Node == node && f.record.Process != process:
+	if f.known && !f.record.Released && f.record.Node == node && f.record.Process != process {
 		return true // the leader was a former process of this node
 	}
-	return silent >= silenceLimit+f.spread
+	return now.Sub(f.changed) >= f.patience(node)
 }
 
 // seen takes a state of the leader's row.
@@ -95,7 +104,7 @@
 		}
 		wait := leaderWait
 		if n.mayLead(&f) {
-			wait = min(leaderWait, f.dueIn(time.Now()))
+			wait = min(leaderWait, f.dueIn(time.Now(), n.cfg.Node))
 		}
 		call, cancel := context.WithTimeout(ctx, wait+watchTimeout)
 		page, err := n.cfg.Store.Watch(call, tableLeader, after, wait)
@@ -157,6 +166,7 @@
 	if before.Term != r.Term || before.Released != r.Released {
 		n.log.WithFields(logrus.Fields{"decision": "leader", "term": r.Term, "leader": r.Node, "address": r.Addr, "released": r.Released}).Info("leader")
 	}
+	n.askForLead(r)
 	if t := n.term.Load(); t != nil && t.number < r.Term {
 		t.retire("another node has taken the lead")
 	}
@@ -186,7 +196,7 @@
 	id := RowID{tableFence, leaderPart, keyLeader}
 	tx := Transaction{
 		Expect: []Expectation{{id, version}},
-		Puts:   []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})}, n.cfg.renewal(number, false)},
+		Puts:   []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})}, n.cfg.renewal(number, false, "")},
 	}
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
 	result, err := n.cfg.Store.Commit(call, tx)
@@ -248,7 +258,7 @@
 func (n *Node) lead(number, fenceVersion uint64, formerAlive time.Time) {
 	t := newTerm(n.cfg, number, fenceVersion, formerAlive, n.log, n.metrics)
 	n.term.Store(t)
-	n.leader.Store(&leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr})
+	n.leader.Store(&leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr, MilliCPU: n.cfg.Limits.MilliCPU})
 	n.wait.Go(t.run)
 }
 
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -67,6 +67,9 @@
 	pending  pendingCache
 	clock    storeClock
 	wait     sync.WaitGroup
+	// askedLead is when this node last asked for the lead; it belongs to the
+	// goroutine that follows the leader.
+	askedLead time.Time
 }
 
 // view is the configuration that requests are routed by.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -16,6 +16,7 @@
 	methodCancel  = "jobs.cancel"
 	methodState   = "jobs.state"
 	methodPending = "jobs.pending"
+	methodLead    = "lead.ask"
 )
 
 const (
@@ -51,6 +52,7 @@
 
 // handlePeers registers the methods that peers call.
 func (n *Node) handlePeers() {
+	n.cfg.Peers.Handle(methodLead, n.handleLead)
 	n.cfg.Peers.Handle(methodOffer, func(_ context.Context, raw json.RawMessage) (any, error) {
 		var p offerParams
 		if err := decodeParams(raw, &p); err != nil {
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -104,6 +104,10 @@
 	Addr    string `cbor:"4,keyasint"`
 	// Released means that the leader has stopped sending orders.
 	Released bool `cbor:"5,keyasint,omitempty"`
+	// MilliCPU is the processor share of the leader's host; 0 when unknown.
+	MilliCPU int64 `cbor:"6,keyasint,omitempty"`
+	// Successor is the node to which a released lead was handed; usually empty.
+	Successor model.NodeID `cbor:"7,keyasint,omitempty"`
 }
 
 // usedRecord is the value of a row of tableUsed.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -57,9 +57,11 @@
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
 	// began is the version of the store at which the term began.
-	began       uint64
-	commit      *commit
-	nextCommit  time.Time
+	began      uint64
+	commit     *commit
+	nextCommit time.Time
+	// commitTook is the time of the last transaction.
+	commitTook  time.Duration
 	lastRenewal time.Time // when the last successful renewal was sent
 	// confirmed is when the last successful transaction was sent: until then no
 	// later term had begun.
@@ -71,10 +73,12 @@
 
 	// stopping means that no order is given any more.
 	stopping bool
-	dirty    bool // a plan is due
-	planned  time.Time
-	speeds   map[string]*speed
-	harm     interference
+	// successor is the node to which the lead is handed; empty for none.
+	successor model.NodeID
+	dirty     bool // a plan is due
+	planned   time.Time
+	speeds    map[string]*speed
+	harm      interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
 	machines     upkeep
