Random faults on hosts of unequal size and with poor links

The sequences of TestRandomFaults are played a second time on hosts of 200, 800, 200 and 400 thousandths of a core, which hand the lead to each other, with reads of the store lost or slow.

--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -29,7 +29,8 @@
 		require.NoError(t, err)
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed)) })
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), false) })
+		t.Run("unequal-"+strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), true) })
 	}
 }
 
@@ -38,15 +39,28 @@
 	c      *fleettest.Cluster
 	random *rand.Rand
 	next   int // number of the next worker
+	kinds  int // number of kinds of fault
 }
 
-func playFaults(t *testing.T, seed uint64) {
+const (
+	// commonFaults is the number of kinds of fault that strike on all sites.
+	commonFaults = 14
+	// allFaults adds those of hosts of unequal size and with poor links.
+	allFaults = 16
+)
+
+// playFaults plays one sequence. Unequal hosts hand the lead to each other.
+func playFaults(t *testing.T, seed uint64, unequal bool) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	tasks := func(fleet.TaskName) fleettest.Task {
 		return fleettest.Task{Work: 1500 * time.Millisecond, Needs: small, Checkpoint: true}
 	}
 	run(t, seed, 4, 5, tasks, func(t *testing.T, c *fleettest.Cluster) {
-		f := &faults{c: c, random: random, next: 5}
+		f := &faults{c: c, random: random, next: 5, kinds: commonFaults}
+		if unequal {
+			f.kinds = allFaults
+			resize(c, 200, 800, 200, 400)
+		}
 		accepted := 0
 		for range 24 {
 			if random.IntN(3) > 0 {
@@ -73,7 +87,7 @@
 // strike makes one fault, or ends one.
 func (f *faults) strike() {
 	m := f.node()
-	switch f.random.IntN(14) {
+	switch f.random.IntN(f.kinds) {
 	case 0, 1:
 		if l := f.c.Leader(); l != nil {
 			f.c.Kill(l)
@@ -122,6 +136,14 @@
 			cancel()
 			f.c.Kill(l)
 		}
+	case 14:
+		if m.Up() {
+			m.Store.LoseReads(f.random.Float64() * 0.4)
+		}
+	case 15:
+		if m.Up() {
+			m.Store.Narrow(time.Duration(f.random.IntN(50)) * time.Millisecond)
+		}
 	}
 }
 
@@ -141,6 +163,8 @@
 			continue
 		}
 		m.Store.Set(fleettest.Healthy)
+		m.Store.LoseReads(0)
+		m.Store.Narrow(0)
 		m.Work.CutAll(false)
 		m.Peers.Cut(false)
 		for _, w := range f.c.Fleet {
