Upkeep: the cap of a wave holds across changes of leader

Cause: a leader knew only the machines that went down by its own orders. Found while taking mechanisms out on trial: the wave test passed without some of them.

Change: machines that the inventory shows in upkeep count; what has begun is stored with the leader's other rows (vp-waves); orders of upkeep need a proof of the term from the last 1.5 s, and a new leader waits until those of its predecessor must have ended; a lead is released only after pending orders of upkeep. Upkeep waits for runs that are saving their progress.

Stand-in of the inventory: lists machines in upkeep, repeats nothing for one wave, can leave fences unchecked, takes time.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -268,6 +268,98 @@
 	})
 }
 
+// machinesOnly starts a cluster whose workers run nothing and asks for a wave.
+func machinesOnly(t *testing.T, seed uint64, test func(*fleettest.Cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fleettest.NewCluster(seed, 3, 6, behaviour)
+		c.Inventory = fleettest.NewInventory(c)
+		c.Inventory.Unfenced = true
+		defer c.StopAll()
+		c.StartAll()
+		time.Sleep(settle)
+		c.Wave([]string{"w0", "w1", "w2", "w3", "w4", "w5"}, 2)
+		test(c)
+		for range 120 {
+			if c.WaveCompleted() {
+				break
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.True(t, c.WaveCompleted())
+		require.Len(t, c.Inventory.Begun(), 6)
+		require.LessOrEqual(t, c.Inventory.MostDown, 2)
+		c.StopAll()
+		require.Empty(t, c.Ledger.Broken())
+	})
+}
+
+// The next leader must count the machines that are down by its predecessor's orders.
+func TestWaveCapHoldsWhenLeadIsHandedOver(t *testing.T) {
+	for seed := range uint64(8) {
+		machinesOnly(t, 80+seed, func(c *fleettest.Cluster) {
+			c.Inventory.Delay = 300 * time.Millisecond
+			for handovers := range 2 {
+				for c.Inventory.Calls() <= 2*handovers || c.Leader() == nil {
+					time.Sleep(20 * time.Millisecond)
+				}
+				time.Sleep(time.Duration(seed) * 100 * time.Millisecond)
+				leader := c.Leader()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				leader.Node.Drain(ctx)
+				cancel()
+				c.Kill(leader)
+				c.Start(leader)
+			}
+			for !c.WaveCompleted() {
+				time.Sleep(20 * time.Millisecond)
+			}
+			require.Equal(t, 6, c.Inventory.Calls(), "no upkeep is asked for again")
+		})
+	}
+}
+
+// A leader that is cut off from the store reaches the inventory beside the next one.
+func TestWaveCapHoldsBesideCutOffLeader(t *testing.T) {
+	for seed := range uint64(4) {
+		machinesOnly(t, 90+seed, func(c *fleettest.Cluster) {
+			time.Sleep(time.Duration(300*seed) * time.Millisecond)
+			for c.Leader() == nil {
+				time.Sleep(20 * time.Millisecond)
+			}
+			former := c.Leader()
+			former.Store.Set(fleettest.Silent)
+			time.Sleep(9 * time.Second)
+			former.Store.Set(fleettest.Healthy)
+		})
+	}
+}
+
+// One of three lasting tasks is away for want of a worker, and only one may be, so
+// upkeep waits for it however long that takes.
+func TestUpkeepWaitsForTasksThatCannotBeMissed(t *testing.T) {
+	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
+	synctest.Test(t, func(t *testing.T) {
+		c := fleettest.NewCluster(13, 3, 3, lasting)
+		c.Inventory = fleettest.NewInventory(c)
+		defer c.StopAll()
+		c.StartAll()
+		time.Sleep(settle)
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, PerWorker: 1, Needs: small, Lasting: true, MayMiss: 1}}})
+		time.Sleep(time.Second)
+		c.Workers.Kill(c.Fleet[2])
+		c.Unlist(c.Fleet[2])
+		c.Wave([]string{"w0"}, 1)
+		time.Sleep(15 * time.Second)
+		require.Empty(t, c.Inventory.Begun())
+		c.AddWorker("w2")
+		time.Sleep(10 * time.Second)
+		require.Equal(t, []string{"w0"}, c.Inventory.Begun())
+		require.True(t, c.WaveCompleted())
+		c.StopAll()
+		require.Empty(t, c.Ledger.Broken())
+	})
+}
+
 func TestOlderConfigurationChangesNothing(t *testing.T) {
 	run(t, 12, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
 		c.Configure(5, 2)
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -79,7 +79,7 @@
 	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping && !t.unconfirmed {
 		return
 	}
-	if t.stopping && t.ordersPending() {
+	if t.stopping && (t.ordersPending() || t.upkeepPending()) {
 		return
 	}
 	t.seal(c, renew || t.stopping)
@@ -107,6 +107,7 @@
 		j.dirty = false
 	}
 	t.collectUsed(c)
+	t.collectWaves(c)
 	if complete {
 		for _, w := range t.workers {
 			if w.lastEnd > w.committed {
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -446,6 +446,22 @@
 }
 
 // A silent store leaves the outcome of a submission open; the answer says so soon.
+// A refusal after a try without an answer would be untrue: that try may land later.
+func TestStoreThatTurnsBusyLeavesOutcomeOpen(t *testing.T) {
+	run(t, 62, 1, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		m := c.Nodes[0] // no other node can store the job for it
+		c.Store.Lose(0, 1)
+		time.AfterFunc(690*time.Millisecond, func() { // within the first try
+			c.Store.Lose(0, 0)
+			m.Store.Set(fleettest.Busy)
+		})
+		err := m.Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps())
+		require.True(t, model.IsKind(err, model.KindUnknown), "%v", err)
+		m.Store.Set(fleettest.Healthy)
+		waitAll(t, c, 1, 20*time.Second)
+	})
+}
+
 func TestSilentStoreLeavesOutcomeOpen(t *testing.T) {
 	run(t, 60, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
 		for _, m := range c.Nodes {
--- a/internal/fleet/fleettest/inventory.go
+++ b/internal/fleet/fleettest/inventory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
@@ -18,6 +19,11 @@
 	// begun lists the machines whose upkeep has begun, in order.
 	begun   []string
 	highest uint64
+	// Unfenced inventories carry out orders of former leaders, too.
+	Unfenced bool
+	// Delay is the time before an order is carried out.
+	Delay time.Duration
+	calls int
 	// MostDown is the highest number of machines that were down at once.
 	MostDown int
 }
@@ -30,23 +36,32 @@
 	i.c.Workers.mu.Lock()
 	defer i.c.Workers.mu.Unlock()
 	var all []fleet.Machine
+	listed := map[string]bool{}
 	for _, w := range i.c.Fleet {
-		if w.dead {
-			continue
-		}
 		id := string(w.Info.Worker)
 		_, down := i.down[id]
-		all = append(all, fleet.Machine{ID: id, Pool: Service, Up: !down, Worker: w.Info.Worker})
+		if listed[id] || (w.dead && !down) {
+			continue
+		}
+		listed[id] = true
+		all = append(all, fleet.Machine{ID: id, Pool: Service, Up: !down, InUpkeep: down, Worker: w.Info.Worker})
 	}
 	return all, nil
 }
 
 // Maintain implements fleet.Inventory.
 func (i *Inventory) Maintain(_ context.Context, machine string, _ int, _ string, fence uint64) (fleet.MaintainVerdict, error) {
+	i.c.Workers.mu.Lock()
+	i.calls++
+	i.c.Workers.mu.Unlock()
+	time.Sleep(i.Delay)
 	i.c.Workers.mu.Lock()
 	if fence < i.highest {
-		i.c.Workers.mu.Unlock()
-		return fleet.MaintainRefused, nil
+		if !i.Unfenced {
+			i.c.Workers.mu.Unlock()
+			return fleet.MaintainRefused, nil
+		}
+		i.c.Ledger.Break(fmt.Sprintf("upkeep of %s with fence %d after %d", machine, fence, i.highest))
 	}
 	i.highest = fence
 	var w *Worker
@@ -55,7 +70,7 @@
 			w = x
 		}
 	}
-	if _, down := i.down[machine]; down || w == nil {
+	if slices.Contains(i.begun, machine) || w == nil {
 		i.c.Workers.mu.Unlock()
 		return fleet.MaintainBegun, nil
 	}
@@ -79,6 +94,13 @@
 	return fleet.MaintainBegun, nil
 }
 
+// Calls counts the orders that were given.
+func (i *Inventory) Calls() int {
+	i.c.Workers.mu.Lock()
+	defer i.c.Workers.mu.Unlock()
+	return i.calls
+}
+
 // Begun returns the machines whose upkeep has begun.
 func (i *Inventory) Begun() []string {
 	i.c.Workers.mu.Lock()
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -181,8 +181,9 @@
 	progress := t.source(tableProgress, []string{leaderPart}, 0, nil)
 	used := t.source(tableUsed, []string{leaderPart}, 0, nil)
 	models := t.source(tableModels, []string{leaderPart}, 0, nil)
+	waves := t.source(tableWaves, []string{leaderPart}, 0, nil)
 
-	all := []source{jobs, workers, operator, progress, used, models}
+	all := []source{jobs, workers, operator, progress, used, models, waves}
 	rows := make([][]Row, len(all))
 	pages := make([]Page, len(all))
 	ok := make([]bool, len(all))
@@ -196,7 +197,7 @@
 			return
 		}
 	}
-	t.post(loadedEvent{jobs: rows[0], workers: rows[1], operator: rows[2], progress: rows[3], used: rows[4], models: rows[5], storeNow: pages[0].Now})
+	t.post(loadedEvent{jobs: rows[0], workers: rows[1], operator: rows[2], progress: rows[3], used: rows[4], models: rows[5], waves: rows[6], storeNow: pages[0].Now})
 	for i, s := range all[:3] {
 		go s.watch(t.ctx, pages[i].Version)
 	}
--- a/internal/fleet/ports.go
+++ b/internal/fleet/ports.go
@@ -231,10 +231,12 @@
 
 // Machine is a physical host of the platform's inventory.
 type Machine struct {
-	ID     string
-	Pool   model.ServiceName
-	Up     bool
-	Worker model.WorkerID
+	ID   string
+	Pool model.ServiceName
+	Up   bool
+	// InUpkeep is set from the begin of an upkeep until the machine is up again.
+	InUpkeep bool
+	Worker   model.WorkerID
 }
 
 // Inventory lists machines and maintains them.
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -23,6 +23,8 @@
 	tableLeader = "vp-leader"
 	// tableModels holds what was learnt of images, for the next leader.
 	tableModels = "vp-models"
+	// tableWaves holds a row per wave of upkeep, written by the leader.
+	tableWaves = "vp-waves"
 	// tableUsed holds the lifetimes of workers on which tasks may have started.
 	tableUsed = "vp-used"
 )
@@ -118,6 +120,16 @@
 	Service    model.ServiceName `cbor:"4,keyasint"`
 }
 
+// waveRecord is the stored progress of a wave of upkeep.
+type waveRecord struct {
+	Number int `cbor:"1,keyasint"`
+	// Begun lists the machines whose upkeep has begun.
+	Begun []string `cbor:"2,keyasint"`
+}
+
+// waveRow addresses the progress of a wave.
+func waveRow(number int) RowID { return RowID{tableWaves, leaderPart, strconv.Itoa(number)} }
+
 // encode marshals a record. The records hold nothing that CBOR cannot encode.
 func encode(v any) []byte {
 	data, err := cbor.Marshal(v)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -192,8 +192,8 @@
 
 // loadedEvent carries the rows that a term starts from.
 type loadedEvent struct {
-	jobs, progress, used, models, workers, operator []Row
-	storeNow                                        time.Duration
+	jobs, progress, used, models, waves, workers, operator []Row
+	storeNow                                               time.Duration
 }
 
 func (e loadedEvent) handle(t *term) {
@@ -209,6 +209,9 @@
 	for _, row := range e.progress {
 		t.progressRow(row)
 	}
+	for _, row := range e.waves {
+		t.waveRow(row)
+	}
 	for _, row := range e.models {
 		t.modelsRow(row)
 	}
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -15,6 +15,10 @@
 	machinesInterval = 1 * time.Second
 	// upkeepTimeout bounds a call to the inventory.
 	upkeepTimeout = 2 * time.Second
+	// upkeepFresh is how recent the proof of the term must be for an order of upkeep:
+	// less than the silence after which another node takes the lead. Not every
+	// inventory checks fences.
+	upkeepFresh = 1500 * time.Millisecond
 	// emptyWait is how long work may end by itself before upkeep.
 	emptyWait = 4 * time.Second
 	// stopWait is how long after that runs are moved until the upkeep begins.
@@ -27,6 +31,9 @@
 	since time.Time
 	// left holds the machines whose upkeep has not begun.
 	left map[string]*upkeepTurn
+	// begun lists those whose upkeep has begun, dirty that the store does not know.
+	begun []string
+	dirty bool
 	// down holds machines whose upkeep has begun, and when.
 	down   map[string]time.Time
 	status string
@@ -71,6 +78,9 @@
 	if !open || !t.active() {
 		return
 	}
+	if !t.upkeepIsOurs() {
+		return
+	}
 	if !t.machines.busy && t.now.Sub(t.machines.read) > machinesInterval {
 		t.machines.busy = true
 		go t.readMachines()
@@ -116,6 +126,11 @@
 		}
 	}
 	turns := len(w.down)
+	for _, id := range w.Machines { // those that went down by a former leader's orders
+		if _, ours := w.down[id]; !ours && t.machines.machines[id].InUpkeep {
+			turns++
+		}
+	}
 	for _, turn := range w.left {
 		if !turn.begun.IsZero() {
 			turns++
@@ -156,20 +171,28 @@
 			}
 		}
 	}
-	if turn.busy || (runs > 0 && waited < emptyWait+stopWait) || t.servesAlone(worker) {
+	if turn.busy || (runs > 0 && waited < emptyWait+stopWait) || t.holdsBack(worker) {
 		return
 	}
 	turn.busy = true
 	go t.maintain(w, m.ID)
 }
 
-// servesAlone reports whether a lasting task on w cannot be missed now.
-func (t *term) servesAlone(w *worker) bool {
+// holdsBack reports whether upkeep must wait for a run on w: a lasting task that
+// cannot be missed now, or a run that has just been told to stop and saves its
+// progress.
+func (t *term) holdsBack(w *worker) bool {
 	if w == nil {
 		return false
 	}
 	for _, r := range w.runs {
-		if r.live() && r.job != nil && r.step.Lasting && !t.mayMiss(r) {
+		switch {
+		case r.job == nil:
+		case !r.live():
+			if t.now.Sub(r.changed) < stopWait {
+				return true
+			}
+		case r.step.Lasting && !t.mayMiss(r):
 			return true
 		}
 	}
@@ -223,6 +246,56 @@
 	delete(e.wave.left, e.machine)
 	if e.verdict == MaintainBegun {
 		e.wave.down[e.machine] = t.now
+		e.wave.begun, e.wave.dirty = append(e.wave.begun, e.machine), true
+	}
+}
+
+// upkeepIsOurs reports whether no other leader begins upkeep now: the former one has
+// stopped, with its calls, and this term was in force a moment ago.
+func (t *term) upkeepIsOurs() bool {
+	if t.now.Sub(t.confirmed) > upkeepFresh {
+		return false
+	}
+	return t.confirmed.After(t.formerAlive.Add(upkeepFresh + upkeepTimeout))
+}
+
+// upkeepPending reports whether the begin of an upkeep waits for its answer.
+func (t *term) upkeepPending() bool {
+	for _, w := range t.waves {
+		for _, turn := range w.left {
+			if turn.busy {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// collectWaves adds the progress of waves to a transaction.
+func (t *term) collectWaves(c *commit) {
+	for _, w := range t.waves {
+		if w.dirty && len(c.tx.Puts) < commitRows {
+			c.tx.Puts = append(c.tx.Puts, Row{RowID: waveRow(w.Number), Value: encode(waveRecord{w.Number, w.begun})})
+			w.dirty = false
+		}
+	}
+}
+
+// waveRow takes the progress that an earlier term has stored. What it began and did
+// not store is begun again, which changes nothing.
+func (t *term) waveRow(row Row) {
+	var r waveRecord
+	if err := decodeRecord(row, &r); err != nil {
+		t.log.WithError(err).Warn("progress of upkeep cannot be read")
+		return
+	}
+	w := t.waves[r.Number]
+	if w == nil {
+		return
+	}
+	w.begun = r.Begun
+	for _, id := range r.Begun {
+		delete(w.left, id)
 	}
 }
 
