Recovery time: measured in a test, and shown by metrics and logs

fleet_recovery_seconds and the line 'term knows all runs' tell how long a new leader holds inherited work back.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -500,3 +502,57 @@
 		require.Zero(t, c.Workers.Running(free))
 	})
 }
+
+// recoveryBound is the contract's time until a system whose hosts are back serves
+// again.
+const recoveryBound = 15 * time.Second
+
+// TestRecoveryTime measures how long new work waits for a leader: from the fault, at
+// which a job is handed in, until its first task starts.
+func TestRecoveryTime(t *testing.T) {
+	faults := map[string]func(*fleettest.Cluster){
+		"leader killed": func(c *fleettest.Cluster) { c.Kill(c.Leader()) },
+		"leader drains": func(c *fleettest.Cluster) {
+			l := c.Leader()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			l.Node.Drain(ctx)
+			c.Kill(l)
+		},
+		"leader cut from the store": func(c *fleettest.Cluster) { c.Leader().Store.Set(fleettest.Silent) },
+		"all hosts lose power": func(c *fleettest.Cluster) {
+			c.StopAll()
+			c.StartAll()
+		},
+	}
+	long := func(n fleet.TaskName) fleettest.Task {
+		if strings.HasPrefix(string(n), jobID(0)) {
+			return fleettest.Task{Work: 20 * time.Second, Needs: small}
+		}
+		return behaviour(n)
+	}
+	for name, fault := range faults {
+		for _, latency := range []time.Duration{4 * time.Millisecond, 240 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, store %v", name, latency), func(t *testing.T) {
+				run(t, 29, 4, 4, long, func(t *testing.T, c *fleettest.Cluster) {
+					submit(t, c, jobID(0), twoSteps())
+					time.Sleep(time.Second)
+					c.Store.SetLatency(latency)
+					begun := time.Now()
+					fault(c)
+					submit(t, c, jobID(1), twoSteps())
+					for c.Ledger.StartCount() < 5 {
+						require.Less(t, time.Since(begun), recoveryBound)
+						time.Sleep(10 * time.Millisecond)
+					}
+					t.Logf("first start after %v", time.Since(begun).Round(10*time.Millisecond))
+					c.Store.SetLatency(4 * time.Millisecond)
+					for _, m := range c.Nodes {
+						m.Store.Set(fleettest.Healthy)
+					}
+					waitAll(t, c, 2, 60*time.Second)
+				})
+			})
+		}
+	}
+}
--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// StartCount returns the number of starts so far.
+func (l *Ledger) StartCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Starts
+}
+
 // Broken returns the promises that were broken.
 func (l *Ledger) Broken() []string {
 	l.mu.Lock()
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -67,6 +67,19 @@
 	s.lost, s.late = lost, late
 }
 
+// SetLatency changes the time of an answer.
+func (s *Store) SetLatency(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Latency = d
+}
+
+func (s *Store) latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Latency
+}
+
 // Compact drops the history, so that watches must read again.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -236,7 +249,7 @@
 		<-ctx.Done()
 		return unknown(ctx.Err())
 	}
-	return sleep(ctx, time.Duration(times)*v.s.Latency+slow)
+	return sleep(ctx, time.Duration(times)*v.s.latency()+slow)
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -15,8 +15,8 @@
 	pageRows = 500
 	// readTimeout bounds one page; a slow store takes a quarter of a second.
 	readTimeout = 1200 * time.Millisecond
-	// readsAtOnce bounds the parts of a table that are read at the same time.
-	readsAtOnce = 8
+	// repeatsAtOnce bounds the parts of a table that are read again at the same time.
+	repeatsAtOnce = 8
 	// readPause is the pause after a failed read, with up to as much jitter.
 	readPause = 100 * time.Millisecond
 	// watchWait is how long the store holds the answer of a watch. A watch that
@@ -67,12 +67,12 @@
 	jitter func() time.Duration
 }
 
-// listUntil reads all parts, some at a time, and repeats what fails until ctx
-// ends. The page is that of the oldest part, from which a watch misses nothing.
+// listUntil reads all parts at once, and repeats what fails, some at a time, until
+// ctx ends. The page is that of the oldest part, from which a watch misses nothing.
 func (s source) listUntil(ctx context.Context) ([]Row, Page, bool) {
 	pages := make([]Page, len(s.parts))
 	rows := make([][]Row, len(s.parts))
-	turns := make(chan struct{}, readsAtOnce)
+	turns := make(chan struct{}, repeatsAtOnce)
 	var wg sync.WaitGroup
 	for i, part := range s.parts {
 		wg.Go(func() { rows[i], pages[i] = s.listPart(ctx, part, turns) })
@@ -96,17 +96,15 @@
 // no other part: on a narrow link, or while the store loses calls, a read of all
 // parts together might never succeed.
 func (s source) listPart(ctx context.Context, part string, turns chan struct{}) ([]Row, Page) {
-	for ctx.Err() == nil {
-		turns <- struct{}{}
-		rows, page, err := listAll(ctx, s.store, s.table, part)
-		<-turns
-		if err == nil {
-			return rows, page
-		}
+	rows, page, err := listAll(ctx, s.store, s.table, part)
+	for err != nil && ctx.Err() == nil {
 		s.failed(err)
 		s.sleep(ctx, readPause+s.jitter())
+		turns <- struct{}{}
+		rows, page, err = listAll(ctx, s.store, s.table, part)
+		<-turns
 	}
-	return nil, Page{}
+	return rows, page
 }
 
 // watch follows the table from a version until ctx ends. When the history is gone
--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -229,7 +229,8 @@
 	tk.attempt = max(tk.attempt, s.Attempt)
 	tk.runs = append(tk.runs, r)
 	j.started = true
-	t.log.WithFields(logrus.Fields{"decision": "adopt", "task": s.Task, "attempt": s.Attempt, "worker": w.info.Worker, "percent": s.Percent}).Info("run adopted")
+	t.log.WithFields(logrus.Fields{"decision": "adopt", "task": s.Task, "attempt": s.Attempt, "worker": w.info.Worker, "percent": s.Percent}).Log(t.detail(), "run adopted")
+	t.adopted++
 	if len(tk.runs) > 1 && !r.step.Speculative {
 		t.log.WithField("task", s.Task).Error("two runs of one task")
 	}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -12,7 +12,7 @@
 	accepted, starts, refusals, looks, silent, unreadable prometheus.Counter
 	paces                                                 prometheus.Counter
 	stops, ends, commits, readErrors, requests, terms     *prometheus.CounterVec
-	commitSeconds                                         prometheus.Observer
+	commitSeconds, recoverySeconds                        prometheus.Observer
 	requestSeconds                                        *prometheus.HistogramVec
 	configuration                                         prometheus.Gauge
 }
@@ -22,23 +22,24 @@
 		return m.Counter("fleet", name, help).WithLabelValues()
 	}
 	return &metrics{
-		leading:       m.Gauge("fleet", "leading", "1 while this node leads.").WithLabelValues(),
-		waiting:       m.Gauge("fleet", "waiting_steps", "Steps with tasks that wait for a worker.").WithLabelValues(),
-		configuration: m.Gauge("fleet", "configuration_version", "Version of the configuration in force on this node.").WithLabelValues(),
-		accepted:      counter("jobs_total", "Jobs that the leader has taken up."),
-		starts:        counter("starts_total", "Starts sent to workers."),
-		refusals:      counter("refusals_total", "Starts that workers refused."),
-		looks:         counter("looks_total", "Reports asked of workers."),
-		silent:        counter("unanswered_total", "Calls to workers without an answer."),
-		unreadable:    counter("unreadable_entries_total", "Entries of the list of workers that could not be read."),
-		paces:         counter("paces_total", "Orders that set the pace of a filler."),
-		stops:         m.Counter("fleet", "stops_total", "Stops by reason.", "reason"),
-		ends:          m.Counter("fleet", "ends_total", "Ends of runs by kind.", "how"),
-		commits:       m.Counter("fleet", "transactions_total", "Tries of the leader's transactions by result.", "result"),
-		readErrors:    m.Counter("fleet", "read_errors_total", "Failed reads of the store by kind.", "kind"),
-		requests:      m.Counter("fleet", "requests_total", "Requests of callers by kind and result.", "request", "result"),
-		terms:         m.Counter("fleet", "campaigns_total", "Tries to take the lead by result.", "result"),
-		commitSeconds: m.Histogram("fleet", "transaction_seconds", "Time from the begin of a transaction to its result.", telemetry.LatencyBuckets).WithLabelValues(),
+		leading:         m.Gauge("fleet", "leading", "1 while this node leads.").WithLabelValues(),
+		waiting:         m.Gauge("fleet", "waiting_steps", "Steps with tasks that wait for a worker.").WithLabelValues(),
+		configuration:   m.Gauge("fleet", "configuration_version", "Version of the configuration in force on this node.").WithLabelValues(),
+		accepted:        counter("jobs_total", "Jobs that the leader has taken up."),
+		starts:          counter("starts_total", "Starts sent to workers."),
+		refusals:        counter("refusals_total", "Starts that workers refused."),
+		looks:           counter("looks_total", "Reports asked of workers."),
+		silent:          counter("unanswered_total", "Calls to workers without an answer."),
+		unreadable:      counter("unreadable_entries_total", "Entries of the list of workers that could not be read."),
+		paces:           counter("paces_total", "Orders that set the pace of a filler."),
+		stops:           m.Counter("fleet", "stops_total", "Stops by reason.", "reason"),
+		ends:            m.Counter("fleet", "ends_total", "Ends of runs by kind.", "how"),
+		commits:         m.Counter("fleet", "transactions_total", "Tries of the leader's transactions by result.", "result"),
+		readErrors:      m.Counter("fleet", "read_errors_total", "Failed reads of the store by kind.", "kind"),
+		requests:        m.Counter("fleet", "requests_total", "Requests of callers by kind and result.", "request", "result"),
+		terms:           m.Counter("fleet", "campaigns_total", "Tries to take the lead by result.", "result"),
+		commitSeconds:   m.Histogram("fleet", "transaction_seconds", "Time from the begin of a transaction to its result.", telemetry.LatencyBuckets).WithLabelValues(),
+		recoverySeconds: m.Histogram("fleet", "recovery_seconds", "Time from the begin of a term until it knows all runs of earlier ones.", telemetry.LatencyBuckets).WithLabelValues(),
 		requestSeconds: m.Histogram("fleet", "request_seconds", "Time to answer a request of a caller.",
 			telemetry.LatencyBuckets, "request"),
 	}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -50,7 +50,16 @@
 	t.dirty = true
 	t.counters.accepted.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "order", "job": j.id, "queue": j.queue, "version": row.Version,
-		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps)}).Info("job is known")
+		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps)}).Log(t.jobDetail(j), "job is known")
+}
+
+// jobDetail is the level of lines about a job that is new to the term: those that
+// earlier terms knew have lines in their logs.
+func (t *term) jobDetail(j *job) logrus.Level {
+	if j.inherited {
+		return logrus.DebugLevel
+	}
+	return logrus.InfoLevel
 }
 
 // progressRow applies the progress that an earlier term has stored.
@@ -141,7 +150,7 @@
 		t.workers[id] = newWorker(info)
 		t.dirty = true
 		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": id, "choice": "listed", "dc": info.DataCentre,
-			"address": info.Addr, "capacity": info.Capacity.String(), "labels": info.Labels}).Info("worker is known")
+			"address": info.Addr, "capacity": info.Capacity.String(), "labels": info.Labels}).Log(t.detail(), "worker is known")
 	case info.Born != 0 && w.info.Born != 0 && info.Born < w.info.Born:
 		return // an entry of an earlier life
 	case info.Born != w.info.Born && w.info.Born != 0 && info.Born != 0:
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -41,15 +41,19 @@
 	// retired tells why the term has ended.
 	retired atomic.Pointer[string]
 
-	now     time.Time
-	random  *rand.Rand
-	loaded  bool
-	jobs    map[string]*job
-	workers map[model.WorkerID]*worker
-	queues  map[string]Queue
-	setting *Configuration
-	out     map[model.DataCentre]bool
-	waves   map[int]*wave
+	now    time.Time
+	begun  time.Time
+	random *rand.Rand
+	// knowsAll is set when no worker can hold unseen runs of earlier terms.
+	knowsAll bool
+	adopted  int // runs taken over from earlier terms
+	loaded   bool
+	jobs     map[string]*job
+	workers  map[model.WorkerID]*worker
+	queues   map[string]Queue
+	setting  *Configuration
+	out      map[model.DataCentre]bool
+	waves    map[int]*wave
 
 	// formerAlive is when the former leader may have renewed last. It gives orders
 	// for orderLimit longer at most.
@@ -90,7 +94,7 @@
 	now := time.Now()
 	return &term{
 		cfg: cfg, log: log.WithField("term", number), number: number, ctx: ctx, cancel: cancel,
-		mail: make(chan event, mailboxSize), now: now, random: rand.New(rand.NewPCG(cfg.Seed, number)),
+		mail: make(chan event, mailboxSize), now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed, number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
@@ -261,14 +265,30 @@
 // settled reports whether every worker that may hold unseen runs of earlier terms
 // has answered or holds nothing any more.
 func (t *term) settled() bool {
+	if t.knowsAll {
+		return true
+	}
 	for _, w := range t.workers {
 		if w.inherited && !w.raised && !t.confirmed.After(w.deadBy) {
 			return false
 		}
 	}
+	t.knowsAll = true
+	took := t.now.Sub(t.begun)
+	t.counters.recoverySeconds.Observe(took.Seconds())
+	t.log.WithFields(logrus.Fields{"took_ms": took.Milliseconds(), "adopted": t.adopted}).Info("term knows all runs")
 	return true
 }
 
+// detail is the level of lines about single rows and runs: a new term takes over
+// hundreds at once, and a burst of lines crowds out the others.
+func (t *term) detail() logrus.Level {
+	if t.loaded && t.knowsAll {
+		return logrus.InfoLevel
+	}
+	return logrus.DebugLevel
+}
+
 // leaseMaximum bounds leases: long enough for a change of leader, short enough
 // that the work of a lost worker restarts soon.
 const leaseMaximum = 5 * time.Second
