Fault soak: real processes against the platform's stand-ins, seeded faults, promises checked

Checked while it runs and at the end: no task twice (workers' ledger), accepted jobs known everywhere, done and shown truly, refused ones never started, cancelled ones over, nothing left running, nodes stop within the grace.

--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -16,6 +16,7 @@
 	running map[fleet.TaskName]map[string]int // attempts by worker
 	noted   map[fleet.TaskName]bool           // ended done, and taken note of
 	latest  map[fleet.TaskName]time.Time      // when the last attempt began
+	done    map[string]map[fleet.TaskName]bool // tasks that ended done, by job
 	begun   time.Time
 	// Starts and Done count.
 	Starts, Done int
@@ -26,7 +27,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{running: map[fleet.TaskName]map[string]int{}, noted: map[fleet.TaskName]bool{}, latest: map[fleet.TaskName]time.Time{}, begun: time.Now(), cancelled: map[string]time.Time{}}
+	return &Ledger{running: map[fleet.TaskName]map[string]int{}, noted: map[fleet.TaskName]bool{}, latest: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, begun: time.Now(), cancelled: map[string]time.Time{}}
 }
 
 func (l *Ledger) breach(format string, args ...any) {
@@ -73,9 +74,16 @@
 	l.cancelled[job] = time.Now()
 }
 
-func (l *Ledger) ended(w *Worker, r fleet.RunRef, _ Task, _ fleet.EndKind) {
+func (l *Ledger) ended(w *Worker, r fleet.RunRef, _ Task, how fleet.EndKind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if how == fleet.EndDone {
+		job, _, _ := strings.Cut(string(r.Task), ".")
+		if l.done[job] == nil {
+			l.done[job] = map[fleet.TaskName]bool{}
+		}
+		l.done[job][r.Task] = true
+	}
 	delete(l.running[r.Task], string(w.Info.Worker))
 }
 
@@ -105,6 +113,25 @@
 	return l.Starts
 }
 
+// DoneTasks returns the number of tasks of a job that have ended done.
+func (l *Ledger) DoneTasks(job string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.done[job])
+}
+
+// Started reports whether any task of a job has started.
+func (l *Ledger) Started(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task := range l.latest {
+		if strings.HasPrefix(string(task), job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // Broken returns the promises that were broken.
 func (l *Ledger) Broken() []string {
 	l.mu.Lock()
--- a/internal/fleet/fleettest/ledger_test.go
+++ b/internal/fleet/fleettest/ledger_test.go
@@ -57,7 +57,7 @@
 		"acknowledged before":               {ackFirst: true, broken: 1},
 		"acknowledged later":                {broken: 1},
 		"lapsed before its acknowledgement": {lapse: true},
-		"speculative":                       {speculative: true},
+		"copies are allowed":                {speculative: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyMode is what a proxy does with the bytes of one direction.
+type proxyMode int
+
+const (
+	// passOn forwards.
+	passOn proxyMode = iota
+	// holdBack keeps bytes until the mode changes, as TCP does over a lost link.
+	holdBack
+	// slowDown delays each read by slowLink.
+	slowDown
+)
+
+// slowLink is the delay of each packet on a slow link, as between continents.
+const slowLink = 80 * time.Millisecond
+
+// proxy forwards connections to a target and can impair each direction.
+type proxy struct {
+	ln     net.Listener
+	target string
+
+	mu       sync.Mutex
+	requests proxyMode
+	answers  proxyMode
+	changed  chan struct{}
+	conns    map[net.Conn]bool
+	closed   bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+// set changes what happens to requests and to answers.
+func (p *proxy) set(requests, answers proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests, p.answers = requests, answers
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// reset breaks all connections off.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // the close then sends a reset
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.ln.Close()
+	p.reset()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.closed = true
+		close(p.changed)
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+// track registers a connection and reports whether the proxy is open.
+func (p *proxy) track(c net.Conn, open bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[c] = true
+	} else {
+		delete(p.conns, c)
+		_ = c.Close()
+	}
+	return !p.closed
+}
+
+func (p *proxy) serve(client net.Conn) {
+	defer p.track(client, false)
+	if !p.track(client, true) {
+		return
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer p.track(server, false)
+	if !p.track(server, true) {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { p.carry(server, client, func() proxyMode { return p.requests }) })
+	wg.Go(func() { p.carry(client, server, func() proxyMode { return p.answers }) })
+	wg.Wait()
+}
+
+// carry copies one direction until it ends.
+func (p *proxy) carry(to, from net.Conn, mode func() proxyMode) {
+	defer func() {
+		if t, ok := to.(*net.TCPConn); ok {
+			_ = t.CloseWrite()
+		}
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if !p.gate(mode) {
+			return
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// gate returns when data may pass, and false when the proxy is closed.
+func (p *proxy) gate(mode func() proxyMode) bool {
+	for {
+		p.mu.Lock()
+		m, changed, closed := mode(), p.changed, p.closed
+		p.mu.Unlock()
+		switch {
+		case closed:
+			return false
+		case m == passOn:
+			return true
+		case m == slowDown:
+			time.Sleep(slowLink)
+			return true
+		}
+		<-changed
+	}
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,293 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/platform"
+	"github.com/vanillapier/vanillapier/platform/platformtest"
+)
+
+const (
+	service = model.ServiceName("svc")
+	// host and prefix are the route of all jobs.
+	host   = "shop.example"
+	prefix = "/q/"
+	// attempts is the budget of failed attempts: more than the faults can use up.
+	attempts = 50
+	// leaseMax is the longest lease that workers grant, as on the first site.
+	leaseMax = 6 * time.Second
+	// grace is the time from SIGTERM to the end of a process.
+	grace = 6 * time.Second
+	zones = 3
+)
+
+// site is the platform's side and the processes of one run.
+type site struct {
+	binary, dir string
+	rows        *fleettest.Store
+	view        *fleettest.View
+	store       *platformtest.Store
+	ledger      *fleettest.Ledger
+	fleet       *fleettest.Workers
+	nodes       []*node
+	workers     []*worker
+	restarts    sync.WaitGroup
+	version     int
+	born        int64
+}
+
+// node is one vpierd with its own link to the store.
+type node struct {
+	name     string
+	settings string
+	callers  string
+	link     *proxy
+	log      *os.File
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the process has ended
+}
+
+// worker is a runner behind a proxy.
+type worker struct {
+	id     string
+	zone   string
+	runner *platformtest.Runner
+	life   *fleettest.Worker
+	link   *proxy
+}
+
+// behaviour gives each task a time between 0.2 and 0.9 s that its name decides.
+func behaviour(name fleet.TaskName) fleettest.Task {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // never fails
+	work := 200*time.Millisecond + time.Duration(h.Sum32()%700)*time.Millisecond
+	return fleettest.Task{Work: work, Needs: model.Resources{MilliCPU: taskCPU, MemoryMB: taskMemory}, Checkpoint: true}
+}
+
+func newSite(o Options, dir string) (*site, error) {
+	s := &site{binary: o.Binary, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewLedger(), born: 1000}
+	s.view = s.rows.View()
+	s.store = platformtest.NewStore(s.view)
+	s.fleet = fleettest.NewWorkers(o.Seed, behaviour, s.ledger)
+	s.configure()
+	for i := range o.Workers {
+		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i)}
+		s.workers = append(s.workers, w)
+		if err := s.addLife(w); err != nil {
+			return s, err
+		}
+	}
+	for i := range o.Nodes {
+		n, err := s.newNode(i)
+		if err != nil {
+			return s, err
+		}
+		s.nodes = append(s.nodes, n)
+		if err := s.start(n); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func zone(i int) string { return fmt.Sprintf("z%d", i%zones) }
+
+// configure puts a new version of the configuration in force.
+func (s *site) configure() {
+	s.version++
+	text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","host":%q,"path_prefix":%q,"kind":"unsafe","timeout_ms":3000,"slo_ms":500,
+"priority":0,"service":%q,"max_attempts":%d,"stretch":2}],"services":[{"name":%q,"admission_control":true,"spare":false}],
+"limits":{"max_body_bytes":65536}}`, s.version, host, prefix, service, attempts, service)
+	s.rows.Put("op", "", "config", []byte(text))
+}
+
+// takeOut takes a data centre out of service, or returns it.
+func (s *site) takeOut(target int, out bool) {
+	key := "evacuate/" + zone(target)
+	if out {
+		s.rows.Put("op", "", key, []byte("{}"))
+		return
+	}
+	s.rows.Delete("op", "", key)
+}
+
+// addLife starts a lifetime of a worker and lists it with the proxy's address.
+func (s *site) addLife(w *worker) error {
+	s.born++
+	info := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: model.WorkerID(w.id), Born: s.born}, Service: service,
+		DataCentre: model.DataCentre(w.zone), Capacity: model.Resources{MilliCPU: workerCPU, MemoryMB: workerMemory}, Labels: []string{"a", "r-" + w.zone}}
+	w.runner, w.life = platformtest.NewRunner(s.fleet, info)
+	link, err := newProxy(w.runner.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	if w.link != nil {
+		w.link.close()
+	}
+	w.link = link
+	var entry map[string]any
+	if err := json.Unmarshal(w.runner.Entry(), &entry); err != nil {
+		return err
+	}
+	entry["address"] = link.addr()
+	data, err := json.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	s.rows.Put("servers", "", w.id, data)
+	return nil
+}
+
+// endLife kills a worker's process, and the platform notices.
+func (s *site) endLife(w *worker) {
+	s.fleet.Kill(w.life)
+	w.link.close()
+	w.runner.CloseClientConnections()
+	s.rows.Delete("servers", "", w.id)
+}
+
+// freeAddrs returns loopback addresses with ports that are free now.
+func freeAddrs(n int) ([]string, error) {
+	var addrs []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = ln.Close() }() // held until all are chosen
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs, nil
+}
+
+func (s *site) newNode(i int) (*node, error) {
+	n := &node{name: fmt.Sprintf("node-%d", i)}
+	var err error
+	if n.link, err = newProxy(s.store.Addr()); err != nil {
+		return nil, err
+	}
+	addrs, err := freeAddrs(4)
+	if err != nil {
+		return nil, err
+	}
+	var ports []int
+	for _, a := range addrs[2:] {
+		ports = append(ports, portOf(a))
+	}
+	n.callers = addrs[0]
+	settings := map[string]any{
+		"node": n.name, "ip": "127.0.0.1", "zone": zone(i), "listen": map[string]string{"front": addrs[0], "ready": addrs[1]},
+		"port_range": []int{min(ports[0], ports[1]), max(ports[0], ports[1])},
+		"limits":     map[string]any{"cpu_share": []float64{0.4, 0.8}[i%2], "cores": 1, "memory_mb": 284},
+		"bounds": map[string]float64{"grace_s": grace.Seconds(), "hold_max_ms": float64(leaseMax.Milliseconds()), "status_s": 120,
+			"maintenance_s": 2},
+		"platform": map[string]any{"address": n.link.addr(), "row_bytes": 65536},
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	n.settings = filepath.Join(s.dir, n.name+".json")
+	if err := os.WriteFile(n.settings, data, 0o600); err != nil {
+		return nil, err
+	}
+	n.log, err = os.Create(filepath.Join(s.dir, n.name+".log"))
+	return n, err
+}
+
+func portOf(addr string) int {
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	return a.Port
+}
+
+// start runs the node's process unless it runs already.
+func (s *site) start(n *node) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.done != nil {
+		select {
+		case <-n.done:
+		default:
+			return nil
+		}
+	}
+	cmd := exec.Command(s.binary)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+n.settings)
+	cmd.Stdout, cmd.Stderr = n.log, n.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	n.cmd, n.done = cmd, done
+	go func() {
+		_ = cmd.Wait() // the state tells how it ended
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal to the node's process, if it runs, and returns the channel
+// that is closed at its end.
+func (n *node) signal(sig syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	select {
+	case <-n.done:
+	default:
+		_ = n.cmd.Process.Signal(sig) // it may have ended just now
+	}
+	return n.done
+}
+
+// ended returns a channel that is closed when the current process has ended.
+func (n *node) ended() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.done
+}
+
+// exitCode returns the exit code of an ended process; -1 after a signal.
+func (n *node) exitCode() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cmd.ProcessState.ExitCode()
+}
+
+// close ends everything that the run started.
+func (s *site) close() {
+	for _, n := range s.nodes {
+		if n.done != nil {
+			<-n.signal(syscall.SIGKILL)
+		}
+		n.link.close()
+		_ = n.log.Close()
+	}
+	for _, w := range s.workers {
+		if w.link != nil {
+			w.link.close()
+		}
+		if w.runner != nil {
+			w.runner.CloseClientConnections()
+			_ = w.runner.Config.Close()
+		}
+	}
+	s.store.CloseClientConnections()
+	_ = s.store.Config.Close()
+}
