--- a/cmd/vpier/main.go
+++ b/cmd/vpier/main.go
@@ -18,7 +18,7 @@
 	defer stop()
 	program := &operator.Program{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
-		Version: version, Environ: os.Environ(), Dev: runDev, Replay: runReplay,
+		Version: version, Environ: os.Environ(), Dev: runDev, Replay: runReplay, Soak: runSoak,
 	}
 	code := program.Run(ctx, os.Args[1:])
 	stop()
--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -13,9 +13,9 @@
 // are called with the fleet's lock held.
 type Ledger struct {
 	mu      sync.Mutex
-	running map[fleet.TaskName]map[string]int // attempts by worker
-	noted   map[fleet.TaskName]bool           // ended done, and taken note of
-	latest  map[fleet.TaskName]time.Time      // when the last attempt began
+	running map[fleet.TaskName]map[string]int  // attempts by worker
+	noted   map[fleet.TaskName]bool            // ended done, and taken note of
+	latest  map[fleet.TaskName]time.Time       // when the last attempt began
 	done    map[string]map[fleet.TaskName]bool // tasks that ended done, by job
 	begun   time.Time
 	// Starts and Done count.
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -61,6 +61,7 @@
 	Cancel       *cancelArgs       `arg:"subcommand:cancel" help:"cancel a batch job"`
 	Replay       *replayArgs       `arg:"subcommand:replay" help:"replay a trace under several configurations"`
 	Dev          *devArgs          `arg:"subcommand:dev" help:"run the system and its stand-ins in one process"`
+	Soak         *soakArgs         `arg:"subcommand:soak" help:"run nodes against stand-ins under seeded faults and check the promises"`
 	TraceSummary *traceSummaryArgs `arg:"subcommand:trace-summary" help:"summarise decision log lines"`
 	Trace        *traceArgs        `arg:"subcommand:trace" help:"turn decision log lines into a trace for replay"`
 	Completion   *completionArgs   `arg:"subcommand:completion" help:"print a shell completion script"`
@@ -178,6 +179,18 @@
 	LogFile    string        `arg:"--log-file,env:LOG_FILE" placeholder:"FILE" help:"file for the nodes' log lines; dropped when absent"`
 }
 
+type soakArgs struct {
+	Seed    uint64        `arg:"--seed,env:SEED" default:"1" placeholder:"NUMBER" help:"first seed"`
+	Seeds   int           `arg:"--seeds,env:SOAK_SEEDS" default:"1" placeholder:"COUNT" help:"number of seeds, one after the other"`
+	Nodes   int           `arg:"--nodes,env:SOAK_NODES" default:"4" placeholder:"COUNT" help:"number of nodes, 1 to 32"`
+	Workers int           `arg:"--workers,env:SOAK_WORKERS" default:"6" placeholder:"COUNT" help:"number of workers, 1 to 100"`
+	Length  time.Duration `arg:"--length,env:SOAK_LENGTH" default:"14s" placeholder:"DURATION" help:"time during which faults begin, from 5s to 1h"`
+	Prefix  int           `arg:"--prefix,env:SOAK_PREFIX" default:"0" placeholder:"COUNT" help:"play only the first faults of the schedule, to shrink one that breaks a promise; 0 plays all"`
+	Binary  string        `arg:"--binary,env:SOAK_BINARY" default:"bin/vpierd" placeholder:"FILE" help:"program of the nodes"`
+	Logs    string        `arg:"--logs,env:SOAK_LOGS" placeholder:"FOLDER" help:"existing folder for the nodes' logs; dropped when absent"`
+	HTML    string        `arg:"--html,env:SOAK_HTML" placeholder:"FILE" help:"page with a timeline of faults and broken promises"`
+}
+
 type traceSummaryArgs struct {
 	File string `arg:"positional,required" placeholder:"FILE" help:"log of a node, one JSON object on each line, or - for standard input"`
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -57,6 +57,28 @@
 // and the table of requirements to the writer.
 type DevFunc func(ctx context.Context, args DevArgs, out io.Writer) error
 
+// SoakArgs are the arguments of vpier soak.
+type SoakArgs struct {
+	// Seed is the first of Seeds seeds.
+	Seed  uint64
+	Seeds int
+	// Nodes and Workers are the sizes of the site.
+	Nodes, Workers int
+	// Length is the time during which faults begin.
+	Length time.Duration
+	// Prefix keeps the first faults of a schedule; 0 keeps all.
+	Prefix int
+	// Binary is the path of vpierd, Logs a folder for the nodes' logs or empty.
+	Binary, Logs string
+	// HTMLFile is the path of the page; none when empty.
+	HTMLFile string
+	// Output is text or json.
+	Output string
+}
+
+// SoakFunc runs vpier soak. Failed errors mean that a promise was broken.
+type SoakFunc func(ctx context.Context, args SoakArgs, out io.Writer) error
+
 // Program is one run of vpier. Stdout, Stderr and Stdin are required.
 type Program struct {
 	Stdin  io.Reader
@@ -67,10 +89,11 @@
 	// Environ lists the environment as NAME=VALUE. The values are read from the
 	// process's environment; the list serves to find misspelled names.
 	Environ []string
-	// Replay and Dev run the commands of the same name; nil when the build
+	// Replay, Dev and Soak run the commands of the same name; nil when the build
 	// lacks them.
 	Replay ReplayFunc
 	Dev    DevFunc
+	Soak   SoakFunc
 
 	// pollInterval is the pause between two looks of a waiting command.
 	pollInterval time.Duration
@@ -124,6 +147,8 @@
 		return p.replay(ctx, a.Replay)
 	case a.Dev != nil:
 		return p.dev(ctx, a.Dev)
+	case a.Soak != nil:
+		return p.soak(ctx, a.Soak)
 	case a.Diff != nil:
 		return p.diff(ctx, a.Diff)
 	}
@@ -174,6 +199,35 @@
 	return p.Replay(ctx, ReplayArgs{Trace: a.Trace, Configs: a.Configs, Seed: a.Seed, Output: string(p.args.Output), HTMLFile: a.HTML}, p.Stdout)
 }
 
+// Limits of vpier soak: a shared machine bears a few dozen processes.
+const (
+	maxSoakNodes   = 32
+	maxSoakWorkers = 100
+	minSoakLength  = 5 * time.Second
+	maxSoakLength  = time.Hour
+)
+
+// soak runs vpier soak.
+func (p *Program) soak(ctx context.Context, a *soakArgs) error {
+	switch {
+	case p.Soak == nil:
+		return model.Errorf(model.KindInvalid, "use a complete build of vpier", "this build has no soak")
+	case a.Nodes < 1 || a.Nodes > maxSoakNodes:
+		return model.Errorf(model.KindInvalid, "give --nodes from 1 to 32", "%d nodes", a.Nodes)
+	case a.Workers < 1 || a.Workers > maxSoakWorkers:
+		return model.Errorf(model.KindInvalid, "give --workers from 1 to 100", "%d workers", a.Workers)
+	case a.Length < minSoakLength || a.Length > maxSoakLength:
+		return model.Errorf(model.KindInvalid, "give --length from 5s to 1h", "--length %s", a.Length)
+	case a.Seeds < 1 || a.Prefix < 0:
+		return model.Errorf(model.KindInvalid, "give --seeds of 1 or more and --prefix of 0 or more", "%d seeds, prefix %d", a.Seeds, a.Prefix)
+	}
+	if err := checkReadable(a.Binary); err != nil {
+		return err
+	}
+	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Length: a.Length, Prefix: a.Prefix,
+		Binary: a.Binary, Logs: a.Logs, HTMLFile: a.HTML, Output: string(p.args.Output)}, p.Stdout)
+}
+
 // dev runs vpier dev.
 func (p *Program) dev(ctx context.Context, a *devArgs) error {
 	if p.Dev == nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -95,6 +95,7 @@
 		{"wait runs out", []string{"status", "--wait", "--sequence", "99", "--wait-timeout", "20ms"}, 1, "0 of 2 nodes run sequence 99"},
 		{"no replay", []string{"replay", changed, "--config", changed}, 2, "no replay"},
 		{"no dev", []string{"dev"}, 2, "no dev mode"},
+		{"no soak", []string{"soak"}, 2, "no soak"},
 		{"unknown shell", []string{"completion", "fish"}, 2, "bash or zsh"},
 		{"summary of no log", []string{"trace-summary", changed}, 2, "no decision lines"},
 	}
@@ -304,6 +305,25 @@
 	assert.Contains(t, script, "drain) words=\"--reason --request-id")
 }
 
+// Guards against a soak that starts with settings which it cannot keep.
+func TestSoakArguments(t *testing.T) {
+	r := newRig(t)
+	file := r.file("vpierd", "x")
+	var got SoakArgs
+	var out strings.Builder
+	p := &Program{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out}
+	p.Soak = func(_ context.Context, a SoakArgs, _ io.Writer) error { got = a; return nil }
+	ctx := context.Background()
+	assert.Equal(t, ExitOK, p.Run(ctx, []string{"soak", "--binary", file, "--seed", "5", "--seeds", "2", "--prefix", "3", "--length", "20s", "--html", "x.html"}))
+	assert.Equal(t, SoakArgs{Seed: 5, Seeds: 2, Nodes: 4, Workers: 6, Length: 20 * time.Second, Prefix: 3, Binary: file, HTMLFile: "x.html", Output: "text"}, got)
+	for _, bad := range [][]string{{"--nodes", "0"}, {"--nodes", "33"}, {"--workers", "101"}, {"--length", "1s"}, {"--length", "2h"},
+		{"--seeds", "0"}, {"--prefix", "-1"}, {"--binary", file + ".none"}} {
+		out.Reset()
+		assert.Equal(t, ExitUsage, p.Run(ctx, append([]string{"soak", "--binary", file}, bad...)), "%v", bad)
+		assert.Contains(t, out.String(), "(remedy: ", "%v", bad)
+	}
+}
+
 // Guards against a summary that counts other lines as decisions.
 func TestTraceSummary(t *testing.T) {
 	log := `{"decision":"route","reason":"least","choice":"r1","candidates":2,"msg":"decision","node":"n1","time":"2026-01-01T00:00:00Z"}
