Soak: hung runs stay hung, nodes have addresses of their own, proxies may end first

A run that began on a hanging worker got no end, but reported progress up to 100% once the worker hung no more, and so was never taken for hung. It now reports none. Nodes now listen on addresses from which nothing connects, and the breach quotes the last warning of the node's log.

--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -84,6 +84,8 @@
 	timer *time.Timer
 	stop  bool
 	pace  int
+	// hung runs make no progress; only a stop or the end of the lease ends them.
+	hung bool
 }
 
 // Add starts a worker.
@@ -265,7 +267,10 @@
 
 // arm sets the timer that ends a run by itself; the lock is held.
 func (w *Worker) arm(k *work) {
-	if k.task.Lasting || (w.Hang && !w.Fail) {
+	if k.task.Lasting {
+		return
+	}
+	if k.hung = w.Hang && !w.Fail; k.hung {
 		return
 	}
 	fails := w.Fail || k.ref.Attempt <= k.task.Fails
@@ -316,7 +321,7 @@
 		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
 		if !k.task.Lasting && k.task.Work > 0 {
 			s.Percent = min(int(100*(k.done+time.Since(k.begun))/k.task.Work), 100)
-			if w.Hang || (k.task.Filler && k.pace == 0) {
+			if w.Hang || k.hung || (k.task.Filler && k.pace == 0) {
 				s.Percent, s.Reading = 0, 0
 			}
 		}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -239,13 +239,14 @@
 	for _, j := range jobs {
 		for !j.Accepted.IsZero() && j.Final == "" {
 			state := c.ask(c.pick(), j)
+			if j.Final != "" {
+				break
+			}
 			if time.Now().After(deadline) {
 				c.breach("LOST: accepted job %s is %q %v after the faults", j.ID, state, limit)
 				break
 			}
-			if j.Final == "" {
-				time.Sleep(50 * time.Millisecond)
-			}
+			time.Sleep(50 * time.Millisecond)
 		}
 		if j.Refused && c.site.ledger.Started(j.ID) {
 			c.breach("REFUSED: job %s started though every try was refused", j.ID)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -50,6 +50,9 @@
 func (p *proxy) set(requests, answers proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
 	p.requests, p.answers = requests, answers
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -124,7 +124,7 @@
 		select {
 		case <-n.ended():
 			if code := n.exitCode(); code != 0 {
-				c.breach("%s ended with code %d after SIGTERM", n.name, code)
+				c.breach("%s ended with code %d: %s", n.name, code, n.lastWords())
 			}
 		case <-deadline:
 			c.breach("%s has not stopped within %v", n.name, grace)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -8,7 +8,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,6 +47,7 @@
 	nodes       []*node
 	workers     []*worker
 	restarts    sync.WaitGroup
+	number      int64 // of this run in the process
 	version     int
 	born        int64
 }
@@ -79,7 +83,7 @@
 }
 
 func newSite(o Options, dir string) (*site, error) {
-	s := &site{binary: o.Binary, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewLedger(), born: 1000}
+	s := &site{binary: o.Binary, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewLedger(), number: sites.Add(1), born: 1000}
 	s.view = s.rows.View()
 	s.store = platformtest.NewStore(s.view)
 	s.fleet = fleettest.NewWorkers(o.Seed, behaviour, s.ledger)
@@ -160,18 +164,21 @@
 	s.rows.Delete("servers", "", w.id)
 }
 
-// freeAddrs returns loopback addresses with ports that are free now.
-func freeAddrs(n int) ([]string, error) {
-	var addrs []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = ln.Close() }() // held until all are chosen
-		addrs = append(addrs, ln.Addr().String())
-	}
-	return addrs, nil
+// sites counts the runs of this process.
+var sites atomic.Int64
+
+// Ports of a node, on an address of its own.
+const (
+	portCallers = 7000 + iota
+	portReady
+	portPeers
+	portMetrics
+)
+
+// nodeIP returns a loopback address that no other run uses. Ports of 127.0.0.1 would
+// not do: while a node is down, an outgoing connection may take its port.
+func nodeIP(site int64, node int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, site%250, node+1)
 }
 
 func (s *site) newNode(i int) (*node, error) {
@@ -180,18 +187,12 @@
 	if n.link, err = newProxy(s.store.Addr()); err != nil {
 		return nil, err
 	}
-	addrs, err := freeAddrs(4)
-	if err != nil {
-		return nil, err
-	}
-	var ports []int
-	for _, a := range addrs[2:] {
-		ports = append(ports, portOf(a))
-	}
-	n.callers = addrs[0]
+	ip := nodeIP(s.number, i)
+	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+	n.callers = at(portCallers)
 	settings := map[string]any{
-		"node": n.name, "ip": "127.0.0.1", "zone": zone(i), "listen": map[string]string{"front": addrs[0], "ready": addrs[1]},
-		"port_range": []int{min(ports[0], ports[1]), max(ports[0], ports[1])},
+		"node": n.name, "ip": ip, "zone": zone(i), "listen": map[string]string{"front": at(portCallers), "ready": at(portReady)},
+		"port_range": []int{portPeers, portMetrics},
 		"limits":     map[string]any{"cpu_share": []float64{0.4, 0.8}[i%2], "cores": 1, "memory_mb": 284},
 		"bounds": map[string]float64{"grace_s": grace.Seconds(), "hold_max_ms": float64(leaseMax.Milliseconds()), "status_s": 120,
 			"maintenance_s": 2},
@@ -209,14 +210,6 @@
 	return n, err
 }
 
-func portOf(addr string) int {
-	a, err := net.ResolveTCPAddr("tcp", addr)
-	if err != nil {
-		return 0
-	}
-	return a.Port
-}
-
 // start runs the node's process unless it runs already.
 func (s *site) start(n *node) error {
 	n.mu.Lock()
@@ -270,6 +263,22 @@
 	return n.cmd.ProcessState.ExitCode()
 }
 
+// lastWords returns the last line of the node's log that is a warning or worse, or
+// that is no log line, as a panic's.
+func (n *node) lastWords() string {
+	data, err := os.ReadFile(n.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		if !strings.Contains(lines[i], `"level":"info"`) {
+			return lines[i]
+		}
+	}
+	return ""
+}
+
 // close ends everything that the run started.
 func (s *site) close() {
 	for _, n := range s.nodes {
