Tasks that make all their progress and do not end are started anew

Cause: a run at 100% was taken for a member of a gang that waits for the others, and never for hung; a job could stay 'running' for ever.

Change: only members of gangs are left alone at 100%. TestRunsThatNeverEnd fails without it (60 s).

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -312,6 +312,17 @@
 	})
 }
 
+// A task that has made all its progress must end; one that does not is started anew.
+func TestRunsThatNeverEnd(t *testing.T) {
+	run(t, 56, 3, 3, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.Workers.Set(func() { c.Fleet[0].Unending = true })
+		for i := range 3 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		waitAll(t, c, 3, 60*time.Second)
+	})
+}
+
 func TestClusterWithoutNoteOfDoneStartsNothingTwice(t *testing.T) {
 	run(t, 55, 3, 3, behaviour, func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), twoSteps())
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -64,8 +64,9 @@
 	dead    bool
 	expiry  *time.Timer
 
-	// Hang keeps tasks from progress, Fail makes all tasks fail.
-	Hang, Fail bool
+	// Hang keeps tasks from progress, Fail makes all tasks fail, Unending lets them
+	// make all their progress and not end.
+	Hang, Fail, Unending bool
 }
 
 // listedEnd is an end that the leader has not acknowledged yet.
@@ -270,7 +271,7 @@
 	if k.task.Lasting {
 		return
 	}
-	if k.hung = w.Hang && !w.Fail; k.hung {
+	if k.hung = w.Hang && !w.Fail; k.hung || w.Unending {
 		return
 	}
 	fails := w.Fail || k.ref.Attempt <= k.task.Fails
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -122,7 +122,7 @@
 		if r.percent < readyPercent && t.now.Sub(r.since) > startupTime && w.lookOK.Sub(r.moved) > stuckAfter {
 			t.hung(w, r)
 		}
-	case r.percent >= readyPercent:
+	case r.percent >= readyPercent && r.step.Gang:
 		// A member of a gang waits for the others to finish.
 	case r.step.Filler:
 		t.watchFiller(w, r)
