Advice that a worker refuses is asked for again; tests of tickets

Cause: tickets were kept for the time that the advisor had promised. When they ended before, each start was refused and repeated with the same ticket, 50 times a second, until that time; found by the first test of tickets (a job with a minute's promise was not done after 30 s).

Change: a refused ticket drops the step's advice, and the advisor is asked again after 300 ms. Tests: starts use tickets, one question a step; refused tickets; no start while the advisor is down.

--- /dev/null
+++ b/internal/fleet/fleettest/advisor.go
@@ -0,0 +1,82 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Advisor grants tickets for starts on some workers.
+type Advisor struct {
+	mu     sync.Mutex
+	issued map[string]time.Time // validity by ticket
+	number int
+	// Valid is how long tickets hold.
+	Valid time.Duration
+	// Excluded names workers that get no ticket.
+	Excluded map[model.WorkerID]bool
+	// Calls counts the questions.
+	Calls int
+	down  bool
+}
+
+// NewAdvisor returns an advisor whose tickets hold for valid.
+func NewAdvisor(valid time.Duration) *Advisor {
+	return &Advisor{issued: map[string]time.Time{}, Valid: valid, Excluded: map[model.WorkerID]bool{}}
+}
+
+// Down lets questions go without an answer, or answers them again.
+func (a *Advisor) Down(down bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.down = down
+}
+
+// Revoke ends the validity of all tickets before their time.
+func (a *Advisor) Revoke() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	clear(a.issued)
+}
+
+// Advise implements fleet.Advisor.
+func (a *Advisor) Advise(ctx context.Context, step string, workers []model.WorkerID) (fleet.Advice, error) {
+	if err := sleep(ctx, answerTime); err != nil {
+		return fleet.Advice{}, err
+	}
+	a.mu.Lock()
+	down := a.down
+	a.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return fleet.Advice{}, unknown(ErrUnreachable)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Calls++
+	answer := fleet.Advice{Tickets: map[model.WorkerID]string{}, Valid: a.Valid}
+	for _, w := range workers {
+		if a.Excluded[w] {
+			continue
+		}
+		a.number++
+		ticket := fmt.Sprintf("%s/%s/%d", step, w, a.number)
+		a.issued[ticket] = time.Now().Add(a.Valid)
+		answer.Tickets[w] = ticket
+	}
+	return answer, nil
+}
+
+// valid reports whether a start may use its ticket.
+func (a *Advisor) valid(w *Worker, o fleet.StartOrder) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	until, ok := a.issued[o.Ticket]
+	step := string(o.Task[:strings.LastIndex(string(o.Task), ".")])
+	return ok && time.Now().Before(until) && strings.HasPrefix(o.Ticket, step+"/"+string(w.Info.Worker)+"/")
+}
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -73,8 +73,10 @@
 	Queue   fleet.Queue
 	// Inventory is nil unless a test sets it before the nodes start.
 	Inventory *Inventory
-	seed      uint64
-	born      int64
+	// Advisor is nil unless a test sets it before the nodes start; see UseAdvisor.
+	Advisor *Advisor
+	seed    uint64
+	born    int64
 	// Log receives the nodes' logs; default discarded.
 	Log io.Writer
 }
@@ -116,6 +118,16 @@
 		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
 }
 
+// UseAdvisor makes starts of the queue need tickets. Nodes that run do not know the
+// advisor.
+func (c *Cluster) UseAdvisor(version uint64, a *Advisor) {
+	c.Advisor = a
+	c.Workers.Set(func() { c.Workers.Advisor = a })
+	c.Queue.Advised = true
+	c.write(TableOperator, keyConfig, fleet.Configuration{Version: version, Queues: []fleet.Queue{c.Queue},
+		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
+}
+
 // ConfigureEmpty writes a configuration without queues.
 func (c *Cluster) ConfigureEmpty(version uint64) {
 	c.write(TableOperator, keyConfig, fleet.Configuration{Version: version})
@@ -193,6 +205,9 @@
 	if c.Inventory != nil {
 		cfg.Inventory = c.Inventory
 	}
+	if c.Advisor != nil {
+		cfg.Advisor = c.Advisor
+	}
 	m.Node = fleet.NewNode(cfg)
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(context.Background())
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -38,6 +38,10 @@
 	// LateShare of the orders get no answer and are carried out one to four
 	// seconds later.
 	LateShare float64
+	// Advisor, when set, must have granted a ticket for each start.
+	Advisor *Advisor
+	// Refused counts starts without a valid ticket.
+	Refused int
 	// Disturb returns the tail of a serving task beside filler work, in
 	// milliseconds; nil means no disturbance.
 	Disturb func(service fleet.TaskName, fillers []fleet.TaskName) int
@@ -252,6 +256,10 @@
 	if o.Attempt <= w.highest[o.Task] {
 		return fleet.StartOld
 	}
+	if a := w.fleet.Advisor; a != nil && !a.valid(w, o) {
+		w.fleet.Refused++
+		return fleet.StartNoTicket
+	}
 	task := w.fleet.tasks(o.Task)
 	k := &work{ref: o.RunRef, task: task, begun: time.Now(), pace: 100}
 	if !w.used().Add(k.reserved()).Fits(w.Info.Capacity) {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -211,6 +211,20 @@
 	return nil
 }
 
+// dropTicket forgets the advice whose ticket a worker has refused, so that the
+// advisor is asked again; other workers may refuse the rest of it.
+func (t *term) dropTicket(r *run) {
+	o, _ := r.job.task(r.key)
+	if o == nil {
+		return
+	}
+	a := o.steps[r.key.step].advice
+	if a != nil && a.tickets[r.worker.info.Worker] == r.ticket {
+		a.tickets = nil
+		a.retry = t.now.Add(advicePause)
+	}
+}
+
 // adviceCandidates picks workers on which the step fits, at random.
 func (t *term) adviceCandidates(p *placement, w *want) []model.WorkerID {
 	var ids []model.WorkerID
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -40,7 +40,7 @@
 	step := &j.spec.Steps[key.step]
 	tk.attempt = attempt
 	r := &run{ref: RunRef{key.Name(j.id), attempt}, job: j, key: key, worker: w, step: step, reserved: step.Reserved(),
-		since: t.now, changed: t.now, moved: t.now, pace: 100, checkpoint: checkpoint}
+		since: t.now, changed: t.now, moved: t.now, pace: 100, checkpoint: checkpoint, ticket: ticket}
 	w.attach(r, t.now)
 	tk.runs = append(tk.runs, r)
 	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
@@ -145,6 +145,8 @@
 		t.probe(w)
 	case StartOtherLife:
 		t.otherLife(w)
+	case StartNoTicket:
+		t.dropTicket(r)
 	case StartInvalid:
 		if r.job != nil {
 			t.log.WithField("task", r.ref.Task).Error("worker cannot read the order")
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -53,6 +53,8 @@
 	moved      time.Time
 	reading    int
 	checkpoint string
+	// ticket is the advisor's, with which the start was sent.
+	ticket string
 	// above is since when a serving task is over its target; zero otherwise.
 	above time.Time
 	last  reading
