--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -50,7 +50,27 @@
 	t.dirty = true
 	t.counters.accepted.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "order", "job": j.id, "queue": j.queue, "version": row.Version,
-		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps)}).Log(t.jobDetail(j), "job is known")
+		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps), "shape": shapeOf(j.spec)}).Log(t.jobDetail(j), "job is known")
+}
+
+// stepLine describes a step in the line about a job, for traces made of logs.
+type stepLine struct {
+	Count    int   `json:"count"`
+	MilliCPU int64 `json:"milli_cpu"`
+	MemoryMB int64 `json:"memory_mb"`
+	Estimate int64 `json:"estimate_ms"`
+	After    []int `json:"after,omitempty"`
+	Gang     bool  `json:"gang,omitempty"`
+	Lasting  bool  `json:"lasting,omitempty"`
+	Filler   bool  `json:"filler,omitempty"`
+}
+
+func shapeOf(s Spec) []stepLine {
+	lines := make([]stepLine, len(s.Steps))
+	for i, st := range s.Steps {
+		lines[i] = stepLine{st.Count, st.Needs.MilliCPU, st.Needs.MemoryMB, st.Estimate.Milliseconds(), st.After, st.Gang, st.Lasting, st.Filler}
+	}
+	return lines
 }
 
 // jobDetail is the level of lines about a job that is new to the term: those that
@@ -150,7 +170,8 @@
 		t.workers[id] = newWorker(info)
 		t.dirty = true
 		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": id, "choice": "listed", "dc": info.DataCentre,
-			"address": info.Addr, "capacity": info.Capacity.String(), "labels": info.Labels}).Log(t.detail(), "worker is known")
+			"address": info.Addr, "milli_cpu": info.Capacity.MilliCPU, "memory_mb": info.Capacity.MemoryMB,
+			"accelerators": info.Capacity.Accelerators, "labels": info.Labels}).Log(t.detail(), "worker is known")
 	case info.Born != 0 && w.info.Born != 0 && info.Born < w.info.Born:
 		return // an entry of an earlier life
 	case info.Born != w.info.Born && w.info.Born != 0 && info.Born != 0:
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -197,7 +197,7 @@
 
 type traceArgs struct {
 	File       string  `arg:"positional,required" placeholder:"FILE" help:"logs of all nodes, in any order, or - for standard input"`
-	Deployment string  `arg:"--deployment,required,env:DEPLOYMENT" placeholder:"FILE" help:"declaration that was in force"`
+	Deployment string  `arg:"--deployment,env:DEPLOYMENT" placeholder:"FILE" help:"declaration that was in force; absent for logs of nodes on the platform"`
 	Out        string  `arg:"--out,required,env:TRACE_OUT" placeholder:"FILE" help:"file for the trace"`
 	Slope      float64 `arg:"--slope,env:TRACE_SLOPE" default:"0.05" placeholder:"NUMBER" help:"slowdown of a service by a batch class that uses a whole worker"`
 }
--- a/internal/operator/trace.go
+++ b/internal/operator/trace.go
@@ -26,31 +26,39 @@
 
 // trace runs vpier trace.
 func (p *Program) trace(a *traceArgs) error {
-	text, err := p.readInput(a.Deployment)
+	t, err := p.convertLog(a)
 	if err != nil {
 		return err
 	}
-	doc, err := declaration.Check(a.Deployment, text)
-	if err != nil {
+	if err := writeTrace(a.Out, t); err != nil {
 		return err
 	}
+	result := traceResult{File: a.Out, Events: len(t.Events), HorizonSeconds: float64(t.Header.Horizon)}
+	return p.print(result, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: %s over %s\n", a.Out, plural(result.Events, "event"), t.Header.Horizon.D())
+	})
+}
+
+// convertLog reads the log as that of nodes under a declaration, or on the platform.
+func (p *Program) convertLog(a *traceArgs) (*replay.Trace, error) {
+	o := logtrace.Options{Name: strings.TrimSuffix(filepath.Base(a.Out), filepath.Ext(a.Out)), Slope: a.Slope}
 	in, err := p.openInput(a.File)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer in.Close()
-	name := strings.TrimSuffix(filepath.Base(a.Out), filepath.Ext(a.Out))
-	t, err := logtrace.Convert(in, doc.Declaration, logtrace.Options{Name: name, Slope: a.Slope})
+	if a.Deployment == "" {
+		return logtrace.ConvertFleet(in, o)
+	}
+	text, err := p.readInput(a.Deployment)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if err := writeTrace(a.Out, t); err != nil {
-		return err
+	doc, err := declaration.Check(a.Deployment, text)
+	if err != nil {
+		return nil, err
 	}
-	result := traceResult{File: a.Out, Events: len(t.Events), HorizonSeconds: float64(t.Header.Horizon)}
-	return p.print(result, func(w io.Writer) {
-		fmt.Fprintf(w, "%s: %s over %s\n", a.Out, plural(result.Events, "event"), t.Header.Horizon.D())
-	})
+	return logtrace.Convert(in, doc.Declaration, o)
 }
 
 // writeTrace writes a trace: the header and one event on each line.
