vpier fleet: workers, waiting steps and why they wait, on a running deployment

Each node serves /fleet on its metrics address; the leader adds its view of workers and waiting steps, and of a job where one is named: its runs and what it waits for (a worker with room, a label, a ticket, workers that have not answered since the change of leader). vpier fleet asks the given nodes until one leads.

--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -120,7 +121,7 @@
 	p := &process{settings: s, path: path, log: log, node: node}
 	p.callers = &http.Server{Handler: platform.Callers{Intake: node}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	p.ready = &http.Server{Handler: platform.Ready(node.Ready), ReadHeaderTimeout: headerTimeout}
-	p.metrics = &http.Server{Handler: m.Handler(), ReadHeaderTimeout: headerTimeout}
+	p.metrics = &http.Server{Handler: operatorPages(node, m), ReadHeaderTimeout: headerTimeout}
 	for i, addr := range []string{s.Addresses.Callers, s.Addresses.Ready, s.Addresses.Metrics} {
 		if p.listeners[i], err = net.Listen("tcp", addr); err != nil {
 			return nil, fmt.Errorf("listen on %s: %w (remedy: free the address or change the settings)", addr, err)
@@ -129,6 +130,23 @@
 	return p, nil
 }
 
+// inspectTimeout bounds the question to the leader's loop.
+const inspectTimeout = time.Second
+
+// operatorPages serves metrics, and the node's view as JSON at /fleet, with that of
+// a job where ?job= names one.
+func operatorPages(node *fleet.Node, m *telemetry.Metrics) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", m.Handler())
+	mux.HandleFunc("GET /fleet", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), inspectTimeout)
+		defer cancel()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(node.Inspect(ctx, r.URL.Query().Get("job"))) // fails when the caller has gone
+	})
+	return mux
+}
+
 // run serves until SIGTERM, then drains.
 func (p *process) run() error {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/fleet/inspect.go
@@ -0,0 +1,256 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// NodeView is what a node tells operators of itself and, when it leads, of the fleet.
+type NodeView struct {
+	Node          model.NodeID     `json:"node"`
+	DataCentre    model.DataCentre `json:"dc"`
+	Ready         bool             `json:"ready"`
+	Draining      bool             `json:"draining"`
+	Configuration uint64           `json:"configuration"`
+	// Leader and Term are the newest that this node knows of.
+	Leader model.NodeID `json:"leader"`
+	Term   uint64       `json:"term"`
+	// Fleet is nil on nodes that do not lead.
+	Fleet *FleetView `json:"fleet,omitempty"`
+}
+
+// FleetView is the leader's view.
+type FleetView struct {
+	Jobs    map[State]int     `json:"jobs"`
+	Workers []WorkerView      `json:"workers"`
+	Out     []string          `json:"out,omitempty"` // data centres out of service
+	Waiting []WaitingStepView `json:"waiting"`
+	// WaitingSteps counts all of them; Waiting lists the first in order.
+	WaitingSteps int `json:"waiting_steps"`
+	// Job is the job that was asked for.
+	Job *JobView `json:"job,omitempty"`
+}
+
+// WorkerView is one worker.
+type WorkerView struct {
+	Worker     model.WorkerID   `json:"worker"`
+	DataCentre model.DataCentre `json:"dc"`
+	// State is usable, or why no run is sent there.
+	State   string `json:"state"`
+	Runs    int    `json:"runs"`
+	FreeCPU int64  `json:"free_cpu"`
+	FreeMB  int64  `json:"free_mb"`
+	// SilentMS is the time since its last answer.
+	SilentMS int64 `json:"silent_ms"`
+}
+
+// WaitingStepView is a step with tasks that wait.
+type WaitingStepView struct {
+	Job    string `json:"job"`
+	Queue  string `json:"queue"`
+	Step   int    `json:"step"`
+	Tasks  int    `json:"tasks"`
+	Waited int64  `json:"waited_ms"`
+	// Slack is the time until the step is late; negative when it is.
+	Slack  int64  `json:"slack_ms"`
+	Reason string `json:"reason"`
+}
+
+// JobView is one job with its runs.
+type JobView struct {
+	Job    string    `json:"job"`
+	Queue  string    `json:"queue"`
+	State  State     `json:"state"`
+	AgeMS  int64     `json:"age_ms"`
+	Reason string    `json:"reason"`
+	Runs   []RunView `json:"runs"`
+}
+
+// RunView is one run.
+type RunView struct {
+	Task    TaskName       `json:"task"`
+	Attempt int            `json:"attempt"`
+	Worker  model.WorkerID `json:"worker"`
+	State   string         `json:"state"`
+	Percent int            `json:"percent"`
+	AgeMS   int64          `json:"age_ms"`
+}
+
+// waitingShown bounds the listed steps; the counts cover all.
+const waitingShown = 50
+
+// Inspect describes the node. With a job it also describes that job, where this node
+// leads and knows it.
+func (n *Node) Inspect(ctx context.Context, job string) NodeView {
+	v := NodeView{Node: n.cfg.Node, DataCentre: n.cfg.DataCentre, Ready: n.Ready(), Draining: n.draining.Load()}
+	if view := n.view.Load(); view != nil {
+		v.Configuration = view.configuration.Version
+	}
+	if l := n.leader.Load(); l != nil {
+		v.Leader, v.Term = l.Node, l.Term
+	}
+	q := inspectQuery{job, make(chan *FleetView, 1)}
+	v.Fleet = queryTerm(ctx, n.term.Load(), q, q.reply)
+	return v
+}
+
+// inspectQuery asks the loop for its view.
+type inspectQuery struct {
+	job   string
+	reply chan *FleetView
+}
+
+func (q inspectQuery) handle(t *term) {
+	v := &FleetView{Jobs: map[State]int{}, Workers: t.workerViews()}
+	for _, j := range t.jobs {
+		v.Jobs[j.shown]++
+	}
+	for dc := range t.out {
+		v.Out = append(v.Out, string(dc))
+	}
+	slices.Sort(v.Out)
+	if t.loaded {
+		wants := t.collectWants()
+		sortWants(wants)
+		v.WaitingSteps = len(wants)
+		for _, w := range wants[:min(len(wants), waitingShown)] {
+			v.Waiting = append(v.Waiting, WaitingStepView{Job: w.job.id, Queue: w.queue.Name, Step: w.index, Tasks: len(w.tasks),
+				Waited: t.now.Sub(w.occ.steps[w.index].ready).Milliseconds(), Slack: w.slack.Milliseconds(), Reason: t.whyStepWaits(w)})
+		}
+	}
+	if j := t.jobs[q.job]; j != nil {
+		v.Job = t.jobView(j)
+	}
+	q.reply <- v
+}
+
+// workerState names why no run is sent to a worker; the conditions are those of
+// usable.
+func (t *term) workerState(w *worker) string {
+	switch {
+	case !w.listed:
+		return "not listed"
+	case w.info.Draining:
+		return "draining"
+	case t.out[w.info.DataCentre]:
+		return "data centre out"
+	case w.failures > 0:
+		return "no answer"
+	case !w.raised:
+		return "not asked yet"
+	case !w.durable:
+		return "not registered yet"
+	case w.health.resting(t.now):
+		return "resting"
+	case t.machines.closing[w.info.Worker]:
+		return "upkeep"
+	}
+	return "usable"
+}
+
+func (t *term) workerViews() []WorkerView {
+	views := make([]WorkerView, 0, len(t.workers))
+	for _, w := range t.workers {
+		free := w.free()
+		views = append(views, WorkerView{Worker: w.info.Worker, DataCentre: w.info.DataCentre, State: t.workerState(w), Runs: len(w.runs),
+			FreeCPU: free.MilliCPU, FreeMB: free.MemoryMB, SilentMS: t.now.Sub(w.clockAt).Milliseconds()})
+	}
+	slices.SortFunc(views, func(a, b WorkerView) int { return cmp.Compare(a.Worker, b.Worker) })
+	return views
+}
+
+// whyStepWaits tells what a waiting step lacks.
+func (t *term) whyStepWaits(w *want) string {
+	p := t.pool(w.queue.Service)
+	switch {
+	case !t.active():
+		return "the leader gives no orders now"
+	case len(p.workers) == 0:
+		return "no usable worker of service " + string(w.queue.Service)
+	case w.queue.Advised && (w.occ.steps[w.index].advice == nil || len(w.occ.steps[w.index].advice.tickets) == 0):
+		return "no ticket of the advisor yet"
+	}
+	room, labelled, bound := 0, 0, 0
+	on := stepWorkers(&w.occ.steps[w.index])
+	for _, x := range p.workers {
+		if !x.hasLabel(w.step.Label) {
+			continue
+		}
+		labelled++
+		if w.step.PerWorker > 0 && on[x] >= w.step.PerWorker {
+			continue
+		}
+		bound++
+		if w.step.Reserved().Fits(x.free()) {
+			room++
+		}
+	}
+	switch {
+	case labelled == 0:
+		return "no usable worker with label " + w.step.Label
+	case bound == 0:
+		return "each usable worker has as many tasks of the step as allowed"
+	case room == 0:
+		return "no usable worker with room"
+	case w.step.Gang:
+		return "no room for all members at once"
+	case w.step.Filler:
+		return "too little left over beside reserved work"
+	}
+	return "behind more urgent work"
+}
+
+// whyJobWaits tells why no step of a job is considered; empty when they are.
+func (t *term) whyJobWaits(j *job) string {
+	_, known := t.queues[j.queue]
+	switch {
+	case j.over() || j.shown.Final():
+		return "over"
+	case j.inherited && !t.settled():
+		return "workers that may hold its runs have not answered since the change of leader"
+	case !t.jobConfirmed(j):
+		return "its acceptance is not confirmed yet"
+	case !known:
+		return "no configuration has its queue"
+	case len(j.occurrences) == 0:
+		return "its time has not come"
+	}
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			if w := t.wantOf(j, o, i); w != nil {
+				return t.whyStepWaits(w)
+			}
+		}
+	}
+	return ""
+}
+
+// wantOf returns the waiting step i of an occurrence, or nil.
+func (t *term) wantOf(j *job, o *occurrence, i int) *want {
+	for _, w := range t.occurrenceWants(nil, j, o, t.queues[j.queue]) {
+		if w.index == i {
+			return w
+		}
+	}
+	return nil
+}
+
+var runStates = map[runState]string{runSent: "sent", runLive: "running", runDoubt: "in doubt", runStopping: "stopping"}
+
+func (t *term) jobView(j *job) *JobView {
+	v := &JobView{Job: j.id, Queue: j.queue, State: j.shown, AgeMS: t.now.Sub(j.arrived).Milliseconds(), Reason: t.whyJobWaits(j)}
+	for _, w := range t.workers {
+		for _, r := range w.runs {
+			if r.job == j {
+				v.Runs = append(v.Runs, RunView{Task: r.ref.Task, Attempt: r.ref.Attempt, Worker: w.info.Worker, State: runStates[r.state],
+					Percent: r.percent, AgeMS: max(t.now.Sub(r.since), time.Duration(0)).Milliseconds()})
+			}
+		}
+	}
+	slices.SortFunc(v.Runs, func(a, b RunView) int { return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Attempt, b.Attempt)) })
+	return v
+}
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -61,6 +61,7 @@
 	Cancel       *cancelArgs       `arg:"subcommand:cancel" help:"cancel a batch job"`
 	Replay       *replayArgs       `arg:"subcommand:replay" help:"replay a trace under several configurations"`
 	Dev          *devArgs          `arg:"subcommand:dev" help:"run the system and its stand-ins in one process"`
+	Fleet        *fleetArgs        `arg:"subcommand:fleet" help:"show workers and waiting work of a deployment on the platform"`
 	Soak         *soakArgs         `arg:"subcommand:soak" help:"run nodes against stand-ins under seeded faults and check the promises"`
 	TraceSummary *traceSummaryArgs `arg:"subcommand:trace-summary" help:"summarise decision log lines"`
 	Trace        *traceArgs        `arg:"subcommand:trace" help:"turn decision log lines into a trace for replay"`
@@ -179,6 +180,11 @@
 	LogFile    string        `arg:"--log-file,env:LOG_FILE" placeholder:"FILE" help:"file for the nodes' log lines; dropped when absent"`
 }
 
+type fleetArgs struct {
+	Metrics []string `arg:"--metrics,separate,required,env:FLEET_METRICS" placeholder:"IP:PORT" help:"metrics address of a node; repeat it to find the one that leads"`
+	Job     string   `arg:"--job,env:FLEET_JOB" placeholder:"ID" help:"also show this job, its runs and why it waits"`
+}
+
 type soakArgs struct {
 	Seed    uint64        `arg:"--seed,env:SEED" default:"1" placeholder:"NUMBER" help:"first seed"`
 	Seeds   int           `arg:"--seeds,env:SOAK_SEEDS" default:"1" placeholder:"COUNT" help:"number of seeds, one after the other"`
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,124 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sort"
+	"text/tabwriter"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// maxFleetView bounds the answer of a node, in bytes: some 2,000 workers.
+const maxFleetView = 4 << 20
+
+// fleet runs vpier fleet: it asks the nodes in turn until one that leads answers.
+func (p *Program) fleet(ctx context.Context, a *fleetArgs) error {
+	for _, addr := range a.Metrics {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return model.Wrap(model.KindInvalid, err, "write an address and a port such as 10.0.0.5:7661", "--metrics %q", addr)
+		}
+	}
+	var best *fleet.NodeView
+	var last error
+	for _, addr := range a.Metrics {
+		v, err := p.askFleet(ctx, addr, a.Job)
+		if err != nil {
+			last = err
+			continue
+		}
+		best = &v
+		if v.Fleet != nil {
+			break
+		}
+	}
+	switch {
+	case best == nil:
+		return last
+	case best.Fleet == nil:
+		return model.Errorf(model.KindUnavailable, fmt.Sprintf("add the metrics address of %s, or ask again", orUnknown(best.Leader)),
+			"node %s does not lead; it knows of term %d", best.Node, best.Term)
+	case a.Job != "" && best.Fleet.Job == nil:
+		return model.Errorf(model.KindNotFound, "check the id", "the leader %s knows no job %s", best.Node, a.Job)
+	}
+	return p.print(best, func(w io.Writer) { writeFleet(w, best) })
+}
+
+func orUnknown(n model.NodeID) string {
+	if n == "" {
+		return "the leader"
+	}
+	return string(n)
+}
+
+func (p *Program) askFleet(ctx context.Context, addr, job string) (v fleet.NodeView, err error) {
+	ctx, cancel := context.WithTimeout(ctx, p.args.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/fleet?job="+url.QueryEscape(job), nil)
+	if err != nil {
+		return v, model.Wrap(model.KindInvalid, err, "check the address", "--metrics %q", addr)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return v, model.Wrap(model.KindUnavailable, err, "check the address, or name another node", "node at %s did not answer", addr)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxFleetView)).Decode(&v); err != nil || resp.StatusCode != http.StatusOK {
+		return v, model.Errorf(model.KindUnavailable, "give the metrics address of a vpierd on the platform", "answer of %s (status %d) is no view of a node", addr, resp.StatusCode)
+	}
+	return v, nil
+}
+
+func writeFleet(out io.Writer, v *fleet.NodeView) {
+	fmt.Fprintf(out, "leader %s in %s, term %d, configuration %d\n", v.Node, v.DataCentre, v.Term, v.Configuration)
+	f := v.Fleet
+	states := map[string]int{}
+	for _, w := range f.Workers {
+		states[w.State]++
+	}
+	names := make([]string, 0, len(states))
+	for s := range states {
+		names = append(names, s)
+	}
+	sort.Strings(names)
+	for _, s := range names {
+		fmt.Fprintf(out, "workers %s: %d\n", s, states[s])
+	}
+	for _, s := range []fleet.State{fleet.StateQueued, fleet.StateRunning, fleet.StateCompleted, fleet.StateFailed, fleet.StateCancelled} {
+		if n := f.Jobs[s]; n > 0 {
+			fmt.Fprintf(out, "jobs %s: %d\n", s, n)
+		}
+	}
+	for _, dc := range f.Out {
+		fmt.Fprintf(out, "data centre %s is out of service\n", dc)
+	}
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer func() { _ = tw.Flush() }()
+	if f.Job != nil {
+		fmt.Fprintf(tw, "\njob %s of queue %s: %s, %d ms old", f.Job.Job, f.Job.Queue, f.Job.State, f.Job.AgeMS)
+		if f.Job.Reason != "" {
+			fmt.Fprintf(tw, "; %s", f.Job.Reason)
+		}
+		fmt.Fprintln(tw)
+		for _, r := range f.Job.Runs {
+			fmt.Fprintf(tw, "  %s\tattempt %d\t%s\t%s\t%d%%\t%d ms\n", r.Task, r.Attempt, r.Worker, r.State, r.Percent, r.AgeMS)
+		}
+	}
+	if f.WaitingSteps == 0 {
+		return
+	}
+	fmt.Fprintf(tw, "\n%s waiting", plural(f.WaitingSteps, "step"))
+	if f.WaitingSteps > len(f.Waiting) {
+		fmt.Fprintf(tw, ", the first %d", len(f.Waiting))
+	}
+	fmt.Fprintln(tw, ":")
+	for _, w := range f.Waiting {
+		fmt.Fprintf(tw, "  %s\tstep %d\t%s\twaited %d ms\tslack %d ms\t%s\n", w.Job, w.Step, plural(w.Tasks, "task"), w.Waited, w.Slack, w.Reason)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -147,6 +147,8 @@
 		return p.replay(ctx, a.Replay)
 	case a.Dev != nil:
 		return p.dev(ctx, a.Dev)
+	case a.Fleet != nil:
+		return p.fleet(ctx, a.Fleet)
 	case a.Soak != nil:
 		return p.soak(ctx, a.Soak)
 	case a.Diff != nil:
