--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -172,6 +172,38 @@
 	}
 }
 
+// A new leader takes seconds to read the store over a narrow link. What changes
+// meanwhile in the tables that it has read already must hold for its first starts.
+func TestChangesWhileLeaderReadsTheStore(t *testing.T) {
+	for seed := range uint64(8) {
+		run(t, 120+seed, 3, 2, long, func(t *testing.T, c *fleettest.Cluster) {
+			for _, m := range c.Nodes {
+				m.Store.Narrow(100 * time.Millisecond)
+			}
+			c.Kill(c.Leader())
+			for c.Leader() == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(2500 * time.Millisecond) // the table of workers has been read
+			c.Drain(c.Fleet[0])
+			time.Sleep(1200 * time.Millisecond)
+			for _, m := range c.Nodes {
+				m.Store.Narrow(0)
+				m.Store.Slow(300 * time.Millisecond) // a watch answers later than a transaction
+			}
+			submit(t, c, jobID(0), twoSteps())
+			for range 200 {
+				if c.Workers.Running(c.Fleet[0])+c.Workers.Running(c.Fleet[1]) == 4 {
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			require.Zero(t, c.Workers.Running(c.Fleet[0]), "no start on a worker that leaves")
+			require.Equal(t, 4, c.Workers.Running(c.Fleet[1]))
+		})
+	}
+}
+
 func TestStoreForgetsHistory(t *testing.T) {
 	run(t, 26, 3, 4, behaviour, func(t *testing.T, c *fleettest.Cluster) {
 		for i := range 8 {
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -324,7 +324,9 @@
 		page, changed, err := v.s.changes(table, after)
 		if err != nil || len(page.Rows) > 0 {
 			if _, slow := v.state(); slow > 0 {
-				time.Sleep(slow)
+				if err := sleep(ctx, slow); err != nil {
+					return fleet.Page{}, err
+				}
 			}
 			return page, err
 		}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -170,12 +170,42 @@
 	}
 }
 
-// load reads what the term starts from, then follows the changes.
+// changes holds back the changes of watched tables until the term has read all of
+// them. A table is watched from the moment that it was read: reading the others may
+// take seconds, and a start must not rest on what was true before.
+type changes struct {
+	t    *term
+	mu   sync.Mutex
+	held []event
+	open bool
+}
+
+// post hands a change to the loop, or holds it back.
+func (c *changes) post(e event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open {
+		c.t.post(e)
+		return
+	}
+	c.held = append(c.held, e)
+}
+
+// release hands the rows that were read to the loop, with the changes since.
+func (c *changes) release(e loadedEvent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.changes, c.held, c.open = c.held, nil, true
+	c.t.post(e)
+}
+
+// load reads what the term starts from, and follows the changes.
 func (t *term) load() {
 	workersTable, operatorTable := t.cfg.Decoder.Tables()
-	jobs := t.source(tableJobs, jobPartNames(), jobWatchPause, func(rows []Row, _ bool, now time.Duration) { t.post(jobRows{rows, now}) })
-	workers := t.source(workersTable, []string{""}, workerWatchPause, func(rows []Row, all bool, _ time.Duration) { t.post(workerRows{rows, all}) })
-	operator := t.source(operatorTable, []string{""}, 0, func(rows []Row, all bool, _ time.Duration) { t.post(operatorRows{rows, all}) })
+	later := &changes{t: t}
+	jobs := t.source(tableJobs, jobPartNames(), jobWatchPause, func(rows []Row, _ bool, now time.Duration) { later.post(jobRows{rows, now}) })
+	workers := t.source(workersTable, []string{""}, workerWatchPause, func(rows []Row, all bool, _ time.Duration) { later.post(workerRows{rows, all}) })
+	operator := t.source(operatorTable, []string{""}, 0, func(rows []Row, all bool, _ time.Duration) { later.post(operatorRows{rows, all}) })
 	progress := t.source(tableProgress, []string{leaderPart}, 0, nil)
 	used := t.source(tableUsed, []string{leaderPart}, 0, nil)
 	models := t.source(tableModels, []string{leaderPart}, 0, nil)
@@ -187,7 +217,12 @@
 	ok := make([]bool, len(all))
 	var wg sync.WaitGroup
 	for i, s := range all {
-		wg.Go(func() { rows[i], pages[i], ok[i] = s.listUntil(t.ctx) })
+		wg.Go(func() {
+			rows[i], pages[i], ok[i] = s.listUntil(t.ctx)
+			if ok[i] && s.take != nil {
+				go s.watch(t.ctx, pages[i].Version)
+			}
+		})
 	}
 	wg.Wait()
 	for _, done := range ok {
@@ -195,8 +230,5 @@
 			return
 		}
 	}
-	t.post(loadedEvent{jobs: rows[0], workers: rows[1], operator: rows[2], progress: rows[3], used: rows[4], models: rows[5], waves: rows[6], storeNow: pages[0].Now})
-	for i, s := range all[:3] {
-		go s.watch(t.ctx, pages[i].Version)
-	}
+	later.release(loadedEvent{jobs: rows[0], workers: rows[1], operator: rows[2], progress: rows[3], used: rows[4], models: rows[5], waves: rows[6], storeNow: pages[0].Now})
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -198,6 +198,8 @@
 type loadedEvent struct {
 	jobs, progress, used, models, waves, workers, operator []Row
 	storeNow                                               time.Duration
+	// changes are those since the tables were read, in order.
+	changes []event
 }
 
 func (e loadedEvent) handle(t *term) {
@@ -225,6 +227,9 @@
 			inherited++
 		}
 	}
+	for _, c := range e.changes {
+		c.handle(t)
+	}
 	t.loaded, t.dirty = true, true
 	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
 		"configuration": t.configurationVersion()}).Info("term has read the store")
