--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,16 +1,16 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/vanillapier/vanillapier/platform/platformtest"
 )
 
 const (
@@ -88,26 +88,18 @@
 func (c *callers) newJob(i int) (*jobState, []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	type phase struct {
-		Count    int   `json:"count"`
-		CPU      int   `json:"cpu"`
-		Memory   int   `json:"mem_mb"`
-		Estimate int   `json:"estimate_ms"`
-		After    []int `json:"after,omitempty"`
-		Saves    bool  `json:"saves_progress"`
-	}
 	j := &jobState{ID: fmt.Sprintf("%016x", i+1)}
-	var phases []phase
+	var steps []platformtest.JobStep
 	for k := range 1 + c.random.IntN(2) {
-		p := phase{Count: 1 + c.random.IntN(4), CPU: taskCPU, Memory: taskMemory, Estimate: 500, Saves: true}
+		st := platformtest.JobStep{Count: 1 + c.random.IntN(4), MilliCPU: taskCPU, MemoryMB: taskMemory, Estimate: 500 * time.Millisecond, Saves: true}
 		if k > 0 {
-			p.After = []int{0}
+			st.After = []int{0}
 		}
-		j.Tasks += p.Count
-		phases = append(phases, p)
+		j.Tasks += st.Count
+		steps = append(steps, st)
 	}
 	c.jobs = append(c.jobs, j)
-	body, err := json.Marshal(map[string]any{"spec": "s", "phases": phases})
+	body, err := platformtest.JobText(steps)
 	if err != nil {
 		panic(err) // plain values
 	}
@@ -122,23 +114,8 @@
 }
 
 // call sends one request to a node; status 0 means no answer.
-func (c *callers) call(n *node, method, id string, body []byte) (int, string) {
-	req, err := http.NewRequest(method, "http://"+n.callers+prefix+id, bytes.NewReader(body))
-	if err != nil {
-		return 0, ""
-	}
-	req.Host = host
-	req.Header.Set("Vanillapier-Request-Deadline", "3000")
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, string(data)
+func (c *callers) call(n *node, method, id string, body []byte) (int, []byte) {
+	return route.Call(c.client, n.callers, method, id, body, callTimeout)
 }
 
 // submit hands a job in until it is accepted or the tries are used up.
@@ -202,7 +179,7 @@
 	var answer struct {
 		State string `json:"state"`
 	}
-	if err := json.Unmarshal([]byte(body), &answer); err != nil {
+	if err := json.Unmarshal(body, &answer); err != nil {
 		c.breach("answer of %s cannot be read: %s", n.name, body)
 		return ""
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -22,13 +21,11 @@
 	"github.com/vanillapier/vanillapier/platform/platformtest"
 )
 
+// route is the route of all jobs. Its budget of failed attempts is more than the
+// faults can use up.
+var route = platformtest.Route{Host: "shop.example", Prefix: "/q/", Service: "svc", Attempts: 50}
+
 const (
-	service = model.ServiceName("svc")
-	// host and prefix are the route of all jobs.
-	host   = "shop.example"
-	prefix = "/q/"
-	// attempts is the budget of failed attempts: more than the faults can use up.
-	attempts = 50
 	// leaseMax is the longest lease that workers grant, as on the first site.
 	leaseMax = 6 * time.Second
 	// grace is the time from SIGTERM to the end of a process.
@@ -113,26 +110,16 @@
 // configure puts a new version of the configuration in force.
 func (s *site) configure() {
 	s.version++
-	text := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r1","host":%q,"path_prefix":%q,"kind":"unsafe","timeout_ms":3000,"slo_ms":500,
-"priority":0,"service":%q,"max_attempts":%d,"stretch":2}],"services":[{"name":%q,"admission_control":true,"spare":false}],
-"limits":{"max_body_bytes":65536}}`, s.version, host, prefix, service, attempts, service)
-	s.rows.Put("op", "", "config", []byte(text))
+	route.Configure(s.rows, s.version)
 }
 
 // takeOut takes a data centre out of service, or returns it.
-func (s *site) takeOut(target int, out bool) {
-	key := "evacuate/" + zone(target)
-	if out {
-		s.rows.Put("op", "", key, []byte("{}"))
-		return
-	}
-	s.rows.Delete("op", "", key)
-}
+func (s *site) takeOut(target int, out bool) { platformtest.TakeOut(s.rows, zone(target), out) }
 
 // addLife starts a lifetime of a worker and lists it with the proxy's address.
 func (s *site) addLife(w *worker) error {
 	s.born++
-	info := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: model.WorkerID(w.id), Born: s.born}, Service: service,
+	info := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: model.WorkerID(w.id), Born: s.born}, Service: route.Service,
 		DataCentre: model.DataCentre(w.zone), Capacity: model.Resources{MilliCPU: workerCPU, MemoryMB: workerMemory}, Labels: []string{"a", "r-" + w.zone}}
 	w.runner, w.life = platformtest.NewRunner(s.fleet, info)
 	link, err := newProxy(w.runner.Listener.Addr().String())
@@ -143,17 +130,7 @@
 		w.link.close()
 	}
 	w.link = link
-	var entry map[string]any
-	if err := json.Unmarshal(w.runner.Entry(), &entry); err != nil {
-		return err
-	}
-	entry["address"] = link.addr()
-	data, err := json.Marshal(entry)
-	if err != nil {
-		return err
-	}
-	s.rows.Put("servers", "", w.id, data)
-	return nil
+	return w.runner.List(s.rows, link.addr())
 }
 
 // endLife kills a worker's process, and the platform notices.
@@ -161,7 +138,7 @@
 	s.fleet.Kill(w.life)
 	w.link.close()
 	w.runner.CloseClientConnections()
-	s.rows.Delete("servers", "", w.id)
+	platformtest.Unlist(s.rows, w.id)
 }
 
 // sites counts the runs of this process.
@@ -188,17 +165,11 @@
 		return nil, err
 	}
 	ip := nodeIP(s.number, i)
-	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
-	n.callers = at(portCallers)
-	settings := map[string]any{
-		"node": n.name, "ip": ip, "zone": zone(i), "listen": map[string]string{"front": at(portCallers), "ready": at(portReady)},
-		"port_range": []int{portPeers, portMetrics},
-		"limits":     map[string]any{"cpu_share": []float64{0.4, 0.8}[i%2], "cores": 1, "memory_mb": 284},
-		"bounds": map[string]float64{"grace_s": grace.Seconds(), "hold_max_ms": float64(leaseMax.Milliseconds()), "status_s": 120,
-			"maintenance_s": 2},
-		"platform": map[string]any{"address": n.link.addr(), "row_bytes": 65536},
-	}
-	data, err := json.Marshal(settings)
+	n.callers = net.JoinHostPort(ip, strconv.Itoa(portCallers))
+	settings := platformtest.NodeSettings{Node: n.name, IP: ip, Zone: zone(i), Callers: portCallers, Ready: portReady, Peers: portPeers,
+		Metrics: portMetrics, CPUShare: []float64{0.4, 0.8}[i%2], Store: n.link.addr(),
+		Bounds: fleet.Bounds{Grace: grace, LeaseMax: leaseMax, Retention: 2 * time.Minute, Maintenance: 2 * time.Second}}
+	data, err := settings.Text()
 	if err != nil {
 		return nil, err
 	}
