--- a/internal/fleet/advice_test.go
+++ b/internal/fleet/advice_test.go
@@ -23,12 +23,12 @@
 
 func TestStartsUseTickets(t *testing.T) {
 	advised(t, 100, 2*time.Second, func(t *testing.T, c *fleettest.Cluster, a *fleettest.Advisor) {
-		a.Excluded["w0"] = true
+		a.Exclude("w0")
 		submit(t, c, jobID(0), twoSteps())
 		waitAll(t, c, 1, 10*time.Second)
-		require.Equal(t, 6, c.Ledger.Starts)
-		require.Zero(t, c.Workers.Refused)
-		require.Equal(t, 2, a.Calls, "one question for each step")
+		require.Equal(t, 6, c.Ledger.StartCount())
+		require.Zero(t, c.Workers.Refusals())
+		require.Equal(t, 2, a.CallCount(), "one question for each step")
 	})
 }
 
@@ -42,7 +42,7 @@
 		time.Sleep(500 * time.Millisecond)
 		a.Revoke()
 		waitAll(t, c, 1, 30*time.Second)
-		require.LessOrEqual(t, c.Workers.Refused, 60, "each task at most once")
+		require.LessOrEqual(t, c.Workers.Refusals(), 60, "each task at most once")
 	})
 }
 
@@ -51,9 +51,9 @@
 		a.Down(true)
 		submit(t, c, jobID(0), twoSteps())
 		time.Sleep(4 * time.Second)
-		require.Zero(t, c.Ledger.Starts, "nothing starts without a ticket")
+		require.Zero(t, c.Ledger.StartCount(), "nothing starts without a ticket")
 		a.Down(false)
 		waitAll(t, c, 1, 15*time.Second)
-		require.Zero(t, c.Workers.Refused)
+		require.Zero(t, c.Workers.Refusals())
 	})
 }
--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -111,7 +111,7 @@
 			submit(t, c, jobID(i), twoSteps())
 		}
 		waitAll(t, c, 5, 20*time.Second)
-		require.Equal(t, 30, c.Ledger.Starts, "each task starts once")
+		require.Equal(t, 30, c.Ledger.StartCount(), "each task starts once")
 		// 30 tasks of a second, 32 cores: two rounds and the system's own time.
 		require.Less(t, time.Since(begun), 2500*time.Millisecond)
 	})
@@ -123,7 +123,7 @@
 			require.NoError(t, m.Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps()))
 		}
 		waitAll(t, c, 1, 10*time.Second)
-		require.Equal(t, 6, c.Ledger.Starts)
+		require.Equal(t, 6, c.Ledger.StartCount())
 	})
 }
 
@@ -164,7 +164,7 @@
 	run(t, 6, 3, 6, fails(2), func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), one)
 		waitState(t, c, jobID(0), fleet.StateFailed, 5*time.Second)
-		require.Equal(t, 2, c.Ledger.Starts)
+		require.Equal(t, 2, c.Ledger.StartCount())
 	})
 }
 
@@ -209,7 +209,7 @@
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 20, Needs: small, Gang: true, Estimate: time.Second}}})
 		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 12, Needs: small, Gang: true, Estimate: time.Second}}})
 		waitState(t, c, jobID(1), fleet.StateCompleted, 10*time.Second)
-		require.Equal(t, 12, c.Ledger.Starts, "a gang that cannot fit starts no member")
+		require.Equal(t, 12, c.Ledger.StartCount(), "a gang that cannot fit starts no member")
 	})
 }
 
@@ -221,9 +221,9 @@
 			Repeats: 3, StartAt: begun.Add(2 * time.Second).UnixMilli(), Interval: 500 * time.Millisecond,
 		})
 		time.Sleep(1500 * time.Millisecond)
-		require.Zero(t, c.Ledger.Starts)
+		require.Zero(t, c.Ledger.StartCount())
 		waitState(t, c, jobID(0), fleet.StateCompleted, 10*time.Second)
-		require.Equal(t, 3, c.Ledger.Starts)
+		require.Equal(t, 3, c.Ledger.StartCount())
 		require.GreaterOrEqual(t, time.Since(begun), 4*time.Second)
 	})
 }
@@ -256,7 +256,7 @@
 			begun[m] = true
 		}
 		require.Len(t, begun, 5, "a wave is completed when each machine's upkeep has begun")
-		require.LessOrEqual(t, c.Inventory.MostDown, 2)
+		require.LessOrEqual(t, c.Inventory.MostDown(), 2)
 		time.Sleep(5 * time.Second)
 		running := 0
 		for _, w := range c.All() {
@@ -287,7 +287,7 @@
 		}
 		require.True(t, c.WaveCompleted())
 		require.Len(t, c.Inventory.Begun(), 6)
-		require.LessOrEqual(t, c.Inventory.MostDown, 2)
+		require.LessOrEqual(t, c.Inventory.MostDown(), 2)
 		c.StopAll()
 		require.Empty(t, c.Ledger.Broken())
 	})
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -28,7 +28,7 @@
 		time.Sleep(3 * time.Second)
 		require.NotNil(t, c.Leader(), "a new leader within 3 s")
 		waitAll(t, c, 4, 30*time.Second)
-		require.Equal(t, 24, c.Ledger.Starts, "the new leader adopts what runs")
+		require.Equal(t, 24, c.Ledger.StartCount(), "the new leader adopts what runs")
 	})
 }
 
@@ -43,7 +43,7 @@
 		require.NotSame(t, old, c.Leader())
 		require.False(t, old.Node.Ready())
 		waitAll(t, c, 1, 20*time.Second)
-		require.Equal(t, 6, c.Ledger.Starts)
+		require.Equal(t, 6, c.Ledger.StartCount())
 	})
 }
 
@@ -141,7 +141,7 @@
 				m.Store.Set(fleettest.Healthy)
 			}
 			waitAll(t, c, 4, 30*time.Second)
-			require.Equal(t, 24, c.Ledger.Starts, "work goes on during an outage")
+			require.Equal(t, 24, c.Ledger.StartCount(), "work goes on during an outage")
 			require.Same(t, old, c.Leader(), "an outage for all changes no leader")
 		})
 	}
@@ -215,7 +215,7 @@
 			reach(first, true)
 			waitAll(t, c, 1, 5*time.Second)
 			time.Sleep(4 * time.Second)
-			require.Equal(t, 2, c.Ledger.Starts)
+			require.Equal(t, 2, c.Ledger.StartCount())
 			reach(second, true)
 			time.Sleep(2 * time.Second)
 			require.Zero(t, c.Workers.Running(second), "what started late is stopped")
@@ -313,7 +313,7 @@
 			}
 		}
 		waitAll(t, c, 1, 30*time.Second)
-		require.Equal(t, 6, c.Ledger.Starts, "ends that the former leader saw are listed again")
+		require.Equal(t, 6, c.Ledger.StartCount(), "ends that the former leader saw are listed again")
 	})
 }
 
@@ -332,7 +332,7 @@
 			}
 			time.Sleep(6 * time.Second)
 			require.Equal(t, []int{100, 100}, c.Workers.Paces(c.Fleet[0]), change)
-			require.Equal(t, 2, c.Ledger.Starts, "no task is moved")
+			require.Equal(t, 2, c.Ledger.StartCount(), "no task is moved")
 		})
 	}
 }
--- a/internal/fleet/fleettest/advisor.go
+++ b/internal/fleet/fleettest/advisor.go
@@ -17,17 +17,15 @@
 	issued map[string]time.Time // validity by ticket
 	number int
 	// Valid is how long tickets hold.
-	Valid time.Duration
-	// Excluded names workers that get no ticket.
-	Excluded map[model.WorkerID]bool
-	// Calls counts the questions.
-	Calls int
-	down  bool
+	Valid    time.Duration
+	excluded map[model.WorkerID]bool
+	calls    int
+	down     bool
 }
 
 // NewAdvisor returns an advisor whose tickets hold for valid.
 func NewAdvisor(valid time.Duration) *Advisor {
-	return &Advisor{issued: map[string]time.Time{}, Valid: valid, Excluded: map[model.WorkerID]bool{}}
+	return &Advisor{issued: map[string]time.Time{}, Valid: valid, excluded: map[model.WorkerID]bool{}}
 }
 
 // Down lets questions go without an answer, or answers them again.
@@ -37,6 +35,20 @@
 	a.down = down
 }
 
+// Exclude denies tickets for a worker.
+func (a *Advisor) Exclude(w model.WorkerID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.excluded[w] = true
+}
+
+// CallCount returns the number of questions that were answered.
+func (a *Advisor) CallCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.calls
+}
+
 // Revoke ends the validity of all tickets before their time.
 func (a *Advisor) Revoke() {
 	a.mu.Lock()
@@ -58,10 +70,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.Calls++
+	a.calls++
 	answer := fleet.Advice{Tickets: map[model.WorkerID]string{}, Valid: a.Valid}
 	for _, w := range workers {
-		if a.Excluded[w] {
+		if a.excluded[w] {
 			continue
 		}
 		a.number++
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -78,7 +79,21 @@
 	seed    uint64
 	born    int64
 	// Log receives the nodes' logs; default discarded.
-	Log io.Writer
+	Log   io.Writer
+	logMu sync.Mutex
+}
+
+// lockedWriter lets several loggers share a writer.
+type lockedWriter struct {
+	mu  *sync.Mutex
+	out io.Writer
+}
+
+// Write implements io.Writer.
+func (w *lockedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
 }
 
 // Member is a node with its access to the rest.
@@ -193,7 +208,7 @@
 func (c *Cluster) Start(m *Member) {
 	m.starts++
 	logger := logrus.New()
-	logger.SetOutput(c.Log)
+	logger.SetOutput(&lockedWriter{&c.logMu, c.Log})
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	m.Store, m.Work, m.Peers = c.Store.View(), c.Workers.View(), c.Net.Peers(m.Name)
 	cfg := fleet.Config{
--- a/internal/fleet/fleettest/inventory.go
+++ b/internal/fleet/fleettest/inventory.go
@@ -22,10 +22,9 @@
 	// Unfenced inventories carry out orders of former leaders, too.
 	Unfenced bool
 	// Delay is the time before an order is carried out.
-	Delay time.Duration
-	calls int
-	// MostDown is the highest number of machines that were down at once.
-	MostDown int
+	Delay    time.Duration
+	calls    int
+	mostDown int
 }
 
 // NewInventory returns the inventory of a cluster.
@@ -81,7 +80,7 @@
 	}
 	i.down[machine] = time.Now()
 	i.begun = append(i.begun, machine)
-	i.MostDown = max(i.MostDown, len(i.down))
+	i.mostDown = max(i.mostDown, len(i.down))
 	i.c.Workers.mu.Unlock()
 	i.c.Workers.Kill(w)
 	i.c.Unlist(w)
@@ -101,6 +100,13 @@
 	return i.calls
 }
 
+// MostDown returns the highest number of machines that were down at once.
+func (i *Inventory) MostDown() int {
+	i.c.Workers.mu.Lock()
+	defer i.c.Workers.mu.Unlock()
+	return i.mostDown
+}
+
 // Begun returns the machines whose upkeep has begun.
 func (i *Inventory) Begun() []string {
 	i.c.Workers.mu.Lock()
--- a/internal/fleet/fleettest/ledger.go
+++ b/internal/fleet/fleettest/ledger.go
@@ -18,9 +18,8 @@
 	latest  map[fleet.TaskName]time.Time       // when the last attempt began
 	done    map[string]map[fleet.TaskName]bool // tasks that ended done, by job
 	begun   time.Time
-	// Starts and Done count.
-	Starts, Done int
-	broken       []string
+	starts  int
+	broken  []string
 	// cancelled holds the jobs whose cancellation was acknowledged, and when.
 	cancelled map[string]time.Time
 }
@@ -44,7 +43,7 @@
 func (l *Ledger) started(w *Worker, o fleet.StartOrder, task Task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Starts++
+	l.starts++
 	if l.running[o.Task] == nil {
 		l.running[o.Task] = map[string]int{}
 	}
@@ -96,7 +95,6 @@
 	if e.How != fleet.EndDone {
 		return
 	}
-	l.Done++
 	if e.lapsed {
 		return
 	}
@@ -110,7 +108,7 @@
 func (l *Ledger) StartCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.Starts
+	return l.starts
 }
 
 // DoneTasks returns the number of tasks of a job that have ended done.
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -40,8 +40,7 @@
 	LateShare float64
 	// Advisor, when set, must have granted a ticket for each start.
 	Advisor *Advisor
-	// Refused counts starts without a valid ticket.
-	Refused int
+	refused int // starts without a valid ticket
 	// Disturb returns the tail of a serving task beside filler work, in
 	// milliseconds; nil means no disturbance.
 	Disturb func(service fleet.TaskName, fillers []fleet.TaskName) int
@@ -122,6 +121,13 @@
 	change()
 }
 
+// Refusals returns the number of starts without a valid ticket.
+func (f *Workers) Refusals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.refused
+}
+
 // SetPaces sets the pace of all runs on w, and Paces returns them.
 func (f *Workers) SetPaces(w *Worker, percent int) {
 	f.mu.Lock()
@@ -257,7 +263,7 @@
 		return fleet.StartOld
 	}
 	if a := w.fleet.Advisor; a != nil && !a.valid(w, o) {
-		w.fleet.Refused++
+		w.fleet.refused++
 		return fleet.StartNoTicket
 	}
 	task := w.fleet.tasks(o.Task)
--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -35,7 +35,7 @@
 		time.Sleep(settle)
 		require.Same(t, large, c.Leader())
 		waitAll(t, c, 4, 30*time.Second)
-		require.Equal(t, 24, c.Ledger.Starts, "a change of leader starts nothing again")
+		require.Equal(t, 24, c.Ledger.StartCount(), "a change of leader starts nothing again")
 	})
 }
 
