--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,6 +82,9 @@
 	cluster *cluster
 	url     string
 	dir     string
+	// mu guards lose and orders, and what the handlers of orders change: a request
+	// that is cut off does not order its handler before what the client does next.
+	mu sync.Mutex
 	// lose makes the next POST take effect without an answer.
 	lose bool
 	// orders answers /v1/orders.
@@ -101,11 +105,12 @@
 	require.NoError(t, err)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if strings.HasPrefix(req.URL.Path, ordersPath) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			r.orders(w, req)
 			return
 		}
-		if r.lose && req.Method == http.MethodPost {
-			r.lose = false
+		if req.Method == http.MethodPost && r.losesNext() {
 			handler.ServeHTTP(httptest.NewRecorder(), req)
 			panic(http.ErrAbortHandler)
 		}
@@ -116,6 +121,22 @@
 	return r
 }
 
+// losesNext reports whether the answer to this request is to be lost.
+func (r *rig) losesNext() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lose := r.lose
+	r.lose = false
+	return lose
+}
+
+// set changes or reads what handlers use.
+func (r *rig) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
 // file writes a file into the rig's directory and returns its path.
 func (r *rig) file(name, content string) string {
 	path := filepath.Join(r.dir, name)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -153,7 +153,7 @@
 // command, and against a success that is claimed without a record.
 func TestLostAnswer(t *testing.T) {
 	r := accepted(t)
-	r.lose = true
+	r.set(func() { r.lose = true })
 	out := r.ok("-o", "json", "drain", "a", "--reason", "power")
 	reply := decode[adminapi.CommandReply](t, out)
 	assert.Equal(t, uint64(3), reply.Sequence)
@@ -164,7 +164,7 @@
 	assert.Contains(t, r.ok("history", "--find-request", id), "took data centre a out of service: power")
 	assert.Contains(t, r.ok("drain", "a", "--request-id", id), "out of service as 3", "a repeated command has its first result")
 
-	r.lose = true
+	r.set(func() { r.lose = true })
 	p := &Program{client: &client{nodes: []string{r.url}, http: http.DefaultClient, timeout: time.Minute}}
 	_, err := p.run(context.Background(), "data-centres/a/in", adminapi.Command{RequestID: "request-x", Seen: 3}, map[string]any{})
 	assert.Equal(t, ExitUnknown, exitCode(err), "without a token neither the command nor the history can be resolved")
@@ -186,9 +186,9 @@
 	job := r.file("job.yaml", "team: t")
 	code, _, errs := r.run("--node", r.url, "submit", job)
 	assert.Equal(t, ExitUnknown, code, errs)
-	assert.GreaterOrEqual(t, calls, 2)
+	r.set(func() { assert.GreaterOrEqual(t, calls, 2) })
 	for status, want := range map[int]int{http.StatusBadGateway: ExitUnknown, http.StatusNotFound: ExitUnavailable} {
-		r.orders = func(w http.ResponseWriter, req *http.Request) { http.Error(w, "<html>", status) }
+		r.set(func() { r.orders = func(w http.ResponseWriter, req *http.Request) { http.Error(w, "<html>", status) } })
 		code, _, errs = r.run("cancel", "j")
 		assert.Equal(t, want, code, errs)
 	}
