One list of the reasons for which a worker gets no run

The view for operators repeated the conditions of worker.usable one by one, and pool added the one for upkeep. term.unusable now names the reason; the plan uses a worker when there is none, and vpier fleet shows it. No behaviour changes.

--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -128,35 +128,11 @@
 	q.reply <- v
 }
 
-// workerState names why no run is sent to a worker; the conditions are those of
-// usable.
-func (t *term) workerState(w *worker) string {
-	switch {
-	case !w.listed:
-		return "not listed"
-	case w.info.Draining:
-		return "draining"
-	case t.out[w.info.DataCentre]:
-		return "data centre out"
-	case w.failures > 0:
-		return "no answer"
-	case !w.raised:
-		return "not asked yet"
-	case !w.durable:
-		return "not registered yet"
-	case w.health.resting(t.now):
-		return "resting"
-	case t.machines.closing[w.info.Worker]:
-		return "upkeep"
-	}
-	return "usable"
-}
-
 func (t *term) workerViews() []WorkerView {
 	views := make([]WorkerView, 0, len(t.workers))
 	for _, w := range t.workers {
 		free := w.free()
-		views = append(views, WorkerView{Worker: w.info.Worker, DataCentre: w.info.DataCentre, State: t.workerState(w), Runs: len(w.runs),
+		views = append(views, WorkerView{Worker: w.info.Worker, DataCentre: w.info.DataCentre, State: cmp.Or(t.unusable(w), "usable"), Runs: len(w.runs),
 			FreeCPU: free.MilliCPU, FreeMB: free.MemoryMB, SilentMS: t.now.Sub(w.clockAt).Milliseconds()})
 	}
 	slices.SortFunc(views, func(a, b WorkerView) int { return cmp.Compare(a.Worker, b.Worker) })
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -49,13 +49,36 @@
 func (t *term) pool(service model.ServiceName) *placement {
 	p := &placement{now: t.now, harm: &t.harm}
 	for _, w := range t.workers {
-		if w.info.Service == service && w.usable(t.now, t.out) && !t.machines.closing[w.info.Worker] {
+		if w.info.Service == service && t.unusable(w) == "" {
 			p.workers = append(p.workers, w)
 		}
 	}
 	return p
 }
 
+// unusable names why no new run is sent to a worker; empty when one may be.
+func (t *term) unusable(w *worker) string {
+	switch {
+	case !w.listed:
+		return "not listed"
+	case w.info.Draining:
+		return "draining"
+	case t.out[w.info.DataCentre]:
+		return "data centre out"
+	case w.failures > 0:
+		return "no answer"
+	case !w.raised:
+		return "not asked yet"
+	case !w.durable:
+		return "not registered yet"
+	case w.health.resting(t.now):
+		return "resting"
+	case t.machines.closing[w.info.Worker]:
+		return "upkeep"
+	}
+	return ""
+}
+
 // placeStep starts tasks of a step and returns how many.
 func (t *term) placeStep(p *placement, w *want) int {
 	if p.refused(w.step) {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -210,9 +210,3 @@
 	}
 	return false
 }
-
-// usable reports whether new runs may be sent to the worker.
-func (w *worker) usable(now time.Time, out map[model.DataCentre]bool) bool {
-	return w.listed && w.raised && w.durable && !w.info.Draining && w.failures == 0 &&
-		!out[w.info.DataCentre] && !w.health.resting(now)
-}
