One list of the conditions under which a worker may run a task

vpier fleet's reason for a waiting step checked label, bound and room again, beside placement.feasible. placement.obstacle now names the first condition that is not met; feasible asks whether there is none, the reason is taken from the worker that meets most. The reason of a job listed an occurrence's waiting steps once for each of its steps; it now does so once.

--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -150,27 +150,17 @@
 	case w.queue.Advised && (w.occ.steps[w.index].advice == nil || len(w.occ.steps[w.index].advice.tickets) == 0):
 		return "no ticket of the advisor yet"
 	}
-	room, labelled, bound := 0, 0, 0
-	on := stepWorkers(&w.occ.steps[w.index])
+	furthest := lacksLabel // obstacle of the worker that meets most conditions
+	r := request{step: w.step, onWorker: stepWorkers(&w.occ.steps[w.index])}
 	for _, x := range p.workers {
-		if !x.hasLabel(w.step.Label) {
-			continue
-		}
-		labelled++
-		if w.step.PerWorker > 0 && on[x] >= w.step.PerWorker {
-			continue
-		}
-		bound++
-		if w.step.Reserved().Fits(x.free()) {
-			room++
-		}
+		furthest = max(furthest, p.obstacle(x, r))
 	}
 	switch {
-	case labelled == 0:
+	case furthest == lacksLabel:
 		return "no usable worker with label " + w.step.Label
-	case bound == 0:
+	case furthest == lacksShare:
 		return "each usable worker has as many tasks of the step as allowed"
-	case room == 0:
+	case furthest == lacksRoom:
 		return "no usable worker with room"
 	case w.step.Gang:
 		return "no room for all members at once"
@@ -182,7 +172,7 @@
 
 // whyJobWaits tells why no step of a job is considered; empty when they are.
 func (t *term) whyJobWaits(j *job) string {
-	_, known := t.queues[j.queue]
+	q, known := t.queues[j.queue]
 	switch {
 	case j.over() || j.shown.Final():
 		return "over"
@@ -196,25 +186,13 @@
 		return "its time has not come"
 	}
 	for _, o := range j.occurrences {
-		for i := range o.steps {
-			if w := t.wantOf(j, o, i); w != nil {
-				return t.whyStepWaits(w)
-			}
+		if wants := t.occurrenceWants(nil, j, o, q); len(wants) > 0 {
+			return t.whyStepWaits(wants[0])
 		}
 	}
 	return ""
 }
 
-// wantOf returns the waiting step i of an occurrence, or nil.
-func (t *term) wantOf(j *job, o *occurrence, i int) *want {
-	for _, w := range t.occurrenceWants(nil, j, o, t.queues[j.queue]) {
-		if w.index == i {
-			return w
-		}
-	}
-	return nil
-}
-
 var runStates = map[runState]string{runSent: "sent", runLive: "running", runDoubt: "in doubt", runStopping: "stopping"}
 
 func (t *term) jobView(j *job) *JobView {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +71,11 @@
 	return false
 }
 
+// runsOn reports whether a run of the task is on w.
+func (t *task) runsOn(w *worker) bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker == w })
+}
+
 // stepState is the state of a step of one occurrence.
 type stepState struct {
 	tasks []task
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -105,35 +105,39 @@
 	return best
 }
 
+// obstacle is the first condition of a task that a worker does not meet, in the
+// order in which they are looked at.
+type obstacle int
+
+const (
+	lacksLabel obstacle = iota
+	lacksShare          // the worker has as many tasks of the step as allowed
+	lacksRoom
+	lacksOther // rack, ticket, trust, another run of the task, or what is left over
+	lacksNothing
+)
+
 // feasible reports whether w may run the task.
-func (p *placement) feasible(w *worker, r request) bool {
+func (p *placement) feasible(w *worker, r request) bool { return p.obstacle(w, r) == lacksNothing }
+
+// obstacle returns what keeps the task from w.
+func (p *placement) obstacle(w *worker, r request) obstacle {
 	s := r.step
-	if !s.Reserved().Fits(w.free()) || !w.hasLabel(s.Label) {
-		return false
-	}
-	if s.PerWorker > 0 && r.onWorker[w] >= s.PerWorker {
-		return false
-	}
-	if r.rack != "" && w.rack != r.rack {
-		return false
-	}
-	if r.tickets != nil && r.tickets[w.info.Worker] == "" {
-		return false
-	}
-	if w.health.onProbation() && (len(w.runs) > 0 || (r.task != nil && len(r.task.failed) > 0)) {
-		return false
-	}
-	if r.task != nil {
-		for _, other := range r.task.runs {
-			if other.worker == w {
-				return false
-			}
-		}
-	}
-	if s.Filler {
-		return p.fillerFits(w, s)
-	}
-	return true
+	switch {
+	case !w.hasLabel(s.Label):
+		return lacksLabel
+	case s.PerWorker > 0 && r.onWorker[w] >= s.PerWorker:
+		return lacksShare
+	case !s.Reserved().Fits(w.free()):
+		return lacksRoom
+	case r.rack != "" && w.rack != r.rack,
+		r.tickets != nil && r.tickets[w.info.Worker] == "",
+		w.health.onProbation() && (len(w.runs) > 0 || (r.task != nil && len(r.task.failed) > 0)),
+		r.task != nil && r.task.runsOn(w),
+		s.Filler && !p.fillerFits(w, s):
+		return lacksOther
+	}
+	return lacksNothing
 }
 
 // fillerFits reports whether enough processor time is left for a filler, and
