Peers' handlers decode their parameters in one place

internal/node had typed for it; internal/fleet decoded in five handlers of its own. The function is now membership.Typed, beside the type that it returns, and both use it. The error for parameters that cannot be read has one wording; its kind is the same.

--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -63,11 +62,7 @@
 }
 
 // handleLead answers a larger host that asks for the lead.
-func (n *Node) handleLead(_ context.Context, raw json.RawMessage) (any, error) {
-	var p leadParams
-	if err := decodeParams(raw, &p); err != nil {
-		return nil, err
-	}
+func (n *Node) handleLead(_ context.Context, p leadParams) (any, error) {
 	t := n.term.Load()
 	if t == nil || t.ctx.Err() != nil || t.number != p.Term || !larger(p.MilliCPU, n.cfg.Limits.MilliCPU) {
 		return nil, nil
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/membership"
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
@@ -52,49 +53,28 @@
 
 // handlePeers registers the methods that peers call.
 func (n *Node) handlePeers() {
-	n.cfg.Peers.Handle(methodLead, n.handleLead)
-	n.cfg.Peers.Handle(methodOffer, func(_ context.Context, raw json.RawMessage) (any, error) {
-		var p offerParams
-		if err := decodeParams(raw, &p); err != nil {
-			return nil, err
-		}
-		n.takeOffer(Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
-		return true, nil
-	})
-	n.cfg.Peers.Handle(methodAccept, func(ctx context.Context, raw json.RawMessage) (any, error) {
-		var p offerParams
-		if err := decodeParams(raw, &p); err != nil {
-			return nil, err
-		}
-		_, err := n.storeJob(ctx, Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value}, 0)
-		return err == nil, err
-	})
-	n.cfg.Peers.Handle(methodCancel, func(ctx context.Context, raw json.RawMessage) (any, error) {
-		var p stateParams
-		if err := decodeParams(raw, &p); err != nil {
-			return nil, err
-		}
-		known := false
-		err := n.tryCancel(ctx, p.Job, &known)
-		return err == nil, err
-	})
-	n.cfg.Peers.Handle(methodState, func(ctx context.Context, raw json.RawMessage) (any, error) {
-		var p stateParams
-		if err := decodeParams(raw, &p); err != nil {
-			return nil, err
-		}
-		return n.localState(ctx, p.Job), nil
-	})
-	n.cfg.Peers.Handle(methodPending, func(ctx context.Context, _ json.RawMessage) (any, error) {
-		return n.localPending(ctx), nil
-	})
-}
-
-func decodeParams(raw json.RawMessage, v any) error {
-	if err := json.Unmarshal(raw, v); err != nil {
-		return model.Wrap(model.KindInvalid, err, "run compatible versions", "parameters")
+	for method, handler := range map[string]membership.Handler{
+		methodOffer: membership.Typed(func(_ context.Context, p offerParams) (any, error) {
+			n.takeOffer(Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
+			return true, nil
+		}),
+		methodAccept: membership.Typed(func(ctx context.Context, p offerParams) (any, error) {
+			_, err := n.storeJob(ctx, Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value}, 0)
+			return err == nil, err
+		}),
+		methodCancel: membership.Typed(func(ctx context.Context, p stateParams) (any, error) {
+			known := false
+			err := n.tryCancel(ctx, p.Job, &known)
+			return err == nil, err
+		}),
+		methodState: membership.Typed(func(ctx context.Context, p stateParams) (any, error) {
+			return n.localState(ctx, p.Job), nil
+		}),
+		methodPending: func(ctx context.Context, _ json.RawMessage) (any, error) { return n.localPending(ctx), nil },
+		methodLead:    membership.Typed(n.handleLead),
+	} {
+		n.cfg.Peers.Handle(method, handler)
 	}
-	return nil
 }
 
 // takeOffer hands a stored row to the term that this node leads.
--- a/internal/membership/rpc.go
+++ b/internal/membership/rpc.go
@@ -22,6 +22,18 @@
 // that is a *model.Error reaches the peer with kind, message and remedy.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
+// Typed turns a function with parameters of type P into a Handler. Parameters that
+// cannot be decoded are KindInvalid.
+func Typed[P any](f func(context.Context, P) (any, error)) Handler {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, model.Wrap(model.KindInvalid, err, "upgrade the older node", "parameters of a peer's call")
+		}
+		return f(ctx, params)
+	}
+}
+
 const (
 	// handlerTimeout bounds the execution of a peer's request.
 	handlerTimeout = 10 * time.Second
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"maps"
 	"net"
 	"slices"
@@ -131,27 +130,16 @@
 	}
 	n.peers = peers
 	for method, handler := range map[string]membership.Handler{
-		methodFetch: typed(n.handleFetch), methodLearn: typed(n.handleLearn), methodState: typed(n.handleState),
-		methodTail: typed(n.handleTail), methodNodeStatus: n.handleNodeStatus, methodLend: typed(n.handleLend), methodReturn: typed(n.handleReturn),
-		owner.MethodSubmit: typed(n.handleSubmit), owner.MethodCancel: typed(n.handleCancel),
-		owner.MethodStatus: typed(n.handleJobStatus), owner.MethodTransfer: typed(n.handleTransfer),
+		methodFetch: membership.Typed(n.handleFetch), methodLearn: membership.Typed(n.handleLearn), methodState: membership.Typed(n.handleState),
+		methodTail: membership.Typed(n.handleTail), methodNodeStatus: n.handleNodeStatus, methodLend: membership.Typed(n.handleLend), methodReturn: membership.Typed(n.handleReturn),
+		owner.MethodSubmit: membership.Typed(n.handleSubmit), owner.MethodCancel: membership.Typed(n.handleCancel),
+		owner.MethodStatus: membership.Typed(n.handleJobStatus), owner.MethodTransfer: membership.Typed(n.handleTransfer),
 	} {
 		peers.Handle(method, handler)
 	}
 	return nil
 }
 
-// typed turns a function with parameters of type P into a handler of a peer's call.
-func typed[P any](f func(context.Context, P) (any, error)) membership.Handler {
-	return func(ctx context.Context, raw json.RawMessage) (any, error) {
-		var params P
-		if err := json.Unmarshal(raw, &params); err != nil {
-			return nil, model.Wrap(model.KindInvalid, err, "upgrade the older node", "parameters of a peer's call")
-		}
-		return f(ctx, params)
-	}
-}
-
 // members lists the members of the current view.
 func (n *Node) members() []control.Member {
 	return slices.Collect(maps.Values(n.control.View().Members))
