A term is not settled before it has read the store

settled keeps its answer, and before the store is read no worker is known that could hold runs: one early question would have settled the term for good. Nothing asks so early today; the guard stands in the mechanism instead of at its callers. The new test fails without it.

--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -217,6 +218,18 @@
 }
 
 // A lease is never taken to be over before it is, on a clock that is up to 2% slow.
+// A question before the store has been read must not settle the term for good.
+func TestTermIsNotSettledBeforeItIsLoaded(t *testing.T) {
+	tm := &term{workers: map[model.WorkerID]*worker{}, counters: newMetrics(nil), log: logrus.NewEntry(logrus.New())}
+	require.False(t, tm.settled())
+	w := testWorker("w")
+	w.inherited, w.raised, w.deadBy = true, false, at(5)
+	tm.workers["w"], tm.loaded = w, true
+	require.False(t, tm.settled())
+	w.raised = true
+	require.True(t, tm.settled())
+}
+
 func TestLeaseOverIsLate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(0.98, 1.02).Draw(t, "rate")
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -270,7 +270,10 @@
 // settled reports whether every worker that may hold unseen runs of earlier terms
 // has answered or holds nothing any more.
 func (t *term) settled() bool {
-	if t.knowsAll {
+	switch {
+	case !t.loaded: // the workers that may hold runs are not known yet
+		return false
+	case t.knowsAll:
 		return true
 	}
 	for _, w := range t.workers {
@@ -288,7 +291,7 @@
 // detail is the level of lines about single rows and runs: a new term takes over
 // hundreds at once, and a burst of lines crowds out the others.
 func (t *term) detail() logrus.Level {
-	if t.loaded && t.knowsAll {
+	if t.knowsAll {
 		return logrus.InfoLevel
 	}
 	return logrus.DebugLevel
