--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -28,7 +28,6 @@
 // wave is the progress of a request of upkeep.
 type wave struct {
 	Wave
-	since time.Time
 	// left holds the machines whose upkeep has not begun.
 	left map[string]*upkeepTurn
 	// begun lists those whose upkeep has begun, dirty that the store does not know.
@@ -61,7 +60,7 @@
 	if t.waves[w.Number] != nil || t.cfg.Inventory == nil || w.Cap < 1 {
 		return
 	}
-	v := &wave{Wave: w, since: t.now, left: map[string]*upkeepTurn{}, down: map[string]time.Time{}}
+	v := &wave{Wave: w, left: map[string]*upkeepTurn{}, down: map[string]time.Time{}}
 	for _, m := range w.Machines {
 		v.left[m] = &upkeepTurn{}
 	}
@@ -75,10 +74,7 @@
 	for _, w := range t.waves {
 		open = open || w.status != "completed"
 	}
-	if !open || !t.active() {
-		return
-	}
-	if !t.upkeepIsOurs() {
+	if !open || !t.active() || !t.upkeepIsOurs() {
 		return
 	}
 	if !t.machines.busy && t.now.Sub(t.machines.read) > machinesInterval {
