--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
-	"sort"
-	"text/tabwriter"
+	"slices"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -82,12 +82,7 @@
 	for _, w := range f.Workers {
 		states[w.State]++
 	}
-	names := make([]string, 0, len(states))
-	for s := range states {
-		names = append(names, s)
-	}
-	sort.Strings(names)
-	for _, s := range names {
+	for _, s := range slices.Sorted(maps.Keys(states)) {
 		fmt.Fprintf(out, "workers %s: %d\n", s, states[s])
 	}
 	for _, s := range []fleet.State{fleet.StateQueued, fleet.StateRunning, fleet.StateCompleted, fleet.StateFailed, fleet.StateCancelled} {
@@ -98,27 +93,38 @@
 	for _, dc := range f.Out {
 		fmt.Fprintf(out, "data centre %s is out of service\n", dc)
 	}
-	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	defer func() { _ = tw.Flush() }()
 	if f.Job != nil {
-		fmt.Fprintf(tw, "\njob %s of queue %s: %s, %d ms old", f.Job.Job, f.Job.Queue, f.Job.State, f.Job.AgeMS)
-		if f.Job.Reason != "" {
-			fmt.Fprintf(tw, "; %s", f.Job.Reason)
-		}
-		fmt.Fprintln(tw)
-		for _, r := range f.Job.Runs {
-			fmt.Fprintf(tw, "  %s\tattempt %d\t%s\t%s\t%d%%\t%d ms\n", r.Task, r.Attempt, r.Worker, r.State, r.Percent, r.AgeMS)
-		}
+		writeJob(out, f.Job)
 	}
-	if f.WaitingSteps == 0 {
-		return
+	if f.WaitingSteps > 0 {
+		writeWaiting(out, f)
 	}
-	fmt.Fprintf(tw, "\n%s waiting", plural(f.WaitingSteps, "step"))
+}
+
+func writeJob(out io.Writer, j *fleet.JobView) {
+	fmt.Fprintf(out, "\njob %s of queue %s: %s, %d ms old", j.Job, j.Queue, j.State, j.AgeMS)
+	if j.Reason != "" {
+		fmt.Fprintf(out, "; %s", j.Reason)
+	}
+	fmt.Fprintln(out)
+	var rows [][]string
+	for _, r := range j.Runs {
+		rows = append(rows, []string{"  " + string(r.Task), fmt.Sprintf("attempt %d", r.Attempt), string(r.Worker), r.State,
+			fmt.Sprintf("%d%%", r.Percent), fmt.Sprintf("%d ms", r.AgeMS)})
+	}
+	table(out, rows)
+}
+
+func writeWaiting(out io.Writer, f *fleet.FleetView) {
+	fmt.Fprintf(out, "\n%s waiting", plural(f.WaitingSteps, "step"))
 	if f.WaitingSteps > len(f.Waiting) {
-		fmt.Fprintf(tw, ", the first %d", len(f.Waiting))
+		fmt.Fprintf(out, ", the first %d", len(f.Waiting))
 	}
-	fmt.Fprintln(tw, ":")
+	fmt.Fprintln(out, ":")
+	var rows [][]string
 	for _, w := range f.Waiting {
-		fmt.Fprintf(tw, "  %s\tstep %d\t%s\twaited %d ms\tslack %d ms\t%s\n", w.Job, w.Step, plural(w.Tasks, "task"), w.Waited, w.Slack, w.Reason)
+		rows = append(rows, []string{"  " + w.Job, fmt.Sprintf("step %d", w.Step), plural(w.Tasks, "task"),
+			fmt.Sprintf("waited %d ms", w.Waited), fmt.Sprintf("slack %d ms", w.Slack), w.Reason})
 	}
+	table(out, rows)
 }
