--- a/internal/logtrace/fleet.go
+++ b/internal/logtrace/fleet.go
@@ -1,7 +1,7 @@
 package logtrace
 
 import (
-	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -114,24 +114,18 @@
 }
 
 func readFleet(r io.Reader) ([]fleetLine, error) {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
 	var lines []fleetLine
-	for scanner.Scan() {
-		text := scanner.Bytes()
-		if at := strings.IndexByte(string(text), '{'); at > 0 {
+	err := eachLine(r, func(text []byte) {
+		if at := bytes.IndexByte(text, '{'); at > 0 {
 			text = text[at:] // a prefix by which the platform marks lines
 		}
 		var l fleetLine
 		if json.Unmarshal(text, &l) == nil && l.Decision != "" && !l.Time.IsZero() {
 			lines = append(lines, l)
 		}
-	}
-	if err := scanner.Err(); err != nil {
-		return nil, model.Wrap(model.KindInvalid, err, "pass a log with lines below 1 MiB", "log")
-	}
+	})
 	slices.SortStableFunc(lines, func(a, b fleetLine) int { return a.Time.Compare(b.Time) })
-	return lines, nil
+	return lines, err
 }
 
 func (c *fleetConverter) add(l fleetLine) {
@@ -240,13 +234,7 @@
 		return
 	}
 	c.out[l.DC] = l.Out
-	op := &replay.Operate{Actor: "log", Saw: -1}
-	if l.Out {
-		op.Out = l.DC
-	} else {
-		op.In = l.DC
-	}
-	c.events = append(c.events, replay.Event{At: c.at(l.Time), Operate: op})
+	c.events = append(c.events, replay.Event{At: c.at(l.Time), Operate: operation(l.DC, l.Out)})
 }
 
 // dropUnknownPlaces removes operations on data centres without a worker in the log.
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -94,20 +94,28 @@
 
 // read returns the decision lines in order of time.
 func read(r io.Reader) ([]line, error) {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
 	var lines []line
-	for scanner.Scan() {
+	err := eachLine(r, func(text []byte) {
 		var l line
-		if json.Unmarshal(scanner.Bytes(), &l) == nil && l.Decision != "" {
+		if json.Unmarshal(text, &l) == nil && l.Decision != "" {
 			lines = append(lines, l)
 		}
+	})
+	slices.SortStableFunc(lines, func(a, b line) int { return a.Time.Compare(b.Time) })
+	return lines, err
+}
+
+// eachLine calls f with each line of a log.
+func eachLine(r io.Reader, f func(text []byte)) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		f(scanner.Bytes())
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, model.Wrap(model.KindInvalid, err, "pass a log with lines below 1 MiB", "log")
+		return model.Wrap(model.KindInvalid, err, "pass a log with lines below 1 MiB", "log")
 	}
-	slices.SortStableFunc(lines, func(a, b line) int { return a.Time.Compare(b.Time) })
-	return lines, nil
+	return nil
 }
 
 // header describes the deployment as the declaration states it.
@@ -203,13 +211,18 @@
 		return
 	}
 	c.out[l.Subject] = out
+	c.other = append(c.other, replay.Event{At: c.at(l), Operate: operation(model.DataCentre(l.Subject), out)})
+}
+
+// operation takes a data centre out of service, or returns it.
+func operation(dc model.DataCentre, out bool) *replay.Operate {
 	op := &replay.Operate{Actor: "log", Saw: -1}
 	if out {
-		op.Out = model.DataCentre(l.Subject)
+		op.Out = dc
 	} else {
-		op.In = model.DataCentre(l.Subject)
+		op.In = dc
 	}
-	c.other = append(c.other, replay.Event{At: c.at(l), Operate: op})
+	return op
 }
 
 // events returns the submissions with the run times that the whole log tells, and
