--- a/internal/operator/trace.go
+++ b/internal/operator/trace.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -69,14 +68,5 @@
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
 	w := bufio.NewWriter(f)
-	enc := json.NewEncoder(w)
-	if err := enc.Encode(t.Header); err != nil {
-		return err
-	}
-	for _, e := range t.Events {
-		if err := enc.Encode(e); err != nil {
-			return err
-		}
-	}
-	return w.Flush()
+	return errors.Join(t.Write(w), w.Flush())
 }
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -28,6 +28,20 @@
 	Events []Event
 }
 
+// Write writes a trace in the form that Load reads.
+func (t *Trace) Write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	if err := enc.Encode(t.Header); err != nil {
+		return err
+	}
+	for _, e := range t.Events {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Header is the first line of a trace.
 type Header struct {
 	Format int    `json:"format"`
--- a/internal/replay/tracegen/tracegen.go
+++ b/internal/replay/tracegen/tracegen.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/replay"
 )
 
 // Write writes the traces of the shape in shapeFile to the directory out.
@@ -44,14 +45,9 @@
 		return fmt.Errorf("create trace: %w", err)
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
-	enc := json.NewEncoder(f)
-	if err := enc.Encode(g.header); err != nil {
-		return fmt.Errorf("write header: %w", err)
-	}
-	for _, e := range g.sorted() {
-		if err := enc.Encode(e); err != nil {
-			return fmt.Errorf("write event: %w", err)
-		}
+	t := replay.Trace{Header: g.header, Events: g.sorted()}
+	if err := t.Write(f); err != nil {
+		return fmt.Errorf("write trace: %w", err)
 	}
 	return nil
 }
