--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -110,7 +110,9 @@
 		page, err := n.cfg.Store.Watch(call, tableLeader, after, wait)
 		cancel()
 		if err != nil || page.Version < after {
-			n.leaderUnread(ctx, err)
+			if err != nil && !model.IsKind(err, model.KindStale) && ctx.Err() == nil {
+				n.storeUnread(err)
+			}
 			after, ok = n.readLeader(ctx, &f)
 			continue
 		}
@@ -122,23 +124,6 @@
 	}
 }
 
-// leaderUnread notes a failed watch.
-func (n *Node) leaderUnread(ctx context.Context, err error) {
-	if err == nil || model.IsKind(err, model.KindStale) || ctx.Err() != nil {
-		return
-	}
-	n.metrics.readErrors.WithLabelValues(outcome(err)).Inc()
-	if n.store.failed() {
-		n.log.WithError(err).WithField("event", "lost").Warn("store does not answer")
-	}
-}
-
-func (n *Node) storeAnswered() {
-	if n.store.ok() {
-		n.log.WithField("event", "regained").Info("store answers again")
-	}
-}
-
 // readLeader reads the leader's row. Afterwards silence counts anew.
 func (n *Node) readLeader(ctx context.Context, f *follow) (uint64, bool) {
 	s := n.source(tableLeader, nil)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -163,17 +163,25 @@
 	return source{
 		store: n.cfg.Store, table: table, parts: []string{""}, jitter: jitter,
 		take: func(rows []Row, all bool, now time.Duration) {
-			if n.store.ok() {
-				n.log.WithField("event", "regained").Info("store answers again")
-			}
+			n.storeAnswered()
 			take(rows, all, now)
 		},
-		failed: func(err error) {
-			n.metrics.readErrors.WithLabelValues(outcome(err)).Inc()
-			if !model.IsKind(err, model.KindStale) && n.store.failed() {
-				n.log.WithError(err).WithField("event", "lost").Warn("store does not answer")
-			}
-		},
+		failed: n.storeUnread,
+	}
+}
+
+// storeAnswered notes an answer of the store.
+func (n *Node) storeAnswered() {
+	if n.store.ok() {
+		n.log.WithField("event", "regained").Info("store answers again")
+	}
+}
+
+// storeUnread notes a failed read. History that is gone is an answer.
+func (n *Node) storeUnread(err error) {
+	n.metrics.readErrors.WithLabelValues(outcome(err)).Inc()
+	if !model.IsKind(err, model.KindStale) && n.store.failed() {
+		n.log.WithError(err).WithField("event", "lost").Warn("store does not answer")
 	}
 }
 
