Tests: clusters with an inventory start and end as all others do

Three wave tests repeated the start, the settling and the ledger's check of run, and five declared the same lasting task. runWith takes the preparation; they now also need a leader after the settling, as the others do. Assertions are unchanged.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -38,9 +38,15 @@
 // run starts a cluster in virtual time, waits until it has settled and checks the
 // ledger at the end.
 func run(t *testing.T, seed uint64, nodes, workers int, tasks func(fleet.TaskName) fleettest.Task, test func(*testing.T, *fleettest.Cluster)) {
+	t.Helper()
+	runWith(t, func() *fleettest.Cluster { return fleettest.NewCluster(seed, nodes, workers, tasks) }, test)
+}
+
+// runWith is run with a cluster that the test prepares before its nodes start.
+func runWith(t *testing.T, prepare func() *fleettest.Cluster, test func(*testing.T, *fleettest.Cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := fleettest.NewCluster(seed, nodes, workers, tasks)
+		c := prepare()
 		if os.Getenv("FLEET_LOG") != "" {
 			c.Log = os.Stderr
 		}
@@ -183,7 +189,6 @@
 }
 
 func TestLastingTasksAreRestarted(t *testing.T) {
-	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
 	run(t, 8, 3, 3, lasting, func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, Needs: small, Lasting: true}}})
 		time.Sleep(time.Second)
@@ -231,13 +236,7 @@
 // Machines get their upkeep under the cap. Lasting tasks are moved before, and no
 // more of a step than may miss at once; a change of leader does not disturb it.
 func TestWaveOfUpkeep(t *testing.T) {
-	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
-	synctest.Test(t, func(t *testing.T) {
-		c := fleettest.NewCluster(11, 3, 5, lasting)
-		c.Inventory = fleettest.NewInventory(c)
-		defer c.StopAll()
-		c.StartAll()
-		time.Sleep(settle)
+	runWith(t, inventoried(11, 5, lasting), func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 4, PerWorker: 1, Needs: small, Lasting: true, MayMiss: 1}}})
 		time.Sleep(time.Second)
 		c.Wave([]string{"w0", "w1", "w2", "w3", "w4"}, 2)
@@ -263,20 +262,24 @@
 			running += c.Workers.Running(w)
 		}
 		require.Equal(t, 4, running)
-		c.StopAll()
-		require.Empty(t, c.Ledger.Broken())
 	})
 }
 
+func lasting(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
+
+// inventoried prepares a cluster of three nodes with an inventory of its workers.
+func inventoried(seed uint64, workers int, tasks func(fleet.TaskName) fleettest.Task) func() *fleettest.Cluster {
+	return func() *fleettest.Cluster {
+		c := fleettest.NewCluster(seed, 3, workers, tasks)
+		c.Inventory = fleettest.NewInventory(c)
+		return c
+	}
+}
+
 // machinesOnly starts a cluster whose workers run nothing and asks for a wave.
 func machinesOnly(t *testing.T, seed uint64, test func(*fleettest.Cluster)) {
-	synctest.Test(t, func(t *testing.T) {
-		c := fleettest.NewCluster(seed, 3, 6, behaviour)
-		c.Inventory = fleettest.NewInventory(c)
+	runWith(t, inventoried(seed, 6, behaviour), func(t *testing.T, c *fleettest.Cluster) {
 		c.Inventory.Unfenced = true
-		defer c.StopAll()
-		c.StartAll()
-		time.Sleep(settle)
 		c.Wave([]string{"w0", "w1", "w2", "w3", "w4", "w5"}, 2)
 		test(c)
 		for range 120 {
@@ -288,8 +291,6 @@
 		require.True(t, c.WaveCompleted())
 		require.Len(t, c.Inventory.Begun(), 6)
 		require.LessOrEqual(t, c.Inventory.MostDown(), 2)
-		c.StopAll()
-		require.Empty(t, c.Ledger.Broken())
 	})
 }
 
@@ -337,13 +338,7 @@
 // One of three lasting tasks is away for want of a worker, and only one may be, so
 // upkeep waits for it however long that takes.
 func TestUpkeepWaitsForTasksThatCannotBeMissed(t *testing.T) {
-	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
-	synctest.Test(t, func(t *testing.T) {
-		c := fleettest.NewCluster(13, 3, 3, lasting)
-		c.Inventory = fleettest.NewInventory(c)
-		defer c.StopAll()
-		c.StartAll()
-		time.Sleep(settle)
+	runWith(t, inventoried(13, 3, lasting), func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, PerWorker: 1, Needs: small, Lasting: true, MayMiss: 1}}})
 		time.Sleep(time.Second)
 		c.Workers.Kill(c.Fleet[2])
@@ -355,8 +350,6 @@
 		time.Sleep(10 * time.Second)
 		require.Equal(t, []string{"w0"}, c.Inventory.Begun())
 		require.True(t, c.WaveCompleted())
-		c.StopAll()
-		require.Empty(t, c.Ledger.Broken())
 	})
 }
 
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -340,7 +340,6 @@
 // A worker that has gone before a change of leader does not hold the tasks back
 // that it ran: the former leader has seen its leases end.
 func TestWorkerGoneBeforeLeaderChanges(t *testing.T) {
-	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
 	run(t, 57, 3, 3, lasting, func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, PerWorker: 2, Needs: small, Lasting: true}}})
 		time.Sleep(time.Second)
@@ -466,7 +465,6 @@
 // A leader that is cut off from the store and from a worker sees the leases there
 // end by its own reckoning, while the next leader has renewed them.
 func TestCutOffLeaderRestartsNothing(t *testing.T) {
-	lasting := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: small} }
 	run(t, 62, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 4, Needs: small, Lasting: true}}})
 		time.Sleep(time.Second)
