One relay for the proxies of the end-to-end tests and of the soak

Both copied each direction behind a gate with the same loop. internal/relay carries the bytes; who may pass, and what is counted, stays with each proxy.

--- a/internal/e2e/network_test.go
+++ b/internal/e2e/network_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/relay"
 )
 
 // link is one direction between two parties: nodes by name, "store", or a worker's id.
@@ -193,30 +195,19 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
-	var both sync.WaitGroup
-	both.Go(func() { p.net.carry(server, client, link{source, p.name}) })
-	both.Go(func() { p.net.carry(client, server, link{p.name, source}) })
-	both.Wait()
+	relay.Both(client, server, p.net.gate(link{source, p.name}), p.net.gate(link{p.name, source}))
 }
 
-// carry copies one direction, and its end, as the link allows.
-func (n *network) carry(to, from net.Conn, l link) {
-	defer func() { _ = to.(*net.TCPConn).CloseWrite() }()
-	buffer := make([]byte, 32<<10)
-	for {
-		count, err := from.Read(buffer)
+// gate lets bytes pass as the link allows, and counts them.
+func (n *network) gate(l link) relay.Gate {
+	return func(bytes int) bool {
 		if !n.pass(l) {
-			return
-		}
-		if count > 0 {
-			n.count(l, count)
-			if _, err := to.Write(buffer[:count]); err != nil {
-				return
-			}
+			return false
 		}
-		if err != nil {
-			return
+		if bytes > 0 {
+			n.count(l, bytes)
 		}
+		return true
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/vanillapier/vanillapier/internal/relay"
 )
 
 // proxyMode is what a proxy does with the bytes of one direction.
@@ -117,41 +119,15 @@
 	if !p.track(server, true) {
 		return
 	}
-	var wg sync.WaitGroup
-	wg.Go(func() { p.carry(server, client, func() proxyMode { return p.requests }) })
-	wg.Go(func() { p.carry(client, server, func() proxyMode { return p.answers }) })
-	wg.Wait()
-}
-
-// carry copies one direction until it ends.
-func (p *proxy) carry(to, from net.Conn, mode func() proxyMode) {
-	defer func() {
-		if t, ok := to.(*net.TCPConn); ok {
-			_ = t.CloseWrite()
-		}
-	}()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if !p.gate(mode) {
-			return
-		}
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
+	relay.Both(client, server,
+		func(int) bool { return p.gate(&p.requests) }, func(int) bool { return p.gate(&p.answers) })
 }
 
 // gate returns when data may pass, and false when the proxy is closed.
-func (p *proxy) gate(mode func() proxyMode) bool {
+func (p *proxy) gate(mode *proxyMode) bool {
 	for {
 		p.mu.Lock()
-		m, changed, closed := mode(), p.changed, p.closed
+		m, changed, closed := *mode, p.changed, p.closed
 		p.mu.Unlock()
 		switch {
 		case closed:
