Fault tests: a cut of the platform is proved, and no wait is without limit

Cause: TestPlatformUnreachable passed without its cut, as a node without a declaration is not ready either; the first loop of TestIsolatedNodeRefusesOrders had no limit, so a fault there would end as a time-out of the whole run. Change: the network counts what cuts hold back; the test asserts that the node tried the store and that no byte passed. The loop uses the bounded wait.

--- a/internal/e2e/network_test.go
+++ b/internal/e2e/network_test.go
@@ -26,15 +26,17 @@
 	changed chan struct{}
 	names   map[string]string // nodes by the address that their connections come from
 	unknown []string          // connections that no node owns
-	// carried counts the bytes that each link has let through.
+	// carried counts the bytes that each link has let through, held the reads that
+	// a cut has kept back.
 	carried map[link]int
+	held    map[link]int
 	closed  chan struct{}
 }
 
 func newNetwork(t *testing.T) *network {
 	n := &network{
 		cut: map[link]bool{}, delay: map[link]time.Duration{}, changed: make(chan struct{}),
-		names: map[string]string{}, carried: map[link]int{}, closed: make(chan struct{}),
+		names: map[string]string{}, carried: map[link]int{}, held: map[link]int{}, closed: make(chan struct{}),
 	}
 	t.Cleanup(func() {
 		close(n.closed)
@@ -89,9 +91,12 @@
 
 // pass returns when the link carries data, and false when the test has ended.
 func (n *network) pass(l link) bool {
-	for {
+	for counted := false; ; counted = true {
 		n.mu.Lock()
 		cut, delay, changed := n.cut[l], n.delay[l], n.changed
+		if cut && !counted {
+			n.held[l]++
+		}
 		n.mu.Unlock()
 		if !cut {
 			time.Sleep(delay)
@@ -111,6 +116,25 @@
 	n.carried[l] += bytes
 }
 
+// traffic returns the bytes that have passed between a party and any other, in both
+// directions, and the reads that cuts have kept back.
+func (n *network) traffic(name string) (carried map[link]int, held int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	carried = map[link]int{}
+	for l, bytes := range n.carried {
+		if l.from == name || l.to == name {
+			carried[l] = bytes
+		}
+	}
+	for l, reads := range n.held {
+		if l.from == name || l.to == name {
+			held += reads
+		}
+	}
+	return carried, held
+}
+
 // register gives a node an address of its own, from which it has to open all of
 // its connections.
 func (n *network) register(name string) string {
@@ -254,12 +278,11 @@
 	c.network.update(func() { c.network.carried = map[link]int{} })
 	c.waitOwner("north.0", owner)
 	c.finishAll(c.orders("during", 3, 2, 100))
-	c.network.mu.Lock()
-	for l, bytes := range c.network.carried {
-		require.False(t, l.from == p.name || l.to == p.name, "%d bytes from %s to %s over a cut link", bytes, l.from, l.to)
-	}
-	require.NotEmpty(t, c.network.carried)
-	c.network.mu.Unlock()
+	carried, held := c.network.traffic(p.name)
+	require.Empty(t, carried, "bytes over cut links")
+	require.NotZero(t, held, "the node tried none of its links")
+	others, _ := c.network.traffic("store")
+	require.NotEmpty(t, others)
 	c.network.both(false, p.name, everything...)
 	c.wait("the node that was cut off is ready", p.ready)
 	c.noViolations()
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -93,10 +93,12 @@
 	owner := c.waitOwner("north.0", -1)
 	c.isolate(true, owner)
 	p := c.node(owner)
-	code, outcome := c.tryOrder(p, "refused")
-	for outcome == "" || outcome == "done" { // an answer from before the cut
+	var code int
+	var outcome string
+	c.wait("refusal by "+p.name, func() bool {
 		code, outcome = c.tryOrder(p, "refused")
-	}
+		return outcome != "" && outcome != "done" // not an answer from before the cut
+	})
 	require.NotEqual(t, 202, code)
 	c.isolate(false, owner)
 	if outcome == "not-run" {
