Services are gathered by image before they are gathered by job

Services come together at the start; each job took an empty worker before one of its own image with room, and the rest had to mix. Change: waiting lasting steps are ordered by image, those with a bound per worker first; another image on a worker costs more than an empty worker, another job of the same image less.

--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -38,6 +38,10 @@
 	slack time.Duration
 	// work is what is left of the occurrence, in core-seconds.
 	work float64
+	// image and bound are the image of a lasting step and how many of its tasks one
+	// worker may run; zero for others.
+	image string
+	bound int
 }
 
 // key returns the key of the task with an index.
@@ -98,7 +102,7 @@
 
 // compareWants orders two waiting steps.
 func compareWants(a, b *want) int {
-	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), compareServices(a, b),
 		cmp.Compare(a.work, b.work), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
 }
 
@@ -138,7 +142,9 @@
 		}
 		w := &want{job: j, occ: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: idle, priority: q.Priority}
 		w.class, w.slack = classify(t.now, j, o, i, q)
-		if !w.step.Lasting {
+		if w.step.Lasting {
+			w.image, w.bound = w.step.Image, w.step.perWorker()
+		} else {
 			w.work = workLeft(j.spec, o)
 		}
 		wants = append(wants, w)
@@ -164,3 +170,18 @@
 	}
 	return idle
 }
+
+// compareServices orders lasting steps so that those of one image are placed one
+// after the other, and first those with a bound per worker, which need many
+// workers. Lasting steps come before others.
+func compareServices(a, b *want) int {
+	return cmp.Or(cmp.Compare(b.lasting(), a.lasting()), cmp.Compare(a.image, b.image), cmp.Compare(a.bound, b.bound))
+}
+
+// lasting returns 1 for a lasting step and 0 for others.
+func (w *want) lasting() int {
+	if w.image == "" {
+		return 0
+	}
+	return 1
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -26,9 +26,10 @@
 	servingLoad = 0.5
 	// jobBias and imageBias gather the lasting tasks of one job, whose loads swing
 	// together, and those of one image on the same workers: what fillers find there
-	// is the least headroom of all services present.
-	jobBias   = 1.0
-	imageBias = 1.0
+	// is the least headroom of all services present. A second image costs more than
+	// an empty worker, another job of the image less.
+	jobBias   = 0.4
+	imageBias = 2.0
 	// burdenBias is the cost of the predicted pressure on services.
 	burdenBias = 2.0
 )
--- /dev/null
+++ b/internal/fleet/services_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// serviceBatch returns the steps of services that are handed in together, as when a
+// deployment starts: images of unequal demand, sizes of about a fifth of a worker,
+// and every second step bounded per worker. They fill about four fifths of workers.
+func serviceBatch(random *rand.Rand, workers []*worker, images int) []*want {
+	capacity, used := 0.0, 0.0
+	for _, w := range workers {
+		capacity += float64(w.info.Capacity.MilliCPU)
+	}
+	var wants []*want
+	for used < 0.8*capacity {
+		image := min(random.IntN(images), random.IntN(images))
+		s := &Step{Count: 3 + random.IntN(7), Lasting: true, Image: fmt.Sprint("image", image), LatencyTarget: 100 * time.Millisecond,
+			Needs: model.Resources{MilliCPU: int64(9500 + random.IntN(7000)), MemoryMB: 20_000}}
+		if random.IntN(2) == 0 {
+			s.PerWorker = 1 + random.IntN(2)
+		}
+		used += float64(s.Count) * float64(s.Needs.MilliCPU)
+		j := newJob(fmt.Sprintf("%04x", random.IntN(1<<16)), jobRecord{Spec: Spec{Steps: []Step{*s}}}, 1, epoch)
+		w := &want{job: j, occ: &occurrence{}, step: &j.spec.Steps[0], image: s.Image, bound: s.perWorker()}
+		for i := range s.Count {
+			w.tasks = append(w.tasks, i)
+		}
+		wants = append(wants, w)
+	}
+	return wants
+}
+
+// largeWorkers returns workers of 64 cores, every third of 96.
+func largeWorkers(n int) []*worker {
+	workers := make([]*worker, n)
+	for i := range workers {
+		workers[i] = testWorker(fmt.Sprintf("w%02d", i))
+		workers[i].info.Capacity = model.Resources{MilliCPU: 64_000, MemoryMB: 256_000}
+		if i%3 == 2 {
+			workers[i].info.Capacity.MilliCPU = 96_000
+		}
+	}
+	return workers
+}
+
+// mixed counts the workers that serve more than one image.
+func mixed(workers []*worker) int {
+	n := 0
+	for _, w := range workers {
+		images := map[string]bool{}
+		for _, r := range w.runs {
+			images[r.step.Image] = true
+		}
+		if len(images) > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// Services that come together are gathered by image. What presses on one image
+// leaves another alone, so a worker with two images bears fewer fillers than either.
+// The last worker of each image may be shared, and as many again for the bounds per
+// worker: 2 for each image.
+func TestServicesAreGatheredByImage(t *testing.T) {
+	const images = 5
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		workers := largeWorkers(48)
+		h := newInterference()
+		p := &placement{now: epoch, workers: workers, harm: &h}
+		wants := serviceBatch(random, workers, images)
+		sortWants(wants)
+		index := 0
+		for _, w := range wants {
+			on := map[*worker]int{}
+			for range w.tasks {
+				chosen := p.choose(request{step: w.step, onWorker: on})
+				if chosen == nil {
+					continue // no room under the bound per worker
+				}
+				testRun(chosen, w.step, index).job = w.job
+				on[chosen]++
+				index++
+			}
+		}
+		require.LessOrEqual(t, mixed(workers), 2*images, "seed %d: workers with several images", seed)
+	}
+}
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -57,6 +57,14 @@
 	return r
 }
 
+// perWorker returns how many tasks of the step may run on one worker.
+func (s *Step) perWorker() int {
+	if s.PerWorker == 0 {
+		return s.Count
+	}
+	return s.PerWorker
+}
+
 // Spec is a job as submitted.
 type Spec struct {
 	// Text is passed to the workers unchanged.
