Workers that rested while lasting tasks worked on them are tried again

A worker on probation gets one task at a time, and any run counted as that task; lasting tasks from before the rest never end, and only runs since the rest could prove the worker, so it got nothing for good. A lasting task that had failed itself was kept from all workers on probation besides, to spare a budget that lasting tasks do not have. Ruled out: lack of room (7.7 of 4.95 cores free), labels, bounds per worker. Change: only a run that began since the rest is on trial; lasting tasks are not kept from such workers. Test: TestWorkerWithLastingTasksIsTriedAgain; 2 of 4 tasks run before, 4 after.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -375,6 +375,30 @@
 	})
 }
 
+// A worker that rested while lasting tasks worked on it gets work again. They are
+// no run on trial: as long as they were taken for one, the worker got nothing.
+func TestWorkerWithLastingTasksIsTriedAgain(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		if strings.HasPrefix(string(n), jobID(1)) {
+			return fleettest.Task{Work: time.Second, Needs: small, Fails: 2}
+		}
+		return fleettest.Task{Lasting: true, Needs: small}
+	}
+	run(t, 71, 3, 1, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		lasting := fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: small, Lasting: true}}}
+		submit(t, c, jobID(0), lasting)
+		time.Sleep(2 * time.Second)
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: small, Estimate: time.Second}}})
+		time.Sleep(2 * time.Second) // both attempts have failed, the worker rests for 4 s
+		submit(t, c, jobID(2), lasting)
+		time.Sleep(10 * time.Second)
+		state, err := c.Nodes[0].Node.State(t.Context(), c.Queue, jobID(1))
+		require.NoError(t, err)
+		require.Equal(t, fleet.StateFailed, state)
+		require.Equal(t, 4, c.Workers.Running(c.Fleet[0]))
+	})
+}
+
 // A node that the store turns away lets the leader store the job. Without a
 // leader that can, its refusal is at once and true.
 func TestNodeCutFromStoreForwardsJobs(t *testing.T) {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -133,7 +133,7 @@
 		return lacksRoom
 	case r.rack != "" && w.rack != r.rack,
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
-		w.health.onProbation() && (len(w.runs) > 0 || (r.task != nil && len(r.task.failed) > 0)),
+		w.health.onProbation() && (w.onTrial() || (!s.Lasting && r.task != nil && len(r.task.failed) > 0)),
 		r.task != nil && r.task.runsOn(w),
 		s.Filler && !p.fillerFits(w, s):
 		return lacksOther
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -165,6 +165,17 @@
 	return w.free().MilliCPU + int64((1-servingLoad)*float64(w.serves)) - w.fillers
 }
 
+// onTrial reports whether a run has begun on w since its last rest. Runs from before
+// prove nothing: some workers fail only what they start.
+func (w *worker) onTrial() bool {
+	for _, r := range w.runs {
+		if !r.since.Before(w.health.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // attach adds a run and reserves its resources.
 func (w *worker) attach(r *run, now time.Time) {
 	w.runs[r.ref] = r
