--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -99,7 +99,7 @@
 			return fleet.StartFenced
 		}
 		if k := t.runs[r]; k != nil {
-			k.pace = percent
+			t.setPace(k, percent)
 		}
 		return fleet.StartRunning
 	})
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -22,6 +22,8 @@
 	// Target is the latency target of a serving task, in milliseconds.
 	Target int
 	Filler bool
+	// Image names what the task runs; see Sharing.
+	Image string
 	// Speculative tasks may run in copies.
 	Speculative bool
 	// Members is the number of tasks of a gang; 0 for others.
@@ -44,6 +46,8 @@
 	// Disturb returns the tail of a serving task beside filler work, in
 	// milliseconds; nil means no disturbance.
 	Disturb func(service fleet.TaskName, fillers []fleet.TaskName) int
+	// Sharing, when set, takes the place of Disturb.
+	Sharing *Sharing
 }
 
 // NewWorkers returns an empty fleet whose tasks behave as tasks says.
@@ -66,6 +70,7 @@
 	wake    chan struct{}
 	dead    bool
 	expiry  *time.Timer
+	mixes   []mix
 
 	// Hang keeps tasks from progress, Fail makes all tasks fail, Unending lets them
 	// make all their progress and not end.
@@ -84,12 +89,14 @@
 	ref   fleet.RunRef
 	task  Task
 	begun time.Time
-	done  time.Duration // progress at begin, from a checkpoint
+	done  time.Duration // progress at begin
+	goal  time.Duration // progress at which the run ends by itself
 	timer *time.Timer
 	stop  bool
-	pace  int
+	pace  int // in percent; only fillers heed it
 	// hung runs make no progress; only a stop or the end of the lease ends them.
-	hung bool
+	hung  bool
+	fails bool
 }
 
 // Add starts a worker.
@@ -133,7 +140,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range w.runs {
-		k.pace = percent
+		w.setPace(k, percent)
 	}
 }
 
@@ -179,6 +186,7 @@
 		k.timer.Stop()
 	}
 	delete(w.runs, ref)
+	w.noteMix()
 	w.fleet.ledger.ended(w, ref, k.task, "")
 	return k
 }
@@ -191,7 +199,7 @@
 	}
 	saved := ""
 	if k.task.Checkpoint && how != fleet.EndDone {
-		saved = (k.done + time.Since(k.begun)).String()
+		saved = k.progress().String()
 	}
 	w.number++
 	w.highest[ref.Task] = max(w.highest[ref.Task], ref.Attempt)
@@ -275,29 +283,63 @@
 		k.done, _ = time.ParseDuration(o.Checkpoint)
 	}
 	w.runs[o.RunRef] = k
+	w.noteMix()
 	w.fleet.ledger.started(w, o, task)
-	w.arm(k)
+	w.prepare(k)
 	return fleet.StartRunning
 }
 
-// arm sets the timer that ends a run by itself; the lock is held.
-func (w *Worker) arm(k *work) {
+// rate is the speed of a run; fillers heed their pace.
+func (k *work) rate() float64 {
+	if k.task.Filler {
+		return float64(k.pace) / 100
+	}
+	return 1
+}
+
+// progress returns the work that is done.
+func (k *work) progress() time.Duration {
+	return k.done + time.Duration(k.rate()*float64(time.Since(k.begun)))
+}
+
+// setPace changes the speed of a run; the lock is held.
+func (w *Worker) setPace(k *work, percent int) {
+	k.done, k.begun, k.pace = k.progress(), time.Now(), percent
+	w.noteMix()
+	if k.timer != nil {
+		k.timer.Stop()
+	}
+	w.arm(k)
+}
+
+// prepare sets when a run ends by itself; the lock is held.
+func (w *Worker) prepare(k *work) {
 	if k.task.Lasting {
 		return
 	}
 	if k.hung = w.Hang && !w.Fail; k.hung || w.Unending {
 		return
 	}
-	fails := w.Fail || k.ref.Attempt <= k.task.Fails
+	k.goal = max(k.task.Work, k.done+time.Millisecond)
+	if k.fails = w.Fail || k.ref.Attempt <= k.task.Fails; k.fails {
+		k.goal = k.done + (k.goal-k.done)/2
+	}
+	w.arm(k)
+}
+
+// arm sets the timer that ends a run by itself; the lock is held.
+func (w *Worker) arm(k *work) {
+	if k.goal == 0 || k.rate() == 0 {
+		return
+	}
 	how := fleet.EndDone
-	left := max(k.task.Work-k.done, time.Millisecond)
-	if fails {
-		how, left = fleet.EndFailed, left/2
+	if k.fails {
+		how = fleet.EndFailed
 	}
-	k.timer = time.AfterFunc(left, func() {
+	k.timer = time.AfterFunc(time.Duration(float64(k.goal-k.done)/k.rate()), func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
-		if !w.dead {
+		if !w.dead && w.runs[k.ref] == k {
 			w.end(k.ref, how)
 		}
 	})
@@ -335,20 +377,24 @@
 	for ref, k := range w.runs {
 		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
 		if !k.task.Lasting && k.task.Work > 0 {
-			s.Percent = min(int(100*(k.done+time.Since(k.begun))/k.task.Work), 100)
+			s.Percent = min(int(100*k.progress()/k.task.Work), 100)
 			if w.Hang || k.hung || (k.task.Filler && k.pace == 0) {
 				s.Percent, s.Reading = 0, 0
 			}
 		}
 		if k.task.Target > 0 {
-			s.Reading = w.tail(ref.Task)
+			s.Reading = w.tail(k)
 		}
 		r.Running = append(r.Running, s)
 	}
 	return r
 }
 
-func (w *Worker) tail(service fleet.TaskName) int {
+// tail returns the tail latency of a serving run in milliseconds; the lock is held.
+func (w *Worker) tail(service *work) int {
+	if w.fleet.Sharing != nil {
+		return int(float64(service.task.Target) / w.service(service).Headroom)
+	}
 	if w.fleet.Disturb == nil {
 		return 1
 	}
@@ -358,5 +404,5 @@
 			fillers = append(fillers, ref.Task)
 		}
 	}
-	return w.fleet.Disturb(service, fillers)
+	return w.fleet.Disturb(service.ref.Task, fillers)
 }
