--- a/internal/fleet/fleettest/sharing.go
+++ b/internal/fleet/fleettest/sharing.go
@@ -36,6 +36,10 @@
 	// worker changes: the time from one change to the next, and the largest change.
 	pressureTime  = 1500 * time.Millisecond
 	pressureSwing = 0.6
+	// shareTime is how often processors are shared anew, and grantedStep the change of
+	// a share that counts.
+	shareTime   = 250 * time.Millisecond
+	grantedStep = 0.02
 	// leastHeadroom bounds readings of services that stand still.
 	leastHeadroom = 0.05
 )
@@ -53,6 +57,7 @@
 		return
 	}
 	now, shares := time.Now(), map[string]float64{}
+	w.share()
 	for _, k := range w.runs {
 		if k.task.Filler {
 			shares[k.task.Image] += k.rate() * float64(k.task.Needs.MilliCPU) / float64(w.Info.Capacity.MilliCPU)
@@ -64,6 +69,42 @@
 	w.mixes = append(w.mixes, mix{now, shares})
 }
 
+// share gives fillers what services and others leave of the processors, and looks
+// again soon, as loads swing; the lock is held.
+func (w *Worker) share() {
+	left, demand := float64(w.Info.Capacity.MilliCPU), 0.0
+	var fillers []*work
+	for _, k := range w.runs {
+		need := float64(k.task.Needs.MilliCPU)
+		switch {
+		case k.task.Filler:
+			fillers = append(fillers, k)
+			demand += need * float64(k.pace) / 100
+		case k.task.Target > 0:
+			left -= need * w.fleet.Sharing.load(k.ref.Task, w.clock())
+		default:
+			left -= need
+		}
+	}
+	granted := 1.0
+	if demand > left {
+		granted = max(left, 0) / demand
+	}
+	if math.Abs(granted-w.granted) > grantedStep || granted == 1 {
+		w.change(fillers, func() { w.granted = granted })
+	}
+	if len(fillers) > 0 && !w.ticking {
+		w.ticking = true
+		time.AfterFunc(shareTime, func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			if w.ticking = false; !w.dead {
+				w.share()
+			}
+		})
+	}
+}
+
 // pressed returns the headroom that fillers have taken from a service of the image
 // during the last reading.
 func (w *Worker) pressed(image string) float64 {
@@ -95,12 +136,17 @@
 	return float64(h.Sum64()%100_000) / 100_000
 }
 
-// own returns the headroom of a service task without fillers. The tasks of a job
-// share its swing, and each has spikes of its own.
-func (s *Sharing) own(task fleet.TaskName, at time.Duration) float64 {
+// load returns the load of a service task; the tasks of a job share its swing.
+func (s *Sharing) load(task fleet.TaskName, at time.Duration) float64 {
 	job, _, _ := strings.Cut(string(task), ".")
 	swing := math.Sin(2 * math.Pi * (at.Seconds()/s.Period.Seconds() + fraction(job)))
-	headroom := s.Idle * (1 - s.Load*(1+s.Swing*swing))
+	return s.Load * (1 + s.Swing*swing)
+}
+
+// own returns the headroom of a service task without fillers. Each task has spikes
+// of its own.
+func (s *Sharing) own(task fleet.TaskName, at time.Duration) float64 {
+	headroom := s.Idle * (1 - s.load(task, at))
 	if fraction(string(task)+(at/spikeTime).String()) < spikeShare {
 		headroom -= spikeSize
 	}
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -71,6 +71,9 @@
 	dead    bool
 	expiry  *time.Timer
 	mixes   []mix
+	// granted is the share of their demand that fillers get; see Sharing.
+	granted float64
+	ticking bool
 
 	// Hang keeps tasks from progress, Fail makes all tasks fail, Unending lets them
 	// make all their progress and not end.
@@ -86,14 +89,15 @@
 }
 
 type work struct {
-	ref   fleet.RunRef
-	task  Task
-	begun time.Time
-	done  time.Duration // progress at begin
-	goal  time.Duration // progress at which the run ends by itself
-	timer *time.Timer
-	stop  bool
-	pace  int // in percent; only fillers heed it
+	ref    fleet.RunRef
+	worker *Worker
+	task   Task
+	begun  time.Time
+	done   time.Duration // progress at begin
+	goal   time.Duration // progress at which the run ends by itself
+	timer  *time.Timer
+	stop   bool
+	pace   int // in percent; only fillers heed it
 	// hung runs make no progress; only a stop or the end of the lease ends them.
 	hung  bool
 	fails bool
@@ -103,7 +107,7 @@
 func (f *Workers) Add(info fleet.WorkerInfo) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := &Worker{Info: info, fleet: f, begun: time.Now(), runs: map[fleet.RunRef]*work{}, highest: map[fleet.TaskName]int{}, wake: make(chan struct{})}
+	w := &Worker{Info: info, fleet: f, begun: time.Now(), runs: map[fleet.RunRef]*work{}, highest: map[fleet.TaskName]int{}, wake: make(chan struct{}), granted: 1}
 	f.workers[info.Addr] = w
 	return w
 }
@@ -275,7 +279,7 @@
 		return fleet.StartNoTicket
 	}
 	task := w.fleet.tasks(o.Task)
-	k := &work{ref: o.RunRef, task: task, begun: time.Now(), pace: 100}
+	k := &work{ref: o.RunRef, worker: w, task: task, begun: time.Now(), pace: 100}
 	if !w.used().Add(k.reserved()).Fits(w.Info.Capacity) {
 		return fleet.StartNoRoom
 	}
@@ -289,10 +293,10 @@
 	return fleet.StartRunning
 }
 
-// rate is the speed of a run; fillers heed their pace.
+// rate is the speed of a run; fillers heed their pace, and get what is left.
 func (k *work) rate() float64 {
 	if k.task.Filler {
-		return float64(k.pace) / 100
+		return float64(k.pace) / 100 * k.worker.granted
 	}
 	return 1
 }
@@ -302,14 +306,24 @@
 	return k.done + time.Duration(k.rate()*float64(time.Since(k.begun)))
 }
 
-// setPace changes the speed of a run; the lock is held.
+// change alters the speed of runs; the lock is held.
+func (w *Worker) change(runs []*work, alter func()) {
+	for _, k := range runs {
+		k.done, k.begun = k.progress(), time.Now()
+		if k.timer != nil {
+			k.timer.Stop()
+		}
+	}
+	alter()
+	for _, k := range runs {
+		w.arm(k)
+	}
+}
+
+// setPace changes the pace of a run; the lock is held.
 func (w *Worker) setPace(k *work, percent int) {
-	k.done, k.begun, k.pace = k.progress(), time.Now(), percent
+	w.change([]*work{k}, func() { k.pace = percent })
 	w.noteMix()
-	if k.timer != nil {
-		k.timer.Stop()
-	}
-	w.arm(k)
 }
 
 // prepare sets when a run ends by itself; the lock is held.
