Paused fillers move when standing still has cost as much as a move; paces rise sooner

Cause: fillers stood still for 1.5 s before they were moved, and a pace that was lowered rose again after 0.7 s at the earliest; on the replay a quarter of the time of fillers on workers was spent paused, while other workers had headroom. Change: moved after 0.8 s, about what the stop, the restore and the start cost; paces rise every 0.35 s. Test: TestPausedFillerIsMovedInTime, limit stop + restore + report; fails before.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -422,3 +422,43 @@
 		require.Less(t, longest, 4*time.Second)
 	})
 }
+
+// A filler that is paused is moved once standing still has cost as much as a move
+// does: 400 ms for the stop and 250 ms to restore its progress, seen by reports
+// that are half a second apart.
+func TestPausedFillerIsMovedInTime(t *testing.T) {
+	const limit = 400*time.Millisecond + 250*time.Millisecond + 500*time.Millisecond
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		if strings.HasPrefix(string(n), jobID(0)) {
+			return fleettest.Task{Lasting: true, Needs: small, Target: 150}
+		}
+		return fleettest.Task{Work: 30 * time.Second, Needs: small, Filler: true, Checkpoint: true}
+	}
+	run(t, 15, 3, 1, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		c.Workers.Set(func() {
+			tail := 30
+			c.Workers.Disturb = func(_ fleet.TaskName, fillers []fleet.TaskName) int {
+				if len(fillers) > 0 {
+					tail = 400 // and it stays: the service's own load has grown
+				}
+				return tail
+			}
+		})
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: small, Lasting: true, LatencyTarget: 150 * time.Millisecond, Image: "s"}}})
+		time.Sleep(2 * time.Second)
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: small, Filler: true, Checkpoints: true, Estimate: 30 * time.Second, Image: "f"}}})
+		const sample = 10 * time.Millisecond
+		stalled, longest := time.Duration(0), time.Duration(0)
+		for range 1000 {
+			time.Sleep(sample)
+			if c.Workers.Running(c.Fleet[0]) == 2 && !c.Workers.Pressed(c.Fleet[0]) {
+				stalled += sample
+			} else {
+				stalled = 0
+			}
+			longest = max(longest, stalled)
+		}
+		require.NotZero(t, longest, "the filler was never paused")
+		require.LessOrEqual(t, longest, limit)
+	})
+}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -18,15 +18,15 @@
 	// raiseStep is the least rise that is worth an order.
 	raiseStep = 20
 	// raiseInterval spaces rises, so that a report shows the effect of each.
-	raiseInterval = 700 * time.Millisecond
+	raiseInterval = 350 * time.Millisecond
 	// lowerInterval spaces small reductions.
 	lowerInterval = 500 * time.Millisecond
 	// allPausedAfter is when all fillers are paused beside a service that stays over
 	// its target.
 	allPausedAfter = 1200 * time.Millisecond
-	// stalledLimit is how long a filler may stand still before it is moved; the
-	// contract's bound for a disturbed service is 4 s.
-	stalledLimit = 1500 * time.Millisecond
+	// stalledLimit is how long a filler may stand still before it is moved: about
+	// what a move costs, 400 ms for the stop, 250 ms to restore progress, and a start.
+	stalledLimit = 800 * time.Millisecond
 	// youngPercent is the progress up to which a filler without checkpoints is moved.
 	youngPercent = 40
 	// lightShare of the highest headroom of a service is the most that a filler may
