--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -17,7 +17,7 @@
 	paceStep = 20
 	// raiseStep is the least rise that is worth an order.
 	raiseStep = 20
-	// raiseInterval spaces rises, so that a report shows the effect of each.
+	// raiseInterval spaces rises, so that most of a reading shows the effect of each.
 	raiseInterval = 350 * time.Millisecond
 	// lowerInterval spaces small reductions.
 	lowerInterval = 500 * time.Millisecond
