--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -38,8 +38,8 @@
 	slack time.Duration
 	// work is what is left of the occurrence, in core-seconds.
 	work float64
-	// image and bound are the image of a lasting step and how many of its tasks one
-	// worker may run; zero for others.
+	// image and bound are the image of a lasting step, if it has one, and how many of
+	// its tasks one worker may run; zero for others.
 	image string
 	bound int
 }
@@ -178,7 +178,7 @@
 	return cmp.Or(cmp.Compare(b.lasting(), a.lasting()), cmp.Compare(a.image, b.image), cmp.Compare(a.bound, b.bound))
 }
 
-// lasting returns 1 for a lasting step and 0 for others.
+// lasting returns 1 for a lasting step with an image and 0 for others.
 func (w *want) lasting() int {
 	if w.image == "" {
 		return 0
