Tests: one behaviour of fillers beside a service; processors are shared anew on change only

Both in test code. Two tests of fillers described the same tasks. The stand-in re-armed the timers of all fillers four times a second while their share was whole and unchanged. Race tests of internal/fleet and fleettest: pass.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -386,16 +386,19 @@
 	})
 }
 
+// fillerBesideService returns the first job's tasks as services and all others as
+// long fillers.
+func fillerBesideService(n fleet.TaskName) fleettest.Task {
+	if strings.HasPrefix(string(n), jobID(0)) {
+		return fleettest.Task{Lasting: true, Needs: small, Target: 150}
+	}
+	return fleettest.Task{Work: 30 * time.Second, Needs: small, Filler: true, Checkpoint: true}
+}
+
 // A filler that disturbs a service beyond its target works on for less than the
 // contract's bound.
 func TestFillerBesideDisturbedServiceIsPaused(t *testing.T) {
-	tasks := func(n fleet.TaskName) fleettest.Task {
-		if strings.HasPrefix(string(n), jobID(0)) {
-			return fleettest.Task{Lasting: true, Needs: small, Target: 150}
-		}
-		return fleettest.Task{Work: 30 * time.Second, Needs: small, Filler: true, Checkpoint: true}
-	}
-	run(t, 14, 3, 1, tasks, func(t *testing.T, c *fleettest.Cluster) {
+	run(t, 14, 3, 1, fillerBesideService, func(t *testing.T, c *fleettest.Cluster) {
 		c.Workers.Set(func() {
 			c.Workers.Disturb = func(_ fleet.TaskName, fillers []fleet.TaskName) int {
 				if len(fillers) > 0 {
@@ -428,13 +431,7 @@
 // that are half a second apart.
 func TestPausedFillerIsMovedInTime(t *testing.T) {
 	const limit = 400*time.Millisecond + 250*time.Millisecond + 500*time.Millisecond
-	tasks := func(n fleet.TaskName) fleettest.Task {
-		if strings.HasPrefix(string(n), jobID(0)) {
-			return fleettest.Task{Lasting: true, Needs: small, Target: 150}
-		}
-		return fleettest.Task{Work: 30 * time.Second, Needs: small, Filler: true, Checkpoint: true}
-	}
-	run(t, 15, 3, 1, tasks, func(t *testing.T, c *fleettest.Cluster) {
+	run(t, 15, 3, 1, fillerBesideService, func(t *testing.T, c *fleettest.Cluster) {
 		c.Workers.Set(func() {
 			tail := 30
 			c.Workers.Disturb = func(_ fleet.TaskName, fillers []fleet.TaskName) int {
--- a/internal/fleet/fleettest/sharing.go
+++ b/internal/fleet/fleettest/sharing.go
@@ -90,7 +90,7 @@
 	if demand > left {
 		granted = max(left, 0) / demand
 	}
-	if math.Abs(granted-w.granted) > grantedStep || granted == 1 {
+	if granted != w.granted && (granted == 1 || math.Abs(granted-w.granted) > grantedStep) {
 		w.change(fillers, func() { w.granted = granted })
 	}
 	if len(fillers) > 0 && !w.ticking {
