Cells: the fleet is divided by what hosts carry, each cell with a leader of its own

Cause: one leader for all workers.

Change: layout row, hosts told, one fence and part for each cell, renewals carry the counts of waiting jobs, campaigns in order of host size and cells led.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -102,7 +102,7 @@
 		}
 		value := encode(j.progress())
 		size += len(value)
-		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(j.id), Value: value})
+		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(t.part, j.id), Value: value})
 		c.shown = append(c.shown, shownJob{j, j.state()})
 		j.dirty = false
 	}
@@ -125,7 +125,7 @@
 		if len(c.tx.Puts)+len(c.tx.Delete) >= commitRows {
 			return
 		}
-		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(life), Value: encode(u)})
+		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(t.part, life), Value: encode(u)})
 		c.used = append(c.used, life)
 		delete(t.usedDirty, life)
 	}
@@ -133,25 +133,25 @@
 		if len(c.tx.Puts)+len(c.tx.Delete) >= commitRows {
 			return
 		}
-		c.tx.Delete = append(c.tx.Delete, usedRow(life))
+		c.tx.Delete = append(c.tx.Delete, usedRow(t.part, life))
 		c.unused = append(c.unused, life)
 		delete(t.usedGone, life)
 	}
 }
 
 // usedRow addresses the row of a lifetime.
-func usedRow(l Lifetime) RowID {
-	return RowID{tableUsed, leaderPart, string(l.Worker) + "/" + time.UnixMilli(l.Born).UTC().Format("20060102T150405.000")}
+func usedRow(part string, l Lifetime) RowID {
+	return RowID{tableUsed, part, string(l.Worker) + "/" + time.UnixMilli(l.Born).UTC().Format("20060102T150405.000")}
 }
 
 // seal adds the fence and, where due, the renewal.
 func (t *term) seal(c *commit, renew bool) {
-	fence := RowID{tableFence, leaderPart, keyLeader}
+	fence := RowID{tableFence, t.part, keyLeader}
 	c.tx.Expect = []Expectation{{fence, t.fenceVersion}}
 	c.tx.Puts = append(c.tx.Puts, Row{RowID: fence, Value: encode(fenceRecord{t.number, c.nonce})})
 	c.renews, c.release = renew, t.stopping
 	if renew {
-		c.tx.Puts = append(c.tx.Puts, t.cfg.renewal(t.number, t.stopping, t.successor))
+		c.tx.Puts = append(c.tx.Puts, t.cfg.renewal(t.part, t.renewal()))
 		t.addModels(c)
 	}
 }
@@ -174,7 +174,7 @@
 	if t.cfg.Limits.RowBytes > 0 && len(value) > t.cfg.Limits.RowBytes {
 		return // more images than a row holds: the next leader learns anew
 	}
-	c.tx.Puts = append(c.tx.Puts, Row{RowID: RowID{tableModels, leaderPart, keyLeader}, Value: value})
+	c.tx.Puts = append(c.tx.Puts, Row{RowID: RowID{tableModels, t.part, keyLeader}, Value: value})
 }
 
 // modelsRow takes what an earlier term has learnt.
@@ -191,12 +191,19 @@
 	}
 }
 
-// renewal returns the row by which followers know that the leader lives.
-func (c Config) renewal(term uint64, released bool, successor model.NodeID) Row {
-	return Row{RowID: RowID{tableLeader, leaderPart, keyLeader}, Value: encode(leaderRecord{
-		Term: term, Node: c.Node, Process: c.Process, Addr: c.PeerAddr, Released: released,
-		MilliCPU: c.Limits.MilliCPU, Successor: successor,
-	})}
+// renewal returns the row of a cell by which followers know that its leader lives.
+func (c Config) renewal(part string, r leaderRecord) Row {
+	r.Node, r.Process, r.Addr, r.MilliCPU = c.Node, c.Process, c.PeerAddr, c.Limits.MilliCPU
+	return Row{RowID: RowID{tableLeader, part, keyLeader}, Value: encode(r)}
+}
+
+// renewal returns what the term tells followers now.
+func (t *term) renewal() leaderRecord {
+	r := leaderRecord{Term: t.number, Released: t.stopping, Successor: t.successor, Loaded: t.loaded}
+	if t.loaded {
+		r.Pending = t.pendingCounts()
+	}
+	return r
 }
 
 // send tries a transaction until its result is known. Repeating it is safe: it
@@ -358,9 +365,9 @@
 func (t *term) removeJob(id string) {
 	ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[0])
 	defer cancel()
-	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{jobRow(id), cancelRow(id)}})
+	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{t.layout.jobRow(id), t.layout.cancelRow(id)}})
 	if err == nil {
-		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{progressRow(id)}})
+		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{progressRow(t.part, id)}})
 	}
 	if err != nil {
 		t.log.WithError(err).WithField("job", id).Warn("rows of a finished job stay")
--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -2,6 +2,10 @@
 // all nodes share. Every node takes jobs from callers and stores them; one node
 // at a time, the leader, decides where their tasks run.
 //
+// A fleet that one host cannot carry is divided into cells, each with a leader of its
+// own, some racks of workers and a share of the jobs; see layout.go. What is said of
+// the leader below holds for that of each cell.
+//
 // State and its place: a job is one row, written by the node that took it; its
 // progress is another row, written by the leader; what runs is known to the
 // workers alone. A leader fences its writes with one row and its orders with the
@@ -29,6 +33,8 @@
 	MilliCPU int64
 	// MemoryMB is this host's memory in megabytes.
 	MemoryMB int64
+	// LinkBytes is what this host's link carries a second, in bytes; 0 when unknown.
+	LinkBytes int64
 }
 
 // Bounds are the times of the platform's contract that decisions use.
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -76,8 +76,10 @@
 	Inventory *Inventory
 	// Advisor is nil unless a test sets it before the nodes start; see UseAdvisor.
 	Advisor *Advisor
-	seed    uint64
-	born    int64
+	// Cells fixes the number of cells of the fleet; 0 lets the nodes decide.
+	Cells int
+	seed  uint64
+	born  int64
 	// Log receives the nodes' logs; default discarded.
 	Log   io.Writer
 	logMu sync.Mutex
@@ -215,6 +217,7 @@
 		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
 		Limits: fleet.Limits{RowBytes: 65536, MilliCPU: m.MilliCPU},
 		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: UpkeepTime},
+		Cells:  c.Cells,
 		Store:  m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
 	}
 	if c.Inventory != nil {
@@ -260,7 +263,7 @@
 	}
 }
 
-// Leader returns the node that leads, or nil.
+// Leader returns a node that leads, or nil.
 func (c *Cluster) Leader() *Member {
 	for _, m := range c.Nodes {
 		if m.Up() && m.Node.Leading() {
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -29,9 +29,11 @@
 
 // leadParams asks the leader of a term to hand the lead over.
 type leadParams struct {
-	Term     uint64       `json:"term"`
-	Node     model.NodeID `json:"node"`
-	MilliCPU int64        `json:"milli_cpu"`
+	Cell int          `json:"cell"`
+	Term uint64       `json:"term"`
+	Node model.NodeID `json:"node"`
+	// MilliCPU is the processor share that the asking host has for the cell.
+	MilliCPU int64 `json:"milli_cpu"`
 }
 
 // larger reports whether a host with one processor share should lead in place of
@@ -40,10 +42,16 @@
 	return leader > 0 && float64(candidate) >= largerHost*float64(leader)
 }
 
-// askForLead asks a leader on a clearly smaller host to hand the lead over. It is
-// called with each renewal; a leader that does not answer is asked again.
-func (n *Node) askForLead(r leaderRecord) {
-	if r.Released || r.Node == n.cfg.Node || n.draining.Load() || !larger(n.cfg.Limits.MilliCPU, r.MilliCPU) {
+// shareOfCell is the processor share that a host has for each of its cells.
+func shareOfCell(milliCPU int64, cells int) int64 { return milliCPU / int64(max(cells, 1)) }
+
+// askForLead asks a leader with clearly less processor time for the cell to hand the
+// lead over. It is called with each renewal; a leader that does not answer is asked
+// again.
+func (n *Node) askForLead(c *cell, r leaderRecord) {
+	d := n.division.Load()
+	own := shareOfCell(n.cfg.Limits.MilliCPU, n.ledCells()+1)
+	if r.Released || r.Node == n.cfg.Node || n.draining.Load() || !larger(own, shareOfCell(r.MilliCPU, d.led(r.Node))) {
 		return
 	}
 	now := time.Now()
@@ -55,16 +63,20 @@
 		time.Sleep(time.Duration(rand.Int64N(int64(askLeadSpread))))
 		ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
 		defer cancel()
-		heard := n.ask(ctx, methodLead, leadParams{r.Term, n.cfg.Node, n.cfg.Limits.MilliCPU}, nil)
-		n.log.WithFields(logrus.Fields{"decision": "ask-lead", "term": r.Term, "leader": r.Node, "leader_milli_cpu": r.MilliCPU,
-			"milli_cpu": n.cfg.Limits.MilliCPU, "heard": heard}).Info("larger host asks for the lead")
+		heard := n.ask(ctx, c, methodLead, leadParams{c.index, r.Term, n.cfg.Node, own}, nil)
+		n.log.WithFields(logrus.Fields{"decision": "ask-lead", "cell": c.index, "term": r.Term, "leader": r.Node, "leader_milli_cpu": r.MilliCPU,
+			"milli_cpu": own, "heard": heard}).Info("larger host asks for the lead")
 	})
 }
 
 // handleLead answers a larger host that asks for the lead.
 func (n *Node) handleLead(_ context.Context, p leadParams) (any, error) {
-	t := n.term.Load()
-	if t == nil || t.ctx.Err() != nil || t.number != p.Term || !larger(p.MilliCPU, n.cfg.Limits.MilliCPU) {
+	c := n.cell(p.Cell)
+	if c == nil || !c.leading() || !larger(p.MilliCPU, shareOfCell(n.cfg.Limits.MilliCPU, n.ledCells())) {
+		return nil, nil
+	}
+	t := c.term.Load()
+	if t.number != p.Term {
 		return nil, nil
 	}
 	t.post(stepDown{successor: p.Node}) // dropped when the term is over
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -16,10 +16,13 @@
 	Ready         bool             `json:"ready"`
 	Draining      bool             `json:"draining"`
 	Configuration uint64           `json:"configuration"`
-	// Leader and Term are the newest that this node knows of.
+	// Leader and Term are the newest of the first cell that this node knows of.
 	Leader model.NodeID `json:"leader"`
 	Term   uint64       `json:"term"`
-	// Fleet is nil on nodes that do not lead.
+	// Cells lists the cells with their leaders, as far as this node knows.
+	Cells []CellView `json:"cells"`
+	// Fleet is the view of the first cell that this node leads and that knows the job
+	// asked for; nil on nodes that do not lead.
 	Fleet *FleetView `json:"fleet,omitempty"`
 }
 
@@ -90,11 +93,45 @@
 	if view := n.view.Load(); view != nil {
 		v.Configuration = view.configuration.Version
 	}
-	if l := n.leader.Load(); l != nil {
-		v.Leader, v.Term = l.Node, l.Term
+	d := n.division.Load()
+	if d == nil {
+		return v
+	}
+	for _, c := range d.cells {
+		v.Cells = append(v.Cells, n.cellView(ctx, c, job))
+	}
+	v.Leader, v.Term = v.Cells[0].Leader, v.Cells[0].Term
+	for _, c := range v.Cells {
+		if c.Fleet != nil && (v.Fleet == nil || (c.Fleet.Job != nil && v.Fleet.Job == nil)) {
+			v.Fleet = c.Fleet
+		}
+	}
+	return v
+}
+
+// CellView is one cell of the fleet.
+type CellView struct {
+	Cell   int          `json:"cell"`
+	Leader model.NodeID `json:"leader"`
+	Term   uint64       `json:"term"`
+	// RenewedMS is the time since this node saw the leader's last renewal.
+	RenewedMS int64 `json:"renewed_ms"`
+	// Pending counts the jobs that have not begun.
+	Pending int `json:"pending"`
+	// Fleet is nil for cells that another node leads.
+	Fleet *FleetView `json:"fleet,omitempty"`
+}
+
+func (n *Node) cellView(ctx context.Context, c *cell, job string) CellView {
+	v := CellView{Cell: c.index}
+	if l := c.leader.Load(); l != nil {
+		v.Leader, v.Term, v.RenewedMS = l.Node, l.Term, time.Since(l.at).Milliseconds()
+		for _, n := range l.Pending {
+			v.Pending += n
+		}
 	}
 	q := inspectQuery{job, make(chan *FleetView, 1)}
-	v.Fleet = queryTerm(ctx, n.term.Load(), q, q.reply)
+	v.Fleet = queryCell(ctx, c, q, q.reply)
 	return v
 }
 
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -28,6 +28,9 @@
 	retryLong  = 2 * time.Second
 	// stateTimeout bounds the question to the leader before the store is read.
 	stateTimeout = 250 * time.Millisecond
+	// renewedAge is how long after it was seen a renewal tells the counts: they may be
+	// 2 s old, of which the renewal's way to this node takes up to a second.
+	renewedAge = 1000 * time.Millisecond
 	// pendingAge is how old a cached count may be.
 	pendingAge = 400 * time.Millisecond
 	// pendingAgeMax is how old a count may be when the leader does not answer.
@@ -56,21 +59,26 @@
 }
 
 func (n *Node) accept(ctx context.Context, q Queue, id string, spec Spec) (tries int, err error) {
-	row := Row{RowID: jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.get()})}
+	d := n.division.Load()
+	if d == nil {
+		return 0, retryAfter(retryShort, model.KindUnavailable, "retry later", "this node does not know the cells yet")
+	}
+	c := d.cellOf(id)
+	row := Row{RowID: d.layout.jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.get()})}
 	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
 		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
 	}
 	if n.store.lost() {
 		// No write was sent yet, so a refusal by the leader leaves all open.
-		if err := n.forward(ctx, methodAccept, rowParams(row)); !model.IsKind(err, model.KindUnavailable) {
+		if err := n.forward(ctx, c, methodAccept, rowParams(c, row)); !model.IsKind(err, model.KindUnavailable) {
 			return 1, unknownOutcome(err)
 		}
 	}
-	tries, err = n.storeJob(ctx, row, time.Duration(refuseShare*float64(q.Objective)))
+	tries, err = n.storeJob(ctx, c, row, time.Duration(refuseShare*float64(q.Objective)))
 	if !model.IsKind(err, model.KindUnavailable) {
 		return tries, err
 	}
-	if err := n.forward(ctx, methodAccept, rowParams(row)); !model.IsKind(err, model.KindUnavailable) {
+	if err := n.forward(ctx, c, methodAccept, rowParams(c, row)); !model.IsKind(err, model.KindUnavailable) {
 		return tries + 1, unknownOutcome(err)
 	}
 	after := retryShort
@@ -82,7 +90,7 @@
 
 // storeJob writes the row of a job. KindUnavailable means that it is not stored
 // and will not be; KindUnknown that it may be.
-func (n *Node) storeJob(ctx context.Context, row Row, patience time.Duration) (tries int, err error) {
+func (n *Node) storeJob(ctx context.Context, c *cell, row Row, patience time.Duration) (tries int, err error) {
 	begun := time.Now()
 	tx := Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}
 	doubt := 0
@@ -100,7 +108,7 @@
 			n.store.took(time.Since(sent))
 			n.clock.set(result.Now)
 			row.Version = result.Version
-			go n.offer(row)
+			go n.offer(c, row)
 			return tries, nil
 		case errors.As(err, &conflict):
 			n.storeAnswered()
@@ -133,22 +141,22 @@
 }
 
 // rowParams are the parameters of calls about a row that is to be stored.
-func rowParams(row Row) offerParams {
-	return offerParams{Key: row.Key, Part: row.Part, Value: row.Value}
+func rowParams(c *cell, row Row) offerParams {
+	return offerParams{Cell: c.index, Key: row.Key, Part: row.Part, Value: row.Value}
 }
 
-// forward lets the leader make a change in the store that this node cannot make.
+// forward lets a cell's leader make a change in the store that this node cannot make.
 // KindUnavailable means that it is not made and will not be.
-func (n *Node) forward(ctx context.Context, method string, params any) error {
-	leader := n.leader.Load()
-	if leader == nil || leader.Node == n.cfg.Node || !n.link.usable(leader.Term) {
+func (n *Node) forward(ctx context.Context, c *cell, method string, params any) error {
+	leader := c.leader.Load()
+	if leader == nil || leader.Node == n.cfg.Node || !c.link.usable(leader.Term) {
 		return model.Errorf(model.KindUnavailable, "retry later", "no leader to forward to")
 	}
 	call, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	err := n.cfg.Peers.Call(call, leader.Addr, method, params, nil)
 	if model.IsKind(err, model.KindUnknown) {
-		n.link.failed(leader.Term)
+		c.link.failed(leader.Term)
 	}
 	return err
 }
@@ -175,26 +183,31 @@
 }
 
 func (n *Node) state(ctx context.Context, id string) (State, string, error) {
-	if s, ok := n.askState(ctx, id); ok {
+	d := n.division.Load()
+	if d == nil {
+		return "", "", retryAfter(retryShort, model.KindUnavailable, "ask again", "this node does not know the cells yet")
+	}
+	c := d.cellOf(id)
+	if s, ok := n.askState(ctx, c, id); ok {
 		return s, "leader", nil
 	}
-	s, err := n.storedState(ctx, id)
+	s, err := n.storedState(ctx, d.layout.jobRow(id), progressRow(c.part, id))
 	return s, "store", err
 }
 
 // storedState reads a job's state from its rows.
-func (n *Node) storedState(ctx context.Context, id string) (State, error) {
+func (n *Node) storedState(ctx context.Context, job, done RowID) (State, error) {
+	id := job.Key
 	var jobs, progress Page
 	var errs [2]error
 	var wg sync.WaitGroup
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	wg.Go(func() {
-		r := jobRow(id)
-		jobs, errs[0] = n.cfg.Store.List(call, r.Table, r.Part, id, id+"~", 2)
+		jobs, errs[0] = n.cfg.Store.List(call, job.Table, job.Part, id, id+"~", 2)
 	})
 	wg.Go(func() {
-		progress, errs[1] = n.cfg.Store.List(call, tableProgress, leaderPart, id, id+"\x00", 1)
+		progress, errs[1] = n.cfg.Store.List(call, done.Table, done.Part, id, id+"\x00", 1)
 	})
 	wg.Wait()
 	if err := errors.Join(errs[:]...); err != nil {
@@ -241,14 +254,19 @@
 }
 
 func (n *Node) cancelJob(ctx context.Context, id string) error {
+	d := n.division.Load()
+	if d == nil {
+		return retryAfter(retryShort, model.KindUnavailable, "send the cancellation again", "this node does not know the cells yet")
+	}
 	known := false
 	if n.store.lost() {
-		if err := n.forward(ctx, methodCancel, stateParams{id}); err == nil || model.IsKind(err, model.KindGone) {
+		c := d.cellOf(id)
+		if err := n.forward(ctx, c, methodCancel, stateParams{c.index, id}); err == nil || model.IsKind(err, model.KindGone) {
 			return err
 		}
 	}
 	for try := 0; ; try++ {
-		err := n.tryCancel(ctx, id, &known)
+		err := n.tryCancel(ctx, d, id, &known)
 		if err == nil || model.IsKind(err, model.KindGone) {
 			return err
 		}
@@ -261,12 +279,12 @@
 }
 
 // tryCancel checks that the job exists and stores its cancellation.
-func (n *Node) tryCancel(ctx context.Context, id string, known *bool) error {
+func (n *Node) tryCancel(ctx context.Context, d *division, id string, known *bool) error {
 	timeout, _ := n.store.acceptBounds()
 	call, cancel := acceptContext(ctx, timeout)
 	defer cancel()
 	if !*known {
-		r := jobRow(id)
+		r := d.layout.jobRow(id)
 		page, err := n.cfg.Store.List(call, r.Table, r.Part, id, id+"\x00", 1)
 		if err != nil {
 			return err
@@ -277,11 +295,11 @@
 		}
 		*known = true
 	}
-	row := Row{RowID: cancelRow(id), Value: []byte{1}}
+	row := Row{RowID: d.layout.cancelRow(id), Value: []byte{1}}
 	if _, err := n.cfg.Store.Commit(call, Transaction{Puts: []Row{row}}); err != nil {
 		return err
 	}
-	go n.offer(row)
+	go n.offer(d.cellOf(id), row)
 	return nil
 }
 
@@ -293,43 +311,71 @@
 	return count, err
 }
 
-// pendingCache holds the counts of the queues.
+// pendingCache holds the counts that leaders gave on request, by cell.
 type pendingCache struct {
-	mu     sync.Mutex
+	mu    sync.Mutex
+	cells map[int]pendingCount
+}
+
+// pendingCount are counts by queue, and when they were asked for.
+type pendingCount struct {
 	counts map[string]int
 	at     time.Time
 }
 
-func (c *pendingCache) get(queue string, age time.Duration) (int, bool) {
+func (c *pendingCache) get(cell int, age time.Duration) (map[string]int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.counts == nil || time.Since(c.at) > age {
-		return 0, false
+	p := c.cells[cell]
+	if p.counts == nil || time.Since(p.at) > age {
+		return nil, false
 	}
-	return c.counts[queue], true
+	return p.counts, true
 }
 
-func (c *pendingCache) set(counts map[string]int, at time.Time) {
+func (c *pendingCache) set(cell int, p pendingCount) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at.After(c.at) {
-		c.counts, c.at = counts, at
+	if c.cells == nil {
+		c.cells = map[int]pendingCount{}
+	}
+	if p.at.After(c.cells[cell].at) {
+		c.cells[cell] = p
 	}
 }
 
+// countPending adds the counts of all cells.
 func (n *Node) countPending(ctx context.Context, queue string) (int, error) {
-	if count, ok := n.pending.get(queue, pendingAge); ok {
-		return count, nil
+	d := n.division.Load()
+	if d == nil {
+		return 0, retryAfter(retryShort, model.KindUnavailable, "ask again", "this node does not know the cells yet")
 	}
-	asked := time.Now()
-	if counts, ok := n.askPending(ctx); ok {
-		n.pending.set(counts, asked)
-		return counts[queue], nil
+	sum := 0
+	for _, c := range d.cells {
+		counts, ok := n.cellPending(ctx, c)
+		if !ok {
+			return 0, retryAfter(retryShort, model.KindUnavailable, "ask again", "the leader of cell %d does not answer", c.index)
+		}
+		sum += counts[queue]
+	}
+	return sum, nil
+}
+
+// cellPending returns the counts of a cell: those of its leader's last renewal, which
+// costs no call, or what the leader answers.
+func (n *Node) cellPending(ctx context.Context, c *cell) (map[string]int, bool) {
+	if l := c.leader.Load(); l != nil && l.Loaded && time.Since(l.at) < renewedAge {
+		return l.Pending, true
+	}
+	if counts, ok := n.pending.get(c.index, pendingAge); ok {
+		return counts, true
 	}
-	if count, ok := n.pending.get(queue, pendingAgeMax); ok {
-		return count, nil
+	asked := time.Now()
+	if counts, ok := n.askPending(ctx, c); ok {
+		n.pending.set(c.index, pendingCount{counts, asked})
+		return counts, true
 	}
-	return 0, retryAfter(retryShort, model.KindUnavailable, "ask again", "the leader does not answer")
+	return n.pending.get(c.index, pendingAgeMax)
 }
 
 // observeRequest counts a request and logs it when it matters for a failure.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +28,9 @@
 	// entries all the time.
 	jobWatchPause    = 250 * time.Millisecond
 	workerWatchPause = 250 * time.Millisecond
+	// workerWatchPauseCells is that of a leader of one cell among several: each reads
+	// the entries of all workers.
+	workerWatchPauseCells = 600 * time.Millisecond
 )
 
 // listAll reads a part of a table. The version is the one to watch from.
@@ -149,15 +151,6 @@
 	}
 }
 
-// jobPartNames lists the parts of the jobs' table.
-func jobPartNames() []string {
-	names := make([]string, jobParts)
-	for i := range names {
-		names[i] = strconv.Itoa(i)
-	}
-	return names
-}
-
 // source returns a source whose failures are logged and counted.
 func (t *term) source(table string, parts []string, pause time.Duration, take func([]Row, bool, time.Duration)) source {
 	return source{
@@ -199,17 +192,24 @@
 	c.t.post(e)
 }
 
+func (t *term) workerPause() time.Duration {
+	if t.layout.Cells > 1 {
+		return workerWatchPauseCells
+	}
+	return workerWatchPause
+}
+
 // load reads what the term starts from, and follows the changes.
 func (t *term) load() {
 	workersTable, operatorTable := t.cfg.Decoder.Tables()
 	later := &changes{t: t}
-	jobs := t.source(tableJobs, jobPartNames(), jobWatchPause, func(rows []Row, _ bool, now time.Duration) { later.post(jobRows{rows, now}) })
-	workers := t.source(workersTable, []string{""}, workerWatchPause, func(rows []Row, all bool, _ time.Duration) { later.post(workerRows{rows, all}) })
+	jobs := t.source(tableJobs, t.layout.jobParts(t.cell), jobWatchPause, func(rows []Row, _ bool, now time.Duration) { later.post(jobRows{rows, now}) })
+	workers := t.source(workersTable, []string{""}, t.workerPause(), func(rows []Row, all bool, _ time.Duration) { later.post(workerRows{rows, all}) })
 	operator := t.source(operatorTable, []string{""}, 0, func(rows []Row, all bool, _ time.Duration) { later.post(operatorRows{rows, all}) })
-	progress := t.source(tableProgress, []string{leaderPart}, 0, nil)
-	used := t.source(tableUsed, []string{leaderPart}, 0, nil)
-	models := t.source(tableModels, []string{leaderPart}, 0, nil)
-	waves := t.source(tableWaves, []string{leaderPart}, 0, nil)
+	progress := t.source(tableProgress, []string{t.part}, 0, nil)
+	used := t.source(tableUsed, []string{t.part}, 0, nil)
+	models := t.source(tableModels, []string{t.part}, 0, nil)
+	waves := t.source(tableWaves, []string{t.part}, 0, nil)
 
 	all := []source{jobs, workers, operator, progress, used, models, waves}
 	rows := make([][]Row, len(all))
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -8,7 +8,7 @@
 
 // metrics are the counters and histograms of a node.
 type metrics struct {
-	leading, waiting                                      prometheus.Gauge
+	leading, waiting, cells                               prometheus.Gauge
 	accepted, starts, refusals, looks, silent, unreadable prometheus.Counter
 	paces                                                 prometheus.Counter
 	stops, ends, commits, readErrors, requests, terms     *prometheus.CounterVec
@@ -22,7 +22,8 @@
 		return m.Counter("fleet", name, help).WithLabelValues()
 	}
 	return &metrics{
-		leading:         m.Gauge("fleet", "leading", "1 while this node leads.").WithLabelValues(),
+		leading:         m.Gauge("fleet", "leading", "Cells that this node leads.").WithLabelValues(),
+		cells:           m.Gauge("fleet", "cells", "Cells into which the fleet is divided.").WithLabelValues(),
 		waiting:         m.Gauge("fleet", "waiting_steps", "Steps with tasks that wait for a worker.").WithLabelValues(),
 		configuration:   m.Gauge("fleet", "configuration_version", "Version of the configuration in force on this node.").WithLabelValues(),
 		accepted:        counter("jobs_total", "Jobs that the leader has taken up."),
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -17,6 +17,8 @@
 type Config struct {
 	Node       model.NodeID
 	DataCentre model.DataCentre
+	// Cells fixes the number of cells of a new deployment; default by measured load.
+	Cells int
 	// PeerAddr is the address and port at which peers call this node.
 	PeerAddr string
 	// Process distinguishes processes of one node; default the start time.
@@ -59,16 +61,14 @@
 	log      *logrus.Entry
 	metrics  *metrics
 	view     atomic.Pointer[view]
-	term     atomic.Pointer[term]
-	leader   atomic.Pointer[leaderRecord]
+	division atomic.Pointer[division]
 	draining atomic.Bool
 	store    storeHealth
-	link     linkHealth
 	pending  pendingCache
 	clock    storeClock
 	wait     sync.WaitGroup
 	// askedLead is when this node last asked for the lead; it belongs to the
-	// goroutine that follows the leader.
+	// goroutine that follows the leaders.
 	askedLead time.Time
 }
 
@@ -90,9 +90,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.log.WithFields(logrus.Fields{"event": "start", "dc": n.cfg.DataCentre, "peers": n.cfg.PeerAddr, "process": n.cfg.Process}).Info("node starts")
 	n.wait.Go(func() { n.followOperator(ctx) })
-	n.wait.Go(func() { n.followLeader(ctx) })
+	n.wait.Go(func() { n.followLeaders(ctx) })
 	err := n.cfg.Peers.Run(ctx)
-	if t := n.term.Load(); t != nil {
+	for _, t := range n.terms() {
 		t.cancel()
 	}
 	n.wait.Wait()
@@ -101,18 +101,35 @@
 }
 
 // Drain prepares a planned stop: the node reports that it is not ready and hands
-// the lead over. It returns when the lead is given up, or when ctx ends.
+// over the cells that it leads. It returns when the lead is given up, or when ctx ends.
 func (n *Node) Drain(ctx context.Context) {
 	n.draining.Store(true)
 	n.log.WithField("event", "drain").Info("node prepares to stop")
-	t := n.term.Load()
-	if t == nil || !t.post(stepDown{}) {
-		return
+	terms := n.terms()
+	for _, t := range terms {
+		t.post(stepDown{})
+	}
+	for _, t := range terms {
+		select {
+		case <-ctx.Done():
+		case <-t.ctx.Done():
+		}
 	}
-	select {
-	case <-ctx.Done():
-	case <-t.ctx.Done():
+}
+
+// terms lists the terms of the cells that this node leads.
+func (n *Node) terms() []*term {
+	d := n.division.Load()
+	if d == nil {
+		return nil
+	}
+	var terms []*term
+	for _, c := range d.cells {
+		if c.leading() {
+			terms = append(terms, c.term.Load())
+		}
 	}
+	return terms
 }
 
 // readyWithin is how recent an answer of the store must be for a ready node.
@@ -120,7 +137,7 @@
 
 // Ready reports whether the balancer should send new connections.
 func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.view.Load() != nil && n.store.answeredWithin(readyWithin)
+	return !n.draining.Load() && n.view.Load() != nil && n.division.Load() != nil && n.store.answeredWithin(readyWithin)
 }
 
 // followOperator keeps the routes up to date. A configuration is never replaced
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -30,6 +29,7 @@
 
 // offerParams tells the leader of a stored row.
 type offerParams struct {
+	Cell    int           `json:"cell"`
 	Key     string        `json:"key"`
 	Part    string        `json:"part"`
 	Value   []byte        `json:"value"`
@@ -38,7 +38,12 @@
 }
 
 type stateParams struct {
-	Job string `json:"job"`
+	Cell int    `json:"cell"`
+	Job  string `json:"job"`
+}
+
+type cellParams struct {
+	Cell int `json:"cell"`
 }
 
 type stateResult struct {
@@ -55,44 +60,62 @@
 func (n *Node) handlePeers() {
 	for method, handler := range map[string]membership.Handler{
 		methodOffer: membership.Typed(func(_ context.Context, p offerParams) (any, error) {
-			n.takeOffer(Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
+			n.takeOffer(n.cell(p.Cell), Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
 			return true, nil
 		}),
 		methodAccept: membership.Typed(func(ctx context.Context, p offerParams) (any, error) {
-			_, err := n.storeJob(ctx, Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value}, 0)
+			c := n.cell(p.Cell)
+			if c == nil {
+				return false, model.Errorf(model.KindUnavailable, "retry later", "no cell %d is known here", p.Cell)
+			}
+			_, err := n.storeJob(ctx, c, Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value}, 0)
 			return err == nil, err
 		}),
 		methodCancel: membership.Typed(func(ctx context.Context, p stateParams) (any, error) {
-			known := false
-			err := n.tryCancel(ctx, p.Job, &known)
+			d, known := n.division.Load(), false
+			if d == nil {
+				return false, model.Errorf(model.KindUnavailable, "retry later", "the cells are not known here")
+			}
+			err := n.tryCancel(ctx, d, p.Job, &known)
 			return err == nil, err
 		}),
 		methodState: membership.Typed(func(ctx context.Context, p stateParams) (any, error) {
-			return n.localState(ctx, p.Job), nil
+			return localState(ctx, n.cell(p.Cell), p.Job), nil
+		}),
+		methodPending: membership.Typed(func(ctx context.Context, p cellParams) (any, error) {
+			return localPending(ctx, n.cell(p.Cell)), nil
 		}),
-		methodPending: func(ctx context.Context, _ json.RawMessage) (any, error) { return n.localPending(ctx), nil },
-		methodLead:    membership.Typed(n.handleLead),
+		methodLead: membership.Typed(n.handleLead),
 	} {
 		n.cfg.Peers.Handle(method, handler)
 	}
 }
 
-// takeOffer hands a stored row to the term that this node leads.
-func (n *Node) takeOffer(row Row, storeNow time.Duration) {
-	if t := n.term.Load(); t != nil && t.ctx.Err() == nil {
-		t.post(jobRows{[]Row{row}, storeNow})
+// cell returns a cell by its number, or nil.
+func (n *Node) cell(index int) *cell {
+	d := n.division.Load()
+	if d == nil || index < 0 || index >= len(d.cells) {
+		return nil
 	}
+	return d.cells[index]
 }
 
-// offer tells the leader of a row that was just stored.
-func (n *Node) offer(row Row) {
-	if t := n.term.Load(); t != nil && t.ctx.Err() == nil {
-		n.takeOffer(row, n.clock.get())
+// takeOffer hands a stored row to the term of its cell, if this node leads it.
+func (n *Node) takeOffer(c *cell, row Row, storeNow time.Duration) {
+	if c != nil && c.leading() {
+		c.term.Load().post(jobRows{[]Row{row}, storeNow})
+	}
+}
+
+// offer tells the leader of a cell of a row that was just stored.
+func (n *Node) offer(c *cell, row Row) {
+	if c.leading() {
+		n.takeOffer(c, row, n.clock.get())
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
 	defer cancel()
-	n.ask(ctx, methodOffer, offerParams{row.Key, row.Part, row.Value, row.Version, n.clock.get()}, nil)
+	n.ask(ctx, c, methodOffer, offerParams{c.index, row.Key, row.Part, row.Value, row.Version, n.clock.get()}, nil)
 }
 
 // linkHealth remembers that the leader does not answer.
@@ -114,15 +137,15 @@
 	l.term, l.until = term, time.Now().Add(linkPause)
 }
 
-// ask calls the leader, when there is one that answers.
-func (n *Node) ask(ctx context.Context, method string, params, result any) bool {
-	leader := n.leader.Load()
-	if leader == nil || leader.Released || leader.Node == n.cfg.Node || !n.link.usable(leader.Term) {
+// ask calls the leader of a cell, when there is one that answers.
+func (n *Node) ask(ctx context.Context, c *cell, method string, params, result any) bool {
+	leader := c.leader.Load()
+	if leader == nil || leader.Released || leader.Node == n.cfg.Node || !c.link.usable(leader.Term) {
 		return false
 	}
 	if err := n.cfg.Peers.Call(ctx, leader.Addr, method, params, result); err != nil {
 		if !model.IsKind(err, model.KindExhausted) {
-			n.link.failed(leader.Term)
+			c.link.failed(leader.Term)
 		}
 		n.log.WithError(err).WithField("method", method).Debug("leader does not answer")
 		return false
@@ -130,29 +153,30 @@
 	return true
 }
 
-// askState asks the leader, or the term that this node leads, for a job's state.
-func (n *Node) askState(ctx context.Context, id string) (State, bool) {
+// askState asks the leader of a job's cell, or the term that this node leads, for the
+// job's state.
+func (n *Node) askState(ctx context.Context, c *cell, id string) (State, bool) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	if r := n.localState(ctx, id); r.Known {
+	if r := localState(ctx, c, id); r.Known {
 		return r.State, true
 	}
 	var r stateResult
-	if !n.ask(ctx, methodState, stateParams{id}, &r) || !r.Known {
+	if !n.ask(ctx, c, methodState, stateParams{c.index, id}, &r) || !r.Known {
 		return "", false
 	}
 	return r.State, true
 }
 
-// askPending asks the leader for the counts of the queues.
-func (n *Node) askPending(ctx context.Context) (map[string]int, bool) {
+// askPending asks the leader of a cell for the counts of its queues.
+func (n *Node) askPending(ctx context.Context, c *cell) (map[string]int, bool) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	if r := n.localPending(ctx); r.Known {
+	if r := localPending(ctx, c); r.Known {
 		return r.Counts, true
 	}
 	var r pendingResult
-	if !n.ask(ctx, methodPending, struct{}{}, &r) || !r.Known {
+	if !n.ask(ctx, c, methodPending, cellParams{c.index}, &r) || !r.Known {
 		return nil, false
 	}
 	return r.Counts, true
@@ -176,25 +200,41 @@
 type pendingQuery struct{ reply chan pendingResult }
 
 func (q pendingQuery) handle(t *term) {
-	r := pendingResult{Counts: map[string]int{}}
+	r := pendingResult{}
 	if r.Known = t.loaded && t.active(); r.Known {
-		for _, j := range t.jobs {
-			if !j.started && !j.over() {
-				r.Counts[j.queue]++
-			}
-		}
+		r.Counts = t.pendingCounts()
 	}
 	q.reply <- r
 }
 
-func (n *Node) localState(ctx context.Context, id string) stateResult {
+// pendingCounts counts the jobs of each queue that have not begun.
+func (t *term) pendingCounts() map[string]int {
+	counts := map[string]int{}
+	for _, j := range t.jobs {
+		if !j.started && !j.over() {
+			counts[j.queue]++
+		}
+	}
+	return counts
+}
+
+func localState(ctx context.Context, c *cell, id string) stateResult {
 	q := stateQuery{id, make(chan stateResult, 1)}
-	return queryTerm(ctx, n.term.Load(), q, q.reply)
+	return queryCell(ctx, c, q, q.reply)
 }
 
-func (n *Node) localPending(ctx context.Context) pendingResult {
+func localPending(ctx context.Context, c *cell) pendingResult {
 	q := pendingQuery{make(chan pendingResult, 1)}
-	return queryTerm(ctx, n.term.Load(), q, q.reply)
+	return queryCell(ctx, c, q, q.reply)
+}
+
+// queryCell puts a question to the term of a cell that this node leads; the zero value
+// means no answer.
+func queryCell[T any](ctx context.Context, c *cell, q event, reply chan T) (none T) {
+	if c == nil {
+		return none
+	}
+	return queryTerm(ctx, c.term.Load(), q, reply)
 }
 
 // queryTerm puts a question to a term's loop; the zero value means no answer.
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -29,8 +29,9 @@
 		require.NoError(t, err)
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), false) })
-		t.Run("unequal-"+strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), true) })
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), false, 0) })
+		t.Run("unequal-"+strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), true, 0) })
+		t.Run("cells-"+strconv.Itoa(seed), func(t *testing.T) { playFaults(t, uint64(seed), true, 3) })
 	}
 }
 
@@ -49,13 +50,19 @@
 	allFaults = 16
 )
 
-// playFaults plays one sequence. Unequal hosts hand the lead to each other.
-func playFaults(t *testing.T, seed uint64, unequal bool) {
+// playFaults plays one sequence. Unequal hosts hand the lead to each other. Cells fixes
+// the number of cells; 0 leaves it to the nodes.
+func playFaults(t *testing.T, seed uint64, unequal bool, cells int) {
 	random := rand.New(rand.NewPCG(seed, 7))
 	tasks := func(fleet.TaskName) fleettest.Task {
 		return fleettest.Task{Work: 1500 * time.Millisecond, Needs: small, Checkpoint: true}
 	}
-	run(t, seed, 4, 5, tasks, func(t *testing.T, c *fleettest.Cluster) {
+	prepare := func() *fleettest.Cluster {
+		c := fleettest.NewCluster(seed, 4, 5, tasks)
+		c.Cells = cells
+		return c
+	}
+	runWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
 		f := &faults{c: c, random: random, next: 5, kinds: commonFaults}
 		if unequal {
 			f.kinds = allFaults
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -27,33 +26,25 @@
 	tableWaves = "vp-waves"
 	// tableUsed holds the lifetimes of workers on which tasks may have started.
 	tableUsed = "vp-used"
+	// tableHosts holds a row per node, from which the fleet is divided into cells.
+	tableHosts = "vp-hosts"
 )
 
 const (
-	// jobParts spreads jobs over parts of the store, which limits the
-	// transactions of one part.
-	jobParts = 64
-	// leaderPart holds all rows that the leader writes: a transaction has one part.
+	// leaderPart holds all rows that the leader of a lone cell writes: a transaction
+	// has one part.
 	leaderPart = "leader"
-	// keyLeader is the key of the fence and of the renewals.
+	// keyLeader is the key of a cell's fence and of its renewals.
 	keyLeader = "leader"
+	// layoutPart and keyLayout address the layout.
+	layoutPart = "layout"
+	keyLayout  = "layout"
 	// cancelSuffix follows the job's id in the key of its cancellation.
 	cancelSuffix = "/cancel"
 )
 
-// jobPart returns the part that holds a job.
-func jobPart(id string) string {
-	return strconv.FormatUint(xxhash.Sum64String(id)%jobParts, 10)
-}
-
-// jobRow addresses the row of a job.
-func jobRow(id string) RowID { return RowID{tableJobs, jobPart(id), id} }
-
-// cancelRow addresses the row of a job's cancellation.
-func cancelRow(id string) RowID { return RowID{tableJobs, jobPart(id), id + cancelSuffix} }
-
-// progressRow addresses the row of a job's progress.
-func progressRow(id string) RowID { return RowID{tableProgress, leaderPart, id} }
+// progressRow addresses the row of a job's progress in the part of its cell.
+func progressRow(part, id string) RowID { return RowID{tableProgress, part, id} }
 
 // jobRecord is the stored form of a job.
 type jobRecord struct {
@@ -110,6 +101,11 @@
 	MilliCPU int64 `cbor:"6,keyasint,omitempty"`
 	// Successor is the node to which a released lead was handed; usually empty.
 	Successor model.NodeID `cbor:"7,keyasint,omitempty"`
+	// Pending counts the cell's jobs that have not begun, by queue; only queues with
+	// such jobs are listed.
+	Pending map[string]int `cbor:"8,keyasint,omitempty"`
+	// Loaded means that Pending is known: the term has read the store.
+	Loaded bool `cbor:"9,keyasint,omitempty"`
 }
 
 // usedRecord is the value of a row of tableUsed.
@@ -128,7 +124,7 @@
 }
 
 // waveRow addresses the progress of a wave.
-func waveRow(number int) RowID { return RowID{tableWaves, leaderPart, strconv.Itoa(number)} }
+func waveRow(part string, number int) RowID { return RowID{tableWaves, part, strconv.Itoa(number)} }
 
 // encode marshals a record. The records hold nothing that CBOR cannot encode.
 func encode(v any) []byte {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -23,7 +23,7 @@
 
 // jobRow takes a job or a cancellation.
 func (t *term) jobRow(row Row, storeNow time.Duration) {
-	if row.Removed {
+	if row.Removed || !t.ownsPart(row.Part) {
 		return
 	}
 	if id, ok := strings.CutSuffix(row.Key, cancelSuffix); ok {
@@ -133,6 +133,8 @@
 
 func (e workerRows) handle(t *term) {
 	if e.all {
+		clear(t.foreign)
+		clear(t.unplaced)
 		listed := map[string]bool{}
 		for _, row := range e.rows {
 			listed[row.Key] = true
@@ -154,17 +156,25 @@
 	id := model.WorkerID(row.Key)
 	w := t.workers[id]
 	if row.Removed {
+		delete(t.foreign, row.Key)
+		delete(t.unplaced, row.Key)
 		if w != nil {
 			t.unlist(w)
 		}
 		return
 	}
+	if t.foreign[row.Key] {
+		return
+	}
 	info, err := t.cfg.Decoder.Worker(row)
 	if err != nil {
 		t.counters.unreadable.Inc()
 		t.log.WithError(err).Debug("entry of the list ignored")
 		return
 	}
+	if w == nil && !t.owns(row, info) {
+		return
+	}
 	switch {
 	case w == nil:
 		t.workers[id] = newWorker(info)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -34,6 +34,9 @@
 type term struct {
 	cfg    Config
 	log    *logrus.Entry
+	cell   int
+	part   string // holds all rows that the term writes
+	layout *layout
 	number uint64
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -45,11 +48,16 @@
 	begun  time.Time
 	random *rand.Rand
 	// knowsAll is set when no worker can hold unseen runs of earlier terms.
-	knowsAll bool
-	adopted  int // runs taken over from earlier terms
-	loaded   bool
-	jobs     map[string]*job
-	workers  map[model.WorkerID]*worker
+	knowsAll     bool
+	adopted      int // runs taken over from earlier terms
+	loaded       bool
+	placingRacks bool // a new layout is being stored
+	jobs         map[string]*job
+	workers      map[model.WorkerID]*worker
+	// foreign holds entries of the list that name workers of other cells, unplaced
+	// those whose rack no cell has yet.
+	foreign  map[string]bool
+	unplaced map[string]Row
 	queues   map[string]Queue
 	setting  *Configuration
 	out      map[model.DataCentre]bool
@@ -89,13 +97,14 @@
 	counters     *metrics
 }
 
-func newTerm(cfg Config, number, fenceVersion uint64, formerAlive time.Time, log *logrus.Entry, m *metrics) *term {
+func newTerm(cfg Config, cell int, l *layout, number, fenceVersion uint64, formerAlive time.Time, log *logrus.Entry, m *metrics) *term {
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	return &term{
-		cfg: cfg, log: log.WithField("term", number), number: number, ctx: ctx, cancel: cancel,
-		mail: make(chan event, mailboxSize), now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed, number)),
+		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, number: number, ctx: ctx, cancel: cancel,
+		mail: make(chan event, mailboxSize), now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
+		foreign: map[string]bool{}, unplaced: map[string]Row{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
 		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
@@ -124,8 +133,6 @@
 // run is the loop. It returns when the term is over.
 func (t *term) run() {
 	t.log.WithField("fence_version", t.fenceVersion).Info("term begins")
-	t.counters.leading.Set(1)
-	defer t.counters.leading.Set(0)
 	go t.load()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -172,6 +179,7 @@
 	t.sweepRuns()
 	t.scheduleLooks()
 	t.runUpkeep()
+	t.placeRacks()
 	t.dirty = true
 }
 
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -271,7 +271,7 @@
 func (t *term) collectWaves(c *commit) {
 	for _, w := range t.waves {
 		if w.dirty && len(c.tx.Puts) < commitRows {
-			c.tx.Puts = append(c.tx.Puts, Row{RowID: waveRow(w.Number), Value: encode(waveRecord{w.Number, w.begun})})
+			c.tx.Puts = append(c.tx.Puts, Row{RowID: waveRow(t.part, w.Number), Value: encode(waveRecord{w.Number, w.begun})})
 			w.dirty = false
 		}
 	}
