Jobs move to cells with room; one watch of the operators' table for a node and its terms

Change: a job that has not begun moves where clearly more room is; the decision lies under the fence of the cell it leaves, its row follows. A job that has begun moves only when nothing of it runs and no worker can hold what is left (a cell whose workers are gone). Lasting tasks that ran before come before new ones.

Cause of CONFIG and lapsed leases on narrow links: each node read a configuration of 1,600 queues once, a leader once more for each term; terms now use what their node watches and has decoded, and ask only for what has changed since.

Found by TestRandomFaults with three cells, each with a test that failed first: a job known only by its ends counted as not begun (TestJobKnownByItsEndsHasBegun); a list older than a job brought a moved job back (TestMovedJobIsNotTakenAgain); a cell whose workers are gone kept its jobs (TestMovedJobContinues).

--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -53,6 +53,24 @@
 	return n
 }
 
+// rooms returns what the leaders of all cells tell of their load.
+func (d *division) rooms() []cellRoom {
+	rooms := make([]cellRoom, 0, len(d.cells))
+	for _, c := range d.cells {
+		if l := c.leader.Load(); l != nil && l.Loaded && !l.Released {
+			rooms = append(rooms, cellRoom{c.index, l.Room, l.at})
+		}
+	}
+	return rooms
+}
+
+// tellCell hands a row that was just stored to the leader of a cell.
+func (n *Node) tellCell(cell int, row Row) {
+	if c := n.cell(cell); c != nil {
+		n.offer(c, row)
+	}
+}
+
 // ledCells counts the cells that this node leads.
 func (n *Node) ledCells() int {
 	d := n.division.Load()
--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -20,6 +20,10 @@
 // knows its workers.
 const settle = 3 * time.Second
 
+// linkDrain lets calls that were given up finish on narrow links, where they still take
+// their time, before the test's virtual time ends.
+const linkDrain = 20 * time.Second
+
 var small = model.Resources{MilliCPU: 1000, MemoryMB: 500}
 
 // behaviour returns a task of a second that saves its progress.
@@ -50,7 +54,10 @@
 		if os.Getenv("FLEET_LOG") != "" {
 			c.Log = os.Stderr
 		}
-		defer c.StopAll()
+		defer func() {
+			c.StopAll()
+			time.Sleep(linkDrain)
+		}()
 		c.StartAll()
 		time.Sleep(settle)
 		require.NotNil(t, c.Leader(), "a leader after %v", settle)
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -52,6 +52,8 @@
 type shownJob struct {
 	job   *job
 	state State
+	// moved means that the transaction stores that the job leaves for another cell.
+	moved bool
 }
 
 // committed is the result of a transaction.
@@ -103,7 +105,7 @@
 		value := encode(j.progress())
 		size += len(value)
 		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(t.part, j.id), Value: value})
-		c.shown = append(c.shown, shownJob{j, j.state()})
+		c.shown = append(c.shown, shownJob{j, j.state(), j.moved > 0 && !j.arrivedThere})
 		j.dirty = false
 	}
 	t.collectUsed(c)
@@ -202,6 +204,9 @@
 	r := leaderRecord{Term: t.number, Released: t.stopping, Successor: t.successor, Loaded: t.loaded}
 	if t.loaded {
 		r.Pending = t.pendingCounts()
+		if t.layout.Cells > 1 {
+			r.Room = t.ownRoom(t.collectWants())
+		}
 	}
 	return r
 }
@@ -286,6 +291,9 @@
 	}
 	for _, s := range c.shown {
 		s.job.shown = s.state
+		if s.moved {
+			go t.sendMoved(s.job.id, s.job.moved-1, t.recordOf(s.job))
+		}
 	}
 	for w, n := range c.ends {
 		w.committed = max(w.committed, n)
@@ -362,12 +370,15 @@
 
 // removeJob deletes the rows of a job after its retention. The result does not
 // matter: a row that stays is removed by a later term.
-func (t *term) removeJob(id string) {
+func (t *term) removeJob(id string, path []int) {
 	ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[0])
 	defer cancel()
 	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{t.layout.jobRow(id), t.layout.cancelRow(id)}})
-	if err == nil {
-		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{progressRow(t.part, id)}})
+	for _, cell := range append(path, t.cell) {
+		part := t.layout.cellPart(cell)
+		if err == nil {
+			_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{progressRow(part, id), movedRow(part, id), movedRow(part, id+cancelSuffix)}})
+		}
 	}
 	if err != nil {
 		t.log.WithError(err).WithField("job", id).Warn("rows of a finished job stay")
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -191,12 +191,29 @@
 	if s, ok := n.askState(ctx, c, id); ok {
 		return s, "leader", nil
 	}
-	s, err := n.storedState(ctx, d.layout.jobRow(id), progressRow(c.part, id))
+	s, err := n.storedState(ctx, d, id)
 	return s, "store", err
 }
 
-// storedState reads a job's state from its rows.
-func (n *Node) storedState(ctx context.Context, job, done RowID) (State, error) {
+// storedState reads a job's state from its rows, in the cell to which it has moved.
+func (n *Node) storedState(ctx context.Context, d *division, id string) (State, error) {
+	c, before := d.cellOf(id), StateQueued
+	for {
+		state, moved, err := n.cellState(ctx, d.layout.jobRow(id), progressRow(c.part, id))
+		if state == StateQueued {
+			state = before // the cell has stored nothing of the job yet
+		}
+		before = state
+		if err != nil || moved == 0 || state.Final() || moved > len(d.cells) {
+			return state, err
+		}
+		c = d.cells[moved-1]
+	}
+}
+
+// cellState reads a job's row and its progress in one cell. Moved is one more than the
+// cell to which it has moved from there; 0 for none.
+func (n *Node) cellState(ctx context.Context, job, done RowID) (state State, moved int, err error) {
 	id := job.Key
 	var jobs, progress Page
 	var errs [2]error
@@ -212,20 +229,20 @@
 	wg.Wait()
 	if err := errors.Join(errs[:]...); err != nil {
 		n.store.failed()
-		return "", &RetryError{retryShort, model.Wrap(model.KindUnavailable, err, "ask again", "neither leader nor store answers")}
+		return "", 0, &RetryError{retryShort, model.Wrap(model.KindUnavailable, err, "ask again", "neither leader nor store answers")}
 	}
 	n.storeAnswered()
 	return stateOf(id, jobs.Rows, progress.Rows)
 }
 
-// stateOf derives the state from a job's rows.
-func stateOf(id string, jobs, progress []Row) (State, error) {
+// stateOf derives the state from a job's row and its progress in one cell.
+func stateOf(id string, jobs, progress []Row) (state State, moved int, err error) {
 	state, found := StateQueued, false
 	for _, row := range jobs {
 		found = found || row.Key == id
 	}
 	if !found {
-		return "", model.Errorf(model.KindGone, "check the id", "no job %s", id)
+		return "", 0, model.Errorf(model.KindGone, "check the id", "no job %s", id)
 	}
 	for _, row := range progress {
 		var p progressRecord
@@ -233,16 +250,16 @@
 			continue
 		}
 		if err := decodeRecord(row, &p); err != nil {
-			return "", err
+			return "", 0, err
 		}
-		state = p.State
+		state, moved = p.State, p.Moved
 	}
 	for _, row := range jobs {
 		if row.Key == id+cancelSuffix && !state.Final() {
 			state = StateCancelled
 		}
 	}
-	return state, nil
+	return state, moved, nil
 }
 
 // Cancel implements Intake. The cancellation is acknowledged when it is stored.
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -115,6 +115,23 @@
 	opened      int           // occurrences opened so far
 	finished    map[int]bool  // occurrences that are done
 
+	// acceptedAt is the store's steady clock at acceptance, as stored.
+	acceptedAt time.Duration
+	// seen is when this term heard of the job.
+	seen time.Time
+	// attempts is the highest number that other cells may have used for a start.
+	attempts int
+	// path lists the cells that the job has left before this one.
+	path []int
+	// moved is one more than the cell to which the job has moved; 0 for none. Its row
+	// is there when arrivedThere is set.
+	moved        int
+	arrivedThere bool
+	// moveCheck is when a better cell is looked for next; waitsForNews means that the job
+	// does not begin before other cells have told of their load.
+	moveCheck    time.Time
+	waitsForNews bool
+
 	// shown is the state that callers may see: it is durable where it is final.
 	shown State
 	// dirty marks progress that is not in the store yet.
@@ -125,7 +142,7 @@
 
 func newJob(id string, r jobRecord, version uint64, arrived time.Time) *job {
 	return &job{
-		id: id, queue: r.Queue, spec: r.Spec, accepted: version, arrived: arrived,
+		id: id, queue: r.Queue, spec: r.Spec, accepted: version, arrived: arrived, acceptedAt: r.AcceptedAt, path: r.Path, attempts: r.Attempts,
 		chains: r.Spec.Chains(), finished: map[int]bool{}, shown: StateQueued,
 	}
 }
@@ -145,8 +162,10 @@
 	return StateQueued
 }
 
-// over reports whether no task of the job may start any more.
-func (j *job) over() bool { return j.cancelled || j.failed != "" || j.state() == StateCompleted }
+// over reports whether no task of the job may start any more in this cell.
+func (j *job) over() bool {
+	return j.moved > 0 || j.cancelled || j.failed != "" || j.state() == StateCompleted
+}
 
 // dueAt returns the due time of occurrence k; zero for work without a schedule.
 // wall converts a time of day to this node's steady clock.
@@ -267,9 +286,9 @@
 
 // nextAttempt returns the number for the next start of t in a term.
 func (j *job) nextAttempt(t *task, term uint64) int {
-	next := t.attempt + 1
+	next := max(t.attempt, j.attempts) + 1
 	if j.inherited {
-		next = max(next, int(term-1)*attemptsPerTerm+1)
+		next = max(next, j.attempts+int(term-1)*attemptsPerTerm+1)
 	}
 	return next
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -62,8 +62,8 @@
 	table string
 	parts []string
 	pause time.Duration
-	// take gets the whole content (all) or changes.
-	take func(rows []Row, all bool, storeNow time.Duration)
+	// take gets the whole content (all) or changes, and the page's version and time.
+	take func(rows []Row, all bool, p Page)
 	// failed gets errors of calls.
 	failed func(error)
 	jitter func() time.Duration
@@ -102,7 +102,11 @@
 	for err != nil && ctx.Err() == nil {
 		s.failed(err)
 		s.sleep(ctx, readPause+s.jitter())
-		turns <- struct{}{}
+		select {
+		case turns <- struct{}{}:
+		case <-ctx.Done():
+			return nil, Page{}
+		}
 		rows, page, err = listAll(ctx, s.store, s.table, part)
 		<-turns
 	}
@@ -126,14 +130,14 @@
 			if !ok {
 				return
 			}
-			s.take(rows, true, first.Now)
+			s.take(rows, true, first)
 			after = first.Version
 		case err != nil:
 			s.failed(err)
 			s.sleep(ctx, readPause+s.jitter())
 		default:
 			after = page.Version
-			s.take(page.Rows, false, page.Now)
+			s.take(page.Rows, false, page)
 			if len(page.Rows) > 0 {
 				s.sleep(ctx, s.pause)
 			}
@@ -152,7 +156,7 @@
 }
 
 // source returns a source whose failures are logged and counted.
-func (t *term) source(table string, parts []string, pause time.Duration, take func([]Row, bool, time.Duration)) source {
+func (t *term) source(table string, parts []string, pause time.Duration, take func([]Row, bool, Page)) source {
 	return source{
 		store: t.cfg.Store, table: table, parts: parts, pause: pause, take: take,
 		failed: func(err error) {
@@ -201,17 +205,26 @@
 
 // load reads what the term starts from, and follows the changes.
 func (t *term) load() {
-	workersTable, operatorTable := t.cfg.Decoder.Tables()
+	workersTable, operatorName := t.cfg.Decoder.Tables()
 	later := &changes{t: t}
-	jobs := t.source(tableJobs, t.layout.jobParts(t.cell), jobWatchPause, func(rows []Row, _ bool, now time.Duration) { later.post(jobRows{rows, now}) })
-	workers := t.source(workersTable, []string{""}, t.workerPause(), func(rows []Row, all bool, _ time.Duration) { later.post(workerRows{rows, all}) })
-	operator := t.source(operatorTable, []string{""}, 0, func(rows []Row, all bool, _ time.Duration) { later.post(operatorRows{rows, all}) })
+	jobs := t.source(tableJobs, t.layout.jobParts(t.cell), jobWatchPause, func(rows []Row, all bool, p Page) {
+		e := jobRows{rows: rows, storeNow: p.Now}
+		if all {
+			e.listed = p.Version
+		}
+		later.post(e)
+	})
+	workers := t.source(workersTable, []string{""}, t.workerPause(), func(rows []Row, all bool, _ Page) { later.post(workerRows{rows, all}) })
+	moved := t.source(tableMoved, []string{t.part}, jobWatchPause, func(rows []Row, _ bool, p Page) { later.post(movedRows{rows, p.Now}) })
 	progress := t.source(tableProgress, []string{t.part}, 0, nil)
 	used := t.source(tableUsed, []string{t.part}, 0, nil)
 	models := t.source(tableModels, []string{t.part}, 0, nil)
 	waves := t.source(tableWaves, []string{t.part}, 0, nil)
 
-	all := []source{jobs, workers, operator, progress, used, models, waves}
+	all := []source{jobs, workers, progress, used, models, waves}
+	if t.layout.Cells > 1 {
+		all = append(all, moved)
+	}
 	rows := make([][]Row, len(all))
 	pages := make([]Page, len(all))
 	ok := make([]bool, len(all))
@@ -224,11 +237,24 @@
 			}
 		})
 	}
+	ready := t.operator.refresh(t.ctx, t.cfg.Store, operatorName, jobs.failed)
+	cancel := t.operator.subscribe(func() { go later.post(operatorChanged{}) })
+	go func() {
+		<-t.ctx.Done()
+		cancel()
+	}()
 	wg.Wait()
+	if !ready {
+		return
+	}
 	for _, done := range ok {
 		if !done {
 			return
 		}
 	}
-	later.release(loadedEvent{jobs: rows[0], workers: rows[1], operator: rows[2], progress: rows[3], used: rows[4], models: rows[5], waves: rows[6], storeNow: pages[0].Now})
+	e := loadedEvent{jobs: rows[0], workers: rows[1], progress: rows[2], used: rows[3], models: rows[4], waves: rows[5], storeNow: pages[0].Now}
+	if t.layout.Cells > 1 {
+		e.moved = rows[6]
+	}
+	later.release(e)
 }
--- /dev/null
+++ b/internal/fleet/moves_test.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+// looseTerm returns a term of a cell whose loop does not run.
+func looseTerm(cells int) *term {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := newLayout(cells, racksOf(max(cells, 2), 20))
+	t := newTerm(Config{}, 0, l, 3, 10, epoch, log.WithField("test", true), newMetrics(telemetry.NewMetrics("test")))
+	t.now = epoch
+	return t
+}
+
+func cellWith(cell int, capacity, reserved, spare int64, at time.Time) cellRoom {
+	return cellRoom{cell, room{capacity, reserved, spare}, at}
+}
+
+func TestChooseCell(t *testing.T) {
+	arrived := at(10)
+	before, after := at(9), at(11)
+	service := demand{milliCPU: 100, lasting: true}
+	filler := demand{milliCPU: 100, filler: true}
+	urgent := demand{milliCPU: 100}
+	half := room{Capacity: 1000, Reserved: 500, Spare: 300}
+	full := room{Capacity: 1000, Reserved: 950, Spare: 20}
+	for name, c := range map[string]struct {
+		own         room
+		others      []cellRoom
+		demand      demand
+		fits, burst bool
+		choice      moveChoice
+		cell        int
+	}{
+		"no other cell is known":                {full, nil, service, false, true, stayHere, 0},
+		"service, cells are even":               {half, []cellRoom{cellWith(1, 1000, 400, 0, after)}, service, true, false, stayHere, 0},
+		"service, another cell is emptier":      {half, []cellRoom{cellWith(1, 1000, 300, 0, before), cellWith(2, 1000, 200, 0, before)}, service, true, false, moveThere, 2},
+		"service of a burst, no news since":     {half, []cellRoom{cellWith(1, 1000, 0, 0, before)}, service, true, true, waitForNews, 0},
+		"service of a burst, news since":        {half, []cellRoom{cellWith(1, 1000, 0, 0, after)}, service, true, true, moveThere, 1},
+		"filler, spare is even":                 {half, []cellRoom{cellWith(1, 1000, 0, 400, after)}, filler, true, false, stayHere, 0},
+		"filler, another cell has clearly more": {half, []cellRoom{cellWith(1, 1000, 0, 700, after)}, filler, true, false, moveThere, 1},
+		"filler that fits nowhere here":         {full, []cellRoom{cellWith(1, 1000, 0, 150, after)}, filler, false, false, moveThere, 1},
+		"filler, nothing is spare anywhere":     {full, []cellRoom{cellWith(1, 1000, 0, 50, after)}, filler, false, false, stayHere, 0},
+		"urgent work that fits does not move":   {full, []cellRoom{cellWith(1, 1000, 0, 0, after)}, urgent, true, false, stayHere, 0},
+		"urgent work that does not fit":         {full, []cellRoom{cellWith(1, 1000, 300, 0, after)}, urgent, false, false, moveThere, 1},
+		"urgent work, all cells are full":       {full, []cellRoom{cellWith(1, 1000, 960, 0, after)}, urgent, false, false, stayHere, 0},
+		"too wide for the other cell":           {full, []cellRoom{cellWith(1, 150, 0, 0, after)}, urgent, false, false, stayHere, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			choice, cell := chooseCell(c.own, c.others, c.demand, c.fits, c.burst, arrived)
+			require.Equal(t, c.choice, choice)
+			if choice == moveThere {
+				require.Equal(t, c.cell, cell)
+			}
+		})
+	}
+}
+
+// A job that has moved must not come back to life: its row may be newer than a list of
+// all rows that arrives after it.
+func TestMovedJobIsNotTakenAgain(t *testing.T) {
+	tm := looseTerm(3)
+	id := "0"
+	for i := 0; tm.layout.cellOf(id) != 0; i++ {
+		id = string(rune('a' + i))
+	}
+	row := Row{RowID: tm.layout.jobRow(id), Version: 50, Value: encode(jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}})}
+	jobRows{rows: []Row{row}}.handle(tm)
+	require.NotNil(t, tm.jobs[id])
+	tm.jobs[id].moved = 2
+	jobRows{listed: 40}.handle(tm)
+	jobRows{rows: []Row{row}}.handle(tm)
+	require.Equal(t, 2, tm.jobs[id].moved, "the job stays moved")
+	jobRows{listed: 60}.handle(tm)
+	require.Nil(t, tm.jobs[id], "a job whose row is gone is forgotten")
+}
+
+// What the last cells have told of their load is corrected by what was sent there since.
+func TestJobsSentToACellCountThere(t *testing.T) {
+	tm := looseTerm(3)
+	tm.rooms = func() []cellRoom {
+		return []cellRoom{cellWith(0, 1000, 0, 0, epoch), cellWith(1, 1000, 0, 1000, epoch), cellWith(2, 1000, 0, 0, epoch.Add(-roomAge-time.Second))}
+	}
+	tm.grants = []grant{{1, demand{milliCPU: 300}, epoch}, {1, demand{milliCPU: 300}, epoch.Add(-2 * grantMemory)}}
+	others := tm.otherRooms()
+	require.Len(t, others, 1, "neither the own cell nor one without news")
+	require.Equal(t, int64(300), others[0].room.Reserved)
+}
+
+func TestDemandOfFirstSteps(t *testing.T) {
+	big := model.Resources{MilliCPU: 1000}
+	require.Equal(t, demand{milliCPU: 5000}, demandOf(Spec{Steps: []Step{{Count: 3, Needs: big}, {Count: 2, Needs: big, Filler: true}, {Count: 9, Needs: big, After: []int{0}}}}))
+	require.Equal(t, demand{milliCPU: 2000, filler: true}, demandOf(Spec{Steps: []Step{{Count: 2, Needs: big, Filler: true}}}))
+	require.Equal(t, demand{milliCPU: 2000, lasting: true}, demandOf(Spec{Steps: []Step{{Count: 2, Needs: big, Lasting: true}}}))
+}
+
+// A job of which an earlier term has started tasks may be known by its ends only. It has
+// begun, so it is not pending and does not move.
+func TestJobKnownByItsEndsHasBegun(t *testing.T) {
+	tm := looseTerm(3)
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 2}}}}, 5, epoch)
+	j.inherited = true
+	j.open(epoch, 0, tm.wall)
+	tm.jobs["j"] = j
+	require.False(t, j.movable(), "of an inherited job it is not certain that nothing has begun")
+	w := testWorker("w")
+	tm.takeEnd(w, RunEnd{Number: 1, RunRef: RunRef{"j.0.0.0", 1}, How: EndDone})
+	require.True(t, j.started)
+	require.Empty(t, tm.pendingCounts())
+	require.Equal(t, StateRunning, j.state())
+}
+
+// A cell that gets a job which has begun continues it: what is done stays done, and its
+// attempts are above those that the other cell can have used.
+func TestMovedJobContinues(t *testing.T) {
+	from := looseTerm(3)
+	from.number = 4
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 2, Checkpoints: true}}}}, 5, epoch)
+	j.inherited = true
+	j.open(epoch, 0, from.wall)
+	from.jobs["j"] = j
+	w := testWorker("w")
+	from.takeEnd(w, RunEnd{Number: 1, RunRef: RunRef{"j.0.0.0", 1}, How: EndDone})
+	from.takeEnd(w, RunEnd{Number: 2, RunRef: RunRef{"j.0.0.1", 65}, How: EndStopped, Checkpoint: "half"})
+	j.moved = 2
+	to := looseTerm(3)
+	to.cell = 1
+	to.takeJobRow(Row{RowID: movedRow("cell-1", "j"), Version: 60, Value: encode(from.recordOf(j))}, 0)
+	got := to.jobs["j"]
+	require.NotNil(t, got)
+	require.Equal(t, 1, got.occurrences[0].steps[0].left)
+	_, tk := got.task(taskKey{0, 0, 1})
+	require.Equal(t, "half", tk.checkpoint)
+	require.Greater(t, got.nextAttempt(tk, to.number), 4*attemptsPerTerm)
+	require.Equal(t, []int{0}, got.path)
+	require.Equal(t, StateRunning, got.shown)
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -65,6 +65,7 @@
 	draining atomic.Bool
 	store    storeHealth
 	pending  pendingCache
+	operator operatorTable
 	clock    storeClock
 	wait     sync.WaitGroup
 	// askedLead is when this node last asked for the lead; it belongs to the
@@ -144,8 +145,9 @@
 // by an older one.
 func (n *Node) followOperator(ctx context.Context) {
 	_, table := n.cfg.Decoder.Tables()
-	s := n.source(table, func(rows []Row, _ bool, now time.Duration) {
-		n.clock.set(now)
+	s := n.source(table, func(rows []Row, all bool, p Page) {
+		n.clock.set(p.Now)
+		n.operator.take(rows, all, p.Version)
 		for _, row := range rows {
 			if !row.Removed && n.cfg.Decoder.OperatorRow(row).Configuration {
 				n.configure(row)
@@ -157,12 +159,12 @@
 		return
 	}
 	n.store.ok()
-	s.take(rows, true, page.Now)
+	s.take(rows, true, page)
 	s.watch(ctx, page.Version)
 }
 
 func (n *Node) configure(row Row) {
-	c, err := n.cfg.Decoder.Configuration(row)
+	c, err := n.operator.decode(n.cfg.Decoder, row)
 	if err != nil {
 		n.log.WithError(err).Error("configuration ignored")
 		return
@@ -170,18 +172,18 @@
 	if v := n.view.Load(); v != nil && c.Version <= v.configuration.Version {
 		return
 	}
-	n.view.Store(&view{configuration: c, queues: newRouteTable(c.Queues)})
+	n.view.Store(&view{configuration: *c, queues: newRouteTable(c.Queues)})
 	n.metrics.configuration.Set(float64(c.Version))
 	n.log.WithFields(logrus.Fields{"event": "reload", "configuration": c.Version, "store_version": row.Version, "queues": len(c.Queues)}).Info("routes are in force")
 }
 
 // source returns a table of one part whose answers inform the node's health.
-func (n *Node) source(table string, take func([]Row, bool, time.Duration)) source {
+func (n *Node) source(table string, take func([]Row, bool, Page)) source {
 	return source{
 		store: n.cfg.Store, table: table, parts: []string{""}, jitter: jitter,
-		take: func(rows []Row, all bool, now time.Duration) {
+		take: func(rows []Row, all bool, p Page) {
 			n.storeAnswered()
-			take(rows, all, now)
+			take(rows, all, p)
 		},
 		failed: n.storeUnread,
 	}
--- /dev/null
+++ b/internal/fleet/operator.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// operatorTable is the operators' table as this node knows it. The node watches it
+// once for all that need it: a configuration of a thousand queues takes seconds on a
+// narrow link.
+type operatorTable struct {
+	mu      sync.Mutex
+	rows    map[RowID]Row
+	version uint64 // 0 until the table has been read
+	// configuration is the newest that could be read, decoded once, and its row.
+	configuration *Configuration
+	configured    uint64
+	listeners     map[int]func()
+	next          int
+}
+
+// take notes changed rows, or all of them, as of a version.
+func (o *operatorTable) take(rows []Row, all bool, version uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.version > version {
+		return // an older answer that was overtaken
+	}
+	o.version = version
+	if all || o.rows == nil {
+		o.rows = map[RowID]Row{}
+	}
+	for _, row := range rows {
+		if row.Removed {
+			delete(o.rows, row.RowID)
+		} else {
+			o.rows[row.RowID] = row
+		}
+	}
+	if len(rows) == 0 && !all {
+		return
+	}
+	for _, tell := range o.listeners {
+		tell()
+	}
+}
+
+// all returns the rows of the table.
+func (o *operatorTable) all() []Row {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Values(o.rows))
+}
+
+// subscribe calls tell after each change, until the returned function is called. It
+// must not block.
+func (o *operatorTable) subscribe(tell func()) (cancel func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.listeners == nil {
+		o.listeners = map[int]func(){}
+	}
+	id := o.next
+	o.next++
+	o.listeners[id] = tell
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.listeners, id)
+	}
+}
+
+// known returns the version of the table's last answer; 0 for none.
+func (o *operatorTable) known() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.version
+}
+
+// decode returns the configuration of a row. The newest one is decoded once.
+func (o *operatorTable) decode(d Decoder, row Row) (*Configuration, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.configuration != nil && o.configured == row.Version {
+		return o.configuration, nil
+	}
+	c, err := d.Configuration(row)
+	if err != nil {
+		return nil, err
+	}
+	if row.Version > o.configured {
+		o.configuration, o.configured = &c, row.Version
+	}
+	return &c, nil
+}
+
+// freshWait is how long the store holds a watch that only asks for what has changed.
+const freshWait = time.Millisecond
+
+// refresh asks for what has changed since the table was read, so that decisions rest
+// on what is true now. It returns false when ctx ends.
+func (o *operatorTable) refresh(ctx context.Context, s Store, table string, failed func(error)) bool {
+	for ctx.Err() == nil {
+		version := o.known()
+		if version > 0 {
+			call, cancel := context.WithTimeout(ctx, readTimeout)
+			page, err := s.Watch(call, table, version, freshWait)
+			cancel()
+			if err == nil && page.Version >= version {
+				o.take(page.Rows, false, page.Version)
+				return true
+			}
+			if err != nil {
+				failed(err)
+			}
+			if err == nil || model.IsKind(err, model.KindStale) {
+				o.reread(ctx, s, table, failed)
+				continue
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(readPause + jitter()):
+		}
+	}
+	return false
+}
+
+// reread reads the whole table, as its history is gone.
+func (o *operatorTable) reread(ctx context.Context, s Store, table string, failed func(error)) {
+	rows, page, err := listAll(ctx, s, table, "")
+	if err == nil {
+		o.take(rows, true, page.Version)
+	} else if !errors.Is(err, context.Canceled) {
+		failed(err)
+	}
+}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -42,6 +42,8 @@
 	// its tasks one worker may run; zero for others.
 	image string
 	bound int
+	// restart is set for a lasting step of which tasks have run.
+	restart bool
 }
 
 // key returns the key of the task with an index.
@@ -102,7 +104,7 @@
 
 // compareWants orders two waiting steps.
 func compareWants(a, b *want) int {
-	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), compareServices(a, b),
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), compareRestarts(a, b), compareServices(a, b),
 		cmp.Compare(a.work, b.work), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
 }
 
@@ -143,7 +145,7 @@
 		w := &want{job: j, occ: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: idle, priority: q.Priority}
 		w.class, w.slack = classify(t.now, j, o, i, q)
 		if w.step.Lasting {
-			w.image, w.bound = w.step.Image, w.step.perWorker()
+			w.image, w.bound, w.restart = w.step.Image, w.step.perWorker(), j.started
 		} else {
 			w.work = workLeft(j.spec, o)
 		}
@@ -178,6 +180,18 @@
 	return cmp.Or(cmp.Compare(b.lasting(), a.lasting()), cmp.Compare(a.image, b.image), cmp.Compare(a.bound, b.bound))
 }
 
+// compareRestarts orders lasting steps that have begun before others: what is left of
+// them was at work before, and the room that it lost must not go to new work.
+func compareRestarts(a, b *want) int {
+	switch {
+	case a.restart == b.restart:
+		return 0
+	case a.restart:
+		return -1
+	}
+	return 1
+}
+
 // lasting returns 1 for a lasting step with an image and 0 for others.
 func (w *want) lasting() int {
 	if w.image == "" {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -30,6 +30,7 @@
 // offerParams tells the leader of a stored row.
 type offerParams struct {
 	Cell    int           `json:"cell"`
+	Table   string        `json:"table"`
 	Key     string        `json:"key"`
 	Part    string        `json:"part"`
 	Value   []byte        `json:"value"`
@@ -49,6 +50,8 @@
 type stateResult struct {
 	Known bool  `json:"known"`
 	State State `json:"state,omitempty"`
+	// Moved is one more than the cell that knows the state; 0 for this one.
+	Moved int `json:"moved,omitempty"`
 }
 
 type pendingResult struct {
@@ -60,7 +63,7 @@
 func (n *Node) handlePeers() {
 	for method, handler := range map[string]membership.Handler{
 		methodOffer: membership.Typed(func(_ context.Context, p offerParams) (any, error) {
-			n.takeOffer(n.cell(p.Cell), Row{RowID: RowID{tableJobs, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
+			n.takeOffer(n.cell(p.Cell), Row{RowID: RowID{p.Table, p.Part, p.Key}, Value: p.Value, Version: p.Version}, p.Now)
 			return true, nil
 		}),
 		methodAccept: membership.Typed(func(ctx context.Context, p offerParams) (any, error) {
@@ -102,9 +105,14 @@
 
 // takeOffer hands a stored row to the term of its cell, if this node leads it.
 func (n *Node) takeOffer(c *cell, row Row, storeNow time.Duration) {
-	if c != nil && c.leading() {
-		c.term.Load().post(jobRows{[]Row{row}, storeNow})
+	if c == nil || !c.leading() {
+		return
+	}
+	if row.Table == tableMoved {
+		c.term.Load().post(movedRows{[]Row{row}, storeNow})
+		return
 	}
+	c.term.Load().post(jobRows{rows: []Row{row}, storeNow: storeNow})
 }
 
 // offer tells the leader of a cell of a row that was just stored.
@@ -115,7 +123,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
 	defer cancel()
-	n.ask(ctx, c, methodOffer, offerParams{c.index, row.Key, row.Part, row.Value, row.Version, n.clock.get()}, nil)
+	n.ask(ctx, c, methodOffer, offerParams{c.index, row.Table, row.Key, row.Part, row.Value, row.Version, n.clock.get()}, nil)
 }
 
 // linkHealth remembers that the leader does not answer.
@@ -153,19 +161,24 @@
 	return true
 }
 
-// askState asks the leader of a job's cell, or the term that this node leads, for the
-// job's state.
+// askState asks the leader of a job's cell for the job's state, and where the job has
+// moved the leaders of further cells.
 func (n *Node) askState(ctx context.Context, c *cell, id string) (State, bool) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	if r := localState(ctx, c, id); r.Known {
-		return r.State, true
-	}
-	var r stateResult
-	if !n.ask(ctx, c, methodState, stateParams{c.index, id}, &r) || !r.Known {
-		return "", false
+	for range maxMoves + 1 {
+		r := localState(ctx, c, id)
+		if !r.Known && !n.ask(ctx, c, methodState, stateParams{c.index, id}, &r) {
+			return "", false
+		}
+		if !r.Known || r.Moved == 0 {
+			return r.State, r.Known
+		}
+		if c = n.cell(r.Moved - 1); c == nil {
+			return "", false
+		}
 	}
-	return r.State, true
+	return "", false
 }
 
 // askPending asks the leader of a cell for the counts of its queues.
@@ -191,7 +204,10 @@
 func (q stateQuery) handle(t *term) {
 	r := stateResult{}
 	if j := t.jobs[q.id]; j != nil && t.loaded && t.active() {
-		r = stateResult{true, j.shown}
+		r = stateResult{Known: true, State: j.shown}
+		if !j.shown.Final() {
+			r.Moved = j.moved
+		}
 	}
 	q.reply <- r
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -21,7 +21,7 @@
 	if !t.active() {
 		return
 	}
-	wants := t.collectWants()
+	wants := t.moveJobs(t.collectWants())
 	t.counters.waiting.Set(float64(len(wants)))
 	if len(wants) == 0 {
 		return
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -26,6 +26,8 @@
 	tableWaves = "vp-waves"
 	// tableUsed holds the lifetimes of workers on which tasks may have started.
 	tableUsed = "vp-used"
+	// tableMoved holds jobs that have moved, in the part of the cell that owns them now.
+	tableMoved = "vp-moved"
 	// tableHosts holds a row per node, from which the fleet is divided into cells.
 	tableHosts = "vp-hosts"
 )
@@ -52,6 +54,12 @@
 	Spec  Spec   `cbor:"2,keyasint"`
 	// AcceptedAt is the store's steady clock at acceptance.
 	AcceptedAt time.Duration `cbor:"3,keyasint,omitempty"`
+	// Path lists the cells that the job has left.
+	Path []int `cbor:"4,keyasint,omitempty"`
+	// Progress is that of a job that moved after it had begun.
+	Progress *progressRecord `cbor:"5,keyasint,omitempty"`
+	// Attempts is the highest number that cells before may have used for a start.
+	Attempts int `cbor:"6,keyasint,omitempty"`
 }
 
 // taskRecord is the stored form of a task that has a history.
@@ -78,6 +86,10 @@
 	// Finished lists finished occurrences.
 	Finished []int              `cbor:"4,keyasint,omitempty"`
 	Open     []occurrenceRecord `cbor:"5,keyasint,omitempty"`
+	// Moved is one more than the cell to which the job has moved, Arrived whether its
+	// row is there.
+	Moved   int  `cbor:"6,keyasint,omitempty"`
+	Arrived bool `cbor:"7,keyasint,omitempty"`
 }
 
 // fenceRecord is the value of the fence row.
@@ -106,6 +118,8 @@
 	Pending map[string]int `cbor:"8,keyasint,omitempty"`
 	// Loaded means that Pending is known: the term has read the store.
 	Loaded bool `cbor:"9,keyasint,omitempty"`
+	// Room is the cell's load; empty in a fleet of one cell.
+	Room room `cbor:"10,keyasint,omitempty"`
 }
 
 // usedRecord is the value of a row of tableUsed.
@@ -145,7 +159,7 @@
 
 // progress returns the stored form of j's progress.
 func (j *job) progress() progressRecord {
-	p := progressRecord{State: j.state(), Failed: j.failed, Started: j.started}
+	p := progressRecord{State: j.state(), Failed: j.failed, Started: j.started, Moved: j.moved, Arrived: j.arrivedThere}
 	for k := range j.finished {
 		p.Finished = append(p.Finished, k)
 	}
@@ -169,6 +183,7 @@
 // restore applies stored progress to a job that was just read.
 func (j *job) restore(p progressRecord, now time.Time, wall func(int64) time.Time) {
 	j.started, j.failed = p.Started, p.Failed
+	j.moved, j.arrivedThere = p.Moved, p.Arrived
 	j.cancelled = j.cancelled || p.State == StateCancelled
 	for _, k := range p.Finished {
 		j.finished[k] = true
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -13,17 +13,48 @@
 type jobRows struct {
 	rows     []Row
 	storeNow time.Duration
+	// listed is the version of the store at which the rows were all of the cell's parts;
+	// 0 for changes.
+	listed uint64
 }
 
 func (e jobRows) handle(t *term) {
+	if e.listed > 0 {
+		t.forgetMoved(e.rows, e.listed)
+	}
 	for _, row := range e.rows {
 		t.jobRow(row, e.storeNow)
 	}
 }
 
-// jobRow takes a job or a cancellation.
+// forgetMoved drops jobs that have moved and are not among the rows any more. The rows
+// may be older than a job: it would be taken for a new one when its own row follows.
+func (t *term) forgetMoved(rows []Row, listed uint64) {
+	stored := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		stored[row.Key] = true
+	}
+	for id, j := range t.jobs {
+		if j.moved > 0 && len(j.path) == 0 && j.accepted <= listed && !stored[id] {
+			delete(t.jobs, id)
+		}
+	}
+}
+
+// jobRow takes a row of the jobs' table. Cancellations of jobs that have moved here
+// lie in parts of other cells.
 func (t *term) jobRow(row Row, storeNow time.Duration) {
-	if row.Removed || !t.ownsPart(row.Part) {
+	if t.ownsPart(row.Part) || strings.HasSuffix(row.Key, cancelSuffix) {
+		t.takeJobRow(row, storeNow)
+	}
+}
+
+// takeJobRow takes a job or a cancellation.
+func (t *term) takeJobRow(row Row, storeNow time.Duration) {
+	if row.Removed {
+		if j := t.jobs[row.Key]; j != nil && j.moved > 0 {
+			delete(t.jobs, row.Key) // the cell to which it moved has forgotten it
+		}
 		return
 	}
 	if id, ok := strings.CutSuffix(row.Key, cancelSuffix); ok {
@@ -43,7 +74,10 @@
 		arrived = t.now.Add(r.AcceptedAt - storeNow)
 	}
 	j := newJob(row.Key, r, row.Version, arrived)
-	j.inherited = row.Version <= t.began
+	j.inherited, j.seen = row.Version <= t.began, t.now
+	if r.Progress != nil {
+		j.restore(*r.Progress, t.now, t.wall)
+	}
 	t.jobs[j.id] = j
 	t.unconfirmed = t.unconfirmed || !t.jobConfirmed(j)
 	j.open(t.now, 0, t.wall)
@@ -111,6 +145,12 @@
 	}
 	j.cancelled, j.dirty, j.ended = true, true, t.now
 	j.shown = StateCancelled // the cancellation is stored
+	if j.moved > 0 {
+		if j.arrivedThere {
+			go t.sendCancelled(j.id, j.moved-1)
+		}
+		return
+	}
 	stopped := 0
 	for _, w := range t.workers {
 		for _, r := range w.runs {
@@ -276,62 +316,64 @@
 	retentionMargin = 30 * time.Second
 )
 
-// forgetJobs drops finished jobs after their retention; their rows go with the
-// next transaction.
+// forgetJobs drops finished jobs after their retention, with their rows. A job that
+// has moved goes when its last cell removes its row.
 func (t *term) forgetJobs() {
 	for id, j := range t.jobs {
-		if j.shown.Final() && !j.dirty && t.now.Sub(j.ended) > t.cfg.Bounds.Retention+retentionMargin {
+		if j.moved == 0 && j.shown.Final() && !j.dirty && t.now.Sub(j.ended) > t.cfg.Bounds.Retention+retentionMargin {
 			delete(t.jobs, id)
-			go t.removeJob(id)
+			go t.removeJob(id, j.path)
 		}
 	}
 }
 
-// operatorRows reports changed rows of the operators' table.
-type operatorRows struct {
-	rows []Row
-	all  bool
-}
+// operatorChanged reports that the operators' table has changed. The rows are those
+// that the node knows when the event is handled, so the order of events is of no
+// matter.
+type operatorChanged struct{}
 
-func (e operatorRows) handle(t *term) {
-	if e.all {
-		clear(t.out)
-	}
-	for _, row := range e.rows {
-		t.operatorRow(row)
-	}
+func (operatorChanged) handle(t *term) {
+	t.takeOperator(t.operator.all())
 	t.dirty = true
 }
 
-func (t *term) operatorRow(row Row) {
-	o := t.cfg.Decoder.OperatorRow(row)
-	switch {
-	case o.Configuration && !row.Removed:
-		t.configure(row)
-	case o.DataCentre != "":
-		if row.Removed {
-			delete(t.out, o.DataCentre)
-		} else {
-			t.out[o.DataCentre] = true
+// takeOperator puts the operators' rows in force.
+func (t *term) takeOperator(rows []Row) {
+	out := map[model.DataCentre]bool{}
+	for _, row := range rows {
+		o := t.cfg.Decoder.OperatorRow(row)
+		switch {
+		case o.Configuration:
+			t.configure(row)
+		case o.DataCentre != "":
+			out[o.DataCentre] = true
+			if !t.out[o.DataCentre] {
+				t.log.WithFields(logrus.Fields{"decision": "data-centre", "dc": o.DataCentre, "out": true, "version": row.Version}).Info("data centre")
+			}
+		case o.Wave != nil:
+			t.addWave(*o.Wave)
+		}
+	}
+	for dc := range t.out {
+		if !out[dc] {
+			t.log.WithFields(logrus.Fields{"decision": "data-centre", "dc": dc, "out": false}).Info("data centre")
 		}
-		t.log.WithFields(logrus.Fields{"decision": "data-centre", "dc": o.DataCentre, "out": !row.Removed, "version": row.Version}).Info("data centre")
-	case o.Wave != nil && !row.Removed:
-		t.addWave(*o.Wave)
 	}
+	t.out = out
 }
 
 // configure takes a configuration, unless it is older than the one in force.
 // Queues that are dropped stay known for the jobs that they took.
 func (t *term) configure(row Row) {
-	c, err := t.cfg.Decoder.Configuration(row)
+	c, err := t.operator.decode(t.cfg.Decoder, row)
 	if err != nil {
 		t.log.WithError(err).Error("configuration ignored")
 		return
 	}
-	if t.setting != nil && c.Version < t.setting.Version {
+	if t.setting != nil && c.Version <= t.setting.Version {
 		return
 	}
-	t.setting = &c
+	t.setting = c
 	for _, q := range c.Queues {
 		t.queues[q.Name] = q
 	}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -307,6 +307,7 @@
 	}
 	tk.attempt = max(tk.attempt, e.Attempt)
 	j.dirty = true
+	j.started = true // perhaps by an earlier term, which had no time to store it
 	if r == nil {
 		r = &run{ref: e.RunRef, job: j, key: key, worker: w, step: &j.spec.Steps[key.step], since: t.now}
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -89,8 +89,15 @@
 	successor model.NodeID
 	dirty     bool // a plan is due
 	planned   time.Time
-	speeds    map[string]*speed
-	harm      interference
+	// rooms returns what the leaders of cells tell of their load, tell hands a row to the
+	// leader of another cell; nil where the term stands alone.
+	rooms func() []cellRoom
+	// operator is the operators' table, which the node follows.
+	operator *operatorTable
+	tell     func(cell int, row Row)
+	grants   []grant
+	speeds   map[string]*speed
+	harm     interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
 	machines     upkeep
@@ -204,8 +211,8 @@
 
 // loadedEvent carries the rows that a term starts from.
 type loadedEvent struct {
-	jobs, progress, used, models, waves, workers, operator []Row
-	storeNow                                               time.Duration
+	jobs, moved, progress, used, models, waves, workers []Row
+	storeNow                                            time.Duration
 	// changes are those since the tables were read, in order.
 	changes []event
 }
@@ -214,12 +221,11 @@
 	for _, row := range e.workers {
 		t.workerRow(row)
 	}
-	for _, row := range e.operator {
-		t.operatorRow(row)
-	}
+	t.takeOperator(t.operator.all())
 	for _, row := range e.jobs {
 		t.jobRow(row, e.storeNow)
 	}
+	movedRows{e.moved, e.storeNow}.handle(t)
 	for _, row := range e.progress {
 		t.progressRow(row)
 	}
@@ -239,6 +245,7 @@
 		c.handle(t)
 	}
 	t.loaded, t.dirty = true, true
+	t.finishMoves()
 	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
 		"configuration": t.configurationVersion()}).Info("term has read the store")
 	t.scheduleLooks()
