Services are gathered by image over cells; room is kept for lasting tasks that ran

Change: tasks that ran before come first, short work is kept away from a worker for them, a service begins where all of it fits. Images prefer cells in an order of their own, as far as cells stay even.

--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -375,3 +375,30 @@
 	tk.runs = nil
 	require.False(t, tm.mayMiss(runs[1]))
 }
+
+// The room that a lasting task has lost goes to it again, not to a task that never ran;
+// where no worker has room now, short work is kept away from one until it has.
+func TestRoomIsKeptForLastingTasksThatRan(t *testing.T) {
+	tm := looseTerm(1)
+	tm.queues["q"] = Queue{Name: "q", Service: "svc"}
+	tm.lastRenewal, tm.loaded, tm.knowsAll = epoch, true, true
+	service := Step{Count: 2, Needs: model.Resources{MilliCPU: 10000, MemoryMB: 100}, Lasting: true, Image: "a"}
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{service}}}, 1, epoch)
+	j.open(epoch, 0, tm.wall)
+	j.occurrences[0].steps[0].tasks[1].attempt = 1
+	wants := tm.occurrenceWants(nil, j, j.occurrences[0], tm.queues["q"])
+	require.Len(t, wants, 2)
+	sortWants(wants)
+	require.True(t, wants[0].restart)
+	require.Equal(t, []int{1}, wants[0].tasks)
+
+	short := &Step{Needs: model.Resources{MilliCPU: 8000, MemoryMB: 100}}
+	half, full := testWorker("half"), testWorker("full")
+	testRun(half, short, 0)
+	testRun(full, &service, 1)
+	p := &placement{now: epoch, workers: []*worker{half, full}, harm: &tm.harm}
+	require.Nil(t, p.choose(request{step: &service}))
+	p.holdFor(&service)
+	require.False(t, p.feasible(half, request{step: short}), "kept for the lasting task")
+	require.False(t, p.held[full], "it would not find room there")
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 )
 
@@ -21,9 +23,9 @@
 const (
 	// maxMoves bounds the cells that a job leaves.
 	maxMoves = 3
-	// evenServices is how much fuller, as a share of its capacity, a cell must be than
-	// another for its new services to move there.
-	evenServices = 0.06
+	// evenServices is how much fuller than the fleet, as a share of its capacity, a cell
+	// may become by new services.
+	evenServices = 0.05
 	// evenFillers is the same for what is left over for fillers.
 	evenFillers = 0.08
 	// burstShare of a cell's capacity asked for by new services is a burst: what other
@@ -84,6 +86,8 @@
 	milliCPU int64
 	filler   bool
 	lasting  bool
+	// image is that of lasting steps; empty for others.
+	image string
 }
 
 // demandOf adds up the steps of a job that need no other step.
@@ -96,6 +100,9 @@
 		d.milliCPU += int64(st.Count) * st.Needs.MilliCPU
 		d.filler = d.filler && st.Filler
 		d.lasting = d.lasting || st.Lasting
+		if st.Lasting {
+			d.image = st.Image
+		}
 	}
 	return d
 }
@@ -112,33 +119,70 @@
 // chooseCell decides whether a job with demand d should begin in its own cell, whose
 // room counts the job already, or elsewhere. Fits tells whether all tasks of its first
 // step find a worker now. It answers cells that fill unevenly as jobs are hashed to
-// them: services, which stay, are spread evenly; fillers go where clearly more is left
-// over; short urgent work moves only when it finds no room, as a move takes some 70 ms.
-func chooseCell(own room, others []cellRoom, d demand, fits, burst bool, arrived time.Time) (moveChoice, int) {
+// them: services, which stay, are gathered by image as far as cells stay even; fillers go
+// where clearly more is left over; short urgent work moves only when it finds no room,
+// as a move takes some 70 ms.
+func chooseCell(own cellRoom, others []cellRoom, d demand, fits, burst bool, arrived time.Time) (moveChoice, int) {
+	if d.lasting {
+		return chooseForService(own, others, d, fits, burst, arrived)
+	}
 	best := bestCell(others, d)
 	if best == nil {
 		return stayHere, 0
 	}
 	there := best.room.add(d)
 	switch {
-	case d.lasting:
-		if own.fill() <= there.fill()+evenServices {
-			return stayHere, 0
-		}
-		if burst && !best.at.After(arrived) {
-			return waitForNews, 0
-		}
-		return moveThere, best.cell
 	case d.filler:
-		if there.spare() > own.spare()+evenFillers || (!fits && there.Spare > 0 && there.spare() > own.spare()) {
+		if there.spare() > own.room.spare()+evenFillers || (!fits && there.Spare > 0 && there.spare() > own.room.spare()) {
 			return moveThere, best.cell
 		}
-	case !fits && there.fill() < min(1, own.fill()):
+	case !fits && there.fill() < min(1, own.room.fill()):
 		return moveThere, best.cell
 	}
 	return stayHere, 0
 }
 
+// chooseForService places a lasting job. Each image prefers cells in an order of its
+// own, so that a cell holds few images: tasks of one image bear each other best, steps
+// with a bound per worker need many workers of their image, and what presses on an image
+// is learnt where it is common. A cell that would become clearly fuller than the fleet is
+// passed over. In a burst, what others told before it says nothing of their share.
+func chooseForService(own cellRoom, others []cellRoom, d demand, fits, burst bool, arrived time.Time) (moveChoice, int) {
+	total, oldest := own.room, arrived.Add(time.Hour)
+	for _, o := range others {
+		total.Reserved += o.room.Reserved
+		total.Capacity += o.room.Capacity
+		if o.at.Before(oldest) {
+			oldest = o.at
+		}
+	}
+	limit := total.fill() + evenServices
+	best, rank := -1, uint64(0)
+	for _, o := range others {
+		if r := preference(d.image, o.cell); o.room.add(d).fill() <= limit && (best < 0 || r > rank) {
+			best, rank = o.cell, r
+		}
+	}
+	switch {
+	case !fits && best >= 0:
+		return moveThere, best
+	case own.room.fill() <= limit && (best < 0 || d.image == "" || preference(d.image, own.cell) > rank):
+		return stayHere, 0
+	case burst && !oldest.After(arrived) && own.room.fill() > limit:
+		return waitForNews, 0
+	case best < 0 && !fits:
+		return waitForNews, 0
+	case best < 0:
+		return stayHere, 0
+	}
+	return moveThere, best
+}
+
+// preference ranks cells for an image; the highest comes first.
+func preference(image string, cell int) uint64 {
+	return xxhash.Sum64String(image + "/" + strconv.Itoa(cell))
+}
+
 // bestCell returns the cell with most room for a kind of work, or nil.
 func bestCell(others []cellRoom, d demand) *cellRoom {
 	var best *cellRoom
@@ -245,9 +289,9 @@
 	if !j.movable() && (fits || t.holdsAny(w)) {
 		return false
 	}
-	switch choice, cell := chooseCell(m.own, excluding(m.others, j.path), d, fits, m.burst, j.seen); choice {
+	switch choice, cell := chooseCell(cellRoom{t.cell, m.own, t.now}, excluding(m.others, j.path), d, fits, m.burst, j.seen); choice {
 	case moveThere:
-		m.own = m.own.add(demand{-d.milliCPU, d.filler, d.lasting})
+		m.own = m.own.add(demand{milliCPU: -d.milliCPU, filler: d.filler, lasting: d.lasting})
 		for i := range m.others {
 			if m.others[i].cell == cell {
 				m.others[i].room = m.others[i].room.add(d)
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -29,7 +29,15 @@
 func TestChooseCell(t *testing.T) {
 	arrived := at(10)
 	before, after := at(9), at(11)
-	service := demand{milliCPU: 100, lasting: true}
+	service := demand{milliCPU: 10, lasting: true}
+	imaged := demand{milliCPU: 10, lasting: true, image: "web"}
+	liked, disliked := 1, 1
+	for preference("web", liked) < preference("web", 0) {
+		liked++
+	}
+	for preference("web", disliked) > preference("web", 0) {
+		disliked++
+	}
 	filler := demand{milliCPU: 100, filler: true}
 	urgent := demand{milliCPU: 100}
 	half := room{Capacity: 1000, Reserved: 500, Spare: 300}
@@ -44,9 +52,14 @@
 	}{
 		"no other cell is known":                {full, nil, service, false, true, stayHere, 0},
 		"service, cells are even":               {half, []cellRoom{cellWith(1, 1000, 400, 0, after)}, service, true, false, stayHere, 0},
-		"service, another cell is emptier":      {half, []cellRoom{cellWith(1, 1000, 300, 0, before), cellWith(2, 1000, 200, 0, before)}, service, true, false, moveThere, 2},
+		"service, another cell is emptier":      {half, []cellRoom{cellWith(1, 1000, 490, 0, before), cellWith(2, 1000, 200, 0, before)}, service, true, false, moveThere, 2},
 		"service of a burst, no news since":     {half, []cellRoom{cellWith(1, 1000, 0, 0, before)}, service, true, true, waitForNews, 0},
 		"service of a burst, news since":        {half, []cellRoom{cellWith(1, 1000, 0, 0, after)}, service, true, true, moveThere, 1},
+		"service, its image prefers another":    {half, []cellRoom{cellWith(liked, 1000, 450, 0, before)}, imaged, true, false, moveThere, liked},
+		"service, its image prefers this one":   {half, []cellRoom{cellWith(disliked, 1000, 400, 0, before)}, imaged, true, false, stayHere, 0},
+		"service, the preferred cell is full":   {half, []cellRoom{cellWith(liked, 1000, 700, 0, before)}, imaged, true, false, stayHere, 0},
+		"service that does not fit here":        {half, []cellRoom{cellWith(1, 1000, 450, 0, before)}, service, false, false, moveThere, 1},
+		"service that fits nowhere waits":       {half, []cellRoom{cellWith(1, 1000, 900, 0, before)}, service, false, false, waitForNews, 0},
 		"filler, spare is even":                 {half, []cellRoom{cellWith(1, 1000, 0, 400, after)}, filler, true, false, stayHere, 0},
 		"filler, another cell has clearly more": {half, []cellRoom{cellWith(1, 1000, 0, 700, after)}, filler, true, false, moveThere, 1},
 		"filler that fits nowhere here":         {full, []cellRoom{cellWith(1, 1000, 0, 150, after)}, filler, false, false, moveThere, 1},
@@ -57,7 +70,7 @@
 		"too wide for the other cell":           {full, []cellRoom{cellWith(1, 150, 0, 0, after)}, urgent, false, false, stayHere, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			choice, cell := chooseCell(c.own, c.others, c.demand, c.fits, c.burst, arrived)
+			choice, cell := chooseCell(cellRoom{0, c.own, after}, c.others, c.demand, c.fits, c.burst, arrived)
 			require.Equal(t, c.choice, choice)
 			if choice == moveThere {
 				require.Equal(t, c.cell, cell)
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -42,7 +42,7 @@
 	// its tasks one worker may run; zero for others.
 	image string
 	bound int
-	// restart is set for a lasting step of which tasks have run.
+	// restart is set for lasting tasks that have run before.
 	restart bool
 }
 
@@ -142,14 +142,35 @@
 		if len(idle) == 0 {
 			continue
 		}
-		w := &want{job: j, occ: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: idle, priority: q.Priority}
+		w := want{job: j, occ: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: idle, priority: q.Priority}
 		w.class, w.slack = classify(t.now, j, o, i, q)
-		if w.step.Lasting {
-			w.image, w.bound, w.restart = w.step.Image, w.step.perWorker(), j.started
-		} else {
+		if !w.step.Lasting {
 			w.work = workLeft(j.spec, o)
+			wants = append(wants, &w)
+			continue
+		}
+		w.image, w.bound = w.step.Image, w.step.perWorker()
+		wants = appendLasting(wants, w, s)
+	}
+	return wants
+}
+
+// appendLasting adds the tasks of a lasting step that have run before and those that
+// have not as two wants.
+func appendLasting(wants []*want, w want, s *stepState) []*want {
+	again, fresh := w, w
+	again.restart, again.tasks, fresh.tasks = true, nil, nil
+	for _, i := range w.tasks {
+		if s.tasks[i].attempt > 0 {
+			again.tasks = append(again.tasks, i)
+		} else {
+			fresh.tasks = append(fresh.tasks, i)
+		}
+	}
+	for _, part := range []want{again, fresh} {
+		if len(part.tasks) > 0 {
+			wants = append(wants, &part)
 		}
-		wants = append(wants, w)
 	}
 	return wants
 }
@@ -180,8 +201,8 @@
 	return cmp.Or(cmp.Compare(b.lasting(), a.lasting()), cmp.Compare(a.image, b.image), cmp.Compare(a.bound, b.bound))
 }
 
-// compareRestarts orders lasting steps that have begun before others: what is left of
-// them was at work before, and the room that it lost must not go to new work.
+// compareRestarts orders lasting tasks that have run before others: the room that they
+// lost must not go to new work.
 func compareRestarts(a, b *want) int {
 	switch {
 	case a.restart == b.restart:
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -41,6 +41,37 @@
 	harm    *interference
 	// full holds the smallest needs that found no worker in this plan.
 	full map[fullKey]model.Resources
+	// held holds workers that are kept for lasting tasks which ran before.
+	held map[*worker]bool
+}
+
+// holdFor keeps the worker on which a lasting task finds room soonest free of other new
+// work: the one with most room once all work that ends by itself has ended. It answers
+// fleets full of services, where each hole that a short task leaves is too small alone.
+func (p *placement) holdFor(s *Step) {
+	var best *worker
+	room := int64(0)
+	for _, w := range p.workers {
+		free := w.free()
+		for _, r := range w.runs {
+			if r.step != nil && !r.step.Lasting {
+				free = free.Add(r.reserved)
+			}
+		}
+		if p.held[w] || !w.hasLabel(s.Label) || !s.Reserved().Fits(free) {
+			continue
+		}
+		if now := w.free().MilliCPU; best == nil || now > room {
+			best, room = w, now
+		}
+	}
+	if best == nil {
+		return
+	}
+	if p.held == nil {
+		p.held = map[*worker]bool{}
+	}
+	p.held[best] = true
 }
 
 // fullKey groups steps that compete for the same room.
@@ -131,7 +162,8 @@
 		return lacksShare
 	case !s.Reserved().Fits(w.free()):
 		return lacksRoom
-	case r.rack != "" && w.rack != r.rack,
+	case p.held[w],
+		r.rack != "" && w.rack != r.rack,
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
 		w.health.onProbation() && (w.onTrial() || (!s.Lasting && r.task != nil && len(r.task.failed) > 0)),
 		r.task != nil && r.task.runsOn(w),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -40,7 +40,11 @@
 			pools[w.queue.Service] = p
 		}
 		if len(p.workers) > 0 {
-			left -= t.placeStep(p, w)
+			started := t.placeStep(p, w)
+			left -= started
+			if w.restart && started < len(w.tasks) {
+				p.holdFor(w.step)
+			}
 		}
 	}
 }
