--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -166,12 +166,12 @@
 	switch {
 	case !fits && best >= 0:
 		return moveThere, best
+	case !fits:
+		return waitForNews, 0
 	case own.room.fill() <= limit && (best < 0 || d.image == "" || preference(d.image, own.cell) > rank):
 		return stayHere, 0
 	case burst && !oldest.After(arrived) && own.room.fill() > limit:
 		return waitForNews, 0
-	case best < 0 && !fits:
-		return waitForNews, 0
 	case best < 0:
 		return stayHere, 0
 	}
