--- a/internal/fleet/looks.go
+++ b/internal/fleet/looks.go
@@ -12,8 +12,6 @@
 	// lookWait is how long a worker may hold the answer to a look. It also paces
 	// the reports of progress, which show hung tasks and disturbed services.
 	lookWait = 1000 * time.Millisecond
-	// lookTimeout is the time beyond the wait after which an answer is given up.
-	lookTimeout = 500 * time.Millisecond
 	// retryLook is the pause after a look without an answer.
 	retryLook = 200 * time.Millisecond
 	// unreachableLook is the pause after several.
@@ -31,6 +29,7 @@
 	sent   time.Time
 	// extra marks a look that does not belong to the worker's series.
 	extra bool
+	took  time.Duration
 }
 
 // scheduleLooks sends the looks that are due.
@@ -67,25 +66,28 @@
 	}
 	w.lookBusy, w.probe = true, false
 	t.counters.looks.Inc()
-	go t.sendLook(w, w.info, o, false)
+	go t.sendLook(w, w.info, o, false, t.answers.limit())
 }
 
 // probe asks a worker at once, beside a look that may be waiting.
 func (t *term) probe(w *worker) {
 	t.counters.looks.Inc()
-	go t.sendLook(w, w.info, LookOrder{Fence: t.number, Acknowledged: w.committed}, true)
+	go t.sendLook(w, w.info, LookOrder{Fence: t.number, Acknowledged: w.committed}, true, t.answers.limit())
 }
 
-func (t *term) sendLook(w *worker, info WorkerInfo, o LookOrder, extra bool) {
-	ctx, cancel := context.WithTimeout(t.ctx, o.Wait+lookTimeout)
+func (t *term) sendLook(w *worker, info WorkerInfo, o LookOrder, extra bool, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, o.Wait+limit)
 	defer cancel()
 	sent := time.Now()
 	report, err := t.cfg.Workers.Look(ctx, info, o)
-	t.post(looked{w, o, report, err, sent, extra})
+	t.post(looked{w, o, report, err, sent, extra, time.Since(sent)})
 }
 
 func (e looked) handle(t *term) {
 	w := e.worker
+	if e.order.Wait == 0 || e.err != nil {
+		t.answers.observe(e.took - e.order.Wait)
+	}
 	if !e.extra {
 		w.lookBusy = false
 	}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -166,7 +166,7 @@
 	switch {
 	case !fits && best >= 0:
 		return moveThere, best
-	case !fits:
+	case !fits && len(others) > 0:
 		return waitForNews, 0
 	case own.room.fill() <= limit && (best < 0 || d.image == "" || preference(d.image, own.cell) > rank):
 		return stayHere, 0
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -12,9 +12,6 @@
 
 // Times of orders.
 const (
-	// orderTimeout is how long the answer to an order is waited for. A worker
-	// answers within milliseconds; orders may also be carried out late.
-	orderTimeout = 500 * time.Millisecond
 	// retryStop is the pause between stops that get no answer.
 	retryStop = 300 * time.Millisecond
 	// retryTask is the pause before a task is started again after a refusal.
@@ -26,6 +23,7 @@
 	run   *run
 	reply WorkerReply
 	err   error
+	took  time.Duration
 }
 
 // start sends a task to a worker that has room for it.
@@ -55,7 +53,7 @@
 	t.log.WithFields(logrus.Fields{"decision": "place", "task": r.ref.Task, "attempt": attempt, "worker": w.info.Worker,
 		"dc": w.info.DataCentre, "free_cpu": w.free().MilliCPU, "waited_ms": t.waited(j, key).Milliseconds(),
 		"seen_ms_ago": t.now.Sub(w.clockAt).Milliseconds(), "reason": startReason(tk, step)}).Info("start")
-	go t.sendStart(r, w.info, o)
+	go t.sendStart(r, w.info, o, t.answers.limit())
 }
 
 // waited is the time since the task's step was ready.
@@ -80,15 +78,17 @@
 	return "first"
 }
 
-func (t *term) sendStart(r *run, info WorkerInfo, o StartOrder) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+func (t *term) sendStart(r *run, info WorkerInfo, o StartOrder, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, limit)
 	defer cancel()
+	sent := time.Now()
 	reply, err := t.cfg.Workers.Start(ctx, info, o)
-	t.post(startDone{r, reply, err})
+	t.post(startDone{r, reply, err, time.Since(sent)})
 }
 
 func (e startDone) handle(t *term) {
 	r, w := e.run, e.run.worker
+	t.answers.observe(e.took)
 	if w.runs[r.ref] != r {
 		return // ended or lost meanwhile
 	}
@@ -179,11 +179,11 @@
 		return
 	}
 	r.stopSent = true
-	go t.sendStop(r, r.worker.info)
+	go t.sendStop(r, r.worker.info, t.answers.limit())
 }
 
-func (t *term) sendStop(r *run, info WorkerInfo) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTimeout)
+func (t *term) sendStop(r *run, info WorkerInfo, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(t.ctx, limit)
 	defer cancel()
 	reply, err := t.cfg.Workers.Stop(ctx, info, r.ref, t.number)
 	if err != nil {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -97,6 +97,7 @@
 	tell     func(cell int, row Row)
 	grants   []grant
 	speeds   map[string]*speed
+	answers  answerTimes
 	harm     interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
