--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -189,6 +189,9 @@
 	for image, r := range records {
 		if m := restoreModel(r); m != nil && t.harm.models[image] == nil {
 			t.harm.models[image] = m
+			for filler := range m.fillers {
+				t.harm.fillers[filler] = true
+			}
 		}
 	}
 }
--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -70,10 +70,12 @@
 type interference struct {
 	models map[string]*serviceModel
 	loads  map[string]*serviceLoad // by step
+	// fillers holds the images of fillers that were seen beside services.
+	fillers map[string]bool
 }
 
 func newInterference() interference {
-	return interference{models: map[string]*serviceModel{}, loads: map[string]*serviceLoad{}}
+	return interference{models: map[string]*serviceModel{}, loads: map[string]*serviceLoad{}, fillers: map[string]bool{}}
 }
 
 func (h *interference) model(image string) *serviceModel {
@@ -101,6 +103,9 @@
 	m := h.model(r.step.Image)
 	m.highest = max(m.highest, headroom)
 	beside := r.worker.exposed.average(now)
+	for image := range beside {
+		h.fillers[image] = true
+	}
 	load, last := h.loadOf(r), r.last
 	if dt := now.Sub(last.at); !last.at.IsZero() && dt > readingWindow/2 && dt < staleLoad {
 		change := maps.Clone(beside)
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -35,6 +36,8 @@
 	roomWait = 1500 * time.Millisecond
 	// roomAge is how old the news of another cell may be.
 	roomAge = 2500 * time.Millisecond
+	// typicalShare is the share of its worker that a filler usually demands.
+	typicalShare = 0.1
 	// moveCheckEvery is the pause between two looks for a better cell for one job,
 	// moveChecksPerRound the most of them in one plan.
 	moveCheckEvery     = 200 * time.Millisecond
@@ -55,6 +58,9 @@
 	Reserved int64 `cbor:"2,keyasint"`
 	// Spare is what is left over for fillers, less what waits for it; may be negative.
 	Spare int64 `cbor:"3,keyasint"`
+	// Light is the part of what is left over, by image of a filler, that lies beside
+	// services on which the image hardly presses; less what waits of that image.
+	Light map[string]int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // fill is the reserved share of the capacity.
@@ -63,10 +69,19 @@
 // spare is the share of the capacity that is left for fillers.
 func (r room) spare() float64 { return float64(r.Spare) / float64(max(r.Capacity, 1)) }
 
-// add counts a job with demand d.
+// light is the share of the capacity on which fillers of an image hardly press.
+func (r room) light(image string) float64 {
+	return float64(r.Light[image]) / float64(max(r.Capacity, 1))
+}
+
+// add counts a job with demand d. It leaves the receiver's map as it is.
 func (r room) add(d demand) room {
 	if d.filler {
 		r.Spare -= d.milliCPU
+		if l, known := r.Light[d.image]; known {
+			r.Light = maps.Clone(r.Light)
+			r.Light[d.image] = l - d.milliCPU
+		}
 	} else {
 		r.Reserved += d.milliCPU
 		r.Spare -= d.milliCPU / 2
@@ -86,7 +101,7 @@
 	milliCPU int64
 	filler   bool
 	lasting  bool
-	// image is that of lasting steps; empty for others.
+	// image is that of lasting steps and of fillers; empty for others.
 	image string
 }
 
@@ -100,7 +115,7 @@
 		d.milliCPU += int64(st.Count) * st.Needs.MilliCPU
 		d.filler = d.filler && st.Filler
 		d.lasting = d.lasting || st.Lasting
-		if st.Lasting {
+		if st.Lasting || st.Filler {
 			d.image = st.Image
 		}
 	}
@@ -123,8 +138,14 @@
 // where clearly more is left over; short urgent work moves only when it finds no room,
 // as a move takes some 70 ms.
 func chooseCell(own cellRoom, others []cellRoom, d demand, fits, burst bool, arrived time.Time) (moveChoice, int) {
-	if d.lasting {
+	switch {
+	case d.lasting:
 		return chooseForService(own, others, d, fits, burst, arrived)
+	case d.filler && own.room.Light[d.image] < 0:
+		// The own room counts the job already.
+		if best := lightestCell(others, d); best != nil && best.room.light(d.image) > own.room.light(d.image) {
+			return moveThere, best.cell
+		}
 	}
 	best := bestCell(others, d)
 	if best == nil {
@@ -178,6 +199,19 @@
 	return moveThere, best
 }
 
+// lightestCell returns the cell that takes a filler most easily beside services on which
+// its image hardly presses, or nil when none can take all of it so.
+func lightestCell(others []cellRoom, d demand) *cellRoom {
+	var best *cellRoom
+	for i := range others {
+		o := &others[i]
+		if o.room.Light[d.image] > d.milliCPU && (best == nil || o.room.light(d.image) > best.room.light(d.image)) {
+			best = o
+		}
+	}
+	return best
+}
+
 // preference ranks cells for an image; the highest comes first.
 func preference(image string, cell int) uint64 {
 	return xxhash.Sum64String(image + "/" + strconv.Itoa(cell))
@@ -207,26 +241,54 @@
 
 // ownRoom adds up the cell's workers and the work that waits.
 func (t *term) ownRoom(wants []*want) room {
-	var r room
+	r := room{Light: map[string]int64{}}
+	for image := range t.harm.fillers {
+		r.Light[image] = 0
+	}
 	for _, w := range t.workers {
 		if t.unusable(w) != "" {
 			continue
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
 		r.Reserved += w.used.MilliCPU
-		r.Spare += w.leftover()
+		left := w.leftover()
+		r.Spare += left
+		if left > 0 {
+			t.addLight(r.Light, w, left)
+		}
 	}
 	for _, w := range wants {
 		need := int64(len(w.tasks)) * w.step.Needs.MilliCPU
-		if w.step.Filler {
-			r.Spare -= need
-		} else {
+		if !w.step.Filler {
 			r.Reserved += need
+			continue
+		}
+		r.Spare -= need
+		if _, known := r.Light[w.step.Image]; known {
+			r.Light[w.step.Image] -= need
 		}
 	}
 	return r
 }
 
+// addLight adds what is left over on a worker to the images that hardly press on its
+// services.
+func (t *term) addLight(light map[string]int64, w *worker, left int64) {
+	v := t.harm.viewFor(w, t.now)
+	if !v.disturbed.IsZero() {
+		return
+	}
+	for image := range light {
+		slight := true
+		for _, s := range v.images {
+			slight = slight && s.model.cautious(image, t.now)*typicalShare <= lightShare*s.model.highest
+		}
+		if slight {
+			light[image] += left
+		}
+	}
+}
+
 // otherRooms returns the rooms of other cells that are known, with the jobs that were
 // sent there meanwhile.
 func (t *term) otherRooms() []cellRoom {
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -23,7 +23,7 @@
 }
 
 func cellWith(cell int, capacity, reserved, spare int64, at time.Time) cellRoom {
-	return cellRoom{cell, room{capacity, reserved, spare}, at}
+	return cellRoom{cell, room{Capacity: capacity, Reserved: reserved, Spare: spare}, at}
 }
 
 func TestChooseCell(t *testing.T) {
@@ -40,6 +40,11 @@
 	}
 	filler := demand{milliCPU: 100, filler: true}
 	urgent := demand{milliCPU: 100}
+	render := demand{milliCPU: 100, filler: true, image: "render"}
+	lightRoom := func(r room, light int64) room {
+		r.Light = map[string]int64{"render": light}
+		return r
+	}
 	half := room{Capacity: 1000, Reserved: 500, Spare: 300}
 	full := room{Capacity: 1000, Reserved: 950, Spare: 20}
 	for name, c := range map[string]struct {
@@ -64,6 +69,9 @@
 		"filler, another cell has clearly more": {half, []cellRoom{cellWith(1, 1000, 0, 700, after)}, filler, true, false, moveThere, 1},
 		"filler that fits nowhere here":         {full, []cellRoom{cellWith(1, 1000, 0, 150, after)}, filler, false, false, moveThere, 1},
 		"filler, nothing is spare anywhere":     {full, []cellRoom{cellWith(1, 1000, 0, 50, after)}, filler, false, false, stayHere, 0},
+		"filler that presses on services here":  {lightRoom(half, -50), []cellRoom{{1, lightRoom(half, 150), after}, {2, lightRoom(half, 300), after}}, render, true, false, moveThere, 2},
+		"filler that presses nowhere less":      {lightRoom(half, -50), []cellRoom{{1, lightRoom(half, 60), after}}, render, true, false, stayHere, 0},
+		"filler that hardly presses here":       {lightRoom(half, 10), []cellRoom{{1, lightRoom(half, 900), after}}, render, true, false, stayHere, 0},
 		"urgent work that fits does not move":   {full, []cellRoom{cellWith(1, 1000, 0, 0, after)}, urgent, true, false, stayHere, 0},
 		"urgent work that does not fit":         {full, []cellRoom{cellWith(1, 1000, 300, 0, after)}, urgent, false, false, moveThere, 1},
 		"urgent work, all cells are full":       {full, []cellRoom{cellWith(1, 1000, 960, 0, after)}, urgent, false, false, stayHere, 0},
