--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -15,8 +15,8 @@
 
 // Jobs are spread over cells by a hash of their ids, and cells fill unevenly. A job
 // that finds no room in its cell, or much less than elsewhere, moves to another one
-// before its first task starts. One that has begun moves only when nothing of it runs
-// and no worker of the cell can hold what is left. The leader of the cell that it leaves stores that
+// before its first task starts, or between two steps, when nothing of it runs. Lasting
+// work that has begun moves only when no worker of the cell can hold any of it. The leader of the cell that it leaves stores that
 // decision under its fence and starts nothing of the job any more; only then does it
 // write the job's row for the other cell. Whoever leads either cell later finds the
 // decision or the row, and writes the row again where it may be missing.
@@ -38,12 +38,14 @@
 	roomAge = 2500 * time.Millisecond
 	// typicalShare is the share of its worker that a filler usually demands.
 	typicalShare = 0.1
+	// evenLight is the same for what is left over beside services that bear a filler.
+	evenLight = 0.01
 	// moveCheckEvery is the pause between two looks for a better cell for one job,
 	// moveChecksPerRound the most of them in one plan.
 	moveCheckEvery     = 200 * time.Millisecond
 	moveChecksPerRound = 8
-	// strandedAfter is how long nothing of a job that has begun finds a worker before
-	// it moves.
+	// strandedAfter is how long no lasting task of a job that has begun finds a worker
+	// before the job moves.
 	strandedAfter = 1 * time.Second
 	// grantMemory is how long after news of a cell was seen the jobs sent there are
 	// counted on top: they may have been on their way.
@@ -96,7 +98,7 @@
 	at   time.Time
 }
 
-// demand is what the first steps of a job ask for.
+// demand is what the waiting tasks of a step ask for.
 type demand struct {
 	milliCPU int64
 	filler   bool
@@ -105,19 +107,11 @@
 	image string
 }
 
-// demandOf adds up the steps of a job that need no other step.
-func demandOf(s Spec) demand {
-	d := demand{filler: true}
-	for _, st := range s.Steps {
-		if len(st.After) > 0 {
-			continue
-		}
-		d.milliCPU += int64(st.Count) * st.Needs.MilliCPU
-		d.filler = d.filler && st.Filler
-		d.lasting = d.lasting || st.Lasting
-		if st.Lasting || st.Filler {
-			d.image = st.Image
-		}
+// demandOf returns the demand of a waiting step.
+func demandOf(w *want) demand {
+	d := demand{milliCPU: int64(len(w.tasks)) * w.step.Needs.MilliCPU, filler: w.step.Filler, lasting: w.step.Lasting}
+	if d.filler || d.lasting {
+		d.image = w.step.Image
 	}
 	return d
 }
@@ -141,9 +135,9 @@
 	switch {
 	case d.lasting:
 		return chooseForService(own, others, d, fits, burst, arrived)
-	case d.filler && own.room.Light[d.image] < 0:
+	case d.filler && (own.room.Light[d.image] < 0 || !fits):
 		// The own room counts the job already.
-		if best := lightestCell(others, d); best != nil && best.room.light(d.image) > own.room.light(d.image) {
+		if best := lightestCell(others, d); best != nil && best.room.add(d).light(d.image) > own.room.light(d.image)+evenLight {
 			return moveThere, best.cell
 		}
 	}
@@ -199,13 +193,13 @@
 	return moveThere, best
 }
 
-// lightestCell returns the cell that takes a filler most easily beside services on which
-// its image hardly presses, or nil when none can take all of it so.
+// lightestCell returns the cell with most left over beside services on which the image of
+// a filler hardly presses, or nil when none knows the image.
 func lightestCell(others []cellRoom, d demand) *cellRoom {
 	var best *cellRoom
 	for i := range others {
 		o := &others[i]
-		if o.room.Light[d.image] > d.milliCPU && (best == nil || o.room.light(d.image) > best.room.light(d.image)) {
+		if _, known := o.room.Light[d.image]; known && (best == nil || o.room.light(d.image) > best.room.light(d.image)) {
 			best = o
 		}
 	}
@@ -347,8 +341,8 @@
 	}
 	m.checks++
 	j.moveCheck, j.waitsForNews = t.now.Add(moveCheckEvery), false
-	d, fits := demandOf(j.spec), t.fits(w)
-	if !j.movable() && (fits || t.holdsAny(w)) {
+	d, fits := demandOf(w), t.fits(w)
+	if w.step.Lasting && !j.movable() && (fits || t.holdsAny(w)) {
 		return false
 	}
 	switch choice, cell := chooseCell(cellRoom{t.cell, m.own, t.now}, excluding(m.others, j.path), d, fits, m.burst, j.seen); choice {
@@ -416,14 +410,16 @@
 	return false
 }
 
-// mayMove reports whether the job of a waiting step may leave the cell.
-func (t *term) mayMove(w *want) bool { return w.job.movable() || t.stranded(w) }
-
-// stranded reports whether a job that has begun has no run any more, and has waited.
-// Runs that nobody has seen were accounted for before its steps came to wait.
-func (t *term) stranded(w *want) bool {
+// mayMove reports whether the job of a waiting step may leave the cell: nothing of it
+// runs. Runs that nobody has seen were accounted for before its steps came to wait.
+func (t *term) mayMove(w *want) bool {
 	j := w.job
-	if j.moved > 0 || len(j.path) >= maxMoves || j.spec.Repeats != 0 || j.over() || t.waited(j, w.key(0)) < strandedAfter {
+	switch {
+	case j.movable():
+		return true
+	case j.moved > 0, len(j.path) >= maxMoves, j.spec.Repeats != 0, j.over():
+		return false
+	case w.step.Lasting && t.waited(j, w.key(0)) < strandedAfter:
 		return false
 	}
 	for _, o := range j.occurrences {
