A wave of upkeep covers machines of all cells under one cap

With several cells each leader would have carried out the wave by itself: the cap held in each cell only, and machines of other cells counted as empty (TestWaveAcrossCells: upkeep ended lasting tasks). Now the leader of the first cell leads waves and asks the leaders of other cells to empty their workers.

--- a/internal/fleet/cells_test.go
+++ b/internal/fleet/cells_test.go
@@ -188,3 +188,29 @@
 		waitAll(t, c, 1, 30*time.Second)
 	})
 }
+
+// One wave covers machines of several cells: each is emptied by the leader of its cell,
+// and the cap holds for all together.
+func TestWaveAcrossCells(t *testing.T) {
+	prepare := inventoried(240, 6, lasting)
+	runWith(t, func() *fleettest.Cluster {
+		c := prepare()
+		c.Cells = 3
+		return c
+	}, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 6 {
+			submit(t, c, jobID(i), fleet.Spec{Steps: []fleet.Step{{Count: 2, PerWorker: 1, Needs: small, Lasting: true, MayMiss: 1}}})
+		}
+		time.Sleep(2 * time.Second)
+		c.Wave([]string{"w0", "w1", "w2", "w3", "w4", "w5"}, 2)
+		for range 240 {
+			if c.WaveCompleted() {
+				break
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		require.True(t, c.WaveCompleted())
+		require.ElementsMatch(t, []string{"w0", "w1", "w2", "w3", "w4", "w5"}, c.Inventory.Begun(), "each machine once")
+		require.LessOrEqual(t, c.Inventory.MostDown(), 2)
+	})
+}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -315,7 +315,7 @@
 func (n *Node) lead(c *cell, number, fenceVersion uint64, formerAlive time.Time) {
 	d := n.division.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerAlive, n.log, n.metrics)
-	t.rooms, t.tell, t.operator = d.rooms, n.tellCell, &n.operator
+	t.rooms, t.tell, t.empty, t.operator = d.rooms, n.tellCell, n.askEmpty, &n.operator
 	c.term.Store(t)
 	c.leader.Store(&seenLeader{leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr, MilliCPU: n.cfg.Limits.MilliCPU}, time.Now()})
 	n.metrics.leading.Set(float64(n.ledCells()))
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -17,6 +17,7 @@
 	methodState   = "jobs.state"
 	methodPending = "jobs.pending"
 	methodLead    = "lead.ask"
+	methodEmpty   = "worker.empty"
 )
 
 const (
@@ -89,6 +90,9 @@
 			return localPending(ctx, n.cell(p.Cell)), nil
 		}),
 		methodLead: membership.Typed(n.handleLead),
+		methodEmpty: membership.Typed(func(ctx context.Context, p emptyParams) (any, error) {
+			return localEmpty(ctx, n.cell(p.Cell), p), nil
+		}),
 	} {
 		n.cfg.Peers.Handle(method, handler)
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -77,7 +77,7 @@
 		return "not registered yet"
 	case w.health.resting(t.now):
 		return "resting"
-	case t.machines.closing[w.info.Worker]:
+	case t.machines.closing[w.info.Worker], t.now.Before(t.emptying[w.info.Worker]):
 		return "upkeep"
 	}
 	return ""
--- a/internal/fleet/racks.go
+++ b/internal/fleet/racks.go
@@ -23,7 +23,7 @@
 		t.unplaced[row.Key] = row
 		return false
 	case cell != t.cell:
-		t.foreign[row.Key] = true
+		t.foreign[row.Key] = cell
 		return false
 	}
 	return true
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -203,7 +203,7 @@
 		}
 		return
 	}
-	if t.foreign[row.Key] {
+	if _, other := t.foreign[row.Key]; other {
 		return
 	}
 	info, err := t.cfg.Decoder.Worker(row)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -54,10 +54,12 @@
 	placingRacks bool // a new layout is being stored
 	jobs         map[string]*job
 	workers      map[model.WorkerID]*worker
-	// foreign holds entries of the list that name workers of other cells, unplaced
+	// foreign holds the cells of workers of other cells, by key of the list, unplaced
 	// those whose rack no cell has yet.
-	foreign  map[string]bool
+	foreign  map[string]int
 	unplaced map[string]Row
+	// emptying holds workers that are emptied for upkeep, and until when.
+	emptying map[model.WorkerID]time.Time
 	queues   map[string]Queue
 	setting  *Configuration
 	out      map[model.DataCentre]bool
@@ -95,10 +97,12 @@
 	// operator is the operators' table, which the node follows.
 	operator *operatorTable
 	tell     func(cell int, row Row)
-	grants   []grant
-	speeds   map[string]*speed
-	answers  answerTimes
-	harm     interference
+	// empty asks the leader of another cell to empty a worker for upkeep.
+	empty   func(context.Context, emptyParams) emptied
+	grants  []grant
+	speeds  map[string]*speed
+	answers answerTimes
+	harm    interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
 	machines     upkeep
@@ -112,7 +116,7 @@
 		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, number: number, ctx: ctx, cancel: cancel,
 		mail: make(chan event, mailboxSize), now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
-		foreign: map[string]bool{}, unplaced: map[string]Row{},
+		foreign: map[string]int{}, unplaced: map[string]Row{}, emptying: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
 		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
--- a/internal/fleet/upkeep.go
+++ b/internal/fleet/upkeep.go
@@ -44,6 +44,11 @@
 type upkeepTurn struct {
 	begun time.Time // zero while it waits for its turn
 	busy  bool
+	// remote is what the leader of the machine's cell last told, where that is another
+	// one; heard is when it was asked for.
+	remote         emptied
+	heard, askedAt time.Time
+	asking         bool
 }
 
 // upkeep holds the inventory and the waves' progress.
@@ -74,7 +79,7 @@
 	for _, w := range t.waves {
 		open = open || w.status != "completed"
 	}
-	if !open || !t.active() || !t.upkeepIsOurs() {
+	if !open || t.cell != 0 || !t.active() || !t.upkeepIsOurs() {
 		return
 	}
 	if !t.machines.busy && t.now.Sub(t.machines.read) > machinesInterval {
@@ -155,17 +160,20 @@
 
 // emptyMachine keeps new work away, moves what runs, then begins the upkeep.
 func (t *term) emptyMachine(w *wave, m Machine, turn *upkeepTurn) {
+	if cell, other := t.foreign[string(m.Worker)]; other {
+		if t.emptyRemote(m.Worker, cell, turn) && !turn.busy {
+			turn.busy = true
+			go t.maintain(w, m.ID)
+		}
+		return
+	}
 	t.machines.closing[m.Worker] = true
 	worker := t.workers[m.Worker]
 	waited := t.now.Sub(turn.begun)
+	t.moveRunsAway(worker, waited)
 	runs := 0
 	if worker != nil {
 		runs = len(worker.runs)
-		for _, r := range worker.runs {
-			if r.live() && r.job != nil && (r.step.Lasting && t.mayMiss(r) || !r.step.Lasting && waited > emptyWait) {
-				t.stop(r, "upkeep")
-			}
-		}
 	}
 	if turn.busy || (runs > 0 && waited < emptyWait+stopWait) || t.holdsBack(worker) {
 		return
@@ -174,6 +182,19 @@
 	go t.maintain(w, m.ID)
 }
 
+// moveRunsAway stops what may be stopped on a worker that is emptied, so that it starts
+// elsewhere.
+func (t *term) moveRunsAway(w *worker, waited time.Duration) {
+	if w == nil {
+		return
+	}
+	for _, r := range w.runs {
+		if r.live() && r.job != nil && (r.step.Lasting && t.mayMiss(r) || !r.step.Lasting && waited > emptyWait) {
+			t.stop(r, "upkeep")
+		}
+	}
+}
+
 // holdsBack reports whether upkeep must wait for a run on w: a lasting task that
 // cannot be missed now, or a run that has just been told to stop and saves its
 // progress.
