--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
 	"github.com/vanillapier/vanillapier/platform"
 )
@@ -80,6 +82,23 @@
 	return "info"
 }
 
+// cellsVariable names the environment variable that fixes the number of cells of a new
+// deployment; it is divided by its size when the variable is not set.
+const cellsVariable = "VPIER_FLEET_CELLS"
+
+// fixedCells returns the number of cells that the environment asks for; 0 for none.
+func fixedCells() (int, error) {
+	v := os.Getenv(cellsVariable)
+	if v == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 1 || n > fleet.MaxCells {
+		return 0, model.Errorf(model.KindInvalid, fmt.Sprintf("set %s to a number from 1 to %d, or not at all", cellsVariable, fleet.MaxCells), "%s=%q", cellsVariable, v)
+	}
+	return n, nil
+}
+
 func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
 		return info.Main.Version
@@ -100,8 +119,13 @@
 }
 
 func newProcess(s platform.Settings, path string, log *logrus.Entry, m *telemetry.Metrics) (*process, error) {
+	cells, err := fixedCells()
+	if err != nil {
+		return nil, err
+	}
 	cfg := fleet.Config{
-		Node: s.Node, DataCentre: s.Zone, PeerAddr: s.Addresses.Peers, Limits: s.Limits, Bounds: s.Bounds,
+		Cells: cells,
+		Node:  s.Node, DataCentre: s.Zone, PeerAddr: s.Addresses.Peers, Limits: s.Limits, Bounds: s.Bounds,
 		Store:   platform.NewStore(s.Addresses.Store, platform.NewTransport(storeConnections)),
 		Workers: platform.NewWorkers(platform.NewTransport(workerConnections)),
 		Decoder: platform.Rows{}, Log: log, Metrics: m,
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -118,6 +118,9 @@
 	RenewedMS int64 `json:"renewed_ms"`
 	// Pending counts the jobs that have not begun.
 	Pending int `json:"pending"`
+	// Reserved is the share of the cell's processors that is reserved or waited for; 0 in
+	// a fleet of one cell.
+	Reserved float64 `json:"reserved"`
 	// Fleet is nil for cells that another node leads.
 	Fleet *FleetView `json:"fleet,omitempty"`
 }
@@ -126,6 +129,7 @@
 	v := CellView{Cell: c.index}
 	if l := c.leader.Load(); l != nil {
 		v.Leader, v.Term, v.RenewedMS = l.Node, l.Term, time.Since(l.at).Milliseconds()
+		v.Reserved = l.Room.fill()
 		for _, n := range l.Pending {
 			v.Pending += n
 		}
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -16,8 +16,8 @@
 // racks. A rack never changes its cell, so a worker belongs to one cell.
 
 const (
-	// maxCells bounds the cells of a layout; a cell is stored in one byte.
-	maxCells = 256
+	// MaxCells bounds the cells of a layout; a cell is stored in one byte.
+	MaxCells = 256
 	// slotsOfOneCell and slotsOfMany are the parts of the jobs' table. Many slots
 	// spread jobs evenly over cells, a few are read sooner by a lone leader.
 	slotsOfOneCell = 64
@@ -115,7 +115,7 @@
 
 // valid reports whether a stored layout can be used.
 func (l *layout) valid() bool {
-	if l.Cells < 1 || l.Cells > maxCells || len(l.Slots) == 0 {
+	if l.Cells < 1 || l.Cells > MaxCells || len(l.Slots) == 0 {
 		return false
 	}
 	for _, c := range l.Slots {
@@ -156,7 +156,7 @@
 	for _, n := range racks {
 		workers += n
 	}
-	most := max(1, min(len(racks), len(hosts), workers/cellWorkersMin, maxCells))
+	most := max(1, min(len(racks), len(hosts), workers/cellWorkersMin, MaxCells))
 	least := most
 	for n := 1; n < most; n++ {
 		if enoughHosts(hosts, n, workers) {
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -114,5 +114,5 @@
 	require.False(t, (&layout{}).valid())
 	require.False(t, (&layout{Cells: 2, Slots: []byte{0, 2}}).valid())
 	require.False(t, (&layout{Cells: 2, Slots: []byte{0, 1}, Racks: map[string]byte{"r": 2}}).valid())
-	require.False(t, (&layout{Cells: maxCells + 1, Slots: []byte{0}}).valid())
+	require.False(t, (&layout{Cells: MaxCells + 1, Slots: []byte{0}}).valid())
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -33,8 +33,10 @@
 			last = err
 			continue
 		}
-		best = &v
-		if v.Fleet != nil {
+		if best == nil || best.Fleet == nil || v.Fleet != nil {
+			best = &v
+		}
+		if v.Fleet != nil && (a.Job == "" || v.Fleet.Job != nil) {
 			break
 		}
 	}
@@ -45,7 +47,7 @@
 		return model.Errorf(model.KindUnavailable, fmt.Sprintf("add the metrics address of %s, or ask again", orUnknown(best.Leader)),
 			"node %s does not lead; it knows of term %d", best.Node, best.Term)
 	case a.Job != "" && best.Fleet.Job == nil:
-		return model.Errorf(model.KindNotFound, "check the id", "the leader %s knows no job %s", best.Node, a.Job)
+		return model.Errorf(model.KindNotFound, "check the id, and name the leaders of all cells", "the leader %s knows no job %s", best.Node, a.Job)
 	}
 	return p.print(best, func(w io.Writer) { writeFleet(w, best) })
 }
@@ -77,7 +79,35 @@
 
 func writeFleet(out io.Writer, v *fleet.NodeView) {
 	fmt.Fprintf(out, "leader %s in %s, term %d, configuration %d\n", v.Node, v.DataCentre, v.Term, v.Configuration)
-	f := v.Fleet
+	if len(v.Cells) > 1 {
+		writeCells(out, v.Cells)
+	}
+	shown := false
+	for _, c := range v.Cells {
+		if c.Fleet != nil && len(v.Cells) > 1 {
+			fmt.Fprintf(out, "\ncell %d, led by this node:\n", c.Cell)
+			writeCell(out, c.Fleet)
+			shown = true
+		}
+	}
+	if !shown {
+		writeCell(out, v.Fleet)
+	}
+}
+
+// writeCells lists the cells as the node knows them.
+func writeCells(out io.Writer, cells []fleet.CellView) {
+	fmt.Fprintf(out, "%d cells:\n", len(cells))
+	var rows [][]string
+	for _, c := range cells {
+		rows = append(rows, []string{fmt.Sprintf("  cell %d", c.Cell), orUnknown(c.Leader), fmt.Sprintf("term %d", c.Term),
+			fmt.Sprintf("renewed %d ms ago", c.RenewedMS), fmt.Sprintf("reserved %.0f%%", 100*c.Reserved), plural(c.Pending, "job") + " not begun"})
+	}
+	table(out, rows)
+}
+
+// writeCell describes the workers and jobs of a cell.
+func writeCell(out io.Writer, f *fleet.FleetView) {
 	states := map[string]int{}
 	for _, w := range f.Workers {
 		states[w.State]++
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -29,20 +29,24 @@
 "workers":[{"worker":"w0","state":"usable"},{"worker":"w1","state":"draining"}],"waiting_steps":9,
 "waiting":[{"job":"a","step":1,"tasks":3,"waited_ms":40,"reason":"no usable worker with room"}],
 "job":{"job":"a","queue":"q","state":"running","reason":"r","runs":[{"task":"a.0.0.0","attempt":2,"worker":"w0","state":"running"}]}}}`)
+	cells := serve(`{"node":"n2","dc":"z","leader":"n1","term":4,"configuration":7,"cells":[{"cell":0,"leader":"n1","term":4,"renewed_ms":90,"pending":3},
+{"cell":1,"leader":"n2","term":6,"reserved":0.5,"fleet":{"workers":[{"worker":"w0","state":"usable"}]}},{"cell":2,"leader":""}],"fleet":{"workers":[{"worker":"w0","state":"usable"}]}}`)
 	other := serve(`# HELP x`)
 	for name, test := range map[string]struct {
 		args []string
 		code int
 		want []string
 	}{
-		"leader":      {[]string{"--metrics", follower, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z, term 4", "workers draining: 1", "y is out of service", "a.0.0.0", "9 steps waiting, the first 1", "no usable worker with room"}},
-		"json":        {[]string{"--metrics", leader, "-o", "json"}, ExitOK, []string{`"waiting_steps": 9`}},
-		"no leader":   {[]string{"--metrics", follower}, ExitUnavailable, []string{"does not lead", "n1"}},
-		"other":       {[]string{"--metrics", other}, ExitUnavailable, []string{"no view of a node"}},
-		"unreachable": {[]string{"--metrics", "127.0.0.1:1"}, ExitUnavailable, []string{"did not answer"}},
-		"bad address": {[]string{"--metrics", "nowhere"}, ExitUsage, []string{"remedy"}},
-		"no address":  {nil, ExitUsage, []string{"VPIER_FLEET_METRICS"}},
-		"unknown job": {[]string{"--metrics", leader, "--job", "gone"}, ExitUsage, []string{"knows no job"}},
+		"leader":              {[]string{"--metrics", follower, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z, term 4", "workers draining: 1", "y is out of service", "a.0.0.0", "9 steps waiting, the first 1", "no usable worker with room"}},
+		"cells":               {[]string{"--metrics", cells}, ExitOK, []string{"3 cells", "cell 0", "n1", "3 jobs not begun", "reserved 50%", "cell 1, led by this node", "workers usable: 1", "the leader"}},
+		"job of another cell": {[]string{"--metrics", cells, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z", "a.0.0.0"}},
+		"json":                {[]string{"--metrics", leader, "-o", "json"}, ExitOK, []string{`"waiting_steps": 9`}},
+		"no leader":           {[]string{"--metrics", follower}, ExitUnavailable, []string{"does not lead", "n1"}},
+		"other":               {[]string{"--metrics", other}, ExitUnavailable, []string{"no view of a node"}},
+		"unreachable":         {[]string{"--metrics", "127.0.0.1:1"}, ExitUnavailable, []string{"did not answer"}},
+		"bad address":         {[]string{"--metrics", "nowhere"}, ExitUsage, []string{"remedy"}},
+		"no address":          {nil, ExitUsage, []string{"VPIER_FLEET_METRICS"}},
+		"unknown job":         {[]string{"--metrics", leader, "--job", "gone"}, ExitUsage, []string{"knows no job"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out strings.Builder
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -64,6 +64,8 @@
 	Seeds int
 	// Nodes and Workers are the sizes of the site.
 	Nodes, Workers int
+	// Cells fixes the number of cells; 0 leaves it to the nodes.
+	Cells int
 	// Length is the time during which faults begin.
 	Length time.Duration
 	// Prefix keeps the first faults of a schedule; 0 keeps all.
@@ -218,6 +220,8 @@
 		return model.Errorf(model.KindInvalid, "give --nodes from 1 to 32", "%d nodes", a.Nodes)
 	case a.Workers < 1 || a.Workers > maxSoakWorkers:
 		return model.Errorf(model.KindInvalid, "give --workers from 1 to 100", "%d workers", a.Workers)
+	case a.Cells < 0 || a.Cells > maxSoakNodes:
+		return model.Errorf(model.KindInvalid, "give --cells from 0 to 32", "%d cells", a.Cells)
 	case a.Length < minSoakLength || a.Length > maxSoakLength:
 		return model.Errorf(model.KindInvalid, "give --length from 5s to 1h", "--length %s", a.Length)
 	case a.Seeds < 1 || a.Prefix < 0:
@@ -226,7 +230,7 @@
 	if err := checkReadable(a.Binary); err != nil {
 		return err
 	}
-	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Length: a.Length, Prefix: a.Prefix,
+	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Cells: a.Cells, Length: a.Length, Prefix: a.Prefix,
 		Binary: a.Binary, Logs: a.Logs, HTMLFile: a.HTML, Output: string(p.args.Output)}, p.Stdout)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,6 +16,8 @@
 	Seed uint64
 	// Nodes and Workers are the sizes of the site.
 	Nodes, Workers int
+	// Cells fixes the number of cells of the fleet; 0 leaves it to the nodes.
+	Cells int
 	// Length is the time during which faults begin.
 	Length time.Duration
 	// Prefix keeps only the first faults of the schedule, to shrink a failing one; 0
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -36,6 +36,7 @@
 // site is the platform's side and the processes of one run.
 type site struct {
 	binary, dir string
+	cells       int
 	rows        *fleettest.Store
 	view        *fleettest.View
 	store       *platformtest.Store
@@ -80,7 +81,7 @@
 }
 
 func newSite(o Options, dir string) (*site, error) {
-	s := &site{binary: o.Binary, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewLedger(), number: sites.Add(1), born: 1000}
+	s := &site{binary: o.Binary, cells: o.Cells, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewLedger(), number: sites.Add(1), born: 1000}
 	s.view = s.rows.View()
 	s.store = platformtest.NewStore(s.view)
 	s.fleet = fleettest.NewWorkers(o.Seed, behaviour, s.ledger)
@@ -194,6 +195,9 @@
 	}
 	cmd := exec.Command(s.binary)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+n.settings)
+	if s.cells > 0 {
+		cmd.Env = append(cmd.Env, "VPIER_FLEET_CELLS="+strconv.Itoa(s.cells))
+	}
 	cmd.Stdout, cmd.Stderr = n.log, n.log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,7 +38,12 @@
 	return first, count
 }
 
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { playSeeds(t, 0) }
+
+// TestSoakOfCells plays the same seeds on a fleet of three cells.
+func TestSoakOfCells(t *testing.T) { playSeeds(t, 3) }
+
+func playSeeds(t *testing.T, cells int) {
 	first, count := seeds(t)
 	atOnce := 2 // on a shared machine
 	if v := os.Getenv("SOAK_JOBS"); v != "" {
@@ -52,7 +57,7 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			r, err := Run(t.Context(), Options{Binary: binary, Seed: uint64(seed), Nodes: 4, Workers: 6, Length: 14 * time.Second, Logs: os.Getenv("SOAK_LOGS")})
+			r, err := Run(t.Context(), Options{Binary: binary, Seed: uint64(seed), Nodes: 4, Workers: 6, Cells: cells, Length: 14 * time.Second, Logs: os.Getenv("SOAK_LOGS")})
 			require.NoError(t, err)
 			t.Logf("%d jobs, %d accepted, %d refused, %d starts, %v", r.Jobs, r.Accepted, r.Refused, r.Starts, r.Took.Round(time.Second))
 			for _, f := range r.Faults {
