--- a/internal/fleet/cells_test.go
+++ b/internal/fleet/cells_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,3 +215,37 @@
 		require.LessOrEqual(t, c.Inventory.MostDown(), 2)
 	})
 }
+
+// A watch brings so many rows at most. While entries change faster than pages of that
+// size arrive with pauses in between, the leader must not fall behind: a worker that
+// leaves would get new work.
+func TestLeaderKeepsUpWithManyEntries(t *testing.T) {
+	run(t, 241, 3, 2, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		c.Store.LimitWatch(500)
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+				for i := range 400 {
+					c.Store.Put(fleettest.TableWorkers, "", fmt.Sprintf("other-%d", i), []byte("{}"))
+				}
+			}
+		}()
+		time.Sleep(8 * time.Second)
+		c.Drain(c.Fleet[0])
+		time.Sleep(2 * time.Second)
+		for i := range 4 {
+			submit(t, c, jobID(i), twoSteps())
+		}
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			require.Zero(t, c.Workers.Running(c.Fleet[0]), "no start on a worker that leaves")
+		}
+		waitAll(t, c, 4, 60*time.Second)
+	})
+}
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -38,8 +38,10 @@
 	history []fleet.Row
 	horizon uint64
 	changed chan struct{}
-	begun   time.Time
-	random  *rand.Rand
+	// watchRows bounds the rows of one answer to a watch; 0 for no bound.
+	watchRows int
+	begun     time.Time
+	random    *rand.Rand
 
 	// Latency is the time of an answer; a transaction takes twice as long.
 	Latency time.Duration
@@ -344,6 +346,13 @@
 	}
 }
 
+// LimitWatch bounds the rows of one answer to a watch.
+func (s *Store) LimitWatch(rows int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchRows = rows
+}
+
 func (s *Store) changes(table string, after uint64) (fleet.Page, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -354,6 +363,10 @@
 	for _, row := range s.history {
 		if row.Version > after && row.Table == table {
 			page.Rows = append(page.Rows, row)
+			if len(page.Rows) == s.watchRows {
+				page.Version = row.Version
+				break
+			}
 		}
 	}
 	return page, s.changed, nil
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -26,17 +26,17 @@
 	racklessGroups = 16
 )
 
-// Slopes of a leader's load, measured on days of 48 to 350 workers
+// Slopes of a leader's load, measured on days of 48 to 3,000 workers
 // (docs/CAPACITY.md).
 const (
 	// milliCPUPerWorker is processor time for one worker in thousandths of a core.
 	milliCPUPerWorker = 1.3
 	// bytesPerWorker are bytes a second on the leader's link for one worker.
-	bytesPerWorker = 2500
+	bytesPerWorker = 5000
 	// cellShare is the share of a host's processor, or of its link, that a cell may
-	// take on average: load doubles at peaks, and hosts lead a second cell while
-	// others are away.
-	cellShare = 0.35
+	// take on average. The rest is for peaks; more and smaller cells would cost more,
+	// as work finds room in one cell at a time.
+	cellShare = 0.6
 	// sparesPerCell is how many hosts should be able to carry a cell for each cell.
 	sparesPerCell = 2
 	// cellWorkersMin keeps cells wide enough for steps of many tasks.
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -12,6 +12,9 @@
 const (
 	// pageRows is the most rows that the store returns at once.
 	pageRows = 500
+	// fullPage is the number of changed rows from which on a watch may not have brought
+	// all that there are: the next one follows at once.
+	fullPage = pageRows / 2
 	// readTimeout bounds one page; a slow store takes a quarter of a second.
 	readTimeout = 1200 * time.Millisecond
 	// repeatsAtOnce bounds the parts of a table that are read again at the same time.
@@ -138,7 +141,7 @@
 		default:
 			after = page.Version
 			s.take(page.Rows, false, page)
-			if len(page.Rows) > 0 {
+			if n := len(page.Rows); n > 0 && n < fullPage {
 				s.sleep(ctx, s.pause)
 			}
 		}
