Lasting tasks that find no room in their cell are lent to one that has some

Ruled out: moving the whole job, as it stops all that works. Change: the task is lent, stored under the fence before the other cell's row. Tests failed first; they found that a forgotten job came back by its row, and that a cancellation could pass the row.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -52,6 +52,8 @@
 type shownJob struct {
 	job   *job
 	state State
+	// lent lists the tasks that the transaction lends to other cells.
+	lent []taskKey
 	// moved means that the transaction stores that the job leaves for another cell.
 	moved bool
 }
@@ -105,7 +107,7 @@
 		value := encode(j.progress())
 		size += len(value)
 		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(t.part, j.id), Value: value})
-		c.shown = append(c.shown, shownJob{j, j.state(), j.moved > 0 && !j.arrivedThere})
+		c.shown = append(c.shown, shownJob{j, j.state(), j.lentTasks(true), j.moved > 0 && !j.arrivedThere})
 		j.dirty = false
 	}
 	t.collectUsed(c)
@@ -294,6 +296,7 @@
 	}
 	for _, s := range c.shown {
 		s.job.shown = s.state
+		t.sendLent(s.job, s.lent)
 		if s.moved {
 			go t.sendMoved(s.job.id, s.job.moved-1, t.recordOf(s.job))
 		}
@@ -373,10 +376,13 @@
 
 // removeJob deletes the rows of a job after its retention. The result does not
 // matter: a row that stays is removed by a later term.
-func (t *term) removeJob(id string, path []int) {
+func (t *term) removeJob(id string, path []int, borrowed []RowID) {
 	ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[0])
 	defer cancel()
 	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{t.layout.jobRow(id), t.layout.cancelRow(id)}})
+	if err == nil && len(borrowed) > 0 {
+		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: append(borrowed, progressRow(t.part, id), movedRow(t.part, id+cancelSuffix))})
+	}
 	for _, cell := range append(path, t.cell) {
 		part := t.layout.cellPart(cell)
 		if err == nil {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -59,6 +59,11 @@
 	runs       []*run
 	// notBefore delays the next start.
 	notBefore time.Time
+	// lent is one more than the cell that runs the task for this one; 0 for none. Stuck
+	// is since when a lasting task that ran has found no worker.
+	lent     int
+	lentSent bool // the row for the other cell is on its way, or there
+	stuck    time.Time
 }
 
 // hasFailed reports whether the failure of an attempt was counted.
@@ -127,6 +132,9 @@
 	// is there when arrivedThere is set.
 	moved        int
 	arrivedThere bool
+	// borrowed holds the rows by which another cell, which owns the job, has lent some of
+	// its tasks; empty for the cell's own jobs.
+	borrowed []RowID
 	// moveCheck is when a better cell is looked for next; waitsForNews means that the job
 	// does not begin before other cells have told of their load.
 	moveCheck    time.Time
--- /dev/null
+++ b/internal/fleet/lend.go
@@ -0,0 +1,207 @@
+package fleet
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// A job that runs does not leave its cell. A lasting task of it that was lost may find no
+// room there, while another cell has some. The leader then lends the task to that cell:
+// it stores so under its fence, never starts the task again itself, and writes a row by
+// which the other cell runs this one task of the job until the job is cancelled.
+
+const (
+	// lendAfter is how long a lasting task that ran waits for room in its own cell, where
+	// short work ends and leaves some.
+	lendAfter = 1500 * time.Millisecond
+	// lendPause spaces tasks lent to one cell: its next renewal tells what room is left.
+	lendPause = 800 * time.Millisecond
+	// lentMark precedes step and index in the key of a lent task's row.
+	lentMark = "/task-"
+)
+
+// hole is the largest room on one worker.
+type hole struct {
+	MilliCPU int64 `cbor:"1,keyasint"`
+	MemoryMB int64 `cbor:"2,keyasint"`
+}
+
+// lendStuck lends tasks of a lasting step that ran and have found no worker for a while.
+// It is called when some of them found none. Steps of which few may be missed at once stay
+// whole: two cells would not know what the other takes away.
+func (t *term) lendStuck(w *want) {
+	o := &w.occ.steps[w.index]
+	if t.layout.Cells == 1 || w.step.Gang || w.step.SameRack || w.step.Near != "" || len(w.job.path) >= maxMoves || w.job.spec.Repeats != 0 || w.step.Needs.Accelerators > 0 || w.step.MayMiss > 0 {
+		return
+	}
+	for _, i := range w.tasks {
+		tk := &o.tasks[i]
+		switch {
+		case len(tk.runs) > 0 || tk.lent > 0:
+			continue
+		case tk.stuck.IsZero():
+			tk.stuck = t.now
+		}
+		if t.now.Sub(tk.stuck) < lendAfter {
+			continue
+		}
+		if cell, found := t.cellWithHole(w.step, w.job.path); found {
+			t.lend(w.job, w.key(i), tk, cell)
+		}
+	}
+}
+
+// cellWithHole returns another cell of which a worker has room for a task of s. Cells that
+// the job has left know it as moved and would not take it.
+func (t *term) cellWithHole(s *Step, left []int) (cell int, found bool) {
+	best := int64(0)
+	need := s.Reserved()
+	for _, o := range excluding(t.otherRooms(), left) {
+		h := o.room.Hole
+		if h.MilliCPU >= need.MilliCPU && h.MemoryMB >= need.MemoryMB && h.MilliCPU > best && t.now.Sub(t.lentAt[o.cell]) > lendPause {
+			cell, best, found = o.cell, h.MilliCPU, true
+		}
+	}
+	return cell, found
+}
+
+// lend decides that another cell runs a task. The next transaction stores it.
+func (t *term) lend(j *job, key taskKey, tk *task, cell int) {
+	tk.lent, tk.attempt, j.dirty = cell+1, 0, true
+	t.lentAt[cell] = t.now
+	t.counters.lent.Inc()
+	t.log.WithFields(logrus.Fields{"decision": "lend", "job": j.id, "task": key.Name(j.id), "to_cell": cell,
+		"waited_ms": t.now.Sub(tk.stuck).Milliseconds()}).Info("task is lent to another cell")
+}
+
+// lentTasks lists the lent tasks of a job; only those whose rows have not been sent, if
+// unsent is true.
+func (j *job) lentTasks(unsent bool) []taskKey {
+	var keys []taskKey
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			for i := range o.steps[s].tasks {
+				if tk := &o.steps[s].tasks[i]; tk.lent > 0 && !(unsent && tk.lentSent) {
+					keys = append(keys, taskKey{o.number, s, i})
+				}
+			}
+		}
+	}
+	return keys
+}
+
+// lentKey is the key of the row of a lent task.
+func lentKey(job string, k taskKey) string {
+	return job + lentMark + strconv.Itoa(k.step) + "." + strconv.Itoa(k.index)
+}
+
+// sendLent writes the rows of lent tasks; a row that is there already is the same. The
+// decisions must be stored. A cancellation follows them.
+func (t *term) sendLent(j *job, keys []taskKey) {
+	for _, k := range keys {
+		_, tk := j.task(k)
+		if tk == nil || tk.lent == 0 {
+			continue
+		}
+		tk.lentSent = true
+		cell := tk.lent - 1
+		row := Row{RowID: movedRow(t.layout.cellPart(cell), lentKey(j.id, k)), Value: encode(t.lentRecord(j, k))}
+		go func() {
+			if t.putUntilDone(Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}, &row) {
+				t.tellCell(cell, row)
+				t.post(lentArrived{j, cell})
+			}
+		}()
+	}
+}
+
+// lentArrived reports that the row of a lent task is stored. A cancellation that came
+// meanwhile may have passed it.
+type lentArrived struct {
+	job  *job
+	cell int
+}
+
+func (e lentArrived) handle(t *term) {
+	if e.job.cancelled {
+		go t.sendCancelled(e.job.id, e.cell)
+	}
+}
+
+// finishLent writes again, at the begin of a term, what cells that borrowed tasks of a job
+// may lack. A cancelled job is lent no more: they may have forgotten it already.
+func (t *term) finishLent(j *job) {
+	if !j.cancelled {
+		t.sendLent(j, j.lentTasks(true))
+		return
+	}
+	for _, k := range j.lentTasks(false) {
+		_, tk := j.task(k)
+		go t.sendCancelled(j.id, tk.lent-1)
+	}
+}
+
+// lentRecord returns the row of a lent task: its job, of which all other tasks are done.
+func (t *term) lentRecord(j *job, k taskKey) jobRecord {
+	p := progressRecord{State: StateRunning, Started: true, Open: []occurrenceRecord{{Number: k.occurrence, Steps: make([][]taskRecord, len(j.spec.Steps))}}}
+	for s := range j.spec.Steps {
+		for i := range j.spec.Steps[s].Count {
+			if s != k.step || i != k.index {
+				p.Open[0].Steps[s] = append(p.Open[0].Steps[s], taskRecord{Index: i, Done: true})
+			}
+		}
+	}
+	path := []int{t.cell}
+	for len(path) < maxMoves {
+		path = append(path, t.cell) // the borrowed task stays where it is
+	}
+	return jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedAt, Path: path, Progress: &p,
+		Attempts: j.attempts + int(t.number)*attemptsPerTerm}
+}
+
+// takeLent takes the row of a task that another cell has lent. A second task of the same
+// job joins the first.
+func (t *term) takeLent(row Row, storeNow time.Duration) bool {
+	id, name, lent := strings.Cut(row.Key, lentMark)
+	if !lent {
+		return false
+	}
+	j, lentRow := t.jobs[id], row.RowID
+	if j == nil {
+		row.Key = id
+		t.takeJobRow(row, storeNow)
+		if j = t.jobs[id]; j != nil {
+			j.borrowed = append(j.borrowed, lentRow)
+		}
+		return true
+	}
+	k, ok := parseLent(name)
+	var r jobRecord
+	_, tk := j.task(k)
+	if len(j.borrowed) == 0 {
+		return true // the job itself is in this cell
+	}
+	if !slices.Contains(j.borrowed, lentRow) {
+		j.borrowed = append(j.borrowed, lentRow)
+	}
+	if !ok || tk == nil || !tk.done || decodeRecord(row, &r) != nil {
+		return true // known already
+	}
+	*tk = task{}
+	j.attempts = max(j.attempts, r.Attempts)
+	j.occurrences[0].steps[k.step].left++
+	j.dirty, t.dirty = true, true
+	return true
+}
+
+// parseLent reads step and index of a lent task.
+func parseLent(name string) (taskKey, bool) {
+	step, index, ok := strings.Cut(name, ".")
+	s, errStep := strconv.Atoi(step)
+	i, errIndex := strconv.Atoi(index)
+	return taskKey{0, s, i}, ok && errStep == nil && errIndex == nil && s >= 0 && i >= 0
+}
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -10,7 +10,7 @@
 type metrics struct {
 	leading, waiting, cells                               prometheus.Gauge
 	accepted, starts, refusals, looks, silent, unreadable prometheus.Counter
-	paces, moves                                          prometheus.Counter
+	paces, moves, lent                                    prometheus.Counter
 	stops, ends, commits, readErrors, requests, terms     *prometheus.CounterVec
 	commitSeconds, recoverySeconds                        prometheus.Observer
 	requestSeconds                                        *prometheus.HistogramVec
@@ -32,6 +32,7 @@
 		looks:           counter("looks_total", "Reports asked of workers."),
 		silent:          counter("unanswered_total", "Calls to workers without an answer."),
 		unreadable:      counter("unreadable_entries_total", "Entries of the list of workers that could not be read."),
+		lent:            counter("lent_tasks_total", "Lasting tasks that another cell runs for this one, which had no room."),
 		moves:           counter("moves_total", "Jobs that left for another cell before they began."),
 		paces:           counter("paces_total", "Orders that set the pace of a filler."),
 		stops:           m.Counter("fleet", "stops_total", "Stops by reason.", "reason"),
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,8 @@
 	// Light is the part of what is left over, by image of a filler, that lies beside
 	// services on which the image hardly presses; less what waits of that image.
 	Light map[string]int64 `cbor:"4,keyasint,omitempty"`
+	// Hole is the room on the worker with most of it.
+	Hole hole `cbor:"5,keyasint"`
 }
 
 // fill is the reserved share of the capacity.
@@ -245,6 +248,9 @@
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
 		r.Reserved += w.used.MilliCPU
+		if free := w.free(); free.MilliCPU > r.Hole.MilliCPU && !w.health.onProbation() {
+			r.Hole = hole{free.MilliCPU, free.MemoryMB}
+		}
 		left := w.leftover()
 		r.Spare += left
 		if left > 0 {
@@ -522,6 +528,7 @@
 	for _, j := range t.jobs {
 		switch {
 		case j.moved == 0:
+			t.finishLent(j)
 		case !j.arrivedThere:
 			go t.sendMoved(j.id, j.moved-1, t.recordOf(j))
 		case j.cancelled:
@@ -549,10 +556,19 @@
 
 func (e movedRows) handle(t *term) {
 	rows := slices.Clone(e.rows)
-	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) }) // a job before its cancellation
+	slices.SortFunc(rows, func(a, b Row) int { // a job, or a task of it, before its cancellation
+		return cmp.Or(cmp.Compare(cancelLast(a), cancelLast(b)), cmp.Compare(a.Key, b.Key))
+	})
 	for _, row := range rows {
-		if row.Part == t.part {
+		if row.Part == t.part && (row.Removed || !t.takeLent(row, e.storeNow)) {
 			t.takeJobRow(row, e.storeNow)
 		}
 	}
 }
+
+func cancelLast(row Row) int {
+	if strings.HasSuffix(row.Key, cancelSuffix) {
+		return 1
+	}
+	return 0
+}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -182,7 +182,7 @@
 	for i := range s.tasks {
 		tk := &s.tasks[i]
 		switch {
-		case tk.done:
+		case tk.done, tk.lent > 0:
 		case len(tk.runs) > 0, t.now.Before(tk.notBefore):
 			if spec.Gang {
 				return nil
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -44,6 +44,7 @@
 			left -= started
 			if w.restart && started < len(w.tasks) {
 				p.holdFor(w.step)
+				t.lendStuck(w)
 			}
 		}
 	}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -69,6 +69,8 @@
 	Failed     []int  `cbor:"3,keyasint,omitempty"`
 	Attempt    int    `cbor:"4,keyasint,omitempty"`
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	// Lent is one more than the cell that runs the task.
+	Lent int `cbor:"6,keyasint,omitempty"`
 }
 
 // occurrenceRecord is the stored form of an open occurrence.
@@ -170,8 +172,8 @@
 		r := occurrenceRecord{Number: o.number, Steps: make([][]taskRecord, len(o.steps))}
 		for i := range o.steps {
 			for n := range o.steps[i].tasks {
-				if t := &o.steps[i].tasks[n]; t.done || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" {
-					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint})
+				if t := &o.steps[i].tasks[n]; t.done || t.lent > 0 || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" {
+					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint, t.lent})
 				}
 			}
 		}
@@ -209,7 +211,7 @@
 			if t.Index < 0 || t.Index >= len(s.tasks) {
 				continue
 			}
-			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint}
+			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lent: t.Lent}
 			if t.Done {
 				s.left--
 			}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -145,6 +146,10 @@
 	}
 	j.cancelled, j.dirty, j.ended = true, true, t.now
 	j.shown = StateCancelled // the cancellation is stored
+	for _, k := range j.lentTasks(false) {
+		_, tk := j.task(k)
+		go t.sendCancelled(j.id, tk.lent-1)
+	}
 	if j.moved > 0 {
 		if j.arrivedThere {
 			go t.sendCancelled(j.id, j.moved-1)
@@ -322,7 +327,7 @@
 	for id, j := range t.jobs {
 		if j.moved == 0 && j.shown.Final() && !j.dirty && t.now.Sub(j.ended) > t.cfg.Bounds.Retention+retentionMargin {
 			delete(t.jobs, id)
-			go t.removeJob(id, j.path)
+			go t.removeJob(id, slices.Clone(j.path), slices.Clone(j.borrowed))
 		}
 	}
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -98,8 +98,10 @@
 	operator *operatorTable
 	tell     func(cell int, row Row)
 	// empty asks the leader of another cell to empty a worker for upkeep.
-	empty   func(context.Context, emptyParams) emptied
-	grants  []grant
+	empty  func(context.Context, emptyParams) emptied
+	grants []grant
+	// lentAt is when a task was last lent to a cell.
+	lentAt  map[int]time.Time
 	speeds  map[string]*speed
 	answers answerTimes
 	harm    interference
@@ -116,7 +118,7 @@
 		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, number: number, ctx: ctx, cancel: cancel,
 		mail: make(chan event, mailboxSize), now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
-		foreign: map[string]int{}, unplaced: map[string]Row{}, emptying: map[model.WorkerID]time.Time{},
+		foreign: map[string]int{}, unplaced: map[string]Row{}, emptying: map[model.WorkerID]time.Time{}, lentAt: map[int]time.Time{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
 		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
@@ -234,6 +236,7 @@
 	for _, row := range e.progress {
 		t.progressRow(row)
 	}
+	movedRows{e.moved, e.storeNow}.handle(t) // tasks that were lent since the progress was stored
 	for _, row := range e.waves {
 		t.waveRow(row)
 	}
