--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -401,4 +401,7 @@
 	p.holdFor(&service)
 	require.False(t, p.feasible(half, request{step: short}), "kept for the lasting task")
 	require.False(t, p.held[full], "it would not find room there")
+	smaller := service
+	smaller.Needs.MilliCPU = 7000
+	require.True(t, p.feasible(half, request{step: &smaller, restart: true}), "another one that ran and fits now may use the room")
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -116,6 +116,8 @@
 	onWorker map[*worker]int
 	// rack restricts the choice, unless empty.
 	rack string
+	// restart is set for lasting tasks that ran before: they may use room that is kept.
+	restart bool
 	// tickets restricts the choice to workers with a ticket, unless nil.
 	tickets map[model.WorkerID]string
 }
@@ -162,7 +164,7 @@
 		return lacksShare
 	case !s.Reserved().Fits(w.free()):
 		return lacksRoom
-	case p.held[w],
+	case p.held[w] && !r.restart,
 		r.rack != "" && w.rack != r.rack,
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
 		w.health.onProbation() && (w.onTrial() || (!s.Lasting && r.task != nil && len(r.task.failed) > 0)),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -86,10 +86,10 @@
 
 // placeStep starts tasks of a step and returns how many.
 func (t *term) placeStep(p *placement, w *want) int {
-	if p.refused(w.step) {
+	if !w.restart && p.refused(w.step) {
 		return 0
 	}
-	r := request{step: w.step, onWorker: stepWorkers(&w.occ.steps[w.index])}
+	r := request{step: w.step, onWorker: stepWorkers(&w.occ.steps[w.index]), restart: w.restart}
 	if w.queue.Advised {
 		if r.tickets = t.tickets(p, w); r.tickets == nil {
 			return 0
--- a/internal/fleet/racks.go
+++ b/internal/fleet/racks.go
@@ -65,7 +65,7 @@
 func (e racksPlaced) handle(t *term) {
 	t.placingRacks = false
 	if e.layout != nil {
-		layoutChanged{e.layout}.handle(t)
+		layoutChanged(e).handle(t)
 	}
 }
 
