Jobs of which a run was given up with its lease stay in their cell

Such jobs, and those from before the term, move only when no worker of the cell could hold them. Test failed first (mayMove was true).

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -128,6 +128,8 @@
 	attempts int
 	// path lists the cells that the job has left before this one.
 	path []int
+	// lapsed means that a run was given up as its worker's lease was over.
+	lapsed bool
 	// moved is one more than the cell to which the job has moved; 0 for none. Its row
 	// is there when arrivedThere is set.
 	moved        int
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -127,7 +127,9 @@
 		return true
 	case j.moved > 0, len(j.path) >= maxMoves, j.spec.Repeats != 0, j.over():
 		return false
-	case w.step.Lasting && t.waited(j, w.key(0)) < strandedAfter:
+	case (w.step.Lasting || j.inherited || j.lapsed) && (t.waited(j, w.key(0)) < strandedAfter || !t.homeless(w)):
+		// A run whose lease is over may have ended well before, unheard. This cell would
+		// hear of it, and the other one start the task again.
 		return false
 	}
 	for _, o := range j.occurrences {
@@ -142,6 +144,16 @@
 	return true
 }
 
+// homeless reports whether no listed worker of the cell could ever hold a task of a step.
+func (t *term) homeless(w *want) bool {
+	for _, x := range t.workers {
+		if x.listed && x.info.Service == w.queue.Service && x.hasLabel(w.step.Label) && w.step.Reserved().Fits(x.info.Capacity) {
+			return false
+		}
+	}
+	return true
+}
+
 // movable reports whether the job may leave its cell: nothing of it has ever begun. Of
 // jobs from before this term that is not certain.
 func (j *job) movable() bool {
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -167,3 +167,27 @@
 	require.Equal(t, []int{0}, got.path)
 	require.Equal(t, StateRunning, got.shown)
 }
+
+// A run that was given up with its worker's lease may have ended well before, unheard. Its
+// job stays where that end will be heard, unless no worker of the cell could hold it.
+func TestJobWithLapsedRunStays(t *testing.T) {
+	tm := looseTerm(3)
+	q := Queue{Name: "q", Service: "svc"}
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000}}}}}, 5, epoch)
+	j.started = true
+	j.open(epoch, 0, tm.wall)
+	w := &want{job: j, occ: j.occurrences[0], step: &j.spec.Steps[0], queue: q, tasks: []int{0}}
+	worker := testWorker("w")
+	tm.workers["w"] = worker
+	tm.now = epoch.Add(2 * strandedAfter)
+	require.True(t, tm.mayMove(w), "between two steps")
+
+	r := &run{ref: RunRef{"j.0.0.0", 1}, job: j, worker: worker, step: w.step, key: taskKey{}}
+	worker.attach(r, epoch)
+	j.occurrences[0].steps[0].tasks[0].runs = []*run{r}
+	require.False(t, tm.mayMove(w), "it runs")
+	tm.lose(r, leaseOver)
+	require.False(t, tm.mayMove(w))
+	worker.listed = false
+	require.True(t, tm.mayMove(w), "no worker is left")
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -289,7 +289,7 @@
 		if w.inherited && !w.raised && t.confirmed.After(w.deadBy) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired"}).Warn("unreachable worker holds nothing any more")
 			info, listed := w.info, w.listed
-			t.bury(w, "lease-over")
+			t.bury(w, leaseOver)
 			if listed { // it may come back, and nothing of before can run there
 				t.workers[info.Worker] = newWorker(info)
 			}
@@ -302,7 +302,7 @@
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "lapsed", "runs": len(w.runs),
 				"failures": w.failures, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of a silent worker are over")
 			for _, r := range w.runs {
-				t.lose(r, "lease-over")
+				t.lose(r, leaseOver)
 			}
 			t.dirty = true
 		}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -245,6 +245,10 @@
 	}
 }
 
+// leaseOver is the reason of runs that are given up as their worker was silent for longer
+// than its lease.
+const leaseOver = "lease-over"
+
 // lose drops a run that certainly does not work any more and has no listed end.
 func (t *term) lose(r *run, reason string) {
 	r.worker.detach(r, t.now)
@@ -257,6 +261,7 @@
 		return
 	}
 	t.dropRun(tk, r)
+	r.job.lapsed = r.job.lapsed || reason == leaseOver
 	t.saveCheckpoint(r.job, tk, r, r.checkpoint)
 	t.log.WithFields(logrus.Fields{"decision": "end", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
 		"choice": "lost", "reason": reason}).Info("end")
