One sleep, one row for another cell, one look-up of the cells

Read-through, no change of behaviour. The wait for a time or the end of a context stood in six places, the write of a row for another cell in two, the cancellation of lent tasks in two, the answer of a node that does not know the cells in four, and the conditions of a job that may move in two; holdsAny was fits for one task.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -239,10 +239,7 @@
 		if try == 0 {
 			t.log.WithError(err).Warn("transaction failed; it is repeated")
 		}
-		select {
-		case <-t.ctx.Done():
-		case <-time.After(pause):
-		}
+		sleep(t.ctx, pause)
 		pause = min(2*pause, commitBackoffMax)
 	}
 }
--- a/internal/fleet/divide.go
+++ b/internal/fleet/divide.go
@@ -57,12 +57,12 @@
 		case n.division.Load() != nil:
 			return page.Version, true
 		case first:
-			n.sleep(ctx, time.Duration(rand.Int64N(int64(authorSpread)))+n.authorHandicap())
+			sleep(ctx, time.Duration(rand.Int64N(int64(authorSpread)))+n.authorHandicap())
 		default:
 			if n.claimLayout(ctx) {
 				n.decideLayout(ctx)
 			}
-			n.sleep(ctx, layoutPause)
+			sleep(ctx, layoutPause)
 		}
 	}
 }
@@ -86,7 +86,7 @@
 		if err == nil {
 			return
 		}
-		n.sleep(ctx, readPause+jitter())
+		sleep(ctx, readPause+jitter())
 	}
 }
 
@@ -151,7 +151,7 @@
 func (n *Node) settledFleet(ctx context.Context) ([]Limits, map[string]int, error) {
 	var hosts []Limits
 	var racks map[string]int
-	for begun := time.Now(); ctx.Err() == nil; n.sleep(ctx, settlePause) {
+	for begun := time.Now(); ctx.Err() == nil; sleep(ctx, settlePause) {
 		h, r, err := n.readFleet(ctx)
 		if err != nil {
 			return nil, nil, err
@@ -181,10 +181,3 @@
 	}
 	return hostLimits(hosts), racks, nil
 }
-
-func (n *Node) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -59,9 +59,9 @@
 }
 
 func (n *Node) accept(ctx context.Context, q Queue, id string, spec Spec) (tries int, err error) {
-	d := n.division.Load()
-	if d == nil {
-		return 0, retryAfter(retryShort, model.KindUnavailable, "retry later", "this node does not know the cells yet")
+	d, err := n.knownCells("retry later")
+	if err != nil {
+		return 0, err
 	}
 	c := d.cellOf(id)
 	row := Row{RowID: d.layout.jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.get()})}
@@ -88,6 +88,14 @@
 	return tries, &RetryError{after, err}
 }
 
+// knownCells returns the cells, or the answer to callers that come before they are known.
+func (n *Node) knownCells(remedy string) (*division, error) {
+	if d := n.division.Load(); d != nil {
+		return d, nil
+	}
+	return nil, retryAfter(retryShort, model.KindUnavailable, remedy, "this node does not know the cells yet")
+}
+
 // storeJob writes the row of a job. KindUnavailable means that it is not stored
 // and will not be; KindUnknown that it may be.
 func (n *Node) storeJob(ctx context.Context, c *cell, row Row, patience time.Duration) (tries int, err error) {
@@ -183,9 +191,9 @@
 }
 
 func (n *Node) state(ctx context.Context, id string) (State, string, error) {
-	d := n.division.Load()
-	if d == nil {
-		return "", "", retryAfter(retryShort, model.KindUnavailable, "ask again", "this node does not know the cells yet")
+	d, err := n.knownCells("ask again")
+	if err != nil {
+		return "", "", err
 	}
 	c := d.cellOf(id)
 	if s, ok := n.askState(ctx, c, id); ok {
@@ -271,9 +279,9 @@
 }
 
 func (n *Node) cancelJob(ctx context.Context, id string) error {
-	d := n.division.Load()
-	if d == nil {
-		return retryAfter(retryShort, model.KindUnavailable, "send the cancellation again", "this node does not know the cells yet")
+	d, err := n.knownCells("send the cancellation again")
+	if err != nil {
+		return err
 	}
 	known := false
 	if n.store.lost() {
@@ -363,9 +371,9 @@
 
 // countPending adds the counts of all cells.
 func (n *Node) countPending(ctx context.Context, queue string) (int, error) {
-	d := n.division.Load()
-	if d == nil {
-		return 0, retryAfter(retryShort, model.KindUnavailable, "ask again", "this node does not know the cells yet")
+	d, err := n.knownCells("ask again")
+	if err != nil {
+		return 0, err
 	}
 	sum := 0
 	for _, c := range d.cells {
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -169,10 +169,7 @@
 	if n.isSmall(d) {
 		pause = renewalsPauseSmall
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(pause, n.leaderWait())):
-	}
+	sleep(ctx, min(pause, n.leaderWait()))
 }
 
 // readLeaders reads the renewals of all cells and the layout. Afterwards silence
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -111,8 +111,7 @@
 		cell := tk.lent - 1
 		row := Row{RowID: movedRow(t.layout.cellPart(cell), lentKey(j.id, k)), Value: encode(t.lentRecord(j, k))}
 		go func() {
-			if t.putUntilDone(Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}, &row) {
-				t.tellCell(cell, row)
+			if t.sendRow(cell, row) {
 				t.post(lentArrived{j, cell})
 			}
 		}()
@@ -135,10 +134,15 @@
 // finishLent writes again, at the begin of a term, what cells that borrowed tasks of a job
 // may lack. A cancelled job is lent no more: they may have forgotten it already.
 func (t *term) finishLent(j *job) {
-	if !j.cancelled {
+	if j.cancelled {
+		t.cancelLent(j)
+	} else {
 		t.sendLent(j, j.lentTasks(true))
-		return
 	}
+}
+
+// cancelLent tells the cells that borrowed tasks of a job of its cancellation.
+func (t *term) cancelLent(j *job) {
 	for _, k := range j.lentTasks(false) {
 		_, tk := j.task(k)
 		go t.sendCancelled(j.id, tk.lent-1)
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -104,7 +104,7 @@
 	rows, page, err := listAll(ctx, s.store, s.table, part)
 	for err != nil && ctx.Err() == nil {
 		s.failed(err)
-		s.sleep(ctx, readPause+s.jitter())
+		sleep(ctx, readPause+s.jitter())
 		select {
 		case turns <- struct{}{}:
 		case <-ctx.Done():
@@ -137,18 +137,19 @@
 			after = first.Version
 		case err != nil:
 			s.failed(err)
-			s.sleep(ctx, readPause+s.jitter())
+			sleep(ctx, readPause+s.jitter())
 		default:
 			after = page.Version
 			s.take(page.Rows, false, page)
 			if n := len(page.Rows); n > 0 && n < fullPage {
-				s.sleep(ctx, s.pause)
+				sleep(ctx, s.pause)
 			}
 		}
 	}
 }
 
-func (s source) sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -74,8 +74,8 @@
 	}
 	m.checks++
 	j.moveCheck, j.waitsForNews = t.now.Add(moveCheckEvery), false
-	d, fits := demandOf(w), t.fits(w)
-	if w.step.Lasting && !j.movable() && (fits || t.holdsAny(w)) {
+	d, fits := demandOf(w), t.holds(w, len(w.tasks))
+	if w.step.Lasting && !j.movable() && t.holds(w, 1) {
 		return false
 	}
 	switch choice, cell := chooseCell(cellRoom{t.cell, m.own, t.now}, excluding(m.others, j.path), d, fits, m.burst, j.seen); choice {
@@ -95,15 +95,8 @@
 	return false
 }
 
-// holdsAny reports whether any waiting task of a step could run in the cell.
-func (t *term) holdsAny(w *want) bool {
-	one := *w
-	one.tasks = w.tasks[:1]
-	return t.fits(&one)
-}
-
-// fits reports whether all waiting tasks of a step find a worker now.
-func (t *term) fits(w *want) bool {
+// holds reports whether n tasks of a step find a worker now.
+func (t *term) holds(w *want, n int) bool {
 	p := t.pool(w.queue.Service)
 	r := request{step: w.step, onWorker: map[*worker]int{}}
 	room := 0
@@ -111,7 +104,7 @@
 		if p.feasible(x, r) {
 			room += copies(w.step, x)
 		}
-		if room >= len(w.tasks) {
+		if room >= n {
 			return true
 		}
 	}
@@ -125,7 +118,7 @@
 	switch {
 	case j.movable():
 		return true
-	case j.moved > 0, len(j.path) >= maxMoves, j.spec.Repeats != 0, j.over():
+	case !j.mayLeave():
 		return false
 	case (w.step.Lasting || j.inherited || j.lapsed) && (t.waited(j, w.key(0)) < strandedAfter || !t.homeless(w)):
 		// A run whose lease is over may have ended well before, unheard. This cell would
@@ -157,7 +150,12 @@
 // movable reports whether the job may leave its cell: nothing of it has ever begun. Of
 // jobs from before this term that is not certain.
 func (j *job) movable() bool {
-	return !j.started && !j.inherited && j.moved == 0 && len(j.path) < maxMoves && j.spec.Repeats == 0 && !j.over()
+	return !j.started && !j.inherited && j.mayLeave()
+}
+
+// mayLeave reports whether a job is of the kind that moves and is still in this cell.
+func (j *job) mayLeave() bool {
+	return len(j.path) < maxMoves && j.spec.Repeats == 0 && !j.over()
 }
 
 // beginMove decides that a job leaves for another cell. The next transaction stores it.
@@ -175,14 +173,20 @@
 // sendMoved writes the row by which the other cell learns of a job. The decision must
 // be stored. A row that is there already is the same.
 func (t *term) sendMoved(id string, cell int, r jobRecord) {
-	part := t.layout.cellPart(cell)
-	row := Row{RowID: movedRow(part, id), Value: encode(r)}
-	if t.putUntilDone(Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}, &row) {
-		t.tellCell(cell, row)
+	if t.sendRow(cell, Row{RowID: movedRow(t.layout.cellPart(cell), id), Value: encode(r)}) {
 		t.post(moveArrived{id})
 	}
 }
 
+// sendRow writes a row for another cell, unless it is there already, and tells its leader.
+func (t *term) sendRow(cell int, row Row) bool {
+	if !t.putUntilDone(Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}, &row) {
+		return false
+	}
+	t.tellCell(cell, row)
+	return true
+}
+
 // sendCancelled tells the other cell of a job's cancellation, after the job's row.
 func (t *term) sendCancelled(id string, cell int) {
 	row := Row{RowID: movedRow(t.layout.cellPart(cell), id+cancelSuffix), Value: []byte{1}}
@@ -208,10 +212,7 @@
 			return true
 		}
 		t.log.WithError(err).WithField("job", row.Key).Debug("row of a moved job is written again")
-		select {
-		case <-t.ctx.Done():
-		case <-time.After(pause + jitter()):
-		}
+		sleep(t.ctx, pause+jitter())
 	}
 	return false
 }
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -124,10 +124,7 @@
 				continue
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(readPause + jitter()):
-		}
+		sleep(ctx, readPause+jitter())
 	}
 	return false
 }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -146,10 +146,7 @@
 	}
 	j.cancelled, j.dirty, j.ended = true, true, t.now
 	j.shown = StateCancelled // the cancellation is stored
-	for _, k := range j.lentTasks(false) {
-		_, tk := j.task(k)
-		go t.sendCancelled(j.id, tk.lent-1)
-	}
+	t.cancelLent(j)
 	if j.moved > 0 {
 		if j.arrivedThere {
 			go t.sendCancelled(j.id, j.moved-1)
