A term's goroutines read the layout that it began with

Cause: the loop replaced t.layout when racks were placed, while load, removeJob and the senders of moved rows read it from their own goroutines.

Ruled out: the cells, slots and parts that those goroutines need never change after the division; only the racks do.

Change: the layout of the term's start stays as it is; the newest one, with racks placed since, is a field of the loop alone.

--- a/internal/fleet/racks.go
+++ b/internal/fleet/racks.go
@@ -17,7 +17,7 @@
 // owns reports whether a worker that is new to the term belongs to its cell, and
 // remembers entries that do not.
 func (t *term) owns(row Row, info WorkerInfo) bool {
-	cell, known := t.layout.cellOfWorker(info)
+	cell, known := t.placed.cellOfWorker(info)
 	switch {
 	case !known:
 		t.unplaced[row.Key] = row
@@ -33,10 +33,10 @@
 type layoutChanged struct{ layout *layout }
 
 func (e layoutChanged) handle(t *term) {
-	if e.layout.version <= t.layout.version {
+	if e.layout.version <= t.placed.version {
 		return
 	}
-	t.layout = e.layout
+	t.placed = e.layout
 	rows := t.unplaced
 	t.unplaced = map[string]Row{}
 	for _, row := range rows {
@@ -56,7 +56,7 @@
 		}
 	}
 	t.placingRacks = true
-	go t.storeRacks(t.layout, racks)
+	go t.storeRacks(t.placed, racks)
 }
 
 // racksPlaced ends a try to extend the layout.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -35,8 +35,9 @@
 	cfg    Config
 	log    *logrus.Entry
 	cell   int
-	part   string // holds all rows that the term writes
-	layout *layout
+	part   string  // holds all rows that the term writes
+	layout *layout // as the term began; its cells and slots never change, so any goroutine reads it
+	placed *layout // the newest, with the racks placed since; the loop's alone
 	number uint64
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -115,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	return &term{
-		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, number: number, ctx: ctx, cancel: cancel,
+		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, placed: l, number: number, ctx: ctx, cancel: cancel,
 		mail: make(chan event, mailboxSize), now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
 		foreign: map[string]int{}, unplaced: map[string]Row{}, emptying: map[model.WorkerID]time.Time{}, lentAt: map[int]time.Time{},
