Work is not kept for workers of its cell that have been silent for long

Cause: a job of which a run was given up with its lease stays in its cell, unless no listed worker there could hold its next step. The same holds for lasting work that has begun.

Ruled out: the job is not inherited and its cell knows other cells' rooms; jobs that came later moved.

Change: a worker whose calls have failed for longer than three leases is no home for waiting work. Until then the job waits, as before, for an end that may still be heard.

--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -138,15 +138,26 @@
 }
 
 // homeless reports whether no listed worker of the cell could ever hold a task of a step.
+// Workers that have been silent for long are not counted on.
 func (t *term) homeless(w *want) bool {
 	for _, x := range t.workers {
-		if x.listed && x.info.Service == w.queue.Service && x.hasLabel(w.step.Label) && w.step.Reserved().Fits(x.info.Capacity) {
+		if x.listed && !t.longSilent(x) && x.info.Service == w.queue.Service && x.hasLabel(w.step.Label) && w.step.Reserved().Fits(x.info.Capacity) {
 			return false
 		}
 	}
 	return true
 }
 
+// longSilent reports whether calls to a worker have failed for so long that the runs it may
+// hold have been over for a while.
+func (t *term) longSilent(w *worker) bool {
+	heard := t.begun
+	if w.clockAt.After(heard) {
+		heard = w.clockAt
+	}
+	return w.failures > 0 && t.now.Sub(heard) > silentMemory
+}
+
 // movable reports whether the job may leave its cell: nothing of it has ever begun. Of
 // jobs from before this term that is not certain.
 func (j *job) movable() bool {
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -18,7 +18,7 @@
 	log.SetOutput(io.Discard)
 	l := newLayout(cells, racksOf(max(cells, 2), 20))
 	t := newTerm(Config{}, 0, l, 3, 10, epoch, log.WithField("test", true), newMetrics(telemetry.NewMetrics("test")))
-	t.now = epoch
+	t.now, t.begun = epoch, epoch
 	return t
 }
 
@@ -188,6 +188,12 @@
 	require.False(t, tm.mayMove(w), "it runs")
 	tm.lose(r, leaseOver)
 	require.False(t, tm.mayMove(w))
+	worker.failures, worker.clockAt = 9, epoch
+	require.False(t, tm.mayMove(w), "its only worker is silent, and may come back")
+	tm.now = epoch.Add(silentMemory + time.Second)
+	require.True(t, tm.mayMove(w), "its only worker has been silent for long")
+	worker.failures = 0
+	require.False(t, tm.mayMove(w), "its worker answers")
 	worker.listed = false
 	require.True(t, tm.mayMove(w), "no worker is left")
 }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -304,7 +304,7 @@
 			t.dirty = true
 		}
 		t.markUnused(w)
-		if !w.listed && t.now.Sub(w.clockAt) > unlistedMemory {
+		if !w.listed && t.now.Sub(w.clockAt) > silentMemory {
 			t.bury(w, "left")
 		}
 	}
@@ -312,8 +312,9 @@
 }
 
 const (
-	// unlistedMemory is how long a silent worker that is not listed is asked for.
-	unlistedMemory = 15 * time.Second
+	// silentMemory is how long a silent worker is asked for that is not listed, and how
+	// long work waits for listed ones that are silent: three leases.
+	silentMemory = 15 * time.Second
 	// retentionMargin is added to the promised retention of finished jobs.
 	retentionMargin = 30 * time.Second
 )
