A leader's leases end 9 s after its last renewal at most; nodes measure what they use

The term's own first leases counted from the answer to its campaign, which may come later than others see its row.

Ruled out: shorter leases (a change of leader takes 2.5 s of the 5 s); fewer seconds of orders (starts would stop in a store's outage); a refused connection as a proof that the former leader is gone (it may be a host that has taken its address).

Change: leases get shorter while renewals do not succeed, so that all end within 9 s of the last one: more than a silence of 6 s and the tries after it. Renewals tell that reach; leases of versions that do not tell are waited for as before. A term counts from when its campaign was sent.

Nodes measure the processor, memory and link that their process uses against its limits, once a second: metric host_share, a line when over 0.9 for 3 s, in a node's view and vpier fleet, which shows the load of the loop too.

Before: TestWorkLostWithTheLeaderRestarts takes over 10 s.

--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -18,8 +18,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/linkmeter"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
+	"github.com/vanillapier/vanillapier/internal/usage"
 	"github.com/vanillapier/vanillapier/platform"
 )
 
@@ -123,18 +125,20 @@
 	if err != nil {
 		return nil, err
 	}
+	link := &linkmeter.Meter{}
 	cfg := fleet.Config{
 		Cells: cells,
 		Node:  s.Node, DataCentre: s.Zone, PeerAddr: s.Addresses.Peers, Limits: s.Limits, Bounds: s.Bounds,
-		Store:   platform.NewStore(s.Addresses.Store, platform.NewTransport(storeConnections)),
-		Workers: platform.NewWorkers(platform.NewTransport(workerConnections)),
+		Store:   platform.NewStore(s.Addresses.Store, platform.NewTransport(storeConnections, link)),
+		Workers: platform.NewWorkers(platform.NewTransport(workerConnections, link)),
 		Decoder: platform.Rows{}, Log: log, Metrics: m,
+		Link: link, Usage: usage.Meter(link),
 	}
 	if s.Addresses.Advisor != "" {
-		cfg.Advisor = platform.NewAdvisor(s.Addresses.Advisor, platform.NewTransport(4))
+		cfg.Advisor = platform.NewAdvisor(s.Addresses.Advisor, platform.NewTransport(4, link))
 	}
 	if s.Addresses.Inventory != "" {
-		cfg.Inventory = platform.NewInventory(s.Addresses.Inventory, platform.NewTransport(2))
+		cfg.Inventory = platform.NewInventory(s.Addresses.Inventory, platform.NewTransport(2, link))
 	}
 	peers, err := fleet.NewPeers(cfg)
 	if err != nil {
@@ -147,9 +151,11 @@
 	p.ready = &http.Server{Handler: platform.Ready(node.Ready), ReadHeaderTimeout: headerTimeout}
 	p.metrics = &http.Server{Handler: operatorPages(node, m), ReadHeaderTimeout: headerTimeout}
 	for i, addr := range []string{s.Addresses.Callers, s.Addresses.Ready, s.Addresses.Metrics} {
-		if p.listeners[i], err = net.Listen("tcp", addr); err != nil {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w (remedy: free the address or change the settings)", addr, err)
 		}
+		p.listeners[i] = link.Listener(ln)
 	}
 	return p, nil
 }
--- /dev/null
+++ b/internal/fleet/budget.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/usage"
+)
+
+const (
+	// usageInterval is the time over which the use of the host is measured.
+	usageInterval = time.Second
+	// budgetShare is the share of a limit that the fleet's division plans for at most, less
+	// the part that is left for bursts: beyond it a node is told to be over its budget.
+	budgetShare = 0.9
+	// overBudgetAfter is for how many intervals in a row before it is logged.
+	overBudgetAfter = 3
+)
+
+// followUsage measures what this process uses of its host's limits, until ctx ends.
+func (n *Node) followUsage(ctx context.Context) {
+	if n.cfg.Usage == nil {
+		return
+	}
+	limits := usage.Limits{MilliCPU: n.cfg.Limits.MilliCPU, MemoryMB: n.cfg.Limits.MemoryMB, LinkBytes: n.cfg.Limits.LinkBytes}
+	tick := time.NewTicker(usageInterval)
+	defer tick.Stop()
+	before, at, over := n.cfg.Usage(), time.Now(), 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		after, now := n.cfg.Usage(), time.Now()
+		s := usage.Between(before, after, now.Sub(at), limits)
+		before, at = after, now
+		n.noteUsage(s)
+		if max(s.Processor, s.Memory, s.Link) <= budgetShare {
+			over = 0
+			continue
+		}
+		if over++; over == overBudgetAfter {
+			n.log.WithFields(logrus.Fields{"event": "over-budget", "processor": s.Processor, "memory": s.Memory, "link": s.Link, "cells": n.ledCells()}).
+				Warn("node is over the budget of its host")
+		}
+	}
+}
+
+func (n *Node) noteUsage(s usage.Shares) {
+	n.use.Store(&s)
+	for of, share := range map[string]float64{"processor": s.Processor, "memory": s.Memory, "link": s.Link} {
+		n.metrics.hostShare.WithLabelValues(of).Set(share)
+	}
+}
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -201,6 +201,7 @@
 // renewal returns the row of a cell by which followers know that its leader lives.
 func (c Config) renewal(part string, r leaderRecord) Row {
 	r.Node, r.Process, r.Addr, r.MilliCPU = c.Node, c.Process, c.PeerAddr, c.Limits.MilliCPU
+	r.LeaseReachMS = leaseReach.Milliseconds()
 	return Row{RowID: RowID{tableLeader, part, keyLeader}, Value: encode(r)}
 }
 
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -405,3 +405,28 @@
 	smaller.Needs.MilliCPU = 7000
 	require.True(t, p.feasible(half, request{step: &smaller, restart: true}), "another one that ran and fits now may use the room")
 }
+
+// Leases end in known time after the last renewal, however late they are granted.
+func TestLeasesShortenWithoutRenewals(t *testing.T) {
+	tm := looseTerm(1)
+	tm.cfg.Bounds.LeaseMax = 10 * time.Second
+	for since, want := range map[time.Duration]time.Duration{0: leaseMaximum, 3 * time.Second: leaseMaximum, 4 * time.Second: leaseMaximum, 6500 * time.Millisecond: 2500 * time.Millisecond} {
+		tm.now, tm.lastRenewal = epoch.Add(since), epoch
+		require.Equal(t, want, tm.leaseLength(), "%v", since)
+	}
+	require.Greater(t, leaseReach, orderLimit)
+}
+
+// The last leases of a leader that has released the lead end a lease later.
+func TestReleasedLeadersLeases(t *testing.T) {
+	f := follow{known: true, record: leaderRecord{Released: true}, changed: epoch}
+	require.Equal(t, epoch.Add(leaseMaximum), f.formerAlive(epoch).Add(leaseReach))
+}
+
+// Leases of a version that does not tell their reach are waited for as long as before.
+func TestReachOfFormerVersionsLeases(t *testing.T) {
+	f := follow{known: true, changed: epoch}
+	require.Equal(t, epoch.Add(orderLimit+leaseMaximum), f.formerAlive(at(3)).Add(leaseReach))
+	require.NoError(t, decodeRecord(Config{}.renewal("", leaderRecord{}), &f.record))
+	require.Equal(t, epoch.Add(leaseReach), f.formerAlive(at(3)).Add(leaseReach))
+}
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -14,6 +14,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/usage"
 )
 
 // Names in the rows of other writers.
@@ -111,6 +112,8 @@
 	starts uint64
 	// MilliCPU is the processor share that the node is told at its start.
 	MilliCPU int64
+	// Usage is what the node's process says to use of its host; nil for nothing.
+	Usage func() usage.Total
 	// eventCost is the processor time of an event or plan of its loops, in nanoseconds.
 	eventCost atomic.Int64
 }
@@ -231,7 +234,7 @@
 		Bounds: fleet.Bounds{LeaseMax: 6 * time.Second, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: UpkeepTime},
 		Cells:  c.Cells,
 		Store:  m.Store, Workers: m.Work, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
-		Spend: m.spend,
+		Spend: m.spend, Usage: m.Usage,
 	}
 	if c.Inventory != nil {
 		cfg.Inventory = c.Inventory
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/usage"
 )
 
 // NodeView is what a node tells operators of itself and, when it leads, of the fleet.
@@ -16,6 +17,8 @@
 	Ready         bool             `json:"ready"`
 	Draining      bool             `json:"draining"`
 	Configuration uint64           `json:"configuration"`
+	// Use is the used share of the host's limits over the last second; nil when unknown.
+	Use *usage.Shares `json:"use,omitempty"`
 	// Leader and Term are the newest of the first cell that this node knows of.
 	Leader model.NodeID `json:"leader"`
 	Term   uint64       `json:"term"`
@@ -91,7 +94,7 @@
 // Inspect describes the node. With a job it also describes that job, where this node
 // leads and knows it.
 func (n *Node) Inspect(ctx context.Context, job string) NodeView {
-	v := NodeView{Node: n.cfg.Node, DataCentre: n.cfg.DataCentre, Ready: n.Ready(), Draining: n.draining.Load()}
+	v := NodeView{Node: n.cfg.Node, DataCentre: n.cfg.DataCentre, Ready: n.Ready(), Draining: n.draining.Load(), Use: n.use.Load()}
 	if view := n.view.Load(); view != nil {
 		v.Configuration = view.configuration.Version
 	}
--- a/internal/fleet/inspect_test.go
+++ b/internal/fleet/inspect_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/usage"
 )
 
 func long(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: time.Minute, Needs: small} }
@@ -75,3 +76,24 @@
 		})
 	}
 }
+
+// A node measures what it uses of its host once a second.
+func TestNodeTellsItsUse(t *testing.T) {
+	prepare := func() *fleettest.Cluster {
+		c := fleettest.NewCluster(97, 3, 2, behaviour)
+		begun := time.Now()
+		for _, m := range c.Nodes {
+			m.MilliCPU = 200
+			m.Usage = func() usage.Total {
+				return usage.Total{Processor: time.Duration(0.05 * float64(time.Since(begun)))}
+			}
+		}
+		return c
+	}
+	runWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
+		v := c.Nodes[0].Node.Inspect(t.Context(), "")
+		require.NotNil(t, v.Use)
+		require.InDelta(t, 0.25, v.Use.Processor, 0.001)
+		require.Zero(t, v.Use.Link, "its limit is unknown")
+	})
+}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -77,15 +77,16 @@
 }
 
 // formerAlive returns the latest moment at which the former leader may have
-// renewed: its last renewal was sent before this node saw it.
+// renewed: its last renewal was sent before this node saw it. One whose leases reach
+// further or less far counts as if it had renewed later or earlier.
 func (f *follow) formerAlive(now time.Time) time.Time {
 	switch {
 	case !f.known:
 		return now
 	case f.record.Released:
-		return now.Add(-orderLimit) // it gives no order any more
+		return now.Add(leaseMaximum - leaseReach) // it gives no order any more
 	}
-	return f.changed
+	return f.changed.Add(f.record.leaseReach() - leaseReach)
 }
 
 // due reports whether this node should try to take the lead.
@@ -252,6 +253,7 @@
 		Puts:   []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})}, n.cfg.renewal(c.part, leaderRecord{Term: number})},
 	}
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
+	sent := time.Now()
 	result, err := n.cfg.Store.Commit(call, tx)
 	cancel()
 	n.metrics.terms.WithLabelValues(outcome(err)).Inc()
@@ -271,7 +273,7 @@
 		}
 		result.Version = version
 	}
-	n.lead(c, number, result.Version, f.formerAlive(time.Now()))
+	n.lead(c, number, result.Version, f.formerAlive(time.Now()), sent)
 }
 
 // unchanged reads the leader's row and reports whether it is the one known.
@@ -308,10 +310,12 @@
 	return f, page.Rows[0].Version, nil
 }
 
-// lead runs a term of a cell in the background.
-func (n *Node) lead(c *cell, number, fenceVersion uint64, formerAlive time.Time) {
+// lead runs a term of a cell in the background. Sent is when the transaction was sent that
+// began it: other nodes reckon from its row how long leases of the term last.
+func (n *Node) lead(c *cell, number, fenceVersion uint64, formerAlive, sent time.Time) {
 	d := n.division.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerAlive, n.log, n.metrics)
+	t.lastRenewal = sent
 	t.rooms, t.tell, t.empty, t.operator = d.rooms, n.tellCell, n.askEmpty, &n.operator
 	c.term.Store(t)
 	c.leader.Store(&seenLeader{leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr, MilliCPU: n.cfg.Limits.MilliCPU}, time.Now()})
--- a/internal/fleet/links.go
+++ b/internal/fleet/links.go
@@ -21,9 +21,11 @@
 
 // NewPeers listens on cfg.PeerAddr and returns the connections between nodes.
 func NewPeers(cfg Config) (Peers, error) {
+	dial := cfg.Link.Dialer((&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext)
 	s, err := membership.New(membership.Config{
 		Node: cfg.Node, Addr: cfg.PeerAddr, DataCentre: cfg.DataCentre, Plaintext: true, ManualGossip: true,
-		Dial: dialPeer, Log: cfg.Log, Metrics: cfg.Metrics,
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) },
+		Log:  cfg.Log, Metrics: cfg.Metrics,
 	})
 	if err != nil {
 		return nil, err
@@ -32,11 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &links{s, ln}, nil
-}
-
-func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	return &links{s, cfg.Link.Listener(ln)}, nil
 }
 
 // Handle implements Peers.
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -15,6 +15,7 @@
 	commitSeconds, recoverySeconds                        prometheus.Observer
 	requestSeconds                                        *prometheus.HistogramVec
 	configuration                                         prometheus.Gauge
+	hostShare                                             *prometheus.GaugeVec
 	roundSeconds                                          prometheus.Observer
 	eventAge                                              [eventClasses]prometheus.Observer
 }
@@ -29,6 +30,7 @@
 		cells:           m.Gauge("fleet", "cells", "Cells into which the fleet is divided.").WithLabelValues(),
 		waiting:         m.Gauge("fleet", "waiting_steps", "Steps with tasks that wait for a worker.").WithLabelValues(),
 		configuration:   m.Gauge("fleet", "configuration_version", "Version of the configuration in force on this node.").WithLabelValues(),
+		hostShare:       m.Gauge("fleet", "host_share", "Used share of the processor, memory and link of the settings, over a second.", "of"),
 		accepted:        counter("jobs_total", "Jobs that the leader has taken up."),
 		starts:          counter("starts_total", "Starts sent to workers."),
 		refusals:        counter("refusals_total", "Starts that workers refused."),
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -9,11 +9,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/vanillapier/vanillapier/internal/linkmeter"
 	"github.com/vanillapier/vanillapier/internal/model"
 	"github.com/vanillapier/vanillapier/internal/telemetry"
+	"github.com/vanillapier/vanillapier/internal/usage"
 )
 
-// Config configures a Node. All fields but Advisor, Inventory, Seed and Spend are required.
+// Config configures a Node. All fields but Advisor, Inventory, Seed, Link, Usage and Spend are required.
 type Config struct {
 	Node       model.NodeID
 	DataCentre model.DataCentre
@@ -39,6 +41,10 @@
 	Peers       Peers
 	Log         *logrus.Entry
 	Metrics     *telemetry.Metrics
+	// Link counts the bytes of this process's connections; nil counts none.
+	Link *linkmeter.Meter
+	// Usage tells what the process has used of its host; nil where that is not measured.
+	Usage func() usage.Total
 	// Spend, when set, is called for each event and plan of a leader's loop. Tests emulate
 	// a slow processor by it.
 	Spend func()
@@ -70,6 +76,7 @@
 	pending  pendingCache
 	operator operatorTable
 	clock    storeClock
+	use      atomic.Pointer[usage.Shares]
 	wait     sync.WaitGroup
 	// askedLead is when this node last asked for the lead; it belongs to the
 	// goroutine that follows the leaders.
@@ -95,6 +102,7 @@
 	n.log.WithFields(logrus.Fields{"event": "start", "dc": n.cfg.DataCentre, "peers": n.cfg.PeerAddr, "process": n.cfg.Process}).Info("node starts")
 	n.wait.Go(func() { n.followOperator(ctx) })
 	n.wait.Go(func() { n.followLeaders(ctx) })
+	n.wait.Go(func() { n.followUsage(ctx) })
 	err := n.cfg.Peers.Run(ctx)
 	for _, t := range n.terms() {
 		t.cancel()
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -122,6 +122,17 @@
 	Loaded bool `cbor:"9,keyasint,omitempty"`
 	// Room is the cell's load; empty in a fleet of one cell.
 	Room room `cbor:"10,keyasint,omitempty"`
+	// LeaseReachMS is how long after this renewal the leader's leases last at most; 0 in
+	// rows of versions whose leases reach as far as orderLimit and a whole lease.
+	LeaseReachMS int64 `cbor:"11,keyasint,omitempty"`
+}
+
+// leaseReach returns how long after the renewal the leader's leases last at most.
+func (r leaderRecord) leaseReach() time.Duration {
+	if r.LeaseReachMS == 0 {
+		return orderLimit + leaseMaximum
+	}
+	return time.Duration(r.LeaseReachMS) * time.Millisecond
 }
 
 // usedRecord is the value of a row of tableUsed.
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -121,3 +121,46 @@
 		}
 	}
 }
+
+// A worker that is lost with its leader gets no further lease: what it may have run
+// starts elsewhere 10 s later at most. The platform asks for that of lasting work after 7 s
+// without trouble, and the loss of a node lasts 3 s.
+func TestWorkLostWithTheLeaderRestarts(t *testing.T) {
+	run(t, 95, 3, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		const tasks = 6
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, Needs: small, Lasting: true}}})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, tasks, runningAll(c))
+		for _, w := range c.Fleet {
+			if c.Workers.Running(w) > 0 {
+				c.Workers.Kill(w)
+				break
+			}
+		}
+		c.Kill(c.Leader())
+		require.Less(t, runningAll(c), tasks)
+		begun := time.Now()
+		for runningAll(c) < tasks {
+			require.Less(t, time.Since(begun), 10*time.Second)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// A store that answers nobody for 6 s ends no lease.
+func TestSilentStoreEndsNoLease(t *testing.T) {
+	run(t, 96, 3, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: small, Lasting: true}}})
+		time.Sleep(2 * time.Second)
+		for _, m := range c.Nodes {
+			m.Store.Set(fleettest.Silent)
+		}
+		time.Sleep(6 * time.Second)
+		for _, m := range c.Nodes {
+			m.Store.Set(fleettest.Healthy)
+		}
+		time.Sleep(8 * time.Second)
+		require.Equal(t, 6, runningAll(c))
+		require.Equal(t, 6, c.Ledger.StartCount())
+	})
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -20,6 +20,10 @@
 	// orderLimit is how long a leader that cannot renew goes on giving orders.
 	// Store outages of some seconds must not stop running work.
 	orderLimit = 7 * time.Second
+	// leaseReach is how long after a renewal the leases last at most that a leader grants:
+	// a store that is silent for 6 s, and the tries to renew after it, end none. A later
+	// leader waits as long for workers that it cannot reach.
+	leaseReach = 9 * time.Second
 )
 
 // event is something that happened; handle runs on the term's loop.
@@ -290,7 +294,7 @@
 		t.workers[u.Life.Worker] = w
 	}
 	w.durable, w.inherited = true, true
-	w.deadBy = t.formerAlive.Add(orderLimit + time.Duration(float64(t.leaseLength())/clockSlack) + leaseMargin)
+	w.deadBy = t.formerAlive.Add(slowest(leaseReach) + leaseMargin)
 	return true
 }
 
@@ -328,5 +332,8 @@
 // that the work of a lost worker restarts soon.
 const leaseMaximum = 5 * time.Second
 
-// leaseLength is the lease that workers are granted.
-func (t *term) leaseLength() time.Duration { return min(t.cfg.Bounds.LeaseMax, leaseMaximum) }
+// leaseLength is the lease that workers are granted now. It gets shorter while renewals
+// do not succeed.
+func (t *term) leaseLength() time.Duration {
+	return min(t.cfg.Bounds.LeaseMax, leaseMaximum, leaseReach-t.now.Sub(t.lastRenewal))
+}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -147,13 +147,16 @@
 	return d
 }
 
+// slowest is how long a time on a worker's clock takes at most.
+func slowest(d time.Duration) time.Duration { return time.Duration(float64(d) / clockSlack) }
+
 // leaseOver returns when everything that was started under the leases sent so far
 // has ended, even on a slow clock.
 func (w *worker) leaseOver() time.Time {
 	if w.clockAt.IsZero() {
 		return time.Time{}
 	}
-	return w.clockAt.Add(time.Duration(float64(w.lease-w.clock)/clockSlack) + leaseMargin)
+	return w.clockAt.Add(slowest(w.lease-w.clock) + leaseMargin)
 }
 
 // free returns the capacity that no run reserves.
--- /dev/null
+++ b/internal/linkmeter/meter.go
@@ -0,0 +1,79 @@
+// Package linkmeter counts the bytes that a process moves over its connections.
+package linkmeter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts bytes of payload; those of headers of TCP and IP are not seen. A nil Meter
+// counts nothing.
+type Meter struct{ received, sent atomic.Int64 }
+
+// Dial is a function that opens connections, as net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Totals returns the bytes received and sent so far.
+func (m *Meter) Totals() (received, sent int64) {
+	if m == nil {
+		return 0, 0
+	}
+	return m.received.Load(), m.sent.Load()
+}
+
+// Dialer returns dial with its connections counted.
+func (m *Meter) Dialer(dial Dial) Dial {
+	if m == nil {
+		return dial
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{c, m}, nil
+	}
+}
+
+// Listener returns ln with its connections counted.
+func (m *Meter) Listener(ln net.Listener) net.Listener {
+	if m == nil {
+		return ln
+	}
+	return &listener{ln, m}
+}
+
+type listener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{c, l.meter}, nil
+}
+
+// conn is a connection whose bytes are counted.
+type conn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -79,6 +79,9 @@
 
 func writeFleet(out io.Writer, v *fleet.NodeView) {
 	fmt.Fprintf(out, "leader %s in %s, term %d, configuration %d\n", v.Node, v.DataCentre, v.Term, v.Configuration)
+	if u := v.Use; u != nil {
+		fmt.Fprintf(out, "host: processor %.0f%%, memory %.0f%%, link %.0f%% of its limits\n", 100*u.Processor, 100*u.Memory, 100*u.Link)
+	}
 	if len(v.Cells) > 1 {
 		writeCells(out, v.Cells)
 	}
@@ -120,6 +123,10 @@
 			fmt.Fprintf(out, "jobs %s: %d\n", s, n)
 		}
 	}
+	if l := f.Loop; l.EventsPerSecond > 0 {
+		fmt.Fprintf(out, "loop: busy %.0f%%, %.0f events a second, oldest state %d ms, order %d ms, question %d ms\n",
+			100*l.BusyShare, l.EventsPerSecond, l.OldestMS["state"], l.OldestMS["order"], l.OldestMS["question"])
+	}
 	for _, dc := range f.Out {
 		fmt.Fprintf(out, "data centre %s is out of service\n", dc)
 	}
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -25,7 +25,8 @@
 		return strings.TrimPrefix(s.URL, "http://")
 	}
 	follower := serve(`{"node":"n0","leader":"n1","term":4}`)
-	leader := serve(`{"node":"n1","dc":"z","leader":"n1","term":4,"configuration":7,"fleet":{"jobs":{"running":2},"out":["y"],
+	leader := serve(`{"node":"n1","dc":"z","leader":"n1","term":4,"configuration":7,"use":{"processor":0.42,"memory":0.7,"link":0.05},"fleet":{"jobs":{"running":2},"out":["y"],
+"loop":{"busy_share":0.31,"events_per_second":210,"oldest_ms":{"state":12,"order":900}},
 "workers":[{"worker":"w0","state":"usable"},{"worker":"w1","state":"draining"}],"waiting_steps":9,
 "waiting":[{"job":"a","step":1,"tasks":3,"waited_ms":40,"reason":"no usable worker with room"}],
 "job":{"job":"a","queue":"q","state":"running","reason":"r","runs":[{"task":"a.0.0.0","attempt":2,"worker":"w0","state":"running"}]}}}`)
@@ -37,7 +38,7 @@
 		code int
 		want []string
 	}{
-		"leader":              {[]string{"--metrics", follower, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z, term 4", "workers draining: 1", "y is out of service", "a.0.0.0", "9 steps waiting, the first 1", "no usable worker with room"}},
+		"leader":              {[]string{"--metrics", follower, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z, term 4", "processor 42%, memory 70%, link 5%", "busy 31%, 210 events", "state 12 ms, order 900 ms", "workers draining: 1", "y is out of service", "a.0.0.0", "9 steps waiting, the first 1", "no usable worker with room"}},
 		"cells":               {[]string{"--metrics", cells}, ExitOK, []string{"3 cells", "cell 0", "n1", "3 jobs not begun", "reserved 50%", "cell 1, led by this node", "workers usable: 1", "the leader"}},
 		"job of another cell": {[]string{"--metrics", cells, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z", "a.0.0.0"}},
 		"json":                {[]string{"--metrics", leader, "-o", "json"}, ExitOK, []string{`"waiting_steps": 9`}},
