Soak: slow processors and most processes ended at once

Kinds slow-node, slow-all and kill-most come on top of the other faults of a seed, from a stream of their own, so that earlier seeds keep their faults.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -64,7 +64,17 @@
 	case StopNode:
 		s.nodes[f.Target].signal(syscall.SIGTERM)
 	case FreezeNode:
-		s.nodes[f.Target].signal(syscall.SIGSTOP)
+		s.nodes[f.Target].freeze(true)
+	case SlowNode:
+		s.nodes[f.Target].slow(f.Lasts)
+	case SlowAll:
+		for _, n := range s.nodes {
+			n.slow(f.Lasts)
+		}
+	case KillMost:
+		for _, n := range s.most(f.Target) {
+			n.signal(syscall.SIGKILL)
+		}
 	case PowerLoss:
 		for _, n := range s.nodes {
 			n.signal(syscall.SIGKILL)
@@ -117,7 +127,11 @@
 	case KillNode, StopNode:
 		s.restart(s.nodes[f.Target])
 	case FreezeNode:
-		s.nodes[f.Target].signal(syscall.SIGCONT)
+		s.nodes[f.Target].freeze(false)
+	case KillMost:
+		for _, n := range s.most(f.Target) {
+			s.restart(n)
+		}
 	case PowerLoss:
 		for _, n := range s.nodes {
 			s.restart(n)
@@ -146,7 +160,7 @@
 // restart starts a node again in the background once its former process has ended;
 // one that was told to stop may still drain.
 func (s *site) restart(n *node) {
-	n.signal(syscall.SIGCONT)
+	n.freeze(false)
 	s.restarts.Go(func() {
 		select {
 		case <-n.ended():
@@ -167,3 +181,33 @@
 	}
 	s.restarts.Wait()
 }
+
+// mostNodes is the share of the nodes that a herd kill ends.
+const mostNodes = 0.55
+
+// most returns that share of the nodes, beginning with one.
+func (s *site) most(first int) []*node {
+	var nodes []*node
+	for i := range int(mostNodes*float64(len(s.nodes))) + 1 {
+		nodes = append(nodes, s.nodes[(first+i)%len(s.nodes)])
+	}
+	return nodes
+}
+
+// A slow node's process stands still for slowPause of each slowCycle.
+const (
+	slowCycle = 50 * time.Millisecond
+	slowPause = 40 * time.Millisecond
+)
+
+// slow gives the node's process a fifth of its processor for a while.
+func (n *node) slow(lasts time.Duration) {
+	go func() {
+		for end := time.Now().Add(lasts); time.Now().Before(end); {
+			n.pause(true)
+			time.Sleep(slowPause)
+			n.pause(false)
+			time.Sleep(slowCycle - slowPause)
+		}
+	}()
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -32,11 +32,18 @@
 	LateOrders    Kind = "late-orders"   // a fifth of all orders is carried out late
 	TakeOut       Kind = "take-out"      // a data centre is taken out until the end
 	Configuration Kind = "configuration" // a new version is put in force
+	SlowNode      Kind = "slow-node"     // a node's processor is slow
+	SlowAll       Kind = "slow-all"      // the processors of all nodes are slow
+	KillMost      Kind = "kill-most"     // SIGKILL for 55% of the nodes at once, from the target on
 )
 
 var kinds = []Kind{KillNode, StopNode, FreezeNode, PowerLoss, CutStore, MuteStore, SlowStore, ResetStore, RefuseStore, LoseCommits,
 	CompactStore, CutWorker, MuteWorker, KillWorker, FailWorker, HangWorker, LateOrders, TakeOut, Configuration}
 
+// heavyKinds concern a node's processor or most nodes at once. They come on top of the
+// others, so that the faults of a seed stay what they were.
+var heavyKinds = []Kind{SlowNode, SlowAll, KillMost}
+
 // Fault is one entry of a schedule.
 type Fault struct {
 	At     time.Duration `json:"at"`
@@ -56,6 +63,8 @@
 	quietStart = 2 * time.Second
 	// meanGap between the begins of two faults lets several overlap.
 	meanGap = 900 * time.Millisecond
+	// heavyGap is the mean time between two of heavyKinds.
+	heavyGap = 5 * time.Second
 	// shortest and longest are the limits of a fault's length; the longest is beyond
 	// the time after which a silent leader is replaced and leases run out.
 	shortest = 300 * time.Millisecond
@@ -78,6 +87,17 @@
 		}
 		faults = append(faults, f)
 	}
+	faults = append(faults, heavyFaults(seed, nodes, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
+
+func heavyFaults(seed uint64, nodes int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 12))
+	var faults []Fault
+	for at := quietStart + heavyGap/2; at < length; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(heavyGap)) {
+		faults = append(faults, Fault{At: at, Kind: heavyKinds[random.IntN(len(heavyKinds))], Target: random.IntN(nodes),
+			Lasts: shortest + time.Duration(random.Int64N(int64(longest-shortest)))})
+	}
+	return faults
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -58,9 +58,10 @@
 	link     *proxy
 	log      *os.File
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the process has ended
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	done   chan struct{} // closed when the process has ended
+	frozen bool          // stands still until the end of a fault
 }
 
 // worker is a runner behind a proxy.
@@ -224,6 +225,27 @@
 	return n.done
 }
 
+// freeze makes the process stand still, or go on.
+func (n *node) freeze(on bool) {
+	n.mu.Lock()
+	n.frozen = on
+	n.mu.Unlock()
+	n.pause(on)
+}
+
+// pause stops or continues the process, unless it is frozen.
+func (n *node) pause(on bool) {
+	n.mu.Lock()
+	frozen := n.frozen
+	n.mu.Unlock()
+	switch {
+	case on:
+		n.signal(syscall.SIGSTOP)
+	case !frozen:
+		n.signal(syscall.SIGCONT)
+	}
+}
+
 // ended returns a channel that is closed when the current process has ended.
 func (n *node) ended() <-chan struct{} {
 	n.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -78,5 +78,5 @@
 		require.GreaterOrEqual(t, f.Lasts, shortest)
 		require.Less(t, f.Lasts, longest)
 	}
-	require.Len(t, met, len(kinds), "a long schedule holds every kind")
+	require.Len(t, met, len(kinds)+len(heavyKinds), "a long schedule holds every kind")
 }
