Several lost tasks are lent on one piece of news

Change: a renewal tells the 16 largest holes of its cell; the other cells share them by turn, so that no hole is used by two, and lend as many tasks as fit at once.

Before: one task in 0.8 s and cell.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -212,6 +212,7 @@
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
 			r.Room = t.ownRoom(t.collectWants())
+			r.Room.Holes = t.largestHoles()
 		}
 	}
 	return r
--- /dev/null
+++ b/internal/fleet/holes_test.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// The cells share what another one tells of its holes: each hole is used by one of them.
+func TestCellsShareHoles(t *testing.T) {
+	holes := make([]hole, holesTold)
+	for i := range holes {
+		holes[i] = hole{int64(1000 - i), 10}
+	}
+	for _, cells := range []int{2, 3, 7, 30} {
+		for other := range cells {
+			users := map[int64]int{}
+			for own := range cells {
+				if own == other {
+					continue
+				}
+				for _, h := range ownHoles(holes, own, other, cells) {
+					users[h.MilliCPU]++
+				}
+			}
+			for h, n := range users {
+				require.Equal(t, 1, n, "hole %d of cell %d of %d", h, other, cells)
+			}
+			require.Len(t, users, len(holes), "cell %d of %d", other, cells)
+		}
+	}
+}
+
+// Several lost tasks may be lent on one piece of news, as many as find room.
+func TestSeveralTasksAreLentAtOnce(t *testing.T) {
+	tm := looseTerm(2)
+	news := room{Capacity: 10_000, Holes: []hole{{8000, 800}, {5000, 100}, {3000, 5000}}}
+	tm.rooms = func() []cellRoom { return []cellRoom{{1, news, tm.now}} }
+	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}}
+	for i := range 3 { // two in the first hole, none in the second, one in the third
+		cell, found := tm.cellWithHole(s, nil)
+		require.True(t, found, "task %d", i)
+		require.Equal(t, 1, cell)
+	}
+	_, found := tm.cellWithHole(s, nil)
+	require.False(t, found)
+	tm.now = tm.now.Add(lendPause / 2)
+	_, found = tm.cellWithHole(s, nil)
+	require.False(t, found, "the news may not know of the lent tasks")
+	tm.now = tm.now.Add(lendPause)
+	_, found = tm.cellWithHole(s, []int{1})
+	require.False(t, found, "a cell that the job has left")
+	_, found = tm.cellWithHole(s, nil)
+	require.True(t, found)
+}
+
+// A cell tells its largest holes, of workers that take runs.
+func TestToldHoles(t *testing.T) {
+	tm := looseTerm(2)
+	for i := range holesTold + 4 {
+		w := testWorker(string(rune('a' + i)))
+		w.info.Capacity.MilliCPU = int64(1000 + i)
+		tm.workers[w.info.Worker] = w
+	}
+	tm.workers["a"].info.Draining = true
+	holes := tm.largestHoles()
+	require.Len(t, holes, holesTold)
+	require.Equal(t, int64(1000+holesTold+3), holes[0].MilliCPU)
+	require.Greater(t, holes[0].MilliCPU, holes[holesTold-1].MilliCPU)
+}
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // A job that runs does not leave its cell. A lasting task of it that was lost may find no
@@ -18,13 +20,14 @@
 	// lendAfter is how long a lasting task that ran waits for room in its own cell, where
 	// short work ends and leaves some.
 	lendAfter = 1500 * time.Millisecond
-	// lendPause spaces tasks lent to one cell: its next renewal tells what room is left.
+	// lendPause spaces the looks at the room of other cells: a renewal after the tasks
+	// that were lent have started there tells what room is left.
 	lendPause = 800 * time.Millisecond
 	// lentMark precedes step and index in the key of a lent task's row.
 	lentMark = "/task-"
 )
 
-// hole is the largest room on one worker.
+// hole is the room on one worker.
 type hole struct {
 	MilliCPU int64 `cbor:"1,keyasint"`
 	MemoryMB int64 `cbor:"2,keyasint"`
@@ -55,24 +58,62 @@
 	}
 }
 
-// cellWithHole returns another cell of which a worker has room for a task of s. Cells that
-// the job has left know it as moved and would not take it.
+// cellWithHole returns another cell of which a worker has room for a task of s, and takes
+// that room. Cells that the job has left know it as moved and would not take it.
 func (t *term) cellWithHole(s *Step, left []int) (cell int, found bool) {
-	best := int64(0)
+	t.readHoles()
 	need := s.Reserved()
-	for _, o := range excluding(t.otherRooms(), left) {
-		h := o.room.Hole
-		if h.MilliCPU >= need.MilliCPU && h.MemoryMB >= need.MemoryMB && h.MilliCPU > best && t.now.Sub(t.lentAt[o.cell]) > lendPause {
-			cell, best, found = o.cell, h.MilliCPU, true
+	var best *hole
+	for other, holes := range t.holes {
+		if slices.Contains(left, other) {
+			continue
+		}
+		for i := range holes {
+			if h := &holes[i]; need.Fits(h.resources()) && (best == nil || h.MilliCPU > best.MilliCPU) {
+				best, cell = h, other
+			}
+		}
+	}
+	if best == nil {
+		return 0, false
+	}
+	best.MilliCPU -= need.MilliCPU
+	best.MemoryMB -= need.MemoryMB
+	return cell, true
+}
+
+func (h hole) resources() model.Resources {
+	return model.Resources{MilliCPU: h.MilliCPU, MemoryMB: h.MemoryMB}
+}
+
+// readHoles takes over what other cells tell of their holes, once in a while: what was
+// lent before is in the news by then.
+func (t *term) readHoles() {
+	if t.now.Sub(t.holesRead) < lendPause {
+		return
+	}
+	t.holesRead, t.holes = t.now, map[int][]hole{}
+	for _, o := range t.otherRooms() {
+		t.holes[o.cell] = ownHoles(o.room.Holes, t.cell, o.cell, t.layout.Cells)
+	}
+}
+
+// ownHoles returns the part of the holes of a cell that another cell may use: each has a
+// part of its own, so that no two use one.
+func ownHoles(holes []hole, own, other, cells int) []hole {
+	var part []hole
+	turn := (own - other + cells) % cells // 1 to cells-1
+	for i, h := range holes {
+		if i%(cells-1) == turn-1 {
+			part = append(part, h)
 		}
 	}
-	return cell, found
+	return part
 }
 
 // lend decides that another cell runs a task. The next transaction stores it.
 func (t *term) lend(j *job, key taskKey, tk *task, cell int) {
 	tk.lent, tk.attempt, j.dirty = cell+1, 0, true
-	t.lentAt[cell] = t.now
 	t.counters.lent.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "lend", "job": j.id, "task": key.Name(j.id), "to_cell": cell,
 		"waited_ms": t.now.Sub(tk.stuck).Milliseconds()}).Info("task is lent to another cell")
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +12,9 @@
 	roomAge = 2500 * time.Millisecond
 	// typicalShare is the share of its worker that a filler usually demands.
 	typicalShare = 0.1
+	// holesTold bounds the rooms on single workers that a cell tells: with each renewal
+	// the other cells may use that many for lasting tasks that they have lost.
+	holesTold = 16
 	// grantMemory is how long after news of a cell was seen the jobs sent there are
 	// counted on top: they may have been on their way.
 	grantMemory = 700 * time.Millisecond
@@ -27,8 +31,8 @@
 	// Light is the part of what is left over, by image of a filler, that lies beside
 	// services on which the image hardly presses; less what waits of that image.
 	Light map[string]int64 `cbor:"4,keyasint,omitempty"`
-	// Hole is the room on the worker with most of it.
-	Hole hole `cbor:"5,keyasint"`
+	// Holes is the room on the workers with most of it, the largest first.
+	Holes []hole `cbor:"6,keyasint,omitempty"`
 }
 
 // fill is the reserved share of the capacity.
@@ -83,9 +87,6 @@
 		}
 		r.Capacity += w.info.Capacity.MilliCPU
 		r.Reserved += w.used.MilliCPU
-		if free := w.free(); free.MilliCPU > r.Hole.MilliCPU && !w.health.onProbation() {
-			r.Hole = hole{free.MilliCPU, free.MemoryMB}
-		}
 		left := w.leftover()
 		r.Spare += left
 		if left > 0 {
@@ -109,6 +110,18 @@
 	return r
 }
 
+// largestHoles returns the room on the workers with most of it, the largest first.
+func (t *term) largestHoles() []hole {
+	var holes []hole
+	for _, w := range t.workers {
+		if free := w.free(); free.MilliCPU > 0 && t.unusable(w) == "" && !w.health.onProbation() {
+			holes = append(holes, hole{free.MilliCPU, free.MemoryMB})
+		}
+	}
+	slices.SortFunc(holes, func(a, b hole) int { return cmp.Compare(b.MilliCPU, a.MilliCPU) })
+	return slices.Clip(holes[:min(len(holes), holesTold)])
+}
+
 // addLight adds what is left over on a worker to the images that hardly press on its
 // services.
 func (t *term) addLight(light map[string]int64, w *worker, left int64) {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -102,11 +102,12 @@
 	// empty asks the leader of another cell to empty a worker for upkeep.
 	empty  func(context.Context, emptyParams) emptied
 	grants []grant
-	// lentAt is when a task was last lent to a cell.
-	lentAt  map[int]time.Time
-	speeds  map[string]*speed
-	answers answerTimes
-	harm    interference
+	// holes is the room of other cells that this one may use for lent tasks, by cell.
+	holes     map[int][]hole
+	holesRead time.Time
+	speeds    map[string]*speed
+	answers   answerTimes
+	harm      interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
 	machines     upkeep
@@ -120,7 +121,7 @@
 		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, placed: l, number: number, ctx: ctx, cancel: cancel,
 		inbox: newInbox(), load: loopLoad{began: now}, now: now, begun: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
 		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
-		foreign: map[string]int{}, unplaced: map[string]Row{}, emptying: map[model.WorkerID]time.Time{}, lentAt: map[int]time.Time{},
+		foreign: map[string]int{}, unplaced: map[string]Row{}, emptying: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, out: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerAlive: formerAlive, fenceVersion: fenceVersion, began: fenceVersion, lastRenewal: now,
 		usedDirty: map[Lifetime]usedRecord{}, usedGone: map[Lifetime]bool{},
