Cells share what fillers take from services

Ruled out: sharing solved coefficients (they do not add up; the sums of the regression do); reading all cells at once (calls would grow with their number squared).

Loads of steps that no longer report are forgotten; they were kept for ever.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -160,44 +160,6 @@
 	}
 }
 
-// modelInterval is how often what was learnt is stored; a new leader would learn
-// it again within some seconds, at the cost of the services.
-const modelInterval = 4 * time.Second
-
-// addModels adds what was learnt of images to a transaction, now and then.
-func (t *term) addModels(c *commit) {
-	if t.now.Sub(t.modelsStored) < modelInterval || len(t.harm.models) == 0 {
-		return
-	}
-	t.modelsStored = t.now
-	records := map[string]modelRecord{}
-	for image, m := range t.harm.models {
-		records[image] = m.record()
-	}
-	value := encode(records)
-	if t.cfg.Limits.RowBytes > 0 && len(value) > t.cfg.Limits.RowBytes {
-		return // more images than a row holds: the next leader learns anew
-	}
-	c.tx.Puts = append(c.tx.Puts, Row{RowID: RowID{tableModels, t.part, keyLeader}, Value: value})
-}
-
-// modelsRow takes what an earlier term has learnt.
-func (t *term) modelsRow(row Row) {
-	var records map[string]modelRecord
-	if err := decodeRecord(row, &records); err != nil {
-		t.log.WithError(err).Warn("what was learnt of images cannot be read")
-		return
-	}
-	for image, r := range records {
-		if m := restoreModel(r); m != nil && t.harm.models[image] == nil {
-			t.harm.models[image] = m
-			for filler := range m.fillers {
-				t.harm.fillers[filler] = true
-			}
-		}
-	}
-}
-
 // renewal returns the row of a cell by which followers know that its leader lives.
 func (c Config) renewal(part string, r leaderRecord) Row {
 	r.Node, r.Process, r.Addr, r.MilliCPU = c.Node, c.Process, c.PeerAddr, c.Limits.MilliCPU
--- a/internal/fleet/inbox.go
+++ b/internal/fleet/inbox.go
@@ -45,7 +45,7 @@
 	switch e.(type) {
 	case stateQuery, pendingQuery, inspectQuery:
 		return classQuestion
-	case startDone, paced, advised, machinesRead, maintained, waveReported, emptyQuery, emptyAsked, layoutChanged, racksPlaced:
+	case startDone, paced, advised, machinesRead, maintained, waveReported, emptyQuery, emptyAsked, layoutChanged, racksPlaced, modelsOfCells:
 		return classOrder
 	}
 	return classState
--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -232,3 +232,8 @@
 // roomBias is the cost of using up a worker whose services have headroom for
 // fillers that press on them.
 const roomBias = 0.3
+
+// forget drops the loads of steps that have not reported for long; they would start anew.
+func (h *interference) forget(now time.Time) {
+	maps.DeleteFunc(h.loads, func(_ string, l *serviceLoad) bool { return now.Sub(l.at) > staleLoad })
+}
--- /dev/null
+++ b/internal/fleet/models_test.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What cells have learnt adds up: two that saw half of the reports each know as much as
+// one that saw all of them.
+func TestModelsOfCellsAddUp(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 1))
+	pressure := map[string]float64{"a": 3, "b": 0.2, "c": 1}
+	var halves [2]interference
+	whole := newInterference()
+	for i := range halves {
+		halves[i] = newInterference()
+	}
+	for i := range 400 {
+		change, loss := map[string]float64{}, 0.0
+		for image, p := range pressure {
+			if image == "c" && i%2 == 0 {
+				continue // the first half never sees it
+			}
+			share := 0.2*random.Float64() - 0.1
+			change[image] = share
+			loss += p * share
+		}
+		whole.model("s").observe(loss, change)
+		halves[i%2].model("s").observe(loss, change)
+	}
+	now := at(1)
+	first := halves[0].model("s")
+	require.InDelta(t, first.prior(), first.coefficient("c", now), 1e-9)
+	for range 3 { // news replace what was told before
+		halves[0].learnFrom(1, map[string]modelRecord{"s": halves[1].model("s").record()})
+	}
+	now = at(2)
+	for image := range pressure {
+		require.InDelta(t, whole.model("s").coefficient(image, now), first.coefficient(image, now), 0.05, image)
+	}
+	require.True(t, halves[0].fillers["c"])
+	own := restoreModel(first.record())
+	require.InDelta(t, first.prior(), own.coefficient("c", now), 1e-9, "others' reports are not stored as own ones")
+}
+
+func TestBadModelsOfOthersAreIgnored(t *testing.T) {
+	h := newInterference()
+	h.learnFrom(1, map[string]modelRecord{"s": {Fillers: map[string]int{"a": 7}, A: [][]float64{{1}}, B: []float64{1}, Highest: 4}})
+	require.Empty(t, h.models)
+}
+
+// modelStore holds rows of models by part; it answers nothing but lists.
+type modelStore map[string]Row
+
+// List implements Store.
+func (s modelStore) List(_ context.Context, table, part, _, _ string, _ int) (Page, error) {
+	row, found := s[part]
+	if !found || table != tableModels {
+		return Page{}, nil
+	}
+	return Page{Rows: []Row{row}}, nil
+}
+
+// Commit implements Store.
+func (modelStore) Commit(context.Context, Transaction) (Commit, error) {
+	return Commit{}, errors.ErrUnsupported
+}
+
+// Watch implements Store.
+func (modelStore) Watch(context.Context, string, uint64, time.Duration) (Page, error) {
+	return Page{}, errors.ErrUnsupported
+}
+
+// A leader reads a few cells in each round, and all of them in turn.
+func TestModelsOfAllCellsAreRead(t *testing.T) {
+	const cells = 12
+	tm := looseTerm(cells)
+	store := modelStore{}
+	tm.cfg.Store = store
+	h := newInterference()
+	h.model("s").observe(0.3, map[string]float64{"a": 0.1})
+	records := map[string]modelRecord{"s": h.model("s").record()}
+	for cell := range cells {
+		store[tm.layout.cellPart(cell)] = Row{RowID: RowID{tableModels, tm.layout.cellPart(cell), keyLeader}, Value: encode(records)}
+	}
+	for range 3 {
+		tm.now = tm.now.Add(modelInterval)
+		tm.readModels()
+		tm.readModels() // one round at a time
+		e := (<-tm.inbox[classOrder]).event.(modelsOfCells)
+		require.Len(t, e.rows, modelReads)
+		e.handle(tm)
+	}
+	require.Len(t, tm.harm.model("s").others, cells-1)
+	require.NotContains(t, tm.harm.model("s").others, tm.cell)
+}
+
+func TestLoadsOfEndedStepsAreForgotten(t *testing.T) {
+	h := newInterference()
+	h.loads["ended"], h.loads["reports"] = &serviceLoad{at: epoch}, &serviceLoad{at: at(8)}
+	h.forget(epoch.Add(8*time.Second + staleLoad/2))
+	require.Len(t, h.loads, 1)
+	require.NotNil(t, h.loads["reports"])
+}
--- a/internal/fleet/pressure.go
+++ b/internal/fleet/pressure.go
@@ -39,6 +39,8 @@
 	highest float64        // highest headroom seen
 	solved  time.Time
 	stale   bool
+	// others holds what other cells have learnt, by cell.
+	others map[int]*serviceModel
 }
 
 func newServiceModel() *serviceModel {
@@ -113,12 +115,10 @@
 		return
 	}
 	m.stale, m.solved = false, now
-	a := make([][]float64, len(m.a))
-	b := make([]float64, len(m.b))
+	a, b := m.sums()
 	for i := range a {
-		a[i] = append([]float64(nil), m.a[i]...)
 		a[i][i] += priorWeight
-		b[i] = m.b[i] + priorWeight*m.prior()
+		b[i] += priorWeight * m.prior()
 	}
 	if beta, ok := solve(a, b); ok {
 		m.beta = beta
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -309,6 +309,7 @@
 		}
 	}
 	t.forgetJobs()
+	t.harm.forget(t.now)
 }
 
 const (
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -110,8 +110,13 @@
 	harm      interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
-	machines     upkeep
-	counters     *metrics
+	// modelsRead is when those of other cells were last read; modelsNext is the last one
+	// read, counted from the own cell.
+	modelsRead    time.Time
+	modelsNext    int
+	readingModels bool
+	machines      upkeep
+	counters      *metrics
 }
 
 func newTerm(cfg Config, cell int, l *layout, number, fenceVersion uint64, formerAlive time.Time, log *logrus.Entry, m *metrics) *term {
@@ -203,6 +208,7 @@
 	t.scheduleLooks()
 	t.runUpkeep()
 	t.placeRacks()
+	t.readModels()
 	t.dirty = true
 }
 
