--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
@@ -31,9 +32,10 @@
 // Store is a table service. Calls go through a View, so that faults can differ
 // from node to node.
 type Store struct {
-	mu      sync.Mutex
-	rows    map[fleet.RowID]fleet.Row
-	version uint64
+	reads, writes atomic.Int64 // calls
+	mu            sync.Mutex
+	rows          map[fleet.RowID]fleet.Row
+	version       uint64
 	// history holds changes for watches; horizon is the version before the first.
 	history []fleet.Row
 	horizon uint64
@@ -161,6 +163,9 @@
 	return nil
 }
 
+// Calls returns how many reads and writes have reached the store.
+func (s *Store) Calls() (reads, writes int64) { return s.reads.Load(), s.writes.Load() }
+
 // View is the store as one node reaches it.
 type View struct {
 	s     *Store
@@ -267,6 +272,7 @@
 
 // Commit implements fleet.Store.
 func (v *View) Commit(ctx context.Context, tx fleet.Transaction) (fleet.Commit, error) {
+	v.s.writes.Add(1)
 	if err := v.pass(ctx, 2); err != nil {
 		return fleet.Commit{}, err
 	}
@@ -296,6 +302,7 @@
 
 // List implements fleet.Store.
 func (v *View) List(ctx context.Context, table, part, from, to string, limit int) (fleet.Page, error) {
+	v.s.reads.Add(1)
 	if err := v.pass(ctx, 1); err != nil {
 		return fleet.Page{}, err
 	}
@@ -317,6 +324,7 @@
 
 // Watch implements fleet.Store.
 func (v *View) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (fleet.Page, error) {
+	v.s.reads.Add(1)
 	if err := v.pass(ctx, 1); err != nil {
 		return fleet.Page{}, err
 	}
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -31,10 +31,12 @@
 
 // FleetView is the leader's view.
 type FleetView struct {
-	Jobs    map[State]int     `json:"jobs"`
-	Workers []WorkerView      `json:"workers"`
-	Out     []string          `json:"out,omitempty"` // data centres out of service
-	Waiting []WaitingStepView `json:"waiting"`
+	Jobs    map[State]int `json:"jobs"`
+	Workers []WorkerView  `json:"workers"`
+	// KnowsAll means that no worker may hold runs of earlier terms that nobody has seen.
+	KnowsAll bool              `json:"knows_all"`
+	Out      []string          `json:"out,omitempty"` // data centres out of service
+	Waiting  []WaitingStepView `json:"waiting"`
 	// WaitingSteps counts all of them; Waiting lists the first in order.
 	WaitingSteps int `json:"waiting_steps"`
 	// Loop is the load of the leader's loop over the last 5 s.
@@ -151,7 +153,7 @@
 }
 
 func (q inspectQuery) handle(t *term) {
-	v := &FleetView{Jobs: map[State]int{}, Workers: t.workerViews(), Loop: t.load.before.view()}
+	v := &FleetView{Jobs: map[State]int{}, Workers: t.workerViews(), KnowsAll: t.settled(), Loop: t.load.before.view()}
 	for _, j := range t.jobs {
 		v.Jobs[j.shown]++
 	}
--- /dev/null
+++ b/internal/fleet/recovery_scale_test.go
@@ -0,0 +1,209 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// recoveryWithin is the platform's recovery_s: a site whose hosts are back serves again.
+const recoveryWithin = 15 * time.Second
+
+// watchAtLeast is how long the store's load is followed after each outage.
+const watchAtLeast = 3 * time.Second
+
+// outage is trouble of which the fleet recovers. It ends the trouble itself.
+type outage struct {
+	name   string
+	strike func(t *testing.T, c *fleettest.Cluster)
+}
+
+var outages = []outage{
+	{"one leader lost", func(t *testing.T, c *fleettest.Cluster) { c.Kill(c.Leader()) }},
+	{"a fifth of nodes and workers lost, a leader too", func(t *testing.T, c *fleettest.Cluster) {
+		c.Kill(c.Leader())
+		for i := 0; i < len(c.Nodes); i += 5 {
+			c.Kill(c.Nodes[i])
+		}
+		for i := 0; i < len(c.Fleet); i += 5 {
+			c.Workers.Kill(c.Fleet[i])
+			c.Unlist(c.Fleet[i])
+		}
+	}},
+	{"55% killed, back after 1 s", func(t *testing.T, c *fleettest.Cluster) {
+		killed := c.Nodes[:len(c.Nodes)*55/100+1]
+		for _, m := range killed {
+			c.Kill(m)
+		}
+		time.Sleep(time.Second)
+		for _, m := range killed {
+			c.Start(m)
+		}
+	}},
+	{"all killed, back after 1 s", func(t *testing.T, c *fleettest.Cluster) {
+		c.StopAll()
+		time.Sleep(time.Second)
+		c.StartAll()
+	}},
+	{"store silent for 4.5 s", func(t *testing.T, c *fleettest.Cluster) { storeFault(c, 1, fleettest.Silent) }},
+	{"store refuses half of the nodes for 4.5 s", func(t *testing.T, c *fleettest.Cluster) { storeFault(c, 2, fleettest.Busy) }},
+	{"history forgotten", func(t *testing.T, c *fleettest.Cluster) { c.Store.Compact() }},
+}
+
+// storeFault makes the store fail for every n-th node for 4.5 s.
+func storeFault(c *fleettest.Cluster, n int, f fleettest.Fault) {
+	for i := 0; i < len(c.Nodes); i += n {
+		c.Nodes[i].Store.Set(f)
+	}
+	time.Sleep(4500 * time.Millisecond)
+	for _, m := range c.Nodes {
+		m.Store.Set(fleettest.Healthy)
+	}
+}
+
+// recovered is how long after the end of the trouble a fleet was well again, and what the
+// store bore meanwhile.
+type recovered struct {
+	firstStart, led, known time.Duration
+	reads, writes          int64 // calls in the busiest second
+}
+
+// ledCells counts the cells that nodes lead, and those of which all runs are known.
+func ledCells(t *testing.T, c *fleettest.Cluster) (led, known, cells int) {
+	for _, m := range c.Nodes {
+		if !m.Up() || !m.Node.Leading() {
+			continue
+		}
+		v := m.Node.Inspect(t.Context(), "")
+		cells = max(cells, len(v.Cells))
+		for _, cell := range v.Cells {
+			if cell.Fleet == nil {
+				continue
+			}
+			led++
+			if cell.Fleet.KnowsAll {
+				known++
+			}
+		}
+	}
+	return led, known, cells
+}
+
+// watchRecovery follows the fleet after the trouble until all is well or the time is over.
+func watchRecovery(t *testing.T, c *fleettest.Cluster, cells int) recovered {
+	var r recovered
+	begun, starts := time.Now(), c.Ledger.StartCount()
+	reads, writes := c.Store.Calls()
+	second := begun
+	for r.firstStart == 0 || r.led == 0 || r.known == 0 || time.Since(begun) < watchAtLeast {
+		time.Sleep(100 * time.Millisecond)
+		since := time.Since(begun)
+		if since > 2*recoveryWithin {
+			break
+		}
+		if time.Since(second) >= time.Second {
+			nowReads, nowWrites := c.Store.Calls()
+			r.reads, r.writes = max(r.reads, nowReads-reads), max(r.writes, nowWrites-writes)
+			reads, writes, second = nowReads, nowWrites, time.Now()
+		}
+		if r.firstStart == 0 && c.Ledger.StartCount() > starts {
+			r.firstStart = since
+		}
+		led, known, _ := ledCells(t, c)
+		if r.led == 0 && led == cells {
+			r.led = since
+		}
+		if r.known == 0 && r.led > 0 && known == cells {
+			r.known = since
+		}
+	}
+	return r
+}
+
+// lastingJobs names the jobs of steadyLoad whose tasks last.
+var lastingJobs = func() map[string]bool {
+	jobs := map[string]bool{}
+	for i := 0; i < 1000; i += 10 {
+		jobs[jobID(i)] = true
+	}
+	return jobs
+}()
+
+// steadyLoad hands in work while a test goes on: some tasks that last, and a short job
+// every 0.2 s.
+func steadyLoad(t *testing.T, c *fleettest.Cluster, done <-chan struct{}) {
+	needs := model.Resources{MilliCPU: 500, MemoryMB: 100}
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+		step := fleet.Step{Count: 6, Needs: needs, Estimate: time.Second}
+		if lastingJobs[jobID(i)] {
+			step = fleet.Step{Count: 6, Needs: needs, Lasting: true}
+		}
+		m := c.Nodes[i%len(c.Nodes)]
+		if m.Up() {
+			go func() { _ = m.Node.Submit(t.Context(), c.Queue, jobID(i), fleet.Spec{Steps: []fleet.Step{step}}) }() // refused in some outages
+		}
+	}
+}
+
+// TestRecoveryAtScale measures the recovery from each outage. RECOVERY names the sizes, as
+// "6,48 41,350": nodes and workers.
+func TestRecoveryAtScale(t *testing.T) {
+	sizes := "6,24"
+	if v := os.Getenv("RECOVERY"); v != "" {
+		sizes = v
+	}
+	for size := range strings.FieldsSeq(sizes) {
+		n, w, _ := strings.Cut(size, ",")
+		nodes, err := strconv.Atoi(n)
+		require.NoError(t, err)
+		workers, err := strconv.Atoi(w)
+		require.NoError(t, err)
+		for i, o := range outages {
+			t.Run(fmt.Sprintf("%d nodes/%s", nodes, o.name), func(t *testing.T) { recoverFrom(t, o, uint64(500+i), nodes, workers) })
+		}
+	}
+}
+
+func recoverFrom(t *testing.T, o outage, seed uint64, nodes, workers int) {
+	tasks := func(name fleet.TaskName) fleettest.Task {
+		job, _, _ := strings.Cut(string(name), ".")
+		return fleettest.Task{Work: time.Second, Needs: model.Resources{MilliCPU: 500, MemoryMB: 100}, Lasting: lastingJobs[job]}
+	}
+	prepare := func() *fleettest.Cluster {
+		c := fleettest.NewCluster(seed, nodes, workers, tasks)
+		for i, m := range c.Nodes {
+			m.MilliCPU = []int64{200, 800, 200, 400, 200}[i%5]
+		}
+		return c
+	}
+	runWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
+		done := make(chan struct{})
+		defer close(done)
+		go steadyLoad(t, c, done)
+		time.Sleep(5 * time.Second)
+		_, _, cells := ledCells(t, c)
+		require.Positive(t, cells)
+		o.strike(t, c)
+		r := watchRecovery(t, c, cells)
+		t.Logf("%d nodes, %d workers, %d cells: first start %v, all led %v, all runs known %v, store %d reads and %d writes in the busiest second",
+			nodes, workers, cells, r.firstStart, r.led, r.known, r.reads, r.writes)
+		for what, took := range map[string]time.Duration{"first start": r.firstStart, "all cells led": r.led, "all runs known": r.known} {
+			require.Positive(t, took, what)
+			require.LessOrEqual(t, took, recoveryWithin, what)
+		}
+	})
+}
--- a/internal/operator/fleet_test.go
+++ b/internal/operator/fleet_test.go
@@ -38,7 +38,7 @@
 		code int
 		want []string
 	}{
-		"leader":              {[]string{"--metrics", follower, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z, term 4", "processor 42%, memory 70%, link 5%", "busy 31%, 210 events", "state 12 ms, order 900 ms", "workers draining: 1", "y is out of service", "a.0.0.0", "9 steps waiting, the first 1", "no usable worker with room"}},
+		"leader":              {[]string{"--metrics", follower, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z, term 4", "processor 42%, memory 70%, link 5%", "busy 31%, 210 events", "state 12 ms, order 900 ms", "older work waits", "workers draining: 1", "y is out of service", "a.0.0.0", "9 steps waiting, the first 1", "no usable worker with room"}},
 		"cells":               {[]string{"--metrics", cells}, ExitOK, []string{"3 cells", "cell 0", "n1", "3 jobs not begun", "reserved 50%", "cell 1, led by this node", "workers usable: 1", "the leader"}},
 		"job of another cell": {[]string{"--metrics", cells, "--metrics", leader, "--job", "a"}, ExitOK, []string{"leader n1 in z", "a.0.0.0"}},
 		"json":                {[]string{"--metrics", leader, "-o", "json"}, ExitOK, []string{`"waiting_steps": 9`}},
