Lost answers of workers and herds of urgent jobs in virtual time

Workers of the stand-in may carry an order out and lose its answer; the overload sequences of the random faults do so.

--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -74,12 +74,17 @@
 		<-ctx.Done()
 		return fleet.WorkerReply{}, unknown(ctx.Err())
 	}
-	defer f.mu.Unlock()
-	if target.Info.Lifetime != w.Lifetime {
-		return fleet.WorkerReply{Verdict: fleet.StartOtherLife, Clock: target.clock()}, nil
+	reply := fleet.WorkerReply{Verdict: fleet.StartOtherLife, Clock: target.clock()}
+	if target.Info.Lifetime == w.Lifetime {
+		reply.Verdict = do(target)
 	}
-	verdict := do(target)
-	return fleet.WorkerReply{Verdict: verdict, Clock: target.clock()}, nil
+	lost := f.LostShare > 0 && f.random.Float64() < f.LostShare
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return fleet.WorkerReply{}, unknown(ctx.Err())
+	}
+	return reply, nil
 }
 
 // Start implements fleet.Workers.
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -40,6 +40,8 @@
 	// LateShare of the orders get no answer and are carried out one to four
 	// seconds later.
 	LateShare float64
+	// LostShare of the orders and looks are carried out at once and get no answer.
+	LostShare float64
 	// Advisor, when set, must have granted a ticket for each start.
 	Advisor *Advisor
 	refused int // starts without a valid ticket
--- a/internal/fleet/overload_test.go
+++ b/internal/fleet/overload_test.go
@@ -139,3 +139,42 @@
 // startCost is the time of an event on a host of a fifth of a core that has a third of it
 // left: a start needs some 0.9 ms of processor, see docs/CAPACITY.md.
 const startCost = 15 * time.Millisecond
+
+// lostAnswers is twice the share of answers that the platform's pages name.
+const lostAnswers = 0.06
+
+// Orders whose answers are lost have been carried out: nothing runs twice, and nothing
+// waits for the end of a lease.
+func TestLostAnswersRunOnce(t *testing.T) {
+	for seed := range uint64(4) {
+		run(t, 120+seed, 3, 6, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+			c.Workers.Set(func() { c.Workers.LostShare = lostAnswers })
+			begun := time.Now()
+			for i := range 8 {
+				submit(t, c, jobID(i), twoSteps())
+			}
+			waitAll(t, c, 8, 12*time.Second)
+			require.Equal(t, 8*6, c.Ledger.StartCount(), "each task starts once")
+			require.Less(t, time.Since(begun), 12*time.Second)
+		})
+	}
+}
+
+// Urgent jobs that come all at once share what there is: the first of them need not wait
+// for the last, and none waits while there is room.
+func TestUrgentHerd(t *testing.T) {
+	run(t, 125, 3, 12, behaviour, func(t *testing.T, c *fleettest.Cluster) {
+		const herd = 24 // 96 tasks of a core, on 96 cores
+		for i := range herd {
+			go func() { _ = c.Nodes[i%3].Node.Submit(t.Context(), c.Queue, jobID(i), twoSteps()) }()
+		}
+		time.Sleep(urgentWithin)
+		for i := range herd {
+			require.True(t, c.Ledger.Started(jobID(i)), "job %d", i)
+		}
+		waitAll(t, c, herd, 10*time.Second)
+	})
+}
+
+// urgentWithin is the stated time within which urgent work starts, beside a herd too.
+const urgentWithin = 1400 * time.Millisecond
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -49,8 +49,9 @@
 	commonFaults = 14
 	// allFaults adds those of hosts of unequal size and with poor links.
 	allFaults = 16
-	// overloadFaults adds slow processors, and processes that end or slow down all at once.
-	overloadFaults = 20
+	// overloadFaults adds slow processors, processes that end or slow down all at once, and
+	// lost answers of workers.
+	overloadFaults = 21
 )
 
 // playFaults plays one sequence. Unequal hosts hand the lead to each other. Cells fixes
@@ -176,6 +177,9 @@
 		}
 	case 18:
 		f.killShare(0.55)
+	case 20:
+		lost := f.random.Float64() * 0.4
+		f.c.Workers.Set(func() { f.c.Workers.LostShare = lost })
 	case 19:
 		for _, m := range f.c.Nodes {
 			if !m.Up() {
@@ -200,7 +204,7 @@
 
 // heal ends all faults.
 func (f *faults) heal() {
-	f.c.Workers.Set(func() { f.c.Workers.LateShare = 0 })
+	f.c.Workers.Set(func() { f.c.Workers.LateShare, f.c.Workers.LostShare = 0, 0 })
 	f.c.Store.Lose(0, 0)
 	for _, m := range f.c.Nodes {
 		m.Slow(0)
