--- a/internal/fleet/holes_test.go
+++ b/internal/fleet/holes_test.go
@@ -12,7 +12,7 @@
 func TestCellsShareHoles(t *testing.T) {
 	holes := make([]hole, holesTold)
 	for i := range holes {
-		holes[i] = hole{int64(1000 - i), 10}
+		holes[i] = hole{MilliCPU: int64(1000 - i), MemoryMB: 10}
 	}
 	for _, cells := range []int{2, 3, 7, 30} {
 		for other := range cells {
@@ -36,7 +36,7 @@
 // Several lost tasks may be lent on one piece of news, as many as find room.
 func TestSeveralTasksAreLentAtOnce(t *testing.T) {
 	tm := looseTerm(2)
-	news := room{Capacity: 10_000, Holes: []hole{{8000, 800}, {5000, 100}, {3000, 5000}}}
+	news := room{Capacity: 10_000, Holes: []hole{{8000, 800, nil}, {5000, 100, nil}, {3000, 5000, []string{"gpu"}}}}
 	tm.rooms = func() []cellRoom { return []cellRoom{{1, news, tm.now}} }
 	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}}
 	for i := range 3 { // two in the first hole, none in the second, one in the third
@@ -70,3 +70,27 @@
 	require.Equal(t, int64(1000+holesTold+3), holes[0].MilliCPU)
 	require.Greater(t, holes[0].MilliCPU, holes[holesTold-1].MilliCPU)
 }
+
+// A task that needs a label is lent only to a worker that has it.
+func TestLabelOfLentTask(t *testing.T) {
+	tm := looseTerm(2)
+	news := room{Capacity: 10_000, Holes: []hole{{8000, 800, []string{"old"}}, {5000, 800, []string{"new"}}}}
+	tm.rooms = func() []cellRoom { return []cellRoom{{1, news, tm.now}} }
+	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}, Label: "new"}
+	_, found := tm.cellWithHole(s, nil)
+	require.True(t, found)
+	_, found = tm.cellWithHole(s, nil)
+	require.False(t, found, "the larger hole lacks the label")
+}
+
+// A borrowed task has run before: room is kept for it, and it comes before new services.
+func TestBorrowedTaskIsARestart(t *testing.T) {
+	tm := looseTerm(2)
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000}, Lasting: true}}}}, 5, epoch)
+	j.open(epoch, 0, tm.wall)
+	wants := tm.occurrenceWants(nil, j, j.occurrences[0], Queue{Name: "q"})
+	require.False(t, wants[0].restart)
+	j.borrowed = []RowID{movedRow("p", "j/task-0.0")}
+	wants = tm.occurrenceWants(nil, j, j.occurrences[0], Queue{Name: "q"})
+	require.True(t, wants[0].restart)
+}
--- a/internal/fleet/lend.go
+++ b/internal/fleet/lend.go
@@ -31,6 +31,8 @@
 type hole struct {
 	MilliCPU int64 `cbor:"1,keyasint"`
 	MemoryMB int64 `cbor:"2,keyasint"`
+	// Labels are those of the worker but its rack.
+	Labels []string `cbor:"3,keyasint,omitempty"`
 }
 
 // lendStuck lends tasks of a lasting step that ran and have found no worker for a while.
@@ -69,7 +71,7 @@
 			continue
 		}
 		for i := range holes {
-			if h := &holes[i]; need.Fits(h.resources()) && (best == nil || h.MilliCPU > best.MilliCPU) {
+			if h := &holes[i]; need.Fits(h.resources()) && hasLabel(h.Labels, s.Label) && (best == nil || h.MilliCPU > best.MilliCPU) {
 				best, cell = h, other
 			}
 		}
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -115,7 +115,7 @@
 	var holes []hole
 	for _, w := range t.workers {
 		if free := w.free(); free.MilliCPU > 0 && t.unusable(w) == "" && !w.health.onProbation() {
-			holes = append(holes, hole{free.MilliCPU, free.MemoryMB})
+			holes = append(holes, hole{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)]})
 		}
 	}
 	slices.SortFunc(holes, func(a, b hole) int { return cmp.Compare(b.MilliCPU, a.MilliCPU) })
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -211,8 +211,11 @@
 }
 
 // hasLabel reports whether the worker carries a label.
-func (w *worker) hasLabel(label string) bool {
-	return label == "" || slices.ContainsFunc(w.info.Labels, func(l string) bool { return strings.EqualFold(l, label) })
+func (w *worker) hasLabel(label string) bool { return hasLabel(w.info.Labels, label) }
+
+// hasLabel reports whether labels, in which case does not matter, meet a condition.
+func hasLabel(labels []string, label string) bool {
+	return label == "" || slices.ContainsFunc(labels, func(l string) bool { return strings.EqualFold(l, label) })
 }
 
 // serving reports whether a run with a latency target is on the worker.
