Exhaustive model of jobs that move between cells

The job never runs in two cells and can always run in one. With the guard on stored decisions, on inherited jobs or on confirmed ones taken out, the model finds two runs.

--- /dev/null
+++ b/internal/fleet/moves_model_test.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An exhaustive model of how a job moves between cells: every order of elections, of
+// leaders that act on after they were replaced, of transactions whose answers are lost,
+// and of rows that arrive late. The guards are those of moves.go, load.go and order.go.
+// Two runs in one cell are not its matter: the fences that workers see prevent these.
+
+const modelCells = 3
+
+// modelLeader is a leader of one cell, with what it knows of the job.
+type modelLeader struct {
+	alive     bool
+	term      uint8
+	has       bool // it has seen the job's row
+	inherited bool // the row was there when the term began
+	settled   bool // it knows all runs of earlier terms
+	confirmed bool // a transaction of the term followed the row
+	decided   uint8
+	stored    bool // the decision is known to be stored
+}
+
+// modelState is the store, the workers, the leaders and the rows on their way. Cells are
+// counted from 1 in moved and decided; 0 means none.
+type modelState struct {
+	fence   [modelCells]uint8
+	moved   [modelCells]uint8
+	row     [modelCells]bool
+	late    [modelCells]bool // the row for a cell is on its way
+	leaders [modelCells]modelLeader
+	former  [modelCells]modelLeader // replaced, and does not know
+	workers [modelCells]uint8       // highest fence that the cell's workers have seen
+	run     [modelCells]uint8       // the term that started the run; 0 for none
+}
+
+// jobModel bounds a model.
+type jobModel struct {
+	cells int
+	terms uint8
+	// unsafe takes a guard out, to show that the model finds what it prevents.
+	unsafe string
+}
+
+func (m jobModel) begin() modelState {
+	var s modelState
+	s.row[0] = true
+	for c := range m.cells {
+		s.fence[c] = 1
+		s.leaders[c] = modelLeader{alive: true, term: 1}
+	}
+	return s
+}
+
+// next returns all states that follow.
+func (m jobModel) next(s modelState) []modelState {
+	var all []modelState
+	for c := range m.cells {
+		if s.late[c] {
+			n := s
+			n.late[c], n.row[c] = false, true
+			all = append(all, n)
+		}
+		if s.run[c] > 0 {
+			n := s
+			n.run[c] = 0 // a step is done
+			all = append(all, n)
+		}
+		if s.former[c].alive {
+			n := s
+			n.former[c] = modelLeader{}
+			all = append(all, n)
+		}
+		if s.fence[c] < m.terms {
+			all = append(all, m.elect(s, c))
+		}
+		all = append(all, m.act(s, c, func(s *modelState) *modelLeader { return &s.leaders[c] })...)
+		if s.former[c].alive {
+			all = append(all, m.act(s, c, func(s *modelState) *modelLeader { return &s.former[c] })...)
+		}
+	}
+	return all
+}
+
+func (m jobModel) elect(s modelState, c int) modelState {
+	s.former[c] = s.leaders[c]
+	s.fence[c]++
+	s.leaders[c] = modelLeader{alive: true, term: s.fence[c], has: s.row[c], inherited: s.row[c], decided: s.moved[c], stored: s.moved[c] > 0}
+	return s
+}
+
+// act returns the states after each thing that a leader may do.
+func (m jobModel) act(s modelState, c int, leader func(*modelState) *modelLeader) []modelState {
+	var all []modelState
+	after := func(change func(n *modelState, l *modelLeader)) {
+		n := s
+		change(&n, leader(&n))
+		all = append(all, n)
+	}
+	l := *leader(&s)
+	current := s.fence[c] == l.term
+	if !l.has && s.row[c] {
+		after(func(_ *modelState, l *modelLeader) { l.has = true })
+	}
+	if l.has && !l.confirmed && (current || m.unsafe == "unconfirmed") {
+		after(func(_ *modelState, l *modelLeader) { l.confirmed = true })
+	}
+	if l.inherited && !l.settled && s.workers[c] <= l.term {
+		after(func(n *modelState, l *modelLeader) { l.settled, n.workers[c] = true, l.term })
+	}
+	may := l.has && l.decided == 0 && l.confirmed && (!l.inherited || l.settled)
+	if may && s.run[c] == 0 && s.workers[c] <= l.term {
+		after(func(n *modelState, l *modelLeader) { n.run[c], n.workers[c] = l.term, l.term })
+	}
+	if l.has && l.decided == 0 && s.run[c] == 0 && (!l.inherited || m.unsafe == "inherited") {
+		for d := range m.cells {
+			if !s.left(d) && d != c {
+				after(func(_ *modelState, l *modelLeader) { l.decided = uint8(d + 1) })
+			}
+		}
+	}
+	if l.decided > 0 && !l.stored && current {
+		after(func(n *modelState, l *modelLeader) { n.moved[c], l.stored = l.decided, true })
+		after(func(n *modelState, l *modelLeader) { n.moved[c] = l.decided }) // its answer is lost
+	}
+	if l.decided > 0 && (l.stored || m.unsafe == "unstored") && !s.late[l.decided-1] && !s.row[l.decided-1] {
+		after(func(n *modelState, l *modelLeader) { n.late[l.decided-1] = true })
+	}
+	return all
+}
+
+// left reports whether the job has left a cell, or came from there.
+func (s *modelState) left(c int) bool { return s.moved[c] > 0 || (c == 0) }
+
+// runs counts the cells in which the job runs.
+func (s *modelState) runs() int {
+	n := 0
+	for _, r := range s.run {
+		if r > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// explore visits all states. It returns their number, whether some state has the job
+// running in two cells, and how many states cannot reach one in which it runs.
+func (m jobModel) explore() (states int, twice bool, stuck int) {
+	numbers := map[modelState]int{m.begin(): 0}
+	queue := []modelState{m.begin()}
+	var before [][]int // states that precede each
+	var goal []int
+	for at := 0; at < len(queue); at++ {
+		s := queue[at]
+		if len(before) <= at {
+			before = append(before, nil)
+		}
+		switch s.runs() {
+		case 0:
+		case 1:
+			goal = append(goal, at)
+		default:
+			if m.unsafe != "" {
+				return at, true, 0 // what was looked for
+			}
+			twice = true
+			goal = append(goal, at)
+		}
+		for _, n := range m.next(s) {
+			k, known := numbers[n]
+			if !known {
+				k = len(queue)
+				numbers[n] = k
+				queue = append(queue, n)
+			}
+			for len(before) <= k {
+				before = append(before, nil)
+			}
+			before[k] = append(before[k], at)
+		}
+	}
+	reach := make([]bool, len(queue))
+	for len(goal) > 0 {
+		at := goal[len(goal)-1]
+		goal = goal[:len(goal)-1]
+		if reach[at] {
+			continue
+		}
+		reach[at] = true
+		goal = append(goal, before[at]...)
+	}
+	for _, ok := range reach {
+		if !ok {
+			stuck++
+		}
+	}
+	return len(queue), twice, stuck
+}
+
+// However leaders change and writes are lost or late, a job never runs in two cells, and
+// can always run in one.
+func TestModelOfMoves(t *testing.T) {
+	for _, m := range []jobModel{{cells: 2, terms: 3}, {cells: modelCells, terms: 2}} {
+		states, twice, stuck := m.explore()
+		t.Logf("%d cells, %d terms: %d states", m.cells, m.terms, states)
+		require.False(t, twice, "%+v", m)
+		require.Zero(t, stuck, "%+v", m)
+	}
+}
+
+// The model finds what each guard prevents.
+func TestModelOfMovesFindsMissingGuards(t *testing.T) {
+	for _, guard := range []string{"unstored", "inherited", "unconfirmed"} {
+		_, twice, _ := jobModel{cells: modelCells, terms: 2, unsafe: guard}.explore()
+		require.True(t, twice, guard)
+	}
+}
