Room for stuck tasks of other cells

Cause: TestLostServicesFindRoomOfAnyCell, a fleet of four cells full of services, of which workers leave and all nodes lose power: lost tasks did not run 3 s after room had come free in another cell. (1) Short work of that cell took each hole at once, so none was told. (2) Fresh tasks of a service that had begun were not lent. (3) Several tasks with a bound per worker were lent to one worker, where they stuck. (4) A task is not lent to a cell that its job has left; jobs moved up to three times in the burst at the start.

Change: a renewal tells the smallest stuck task of its cell and their number; the other cells keep up to 6 workers free of new short work for these. Fresh tasks are lent as lost ones are. Services that have left a cell leave another one only for lack of room.

Parts have tests of their own: TestWorkersAreHeldForOtherCells, TestHeldWorkersAreBounded.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -24,13 +24,16 @@
 	milliCPU int64
 	filler   bool
 	lasting  bool
+	// settled services have left a cell before: they leave another one only for lack of
+	// room, as tasks of theirs that are lost cannot be lent to cells that they have left.
+	settled bool
 	// image is that of lasting steps and of fillers; empty for others.
 	image string
 }
 
 // demandOf returns the demand of a waiting step.
 func demandOf(w *want) demand {
-	d := demand{milliCPU: int64(len(w.tasks)) * w.step.Needs.MilliCPU, filler: w.step.Filler, lasting: w.step.Lasting}
+	d := demand{milliCPU: int64(len(w.tasks)) * w.step.Needs.MilliCPU, filler: w.step.Filler, lasting: w.step.Lasting, settled: len(w.job.path) > 0}
 	if d.filler || d.lasting {
 		d.image = w.step.Image
 	}
@@ -104,6 +107,8 @@
 		return moveThere, best
 	case !fits && len(others) > 0:
 		return waitForNews, 0
+	case d.settled:
+		return stayHere, 0
 	case own.room.fill() <= limit && (best < 0 || d.image == "" || preference(d.image, own.cell) > rank):
 		return stayHere, 0
 	case burst && !oldest.After(arrived) && own.room.fill() > limit:
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -174,7 +174,7 @@
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
 			r.Room = t.ownRoom(t.collectWants())
-			r.Room.Holes = t.largestHoles()
+			r.Room.Holes, r.Room.Stuck = t.largestHoles(), t.stuck
 		}
 	}
 	return r
--- a/internal/fleet/holes_test.go
+++ b/internal/fleet/holes_test.go
@@ -94,3 +94,36 @@
 	wants = tm.occurrenceWants(nil, j, j.occurrences[0], Queue{Name: "q"})
 	require.True(t, wants[0].restart)
 }
+
+// A cell tells of its stuck tasks, and the others keep workers free of short work for them.
+func TestWorkersAreHeldForOtherCells(t *testing.T) {
+	tm := looseTerm(2)
+	service := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 7000, MemoryMB: 100}}
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{*service}}}, 5, epoch)
+	w := &want{job: j, step: service, queue: Queue{Service: "svc"}}
+	tm.noteStuck(w)
+	tm.noteStuck(w)
+	require.Equal(t, &stuckTask{Service: "svc", MilliCPU: 7000, MemoryMB: 100, Count: 2}, tm.stuck)
+
+	other := looseTerm(2)
+	news := room{Capacity: 10_000, Stuck: tm.stuck}
+	other.rooms = func() []cellRoom { return []cellRoom{{1, news, other.now}} }
+	other.readHoles()
+	p := &placement{now: epoch, workers: []*worker{testWorker("a"), testWorker("b"), testWorker("c")}, harm: &other.harm}
+	other.holdForOthers(p, "other")
+	require.Empty(t, p.held)
+	other.holdForOthers(p, "svc")
+	require.Len(t, p.held, 2)
+}
+
+// Workers that are held for others are few, however many tasks are stuck.
+func TestHeldWorkersAreBounded(t *testing.T) {
+	tm := looseTerm(2)
+	tm.stuckElsewhere = []stuckTask{{Service: "svc", MilliCPU: 1000, MemoryMB: 1, Count: 100}, {Service: "svc", MilliCPU: 1000, MemoryMB: 1, Count: 100}}
+	p := &placement{now: epoch, harm: &tm.harm}
+	for i := range 3 * heldForOthers {
+		p.workers = append(p.workers, testWorker(string(rune('a'+i))))
+	}
+	tm.holdForOthers(p, "svc")
+	require.Len(t, p.held, heldForOthers)
+}
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -120,7 +120,7 @@
 
 func TestDemandOfWaitingStep(t *testing.T) {
 	big := model.Resources{MilliCPU: 1000}
-	of := func(s Step) demand { return demandOf(&want{step: &s, tasks: []int{3, 5}}) }
+	of := func(s Step) demand { return demandOf(&want{job: &job{}, step: &s, tasks: []int{3, 5}}) }
 	require.Equal(t, demand{milliCPU: 2000}, of(Step{Count: 9, Needs: big, Image: "i"}))
 	require.Equal(t, demand{milliCPU: 2000, filler: true, image: "i"}, of(Step{Count: 9, Needs: big, Filler: true, Image: "i"}))
 	require.Equal(t, demand{milliCPU: 2000, lasting: true, image: "i"}, of(Step{Count: 9, Needs: big, Lasting: true, Image: "i"}))
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -21,6 +21,10 @@
 	if !t.active() {
 		return
 	}
+	t.stuck = nil
+	if t.layout.Cells > 1 {
+		t.readHoles()
+	}
 	unseen := t.unseenServices()
 	wants := t.moveJobs(t.collectWants(), unseen)
 	t.counters.waiting.Set(float64(len(wants)))
@@ -38,15 +42,19 @@
 		p := pools[w.queue.Service]
 		if p == nil {
 			p = t.pool(w.queue.Service)
+			t.holdForOthers(p, w.queue.Service)
 			pools[w.queue.Service] = p
 		}
 		if len(p.workers) > 0 && p.leavesRoom(w, unseen[w.queue.Service]) {
 			started := t.placeStep(p, w)
 			left -= started
-			if w.restart && started < len(w.tasks) {
+			if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started {
+				continue
+			}
+			if w.restart {
 				p.holdFor(w.step)
-				t.lendStuck(w)
 			}
+			t.lendStuck(w)
 		}
 	}
 }
--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -33,6 +33,8 @@
 	Light map[string]int64 `cbor:"4,keyasint,omitempty"`
 	// Holes is the room on the workers with most of it, the largest first.
 	Holes []hole `cbor:"6,keyasint,omitempty"`
+	// Stuck is a lasting task of the cell that finds room in none; nil for none.
+	Stuck *stuckTask `cbor:"7,keyasint,omitempty"`
 }
 
 // fill is the reserved share of the capacity.
--- /dev/null
+++ b/internal/fleet/room_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Services fill a fleet of cells; workers leave with their tasks, and all nodes lose power.
+// When a service ends later, whatever its cell, the lost tasks run within 3 s: that is how
+// long the platform lets them wait beside capacity for them.
+func TestLostServicesFindRoomOfAnyCell(t *testing.T) {
+	needs := model.Resources{MilliCPU: 2000, MemoryMB: 200}
+	tasks := func(name fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Lasting: string(name) < jobID(500), Work: 800 * time.Millisecond, Needs: needs}
+	}
+	for _, step := range []fleet.Step{{Count: 24, Needs: needs, Lasting: true}, {Count: 24, Needs: needs, Lasting: true, PerWorker: 2}} {
+		inCells(t, 300, 6, 48, 4, tasks, func(t *testing.T, c *fleettest.Cluster) {
+			const services = 6 // 144 tasks of 192 that find room
+			for i := range services {
+				submit(t, c, jobID(i), fleet.Spec{Steps: []fleet.Step{step}})
+			}
+			time.Sleep(8 * time.Second)
+			require.Equal(t, services*24, runningServices(c, services))
+			done := make(chan struct{})
+			defer close(done)
+			go shortLoad(t, c, needs, done)
+			time.Sleep(2 * time.Second)
+			for _, w := range c.Fleet[:12] {
+				c.Workers.Kill(w)
+				c.Unlist(w)
+			}
+			time.Sleep(7 * time.Second)
+			c.StopAll()
+			time.Sleep(500 * time.Millisecond)
+			c.StartAll()
+			time.Sleep(11 * time.Second)
+			require.NoError(t, c.Nodes[0].Node.Cancel(t.Context(), c.Queue, jobID(0)))
+			c.Ledger.Cancelled(jobID(0))
+			time.Sleep(time.Second)
+			begun := time.Now()
+			for missing := 1; missing > 0; time.Sleep(100 * time.Millisecond) {
+				missing = (services-1)*24 - runningServices(c, services)
+				require.Less(t, time.Since(begun), 3*time.Second, "%d tasks do not run", missing)
+			}
+			t.Logf("all run %v after the room", time.Since(begun))
+		})
+	}
+}
+
+// runningServices counts the runs of the first jobs.
+func runningServices(c *fleettest.Cluster, jobs int) int {
+	n := 0
+	for i := range jobs {
+		n += runningOf(c, jobID(i))
+	}
+	return n
+}
+
+// shortLoad hands in a job of short tasks every 0.1 s.
+func shortLoad(t *testing.T, c *fleettest.Cluster, needs model.Resources, done <-chan struct{}) {
+	for i := 1000; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		if m := c.Nodes[i%len(c.Nodes)]; m.Up() {
+			go func() {
+				_ = m.Node.Submit(t.Context(), c.Queue, jobID(i), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: needs, Estimate: 800 * time.Millisecond}}})
+			}() // refused while leaders change
+		}
+	}
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -105,9 +105,13 @@
 	// holes is the room of other cells that this one may use for lent tasks, by cell.
 	holes     map[int][]hole
 	holesRead time.Time
-	speeds    map[string]*speed
-	answers   answerTimes
-	harm      interference
+	// stuck is a task that found room in no cell in the last plan, stuckElsewhere are those
+	// that other cells tell of.
+	stuck          *stuckTask
+	stuckElsewhere []stuckTask
+	speeds         map[string]*speed
+	answers        answerTimes
+	harm           interference
 	// modelsStored is when what was learnt of images was last stored.
 	modelsStored time.Time
 	// modelsRead is when those of other cells were last read; modelsNext is the last one
