--- a/internal/fleet/room.go
+++ b/internal/fleet/room.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -12,9 +11,6 @@
 	roomAge = 2500 * time.Millisecond
 	// typicalShare is the share of its worker that a filler usually demands.
 	typicalShare = 0.1
-	// holesTold bounds the rooms on single workers that a cell tells: with each renewal
-	// the other cells may use that many for lasting tasks that they have lost.
-	holesTold = 16
 	// grantMemory is how long after news of a cell was seen the jobs sent there are
 	// counted on top: they may have been on their way.
 	grantMemory = 700 * time.Millisecond
@@ -112,18 +108,6 @@
 	return r
 }
 
-// largestHoles returns the room on the workers with most of it, the largest first.
-func (t *term) largestHoles() []hole {
-	var holes []hole
-	for _, w := range t.workers {
-		if free := w.free(); free.MilliCPU > 0 && t.unusable(w) == "" && !w.health.onProbation() {
-			holes = append(holes, hole{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)]})
-		}
-	}
-	slices.SortFunc(holes, func(a, b hole) int { return cmp.Compare(b.MilliCPU, a.MilliCPU) })
-	return slices.Clip(holes[:min(len(holes), holesTold)])
-}
-
 // addLight adds what is left over on a worker to the images that hardly press on its
 // services.
 func (t *term) addLight(light map[string]int64, w *worker, left int64) {
