Two data races of test stand-ins

TestRecoveryAtScale handed in work from a goroutine of its own while the test killed and started nodes: it asks for the running node by an atomic pointer now.

--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -110,6 +110,8 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	starts uint64
+	// current is the node while its process runs.
+	current atomic.Pointer[fleet.Node]
 	// MilliCPU is the processor share that the node is told at its start.
 	MilliCPU int64
 	// Usage is what the node's process says to use of its host; nil for nothing.
@@ -247,6 +249,7 @@
 	ctx, m.cancel = context.WithCancel(context.Background())
 	m.done = make(chan struct{})
 	node, done := m.Node, m.done
+	m.current.Store(node)
 	go func() {
 		defer close(done)
 		_ = node.Run(ctx) // fails only with the listener, which the stand-in has not
@@ -263,12 +266,17 @@
 // Kill ends a node's process: its calls in flight get no answer.
 func (c *Cluster) Kill(m *Member) {
 	if m.cancel != nil {
+		m.current.Store(nil)
 		m.cancel()
 		<-m.done
 		m.cancel = nil
 	}
 }
 
+// Running returns the node while its process runs, nil otherwise; for callers beside the
+// test that starts and kills it.
+func (m *Member) Running() *fleet.Node { return m.current.Load() }
+
 // Up reports whether the node's process runs.
 func (m *Member) Up() bool { return m.cancel != nil }
 
--- a/internal/fleet/recovery_scale_test.go
+++ b/internal/fleet/recovery_scale_test.go
@@ -152,9 +152,8 @@
 		if lastingJobs[jobID(i)] {
 			step = fleet.Step{Count: 6, Needs: needs, Lasting: true}
 		}
-		m := c.Nodes[i%len(c.Nodes)]
-		if m.Up() {
-			go func() { _ = m.Node.Submit(t.Context(), c.Queue, jobID(i), fleet.Spec{Steps: []fleet.Step{step}}) }() // refused in some outages
+		if node := c.Nodes[i%len(c.Nodes)].Running(); node != nil {
+			go func() { _ = node.Submit(t.Context(), c.Queue, jobID(i), fleet.Spec{Steps: []fleet.Step{step}}) }() // refused in some outages
 		}
 	}
 }
--- a/internal/fleet/room_test.go
+++ b/internal/fleet/room_test.go
@@ -70,9 +70,9 @@
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		if m := c.Nodes[i%len(c.Nodes)]; m.Up() {
+		if node := c.Nodes[i%len(c.Nodes)].Running(); node != nil {
 			go func() {
-				_ = m.Node.Submit(t.Context(), c.Queue, jobID(i), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: needs, Estimate: 800 * time.Millisecond}}})
+				_ = node.Submit(t.Context(), c.Queue, jobID(i), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: needs, Estimate: 800 * time.Millisecond}}})
 			}() // refused while leaders change
 		}
 	}
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -28,14 +28,22 @@
 
 // cluster is a journal in memory that several nodes share.
 type cluster struct {
+	// mu orders the handlers: one whose answer is lost goes on beside the next request.
+	mu       sync.Mutex
 	entries  []control.Entry
 	view     *control.View
 	attempts int // live attempts in data centre a; one ends with each status
 }
 
-func (c *cluster) View() *control.View { return c.view }
+func (c *cluster) View() *control.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
 
 func (c *cluster) Append(_ context.Context, seen uint64, rec control.Record) (uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if seen != c.view.Sequence {
 		return 0, model.Errorf(model.KindConflict, "", "taken")
 	}
@@ -59,6 +67,8 @@
 }
 
 func (c *cluster) History(_ context.Context, from uint64, limit int) ([]control.Entry, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if from > uint64(len(c.entries)) {
 		return nil, nil
 	}
@@ -67,6 +77,8 @@
 }
 
 func (c *cluster) Status(context.Context) (adminapi.NodeStatus, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	left := c.attempts
 	c.attempts = max(0, c.attempts-1)
 	return adminapi.NodeStatus{
