An order that is taken over follows its claim

A node that takes an unfinished claim over read it twice and kept the cell of the first read. Its holder may move the claim to another cell in between, as its id stays the same: the order then went to both cells.

Ruled out: a submission refused although it was made (the first cell answers that nothing was done); two holders of one claim (writes expect a version).

Change: the cell is that of the read whose version the write expects.

Before: TestTakenOverOrderFollowsItsClaim fails, the cells are first, second, first. After: the order goes to the second cell alone, 40 runs with the race detector.

--- a/internal/request/fixture_test.go
+++ b/internal/request/fixture_test.go
@@ -27,8 +27,10 @@
 	// fault decides the fate of the n-th commit (from 1); nil means no fault.
 	fault func(n int) (apply bool, err error)
 	// down fails every read.
-	down    bool
-	commits int
+	down bool
+	// beforeRead, when set, is called before each read.
+	beforeRead func(external.Key)
+	commits    int
 }
 
 func newFakeTable() *fakeTable { return &fakeTable{rows: map[external.Key]external.Row{}} }
@@ -58,6 +60,9 @@
 }
 
 func (f *fakeTable) Get(_ context.Context, key external.Key) (external.Row, error) {
+	if f.beforeRead != nil {
+		f.beforeRead(key)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/internal/request/orders.go
+++ b/internal/request/orders.go
@@ -226,12 +226,12 @@
 }
 
 // resumeOrder takes over an unfinished claim of the same order, then submits it
-// to the cell that the claim names.
+// to the cell that the claim names now: its holder may have moved it since it was found.
 func (c *Chain) resumeOrder(cl *call, found, claim Claim, job model.JobSpec) {
-	claim.Cell = found.Cell
 	row := ClaimRow(cl.key)
 	current, version, err := c.deps.Claims.Get(cl.ctx, row)
 	if err == nil && current.ID == found.ID {
+		claim.Cell = current.Cell
 		err = c.deps.Claims.Put(cl.ctx, row, claim, version)
 	}
 	if err != nil || current.ID != found.ID {
--- a/internal/request/orders_test.go
+++ b/internal/request/orders_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/vanillapier/vanillapier/internal/external"
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
@@ -161,3 +163,66 @@
 	require.Equal(t, 200, ask(t, post, n1+ordersPath, []byte(plateOrder), headerKey, "k").status)
 	require.Len(t, orders.tried, 2, "a repeated order is answered from its claim")
 }
+
+// movingOrders takes an order in its second cell, once the first has turned it away.
+type movingOrders struct {
+	fakeOrders
+	tried  chan struct{} // closed when the first cell is asked
+	refuse chan struct{} // the first cell answers once it is closed
+	moved  chan struct{} // closed when the second cell is asked
+	cells  []model.CellID
+}
+
+func (f *movingOrders) HomeCell(model.JobSpec) (model.CellID, error) {
+	select {
+	case <-f.tried:
+		return "second", nil
+	default:
+		return "first", nil
+	}
+}
+
+func (f *movingOrders) Submit(ctx context.Context, cell model.CellID, job model.JobSpec) error {
+	f.mu.Lock()
+	f.cells = append(f.cells, cell)
+	calls := len(f.cells)
+	f.mu.Unlock()
+	switch {
+	case calls == 1:
+		close(f.tried)
+		<-f.refuse
+		return model.Errorf(model.KindUnavailable, "retry", "no owner")
+	case calls == 2:
+		close(f.moved)
+	}
+	return f.fakeOrders.Submit(ctx, cell, job)
+}
+
+// Guards against an order in two cells: one node moves the claim to another cell between
+// the two reads of a node that takes the claim over.
+func TestTakenOverOrderFollowsItsClaim(t *testing.T) {
+	w := newWorld(t)
+	orders := &movingOrders{fakeOrders: fakeOrders{jobs: map[model.JobID]model.JobSpec{}},
+		tried: make(chan struct{}), refuse: make(chan struct{}), moved: make(chan struct{})}
+	w.orders = orders
+	_, n1 := w.node("n1")
+	_, n2 := w.node("n2")
+	var first sync.WaitGroup
+	first.Go(func() { ask(t, post, n1+ordersPath, []byte(plateOrder), headerKey, "k") })
+	<-orders.tried
+	var reads atomic.Int32
+	w.table.beforeRead = func(external.Key) {
+		if reads.Add(1) == 2 {
+			close(orders.refuse)
+			<-orders.moved
+		}
+	}
+	r := ask(t, post, n2+ordersPath, []byte(plateOrder), headerKey, "k")
+	first.Wait()
+	if r.outcome == "unknown" { // the holder settled the claim meanwhile, so the caller repeats
+		r = ask(t, post, n2+ordersPath, []byte(plateOrder), headerKey, "k")
+	}
+	require.Contains(t, []int{200, 202}, r.status)
+	require.Equal(t, model.CellID("first"), orders.cells[0])
+	require.NotContains(t, orders.cells[1:], model.CellID("first"), "it would hold the order too")
+}
