--- a/internal/fleet/budget.go
+++ b/internal/fleet/budget.go
@@ -12,8 +12,8 @@
 const (
 	// usageInterval is the time over which the use of the host is measured.
 	usageInterval = time.Second
-	// budgetShare is the share of a limit that the fleet's division plans for at most, less
-	// the part that is left for bursts: beyond it a node is told to be over its budget.
+	// budgetShare is the share of a limit beyond which a node is over its budget. Cells are
+	// sized for cellShare of it, which leaves room for bursts.
 	budgetShare = 0.9
 	// overBudgetAfter is for how many intervals in a row before it is logged.
 	overBudgetAfter = 3
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -15,7 +15,8 @@
 	"github.com/vanillapier/vanillapier/internal/usage"
 )
 
-// Config configures a Node. All fields but Advisor, Inventory, Seed, Link, Usage and Spend are required.
+// Config configures a Node. All fields but Advisor, Inventory, Seed, Link, Usage and Spend
+// are required.
 type Config struct {
 	Node       model.NodeID
 	DataCentre model.DataCentre
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -156,8 +156,9 @@
 }
 
 // appendLasting adds the tasks of a lasting step that have run before and those that
-// have not as two wants. Those of jobs that began before this term count as run: their runs may
-// be lost with their worker and unknown here. So do those that another cell has lent.
+// have not as two wants. Those of jobs that began before this term count as run: their
+// runs may be lost with their worker and unknown here. So do those that another cell has
+// lent.
 func appendLasting(wants []*want, w want, s *stepState) []*want {
 	again, fresh := w, w
 	again.restart, again.tasks, fresh.tasks = true, nil, nil
