fleet: fillers are placed by a forecast of periodic load

Cause: a filler is placed by the headroom that a linear trend expects in 1.5 s. The load of services comes in waves, so a filler that starts in a trough is still running at the next peak: it is slowed down, paused and, after 0.8 s, stopped to run elsewhere.

Ruled out: more or less caution alone.

Change: each trend keeps 40 s of samples and fits a sine wave to them. The wave is used once its forecasts for 1.5 s ahead have been better than those of the trend. Placement then asks for the least headroom within 2.5 s; the pace uses the wave only if it explains most of the load. Trends are found by a key without formatting a text for each report.

--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -28,10 +28,17 @@
 	slopeLimit = 0.08
 	// trendMaxAge is the age at which a trend or baseline is discarded.
 	trendMaxAge = 5 * time.Second
-	// paceHorizon and placeHorizon are how many seconds ahead the headroom is predicted for
-	// the pace and for the placement of fillers. Fillers run for some seconds.
-	paceHorizon  = 0.7
-	placeHorizon = 1.5
+	// offsetWeight is the weight of a new report in the difference between a run's headroom
+	// and the cycle of its step; looseOffsetWeight is that of a cycle that leaves much of the
+	// load unexplained, so that the difference follows the load.
+	offsetWeight      = 0.12
+	looseOffsetWeight = 0.5
+	// paceHorizon and placeHorizon are how far ahead the headroom is predicted for the pace and
+	// for the placement of fillers by a linear trend. cycleHorizon is the time for which a new
+	// filler should find enough headroom by a cycle. Fillers run for some seconds.
+	paceHorizon  = 700 * time.Millisecond
+	placeHorizon = 1500 * time.Millisecond
+	cycleHorizon = 2500 * time.Millisecond
 )
 
 // headroomTrend is the estimated headroom of a serving step without fillers. The tasks of
@@ -40,12 +47,13 @@
 	updatedAt time.Time
 	level     float64
 	slope     float64 // change of level per second
+	cycle     cycleForecast
 }
 
 // observe updates the trend with own, the headroom of one task without fillers.
 func (l *headroomTrend) observe(own, highest float64, now time.Time) {
 	if l.updatedAt.IsZero() || now.Sub(l.updatedAt) > trendMaxAge {
-		l.updatedAt, l.level, l.slope = now, own, 0
+		*l = headroomTrend{updatedAt: now, level: own}
 		return
 	}
 	dt := now.Sub(l.updatedAt).Seconds()
@@ -54,6 +62,31 @@
 	limit := slopeLimit * highest
 	l.slope = max(min(l.slope+slopeWeight*err/max(dt, 0.2), limit), -limit)
 	l.updatedAt = now
+	l.cycle.observe(own, l.level+l.slope*cycleCheck.Seconds(), now)
+}
+
+// predict returns the least headroom of a run without fillers until the next poll and while
+// a new filler runs. The pace must follow what the cycle does not explain, so it relies on a
+// good cycle only.
+func (l *headroomTrend) predict(s *headroomSample, now time.Time) (soon, later float64) {
+	age := min(now.Sub(s.reportedAt), time.Second)
+	soon = s.baseline + min(l.slope*(age+paceHorizon).Seconds(), 0)
+	if !l.cycle.reliable() {
+		return soon, max(soon, s.baseline+l.slope*(age+placeHorizon).Seconds())
+	}
+	c := &l.cycle.fitted
+	if l.cycle.good() {
+		soon = s.offset + c.lowest(now, now.Add(paceHorizon))
+	}
+	return soon, s.offset + c.lowest(now, now.Add(cycleHorizon))
+}
+
+// change returns the expected change of the headroom between two times.
+func (l *headroomTrend) change(from, to time.Time) float64 {
+	if l.cycle.reliable() {
+		return l.cycle.fitted.at(to) - l.cycle.fitted.at(from)
+	}
+	return l.slope * to.Sub(from).Seconds()
 }
 
 // headroomSample is the last report of a serving run.
@@ -64,19 +97,28 @@
 	// baseline is the estimated headroom of this run without fillers. An estimate for each
 	// run cancels errors in the modelled pressure of the fillers beside it.
 	baseline float64
+	// offset is the mean difference between this run's headroom without fillers and the cycle
+	// of its step.
+	offset float64
 }
 
 // interference tracks how much fillers of each image disturb services of each image. It is
 // designed for fillers that arrive in bursts beside services with varying load.
 type interference struct {
 	models map[string]*pressureModel
-	trends map[string]*headroomTrend // by step
+	trends map[stepID]*headroomTrend
 	// fillerImages holds the images of fillers that were seen beside services.
 	fillerImages map[string]bool
 }
 
+// stepID names a step of an occurrence of a job.
+type stepID struct {
+	job              string
+	occurrence, step int
+}
+
 func newInterference() interference {
-	return interference{models: map[string]*pressureModel{}, trends: map[string]*headroomTrend{}, fillerImages: map[string]bool{}}
+	return interference{models: map[string]*pressureModel{}, trends: map[stepID]*headroomTrend{}, fillerImages: map[string]bool{}}
 }
 
 func (h *interference) model(image string) *pressureModel {
@@ -113,24 +155,31 @@
 		for image, share := range last.fillerShares {
 			change[image] -= share
 		}
-		m.observe(last.headroom+trend.slope*dt.Seconds()-headroom, change)
+		m.observe(last.headroom+trend.change(last.reportedAt, now)-headroom, change)
 	}
 	own := headroom
 	for image, share := range fillerShares {
 		own += m.pressure(image, now) * share
 	}
 	trend.observe(own, m.highestHeadroom, now)
-	baseline := own
+	baseline, offset := own, last.offset
 	if !last.reportedAt.IsZero() && now.Sub(last.reportedAt) < trendMaxAge {
 		before := last.baseline + trend.slope*now.Sub(last.reportedAt).Seconds()
 		baseline = before + baselineWeight*(own-before)
 	}
-	r.lastSample = headroomSample{now, headroom, fillerShares, baseline}
+	if trend.cycle.reliable() {
+		weight := looseOffsetWeight
+		if trend.cycle.good() {
+			weight = offsetWeight
+		}
+		offset += weight * (own - trend.cycle.fitted.at(now) - offset)
+	}
+	r.lastSample = headroomSample{now, headroom, fillerShares, baseline, offset}
 }
 
 // trendOf returns the headroom trend of a serving run's step.
 func (h *interference) trendOf(r *run) *headroomTrend {
-	key := r.key.StepName(r.job.id)
+	key := stepID{r.job.id, r.key.occurrence, r.key.step}
 	l := h.trends[key]
 	if l == nil {
 		l = &headroomTrend{}
@@ -180,10 +229,8 @@
 		m := h.model(r.step.Image)
 		keep := 1 + headroomMargin*m.highestHeadroom
 		soon, later := m.highestHeadroom/2, m.highestHeadroom/2 // before the first report
-		if l := h.trendOf(r); !r.lastSample.reportedAt.IsZero() {
-			age := min(now.Sub(r.lastSample.reportedAt).Seconds(), 1)
-			soon = r.lastSample.baseline + min(l.slope*(age+paceHorizon), 0)
-			later = r.lastSample.baseline + l.slope*(age+placeHorizon)
+		if !r.lastSample.reportedAt.IsZero() {
+			soon, later = h.trendOf(r).predict(&r.lastSample, now)
 		}
 		s := v.services[r.step.Image]
 		if s == nil {
@@ -221,7 +268,7 @@
 			cost = max(cost, headroomBias*max(svc.headroomLater, 0)/svc.model.highestHeadroom)
 			continue
 		}
-		available := max(svc.headroomLater, svc.headroomSoon)
+		available := svc.headroomLater
 		if available <= 0 || svc.fillerPressure+own > available {
 			return 0, false
 		}
@@ -237,5 +284,5 @@
 // dropStaleTrends drops the trends of steps without a report for trendMaxAge, which would be
 // reset at the next report anyway.
 func (h *interference) dropStaleTrends(now time.Time) {
-	maps.DeleteFunc(h.trends, func(_ string, l *headroomTrend) bool { return now.Sub(l.updatedAt) > trendMaxAge })
+	maps.DeleteFunc(h.trends, func(_ stepID, l *headroomTrend) bool { return now.Sub(l.updatedAt) > trendMaxAge })
 }
--- a/internal/fleet/model_exchange_test.go
+++ b/internal/fleet/model_exchange_test.go
@@ -104,8 +104,9 @@
 
 func TestTrendsOfEndedStepsAreDropped(t *testing.T) {
 	h := newInterference()
-	h.trends["ended"], h.trends["reports"] = &headroomTrend{updatedAt: epoch}, &headroomTrend{updatedAt: at(8)}
+	ended, reports := stepID{job: "ended"}, stepID{job: "reports"}
+	h.trends[ended], h.trends[reports] = &headroomTrend{updatedAt: epoch}, &headroomTrend{updatedAt: at(8)}
 	h.dropStaleTrends(epoch.Add(8*time.Second + trendMaxAge/2))
 	require.Len(t, h.trends, 1)
-	require.NotNil(t, h.trends["reports"])
+	require.NotNil(t, h.trends[reports])
 }
