fleet: a later leader knows lost services from new ones

That a job has started was stored only with the end of a task, so the next leader took the service for a new one, which now leaves capacity to short work.

Change: the first start of a lasting job stores its progress. New services wait for short work only while less than half of the processors are free or less than twice their need.

Before: TestLostServiceIsRestartedByNextLeader fails without the stored start. After: it passes.

--- a/internal/fleet/load_patterns_test.go
+++ b/internal/fleet/load_patterns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,3 +60,50 @@
 	}
 	return id
 }
+
+// A worker with the only task of a service is lost together with the leader, on a fleet that
+// other services and short jobs fill. The next leader must know that the service had started:
+// lost services do not wait for capacity that short jobs leave.
+func TestLostServiceIsRestartedByNextLeader(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 800 * time.Millisecond, Needs: smallNeeds, Lasting: n[0] == 'f'}
+	}
+	service := func(count int) fleet.Spec {
+		return fleet.Spec{Steps: []fleet.Step{{Count: count, Needs: smallNeeds, Lasting: true}}}
+	}
+	runCluster(t, 43, 3, 4, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		const lost = "ffffffffffffffff"
+		submit(t, c, lost, service(1))
+		time.Sleep(time.Second)
+		host := c.Fleet[slices.IndexFunc(c.Fleet, func(w *fleettest.Worker) bool { return c.Workers.RunCount(w) > 0 })]
+		for i := range 9 {
+			submit(t, c, fmt.Sprintf("f%015x", i+1), service(2))
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for i := 0; ctx.Err() == nil; i++ {
+				for _, m := range c.Nodes {
+					if m.Up() {
+						_ = m.Node.Submit(ctx, c.Queue, fmt.Sprintf("%016x", i+1), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Estimate: 800 * time.Millisecond}}})
+						break
+					}
+				}
+				time.Sleep(400 * time.Millisecond)
+			}
+		}()
+		time.Sleep(3 * time.Second)
+		c.Workers.Kill(host)
+		c.Unlist(host)
+		require.Zero(t, runningOf(c, lost))
+		c.Kill(c.Leader())
+		const limit = 15 * time.Second // the new leader waits for the leases of the former one
+		for end := time.Now().Add(limit); runningOf(c, lost) == 0; time.Sleep(100 * time.Millisecond) {
+			require.False(t, time.Now().After(end), "the lost service runs within %v", limit)
+		}
+		cancel()
+		<-stopped
+	})
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -103,7 +103,7 @@
 // free.
 func (t *term) fitsNow(w *waitingStep, n int, held heldCapacity) bool {
 	p := t.newPlacement(w.queue.Service)
-	if p.allowedTasks(w, held.heldFor(w)) < n {
+	if p.allowedTasks(w, held) < n {
 		return false
 	}
 	r := taskRequest{step: w.step, tasksPerWorker: map[*worker]int{}}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -47,7 +47,7 @@
 			t.reserveForOtherCells(p, w.queue.Service)
 			pools[w.queue.Service] = p
 		}
-		w.tasks = w.tasks[:p.allowedTasks(w, held.heldFor(w))]
+		w.tasks = w.tasks[:p.allowedTasks(w, held)]
 		if len(p.workers) > 0 && len(w.tasks) > 0 {
 			started := t.placeStep(p, w)
 			left -= started
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -46,6 +46,8 @@
 		Deadline: w.extendLease(t.now, t.leaseLength()), Fence: t.number}
 	if !j.started {
 		j.started = true
+		// A later term must know lost services from new ones, which wait for free capacity.
+		j.dirty = j.dirty || step.Lasting
 		if j.visibleState == StateQueued {
 			j.visibleState = StateRunning
 		}
--- a/internal/fleet/short_work.go
+++ b/internal/fleet/short_work.go
@@ -97,12 +97,9 @@
 	shortWork   map[shortKey]*shortDemand
 }
 
-// heldFor returns what a step must leave free: nothing unless it is a new service.
-func (h heldCapacity) heldFor(w *waitingStep) int64 {
-	if w.restart || !w.step.Lasting || w.step.Filler {
-		return 0
-	}
-	held := h.unaccounted[w.queue.Service]
+// forShortWork returns what short work of the same or a higher priority needs.
+func (h heldCapacity) forShortWork(w *waitingStep) int64 {
+	held := int64(0)
 	for key, d := range h.shortWork {
 		if key.service == w.queue.Service && key.priority <= w.priority {
 			held += d.free()
@@ -112,14 +109,24 @@
 }
 
 // allowedTasks returns how many tasks of a waiting step may start with the held capacity left
-// free.
-func (p *placement) allowedTasks(w *waitingStep, held int64) int {
-	if held <= 0 || w.step.Needs.MilliCPU <= 0 {
+// free. Only new services leave capacity free. They leave none for short work while half of
+// the processors are free and twice what they need.
+func (p *placement) allowedTasks(w *waitingStep, h heldCapacity) int {
+	tasks, each := int64(len(w.tasks)), w.step.Needs.MilliCPU
+	if w.restart || !w.step.Lasting || w.step.Filler || each <= 0 {
+		return len(w.tasks)
+	}
+	held, short := h.unaccounted[w.queue.Service], h.forShortWork(w)
+	if held+short == 0 {
 		return len(w.tasks)
 	}
-	free := -held
+	free, capacity := int64(0), int64(0)
 	for _, x := range p.workers {
 		free += x.free().MilliCPU
+		capacity += x.info.Capacity.MilliCPU
+	}
+	if 2*free < capacity || free < 2*tasks*each {
+		held += short
 	}
-	return int(min(max(free/w.step.Needs.MilliCPU, 0), int64(len(w.tasks))))
+	return int(min(max((free-held)/each, 0), tasks))
 }
--- a/internal/fleet/short_work_test.go
+++ b/internal/fleet/short_work_test.go
@@ -55,7 +55,8 @@
 		unaccounted: map[model.ServiceName]int64{"svc": 1000},
 		shortWork:   map[shortKey]*shortDemand{{"svc", 0}: demand(6000), {"svc", 2}: demand(5000), {"other", 0}: demand(9000)},
 	}
-	p := &placement{workers: []*worker{testWorker("w1")}} // 16 cores
+	p := &placement{workers: []*worker{testWorker("w1"), testWorker("w2")}} // 16 cores each
+	p.workers[1].reserved.MilliCPU = 16_000
 	for name, c := range map[string]struct {
 		step     Step
 		priority int
@@ -71,11 +72,28 @@
 		t.Run(name, func(t *testing.T) {
 			c.step.Needs.MilliCPU = 4000
 			w := &waitingStep{step: &c.step, queue: Queue{Service: "svc"}, priority: c.priority, restart: c.restart, tasks: []int{0, 1, 2, 3, 4}}
-			require.Equal(t, c.allowed, p.allowedTasks(w, held.heldFor(w)))
+			require.Equal(t, c.allowed, p.allowedTasks(w, held))
 		})
 	}
 }
 
+// A service that needs little of a fleet with much free capacity starts at once, however much
+// short work a burst has brought.
+func TestNewServicesStartWhereHalfIsFree(t *testing.T) {
+	h := heldCapacity{shortWork: map[shortKey]*shortDemand{{"svc", 0}: {peak: 16_000}}}
+	p := &placement{workers: []*worker{testWorker("w1")}}
+	w := &waitingStep{step: &Step{Lasting: true, Needs: model.Resources{MilliCPU: 4000}}, queue: Queue{Service: "svc"}, tasks: []int{0, 1}}
+	require.Equal(t, 2, p.allowedTasks(w, h))
+	w.tasks = []int{0, 1, 2}
+	require.Zero(t, p.allowedTasks(w, h), "more than half of what is free")
+	w.tasks = []int{0}
+	p.workers[0].reserved.MilliCPU = 9000
+	require.Zero(t, p.allowedTasks(w, h), "less than half is free")
+	h.unaccounted = map[model.ServiceName]int64{"svc": 15_000}
+	p.workers[0].reserved.MilliCPU = 0
+	require.Zero(t, p.allowedTasks(w, h), "services of earlier terms go first")
+}
+
 // TestShortWorkIsObservedOncePerTick checks which tasks count as demand.
 func TestShortWorkIsObservedOncePerTick(t *testing.T) {
 	tm := &term{queues: map[string]Queue{}, shortWork: map[shortKey]*shortDemand{}}
