fleet: a submission waits a tenth of the caller's time for a lost store

Cause: a store that resets connections makes a submission's outcome unknown within milliseconds.

Callers take no notice of Retry-After on an answer of unknown outcome.

Change: an attempt with unknown outcome is repeated as soon as the store answers this node again, within a tenth of the time that the caller had left on arrival. Refusals without effect are answered at once, as before.

TestSubmissionsOutlastStoreThatResets fails without the wait; TestSubmissionsAreNotHeldInOutages bounds it.

--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -27,6 +27,9 @@
 	Silent
 	// Busy means that calls have no effect and fail at once.
 	Busy
+	// Resetting means that connections are reset at once; the caller cannot know that its call
+	// had no effect.
+	Resetting
 )
 
 // Store simulates the table service. Nodes call it through a View each, so that faults can
@@ -247,6 +250,8 @@
 	return model.Wrap(model.KindUnknown, err, "repeat the call", "no answer")
 }
 
+var errReset = errors.New("connection reset")
+
 var errBusy = model.Errorf(model.KindUnavailable, "retry later", "store is down")
 
 // delayOrFail waits for the given multiple of the latency plus the view's delay, or fails
@@ -259,6 +264,8 @@
 	case Silent:
 		<-ctx.Done()
 		return unknown(ctx.Err())
+	case Resetting:
+		return unknown(errReset)
 	}
 	return sleep(ctx, time.Duration(times)*v.store.latency()+delay)
 }
@@ -351,9 +358,12 @@
 		case <-ctx.Done():
 			return fleet.Page{}, unknown(ctx.Err())
 		}
-		if fault, _ := v.faultAndDelay(); fault == Silent {
+		switch fault, _ := v.faultAndDelay(); fault {
+		case Silent:
 			<-ctx.Done()
 			return fleet.Page{}, unknown(ctx.Err())
+		case Resetting:
+			return fleet.Page{}, unknown(errReset)
 		}
 	}
 }
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -27,6 +27,10 @@
 	// lost.
 	retryShort = 1 * time.Second
 	retryLong  = 2 * time.Second
+	// lostStoreWaitShare is the share of a caller's time for which a submission whose outcome
+	// is unknown waits for a lost store to answer again. Callers repeat such a submission a few
+	// times at once; a store outage outlasts that, but not their time.
+	lostStoreWaitShare = 0.1
 	// stateTimeout bounds a query to the leader; for a job's state the store is read after it.
 	stateTimeout = 250 * time.Millisecond
 	// renewalMaxAge is how long after it was seen a renewal is used for the pending counts.
@@ -69,6 +73,28 @@
 	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
 		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
 	}
+	waitUntil := lostStoreWaitEnd(ctx)
+	for {
+		made, err := n.tryAccept(ctx, q, c, row)
+		tries += made
+		if !model.IsKind(err, model.KindUnknown) || !n.store.waitRegained(ctx, waitUntil) {
+			return tries, err
+		}
+	}
+}
+
+// lostStoreWaitEnd returns until when a submission waits for a lost store.
+func lostStoreWaitEnd(ctx context.Context) time.Time {
+	now := time.Now()
+	if d, ok := ctx.Deadline(); ok {
+		return now.Add(time.Duration(lostStoreWaitShare * float64(d.Sub(now))))
+	}
+	return now
+}
+
+// tryAccept stores the row of a job, or has the leader of its cell store it. The error tells
+// whether the job may have been accepted by this or an earlier attempt.
+func (n *Node) tryAccept(ctx context.Context, q Queue, c *cell, row Row) (tries int, err error) {
 	if n.store.lost() {
 		// Nothing was written yet, so a refusal by the leader does not prevent an attempt here.
 		if err := n.forwardToLeader(ctx, c, methodAccept, newRowParams(c, row)); !model.IsKind(err, model.KindUnavailable) {
--- a/internal/fleet/load_patterns_test.go
+++ b/internal/fleet/load_patterns_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // Services that run for minutes arrive until they would fill all workers, beside short jobs
@@ -107,3 +108,73 @@
 		<-stopped
 	})
 }
+
+// A store resets all connections for a second. A caller that repeats its submission four
+// times within the next second has used up its attempts before the store is back, unless each
+// attempt waits a little for the store.
+func TestSubmissionsOutlastStoreThatResets(t *testing.T) {
+	const outage, callerTime = 1300 * time.Millisecond, 3 * time.Second
+	runCluster(t, 44, 3, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		setFaults := func(f fleettest.Fault) {
+			for _, m := range c.Nodes {
+				m.Store.SetFault(f)
+			}
+		}
+		setFaults(fleettest.Resetting)
+		time.AfterFunc(outage, func() { setFaults(fleettest.Healthy) })
+		results := make(chan error)
+		const callers = 20
+		for i := range callers {
+			go func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				results <- submitLikeCaller(c, i, callerTime)
+			}()
+		}
+		for range callers {
+			require.NoError(t, <-results)
+		}
+	})
+}
+
+// submitLikeCaller submits a job as callers do: it repeats a submission whose outcome is
+// unknown four times, after growing pauses, at other nodes. It returns the last error.
+func submitLikeCaller(c *fleettest.Cluster, i int, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var err error
+	for try, pause := range []time.Duration{0, 50, 100, 200, 400} {
+		time.Sleep(pause * time.Millisecond)
+		node := c.Nodes[(i+try)%len(c.Nodes)].Node
+		if err = node.Submit(ctx, c.Queue, jobID(i), twoSteps()); err == nil || !model.IsKind(err, model.KindUnknown) {
+			return err
+		}
+	}
+	return err
+}
+
+// A submission gets its final answer soon when the store stays away, whatever the outage
+// does to it: a caller must be able to try elsewhere in its time.
+func TestSubmissionsAreNotHeldInOutages(t *testing.T) {
+	const callerTime = 3 * time.Second
+	for name, fault := range map[string]fleettest.Fault{"resetting": fleettest.Resetting, "busy": fleettest.Busy} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 45, 3, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+				for _, m := range c.Nodes {
+					m.Store.SetFault(fault)
+				}
+				time.Sleep(500 * time.Millisecond)
+				for i, m := range c.Nodes {
+					ctx, cancel := context.WithTimeout(context.Background(), callerTime)
+					begun := time.Now()
+					err := m.Node.Submit(ctx, c.Queue, jobID(i), twoSteps())
+					cancel()
+					require.Error(t, err)
+					require.LessOrEqual(t, time.Since(begun), callerTime/4)
+				}
+				for _, m := range c.Nodes {
+					m.Store.SetFault(fleettest.Healthy)
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -229,6 +229,8 @@
 	failures   int
 	// latency is the longest recent transaction time; it decays with each transaction.
 	latency time.Duration
+	// regained is closed when a lost store answers; nil while nobody waits.
+	regained chan struct{}
 }
 
 // latencyDecay is the factor by which a shorter transaction reduces the recorded latency.
@@ -259,9 +261,36 @@
 	defer h.mu.Unlock()
 	lost := h.failures >= lostThreshold
 	h.answeredAt, h.failures = time.Now(), 0
+	if h.regained != nil {
+		close(h.regained)
+		h.regained = nil
+	}
 	return lost
 }
 
+// waitRegained waits until a lost store answers, at most until the given time, and reports
+// whether it does. It reports false at once if the store is not lost.
+func (h *storeHealth) waitRegained(ctx context.Context, until time.Time) bool {
+	h.mu.Lock()
+	if h.failures < lostThreshold {
+		h.mu.Unlock()
+		return false
+	}
+	if h.regained == nil {
+		h.regained = make(chan struct{})
+	}
+	regained := h.regained
+	h.mu.Unlock()
+	wait, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	select {
+	case <-regained:
+		return true
+	case <-wait.Done():
+		return false
+	}
+}
+
 // recordFailure records a call without an answer and reports whether the store counts as
 // lost from this call on.
 func (h *storeHealth) recordFailure() bool {
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -123,7 +123,7 @@
 	case 3:
 		f.store(m, fleettest.Silent)
 	case 4:
-		f.store(f.c.Leader(), fleettest.Busy)
+		f.store(f.c.Leader(), [...]fleettest.Fault{fleettest.Busy, fleettest.Resetting}[f.next%2])
 	case 5:
 		f.store(m, fleettest.Healthy)
 	case 6:
--- a/internal/fleet/recovery_scale_test.go
+++ b/internal/fleet/recovery_scale_test.go
@@ -57,6 +57,7 @@
 		c.StartAll()
 	}},
 	{"store silent for 4.5 s", func(t *testing.T, c *fleettest.Cluster) { storeFault(c, 1, fleettest.Silent) }},
+	{"store resets connections for 4.5 s", func(t *testing.T, c *fleettest.Cluster) { storeFault(c, 1, fleettest.Resetting) }},
 	{"store refuses half of the nodes for 4.5 s", func(t *testing.T, c *fleettest.Cluster) { storeFault(c, 2, fleettest.Busy) }},
 	{"history forgotten", func(t *testing.T, c *fleettest.Cluster) { c.Store.Compact() }},
 }
