--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -45,7 +45,6 @@
 	// ends maps workers to the highest run end that the transaction makes durable; empty when
 	// some progress did not fit into the transaction.
 	ends map[*worker]uint64
-	done chan struct{} // closed when the transaction has been applied
 }
 
 // jobUpdate is the change of a job that takes effect once the transaction is applied.
@@ -95,7 +94,7 @@
 
 // collectTransaction collects progress, used workers and waves for a transaction.
 func (t *term) collectTransaction() *pendingCommit {
-	c := &pendingCommit{nonce: t.random.Uint64(), startedAt: t.now, ends: map[*worker]uint64{}, done: make(chan struct{})}
+	c := &pendingCommit{nonce: t.random.Uint64(), startedAt: t.now, ends: map[*worker]uint64{}}
 	size, complete := 0, true
 	for _, j := range t.jobs {
 		if !j.dirty {
@@ -275,7 +274,6 @@
 			w.usedRowStored, t.planDue = true, true
 		}
 	}
-	close(c.done)
 	if c.releases {
 		t.released = true
 		t.end("released")
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -200,3 +200,21 @@
 	worker.listed = false
 	require.True(t, tm.mayMove(w), "no worker is left")
 }
+
+// A cancellation may reach the leader before the row of its job. It must hold when the row
+// arrives, and must not be kept for ever.
+func TestCancellationBeforeItsJob(t *testing.T) {
+	tm := newTestTerm(1)
+	row := Row{RowID: RowID{Key: jobName}, Version: 12, Value: encode(jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}})}
+	tm.cancelJob(jobName)
+	tm.applyJobRow(row, 0)
+	require.Equal(t, StateCancelled, tm.jobs[jobName].visibleState)
+	delete(tm.jobs, jobName)
+	tm.now = tm.now.Add(earlyCancellationAge + time.Second)
+	tm.removeFinishedJobs()
+	require.Empty(t, tm.earlyCancellations)
+	tm.applyJobRow(row, 0)
+	require.Equal(t, StateQueued, tm.jobs[jobName].visibleState)
+}
+
+const jobName = "00000000000000aa"
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -85,8 +86,11 @@
 	j.openDue(t.now, 0, t.monotonicTime)
 	t.planDue = true
 	t.metrics.accepted.Inc()
-	t.log.WithFields(logrus.Fields{"decision": "order", "job": j.id, "queue": j.queue, "version": row.Version,
+	t.log.WithFields(logrus.Fields{"decision": "order", "job": j.id, "queue": j.queue, "kind": j.kind(), "objective_ms": t.objective(j).Milliseconds(), "version": row.Version,
 		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps), "shape": stepLogEntries(j.spec)}).Log(t.jobLogLevel(j), "job added")
+	if _, cancelled := t.earlyCancellations[j.id]; cancelled {
+		t.cancelJob(j.id)
+	}
 }
 
 // stepLogEntry describes a step in the log line about a job, for traces derived from logs.
@@ -138,12 +142,19 @@
 	}
 }
 
-// cancelJob stops all work of a job. It ignores a cancellation of an unknown job: the job is in
-// another cell, or its cancellation was received before its row. In the second case the
-// cancellation is received again after the row, as watches report both in order.
+// earlyCancellationAge is how long the cancellation of an unknown job is kept. Its row may
+// arrive later, as nodes send rows to the leader before the watch reports them in order.
+const earlyCancellationAge = 10 * time.Second
+
+// cancelJob stops all work of a job. The cancellation of an unknown job is applied when its
+// row arrives, unless the job is in another cell.
 func (t *term) cancelJob(id string) {
 	j := t.jobs[id]
-	if j == nil || j.cancelled || j.visibleState.Final() {
+	if j == nil {
+		t.earlyCancellations[id] = t.now
+		return
+	}
+	if j.cancelled || j.visibleState.Final() {
 		return
 	}
 	j.cancelled, j.dirty, j.endedAt = true, true, t.now
@@ -326,6 +337,7 @@
 // removeFinishedJobs drops finished jobs after their retention time and deletes their rows. A
 // job that has moved to another cell is dropped when its last cell deletes its row.
 func (t *term) removeFinishedJobs() {
+	maps.DeleteFunc(t.earlyCancellations, func(_ string, at time.Time) bool { return t.now.Sub(at) > earlyCancellationAge })
 	for id, j := range t.jobs {
 		if j.movedTo == 0 && j.visibleState.Final() && !j.dirty && t.now.Sub(j.endedAt) > t.cfg.Bounds.Retention+retentionMargin {
 			delete(t.jobs, id)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -55,7 +55,9 @@
 	loaded         bool
 	assigningRacks bool // a layout with new racks is being stored
 	jobs           map[string]*job
-	workers        map[model.WorkerID]*worker
+	// earlyCancellations holds when jobs were cancelled that the term does not know yet.
+	earlyCancellations map[string]time.Time
+	workers            map[model.WorkerID]*worker
 	// foreignWorkers holds the cell of each worker of another cell, by key of the list of
 	// workers. unassignedWorkers holds the entries of workers whose rack has no cell yet.
 	foreignWorkers    map[string]int
@@ -115,6 +117,7 @@
 	queueRunTimes        map[string]*queueRunTime
 	shortWork            map[shortKey]*shortDemand
 	shortWorkObserved    time.Time
+	loadLoggedAt         time.Time
 	answerTimeout        answerTimeout
 	interference         interference
 	// modelsStoredAt is when the interference models of images were last stored.
@@ -134,7 +137,7 @@
 	return &term{
 		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, currentLayout: l, number: number, ctx: ctx, cancel: cancel,
 		events: newEventQueue(), loopLoad: loopLoad{windowStart: now}, now: now, startedAt: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
-		jobs: map[string]*job{}, workers: map[model.WorkerID]*worker{},
+		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerLeaderRenewedBy: formerLeaderRenewedBy, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
