--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -220,17 +220,16 @@
 	}
 }
 
-// reload reads the settings again. Changes, including those of addresses and identity,
-// take effect only after a restart. Settings that cannot be read leave the current ones
-// unchanged.
+// reload reads the settings again and logs what differs. Changes take effect at the next
+// start. Settings that cannot be read leave the current ones unchanged.
 func (p *process) reload() {
 	s, err := platform.LoadSettings(p.path)
 	if err != nil {
 		p.log.WithError(err).WithField("event", "reload").Error("cannot reload the settings; the current settings stay in use")
 		return
 	}
-	if s.Addresses != p.settings.Addresses || s.Bounds != p.settings.Bounds {
-		p.log.WithField("event", "reload").Warn("changed settings take effect at the next start")
+	if changed := p.settings.Changes(s); len(changed) > 0 {
+		p.log.WithFields(logrus.Fields{"event": "reload", "changed": changed}).Warn("changed settings take effect at the next start")
 		return
 	}
 	p.log.WithField("event", "reload").Info("settings are unchanged")
--- a/internal/linkmeter/meter_test.go
+++ b/internal/linkmeter/meter_test.go
@@ -20,7 +20,6 @@
 	}))
 	s.Listener = server.Listener(s.Listener)
 	s.Start()
-	defer s.Close()
 	tr := &http.Transport{DialContext: client.Dialer((&net.Dialer{}).DialContext)}
 	resp, err := (&http.Client{Transport: tr}).Post(s.URL, "text/plain", bytes.NewReader(body))
 	require.NoError(t, err)
@@ -28,6 +27,8 @@
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 	require.True(t, bytes.Equal(body, echo))
+	tr.CloseIdleConnections()
+	s.Close() // the server counts a write after it has returned; Close waits for that
 
 	cr, cs := client.Totals()
 	sr, ss := server.Totals()
--- a/internal/node/hosts.go
+++ b/internal/node/hosts.go
@@ -37,13 +37,6 @@
 	return nil
 }
 
-// Loaded reports whether the list has been read at least once.
-func (h *hostCache) Loaded() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.loaded
-}
-
 // Removed reports whether the entry host at addr was listed before and no longer is. It is
 // false for a host that was never listed.
 func (h *hostCache) Removed(addr string) bool {
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -52,6 +52,8 @@
 	addr           string
 	until          time.Time
 	returnAttempts int
+	// unsent lists slots that are free here, but of which the lender has not heard.
+	unsent []model.RunnerID
 }
 
 // lendingLoop borrows slots while requests wait, and returns leases when they end. Only this
@@ -132,18 +134,23 @@
 }
 
 // returnLease returns the free slots of a lease to the lender. It reports true if no slots are
-// left to return, or after maxReturnAttempts.
+// left to return, or after maxReturnAttempts. Slots may be returned twice, as the lender knows
+// the lease.
 func (n *Node) returnLease(ctx context.Context, b *borrowedLease) bool {
 	b.returnAttempts++
-	if free := n.shares.ReturnLease(b.lease); len(free) > 0 {
+	free := n.shares.ReturnLease(b.lease)
+	b.lease.Runners = subtractRunners(b.lease.Runners, free)
+	b.unsent = append(b.unsent, free...)
+	if len(b.unsent) > 0 {
 		ctx, cancel := context.WithTimeout(ctx, lendingTimeout)
 		defer cancel()
-		if err := n.peers.Call(ctx, b.addr, methodReturn, returnParams{b.lease, free}, nil); err != nil {
-			n.log.WithError(err).Debug("failed to return slots; the lender counts them as lent until the lease expires")
+		if err := n.peers.Call(ctx, b.addr, methodReturn, returnParams{b.lease, b.unsent}, nil); err != nil {
+			n.log.WithError(err).Debug("failed to return slots; the lender counts them as lent until they are returned or the lease expires")
+		} else {
+			b.unsent = nil
 		}
-		b.lease.Runners = subtractRunners(b.lease.Runners, free)
 	}
-	return len(b.lease.Runners) == 0 || b.returnAttempts >= maxReturnAttempts
+	return len(b.lease.Runners)+len(b.unsent) == 0 || b.returnAttempts >= maxReturnAttempts
 }
 
 // subtractRunners returns list with one occurrence removed for each element of gone.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 		Cells:             n.recentSummaries,
 		Transfer:          n.transfer,
 		CancelIn:          n.cancelIn,
-		Scheduler:         scheduler.Config{Seed: n.seed},
+		Scheduler:         scheduler.Config{},
 		Dispatch:          dispatch.Config{TaskLease: n.settings.TaskLease, OwnershipLease: n.settings.CellLease},
 		Decisions:         n.decisions, Metrics: n.metrics, Log: n.log,
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -233,6 +233,12 @@
 	ended := &borrowedLease{lease: lease, addr: "127.0.0.1:1", until: now, returnAttempts: maxReturnAttempts - 1}
 	require.Equal(t, []*borrowedLease{running}, n.returnEndedLeases(t.Context(), []*borrowedLease{running, ended}, now))
 	require.Zero(t, running.returnAttempts)
+	lease.Runners = []model.RunnerID{"r1"}
+	lease.Service, lease.ID, lease.Lender, lease.For = "svc", 1, "n2", time.Minute
+	n.shares.Borrow(lease, now)
+	unheard := &borrowedLease{lease: lease, addr: "127.0.0.1:1", until: now}
+	require.Equal(t, []*borrowedLease{unheard}, n.returnEndedLeases(t.Context(), []*borrowedLease{unheard}, now))
+	require.Equal(t, lease.Runners, unheard.unsent, "the lender has not heard of the returned slots")
 	require.Empty(t, n.borrow(t.Context()), "no slots must be borrowed without waiting requests")
 }
 
--- a/internal/replay/sim.go
+++ b/internal/replay/sim.go
@@ -79,7 +79,6 @@
 // ended or the settle time is over, and checks the final state.
 func runOnce(t *Trace, o Options, settle bool) (Outcome, *sim, error) {
 	seed := cmp.Or(o.Seed, t.Header.Seed, 1)
-	o.Config.Seed = seed
 	s := newSim(t, o.Config, seed)
 	s.schedule()
 	horizon := t.Header.Horizon.D()
--- a/internal/scheduler/changes.go
+++ b/internal/scheduler/changes.go
@@ -40,7 +40,7 @@
 	h := s.host(t.Worker)
 	h.addLive(t)
 	run := h.run(t.Spec.ID)
-	run.startedAt, run.checkpointAt, run.checkpoint = s.now, s.now, t.Checkpoint
+	run.checkpointAt, run.checkpoint = s.now, t.Checkpoint
 	s.quota.add(t.Spec.Team, t.Spec.Resources)
 	s.classCPU[t.Spec.Class] += t.Spec.Resources.MilliCPU
 	if h.health.quarantined && h.health.probe == "" {
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -28,8 +28,6 @@
 type Config struct {
 	// Policy selects how workers are chosen. Default learned.
 	Policy Policy
-	// Seed seeds the sampling of candidates. Default 1.
-	Seed uint64
 	// SampleSize bounds the workers scored for one task. Default 32.
 	SampleSize int
 	// MaxStartsPerPlan bounds the placements of one plan. Default 512.
@@ -106,7 +104,6 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.Policy, PolicyLearned)
-	setDefault(&c.Seed, 1)
 	setDefault(&c.SampleSize, 32)
 	setDefault(&c.MaxStartsPerPlan, 512)
 	setDefault(&c.MaxBlockedPerPlan, 64)
--- a/internal/scheduler/host.go
+++ b/internal/scheduler/host.go
@@ -39,7 +39,6 @@
 
 // runInfo is the reported progress of a live attempt and its throttle.
 type runInfo struct {
-	startedAt           time.Time
 	checkpoint          string
 	checkpointAt        time.Time
 	checkpointRequested time.Time
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -86,7 +86,6 @@
 	waiting map[queueKey]*teamQueue
 	order   []*teamQueue
 	delayed delayHeap
-	count   int
 }
 
 func newQueue() *queue { return &queue{waiting: map[queueKey]*teamQueue{}} }
@@ -112,14 +111,12 @@
 		q.order = append(q.order, tq)
 	}
 	tq.units.ReplaceOrInsert(u)
-	q.count++
 }
 
 func (q *queue) remove(u *unit) {
 	switch u.state {
 	case unitWaiting:
 		q.waiting[u.key()].units.Delete(u)
-		q.count--
 	case unitDelayed:
 		heap.Remove(&q.delayed, u.heapIndex)
 	}
