--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -178,7 +178,7 @@
 	WriteTrace string        `arg:"--write-trace,env:WRITE_TRACE" placeholder:"FILE" help:"write a generated trace for the declaration and end"`
 	Keep       bool          `arg:"--keep,env:KEEP" help:"keep the endpoints up after the run until interrupted"`
 	Duration   time.Duration `arg:"--duration,env:DURATION" default:"0s" placeholder:"DURATION" help:"replay only this much of the trace; 0s replays all of it"`
-	LogFile    string        `arg:"--log-file,env:LOG_FILE" placeholder:"FILE" help:"file for the nodes' log lines; dropped when absent"`
+	LogFile    string        `arg:"--log-file,env:LOG_FILE" placeholder:"FILE" help:"file for the nodes' log lines; when absent they are kept only if a requirement is missed"`
 }
 
 type fleetArgs struct {
