fleet: fewer computations of headroom and pace

Each plan, some 100 a second, computed the headroom of all workers anew, and each tick ordered the fillers of all workers for their paces.

Change: a view of a worker's services is used for 40 ms unless the worker reports or a run comes or goes. Paces are checked after a report and otherwise each 150 ms, not each 50 ms.

--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -203,8 +203,8 @@
 	fillerPressure              float64 // pressure of the present fillers at full pace
 }
 
-// interferenceView summarizes the services of a worker. It is computed once per event and
-// dropped when a run is added or removed.
+// interferenceView summarizes the services of a worker. It is dropped when the worker reports,
+// when a run is added or removed and after viewMaxAge.
 type interferenceView struct {
 	computedAt time.Time
 	services   map[string]*serviceState
@@ -212,9 +212,13 @@
 	overTargetSince time.Time
 }
 
+// viewMaxAge is the age up to which a view is used again. Plans follow each other within
+// milliseconds, in which the forecast of headroom hardly changes.
+const viewMaxAge = 40 * time.Millisecond
+
 // viewOf returns the summary of w's services at now.
 func (h *interference) viewOf(w *worker, now time.Time) *interferenceView {
-	if w.interferenceView != nil && w.interferenceView.computedAt.Equal(now) {
+	if w.interferenceView != nil && now.Sub(w.interferenceView.computedAt) < viewMaxAge {
 		return w.interferenceView
 	}
 	v := &interferenceView{computedAt: now, services: map[string]*serviceState{}}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -17,6 +17,9 @@
 	paceStep = 20
 	// minPaceRaise is the least increase for which an order is sent, in percentage points.
 	minPaceRaise = 20
+	// paceCheckInterval is the interval at which the paces on a worker are checked between its
+	// reports, as the forecast headroom changes.
+	paceCheckInterval = 150 * time.Millisecond
 	// paceRaiseInterval is the least time between increases, so that most of the window of a
 	// reading shows the effect of the last one.
 	paceRaiseInterval = 350 * time.Millisecond
@@ -49,9 +52,10 @@
 // most urgent ones. It is not shared evenly: a job is as late as its last task, so sharing
 // would make all jobs late.
 func (t *term) adjustPaces(w *worker) {
-	if w.fillerMilliCPU == 0 {
+	if w.fillerMilliCPU == 0 || (!w.pacesDue && t.now.Sub(w.pacesAdjustedAt) < paceCheckInterval) {
 		return
 	}
+	w.pacesDue, w.pacesAdjustedAt = false, t.now
 	v := t.interference.viewOf(w, t.now)
 	headroom := map[*serviceState]float64{}
 	for _, s := range v.services {
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -146,6 +146,7 @@
 	first := !w.answered
 	w.answered = true
 	if fresh {
+		w.interferenceView, w.pacesDue = nil, true
 		w.lastPollSent = e.sent
 		t.applyRunning(w, e.report.Running)
 	}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -119,6 +119,10 @@
 	// because of low headroom.
 	exposures exposures
 	lastProbe time.Time
+	// pacesDue means that the worker has reported since its paces were last adjusted, at
+	// pacesAdjustedAt.
+	pacesDue        bool
+	pacesAdjustedAt time.Time
 	// interferenceView is the cached summary of the worker's services.
 	interferenceView *interferenceView
 }
