fleet: a refusal after an attempt in doubt is answered as unknown

Cause: found by reading. A submission that waits for a lost store makes a second attempt; if the store refused that one, the caller was told that the job is not accepted, though the first attempt may still take effect.

Change: once an attempt of a submission is in doubt, its answer is never a refusal. TestAnswerAfterAttemptInDoubt fails without the change.

--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -73,13 +73,17 @@
 	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
 		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
 	}
-	waitUntil := lostStoreWaitEnd(ctx)
+	waitUntil, inDoubt := lostStoreWaitEnd(ctx), false
 	for {
 		made, err := n.tryAccept(ctx, q, c, row)
 		tries += made
+		if inDoubt && model.IsKind(err, model.KindUnavailable) {
+			return tries, unknownOutcome(err) // an earlier attempt may still take effect
+		}
 		if !model.IsKind(err, model.KindUnknown) || !n.store.waitRegained(ctx, waitUntil) {
 			return tries, err
 		}
+		inDoubt = true
 	}
 }
 
@@ -92,11 +96,11 @@
 	return now
 }
 
-// tryAccept stores the row of a job, or has the leader of its cell store it. The error tells
-// whether the job may have been accepted by this or an earlier attempt.
+// tryAccept stores the row of a job, or has the leader of its cell store it. Its errors tell
+// whether this attempt may have had an effect.
 func (n *Node) tryAccept(ctx context.Context, q Queue, c *cell, row Row) (tries int, err error) {
 	if n.store.lost() {
-		// Nothing was written yet, so a refusal by the leader does not prevent an attempt here.
+		// This attempt has written nothing yet, so a refusal by the leader does not prevent it.
 		if err := n.forwardToLeader(ctx, c, methodAccept, newRowParams(c, row)); !model.IsKind(err, model.KindUnavailable) {
 			return 1, unknownOutcome(err)
 		}
