--- a/internal/fleet/intake_test.go
+++ b/internal/fleet/intake_test.go
@@ -30,10 +30,9 @@
 }
 
 // noPeers reaches no other node.
-type noPeers struct{}
+type noPeers struct{ Peers }
 
 func (noPeers) Handle(string, func(context.Context, json.RawMessage) (any, error)) {}
-func (noPeers) Run(context.Context) error                                          { return nil }
 func (noPeers) Call(context.Context, string, string, any, any) error {
 	return errors.New("unreachable")
 }
