--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -59,12 +59,15 @@
 // Day is what a log says of the jobs of its time span.
 type Day struct {
 	Length time.Duration
-	// Jobs counts the submitted jobs by kind. Jobs that were never accepted have no kind.
+	// Jobs counts the submitted jobs by kind. Jobs that were never accepted have no kind; those
+	// whose line with the kind is missing from the log have unknownKind.
 	Jobs   map[string]int
 	Losses []Loss
 	Loads  []Load
 }
 
+const unknownKind = "unknown"
+
 // Options of an evaluation.
 type Options struct {
 	// LateShare is the share of its value that a job keeps if it ends late, but before it
@@ -150,6 +153,9 @@
 		if j.firstSent.IsZero() {
 			continue
 		}
+		if j.accepted && j.kind == "" {
+			j.kind = unknownKind
+		}
 		d.Jobs[j.kind]++
 		for _, loss := range j.losses(lines[len(lines)-1].Time, o) {
 			loss.Kind, loss.DC, loss.At = j.kind, dcs[j.node], j.firstSent.Sub(lines[0].Time)
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -22,6 +22,7 @@
 {"decision":"order","job":"c","kind":"filler","objective_ms":2000,"time":"2026-01-01T00:00:04.1Z"}
 {"decision":"submit","choice":"ok","node":"n1","job":"d","took_ms":5,"time":"2026-01-01T00:00:05Z"}
 {"decision":"order","job":"d","kind":"short","objective_ms":9000,"time":"2026-01-01T00:00:05.1Z"}
+{"decision":"submit","choice":"ok","node":"n1","job":"e","took_ms":5,"time":"2026-01-01T00:00:05Z"}
 {"decision":"load","services":10,"services_at_work":8,"services_over_target":1,"time":"2026-01-01T00:00:05Z"}
 {"decision":"load","services":10,"services_at_work":9,"services_over_target":2,"time":"2026-01-01T00:00:06Z"}
 {"decision":"job","job":"a","kind":"short","choice":"completed","verdict":"late","took_ms":5000,"objective_ms":3000,"first_wait_ms":600,"next_wait_ms":200,"slowed_ms":0,"repeated_ms":200,"time":"2026-01-01T00:00:07Z"}
@@ -31,7 +32,7 @@
 func TestRead(t *testing.T) {
 	d, err := Read(strings.NewReader(sampleLog), Options{LateShare: 0.2})
 	require.NoError(t, err)
-	require.Equal(t, map[string]int{"": 1, "short": 2, "filler": 1}, d.Jobs)
+	require.Equal(t, map[string]int{"": 1, "short": 2, "filler": 1, unknownKind: 1}, d.Jobs)
 	require.Equal(t, 7*time.Second, d.Length)
 	sum := func(kind string, cause Cause) float64 {
 		return d.sum(func(l Loss) bool { return l.Kind == kind && l.Cause == cause })
