--- a/internal/fleet/load_cycle.go
+++ b/internal/fleet/load_cycle.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// The load of many services comes in waves, and so does their headroom. A filler runs for some
+// seconds, in which a wave may turn: the headroom that it will find is forecast by a sine wave
+// fitted to the reports of the service. The fit is used only while it forecasts better than a
+// linear trend, so loads without a period are not affected.
+
 // Constants of the forecast of periodic load.
 const (
 	// cycleSampleGap is the least time between two samples; values in between are averaged.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -16,7 +16,9 @@
 // The next plan continues.
 const maxStartsPerPlan = 200
 
-// plan places waiting tasks, the most urgent first.
+// plan places waiting tasks, the most urgent first: it collects and orders the waiting steps,
+// moves jobs that another cell serves better, holds capacity back from new services, and
+// starts what finds a worker.
 func (t *term) plan() {
 	if !t.active() {
 		return
@@ -48,7 +50,7 @@
 			t.reserveForOtherCells(p, w.queue.Service)
 			pools[w.queue.Service] = p
 		}
-		w.tasks = w.tasks[:p.allowedTasks(w, held)]
+		w.tasks = w.tasks[:p.allowedTasks(w, held)] // the others wait for the next plan
 		if len(p.workers) > 0 && len(w.tasks) > 0 {
 			started := t.placeStep(p, w)
 			left -= started
--- a/internal/losses/report.go
+++ b/internal/losses/report.go
@@ -93,13 +93,13 @@
 	p := report.Plot{Title: name + ": lost value by time of submission", XLabel: "seconds", YLabel: "jobs"}
 	windows := int(d.Length/Window) + 1
 	for _, cause := range Causes() {
-		s, any := report.Series{Name: string(cause)}, false
+		s, lost := report.Series{Name: string(cause)}, false
 		for w := range windows {
 			sum := d.sum(func(l Loss) bool { return l.Cause == cause && int(l.At/Window) == w })
-			any = any || sum > 0
+			lost = lost || sum > 0
 			s.Points = append(s.Points, report.Point{X: report.Value(time.Duration(w) * Window / time.Second), Y: report.Value(sum)})
 		}
-		if any {
+		if lost {
 			p.Series = append(p.Series, s)
 		}
 	}
