--- a/internal/fleet/load_patterns_test.go
+++ b/internal/fleet/load_patterns_test.go
@@ -83,8 +83,8 @@
 			defer close(stopped)
 			for i := 0; ctx.Err() == nil; i++ {
 				for _, m := range c.Nodes {
-					if m.Up() {
-						_ = m.Node.Submit(ctx, c.Queue, fmt.Sprintf("%016x", i+1), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Estimate: 800 * time.Millisecond}}})
+					if n := m.Running(); n != nil { // safe beside the kill
+						_ = n.Submit(ctx, c.Queue, fmt.Sprintf("%016x", i+1), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Estimate: 800 * time.Millisecond}}})
 						break
 					}
 				}
