vpier losses writes its report with compare.Write

The command chose between text and JSON and wrote the HTML page with code of its own, which package compare already had for vpier replay. Both use compare.Write now, whose error about the page names the flag.

--- a/internal/compare/compare.go
+++ b/internal/compare/compare.go
@@ -183,7 +183,7 @@
 func writeHTML(r *report.Report, path string) error {
 	f, err := os.Create(path)
 	if err != nil {
-		return model.Wrap(model.KindInvalid, err, "name a file that can be written", "HTML report")
+		return model.Wrap(model.KindInvalid, err, "name a file that can be written", "--html")
 	}
 	return errors.Join(r.WriteHTML(f), f.Close())
 }
--- a/internal/operator/losses.go
+++ b/internal/operator/losses.go
@@ -1,15 +1,13 @@
 package operator
 
 import (
-	"errors"
 	"io"
-	"os"
 	"path/filepath"
 	"strings"
 
+	"github.com/vanillapier/vanillapier/internal/compare"
 	"github.com/vanillapier/vanillapier/internal/losses"
 	"github.com/vanillapier/vanillapier/internal/model"
-	"github.com/vanillapier/vanillapier/internal/report"
 )
 
 // losses runs vpier losses.
@@ -26,16 +24,7 @@
 		}
 		names, days = append(names, strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))), append(days, d)
 	}
-	r := losses.Report(names, days)
-	if a.HTML != "" {
-		if err := writeHTML(a.HTML, r); err != nil {
-			return err
-		}
-	}
-	if p.args.Output == outputJSON {
-		return r.WriteJSON(p.Stdout)
-	}
-	return r.WriteText(p.Stdout)
+	return compare.Write(losses.Report(names, days), compare.Format(p.args.Output), a.HTML, p.Stdout)
 }
 
 func (p *Program) readLosses(file string, o losses.Options) (*losses.Day, error) {
@@ -50,13 +39,3 @@
 	}
 	return d, nil
 }
-
-// writeHTML writes a report to a file.
-func writeHTML(path string, r *report.Report) (err error) {
-	f, err := os.Create(path)
-	if err != nil {
-		return model.Wrap(model.KindInvalid, err, "name a file that can be written", "--html")
-	}
-	defer func() { err = errors.Join(err, f.Close()) }()
-	return r.WriteHTML(f)
-}
