--- a/internal/fleet/account.go
+++ b/internal/fleet/account.go
@@ -23,6 +23,14 @@
 	a.waited += now.Sub(a.idleSince)
 }
 
+// idleTime returns how long the task has been without a run; 0 before its first one.
+func (a *taskAccount) idleTime(now time.Time) time.Duration {
+	if a.idleSince.IsZero() {
+		return 0
+	}
+	return now.Sub(a.idleSince)
+}
+
 // endRun adds a run. The work of a run that did not complete is lost unless its task can
 // resume from a checkpoint.
 func (a *taskAccount) endRun(r *run, completed, resumable bool, now time.Time) {
@@ -156,8 +164,13 @@
 	for _, w := range waiting {
 		waits[w.job.kind()] += len(w.tasks)
 	}
-	t.log.WithFields(logrus.Fields{"decision": "load", "capacity_cpu": capacity, "free_cpu": free, "services_cpu": servicesReserved,
+	fields := logrus.Fields{"decision": "load", "capacity_cpu": capacity, "free_cpu": free, "services_cpu": servicesReserved,
 		"short_cpu": shortReserved, "filler_cpu": fillerDemand, "held_cpu": held, "waiting_short": waits[kindShort], "waiting_filler": waits[kindFiller],
 		"waiting_lasting": waits[kindLasting], "services": services, "services_at_work": atWork, "services_over_target": overTarget,
-		"fillers_slowed": slowed}).Info("load of the cell")
+		"fillers_slowed": slowed}
+	if !t.allRunsKnown() {
+		unaccounted, until := t.unaccountedWorkers()
+		fields["unaccounted_workers"], fields["unaccounted_ms"], fields["held_tasks"] = unaccounted, until.Sub(t.now).Milliseconds(), t.heldTasks()
+	}
+	t.log.WithFields(fields).Info("load of the cell")
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -8,7 +8,7 @@
 
 // metrics are the counters and histograms of a node.
 type metrics struct {
-	leading, waiting, cells, held                             prometheus.Gauge
+	leading, waiting, cells, held, unaccounted                prometheus.Gauge
 	accepted, starts, refusals, polls, unanswered, unreadable prometheus.Counter
 	paces, moves, lent                                        prometheus.Counter
 	stops, ends, commits, readErrors, requests, terms         *prometheus.CounterVec
@@ -30,6 +30,7 @@
 		cells:           m.Gauge("fleet", "cells", "Cells into which the fleet is divided.").WithLabelValues(),
 		waiting:         m.Gauge("fleet", "waiting_steps", "Steps with tasks that wait for a worker.").WithLabelValues(),
 		held:            m.Gauge("fleet", "held_milli_cpu", "Thousandths of a core that new services leave free for short work.").WithLabelValues(),
+		unaccounted:     m.Gauge("fleet", "unaccounted_workers", "Workers that may hold runs of earlier terms which the leader does not know.").WithLabelValues(),
 		configuration:   m.Gauge("fleet", "configuration_version", "Version of the configuration in force on this node.").WithLabelValues(),
 		hostShare:       m.Gauge("fleet", "host_share", "Used share of the processor, memory and link of the settings, over a second.", "of"),
 		accepted:        counter("jobs_total", "Jobs that the leader has taken up."),
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -297,7 +297,8 @@
 func (t *term) expireLeases() {
 	for _, w := range t.workers {
 		if w.inherited && !w.answered && t.confirmedAt.After(w.inheritedLeaseEnd) {
-			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired"}).Warn("leases of an unreachable worker from earlier terms have ended")
+			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired",
+				"listed": w.listed, "lease_end_ms_ago": t.now.Sub(w.inheritedLeaseEnd).Milliseconds(), "term_ms": t.now.Sub(t.startedAt).Milliseconds()}).Warn("leases of an unreachable worker from earlier terms have ended")
 			info, listed := w.info, w.listed
 			t.removeWorker(w, reasonLeaseOver)
 			if listed { // it may come back, but nothing from before can still run there
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -38,6 +38,7 @@
 	occ, tk := j.task(key)
 	step := &j.spec.Steps[key.step]
 	tk.attempt = attempt
+	idle := tk.account.idleTime(t.now)
 	if len(tk.runs) == 0 {
 		tk.account.startRun(occ.steps[key.step].readyAt, t.now)
 	}
@@ -57,7 +58,7 @@
 	}
 	t.metrics.starts.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "place", "task": r.ref.Task, "attempt": attempt, "worker": w.info.Worker,
-		"dc": w.info.DataCentre, "free_cpu": w.free().MilliCPU, "waited_ms": t.waitTime(j, key).Milliseconds(),
+		"dc": w.info.DataCentre, "free_cpu": w.free().MilliCPU, "waited_ms": t.waitTime(j, key).Milliseconds(), "idle_ms": idle.Milliseconds(),
 		"seen_ms_ago": t.now.Sub(w.clockAt).Milliseconds(), "reason": startReason(tk, step)}).Info("start order sent")
 	go t.sendStart(r, w.info, o, t.answerTimeout.timeout())
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -327,10 +327,10 @@
 	case t.runsKnown:
 		return true
 	}
-	for _, w := range t.workers {
-		if w.inherited && !w.answered && !t.confirmedAt.After(w.inheritedLeaseEnd) {
-			return false
-		}
+	n, _ := t.unaccountedWorkers()
+	t.metrics.unaccounted.Set(float64(n))
+	if n > 0 {
+		return false
 	}
 	t.runsKnown = true
 	took := t.now.Sub(t.startedAt)
--- a/internal/fleet/unaccounted.go
+++ b/internal/fleet/unaccounted.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/vanillapier/vanillapier/internal/model"
+import (
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
 
 // A new leader does not know at first which lasting tasks of earlier terms still run on
 // workers that it has not reached. These tasks are unaccounted for. Until the leader knows
@@ -8,6 +12,41 @@
 // services fill the fleet, new ones would take the capacity that the tasks of a lost worker
 // need before these may start again.
 
+// unaccountedWorkers counts the workers that may hold runs of earlier terms which this term does
+// not know, and returns when the last of their leases ends.
+func (t *term) unaccountedWorkers() (int, time.Time) {
+	n, until := 0, time.Time{}
+	for _, w := range t.workers {
+		if !w.inherited || w.answered || t.confirmedAt.After(w.inheritedLeaseEnd) {
+			continue
+		}
+		n++
+		if w.inheritedLeaseEnd.After(until) {
+			until = w.inheritedLeaseEnd
+		}
+	}
+	return n, until
+}
+
+// heldTasks counts the tasks without a known run that wait until all runs of earlier terms are
+// known.
+func (t *term) heldTasks() int {
+	n := 0
+	for _, j := range t.jobs {
+		if !j.inherited || j.over() || j.visibleState.Final() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				if !o.steps[i].readyAt.IsZero() {
+					n += o.steps[i].tasksWithoutRun()
+				}
+			}
+		}
+	}
+	return n
+}
+
 // unaccountedServices returns, by service, the needs of lasting tasks that earlier terms may
 // have started and that this term has not seen run, in thousandths of a core. It returns nil
 // when all runs are known.
