--- /dev/null
+++ b/internal/fleet/handover_leases_test.go
@@ -0,0 +1,120 @@
+package fleet_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+)
+
+// restartBound is the contract's bound on the time without a run of a lasting task in which
+// nothing fails: 6 s since its last run, and 3 s more.
+const restartBound = 9 * time.Second
+
+// stopLeader stops the leader's process gracefully.
+func stopLeader(c *fleettest.Cluster) {
+	l := c.Leader()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	l.Node.Drain(ctx)
+	c.Kill(l)
+}
+
+// leave makes a worker that has said that it drains end with all its runs.
+func leave(c *fleettest.Cluster, w *fleettest.Worker) {
+	c.Workers.Kill(w)
+	c.Unlist(w)
+}
+
+// busyWorkers returns the workers with runs.
+func busyWorkers(c *fleettest.Cluster) []*fleettest.Worker {
+	var busy []*fleettest.Worker
+	for _, w := range c.Fleet {
+		if c.Workers.RunCount(w) > 0 {
+			busy = append(busy, w)
+		}
+	}
+	return busy
+}
+
+// Each change of leader restarted the wait for the leases of a worker that had left before.
+func TestHandoverDoesNotProlongLeasesOfDepartedWorkers(t *testing.T) {
+	for _, beforeStop := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		t.Run(beforeStop.String(), func(t *testing.T) {
+			runCluster(t, 130, 6, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+				const tasks = 6
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, Needs: smallNeeds, Lasting: true}}})
+				time.Sleep(2 * time.Second)
+				w := busyWorkers(c)[0]
+				c.Drain(w)
+				time.Sleep(4 * time.Second)
+				left := time.Now()
+				leave(c, w)
+				time.Sleep(beforeStop)
+				for range 4 {
+					stopLeader(c)
+					time.Sleep(2 * time.Second)
+				}
+				for runningAll(c) < tasks {
+					require.Less(t, time.Since(left), restartBound)
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// A task that had lost its run waited for workers that left later, on which it never ran.
+func TestLostServiceDoesNotWaitForLaterDepartures(t *testing.T) {
+	runCluster(t, 131, 4, 12, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		const perWorker, tasks = 4, 48
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: perWorker, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(2 * time.Second)
+		require.Len(t, busyWorkers(c), 12)
+		first, later := c.Fleet[0], c.Fleet[1:5]
+		for _, w := range c.Fleet[:5] {
+			c.Drain(w)
+		}
+		time.Sleep(4 * time.Second)
+		left := time.Now()
+		leave(c, first)
+		for i := range 8 { // new workers take the tasks
+			c.AddWorker(string(rune('a'+i)) + "9")
+		}
+		for _, w := range later {
+			time.Sleep(900 * time.Millisecond)
+			leave(c, w)
+		}
+		stopLeader(c)
+		time.Sleep(6*time.Second - time.Since(left))
+		require.GreaterOrEqual(t, runningAll(c), tasks-perWorker*len(later), "the tasks of the first worker run again when its lease is over")
+	})
+}
+
+// The next step of a job waited for a worker that held no run of it.
+func TestHandoverBesideDepartedWorkerDelaysNoOtherJob(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		if n[:16] == fleet.TaskName(jobID(0)) {
+			return lasting(n)
+		}
+		return shortTask(n)
+	}
+	runCluster(t, 132, 4, 4, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 4, PerWorker: 1, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(2 * time.Second)
+		w := c.Fleet[0]
+		c.Drain(w)
+		time.Sleep(4 * time.Second)
+		leave(c, w)
+		submit(t, c, jobID(1), twoSteps())
+		time.Sleep(800 * time.Millisecond)
+		stopLeader(c)
+		submitted := time.Now()
+		waitState(t, c, jobID(1), fleet.StateCompleted, 10*time.Second)
+		require.Less(t, time.Since(submitted), 3*time.Second, "two steps of a second, and a change of leader")
+	})
+}
