fleet: leases of a former term hold after a worker's first answer

Callers could see a task run twice: a worker that answered a new leader once, with runs of the former term, and then no more, had a lease end that was computed from a deadline of zero, so its runs were taken for lost at once. Polls that follow at once hid this; a poll that waits for a transaction does not.

TestLeaseOfFormerTermHoldsAfterFirstAnswer failed before: the run is gone 4 s after the answer. The end of a lease now counts those of earlier terms, which end within one lease of the worker's first answer, as its fence is higher then.

--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -250,6 +250,25 @@
 	})
 }
 
+// Runs of a worker that answered a new term once and then no more were taken for lost at once,
+// while the lease of the former term still held.
+func TestLeaseOfFormerTermHoldsAfterFirstAnswer(t *testing.T) {
+	tm := newTestTerm(1)
+	w := testWorker("w")
+	w.inherited, w.answered, w.inheritedLeaseEnd = true, false, at(9)
+	tm.workers["w"], tm.loaded, tm.now = w, true, at(1)
+	report := Report{Clock: 100 * time.Second}
+	pollReply{worker: w, report: report, sent: at(1)}.handle(tm)
+	run := testRun(w, &Step{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000}}, 0)
+	w.unansweredCalls, w.pollInFlight = 1, true
+	tm.now, tm.confirmedAt = at(5), at(5)
+	tm.expireLeases()
+	require.Contains(t, w.runs, run.ref, "the lease lasts up to 5 s after the answer")
+	tm.now, tm.confirmedAt = at(7), at(7)
+	tm.expireLeases()
+	require.Empty(t, w.runs)
+}
+
 func TestProgressRecordRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := Spec{Steps: []Step{{Count: 3}, {Count: 2, After: []int{0}}}, Repeats: rapid.IntRange(0, 2).Draw(t, "repeats"), Interval: time.Second}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -165,6 +165,7 @@
 	}
 	if first {
 		w.inherited = false
+		w.fenceFormerLeases(t.now)
 		t.planDue = true
 	}
 	if !w.usedRowStored {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -98,7 +98,7 @@
 	usedRowStored bool
 	// inherited workers may hold runs of earlier terms that this term has not seen.
 	inherited bool
-	// inheritedLeaseEnd is when all runs of an unreachable inherited worker have ended.
+	// inheritedLeaseEnd is when the leases of earlier terms have ended.
 	inheritedLeaseEnd time.Time
 
 	pollInFlight bool
@@ -159,12 +159,24 @@
 func maxRealDuration(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
 // leaseEnd returns when all runs under the leases sent so far have ended, even if the
-// worker's clock is slow.
+// worker's clock is slow. Leases of earlier terms count too, as a worker never shortens one.
 func (w *worker) leaseEnd() time.Time {
+	end := w.inheritedLeaseEnd
 	if w.clockAt.IsZero() {
-		return time.Time{}
+		return end
+	}
+	if own := w.clockAt.Add(maxRealDuration(w.leaseDeadline-w.clock) + leaseMargin); own.After(end) {
+		end = own
+	}
+	return end
+}
+
+// fenceFormerLeases bounds the leases of earlier terms: a worker that has answered this term at
+// now accepts none after it.
+func (w *worker) fenceFormerLeases(now time.Time) {
+	if end := now.Add(maxRealDuration(maxLease) + leaseMargin); end.Before(w.inheritedLeaseEnd) {
+		w.inheritedLeaseEnd = end
 	}
-	return w.clockAt.Add(maxRealDuration(w.leaseDeadline-w.clock) + leaseMargin)
 }
 
 // free returns the capacity that no run reserves.
