fleet: a releasing leader keeps progress until it is stored

A leader that stops waits for the answers to its start orders before it stores its release. Meanwhile each round collected the progress of jobs, used workers and waves for a transaction and dropped it.

TestReleasingLeaderKeepsProgressUntilItIsStored failed before. The check now comes before anything is collected.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -78,14 +78,14 @@
 	if t.pendingCommit != nil || t.now.Before(t.nextCommit) || t.ctx.Err() != nil || t.released {
 		return
 	}
+	if t.stopping && (t.ordersPending() || t.maintenancePending()) {
+		return
+	}
 	renew := t.now.Sub(t.lastRenewal) >= renewInterval
 	c := t.collectTransaction()
 	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping && !t.confirmationDue {
 		return
 	}
-	if t.stopping && (t.ordersPending() || t.maintenancePending()) {
-		return
-	}
 	t.addFence(c, renew || t.stopping)
 	t.pendingCommit, t.confirmationDue = c, false
 	t.nextCommit = t.now.Add(commitInterval)
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -269,6 +269,18 @@
 	require.Empty(t, w.runs)
 }
 
+// A leader that waited for answers before its release dropped the progress of jobs.
+func TestReleasingLeaderKeepsProgressUntilItIsStored(t *testing.T) {
+	tm := newTestTerm(1)
+	j := newJob("j", jobRecord{Spec: Spec{Steps: []Step{{Count: 1}}}}, 1, epoch)
+	w := testWorker("w")
+	testRun(w, &j.spec.Steps[0], 0).state = runSent
+	tm.jobs["j"], tm.workers["w"], tm.loaded, tm.stopping, j.dirty = j, w, true, true, true
+	tm.flush()
+	require.Nil(t, tm.pendingCommit, "a start has no answer yet")
+	require.True(t, j.dirty)
+}
+
 func TestProgressRecordRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := Spec{Steps: []Step{{Count: 3}, {Count: 2, After: []int{0}}}, Repeats: rapid.IntRange(0, 2).Draw(t, "repeats"), Interval: time.Second}
