--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -19,16 +19,22 @@
 // variable FLEET_SEEDS overrides it with a first seed and a count, such as "100,50".
 const randomSeeds = 12
 
-// TestRandomFaults injects random sequences of faults, also several at a time, while jobs
-// arrive. It checks that no task runs twice and that every accepted job is done after the
-// faults have ended.
-func TestRandomFaults(t *testing.T) {
-	first, count := 1, randomSeeds
+// seedRange returns the first seed and the one after the last: count seeds from first on, or those
+// that the environment names.
+func seedRange(t *testing.T, first, count int) (int, int) {
 	if v := os.Getenv("FLEET_SEEDS"); v != "" {
 		_, err := fmt.Sscanf(v, "%d,%d", &first, &count)
 		require.NoError(t, err)
 	}
-	for seed := first; seed < first+count; seed++ {
+	return first, first + count
+}
+
+// TestRandomFaults injects random sequences of faults, also several at a time, while jobs
+// arrive. It checks that no task runs twice and that every accepted job is done after the
+// faults have ended.
+func TestRandomFaults(t *testing.T) {
+	first, end := seedRange(t, 1, randomSeeds)
+	for seed := first; seed < end; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) { runFaults(t, uint64(seed), false, 0) })
 		t.Run("unequal-"+strconv.Itoa(seed), func(t *testing.T) { runFaults(t, uint64(seed), true, 0) })
 		t.Run("cells-"+strconv.Itoa(seed), func(t *testing.T) { runFaults(t, uint64(seed), true, 3) })
