--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -248,9 +248,15 @@
 	}
 	number, nonce := fence.Term+1, rand.Uint64()
 	id := RowID{tableFence, c.part, keyLeader}
+	former := f.record
+	if !f.known {
+		former = leaderRecord{}
+	}
+	recordsSince := former.leaseRecordsSince(number)
 	tx := Transaction{
 		Expect: []Expectation{{id, version}},
-		Puts:   []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})}, n.cfg.renewalRow(c.part, leaderRecord{Term: number})},
+		Puts: []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})},
+			n.cfg.renewalRow(c.part, leaderRecord{Term: number, LeaseRecordsSince: recordsSince})},
 	}
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
 	sent := time.Now()
@@ -273,7 +279,7 @@
 		}
 		result.Version = version
 	}
-	n.startTerm(c, number, result.Version, f.formerLeaderRenewedBy(time.Now()), sent)
+	n.startTerm(c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), sent)
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -313,10 +319,10 @@
 // startTerm runs a term of a cell in the background. sent is when the transaction that began
 // the term was sent. Other nodes derive from the row that it wrote how long the term's leases
 // last.
-func (n *Node) startTerm(c *cell, number, fenceVersion uint64, formerLeaderRenewedBy, sent time.Time) {
+func (n *Node) startTerm(c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy, sent time.Time) {
 	d := n.cellTable.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
-	t.lastRenewal = sent
+	t.lastRenewal, t.leaseRecordsSince = sent, recordsSince
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
 	c.leader.Store(&leaderSnapshot{leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr, MilliCPU: n.cfg.Limits.MilliCPU}, time.Now()})
--- a/internal/fleet/handover_leases_test.go
+++ b/internal/fleet/handover_leases_test.go
@@ -141,3 +141,29 @@
 		})
 	}
 }
+
+// A term that released leadership before it had loaded its tables made the records of the
+// term before it void.
+func TestRecordsSurviveTermThatLoadsNothing(t *testing.T) {
+	runCluster(t, 133, 6, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		const tasks = 6
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(2 * time.Second)
+		w := busyWorkers(c)[0]
+		c.Drain(w)
+		time.Sleep(4 * time.Second)
+		left := time.Now()
+		leave(c, w)
+		time.Sleep(4 * time.Second)
+		stopLeader(c)
+		for c.Leader() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		c.Leader().Node.Drain(t.Context())
+		for runningAll(c) < tasks {
+			require.Less(t, time.Since(left), restartBound)
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("all tasks run again %v after the worker left", time.Since(left))
+	})
+}
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -14,7 +14,8 @@
 
 // leaseRecord tells which runs of a term may still be on a worker, and until when.
 type leaseRecord struct {
-	// Term is the term that wrote the record; 0 for none. Only the next term may rely on it.
+	// Term is the term that wrote the record; 0 for none. It holds if all leaders since then
+	// honour records.
 	Term uint64 `cbor:"1,keyasint,omitempty"`
 	// End is the store's monotonic clock when all leases of the worker have ended.
 	End time.Duration `cbor:"2,keyasint,omitempty"`
@@ -51,10 +52,14 @@
 	return w.leaseEnd(), w.clockAt
 }
 
+// recordHolds reports whether later terms may rely on the lease record of a term; 0 stands for no
+// record.
+func (t *term) recordHolds(number uint64) bool { return number > 0 && number >= t.leaseRecordsSince }
+
 // leaseRecordNeeded reports whether the leases of w must be recorded for a later term.
 func (t *term) leaseRecordNeeded(w *worker) bool {
 	switch {
-	case !w.usedRowStored, w.recordTerm == t.number:
+	case !w.usedRowStored, t.recordHolds(w.recordTerm):
 		return false
 	case t.stopping && (!w.answered || !w.listed || w.info.Draining || w.unansweredCalls > 0):
 		return true
@@ -102,11 +107,11 @@
 	}
 }
 
-// restoreLeases applies the lease record of the preceding term to a worker. storeNow is a reading
+// restoreLeases applies the lease record of an earlier term to a worker. storeNow is a reading
 // of the store's clock that had arrived by readAt.
 func (t *term) restoreLeases(w *worker, r leaseRecord, storeNow time.Duration, readAt time.Time) {
 	w.recordTerm = r.Term
-	if r.Term == 0 || r.Term != t.number-1 {
+	if !t.recordHolds(r.Term) {
 		return
 	}
 	if end := readAt.Add(r.End - storeNow); end.Before(w.inheritedLeaseEnd) {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -130,6 +130,17 @@
 	// grants. It is 0 in rows of older versions, whose leases reach maxOrderAge plus a whole
 	// lease.
 	LeaseReachMS int64 `cbor:"11,keyasint,omitempty"`
+	// LeaseRecordsSince is the first term since which all leaders honour lease records: they
+	// grant a worker nothing while its row holds one. It is 0 in rows of older versions.
+	LeaseRecordsSince uint64 `cbor:"12,keyasint,omitempty"`
+}
+
+// leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
+func (r leaderRecord) leaseRecordsSince(term uint64) uint64 {
+	if r.LeaseRecordsSince > 0 && r.Term == term-1 {
+		return r.LeaseRecordsSince
+	}
+	return term
 }
 
 // leaseReachOrDefault returns the longest time from the renewal to the end of a lease.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -84,12 +84,14 @@
 	lastRenewal    time.Time // when the last successful renewal was sent
 	// confirmedAt is when the last successful transaction was sent: at that time no later
 	// term had begun.
-	confirmedAt      time.Time
-	confirmationDue  bool         // jobs need a transaction before their first start
-	storeClock       storeReading // by the last transaction
-	released         bool         // a renewal that releases leadership is stored
-	usedRowsToPut    map[Lifetime]usedRecord
-	usedRowsToDelete map[Lifetime]bool
+	confirmedAt     time.Time
+	confirmationDue bool // jobs need a transaction before their first start
+	// leaseRecordsSince is the first term whose lease records hold; see leaderRecord.
+	leaseRecordsSince uint64
+	storeClock        storeReading // by the last transaction
+	released          bool         // a renewal that releases leadership is stored
+	usedRowsToPut     map[Lifetime]usedRecord
+	usedRowsToDelete  map[Lifetime]bool
 
 	// stopping means that the term gives no more orders, since stoppedAt.
 	stopping  bool
@@ -142,7 +144,7 @@
 		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
-		formerLeaderRenewedBy: formerLeaderRenewedBy, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
+		formerLeaderRenewedBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
 		usedRowsToPut: map[Lifetime]usedRecord{}, usedRowsToDelete: map[Lifetime]bool{},
 		queueRunTimes: map[string]*queueRunTime{}, shortWork: map[shortKey]*shortDemand{}, interference: newInterference(), metrics: m,
 	}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -103,7 +103,7 @@
 	// recordTerm is the term whose lease record the worker's row of tableUsed holds; 0 for none.
 	// While there is one, leases are not extended and nothing starts on the worker.
 	recordTerm uint64
-	// runsRecorded means that the preceding term has recorded all runs of the worker.
+	// runsRecorded means that an earlier term has recorded all runs of the worker.
 	runsRecorded bool
 	// leaseEndAtStop is the end of the leases when the term began to release leadership.
 	leaseEndAtStop time.Time
