--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -279,7 +279,7 @@
 	}
 	for _, life := range c.used {
 		if w := t.workers[life.Worker]; w != nil && w.info.Lifetime == life {
-			w.usedRowStored, w.recordTerm, t.planDue = true, 0, true
+			w.usedRowStored, w.recordTerm, w.nextPoll, t.planDue = true, 0, t.now, true
 		}
 	}
 	if c.releases {
--- a/internal/fleet/handover_leases_test.go
+++ b/internal/fleet/handover_leases_test.go
@@ -167,3 +167,35 @@
 		t.Logf("all tasks run again %v after the worker left", time.Since(left))
 	})
 }
+
+// Runs of a worker that answered again before its leases had ended were lost, because the leader
+// extended them only one poll after the worker's first answer.
+func TestShortCutEndsNoLeases(t *testing.T) {
+	const seeds = 5
+	for _, cut := range []time.Duration{2500 * time.Millisecond, 3 * time.Second, 3300 * time.Millisecond} {
+		lost := 0
+		for seed := range uint64(seeds) {
+			runCluster(t, 180+seed, 3, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, PerWorker: 2, Needs: smallNeeds, Lasting: true}}})
+				time.Sleep(2*time.Second + time.Duration(seed)*100*time.Millisecond)
+				w := busyWorkers(c)[0]
+				for _, m := range c.Nodes {
+					m.Workers.Cut(w, true)
+				}
+				time.Sleep(cut)
+				for _, m := range c.Nodes {
+					m.Workers.Cut(w, false)
+				}
+				for range 60 {
+					time.Sleep(50 * time.Millisecond)
+					if c.Workers.RunCount(w) == 0 {
+						lost++
+						break
+					}
+				}
+			})
+		}
+		t.Logf("cut of %v: leases ended in %d of %d runs", cut, lost, seeds)
+		require.Zero(t, lost, "cut of %v", cut)
+	}
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -19,6 +19,9 @@
 	// unstoredEndsPollPause is the pause between polls while a delayed transaction keeps
 	// reported ends from being stored.
 	unstoredEndsPollPause = 250 * time.Millisecond
+	// recordedPollPause is the pause between polls of a worker that answers while a lease record
+	// is stored for it.
+	recordedPollPause = 250 * time.Millisecond
 )
 
 // pollReply is the answer to a poll.
@@ -55,7 +58,7 @@
 // poll asks a worker for its report and extends its lease.
 func (t *term) poll(w *worker) {
 	o := PollOrder{Fence: t.number, Acknowledged: w.lastStoredEnd}
-	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait {
+	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait && w.recordTerm == 0 {
 		o.Wait = pollWait
 		if w.lowHeadroom {
 			o.Wait = lowHeadroomPollInterval
@@ -171,6 +174,9 @@
 	if !w.usedRowStored || w.recordTerm > 0 {
 		t.markUsed(w)
 	}
+	if w.recordTerm > 0 {
+		w.nextPoll = t.now.Add(recordedPollPause) // a poll that extends the leases follows the plain row
+	}
 	if t.pollDue(w) {
 		t.poll(w)
 	}
