--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -278,7 +278,7 @@
 		}
 	}
 	for _, life := range c.used {
-		if w := t.workers[life.Worker]; w != nil && w.info.Lifetime == life {
+		if w := t.workers[life.Worker]; w != nil && w.info.Lifetime == life && !t.usedRowsToDelete[life] {
 			w.usedRowStored, w.recordTerm, w.nextPoll, t.planDue = true, 0, t.now, true
 		}
 	}
