--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -47,7 +47,7 @@
 	case t.stopping:
 		return w.leaseEndAtStop, t.stoppedAt
 	case !w.answered:
-		return w.leaseEnd(), t.startedAt
+		return w.leaseEnd(), t.usedReadAt
 	}
 	return w.leaseEnd(), w.clockAt
 }
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -29,3 +29,22 @@
 		require.False(t, w.usedRowStored && tm.unusableReason(w) == "", "the row is deleted, but tasks may start on the worker")
 	}
 }
+
+// A host that was suspended between a transaction and the read of a former record stored an end of
+// leases that was too early.
+func TestRecordAfterSuspensionDuringLoadIsNotEarly(t *testing.T) {
+	tm := newTestTerm(1)
+	life := Lifetime{Worker: "w", Born: 1}
+	// The store's clock read 100 s at 4 s, 103 s at 5 s: the host was suspended for 2 s.
+	tm.storeClock = storeReading{100 * time.Second, at(4)}
+	tm.now, tm.loaded, tm.usedReadAt = at(5), true, at(5)
+	record := leaseRecord{Term: tm.number - 1, End: 106 * time.Second, RunsKnown: true}
+	tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, life), Value: encode(usedRecord{Lifetime: life, Leases: record})}, 103*time.Second, at(5))
+	tm.workers["w"].unansweredCalls = 2
+	tm.now = at(5.3)
+	for _, r := range tm.collectTransaction().tx.Puts {
+		var u usedRecord
+		require.NoError(t, decodeRecord(r, &u))
+		require.GreaterOrEqual(t, u.Leases.End, 106*time.Second)
+	}
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -86,6 +86,8 @@
 	// term had begun.
 	confirmedAt     time.Time
 	confirmationDue bool // jobs need a transaction before their first start
+	// usedReadAt is when the rows of tableUsed had been read.
+	usedReadAt time.Time
 	// leaseRecordsSince is the first term whose lease records hold; see leaderRecord.
 	leaseRecordsSince uint64
 	storeClock        storeReading // by the last transaction
@@ -277,7 +279,7 @@
 	for _, row := range e.models {
 		t.restoreModels(row)
 	}
-	t.loaded, t.planDue = true, true
+	t.loaded, t.planDue, t.usedReadAt = true, true, e.usedReadAt
 	inherited := 0
 	for _, row := range e.used {
 		if t.restoreUsedWorker(row, e.usedNow, e.usedReadAt) {
