--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -48,3 +48,22 @@
 		require.GreaterOrEqual(t, u.Leases.End, 106*time.Second)
 	}
 }
+
+// A term that loaded its tables after it had begun to release leadership recorded leases that end
+// 292 years ago.
+func TestRecordOfTermThatLoadsWhileStopping(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now = at(1)
+	tm.operator = &operatorTable{}
+	stepDown{}.handle(tm)
+	life := Lifetime{Worker: "w", Born: 1}
+	row := Row{RowID: usedRow(tm.part, life), Value: encode(usedRecord{Lifetime: life, Leases: leaseRecord{Term: tm.number - 1, End: 104 * time.Second, RunsKnown: true}})}
+	tablesLoaded{used: []Row{row}, usedNow: 100 * time.Second, usedReadAt: at(1)}.handle(tm)
+	tm.storeClock = storeReading{100100 * time.Millisecond, at(1.1)}
+	c := tm.collectTransaction()
+	for _, r := range c.tx.Puts {
+		var u usedRecord
+		require.NoError(t, decodeRecord(r, &u))
+		require.GreaterOrEqual(t, u.Leases.End, 104*time.Second)
+	}
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -261,6 +261,9 @@
 }
 
 func (e tablesLoaded) handle(t *term) {
+	if t.stopping {
+		return // the term gives no orders any more, and records of earlier terms hold
+	}
 	for _, row := range e.workers {
 		t.handleWorkerRow(row)
 	}
