--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -67,3 +67,22 @@
 		require.GreaterOrEqual(t, u.Leases.End, 104*time.Second)
 	}
 }
+
+// A run that was recorded with a former lifetime of a worker stayed with its task for good when the
+// row of a newer lifetime replaced that worker.
+func TestRecordedRunOfReplacedLifetimeIsDropped(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded, tm.fenceVersion = at(1), true, 10
+	j := newJob("0000000000000001", jobRecord{Spec: Spec{Steps: []Step{{Count: 1, Lasting: true}}}}, 1, epoch)
+	j.inherited = true
+	j.openDue(tm.now, 0, tm.monotonicTime)
+	tm.jobs[j.id] = j
+	former, later := Lifetime{Worker: "w", Born: 1}, Lifetime{Worker: "w", Born: 2}
+	record := leaseRecord{Term: tm.number, End: 101 * time.Second, RunsKnown: true, Runs: []storedRun{{Task: taskKey{0, 0, 0}.Name(j.id), Attempt: 1}}}
+	tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, former), Value: encode(usedRecord{Lifetime: former, Leases: record})}, 100*time.Second, at(1))
+	tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, later), Value: encode(usedRecord{Lifetime: later})}, 100*time.Second, at(1))
+	tm.now, tm.confirmedAt = at(60), at(60)
+	tm.expireLeases()
+	_, tk := j.task(taskKey{0, 0, 0})
+	require.Empty(t, tk.runs)
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -318,6 +318,7 @@
 			t.usedRowsToDelete[u.Lifetime] = true // that lifetime is over
 			return false
 		}
+		t.removeWorker(w, "worker-restarted")
 		w = nil
 	}
 	if w == nil {
