--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -84,8 +84,8 @@
 		return
 	}
 	renew := t.now.Sub(t.lastRenewal) >= renewInterval
-	release := t.stopping && t.mayRelease()
-	c := t.collectTransaction()
+	c, complete := t.collectTransaction()
+	release := t.stopping && t.leasesRecorded(complete)
 	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping && !t.confirmationDue {
 		return
 	}
@@ -95,8 +95,9 @@
 	go t.sendTransaction(c)
 }
 
-// collectTransaction collects progress, used workers and waves for a transaction.
-func (t *term) collectTransaction() *pendingCommit {
+// collectTransaction collects progress, used workers and waves for a transaction. It reports
+// whether all progress fits.
+func (t *term) collectTransaction() (*pendingCommit, bool) {
 	c := &pendingCommit{nonce: t.random.Uint64(), startedAt: t.now, ends: map[*worker]uint64{}}
 	size, complete := 0, true
 	for _, j := range t.jobs {
@@ -113,7 +114,9 @@
 		c.updates = append(c.updates, jobUpdate{j, j.state(), j.lentTasks(true), j.movedTo > 0 && !j.moveStored})
 		j.dirty = false
 	}
-	t.collectLeaseRecords(c, complete)
+	if complete {
+		t.collectLeaseRecords(c)
+	}
 	t.collectUsed(c)
 	t.collectWaves(c)
 	if complete {
@@ -123,7 +126,7 @@
 			}
 		}
 	}
-	return c
+	return c, complete
 }
 
 // collectUsed adds the rows of workers that are about to get their first task, and deletes
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -67,10 +67,13 @@
 	return w.unansweredCalls >= unreachableCalls || (!w.listed && w.unansweredCalls > 0)
 }
 
-// mayRelease reports whether the next transaction may release leadership: it waits for a reading
-// of the store's clock if leases are to be recorded.
-func (t *term) mayRelease() bool {
-	if !t.storeClock.at.Before(t.stoppedAt) {
+// maxRecordTime bounds the time after a stop in which leases are recorded before the release.
+const maxRecordTime = time.Second
+
+// leasesRecorded reports whether a release need not wait for lease records: a transaction has all
+// that it must hold, or recording has taken too long.
+func (t *term) leasesRecorded(complete bool) bool {
+	if !t.loaded || t.now.Sub(t.stoppedAt) > maxRecordTime {
 		return true
 	}
 	for _, w := range t.workers {
@@ -78,12 +81,12 @@
 			return false
 		}
 	}
-	return true
+	return complete
 }
 
-// collectLeaseRecords adds the lease records that are due to a transaction. complete means that
-// the transaction holds the ends of all runs that are missing from the records.
-func (t *term) collectLeaseRecords(c *pendingCommit, complete bool) {
+// collectLeaseRecords adds the lease records that are due to a transaction that holds the ends of
+// all runs which are missing from the records.
+func (t *term) collectLeaseRecords(c *pendingCommit) {
 	if !t.loaded {
 		return
 	}
@@ -95,7 +98,7 @@
 		if !t.leaseRecordNeeded(w) || t.storeClock.at.Before(known) {
 			continue
 		}
-		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: complete && (w.answered || w.runsRecorded)}
+		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.answered || w.runsRecorded}
 		for ref := range w.runs {
 			record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
 		}
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -16,14 +16,14 @@
 	tm.workers["w"], tm.loaded, w.pollInFlight = w, true, true
 	tm.now, tm.fenceVersion = at(1), 1
 	tm.markUsed(w) // it has answered
-	c1 := tm.collectTransaction()
+	c1, _ := tm.collectTransaction()
 	require.Len(t, c1.used, 1)
 	w.unansweredCalls = 1
 	tm.now, tm.confirmedAt = at(2), at(1.5)
 	tm.expireLeases()
 	tm.now = at(2.1)
 	commitResult{commit: c1, version: 2, sent: at(2)}.handle(tm)
-	c2 := tm.collectTransaction()
+	c2, _ := tm.collectTransaction()
 	w.unansweredCalls = 0
 	if len(c2.tx.Delete) > 0 {
 		require.False(t, w.usedRowStored && tm.unusableReason(w) == "", "the row is deleted, but tasks may start on the worker")
@@ -42,7 +42,8 @@
 	tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, life), Value: encode(usedRecord{Lifetime: life, Leases: record})}, 103*time.Second, at(5))
 	tm.workers["w"].unansweredCalls = 2
 	tm.now = at(5.3)
-	for _, r := range tm.collectTransaction().tx.Puts {
+	c, _ := tm.collectTransaction()
+	for _, r := range c.tx.Puts {
 		var u usedRecord
 		require.NoError(t, decodeRecord(r, &u))
 		require.GreaterOrEqual(t, u.Leases.End, 106*time.Second)
@@ -60,7 +61,7 @@
 	row := Row{RowID: usedRow(tm.part, life), Value: encode(usedRecord{Lifetime: life, Leases: leaseRecord{Term: tm.number - 1, End: 104 * time.Second, RunsKnown: true}})}
 	tablesLoaded{used: []Row{row}, usedNow: 100 * time.Second, usedReadAt: at(1)}.handle(tm)
 	tm.storeClock = storeReading{100100 * time.Millisecond, at(1.1)}
-	c := tm.collectTransaction()
+	c, _ := tm.collectTransaction()
 	for _, r := range c.tx.Puts {
 		var u usedRecord
 		require.NoError(t, decodeRecord(r, &u))
@@ -86,3 +87,57 @@
 	_, tk := j.task(taskKey{0, 0, 0})
 	require.Empty(t, tk.runs)
 }
+
+// A leader released leadership although records of departed workers did not fit into its last
+// transaction.
+func TestReleaseWaitsForAllLeaseRecords(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded = at(1), true
+	for i := range 120 {
+		w := testWorker(string(rune('a'+i%26)) + string(rune('a'+i/26)))
+		w.info.Draining, w.clockAt = true, at(0.5)
+		tm.workers[w.info.Worker] = w
+	}
+	stepDown{}.handle(tm)
+	tm.storeClock = storeReading{100 * time.Second, at(1.1)}
+	_, complete := tm.collectTransaction()
+	missing := 0
+	for _, w := range tm.workers {
+		if tm.leaseRecordNeeded(w) {
+			missing++
+		}
+	}
+	require.Positive(t, missing, "the records need several transactions")
+	require.False(t, tm.leasesRecorded(complete))
+	_, complete = tm.collectTransaction()
+	require.True(t, tm.leasesRecorded(complete))
+}
+
+// The lease record of a worker stayed incomplete when progress did not fit into its transaction.
+func TestIncompleteLeaseRecordIsCompletedLater(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded = at(1), true
+	for i := range 95 {
+		j := newJob(string(rune('a'+i%26))+string(rune('a'+i/26)), jobRecord{Spec: Spec{Steps: []Step{{Count: 1}}}}, 1, epoch)
+		j.dirty = true
+		tm.jobs[j.id] = j
+	}
+	w := testWorker("w")
+	w.unansweredCalls, w.clockAt = 2, at(0.5)
+	tm.workers["w"] = w
+	tm.storeClock = storeReading{100 * time.Second, at(0.9)}
+	known := func(c *pendingCommit) bool {
+		for _, r := range c.tx.Puts {
+			var u usedRecord
+			if r.Table == tableUsed && decodeRecord(r, &u) == nil && u.Leases.RunsKnown {
+				return true
+			}
+		}
+		return false
+	}
+	c, complete := tm.collectTransaction()
+	require.False(t, complete)
+	require.False(t, known(c), "ends of runs are not part of the transaction")
+	c, _ = tm.collectTransaction()
+	require.True(t, known(c))
+}
