--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -77,22 +77,27 @@
 
 // flush starts a transaction when there is something to store, to renew or to confirm.
 func (t *term) flush() {
-	if t.pendingCommit != nil || t.now.Before(t.nextCommit) || t.ctx.Err() != nil || t.released {
-		return
+	if c := t.nextTransaction(); c != nil {
+		go t.sendTransaction(c)
 	}
-	if t.stopping && (t.ordersPending() || t.maintenancePending()) {
-		return
+}
+
+// nextTransaction returns the transaction that is due, or nil.
+func (t *term) nextTransaction() *pendingCommit {
+	if t.pendingCommit != nil || t.now.Before(t.nextCommit) || t.ctx.Err() != nil || t.released {
+		return nil
 	}
 	renew := t.now.Sub(t.lastRenewal) >= renewInterval
 	c, complete := t.collectTransaction()
-	release := t.stopping && t.leasesRecorded(complete)
-	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !t.stopping && !t.confirmationDue {
-		return
+	release := t.stopping && !t.ordersPending() && !t.maintenancePending() && t.leasesRecorded(complete)
+	readingDue := t.stopping && t.storeClock.at.Before(t.stoppedAt)
+	if len(c.tx.Puts) == 0 && len(c.tx.Delete) == 0 && !renew && !release && !readingDue && !t.confirmationDue {
+		return nil
 	}
-	t.addFence(c, renew || t.stopping, release)
+	t.addFence(c, renew || release, release)
 	t.pendingCommit, t.confirmationDue = c, false
 	t.nextCommit = t.now.Add(commitInterval)
-	go t.sendTransaction(c)
+	return c
 }
 
 // collectTransaction collects progress, used workers and waves for a transaction. It reports
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -269,16 +270,20 @@
 	require.Empty(t, w.runs)
 }
 
-// A leader that waited for answers before its release dropped the progress of jobs.
-func TestReleasingLeaderKeepsProgressUntilItIsStored(t *testing.T) {
+// A leader that waited for answers before its release dropped the progress of jobs and did not
+// renew.
+func TestReleasingLeaderStoresProgressAndRenews(t *testing.T) {
 	tm := newTestTerm(1)
 	j := newJob("j", jobRecord{Spec: Spec{Steps: []Step{{Count: 1}}}}, 1, epoch)
 	w := testWorker("w")
 	testRun(w, &j.spec.Steps[0], 0).state = runSent
 	tm.jobs["j"], tm.workers["w"], tm.loaded, tm.stopping, j.dirty = j, w, true, true, true
-	tm.flush()
-	require.Nil(t, tm.pendingCommit, "a start has no answer yet")
-	require.True(t, j.dirty)
+	tm.lastRenewal = epoch.Add(-renewInterval)
+	c := tm.nextTransaction()
+	require.NotNil(t, c)
+	require.True(t, slices.ContainsFunc(c.tx.Puts, func(r Row) bool { return r.RowID == progressRow(tm.part, "j") }))
+	require.True(t, c.renews)
+	require.False(t, c.releases, "a start has no answer yet")
 }
 
 func TestProgressRecordRoundTrip(t *testing.T) {
