--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -472,3 +472,15 @@
 	require.NoError(t, decodeRecord(Config{}.renewalRow("", leaderRecord{}), &f.record))
 	require.Equal(t, epoch.Add(maxLeaseReach), f.formerLeaderRenewedBy(at(3)).Add(maxLeaseReach))
 }
+
+// The row of an idle worker that has left stayed stored for the rest of the term.
+func TestRowOfIdleDepartedWorkerIsDeleted(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded = at(1), true
+	w := testWorker("w")
+	w.clockAt, w.listed = at(0.5), false
+	tm.workers["w"] = w
+	tm.now, tm.confirmedAt = at(60), at(60)
+	tm.expireLeases()
+	require.NotEmpty(t, tm.usedRowsToDelete)
+}
--- a/internal/fleet/handover_leases_test.go
+++ b/internal/fleet/handover_leases_test.go
@@ -199,3 +199,27 @@
 		require.Zero(t, lost, "cut of %v", cut)
 	}
 }
+
+// After the end of a leader's process, a worker that had left idle long before held up all jobs.
+func TestIdleDepartedWorkerHoldsUpNoJobAfterCrash(t *testing.T) {
+	for _, departed := range []bool{false, true} {
+		runCluster(t, 134, 4, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+			submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 32, Needs: smallNeeds, Estimate: time.Second}}})
+			waitState(t, c, jobID(0), fleet.StateCompleted, 20*time.Second)
+			time.Sleep(2 * time.Second)
+			if departed {
+				c.Drain(c.Fleet[0])
+				time.Sleep(4 * time.Second)
+				leave(c, c.Fleet[0])
+				time.Sleep(20 * time.Second)
+			}
+			submit(t, c, jobID(1), twoSteps())
+			time.Sleep(500 * time.Millisecond)
+			c.Kill(c.Leader())
+			from := time.Now()
+			waitState(t, c, jobID(1), fleet.StateCompleted, 30*time.Second)
+			t.Logf("departed worker: %v; job done %v after the end of the leader", departed, time.Since(from))
+			require.Less(t, time.Since(from), 6*time.Second, "an election and two steps of a second")
+		})
+	}
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -306,6 +306,10 @@
 			}
 			continue
 		}
+		if w.departedIdle() {
+			t.removeWorker(w, "left")
+			continue
+		}
 		if w.unansweredCalls == 0 || w.clockAt.IsZero() || !t.confirmedAt.After(w.leaseEnd()) {
 			continue
 		}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -200,6 +200,12 @@
 	return w.free().MilliCPU + int64((1-servingUseShare)*float64(w.servingMilliCPU)) - w.fillerMilliCPU
 }
 
+// departedIdle reports whether the worker has left the list and certainly holds nothing: it runs
+// nothing and the leader has acknowledged all ends.
+func (w *worker) departedIdle() bool {
+	return !w.listed && w.answered && len(w.runs) == 0 && w.lastAckedEnd >= w.lastSeenEnd
+}
+
 // hasTrialRun reports whether a run has started on w since its last quarantine. Older runs
 // prove nothing, as some workers fail only new starts.
 func (w *worker) hasTrialRun() bool {
