--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
 
 // A term that begins does not know which runs a worker holds that it cannot reach, nor how long
 // the worker's leases last. The leader that granted them does: it stores both in the worker's
@@ -107,7 +111,20 @@
 		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(t.part, w.info.Lifetime), Value: encode(u)})
 		delete(t.usedRowsToPut, w.info.Lifetime)
 		w.recordTerm = t.number
+		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "recorded", "runs": len(w.runs),
+			"runs_known": record.RunsKnown, "lease_ms": end.Sub(t.now).Milliseconds()}).Info("recording the leases of a worker for the next term")
+	}
+}
+
+// recordedWorkers counts the workers whose runs an earlier term has recorded, and these runs.
+func (t *term) recordedWorkers() (workers, runs int) {
+	for _, w := range t.workers {
+		if w.runsRecorded {
+			workers++
+			runs += len(w.runs)
+		}
 	}
+	return workers, runs
 }
 
 // restoreLeases applies the lease record of an earlier term to a worker. storeNow is a reading
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -89,7 +89,9 @@
 		return "no answer"
 	case !w.answered:
 		return "not asked yet"
-	case !w.usedRowStored, w.recordTerm > 0:
+	case w.recordTerm > 0:
+		return "leases recorded"
+	case !w.usedRowStored:
 		return "not registered yet"
 	case w.health.excluded(t.now):
 		return "resting"
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -289,12 +289,13 @@
 			inherited++
 		}
 	}
+	recorded, recordedRuns := t.recordedWorkers()
 	for _, c := range e.changes {
 		c.handle(t)
 	}
 	t.resendMoves()
 	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
-		"configuration": t.configurationVersion()}).Info("term has loaded its tables")
+		"recorded_workers": recorded, "recorded_runs": recordedRuns, "records_since": t.leaseRecordsSince, "configuration": t.configurationVersion()}).Info("term has loaded its tables")
 	t.schedulePolls()
 }
 
@@ -332,8 +333,8 @@
 	return true
 }
 
-// allRunsKnown reports whether all runs of earlier terms are accounted for: every worker that
-// may hold some has answered, or its leases have certainly ended.
+// allRunsKnown reports whether all runs of earlier terms are accounted for: of every worker that
+// may hold some, they were recorded, or it has answered, or its leases have certainly ended.
 func (t *term) allRunsKnown() bool {
 	switch {
 	case !t.loaded: // the workers that may hold runs are not known yet
