fleet: task counts whose sum overflows are refused

The job was stored, the leader of its cell panicked in openOccurrence (makeslice: len out of range), and so did each later leader as it read the row. Callers saw refusals until the row was removed.

Spec.Validate compares each count with what is left of the limit. A leader also validates what it reads, so that a row stored by an earlier version ends no process; such a job is logged and left out.

--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -68,8 +68,12 @@
 		return
 	}
 	var r jobRecord
-	if err := decodeRecord(row, &r); err != nil {
-		t.log.WithError(err).Error("cannot decode job row")
+	err := decodeRecord(row, &r)
+	if err == nil {
+		err = r.Spec.Validate() // earlier versions accepted more
+	}
+	if err != nil {
+		t.log.WithError(err).WithField("job", row.Key).Error("ignored an undecodable or invalid job")
 		return
 	}
 	arrived := t.now
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -95,10 +95,10 @@
 	}
 	tasks := 0
 	for i, step := range s.Steps {
-		tasks += step.Count
-		if step.Count < 1 || tasks > maxTasks {
+		if step.Count < 1 || step.Count > maxTasks-tasks { // the sum could overflow
 			return invalid("give each step at least one task, and all together at most 4096", "step %d has %d tasks", i, step.Count)
 		}
+		tasks += step.Count
 		if step.Needs.Negative() || step.Estimate < 0 || step.PerWorker < 0 || step.MaxInterrupted < 0 {
 			return invalid("use figures of 0 or more", "step %d has a negative figure", i)
 		}
