fleet: figures of a job have upper bounds

A submission could ask for thousandths of a core, or give an estimate of 1e300 ms. It was accepted, and sums with its figures overflowed: the demand in a cell's load, the estimate of its chain of steps, and the due times of a schedule, where a start in a far future wrapped around to the past. The conversion of a float64 beyond int64 also differs between amd64 and arm64.

Spec.Validate bounds resources by 2^32 in each dimension, durations by a year and the start by 2^53 ms; callers get 400. monotonicTime bounds the distance that it converts.

Before: TestFiguresOutOfRangeAreInvalid failed at the first case that it tried, for which Validate returned no error.

--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -12,6 +12,14 @@
 	// maxTasks bounds the tasks of one occurrence, as its progress must fit in a row.
 	maxTasks   = 4096
 	maxRepeats = 100_000
+	// MaxResource bounds each dimension of what a task needs and of what a worker has, so that
+	// sums over a fleet do not overflow.
+	MaxResource = 1 << 32
+	// maxDuration bounds each duration of a job, so that the sum over a chain of steps does
+	// not overflow.
+	maxDuration = 365 * 24 * time.Hour
+	// maxStartAt is the largest time in Unix milliseconds that a JSON number holds exactly.
+	maxStartAt = 1 << 53
 )
 
 // Step is a set of identical tasks of a job.
@@ -90,8 +98,8 @@
 	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
 		return invalid("give 1 to 64 steps", "%d steps", len(s.Steps))
 	}
-	if s.Repeats < 0 || s.Repeats > maxRepeats || s.Interval < 0 {
-		return invalid("give a count and an interval of 0 or more", "%d repeats every %v", s.Repeats, s.Interval)
+	if s.Repeats < 0 || s.Repeats > maxRepeats || !validDuration(s.Interval) || s.StartAt < 0 || s.StartAt > maxStartAt {
+		return invalid("give up to 100000 repeats, an interval of up to a year and a start after 1970", "%d repeats every %v from %d", s.Repeats, s.Interval, s.StartAt)
 	}
 	tasks := 0
 	for i, step := range s.Steps {
@@ -99,8 +107,8 @@
 			return invalid("give each step at least one task, and all together at most 4096", "step %d has %d tasks", i, step.Count)
 		}
 		tasks += step.Count
-		if step.Needs.Negative() || step.Estimate < 0 || step.PerWorker < 0 || step.MaxInterrupted < 0 {
-			return invalid("use figures of 0 or more", "step %d has a negative figure", i)
+		if !ValidResources(step.Needs) || !validDuration(step.Estimate) || !validDuration(step.LatencyTarget) || step.PerWorker < 0 || step.MaxInterrupted < 0 {
+			return invalid("use figures of 0 or more, and times of up to a year", "step %d has a figure out of range", i)
 		}
 		for _, a := range step.After {
 			if a < 0 || a >= i {
@@ -111,6 +119,13 @@
 	return nil
 }
 
+func validDuration(d time.Duration) bool { return d >= 0 && d <= maxDuration }
+
+// ValidResources reports whether each dimension is between 0 and MaxResource.
+func ValidResources(r model.Resources) bool {
+	return !r.Negative() && r.Fits(model.Resources{MilliCPU: MaxResource, MemoryMB: MaxResource, Accelerators: MaxResource})
+}
+
 // Chains returns, for each step, the estimated time from its start to the end of
 // the longest chain of steps that begins with it.
 func (s Spec) Chains() []time.Duration {
--- a/internal/fleet/spec_test.go
+++ b/internal/fleet/spec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -31,3 +32,33 @@
 	require.Len(t, tm.jobs, 1)
 	require.Contains(t, tm.jobs, "0000000000000004")
 }
+
+// Figures near the limits of their types overflowed in the sums of loads, chains and due times.
+func TestFiguresOutOfRangeAreInvalid(t *testing.T) {
+	one := Step{Count: 1}
+	for name, s := range map[string]Spec{
+		"processors":      {Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: math.MaxInt64}}}},
+		"memory":          {Steps: []Step{{Count: 1, Needs: model.Resources{MemoryMB: MaxResource + 1}}}},
+		"accelerators":    {Steps: []Step{{Count: 1, Needs: model.Resources{Accelerators: math.MaxInt64}}}},
+		"estimate":        {Steps: []Step{{Count: 1, Estimate: math.MaxInt64}}},
+		"target":          {Steps: []Step{{Count: 1, LatencyTarget: math.MaxInt64}}},
+		"negative target": {Steps: []Step{{Count: 1, LatencyTarget: -1}}},
+		"interval":        {Steps: []Step{one}, Repeats: 2, Interval: math.MaxInt64},
+		"start":           {Steps: []Step{one}, Repeats: 2, StartAt: math.MaxInt64},
+		"early start":     {Steps: []Step{one}, Repeats: 2, StartAt: math.MinInt64},
+	} {
+		require.True(t, model.IsKind(s.Validate(), model.KindInvalid), name)
+	}
+	most := Step{Count: 1, Needs: model.Resources{MilliCPU: MaxResource, MemoryMB: MaxResource, Accelerators: MaxResource}, Estimate: maxDuration, LatencyTarget: maxDuration}
+	s := Spec{Steps: slices.Repeat([]Step{most}, maxSteps), Repeats: maxRepeats, StartAt: maxStartAt, Interval: maxDuration}
+	for i := 1; i < maxSteps; i++ {
+		s.Steps[i].After = []int{i - 1}
+	}
+	require.NoError(t, s.Validate())
+	require.Positive(t, s.Chains()[0])
+	tm := newTestTerm(1)
+	tm.cfg.Started, tm.cfg.StartedUnix = epoch, epoch.UnixMilli()
+	j := newJob("j", jobRecord{Spec: s}, 1, epoch)
+	require.True(t, j.dueAt(0, tm.monotonicTime).After(tm.now))
+	require.True(t, j.dueAt(maxRepeats-1, tm.monotonicTime).After(tm.now), "the due time wraps around")
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -235,9 +235,14 @@
 	return !t.stopping && t.now.Sub(t.lastRenewal) < maxOrderAge
 }
 
+// maxScheduleAhead bounds the times that monotonicTime returns, as a Duration holds at most 292
+// years.
+const maxScheduleAhead = 100 * 365 * 24 * time.Hour
+
 // monotonicTime converts a wall-clock time to this node's monotonic clock.
 func (t *term) monotonicTime(unixMS int64) time.Time {
-	return t.cfg.Started.Add(time.Duration(unixMS-t.cfg.StartedUnix) * time.Millisecond)
+	ms := min(max(unixMS-t.cfg.StartedUnix, -maxScheduleAhead.Milliseconds()), maxScheduleAhead.Milliseconds())
+	return t.cfg.Started.Add(time.Duration(ms) * time.Millisecond)
 }
 
 // openOccurrences opens the scheduled occurrences that are due.
