fleet: the open occurrences of a job have at most 4096 tasks

A submission with 100000 repeats of 4096 tasks, all due in the past, was opened at once: 409.6 million tasks in memory on the leader, and on each later one. Its progress could not fit in a row either.

openDue opens an occurrence only while the open ones have room for it below the limit that a single occurrence has; the rest follow as others end, in order.

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -190,7 +190,8 @@
 	return toMonotonic(j.spec.StartAt + int64(k)*j.spec.Interval.Milliseconds())
 }
 
-// openDue opens the occurrences that are due at now, or at most the duration early after it.
+// openDue opens the occurrences that are due at now, or at most the duration early after it. The
+// open ones together have at most maxTasks tasks; the next is opened once one of them has ended.
 func (j *job) openDue(now time.Time, early time.Duration, toMonotonic func(int64) time.Time) {
 	for j.openedOccurrences < j.spec.Occurrences() {
 		due := j.dueAt(j.openedOccurrences, toMonotonic)
@@ -198,6 +199,9 @@
 			return
 		}
 		if !j.finishedOccurrences[j.openedOccurrences] && j.openOccurrenceAt(j.openedOccurrences) == nil {
+			if tasks := j.spec.tasks(); len(j.occurrences)*tasks > maxTasks-tasks {
+				return
+			}
 			j.openOccurrence(j.openedOccurrences, due, now)
 		}
 		j.openedOccurrences++
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -9,7 +9,8 @@
 // Limits of a job.
 const (
 	maxSteps = 64
-	// maxTasks bounds the tasks of one occurrence, as its progress must fit in a row.
+	// maxTasks bounds the tasks of the open occurrences of a job, as their progress must fit in
+	// a row.
 	maxTasks   = 4096
 	maxRepeats = 100_000
 	// MaxResource bounds each dimension of what a task needs and of what a worker has, so that
@@ -90,6 +91,15 @@
 // Occurrences returns how many times the steps run.
 func (s Spec) Occurrences() int { return max(s.Repeats, 1) }
 
+// tasks returns the number of tasks of one occurrence.
+func (s Spec) tasks() int {
+	n := 0
+	for _, step := range s.Steps {
+		n += step.Count
+	}
+	return n
+}
+
 // Validate checks a submission. Errors are of KindInvalid.
 func (s Spec) Validate() error {
 	invalid := func(remedy, format string, args ...any) error {
--- a/internal/fleet/spec_test.go
+++ b/internal/fleet/spec_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -62,3 +63,23 @@
 	require.True(t, j.dueAt(0, tm.monotonicTime).After(tm.now))
 	require.True(t, j.dueAt(maxRepeats-1, tm.monotonicTime).After(tm.now), "the due time wraps around")
 }
+
+// A job with a schedule in the past was opened with all of its occurrences, each with thousands
+// of tasks, and took gigabytes of memory.
+func TestOpenOccurrencesAreBounded(t *testing.T) {
+	tm := newTestTerm(1)
+	open := func(s Spec) *job {
+		j := newJob("j", jobRecord{Spec: s}, 1, epoch)
+		j.openDue(tm.now, 0, func(int64) time.Time { return epoch })
+		return j
+	}
+	j := open(Spec{Steps: []Step{{Count: 1000}}, Repeats: 100})
+	require.Len(t, j.occurrences, 4)
+	for i := range 1000 {
+		j.finishTask(taskKey{0, 0, i}, epoch)
+	}
+	j.openDue(tm.now, 0, func(int64) time.Time { return epoch })
+	require.Len(t, j.occurrences, 4, "the next one is opened when one has ended")
+	require.Equal(t, 5, j.openedOccurrences)
+	require.Len(t, open(Spec{Steps: []Step{{Count: maxTasks}}, Repeats: 2}).occurrences, 1, "the largest job makes progress")
+}
