--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -309,7 +309,7 @@
 // Decoder decodes rows that are owned by other writers. A row that cannot be decoded yields
 // an error and must have no effect.
 type Decoder interface {
-	// Worker decodes an entry of the list of workers.
+	// Worker decodes an entry of the list of workers. All texts of the result are valid UTF-8.
 	Worker(row Row) (WorkerInfo, error)
 	// Configuration decodes the operators' settings.
 	Configuration(row Row) (Configuration, error)
