fleet: an entry of a later lifetime is checked while the worker answers

An entry of another writer under the id of a living worker, with the same fields but a later begin of the lifetime, made the leader count all runs of the worker as lost. Their tasks were started a second time while the first runs went on. The worker's own entries were ignored from then on, as those of an earlier lifetime, until the leader changed; a leader that read such an entry first never used the worker.

While a worker with runs answers, the leader now probes it at its known address when an entry names a later lifetime. It replaces the worker when the probe gets no answer or one of another lifetime, and ignores the entry otherwise. Workers that do not answer are replaced at once, as before. An earlier lifetime is accepted while the known one has never answered.

--- /dev/null
+++ b/internal/fleet/odd_entries_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+)
+
+// putEntry writes an entry of the list of workers under a key of any writer.
+func putEntry(t *testing.T, c *fleettest.Cluster, key string, info fleet.WorkerInfo) {
+	t.Helper()
+	data, err := json.Marshal(info)
+	require.NoError(t, err)
+	c.Store.Put(fleettest.TableWorkers, "", key, data)
+}
+
+// withBorn returns the entry of w with another begin of its lifetime.
+func withBorn(w *fleettest.Worker, born int64) fleet.WorkerInfo {
+	info := w.Info
+	info.Born = born
+	return info
+}
+
+// An entry of another writer under the id of a living worker named a later lifetime: its runs
+// counted as lost and were started a second time, and its own entries were ignored from then on.
+func TestEntryOfLaterLifetimeUnderLivingWorker(t *testing.T) {
+	runCluster(t, 60, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		require.Equal(t, 6, c.Checker.StartCount())
+		for _, w := range c.Fleet {
+			putEntry(t, c, string(w.Info.Worker), withBorn(w, math.MaxInt64))
+			time.Sleep(2 * time.Second)
+			require.Equal(t, 6, c.Checker.StartCount(), "the runs of the worker continue")
+			c.List(w)
+		}
+		time.Sleep(time.Second)
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 10, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		require.Equal(t, 16, c.Checker.StartCount(), "both workers are used")
+	})
+}
+
+// A leader that found such an entry when it read the list ignored the worker's own entries.
+func TestLeaderReadsEntryOfLaterLifetimeFirst(t *testing.T) {
+	runClusterWith(t, func() *fleettest.Cluster {
+		c := fleettest.NewCluster(61, 3, 1, shortTask)
+		putEntry(t, c, string(c.Fleet[0].Info.Worker), withBorn(c.Fleet[0], math.MaxInt64))
+		return c
+	}, func(t *testing.T, c *fleettest.Cluster) {
+		c.List(c.Fleet[0])
+		submit(t, c, jobID(0), twoSteps())
+		waitAll(t, c, 1, 10*time.Second)
+	})
+}
+
+// A worker that starts again under its id at another address is used at once.
+func TestWorkerStartsAgainElsewhere(t *testing.T) {
+	runCluster(t, 62, 3, 1, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		require.Equal(t, 3, c.Checker.StartCount())
+		old := c.Fleet[0]
+		info := withBorn(old, old.Info.Born+1)
+		info.Addr = "elsewhere:1"
+		c.Workers.Kill(old)
+		again := c.Workers.Add(info)
+		c.List(again)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 6, c.Checker.StartCount())
+		require.Equal(t, 3, c.Workers.RunCount(again))
+	})
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -96,6 +96,9 @@
 	if !e.probe {
 		w.pollInFlight = false
 	}
+	if t.settleLaterLifetime(w, e) {
+		return
+	}
 	switch {
 	case e.err != nil:
 		t.recordNoAnswer(w, e.err)
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -241,15 +241,44 @@
 		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": id, "choice": "listed", "dc": info.DataCentre,
 			"address": info.Addr, "milli_cpu": info.Capacity.MilliCPU, "memory_mb": info.Capacity.MemoryMB,
 			"accelerators": info.Capacity.Accelerators, "labels": info.Labels}).Log(t.rowLogLevel(), "worker added")
-	case info.Born != 0 && w.info.Born != 0 && info.Born < w.info.Born:
+	case info.Born == w.info.Born || info.Born == 0 || w.info.Born == 0:
+		t.updateWorker(w, info)
+	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
-	case info.Born != w.info.Born && w.info.Born != 0 && info.Born != 0:
-		t.replaceWorker(w, info)
+	case info.Born > w.info.Born && len(w.runs) > 0 && w.answered && w.unansweredCalls == 0:
+		t.checkLaterLifetime(w, info)
 	default:
-		t.updateWorker(w, info)
+		t.replaceWorker(w, info)
 	}
 }
 
+// checkLaterLifetime probes a worker that answers although an entry names a later lifetime of
+// it. The entry may come from another writer, and then the runs of the worker go on.
+func (t *term) checkLaterLifetime(w *worker, later WorkerInfo) {
+	if w.laterEntry == nil {
+		w.laterEntrySeen = t.now
+		t.probe(w)
+	}
+	w.laterEntry = &later
+}
+
+// settleLaterLifetime applies a poll's result to an entry that checkLaterLifetime has kept. It
+// reports whether the worker was replaced: its lifetime no longer answers.
+func (t *term) settleLaterLifetime(w *worker, e pollReply) (replaced bool) {
+	if w.laterEntry == nil || e.sent.Before(w.laterEntrySeen) || t.workers[w.info.Worker] != w {
+		return false
+	}
+	later := *w.laterEntry
+	w.laterEntry = nil
+	if e.err == nil && (e.report.Verdict == StartRunning || e.report.Verdict == StartFenced) {
+		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "entry ignored", "runs": len(w.runs),
+			"born": later.Born, "answering": w.info.Born}).Warn("worker answers although its entry names a later lifetime")
+		return false
+	}
+	t.replaceWorker(w, later)
+	return true
+}
+
 // updateWorker applies a newer entry of the same lifetime of a worker.
 func (t *term) updateWorker(w *worker, info WorkerInfo) {
 	if info.Draining != w.info.Draining || !w.listed {
@@ -268,7 +297,7 @@
 	if !w.listed {
 		return
 	}
-	w.listed = false
+	w.listed, w.laterEntry = false, nil
 	t.planDue = true
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "unlisted", "runs": len(w.runs),
 		"answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Info("worker left the list")
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -77,9 +77,13 @@
 	info WorkerInfo
 	rack string
 	// listed is false once the platform's list lacks the entry.
-	listed   bool
-	runs     map[RunRef]*run
-	reserved model.Resources
+	listed bool
+	// laterEntry is an entry that names a later lifetime of the worker, seen first at
+	// laterEntrySeen, until a probe has settled whether this lifetime still answers.
+	laterEntry     *WorkerInfo
+	laterEntrySeen time.Time
+	runs           map[RunRef]*run
+	reserved       model.Resources
 	// fillerMilliCPU is the processor demand of filler runs in thousandths of a core.
 	fillerMilliCPU int64
 	// servingMilliCPU is the processor capacity that lasting runs reserve, in thousandths of
