fleet: the progress of a job always fits in a row

A job of 4096 tasks with checkpoints has a progress record of 120 KB, and one whose 100000 repeats end over time one of 350 KB. The store refuses rows of more than row_bytes (64 KB) with 400, and a leader repeats a transaction until it succeeds. One such submission, which is valid, would have stopped all progress of its cell, its renewals included, under this leader and each later one.

Where the record would be too large it leaves out checkpoints and counts of failures, so that a later leader repeats work but loses none; 4096 tasks fit. A job that does not fit even so fails, as a schedule with more than about 13000 ended occurrences.

Before: TestProgressOfLargestJobFitsInRow got a row of 122622 bytes.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -113,7 +113,7 @@
 			complete = false
 			break
 		}
-		value := encode(j.progress())
+		value := t.encodeProgress(j)
 		size += len(value)
 		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(t.part, j.id), Value: value})
 		c.updates = append(c.updates, jobUpdate{j, j.state(), j.lentTasks(true), j.movedTo > 0 && !j.moveStored})
@@ -134,6 +134,36 @@
 	return c, complete
 }
 
+// encodeProgress returns the value of a job's progress row. A transaction with a row that is too
+// large would fail for ever, and with it the whole cell. Checkpoints and counts of failures are
+// left out where the row would be too large, and a job that does not fit even so fails.
+func (t *term) encodeProgress(j *job) []byte {
+	p := j.progress()
+	value := encode(p)
+	if t.fitsInRow(value) {
+		return value
+	}
+	for _, o := range p.Open {
+		for _, tasks := range o.Steps {
+			for i := range tasks {
+				tasks[i].Checkpoint, tasks[i].Failed = "", nil
+			}
+		}
+	}
+	if value = encode(p); t.fitsInRow(value) {
+		return value
+	}
+	if j.failureReason == "" {
+		j.failureReason = "its progress exceeds a row of the store"
+		t.stopFinishedJob(j)
+	}
+	return encode(progressRecord{State: j.state(), Failed: j.failureReason, Started: j.started, MovedTo: j.movedTo, MoveStored: j.moveStored})
+}
+
+func (t *term) fitsInRow(value []byte) bool {
+	return t.cfg.Limits.RowBytes <= 0 || len(value) <= t.cfg.Limits.RowBytes
+}
+
 // collectUsed adds the rows of workers that are about to get their first task, and deletes
 // those of workers that run nothing any more.
 func (t *term) collectUsed(c *pendingCommit) {
--- a/internal/fleet/spec_test.go
+++ b/internal/fleet/spec_test.go
@@ -83,3 +83,43 @@
 	require.Equal(t, 5, j.openedOccurrences)
 	require.Len(t, open(Spec{Steps: []Step{{Count: maxTasks}}, Repeats: 2}).occurrences, 1, "the largest job makes progress")
 }
+
+// A row larger than the store allows failed the transactions of the whole cell, again and again,
+// as a transaction is repeated until it succeeds.
+func TestProgressOfLargestJobFitsInRow(t *testing.T) {
+	for name, c := range map[string]struct {
+		spec Spec
+		want State
+	}{
+		"one step":   {Spec{Steps: []Step{{Count: maxTasks}}}, StateRunning},
+		"many steps": {Spec{Steps: slices.Repeat([]Step{{Count: maxTasks / maxSteps}}, maxSteps)}, StateRunning},
+		"repeats":    {Spec{Steps: []Step{{Count: 1}}, Repeats: maxRepeats}, StateFailed},
+	} {
+		tm := newTestTerm(1)
+		tm.cfg.Limits.RowBytes = 65536
+		j := newJob("j", jobRecord{Spec: c.spec}, 1, epoch)
+		j.started, j.dirty = true, true
+		tm.jobs[j.id] = j
+		for k := range c.spec.Repeats / 2 {
+			j.finishedOccurrences[2*k] = true
+		}
+		j.openDue(epoch, 0, func(int64) time.Time { return epoch })
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				for n := range o.steps[i].tasks {
+					o.steps[i].tasks[n] = task{attempt: 200, failed: []int{200}, checkpoint: "00000bb87a21d94b"}
+				}
+			}
+		}
+		tx := tm.collectTransaction().tx
+		require.Len(t, tx.Puts, 1)
+		require.LessOrEqual(t, len(tx.Puts[0].Value), tm.cfg.Limits.RowBytes, name)
+		var p progressRecord
+		require.NoError(t, decodeRecord(tx.Puts[0], &p))
+		require.Equal(t, c.want, p.State, name)
+		require.Equal(t, c.want == StateFailed, j.over(), name)
+		if c.want == StateRunning {
+			require.Equal(t, 200, p.Open[0].Steps[0][0].Attempt, "attempts stay known")
+		}
+	}
+}
