fleet: a new leader checks an entry of a later lifetime too

A leader that began its term while an entry of another writer named a later lifetime of a worker took the lifetime on which the former leader had started tasks for ended: it deleted the stored record of it and started the tasks a second time, while the first runs went on.

The worker of the stored record is kept until the first poll at its address is answered. It is replaced by the worker of the entry when there is no answer, or one of another lifetime, so a worker that did start again costs no wait for leases. A record of the later lifetime itself still settles it at once.

--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -77,3 +77,44 @@
 		require.Equal(t, 3, c.Workers.RunCount(again))
 	})
 }
+
+// A new leader that found such an entry took the worker's runs for ended and started their tasks
+// a second time.
+func TestNextLeaderReadsEntryOfLaterLifetime(t *testing.T) {
+	runCluster(t, 63, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		require.Equal(t, 6, c.Checker.StartCount())
+		c.Kill(c.Leader())
+		for _, w := range c.Fleet {
+			putEntry(t, c, string(w.Info.Worker), withBorn(w, math.MaxInt64))
+		}
+		time.Sleep(10 * time.Second)
+		require.NotNil(t, c.Leader())
+		require.Equal(t, 6, c.Checker.StartCount(), "the runs of the workers continue")
+		for _, w := range c.Fleet {
+			c.List(w)
+		}
+		time.Sleep(time.Second)
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 10, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		require.Equal(t, 16, c.Checker.StartCount(), "both workers are used")
+	})
+}
+
+// A worker that starts again while no node leads is used by the next leader without a wait for
+// leases.
+func TestWorkerStartsAgainWithoutLeader(t *testing.T) {
+	runCluster(t, 64, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		leader := c.Leader()
+		c.Kill(leader)
+		for _, w := range []*fleettest.Worker{c.Fleet[0], c.Fleet[1]} {
+			c.Workers.Kill(w)
+			c.AddWorker(string(w.Info.Worker))
+		}
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 12, c.Checker.StartCount())
+	})
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -245,7 +245,7 @@
 		t.updateWorker(w, info)
 	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
-	case info.Born > w.info.Born && len(w.runs) > 0 && w.answered && w.unansweredCalls == 0:
+	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered && w.unansweredCalls == 0):
 		t.checkLaterLifetime(w, info)
 	default:
 		t.replaceWorker(w, info)
@@ -294,10 +294,11 @@
 
 // unlistWorker records that a worker is no longer in the list. Its runs may continue.
 func (t *term) unlistWorker(w *worker) {
+	w.laterEntry = nil
 	if !w.listed {
 		return
 	}
-	w.listed, w.laterEntry = false, nil
+	w.listed = false
 	t.planDue = true
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "unlisted", "runs": len(w.runs),
 		"answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Info("worker left the list")
--- a/internal/fleet/spec_test.go
+++ b/internal/fleet/spec_test.go
@@ -111,7 +111,8 @@
 				}
 			}
 		}
-		tx := tm.collectTransaction().tx
+		c1, _ := tm.collectTransaction()
+		tx := c1.tx
 		require.Len(t, tx.Puts, 1)
 		require.LessOrEqual(t, len(tx.Puts[0].Value), tm.cfg.Limits.RowBytes, name)
 		var p progressRecord
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -319,17 +319,27 @@
 		return false
 	}
 	w := t.workers[u.Lifetime.Worker]
+	var later *WorkerInfo
 	if w != nil && w.info.Born != u.Lifetime.Born && u.Lifetime.Born != 0 && w.info.Born != 0 {
-		if w.info.Born > u.Lifetime.Born {
+		switch {
+		case w.info.Born > u.Lifetime.Born && w.usedRowStored:
 			t.usedRowsToDelete[u.Lifetime] = true // that lifetime is over
 			return false
+		case w.info.Born > u.Lifetime.Born:
+			later, w = &w.info, nil // the entry may come from another writer
+		case w.laterEntry != nil && w.laterEntry.Born == u.Lifetime.Born:
+			entry := *w.laterEntry
+			t.removeWorker(w, "worker-restarted")
+			w = newWorker(entry)
+			t.workers[u.Lifetime.Worker] = w
+		default:
+			t.removeWorker(w, "worker-restarted")
+			w = nil
 		}
-		t.removeWorker(w, "worker-restarted")
-		w = nil
 	}
 	if w == nil {
 		w = newWorker(WorkerInfo{Lifetime: u.Lifetime, Addr: u.Addr, DataCentre: u.DataCentre, Service: u.Service})
-		w.listed = false
+		w.listed, w.laterEntry, w.laterEntrySeen = false, later, t.now
 		t.workers[u.Lifetime.Worker] = w
 	}
 	w.usedRowStored, w.inherited = true, true
