fleet: a node that stops during a campaign ends the term that it wins

A node's Run ends its terms when its context ends. A campaign whose transaction succeeded at that moment began a term after that: nothing ended it, the node went on leading, and Run never returned. Without a kill from outside the cell would be led by a node that serves no peers.

The term ends with the context of the campaign.

Before: TestNodeStopsDuringCampaign found the node leading.

--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -279,7 +279,7 @@
 		}
 		result.Version = version
 	}
-	n.startTerm(c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), sent)
+	n.startTerm(ctx, c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), sent)
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -318,8 +318,8 @@
 
 // startTerm runs a term of a cell in the background. sent is when the transaction that began
 // the term was sent. Other nodes derive from the row that it wrote how long the term's leases
-// last.
-func (n *Node) startTerm(c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy, sent time.Time) {
+// last. The term ends with ctx, which may have ended during the campaign.
+func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy, sent time.Time) {
 	d := n.cellTable.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
 	t.lastRenewal, t.leaseRecordsSince = sent, recordsSince
@@ -327,7 +327,9 @@
 	c.term.Store(t)
 	c.leader.Store(&leaderSnapshot{leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr, MilliCPU: n.cfg.Limits.MilliCPU}, time.Now()})
 	n.metrics.leading.Set(float64(n.ledCells()))
+	stop := context.AfterFunc(ctx, t.cancel)
 	n.wg.Go(func() {
+		defer stop()
 		t.run()
 		n.metrics.leading.Set(float64(n.ledCells()))
 	})
--- /dev/null
+++ b/internal/fleet/stop_test.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/internal/telemetry"
+)
+
+// namedTables is a decoder for tests that decode no rows.
+type namedTables struct{ Decoder }
+
+func (namedTables) Tables() (workers, operator string) { return "workers", "operator" }
+
+// emptyStore has no rows and accepts no transactions.
+type emptyStore struct{}
+
+func (emptyStore) Commit(context.Context, Transaction) (Commit, error) {
+	return Commit{}, model.Errorf(model.KindUnavailable, "retry later", "no writes")
+}
+
+func (emptyStore) List(context.Context, string, string, string, string, int) (Page, error) {
+	return Page{Version: 1}, nil
+}
+
+func (emptyStore) Watch(_ context.Context, _ string, after uint64, wait time.Duration) (Page, error) {
+	time.Sleep(wait)
+	return Page{Version: after}, nil
+}
+
+// A campaign that succeeded while its node stopped began a term that nothing ended: the node
+// went on leading and never stopped.
+func TestNodeStopsDuringCampaign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		n := NewNode(Config{Node: "n", Store: emptyStore{}, Peers: noPeers{}, Decoder: namedTables{}, Log: logrus.NewEntry(log), Metrics: telemetry.NewMetrics("test")})
+		n.cellTable.Store(&cellTable{layout: newLayout(1, nil), cells: []*cell{{}}})
+		c := n.cellTable.Load().cells[0]
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		n.startTerm(ctx, c, 1, 1, 1, time.Now(), time.Now())
+		time.Sleep(10 * time.Second)
+		leading := c.leading()
+		c.term.Load().cancel()
+		n.wg.Wait()
+		require.False(t, leading)
+	})
+}
