--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -325,6 +325,9 @@
 	t.lastRenewal, t.leaseRecordsSince = sent, recordsSince
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
+	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
+		t.post(stepDown{})
+	}
 	c.leader.Store(&leaderSnapshot{leaderRecord{Term: number, Node: n.cfg.Node, Process: n.cfg.Process, Addr: n.cfg.PeerAddr, MilliCPU: n.cfg.Limits.MilliCPU}, time.Now()})
 	n.metrics.leading.Set(float64(n.ledCells()))
 	stop := context.AfterFunc(ctx, t.cancel)
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -35,15 +35,20 @@
 	return Page{Version: after}, nil
 }
 
+// nodeOfOneCell returns a node with an empty store, and its cell.
+func nodeOfOneCell() (*Node, *cell) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := NewNode(Config{Node: "n", Store: emptyStore{}, Peers: noPeers{}, Decoder: namedTables{}, Log: logrus.NewEntry(log), Metrics: telemetry.NewMetrics("test")})
+	n.cellTable.Store(&cellTable{layout: newLayout(1, nil), cells: []*cell{{}}})
+	return n, n.cellTable.Load().cells[0]
+}
+
 // A campaign that succeeded while its node stopped began a term that nothing ended: the node
 // went on leading and never stopped.
 func TestNodeStopsDuringCampaign(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		n := NewNode(Config{Node: "n", Store: emptyStore{}, Peers: noPeers{}, Decoder: namedTables{}, Log: logrus.NewEntry(log), Metrics: telemetry.NewMetrics("test")})
-		n.cellTable.Store(&cellTable{layout: newLayout(1, nil), cells: []*cell{{}}})
-		c := n.cellTable.Load().cells[0]
+		n, c := nodeOfOneCell()
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		n.startTerm(ctx, c, 1, 1, 1, time.Now(), time.Now())
@@ -54,3 +59,17 @@
 		require.False(t, leading)
 	})
 }
+
+// A node that began to drain during its campaign led until its process ended, and the next leader
+// waited for all leases.
+func TestNodeThatDrainsDuringCampaignReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, c := nodeOfOneCell()
+		n.draining.Store(true)
+		n.startTerm(t.Context(), c, 1, 1, 1, time.Now(), time.Now())
+		time.Sleep(time.Second)
+		c.term.Load().cancel()
+		n.wg.Wait()
+		require.True(t, c.term.Load().stopping)
+	})
+}
