--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -120,7 +120,7 @@
 		j.dirty = false
 	}
 	if complete {
-		t.collectLeaseRecords(c)
+		t.collectLeaseRecords(c, size)
 	}
 	t.collectUsed(c)
 	t.collectWaves(c)
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -89,13 +89,14 @@
 }
 
 // collectLeaseRecords adds the lease records that are due to a transaction that holds the ends of
-// all runs which are missing from the records.
-func (t *term) collectLeaseRecords(c *pendingCommit) {
+// all runs which are missing from the records, in size bytes. A record that is too large for a row
+// leaves out the runs.
+func (t *term) collectLeaseRecords(c *pendingCommit, size int) {
 	if !t.loaded {
 		return
 	}
 	for _, w := range t.workers {
-		if len(c.tx.Puts) >= maxCommitRows {
+		if len(c.tx.Puts) >= maxCommitRows || size > maxCommitBytes {
 			return
 		}
 		end, known := t.leasesEndBy(w)
@@ -108,11 +109,17 @@
 		}
 		u := w.usedRecord()
 		u.Leases = record
-		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(t.part, w.info.Lifetime), Value: encode(u)})
+		value := encode(u)
+		if !t.fitsInRow(value) {
+			u.Leases.RunsKnown, u.Leases.Runs = false, nil
+			value = encode(u)
+		}
+		size += len(value)
+		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(t.part, w.info.Lifetime), Value: value})
 		delete(t.usedRowsToPut, w.info.Lifetime)
 		w.recordTerm = t.number
 		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "recorded", "runs": len(w.runs),
-			"runs_known": record.RunsKnown, "lease_ms": end.Sub(t.now).Milliseconds()}).Info("recording the leases of a worker for the next term")
+			"runs_known": u.Leases.RunsKnown, "lease_ms": end.Sub(t.now).Milliseconds()}).Info("recording the leases of a worker for the next term")
 	}
 }
 
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -155,3 +155,33 @@
 	tm.now, tm.lastRenewal = at(1.5), at(1.5)
 	require.True(t, tm.mayHandOver(), "the worker had time to answer")
 }
+
+// Lease records of workers with very many runs made a transaction that the store refuses for ever.
+func TestLeaseRecordsFitInRowsAndTransactions(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.cfg.Limits.RowBytes = 65536
+	tm.now, tm.loaded = at(1), true
+	tm.storeClock = storeReading{100 * time.Second, at(0.9)}
+	step := &Step{Count: 1}
+	for i, runs := range []int{1900, 1900, 1900, 1900, 1900, 1900, 1900, 1900, 1900, 1900, 1900, 1900, 3000} {
+		w := testWorker(string(rune('a' + i)))
+		w.unansweredCalls, w.clockAt = unreachableCalls, at(0.5)
+		for n := range runs {
+			ref := RunRef{taskKey{0, 0, n}.Name("0123456789abcdef"), 1}
+			w.runs[ref] = &run{ref: ref, worker: w, step: step}
+		}
+		tm.workers[w.info.Worker] = w
+	}
+	records := 0
+	for range 3 {
+		c, _ := tm.collectTransaction()
+		size := 0
+		for _, r := range c.tx.Puts {
+			require.LessOrEqual(t, len(r.Value), tm.cfg.Limits.RowBytes)
+			size += len(r.Value)
+			records++
+		}
+		require.LessOrEqual(t, size, maxCommitBytes+tm.cfg.Limits.RowBytes)
+	}
+	require.Equal(t, len(tm.workers), records)
+}
