fleet: lost runs are logged with the age at which their worker was last seen

The logs of a crash of a worker do not tell its cause from its victims. The line about a lost run now has seen_ms, the time from the start of the run to the last answer of its worker: a run that crashes its worker when it starts has next to none, one that is only hit has any.

--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -273,7 +273,7 @@
 	t.saveCheckpoint(r.job, tk, r, r.checkpoint)
 	tk.account.endRun(r, false, tk.checkpoint != "", t.now)
 	t.log.WithFields(logrus.Fields{"decision": "end", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
-		"choice": "lost", "reason": reason}).Info("run lost")
+		"choice": "lost", "reason": reason, "seen_ms": r.seenRunning().Milliseconds()}).Info("run lost")
 }
 
 func (t *term) dropRun(tk *task, r *run) {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -72,6 +72,10 @@
 // live reports whether the run has not been ordered to stop.
 func (r *run) live() bool { return r.state != runStopping }
 
+// seenRunning returns the time from the start of the run to the worker's last answer: the least
+// age at which the worker can have crashed under it.
+func (r *run) seenRunning() time.Duration { return max(r.worker.clockAt.Sub(r.startedAt), 0) }
+
 // worker is the leader's view of one lifetime of a worker.
 type worker struct {
 	info WorkerInfo
