--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -66,6 +66,10 @@
 	return fleet.OperatorRow{}
 }
 
+// CrashRestartTime is how long a worker that a task has crashed is down before its next
+// lifetime.
+const CrashRestartTime = 3500 * time.Millisecond
+
 // Cluster is a simulated system of nodes, workers, store and network in one process.
 type Cluster struct {
 	Store   *Store
@@ -136,6 +140,9 @@
 	l := NewRunChecker()
 	c := &Cluster{Store: NewStore(seed), Workers: NewWorkers(seed, tasks, l), Checker: l, Network: NewNetwork(), seed: seed, Log: io.Discard}
 	c.Configure(1, 2)
+	c.Workers.OnCrash = func(w *Worker) {
+		time.AfterFunc(CrashRestartTime, func() { c.AddWorker(string(w.Info.Worker)) })
+	}
 	for i := range workers {
 		c.AddWorker(fmt.Sprintf("w%d", i))
 	}
--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -11,8 +11,9 @@
 
 // RunChecker records the starts and ends of runs on the workers and the violations of the
 // contract: two runs of a task at once or a start after the task is done, unless the task is
-// speculative, and a start long after the job was cancelled. The workers call started, ended
-// and acknowledged with the fleet's lock held.
+// speculative, a start long after the job was cancelled, and three more starts of a task after
+// three workers have crashed because of it. The workers call started, ended, crashed and
+// acknowledged with the fleet's lock held.
 type RunChecker struct {
 	mu               sync.Mutex
 	running          map[fleet.TaskName]map[string]int  // attempt by worker, for each task
@@ -24,11 +25,14 @@
 	violations       []string
 	// cancelled holds the time at which the cancellation of a job was acknowledged.
 	cancelled map[string]time.Time
+	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
+	// after the first crashBudget of them.
+	crashes, startsAfterCrashes map[fleet.TaskName]int
 }
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -61,6 +65,11 @@
 	if at, ok := l.cancelled[job]; ok && time.Since(at) > maxStartAfterCancel {
 		l.recordViolation("task %s starts %v after its job was cancelled", o.Task, time.Since(at))
 	}
+	if l.crashes[o.Task] >= crashBudget {
+		if l.startsAfterCrashes[o.Task]++; l.startsAfterCrashes[o.Task] >= maxStartsAfterCrashes {
+			l.recordViolation("task %s attempt %d: start %d after %d workers have crashed under it", o.Task, o.Attempt, l.startsAfterCrashes[o.Task], crashBudget)
+		}
+	}
 	l.running[o.Task][string(w.Info.Worker)] = o.Attempt
 	l.lastStart[o.Task] = time.Now()
 }
@@ -69,6 +78,27 @@
 // cancellation to the last start of a task of the job.
 const maxStartAfterCancel = 3 * time.Second
 
+// Contract for tasks that crash their workers: after crashBudget crashes a task must not be
+// started maxStartsAfterCrashes times more.
+const (
+	crashBudget           = 3
+	maxStartsAfterCrashes = 3
+)
+
+// crashed records that a task has crashed its worker.
+func (l *RunChecker) crashed(task fleet.TaskName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes[task]++
+}
+
+// Crashes returns how many workers a task has crashed.
+func (l *RunChecker) Crashes(task fleet.TaskName) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.crashes[task]
+}
+
 // Cancelled records that the cancellation of a job was acknowledged.
 func (l *RunChecker) Cancelled(job string) {
 	l.mu.Lock()
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -28,6 +28,8 @@
 	Speculative bool
 	// Members is the number of tasks of the task's gang; 0 if there is none.
 	Members int
+	// CrashAfter is how long after its start the task crashes its worker; 0 if it does not.
+	CrashAfter time.Duration
 }
 
 // Workers is a simulated fleet. Nodes reach it through a WorkersView each.
@@ -51,6 +53,8 @@
 	TailLatency func(service fleet.TaskName, fillers []fleet.TaskName) int
 	// Interference, if set, is used instead of TailLatency.
 	Interference *InterferenceModel
+	// OnCrash, if set, is called without the lock when a task has crashed a worker.
+	OnCrash func(*Worker)
 }
 
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
@@ -119,6 +123,11 @@
 func (f *Workers) Kill(w *Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.kill(w)
+}
+
+// kill ends a worker without notice. The lock is held.
+func (f *Workers) kill(w *Worker) {
 	w.dead = true
 	for ref := range w.runs {
 		w.removeRun(ref)
@@ -128,6 +137,23 @@
 	}
 }
 
+// crash ends the worker of a run that crashes it. Connections to the worker are reset.
+func (f *Workers) crash(k *simulatedRun) {
+	f.mu.Lock()
+	w := k.worker
+	if w.dead || w.runs[k.ref] != k {
+		f.mu.Unlock()
+		return
+	}
+	f.checker.crashed(k.ref.Task)
+	f.kill(w)
+	close(w.wake)
+	f.mu.Unlock()
+	if f.OnCrash != nil {
+		f.OnCrash(w)
+	}
+}
+
 // WithLock calls change with the fleet's lock held.
 func (f *Workers) WithLock(change func()) {
 	f.mu.Lock()
@@ -307,6 +333,9 @@
 	w.recordFillerLoad()
 	w.fleet.checker.started(w, o, task)
 	w.planEnd(k)
+	if task.CrashAfter > 0 {
+		time.AfterFunc(task.CrashAfter, func() { w.fleet.crash(k) })
+	}
 	return fleet.StartRunning
 }
 
