--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -219,6 +220,13 @@
 	return append([]*Worker(nil), c.Fleet...)
 }
 
+// RunningWorkers returns the workers whose process runs.
+func (c *Cluster) RunningWorkers() []*Worker {
+	c.Workers.mu.Lock()
+	defer c.Workers.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.Fleet), func(w *Worker) bool { return w.dead })
+}
+
 // List writes the worker's entry to the store.
 func (c *Cluster) List(w *Worker) { c.write(TableWorkers, string(w.Info.Worker), w.Info) }
 
--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -26,13 +26,14 @@
 	// cancelled holds the time at which the cancellation of a job was acknowledged.
 	cancelled map[string]time.Time
 	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
-	// after the first crashBudget of them.
-	crashes, startsAfterCrashes map[fleet.TaskName]int
+	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
+	// their worker, whatever the cause.
+	crashes, startsAfterCrashes, lostRuns map[fleet.TaskName]int
 }
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -92,6 +93,26 @@
 	l.crashes[task]++
 }
 
+// lost records that a run ended with its worker.
+func (l *RunChecker) lost(task fleet.TaskName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lostRuns[task]++
+}
+
+// MayFail reports whether the contract allows that a job is given up because of crashes: two
+// workers have ended under one of its tasks.
+func (l *RunChecker) MayFail(job string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for task, n := range l.lostRuns {
+		if n >= 2 && strings.HasPrefix(string(task), job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // Crashes returns how many workers a task has crashed.
 func (l *RunChecker) Crashes(task fleet.TaskName) int {
 	l.mu.Lock()
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -130,6 +130,7 @@
 func (f *Workers) kill(w *Worker) {
 	w.dead = true
 	for ref := range w.runs {
+		w.fleet.checker.lost(ref.Task)
 		w.removeRun(ref)
 	}
 	if f.workers[w.Info.Addr] == w {
