fleet: tasks that crash their workers are given up

Cause: the budget of a task counts attempts that workers report as failed. A crash reports nothing. Its runs counted as lost and started again at once, without a limit, on workers full of other work.

Each crash now counts, by attempt, for the tasks that ran on the worker. It is stored with the progress as soon as the worker refuses connections, so that a change of leader loses it only if it falls within some 50 ms of the crash, and withdrawn when the same lifetime reports the attempt. A task after which no other job had started on the worker is a prime suspect. It starts next where little else runs and nothing has just started, and no other job starts there for 0.3 s, so that a second crash has one cause. A task is given up when it is the only prime suspect of a second crash at the same age, after three crashes as a prime suspect, or after four of any kind; the contract forbids the sixth start. Lasting tasks count crashes just after a start only, and one that runs for 5 s is cleared.

Tried and replaced: suspicion by an age of up to 1 s alone gave up innocent jobs in about a fifth of the test's sequences, as other tasks crash a worker within a second of a restart.

--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -52,6 +52,8 @@
 	failed []int
 	// failedOn lists the workers of these attempts that this term knows.
 	failedOn []model.WorkerID
+	// crashes lists the attempts under which a worker crashed.
+	crashes []taskCrash
 	// attempt is the highest attempt number known to be used.
 	attempt int
 	// checkpoint is the newest known checkpoint.
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -116,6 +116,7 @@
 
 // taskRequest describes one task to place.
 type taskRequest struct {
+	job  *job
 	step *Step
 	// task may be nil for a task without a history.
 	task *task
@@ -154,7 +155,7 @@
 	lacksLabel    obstacle = iota
 	lacksTaskSlot          // the worker has as many tasks of the step as allowed
 	lacksCapacity
-	failsOtherCondition // reserved worker, rack, ticket, probation, another run of the task, or filler capacity
+	failsOtherCondition // reserved worker, rack, ticket, probation, another run of the task or one that may crash the worker, or filler capacity
 	lacksNothing
 )
 
@@ -176,6 +177,7 @@
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
 		w.health.onProbation() && (w.hasTrialRun() || (!s.Lasting && r.task != nil && len(r.task.failed) > 0)),
 		r.task != nil && r.task.runsOn(w),
+		p.keptApart(w, r),
 		s.Filler && !p.fillerFits(w, s):
 		return failsOtherCondition
 	}
@@ -216,7 +218,7 @@
 	if s.Near != "" && w.rack != s.Near {
 		score += otherRackBias
 	}
-	score += p.failurePenalty(w, r)
+	score += p.failurePenalty(w, r) + p.crashCost(w, r)
 	if w.health.runTimeRatio > 1.3 {
 		score += slowBias * (w.health.runTimeRatio - 1)
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -27,7 +27,7 @@
 	if t.layout.Cells > 1 {
 		t.refreshRemoteCapacity()
 	}
-	waiting := t.collectWaitingSteps()
+	waiting := t.giveUpCrashingTasks(t.collectWaitingSteps())
 	t.observeShortWork(waiting)
 	t.logLoad(waiting)
 	held := heldCapacity{t.unaccountedServices(), t.shortWork}
@@ -106,7 +106,7 @@
 	if !w.restart && p.knownUnplaceable(w.step) {
 		return 0
 	}
-	r := taskRequest{step: w.step, tasksPerWorker: runsPerWorker(&w.occurrence.steps[w.index]), restart: w.restart}
+	r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(&w.occurrence.steps[w.index]), restart: w.restart}
 	if w.queue.Advised {
 		if r.tickets = t.tickets(p, w); r.tickets == nil {
 			return 0
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -123,6 +123,7 @@
 	}
 	w.nextPoll = t.now.Add(pause)
 	t.metrics.unanswered.Inc()
+	t.suspectCrash(w, err)
 	if w.unansweredCalls == 1 {
 		t.log.WithError(err).WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "unreachable",
 			"runs": len(w.runs), "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("worker does not answer")
@@ -133,9 +134,7 @@
 // runs of the former lifetime are lost. The list of workers names the new lifetime later.
 func (t *term) handleReplacedLifetime(w *worker) {
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "replaced", "runs": len(w.runs)}).Warn("worker was restarted; its runs are lost")
-	for _, r := range w.runs {
-		t.markLost(r, "worker-restarted")
-	}
+	t.loseRuns(w, "worker-restarted")
 	w.unansweredCalls++
 	w.nextPoll = t.now.Add(unreachablePollPause)
 	t.planDue = true
@@ -195,6 +194,9 @@
 			}
 		}
 		r.confirmedAt = t.now
+		if r.crashed || r.crashesBefore {
+			t.observeSurvival(r)
+		}
 		if s.Checkpoint != "" {
 			r.checkpoint = s.Checkpoint
 		}
@@ -243,6 +245,7 @@
 	}
 	tk.attempt = max(tk.attempt, s.Attempt)
 	tk.runs = append(tk.runs, r)
+	r.crashesBefore = len(tk.crashes) > 0
 	j.started = true
 	t.log.WithFields(logrus.Fields{"decision": "adopt", "task": s.Task, "attempt": s.Attempt, "worker": w.info.Worker, "percent": s.Percent}).Log(t.rowLogLevel(), "run adopted")
 	t.adoptedRuns++
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -75,6 +75,8 @@
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
 	// LentTo is one more than the cell to which the task is lent; 0 for none.
 	LentTo int `cbor:"6,keyasint,omitempty"`
+	// Crashes lists the attempts under which a worker crashed.
+	Crashes []taskCrash `cbor:"7,keyasint,omitempty"`
 }
 
 // occurrenceRecord is the stored form of an open occurrence.
@@ -202,8 +204,8 @@
 		r := occurrenceRecord{Number: o.number, Steps: make([][]taskRecord, len(o.steps))}
 		for i := range o.steps {
 			for n := range o.steps[i].tasks {
-				if t := &o.steps[i].tasks[n]; t.done || t.lentTo > 0 || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" {
-					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint, t.lentTo})
+				if t := &o.steps[i].tasks[n]; t.done || t.lentTo > 0 || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 {
+					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint, t.lentTo, t.crashes})
 				}
 			}
 		}
@@ -241,7 +243,7 @@
 			if t.Index < 0 || t.Index >= len(s.tasks) {
 				continue
 			}
-			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lentTo: t.LentTo}
+			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lentTo: t.LentTo, crashes: t.Crashes}
 			if t.Done {
 				s.remaining--
 			}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -158,7 +158,7 @@
 		t.earlyCancellations[id] = t.now
 		return
 	}
-	if j.cancelled || j.visibleState.Final() {
+	if j.cancelled || (j.visibleState.Final() && len(j.borrowed) == 0) {
 		return
 	}
 	j.cancelled, j.dirty, j.endedAt = true, true, t.now
@@ -315,9 +315,7 @@
 
 // removeWorker drops a lifetime of a worker that certainly runs nothing any more.
 func (t *term) removeWorker(w *worker, reason string) {
-	for _, r := range w.runs {
-		t.markLost(r, reason)
-	}
+	t.loseRuns(w, reason)
 	t.markUnused(w)
 	if t.workers[w.info.Worker] == w {
 		delete(t.workers, w.info.Worker)
@@ -350,9 +348,7 @@
 		if len(w.runs) > 0 {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "lapsed", "runs": len(w.runs),
 				"failures": w.unansweredCalls, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of an unreachable worker have ended")
-			for _, r := range w.runs {
-				t.markLost(r, reasonLeaseOver)
-			}
+			t.loseRuns(w, reasonLeaseOver)
 			t.planDue = true
 		}
 		t.markUnused(w)
@@ -374,11 +370,13 @@
 )
 
 // removeFinishedJobs drops finished jobs after their retention time and deletes their rows. A
-// job that has moved to another cell is dropped when its last cell deletes its row.
+// job that has moved to another cell is dropped when its last cell deletes its row, and one whose
+// tasks are borrowed when it is cancelled.
 func (t *term) removeFinishedJobs() {
 	maps.DeleteFunc(t.earlyCancellations, func(_ string, at time.Time) bool { return t.now.Sub(at) > earlyCancellationAge })
 	for id, j := range t.jobs {
-		if j.movedTo == 0 && j.visibleState.Final() && !j.dirty && t.now.Sub(j.endedAt) > t.cfg.Bounds.Retention+retentionMargin {
+		borrowed := len(j.borrowed) > 0 && !j.cancelled
+		if j.movedTo == 0 && !borrowed && j.visibleState.Final() && !j.dirty && t.now.Sub(j.endedAt) > t.cfg.Bounds.Retention+retentionMargin {
 			delete(t.jobs, id)
 			go t.deleteJobRows(id, slices.Clone(j.previousCells), slices.Clone(j.borrowed))
 		}
--- a/internal/fleet/run_checks.go
+++ b/internal/fleet/run_checks.go
@@ -183,13 +183,13 @@
 	if tk == nil || tk.done || len(tk.runs) != 1 || t.now.Before(tk.notBefore) {
 		return
 	}
-	if len(tk.failed) > 0 {
-		return // a failing copy would use up the task's attempts
+	if len(tk.failed) > 0 || len(tk.crashes) > 0 {
+		return // a copy that fails or crashes its worker would use up the task's attempts
 	}
 	q := t.queues[r.job.queue]
 	p := t.newPlacement(q.Service)
 	o := r.job.openOccurrenceAt(r.key.occurrence)
-	w := p.chooseWorker(taskRequest{step: r.step, task: tk, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])})
+	w := p.chooseWorker(taskRequest{job: r.job, step: r.step, task: tk, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])})
 	tk.notBefore = t.now.Add(hungTimeout / 2)
 	if w == nil || w.health.isSlow() || q.Advised {
 		return
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -43,8 +43,9 @@
 		tk.account.startRun(occ.steps[key.step].readyAt, t.now)
 	}
 	r := &run{ref: RunRef{key.Name(j.id), attempt}, job: j, key: key, worker: w, step: step, reserved: step.Reserved(),
-		startedAt: t.now, stateSince: t.now, progressAt: t.now, pace: 100, checkpoint: checkpoint, ticket: ticket}
+		startedAt: t.now, stateSince: t.now, progressAt: t.now, pace: 100, checkpoint: checkpoint, ticket: ticket, crashesBefore: tk.primeCrashes() > 0}
 	w.attach(r, t.now)
+	w.observeStart(r)
 	tk.runs = append(tk.runs, r)
 	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
 		Deadline: w.extendLease(t.now, t.leaseLength()), Fence: t.number}
@@ -103,7 +104,7 @@
 		t.handleUnansweredStart(r, e.err)
 		return
 	}
-	if e.reply.Clock > 0 {
+	if e.reply.Clock > 0 && e.reply.Verdict != StartOtherLifetime {
 		w.observeClock(e.reply.Clock, t.now)
 	}
 	if e.reply.Verdict == StartRunning {
@@ -320,6 +321,7 @@
 		return
 	}
 	tk.attempt = max(tk.attempt, e.Attempt)
+	t.withdrawCrash(j, tk, e.Attempt)
 	j.dirty = true
 	j.started = true // an earlier term may have started it without storing that
 	if r == nil {
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -138,6 +138,8 @@
 		for i := range j.spec.Steps[s].Count {
 			if s != k.step || i != k.index {
 				p.Open[0].Steps[s] = append(p.Open[0].Steps[s], taskRecord{Index: i, Done: true})
+			} else if _, tk := j.task(k); tk != nil && len(tk.crashes) > 0 {
+				p.Open[0].Steps[s] = append(p.Open[0].Steps[s], taskRecord{Index: i, Crashes: tk.crashes})
 			}
 		}
 	}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -67,6 +67,9 @@
 	paceRepeated bool
 	// adopted runs were started by an earlier term.
 	adopted bool
+	// crashesBefore means that the task was a prime suspect of a crash before the run started,
+	// crashed that a crash of the worker under this run was counted.
+	crashesBefore, crashed bool
 }
 
 // live reports whether the run has not been ordered to stop.
@@ -127,6 +130,10 @@
 	lastAckedEnd    uint64    // highest number of an end that was acknowledged
 
 	health health
+	// lastStart and lastStartJob are the time and the job of the last start; apartJob is that
+	// job if it must not share the worker with other new runs.
+	lastStart              time.Time
+	lastStartJob, apartJob *job
 	// lowHeadroom means that a service exceeds its target or that fillers are slowed down to
 	// keep one within it.
 	lowHeadroom bool
