fleet tests: a capacity that shrinks while a worker runs is not exceeded

Simulated workers can be unguarded and change their capacity; the checker counts a former capacity for the contact time and a beat, 4.5 s.

--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -161,6 +161,35 @@
 		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
 }
 
+// UseUnguardedWorkers makes all workers carry out starts for which they lack capacity.
+func (c *Cluster) UseUnguardedWorkers(version uint64) {
+	c.Workers.WithLock(func() { c.Workers.Unguarded = true })
+	c.write(TableOperator, keyConfig, fleet.Configuration{Version: version, Queues: []fleet.Queue{c.Queue},
+		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {}}})
+}
+
+// shrinkGrace is how long after it has shrunk a former capacity still counts by contract, and
+// beatTime how long a worker may take to write a changed entry.
+const (
+	shrinkGrace = 4500 * time.Millisecond
+	beatTime    = 1500 * time.Millisecond
+)
+
+// SetCapacity changes the capacity of a running worker, whose entry follows after at most
+// beatTime.
+func (c *Cluster) SetCapacity(w *Worker, capacity model.Resources, entryDelay time.Duration) {
+	c.Workers.mu.Lock()
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{w.Info.Capacity, time.Now().Add(shrinkGrace)})
+	w.Info.Capacity = capacity
+	c.Workers.mu.Unlock()
+	time.AfterFunc(min(entryDelay, beatTime), func() {
+		c.Workers.mu.Lock()
+		info := w.Info
+		c.Workers.mu.Unlock()
+		c.write(TableWorkers, string(info.Worker), info)
+	})
+}
+
 // UseAdvisor makes starts of the queue require tickets. Nodes that already run do not know
 // the advisor.
 func (c *Cluster) UseAdvisor(version uint64, a *Advisor) {
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -53,6 +54,8 @@
 	TailLatency func(service fleet.TaskName, fillers []fleet.TaskName) int
 	// Interference, if set, is used instead of TailLatency.
 	Interference *InterferenceModel
+	// Unguarded workers carry out starts for which they lack capacity; the checker records these.
+	Unguarded bool
 	// OnCrash, if set, is called without the lock when a task has crashed a worker.
 	OnCrash func(*Worker)
 }
@@ -82,6 +85,9 @@
 	fillerShare   float64
 	shareTimerSet bool
 
+	// formerCapacities lists the capacities before Info.Capacity, which count until a time.
+	formerCapacities []formerCapacity
+
 	// Hang makes new runs stall, Fail makes them fail, Unending makes them reach 100% without
 	// an end.
 	Hang, Fail, Unending bool
@@ -325,7 +331,12 @@
 	task := w.fleet.tasks(o.Task)
 	k := &simulatedRun{ref: o.RunRef, worker: w, task: task, speedSetAt: time.Now(), pace: 100}
 	if !w.used().Add(k.reserved()).Fits(w.Info.Capacity) {
-		return fleet.StartNoCapacity
+		if !w.fleet.Unguarded {
+			return fleet.StartNoCapacity
+		}
+		if !w.used().Add(k.reserved()).Fits(w.countedCapacity()) {
+			w.fleet.checker.AddViolation(fmt.Sprintf("task %s starts on %s, which lacks capacity", o.Task, w.Info.Worker))
+		}
 	}
 	if o.Checkpoint != "" {
 		k.progressAtSpeedSet, _ = time.ParseDuration(o.Checkpoint)
@@ -340,6 +351,24 @@
 	return fleet.StartRunning
 }
 
+// formerCapacity is a capacity that counts until a time after it has shrunk.
+type formerCapacity struct {
+	model.Resources
+	until time.Time
+}
+
+// countedCapacity returns the capacity over which no start may bring w: of each resource the most
+// that still counts.
+func (w *Worker) countedCapacity() model.Resources {
+	most := w.Info.Capacity
+	for _, f := range w.formerCapacities {
+		if time.Now().Before(f.until) {
+			most = model.Resources{MilliCPU: max(most.MilliCPU, f.MilliCPU), MemoryMB: max(most.MemoryMB, f.MemoryMB), Accelerators: max(most.Accelerators, f.Accelerators)}
+		}
+	}
+	return most
+}
+
 // rate returns the speed of a run. For fillers it is the pace times their share of the CPU.
 func (k *simulatedRun) rate() float64 {
 	if k.task.Filler {
