--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -214,6 +214,24 @@
 	return len(w.runs)
 }
 
+// LatestRun returns the worker of the run that was started last, or nil.
+func (f *Workers) LatestRun() *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var latest *simulatedRun
+	for _, w := range f.workers {
+		for _, k := range w.runs {
+			if latest == nil || k.speedSetAt.After(latest.speedSetAt) {
+				latest = k
+			}
+		}
+	}
+	if latest == nil {
+		return nil
+	}
+	return latest.worker
+}
+
 // RunningTasks returns the tasks of all runs.
 func (f *Workers) RunningTasks() []fleet.TaskName {
 	f.mu.Lock()
--- a/internal/fleet/task_lending_test.go
+++ b/internal/fleet/task_lending_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,9 +30,18 @@
 
 // lendOneWith is like lendOne with a further fault at the time when the worker is lost.
 func lendOneWith(t *testing.T, seed uint64, fault func(*fleettest.Cluster), test func(*testing.T, *fleettest.Cluster)) {
+	t.Helper()
+	lendTask(t, seed, func() time.Duration { return 0 }, fault, test)
+}
+
+// lendTask is like lendOneWith with tasks that crash their workers after the time that crashAfter
+// returns at their start; 0 for never.
+func lendTask(t *testing.T, seed uint64, crashAfter func() time.Duration, fault func(*fleettest.Cluster), test func(*testing.T, *fleettest.Cluster)) {
 	t.Helper()
 	large := model.Resources{MilliCPU: 6000, MemoryMB: 500}
-	tasks := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: large} }
+	tasks := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Lasting: true, Needs: large, CrashAfter: crashAfter()}
+	}
 	runInCells(t, seed, 4, 4, 2, tasks, func(t *testing.T, c *fleettest.Cluster) {
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 2, PerWorker: 1, Needs: large, Lasting: true}}})
 		time.Sleep(2 * time.Second)
@@ -105,6 +115,29 @@
 	}
 }
 
+// The cell that gives up a borrowed task does not own its job: the other tasks must keep running,
+// and the job must stay known after the retention time, until it is cancelled.
+func TestBorrowedTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	var crash atomic.Int64
+	lendTask(t, 272, func() time.Duration { return time.Duration(crash.Load()) }, func(*fleettest.Cluster) {}, func(t *testing.T, c *fleettest.Cluster) {
+		crash.Store(int64(crashDelay))
+		w := c.Workers.LatestRun() // the lent task
+		c.Workers.Kill(w)
+		c.AddWorker(string(w.Info.Worker))
+		time.Sleep(40 * time.Second)
+		crash.Store(0)
+		time.Sleep(20 * time.Second)
+		require.Equal(t, 1, runningAll(c), "the crashing task is not started any more, the other one runs")
+		time.Sleep(4 * time.Minute) // longer than the retention
+		for _, m := range c.Nodes {
+			state, err := m.Node.State(t.Context(), c.Queue, jobID(0))
+			require.NoError(t, err)
+			require.Equal(t, fleet.StateRunning, state)
+		}
+		cancelAll(t, c)
+	})
+}
+
 // A lent task that is lost again must be started again by the cell that borrowed it.
 func TestLentTaskIsRestarted(t *testing.T) {
 	lendOne(t, 270, func(t *testing.T, c *fleettest.Cluster) {
