--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -92,9 +92,10 @@
 
 // recordCrash counts a crash of a worker for the tasks of its runs. Before the crash is certain, it
 // counts only for runs that had just started and whose start was answered. Unless the lifetime has
-// ended, the worker may only be unreachable, so that no task is the sole suspect.
+// ended, the worker may only be unreachable: then it must refuse connections, and no task is the
+// sole suspect.
 func (t *term) recordCrash(w *worker, certain, lifetimeEnded bool) {
-	if len(w.runs) == 0 || w.info.Draining || t.maintenance.evacuating[w.info.Worker] || t.now.Before(t.evacuatingUntil[w.info.Worker]) {
+	if len(w.runs) == 0 || !w.answered || !(lifetimeEnded || w.refusesCalls) || w.info.Draining || t.maintenance.evacuating[w.info.Worker] || t.now.Before(t.evacuatingUntil[w.info.Worker]) {
 		return
 	}
 	for _, r := range w.runs {
@@ -126,6 +127,7 @@
 func (t *term) suspectCrash(w *worker, err error) {
 	switch {
 	case model.IsKind(err, model.KindUnavailable):
+		w.refusesCalls = true
 		t.recordCrash(w, false, false)
 	case w.unansweredCalls == 1 && w.leastAgeOfOthers(nil) <= earlyCrashAge:
 		t.probe(w)
--- a/internal/fleet/crashes_test.go
+++ b/internal/fleet/crashes_test.go
@@ -202,3 +202,24 @@
 		require.Len(t, c.Workers.RunningTasks(), 3)
 	})
 }
+
+// Workers that were cut off until their leases ended, again and again under the same task, counted
+// as crashes, and its job failed.
+func TestLeasesThatEndAreNoCrashes(t *testing.T) {
+	long := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 20 * time.Second, Needs: smallNeeds, Checkpoint: true}
+	}
+	runCluster(t, 404, 3, 8, long, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: 20 * time.Second, Checkpoints: true}}})
+		for range 6 {
+			time.Sleep(500 * time.Millisecond)
+			busy := busyWorkers(c)
+			require.Len(t, busy, 1)
+			for _, m := range c.Nodes {
+				m.Workers.Cut(busy[0], true)
+			}
+			time.Sleep(8 * time.Second)
+		}
+		waitState(t, c, jobID(0), fleet.StateCompleted, 60*time.Second)
+	})
+}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -125,6 +125,7 @@
 	nextPoll        time.Time
 	lastPollSent    time.Time // when the last answered poll was sent
 	unansweredCalls int       // polls and orders without an answer, in a row
+	refusesCalls    bool      // a connection was refused since the last answer
 	lastSeenEnd     uint64    // highest number of an end that was processed
 	lastStoredEnd   uint64    // highest number of an end that is durable
 	lastAckedEnd    uint64    // highest number of an end that was acknowledged
@@ -166,7 +167,7 @@
 	if clock > w.clock || w.clockAt.IsZero() {
 		w.clock, w.clockAt = clock, now
 	}
-	w.unansweredCalls = 0
+	w.unansweredCalls, w.refusesCalls = 0, false
 }
 
 // extendLease returns a deadline on the worker's clock that lies length after now, and
