--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -95,7 +95,7 @@
 // ended, the worker may only be unreachable: then it must refuse connections, and no task is the
 // sole suspect.
 func (t *term) recordCrash(w *worker, certain, lifetimeEnded bool) {
-	if len(w.runs) == 0 || !w.answered || !(lifetimeEnded || w.refusesCalls) || w.info.Draining || t.maintenance.evacuating[w.info.Worker] || t.now.Before(t.evacuatingUntil[w.info.Worker]) {
+	if len(w.runs) == 0 || !w.answered || !(lifetimeEnded || w.refusesCalls) || t.departurePlanned(w) {
 		return
 	}
 	for _, r := range w.runs {
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -65,12 +65,17 @@
 	switch {
 	case !w.usedRowStored, t.recordHolds(w.recordTerm):
 		return false
-	case t.stopping && (!w.answered || !w.listed || w.info.Draining || w.unansweredCalls > 0):
+	case t.stopping && (!w.answered || !w.listed || t.departurePlanned(w) || w.unansweredCalls > 0):
 		return true
 	}
 	return w.unansweredCalls >= unreachableCalls || (!w.listed && w.unansweredCalls > 0)
 }
 
+// departurePlanned reports whether a worker ends all its runs soon as planned.
+func (t *term) departurePlanned(w *worker) bool {
+	return w.info.Draining || t.maintenance.evacuating[w.info.Worker] || t.now.Before(t.evacuatingUntil[w.info.Worker])
+}
+
 // maxRecordTime bounds the time after a stop in which leases are recorded before the release.
 const maxRecordTime = time.Second
 
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // A worker whose plain row replaced a lease record counted as registered although its row had been
@@ -185,3 +187,15 @@
 	}
 	require.Equal(t, len(tm.workers), records)
 }
+
+// Workers whose maintenance began while their leader released leadership had no lease record.
+func TestReleaseRecordsWorkersBeforeMaintenance(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded, tm.stopping = at(1), true, true
+	own, other, idle := testWorker("own"), testWorker("other"), testWorker("idle")
+	tm.maintenance.evacuating = map[model.WorkerID]bool{own.info.Worker: true}
+	tm.evacuatingUntil[other.info.Worker] = at(2)
+	require.True(t, tm.leaseRecordNeeded(own))
+	require.True(t, tm.leaseRecordNeeded(other), "the leader of another cell runs the wave")
+	require.False(t, tm.leaseRecordNeeded(idle))
+}
