--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -22,9 +22,6 @@
 	// successorWait is how long the other nodes wait after a hand-over before they campaign;
 	// the successor campaigns within one read of the store.
 	successorWait = 400 * time.Millisecond
-	// handOverDelay is the age at which a term may hand leadership over although it does not know
-	// all runs of earlier terms.
-	handOverDelay = time.Second
 	// leadershipRequestInterval is the minimum interval between two requests of a node for
 	// leadership.
 	leadershipRequestInterval = time.Second
@@ -91,8 +88,7 @@
 
 // mayHandOver reports whether leadership can be handed over without a long pause. It cannot
 // while the store is slow or fails, as the release and the reads of the next term would wait
-// for it, nor before the workers have had time to answer, as the next term would ask them again.
+// for it.
 func (t *term) mayHandOver() bool {
-	asked := t.loaded && (t.allRunsKnown() || t.now.Sub(t.startedAt) > handOverDelay)
-	return asked && !t.commitDelayed() && t.lastCommitTime < delayedCommitAge && t.now.Sub(t.lastRenewal) < 2*renewInterval
+	return !t.commitDelayed() && t.lastCommitTime < delayedCommitAge && t.now.Sub(t.lastRenewal) < 2*renewInterval
 }
