--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -317,7 +317,7 @@
 	}
 	for _, life := range c.used {
 		if w := t.workers[life.Worker]; w != nil && w.info.Lifetime == life && !t.usedRowsToDelete[life] {
-			w.usedRowStored, w.recordTerm, w.nextPoll, t.planDue = true, 0, t.now, true
+			w.usedRowStored, w.leaseRecordTerm, w.nextPoll, t.planDue = true, 0, t.now, true
 		}
 	}
 	if c.releases {
@@ -342,7 +342,7 @@
 // markUsed queues the row of tableUsed that must be stored before a worker's first task, or in
 // place of a lease record.
 func (t *term) markUsed(w *worker) {
-	if (!w.usedRowStored && w.listed) || w.recordTerm > 0 {
+	if (!w.usedRowStored && w.listed) || w.leaseRecordTerm > 0 {
 		delete(t.usedRowsToDelete, w.info.Lifetime)
 		t.usedRowsToPut[w.info.Lifetime] = w.usedRecord()
 	}
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -46,7 +46,7 @@
 func (c storeReading) upperBound(x time.Time) time.Duration { return c.now + x.Sub(c.at) }
 
 // leasesEndBy returns when all leases on w have ended, and since when that is known.
-func (t *term) leasesEndBy(w *worker) (end, known time.Time) {
+func (t *term) leasesEndBy(w *worker) (end, knownSince time.Time) {
 	switch {
 	case t.stopping:
 		return w.leaseEndAtStop, t.stoppedAt
@@ -63,7 +63,7 @@
 // leaseRecordNeeded reports whether the leases of w must be recorded for a later term.
 func (t *term) leaseRecordNeeded(w *worker) bool {
 	switch {
-	case !w.usedRowStored, t.recordHolds(w.recordTerm):
+	case !w.usedRowStored, t.recordHolds(w.leaseRecordTerm):
 		return false
 	case t.stopping && (!w.answered || !w.listed || t.departurePlanned(w) || w.unansweredCalls > 0):
 		return true
@@ -104,8 +104,8 @@
 		if len(c.tx.Puts) >= maxCommitRows || size > maxCommitBytes {
 			return
 		}
-		end, known := t.leasesEndBy(w)
-		if !t.leaseRecordNeeded(w) || t.storeClock.at.Before(known) {
+		end, knownSince := t.leasesEndBy(w)
+		if !t.leaseRecordNeeded(w) || t.storeClock.at.Before(knownSince) {
 			continue
 		}
 		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.answered || w.runsRecorded}
@@ -122,7 +122,7 @@
 		size += len(value)
 		c.tx.Puts = append(c.tx.Puts, Row{RowID: usedRow(t.part, w.info.Lifetime), Value: value})
 		delete(t.usedRowsToPut, w.info.Lifetime)
-		w.recordTerm = t.number
+		w.leaseRecordTerm = t.number
 		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "recorded", "runs": len(w.runs),
 			"runs_known": u.Leases.RunsKnown, "lease_ms": end.Sub(t.now).Milliseconds()}).Info("recording the leases of a worker for the next term")
 	}
@@ -142,7 +142,7 @@
 // restoreLeases applies the lease record of an earlier term to a worker. storeNow is a reading
 // of the store's clock that had arrived by readAt.
 func (t *term) restoreLeases(w *worker, r leaseRecord, storeNow time.Duration, readAt time.Time) {
-	w.recordTerm = r.Term
+	w.leaseRecordTerm = r.Term
 	if !t.recordHolds(r.Term) {
 		return
 	}
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -14,7 +14,7 @@
 func TestRowDeletedBesidePlainRowIsNotStored(t *testing.T) {
 	tm := newTestTerm(1)
 	w := testWorker("w")
-	w.recordTerm, w.clock, w.clockAt, w.inheritedLeaseEnd = tm.number-1, time.Second, at(1), at(1.1)
+	w.leaseRecordTerm, w.clock, w.clockAt, w.inheritedLeaseEnd = tm.number-1, time.Second, at(1), at(1.1)
 	tm.workers["w"], tm.loaded, w.pollInFlight = w, true, true
 	tm.now, tm.fenceVersion = at(1), 1
 	tm.markUsed(w) // it has answered
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -89,7 +89,7 @@
 		return "no answer"
 	case !w.answered:
 		return "not asked yet"
-	case w.recordTerm > 0:
+	case w.leaseRecordTerm > 0:
 		return "leases recorded"
 	case !w.usedRowStored:
 		return "not registered yet"
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -58,7 +58,7 @@
 // poll asks a worker for its report and extends its lease.
 func (t *term) poll(w *worker) {
 	o := PollOrder{Fence: t.number, Acknowledged: w.lastStoredEnd}
-	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait && w.recordTerm == 0 {
+	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait && w.leaseRecordTerm == 0 {
 		o.Wait = pollWait
 		if w.lowHeadroom {
 			o.Wait = lowHeadroomPollInterval
@@ -66,7 +66,7 @@
 	}
 	// The lease of a worker that does not answer is not extended, so that it ends at a
 	// known time.
-	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.recordTerm == 0 && t.active() {
+	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.leaseRecordTerm == 0 && t.active() {
 		o.Deadline = w.extendLease(t.now, t.leaseLength())
 	}
 	w.pollInFlight, w.pollWithoutWait = true, false
@@ -173,10 +173,10 @@
 		w.fenceFormerLeases(t.now)
 		t.planDue = true
 	}
-	if !w.usedRowStored || w.recordTerm > 0 {
+	if !w.usedRowStored || w.leaseRecordTerm > 0 {
 		t.markUsed(w)
 	}
-	if w.recordTerm > 0 {
+	if w.leaseRecordTerm > 0 {
 		w.nextPoll = t.now.Add(recordedPollPause) // a poll that extends the leases follows the plain row
 	}
 	if t.pollDue(w) {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -111,9 +111,9 @@
 	inherited bool
 	// inheritedLeaseEnd is when the leases of earlier terms have ended.
 	inheritedLeaseEnd time.Time
-	// recordTerm is the term whose lease record the worker's row of tableUsed holds; 0 for none.
+	// leaseRecordTerm is the term whose lease record the worker's row of tableUsed holds; 0 for none.
 	// While there is one, leases are not extended and nothing starts on the worker.
-	recordTerm uint64
+	leaseRecordTerm uint64
 	// runsRecorded means that an earlier term has recorded all runs of the worker.
 	runsRecorded bool
 	// leaseEndAtStop is the end of the leases when the term began to release leadership.
