--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -70,6 +70,7 @@
 		time.Sleep(time.Second)
 		c.term.Load().cancel()
 		n.wg.Wait()
+		time.Sleep(10 * time.Second) // calls of the store in flight end
 		require.True(t, c.term.Load().stopping)
 	})
 }
