--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -65,10 +65,10 @@
 	switch {
 	case !w.usedRowStored, t.recordHolds(w.leaseRecordTerm):
 		return false
-	case t.stopping && (!w.answered || !w.listed || t.departurePlanned(w) || w.unansweredCalls > 0):
-		return true
+	case w.unansweredCalls > 0:
+		return t.stopping || !w.listed || w.unansweredCalls >= unreachableCalls
 	}
-	return w.unansweredCalls >= unreachableCalls || (!w.listed && w.unansweredCalls > 0)
+	return t.stopping && w.answered && (!w.listed || t.departurePlanned(w))
 }
 
 // departurePlanned reports whether a worker ends all its runs soon as planned.
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -186,3 +186,15 @@
 	require.True(t, tm.leaseRecordNeeded(other), "the leader of another cell runs the wave")
 	require.False(t, tm.leaseRecordNeeded(idle))
 }
+
+// A term that released leadership just after it had loaded its tables recorded leases of all workers
+// without their runs, and the next term had to replace each record before it could use the worker.
+func TestReleaseAfterLoadRecordsNoUnaskedWorkers(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded, tm.stopping = at(1), true, true
+	w := testWorker("w")
+	w.inherited, w.answered, w.inheritedLeaseEnd = true, false, at(9)
+	require.False(t, tm.leaseRecordNeeded(w))
+	w.unansweredCalls = 1
+	require.True(t, tm.leaseRecordNeeded(w), "its leases end when the term knows, not a lease after the release")
+}
