--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -104,8 +104,11 @@
 		if len(c.tx.Puts) >= maxCommitRows || size > maxCommitBytes {
 			return
 		}
+		if !t.leaseRecordNeeded(w) {
+			continue
+		}
 		end, knownSince := t.leasesEndBy(w)
-		if !t.leaseRecordNeeded(w) || t.storeClock.at.Before(knownSince) {
+		if t.storeClock.at.Before(knownSince) {
 			continue
 		}
 		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.answered || w.runsRecorded}
