--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -274,3 +275,82 @@
 	time.Sleep(8 * time.Second)
 	return v.checkOne(), nil
 }
+
+// Case cancel: the store loses the answers to a submission's writes and does them late. The requester
+// gets no acceptance, cancels the submission and is told that it doesn't exist.
+func playCancel(s *site) (bool, error) {
+	const cancelTime = 3 * time.Second // cancel_ms
+	s.store.onLate = func(status int) { s.record("store: a transaction without an answer is done late: %d", status) }
+	if err := s.setUp(4, 16000, 62500, 4); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	broken := false
+	for i, n := range s.nodes {
+		id := newID()
+		if s.trouble {
+			s.store.lose(n.store, true)
+			s.record("store: answers to transactions of %s are lost", n.name)
+		}
+		status, _ := s.post(i, id, job{text: "cpu=1000 mem=500 work_ms=1000", count: 2, cpu: 1000, mem: 500, estimate: 1000})
+		s.store.lose(n.store, false)
+		s.record("requester: the submission is answered %d", status)
+		var acked time.Time
+		for try := range 10 {
+			if status, _ := s.call(i+1+try, http.MethodDelete, id, nil); status/100 == 2 || status == http.StatusGone {
+				acked = time.Now()
+				break
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		if acked.IsZero() {
+			return false, fmt.Errorf("the cancelling of %s is not answered", id)
+		}
+		time.Sleep(9 * time.Second)
+		for task, runs := range spans(s.allEvents()) {
+			for _, r := range runs {
+				if task[:min(len(id), len(task))] == id && r.start.Sub(acked) > cancelTime {
+					s.record("UNASKED: task %s starts on %s %v after the cancelling of its submission was acknowledged; the submission was answered %d", task, r.worker, r.start.Sub(acked).Round(time.Millisecond), status)
+					broken = true
+				}
+			}
+		}
+	}
+	return broken, nil
+}
+
+// Case wide: the runner of a submission of 4,000 small tasks crashes once.
+func playWide(s *site) (bool, error) {
+	const (
+		maxAttempts = 4
+		runners     = 8 // one of them is 0.125 of all; the site file names 0.14
+		tasks       = 4000
+		before      = 7 * time.Second
+		down        = 1 * time.Second
+	)
+	if err := s.setUp(runners, 64000, 250000, maxAttempts); err != nil {
+		return false, err
+	}
+	id, err := s.submit(0, job{text: "cpu=10 mem=10 work_ms=9000 spread_ms=3000", count: tasks, cpu: 10, mem: 10, estimate: 10000})
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(before)
+	worker, _, ok := s.runningTask(id)
+	if !ok {
+		return false, fmt.Errorf("nothing of submission %s runs", id)
+	}
+	for _, r := range s.runners {
+		if r.name == worker && s.trouble {
+			s.killRunner(r)
+			time.Sleep(down)
+			if err := s.startRunner(r, 0); err != nil {
+				return false, err
+			}
+		}
+	}
+	state, _ := s.await(id, 60*time.Second, "completed", "failed", "cancelled")
+	failed := s.failedEnds(id)
+	s.record("submission %s: state %s, ends failed of one task: %d of max_attempts %d", id, state, failed, maxAttempts)
+	return state == "failed" && failed < maxAttempts, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,6 +40,8 @@
 	"crash":     playCrash,
 	"probation": playProbation,
 	"upkeep":    playUpkeep,
+	"cancel":    playCancel,
+	"wide":      playWide,
 }
 
 // play runs a case and returns the exit code.
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -54,6 +54,7 @@
 // proc is a process that the case has started.
 type proc struct {
 	name, ip, settings string
+	store              string // the address at which a node calls the store
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd     // nil while it does not run
@@ -252,6 +253,10 @@
 	seeds := []string{}
 	for i := range n {
 		name, addr := fmt.Sprintf("front-%s-%d", zone(i), i+1), ip(3, i)
+		store, err := s.store.listen(ip(1, i+1))
+		if err != nil {
+			return err
+		}
 		at := func(port int) string { return net.JoinHostPort(addr, strconv.Itoa(port)) }
 		settings := map[string]any{
 			"node": name, "role": "node", "machine_class": "front", "serves": []string{"front"}, "ip": addr, "zone": zone(i), "region": "vlaanderen",
@@ -262,7 +267,7 @@
 			"contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "places", "platform"},
 			"bounds": map[string]any{"contact_ms": 3000, "drain_ms": 2000, "grace_s": 6, "config_ms": 2000, "hold_max_ms": holdMax.Milliseconds(), "stop_ms": 400,
 				"cancel_ms": 3000, "visible_ms": 3000, "finish_s": 14, "status_s": 120, "maintenance_s": 2, "lease_ms": 3000},
-			"platform": map[string]any{"address": s.store.addr, "form": "table", "writes_per_s": 600, "reads_per_s": 2000, "tx_ms": 8.0, "part_writes_s": 150, "row_bytes": 65536, "across": false, "history_s": 20},
+			"platform": map[string]any{"address": store, "form": "table", "writes_per_s": 600, "reads_per_s": 2000, "tx_ms": 8.0, "part_writes_s": 150, "row_bytes": 65536, "across": false, "history_s": 20},
 		}
 		if s.inventory != nil {
 			settings["cloud"] = map[string]any{"address": s.inventory.addr, "rate_per_s": 60.0, "duties": []string{}, "duty_per_s": 60.0}
@@ -271,7 +276,7 @@
 		if err != nil {
 			return err
 		}
-		p := &proc{name: name, ip: addr, settings: filepath.Join(s.tmp, name+".json")}
+		p := &proc{name: name, ip: addr, store: store, settings: filepath.Join(s.tmp, name+".json")}
 		if err := os.WriteFile(p.settings, data, 0o600); err != nil {
 			return err
 		}
@@ -352,7 +357,6 @@
 	text            string
 	count, cpu, mem int
 	estimate        int
-	antiAffinity    int
 }
 
 // call sends a request to a node. Status 0 means that there was no answer.
@@ -382,16 +386,14 @@
 	return resp.StatusCode, string(answer)
 }
 
+// newID returns an id for a submission.
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // submit hands a job in until it is accepted.
 func (s *site) submit(node int, j job) (string, error) {
-	id := fmt.Sprintf("%016x", rand.Uint64())
-	phase := map[string]any{"count": j.count, "cpu": j.cpu, "mem_mb": j.mem, "estimate_ms": j.estimate}
-	if j.antiAffinity > 0 {
-		phase["anti_affinity"] = j.antiAffinity
-	}
+	id := newID()
 	for try := range 20 {
-		status, _ := s.call(node+try, http.MethodPost, id, map[string]any{"spec": j.text, "phases": []any{phase}})
-		if status/100 == 2 {
+		if status, _ := s.post(node+try, id, j); status/100 == 2 {
 			return id, nil
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -399,6 +401,12 @@
 	return "", fmt.Errorf("submission %s is not accepted", id)
 }
 
+// post hands a job in once.
+func (s *site) post(node int, id string, j job) (int, string) {
+	phase := map[string]any{"count": j.count, "cpu": j.cpu, "mem_mb": j.mem, "estimate_ms": j.estimate}
+	return s.call(node, http.MethodPost, id, map[string]any{"spec": j.text, "phases": []any{phase}})
+}
+
 // state asks for the state of a submission.
 func (s *site) state(node int, id string) string {
 	status, answer := s.call(node, http.MethodGet, id, nil)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -14,6 +14,8 @@
 const (
 	storeAnswer = 4 * time.Millisecond
 	storeTx     = 8 * time.Millisecond
+	// storeLate is how much later a transaction is done whose answer is lost.
+	storeLate = 5 * time.Second
 	// maxRows is the page's limit of rows in one answer.
 	maxRows = 500
 )
@@ -42,12 +44,16 @@
 	beats   map[string]time.Time
 	// busyUntil is until when the store answers 503 to all calls of the system.
 	busyUntil time.Time
-	server    *http.Server
-	addr      string
+	// losing holds the addresses at which answers to transactions are lost; these are done late.
+	losing map[string]bool
+	// onLate is told of transactions that are done late.
+	onLate func(status int)
+	server *http.Server
+	addr   string
 }
 
 func newStore(ip string) (*store, error) {
-	s := &store{started: time.Now(), rows: map[rowID]storeRow{}, changed: make(chan struct{}), beats: map[string]time.Time{}}
+	s := &store{started: time.Now(), rows: map[rowID]storeRow{}, changed: make(chan struct{}), beats: map[string]time.Time{}, losing: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.up(s.tx))
 	mux.HandleFunc("GET /rows-get", s.up(s.get))
@@ -129,24 +135,44 @@
 		return
 	}
 	time.Sleep(storeTx)
+	local, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	s.mu.Lock()
+	lose := local != nil && s.losing[local.String()]
+	s.mu.Unlock()
+	if lose {
+		// The transaction is done late, if its condition still holds, and never answered.
+		time.AfterFunc(storeLate, func() {
+			status, _ := s.transact(body.Expect, body.Writes, body.Remove)
+			s.onLate(status)
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	status, answer := s.transact(body.Expect, body.Writes, body.Remove)
+	reply(w, status, answer)
+}
+
+// transact does a transaction and returns the answer.
+func (s *store) transact(expect, writes, remove []storeRow) (status int, answer any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	parts := map[string]bool{}
-	for _, list := range [][]storeRow{body.Expect, body.Writes, body.Remove} {
+	for _, list := range [][]storeRow{expect, writes, remove} {
 		for _, x := range list {
 			parts[x.Part] = true
+			if len(x.Table) > 200 || len(x.Part) > 200 || len(x.Key) > 200 {
+				return http.StatusBadRequest, nil
+			}
 			if x.Table == "servers" || x.Table == "op" {
-				w.WriteHeader(http.StatusForbidden)
-				return
+				return http.StatusForbidden, nil
 			}
 		}
 	}
-	if len(parts) > 1 || len(body.Expect)+len(body.Writes)+len(body.Remove) > 100 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+	if len(parts) > 1 || len(expect)+len(writes)+len(remove) > 100 {
+		return http.StatusBadRequest, nil
 	}
 	holds, current := true, []storeRow{}
-	for _, e := range body.Expect {
+	for _, e := range expect {
 		have, there := s.rows[e.id()]
 		if there {
 			current = append(current, have)
@@ -154,16 +180,32 @@
 		holds = holds && have.Ver == e.Ver
 	}
 	if !holds {
-		reply(w, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": s.ver, "now_ms": s.nowMS()})
-		return
+		return http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": s.ver, "now_ms": s.nowMS()}
 	}
-	rows := body.Writes
-	for _, d := range body.Remove {
+	rows := append([]storeRow(nil), writes...)
+	for _, d := range remove {
 		d.Removed = true
 		rows = append(rows, d)
 	}
 	s.apply(rows)
-	reply(w, http.StatusOK, map[string]any{"ver": s.ver, "now_ms": s.nowMS()})
+	return http.StatusOK, map[string]any{"ver": s.ver, "now_ms": s.nowMS()}
+}
+
+// listen serves the store at another address too and returns it.
+func (s *store) listen(ip string) (string, error) {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = s.server.Serve(ln) }()
+	return ln.Addr().String(), nil
+}
+
+// lose sets whether answers to transactions at an address are lost.
+func (s *store) lose(addr string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing[addr] = on
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
