--- a/review/standin/inventory.go
+++ b/review/standin/inventory.go
@@ -16,6 +16,7 @@
 	holder  string
 	fence   uint64
 	status  int
+	inTouch bool // the holder was in touch
 }
 
 // machineState is a machine of the platform.
@@ -78,6 +79,7 @@
 	}
 	fence, _ := strconv.ParseUint(r.Header.Get("Vanillapier-Fencing-Token"), 10, 64)
 	o := upkeepOrder{at: time.Now(), machine: body.Machine, holder: r.Header.Get("Vanillapier-Duty-Holder"), fence: fence, status: http.StatusOK}
+	o.inTouch = v.site.inTouch(o.holder, o.at)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	m := v.machines[body.Machine]
@@ -90,7 +92,7 @@
 		m.done, m.downUntil = true, time.Now().Add(maintenance)
 	}
 	v.orders = append(v.orders, o)
-	v.site.recordAt(o.at, "platform: upkeep of %s ordered by %s with token %d: %d", o.machine, o.holder, o.fence, o.status)
+	v.site.recordAt(o.at, "platform: upkeep of %s ordered by %s with token %d, in touch %v: %d", o.machine, o.holder, o.fence, o.inTouch, o.status)
 	answer := map[string]any{}
 	if o.status == http.StatusConflict {
 		answer["reason"] = "busy"
@@ -131,6 +133,22 @@
 	return last, ok
 }
 
+// contact is contact_ms of the site file.
+const contact = 3 * time.Second
+
+// inTouch reports whether a node is in touch at a time, as far as this case disturbs nodes: its process
+// was neither started nor told to end by SIGTERM for contact_ms. The store is sound in this case.
+func (s *site) inTouch(name string, at time.Time) bool {
+	for _, n := range s.nodes {
+		if n.name == name {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return at.Sub(n.touchedAt) >= contact
+		}
+	}
+	return false
+}
+
 // leaseTime is lease_ms of the site file.
 const leaseTime = 3 * time.Second
 
@@ -139,20 +157,28 @@
 	v.mu.Lock()
 	orders := append([]upkeepOrder(nil), v.orders...)
 	v.mu.Unlock()
-	last := map[string]upkeepOrder{}
+	last := map[string]upkeepOrder{}        // by machine
+	lastInTouch := map[string]upkeepOrder{} // the same of holders in touch
+	tokens := map[uint64]string{}           // their holders
 	for _, o := range orders {
-		before, seen := last[o.machine]
+		before := last[o.machine]
 		last[o.machine] = o
-		switch {
-		case !seen || before.holder == o.holder:
-		case before.fence == o.fence:
-			v.site.record("ONE: %s: holders %s and %s with one token %d", o.machine, before.holder, o.holder, o.fence)
+		if holder, seen := tokens[o.fence]; seen && holder != o.holder {
+			v.site.record("ONE: %s: holders %s and %s with one token %d", o.machine, holder, o.holder, o.fence)
 			broken = true
-		case o.fence < before.fence:
+		}
+		tokens[o.fence] = o.holder
+		if o.fence < before.fence {
 			v.site.record("ONE: %s: token %d of %s after token %d of %s", o.machine, o.fence, o.holder, before.fence, before.holder)
 			broken = true
-		case o.at.Sub(before.at) < leaseTime:
-			v.site.record("ONE: %s: holders %s and %s take turns within %v", o.machine, before.holder, o.holder, o.at.Sub(before.at).Round(time.Millisecond))
+		}
+		if !o.inTouch {
+			continue
+		}
+		before, seen := lastInTouch[o.machine]
+		lastInTouch[o.machine] = o
+		if seen && before.holder != o.holder && o.at.Sub(before.at) < leaseTime {
+			v.site.record("ONE: %s: holders %s and %s, both in touch, take turns within %v", o.machine, before.holder, o.holder, o.at.Sub(before.at).Round(time.Millisecond))
 			broken = true
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,7 +3,7 @@
 // nothing of the product but its program vpierd.
 //
 //	standin worker ...            one runner, a process of its own
-//	standin case N PROGRAM DIR    plays case N and writes DIR/record.txt
+//	standin case NAME PROGRAM RECORD    plays a case and writes the file RECORD
 package main
 
 import (
@@ -27,13 +27,13 @@
 		return
 	}
 	if len(os.Args) != 5 || os.Args[1] != "case" || cases[os.Args[2]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin worker ... | standin case N PROGRAM DIR")
+		fmt.Fprintln(os.Stderr, "usage: standin worker ... | standin case NAME PROGRAM RECORD")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(play(os.Args[2], os.Args[3], os.Args[4]))
 }
 
-// cases holds the plays by number. A play reports whether the rule was broken.
+// cases holds the plays by name. A play reports whether the rule was broken.
 var cases = map[string]func(*site) (broken bool, err error){
 	"reborn":    playReborn,
 	"ends":      playEnds,
@@ -45,8 +45,8 @@
 }
 
 // play runs a case and returns the exit code.
-func play(name, program, dir string) int {
-	s, err := newSite(program, dir)
+func play(name, program, record string) int {
+	s, err := newSite(program, record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "case could not run:", err)
 		return exitNotRun
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -65,6 +65,7 @@
 // worker is one life of a runner.
 type worker struct {
 	id, addr, zone, rack string
+	listed               string // the address in its entry
 	store                string
 	cpu, mem             int64
 	firstBeat            time.Duration
@@ -90,6 +91,7 @@
 	w := &worker{started: time.Now(), born: time.Now().UnixMilli(), runs: map[runRef]*runState{}, highest: map[string]int{}, wake: make(chan struct{}), out: json.NewEncoder(os.Stdout)}
 	f.StringVar(&w.id, "id", "", "id of the runner")
 	f.StringVar(&w.addr, "addr", "", "IP address and port")
+	f.StringVar(&w.listed, "listed", "", "address in the runner's entry")
 	f.StringVar(&w.zone, "zone", "", "zone")
 	f.StringVar(&w.rack, "rack", "", "rack")
 	f.StringVar(&w.store, "store", "", "address of the store")
@@ -127,7 +129,7 @@
 	signal.Notify(drain, syscall.SIGUSR1)
 	time.Sleep(w.firstBeat)
 	for seq := 1; ; seq++ {
-		fields := map[string]any{"service": "desk", "address": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+		fields := map[string]any{"service": "desk", "address": w.listed, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
 			"cold_left_ms": 0, "seq": seq, "born": w.born, "machine": "m-" + w.id, "labels": []string{"a", w.rack},
 			"capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpu": 0}}
 		if w.draining.Load() {
@@ -207,6 +209,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.clockNow() >= w.lease {
+			w.emit(event{Kind: "lapse"})
 			for _, r := range w.runs {
 				w.end(r, "lapsed")
 			}
