--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -82,3 +82,27 @@
 		})
 	}
 }
+
+// A poll that acknowledged ends of the former lifetime again made the next one, whose ends have the
+// same numbers, forget its own: tasks that were done started a second time.
+func TestAcknowledgementDoesNotReachNextLifetime(t *testing.T) {
+	brief := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 50 * time.Millisecond, Needs: wideNeeds} }
+	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 50 * time.Millisecond}}}
+	runCluster(t, 412, 3, 3, brief, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 4 { // each worker has some ends
+			submit(t, c, jobID(i), spec)
+			time.Sleep(time.Second)
+		}
+		for round := range 3 {
+			w := restart(c, c.RunningWorkers()[0])
+			c.Workers.WithLock(func() { c.Workers.LostShare = 1 })
+			submit(t, c, jobID(10+round), spec)
+			time.Sleep(200 * time.Millisecond)
+			c.Workers.WithLock(func() { c.Workers.LostShare = 0 })
+			c.List(w)
+			waitState(t, c, jobID(10+round), fleet.StateCompleted, 20*time.Second)
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, 5*7, c.Checker.StartCount(), "each task starts once")
+	})
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -59,7 +59,12 @@
 
 // poll asks a worker for its report and extends its lease.
 func (t *term) poll(w *worker) {
-	o := PollOrder{Fence: t.number, Acknowledged: w.lastStoredEnd}
+	o := PollOrder{Fence: t.number}
+	// The next lifetime numbers its ends from 1 too and would forget those that it has, so nothing
+	// is acknowledged twice, or before a worker that left a call unanswered has told its lifetime.
+	if w.unansweredCalls == 0 && w.lastAckedEnd < w.lastStoredEnd {
+		o.Acknowledged = w.lastStoredEnd
+	}
 	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait && w.leaseRecordTerm == 0 {
 		o.Wait = pollWait
 		if w.lowHeadroom {
@@ -76,10 +81,11 @@
 	go t.sendPoll(w, w.info, o, false, t.answerTimeout.timeout())
 }
 
-// probe asks a worker for its report at once, even while a poll is in flight.
+// probe asks a worker for its report at once, even while a poll is in flight. It acknowledges
+// nothing.
 func (t *term) probe(w *worker) {
 	t.metrics.polls.Inc()
-	go t.sendPoll(w, w.info, PollOrder{Fence: t.number, Acknowledged: w.lastStoredEnd}, true, t.answerTimeout.timeout())
+	go t.sendPoll(w, w.info, PollOrder{Fence: t.number}, true, t.answerTimeout.timeout())
 }
 
 func (t *term) sendPoll(w *worker, info WorkerInfo, o PollOrder, probe bool, limit time.Duration) {
