--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -20,7 +20,8 @@
 // be given up after two crashes.
 //
 // A crash counts as soon as the worker refuses connections, since the leader may end before the
-// worker is back. It no longer counts when the same lifetime of the worker reports the run.
+// worker is back. It no longer counts when a report of the worker, or of its next lifetime, lists
+// the run.
 
 const (
 	// earlyCrashAge is the age at the worker's last answer up to which a run is a suspect.
@@ -90,17 +91,17 @@
 	}
 }
 
-// recordCrash counts a crash of a worker for the tasks of its runs. Before the crash is certain, it
-// counts only for runs that had just started and whose start was answered. Unless the lifetime has
-// ended, the worker may only be unreachable: then it must refuse connections, and no task is the
-// sole suspect.
+// recordCrash counts a crash of a worker for the tasks of the runs that it is known to have begun: a
+// start without an answer may have been sent to a worker that was already down. Before the crash is
+// certain, it counts only for runs that had just started. Unless the lifetime has ended, the worker
+// may only be unreachable: then it must refuse connections, and no task is the sole suspect.
 func (t *term) recordCrash(w *worker, certain, lifetimeEnded bool) {
 	if len(w.runs) == 0 || !w.answered || !(lifetimeEnded || w.refusesCalls) || t.departurePlanned(w) {
 		return
 	}
 	for _, r := range w.runs {
 		tk := r.trackedTask()
-		if tk == nil || (!certain && (r.state == runSent || !r.early())) || (r.step.Lasting && !r.early()) {
+		if tk == nil || !r.answered || ((!certain || r.step.Lasting) && !r.early()) {
 			continue
 		}
 		age, leastAge := r.seenRunning(), w.leastAgeOfOthers(r.job)
--- a/internal/fleet/crashes_test.go
+++ b/internal/fleet/crashes_test.go
@@ -223,3 +223,43 @@
 		waitState(t, c, jobID(0), fleet.StateCompleted, 60*time.Second)
 	})
 }
+
+// darken cuts a worker off silently and ends it.
+func darken(c *fleettest.Cluster, w *fleettest.Worker) {
+	for _, m := range c.Nodes {
+		m.Workers.Cut(w, true)
+	}
+	c.Workers.Kill(w)
+}
+
+// brighten starts the next lifetime of a darkened worker, which is not listed yet.
+func brighten(c *fleettest.Cluster, w *fleettest.Worker) *fleettest.Worker {
+	next := c.StartWorker(string(w.Info.Worker))
+	for _, m := range c.Nodes {
+		m.Workers.Cut(next, false)
+	}
+	return next
+}
+
+// Starts that were sent to workers which were already down counted as crashes of these workers under
+// the task: its job failed without a run.
+func TestStartsToDeadWorkersAreNoCrashes(t *testing.T) {
+	runCluster(t, 405, 3, 2, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		down, next := c.Fleet[0], c.Fleet[1]
+		c.Drain(next)
+		time.Sleep(100 * time.Millisecond)
+		darken(c, down)
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}})
+		for range 6 {
+			time.Sleep(time.Second)
+			c.List(next)
+			time.Sleep(100 * time.Millisecond)
+			darken(c, next)
+			down, next = next, brighten(c, down) // the start that is in doubt is settled, and the next one goes to the other worker
+			time.Sleep(1500 * time.Millisecond)
+			require.False(t, c.Checker.Started(jobID(0)))
+		}
+		c.List(next)
+		waitState(t, c, jobID(0), fleet.StateCompleted, 20*time.Second)
+	})
+}
