--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -35,6 +35,9 @@
 	maxCrashes      = 4
 	// survivalAge is the age at which a run of a lasting task disproves earlier suspicions.
 	survivalAge = 5 * time.Second
+	// crashWindow is the longest time from a worker's last answer to the first call without one for
+	// which the ages of its runs at the crash are known.
+	crashWindow = 250 * time.Millisecond
 	// apartTime is how long no other job starts on a worker after a task that was a prime suspect.
 	apartTime = 300 * time.Millisecond
 	// crashHarmBias is the cost of each run on a worker for a task that was a prime suspect,
@@ -106,7 +109,7 @@
 		}
 		age, leastAge := r.seenRunning(), w.leastAgeOfOthers(r.job)
 		c := taskCrash{Attempt: r.ref.Attempt, AgeMS: age.Milliseconds()}
-		c.Prime = r.early() && age <= leastAge+sameAge
+		c.Prime = w.crashTimeKnown(t.now) && r.early() && age <= leastAge+sameAge
 		c.Sole = c.Prime && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
 		i := slices.IndexFunc(tk.crashes, func(o taskCrash) bool { return o.Attempt == c.Attempt })
 		switch {
@@ -123,6 +126,15 @@
 	}
 }
 
+// crashTimeKnown reports whether a crash of the worker that shows at now is known to have followed
+// its last answer at once. Otherwise its runs may have been much older, or have ended.
+func (w *worker) crashTimeKnown(now time.Time) bool {
+	if w.unansweredCalls > 0 {
+		now = w.silentSince
+	}
+	return now.Sub(w.clockAt) <= crashWindow
+}
+
 // suspectCrash handles a call without an answer. A worker that refuses connections has most
 // likely crashed; one that broke a connection off is asked again at once.
 func (t *term) suspectCrash(w *worker, err error) {
--- a/internal/fleet/crashes_test.go
+++ b/internal/fleet/crashes_test.go
@@ -263,3 +263,25 @@
 		waitState(t, c, jobID(0), fleet.StateCompleted, 20*time.Second)
 	})
 }
+
+// A worker fell silent just after a start and was killed much later, when the run had ended. Two
+// such workers made the task the only suspect of crashes at the same age, and its job failed.
+func TestCrashOfUnknownAgeMakesNoSuspect(t *testing.T) {
+	runCluster(t, 406, 3, 2, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}})
+		for range 3 {
+			for deadline := time.Now().Add(10 * time.Second); len(busyWorkers(c)) == 0; time.Sleep(time.Millisecond) {
+				require.True(t, time.Now().Before(deadline))
+			}
+			w := busyWorkers(c)[0]
+			time.Sleep(5 * time.Millisecond) // the start is answered
+			for _, m := range c.Nodes {
+				m.Workers.Cut(w, true)
+			}
+			time.Sleep(1500 * time.Millisecond)
+			darken(c, w)
+			c.List(brighten(c, w))
+		}
+		waitState(t, c, jobID(0), fleet.StateCompleted, 20*time.Second)
+	})
+}
--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -86,7 +87,9 @@
 // A poll that acknowledged ends of the former lifetime again made the next one, whose ends have the
 // same numbers, forget its own: tasks that were done started a second time.
 func TestAcknowledgementDoesNotReachNextLifetime(t *testing.T) {
-	brief := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 50 * time.Millisecond, Needs: wideNeeds} }
+	brief := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 50 * time.Millisecond, Needs: wideNeeds}
+	}
 	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 50 * time.Millisecond}}}
 	runCluster(t, 412, 3, 3, brief, func(t *testing.T, c *fleettest.Cluster) {
 		for i := range 4 { // each worker has some ends
@@ -106,3 +109,50 @@
 		require.Equal(t, 5*7, c.Checker.StartCount(), "each task starts once")
 	})
 }
+
+// restartSeeds is the number of sequences that TestWorkersRestartBesideLateOrders plays.
+const restartSeeds = 12
+
+// Workers start again, again and again, while orders get no answer or are carried out late, and
+// leaders are killed: no task runs twice, and all jobs are done.
+func TestWorkersRestartBesideLateOrders(t *testing.T) {
+	first, end := seedRange(t, 430, restartSeeds)
+	for seed := first; seed < end; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { runRestarts(t, uint64(seed)) })
+	}
+}
+
+func runRestarts(t *testing.T, seed uint64) {
+	const jobs = 30
+	random := rand.New(rand.NewPCG(seed, 13))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	runCluster(t, seed, 3, 6, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		c.Configure(2, 4)
+		c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LostShare = 0.1*float64(seed%3), 0.1 })
+		for i := range jobs {
+			submit(t, c, jobID(i), twoSteps())
+			time.Sleep(upTo(600 * time.Millisecond))
+			if running := c.RunningWorkers(); random.IntN(2) == 0 && len(running) > 2 {
+				w := running[random.IntN(len(running))]
+				c.Workers.Kill(w)
+				time.AfterFunc(upTo(2*time.Second), func() {
+					next := c.StartWorker(string(w.Info.Worker))
+					time.AfterFunc(entryDelay, func() { c.List(next) })
+				})
+			}
+			if l := c.Leader(); l != nil && random.IntN(8) == 0 {
+				c.Kill(l)
+				c.Start(l)
+			}
+		}
+		c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LostShare = 0, 0 })
+		deadline := time.Now().Add(60 * time.Second)
+		for i := range jobs {
+			if c.Checker.MayFail(jobID(i)) {
+				waitEnded(t, c, jobID(i), time.Until(deadline))
+				continue
+			}
+			waitState(t, c, jobID(i), fleet.StateCompleted, time.Until(deadline))
+		}
+	})
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -121,7 +121,7 @@
 	case e.report.Verdict == StartFenced:
 		t.end("a worker has seen a higher fence")
 	case e.report.Verdict != StartRunning:
-		w.unansweredCalls++
+		w.countUnanswered(t.now)
 		w.nextPoll = t.now.Add(pollRetryPause)
 	default:
 		t.applyReport(w, e)
@@ -130,7 +130,7 @@
 
 // recordNoAnswer records a call without an answer and delays the next poll.
 func (t *term) recordNoAnswer(w *worker, err error) {
-	w.unansweredCalls++
+	w.countUnanswered(t.now)
 	pause := pollRetryPause
 	if w.unansweredCalls > 3 {
 		pause = unreachablePollPause
@@ -149,7 +149,7 @@
 func (t *term) handleReplacedLifetime(w *worker) {
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "replaced", "runs": len(w.runs)}).Warn("another worker has taken the address; the runs are lost")
 	t.loseRuns(w, reasonRestarted)
-	w.unansweredCalls++
+	w.countUnanswered(t.now)
 	w.nextPoll = t.now.Add(unreachablePollPause)
 	t.planDue = true
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -227,7 +227,7 @@
 	case e.err != nil:
 		// The runs of an unreachable worker end with its lease; until then retryStops repeats
 		// the order.
-		w.unansweredCalls++
+		w.countUnanswered(t.now)
 		return
 	case e.reply.Verdict == StartFenced:
 		t.end("a worker has seen a higher fence")
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -128,6 +128,7 @@
 	nextPoll        time.Time
 	lastPollSent    time.Time // when the last answered poll was sent
 	unansweredCalls int       // polls and orders without an answer, in a row
+	silentSince     time.Time // the first of them
 	refusesCalls    bool      // a connection was refused since the last answer
 	lastSeenEnd     uint64    // highest number of an end that was processed
 	lastStoredEnd   uint64    // highest number of an end that is durable
@@ -173,6 +174,14 @@
 	w.unansweredCalls, w.refusesCalls = 0, false
 }
 
+// countUnanswered counts a call without an answer.
+func (w *worker) countUnanswered(now time.Time) {
+	if w.unansweredCalls == 0 {
+		w.silentSince = now
+	}
+	w.unansweredCalls++
+}
+
 // extendLease returns a deadline on the worker's clock that lies length after now, and
 // records it. The worker's clock must be known.
 func (w *worker) extendLease(now time.Time, length time.Duration) time.Duration {
