--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -35,7 +35,8 @@
 func (t *term) largestFree() []freeCapacity {
 	var largest []freeCapacity
 	for _, w := range t.workers {
-		if free := w.free(); free.MilliCPU > 0 && t.unusableReason(w) == "" && !w.health.onProbation() {
+		onTrial := w.health.needsUntried(t.now) || (w.health.onProbation() && w.hasTrialRun())
+		if free := w.free(); free.MilliCPU > 0 && t.unusableReason(w) == "" && !onTrial {
 			largest = append(largest, freeCapacity{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)]})
 		}
 	}
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -355,6 +355,18 @@
 	require.True(t, (&leaderWatch{silentSince: epoch}).campaignDue(at(0.1), "b", 1), "there has been no leader yet")
 }
 
+// A cell whose free workers were all on probation never offered them to the lost tasks of others.
+func TestWorkersOnProbationAreOfferedToOtherCells(t *testing.T) {
+	tm := newTestTerm(2)
+	w := testWorker("w")
+	tm.workers["w"] = w
+	w.health.quarantine(at(0))
+	tm.now = at(4.5)
+	require.Empty(t, tm.largestFree())
+	tm.now = at(5.5)
+	require.Len(t, tm.largestFree(), 1)
+}
+
 func TestHealth(t *testing.T) {
 	h := newHealth()
 	h.recordFailure(at(0))
@@ -363,8 +375,11 @@
 	require.True(t, h.excluded(at(3.9)))
 	require.False(t, h.excluded(at(4.1)))
 	require.True(t, h.onProbation())
+	require.True(t, h.needsUntried(at(4.9)))
+	require.False(t, h.needsUntried(at(5)), "there may be no task that has not failed")
 	h.recordFailure(at(5))
 	require.True(t, h.excluded(at(12.9)), "quarantines get longer")
+	require.True(t, h.needsUntried(at(13.9)))
 	h.recordSuccess(1)
 	require.False(t, h.onProbation())
 	for range 5 {
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -14,6 +14,8 @@
 	// no work. It doubles with each consecutive quarantine up to quarantineTimeMax.
 	quarantineTime    = 4 * time.Second
 	quarantineTimeMax = 16 * time.Second
+	// untriedTime is how long after its quarantine a worker gets only tasks that have not failed.
+	untriedTime = 1 * time.Second
 	// refusalPause is how long a worker gets no work after it answers that it is unhealthy or
 	// lacks free capacity.
 	refusalPause = 300 * time.Millisecond
@@ -85,10 +87,16 @@
 	}
 }
 
-// onProbation reports whether the worker was quarantined and has had no success since. It
-// gets one task at a time, and none that has failed before, as a further failure could use up
-// the attempts of the task. Lasting tasks may fail any number of times, so they are excepted.
+// onProbation reports whether the worker was quarantined and has had no success since. It gets one
+// task at a time.
 func (h *health) onProbation() bool { return h.quarantines > 0 }
 
+// needsUntried reports whether a worker on probation gets only tasks that have not failed before, as
+// a further failure could use up the attempts of a task. It ends with time: there may be no such
+// task. Lasting tasks may fail any number of times, so they are excepted.
+func (h *health) needsUntried(now time.Time) bool {
+	return h.onProbation() && now.Sub(h.excludedUntil) < untriedTime
+}
+
 // isSlow reports whether runs take much longer on the worker than elsewhere.
 func (h *health) isSlow() bool { return h.runTimeRatio > slowRatio }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -175,7 +175,8 @@
 	case p.reservedWorkers[w] && !r.restart,
 		r.rack != "" && w.rack != r.rack,
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
-		w.health.onProbation() && (w.hasTrialRun() || (!s.Lasting && r.task != nil && len(r.task.failed) > 0)),
+		w.health.onProbation() && w.hasTrialRun(),
+		!s.Lasting && r.task != nil && len(r.task.failed) > 0 && w.health.needsUntried(p.now),
 		r.task != nil && r.task.runsOn(w),
 		p.keptApart(w, r),
 		s.Filler && !p.fillerFits(w, s):
