--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -369,15 +369,15 @@
 
 func TestHealth(t *testing.T) {
 	h := newHealth()
-	h.recordFailure(at(0))
+	h.recordFailure(at(0), true)
 	require.False(t, h.excluded(at(0)), "one failure may be the task's own")
-	h.recordFailure(at(0))
+	h.recordFailure(at(0), true)
 	require.True(t, h.excluded(at(3.9)))
 	require.False(t, h.excluded(at(4.1)))
 	require.True(t, h.onProbation())
 	require.True(t, h.needsUntried(at(4.9)))
 	require.False(t, h.needsUntried(at(5)), "there may be no task that has not failed")
-	h.recordFailure(at(5))
+	h.recordFailure(at(5), true)
 	require.True(t, h.excluded(at(12.9)), "quarantines get longer")
 	require.True(t, h.needsUntried(at(13.9)))
 	h.recordSuccess(1)
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -310,6 +310,26 @@
 	})
 }
 
+// A job that cannot be done quarantined all workers, and other jobs waited until the quarantines were
+// over.
+func TestFailingJobLeavesMostWorkersInUse(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		task := fleettest.Task{Work: 300 * time.Millisecond, Needs: smallNeeds}
+		if string(n[:16]) == jobID(0) {
+			task.Fails = math.MaxInt
+		}
+		return task
+	}
+	runCluster(t, 58, 3, 4, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		c.Configure(2, 6)
+		job := fleet.Spec{Steps: []fleet.Step{{Count: 16, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}}
+		submit(t, c, jobID(0), job)
+		time.Sleep(400 * time.Millisecond) // the first attempts have failed
+		submit(t, c, jobID(1), job)
+		waitState(t, c, jobID(1), fleet.StateCompleted, 2*time.Second)
+	})
+}
+
 func TestWorkerHangs(t *testing.T) {
 	runCluster(t, 54, 3, 3, shortTask, func(t *testing.T, c *fleettest.Cluster) {
 		c.Workers.WithLock(func() { c.Fleet[0].Hang = true })
--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -58,11 +58,11 @@
 }
 
 // recordFailure records a failed run, and quarantines the worker after quarantineFailures
-// consecutive ones.
-func (h *health) recordFailure(now time.Time) {
+// consecutive ones if it may be quarantined.
+func (h *health) recordFailure(now time.Time, mayQuarantine bool) {
 	h.failures++
 	h.recovered = false
-	if h.failures >= quarantineFailures {
+	if h.failures >= quarantineFailures && mayQuarantine {
 		h.quarantine(now)
 	}
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -396,10 +396,26 @@
 	}
 }
 
+// mayQuarantine reports whether at least half of the listed workers of a service stay in use without
+// w. Failures on most of them say more about the tasks than about the workers.
+func (t *term) mayQuarantine(w *worker) bool {
+	listed, inUse := 0, 0
+	for _, other := range t.workers {
+		if !other.listed || other.info.Service != w.info.Service {
+			continue
+		}
+		listed++
+		if other != w && !other.health.excluded(t.now) {
+			inUse++
+		}
+	}
+	return 2*inUse >= listed
+}
+
 // recordTaskFailure counts a failure against the task's budget and the worker.
 func (t *term) recordTaskFailure(w *worker, j *job, key taskKey, r *run) {
 	before := w.health.excludedUntil
-	w.health.recordFailure(t.now)
+	w.health.recordFailure(t.now, t.mayQuarantine(w))
 	if w.health.excludedUntil.After(before) {
 		t.log.WithFields(logrus.Fields{"decision": "rest", "worker": w.info.Worker, "failures": w.health.failures,
 			"until_ms": w.health.excludedUntil.Sub(t.now).Milliseconds()}).Warn("worker quarantined: its tasks fail")
