--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -50,6 +50,8 @@
 	switch {
 	case t.stopping:
 		return w.leaseEndAtStop, t.stoppedAt
+	case !w.answered && w.inheritedAt.After(t.usedReadAt):
+		return w.leaseEnd(), w.inheritedAt
 	case !w.answered:
 		return w.leaseEnd(), t.usedReadAt
 	}
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -198,3 +198,28 @@
 	w.unansweredCalls = 1
 	require.True(t, tm.leaseRecordNeeded(w), "its leases end when the term knows, not a lease after the release")
 }
+
+// A new leader must wait for the leases that orders for a former lifetime may have set: their
+// deadlines are times on another clock, so they may reach further than leases of its predecessor.
+func TestLeasesOfFormerLifetimeAreRestored(t *testing.T) {
+	former := newTestTerm(1)
+	former.cfg.Bounds.LeaseMax = 10 * time.Second
+	former.now, former.storeClock = at(20), storeReading{now: 100 * time.Second, at: at(19)}
+	w := testWorker("w")
+	former.workers["w"] = w
+	j := &job{id: "j", visibleState: StateRunning}
+	w.attach(&run{ref: RunRef{"j.0.0.0", 1}, job: j, worker: w, state: runUnconfirmed}, at(20))
+	info := w.info
+	info.Born = 2
+	next := former.replaceWorker(w, info)
+	require.Len(t, next.runs, 1)
+
+	tm := newTestTerm(1)
+	tm.cfg.Bounds.LeaseMax = 10 * time.Second
+	tm.now, tm.formerLeaderRenewedBy = at(21), at(19)
+	row := Row{RowID: usedRow(tm.part, info.Lifetime), Value: encode(former.usedRowsToPut[info.Lifetime])}
+	require.True(t, tm.restoreUsedWorker(row, 102*time.Second, at(21)))
+	require.WithinDuration(t, at(20).Add(maxRealDuration(10*time.Second)), tm.workers["w"].inheritedLeaseEnd, 100*time.Millisecond)
+	tm.workers["w"].fenceFormerLeases(at(21))
+	require.WithinDuration(t, at(20).Add(maxRealDuration(10*time.Second)), tm.workers["w"].inheritedLeaseEnd, 100*time.Millisecond)
+}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -63,10 +65,26 @@
 	if former.inherited && !former.answered {
 		lastOrder = t.formerLeaderRenewedBy.Add(maxOrderAge)
 	}
-	next.inherited = true
+	next.inherited, next.inheritedAt = true, t.now
 	next.longestLease = max(t.cfg.Bounds.LeaseMax, maxLease)
 	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
-	t.usedRowsToPut[next.info.Lifetime] = next.usedRecord()
+	u := next.usedRecord()
+	if !t.storeClock.at.IsZero() {
+		u.FormerLeaseEnd = t.storeClock.upperBound(next.inheritedLeaseEnd)
+	}
+	t.usedRowsToPut[next.info.Lifetime] = u
+}
+
+// restoreFormerLeases applies the end of leases that orders for a former lifetime may have set.
+// storeNow is a reading of the store's clock that had arrived by readAt.
+func (t *term) restoreFormerLeases(w *worker, formerEnd, storeNow time.Duration, readAt time.Time) {
+	if formerEnd == 0 {
+		return
+	}
+	w.longestLease = max(t.cfg.Bounds.LeaseMax, maxLease)
+	if end := readAt.Add(formerEnd - storeNow); end.After(w.inheritedLeaseEnd) {
+		w.inheritedLeaseEnd = end
+	}
 }
 
 // passRun passes a run in doubt to the next lifetime of its worker. Orders for the run that have no
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -161,6 +161,9 @@
 	Service    model.ServiceName `cbor:"4,keyasint"`
 	// Leases is empty while the leader may extend the worker's leases.
 	Leases leaseRecord `cbor:"5,keyasint,omitempty"`
+	// FormerLeaseEnd is the store's monotonic clock when leases that orders for a former lifetime
+	// may have set have ended; 0 for none.
+	FormerLeaseEnd time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // waveRecord is the stored progress of a maintenance wave.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -344,6 +344,7 @@
 	}
 	w.usedRowStored, w.inherited = true, true
 	w.inheritedLeaseEnd = t.formerLeaderRenewedBy.Add(maxRealDuration(maxLeaseReach) + leaseMargin)
+	t.restoreFormerLeases(w, u.FormerLeaseEnd, storeNow, readAt)
 	t.restoreLeases(w, u.Leases, storeNow, readAt)
 	return true
 }
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -110,6 +110,8 @@
 	usedRowStored bool
 	// inherited workers may hold runs of earlier terms that this term has not seen.
 	inherited bool
+	// inheritedAt is when this term found that a new lifetime may hold runs of its former one.
+	inheritedAt time.Time
 	// inheritedLeaseEnd is when the leases of earlier terms, and those set by orders for a former
 	// lifetime, have ended. longestLease bounds such a lease from the worker's answer on.
 	inheritedLeaseEnd time.Time
