--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -117,13 +117,35 @@
 // takeOut takes a data centre out of service, or back into service.
 func (c *cluster) takeOut(target int, out bool) { platformtest.SetZoneOut(c.rows, zone(target), out) }
 
-// startInstance starts a new process of a worker and adds it to the platform's list of
-// workers under the address of its proxy.
-func (c *cluster) startInstance(w *worker) error {
+// newInstance starts a new process of a worker, which is not listed yet.
+func (c *cluster) newInstance(w *worker) {
 	c.lastStart++
 	info := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: model.WorkerID(w.id), Born: c.lastStart}, Service: route.Service,
 		DataCentre: model.DataCentre(w.zone), Capacity: model.Resources{MilliCPU: workerCPU, MemoryMB: workerMemory}, Labels: []string{"a", "r-" + w.zone}}
 	w.runner, w.instance = platformtest.NewRunner(c.simWorkers, info)
+}
+
+// restartInstance replaces the process of a worker. Its address stays; its entry still names the
+// former process.
+func (c *cluster) restartInstance(w *worker) {
+	c.simWorkers.Kill(w.instance)
+	w.runner.CloseClientConnections()
+	c.newInstance(w)
+	w.proxy.setTarget(w.runner.Listener.Addr().String())
+}
+
+// list writes the entry of a worker's process, unless its address is gone.
+func (c *cluster) list(w *worker) error {
+	if w.proxy.isClosed() {
+		return nil
+	}
+	return w.runner.Register(c.rows, w.proxy.addr())
+}
+
+// startInstance starts a new process of a worker and adds it to the platform's list of
+// workers under the address of its proxy.
+func (c *cluster) startInstance(w *worker) error {
+	c.newInstance(w)
 	proxy, err := newProxy(w.runner.Listener.Addr().String())
 	if err != nil {
 		return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -99,6 +99,8 @@
 		c.workers[f.Target].proxy.setModes(modeForward, modeHold)
 	case KillWorker:
 		c.killInstance(c.workers[f.Target])
+	case RestartWorker:
+		c.restartInstance(c.workers[f.Target])
 	case FailWorker, HangWorker:
 		c.setTaskFault(c.workers[f.Target], f.Kind, true)
 	case LateOrders:
@@ -147,6 +149,8 @@
 	case KillWorker:
 		c.killInstance(c.workers[f.Target]) // an overlapping fault may have started an instance since
 		return c.startInstance(c.workers[f.Target])
+	case RestartWorker:
+		return c.list(c.workers[f.Target])
 	case FailWorker, HangWorker:
 		c.setTaskFault(c.workers[f.Target], f.Kind, false)
 	case LateOrders:
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -25,10 +25,10 @@
 
 // proxy forwards connections to a target and can impair each direction.
 type proxy struct {
-	ln     net.Listener
-	target string
+	ln net.Listener
 
 	mu           sync.Mutex
+	target       string
 	requestMode  proxyMode
 	responseMode proxyMode
 	changed      chan struct{}
@@ -48,6 +48,20 @@
 
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
+// setTarget forwards connections from now on to another target and resets the present ones.
+func (p *proxy) setTarget(target string) {
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.reset()
+}
+
+func (p *proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // setModes sets the modes of both directions.
 func (p *proxy) setModes(requests, answers proxyMode) {
 	p.mu.Lock()
@@ -93,6 +107,12 @@
 	}
 }
 
+func (p *proxy) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 // track registers a connection, or closes it and removes it. It reports whether the proxy is
 // open.
 func (p *proxy) track(c net.Conn, open bool) bool {
@@ -112,7 +132,7 @@
 	if !p.track(client, true) {
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	server, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		return
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -13,35 +13,37 @@
 
 // Kinds of faults. The target of a fault is the index of a node or of a worker.
 const (
-	KillNode      Kind = "kill-node"     // SIGKILL; restarted at the end
-	StopNode      Kind = "stop-node"     // SIGTERM; restarted at the end
-	FreezeNode    Kind = "freeze-node"   // SIGSTOP until the end
-	PowerLoss     Kind = "power-loss"    // SIGKILL for all nodes at once; restarted at the end
-	CutStore      Kind = "cut-store"     // one node's link to the store is cut in both directions
-	MuteStore     Kind = "mute-store"    // one node's requests reach the store, the responses are held back
-	SlowStore     Kind = "slow-store"    // one node's link to the store is slow
-	ResetStore    Kind = "reset-store"   // one node's connections to the store are reset at the start
-	RefuseStore   Kind = "refuse-store"  // the store answers every request with 503
-	LoseCommits   Kind = "lose-commits"  // the responses of some transactions are lost, some are applied late
-	CompactStore  Kind = "compact-store" // the store drops its history of changes
-	CutWorker     Kind = "cut-worker"    // a worker's link is cut in both directions
-	MuteWorker    Kind = "mute-worker"   // commands reach a worker, its responses are held back
-	KillWorker    Kind = "kill-worker"   // a worker process is killed; a new one starts at the end
-	FailWorker    Kind = "fail-worker"   // tasks that start on a worker fail
-	HangWorker    Kind = "hang-worker"   // tasks that start on a worker make no progress
-	LateOrders    Kind = "late-orders"   // a fifth of all commands to workers is executed late
-	TakeOut       Kind = "take-out"      // a data centre is out of service until the end
-	Configuration Kind = "configuration" // a new version of the configuration takes effect
-	SlowNode      Kind = "slow-node"     // a node's CPU is slow
-	SlowAll       Kind = "slow-all"      // the CPUs of all nodes are slow
-	KillMost      Kind = "kill-most"     // SIGKILL for 55% of the nodes at once, beginning with the target; restarted at the end
+	KillNode      Kind = "kill-node"      // SIGKILL; restarted at the end
+	StopNode      Kind = "stop-node"      // SIGTERM; restarted at the end
+	FreezeNode    Kind = "freeze-node"    // SIGSTOP until the end
+	PowerLoss     Kind = "power-loss"     // SIGKILL for all nodes at once; restarted at the end
+	CutStore      Kind = "cut-store"      // one node's link to the store is cut in both directions
+	MuteStore     Kind = "mute-store"     // one node's requests reach the store, the responses are held back
+	SlowStore     Kind = "slow-store"     // one node's link to the store is slow
+	ResetStore    Kind = "reset-store"    // one node's connections to the store are reset at the start
+	RefuseStore   Kind = "refuse-store"   // the store answers every request with 503
+	LoseCommits   Kind = "lose-commits"   // the responses of some transactions are lost, some are applied late
+	CompactStore  Kind = "compact-store"  // the store drops its history of changes
+	CutWorker     Kind = "cut-worker"     // a worker's link is cut in both directions
+	MuteWorker    Kind = "mute-worker"    // commands reach a worker, its responses are held back
+	KillWorker    Kind = "kill-worker"    // a worker process is killed; a new one starts at the end
+	FailWorker    Kind = "fail-worker"    // tasks that start on a worker fail
+	HangWorker    Kind = "hang-worker"    // tasks that start on a worker make no progress
+	LateOrders    Kind = "late-orders"    // a fifth of all commands to workers is executed late
+	TakeOut       Kind = "take-out"       // a data centre is out of service until the end
+	Configuration Kind = "configuration"  // a new version of the configuration takes effect
+	SlowNode      Kind = "slow-node"      // a node's CPU is slow
+	SlowAll       Kind = "slow-all"       // the CPUs of all nodes are slow
+	KillMost      Kind = "kill-most"      // SIGKILL for 55% of the nodes at once, beginning with the target; restarted at the end
+	RestartWorker Kind = "restart-worker" // a worker starts again under its id and address; its entry follows at the end
 )
 
 var kinds = []Kind{KillNode, StopNode, FreezeNode, PowerLoss, CutStore, MuteStore, SlowStore, ResetStore, RefuseStore, LoseCommits,
 	CompactStore, CutWorker, MuteWorker, KillWorker, FailWorker, HangWorker, LateOrders, TakeOut, Configuration}
 
 // heavyKinds affect a node's CPU, or most or all nodes at once. They are drawn in addition to
-// kinds from a generator of their own, so that a seed keeps its faults of the other kinds.
+// kinds from a generator of their own, so that a seed keeps its faults of the other kinds; so are
+// restarts of workers.
 var heavyKinds = []Kind{SlowNode, SlowAll, KillMost}
 
 // Fault is one fault of a schedule.
@@ -66,6 +68,10 @@
 	meanFaultInterval = 900 * time.Millisecond
 	// meanHeavyInterval is the mean time between the starts of two faults of heavyKinds.
 	meanHeavyInterval = 5 * time.Second
+	// meanRestartInterval is the mean time between the starts of two restarts of workers.
+	meanRestartInterval = 2500 * time.Millisecond
+	// maxEntryDelay bounds the time from the restart of a worker to its first entry.
+	maxEntryDelay = 1500 * time.Millisecond
 	// minFaultDuration and maxFaultDuration bound the duration of a fault. The maximum
 	// exceeds the time after which a silent leader is replaced and leases expire.
 	minFaultDuration = 300 * time.Millisecond
@@ -88,6 +94,7 @@
 		faults = append(faults, f)
 	}
 	faults = append(faults, heavyFaults(seed, nodes, length)...)
+	faults = append(faults, restartFaults(seed, workers, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -101,3 +108,13 @@
 	}
 	return faults
 }
+
+func restartFaults(seed uint64, workers int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 13))
+	var faults []Fault
+	for at := warmUp + meanRestartInterval/2; at < length; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanRestartInterval)) {
+		faults = append(faults, Fault{At: at, Kind: RestartWorker, Target: random.IntN(workers),
+			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxEntryDelay-minFaultDuration)))})
+	}
+	return faults
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -79,5 +79,5 @@
 		require.GreaterOrEqual(t, f.Duration, minFaultDuration)
 		require.Less(t, f.Duration, maxFaultDuration)
 	}
-	require.Len(t, seen, len(kinds)+len(heavyKinds), "a long schedule holds every kind")
+	require.Len(t, seen, len(kinds)+len(heavyKinds)+1, "a long schedule holds every kind")
 }
