--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -569,3 +569,21 @@
 		require.Zero(t, c.Workers.RunCount(free))
 	})
 }
+
+// The order to start a copy waited for a connection, as other calls to the worker had no answer. The
+// task was done meanwhile, and the copy started long after its end.
+func TestOrderThatWaitsForConnectionIsWithdrawn(t *testing.T) {
+	task := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: time.Second, Needs: smallNeeds, Speculative: true}
+	}
+	runCluster(t, 59, 3, 3, task, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: 500 * time.Millisecond, Speculative: true}}})
+		time.Sleep(300 * time.Millisecond)
+		for _, m := range c.Nodes {
+			m.Workers.SetOrderQueueTime(450 * time.Millisecond)
+		}
+		waitState(t, c, jobID(0), fleet.StateCompleted, 10*time.Second)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, c.Checker.StartCount())
+	})
+}
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -19,6 +19,8 @@
 	mu      sync.Mutex
 	cut     map[string]bool // addresses that do not answer
 	allCut  bool
+	// orderQueueTime is how long starts and stops wait for a connection before they are sent.
+	orderQueueTime time.Duration
 }
 
 // View returns a new view of the workers.
@@ -31,6 +33,30 @@
 	v.cut[w.Info.Addr] = cut
 }
 
+// SetOrderQueueTime makes starts and stops wait for a connection for d before they are sent.
+func (v *WorkersView) SetOrderQueueTime(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.orderQueueTime = d
+}
+
+// awaitConnection waits until an order can be sent that is withdrawn with the channel.
+func (v *WorkersView) awaitConnection(ctx context.Context, withdrawn <-chan struct{}) error {
+	v.mu.Lock()
+	queueTime := v.orderQueueTime
+	v.mu.Unlock()
+	if queueTime == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(queueTime):
+		return nil
+	case <-ctx.Done():
+	case <-withdrawn:
+	}
+	return model.Errorf(model.KindExhausted, "retry later; nothing was sent", "no free connection")
+}
+
 // CutAll stops or restores the traffic to all workers.
 func (v *WorkersView) CutAll(cut bool) {
 	v.mu.Lock()
@@ -69,7 +95,9 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if !target.dead && target.Info.Worker == w.Worker {
+				f.lateOrder = true
 				do(target)
+				f.lateOrder = false
 			}
 		})
 		<-ctx.Done()
@@ -90,11 +118,17 @@
 
 // Start implements fleet.Workers.
 func (v *WorkersView) Start(ctx context.Context, w fleet.WorkerInfo, o fleet.StartOrder) (fleet.WorkerReply, error) {
+	if err := v.awaitConnection(ctx, o.Withdrawn); err != nil {
+		return fleet.WorkerReply{}, err
+	}
 	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict { return t.startRun(o) })
 }
 
 // Stop implements fleet.Workers.
 func (v *WorkersView) Stop(ctx context.Context, w fleet.WorkerInfo, r fleet.RunRef, fence uint64) (fleet.WorkerReply, error) {
+	if err := v.awaitConnection(ctx, nil); err != nil {
+		return fleet.WorkerReply{}, err
+	}
 	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict { return t.stopRun(r, fence) })
 }
 
--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -11,13 +11,15 @@
 
 // RunChecker records the starts and ends of runs on the workers and the violations of the
 // contract: two runs of a task at once or a start after the task is done, unless the task is
-// speculative, a start long after the job was cancelled, and three more starts of a task after
+// speculative, a start of a speculative task over a second after its end was acknowledged, unless
+// the worker carried the order out late, a start long after the job was cancelled, and three more starts of a task after
 // three workers have crashed because of it. The workers call started, ended, crashed and
 // acknowledged with the fleet's lock held.
 type RunChecker struct {
 	mu               sync.Mutex
 	running          map[fleet.TaskName]map[string]int  // attempt by worker, for each task
 	acknowledgedDone map[fleet.TaskName]bool            // tasks that ended done, and whose end the leader acknowledged
+	acknowledgedAt   map[fleet.TaskName]time.Time       // when it acknowledged the first such end
 	lastStart        map[fleet.TaskName]time.Time       // time of the last start
 	done             map[string]map[fleet.TaskName]bool // tasks that ended done, by job
 	startedAt        time.Time
@@ -33,7 +35,7 @@
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -47,7 +49,7 @@
 	l.recordViolation("%s", what)
 }
 
-func (l *RunChecker) started(w *Worker, o fleet.StartOrder, task Task) {
+func (l *RunChecker) started(w *Worker, o fleet.StartOrder, task Task, late bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts++
@@ -62,6 +64,9 @@
 			l.recordViolation("task %s attempt %d starts on %s after it was done", o.Task, o.Attempt, w.Info.Worker)
 		}
 	}
+	if at, ok := l.acknowledgedAt[o.Task]; ok && task.Speculative && !late && time.Since(at) > maxStartAfterEnd {
+		l.recordViolation("task %s attempt %d starts on %s %v after its end was acknowledged", o.Task, o.Attempt, w.Info.Worker, time.Since(at))
+	}
 	job, _, _ := strings.Cut(string(o.Task), ".")
 	if at, ok := l.cancelled[job]; ok && time.Since(at) > maxStartAfterCancel {
 		l.recordViolation("task %s starts %v after its job was cancelled", o.Task, time.Since(at))
@@ -75,6 +80,10 @@
 	l.lastStart[o.Task] = time.Now()
 }
 
+// maxStartAfterEnd is the contract's bound on the time from the acknowledgement that a task is done
+// to the last start of a copy of it.
+const maxStartAfterEnd = time.Second
+
 // maxStartAfterCancel is the contract's bound on the time from the acknowledgement of a
 // cancellation to the last start of a task of the job.
 const maxStartAfterCancel = 3 * time.Second
@@ -153,6 +162,9 @@
 		return
 	}
 	l.acknowledgedDone[e.Task] = true
+	if l.acknowledgedAt[e.Task].IsZero() {
+		l.acknowledgedAt[e.Task] = time.Now()
+	}
 	if !task.Speculative && l.lastStart[e.Task].After(e.at) {
 		l.recordViolation("task %s started again after attempt %d was done", e.Task, e.Attempt)
 	}
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -43,6 +43,7 @@
 	// LateShare is the share of calls that get no answer and take effect one to four seconds
 	// later.
 	LateShare float64
+	lateOrder bool // the order being carried out is such a call
 	// LostShare is the share of calls, polls included, that take effect at once and get no
 	// answer.
 	LostShare float64
@@ -361,7 +362,7 @@
 	}
 	w.runs[o.RunRef] = k
 	w.recordFillerLoad()
-	w.fleet.checker.started(w, o, task)
+	w.fleet.checker.started(w, o, task, w.fleet.lateOrder)
 	w.planEnd(k)
 	if task.CrashAfter > 0 {
 		time.AfterFunc(task.CrashAfter, func() { w.fleet.crash(k) })
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -114,6 +114,9 @@
 	// Deadline is the end of the worker's lease on the worker's clock.
 	Deadline time.Duration
 	Fence    uint64
+	// Withdrawn is closed when the run is no longer wanted: an order that has not been sent yet
+	// must not be sent any more.
+	Withdrawn <-chan struct{}
 }
 
 // StartVerdict is a worker's answer to a start.
@@ -203,7 +206,8 @@
 }
 
 // Workers sends orders to workers. An error means that the order may have been carried out
-// or may still be. Orders name the worker's id only: a later lifetime under the same id carries
+// or may still be, unless it is of KindUnavailable (the worker refused the connection) or
+// KindExhausted (the order waited for a connection in vain): then nothing was sent. Orders name the worker's id only: a later lifetime under the same id carries
 // them out too, and only a Report tells which lifetime answered.
 type Workers interface {
 	Start(ctx context.Context, w WorkerInfo, o StartOrder) (WorkerReply, error)
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // A worker that starts again keeps its id and, as a rule, its address. An order that was sent to
@@ -90,6 +88,7 @@
 // passRun passes a run in doubt to the next lifetime of its worker. Orders for the run that have no
 // answer yet, and answers to former ones, prove nothing about that lifetime.
 func (t *term) passRun(r *run, next *worker) {
+	r.withdraw()
 	r.worker.detach(r, t.now)
 	r.worker = next
 	r.stopInFlight, r.stopAnswered, r.paceInFlight = false, false, false
@@ -106,7 +105,7 @@
 // again. It tells whether the order was carried out, but not by which lifetime.
 func (t *term) applyFormerStartReply(r *run, e startReply) {
 	switch {
-	case model.IsKind(e.err, model.KindUnavailable):
+	case notSent(e.err):
 		t.markLost(r, "not-sent")
 	case e.err != nil: // the run stays in doubt
 	case e.reply.Verdict == StartRunning:
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -44,12 +44,12 @@
 		tk.account.startRun(occ.steps[key.step].readyAt, t.now)
 	}
 	r := &run{ref: RunRef{key.Name(j.id), attempt}, job: j, key: key, worker: w, step: step, reserved: step.Reserved(),
-		startedAt: t.now, stateSince: t.now, progressAt: t.now, pace: 100, checkpoint: checkpoint, ticket: ticket, crashesBefore: tk.primeCrashes() > 0}
+		startedAt: t.now, stateSince: t.now, progressAt: t.now, withdrawn: make(chan struct{}), pace: 100, checkpoint: checkpoint, ticket: ticket, crashesBefore: tk.primeCrashes() > 0}
 	w.attach(r, t.now)
 	w.observeStart(r)
 	tk.runs = append(tk.runs, r)
 	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
-		Deadline: w.extendLease(t.now, t.leaseLength()), Fence: t.number}
+		Deadline: w.extendLease(t.now, t.leaseLength()), Fence: t.number, Withdrawn: r.withdrawn}
 	if !j.started {
 		j.started = true
 		// A later term must know lost services from new ones, which wait for free capacity.
@@ -131,15 +131,33 @@
 	}
 }
 
+// withdraw withdraws the start order of the run if it is not sent yet. An order may wait for a
+// connection while other calls to the worker get no answer; it would be carried out long after
+// the run was stopped or lost.
+func (r *run) withdraw() {
+	if r.withdrawn != nil {
+		close(r.withdrawn)
+		r.withdrawn = nil
+	}
+}
+
+// notSent reports whether an order that failed with err was certainly not sent.
+func notSent(err error) bool {
+	return model.IsKind(err, model.KindUnavailable) || model.IsKind(err, model.KindExhausted)
+}
+
 // handleUnansweredStart handles a start order without an answer: the worker may carry it
 // out now or later. If the order was certainly not sent, the run is lost at once.
 func (t *term) handleUnansweredStart(r *run, err error) {
 	w := r.worker
-	t.recordNoAnswer(w, err)
-	if model.IsKind(err, model.KindUnavailable) {
+	if notSent(err) {
+		if r.withdrawn != nil {
+			t.recordNoAnswer(w, err)
+		}
 		t.markLost(r, "not-sent")
 		return
 	}
+	t.recordNoAnswer(w, err)
 	t.log.WithError(err).WithFields(logrus.Fields{"decision": "doubt", "task": r.ref.Task, "attempt": r.ref.Attempt,
 		"worker": w.info.Worker}).Warn("start order got no answer")
 	if r.state == runSent {
@@ -189,6 +207,7 @@
 // run's capacity is freed when the worker reports its end.
 func (t *term) stopRun(r *run, reason string) {
 	if r.state != runStopping {
+		r.withdraw()
 		r.state, r.stateSince, r.stopReason = runStopping, t.now, reason
 		t.metrics.stops.WithLabelValues(reason).Inc()
 		t.log.WithFields(logrus.Fields{"decision": "stop", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
@@ -277,6 +296,7 @@
 
 // markLost drops a run that has certainly stopped although no end was reported.
 func (t *term) markLost(r *run, reason string) {
+	r.withdraw()
 	r.worker.detach(r, t.now)
 	t.planDue = true
 	if r.job == nil {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -46,8 +46,9 @@
 	// answered means that the start order was answered or that a report has listed the run. listed
 	// means that a report of the worker's present lifetime has listed it.
 	answered, listed bool
-	stopInFlight     bool // a stop order waits for its answer
-	stopAnswered     bool // a stop order was answered
+	withdrawn        chan struct{} // closed to withdraw a start order that is not sent yet; nil after that
+	stopInFlight     bool          // a stop order waits for its answer
+	stopAnswered     bool          // a stop order was answered
 	stopReason       string
 	// percent is the last reported progress and progressAt when it last changed.
 	percent    int
