--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -587,3 +587,29 @@
 		require.Equal(t, 1, c.Checker.StartCount())
 	})
 }
+
+// A job counted as begun once a start order was sent, although no worker had answered one.
+func TestJobIsPendingUntilWorkerAnswers(t *testing.T) {
+	runCluster(t, 61, 3, 3, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		pending := func() int {
+			n, err := c.Nodes[0].Node.Pending(t.Context(), c.Queue)
+			require.NoError(t, err)
+			return n
+		}
+		for _, m := range c.Nodes {
+			m.Workers.CutAll(true)
+		}
+		submit(t, c, jobID(0), twoSteps())
+		time.Sleep(time.Second)
+		require.Equal(t, 1, pending())
+		for _, m := range c.Nodes {
+			m.Workers.CutAll(false)
+		}
+		for c.Checker.StartCount() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		require.Zero(t, pending())
+		waitAll(t, c, 1, 30*time.Second)
+	})
+}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -117,8 +117,9 @@
 	chainEstimates []time.Duration
 
 	cancelled           bool
-	failureReason       string // empty when the job has not failed
-	started             bool
+	failureReason       string        // empty when the job has not failed
+	started             bool          // a start order was sent
+	begun               bool          // a worker has told that a task began
 	occurrences         []*occurrence // open occurrences
 	openedOccurrences   int           // number of occurrences opened so far
 	finishedOccurrences map[int]bool  // numbers of the occurrences that are done
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -232,7 +232,7 @@
 func (t *term) pendingCounts() map[string]int {
 	counts := map[string]int{}
 	for _, j := range t.jobs {
-		if !j.started && !j.over() {
+		if !j.begun && !j.over() {
 			counts[j.queue]++
 		}
 	}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -208,6 +208,9 @@
 			}
 		}
 		r.answered, r.listed = true, true
+		if r.job != nil {
+			r.job.begun = true
+		}
 		if r.crashed || r.crashesBefore {
 			t.observeSurvival(r)
 		}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -223,7 +223,7 @@
 	j.movedTo, j.moveStored = p.MovedTo, p.MoveStored
 	j.cancelled = j.cancelled || p.State == StateCancelled
 	for _, k := range p.Finished {
-		j.finishedOccurrences[k] = true
+		j.finishedOccurrences[k], j.begun = true, true
 	}
 	if p.State.Final() {
 		j.visibleState, j.endedAt = p.State, now
@@ -247,6 +247,7 @@
 				continue
 			}
 			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lentTo: t.LentTo, crashes: t.Crashes}
+			j.begun = j.begun || t.Done || len(t.Failed) > 0 || t.Checkpoint != "" || len(t.Crashes) > 0
 			if t.Done {
 				s.remaining--
 			}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -124,7 +124,7 @@
 
 // confirmStart records that a start order was carried out.
 func (t *term) confirmStart(r *run) {
-	r.answered = true
+	r.answered, r.job.begun = true, true
 	if r.state == runSent || r.state == runUnconfirmed {
 		r.state, r.stateSince = runLive, t.now
 		r.progressAt = t.now
@@ -360,7 +360,7 @@
 	tk.attempt = max(tk.attempt, e.Attempt)
 	t.withdrawCrash(j, tk, e.Attempt)
 	j.dirty = true
-	j.started = true // an earlier term may have started it without storing that
+	j.started, j.begun = true, true // an earlier term may have started it without storing that
 	if r == nil {
 		r = &run{ref: e.RunRef, job: j, key: key, worker: w, step: &j.spec.Steps[key.step], startedAt: t.now}
 	}
