--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -478,13 +478,17 @@
 	return fleet.StartRunning
 }
 
+// maxListedEnds is the number of ends that a report lists.
+const maxListedEnds = 500
+
 // report returns the status of the runs and the ends that are not acknowledged. The lock is
 // held.
 func (w *Worker) report() fleet.Report {
 	r := fleet.Report{Verdict: fleet.StartRunning, Born: w.Info.Born, Clock: w.clock()}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		r.Ended = append(r.Ended, e.RunEnd)
 	}
+	r.EndsCut = len(r.Ended) == maxListedEnds
 	for ref, k := range w.runs {
 		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
 		if !k.task.Lasting && k.task.Work > 0 {
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -203,6 +203,8 @@
 	Clock   time.Duration
 	Running []RunStatus
 	Ended   []RunEnd
+	// EndsCut means that further ends may not be listed: a run in neither list may have ended.
+	EndsCut bool
 }
 
 // Workers sends orders to workers. An error means that the order may have been carried out
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -163,7 +163,7 @@
 	w.observeClock(e.report.Clock, t.now)
 	w.lastAckedEnd = max(w.lastAckedEnd, e.order.Acknowledged)
 	first := !w.answered
-	w.answered = true
+	w.answered, w.endsCut = true, e.report.EndsCut
 	if fresh {
 		w.interferenceView, w.pacesDue = nil, true
 		w.lastPollSent = e.sent
@@ -183,10 +183,10 @@
 		w.nextPoll = t.now.Add(tickInterval * 2) // a completed transaction polls sooner
 	}
 	if first {
-		w.inherited = false
 		w.fenceFormerLeases(t.now)
 		t.planDue = true
 	}
+	w.inherited = w.inherited && w.endsCut
 	if !w.usedRowStored || w.leaseRecordTerm > 0 {
 		t.markUsed(w)
 	}
@@ -285,8 +285,12 @@
 }
 
 // resolveMissingRuns handles runs that are missing from a report although the poll was sent
-// after the run entered its present state.
+// after the run entered its present state. While ends are missing from the report, a run may have
+// ended without being listed.
 func (t *term) resolveMissingRuns(w *worker, e pollReply) {
+	if e.report.EndsCut {
+		return
+	}
 	listed := make(map[RunRef]bool, len(e.report.Running))
 	for _, s := range e.report.Running {
 		listed[s.RunRef] = true
--- a/internal/fleet/unaccounted.go
+++ b/internal/fleet/unaccounted.go
@@ -17,7 +17,9 @@
 func (t *term) unaccountedWorkers() (int, time.Time) {
 	n, until := 0, time.Time{}
 	for _, w := range t.workers {
-		if !w.inherited || w.answered || w.runsRecorded || t.confirmedAt.After(w.inheritedLeaseEnd) {
+		switch {
+		case w.inherited && w.answered && w.endsCut: // tasks may be done by ends that are not listed yet
+		case !w.inherited || w.answered || w.runsRecorded || t.confirmedAt.After(w.inheritedLeaseEnd):
 			continue
 		}
 		n++
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -107,6 +107,8 @@
 
 	// answered means that the worker has answered in this term.
 	answered bool
+	// endsCut means that the worker's last report did not list all ends.
+	endsCut bool
 	// usedRowStored means that the worker's row of tableUsed is stored.
 	usedRowStored bool
 	// inherited workers may hold runs of earlier terms that this term has not seen.
