--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -329,6 +329,29 @@
 	}
 }
 
+// A leader that had released leadership counted as silent for seconds, so its successor ordered the
+// maintenance of the same machine at once. The inventory records holders that take turns.
+func TestHandoverKeepsOneMaintenanceHolder(t *testing.T) {
+	runWithInventory(t, 96, func(c *fleettest.Cluster) {
+		c.Inventory.Busy = string(c.Fleet[0].Info.Worker)
+		time.Sleep(5 * time.Second)
+		for range 3 {
+			before := c.Inventory.Calls()
+			leader := c.Leader()
+			stopLeader(c)
+			c.Start(leader)
+			for c.Inventory.Calls() == before {
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		c.Inventory.Busy = ""
+		for !c.WaveCompleted() {
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
 // A former leader that is cut off from the store still reaches the inventory while its
 // successor works. Both together must not exceed the cap.
 func TestWaveCapHoldsBesideCutOffLeader(t *testing.T) {
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -89,6 +89,15 @@
 	return f.silentSince.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
 }
 
+// formerOrdersBy returns the latest moment at which the former leader may have renewed or given an
+// order. One that has released leadership gave its last order before this node saw the release.
+func (f *leaderWatch) formerOrdersBy(now time.Time) time.Time {
+	if f.known && f.record.Released {
+		return f.silentSince
+	}
+	return f.formerLeaderRenewedBy(now)
+}
+
 // campaignDue reports whether this node should campaign for leadership.
 func (f *leaderWatch) campaignDue(now time.Time, node model.NodeID, process uint64) bool {
 	if f.known && !f.record.Released && f.record.Node == node && f.record.Process != process {
@@ -323,6 +332,7 @@
 	d := n.cellTable.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
 	t.lastRenewal, t.leaseRecordsSince = sent, recordsSince
+	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
 	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
--- a/internal/fleet/fleettest/inventory.go
+++ b/internal/fleet/fleettest/inventory.go
@@ -26,10 +26,26 @@
 	Delay            time.Duration
 	calls            int
 	maxInMaintenance int
+	// lastOrders holds the last order for each machine: by contract two holders of the duty do
+	// not take turns within dutyLease.
+	lastOrders map[string]maintenanceOrder
+	// Busy is a machine that cannot be maintained at present.
+	Busy string
+}
+
+// dutyLease is the contract's least time between orders of two holders of the maintenance duty for
+// one machine.
+const dutyLease = 3 * time.Second
+
+type maintenanceOrder struct {
+	fence uint64
+	at    time.Time
 }
 
 // NewInventory returns the inventory of a cluster.
-func NewInventory(c *Cluster) *Inventory { return &Inventory{cluster: c, down: map[string]time.Time{}} }
+func NewInventory(c *Cluster) *Inventory {
+	return &Inventory{cluster: c, down: map[string]time.Time{}, lastOrders: map[string]maintenanceOrder{}}
+}
 
 // Machines implements fleet.Inventory.
 func (i *Inventory) Machines(context.Context) ([]fleet.Machine, error) {
@@ -64,6 +80,15 @@
 		i.cluster.Checker.AddViolation(fmt.Sprintf("maintenance of %s with fence %d after %d", machine, fence, i.highestFence))
 	}
 	i.highestFence = fence
+	last, ordered := i.lastOrders[machine]
+	if ordered && last.fence != fence && time.Since(last.at) < dutyLease {
+		i.cluster.Checker.AddViolation(fmt.Sprintf("maintenance of %s ordered with fence %d %v after fence %d", machine, fence, time.Since(last.at), last.fence))
+	}
+	i.lastOrders[machine] = maintenanceOrder{fence, time.Now()}
+	if machine == i.Busy {
+		i.cluster.Workers.mu.Unlock()
+		return fleet.MaintainBusy, nil
+	}
 	var w *Worker
 	for _, x := range i.cluster.Fleet {
 		if string(x.Info.Worker) == machine && !x.dead {
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -279,7 +279,7 @@
 	if t.now.Sub(t.confirmedAt) > maintenanceProofMaxAge {
 		return false
 	}
-	return t.confirmedAt.After(t.formerLeaderRenewedBy.Add(maintenanceProofMaxAge + maintenanceTimeout))
+	return t.confirmedAt.After(t.formerOrdersBy.Add(maintenanceProofMaxAge + maintenanceTimeout))
 }
 
 // maintenancePending reports whether a request to begin maintenance is in flight.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -73,6 +73,9 @@
 	// formerLeaderRenewedBy is the latest moment at which the former leader may have renewed. It
 	// gives orders for at most maxOrderAge after that.
 	formerLeaderRenewedBy time.Time
+	// formerOrdersBy is the same for a former leader that has not released leadership, else the
+	// latest moment at which it may have given an order.
+	formerOrdersBy time.Time
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
 	// startVersion is the version of the store at the start of the term.
@@ -146,7 +149,7 @@
 		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
-		formerLeaderRenewedBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
+		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
 		usedRowsToPut: map[Lifetime]usedRecord{}, usedRowsToDelete: map[Lifetime]bool{},
 		queueRunTimes: map[string]*queueRunTime{}, shortWork: map[shortKey]*shortDemand{}, interference: newInterference(), metrics: m,
 	}
