--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -223,3 +223,20 @@
 	tm.workers["w"].fenceFormerLeases(at(21))
 	require.WithinDuration(t, at(20).Add(maxRealDuration(10*time.Second)), tm.workers["w"].inheritedLeaseEnd, 100*time.Millisecond)
 }
+
+// A worker that may have ends which it has not listed is accounted for once it lists all of them, or
+// once it is silent and its leases have ended: jobs must not wait for it for ever.
+func TestWorkerWithUnlistedEndsIsAccountedFor(t *testing.T) {
+	tm := newTestTerm(1)
+	w := testWorker("w")
+	w.inherited, w.endsCut = true, true
+	w.clockAt, w.leaseDeadline = at(1), 5*time.Second
+	tm.now, tm.confirmedAt = at(20), at(20)
+	require.False(t, tm.accountedFor(w), "it answers, and will list the rest")
+	w.countUnanswered(at(20))
+	require.True(t, tm.accountedFor(w))
+	tm.confirmedAt = at(4)
+	require.False(t, tm.accountedFor(w), "its leases last")
+	w.inherited, w.endsCut = false, false
+	require.True(t, tm.accountedFor(w))
+}
--- a/internal/fleet/run_checks.go
+++ b/internal/fleet/run_checks.go
@@ -91,7 +91,8 @@
 		}
 		t.endProbation(w)
 		for _, r := range w.runs {
-			if r.state == runLive && r.job != nil && !r.job.over() {
+			// While ends are missing from the reports, a run without progress may have ended.
+			if r.state == runLive && r.job != nil && !r.job.over() && !w.endsCut {
 				t.checkRun(w, r)
 			}
 		}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -151,7 +151,7 @@
 func (t *term) handleUnansweredStart(r *run, err error) {
 	w := r.worker
 	if notSent(err) {
-		if r.withdrawn != nil {
+		if r.withdrawn != nil { // else the term has withdrawn it, which says nothing about the worker
 			t.recordNoAnswer(w, err)
 		}
 		t.markLost(r, "not-sent")
--- a/internal/fleet/unaccounted.go
+++ b/internal/fleet/unaccounted.go
@@ -17,9 +17,7 @@
 func (t *term) unaccountedWorkers() (int, time.Time) {
 	n, until := 0, time.Time{}
 	for _, w := range t.workers {
-		switch {
-		case w.inherited && w.answered && w.endsCut: // tasks may be done by ends that are not listed yet
-		case !w.inherited || w.answered || w.runsRecorded || t.confirmedAt.After(w.inheritedLeaseEnd):
+		if t.accountedFor(w) {
 			continue
 		}
 		n++
@@ -30,6 +28,18 @@
 	return n, until
 }
 
+// accountedFor reports whether all runs of earlier terms on w are known.
+func (t *term) accountedFor(w *worker) bool {
+	switch {
+	case !w.inherited:
+		return true
+	case w.answered && w.endsCut:
+		// Tasks may be done by ends that are not listed yet; if w falls silent, its lease decides.
+		return w.unansweredCalls > 0 && t.confirmedAt.After(w.leaseEnd())
+	}
+	return w.answered || w.runsRecorded || t.confirmedAt.After(w.inheritedLeaseEnd)
+}
+
 // heldTasks counts the tasks without a known run that wait until all runs of earlier terms are
 // known.
 func (t *term) heldTasks() int {
