--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -333,7 +333,7 @@
 // maintenance of the same machine at once. The inventory records holders that take turns.
 func TestHandoverKeepsOneMaintenanceHolder(t *testing.T) {
 	runWithInventory(t, 96, func(c *fleettest.Cluster) {
-		c.Inventory.Busy = string(c.Fleet[0].Info.Worker)
+		c.Inventory.SetBusy(string(c.Fleet[0].Info.Worker))
 		time.Sleep(5 * time.Second)
 		for range 3 {
 			before := c.Inventory.Calls()
@@ -345,7 +345,7 @@
 			}
 			time.Sleep(500 * time.Millisecond)
 		}
-		c.Inventory.Busy = ""
+		c.Inventory.SetBusy("")
 		for !c.WaveCompleted() {
 			time.Sleep(20 * time.Millisecond)
 		}
--- a/internal/fleet/fleettest/inventory.go
+++ b/internal/fleet/fleettest/inventory.go
@@ -29,8 +29,7 @@
 	// lastOrders holds the last order for each machine: by contract two holders of the duty do
 	// not take turns within dutyLease.
 	lastOrders map[string]maintenanceOrder
-	// Busy is a machine that cannot be maintained at present.
-	Busy string
+	busy       string // a machine that cannot be maintained at present
 }
 
 // dutyLease is the contract's least time between orders of two holders of the maintenance duty for
@@ -85,7 +84,7 @@
 		i.cluster.Checker.AddViolation(fmt.Sprintf("maintenance of %s ordered with fence %d %v after fence %d", machine, fence, time.Since(last.at), last.fence))
 	}
 	i.lastOrders[machine] = maintenanceOrder{fence, time.Now()}
-	if machine == i.Busy {
+	if machine == i.busy {
 		i.cluster.Workers.mu.Unlock()
 		return fleet.MaintainBusy, nil
 	}
@@ -119,6 +118,13 @@
 	return fleet.MaintainBegun, nil
 }
 
+// SetBusy names a machine that cannot be maintained; empty for none.
+func (i *Inventory) SetBusy(machine string) {
+	i.cluster.Workers.mu.Lock()
+	defer i.cluster.Workers.mu.Unlock()
+	i.busy = machine
+}
+
 // Calls returns the number of maintenance requests.
 func (i *Inventory) Calls() int {
 	i.cluster.Workers.mu.Lock()
