--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -82,7 +83,7 @@
 func Schedule(seed uint64, nodes, workers int, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 11))
 	var faults []Fault
-	for at := warmUp; at < length; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanFaultInterval)) {
+	for at := range startTimes(random, meanFaultInterval, warmUp, length) {
 		f := Fault{At: at, Kind: kinds[random.IntN(len(kinds))], Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))}
 		f.Target = random.IntN(nodes)
 		switch f.Kind {
@@ -99,10 +100,22 @@
 	return faults
 }
 
+// startTimes yields the starts of faults from first until length, which follow each other after 0.2
+// to 1.8 times the mean interval.
+func startTimes(random *rand.Rand, mean, first, length time.Duration) iter.Seq[time.Duration] {
+	return func(yield func(time.Duration) bool) {
+		for at := first; at < length; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(mean)) {
+			if !yield(at) {
+				return
+			}
+		}
+	}
+}
+
 func heavyFaults(seed uint64, nodes int, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 12))
 	var faults []Fault
-	for at := warmUp + meanHeavyInterval/2; at < length; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanHeavyInterval)) {
+	for at := range startTimes(random, meanHeavyInterval, warmUp+meanHeavyInterval/2, length) {
 		faults = append(faults, Fault{At: at, Kind: heavyKinds[random.IntN(len(heavyKinds))], Target: random.IntN(nodes),
 			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))})
 	}
@@ -112,7 +125,7 @@
 func restartFaults(seed uint64, workers int, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 13))
 	var faults []Fault
-	for at := warmUp + meanRestartInterval/2; at < length; at += time.Duration((0.2 + 1.6*random.Float64()) * float64(meanRestartInterval)) {
+	for at := range startTimes(random, meanRestartInterval, warmUp+meanRestartInterval/2, length) {
 		faults = append(faults, Fault{At: at, Kind: RestartWorker, Target: random.IntN(workers),
 			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxEntryDelay-minFaultDuration)))})
 	}
