--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -380,7 +380,7 @@
 	t.stopping, t.successor = true, e.successor
 	t.nextCommit, t.stoppedAt = t.now, t.now
 	for _, w := range t.workers {
-		w.leaseEndAtStop = w.leaseEnd()
+		w.leaseEndAtStop = t.lastLeaseEnd(w)
 	}
 	t.log.WithField("successor", e.successor).Info("leader releases leadership")
 }
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -262,6 +262,46 @@
 	})
 }
 
+// A run whose start may have reached the next lifetime of a worker counted as over with the leases of
+// the known one, whose deadlines mean nothing on the clock of the next.
+func TestLeaseOfRunOfUnknownLifetime(t *testing.T) {
+	for name, c := range map[string]struct {
+		sentTo int64
+		listed bool
+		end    float64 // seconds
+	}{
+		"listed":                {0, true, 6.5},
+		"sent to this lifetime": {7, false, 6.5},
+		"sent to nobody known":  {0, false, 12.5},
+		"sent to a former one":  {6, false, 12.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := newTestTerm(1)
+			tm.cfg.Bounds.LeaseMax = 10 * time.Second
+			w := testWorker("w")
+			w.info.Born, w.answered = 7, true
+			tm.workers["w"], tm.loaded = w, true
+			w.observeClock(100*time.Second, at(1))
+			r := testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+			r.state, r.sentTo, r.listed = runUnconfirmed, c.sentTo, c.listed
+			tm.now, tm.lastRenewal = at(1), at(1)
+			tm.extendLease(w)
+			w.unansweredCalls, w.pollInFlight = 1, true
+			for s := 1.0; s < 15; s += 0.1 {
+				tm.now = epoch.Add(time.Duration(s * float64(time.Second)))
+				tm.confirmedAt = tm.now
+				tm.expireLeases()
+				if len(w.runs) == 0 {
+					require.LessOrEqual(t, s, c.end)
+					require.Greater(t, s, c.end-1)
+					return
+				}
+			}
+			t.Fatal("the run is never lost")
+		})
+	}
+}
+
 // Runs of a worker that answered a new term once and then no more were taken for lost at once,
 // while the lease of the former term still held.
 func TestLeaseOfFormerTermHoldsAfterFirstAnswer(t *testing.T) {
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -19,12 +19,16 @@
 	mu      sync.Mutex
 	cut     map[string]bool // addresses that do not answer
 	allCut  bool
+	// connected holds the lifetime that has reported on the connection to each address.
+	connected map[string]int64
 	// orderQueueTime is how long starts and stops wait for a connection before they are sent.
 	orderQueueTime time.Duration
 }
 
 // View returns a new view of the workers.
-func (f *Workers) View() *WorkersView { return &WorkersView{workers: f, cut: map[string]bool{}} }
+func (f *Workers) View() *WorkersView {
+	return &WorkersView{workers: f, cut: map[string]bool{}, connected: map[string]int64{}}
+}
 
 // Cut stops or restores the traffic to a worker.
 func (v *WorkersView) Cut(w *Worker, cut bool) {
@@ -70,6 +74,23 @@
 	return !v.allCut && !v.cut[addr]
 }
 
+// lifetimeOfConnection returns the lifetime that has reported on the connection to the target, 0
+// after a restart, as a connection ends with the process that accepted it.
+func (v *WorkersView) lifetimeOfConnection(target *Worker) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.connected[target.Info.Addr] != target.Info.Born {
+		return 0
+	}
+	return target.Info.Born
+}
+
+func (v *WorkersView) setLifetimeOfConnection(target *Worker) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.connected[target.Info.Addr] = target.Info.Born
+}
+
 // deliver runs do on the worker at the address if it has the id that w names, whatever its
 // lifetime. Depending on LateShare and LostShare, the call gets no answer and do runs later, or do
 // runs at once and the answer is lost.
@@ -88,6 +109,7 @@
 		f.mu.Unlock()
 		return fleet.WorkerReply{}, model.Wrap(model.KindUnavailable, ErrUnreachable, "retry later", "connection refused")
 	}
+	sentTo := v.lifetimeOfConnection(target)
 	if f.random.Float64() < f.LateShare {
 		delay := time.Second + time.Duration(f.random.Int64N(int64(3*time.Second)))
 		f.mu.Unlock()
@@ -101,17 +123,17 @@
 			}
 		})
 		<-ctx.Done()
-		return fleet.WorkerReply{}, unknown(ctx.Err())
+		return fleet.WorkerReply{SentTo: sentTo}, unknown(ctx.Err())
 	}
-	reply := fleet.WorkerReply{Verdict: fleet.StartOtherLifetime, Clock: target.clock()}
+	reply := fleet.WorkerReply{Verdict: fleet.StartOtherLifetime, Clock: target.clock(), SentTo: sentTo}
 	if target.Info.Worker == w.Worker {
 		reply.Verdict = do(target)
 	}
-	lost := f.LostShare > 0 && f.random.Float64() < f.LostShare
+	lost := target.Mute || f.LostShare > 0 && f.random.Float64() < f.LostShare
 	f.mu.Unlock()
 	if lost {
 		<-ctx.Done()
-		return fleet.WorkerReply{}, unknown(ctx.Err())
+		return fleet.WorkerReply{SentTo: sentTo}, unknown(ctx.Err())
 	}
 	return reply, nil
 }
@@ -168,6 +190,9 @@
 	if err != nil {
 		return fleet.Report{}, err // the poll may still take effect
 	}
+	if polled != nil {
+		v.setLifetimeOfConnection(polled)
+	}
 	if reply.Verdict != fleet.StartRunning || o.Wait == 0 || len(report.Ended) > 0 {
 		report.Verdict, report.Clock = reply.Verdict, reply.Clock
 		return report, nil
@@ -186,7 +211,7 @@
 	}
 	v.workers.mu.Lock()
 	defer v.workers.mu.Unlock()
-	if v.workers.workers[w.Addr] != polled {
+	if v.workers.workers[w.Addr] != polled || polled.Mute {
 		return fleet.Report{}, unknown(ErrUnreachable)
 	}
 	return polled.report(), nil
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -90,8 +90,8 @@
 	formerCapacities []formerCapacity
 
 	// Hang makes new runs stall, Fail makes them fail, Unending makes them reach 100% without
-	// an end.
-	Hang, Fail, Unending bool
+	// an end. Mute loses the answers to all calls, which take effect.
+	Hang, Fail, Unending, Mute bool
 }
 
 // listedEnd is the end of a run that the leader has not acknowledged yet.
@@ -282,11 +282,13 @@
 	w.wake = make(chan struct{})
 }
 
+// LeaseMax is the longest lease that simulated workers grant.
+const LeaseMax = 6 * time.Second
+
 // extendLease extends the lease; it never shortens it. When the lease expires, all runs end
 // as lapsed. The lock is held.
 func (w *Worker) extendLease(deadline time.Duration) {
-	const leaseMax = 6 * time.Second
-	deadline = min(deadline, w.clock()+leaseMax)
+	deadline = min(deadline, w.clock()+LeaseMax)
 	if deadline <= w.lease {
 		return
 	}
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -148,6 +148,9 @@
 	Verdict StartVerdict
 	// Clock is the worker's monotonic clock when it answered.
 	Clock time.Duration
+	// SentTo is the Born of the lifetime to which the order was sent, if a report on the same
+	// connection has named it, else 0. It is also set when the order got no answer.
+	SentTo int64
 }
 
 // RunStatus is a run in a worker's report.
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -55,7 +55,11 @@
 	case !w.answered:
 		return w.leaseEnd(), t.usedReadAt
 	}
-	return w.leaseEnd(), w.clockAt
+	end, knownSince = t.lastLeaseEnd(w), w.clockAt
+	if end.After(w.leaseEnd()) && w.leaseSentBy.After(knownSince) {
+		knownSince = w.leaseSentBy
+	}
+	return end, knownSince
 }
 
 // recordHolds reports whether later terms may rely on the lease record of a term; 0 stands for no
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -64,7 +64,7 @@
 		lastOrder = t.formerLeaderRenewedBy.Add(maxOrderAge)
 	}
 	next.inherited, next.inheritedAt = true, t.now
-	next.longestLease = max(t.cfg.Bounds.LeaseMax, maxLease)
+	next.longestLease = t.workerLeaseMax()
 	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
 	u := next.usedRecord()
 	if !t.storeClock.at.IsZero() {
@@ -73,13 +73,72 @@
 	t.usedRowsToPut[next.info.Lifetime] = u
 }
 
+// workerLeaseMax bounds a lease whose deadline means nothing on the worker's clock.
+func (t *term) workerLeaseMax() time.Duration { return max(t.cfg.Bounds.LeaseMax, maxLease) }
+
+// extendLease returns the deadline of an order that is sent to w now.
+func (t *term) extendLease(w *worker) time.Duration {
+	w.leaseSentBy = t.now.Add(t.answerTimeout.timeout())
+	return w.extendLease(t.now, t.leaseLength())
+}
+
+// ofLifetime reports whether the run is certainly one of the lifetime that w stands for.
+func (r *run) ofLifetime(w *worker) bool {
+	return r.listed || (r.sentTo != 0 && r.sentTo == w.info.Born)
+}
+
+// runLeaseEnd returns when the lease of a run has certainly ended. The worker may have started again
+// unnoticed before the start order reached it. Its clock begins anew then, so that only its own limit
+// bounds the leases of that lifetime.
+func (t *term) runLeaseEnd(r *run) time.Time {
+	w := r.worker
+	end := w.leaseEnd()
+	if r.ofLifetime(w) || w.leaseSentBy.IsZero() {
+		return end
+	}
+	if other := w.leaseSentBy.Add(maxRealDuration(t.workerLeaseMax()) + leaseMargin); other.After(end) {
+		return other
+	}
+	return end
+}
+
+// lastLeaseEnd returns when the leases of all runs of w have certainly ended.
+func (t *term) lastLeaseEnd(w *worker) time.Time {
+	end := w.leaseEnd()
+	for _, r := range w.runs {
+		if e := t.runLeaseEnd(r); e.After(end) {
+			end = e
+		}
+	}
+	return end
+}
+
+// loseLapsedRuns drops the runs of a silent worker whose leases have certainly ended.
+func (t *term) loseLapsedRuns(w *worker) {
+	var lapsed []*run
+	for _, r := range w.runs {
+		if t.confirmedAt.After(t.runLeaseEnd(r)) {
+			lapsed = append(lapsed, r)
+		}
+	}
+	if len(lapsed) == 0 {
+		return
+	}
+	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "lapsed", "runs": len(lapsed), "in_doubt": len(w.runs) - len(lapsed),
+		"failures": w.unansweredCalls, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of an unreachable worker have ended")
+	t.recordCrash(w, true, false)
+	for _, r := range lapsed {
+		t.markLost(r, reasonLeaseOver)
+	}
+}
+
 // restoreFormerLeases applies the end of leases that orders for a former lifetime may have set.
 // storeNow is a reading of the store's clock that had arrived by readAt.
 func (t *term) restoreFormerLeases(w *worker, formerEnd, storeNow time.Duration, readAt time.Time) {
 	if formerEnd == 0 {
 		return
 	}
-	w.longestLease = max(t.cfg.Bounds.LeaseMax, maxLease)
+	w.longestLease = t.workerLeaseMax()
 	if end := readAt.Add(formerEnd - storeNow); end.After(w.inheritedLeaseEnd) {
 		w.inheritedLeaseEnd = end
 	}
--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -110,6 +110,23 @@
 	})
 }
 
+// A worker started again unnoticed and its answers were lost. Deadlines on the clock of the former
+// lifetime bound no lease of the next one but by the worker's own limit: its tasks started elsewhere
+// while they ran.
+func TestUnnoticedRestartKeepsLeases(t *testing.T) {
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 12 * time.Second, Needs: wideNeeds} }
+	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 12 * time.Second}}}
+	runCluster(t, 413, 3, 3, long, func(t *testing.T, c *fleettest.Cluster) {
+		w := restart(c, c.RunningWorkers()[0])
+		c.Workers.WithLock(func() { w.Mute = true })
+		submit(t, c, jobID(0), spec)
+		time.Sleep(fleettest.LeaseMax)
+		c.Workers.WithLock(func() { w.Mute = false })
+		c.List(w)
+		waitState(t, c, jobID(0), fleet.StateCompleted, time.Minute)
+	})
+}
+
 // restartSeeds is the number of sequences that TestWorkersRestartBesideLateOrders plays.
 const restartSeeds = 12
 
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -74,7 +74,7 @@
 	// The lease of a worker that does not answer is not extended, so that it ends at a
 	// known time.
 	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.leaseRecordTerm == 0 && t.active() {
-		o.Deadline = w.extendLease(t.now, t.leaseLength())
+		o.Deadline = t.extendLease(w)
 	}
 	w.pollInFlight, w.pollWithoutWait = true, false
 	t.metrics.polls.Inc()
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -336,11 +336,8 @@
 		if w.unansweredCalls == 0 || w.clockAt.IsZero() || !t.confirmedAt.After(w.leaseEnd()) {
 			continue
 		}
-		if len(w.runs) > 0 {
-			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "lapsed", "runs": len(w.runs),
-				"failures": w.unansweredCalls, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of an unreachable worker have ended")
-			t.loseRuns(w, reasonLeaseOver)
-			t.planDue = true
+		if t.loseLapsedRuns(w); len(w.runs) > 0 {
+			continue
 		}
 		t.markUnused(w)
 		if !w.listed && t.now.Sub(w.clockAt) > unreachableTimeout {
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -49,7 +49,7 @@
 	w.observeStart(r)
 	tk.runs = append(tk.runs, r)
 	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
-		Deadline: w.extendLease(t.now, t.leaseLength()), Fence: t.number, Withdrawn: r.withdrawn}
+		Deadline: t.extendLease(w), Fence: t.number, Withdrawn: r.withdrawn}
 	if !j.started {
 		j.started = true
 		// A later term must know lost services from new ones, which wait for free capacity.
@@ -101,6 +101,7 @@
 	if w.runs[r.ref] != r {
 		return // the run has ended or was marked lost
 	}
+	r.sentTo = e.reply.SentTo
 	if e.worker != w {
 		t.applyFormerStartReply(r, e)
 		return
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -46,10 +46,12 @@
 	// answered means that the start order was answered or that a report has listed the run. listed
 	// means that a report of the worker's present lifetime has listed it.
 	answered, listed bool
-	withdrawn        chan struct{} // closed to withdraw a start order that is not sent yet; nil after that
-	stopInFlight     bool          // a stop order waits for its answer
-	stopAnswered     bool          // a stop order was answered
-	stopReason       string
+	// sentTo is the Born of the lifetime that got the start order, 0 if unknown.
+	sentTo       int64
+	withdrawn    chan struct{} // closed to withdraw a start order that is not sent yet; nil after that
+	stopInFlight bool          // a stop order waits for its answer
+	stopAnswered bool          // a stop order was answered
+	stopReason   string
 	// percent is the last reported progress and progressAt when it last changed.
 	percent    int
 	progressAt time.Time
@@ -104,6 +106,8 @@
 	clockAt time.Time
 	// leaseDeadline is the latest lease deadline that was sent, on the worker's clock.
 	leaseDeadline time.Duration
+	// leaseSentBy is when the last order with a lease deadline had been sent.
+	leaseSentBy time.Time
 
 	// answered means that the worker has answered in this term.
 	answered bool
