fleettest: the run checker lists a job's runs and knows orders that were held back

A soak that cancels more jobs needs both: which tasks of a cancelled job run, and which starts the contract's bound of 3 s does not hold for. The violation names its class, UNASKED.

go test ./internal/fleet/fleettest

--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // RunChecker records the starts and ends of runs on the workers and the violations of the
@@ -27,6 +29,8 @@
 	violations       []string
 	// cancelled holds the time at which the cancellation of a job was acknowledged.
 	cancelled map[string]time.Time
+	// heldUntil is the time until which a worker may get orders that its link has held back.
+	heldUntil map[model.WorkerID]time.Time
 	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
 	// their worker, whatever the cause.
@@ -35,7 +39,7 @@
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -68,8 +72,8 @@
 		l.recordViolation("task %s attempt %d starts on %s %v after its end was acknowledged", o.Task, o.Attempt, w.Info.Worker, time.Since(at))
 	}
 	job, _, _ := strings.Cut(string(o.Task), ".")
-	if at, ok := l.cancelled[job]; ok && time.Since(at) > maxStartAfterCancel {
-		l.recordViolation("task %s starts %v after its job was cancelled", o.Task, time.Since(at))
+	if at, ok := l.cancelled[job]; ok && !late && !l.heldBack(w) && time.Since(at) > MaxStartAfterCancel {
+		l.recordViolation("%s: task %s attempt %d starts on %s %v after its job was cancelled", Unasked, o.Task, o.Attempt, w.Info.Worker, time.Since(at))
 	}
 	if l.crashes[o.Task] >= crashBudget {
 		if l.startsAfterCrashes[o.Task]++; l.startsAfterCrashes[o.Task] >= maxStartsAfterCrashes {
@@ -84,9 +88,13 @@
 // to the last start of a copy of it.
 const maxStartAfterEnd = time.Second
 
-// maxStartAfterCancel is the contract's bound on the time from the acknowledgement of a
-// cancellation to the last start of a task of the job.
-const maxStartAfterCancel = 3 * time.Second
+// MaxStartAfterCancel is the contract's bound on the time from the acknowledgement of a
+// cancellation to the last start of a task of the job. It does not hold for orders that a worker has
+// carried out late.
+const MaxStartAfterCancel = 3 * time.Second
+
+// Unasked marks the violations by tasks of cancelled jobs.
+const Unasked = "UNASKED"
 
 // Contract for tasks that crash their workers: after crashBudget crashes a task must not be
 // started maxStartsAfterCrashes times more.
@@ -136,6 +144,33 @@
 	l.cancelled[job] = time.Now()
 }
 
+// HeldBack records that the link of a worker has held orders back that arrive until a time.
+func (l *RunChecker) HeldBack(w model.WorkerID, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heldUntil[w] = until
+}
+
+// heldBack reports whether a worker's orders may be late. The lock is held.
+func (l *RunChecker) heldBack(w *Worker) bool { return time.Now().Before(l.heldUntil[w.Info.Worker]) }
+
+// Running returns the tasks of a job that run, each with attempt and worker.
+func (l *RunChecker) Running(job string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var runs []string
+	for task, attempts := range l.running {
+		if !strings.HasPrefix(string(task), job+".") {
+			continue
+		}
+		for worker, attempt := range attempts {
+			runs = append(runs, fmt.Sprintf("%s attempt %d on %s", task, attempt, worker))
+		}
+	}
+	slices.Sort(runs)
+	return runs
+}
+
 func (l *RunChecker) ended(w *Worker, r fleet.RunRef, _ Task, how fleet.EndKind) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fleet/fleettest/run_checker_test.go
+++ b/internal/fleet/fleettest/run_checker_test.go
@@ -91,3 +91,30 @@
 		require.Len(t, f.checker.Violations(), 1)
 	})
 }
+
+// Guards against starts of cancelled jobs that the checker passes over, and against violations by
+// orders that a link has held back: the contract's bound does not hold for these.
+func TestRunCheckerFindsStartAfterCancel(t *testing.T) {
+	for name, test := range map[string]struct {
+		after      time.Duration
+		held       model.WorkerID
+		violations int
+	}{
+		"in time":                  {after: 3 * time.Second},
+		"late":                     {after: 3001 * time.Millisecond, violations: 1},
+		"held back":                {after: 3001 * time.Millisecond, held: "w0"},
+		"held back elsewhere":      {after: 3001 * time.Millisecond, held: "w1", violations: 1},
+		"held back long before it": {after: 5 * time.Second, held: "w0", violations: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, first, _ := checkerFleet(false)
+				f.checker.Cancelled("job")
+				f.checker.HeldBack(test.held, time.Now().Add(4*time.Second))
+				time.Sleep(test.after - answerTime)
+				startRun(t, f, first, 1, 5*time.Second)
+				require.Len(t, f.checker.Violations(), test.violations)
+			})
+		})
+	}
+}
