fleettest: workers with a clock of any age and rate, and a trace of their orders

All workers were one second old, as after a restart, and their clocks had the rate of the leader's. PROTOCOL.md: the clock starts anew with each lifetime, and may be 2% slow. SetClock sets both; without it nothing changes. Trace takes a line for each start, stop and end, with lifetime, clock and fence.

go test ./internal/fleet/fleettest

--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -143,7 +143,11 @@
 	if err := v.awaitConnection(ctx, o.Withdrawn); err != nil {
 		return fleet.WorkerReply{}, err
 	}
-	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict { return t.startRun(o) })
+	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict {
+		verdict := t.startRun(o)
+		t.trace("start %s attempt %d, deadline %d, fence %d, late %t: verdict %v", o.Task, o.Attempt, o.Deadline.Milliseconds(), o.Fence, t.fleet.lateOrder, verdict)
+		return verdict
+	})
 }
 
 // Stop implements fleet.Workers.
@@ -151,7 +155,11 @@
 	if err := v.awaitConnection(ctx, nil); err != nil {
 		return fleet.WorkerReply{}, err
 	}
-	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict { return t.stopRun(r, fence) })
+	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict {
+		verdict := t.stopRun(r, fence)
+		t.trace("stop %s attempt %d, fence %d, late %t: verdict %v", r.Task, r.Attempt, fence, t.fleet.lateOrder, verdict)
+		return verdict
+	})
 }
 
 // Pace implements fleet.Workers.
@@ -180,6 +188,9 @@
 		if o.Deadline > 0 {
 			t.extendLease(o.Deadline)
 		}
+		if len(t.ended) > 0 && t.ended[0].Number <= o.Acknowledged {
+			t.trace("hold, ack cursor %d, late %t: ends from %d are forgotten", o.Acknowledged, t.fleet.lateOrder, t.ended[0].Number)
+		}
 		for len(t.ended) > 0 && t.ended[0].Number <= o.Acknowledged {
 			t.fleet.checker.acknowledged(t.ended[0], t.fleet.tasks(t.ended[0].Task))
 			t.ended = t.ended[1:]
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -59,6 +61,18 @@
 	Unguarded bool
 	// OnCrash, if set, is called without the lock when a task has crashed a worker.
 	OnCrash func(*Worker)
+	// Trace, if set, receives a line for each start and stop that a worker has got, and for each
+	// end of a run or of a lifetime.
+	Trace io.Writer
+}
+
+// trace writes a line about w. The lock is held.
+func (w *Worker) trace(format string, args ...any) {
+	if w.fleet.Trace == nil {
+		return
+	}
+	_, _ = fmt.Fprintf(w.fleet.Trace, "%s %s born %d clock %d fence %d: %s\n", time.Now().UTC().Format("2006-01-02T15:04:05.000Z"), w.Info.Worker, w.Info.Born,
+		w.clock().Milliseconds(), w.fence, fmt.Sprintf(format, args...)) // a lost line changes nothing for the test
 }
 
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
@@ -71,11 +85,14 @@
 	Info      fleet.WorkerInfo
 	fleet     *Workers
 	startedAt time.Time
-	fence     uint64
-	lease     time.Duration // end of the lease on the worker's clock
-	runs      map[fleet.RunRef]*simulatedRun
-	ended     []listedEnd
-	lastEnd   uint64
+	// clockAtStart and clockRate define the worker's clock.
+	clockAtStart time.Duration
+	clockRate    float64
+	fence        uint64
+	lease        time.Duration // end of the lease on the worker's clock
+	runs         map[fleet.RunRef]*simulatedRun
+	ended        []listedEnd
+	lastEnd      uint64
 	// highestAttempt is the highest attempt of each task that was stopped or has ended.
 	highestAttempt map[fleet.TaskName]int
 	wake           chan struct{}
@@ -121,11 +138,19 @@
 func (f *Workers) Add(info fleet.WorkerInfo) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w := &Worker{Info: info, fleet: f, startedAt: time.Now(), runs: map[fleet.RunRef]*simulatedRun{}, highestAttempt: map[fleet.TaskName]int{}, wake: make(chan struct{}), fillerShare: 1}
+	w := &Worker{Info: info, fleet: f, startedAt: time.Now(), clockAtStart: time.Second, clockRate: 1, runs: map[fleet.RunRef]*simulatedRun{}, highestAttempt: map[fleet.TaskName]int{}, wake: make(chan struct{}), fillerShare: 1}
 	f.workers[info.Addr] = w
 	return w
 }
 
+// SetClock sets a worker's clock before it has got any order. A worker that is old is unlike one
+// that has started again: deadlines on its clock lie far in the future of the next lifetime's.
+func (f *Workers) SetClock(w *Worker, now time.Duration, rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.startedAt, w.clockAtStart, w.clockRate = time.Now(), now, rate
+}
+
 // Kill ends a worker without notice.
 func (f *Workers) Kill(w *Worker) {
 	f.mu.Lock()
@@ -136,6 +161,7 @@
 // kill ends a worker without notice. The lock is held.
 func (f *Workers) kill(w *Worker) {
 	w.dead = true
+	w.trace("ends with %d runs", len(w.runs))
 	for ref := range w.runs {
 		w.fleet.checker.lost(ref.Task)
 		w.removeRun(ref)
@@ -246,7 +272,14 @@
 	return tasks
 }
 
-func (w *Worker) clock() time.Duration { return time.Second + time.Since(w.startedAt) }
+func (w *Worker) clock() time.Duration {
+	return w.clockAtStart + time.Duration(float64(time.Since(w.startedAt))*w.clockRate)
+}
+
+// realDuration returns the time in which the worker's clock advances by at least d.
+func (w *Worker) realDuration(d time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(d) / w.clockRate))
+}
 
 // removeRun removes a run without reporting an end. The lock is held.
 func (w *Worker) removeRun(ref fleet.RunRef) *simulatedRun {
@@ -277,6 +310,7 @@
 	w.highestAttempt[ref.Task] = max(w.highestAttempt[ref.Task], ref.Attempt)
 	e := fleet.RunEnd{Number: w.lastEnd, RunRef: ref, How: how, Checkpoint: saved}
 	w.ended = append(w.ended, listedEnd{RunEnd: e, at: time.Now()})
+	w.trace("%s attempt %d ends %s", ref.Task, ref.Attempt, how)
 	w.fleet.checker.ended(w, ref, k.task, how)
 	close(w.wake)
 	w.wake = make(chan struct{})
@@ -296,10 +330,11 @@
 	if w.expiry != nil {
 		w.expiry.Stop()
 	}
-	w.expiry = time.AfterFunc(w.lease-w.clock(), func() {
+	w.expiry = time.AfterFunc(w.realDuration(w.lease-w.clock()), func() {
 		w.fleet.mu.Lock()
 		defer w.fleet.mu.Unlock()
-		if w.clock() < w.lease {
+		if remaining := w.lease - w.clock(); remaining > 0 { // extended, or rounded
+			w.expiry.Reset(w.realDuration(remaining))
 			return
 		}
 		for ref := range w.runs {
