soak: each run has a folder and a network of its own

Each seed wrote over the logs of the one before. A run now keeps the nodes' logs, what the workers were told (workers.log) and its schedule and result in LOGS/seed-N. Runs of two processes whose ids differed by a multiple of 200 had the same addresses: seed 9105 shared 127.118.1.0/24 with another run, and both reported LOST, MIXED and REFUSED. A run now reserves its network. Violations of the run checker that are UNASKED are no longer called TWICE.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -10,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,8 @@
 type cluster struct {
 	binary, dir   string
 	cells         int
+	clocks        *rand.Rand   // draws the clocks of the workers
+	trace         bytes.Buffer // what the workers were told and what came of it; kept in memory, as the workers wait for each line
 	rows          *fleettest.Store
 	storeAccess   *fleettest.View
 	storeServer   *platformtest.Store
@@ -44,7 +47,8 @@
 	nodes         []*node
 	workers       []*worker
 	restarts      sync.WaitGroup
-	runNumber     int64 // unique among the runs of this process
+	addresses     net.Listener // reserves the addresses of the run
+	network       string       // the first three parts of the addresses
 	configVersion int
 	lastStart     int64
 }
@@ -54,6 +58,7 @@
 	name         string
 	settingsPath string
 	callerAddr   string
+	readyAddr    string
 	storeProxy   *proxy
 	logFile      *os.File
 
@@ -81,10 +86,15 @@
 }
 
 func newCluster(o Options, dir string) (*cluster, error) {
-	c := &cluster{binary: o.Binary, cells: o.Cells, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewRunChecker(), runNumber: runCount.Add(1), lastStart: 1000}
+	c := &cluster{binary: o.Binary, cells: o.Cells, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewRunChecker(), lastStart: 1000,
+		clocks: rand.New(rand.NewPCG(o.Seed, 15))}
+	if err := c.reserveAddresses(); err != nil {
+		return c, err
+	}
 	c.storeAccess = c.rows.View()
 	c.storeServer = platformtest.NewStore(c.storeAccess)
 	c.simWorkers = fleettest.NewWorkers(o.Seed, taskBehaviour, c.ledger)
+	c.simWorkers.Trace = &c.trace
 	c.configure()
 	for i := range o.Workers {
 		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i)}
@@ -165,21 +175,30 @@
 	platformtest.Deregister(c.rows, w.id)
 }
 
-// runCount is the number of runs in this process.
-var runCount atomic.Int64
-
 // Ports of a node. Each node has an IP address of its own.
 const (
 	portCallers = 7000 + iota
 	portReady
 	portPeers
 	portMetrics
+	// portReservation is the port on reservationHost that a run holds while it uses a network.
+	portReservation
+	reservationHost = 254
 )
 
-// nodeIP returns a loopback address that no other run uses. On 127.0.0.1 an outgoing
-// connection could take the port of a node that is down.
-func nodeIP(run int64, node int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, run%250, node+1)
+// reserveAddresses reserves a network of loopback addresses that no other run uses, of this process
+// or of another. On 127.0.0.1 an outgoing connection could take the port of a node that is down.
+func (c *cluster) reserveAddresses() error {
+	const networks = 200 * 250
+	var err error
+	for i := range networks {
+		k := (os.Getpid() + i) % networks
+		c.network = fmt.Sprintf("127.%d.%d", 16+k%200, k/200)
+		if c.addresses, err = net.Listen("tcp", fmt.Sprintf("%s.%d:%d", c.network, reservationHost, portReservation)); err == nil {
+			return nil
+		}
+	}
+	return err
 }
 
 func (c *cluster) newNode(i int) (*node, error) {
@@ -188,8 +207,8 @@
 	if n.storeProxy, err = newProxy(c.storeServer.Addr()); err != nil {
 		return nil, err
 	}
-	ip := nodeIP(c.runNumber, i)
-	n.callerAddr = net.JoinHostPort(ip, strconv.Itoa(portCallers))
+	ip := fmt.Sprintf("%s.%d", c.network, i+1)
+	n.callerAddr, n.readyAddr = net.JoinHostPort(ip, strconv.Itoa(portCallers)), net.JoinHostPort(ip, strconv.Itoa(portReady))
 	settings := platformtest.NodeSettings{Node: n.name, IP: ip, Zone: zone(i), Callers: portCallers, Ready: portReady, Peers: portPeers,
 		Metrics: portMetrics, CPUShare: []float64{0.4, 0.8}[i%2], Store: n.storeProxy.addr(),
 		Bounds: fleet.Bounds{Grace: grace, LeaseMax: leaseMax, Retention: 2 * time.Minute, Maintenance: 2 * time.Second}}
@@ -298,8 +317,8 @@
 	return ""
 }
 
-// close ends all processes and servers of the run.
-func (c *cluster) close() {
+// close ends all processes and servers of the run, and writes what the workers were told.
+func (c *cluster) close() error {
 	for _, n := range c.nodes {
 		if n.done != nil {
 			<-n.signal(syscall.SIGKILL)
@@ -316,6 +335,12 @@
 			_ = w.runner.Config.Close()
 		}
 	}
+	if c.storeServer == nil { // no network was free
+		return nil
+	}
+	_ = c.addresses.Close()
 	c.storeServer.CloseClientConnections()
 	_ = c.storeServer.Config.Close()
+	c.simWorkers.WithLock(func() { c.simWorkers.Trace = nil })
+	return os.WriteFile(filepath.Join(c.dir, "workers.log"), c.trace.Bytes(), 0o600)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
+
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
 )
 
 // Options are the settings of a run.
@@ -23,7 +28,8 @@
 	// Prefix limits the schedule to its first faults, to minimise a failing schedule; 0
 	// keeps all.
 	Prefix int
-	// Logs is the directory for the nodes' logs; a temporary directory if empty.
+	// Logs is the directory for the logs; a temporary directory if empty. Each seed has a
+	// directory of its own in it, seed-N, with its schedule and its result.
 	Logs string
 }
 
@@ -57,14 +63,17 @@
 }
 
 // Run runs the schedule and the load of one seed and checks the guarantees.
-func Run(ctx context.Context, o Options) (Result, error) {
-	dir := o.Logs
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "vpier-soak-"); err != nil {
+func Run(ctx context.Context, o Options) (_ Result, err error) {
+	logs := o.Logs
+	if logs == "" {
+		if logs, err = os.MkdirTemp("", "vpier-soak-"); err != nil {
 			return Result{}, err
 		}
-		defer func() { _ = os.RemoveAll(dir) }()
+		defer func() { _ = os.RemoveAll(logs) }()
+	}
+	dir := filepath.Join(logs, fmt.Sprintf("seed-%d", o.Seed))
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return Result{}, err
 	}
 	faults := Schedule(o.Seed, o.Nodes, o.Workers, o.Length)
 	if o.Prefix > 0 && o.Prefix < len(faults) {
@@ -72,7 +81,7 @@
 	}
 	startTime := time.Now()
 	c, err := newCluster(o, dir)
-	defer c.close()
+	defer func() { err = errors.Join(err, c.close()) }()
 	if err != nil {
 		return Result{}, err
 	}
@@ -94,7 +103,17 @@
 	load.awaitCompletion(recoveryLimit + completionLimit)
 	load.checkNoTasksRunning()
 	load.checkShutdown()
-	return load.result(o, faults), ctx.Err()
+	r := load.result(o, faults)
+	return r, errors.Join(keepResult(dir, r), ctx.Err())
+}
+
+// keepResult writes the result of a run, with its schedule, beside its logs.
+func keepResult(dir string, r Result) error {
+	f, err := os.Create(filepath.Join(dir, "result.json"))
+	if err != nil {
+		return err
+	}
+	return errors.Join(WriteJSON(f, []Result{r}), f.Close())
 }
 
 // checkNoTasksRunning checks that no worker runs a task any more within taskEndLimit.
@@ -142,7 +161,10 @@
 	r := Result{Seed: o.Seed, Length: o.Length, Faults: faults, Violations: c.violations, Jobs: len(c.jobs),
 		Starts: c.cluster.ledger.StartCount(), Took: time.Since(c.startTime)}
 	for _, text := range c.cluster.ledger.Violations() {
-		r.Violations = append(r.Violations, Violation{Text: fmt.Sprintf("TWICE: %s", text)})
+		if !strings.Contains(text, fleettest.Unasked) {
+			text = "TWICE: " + text
+		}
+		r.Violations = append(r.Violations, Violation{Text: text})
 	}
 	for _, j := range c.jobs {
 		if !j.AcceptedAt.IsZero() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,13 +52,17 @@
 		parallel, err = strconv.Atoi(v)
 		require.NoError(t, err)
 	}
+	logs := os.Getenv("SOAK_LOGS")
+	if logs != "" && cells > 0 { // each seed is also run without cells
+		logs = filepath.Join(logs, fmt.Sprintf("cells-%d", cells))
+	}
 	slots := make(chan struct{}, parallel)
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			r, err := Run(t.Context(), Options{Binary: binary, Seed: uint64(seed), Nodes: 4, Workers: 6, Cells: cells, Length: 14 * time.Second, Logs: os.Getenv("SOAK_LOGS")})
+			r, err := Run(t.Context(), Options{Binary: binary, Seed: uint64(seed), Nodes: 4, Workers: 6, Cells: cells, Length: 14 * time.Second, Logs: logs})
 			require.NoError(t, err)
 			t.Logf("%d jobs, %d accepted, %d refused, %d starts, %v", r.Jobs, r.Accepted, r.Refused, r.Starts, r.Took.Round(time.Second))
 			for _, f := range r.Faults {
