soak: groups of workers that are cut, mute or reset, and restart behind that

A quarter of the workers or those of a data centre are cut or mute at once; most of them start again behind it, some twice, and their entries come up to 1.5 s after its end or before. No reset crosses a cut any more, and a connection that is opened during a cut reaches the process that is there at its end.

go test ./internal/soak -run 'Restart|Order|Sched|Group'

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -72,6 +72,7 @@
 type worker struct {
 	id       string
 	zone     string
+	age      time.Duration // of the process that starts next, by its clock
 	runner   *platformtest.Runner
 	instance *fleettest.Worker
 	proxy    *proxy
@@ -97,7 +98,7 @@
 	c.simWorkers.Trace = &c.trace
 	c.configure()
 	for i := range o.Workers {
-		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i)}
+		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i), age: c.drawAge()}
 		c.workers = append(c.workers, w)
 		if err := c.startInstance(w); err != nil {
 			return c, err
@@ -133,15 +134,35 @@
 	info := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: model.WorkerID(w.id), Born: c.lastStart}, Service: route.Service,
 		DataCentre: model.DataCentre(w.zone), Capacity: model.Resources{MilliCPU: workerCPU, MemoryMB: workerMemory}, Labels: []string{"a", "r-" + w.zone}}
 	w.runner, w.instance = platformtest.NewRunner(c.simWorkers, info)
+	c.simWorkers.SetClock(w.instance, w.age, minClockRate+(1-minClockRate)*c.clocks.Float64())
+	w.age = newClock
+}
+
+const (
+	// minClockRate is the contract's least rate of a worker's clock.
+	minClockRate = 0.98
+	// newClock is the clock of a worker that has just started again; the first processes are
+	// up to maxAge or maxYoungAge old.
+	newClock    = 10 * time.Millisecond
+	maxYoungAge = 20 * time.Second
+	maxAge      = 24 * time.Hour
+)
+
+// drawAge draws the age of a worker at the start of the run. Half of the workers are young: the
+// clock of their next lifetime soon passes deadlines on the former one's.
+func (c *cluster) drawAge() time.Duration {
+	limit := []time.Duration{maxYoungAge, maxAge}[c.clocks.IntN(2)]
+	return newClock + time.Duration(c.clocks.Int64N(int64(limit)))
 }
 
 // restartInstance replaces the process of a worker. Its address stays; its entry still names the
 // former process.
 func (c *cluster) restartInstance(w *worker) {
+	former := w.runner
 	c.simWorkers.Kill(w.instance)
-	w.runner.CloseClientConnections()
 	c.newInstance(w)
 	w.proxy.setTarget(w.runner.Listener.Addr().String())
+	_ = former.Config.Close() // only the listener can fail to close; nothing connects to it any more
 }
 
 // list writes the entry of a worker's process, unless its address is gone.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // Shares of the calls that a fault affects.
@@ -94,13 +95,21 @@
 	case CompactStore:
 		c.rows.Compact()
 	case CutWorker:
-		c.workers[f.Target].proxy.setModes(modeHold, modeHold)
+		c.setLinkModes([]int{f.Target}, modeHold, modeHold)
 	case MuteWorker:
-		c.workers[f.Target].proxy.setModes(modeForward, modeHold)
+		c.setLinkModes([]int{f.Target}, modeForward, modeHold)
 	case KillWorker:
 		c.killInstance(c.workers[f.Target])
 	case RestartWorker:
 		c.restartInstance(c.workers[f.Target])
+	case CutWorkers:
+		c.setLinkModes(f.Workers, modeHold, modeHold)
+	case MuteWorkers:
+		c.setLinkModes(f.Workers, modeForward, modeHold)
+	case ResetWorkers:
+		for _, w := range f.Workers {
+			c.workers[w].proxy.reset()
+		}
 	case FailWorker, HangWorker:
 		c.setTaskFault(c.workers[f.Target], f.Kind, true)
 	case LateOrders:
@@ -112,6 +121,19 @@
 	}
 }
 
+// heldOrderTime bounds the time in which the orders arrive that a cut has held back. It is the
+// contract's time from the end of a fault until rules with a time bound hold again (contact_ms).
+const heldOrderTime = 3 * time.Second
+
+// setLinkModes sets the modes of the links of workers.
+func (c *cluster) setLinkModes(workers []int, requests, responses proxyMode) {
+	for _, w := range workers {
+		if c.workers[w].proxy.setModes(requests, responses) {
+			c.ledger.HeldBack(model.WorkerID(c.workers[w].id), time.Now().Add(heldOrderTime))
+		}
+	}
+}
+
 // setTaskFault lets tasks that start on a worker fail or hang, or ends that fault.
 func (c *cluster) setTaskFault(w *worker, k Kind, on bool) {
 	c.simWorkers.WithLock(func() {
@@ -145,12 +167,14 @@
 	case LoseCommits:
 		c.rows.SetTransactionFaults(0, 0)
 	case CutWorker, MuteWorker:
-		c.workers[f.Target].proxy.setModes(modeForward, modeForward)
+		c.setLinkModes([]int{f.Target}, modeForward, modeForward)
 	case KillWorker:
 		c.killInstance(c.workers[f.Target]) // an overlapping fault may have started an instance since
 		return c.startInstance(c.workers[f.Target])
 	case RestartWorker:
 		return c.list(c.workers[f.Target])
+	case CutWorkers, MuteWorkers:
+		c.setLinkModes(f.Workers, modeForward, modeForward)
 	case FailWorker, HangWorker:
 		c.setTaskFault(c.workers[f.Target], f.Kind, false)
 	case LateOrders:
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,12 +48,16 @@
 
 func (p *proxy) addr() string { return p.ln.Addr().String() }
 
-// setTarget forwards connections from now on to another target and resets the present ones.
+// setTarget forwards connections from now on to another target and resets the present ones. No
+// reset crosses a link that holds a direction back: there they end when the link is whole again.
 func (p *proxy) setTarget(target string) {
 	p.mu.Lock()
 	p.target = target
+	held := p.requestMode == modeHold || p.responseMode == modeHold
 	p.mu.Unlock()
-	p.reset()
+	if !held {
+		p.reset()
+	}
 }
 
 func (p *proxy) currentTarget() string {
@@ -62,16 +66,19 @@
 	return p.target
 }
 
-// setModes sets the modes of both directions.
-func (p *proxy) setModes(requests, answers proxyMode) {
+// setModes sets the modes of both directions. It reports whether requests were held back that may
+// arrive now.
+func (p *proxy) setModes(requests, answers proxyMode) (released bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return
+		return false
 	}
+	released = p.requestMode == modeHold && requests != modeHold
 	p.requestMode, p.responseMode = requests, answers
 	close(p.changed)
 	p.changed = make(chan struct{})
+	return released
 }
 
 // reset closes all connections with a TCP reset.
@@ -132,6 +139,11 @@
 	if !p.track(client, true) {
 		return
 	}
+	// A connection that is opened while the link is cut reaches the process that is there at the
+	// end of the cut.
+	if !p.throttle(&p.requestMode) {
+		return
+	}
 	server, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/platform/platformtest"
+)
+
+func namedServer(t *testing.T, name string) *httptest.Server {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, name) }))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Guards against a restart behind a cut that callers notice before the end of the cut, and against
+// requests sent meanwhile that do not reach the process that is there at the end.
+func TestRestartBehindCut(t *testing.T) {
+	former, next := namedServer(t, "former"), namedServer(t, "next")
+	p, err := newProxy(former.Listener.Addr().String())
+	require.NoError(t, err)
+	defer p.close()
+	get := func() (string, error) {
+		resp, err := http.Get("http://" + p.addr())
+		if err != nil {
+			return "", err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		return string(data), err
+	}
+	answer, err := get()
+	require.NoError(t, err)
+	require.Equal(t, "former", answer)
+	http.DefaultClient.CloseIdleConnections()
+
+	p.setModes(modeHold, modeHold)
+	type result struct {
+		answer string
+		err    error
+	}
+	results := make(chan result, 1)
+	go func() {
+		answer, err := get()
+		results <- result{answer, err}
+	}()
+	require.Eventually(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.conns) > 0 }, 5*time.Second, time.Millisecond)
+	p.setTarget(next.Listener.Addr().String())
+	require.Empty(t, results, "nothing crosses the cut")
+	p.setModes(modeForward, modeForward)
+	r := <-results
+	require.NoError(t, r.err)
+	require.Equal(t, "next", r.answer)
+}
+
+// Guards against a simulated worker that drops an order because its sender has given up: a call
+// without a response may be executed seconds later.
+func TestOrderIsCarriedOutAfterCut(t *testing.T) {
+	workers := fleettest.NewWorkers(1, func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true} }, fleettest.NewRunChecker())
+	r, w := platformtest.NewRunner(workers, fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "i-0", Born: 1}, Capacity: model.Resources{MilliCPU: 1}})
+	defer r.Close()
+	p, err := newProxy(r.Listener.Addr().String())
+	require.NoError(t, err)
+	defer p.close()
+	p.setModes(modeHold, modeHold)
+	ctx, cancel := context.WithCancel(t.Context())
+	written, sent := make(chan struct{}), make(chan struct{})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { close(written) }})
+	go func() {
+		defer close(sent)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr()+"/run-start",
+			strings.NewReader(`{"task":"0000000000000001.0.0.0","attempt":1,"deadline_ms":6000,"fence":1}`))
+		if err != nil {
+			panic(err) // the address is valid
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-written
+	cancel()
+	<-sent
+	require.Zero(t, workers.RunCount(w))
+	p.setModes(modeForward, modeForward)
+	require.Eventually(t, func() bool { return workers.RunCount(w) == 1 }, 5*time.Second, time.Millisecond)
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,6 +37,9 @@
 	SlowAll       Kind = "slow-all"       // the CPUs of all nodes are slow
 	KillMost      Kind = "kill-most"      // SIGKILL for 55% of the nodes at once, beginning with the target; restarted at the end
 	RestartWorker Kind = "restart-worker" // a worker starts again under its id and address; its entry follows at the end
+	CutWorkers    Kind = "cut-workers"    // the links of several workers are cut in both directions
+	MuteWorkers   Kind = "mute-workers"   // commands reach several workers, their responses are held back
+	ResetWorkers  Kind = "reset-workers"  // the connections to several workers are reset at the start
 )
 
 var kinds = []Kind{KillNode, StopNode, FreezeNode, PowerLoss, CutStore, MuteStore, SlowStore, ResetStore, RefuseStore, LoseCommits,
@@ -47,17 +50,27 @@
 // restarts of workers.
 var heavyKinds = []Kind{SlowNode, SlowAll, KillMost}
 
+// groupKinds affect the links of several workers at once. Behind a link that is cut or mute most of
+// the workers start again. They are drawn from a generator of their own too.
+var groupKinds = []Kind{CutWorkers, MuteWorkers, ResetWorkers}
+
 // Fault is one fault of a schedule.
 type Fault struct {
 	At       time.Duration `json:"at"`
 	Duration time.Duration `json:"lasts"`
 	Kind     Kind          `json:"kind"`
 	Target   int           `json:"target"`
+	// Workers are the targets of a fault of groupKinds.
+	Workers []int `json:"workers,omitempty"`
 }
 
 // String describes the fault on one line of the report.
 func (f Fault) String() string {
-	return fmt.Sprintf("%6.2f s to %6.2f s  %s %d", f.At.Seconds(), (f.At + f.Duration).Seconds(), f.Kind, f.Target)
+	targets := fmt.Sprint(f.Target)
+	if f.Workers != nil {
+		targets = fmt.Sprint(f.Workers)
+	}
+	return fmt.Sprintf("%6.2f s to %6.2f s  %s %s", f.At.Seconds(), (f.At + f.Duration).Seconds(), f.Kind, targets)
 }
 
 // Times of a schedule.
@@ -71,7 +84,10 @@
 	meanHeavyInterval = 5 * time.Second
 	// meanRestartInterval is the mean time between the starts of two restarts of workers.
 	meanRestartInterval = 2500 * time.Millisecond
-	// maxEntryDelay bounds the time from the restart of a worker to its first entry.
+	// meanGroupInterval is the mean time between the starts of two faults of groupKinds.
+	meanGroupInterval = 4 * time.Second
+	// maxEntryDelay bounds the time to the first entry of a worker from its restart, or from the
+	// end of the fault behind which it has restarted.
 	maxEntryDelay = 1500 * time.Millisecond
 	// minFaultDuration and maxFaultDuration bound the duration of a fault. The maximum
 	// exceeds the time after which a silent leader is replaced and leases expire.
@@ -96,6 +112,7 @@
 	}
 	faults = append(faults, heavyFaults(seed, nodes, length)...)
 	faults = append(faults, restartFaults(seed, workers, length)...)
+	faults = append(faults, groupFaults(seed, workers, length)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -131,3 +148,54 @@
 	}
 	return faults
 }
+
+// Shares of the workers of a cut or muted group that start again, and of these that do so twice.
+const (
+	restartShare       = 0.7
+	secondRestartShare = 0.3
+)
+
+func groupFaults(seed uint64, workers int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 14))
+	var faults []Fault
+	for at := range startTimes(random, meanGroupInterval, warmUp+meanGroupInterval/2, length) {
+		f := Fault{At: at, Kind: groupKinds[random.IntN(len(groupKinds))], Workers: drawGroup(random, workers),
+			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))}
+		faults = append(faults, f)
+		if f.Kind == ResetWorkers {
+			continue
+		}
+		for _, w := range f.Workers {
+			for _, share := range []float64{restartShare, secondRestartShare} {
+				if random.Float64() >= share {
+					break
+				}
+				faults = append(faults, restartBehind(random, f, w))
+			}
+		}
+	}
+	return faults
+}
+
+// drawGroup draws the workers of a data centre, or a quarter of all.
+func drawGroup(random *rand.Rand, workers int) []int {
+	first, count, step := random.IntN(workers), (workers+3)/4, 1
+	if random.IntN(2) == 0 {
+		first, step = first%zones, zones
+		count = (workers - first + zones - 1) / zones
+	}
+	group := make([]int, max(count, 0))
+	for i := range group {
+		group[i] = (first + i*step) % workers
+	}
+	return group
+}
+
+// restartBehind returns a restart of a worker during a fault of its link. The entry of the new
+// lifetime may come before or after the end of that fault.
+func restartBehind(random *rand.Rand, f Fault, w int) Fault {
+	delay := time.Duration(random.Int64N(int64(f.Duration)))
+	entryWithin := f.Duration - delay + maxEntryDelay
+	return Fault{At: f.At + delay, Kind: RestartWorker, Target: w,
+		Duration: minFaultDuration + time.Duration(random.Int64N(int64(entryWithin-minFaultDuration)))}
+}
