soak: more cancellations, and no task of a cancelled job runs on

A quarter of the accepted jobs is cancelled, half of them at once and the others within 2 s; every second unfinished job is cancelled when the faults are over. 3.4 s after a cancellation, or after all nodes are ready again, no task of the job may run (cancel_ms and stop_ms). Callers repeat a cancellation until it is acknowledged. One task in eight takes 2 s more, and more workers get more jobs, so that more runs at the time of a fault.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,23 +7,34 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
 	"github.com/vanillapier/vanillapier/platform/platformtest"
 )
 
 const (
-	// meanJobInterval is the mean time between two jobs.
+	// meanJobInterval is the mean time between two jobs for a fleet of fewWorkers or less; it is
+	// shorter with more workers, down to minJobInterval.
 	meanJobInterval = 120 * time.Millisecond
+	minJobInterval  = 40 * time.Millisecond
+	fewWorkers      = 6
 	// maxSubmitAttempts bounds the attempts to submit a job, each at a random node.
 	maxSubmitAttempts = 4
 	// callTimeout bounds one attempt; the route's limit is 3 s.
 	callTimeout = 3500 * time.Millisecond
 	// visibilityDelay is the contract's time until every node knows an accepted job.
 	visibilityDelay = 3 * time.Second
-	// jobsPerCancel is the mean number of accepted jobs for each one that is cancelled.
-	jobsPerCancel = 15
+	// jobsPerCancel is the mean number of accepted jobs for each one that is cancelled: half of
+	// them at once, the others within maxCancelDelay, while their tasks run.
+	jobsPerCancel  = 4
+	maxCancelDelay = 2 * time.Second
+	// maxCancelAttempts bounds the attempts to cancel a job.
+	maxCancelAttempts = 8
+	// stopTime is the contract's bound on the time that a stop takes (stop_ms).
+	stopTime = 400 * time.Millisecond
 
 	taskCPU, taskMemory     = 1000, 100
 	workerCPU, workerMemory = 8000, 4000
@@ -36,9 +47,12 @@
 	// AcceptedAt is the time at which a node accepted the job; zero before.
 	AcceptedAt time.Time
 	// Refused means that every attempt was answered with 503 or 429.
-	Refused    bool
-	Cancelled  bool
-	FinalState string
+	Refused bool
+	// Cancelled means that the job may be cancelled.
+	Cancelled bool
+	// CancelledAt is the time at which a cancellation was acknowledged; zero before.
+	CancelledAt time.Time
+	FinalState  string
 }
 
 // callers submits jobs, cancels some, queries job states and records violations.
@@ -69,12 +83,13 @@
 
 // run submits jobs and queries their states until ctx ends, then waits for its calls.
 func (c *callers) run(ctx context.Context) {
+	interval := max(minJobInterval, min(meanJobInterval, meanJobInterval*fewWorkers/time.Duration(len(c.cluster.workers))))
 	for i := 0; ctx.Err() == nil; i++ {
 		j, body := c.newJob(i)
 		c.calls.Go(func() { c.submit(j, body) })
 		c.calls.Go(c.checkRandomJob)
 		c.mu.Lock()
-		pause := time.Duration((0.2 + 1.6*c.random.Float64()) * float64(meanJobInterval))
+		pause := time.Duration((0.2 + 1.6*c.random.Float64()) * float64(interval))
 		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -141,14 +156,79 @@
 	c.mu.Lock()
 	j.AcceptedAt = time.Now()
 	cancel := c.random.IntN(jobsPerCancel) == 0
+	delay := time.Duration(max(0, c.random.Int64N(int64(2*maxCancelDelay))-int64(maxCancelDelay)))
 	c.mu.Unlock()
-	if !cancel {
-		return
+	if cancel {
+		time.Sleep(delay)
+		c.cancel(j)
 	}
-	if status, _ := c.call(c.randomNode(), http.MethodDelete, j.ID, nil); status == http.StatusOK || status == 0 || status >= 500 {
+}
+
+// cancel cancels a job: it asks until a node has acknowledged that, or the attempts are used up.
+func (c *callers) cancel(j *jobRecord) {
+	unknown := false // without a response, or after a 5xx, the cancellation may have taken effect
+	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		j.Cancelled = true // without a response, or after a 5xx, the cancellation may have taken effect
+		j.Cancelled = unknown || !j.CancelledAt.IsZero()
+	}()
+	for range maxCancelAttempts {
+		c.mu.Lock()
+		j.Cancelled = true // another node may show it before the answer is here
+		c.mu.Unlock()
+		status, _ := c.call(c.randomNode(), http.MethodDelete, j.ID, nil)
+		if status == http.StatusOK {
+			c.cluster.ledger.Cancelled(j.ID)
+			c.mu.Lock()
+			j.CancelledAt = time.Now()
+			c.mu.Unlock()
+			return
+		}
+		unknown = unknown || status == 0 || status >= 500
+		time.Sleep(pollInterval)
+	}
+}
+
+// checkCancelled cancels some of the jobs that are not over, now that all is calm, and checks that
+// no task of any cancelled job runs longer than the contract allows.
+func (c *callers) checkCancelled(ctx context.Context) {
+	calmSince := time.Now()
+	c.mu.Lock()
+	jobs := append([]*jobRecord(nil), c.jobs...)
+	c.mu.Unlock()
+	for i, j := range jobs {
+		c.mu.Lock()
+		cancelled, cancel := !j.CancelledAt.IsZero(), !j.AcceptedAt.IsZero() && j.FinalState == "" && i%2 == 0
+		c.mu.Unlock()
+		if !cancelled && !cancel {
+			continue
+		}
+		c.calls.Go(func() {
+			if !cancelled {
+				c.cancel(j)
+			}
+			c.checkGone(ctx, j, calmSince)
+		})
+	}
+	c.calls.Wait()
+}
+
+// checkGone checks that no task of a cancelled job runs once the contract's time has passed.
+func (c *callers) checkGone(ctx context.Context, j *jobRecord, calmSince time.Time) {
+	c.mu.Lock()
+	since := j.CancelledAt
+	c.mu.Unlock()
+	if since.IsZero() {
+		return
+	}
+	if since.Before(calmSince) {
+		since = calmSince
+	}
+	if !sleepUntil(ctx, since.Add(fleettest.MaxStartAfterCancel+stopTime)) {
+		return
+	}
+	if runs := c.cluster.ledger.Running(j.ID); len(runs) > 0 {
+		c.addViolation("%s: %v after the faults and the cancellation of its job this runs: %s", fleettest.Unasked, fleettest.MaxStartAfterCancel+stopTime, strings.Join(runs, ", "))
 	}
 }
 
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -68,6 +68,11 @@
 	frozen bool          // stopped by SIGSTOP until the end of a fault
 }
 
+const (
+	longTaskShare = 8
+	longTaskTime  = 2 * time.Second
+)
+
 // worker is a simulated worker behind a proxy.
 type worker struct {
 	id       string
@@ -78,11 +83,15 @@
 	proxy    *proxy
 }
 
-// taskBehaviour gives each task a run time between 0.2 and 0.9 s, derived from its name.
+// taskBehaviour gives each task a run time between 0.2 and 0.9 s, derived from its name; one in
+// longTaskShare takes longTaskTime more, so that it also runs across faults.
 func taskBehaviour(name fleet.TaskName) fleettest.Task {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name)) // never fails
 	work := 200*time.Millisecond + time.Duration(h.Sum32()%700)*time.Millisecond
+	if h.Sum32()/700%longTaskShare == 0 {
+		work += longTaskTime
+	}
 	return fleettest.Task{Work: work, Needs: model.Resources{MilliCPU: taskCPU, MemoryMB: taskMemory}, Checkpoint: true}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"slices"
 	"syscall"
 	"time"
@@ -201,13 +202,32 @@
 }
 
 // heal restores the links of all nodes to the store, unfreezes the nodes, restarts those that
-// are down and waits until all have been started.
-func (c *cluster) heal() {
+// are down and waits until all have been started and report ready, or recoveryLimit has passed.
+func (c *cluster) heal(ctx context.Context) {
 	for _, n := range c.nodes {
 		n.storeProxy.setModes(modeForward, modeForward)
 		c.restart(n)
 	}
 	c.restarts.Wait()
+	ctx, cancel := context.WithTimeout(ctx, recoveryLimit)
+	defer cancel()
+	for _, n := range c.nodes {
+		for !n.ready() && sleepUntil(ctx, time.Now().Add(pollInterval)) {
+		}
+	}
+}
+
+// pollInterval is the time between two looks at a state that nothing announces.
+const pollInterval = 50 * time.Millisecond
+
+// ready reports whether the node tells the platform that it is ready.
+func (n *node) ready() bool {
+	resp, err := http.Get("http://" + n.readyAddr + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // killMostShare is the share of the nodes that KillMost kills.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -95,11 +95,12 @@
 	err = c.injectFaults(ctx, startTime, faults)
 	sleepUntil(ctx, startTime.Add(o.Length))
 	stopLoad()
-	c.heal()
+	c.heal(ctx)
 	<-loadDone
 	if err != nil {
 		return Result{}, err
 	}
+	load.checkCancelled(ctx)
 	load.awaitCompletion(recoveryLimit + completionLimit)
 	load.checkNoTasksRunning()
 	load.checkShutdown()
