--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -85,6 +85,14 @@
 	return target.Info.Born
 }
 
+// lifetimeOfOpenConnection returns the lifetime that has reported on the connection to an address
+// behind a cut, where no end of a connection shows.
+func (v *WorkersView) lifetimeOfOpenConnection(addr string) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.connected[addr]
+}
+
 func (v *WorkersView) setLifetimeOfConnection(target *Worker) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -97,7 +105,7 @@
 func (v *WorkersView) deliver(ctx context.Context, w fleet.WorkerInfo, do func(*Worker) fleet.StartVerdict) (fleet.WorkerReply, error) {
 	if !v.reachable(w.Addr) {
 		<-ctx.Done()
-		return fleet.WorkerReply{}, unknown(ErrUnreachable)
+		return fleet.WorkerReply{SentTo: v.lifetimeOfOpenConnection(w.Addr)}, unknown(ErrUnreachable)
 	}
 	if err := sleep(ctx, answerTime); err != nil {
 		return fleet.WorkerReply{}, err
@@ -110,7 +118,7 @@
 		return fleet.WorkerReply{}, model.Wrap(model.KindUnavailable, ErrUnreachable, "retry later", "connection refused")
 	}
 	sentTo := v.lifetimeOfConnection(target)
-	if f.random.Float64() < f.LateShare {
+	if late := f.random.Float64() < f.LateShare; late || target.Late {
 		delay := time.Second + time.Duration(f.random.Int64N(int64(3*time.Second)))
 		f.mu.Unlock()
 		time.AfterFunc(delay, func() {
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -107,8 +107,9 @@
 	formerCapacities []formerCapacity
 
 	// Hang makes new runs stall, Fail makes them fail, Unending makes them reach 100% without
-	// an end. Mute loses the answers to all calls, which take effect.
-	Hang, Fail, Unending, Mute bool
+	// an end. Mute loses the answers to all calls, which take effect; Late carries all calls
+	// out late, as LateShare does.
+	Hang, Fail, Unending, Mute, Late bool
 }
 
 // listedEnd is the end of a run that the leader has not acknowledged yet.
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -155,9 +155,7 @@
 	if !t.recordHolds(r.Term) {
 		return
 	}
-	if end := readAt.Add(r.End - storeNow); end.Before(w.inheritedLeaseEnd) {
-		w.inheritedLeaseEnd = end
-	}
+	w.inheritedLeaseEnd = readAt.Add(r.End - storeNow)
 	w.runsRecorded = r.RunsKnown
 	for _, s := range r.Runs {
 		t.adopt(w, RunStatus{RunRef: RunRef{s.Task, s.Attempt}})
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -63,7 +63,7 @@
 	if former.inherited && !former.answered {
 		lastOrder = t.formerLeaderRenewedBy.Add(maxOrderAge)
 	}
-	next.inherited, next.inheritedAt = true, t.now
+	next.inherited, next.inheritedAt, next.leaseSentBy = true, t.now, former.leaseSentBy
 	next.longestLease = t.workerLeaseMax()
 	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
 	u := next.usedRecord()
@@ -82,21 +82,19 @@
 	return w.extendLease(t.now, t.leaseLength())
 }
 
-// ofLifetime reports whether the run is certainly one of the lifetime that w stands for.
-func (r *run) ofLifetime(w *worker) bool {
-	return r.listed || (r.sentTo != 0 && r.sentTo == w.info.Born)
-}
+// maxOrderDelay is the longest time after which an order without an answer may still be carried out.
+const maxOrderDelay = 12 * time.Second
 
-// runLeaseEnd returns when the lease of a run has certainly ended. The worker may have started again
-// unnoticed before the start order reached it. Its clock begins anew then, so that only its own limit
-// bounds the leases of that lifetime.
+// runLeaseEnd returns when the lease of a run has certainly ended. If neither a report nor the
+// connection has told which lifetime got the start order, the worker may have started again unnoticed
+// before that. Its clock begins anew then, so that only its own limit bounds the leases.
 func (t *term) runLeaseEnd(r *run) time.Time {
 	w := r.worker
 	end := w.leaseEnd()
-	if r.ofLifetime(w) || w.leaseSentBy.IsZero() {
+	if r.listed || r.sentTo != 0 || w.leaseSentBy.IsZero() {
 		return end
 	}
-	if other := w.leaseSentBy.Add(maxRealDuration(t.workerLeaseMax()) + leaseMargin); other.After(end) {
+	if other := w.leaseSentBy.Add(maxOrderDelay + maxRealDuration(t.workerLeaseMax()) + leaseMargin); other.After(end) {
 		return other
 	}
 	return end
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -319,7 +319,7 @@
 // of a lease, which proves that no later leader has renewed the lease.
 func (t *term) expireLeases() {
 	for _, w := range t.workers {
-		if w.inherited && !w.answered && t.confirmedAt.After(w.inheritedLeaseEnd) {
+		if w.inherited && !w.answered && t.confirmedAt.After(t.lastLeaseEnd(w)) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired",
 				"listed": w.listed, "lease_end_ms_ago": t.now.Sub(w.inheritedLeaseEnd).Milliseconds(), "term_ms": t.now.Sub(t.startedAt).Milliseconds()}).Warn("leases of an unreachable worker from earlier terms have ended")
 			info, listed := w.info, w.listed
