--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -30,6 +30,13 @@
 	return &WorkersView{workers: f, cut: map[string]bool{}, connected: map[string]int64{}}
 }
 
+// ViewOf returns a view that is connected to a worker.
+func (f *Workers) ViewOf(w *Worker) *WorkersView {
+	v := f.View()
+	v.setLifetimeOfConnection(w)
+	return v
+}
+
 // Cut stops or restores the traffic to a worker.
 func (v *WorkersView) Cut(w *Worker, cut bool) {
 	v.mu.Lock()
@@ -188,6 +195,7 @@
 	var wake chan struct{}
 	var report fleet.Report
 	var polled *Worker
+	var acknowledged uint64
 	reply, err := v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict {
 		if o.Fence < t.fence {
 			return fleet.StartFenced
@@ -196,12 +204,9 @@
 		if o.Deadline > 0 {
 			t.extendLease(o.Deadline)
 		}
-		if len(t.ended) > 0 && t.ended[0].Number <= o.Acknowledged {
-			t.trace("hold, ack cursor %d, late %t: ends from %d are forgotten", o.Acknowledged, t.fleet.lateOrder, t.ended[0].Number)
-		}
-		for len(t.ended) > 0 && t.ended[0].Number <= o.Acknowledged {
-			t.fleet.checker.acknowledged(t.ended[0], t.fleet.tasks(t.ended[0].Task))
-			t.ended = t.ended[1:]
+		if v.lifetimeOfConnection(t) == w.Born {
+			acknowledged = o.Acknowledged
+			t.forgetEnds(acknowledged)
 		}
 		report, wake, polled = t.report(), t.wake, t
 		return fleet.StartRunning
@@ -213,7 +218,7 @@
 		v.setLifetimeOfConnection(polled)
 	}
 	if reply.Verdict != fleet.StartRunning || o.Wait == 0 || len(report.Ended) > 0 {
-		report.Verdict, report.Clock = reply.Verdict, reply.Clock
+		report.Verdict, report.Clock, report.Acknowledged = reply.Verdict, reply.Clock, acknowledged
 		return report, nil
 	}
 	timer := time.NewTimer(o.Wait)
@@ -233,7 +238,20 @@
 	if v.workers.workers[w.Addr] != polled || polled.Mute {
 		return fleet.Report{}, unknown(ErrUnreachable)
 	}
-	return polled.report(), nil
+	report = polled.report()
+	report.Acknowledged = acknowledged
+	return report, nil
+}
+
+// forgetEnds forgets the ends up to a number. The lock is held.
+func (w *Worker) forgetEnds(number uint64) {
+	if len(w.ended) > 0 && w.ended[0].Number <= number {
+		w.trace("hold, ack cursor %d, late %t: ends from %d are forgotten", number, w.fleet.lateOrder, w.ended[0].Number)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= number {
+		w.fleet.checker.acknowledged(w.ended[0], w.fleet.tasks(w.ended[0].Task))
+		w.ended = w.ended[1:]
+	}
 }
 
 // Network is a simulated network between the nodes of a test.
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -190,7 +190,8 @@
 type PollOrder struct {
 	Fence uint64
 	// Acknowledged is the number of the highest end that is stored; the worker forgets the
-	// ends up to it.
+	// ends up to it. It is sent only to the lifetime that the worker's info names: ends of the
+	// next one have the same numbers.
 	Acknowledged uint64
 	// Deadline is the new end of the lease on the worker's clock; 0 leaves the lease as it is.
 	Deadline time.Duration
@@ -208,6 +209,8 @@
 	Ended   []RunEnd
 	// EndsCut means that further ends may not be listed: a run in neither list may have ended.
 	EndsCut bool
+	// Acknowledged is that of the order, or 0 if it was not sent.
+	Acknowledged uint64
 }
 
 // Workers sends orders to workers. An error means that the order may have been carried out
--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -136,6 +136,39 @@
 // maxLateness is the longest time after which a simulated worker carries out a late call.
 const maxLateness = 4 * time.Second
 
+// An acknowledgement for a former lifetime was carried out late by the next one, which forgot ends
+// that nobody had read: tasks that were done started a second time.
+func TestLateAcknowledgementDoesNotReachNextLifetime(t *testing.T) {
+	brief := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 200 * time.Millisecond, Needs: wideNeeds}
+	}
+	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 200 * time.Millisecond}}}
+	runCluster(t, 414, 3, 3, brief, func(t *testing.T, c *fleettest.Cluster) {
+		for i := range 3 { // each worker has some ends
+			submit(t, c, jobID(i), spec)
+			time.Sleep(time.Second)
+		}
+		submit(t, c, jobID(3), spec)
+		time.Sleep(150 * time.Millisecond)
+		c.Leader().Store.SetFault(fleettest.Busy)
+		time.Sleep(150 * time.Millisecond) // the ends are reported, but not stored
+		w := restart(c, c.RunningWorkers()[0])
+		c.Workers.WithLock(func() { w.Late = true })
+		c.Leader().Store.SetFault(fleettest.Healthy)
+		time.Sleep(500 * time.Millisecond)
+		c.Workers.WithLock(func() { w.Late = false })
+		c.List(w)
+		waitState(t, c, jobID(3), fleet.StateCompleted, 5*time.Second)
+		submit(t, c, jobID(4), spec)
+		time.Sleep(100 * time.Millisecond)
+		require.Positive(t, c.Workers.RunCount(w))
+		c.Workers.WithLock(func() { w.Mute = true })
+		time.Sleep(maxLateness)
+		c.Workers.WithLock(func() { w.Mute = false })
+		waitState(t, c, jobID(4), fleet.StateCompleted, 20*time.Second)
+	})
+}
+
 // restartSeeds is the number of sequences that TestWorkersRestartBesideLateOrders plays.
 const restartSeeds = 12
 
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -109,7 +109,7 @@
 	}
 	if e.err == nil && w.isOtherLifetime(e.report.Born) {
 		w = t.replaceByReport(w, e.report.Born)
-		e.order.Acknowledged = 0 // an end of the former lifetime
+		e.report.Acknowledged = 0 // an end of the former lifetime
 	} else if t.settleLaterLifetime(w, e) {
 		return
 	}
@@ -161,7 +161,7 @@
 		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "reachable", "failures": w.unansweredCalls}).Info("worker answers again")
 	}
 	w.observeClock(e.report.Clock, t.now)
-	w.lastAckedEnd = max(w.lastAckedEnd, e.order.Acknowledged)
+	w.lastAckedEnd = max(w.lastAckedEnd, e.report.Acknowledged)
 	first := !w.answered
 	w.answered, w.endsCut = true, e.report.EndsCut
 	if fresh {
