--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -163,6 +163,23 @@
 	})
 }
 
+// A job that was cancelled after it had completed was shown as cancelled by the next leader, which
+// reads the cancellation before the job's progress.
+func TestCompletedJobStaysCompleted(t *testing.T) {
+	runCluster(t, 415, 3, 2, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		submit(t, c, jobID(0), twoSteps())
+		waitState(t, c, jobID(0), fleet.StateCompleted, 10*time.Second)
+		require.NoError(t, c.Nodes[0].Node.Cancel(t.Context(), c.Queue, jobID(0)))
+		for range 2 {
+			l := c.Leader()
+			c.Kill(l)
+			c.Start(l)
+			time.Sleep(settleTime)
+			waitState(t, c, jobID(0), fleet.StateCompleted, time.Second)
+		}
+	})
+}
+
 func TestFailureBudget(t *testing.T) {
 	fails := func(n int) func(fleet.TaskName) fleettest.Task {
 		return func(fleet.TaskName) fleettest.Task {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -221,7 +221,7 @@
 func (j *job) restore(p progressRecord, now time.Time, toMonotonic func(int64) time.Time) {
 	j.started, j.failureReason = p.Started, p.Failed
 	j.movedTo, j.moveStored = p.MovedTo, p.MoveStored
-	j.cancelled = j.cancelled || p.State == StateCancelled
+	j.cancelled = p.State == StateCancelled || (j.cancelled && !p.State.Final())
 	for _, k := range p.Finished {
 		j.finishedOccurrences[k], j.begun = true, true
 	}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -137,10 +137,8 @@
 		t.log.WithError(err).Error("cannot decode progress row")
 		return
 	}
-	cancelled := j.cancelled
 	j.occurrences, j.openedOccurrences = nil, 0
 	j.restore(p, t.now, t.monotonicTime)
-	j.cancelled = j.cancelled || cancelled
 	if !j.over() {
 		j.openDue(t.now, 0, t.monotonicTime)
 	}
