--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -68,6 +68,36 @@
 	return model.Errorf(model.KindExhausted, "retry later; nothing was sent", "no free connection")
 }
 
+// Link is the state of the network between a machine of workers and all nodes.
+type Link struct {
+	// AnswersCut means that calls take effect and get no answer.
+	AnswersCut bool
+	// AnswerDelay is how much later than usual orders are answered.
+	AnswerDelay time.Duration
+}
+
+// SetLink changes the link of the machine of w, which all its lifetimes share.
+func (f *Workers) SetLink(w *Worker, l Link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links[w.Info.Addr] = l
+}
+
+// passAnswer carries an answer back over the link of the machine at addr.
+func (f *Workers) passAnswer(ctx context.Context, addr string) error {
+	f.mu.Lock()
+	l := f.links[addr]
+	f.mu.Unlock()
+	if l.AnswersCut {
+		<-ctx.Done()
+		return unknown(ctx.Err())
+	}
+	if l.AnswerDelay == 0 {
+		return nil
+	}
+	return sleep(ctx, l.AnswerDelay)
+}
+
 // CutAll stops or restores the traffic to all workers.
 func (v *WorkersView) CutAll(cut bool) {
 	v.mu.Lock()
@@ -144,13 +174,13 @@
 	if target.Info.Worker == w.Worker {
 		reply.Verdict = do(target)
 	}
-	lost := target.Mute || f.LostShare > 0 && f.random.Float64() < f.LostShare
+	lost := f.LostShare > 0 && f.random.Float64() < f.LostShare
 	f.mu.Unlock()
 	if lost {
 		<-ctx.Done()
 		return fleet.WorkerReply{SentTo: sentTo}, unknown(ctx.Err())
 	}
-	return reply, nil
+	return reply, f.passAnswer(ctx, w.Addr)
 }
 
 // Start implements fleet.Workers.
@@ -233,9 +263,12 @@
 		<-ctx.Done()
 		return fleet.Report{}, unknown(ErrUnreachable)
 	}
+	if err := v.workers.passAnswer(ctx, w.Addr); err != nil {
+		return fleet.Report{}, err
+	}
 	v.workers.mu.Lock()
 	defer v.workers.mu.Unlock()
-	if v.workers.workers[w.Addr] != polled || polled.Mute {
+	if v.workers.workers[w.Addr] != polled {
 		return fleet.Report{}, unknown(ErrUnreachable)
 	}
 	report = polled.report()
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -39,6 +39,7 @@
 type Workers struct {
 	mu      sync.Mutex
 	workers map[string]*Worker // by address
+	links   map[string]Link    // by address
 	tasks   func(fleet.TaskName) Task
 	checker *RunChecker
 	random  *rand.Rand
@@ -77,7 +78,7 @@
 
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
 func NewWorkers(seed uint64, tasks func(fleet.TaskName) Task, l *RunChecker) *Workers {
-	return &Workers{workers: map[string]*Worker{}, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
+	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Worker is a simulated worker process.
@@ -107,9 +108,8 @@
 	formerCapacities []formerCapacity
 
 	// Hang makes new runs stall, Fail makes them fail, Unending makes them reach 100% without
-	// an end. Mute loses the answers to all calls, which take effect; Late carries all calls
-	// out late, as LateShare does.
-	Hang, Fail, Unending, Mute, Late bool
+	// an end. Late carries all calls out late, as LateShare does.
+	Hang, Fail, Unending, Late bool
 }
 
 // listedEnd is the end of a run that the leader has not acknowledged yet.
--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -120,12 +120,13 @@
 		t.Run("late="+strconv.FormatBool(late), func(t *testing.T) {
 			runCluster(t, 413, 3, 3, long, func(t *testing.T, c *fleettest.Cluster) {
 				w := restart(c, c.RunningWorkers()[0])
-				c.Workers.WithLock(func() { w.Mute, w.Late = true, late })
+				c.Workers.SetLink(w, fleettest.Link{AnswersCut: true})
+				c.Workers.WithLock(func() { w.Late = late })
 				submit(t, c, jobID(0), spec)
 				time.Sleep(100 * time.Millisecond)
 				c.Workers.WithLock(func() { w.Late = false })
 				time.Sleep(fleettest.LeaseMax + maxLateness)
-				c.Workers.WithLock(func() { w.Mute = false })
+				c.Workers.SetLink(w, fleettest.Link{})
 				c.List(w)
 				waitState(t, c, jobID(0), fleet.StateCompleted, time.Minute)
 			})
@@ -162,13 +163,36 @@
 		submit(t, c, jobID(4), spec)
 		time.Sleep(100 * time.Millisecond)
 		require.Positive(t, c.Workers.RunCount(w))
-		c.Workers.WithLock(func() { w.Mute = true })
+		c.Workers.SetLink(w, fleettest.Link{AnswersCut: true})
 		time.Sleep(maxLateness)
-		c.Workers.WithLock(func() { w.Mute = false })
+		c.Workers.SetLink(w, fleettest.Link{})
 		waitState(t, c, jobID(4), fleet.StateCompleted, 20*time.Second)
 	})
 }
 
+// A poll that acknowledged ends of the former lifetime for the first time reached the next one, which
+// had carried out a start since and had an end of the same number: it forgot its own end, and the
+// task, which was done, started again.
+func TestFirstAcknowledgementDoesNotReachNextLifetime(t *testing.T) {
+	brief := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 5 * time.Millisecond, Needs: wideNeeds}
+	}
+	spec := fleet.Spec{Steps: []fleet.Step{{Count: 3, Needs: wideNeeds, Estimate: 50 * time.Millisecond}}}
+	runCluster(t, 413, 3, 1, brief, func(t *testing.T, c *fleettest.Cluster) {
+		for round := range 4 {
+			submit(t, c, jobID(round), spec) // the worker holds two tasks at a time
+			for c.Checker.DoneTasks(jobID(round)) == 0 {
+				time.Sleep(100 * time.Microsecond)
+			}
+			w := restart(c, c.RunningWorkers()[0]) // the third start is on its way
+			time.Sleep(entryDelay)
+			c.List(w)
+			waitState(t, c, jobID(round), fleet.StateCompleted, 10*time.Second)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // restartSeeds is the number of sequences that TestWorkersRestartBesideLateOrders plays.
 const restartSeeds = 12
 
