A new leader tells the former one that its term is over

A leader whose store does not answer gives orders for up to 7 s after its last renewal; another one leads after 2 s. Workers that have answered the new leader refuse the former one's orders by their fence, but a worker that starts again has seen no fence and carries them out, while the new leader starts the same task.

Cause: the new leader inferred from a worker's answer that the former leader could start nothing more there. That holds for the lifetime that answered only.

Change: the new leader calls the former one, whose address its last renewal names, when its term begins. The former one ends its term at once.

Ruled out: no starts by a leader that has not renewed for as long as others wait before they campaign; it would hold up all starts in a silence of the store.

Remains: a former leader that the new one cannot reach either, or whose order is on its way, while a worker starts again.

--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -17,6 +17,7 @@
 	methodState             = "jobs.state"
 	methodPending           = "jobs.pending"
 	methodRequestLeadership = "lead.ask"
+	methodTermBegun         = "lead.taken"
 	methodEvacuate          = "worker.empty"
 )
 
@@ -90,6 +91,7 @@
 			return localPending(ctx, n.cell(p.Cell)), nil
 		}),
 		methodRequestLeadership: membership.Typed(n.handleLeadershipRequest),
+		methodTermBegun:         membership.Typed(n.handleTermBegun),
 		methodEvacuate: membership.Typed(func(ctx context.Context, p evacuateParams) (any, error) {
 			return localEvacuate(ctx, n.cell(p.Cell), p), nil
 		}),
