--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -344,7 +344,7 @@
 func (t *term) markUsed(w *worker) {
 	if (!w.usedRowStored && w.listed) || w.leaseRecordTerm > 0 {
 		delete(t.usedRowsToDelete, w.info.Lifetime)
-		t.usedRowsToPut[w.info.Lifetime] = w.usedRecord()
+		t.usedRowsToPut[w.info.Lifetime] = t.usedRecord(w)
 	}
 }
 
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -50,6 +50,8 @@
 	// LostShare is the share of calls, polls included, that take effect at once and get no
 	// answer.
 	LostShare float64
+	// LeaseMax is the length to which workers shorten longer leases.
+	LeaseMax time.Duration
 	// Advisor, if set, must have issued the ticket of each start.
 	Advisor        *Advisor
 	ticketRefusals int // starts without a valid ticket
@@ -76,9 +78,12 @@
 		w.clock().Milliseconds(), w.fence, fmt.Sprintf(format, args...)) // a lost line changes nothing for the test
 }
 
+// leaseMax is the usual length to which workers shorten leases.
+const leaseMax = 6 * time.Second
+
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
 func NewWorkers(seed uint64, tasks func(fleet.TaskName) Task, l *RunChecker) *Workers {
-	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
+	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, LeaseMax: leaseMax, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Worker is a simulated worker process.
@@ -317,13 +322,10 @@
 	w.wake = make(chan struct{})
 }
 
-// LeaseMax is the longest lease that simulated workers grant.
-const LeaseMax = 6 * time.Second
-
 // extendLease extends the lease; it never shortens it. When the lease expires, all runs end
 // as lapsed. The lock is held.
 func (w *Worker) extendLease(deadline time.Duration) {
-	deadline = min(deadline, w.clock()+LeaseMax)
+	deadline = min(deadline, w.clock()+w.fleet.LeaseMax)
 	if deadline <= w.lease {
 		return
 	}
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -121,7 +121,7 @@
 		for ref := range w.runs {
 			record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
 		}
-		u := w.usedRecord()
+		u := t.usedRecord(w)
 		u.Leases = record
 		value := encode(u)
 		if !t.fitsInRow(value) {
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -224,6 +224,39 @@
 	require.WithinDuration(t, at(20).Add(maxRealDuration(10*time.Second)), tm.workers["w"].inheritedLeaseEnd, 100*time.Millisecond)
 }
 
+// The plain row that is stored when the new lifetime answers, and a lease record in its place, left
+// out how long leases last that orders for the former lifetime may have set.
+func TestRowsOfAnsweringLifetimeKeepFormerLeases(t *testing.T) {
+	former := newTestTerm(1)
+	former.cfg.Bounds.LeaseMax = 10 * time.Second
+	former.now, former.loaded, former.storeClock = at(20), true, storeReading{now: 100 * time.Second, at: at(19)}
+	w := testWorker("w")
+	former.workers["w"] = w
+	w.attach(&run{ref: RunRef{"j.0.0.0", 1}, worker: w, state: runUnconfirmed}, at(20))
+	info := w.info
+	info.Born = 2
+	next := former.replaceWorker(w, info)
+	next.pollInFlight = true
+	former.applyReport(next, pollReply{worker: next, report: Report{Verdict: StartRunning, Born: 2, Clock: time.Second, Running: []RunStatus{{RunRef: RunRef{"j.0.0.0", 1}}}}, sent: at(20)})
+	restored := func(row []byte) time.Time {
+		tm := newTestTerm(1)
+		tm.cfg.Bounds.LeaseMax = 10 * time.Second
+		tm.now, tm.formerLeaderRenewedBy, tm.leaseRecordsSince = at(21), at(19.9), former.number
+		require.True(t, tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, info.Lifetime), Value: row}, 102*time.Second, at(21)))
+		return tm.workers["w"].inheritedLeaseEnd
+	}
+	ends := at(20).Add(maxRealDuration(10 * time.Second))
+	c, _ := former.collectTransaction()
+	require.Len(t, c.tx.Puts, 1)
+	require.False(t, restored(c.tx.Puts[0].Value).Before(ends), "plain row")
+
+	next.usedRowStored, next.unansweredCalls = true, unreachableCalls
+	former.now, former.storeClock = at(20.5), storeReading{now: 101400 * time.Millisecond, at: at(20.4)}
+	c, _ = former.collectTransaction()
+	require.Len(t, c.tx.Puts, 1)
+	require.False(t, restored(c.tx.Puts[0].Value).Before(ends), "lease record")
+}
+
 // A worker that may have ends which it has not listed is accounted for once it lists all of them, or
 // once it is silent and its leases have ended: jobs must not wait for it for ever.
 func TestWorkerWithUnlistedEndsIsAccountedFor(t *testing.T) {
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -66,11 +66,16 @@
 	next.inherited, next.inheritedAt, next.leaseSentBy = true, t.now, former.leaseSentBy
 	next.longestLease = t.workerLeaseMax()
 	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
-	u := next.usedRecord()
-	if !t.storeClock.at.IsZero() {
-		u.FormerLeaseEnd = t.storeClock.upperBound(next.inheritedLeaseEnd)
+	t.usedRowsToPut[next.info.Lifetime] = t.usedRecord(next)
+}
+
+// usedRecord returns the row of tableUsed of w without a lease record.
+func (t *term) usedRecord(w *worker) usedRecord {
+	u := w.usedRecord()
+	if w.longestLease > maxLease && t.now.Before(w.inheritedLeaseEnd) && !t.storeClock.at.IsZero() {
+		u.FormerLeaseEnd = t.storeClock.upperBound(w.inheritedLeaseEnd)
 	}
-	t.usedRowsToPut[next.info.Lifetime] = u
+	return u
 }
 
 // workerLeaseMax bounds a lease whose deadline means nothing on the worker's clock.
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -223,7 +223,7 @@
 	}
 }
 
-// usedRecord returns the worker's row of tableUsed without a lease record.
+// usedRecord returns the fields of the worker's row of tableUsed that name it; see term.usedRecord.
 func (w *worker) usedRecord() usedRecord {
 	return usedRecord{Lifetime: w.info.Lifetime, Addr: w.info.Addr, DataCentre: w.info.DataCentre, Service: w.info.Service}
 }
