--- a/internal/fleet/former_leader_test.go
+++ b/internal/fleet/former_leader_test.go
@@ -12,7 +12,14 @@
 // A leader that can no longer renew gave an order to a worker that had started again since it had
 // answered the next leader. The new lifetime had seen no fence and carried the order out, while the
 // next leader started the same task.
-func TestFormerLeaderStartsOnLifetimeWithoutFence(t *testing.T) {
+func TestFormerLeaderStartsOnLifetimeWithoutFence(t *testing.T) { runFormerLeader(t, false) }
+
+// The same with a former leader that its peers do not reach either.
+func TestFormerLeaderWithoutPeersStartsOnLifetimeWithoutFence(t *testing.T) {
+	runFormerLeader(t, true)
+}
+
+func runFormerLeader(t *testing.T, peersCut bool) {
 	for seed := range uint64(10) {
 		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
 			task := func(fleet.TaskName) fleettest.Task {
@@ -25,6 +32,7 @@
 				time.Sleep(2 * time.Second)
 				former := c.Leader()
 				former.Store.SetFault(fleettest.Silent)
+				former.Peers.Cut(peersCut)
 				w := c.RunningWorkers()[0]
 				for next := (*fleettest.Member)(nil); next == nil; time.Sleep(time.Millisecond) {
 					for _, m := range c.Nodes {
@@ -39,6 +47,7 @@
 				c.List(w)
 				time.Sleep(5 * time.Second)
 				former.Store.SetFault(fleettest.Healthy)
+				former.Peers.Cut(false)
 				time.Sleep(5 * time.Second)
 			})
 		})
