--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -404,3 +404,12 @@
 		t.log.WithError(err).WithField("job", id).Warn("rows of a finished job were not all deleted")
 	}
 }
+
+// deleteCancellation deletes the cancellation of a job that was never accepted.
+func (t *term) deleteCancellation(id string) {
+	ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[0])
+	defer cancel()
+	if _, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{t.layout.cancelRow(id)}}); err != nil {
+		t.log.WithError(err).WithField("job", id).Warn("the row of an old cancellation was not deleted")
+	}
+}
--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -14,9 +14,9 @@
 // RunChecker records the starts and ends of runs on the workers and the violations of the
 // contract: two runs of a task at once or a start after the task is done, unless the task is
 // speculative, a start of a speculative task over a second after its end was acknowledged, unless
-// the worker carried the order out late, a start long after the job was cancelled, and three more starts of a task after
-// three workers have crashed because of it. The workers call started, ended, crashed and
-// acknowledged with the fleet's lock held.
+// the worker carried the order out late, a start long after the job was cancelled, a run that goes on
+// after that, and three more starts of a task after three workers have crashed because of it. The
+// workers call started, ended, crashed and acknowledged with the fleet's lock held.
 type RunChecker struct {
 	mu               sync.Mutex
 	running          map[fleet.TaskName]map[string]int  // attempt by worker, for each task
@@ -31,15 +31,33 @@
 	cancelled map[string]time.Time
 	// heldUntil is the time until which a worker may get orders that its link has held back.
 	heldUntil map[model.WorkerID]time.Time
+	// runs holds the runs on workers whose process runs.
+	runs map[runOnWorker]*checkedRun
+	// disturbed means that faults are in progress; calmSince is when the last ones ended.
+	disturbed bool
+	calmSince time.Time
 	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
 	// their worker, whatever the cause.
 	crashes, startsAfterCrashes, lostRuns map[fleet.TaskName]int
 }
 
+// runOnWorker names a run on a lifetime of a worker.
+type runOnWorker struct {
+	ref    fleet.RunRef
+	worker *Worker
+}
+
+// checkedRun is a run that has not ended.
+type checkedRun struct {
+	startedAt time.Time
+	late      bool // the worker carried the order out late
+	reported  bool // as a violation
+}
+
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -72,7 +90,10 @@
 		l.recordViolation("task %s attempt %d starts on %s %v after its end was acknowledged", o.Task, o.Attempt, w.Info.Worker, time.Since(at))
 	}
 	job, _, _ := strings.Cut(string(o.Task), ".")
-	if at, ok := l.cancelled[job]; ok && !late && !l.heldBack(w) && time.Since(at) > MaxStartAfterCancel {
+	inTouch := !l.disturbed && (l.calmSince.IsZero() || time.Since(l.calmSince) > contactTime) && !l.heldBack(w)
+	startedAfterCancel := false
+	if at, ok := l.cancelled[job]; ok && inTouch && !late && time.Since(at) > MaxStartAfterCancel {
+		startedAfterCancel = true
 		l.recordViolation("%s: task %s attempt %d starts on %s %v after its job was cancelled", Unasked, o.Task, o.Attempt, w.Info.Worker, time.Since(at))
 	}
 	if l.crashes[o.Task] >= crashBudget {
@@ -81,6 +102,7 @@
 		}
 	}
 	l.running[o.Task][string(w.Info.Worker)] = o.Attempt
+	l.runs[runOnWorker{o.RunRef, w}] = &checkedRun{startedAt: time.Now(), late: late, reported: startedAfterCancel}
 	l.lastStart[o.Task] = time.Now()
 }
 
@@ -96,6 +118,60 @@
 // Unasked marks the violations by tasks of cancelled jobs.
 const Unasked = "UNASKED"
 
+const (
+	// maxStop is the contract's bound on the time that a stop takes.
+	maxStop = 500 * time.Millisecond
+	// contactTime is how long after the end of faults, and after a start that was carried out late,
+	// the contract's bounds begin.
+	contactTime = 3 * time.Second
+)
+
+// Disturb records that faults begin: the bounds on cancelled jobs do not hold until contactTime after
+// Calm.
+func (l *RunChecker) Disturb() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkCancelledRuns()
+	l.disturbed = true
+}
+
+// Calm records that all faults have ended.
+func (l *RunChecker) Calm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.disturbed, l.calmSince = false, time.Now()
+}
+
+// checkCancelledRuns records the runs that go on although their jobs were cancelled. The lock is
+// held.
+func (l *RunChecker) checkCancelledRuns() {
+	for k, r := range l.runs {
+		l.checkCancelledRun(k, r)
+	}
+}
+
+// checkCancelledRun records a run that goes on, or ends only now, although its job was cancelled. The
+// lock is held.
+func (l *RunChecker) checkCancelledRun(k runOnWorker, r *checkedRun) {
+	job, _, _ := strings.Cut(string(k.ref.Task), ".")
+	cancelledAt, ok := l.cancelled[job]
+	if !ok || l.disturbed || r.reported {
+		return
+	}
+	limit := cancelledAt.Add(MaxStartAfterCancel + maxStop)
+	if calm := l.calmSince.Add(contactTime + MaxStartAfterCancel + maxStop); calm.After(limit) {
+		limit = calm
+	}
+	if late := r.startedAt.Add(contactTime + maxStop); r.late && late.After(limit) {
+		limit = late
+	}
+	if time.Now().After(limit) {
+		r.reported = true
+		l.recordViolation("%s: task %s attempt %d runs on %s %v after its job was cancelled, %v after its start, late=%t",
+			Unasked, k.ref.Task, k.ref.Attempt, k.worker.Info.Worker, time.Since(cancelledAt), time.Since(r.startedAt), r.late)
+	}
+}
+
 // Contract for tasks that crash their workers: after crashBudget crashes a task must not be
 // started maxStartsAfterCrashes times more.
 const (
@@ -137,11 +213,13 @@
 	return l.crashes[task]
 }
 
-// Cancelled records that the cancellation of a job was acknowledged.
+// Cancelled records that the cancellation of a job was acknowledged; the first time counts.
 func (l *RunChecker) Cancelled(job string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cancelled[job] = time.Now()
+	if _, known := l.cancelled[job]; !known {
+		l.cancelled[job] = time.Now()
+	}
 }
 
 // HeldBack records that the link of a worker has held orders back that arrive until a time.
@@ -182,6 +260,10 @@
 		l.done[job][r.Task] = true
 	}
 	delete(l.running[r.Task], string(w.Info.Worker))
+	if k := (runOnWorker{r, w}); l.runs[k] != nil {
+		l.checkCancelledRun(k, l.runs[k])
+		delete(l.runs, k)
+	}
 }
 
 // acknowledged records that the leader has acknowledged the end of a run. An end does not
@@ -235,6 +317,7 @@
 func (l *RunChecker) Violations() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.checkCancelledRuns()
 	return append([]string(nil), l.violations...)
 }
 
--- a/internal/fleet/fleettest/run_checker_test.go
+++ b/internal/fleet/fleettest/run_checker_test.go
@@ -118,3 +118,61 @@
 		})
 	}
 }
+
+func TestRunCheckerFindsRunOfCancelledJob(t *testing.T) {
+	const late = 2 * time.Second // after the cancellation, when the order is carried out
+	for name, test := range map[string]struct {
+		disturbed, late bool
+		runs            time.Duration // from the cancellation on
+		violations      int
+	}{
+		"stopped in time":              {runs: MaxStartAfterCancel + maxStop},
+		"goes on":                      {runs: MaxStartAfterCancel + maxStop + 10*time.Millisecond, violations: 1},
+		"during faults":                {runs: 20 * time.Second, disturbed: true},
+		"started late":                 {runs: late + contactTime + maxStop, late: true},
+		"started late and goes on":     {runs: late + contactTime + maxStop + 10*time.Millisecond, late: true, violations: 1},
+		"goes on to the end of a test": {violations: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, w := NewRunChecker(), &Worker{}
+				o := fleet.StartOrder{RunRef: fleet.RunRef{Task: checkerTask, Attempt: 1}}
+				if !test.late {
+					l.started(w, o, Task{}, false)
+				}
+				if test.disturbed {
+					l.Disturb()
+				}
+				l.Cancelled("job")
+				if test.late {
+					time.Sleep(late)
+					test.runs -= late
+					l.started(w, o, Task{}, true)
+				}
+				if test.runs > 0 {
+					time.Sleep(test.runs)
+					l.ended(w, o.RunRef, Task{}, fleet.EndStopped)
+				}
+				time.Sleep(20 * time.Second)
+				require.Len(t, l.Violations(), test.violations)
+			})
+		})
+	}
+}
+
+// After the end of faults a worker is in touch again, and the bounds begin.
+func TestRunCheckerCountsFromEndOfFaults(t *testing.T) {
+	for extra, violations := range map[time.Duration]int{0: 0, 10 * time.Millisecond: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			l, w := NewRunChecker(), &Worker{}
+			l.started(w, fleet.StartOrder{RunRef: fleet.RunRef{Task: checkerTask, Attempt: 1}}, Task{}, false)
+			l.Disturb()
+			l.Cancelled("job")
+			time.Sleep(30 * time.Second)
+			l.Calm()
+			time.Sleep(contactTime + MaxStartAfterCancel + maxStop + extra)
+			l.Disturb()
+			require.Len(t, l.Violations(), violations)
+		})
+	}
+}
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -140,10 +140,13 @@
 	fails bool
 }
 
-// Add starts a worker.
+// Add starts a worker. A worker that still runs at its address ends without notice.
 func (f *Workers) Add(info fleet.WorkerInfo) *Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if former := f.workers[info.Addr]; former != nil {
+		f.kill(former)
+	}
 	w := &Worker{Info: info, fleet: f, startedAt: time.Now(), clockAtStart: time.Second, clockRate: 1, runs: map[fleet.RunRef]*simulatedRun{}, highestAttempt: map[fleet.TaskName]int{}, wake: make(chan struct{}), fillerShare: 1}
 	f.workers[info.Addr] = w
 	return w
@@ -247,6 +250,13 @@
 	return len(w.runs)
 }
 
+// Runs reports whether a worker runs at an address.
+func (f *Workers) Runs(addr string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[addr] != nil
+}
+
 // LatestRun returns the worker of the run that was started last, or nil.
 func (f *Workers) LatestRun() *Worker {
 	f.mu.Lock()
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -127,11 +127,12 @@
 	return nil, retryAfter(retryShort, model.KindUnavailable, remedy, "this node does not know the cells yet")
 }
 
-// storeJob writes the row of a job. KindUnavailable means that it is not stored and will not
+// storeJob writes the row of a job, unless the job has been cancelled. KindUnavailable means that it is not stored and will not
 // be; KindUnknown means that it may be stored.
 func (n *Node) storeJob(ctx context.Context, c *cell, row Row, retryFor time.Duration) (tries int, err error) {
 	start := time.Now()
-	tx := Transaction{Expect: []Expectation{{row.RowID, 0}}, Puts: []Row{row}}
+	cancellation := RowID{row.Table, row.Part, row.Key + cancelSuffix}
+	tx := Transaction{Expect: []Expectation{{row.RowID, 0}, {cancellation, 0}}, Puts: []Row{row}}
 	unanswered := 0
 	timeout, limit := n.store.acceptBounds()
 	for {
@@ -153,6 +154,9 @@
 		case errors.As(err, &conflict):
 			n.recordStoreAnswer()
 			n.store.recordLatency(time.Since(sent))
+			if conflict.lists(cancellation) && !conflict.lists(row.RowID) {
+				return tries, model.Errorf(model.KindUnavailable, "send the job under another id", "job %s was cancelled before it was accepted", row.Key)
+			}
 			return tries, nil // stored before, by this or by another node
 		case model.IsKind(err, model.KindInvalid):
 			return tries, err
@@ -339,19 +343,19 @@
 	}
 }
 
-// tryCancel checks that the job exists and stores its cancellation.
+// tryCancel stores the cancellation of a job. Of a job that does not exist it is stored too: the row
+// of the job may still be on its way, and would be accepted after the caller was told that there is
+// none.
 func (n *Node) tryCancel(ctx context.Context, d *cellTable, id string, known *bool) error {
 	timeout, _ := n.store.acceptBounds()
 	call, cancel := acceptContext(ctx, timeout)
 	defer cancel()
 	if !*known {
-		r := d.layout.jobRow(id)
-		page, err := n.cfg.Store.List(call, r.Table, r.Part, id, id+"\x00", 1)
+		exists, err := n.jobExists(call, d.layout, id)
 		if err != nil {
 			return err
 		}
-		n.recordStoreAnswer()
-		if len(page.Rows) == 0 {
+		if !exists {
 			return model.Errorf(model.KindGone, "check the id", "no job %s", id)
 		}
 		*known = true
@@ -364,6 +368,26 @@
 	return nil
 }
 
+// jobExists reports whether the row of a job is stored. If it returns false, it never will be: the
+// cancellation is.
+func (n *Node) jobExists(ctx context.Context, l *layout, id string) (bool, error) {
+	job, cancellation := l.jobRow(id), l.cancelRow(id)
+	page, err := n.cfg.Store.List(ctx, job.Table, job.Part, id, id+"~", 2)
+	if err != nil {
+		return false, err
+	}
+	n.recordStoreAnswer()
+	if len(page.Rows) > 0 {
+		return page.Rows[0].Key == id, nil
+	}
+	_, err = n.cfg.Store.Commit(ctx, Transaction{Expect: []Expectation{{job, 0}}, Puts: []Row{{RowID: cancellation, Value: []byte{1}}}})
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return true, nil // stored since
+	}
+	return false, err
+}
+
 // Pending implements Intake.
 func (n *Node) Pending(ctx context.Context, q Queue) (int, error) {
 	start := time.Now()
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -56,6 +57,11 @@
 	return "condition of the transaction does not hold (remedy: read the rows again)"
 }
 
+// lists reports whether an expected row exists.
+func (e *ConflictError) lists(id RowID) bool {
+	return slices.ContainsFunc(e.Rows, func(r Row) bool { return r.RowID == id })
+}
+
 // Store is the table service. Its errors are of KindUnavailable (nothing was done),
 // KindUnknown (a write may have taken effect or may still), KindStale (the history that a
 // watch needs has been dropped), KindExhausted (too many calls) or a *ConflictError.
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -205,6 +205,7 @@
 // arrives, and must not be kept for ever.
 func TestCancellationBeforeItsJob(t *testing.T) {
 	tm := newTestTerm(1)
+	tm.cfg.Store = emptyStore{}
 	row := Row{RowID: RowID{Key: jobName}, Version: 12, Value: encode(jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}})}
 	tm.cancelJob(jobName)
 	tm.applyJobRow(row, 0)
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -112,7 +112,10 @@
 
 func (f *faults) node() *fleettest.Member { return f.c.Nodes[f.random.IntN(len(f.c.Nodes))] }
 
-func (f *faults) worker() *fleettest.Worker { return f.c.Fleet[f.random.IntN(len(f.c.Fleet))] }
+func (f *faults) worker() *fleettest.Worker {
+	all := f.c.AllWorkers()
+	return all[f.random.IntN(len(all))]
+}
 
 // injectFault injects or ends one random fault.
 func (f *faults) injectFault() {
@@ -223,7 +226,7 @@
 		m.Store.SetReadTransferTime(0)
 		m.Workers.CutAll(false)
 		m.Peers.Cut(false)
-		for _, w := range f.c.Fleet {
+		for _, w := range f.c.AllWorkers() {
 			m.Workers.Cut(w, false)
 		}
 	}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -144,9 +143,10 @@
 	}
 }
 
-// earlyCancellationAge is how long the cancellation of an unknown job is kept. Its row may
-// arrive later, as nodes send rows to the leader before the watch reports them in order.
-const earlyCancellationAge = 10 * time.Second
+// earlyCancellationAge is how long the cancellation of an unknown job of another cell is kept. The
+// job's row may arrive later: nodes send rows to the leader before the watch reports them in order,
+// and a write of a former leader of the other cell may be carried out some seconds after it.
+const earlyCancellationAge = 30 * time.Second
 
 // cancelJob stops all work of a job. The cancellation of an unknown job is applied when its
 // row arrives, unless the job is in another cell.
@@ -359,7 +359,7 @@
 // job that has moved to another cell is dropped when its last cell deletes its row, and one whose
 // tasks are borrowed when it is cancelled.
 func (t *term) removeFinishedJobs() {
-	maps.DeleteFunc(t.earlyCancellations, func(_ string, at time.Time) bool { return t.now.Sub(at) > earlyCancellationAge })
+	t.removeEarlyCancellations()
 	for id, j := range t.jobs {
 		borrowed := len(j.borrowed) > 0 && !j.cancelled
 		if j.movedTo == 0 && !borrowed && j.visibleState.Final() && !j.dirty && t.now.Sub(j.endedAt) > t.cfg.Bounds.Retention+retentionMargin {
@@ -369,6 +369,21 @@
 	}
 }
 
+// removeEarlyCancellations drops old cancellations of unknown jobs. The rows of those of this cell are
+// deleted: they were cancelled before they could be accepted.
+func (t *term) removeEarlyCancellations() {
+	for id, at := range t.earlyCancellations {
+		own, age := t.layout.cellOf(id) == t.cell, t.now.Sub(at)
+		switch {
+		case own && age > t.cfg.Bounds.Retention+retentionMargin && t.jobs[id] == nil:
+			go t.deleteCancellation(id)
+		case own && t.jobs[id] == nil, !own && age <= earlyCancellationAge:
+			continue
+		}
+		delete(t.earlyCancellations, id)
+	}
+}
+
 // operatorChanged reports that the operators' table has changed. It carries no rows: its
 // handler reads the node's copy of the table, so the order of these events does not matter.
 type operatorChanged struct{}
