--- a/internal/fleet/cancellations_test.go
+++ b/internal/fleet/cancellations_test.go
@@ -189,3 +189,28 @@
 		})
 	}
 }
+
+// A cell had borrowed a task of a job that was cancelled while its own leader did not reach the store.
+// Before the owner of the job could tell it, all nodes ended. The next leader of the cell read no
+// cancellations of other cells, and the next leader of the owner did not know any more that it had
+// lent the task: it ran for ever.
+func TestNextLeaderReadsCancellationsOfBorrowedTasks(t *testing.T) {
+	for seed := range uint64(6) {
+		lendOne(t, 650+seed, func(t *testing.T, c *fleettest.Cluster) {
+			owner := member(c, leaders(t, c)[seed%2]) // the leader of the owner or of the borrower
+			for _, m := range c.Nodes {
+				if m != owner {
+					m.Store.SetFault(fleettest.Silent)
+				}
+			}
+			owner.Store.RefuseWrites("vp-moved")
+			require.NoError(t, owner.Node.Cancel(t.Context(), c.Queue, jobID(0)))
+			c.Checker.Cancelled(jobID(0))
+			time.Sleep(300 * time.Millisecond)
+			c.StopAll()
+			c.StartAll()
+			time.Sleep(4 * time.Second)
+			require.Zero(t, runningAll(c))
+		})
+	}
+}
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -183,6 +184,8 @@
 	link         chan struct{}
 	// readLoss is the share of reads whose answer is lost.
 	readLoss float64
+	// refusedTable is a table of which writes are refused; empty for none.
+	refusedTable string
 }
 
 // View returns a new view of the store.
@@ -202,6 +205,19 @@
 	v.delay = d
 }
 
+// RefuseWrites makes transactions that write to a table fail without effect.
+func (v *View) RefuseWrites(table string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.refusedTable = table
+}
+
+func (v *View) refuses(tx fleet.Transaction) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(tx.Puts, func(r fleet.Row) bool { return r.Table == v.refusedTable })
+}
+
 // SetReadTransferTime transfers the answers to reads one after the other, each in d.
 func (v *View) SetReadTransferTime(d time.Duration) {
 	v.mu.Lock()
@@ -287,6 +303,9 @@
 	if err := v.delayOrFail(ctx, 2); err != nil {
 		return fleet.Commit{}, err
 	}
+	if v.refuses(tx) {
+		return fleet.Commit{}, errBusy
+	}
 	s := v.store
 	s.mu.Lock()
 	lost, late := s.random.Float64() < s.lostShare, s.random.Float64() < s.lateShare
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -232,6 +232,8 @@
 		return "workers that may hold its runs have not answered since the change of leader"
 	case !t.jobConfirmed(j):
 		return "its acceptance is not confirmed yet"
+	case j.cancellationUnread:
+		return "its cancellation in another cell is not read yet"
 	case !known:
 		return "no configuration has its queue"
 	case len(j.occurrences) == 0:
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -132,6 +132,9 @@
 	attemptBase int
 	// previousCells lists the cells that the job has left before this one.
 	previousCells []int
+	// cancellationUnread means that the job comes from another cell and that this term has not read
+	// yet whether it was cancelled there.
+	cancellationUnread bool
 	// leaseExpired means that a run was marked lost because its worker's lease had expired.
 	leaseExpired bool
 	// movedTo is one more than the cell to which the job has moved; 0 for none. moveStored
--- /dev/null
+++ b/internal/fleet/moved_cancellations.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The cancellation of a job is stored beside the job's row, in a part of the cell that accepted it. A
+// leader watches the cancellations of all cells, but reads only its own parts when its term begins or
+// when the store has dropped the history. Of a job that has moved here, or of which this cell has
+// borrowed tasks, it may have missed the cancellation; the leader that sends it may be down at the
+// same time. So it reads the rows in question, and starts no task of such a job before.
+
+// readCancellationsOfMovedJobs reads the cancellations of all jobs that this cell did not accept.
+func (t *term) readCancellationsOfMovedJobs() {
+	var ids []string
+	for id, j := range t.jobs {
+		if len(j.previousCells) > 0 && !j.over() {
+			j.cancellationUnread = true
+			ids = append(ids, id)
+		}
+	}
+	t.readCancellations(ids)
+}
+
+// readCancellations reads the cancellations of jobs, some of them at the same time. It repeats failed
+// reads until they succeed or the term ends.
+func (t *term) readCancellations(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	t.log.WithField("jobs", len(ids)).Debug("reading the cancellations of jobs of other cells")
+	next := make(chan string, len(ids))
+	for _, id := range ids {
+		next <- id
+	}
+	close(next)
+	for range min(len(ids), maxConcurrentRereads) {
+		go func() {
+			for id := range next {
+				t.readCancellation(id)
+			}
+		}()
+	}
+}
+
+func (t *term) readCancellation(id string) {
+	row := t.layout.cancelRow(id)
+	for t.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
+		page, err := t.cfg.Store.List(ctx, row.Table, row.Part, row.Key, row.Key+"\x00", 1)
+		cancel()
+		if err == nil {
+			t.post(cancellationRead{id, len(page.Rows) > 0})
+			return
+		}
+		t.metrics.readErrors.WithLabelValues(resultLabel(err)).Inc()
+		sleep(t.ctx, readPause+jitter())
+	}
+}
+
+// cancellationRead tells whether a job that this cell did not accept is cancelled.
+type cancellationRead struct {
+	id        string
+	cancelled bool
+}
+
+func (e cancellationRead) handle(t *term) {
+	j := t.jobs[e.id]
+	if j == nil {
+		return
+	}
+	j.cancellationUnread, t.planDue = false, true
+	if e.cancelled && !j.cancelled {
+		t.log.WithFields(logrus.Fields{"decision": "cancel", "job": e.id, "reason": "missed"}).Info("found the cancellation of a job of another cell")
+		t.cancelJob(e.id)
+	}
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -26,6 +26,9 @@
 	for _, row := range e.rows {
 		t.handleJobRow(row, e.storeNow)
 	}
+	if e.fullVersion > 0 && t.loaded {
+		t.readCancellationsOfMovedJobs()
+	}
 }
 
 // dropUnstoredMovedJobs drops jobs that have moved to another cell and whose rows are no longer
@@ -93,6 +96,9 @@
 		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps), "shape": stepLogEntries(j.spec)}).Log(t.jobLogLevel(j), "job added")
 	if _, cancelled := t.earlyCancellations[j.id]; cancelled {
 		t.cancelJob(j.id)
+	} else if t.loaded && len(j.previousCells) > 0 && t.now.Sub(t.startedAt) < earlyCancellationAge {
+		j.cancellationUnread = true // it may have been cancelled before this term began
+		t.readCancellations([]string{j.id})
 	}
 }
 
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -302,6 +302,7 @@
 		c.handle(t)
 	}
 	t.resendMoves()
+	t.readCancellationsOfMovedJobs()
 	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
 		"recorded_workers": recorded, "recorded_runs": recordedRuns, "records_since": t.leaseRecordsSince, "configuration": t.configurationVersion()}).Info("term has loaded its tables")
 	t.schedulePolls()
--- a/internal/fleet/waiting_steps.go
+++ b/internal/fleet/waiting_steps.go
@@ -115,7 +115,7 @@
 	var waiting []*waitingStep
 	runsKnown := t.allRunsKnown()
 	for _, j := range t.jobs {
-		if j.over() || j.visibleState.Final() || (j.inherited && !runsKnown) || !t.jobConfirmed(j) {
+		if j.over() || j.visibleState.Final() || (j.inherited && !runsKnown) || !t.jobConfirmed(j) || j.cancellationUnread {
 			continue
 		}
 		q, known := t.queues[j.queue]
