--- a/internal/fleet/cancellations_test.go
+++ b/internal/fleet/cancellations_test.go
@@ -164,6 +164,28 @@
 	})
 }
 
+// A start without an answer was settled by an answered stop, and its worker started again. The next
+// lifetime carried the order out: nothing was known to run there, so nobody asked, and the run of the
+// cancelled job went on until its lease ended.
+func TestNextLifetimeRefusesSettledStart(t *testing.T) {
+	lastingJob := fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: smallNeeds, Lasting: true}}}
+	for seed := range uint64(8) {
+		runCluster(t, 620+seed, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+			c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LateToNext = 1, true })
+			submit(t, c, jobID(0), lastingJob)
+			time.Sleep(20 * time.Millisecond) // the orders are on their way
+			c.Workers.WithLock(func() { c.Workers.LateShare = 0 })
+			cancelSomewhere(t, c, jobID(0))
+			time.Sleep(900 * time.Millisecond) // they got no answer and are settled
+			for _, w := range c.RunningWorkers() {
+				c.List(restart(c, w))
+			}
+			time.Sleep(orderDelay + cancelledTime)
+			require.Zero(t, c.Checker.StartCount(), "no lifetime carries the orders out")
+		})
+	}
+}
+
 // The write of a job's row got no answer and had its effect after a caller had been told that there is
 // no such job: the job ran.
 func TestJobIsNotAcceptedAfterCancellation(t *testing.T) {
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -161,6 +161,9 @@
 		time.AfterFunc(delay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
+			if next := f.workers[w.Addr]; f.LateToNext && next != nil {
+				target = next
+			}
 			if !target.dead && target.Info.Worker == w.Worker {
 				f.lateOrder = true
 				do(target)
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -47,6 +47,9 @@
 	// later.
 	LateShare float64
 	lateOrder bool // the order being carried out is such a call
+	// LateToNext makes such a call take effect on the next lifetime of a worker that has started
+	// again meanwhile.
+	LateToNext bool
 	// LostShare is the share of calls, polls included, that take effect at once and get no
 	// answer.
 	LostShare float64
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -184,6 +184,7 @@
 	}
 	if first {
 		w.fenceFormerLeases(t.now)
+		t.refuseUnansweredStarts(w)
 		t.planDue = true
 	}
 	w.inherited = w.inherited && w.endsCut
@@ -306,6 +307,7 @@
 			t.markLost(r, "missing")
 		case runStopping:
 			if r.stopAnswered {
+				t.settleUnansweredStart(w, ref)
 				t.markLost(r, "stopped-unseen")
 			}
 		}
@@ -322,6 +324,9 @@
 	r := w.runs[e.RunRef]
 	if r != nil {
 		w.detach(r, t.now)
+		if r.job == nil {
+			r = nil // only its stop was known
+		}
 	}
 	j := t.jobs[id]
 	if !ok || j == nil {
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -98,6 +98,9 @@
 func (e startReply) handle(t *term) {
 	r, w := e.run, e.run.worker
 	t.answerTimeout.observe(e.took)
+	if e.err != nil && !notSent(e.err) {
+		t.recordUnansweredStart(e.worker, r.ref)
+	}
 	if w.runs[r.ref] != r {
 		return // the run has ended or was marked lost
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -96,6 +96,7 @@
 	storeClock        storeReading // by the last transaction
 	released          bool         // a renewal that releases leadership is stored
 	usedRowsToPut     map[Lifetime]usedRecord
+	unansweredStarts  map[startKey]unansweredStart
 	usedRowsToDelete  map[Lifetime]bool
 
 	// stopping means that the term gives no more orders, since stoppedAt.
@@ -150,7 +151,7 @@
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
-		usedRowsToPut: map[Lifetime]usedRecord{}, usedRowsToDelete: map[Lifetime]bool{},
+		usedRowsToPut: map[Lifetime]usedRecord{}, unansweredStarts: map[startKey]unansweredStart{}, usedRowsToDelete: map[Lifetime]bool{},
 		queueRunTimes: map[string]*queueRunTime{}, shortWork: map[shortKey]*shortDemand{}, interference: newInterference(), metrics: m,
 	}
 }
