fleet: starts without an answer are dropped when they are too old

They were dropped only when a new lifetime of some worker answered, so that a long term without restarts kept them all. The longest delay of an order stands once.

--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -87,9 +87,6 @@
 	return w.extendLease(t.now, t.leaseLength())
 }
 
-// maxOrderDelay is the longest time after which an order without an answer may still be carried out.
-const maxOrderDelay = 12 * time.Second
-
 // runLeaseEnd returns when the lease of a run has certainly ended. If neither a report nor the
 // connection has told which lifetime got the start order, the worker may have started again unnoticed
 // before that. Its clock begins anew then, so that only its own limit bounds the leases.
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -225,6 +225,7 @@
 	}
 	t.openOccurrences()
 	t.expireLeases()
+	t.dropUnansweredStarts()
 	t.checkRuns()
 	t.retryStops()
 	t.schedulePolls()
--- a/internal/fleet/unanswered_starts.go
+++ b/internal/fleet/unanswered_starts.go
@@ -50,7 +50,6 @@
 // refuse the starts that were sent to former ones and are settled. Those in doubt, and those that
 // its report lists, are among its runs.
 func (t *term) refuseUnansweredStarts(w *worker) {
-	maps.DeleteFunc(t.unansweredStarts, func(_ startKey, s unansweredStart) bool { return t.now.After(s.until) })
 	for k, s := range t.unansweredStarts {
 		if k.worker != w.info.Worker || s.born == w.info.Born || w.runs[k.ref] != nil {
 			continue
@@ -61,6 +60,11 @@
 	}
 }
 
+// dropUnansweredStarts drops the starts that are not carried out any more.
+func (t *term) dropUnansweredStarts() {
+	maps.DeleteFunc(t.unansweredStarts, func(_ startKey, s unansweredStart) bool { return t.now.After(s.until) })
+}
+
 // refusalReply is the answer to a stop order by which a worker is to refuse a start.
 type refusalReply struct {
 	worker *worker
