--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
-	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
 	"github.com/vanillapier/vanillapier/internal/model"
+	"github.com/vanillapier/vanillapier/platform"
 	"github.com/vanillapier/vanillapier/platform/platformtest"
 )
 
@@ -79,14 +79,9 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { close(written) }})
 	go func() {
 		defer close(sent)
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr()+"/run-start",
-			strings.NewReader(`{"task":"0000000000000001.0.0.0","attempt":1,"deadline_ms":6000,"fence":1}`))
-		if err != nil {
-			panic(err) // the address is valid
-		}
-		if resp, err := http.DefaultClient.Do(req); err == nil {
-			_ = resp.Body.Close()
-		}
+		worker := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "i-0"}, Addr: p.addr()}
+		order := fleet.StartOrder{RunRef: fleet.RunRef{Task: "0000000000000001.0.0.0", Attempt: 1}, Deadline: 6 * time.Second, Fence: 1}
+		_, _ = platform.NewWorkers(platform.NewTransport(1, nil)).Start(ctx, worker, order) // it gets no answer
 	}()
 	<-written
 	cancel()
