--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -65,6 +65,15 @@
 	}
 	next.inherited, next.inheritedAt, next.leaseSentBy = true, t.now, former.leaseSentBy
 	next.longestLease = t.workerLeaseMax()
+	next.ordersArriveBy = former.ordersArriveBy
+	for _, r := range next.runs {
+		if arriveBy := former.leaseSentBy.Add(maxOrderDelay); r.sentTo == 0 && arriveBy.After(next.ordersArriveBy) {
+			next.ordersArriveBy = arriveBy
+		}
+	}
+	if next.ordersArriveBy.After(lastOrder) {
+		lastOrder = next.ordersArriveBy
+	}
 	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
 	t.usedRowsToPut[next.info.Lifetime] = t.usedRecord(next)
 }
@@ -72,7 +81,7 @@
 // usedRecord returns the row of tableUsed of w without a lease record.
 func (t *term) usedRecord(w *worker) usedRecord {
 	u := w.usedRecord()
-	if w.longestLease > maxLease && t.now.Before(w.inheritedLeaseEnd) && !t.storeClock.at.IsZero() {
+	if (w.longestLease > maxLease || !w.ordersArriveBy.IsZero()) && t.now.Before(w.inheritedLeaseEnd) && !t.storeClock.at.IsZero() {
 		u.FormerLeaseEnd = t.storeClock.upperBound(w.inheritedLeaseEnd)
 	}
 	return u
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	wanted := !w.answered || len(w.runs) > 0 || w.lastAckedEnd < w.lastStoredEnd || w.unansweredCalls > 0
-	return wanted && (w.listed || w.inherited || len(w.runs) > 0)
+	return wanted && (w.listed || w.inherited || len(w.runs) > 0 || w.lastAckedEnd < w.lastStoredEnd)
 }
 
 // poll asks a worker for its report and extends its lease.
@@ -176,7 +176,13 @@
 		t.resolveMissingRuns(w, e)
 	}
 	w.nextPoll = t.now
+	w.withheldAcks++
+	if e.report.Acknowledged == e.order.Acknowledged {
+		w.withheldAcks = 0
+	}
 	switch {
+	case w.withheldAcks > 1: // the worker may close each connection after its answer
+		w.nextPoll = t.now.Add(pollRetryPause)
 	case w.lastStoredEnd < w.lastSeenEnd && len(e.report.Ended) > 0 && t.commitDelayed():
 		w.nextPoll = t.now.Add(unstoredEndsPollPause)
 	case w.lastStoredEnd < w.lastSeenEnd:
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -108,6 +108,9 @@
 	leaseDeadline time.Duration
 	// leaseSentBy is when the last order with a lease deadline had been sent.
 	leaseSentBy time.Time
+	// ordersArriveBy is until when this lifetime may carry out orders for a former one; zero if there
+	// are none.
+	ordersArriveBy time.Time
 
 	// answered means that the worker has answered in this term.
 	answered bool
@@ -142,6 +145,7 @@
 	lastSeenEnd     uint64    // highest number of an end that was processed
 	lastStoredEnd   uint64    // highest number of an end that is durable
 	lastAckedEnd    uint64    // highest number of an end that was acknowledged
+	withheldAcks    int       // answered polls in a row whose acknowledgement was not sent
 
 	health health
 	// lastStart and lastStartJob are the time and the job of the last start; apartJob is that
@@ -218,6 +222,9 @@
 // fenceFormerLeases bounds the leases of earlier terms: a worker that has answered this term at
 // now accepts none after it.
 func (w *worker) fenceFormerLeases(now time.Time) {
+	if w.ordersArriveBy.After(now) {
+		now = w.ordersArriveBy
+	}
 	if end := now.Add(maxRealDuration(w.longestLease) + leaseMargin); end.Before(w.inheritedLeaseEnd) {
 		w.inheritedLeaseEnd = end
 	}
