--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -154,8 +154,8 @@
 	Verdict StartVerdict
 	// Clock is the worker's monotonic clock when it answered.
 	Clock time.Duration
-	// SentTo is the Born of the lifetime to which the order was sent, if a report on the same
-	// connection has named it, else 0. It is also set when the order got no answer.
+	// SentTo is the Born of the lifetime to which the order was sent, if a report or the clock of an
+	// answer on the same connection has told it, else 0. It is also set when the order got no answer.
 	SentTo int64
 }
 
