--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -127,8 +127,8 @@
 	return nil, retryAfter(retryShort, model.KindUnavailable, remedy, "this node does not know the cells yet")
 }
 
-// storeJob writes the row of a job, unless the job has been cancelled. KindUnavailable means that it is not stored and will not
-// be; KindUnknown means that it may be stored.
+// storeJob writes the row of a job, unless the job has been cancelled. KindUnavailable means that it
+// is not stored and will not be; KindUnknown means that it may be stored.
 func (n *Node) storeJob(ctx context.Context, c *cell, row Row, retryFor time.Duration) (tries int, err error) {
 	start := time.Now()
 	cancellation := RowID{row.Table, row.Part, row.Key + cancelSuffix}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -80,7 +80,7 @@
 
 // usedRecord returns the row of tableUsed of w without a lease record.
 func (t *term) usedRecord(w *worker) usedRecord {
-	u := w.usedRecord()
+	u := w.usedIdentity()
 	if (w.longestLease > maxLease || !w.ordersArriveBy.IsZero()) && t.now.Before(w.inheritedLeaseEnd) && !t.storeClock.at.IsZero() {
 		u.FormerLeaseEnd = t.storeClock.upperBound(w.inheritedLeaseEnd)
 	}
--- a/internal/fleet/unanswered_starts.go
+++ b/internal/fleet/unanswered_starts.go
@@ -16,7 +16,8 @@
 // nothing is known to run there, nobody would ask it. So it is ordered to stop that run when it first
 // answers; from then on it refuses the start.
 
-// maxOrderDelay is how long after its timeout a call without an answer may still be carried out.
+// maxOrderDelay is how long after its timeout a call without an answer may still be carried out: on
+// the users' platform up to 12 s.
 const maxOrderDelay = 12 * time.Second
 
 // startKey names a start order to a worker, whatever its lifetime.
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -230,8 +230,8 @@
 	}
 }
 
-// usedRecord returns the fields of the worker's row of tableUsed that name it; see term.usedRecord.
-func (w *worker) usedRecord() usedRecord {
+// usedIdentity returns the fields of the worker's row of tableUsed that name it; see term.usedRecord.
+func (w *worker) usedIdentity() usedRecord {
 	return usedRecord{Lifetime: w.info.Lifetime, Addr: w.info.Addr, DataCentre: w.info.DataCentre, Service: w.info.Service}
 }
 
