fleet: TestNextLeaderFindsRunsOfNextLifetime waits for the start that it needs

The store now falls silent within a millisecond of the start, before the leader can store what it learns.

--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -64,11 +64,12 @@
 				time.Sleep(time.Second)
 				w := restart(c, c.RunningWorkers()[0])
 				submit(t, c, jobID(1), spec)
-				time.Sleep(20 * time.Millisecond)
+				for deadline := time.Now().Add(time.Second); c.Workers.RunCount(w) == 0; time.Sleep(time.Millisecond) {
+					require.True(t, time.Now().Before(deadline), "the next lifetime has carried out a start")
+				}
 				leader := c.Leader()
 				leader.Store.SetFault(fleettest.Silent)
 				time.Sleep(100 * time.Millisecond)
-				require.Positive(t, c.Workers.RunCount(w), "the next lifetime has carried out a start")
 				c.Kill(leader)
 				if listed {
 					c.List(w)
