soak: a run that faults keep from being stopped is no violation while they last

The start had been held back by a cut of the worker's link and was stopped 0.03 to 0.25 s after it was carried out. The rule on runs that go on holds outside faults only; the check came from the simulations, which say when faults begin and end, and the soak did not say it. Starts are checked during faults as before, and what runs in the calm at the end is checked as before.

--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -33,9 +33,10 @@
 	heldUntil map[model.WorkerID]time.Time
 	// runs holds the runs on workers whose process runs.
 	runs map[runOnWorker]*checkedRun
-	// disturbed means that faults are in progress; calmSince is when the last ones ended.
-	disturbed bool
-	calmSince time.Time
+	// disturbed means that faults are in progress, linksDisturbed that some may keep workers from
+	// being stopped; calmSince is when the last ones ended.
+	disturbed, linksDisturbed bool
+	calmSince                 time.Time
 	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
 	// their worker, whatever the cause.
@@ -135,11 +136,20 @@
 	l.disturbed = true
 }
 
+// DisturbLinks records that faults begin which may keep workers from being stopped. Starts are checked
+// as before.
+func (l *RunChecker) DisturbLinks() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checkCancelledRuns()
+	l.linksDisturbed = true
+}
+
 // Calm records that all faults have ended.
 func (l *RunChecker) Calm() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.disturbed, l.calmSince = false, time.Now()
+	l.disturbed, l.linksDisturbed, l.calmSince = false, false, time.Now()
 }
 
 // checkCancelledRuns records the runs that go on although their jobs were cancelled. The lock is
@@ -155,7 +165,7 @@
 func (l *RunChecker) checkCancelledRun(k runOnWorker, r *checkedRun) {
 	job, _, _ := strings.Cut(string(k.ref.Task), ".")
 	cancelledAt, ok := l.cancelled[job]
-	if !ok || l.disturbed || r.reported {
+	if !ok || l.disturbed || l.linksDisturbed || r.reported {
 		return
 	}
 	limit := cancelledAt.Add(MaxStartAfterCancel + maxStop)
--- a/internal/fleet/fleettest/run_checker_test.go
+++ b/internal/fleet/fleettest/run_checker_test.go
@@ -176,3 +176,21 @@
 		})
 	}
 }
+
+// Faults of links excuse runs that go on, but not starts after the cancellation.
+func TestRunCheckerFindsStartsBesideLinkFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, w := NewRunChecker(), &Worker{}
+		order := func(attempt int) fleet.StartOrder {
+			return fleet.StartOrder{RunRef: fleet.RunRef{Task: checkerTask, Attempt: attempt}}
+		}
+		l.started(w, order(1), Task{}, false)
+		l.DisturbLinks()
+		l.Cancelled("job")
+		time.Sleep(20 * time.Second)
+		l.ended(w, order(1).RunRef, Task{}, fleet.EndStopped)
+		require.Empty(t, l.Violations())
+		l.started(w, order(2), Task{}, false)
+		require.Len(t, l.Violations(), 1)
+	})
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -92,10 +92,12 @@
 		defer close(loadDone)
 		load.run(loadCtx)
 	}()
+	c.ledger.DisturbLinks()
 	err = c.injectFaults(ctx, startTime, faults)
 	sleepUntil(ctx, startTime.Add(o.Length))
 	stopLoad()
 	c.heal(ctx)
+	c.ledger.Calm()
 	<-loadDone
 	if err != nil {
 		return Result{}, err
