fleettest: the end of link faults excuses no starts after a cancellation

Found on reading the change: since the soak says when its faults end, and the checker then passed over starts of cancelled jobs for 3 s, which it had checked before. Only the end of Disturb excuses starts now, as for the random test that uses it. TestRunCheckerFindsStartsBesideLinkFaults states it and failed before: 1 violation of 2.

No soak was run with this check; the tests of fleettest and the tests of cancellations in internal/fleet pass.

--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -37,6 +37,8 @@
 	// being stopped; calmSince is when the last ones ended.
 	disturbed, linksDisturbed bool
 	calmSince                 time.Time
+	// startsExcusedUntil is contactTime after the last Calm that followed Disturb.
+	startsExcusedUntil time.Time
 	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
 	// their worker, whatever the cause.
@@ -91,7 +93,7 @@
 		l.recordViolation("task %s attempt %d starts on %s %v after its end was acknowledged", o.Task, o.Attempt, w.Info.Worker, time.Since(at))
 	}
 	job, _, _ := strings.Cut(string(o.Task), ".")
-	inTouch := !l.disturbed && (l.calmSince.IsZero() || time.Since(l.calmSince) > contactTime) && !l.heldBack(w)
+	inTouch := !l.disturbed && time.Now().After(l.startsExcusedUntil) && !l.heldBack(w)
 	startedAfterCancel := false
 	if at, ok := l.cancelled[job]; ok && inTouch && !late && time.Since(at) > MaxStartAfterCancel {
 		startedAfterCancel = true
@@ -149,6 +151,9 @@
 func (l *RunChecker) Calm() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.disturbed {
+		l.startsExcusedUntil = time.Now().Add(contactTime)
+	}
 	l.disturbed, l.linksDisturbed, l.calmSince = false, false, time.Now()
 }
 
--- a/internal/fleet/fleettest/run_checker_test.go
+++ b/internal/fleet/fleettest/run_checker_test.go
@@ -192,5 +192,9 @@
 		require.Empty(t, l.Violations())
 		l.started(w, order(2), Task{}, false)
 		require.Len(t, l.Violations(), 1)
+		l.ended(w, order(2).RunRef, Task{}, fleet.EndStopped)
+		l.Calm()
+		l.started(w, order(3), Task{}, false)
+		require.Len(t, l.Violations(), 2)
 	})
 }
