--- a/internal/fleet/account.go
+++ b/internal/fleet/account.go
@@ -162,12 +162,18 @@
 	t.metrics.held.Set(float64(held))
 	waits := map[string]int{}
 	for _, w := range waiting {
-		waits[w.job.kind()] += len(w.tasks)
+		for _, i := range w.tasks {
+			if len(w.state().tasks[i].runs) == 0 {
+				waits[w.job.kind()]++
+			}
+		}
 	}
+	reasons := t.sumWaits()
+	t.metrics.recordWaits(reasons)
 	fields := logrus.Fields{"decision": "load", "capacity_cpu": capacity, "free_cpu": free, "services_cpu": servicesReserved,
 		"short_cpu": shortReserved, "filler_cpu": fillerDemand, "held_cpu": held, "waiting_short": waits[kindShort], "waiting_filler": waits[kindFiller],
 		"waiting_lasting": waits[kindLasting], "services": services, "services_at_work": atWork, "services_over_target": overTarget,
-		"fillers_slowed": slowed}
+		"fillers_slowed": slowed, "waits": reasons}
 	if !t.allRunsKnown() {
 		unaccounted, until := t.unaccountedWorkers()
 		fields["unaccounted_workers"], fields["unaccounted_ms"], fields["held_tasks"] = unaccounted, until.Sub(t.now).Milliseconds(), t.heldTasks()
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -39,6 +39,8 @@
 	AllRunsKnown   bool              `json:"knows_all"`
 	DataCentresOut []string          `json:"out,omitempty"` // data centres out of service
 	Waiting        []WaitingStepView `json:"waiting"`
+	// Waits sums up what tasks wait for, by reason.
+	Waits []WaitView `json:"waits"`
 	// WaitingSteps counts all waiting steps; Waiting lists the first ones in placement order.
 	WaitingSteps int `json:"waiting_steps"`
 	// Loop is the load of the leader's loop over the last 5 s.
@@ -166,10 +168,10 @@
 	if t.loaded {
 		waiting := t.collectWaitingSteps()
 		sortWaitingSteps(waiting)
-		v.WaitingSteps = len(waiting)
+		v.WaitingSteps, v.Waits = len(waiting), t.sumWaits()
 		for _, w := range waiting[:min(len(waiting), maxWaitingShown)] {
 			v.Waiting = append(v.Waiting, WaitingStepView{Job: w.job.id, Queue: w.queue.Name, Step: w.index, Tasks: len(w.tasks),
-				Waited: t.now.Sub(w.occurrence.steps[w.index].readyAt).Milliseconds(), Slack: w.slack.Milliseconds(), Reason: t.whyStepWaits(w)})
+				Waited: t.now.Sub(w.occurrence.steps[w.index].readyAt).Milliseconds(), Slack: w.slack.Milliseconds(), Reason: t.describeWait(w)})
 		}
 	}
 	if j := t.jobs[q.job]; j != nil {
@@ -190,61 +192,73 @@
 }
 
 // whyStepWaits returns why a waiting step is not placed.
-func (t *term) whyStepWaits(w *waitingStep) string {
+func (t *term) whyStepWaits(w *waitingStep) waitReason {
 	p := t.newPlacement(w.queue.Service)
 	switch {
 	case !t.active():
-		return "the leader gives no orders now"
+		return waitsForLeader
 	case len(p.workers) == 0:
-		return "no usable worker of service " + string(w.queue.Service)
+		return waitsForWorkers
 	case p.allowedTasks(w, heldCapacity{t.unaccountedServices(), t.shortWork}) == 0:
-		return "free capacity is kept for short work or for services of an earlier leader"
-	case w.queue.Advised && (w.occurrence.steps[w.index].advice == nil || len(w.occurrence.steps[w.index].advice.tickets) == 0):
-		return "no ticket of the advisor yet"
+		return waitsForHeldCapacity
+	case w.queue.Advised && (w.state().advice == nil || len(w.state().advice.tickets) == 0):
+		return waitsForTicket
 	}
-	furthest := lacksLabel // obstacle of the worker that meets the most conditions
-	r := taskRequest{step: w.step, tasksPerWorker: runsPerWorker(&w.occurrence.steps[w.index])}
-	for _, x := range p.workers {
-		furthest = max(furthest, p.obstacle(x, r))
+	_, missing := p.findWorker(taskRequest{step: w.step, tasksPerWorker: runsPerWorker(w.state())})
+	if missing == lacksNothing && w.step.Gang {
+		return waitsForGangCapacity
 	}
-	switch {
-	case furthest == lacksLabel:
-		return "no usable worker with label " + w.step.Label
-	case furthest == lacksTaskSlot:
-		return "each usable worker has as many tasks of the step as allowed"
-	case furthest == lacksCapacity:
-		return "no usable worker with room"
-	case w.step.Gang:
-		return "no room for all members at once"
-	case w.step.Filler:
-		return "too little left over beside reserved work"
+	return waitReasonOf(missing, w.step)
+}
+
+// describeWait describes why a waiting step is not placed.
+func (t *term) describeWait(w *waitingStep) string {
+	switch reason := t.whyStepWaits(w); reason {
+	case waitsForWorkers:
+		return waitTexts[reason].text + " " + string(w.queue.Service)
+	case waitsForLabel:
+		return waitTexts[reason].text + " " + w.step.Label
+	default:
+		return waitTexts[reason].text
 	}
-	return "behind more urgent work"
 }
 
-// whyJobWaits returns why no step of a job is placed; empty if none is waiting.
+// whyJobWaits describes why a job has tasks that are ready and not placed; empty if it has none.
 func (t *term) whyJobWaits(j *job) string {
-	q, known := t.queues[j.queue]
-	switch {
-	case j.over() || j.visibleState.Final():
+	if j.over() || j.visibleState.Final() {
 		return "over"
-	case j.inherited && !t.allRunsKnown():
-		return "workers that may hold its runs have not answered since the change of leader"
-	case !t.jobConfirmed(j):
-		return "its acceptance is not confirmed yet"
-	case j.cancellationUnread:
-		return "its cancellation in another cell is not read yet"
-	case !known:
-		return "no configuration has its queue"
-	case len(j.occurrences) == 0:
+	}
+	if gate := t.jobGate(j, t.allRunsKnown()); gate != waitsForNothing {
+		return waitTexts[gate].text
+	}
+	if len(j.occurrences) == 0 {
 		return "its time has not come"
 	}
 	for _, o := range j.occurrences {
-		if waiting := t.appendWaitingSteps(nil, j, o, q); len(waiting) > 0 {
-			return t.whyStepWaits(waiting[0])
+		if waiting := t.appendWaitingSteps(nil, j, o, t.queues[j.queue]); len(waiting) > 0 {
+			return t.describeWait(waiting[0])
+		}
+	}
+	return t.whyTasksAreGated(j)
+}
+
+// whyTasksAreGated describes what keeps the tasks of a job without a run out of the plan; empty if
+// there are none.
+func (t *term) whyTasksAreGated(j *job) string {
+	reason := waitsForNothing
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			if o.steps[i].readyAt.IsZero() {
+				continue
+			}
+			for n := range o.steps[i].tasks {
+				if tk := &o.steps[i].tasks[n]; !tk.done {
+					reason = max(reason, tk.gate(t.now))
+				}
+			}
 		}
 	}
-	return ""
+	return waitTexts[reason].text
 }
 
 var runStateNames = map[runState]string{runSent: "sent", runLive: "running", runUnconfirmed: "in doubt", runStopping: "stopping"}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -91,6 +91,8 @@
 	// readyAt is when all preceding steps were done; zero until then.
 	readyAt time.Time
 	advice  *stepAdvice
+	// waits is why the last plan did not place all startable tasks.
+	waits waitReason
 }
 
 // occurrence is one pass through the steps of a job.
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -15,7 +15,7 @@
 	commitSeconds, recoverySeconds                            prometheus.Observer
 	requestSeconds                                            *prometheus.HistogramVec
 	configuration                                             prometheus.Gauge
-	hostShare                                                 *prometheus.GaugeVec
+	hostShare, waitingTasks, longestWait                      *prometheus.GaugeVec
 	roundSeconds                                              prometheus.Observer
 	eventAge                                                  [eventClasses]prometheus.Observer
 }
@@ -29,6 +29,8 @@
 		leading:         m.Gauge("fleet", "leading", "Cells that this node leads.").WithLabelValues(),
 		cells:           m.Gauge("fleet", "cells", "Cells into which the fleet is divided.").WithLabelValues(),
 		waiting:         m.Gauge("fleet", "waiting_steps", "Steps with tasks that wait for a worker.").WithLabelValues(),
+		waitingTasks:    m.Gauge("fleet", "waiting_tasks", "Tasks that are ready and do not run, by what they wait for.", "reason"),
+		longestWait:     m.Gauge("fleet", "longest_wait_seconds", "Longest wait of these tasks since they were ready or ran last.", "reason"),
 		held:            m.Gauge("fleet", "held_milli_cpu", "Thousandths of a core that new services leave free for short work.").WithLabelValues(),
 		unaccounted:     m.Gauge("fleet", "unaccounted_workers", "Workers that may hold runs of earlier terms which the leader does not know.").WithLabelValues(),
 		configuration:   m.Gauge("fleet", "configuration_version", "Version of the configuration in force on this node.").WithLabelValues(),
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -41,9 +41,8 @@
 	now          time.Time
 	workers      []*worker
 	interference *interference
-	// unplaceableNeeds holds, by group, the smallest needs for which this plan has found no
-	// worker.
-	unplaceableNeeds map[demandGroup]model.Resources
+	// unplaceable holds, by group, the smallest needs for which this plan has found no worker.
+	unplaceable map[demandGroup]unplaceable
 	// reservedWorkers holds workers that are kept free for restarts of lasting tasks.
 	reservedWorkers map[*worker]bool
 }
@@ -93,24 +92,32 @@
 	return demandGroup{}
 }
 
-// knownUnplaceable reports whether this plan found no worker for a step with the same or
-// smaller needs. A plan only takes capacity, so it finds none for this step either.
-func (p *placement) knownUnplaceable(s *Step) bool {
-	need, ok := p.unplaceableNeeds[demandGroupOf(s)]
-	return ok && need.Fits(s.Needs)
+// unplaceable is what no worker was found for, and why.
+type unplaceable struct {
+	needs  model.Resources
+	reason waitReason
+}
+
+// knownUnplaceable returns why this plan found no worker for a step with the same or smaller
+// needs. A plan only takes capacity, so it finds none for this step either.
+func (p *placement) knownUnplaceable(s *Step) waitReason {
+	if u, ok := p.unplaceable[demandGroupOf(s)]; ok && u.needs.Fits(s.Needs) {
+		return u.reason
+	}
+	return waitsForNothing
 }
 
 // recordUnplaceable records that no worker was found for a step. Steps with further conditions
 // are not recorded, as steps with the same needs and without these conditions may still fit.
-func (p *placement) recordUnplaceable(s *Step) {
+func (p *placement) recordUnplaceable(s *Step, reason waitReason) {
 	if s.Label != "" || s.PerWorker > 0 || s.SameRack || s.Gang {
 		return
 	}
-	if p.unplaceableNeeds == nil {
-		p.unplaceableNeeds = map[demandGroup]model.Resources{}
+	if p.unplaceable == nil {
+		p.unplaceable = map[demandGroup]unplaceable{}
 	}
-	if need, ok := p.unplaceableNeeds[demandGroupOf(s)]; !ok || s.Needs.Fits(need) {
-		p.unplaceableNeeds[demandGroupOf(s)] = s.Needs
+	if u, ok := p.unplaceable[demandGroupOf(s)]; !ok || s.Needs.Fits(u.needs) {
+		p.unplaceable[demandGroupOf(s)] = unplaceable{s.Needs, reason}
 	}
 }
 
@@ -130,21 +137,31 @@
 	tickets map[model.WorkerID]string
 }
 
-// chooseWorker returns the best worker for a task, or nil. It packs tasks that reserve
-// processors tightly, which keeps capacity for large tasks, and spreads fillers over the
-// remaining capacity.
+// chooseWorker returns the best worker for a task, or nil.
 func (p *placement) chooseWorker(r taskRequest) *worker {
+	w, _ := p.findWorker(r)
+	return w
+}
+
+// findWorker returns the best worker for a task. It packs tasks that reserve processors tightly,
+// which keeps capacity for large tasks, and spreads fillers over the remaining capacity. If there
+// is none, it returns nil and the obstacle of the worker that meets the most conditions.
+func (p *placement) findWorker(r taskRequest) (*worker, obstacle) {
 	var best *worker
-	bestScore := 0.0
+	bestScore, furthest := 0.0, lacksLabel
 	for _, w := range p.workers {
-		if !p.feasible(w, r) {
+		if o := p.obstacle(w, r); o != lacksNothing {
+			furthest = max(furthest, o)
 			continue
 		}
 		if score := p.score(w, r); best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
 	}
-	return best
+	if best != nil {
+		return best, lacksNothing
+	}
+	return nil, furthest
 }
 
 // obstacle is the first condition of a task that a worker does not meet, in the order of
@@ -155,7 +172,9 @@
 	lacksLabel    obstacle = iota
 	lacksTaskSlot          // the worker has as many tasks of the step as allowed
 	lacksCapacity
-	failsOtherCondition // reserved worker, rack, ticket, probation, another run of the task or one that may crash the worker, or filler capacity
+	failsOtherCondition // reserved worker, rack, ticket, probation, another run of the task or one that may crash the worker
+	lacksSpareCapacity  // too few processors are left over for a filler
+	lacksHeadroom       // services do not bear the filler
 	lacksNothing
 )
 
@@ -178,21 +197,24 @@
 		w.health.onProbation() && w.hasTrialRun(),
 		!s.Lasting && r.task != nil && len(r.task.failed) > 0 && w.health.needsUntried(p.now),
 		r.task != nil && r.task.runsOn(w),
-		p.keptApart(w, r),
-		s.Filler && !p.fillerFits(w, s):
+		p.keptApart(w, r):
 		return failsOtherCondition
+	case s.Filler:
+		return p.fillerObstacle(w, s)
 	}
 	return lacksNothing
 }
 
-// fillerFits reports whether w has enough processor capacity for a filler and whether its
+// fillerObstacle returns lacksNothing if w has enough processor capacity for a filler and its
 // services tolerate the filler.
-func (p *placement) fillerFits(w *worker, s *Step) bool {
+func (p *placement) fillerObstacle(w *worker, s *Step) obstacle {
 	if float64(w.fillerCapacity()) < minFillerShare*float64(s.Needs.MilliCPU) {
-		return false
+		return lacksSpareCapacity
 	}
-	_, tolerated := p.interference.placementCost(w, s, p.now)
-	return tolerated
+	if _, tolerated := p.interference.placementCost(w, s, p.now); !tolerated {
+		return lacksHeadroom
+	}
+	return lacksNothing
 }
 
 // score rates a feasible worker.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -29,7 +29,16 @@
 	}
 	waiting := t.giveUpCrashingTasks(t.collectWaitingSteps())
 	t.observeShortWork(waiting)
+	for _, w := range waiting {
+		w.state().waits = waitsForMove
+	}
+	t.placeSteps(waiting)
 	t.logLoad(waiting)
+}
+
+// placeSteps moves jobs that another cell serves better and starts what finds a worker of the
+// others. It records why a step is not started.
+func (t *term) placeSteps(waiting []*waitingStep) {
 	held := heldCapacity{t.unaccountedServices(), t.shortWork}
 	waiting = t.moveJobs(waiting, held)
 	t.metrics.waiting.Set(float64(len(waiting)))
@@ -37,6 +46,9 @@
 		return
 	}
 	sortWaitingSteps(waiting)
+	for _, w := range waiting {
+		w.state().waits = waitsForTurn
+	}
 	pools := map[model.ServiceName]*placement{}
 	left := maxStartsPerPlan
 	for _, w := range waiting {
@@ -50,8 +62,15 @@
 			t.reserveForOtherCells(p, w.queue.Service)
 			pools[w.queue.Service] = p
 		}
-		w.tasks = w.tasks[:p.allowedTasks(w, held)] // the others wait for the next plan
-		if len(p.workers) > 0 && len(w.tasks) > 0 {
+		if len(p.workers) == 0 {
+			w.state().waits = waitsForWorkers
+			continue
+		}
+		if allowed := p.allowedTasks(w, held); allowed < len(w.tasks) {
+			w.state().waits = waitsForHeldCapacity
+			w.tasks = w.tasks[:allowed] // the others wait for the next plan
+		}
+		if len(w.tasks) > 0 {
 			started := t.placeStep(p, w)
 			left -= started
 			if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started {
@@ -103,18 +122,21 @@
 
 // placeStep starts as many tasks of a step as fit and returns their number.
 func (t *term) placeStep(p *placement, w *waitingStep) int {
-	if !w.restart && p.knownUnplaceable(w.step) {
+	if reason := p.knownUnplaceable(w.step); reason != waitsForNothing && !w.restart {
+		w.state().waits = reason
 		return 0
 	}
 	r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(&w.occurrence.steps[w.index]), restart: w.restart}
 	if w.queue.Advised {
 		if r.tickets = t.tickets(p, w); r.tickets == nil {
+			w.state().waits = waitsForTicket
 			return 0
 		}
 	}
 	if w.step.SameRack {
 		r.rack = t.chooseRack(p, w, r)
 		if r.rack == "" && w.step.Gang {
+			w.state().waits = waitsForGangCapacity
 			return 0
 		}
 	}
@@ -124,9 +146,10 @@
 	started := 0
 	for _, i := range w.tasks {
 		r.task = &w.occurrence.steps[w.index].tasks[i]
-		worker := p.chooseWorker(r)
+		worker, missing := p.findWorker(r)
 		if worker == nil {
-			p.recordUnplaceable(w.step)
+			w.state().waits = waitReasonOf(missing, w.step)
+			p.recordUnplaceable(w.step, w.state().waits)
 			break
 		}
 		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
@@ -177,13 +200,15 @@
 func (t *term) placeGang(p *placement, w *waitingStep, r taskRequest) int {
 	s := &w.occurrence.steps[w.index]
 	if len(w.tasks) != s.remaining {
+		s.waits = waitsForGangMembers
 		return 0
 	}
 	chosen := make([]*worker, 0, len(w.tasks))
 	for _, i := range w.tasks {
 		r.task = &s.tasks[i]
-		worker := p.chooseWorker(r)
+		worker, missing := p.findWorker(r)
 		if worker == nil {
+			s.waits = waitReasonOf(missing, w.step)
 			break
 		}
 		chosen = append(chosen, worker)
--- a/internal/fleet/waiting_steps.go
+++ b/internal/fleet/waiting_steps.go
@@ -47,6 +47,9 @@
 	restart bool
 }
 
+// state returns the state of the step.
+func (w *waitingStep) state() *stepState { return &w.occurrence.steps[w.index] }
+
 // key returns the key of the task with an index.
 func (w *waitingStep) key(i int) taskKey { return taskKey{w.occurrence.number, w.index, i} }
 
@@ -115,15 +118,11 @@
 	var waiting []*waitingStep
 	runsKnown := t.allRunsKnown()
 	for _, j := range t.jobs {
-		if j.over() || j.visibleState.Final() || (j.inherited && !runsKnown) || !t.jobConfirmed(j) || j.cancellationUnread {
-			continue
-		}
-		q, known := t.queues[j.queue]
-		if !known {
+		if j.over() || j.visibleState.Final() || t.jobGate(j, runsKnown) != waitsForNothing {
 			continue
 		}
 		for _, o := range j.occurrences {
-			waiting = t.appendWaitingSteps(waiting, j, o, q)
+			waiting = t.appendWaitingSteps(waiting, j, o, t.queues[j.queue])
 		}
 	}
 	return waiting
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -134,6 +134,9 @@
 	for _, dc := range f.DataCentresOut {
 		fmt.Fprintf(out, "data centre %s is out of service\n", dc)
 	}
+	if len(f.Waits) > 0 {
+		writeWaits(out, f.Waits)
+	}
 	if f.Job != nil {
 		writeJob(out, f.Job)
 	}
@@ -156,6 +159,17 @@
 	table(out, rows)
 }
 
+// writeWaits sums up what tasks wait for.
+func writeWaits(out io.Writer, waits []fleet.WaitView) {
+	fmt.Fprintln(out, "\ntasks that wait, by reason:")
+	var rows [][]string
+	for _, w := range waits {
+		rows = append(rows, []string{"  " + w.Reason, plural(w.Tasks, "task"), plural(w.IdleJobs, "job") + " without a run",
+			fmt.Sprintf("longest %d ms, of job %s", w.LongestMS, w.Job)})
+	}
+	table(out, rows)
+}
+
 func writeWaiting(out io.Writer, f *fleet.FleetView) {
 	fmt.Fprintf(out, "\n%s waiting", plural(f.WaitingSteps, "step"))
 	if f.WaitingSteps > len(f.Waiting) {
