--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -40,7 +41,7 @@
 // others. It records why a step is not started.
 func (t *term) placeSteps(waiting []*waitingStep) {
 	held := heldCapacity{t.unaccountedServices(), t.shortWork}
-	waiting = t.moveJobs(waiting, held)
+	waiting = t.moveJobs(slices.Clone(waiting), held)
 	t.metrics.waiting.Set(float64(len(waiting)))
 	if len(waiting) == 0 {
 		return
