--- /dev/null
+++ b/internal/fleet/idle_jobs.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Fillers start where services tolerate them at full pace; sharing the headroom of services among
+// more of them makes every job late. Under a standing backlog that leaves some jobs without any
+// run, for as long as others have the better claim. While less than half of the processors are
+// reserved, such a job gets one run at a pace that hardly disturbs: it yields to fillers at full
+// pace, and takes more only when they leave headroom.
+
+const (
+	// idleLimit and idleLimitOnTime are how long nothing of a job may have run, with a task ready,
+	// before one of its tasks starts at a reduced pace. Work that can still be on time waits longer,
+	// as it loses more on a worker with little headroom.
+	idleLimit       = 1000 * time.Millisecond
+	idleLimitOnTime = 1800 * time.Millisecond
+	// idlePace is the least pace, in percent, of a run that was started at a reduced one.
+	idlePace = 3
+	// maxReducedRuns bounds the runs with a reduced pace on one worker.
+	maxReducedRuns = 12
+	// idleReservedShare is the reserved share of the processors from which on idle jobs wait.
+	idleReservedShare = 0.5
+)
+
+// idleLimitOf returns how long the job of a step may be idle.
+func idleLimitOf(w *waitingStep) time.Duration {
+	if w.urgency == urgencyOnTime {
+		return idleLimitOnTime
+	}
+	return idleLimit
+}
+
+// mostlyFree reports whether less than idleReservedShare of the processors are reserved.
+func (p *placement) mostlyFree() bool {
+	reserved, capacity := int64(0), int64(0)
+	for _, w := range p.workers {
+		reserved += w.reserved.MilliCPU
+		capacity += w.info.Capacity.MilliCPU
+	}
+	return float64(reserved) < idleReservedShare*float64(capacity)
+}
+
+// startIdleJobs starts one task at a reduced pace for each job of which nothing has run for
+// idleLimit and for which the plan has found no worker, the longest idle first.
+func (t *term) startIdleJobs(p *placement, waiting []*waitingStep, limit int) {
+	if !p.mostlyFree() {
+		return
+	}
+	type idleStep struct {
+		step  *waitingStep
+		since time.Time
+	}
+	var idle []idleStep
+	for _, w := range waiting {
+		if t.queues[w.job.queue].Service != p.service || w.state().waits != waitsForHeadroom || w.queue.Advised || w.step.Gang || w.job.over() {
+			continue
+		}
+		if since, none := w.job.idleSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
+			idle = append(idle, idleStep{w, since})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleStep) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.job.id, b.step.job.id))
+	})
+	for _, i := range idle[:min(len(idle), limit)] {
+		w := i.step
+		if _, none := w.job.idleSince(); !none {
+			continue // another step of the job has started
+		}
+		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[w.tasks[0]], tasksPerWorker: runsPerWorker(w.state())}
+		if x, pace := p.findReducedPace(r); x != nil {
+			t.startReduced(w.job, w.key(w.tasks[0]), x, pace)
+		}
+	}
+}
+
+// findReducedPace returns the worker whose services tolerate the largest share of a filler that
+// none of them tolerates at full pace, and the pace in percent; nil if there is none.
+func (p *placement) findReducedPace(r taskRequest) (*worker, int) {
+	var best *worker
+	most := 0.0
+	for _, w := range p.workers {
+		if p.obstacle(w, r) != lacksHeadroom || !w.mayReduce() || p.interference.overTarget(w, p.now) {
+			continue
+		}
+		_, tolerated := p.interference.placementCost(w, r.step, p.now)
+		if best == nil || tolerated > most || (tolerated == most && w.reducedMilliCPU < best.reducedMilliCPU) {
+			best, most = w, tolerated
+		}
+	}
+	return best, max(roundPace(most), idlePace)
+}
+
+// mayReduce reports whether another filler may start on w at a reduced pace: one at a time, as a run
+// works at full pace until its first pace is set.
+func (w *worker) mayReduce() bool {
+	n := 0
+	for _, r := range w.runs {
+		if !r.reduced {
+			continue
+		}
+		if n++; n == maxReducedRuns || r.pace == 100 {
+			return false
+		}
+	}
+	return true
+}
+
+// startReduced starts a filler that is slowed down to a pace, in percent, as soon as it runs.
+func (t *term) startReduced(j *job, key taskKey, w *worker, pace int) {
+	_, tk := j.task(key)
+	r := t.startAttempt(j, key, w, "", j.nextAttempt(tk, t.number), tk.checkpoint)
+	r.startPace = pace
+	w.setReduced(r, true)
+}
+
+// reduceInPlace lets a paused filler go on at a reduced pace, if it is the only run of its job and
+// no worker tolerates it at full pace: stopped, it would start again at a reduced pace elsewhere.
+// It reports whether it does.
+func (t *term) reduceInPlace(v *interferenceView, r *run) bool {
+	o := r.job.openOccurrenceAt(r.key.occurrence)
+	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.hasOtherRun(r) || !r.worker.mayReduce() {
+		return false
+	}
+	p := t.newPlacement(r.worker.info.Service)
+	if !p.mostlyFree() || p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
+		return false
+	}
+	r.worker.setReduced(r, true)
+	return true
+}
+
+// hasOtherRun reports whether a run of the job other than r has not been ordered to stop.
+func (j *job) hasOtherRun(r *run) bool {
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for n := range o.steps[i].tasks {
+				if slices.ContainsFunc(o.steps[i].tasks[n].runs, func(other *run) bool { return other != r && other.live() }) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/idle_jobs_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// silentWorkers answers no order; tests deliver answers to the term themselves.
+type silentWorkers struct{}
+
+func (silentWorkers) Start(ctx context.Context, _ WorkerInfo, _ StartOrder) (WorkerReply, error) {
+	<-ctx.Done()
+	return WorkerReply{}, ctx.Err()
+}
+
+func (silentWorkers) Stop(ctx context.Context, _ WorkerInfo, _ RunRef, _ uint64) (WorkerReply, error) {
+	<-ctx.Done()
+	return WorkerReply{}, ctx.Err()
+}
+
+func (silentWorkers) Poll(ctx context.Context, _ WorkerInfo, _ PollOrder) (Report, error) {
+	<-ctx.Done()
+	return Report{}, ctx.Err()
+}
+
+func (silentWorkers) Pace(ctx context.Context, _ WorkerInfo, _ RunRef, _ int, _ uint64) (WorkerReply, error) {
+	<-ctx.Done()
+	return WorkerReply{}, ctx.Err()
+}
+
+// loadedTerm returns a term that may plan, without workers and jobs. Its orders get no answer.
+func loadedTerm(t interface{ Cleanup(func()) }) *term {
+	tm := newTestTerm(1)
+	tm.ctx, tm.cancel = context.WithCancel(context.Background())
+	t.Cleanup(tm.cancel)
+	tm.cfg.Workers = silentWorkers{}
+	tm.layout = &layout{Cells: 1}
+	tm.loaded, tm.runsKnown, tm.now, tm.lastRenewal = true, true, epoch, epoch
+	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second}
+	return tm
+}
+
+// addService adds a service to w with a headroom beside no fillers.
+func addService(tm *term, w *worker, index int, milliCPU int64, headroom float64) *run {
+	s := testRun(w, &Step{Count: 1, Lasting: true, Image: "s", LatencyTarget: 100 * time.Millisecond, Needs: model.Resources{MilliCPU: milliCPU}}, index)
+	s.lastSample = headroomSample{reportedAt: tm.now, headroom: headroom, baseline: headroom}
+	if headroom < 1 {
+		s.overTargetSince = tm.now
+	}
+	return s
+}
+
+// answerStarts confirms all starts and sets the paces that they were to get.
+func answerStarts(tm *term) {
+	for _, w := range tm.workers {
+		for _, r := range w.runs {
+			if r.state != runSent {
+				continue
+			}
+			pace := r.startPace
+			tm.confirmStart(r)
+			if pace > 0 {
+				paceReply{r, w, pace, nil}.handle(tm)
+			}
+		}
+	}
+}
+
+// While less than half of the processors are reserved, each job with a ready task has something
+// running within 2 s, in every order of submissions: with services over their targets and slow
+// workers beside others, with fillers of all sizes and with a backlog of 500 jobs.
+func TestEachJobRunsWhileProcessorsAreFree(t *testing.T) {
+	const bound = 2 * time.Second
+	heavy := modelOf(4, map[string]float64{"f": 8})
+	rapid.Check(t, func(t *rapid.T) {
+		tm := loadedTerm(t)
+		tm.interference.models["s"] = heavy
+		jobs := rapid.IntRange(1, 500).Draw(t, "jobs")
+		// Half of the reduced runs that fit, on workers whose services are within their targets.
+		sound := 1 + 2*jobs/maxReducedRuns
+		for i := range sound + rapid.IntRange(0, 20).Draw(t, "unsound") {
+			w := testWorker(fmt.Sprintf("w%03d", i))
+			w.info.Capacity.MemoryMB = 64_000
+			if rapid.Bool().Draw(t, "slow") {
+				w.health.runTimeRatio = 6
+			}
+			tm.workers[w.info.Worker] = w
+			headroom := rapid.Float64Range(1.01, 1.4).Draw(t, "headroom")
+			if i >= sound {
+				headroom = 0.8
+			}
+			addService(tm, w, 1000+i, rapid.Int64Range(500, 7500).Draw(t, "service"), headroom)
+		}
+		for range jobs {
+			needs := model.Resources{MilliCPU: rapid.Int64Range(1000, 8000).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(100, 2000).Draw(t, "memory")}
+			spec := Spec{Steps: []Step{{Count: rapid.IntRange(1, 20).Draw(t, "tasks"), Filler: true, Checkpoints: true, Image: "f", Needs: needs, Estimate: 3 * time.Second}}}
+			j := newJob(fmt.Sprintf("%016x", rapid.Uint64().Draw(t, "id")), jobRecord{Queue: "q", Spec: spec}, 0, epoch.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age"))*time.Second))
+			j.openOccurrence(0, time.Time{}, epoch)
+			tm.jobs[j.id] = j
+		}
+		for tm.now.Sub(epoch) < bound {
+			tm.plan()
+			answerStarts(tm)
+			tm.now = tm.now.Add(tickInterval)
+			tm.lastRenewal = tm.now
+		}
+		for _, j := range tm.jobs {
+			_, idle := j.idleSince()
+			require.False(t, idle, "job %s", j.id)
+		}
+		for _, w := range tm.workers {
+			require.False(t, w.free().Negative(), "memory of %s", w.info.Worker)
+			for _, r := range w.runs {
+				require.False(t, r.reduced && tm.interference.overTarget(w, tm.now), "beside a service over its target")
+			}
+		}
+	})
+}
+
+// Where services reserve the processors, fillers that no service tolerates at full pace wait.
+func TestNoReducedStartWhereServicesReserveMostProcessors(t *testing.T) {
+	tm := loadedTerm(t)
+	w := testWorker("w")
+	tm.workers["w"] = w
+	tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
+	addService(tm, w, 100, 8000, 1.2)
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 2, Filler: true, Image: "f", Needs: model.Resources{MilliCPU: 1800}}}}}, 0, epoch)
+	j.openOccurrence(0, time.Time{}, epoch)
+	tm.jobs["j"] = j
+	tm.now, tm.lastRenewal = at(5), at(5)
+	tm.plan()
+	require.Len(t, w.runs, 1)
+}
--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -200,7 +200,9 @@
 	// headroomSoon and headroomLater are the predicted headroom without fillers, above target
 	// and margin, at the next poll and while a new filler runs.
 	headroomSoon, headroomLater float64
-	fillerPressure              float64 // pressure of the present fillers at full pace
+	// fillerPressure is the pressure of the present fillers at full pace, without those that were
+	// started at a reduced pace, which yield to others. reducedPressure is that of the latter.
+	fillerPressure, reducedPressure float64
 }
 
 // interferenceView summarizes the services of a worker. It is dropped when the worker reports,
@@ -238,7 +240,8 @@
 		}
 		s := v.services[r.step.Image]
 		if s == nil {
-			s = &serviceState{model: m, headroomSoon: soon - keep, headroomLater: later - keep, fillerPressure: totalFillerPressure(m, w, now)}
+			s = &serviceState{model: m, headroomSoon: soon - keep, headroomLater: later - keep}
+			s.fillerPressure, s.reducedPressure = totalFillerPressure(m, w, now)
 			v.services[r.step.Image] = s
 		}
 		s.headroomSoon, s.headroomLater = min(s.headroomSoon, soon-keep), min(s.headroomLater, later-keep)
@@ -246,45 +249,58 @@
 	return v
 }
 
-// totalFillerPressure returns the pressure of all fillers on w at full pace.
-func totalFillerPressure(m *pressureModel, w *worker, now time.Time) float64 {
-	sum := 0.0
+// totalFillerPressure returns the pressure of the fillers on w at full pace, and that of those
+// that were started at a reduced pace.
+func totalFillerPressure(m *pressureModel, w *worker, now time.Time) (full, reduced float64) {
 	for _, r := range w.runs {
 		if r.step != nil && r.step.Filler && r.live() {
-			sum += m.plannedPressure(r.step.Image, now) * fillerShare(r.step, w)
+			p := m.plannedPressure(r.step.Image, now) * fillerShare(r.step, w)
+			if r.reduced {
+				reduced += p * float64(r.pace) / 100
+			} else {
+				full += p
+			}
 		}
 	}
-	return sum
+	return full, reduced
 }
 
-// placementCost returns the cost of one more filler on w, and whether its services tolerate
-// it. The cost is the share of the headroom that the filler takes, plus a part for the size
-// of the headroom, which fillers with more pressure may need.
-func (h *interference) placementCost(w *worker, s *Step, now time.Time) (float64, bool) {
+// placementCost returns the cost of one more filler on w at full pace, and the share of its full
+// speed, at most 1, that the services there tolerate. The cost is the share of the headroom that
+// the filler takes, plus a part for the size of the headroom, which fillers with more pressure may
+// need.
+func (h *interference) placementCost(w *worker, s *Step, now time.Time) (cost, tolerated float64) {
 	v := h.viewOf(w, now)
-	cost, share := 0.0, fillerShare(s, w)
+	share := fillerShare(s, w)
+	tolerated = 1
 	for _, svc := range v.services {
 		own := svc.model.plannedPressure(s.Image, now) * share
 		if !v.overTargetSince.IsZero() {
-			return 0, false
+			return 0, 0
 		}
 		if own < negligibleShare*svc.model.highestHeadroom {
 			cost = max(cost, headroomBias*max(svc.headroomLater, 0)/svc.model.highestHeadroom)
 			continue
 		}
 		available := svc.headroomLater
-		if available <= 0 || svc.fillerPressure+own > available {
-			return 0, false
+		if left := available - svc.fillerPressure; left < own {
+			tolerated = max(min(tolerated, (left-svc.reducedPressure)/own), 0)
+			continue
 		}
 		cost = max(cost, own/available+headroomBias*svc.headroomLater/svc.model.highestHeadroom)
 	}
-	return cost, true
+	return cost, tolerated
 }
 
 // headroomBias is the cost of a worker whose services have their highest headroom. That
 // headroom is better kept for fillers with high pressure.
 const headroomBias = 0.3
 
+// overTarget reports whether a service on w exceeds its latency target.
+func (h *interference) overTarget(w *worker, now time.Time) bool {
+	return !h.viewOf(w, now).overTargetSince.IsZero()
+}
+
 // dropStaleTrends drops the trends of steps without a report for trendMaxAge, which would be
 // reset at the next report anyway.
 func (h *interference) dropStaleTrends(now time.Time) {
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -15,6 +15,8 @@
 const (
 	// paceStep is the granularity of paces, in percent.
 	paceStep = 20
+	// fullPaceShare is the share of the full speed from which on a filler runs at full speed.
+	fullPaceShare = 0.95
 	// minPaceRaise is the least increase for which an order is sent, in percentage points.
 	minPaceRaise = 20
 	// paceCheckInterval is the interval at which the paces on a worker are checked between its
@@ -68,10 +70,12 @@
 		switch {
 		case pace < r.pace && (pace+paceStep < r.pace || t.now.Sub(r.paceSetAt) > paceLowerInterval || !v.overTargetSince.IsZero()):
 			t.setPace(r, pace)
-		case pace >= r.pace+minPaceRaise && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
+		case (pace >= r.pace+minPaceRaise || r.pace < idlePace) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
 			t.setPace(r, pace)
 		case r.pace == 0 && t.now.Sub(r.paceSetAt) > pausedTimeout && (r.step.Checkpoints || r.percent < maxRestartPercent):
-			t.stopRun(r, "disturbs")
+			if !t.reduceInPlace(v, r) {
+				t.stopRun(r, "disturbs")
+			}
 		}
 	}
 	w.lowHeadroom = lowHeadroom
@@ -146,9 +150,9 @@
 			factor = min(factor, headroom[s]/own)
 		}
 	}
-	pace := int(100*factor) / paceStep * paceStep
-	if factor >= 0.95 {
-		pace = 100
+	pace := roundPace(factor)
+	if r.reduced {
+		pace = max(pace, idlePace)
 	}
 	for _, s := range v.services {
 		headroom[s] = max(headroom[s]-s.model.plannedPressure(r.step.Image, t.now)*share*float64(pace)/100, 0)
@@ -156,6 +160,14 @@
 	return pace
 }
 
+// roundPace returns the pace in percent for a share of the full speed.
+func roundPace(share float64) int {
+	if share >= fullPaceShare {
+		return 100
+	}
+	return int(100*share) / paceStep * paceStep
+}
+
 // paceReply is the answer to a pace order.
 type paceReply struct {
 	run     *run
@@ -197,6 +209,7 @@
 	if e.err == nil {
 		r.slowed = r.slowedTime(t.now)
 		r.pace, r.paceSetAt = e.percent, t.now
+		r.worker.setReduced(r, r.reduced && e.percent < 100)
 		r.worker.exposures.set(r, fillerShare(r.step, r.worker)*float64(e.percent)/100, t.now)
 		return
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -39,6 +39,7 @@
 // placement holds the candidate workers of one plan.
 type placement struct {
 	now          time.Time
+	service      model.ServiceName
 	workers      []*worker
 	interference *interference
 	// unplaceable holds, by group, the smallest needs for which this plan has found no worker.
@@ -211,7 +212,7 @@
 	if float64(w.fillerCapacity()) < minFillerShare*float64(s.Needs.MilliCPU) {
 		return lacksSpareCapacity
 	}
-	if _, tolerated := p.interference.placementCost(w, s, p.now); !tolerated {
+	if _, tolerated := p.interference.placementCost(w, s, p.now); tolerated < 1 {
 		return lacksHeadroom
 	}
 	return lacksNothing
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -83,11 +83,14 @@
 			t.lendUnplaced(w)
 		}
 	}
+	for _, p := range pools {
+		t.startIdleJobs(p, waiting, left)
+	}
 }
 
 // newPlacement returns a placement over the usable workers of a service.
 func (t *term) newPlacement(service model.ServiceName) *placement {
-	p := &placement{now: t.now, interference: &t.interference}
+	p := &placement{now: t.now, service: service, interference: &t.interference}
 	for _, w := range t.workers {
 		if w.info.Service == service && t.unusableReason(w) == "" {
 			p.workers = append(p.workers, w)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -35,7 +35,7 @@
 
 // startAttempt starts a task with a given attempt number and checkpoint, which the members
 // of a gang share.
-func (t *term) startAttempt(j *job, key taskKey, w *worker, ticket string, attempt int, checkpoint string) {
+func (t *term) startAttempt(j *job, key taskKey, w *worker, ticket string, attempt int, checkpoint string) *run {
 	occ, tk := j.task(key)
 	step := &j.spec.Steps[key.step]
 	tk.attempt = attempt
@@ -63,6 +63,7 @@
 		"dc": w.info.DataCentre, "free_cpu": w.free().MilliCPU, "waited_ms": t.waitTime(j, key).Milliseconds(), "idle_ms": idle.Milliseconds(),
 		"seen_ms_ago": t.now.Sub(w.clockAt).Milliseconds(), "reason": startReason(tk, step)}).Info("start order sent")
 	go t.sendStart(r, w, w.info, o, t.answerTimeout.timeout())
+	return r
 }
 
 // waitTime returns the time since the task's step became ready.
@@ -132,6 +133,10 @@
 	if r.state == runSent || r.state == runUnconfirmed {
 		r.state, r.stateSince = runLive, t.now
 		r.progressAt = t.now
+		if r.startPace > 0 {
+			t.setPace(r, r.startPace)
+			r.startPace = 0
+		}
 	}
 }
 
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -63,7 +63,11 @@
 	overTargetSince time.Time
 	lastSample      headroomSample
 	// pace is the share of its full speed at which a filler may work, in percent.
-	pace         int
+	pace int
+	// startPace is the pace that is set once the run has started; 0 for full pace. reduced means
+	// that the run was started at a reduced pace and has not reached the full one.
+	startPace    int
+	reduced      bool
 	paceInFlight bool
 	paceSetAt    time.Time
 	slowed       time.Duration // time lost to slower paces before paceSetAt
@@ -97,6 +101,8 @@
 	reserved       model.Resources
 	// fillerMilliCPU is the processor demand of filler runs in thousandths of a core.
 	fillerMilliCPU int64
+	// reducedMilliCPU is the part of it for runs that were started at a reduced pace.
+	reducedMilliCPU int64
 	// servingMilliCPU is the processor capacity that lasting runs reserve, in thousandths of
 	// a core.
 	servingMilliCPU int64
@@ -239,9 +245,10 @@
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.reserved) }
 
 // fillerCapacity returns the processor capacity for one more filler: what is not reserved,
-// plus what services reserve but do not use on average, less the demand of present fillers.
+// plus what services reserve but do not use on average, less the demand of present fillers that
+// do not yield to it.
 func (w *worker) fillerCapacity() int64 {
-	return w.free().MilliCPU + int64((1-servingUseShare)*float64(w.servingMilliCPU)) - w.fillerMilliCPU
+	return w.free().MilliCPU + int64((1-servingUseShare)*float64(w.servingMilliCPU)) - w.fillerMilliCPU + w.reducedMilliCPU
 }
 
 // departedIdle reports whether the worker has left the list and certainly holds nothing: it runs
@@ -283,6 +290,7 @@
 	delete(w.runs, r.ref)
 	w.interferenceView = nil
 	w.reserved = w.reserved.Sub(r.reserved)
+	w.setReduced(r, false)
 	if r.step != nil && r.step.Filler {
 		w.fillerMilliCPU -= r.step.Needs.MilliCPU
 		w.exposures.set(r, 0, now)
@@ -292,6 +300,19 @@
 	}
 }
 
+// setReduced sets whether a run on the worker was started at a reduced pace and yields to others.
+func (w *worker) setReduced(r *run, reduced bool) {
+	if r.reduced == reduced {
+		return
+	}
+	r.reduced, w.interferenceView = reduced, nil
+	if reduced {
+		w.reducedMilliCPU += r.step.Needs.MilliCPU
+	} else {
+		w.reducedMilliCPU -= r.step.Needs.MilliCPU
+	}
+}
+
 // hasLabel reports whether the worker carries a label.
 func (w *worker) hasLabel(label string) bool { return hasLabel(w.info.Labels, label) }
 
