--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -138,3 +138,25 @@
 	tm.plan()
 	require.Len(t, w.runs, 1)
 }
+
+// A leader stopped the fillers that an earlier one had started as paused for too long, when it had
+// not set their pace yet.
+func TestAdoptedFillerIsPausedBeforeItIsStopped(t *testing.T) {
+	tm := loadedTerm(t)
+	w := testWorker("w")
+	tm.workers["w"] = w
+	tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
+	addService(tm, w, 100, 8000, 1.01)
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Filler: true, Checkpoints: true, Image: "f", Needs: model.Resources{MilliCPU: 1800}}}}}, 0, epoch)
+	j.openOccurrence(0, time.Time{}, epoch)
+	tm.jobs["j"] = j
+	r := tm.adopt(w, RunStatus{RunRef: RunRef{"j.0.0.0", 1}})
+	tm.adjustPaces(w)
+	require.Equal(t, runLive, r.state)
+	require.True(t, r.paceInFlight)
+	paceReply{r, w, 0, nil}.handle(tm)
+	tm.now = tm.now.Add(pausedTimeout + time.Millisecond)
+	w.pacesDue = true
+	tm.adjustPaces(w)
+	require.Equal(t, runStopping, r.state)
+}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -68,6 +68,8 @@
 		pace := t.paceFor(v, r, headroom)
 		lowHeadroom = lowHeadroom || pace < 100
 		switch {
+		case r.paceUnknown:
+			t.setPace(r, pace)
 		case pace < r.pace && (pace+paceStep < r.pace || t.now.Sub(r.paceSetAt) > paceLowerInterval || !v.overTargetSince.IsZero()):
 			t.setPace(r, pace)
 		case (pace >= r.pace+minPaceRaise || r.pace < idlePace) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
@@ -208,7 +210,7 @@
 	}
 	if e.err == nil {
 		r.slowed = r.slowedTime(t.now)
-		r.pace, r.paceSetAt = e.percent, t.now
+		r.pace, r.paceSetAt, r.paceUnknown = e.percent, t.now, false
 		r.worker.setReduced(r, r.reduced && e.percent < 100)
 		r.worker.exposures.set(r, fillerShare(r.step, r.worker)*float64(e.percent)/100, t.now)
 		return
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -255,7 +255,7 @@
 		r.step = &j.spec.Steps[key.step]
 		r.reserved = r.step.Reserved()
 		if r.step.Filler {
-			r.pace = 0 // unknown; it is set as for a paused run
+			r.pace, r.paceUnknown = 0, true
 		}
 	}
 	w.attach(r, t.now)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -68,6 +68,7 @@
 	// that the run was started at a reduced pace and has not reached the full one.
 	startPace    int
 	reduced      bool
+	paceUnknown  bool // an earlier term has set it; pace is 0
 	paceInFlight bool
 	paceSetAt    time.Time
 	slowed       time.Duration // time lost to slower paces before paceSetAt
