--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // Fillers start where services tolerate them at full pace; sharing the headroom of services among
 // more of them makes every job late. Under a standing backlog that leaves some jobs without any
-// run, for as long as others have the better claim. While less than half of the processors are
+// run, for as long as others have the better claim. While little more than half of the processors are
 // reserved, such a job gets one run at a pace that hardly disturbs: it yields to fillers at full
 // pace, and takes more only when they leave headroom.
 
@@ -22,8 +24,9 @@
 	idlePace = 3
 	// maxReducedRuns bounds the runs with a reduced pace on one worker.
 	maxReducedRuns = 12
-	// idleReservedShare is the reserved share of the processors from which on idle jobs wait.
-	idleReservedShare = 0.5
+	// idleReservedShare is the reserved share of the processors from which on idle jobs wait. By
+	// contract a job may idle only where half of them are reserved.
+	idleReservedShare = 0.55
 )
 
 // idleLimitOf returns how long the job of a step may be idle.
@@ -34,12 +37,15 @@
 	return idleLimit
 }
 
-// mostlyFree reports whether less than idleReservedShare of the processors are reserved.
-func (p *placement) mostlyFree() bool {
+// mostlyFree reports whether less than idleReservedShare of a service's processors are reserved.
+// Workers that get no work for the moment count too.
+func (t *term) mostlyFree(service model.ServiceName) bool {
 	reserved, capacity := int64(0), int64(0)
-	for _, w := range p.workers {
-		reserved += w.reserved.MilliCPU
-		capacity += w.info.Capacity.MilliCPU
+	for _, w := range t.workers {
+		if w.listed && w.info.Service == service {
+			reserved += w.reserved.MilliCPU
+			capacity += w.info.Capacity.MilliCPU
+		}
 	}
 	return float64(reserved) < idleReservedShare*float64(capacity)
 }
@@ -47,7 +53,7 @@
 // startIdleJobs starts one task at a reduced pace for each job of which nothing has run for
 // idleLimit and for which the plan has found no worker, the longest idle first.
 func (t *term) startIdleJobs(p *placement, waiting []*waitingStep, limit int) {
-	if !p.mostlyFree() {
+	if !t.mostlyFree(p.service) {
 		return
 	}
 	type idleStep struct {
@@ -127,7 +133,7 @@
 		return false
 	}
 	p := t.newPlacement(r.worker.info.Service)
-	if !p.mostlyFree() || p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
+	if !t.mostlyFree(p.service) || p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
 		return false
 	}
 	r.worker.setReduced(r, true)
