--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -24,6 +24,8 @@
 	idlePace = 3
 	// maxReducedRuns bounds the runs with a reduced pace on one worker.
 	maxReducedRuns = 12
+	// maxUnprovenRuns bounds the runs of a job at a reduced pace whose tasks may be done.
+	maxUnprovenRuns = 3
 	// idleReservedShare is the reserved share of the processors from which on idle jobs wait. By
 	// contract a job may idle only where half of them are reserved.
 	idleReservedShare = 0.55
@@ -65,7 +67,7 @@
 		if t.queues[w.job.queue].Service != p.service || w.state().waits != waitsForHeadroom || w.queue.Advised || w.step.Gang || w.job.over() {
 			continue
 		}
-		if since, none := w.job.idleSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
+		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
 			idle = append(idle, idleStep{w, since})
 		}
 	}
@@ -74,16 +76,52 @@
 	})
 	for _, i := range idle[:min(len(idle), limit)] {
 		w := i.step
-		if _, none := w.job.idleSince(); !none {
+		if since, none := w.job.unprovenSince(); !none || since != i.since {
 			continue // another step of the job has started
 		}
-		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[w.tasks[0]], tasksPerWorker: runsPerWorker(w.state())}
+		task := w.undoneTask()
+		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[task], tasksPerWorker: runsPerWorker(w.state())}
 		if x, pace := p.findReducedPace(r); x != nil {
-			t.startReduced(w.job, w.key(w.tasks[0]), x, pace)
+			t.startReduced(w.job, w.key(task), x, pace)
 		}
 	}
 }
 
+// undoneTask returns a task of the step that is certainly not done, else any.
+func (w *waitingStep) undoneTask() int {
+	for _, i := range w.tasks {
+		if !w.state().tasks[i].mayBeDone {
+			return i
+		}
+	}
+	return w.tasks[0]
+}
+
+// unprovenSince is like idleSince, but runs at a reduced pace of tasks that may be done already do
+// not count, up to maxUnprovenRuns of them.
+func (j *job) unprovenSince() (since time.Time, unproven bool) {
+	if since, unproven = j.idleSince(); unproven {
+		return since, true
+	}
+	n := 0
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			for k := range o.steps[i].tasks {
+				tk := &o.steps[i].tasks[k]
+				for _, r := range tk.runs {
+					if n++; !r.reduced || !tk.mayBeDone || n == maxUnprovenRuns {
+						return time.Time{}, false
+					}
+					if r.startedAt.After(since) {
+						since = r.startedAt
+					}
+				}
+			}
+		}
+	}
+	return since, n > 0
+}
+
 // findReducedPace returns the worker whose services tolerate the largest share of a filler that
 // none of them tolerates at full pace, and the pace in percent; nil if there is none.
 func (p *placement) findReducedPace(r taskRequest) (*worker, int) {
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -316,6 +316,7 @@
 		return
 	}
 	t.dropRun(tk, r)
+	tk.mayBeDone = tk.mayBeDone || r.answered
 	r.job.leaseExpired = r.job.leaseExpired || reason == reasonLeaseOver
 	t.saveCheckpoint(r.job, tk, r, r.checkpoint)
 	tk.account.endRun(r, false, tk.checkpoint != "", t.now)
@@ -366,7 +367,9 @@
 	if tk == nil {
 		return
 	}
-	tk.attempt = max(tk.attempt, e.Attempt)
+	if e.Attempt >= tk.attempt {
+		tk.attempt, tk.mayBeDone = e.Attempt, false
+	}
 	t.withdrawCrash(j, tk, e.Attempt)
 	j.dirty = true
 	j.started, j.begun = true, true // an earlier term may have started it without storing that
