--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -69,7 +69,7 @@
 		return 0, err
 	}
 	c := d.cellOf(id)
-	row := Row{RowID: d.layout.jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.estimate()})}
+	row := Row{RowID: d.layout.jobRow(id), Value: encode(jobRecord{Queue: q.Name, Spec: spec, AcceptedAt: n.clock.estimate(), Settings: q.settings()})}
 	if len(row.Value) > n.cfg.Limits.RowBytes && n.cfg.Limits.RowBytes > 0 {
 		return 0, model.Errorf(model.KindInvalid, "send smaller jobs", "job of %d bytes exceeds a row", len(row.Value))
 	}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -279,7 +279,8 @@
 
 // movedJobRecord returns the record of a job for the cell to which it moves.
 func (t *term) movedJobRecord(j *job) jobRecord {
-	r := jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedStoreTime, PreviousCells: append(slices.Clone(j.previousCells), t.cell)}
+	r := jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedStoreTime, PreviousCells: append(slices.Clone(j.previousCells), t.cell),
+		Settings: t.queueSettings(j.queue)}
 	if j.started || j.inherited {
 		p := j.progress()
 		p.MovedTo, p.MoveStored = 0, false
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -64,6 +64,30 @@
 	Progress *progressRecord `cbor:"5,keyasint,omitempty"`
 	// AttemptBase is the highest attempt number that previous cells may have used.
 	AttemptBase int `cbor:"6,keyasint,omitempty"`
+	// Settings are those of the queue, by which the job runs should the configuration drop the
+	// queue. It is nil in rows of older versions.
+	Settings *queueSettings `cbor:"7,keyasint,omitempty"`
+}
+
+// queueSettings is the stored form of what a queue's jobs run by.
+type queueSettings struct {
+	_           struct{} `cbor:",toarray"`
+	Service     model.ServiceName
+	Priority    int
+	MaxAttempts int
+	Stretch     float64
+	Objective   time.Duration
+	Advised     bool
+}
+
+// settings returns the stored form of q.
+func (q Queue) settings() *queueSettings {
+	return &queueSettings{Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Objective: q.Objective, Advised: q.Advised}
+}
+
+// queue returns the queue with a name and these settings. It routes no requests.
+func (s *queueSettings) queue(name string) Queue {
+	return Queue{Name: name, Service: s.Service, Priority: s.Priority, MaxAttempts: s.MaxAttempts, Stretch: s.Stretch, Objective: s.Objective, Advised: s.Advised}
 }
 
 // taskRecord is the stored form of a task that differs from its initial state.
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -88,6 +88,7 @@
 		j.restore(*r.Progress, t.now, t.monotonicTime)
 	}
 	t.jobs[j.id] = j
+	t.restoreQueue(r)
 	t.confirmationDue = t.confirmationDue || !t.jobConfirmed(j)
 	j.openDue(t.now, 0, t.monotonicTime)
 	t.planDue = true
@@ -441,3 +442,18 @@
 	}
 	t.log.WithFields(logrus.Fields{"decision": "configuration", "version": c.Version, "queues": len(c.Queues)}).Info("configuration applied")
 }
+
+// restoreQueue restores the queue of a stored job that the configuration of this term lacks.
+func (t *term) restoreQueue(r jobRecord) {
+	if _, known := t.queues[r.Queue]; !known && r.Settings != nil {
+		t.queues[r.Queue] = r.Settings.queue(r.Queue)
+	}
+}
+
+// queueSettings returns the settings of a queue; nil if the term does not know it.
+func (t *term) queueSettings(name string) *queueSettings {
+	if q, known := t.queues[name]; known {
+		return q.settings()
+	}
+	return nil
+}
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -148,7 +148,7 @@
 		path = append(path, t.cell) // uses up all moves, so that the borrowed task stays
 	}
 	return jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedStoreTime, PreviousCells: path, Progress: &p,
-		AttemptBase: j.attemptBase + int(t.number)*attemptsPerTerm}
+		AttemptBase: j.attemptBase + int(t.number)*attemptsPerTerm, Settings: t.queueSettings(j.queue)}
 }
 
 // acceptLentTask applies the row of a task that another cell has lent, and reports whether
