--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -295,6 +295,9 @@
 		w.info = info
 	}
 	w.listed, w.rack = true, rackOf(info.Labels)
+	if w.answered && w.unansweredCalls == 0 && !w.usedRowStored {
+		t.markUsed(w) // its reports came while it was not listed
+	}
 }
 
 // unlistWorker records that a worker is no longer in the list. Its runs may continue.
