--- /dev/null
+++ b/internal/fleet/gates_decisions_test.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// gangTerm returns a term with a gang of two whose members run on one worker each.
+func gangTerm(t *testing.T, step Step) (*term, *job, []*run) {
+	t.Helper()
+	tm := newTestTerm(1)
+	tm.now, tm.lastRenewal, tm.loaded, tm.layout = at(10), at(10), true, &layout{Cells: 1}
+	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2}
+	step.Count, step.Gang, step.Needs = 2, true, model.Resources{MilliCPU: 1000}
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, epoch)
+	j.openOccurrence(0, time.Time{}, at(1))
+	j.started = true
+	tm.jobs["j"] = j
+	var runs []*run
+	for i, id := range []string{"v", "w"} {
+		w := testWorker(id)
+		w.observeClock(time.Second, at(10))
+		w.lastPollSent = at(10)
+		tm.workers[w.info.Worker] = w
+		r := testRun(w, &j.spec.Steps[0], i)
+		r.job, r.progressAt, r.stopInFlight = j, at(10), true
+		tk := &j.occurrences[0].steps[0].tasks[i]
+		tk.runs, tk.attempt = append(tk.runs, r), 1
+		runs = append(runs, r)
+	}
+	return tm, j, runs
+}
+
+// A gang of which one member was lost waited until the others ended by themselves: members that
+// have done their part wait for the lost one, and lasting ones never end.
+func TestGangStartsAgainAfterMemberIsLost(t *testing.T) {
+	for name, step := range map[string]Step{"short": {}, "lasting": {Lasting: true}} {
+		t.Run(name, func(t *testing.T) {
+			tm, j, runs := gangTerm(t, step)
+			tm.checkRuns()
+			require.True(t, runs[1].live(), "a complete gang goes on")
+			tm.loseRuns(runs[0].worker, reasonLeaseOver)
+			for range 2 * time.Second / tickInterval {
+				tm.now = tm.now.Add(tickInterval)
+				tm.lastRenewal = tm.now
+				tm.checkRuns()
+			}
+			require.Equal(t, runStopping, runs[1].state)
+			tm.applyEnd(runs[1].worker, RunEnd{Number: 1, RunRef: runs[1].ref, How: EndStopped})
+			waiting := tm.appendWaitingSteps(nil, j, j.occurrences[0], tm.queues["q"])
+			require.Len(t, waiting, 1)
+			require.Len(t, waiting[0].tasks, 2, "all members start together")
+		})
+	}
+}
+
+// A member whose run is not known yet after a change of leader is not lost.
+func TestInheritedGangIsNotStoppedBeforeItsRunsAreKnown(t *testing.T) {
+	tm, j, runs := gangTerm(t, Step{})
+	j.inherited = true
+	unknown := testWorker("u")
+	unknown.answered, unknown.inherited, unknown.inheritedLeaseEnd = false, true, at(15)
+	tm.workers["u"] = unknown
+	tm.markLost(runs[0], "missing")
+	tm.checkRuns()
+	require.True(t, runs[1].live())
+	tm.confirmedAt = at(16)
+	tm.checkRuns()
+	require.Equal(t, runStopping, runs[1].state)
+}
--- a/internal/fleet/run_checks.go
+++ b/internal/fleet/run_checks.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -124,6 +125,8 @@
 
 func (t *term) checkRun(w *worker, r *run) {
 	switch {
+	case r.step.Gang && t.lacksMember(r):
+		t.stopRun(r, "member-lost") // the members start again together
 	case r.step.Lasting:
 		if r.percent < readyPercent && t.now.Sub(r.startedAt) > startupTimeout && w.lastPollSent.Sub(r.progressAt) > busyHungTimeout {
 			t.stopHungRun(w, r)
@@ -139,6 +142,16 @@
 	}
 }
 
+// lacksMember reports whether a member of the gang of r has certainly no run.
+func (t *term) lacksMember(r *run) bool {
+	o := r.job.openOccurrenceAt(r.key.occurrence)
+	if o == nil || (r.job.inherited && !t.allRunsKnown()) {
+		return false
+	}
+	tasks := o.steps[r.key.step].tasks
+	return slices.ContainsFunc(tasks, func(tk task) bool { return !tk.done && len(tk.runs) == 0 })
+}
+
 // isStalled reports whether a run without progress since the given time counts as hung at
 // the worker's last answered poll.
 func isStalled(w *worker, r *run, since time.Time) bool {
