--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -230,14 +230,23 @@
 	return w
 }
 
+// AddWorkerAt starts a worker at the address of a former one, and writes its entry to the store.
+func (c *Cluster) AddWorkerAt(id, addr string) *Worker {
+	w := c.startWorkerAt(id, addr)
+	c.List(w)
+	return w
+}
+
 // StartWorker starts a worker, or a new lifetime of it, whose entry is not written yet.
-func (c *Cluster) StartWorker(id string) *Worker {
+func (c *Cluster) StartWorker(id string) *Worker { return c.startWorkerAt(id, id+":1") }
+
+func (c *Cluster) startWorkerAt(id, addr string) *Worker {
 	c.Workers.mu.Lock()
 	c.lastBorn++
 	born := c.lastBorn
 	c.Workers.mu.Unlock()
 	info := fleet.WorkerInfo{
-		Lifetime: fleet.Lifetime{Worker: model.WorkerID(id), Born: born}, Addr: id + ":1", DataCentre: model.DataCentre("dc" + id[len(id)-1:]),
+		Lifetime: fleet.Lifetime{Worker: model.WorkerID(id), Born: born}, Addr: addr, DataCentre: model.DataCentre("dc" + id[len(id)-1:]),
 		Service: Service, Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}, Labels: []string{"a", "r" + id[len(id)-1:]},
 	}
 	w := c.Workers.Add(info)
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -117,7 +117,7 @@
 		if t.storeClock.at.Before(knownSince) {
 			continue
 		}
-		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.answered || w.runsRecorded}
+		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.answered || w.runsKnown}
 		for ref := range w.runs {
 			record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
 		}
@@ -140,7 +140,7 @@
 // recordedWorkers counts the workers whose runs an earlier term has recorded, and these runs.
 func (t *term) recordedWorkers() (workers, runs int) {
 	for _, w := range t.workers {
-		if w.runsRecorded {
+		if w.runsKnown {
 			workers++
 			runs += len(w.runs)
 		}
@@ -156,7 +156,7 @@
 		return
 	}
 	w.inheritedLeaseEnd = readAt.Add(r.End - storeNow)
-	w.runsRecorded = r.RunsKnown
+	w.runsKnown = r.RunsKnown
 	for _, s := range r.Runs {
 		t.adopt(w, RunStatus{RunRef: RunRef{s.Task, s.Attempt}})
 	}
--- a/internal/fleet/unaccounted.go
+++ b/internal/fleet/unaccounted.go
@@ -37,7 +37,7 @@
 		// Tasks may be done by ends that are not listed yet; if w falls silent, its lease decides.
 		return w.unansweredCalls > 0 && t.confirmedAt.After(w.leaseEnd())
 	}
-	return w.answered || w.runsRecorded || t.confirmedAt.After(w.inheritedLeaseEnd)
+	return w.answered || w.runsKnown || t.confirmedAt.After(w.inheritedLeaseEnd)
 }
 
 // heldTasks counts the tasks without a known run that wait until all runs of earlier terms are
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -136,8 +136,9 @@
 	// leaseRecordTerm is the term whose lease record the worker's row of tableUsed holds; 0 for none.
 	// While there is one, leases are not extended and nothing starts on the worker.
 	leaseRecordTerm uint64
-	// runsRecorded means that an earlier term has recorded all runs of the worker.
-	runsRecorded bool
+	// runsKnown means that no run of earlier terms on the worker is unknown although it has not
+	// answered: one of them has recorded its runs, or another worker has taken its address.
+	runsKnown bool
 	// leaseEndAtStop is the end of the leases when the term began to release leadership.
 	leaseEndAtStop time.Time
 
