--- a/internal/fleet/gates_decisions_test.go
+++ b/internal/fleet/gates_decisions_test.go
@@ -72,3 +72,31 @@
 	tm.checkRuns()
 	require.Equal(t, runStopping, runs[1].state)
 }
+
+// Runs that a term had lost because another worker had taken the address were taken for running by
+// the next term, from the former leader's record: their tasks waited for the end of the lease again.
+func TestNextTermAdoptsNoRunOfTakenAddress(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.loaded, tm.lastRenewal, tm.storeClock = at(2), true, at(2), storeReading{100 * time.Second, at(2)}
+	w := testWorker("w")
+	w.observeClock(time.Second, at(1))
+	w.unansweredCalls, w.listed = unreachableCalls, false
+	tm.workers["w"] = w
+	testRun(w, &Step{Count: 1}, 0)
+	stored := map[string][]byte{}
+	store := func() {
+		c, _ := tm.collectTransaction()
+		for _, r := range c.tx.Puts {
+			stored[r.Key] = r.Value
+		}
+		for _, id := range c.tx.Delete {
+			delete(stored, id.Key)
+		}
+	}
+	store()
+	require.Len(t, stored, 1, "the run is recorded")
+	tm.now = at(2.1)
+	tm.handleReplacedLifetime(w)
+	store()
+	require.Empty(t, stored)
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -150,6 +150,7 @@
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "replaced", "runs": len(w.runs)}).Warn("another worker has taken the address; the runs are lost")
 	t.loseRuns(w, reasonRestarted)
 	w.runsKnown = true // none, those of earlier terms included
+	t.markUnused(w)
 	w.countUnanswered(t.now)
 	w.nextPoll = t.now.Add(unreachablePollPause)
 	t.planDue = true
