--- a/internal/fleet/gates_decisions_test.go
+++ b/internal/fleet/gates_decisions_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -100,3 +101,26 @@
 	store()
 	require.Empty(t, stored)
 }
+
+// The task of a start without an answer waited for good on a worker that reports but leaves stops
+// unanswered.
+func TestStartInDoubtEndsWithoutAnswerToItsStop(t *testing.T) {
+	tm, w := waitTerm(t, "j")
+	j := tm.jobs["j"]
+	waitRun(w, j, runUnconfirmed)
+	tk := &j.occurrences[0].steps[0].tasks[0]
+	r := tk.runs[0]
+	sent := tm.now
+	r.startedAt, r.stateSince, r.stopInFlight = sent, sent, true
+	last := sent.Add(answerTimeoutMax + maxOrderDelay) // until then the worker may carry it out
+	for len(tk.runs) > 0 && tm.now.Before(last.Add(2*pollWait)) {
+		tm.now = tm.now.Add(pollWait)
+		tm.lastRenewal = tm.now
+		w.pollInFlight = true
+		pollReply{worker: w, sent: tm.now.Add(-answerTimeoutMin), report: Report{Verdict: StartRunning, Clock: tm.now.Sub(epoch)}, probe: true}.handle(tm)
+		stopReply{r, w, WorkerReply{}, context.DeadlineExceeded}.handle(tm)
+		r.stopInFlight = true
+	}
+	require.Empty(t, tk.runs)
+	require.True(t, tm.now.After(last))
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -317,6 +317,8 @@
 			if r.stopAnswered {
 				t.settleUnansweredStart(w, ref)
 				t.markLost(r, "stopped-unseen")
+			} else if e.sent.After(r.startArrivesBy()) {
+				t.markLost(r, "missing")
 			}
 		}
 	}
--- a/internal/fleet/unanswered_starts.go
+++ b/internal/fleet/unanswered_starts.go
@@ -20,6 +20,9 @@
 // the users' platform up to 12 s.
 const maxOrderDelay = 12 * time.Second
 
+// startArrivesBy returns until when a worker may carry out the start order of a run.
+func (r *run) startArrivesBy() time.Time { return r.startedAt.Add(answerTimeoutMax + maxOrderDelay) }
+
 // startKey names a start order to a worker, whatever its lifetime.
 type startKey struct {
 	worker model.WorkerID
