--- a/internal/fleet/moved_cancellations.go
+++ b/internal/fleet/moved_cancellations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/sirupsen/logrus"
 )
@@ -24,40 +25,59 @@
 	t.readCancellations(ids)
 }
 
-// readCancellations reads the cancellations of jobs, some of them at the same time. It repeats failed
-// reads until they succeed or the term ends.
+// readCancellations reads the cancellations of jobs. It repeats failed reads until they succeed or the
+// term ends, those of all jobs in turn: parts of the store may be down for long.
 func (t *term) readCancellations(ids []string) {
 	if len(ids) == 0 {
 		return
 	}
 	t.log.WithField("jobs", len(ids)).Debug("reading the cancellations of jobs of other cells")
-	next := make(chan string, len(ids))
-	for _, id := range ids {
-		next <- id
-	}
-	close(next)
+	go func() {
+		for len(ids) > 0 && t.ctx.Err() == nil {
+			if ids = t.tryReadCancellations(ids); len(ids) > 0 {
+				sleep(t.ctx, readPause+jitter())
+			}
+		}
+	}()
+}
+
+// tryReadCancellations reads the cancellations of jobs once, some of them at the same time, and
+// returns the jobs of failed reads.
+func (t *term) tryReadCancellations(ids []string) (failed []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	next := make(chan string)
 	for range min(len(ids), maxConcurrentRereads) {
-		go func() {
+		wg.Go(func() {
 			for id := range next {
-				t.readCancellation(id)
+				if !t.readCancellation(id) {
+					mu.Lock()
+					failed = append(failed, id)
+					mu.Unlock()
+				}
 			}
-		}()
+		})
+	}
+	for _, id := range ids {
+		next <- id
 	}
+	close(next)
+	wg.Wait()
+	return failed
 }
 
-func (t *term) readCancellation(id string) {
+// readCancellation reads the cancellation of a job and reports whether the read succeeded.
+func (t *term) readCancellation(id string) bool {
 	row := t.layout.cancelRow(id)
-	for t.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
-		page, err := t.cfg.Store.List(ctx, row.Table, row.Part, row.Key, row.Key+"\x00", 1)
-		cancel()
-		if err == nil {
-			t.post(cancellationRead{id, len(page.Rows) > 0})
-			return
-		}
+	ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
+	defer cancel()
+	page, err := t.cfg.Store.List(ctx, row.Table, row.Part, row.Key, row.Key+"\x00", 1)
+	if err != nil {
 		t.metrics.readErrors.WithLabelValues(resultLabel(err)).Inc()
-		sleep(t.ctx, readPause+jitter())
+		return false
 	}
+	t.post(cancellationRead{id, len(page.Rows) > 0})
+	return true
 }
 
 // cancellationRead tells whether a job that this cell did not accept is cancelled.
