--- a/internal/fleet/gates_decisions_test.go
+++ b/internal/fleet/gates_decisions_test.go
@@ -124,3 +124,23 @@
 	require.Empty(t, tk.runs)
 	require.True(t, tm.now.After(last))
 }
+
+// A job that arrives beside a transaction in flight is confirmed by the next one, without a renewal.
+func TestJobAcceptedBesideTransactionIsConfirmedByTheNext(t *testing.T) {
+	tm := newTestTerm(1)
+	tm.now, tm.lastRenewal, tm.loaded = at(1), at(1), true
+	tm.confirmationDue = true
+	first := tm.nextTransaction()
+	require.NotNil(t, first)
+	id := "0000000000000001"
+	spec := Spec{Steps: []Step{{Count: 1}}}
+	jobRows{rows: []Row{{RowID: tm.layout.jobRow(id), Version: 20, Value: encode(jobRecord{Queue: "q", Spec: spec})}}}.handle(tm)
+	commitResult{commit: first, version: 15, sent: at(1)}.handle(tm)
+	require.False(t, tm.jobConfirmed(tm.jobs[id]))
+	tm.now = tm.now.Add(commitInterval)
+	next := tm.nextTransaction()
+	require.NotNil(t, next)
+	require.False(t, next.renews)
+	commitResult{commit: next, version: 21, sent: tm.now}.handle(tm)
+	require.True(t, tm.jobConfirmed(tm.jobs[id]))
+}
