--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -18,6 +18,8 @@
 	term        atomic.Pointer[term]
 	leader      atomic.Pointer[leaderSnapshot]
 	leaderCalls leaderCallHealth
+	// loadStalledAt is when this node last released leadership because it could not read the tables.
+	loadStalledAt atomic.Pointer[time.Time]
 	// watch is owned by the goroutine of watchLeaders.
 	watch leaderWatch
 }
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -238,7 +238,10 @@
 }
 
 // mayLead reports whether this node may campaign for a cell.
-func (n *Node) mayLead(c *cell) bool { return !n.draining.Load() && !c.leading() }
+func (n *Node) mayLead(c *cell) bool {
+	stalled := c.loadStalledAt.Load()
+	return !n.draining.Load() && !c.leading() && (stalled == nil || time.Since(*stalled) >= loadRetryPause)
+}
 
 // campaign tries to take leadership of a cell with the next term number.
 func (n *Node) campaign(ctx context.Context, c *cell) {
@@ -347,6 +350,10 @@
 	n.wg.Go(func() {
 		defer stop()
 		t.run()
+		if t.loadStalled {
+			now := time.Now()
+			c.loadStalledAt.Store(&now)
+		}
 		n.metrics.leading.Set(float64(n.ledCells()))
 	})
 }
--- a/internal/fleet/gates_decisions_test.go
+++ b/internal/fleet/gates_decisions_test.go
@@ -144,3 +144,26 @@
 	commitResult{commit: next, version: 21, sent: tm.now}.handle(tm)
 	require.True(t, tm.jobConfirmed(tm.jobs[id]))
 }
+
+// A store that is down for all is no reason to change the leader.
+func TestStoreOutageDoesNotStallTheLoad(t *testing.T) {
+	tm := newTestTerm(1)
+	tick := func(s float64, renews bool) {
+		tm.now = at(s)
+		if renews {
+			tm.lastRenewal = tm.now
+		}
+		tm.onTick()
+	}
+	tm.lastRenewal = at(0)
+	for s := 0.0; s < 30; s++ {
+		tick(s, false)
+	}
+	require.False(t, tm.stopping)
+	for s := 30.0; s < 39; s++ {
+		tick(s, true)
+		require.False(t, tm.stopping, "the reads have had %v s", s-30)
+	}
+	tick(42, true)
+	require.True(t, tm.stopping)
+}
--- a/internal/fleet/gates_test.go
+++ b/internal/fleet/gates_test.go
@@ -190,3 +190,27 @@
 		})
 	}
 }
+
+// A leader whose reads got no answer kept the lead for good, and nothing started.
+func TestLeaderThatCannotReadTheStoreLeavesTheLead(t *testing.T) {
+	runCluster(t, 483, 4, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		c.Kill(c.Leader())
+		for c.Leader() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		begun, blind := time.Now(), c.Leader()
+		blind.Store.SetReadLoss(1)
+		for _, m := range c.Nodes {
+			if m.Up() && m != blind {
+				require.NoError(t, m.Node.Submit(t.Context(), c.Queue, jobID(0), twoSteps()))
+				break
+			}
+		}
+		for c.Checker.DoneTasks(jobID(0)) < 6 && time.Since(begun) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("done after %v", time.Since(begun))
+		require.Less(t, time.Since(begun), recoveryBound, "with two steps of a second")
+		require.NotEqual(t, blind, c.Leader())
+	})
+}
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -167,7 +167,7 @@
 // newSource returns a source whose failed reads are logged and counted.
 func (t *term) newSource(table string, parts []string, pause time.Duration, onRows func([]Row, bool, Page)) tableSource {
 	return tableSource{
-		store: t.cfg.Store, table: table, parts: parts, pause: pause, onRows: onRows,
+		store: observedStore{t.cfg.Store, &t.readAnsweredAt}, table: table, parts: parts, pause: pause, onRows: onRows,
 		onError: func(err error) {
 			t.metrics.readErrors.WithLabelValues(resultLabel(err)).Inc()
 			t.log.WithError(err).WithField("table", table).Debug("read failed")
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -53,8 +53,13 @@
 	runsKnown      bool
 	adoptedRuns    int // runs adopted from earlier terms
 	loaded         bool
-	assigningRacks bool // a layout with new racks is being stored
-	jobs           map[string]*job
+	readAnsweredAt atomic.Pointer[time.Time] // the last answered read; nil before the first
+	// renewalsFailedAt is when renewals failed last before the tables were read. loadStalled means
+	// that the term ends because they could not be read.
+	renewalsFailedAt time.Time
+	loadStalled      bool
+	assigningRacks   bool // a layout with new racks is being stored
+	jobs             map[string]*job
 	// earlyCancellations holds when jobs were cancelled that the term does not know yet.
 	earlyCancellations map[string]time.Time
 	workers            map[model.WorkerID]*worker
@@ -221,6 +226,7 @@
 // onTick runs the work that is due by time.
 func (t *term) onTick() {
 	if !t.loaded {
+		t.releaseIfLoadStalls()
 		return
 	}
 	t.openOccurrences()
