--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -88,6 +88,7 @@
 		j.restore(*r.Progress, t.now, t.monotonicTime)
 	}
 	t.jobs[j.id] = j
+	t.restoreQueue(r)
 	t.confirmationDue = t.confirmationDue || !t.jobConfirmed(j)
 	j.openDue(t.now, 0, t.monotonicTime)
 	t.planDue = true
@@ -294,6 +295,9 @@
 		w.info = info
 	}
 	w.listed, w.rack = true, rackOf(info.Labels)
+	if w.answered && w.unansweredCalls == 0 && !w.usedRowStored {
+		t.markUsed(w) // its reports came while it was not listed
+	}
 }
 
 // unlistWorker records that a worker is no longer in the list. Its runs may continue.
@@ -441,3 +445,18 @@
 	}
 	t.log.WithFields(logrus.Fields{"decision": "configuration", "version": c.Version, "queues": len(c.Queues)}).Info("configuration applied")
 }
+
+// restoreQueue restores the queue of a stored job that the configuration of this term lacks.
+func (t *term) restoreQueue(r jobRecord) {
+	if _, known := t.queues[r.Queue]; !known && r.Settings != nil {
+		t.queues[r.Queue] = r.Settings.queue(r.Queue)
+	}
+}
+
+// queueSettings returns the settings of a queue; nil if the term does not know it.
+func (t *term) queueSettings(name string) *queueSettings {
+	if q, known := t.queues[name]; known {
+		return q.settings()
+	}
+	return nil
+}
