--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -164,7 +164,7 @@
 		r.state, r.stateSince = runUnconfirmed, t.now
 	}
 	if r.step != nil && r.step.Filler {
-		r.pace = 0 // unknown; it is set as for a paused run
+		r.pace, r.paceUnknown = 0, true
 	}
 	next.attach(r, t.now)
 }
