--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -22,10 +22,13 @@
 	idleLimitOnTime = 1800 * time.Millisecond
 	// idlePace is the least pace, in percent, of a run that was started at a reduced one.
 	idlePace = 3
+	// repeatPace is the same for a run of a task that may be done: it may hold up its job for nothing.
+	repeatPace = 10
 	// maxReducedRuns bounds the runs with a reduced pace on one worker.
 	maxReducedRuns = 12
-	// maxUnprovenRuns bounds the runs of a job at a reduced pace whose tasks may be done.
-	maxUnprovenRuns = 3
+	// maxUnprovenRuns is the number of runs of a job from which on nothing more of it starts at a
+	// reduced pace, although all their tasks may be done.
+	maxUnprovenRuns = 4
 	// idleReservedShare is the reserved share of the processors from which on idle jobs wait. By
 	// contract a job may idle only where half of them are reserved.
 	idleReservedShare = 0.55
@@ -97,8 +100,8 @@
 	return w.tasks[0]
 }
 
-// unprovenSince is like idleSince, but runs at a reduced pace of tasks that may be done already do
-// not count, up to maxUnprovenRuns of them.
+// unprovenSince is like idleSince, but runs of tasks that may be done already do not count, up to
+// maxUnprovenRuns of them.
 func (j *job) unprovenSince() (since time.Time, unproven bool) {
 	if since, unproven = j.idleSince(); unproven {
 		return since, true
@@ -109,7 +112,7 @@
 			for k := range o.steps[i].tasks {
 				tk := &o.steps[i].tasks[k]
 				for _, r := range tk.runs {
-					if n++; !r.reduced || !tk.mayBeDone || n == maxUnprovenRuns {
+					if n++; !tk.mayBeDone || n == maxUnprovenRuns {
 						return time.Time{}, false
 					}
 					if r.startedAt.After(since) {
@@ -139,6 +142,14 @@
 	return best, max(roundPace(most), idlePace)
 }
 
+// leastPace returns the least pace of a run at a reduced pace, in percent.
+func (r *run) leastPace() int {
+	if _, tk := r.job.task(r.key); tk != nil && tk.mayBeDone {
+		return repeatPace
+	}
+	return idlePace
+}
+
 // mayReduce reports whether another filler may start on w at a reduced pace: one at a time, as a run
 // works at full pace until its first pace is set.
 func (w *worker) mayReduce() bool {
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -169,19 +169,20 @@
 		want []int // tasks with a run after some plans
 	}{
 		"first lost": {[]int{0}, []int{1}},
-		"all lost":   {[]int{0, 1, 2, 3}, []int{0, 1, 2}},
+		"all lost":   {[]int{0, 1, 2, 3, 4}, []int{0, 1, 2, 3}},
 		"none lost":  {nil, []int{0}},
+		"full pace":  {[]int{0, 2, 3, 4}, []int{0, 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tm := loadedTerm(t)
 			tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
-			for i := range 4 {
+			for i := range 5 {
 				w := testWorker(fmt.Sprint("w", i))
 				tm.workers[w.info.Worker] = w
 				addService(tm, w, 100+i, 4000, 1.1)
 			}
 			lostOn := testWorker("lost")
-			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 4, Filler: true, Checkpoints: true, Image: "f", Needs: model.Resources{MilliCPU: 8000}}}}}, 0, epoch)
+			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 5, Filler: true, Checkpoints: true, Image: "f", Needs: model.Resources{MilliCPU: 8000}}}}}, 0, epoch)
 			o := j.openOccurrence(0, time.Time{}, epoch)
 			tm.jobs["j"] = j
 			for _, i := range c.lost {
@@ -189,6 +190,9 @@
 				tm.confirmStart(r)
 				tm.markLost(r, reasonRestarted)
 			}
+			if name == "full pace" {
+				tm.confirmStart(tm.startAttempt(j, taskKey{0, 0, 0}, tm.workers["w0"], "", 2, ""))
+			}
 			for range 100 {
 				tm.now = tm.now.Add(50 * time.Millisecond)
 				tm.lastRenewal = tm.now
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -61,8 +61,8 @@
 	runs       []*run
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
-	// mayBeDone means that the end of the last run is not known: it was lost with its worker, or an
-	// earlier term has started it. The task may have been done unseen.
+	// mayBeDone means that the end of a run may not be known: the run was lost with its worker, or
+	// an earlier term has started it. The task may have been done unseen.
 	mayBeDone bool
 	// lentTo is one more than the cell that borrows the task; 0 for none.
 	lentTo   int
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -72,7 +72,7 @@
 			t.setPace(r, pace)
 		case pace < r.pace && (pace+paceStep < r.pace || t.now.Sub(r.paceSetAt) > paceLowerInterval || !v.overTargetSince.IsZero()):
 			t.setPace(r, pace)
-		case (pace >= r.pace+minPaceRaise || r.pace < idlePace) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
+		case (pace >= r.pace+minPaceRaise || r.pace < r.leastPace()) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
 			t.setPace(r, pace)
 		case r.pace == 0 && t.now.Sub(r.paceSetAt) > pausedTimeout && (r.step.Checkpoints || r.percent < maxRestartPercent):
 			if !t.reduceInPlace(v, r) {
@@ -154,7 +154,7 @@
 	}
 	pace := roundPace(factor)
 	if r.reduced {
-		pace = max(pace, idlePace)
+		pace = max(pace, r.leastPace())
 	}
 	for _, s := range v.services {
 		headroom[s] = max(headroom[s]-s.model.plannedPressure(r.step.Image, t.now)*share*float64(pace)/100, 0)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -367,9 +367,7 @@
 	if tk == nil {
 		return
 	}
-	if e.Attempt >= tk.attempt {
-		tk.attempt, tk.mayBeDone = e.Attempt, false
-	}
+	tk.attempt = max(tk.attempt, e.Attempt)
 	t.withdrawCrash(j, tk, e.Attempt)
 	j.dirty = true
 	j.started, j.begun = true, true // an earlier term may have started it without storing that
