--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -67,7 +67,7 @@
 	}
 	var idle []idleStep
 	for _, w := range waiting {
-		if t.queues[w.job.queue].Service != p.service || w.state().waits != waitsForHeadroom || w.queue.Advised || w.step.Gang || w.job.over() {
+		if t.queues[w.job.queue].Service != p.service || !w.state().waits.endsWithReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
 			continue
 		}
 		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
@@ -125,16 +125,25 @@
 	return since, n > 0
 }
 
+// endsWithReducedPace reports whether a filler that waits for this can start at a reduced pace.
+func (r waitReason) endsWithReducedPace() bool {
+	return r == waitsForHeadroom || r == waitsForSpareCapacity
+}
+
 // findReducedPace returns the worker whose services tolerate the largest share of a filler that
-// none of them tolerates at full pace, and the pace in percent; nil if there is none.
+// none of them tolerates at full pace, and the pace in percent; nil if there is none. Workers
+// without processors to spare come last.
 func (p *placement) findReducedPace(r taskRequest) (*worker, int) {
 	var best *worker
 	most := 0.0
 	for _, w := range p.workers {
-		if p.obstacle(w, r) != lacksHeadroom || !w.mayReduce() || p.interference.overTarget(w, p.now) {
+		o, tolerated := p.obstacle(w, r), 0.0
+		switch {
+		case (o != lacksHeadroom && o != lacksSpareCapacity) || !w.mayReduce() || p.interference.overTarget(w, p.now):
 			continue
+		case o == lacksHeadroom:
+			_, tolerated = p.interference.placementCost(w, r.step, p.now)
 		}
-		_, tolerated := p.interference.placementCost(w, r.step, p.now)
 		if best == nil || tolerated > most || (tolerated == most && w.reducedMilliCPU < best.reducedMilliCPU) {
 			best, most = w, tolerated
 		}
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -96,6 +96,9 @@
 			if i >= sound {
 				headroom = 0.8
 			}
+			if rapid.Bool().Draw(t, "crowded") {
+				w.fillerMilliCPU = w.info.Capacity.MilliCPU + 8000
+			}
 			addService(tm, w, 1000+i, rapid.Int64Range(500, 7500).Draw(t, "service"), headroom)
 		}
 		for range jobs {
