--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -33,6 +33,10 @@
 	Members int
 	// CrashAfter is how long after its start the task crashes its worker; 0 if it does not.
 	CrashAfter time.Duration
+	// StallsAt is the work at which the first attempt stands still; 0 if it does not. It goes on
+	// using its processors if Spins is set.
+	StallsAt time.Duration
+	Spins    bool
 }
 
 // Workers is a simulated fleet. Nodes reach it through a WorkersView each.
@@ -451,9 +455,16 @@
 
 // progress returns the completed work.
 func (k *simulatedRun) progress() time.Duration {
-	return k.progressAtSpeedSet + time.Duration(k.rate()*float64(time.Since(k.speedSetAt)))
+	done := k.progressAtSpeedSet + time.Duration(k.rate()*float64(time.Since(k.speedSetAt)))
+	if k.stalls() {
+		return min(done, k.task.StallsAt)
+	}
+	return done
 }
 
+// stalls reports whether the run never ends by itself, as it stands still from some progress on.
+func (k *simulatedRun) stalls() bool { return k.task.StallsAt > 0 && k.ref.Attempt == 1 }
+
 // changeSpeed calls alter, which changes the speed of runs, and reschedules their ends. The
 // lock is held.
 func (w *Worker) changeSpeed(runs []*simulatedRun, alter func()) {
@@ -480,7 +491,7 @@
 	if k.task.Lasting {
 		return
 	}
-	if k.hung = w.Hang && !w.Fail; k.hung || w.Unending {
+	if k.hung = w.Hang && !w.Fail; k.hung || w.Unending || k.stalls() {
 		return
 	}
 	k.endProgress = max(k.task.Work, k.progressAtSpeedSet+time.Millisecond)
@@ -549,6 +560,9 @@
 			if w.Hang || k.hung || (k.task.Filler && k.pace == 0) {
 				s.Percent, s.Reading = 0, 0
 			}
+			if k.stalls() && !k.task.Spins && k.progress() >= k.task.StallsAt {
+				s.Reading = 0
+			}
 		}
 		if k.task.Target > 0 {
 			s.Reading = w.tail(k)
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -64,6 +64,8 @@
 	// mayBeDone means that the end of the last run is not known: it was lost with its worker, or an
 	// earlier term has started it. The task may have been done unseen.
 	mayBeDone bool
+	// busyStalls counts the runs that this term has stopped as hung while they used processor time.
+	busyStalls int
 	// lentTo is one more than the cell that borrows the task; 0 for none.
 	lentTo   int
 	lentSent bool // the row for the other cell is being written or exists
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -216,6 +216,7 @@
 				continue
 			}
 		}
+		r.observeProgress(s, t.now)
 		r.answered, r.listed = true, true
 		if r.job != nil {
 			r.job.begun = true
@@ -223,13 +224,6 @@
 		if r.crashed || r.crashesBefore {
 			t.observeSurvival(r)
 		}
-		if s.Checkpoint != "" {
-			r.checkpoint = s.Checkpoint
-		}
-		if s.Percent != r.percent || r.progressAt.IsZero() {
-			r.percent, r.progressAt, r.paceRepeated = s.Percent, t.now, false
-		}
-		r.reading = s.Reading
 		if r.state == runSent || r.state == runUnconfirmed {
 			r.state, r.stateSince = runLive, t.now
 		}
--- a/internal/fleet/run_checks.go
+++ b/internal/fleet/run_checks.go
@@ -9,12 +9,6 @@
 
 // Constants of the checks of runs.
 const (
-	// hungTimeout is the time without progress after which a run that uses no processor
-	// time counts as hung. Progress is reported once a second, and a run that resumes from
-	// a checkpoint makes none for some hundred milliseconds.
-	hungTimeout = 1500 * time.Millisecond
-	// busyHungTimeout is the same for a run that uses processor time.
-	busyHungTimeout = 5 * time.Second
 	// speculativeCopyFactor times the expected run time is the age at which a run of a
 	// speculative task gets a copy.
 	speculativeCopyFactor = 1.6
@@ -135,7 +129,7 @@
 		// A member of a gang that is done waits for the others.
 	case r.step.Filler:
 		t.checkFiller(w, r)
-	case isStalled(w, r, r.progressAt):
+	case t.isStalled(w, r, r.progressAt):
 		t.stopHungRun(w, r)
 	case r.step.Speculative && t.now.Sub(r.startedAt) > time.Duration(speculativeCopyFactor*float64(t.expectedRunTime(r.job, r.step))):
 		t.startCopy(r)
@@ -152,16 +146,6 @@
 	return slices.ContainsFunc(tasks, func(tk task) bool { return !tk.done && len(tk.runs) == 0 })
 }
 
-// isStalled reports whether a run without progress since the given time counts as hung at
-// the worker's last answered poll.
-func isStalled(w *worker, r *run, since time.Time) bool {
-	limit := busyHungTimeout
-	if r.reading == 0 {
-		limit = hungTimeout
-	}
-	return w.lastPollSent.Sub(since) > limit
-}
-
 // checkFiller stops fillers that make no progress at full pace. The worker may have carried
 // out an older pace order after the newest one, so the pace is set once more before the run
 // counts as hung.
@@ -170,7 +154,7 @@
 	if r.paceSetAt.After(since) {
 		since = r.paceSetAt
 	}
-	if r.pace < readyPercent || r.paceInFlight || r.reading > 0 || !isStalled(w, r, since) {
+	if r.pace < readyPercent || r.paceInFlight || r.reading > 0 || !t.isStalled(w, r, since) {
 		return
 	}
 	if !r.paceRepeated {
@@ -185,6 +169,9 @@
 // task starts elsewhere.
 func (t *term) stopHungRun(w *worker, r *run) {
 	w.health.quarantine(t.now)
+	if _, tk := r.job.task(r.key); tk != nil && r.reading > 0 {
+		tk.busyStalls = min(tk.busyStalls+1, maxBusyStalls)
+	}
 	t.log.WithFields(logrus.Fields{"decision": "rest", "worker": w.info.Worker, "reason": "hung", "task": r.ref.Task,
 		"percent": r.percent, "still_ms": t.now.Sub(r.progressAt).Milliseconds()}).Warn("worker quarantined: a task makes no progress")
 	t.stopRun(r, "hung")
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -52,10 +52,17 @@
 	stopInFlight bool          // a stop order waits for its answer
 	stopAnswered bool          // a stop order was answered
 	stopReason   string
-	// percent is the last reported progress and progressAt when it last changed.
+	// percent is the last reported progress. progressAt is when the run last showed progress,
+	// percentAt when the percentage changed, zero before a change between two reports.
 	percent    int
 	progressAt time.Time
+	percentAt  time.Time
+	// percentTime is the longest time that the run has taken for a percent; 0 if not known.
+	percentTime time.Duration
+	// reading is the tail latency of a serving run in milliseconds, and for others the processors
+	// in use in thousandths; busyAt is when a report last showed more than 0.
 	reading    int
+	busyAt     time.Time
 	checkpoint string
 	// ticket is the advisor's ticket of the start order.
 	ticket string
