--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -105,17 +105,17 @@
 func (t *term) collectTransaction() (*pendingCommit, bool) {
 	c := &pendingCommit{nonce: t.random.Uint64(), startedAt: t.now, ends: map[*worker]uint64{}}
 	size, complete := 0, true
-	for _, j := range t.jobs {
-		if !j.dirty {
-			continue
-		}
-		if len(c.tx.Puts) >= maxCommitRows-2 || size > maxCommitBytes {
+	for _, j := range t.dirtyJobs() {
+		if len(c.tx.Puts)+len(c.tx.Delete) >= maxCommitRows-2 || size > maxCommitBytes {
 			complete = false
 			break
 		}
-		value := t.encodeProgress(j)
-		size += len(value)
-		c.tx.Puts = append(c.tx.Puts, Row{RowID: progressRow(t.part, j.id), Value: value})
+		added, ok := t.addProgress(c, j, size)
+		if j.needsOwnCommit = !ok; !ok {
+			complete = false
+			continue
+		}
+		size += added
 		c.updates = append(c.updates, jobUpdate{j, j.state(), j.lentTasks(true), j.movedTo > 0 && !j.moveStored})
 		j.dirty = false
 	}
@@ -134,34 +134,19 @@
 	return c, complete
 }
 
-// encodeProgress returns the value of a job's progress row. A transaction with a row that is too
-// large would fail for ever, and with it the whole cell. Checkpoints and counts of failures are
-// left out where the row would be too large, and a job that does not fit even so fails.
-func (t *term) encodeProgress(j *job) []byte {
-	p := j.progress()
-	value := encode(p)
-	if t.fitsInRow(value) {
-		return value
-	}
-	for _, o := range p.Open {
-		for _, tasks := range o.Steps {
-			for i := range tasks {
-				tasks[i].Checkpoint, tasks[i].Failed = "", nil
-			}
+// dirtyJobs returns the jobs whose progress is not stored, first those that found too little space
+// in an earlier transaction.
+func (t *term) dirtyJobs() []*job {
+	var first, others []*job
+	for _, j := range t.jobs {
+		switch {
+		case j.dirty && j.needsOwnCommit:
+			first = append(first, j)
+		case j.dirty:
+			others = append(others, j)
 		}
 	}
-	if value = encode(p); t.fitsInRow(value) {
-		return value
-	}
-	if j.failureReason == "" {
-		j.failureReason = "its progress exceeds a row of the store"
-		t.stopFinishedJob(j)
-	}
-	return encode(progressRecord{State: j.state(), Failed: j.failureReason, Started: j.started, MovedTo: j.movedTo, MoveStored: j.moveStored})
-}
-
-func (t *term) fitsInRow(value []byte) bool {
-	return t.cfg.Limits.RowBytes <= 0 || len(value) <= t.cfg.Limits.RowBytes
+	return append(first, others...)
 }
 
 // collectUsed adds the rows of workers that are about to get their first task, and deletes
--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -293,7 +293,7 @@
 	m.Store, m.Workers, m.Peers = c.Store.View(), c.Workers.View(), c.Network.Peers(m.Name)
 	cfg := fleet.Config{
 		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
-		Limits: fleet.Limits{RowBytes: 65536, MilliCPU: m.MilliCPU},
+		Limits: fleet.Limits{RowBytes: rowBytes, MilliCPU: m.MilliCPU},
 		Bounds: fleet.Bounds{LeaseMax: c.Workers.LeaseMax, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: MaintenanceTime},
 		Cells:  c.Cells,
 		Store:  m.Store, Workers: m.Workers, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -297,6 +298,37 @@
 	}
 }
 
+// Limits of a transaction; its body holds the values as base64.
+const (
+	maxEntries   = 100
+	maxBodyBytes = 1_000_000
+	maxNameBytes = 200
+	rowBytes     = 65536
+)
+
+// checkLimits returns an error if the store must refuse a transaction for its size.
+func checkLimits(tx fleet.Transaction) error {
+	entries, body := len(tx.Expect)+len(tx.Puts)+len(tx.Delete), 0
+	ids := slices.Clone(tx.Delete)
+	for _, row := range tx.Puts {
+		ids = append(ids, row.RowID)
+		body += base64.StdEncoding.EncodedLen(len(row.Value))
+		if len(row.Value) > rowBytes {
+			return model.Errorf(model.KindInvalid, "store less in a row", "row %q of %d bytes", row.Key, len(row.Value))
+		}
+	}
+	for _, id := range ids {
+		body += len(id.Table) + len(id.Part) + len(id.Key)
+		if max(len(id.Table), len(id.Part), len(id.Key)) > maxNameBytes {
+			return model.Errorf(model.KindInvalid, "use shorter names", "row %q", id.Key)
+		}
+	}
+	if entries > maxEntries || body > maxBodyBytes {
+		return model.Errorf(model.KindInvalid, "store less at once", "transaction of %d entries and %d bytes", entries, body)
+	}
+	return nil
+}
+
 // Commit implements fleet.Store.
 func (v *View) Commit(ctx context.Context, tx fleet.Transaction) (fleet.Commit, error) {
 	v.store.writes.Add(1)
@@ -306,6 +338,9 @@
 	if v.refuses(tx) {
 		return fleet.Commit{}, errBusy
 	}
+	if err := checkLimits(tx); err != nil {
+		return fleet.Commit{}, err
+	}
 	s := v.store
 	s.mu.Lock()
 	lost, late := s.random.Float64() < s.lostShare, s.random.Float64() < s.lateShare
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -64,6 +64,9 @@
 }
 
 func (n *Node) acceptJob(ctx context.Context, q Queue, id string, spec Spec) (tries int, err error) {
+	if err := n.cfg.Limits.checkProgress(spec); err != nil {
+		return 0, err
+	}
 	d, err := n.knownCells("retry later")
 	if err != nil {
 		return 0, err
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -163,6 +163,10 @@
 	visibleState State
 	// dirty marks progress that is not stored yet.
 	dirty bool
+	// chunkSums holds the checksums of the stored chunks of the progress. needsOwnCommit means that
+	// its rows did not fit into the last transaction beside others.
+	chunkSums      []uint64
+	needsOwnCommit bool
 	// endedAt is when the job ended.
 	endedAt time.Time
 }
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -84,6 +84,9 @@
 	}
 	switch choice, cell := chooseCell(reportedLoad{t.cell, m.own, t.now}, excludeCells(m.others, j.previousCells), d, fits, m.serviceBurst, j.learnedAt); choice {
 	case moveToCell:
+		if !t.fitsInRow(encode(t.movedJobRecord(j))) {
+			return false
+		}
 		m.own = m.own.add(stepDemand{milliCPU: -d.milliCPU, filler: d.filler, lasting: d.lasting})
 		for i := range m.others {
 			if m.others[i].cell == cell {
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -14,7 +14,7 @@
 	// tableJobs holds accepted jobs and their cancellations. The nodes that serve callers
 	// write it; the leaders watch it.
 	tableJobs = "vp-jobs"
-	// tableProgress holds the progress of each job in one row, written by the leader.
+	// tableProgress holds the progress of each job, written by the leader; see progress_rows.go.
 	tableProgress = "vp-progress"
 	// tableFence holds the row that every transaction of the leader expects.
 	tableFence = "vp-fence"
@@ -122,6 +122,11 @@
 	// means that its row in that cell is stored.
 	MovedTo    int  `cbor:"6,keyasint,omitempty"`
 	MoveStored bool `cbor:"7,keyasint,omitempty"`
+	// Chunks is the number of further rows that hold progress.
+	Chunks int `cbor:"8,keyasint,omitempty"`
+	// FinishedBits holds a bit for each finished occurrence, in place of Finished where that would
+	// exceed a row.
+	FinishedBits []byte `cbor:"9,keyasint,omitempty"`
 }
 
 // fenceRecord is the value of the fence row.
@@ -246,9 +251,7 @@
 	j.started, j.failureReason = p.Started, p.Failed
 	j.movedTo, j.moveStored = p.MovedTo, p.MoveStored
 	j.cancelled = p.State == StateCancelled || (j.cancelled && !p.State.Final())
-	for _, k := range p.Finished {
-		j.finishedOccurrences[k], j.begun = true, true
-	}
+	p.finished(func(k int) { j.finishedOccurrences[k], j.begun = true, true })
 	if p.State.Final() {
 		j.visibleState, j.endedAt = p.State, now
 		return
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -132,24 +132,6 @@
 	return logrus.InfoLevel
 }
 
-// restoreProgress applies the progress of a job that an earlier term has stored.
-func (t *term) restoreProgress(row Row) {
-	j := t.jobs[row.Key]
-	if j == nil {
-		return
-	}
-	var p progressRecord
-	if err := decodeRecord(row, &p); err != nil {
-		t.log.WithError(err).Error("cannot decode progress row")
-		return
-	}
-	j.occurrences, j.openedOccurrences = nil, 0
-	j.restore(p, t.now, t.monotonicTime)
-	if !j.over() {
-		j.openDue(t.now, 0, t.monotonicTime)
-	}
-}
-
 // earlyCancellationAge is how long the cancellation of an unknown job of another cell is kept. The
 // job's row may arrive later: nodes send rows to the leader before the watch reports them in order,
 // and a write of a former leader of the other cell may be carried out some seconds after it.
--- a/internal/fleet/spec.go
+++ b/internal/fleet/spec.go
@@ -10,7 +10,7 @@
 const (
 	maxSteps = 64
 	// maxTasks bounds the tasks of the open occurrences of a job, as their progress must fit in
-	// a row.
+	// the rows of a transaction; see Limits.checkProgress.
 	maxTasks   = 4096
 	maxRepeats = 100_000
 	// MaxResource bounds each dimension of what a task needs and of what a worker has, so that
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -288,9 +288,7 @@
 		t.handleJobRow(row, e.storeNow)
 	}
 	movedRows{e.moved, e.storeNow}.handle(t)
-	for _, row := range e.progress {
-		t.restoreProgress(row)
-	}
+	t.restoreProgress(e.progress)
 	movedRows{e.moved, e.storeNow}.handle(t) // again, for tasks lent since the progress was stored
 	for _, row := range e.waves {
 		t.restoreWave(row)
