--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"time"
 
@@ -170,9 +172,18 @@
 	}
 }
 
-// usedRow returns the id of the row of tableUsed for a lifetime.
+// maxKeyBytes is the longest key of a row that the store allows.
+const maxKeyBytes = 200
+
+// usedRow returns the id of the row of tableUsed for a lifetime. Where the worker's id leaves no
+// space for the time of birth in the key, its digest stands for it.
 func usedRow(part string, l Lifetime) RowID {
-	return RowID{tableUsed, part, string(l.Worker) + "/" + time.UnixMilli(l.Born).UTC().Format("20060102T150405.000")}
+	worker, born := string(l.Worker), "/"+time.UnixMilli(l.Born).UTC().Format("20060102T150405.000")
+	if len(worker)+len(born) > maxKeyBytes {
+		digest := sha256.Sum256([]byte(worker))
+		worker = hex.EncodeToString(digest[:])
+	}
+	return RowID{tableUsed, part, worker + born}
 }
 
 // addFence adds the fence and, if renew is set, the renewal and the models that are due. The
--- a/internal/fleet/store_limits_test.go
+++ b/internal/fleet/store_limits_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +41,29 @@
 		})
 	}
 }
+
+// The key of a worker's row exceeded what the store allows, so that each transaction was refused
+// and the lead changed every two seconds.
+func TestWorkersWithLongIDs(t *testing.T) {
+	runCluster(t, 431, 2, 1, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+		leader := c.Leader()
+		for _, n := range []int{181, 182, 190, 200} {
+			c.AddWorker(strings.Repeat("w", n-1) + "7")
+		}
+		time.Sleep(time.Second)
+		for i := range 10 {
+			submit(t, c, jobID(i), twoSteps())
+			time.Sleep(300 * time.Millisecond)
+		}
+		waitAll(t, c, 10, 10*time.Second)
+		require.Same(t, leader, c.Leader())
+		for _, w := range c.RunningWorkers() {
+			if len(w.Info.Worker) > 2 {
+				c.Unlist(w)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		require.Same(t, leader, c.Leader())
+		require.LessOrEqual(t, len(c.Store.Rows("vp-used")), 1, "rows of workers that have left are deleted")
+	})
+}
