--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -118,3 +118,55 @@
 		require.Equal(t, 12, c.Checker.StartCount())
 	})
 }
+
+// A worker whose time of day had stepped back before it started again at another address stayed
+// unused until the lead changed: its lifetime seemed to be an earlier one.
+func TestWorkerStartsAgainAfterClockSteppedBack(t *testing.T) {
+	for name, tasks := range map[string]int{"idle": 0, "with runs": 3} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 66, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+				old := c.Fleet[1]
+				c.Unlist(c.Fleet[0])
+				time.Sleep(time.Second)
+				if tasks > 0 {
+					submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, Needs: smallNeeds, Lasting: true}}})
+					time.Sleep(time.Second)
+					require.Equal(t, tasks, c.Workers.RunCount(old))
+				}
+				info := withBorn(old, old.Info.Born-1)
+				info.Addr = "elsewhere:1"
+				c.Workers.Kill(old)
+				again := c.Workers.Add(info)
+				for range 10 { // heartbeats
+					c.List(again)
+					time.Sleep(1500 * time.Millisecond)
+				}
+				submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: smallNeeds, Lasting: true}}})
+				time.Sleep(time.Second)
+				require.Equal(t, tasks+2, c.Workers.RunCount(again))
+			})
+		})
+	}
+}
+
+// Entries of an earlier lifetime do not end the runs of a worker that is cut off.
+func TestEntryOfEarlierLifetimeUnderSilentWorker(t *testing.T) {
+	runCluster(t, 67, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		w := c.Fleet[1]
+		c.Unlist(c.Fleet[0])
+		time.Sleep(time.Second)
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(time.Second)
+		c.List(c.Fleet[0])
+		c.Workers.SetLink(w, fleettest.Link{AnswersCut: true})
+		for range 3 {
+			putEntry(t, c, string(w.Info.Worker), withBorn(w, w.Info.Born-1))
+			time.Sleep(time.Second)
+			require.Equal(t, 3, c.Checker.StartCount())
+		}
+		c.Workers.SetLink(w, fleettest.Link{})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 3, c.Checker.StartCount())
+		require.Equal(t, 3, c.Workers.RunCount(w))
+	})
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -230,6 +230,8 @@
 			"accelerators": info.Capacity.Accelerators, "labels": info.Labels}).Log(t.rowLogLevel(), "worker added")
 	case info.Born == w.info.Born || info.Born == 0 || w.info.Born == 0:
 		t.updateWorker(w, info)
+	case info.Born < w.info.Born && w.answered && !w.inherited && len(w.runs) == 0:
+		t.checkLaterLifetime(w, info) // later all the same if the time of day has stepped back
 	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
 	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered && w.unansweredCalls == 0):
@@ -239,7 +241,7 @@
 	}
 }
 
-// checkLaterLifetime probes a worker that answers although an entry names a later lifetime of
+// checkLaterLifetime probes a worker that answers although an entry names another lifetime of
 // it. The entry may come from another writer, and then the runs of the worker go on.
 func (t *term) checkLaterLifetime(w *worker, later WorkerInfo) {
 	if w.laterEntry == nil {
