--- a/internal/fleet/next_leader_lease_test.go
+++ b/internal/fleet/next_leader_lease_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
 )
@@ -47,3 +49,38 @@
 		time.Sleep(12 * time.Second)
 	})
 }
+
+// The clock of a worker that had been idle for minutes was taken for later than it was, if it is slow
+// as the contract allows. A lease from then on outlasted what the next leader waits for.
+func TestNextLeaderWaitsForLeaseOfIdleWorkerWithSlowClock(t *testing.T) {
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 30 * time.Second, Needs: wideNeeds} }
+	for _, idle := range []time.Duration{50 * time.Second, 5 * time.Minute, 20 * time.Minute} {
+		for _, rate := range []float64{0.98, 1} {
+			prepare := func() *fleettest.Cluster {
+				c := fleettest.NewCluster(432, 3, 3, long)
+				c.Workers.LeaseMax = 10 * time.Second
+				for _, w := range c.Fleet {
+					c.Workers.SetClock(w, time.Hour, rate)
+				}
+				return c
+			}
+			runClusterWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
+				time.Sleep(idle)
+				w := c.RunningWorkers()[0]
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, PerWorker: 1, Needs: wideNeeds, Estimate: 30 * time.Second}}})
+				for c.Checker.StartCount() < 3 {
+					time.Sleep(time.Millisecond)
+				}
+				c.Kill(c.Leader())
+				for _, m := range c.Nodes {
+					if m.Up() {
+						m.Workers.Cut(w, true)
+					}
+				}
+				c.AddWorker("a9") // has room for the task of the worker that is cut off
+				time.Sleep(12 * time.Second)
+				require.Equal(t, 4, c.Checker.StartCount(), "the task starts elsewhere")
+			})
+		}
+	}
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -24,6 +24,9 @@
 	// recordedPollPause is the pause between polls of a worker that answers while a lease record
 	// is stored for it.
 	recordedPollPause = 250 * time.Millisecond
+	// idlePollInterval is the interval between polls of a worker that runs nothing. Its clock may be
+	// slow, so that the lease of its next task is shorter the longer ago its last answer is.
+	idlePollInterval = 60 * time.Second
 )
 
 // pollReply is the answer to a poll.
@@ -48,12 +51,12 @@
 }
 
 // pollDue reports whether w must be polled now: it has runs or ends to acknowledge, has not
-// answered in this term, or did not answer its last call.
+// answered in this term, did not answer its last call, or has been idle for idlePollInterval.
 func (t *term) pollDue(w *worker) bool {
 	if w.pollInFlight || t.now.Before(w.nextPoll) || t.stopping {
 		return false
 	}
-	wanted := !w.answered || len(w.runs) > 0 || w.lastAckedEnd < w.lastStoredEnd || w.unansweredCalls > 0
+	wanted := !w.answered || len(w.runs) > 0 || w.lastAckedEnd < w.lastStoredEnd || w.unansweredCalls > 0 || t.now.Sub(w.clockAt) > idlePollInterval
 	return wanted && (w.listed || w.inherited || len(w.runs) > 0 || w.lastAckedEnd < w.lastStoredEnd)
 }
 
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -210,14 +210,19 @@
 	w.unansweredCalls++
 }
 
-// extendLease returns a deadline on the worker's clock that lies length after now, and
-// records it. The worker's clock must be known.
+// extendLease returns a deadline on the worker's clock that lies at most length after now, and
+// records it. The worker's clock must be known; since its latest answer it may have been slow.
 func (w *worker) extendLease(now time.Time, length time.Duration) time.Duration {
-	d := w.clock + now.Sub(w.clockAt) + length
+	d := w.clock + minClockDuration(now.Sub(w.clockAt)) + length
 	w.leaseDeadline = max(w.leaseDeadline, d)
 	return d
 }
 
+// minClockDuration returns by how much a worker's clock advances at least in d of real time.
+func minClockDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * minClockRate)
+}
+
 // maxRealDuration returns how long d on a worker's clock takes at most in real time.
 func maxRealDuration(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
