--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -55,7 +55,7 @@
 // startIdleJobs starts one task at a reduced pace for each job of which nothing has run for
 // idleLimit and for which the plan has found no worker, the longest idle first.
 func (t *term) startIdleJobs(p *placement, waiting []*waitingStep, limit int) {
-	if !t.mostlyFree(p.service) {
+	if limit <= 0 || !t.mostlyFree(p.service) { // the last step of a plan may exceed its bound
 		return
 	}
 	type idleStep struct {
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -205,3 +205,12 @@
 		})
 	}
 }
+
+// A plan whose last step started more than was left of its bound ended the leader's process.
+func TestPlanMayExceedItsBoundOfStarts(t *testing.T) {
+	tm := newTestTerm(1)
+	w := testWorker("w")
+	tm.workers[w.info.Worker] = w
+	p := tm.newPlacement(w.info.Service)
+	require.NotPanics(t, func() { tm.startIdleJobs(p, nil, -40) })
+}
