--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -64,6 +64,8 @@
 	// mayBeDone means that the end of a run may not be known: the run was lost with its worker, or
 	// an earlier term has started it. The task may have been done unseen.
 	mayBeDone bool
+	// busyStalls counts the runs that this term has stopped as hung while they used processor time.
+	busyStalls int
 	// lentTo is one more than the cell that borrows the task; 0 for none.
 	lentTo   int
 	lentSent bool // the row for the other cell is being written or exists
@@ -161,6 +163,10 @@
 	visibleState State
 	// dirty marks progress that is not stored yet.
 	dirty bool
+	// chunkSums holds the checksums of the stored chunks of the progress. needsOwnCommit means that
+	// its rows did not fit into the last transaction beside others.
+	chunkSums      []uint64
+	needsOwnCommit bool
 	// endedAt is when the job ended.
 	endedAt time.Time
 }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -132,24 +132,6 @@
 	return logrus.InfoLevel
 }
 
-// restoreProgress applies the progress of a job that an earlier term has stored.
-func (t *term) restoreProgress(row Row) {
-	j := t.jobs[row.Key]
-	if j == nil {
-		return
-	}
-	var p progressRecord
-	if err := decodeRecord(row, &p); err != nil {
-		t.log.WithError(err).Error("cannot decode progress row")
-		return
-	}
-	j.occurrences, j.openedOccurrences = nil, 0
-	j.restore(p, t.now, t.monotonicTime)
-	if !j.over() {
-		j.openDue(t.now, 0, t.monotonicTime)
-	}
-}
-
 // earlyCancellationAge is how long the cancellation of an unknown job of another cell is kept. The
 // job's row may arrive later: nodes send rows to the leader before the watch reports them in order,
 // and a write of a former leader of the other cell may be carried out some seconds after it.
@@ -248,6 +230,8 @@
 			"accelerators": info.Capacity.Accelerators, "labels": info.Labels}).Log(t.rowLogLevel(), "worker added")
 	case info.Born == w.info.Born || info.Born == 0 || w.info.Born == 0:
 		t.updateWorker(w, info)
+	case info.Born < w.info.Born && w.answered && !w.inherited && len(w.runs) == 0:
+		t.checkLaterLifetime(w, info) // later all the same if the time of day has stepped back
 	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
 	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered && w.unansweredCalls == 0):
@@ -257,7 +241,7 @@
 	}
 }
 
-// checkLaterLifetime probes a worker that answers although an entry names a later lifetime of
+// checkLaterLifetime probes a worker that answers although an entry names another lifetime of
 // it. The entry may come from another writer, and then the runs of the worker go on.
 func (t *term) checkLaterLifetime(w *worker, later WorkerInfo) {
 	if w.laterEntry == nil {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -52,10 +52,17 @@
 	stopInFlight bool          // a stop order waits for its answer
 	stopAnswered bool          // a stop order was answered
 	stopReason   string
-	// percent is the last reported progress and progressAt when it last changed.
+	// percent is the last reported progress. progressAt is when the run last showed progress,
+	// percentAt when the percentage changed, zero before a change between two reports.
 	percent    int
 	progressAt time.Time
+	percentAt  time.Time
+	// percentTime is the longest time that the run has taken for a percent; 0 if not known.
+	percentTime time.Duration
+	// reading is the tail latency of a serving run in milliseconds, and for others the processors
+	// in use in thousandths; busyAt is when a report last showed more than 0.
 	reading    int
+	busyAt     time.Time
 	checkpoint string
 	// ticket is the advisor's ticket of the start order.
 	ticket string
@@ -203,14 +210,19 @@
 	w.unansweredCalls++
 }
 
-// extendLease returns a deadline on the worker's clock that lies length after now, and
-// records it. The worker's clock must be known.
+// extendLease returns a deadline on the worker's clock that lies at most length after now, and
+// records it. The worker's clock must be known; since its latest answer it may have been slow.
 func (w *worker) extendLease(now time.Time, length time.Duration) time.Duration {
-	d := w.clock + now.Sub(w.clockAt) + length
+	d := w.clock + minClockDuration(now.Sub(w.clockAt)) + length
 	w.leaseDeadline = max(w.leaseDeadline, d)
 	return d
 }
 
+// minClockDuration returns by how much a worker's clock advances at least in d of real time.
+func minClockDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * minClockRate)
+}
+
 // maxRealDuration returns how long d on a worker's clock takes at most in real time.
 func maxRealDuration(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
