fleet: a leader shows states only while no later term can have begun

Cause: a term answered questions about states for as long as it gives orders, 7 s after its last renewal (maxOrderAge). The next leader begins 1.9 s after that renewal. A leader that its store and its peers do not reach answered from its memory while the next one stored ends and showed them.

Change: a state that may still change is shown for 1.5 s after the last renewal, less than leaderTimeout. After that the node that was asked reads the store. A final state is shown as before, as it was stored and stays.

--- /dev/null
+++ b/internal/fleet/history_test.go
@@ -0,0 +1,112 @@
+package fleet_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// historyCallers call the nodes of a cluster and record what they are told.
+type historyCallers struct {
+	c       *fleettest.Cluster
+	history *fleettest.History
+	calls   sync.WaitGroup
+}
+
+const (
+	// historyVisibility is the contract's time until every node knows a job or a cancellation.
+	historyVisibility = 3 * time.Second
+	// historyCallTimeout is how long a caller waits for an answer.
+	historyCallTimeout = 3 * time.Second
+)
+
+func newHistoryCallers(c *fleettest.Cluster) *historyCallers {
+	return &historyCallers{c: c, history: fleettest.NewHistory(time.Now())}
+}
+
+// call calls a node and records the result. An answer of a process that was killed is lost.
+func (h *historyCallers) call(m *fleettest.Member, kind fleettest.CallKind, id string, do func(context.Context, *fleet.Node) (fleet.State, error)) fleettest.Call {
+	call := fleettest.Call{Kind: kind, Job: id, Node: m.Name, Result: fleettest.CallUnknown}
+	n := m.Running()
+	if n == nil {
+		return call
+	}
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), historyCallTimeout)
+	defer cancel()
+	state, err := do(ctx, n)
+	switch {
+	case m.Running() != n:
+	case err == nil:
+		call.Result, call.State = fleettest.CallAccepted, state
+	case model.IsKind(err, model.KindGone):
+		call.Result = fleettest.CallGone
+	}
+	h.history.Record(call, sent)
+	return call
+}
+
+func (h *historyCallers) submit(m *fleettest.Member, id string, s fleet.Spec) fleettest.Call {
+	return h.call(m, fleettest.CallSubmit, id, func(ctx context.Context, n *fleet.Node) (fleet.State, error) {
+		return "", n.Submit(ctx, h.c.Queue, id, s)
+	})
+}
+
+func (h *historyCallers) state(m *fleettest.Member, id string) fleettest.Call {
+	return h.call(m, fleettest.CallState, id, func(ctx context.Context, n *fleet.Node) (fleet.State, error) {
+		return n.State(ctx, h.c.Queue, id)
+	})
+}
+
+// check waits for the calls in flight and judges all calls.
+func (h *historyCallers) check(t *testing.T, calmSince time.Duration) {
+	t.Helper()
+	h.calls.Wait()
+	for _, v := range fleettest.CheckHistory(h.history.Calls(), fleettest.HistoryBounds{Visibility: historyVisibility, CalmSince: calmSince}) {
+		t.Errorf("%.3f s %s", v.At.Seconds(), v.Text)
+	}
+}
+
+// A leader that was cut off from the store showed a job as running for up to 7 s after its last
+// renewal, while the next leader had already shown the job as completed.
+func TestFormerLeaderShowsNoOlderState(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
+			task := func(n fleet.TaskName) fleettest.Task {
+				if n == (fleet.TaskName(jobID(0) + ".0.0.0")) {
+					return fleettest.Task{Work: 200 * time.Millisecond, Needs: smallNeeds}
+				}
+				return fleettest.Task{Work: 3 * time.Second, Needs: smallNeeds}
+			}
+			steps := []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: 200 * time.Millisecond}, {Count: 2, Needs: smallNeeds, Estimate: 3 * time.Second, After: []int{0}}}
+			runCluster(t, 460+seed, 3, 2, task, func(t *testing.T, c *fleettest.Cluster) {
+				h := newHistoryCallers(c)
+				require.Equal(t, fleettest.CallAccepted, h.submit(c.Nodes[0], jobID(0), fleet.Spec{Steps: steps}).Result)
+				time.Sleep(time.Second) // the end of the first step is stored
+				former := c.Leader()
+				former.Store.SetFault(fleettest.Silent)
+				former.Peers.Cut(true) // it does not hear of the next term
+				former.Workers.CutAll(true)
+				for range 120 {
+					for _, m := range c.Nodes {
+						h.calls.Go(func() { h.state(m, jobID(0)) })
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				former.Store.SetFault(fleettest.Healthy)
+				former.Peers.Cut(false)
+				former.Workers.CutAll(false)
+				waitState(t, c, jobID(0), fleet.StateCompleted, 10*time.Second)
+				h.check(t, 0)
+			})
+		})
+	}
+}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -27,6 +27,9 @@
 	notifyTimeout = 300 * time.Millisecond
 	// leaderCallPause is how long a leader that did not answer is not called again.
 	leaderCallPause = 500 * time.Millisecond
+	// stateProofMaxAge is the greatest age of the last renewal at which a leader shows states that
+	// may change. It is less than leaderTimeout, before which no other node takes leadership.
+	stateProofMaxAge = 1500 * time.Millisecond
 )
 
 // rowParams are the parameters of a call about a row that is, or is to be, stored.
@@ -210,7 +213,7 @@
 
 func (q stateQuery) handle(t *term) {
 	r := stateResult{}
-	if j := t.jobs[q.id]; j != nil && t.loaded && t.active() {
+	if j := t.jobs[q.id]; j != nil && t.loaded && t.active() && (j.visibleState.Final() || t.provenLeader()) {
 		r = stateResult{Known: true, State: j.visibleState}
 		if !j.visibleState.Final() {
 			r.MovedTo = j.movedTo
@@ -219,6 +222,11 @@
 	q.reply <- r
 }
 
+// provenLeader reports whether certainly no later term has begun by now.
+func (t *term) provenLeader() bool {
+	return !t.stopping && t.now.Sub(t.lastRenewal) < stateProofMaxAge
+}
+
 // pendingQuery asks the loop for the number of jobs of each queue that have not started.
 type pendingQuery struct{ reply chan pendingResult }
 
