--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -110,3 +110,35 @@
 		})
 	}
 }
+
+// A leader showed a job as running as soon as it had sent the first start. The store held nothing of
+// that until a task had ended, so nodes that read it, also the next leader, showed the job as queued.
+func TestRunningJobIsNotShownAsQueued(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
+			long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 30 * time.Second, Needs: smallNeeds} }
+			runCluster(t, 480+seed, 3, 2, long, func(t *testing.T, c *fleettest.Cluster) {
+				h := newHistoryCallers(c)
+				require.Equal(t, fleettest.CallAccepted, h.submit(c.Nodes[0], jobID(0), twoSteps()).Result)
+				observe := func() {
+					for range 50 {
+						for _, m := range c.Nodes {
+							h.calls.Go(func() { h.state(m, jobID(0)) })
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+				observe()
+				leader := c.Leader()
+				leader.Peers.Cut(true)
+				observe()
+				c.Kill(leader)
+				observe()
+				time.Sleep(settleTime)
+				observe()
+				h.check(t, 0)
+				require.Equal(t, fleet.StateRunning, h.state(c.Leader(), jobID(0)).State)
+			})
+		})
+	}
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -272,7 +272,7 @@
 	tk.attempt = max(tk.attempt, s.Attempt)
 	tk.runs = append(tk.runs, r)
 	r.crashesBefore = len(tk.crashes) > 0
-	j.started = true
+	j.started, j.dirty = true, j.dirty || !j.started
 	t.log.WithFields(logrus.Fields{"decision": "adopt", "task": s.Task, "attempt": s.Attempt, "worker": w.info.Worker, "percent": s.Percent}).Log(t.rowLogLevel(), "run adopted")
 	t.adoptedRuns++
 	if len(tk.runs) > 1 && !r.step.Speculative {
