fleet: a leader shows no older state than the store

Cause: a transaction of the leader may be applied seconds before the leader knows, when its answer is lost or late. Until then the leader answered with the former state, while nodes that do not reach the leader read the new one from the store.

Change: a question about a job whose state the transaction in flight changes waits for its result.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,16 @@
 	// ends maps workers to the highest run end that the transaction makes durable; empty when
 	// some progress did not fit into the transaction.
 	ends map[*worker]uint64
+	// queries ask for the states of jobs that the transaction changes; they wait for its result.
+	queries []stateQuery
+}
+
+// changesState reports whether callers may see another state of a job once the transaction is
+// applied.
+func (c *pendingCommit) changesState(job string) bool {
+	return slices.ContainsFunc(c.updates, func(u jobUpdate) bool {
+		return u.job.id == job && (u.state != u.job.visibleState || u.moved)
+	})
 }
 
 // jobUpdate is the change of a job that takes effect once the transaction is applied.
@@ -309,6 +320,9 @@
 			go t.sendMovedJob(s.job.id, s.job.movedTo-1, t.movedJobRecord(s.job))
 		}
 	}
+	for _, q := range c.queries {
+		q.handle(t)
+	}
 	for w, n := range c.ends {
 		w.lastStoredEnd = max(w.lastStoredEnd, n)
 		if !w.pollInFlight {
--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -142,3 +142,40 @@
 		})
 	}
 }
+
+// A leader whose transactions were applied without an answer showed the former states of jobs, after
+// other nodes had read the new ones from the store.
+func TestLeaderShowsNoOlderStateThanTheStore(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
+			runCluster(t, 470+seed, 3, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+				const jobs = 20
+				h := newHistoryCallers(c)
+				leader := c.Leader()
+				for _, m := range c.Nodes {
+					m.Peers.Cut(m != leader) // they read the store
+				}
+				for i := range jobs {
+					if i == jobs/4 {
+						c.Store.SetTransactionFaults(0.5, 0)
+					}
+					h.calls.Go(func() { h.submit(leader, jobID(i), twoSteps()) })
+					for range 10 {
+						for _, m := range c.Nodes {
+							for k := range i {
+								h.calls.Go(func() { h.state(m, jobID(k)) })
+							}
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+				c.Store.SetTransactionFaults(0, 0)
+				for _, m := range c.Nodes {
+					m.Peers.Cut(false)
+				}
+				waitAll(t, c, jobs, 30*time.Second)
+				h.check(t, 0)
+			})
+		})
+	}
+}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -212,6 +212,10 @@
 }
 
 func (q stateQuery) handle(t *term) {
+	if c := t.pendingCommit; c != nil && c.changesState(q.id) {
+		c.queries = append(c.queries, q) // the store may show the new state already
+		return
+	}
 	r := stateResult{}
 	if j := t.jobs[q.id]; j != nil && t.loaded && t.active() && (j.visibleState.Final() || t.provenLeader()) {
 		r = stateResult{Known: true, State: j.visibleState}
