--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -195,7 +195,7 @@
 	Length  time.Duration `arg:"--length,env:SOAK_LENGTH" default:"14s" placeholder:"DURATION" help:"time during which faults begin, from 5s to 1h"`
 	Prefix  int           `arg:"--prefix,env:SOAK_PREFIX" default:"0" placeholder:"COUNT" help:"play only the first faults of the schedule, to shrink one that breaks a promise; 0 plays all"`
 	Binary  string        `arg:"--binary,env:SOAK_BINARY" default:"bin/vpierd" placeholder:"FILE" help:"program of the nodes"`
-	Logs    string        `arg:"--logs,env:SOAK_LOGS" placeholder:"FOLDER" help:"existing folder for the nodes' logs; dropped when absent"`
+	Logs    string        `arg:"--logs,env:SOAK_LOGS" placeholder:"FOLDER" help:"folder for the logs, with one of its own for each run; when absent, the logs of runs that broke a promise stay in a temporary folder"`
 	HTML    string        `arg:"--html,env:SOAK_HTML" placeholder:"FILE" help:"page with a timeline of faults and broken promises"`
 }
 
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -29,6 +29,9 @@
 		if len(r.Violations) == 0 {
 			continue
 		}
+		if _, err := fmt.Fprintf(w, "  logs and schedule: %s\n", r.Logs); err != nil {
+			return err
+		}
 		for _, b := range r.Violations {
 			if _, err := fmt.Fprintf(w, "  %6.2f s  %s\n", b.At.Seconds(), b.Text); err != nil {
 				return err
@@ -45,10 +48,12 @@
 }
 
 // WriteJSON writes the results as one JSON array.
-func WriteJSON(w io.Writer, results []Result) error {
+func WriteJSON(w io.Writer, results []Result) error { return writeJSON(w, results) }
+
+func writeJSON(w io.Writer, value any) error {
 	e := json.NewEncoder(w)
 	e.SetIndent("", "  ")
-	return e.Encode(results)
+	return e.Encode(value)
 }
 
 // bar is a fault or a violation on the timeline. Positions are in percent of the width.
--- a/internal/soak/report_test.go
+++ b/internal/soak/report_test.go
@@ -13,7 +13,7 @@
 	return []Result{
 		{Seed: 1, Length: 10 * time.Second, Faults: []Fault{{At: 2 * time.Second, Duration: 3 * time.Second, Kind: KillNode, Target: 1}}, Accepted: 4},
 		{Seed: 2, Length: 10 * time.Second, Faults: []Fault{{At: 5 * time.Second, Duration: time.Second, Kind: CutStore}},
-			Violations: []Violation{{At: 20 * time.Second, Text: "LOST: <job>"}}},
+			Violations: []Violation{{At: 20 * time.Second, Text: "LOST: <job>"}}, Logs: "logs/seed-2"},
 	}
 }
 
@@ -22,6 +22,7 @@
 	require.NoError(t, WriteText(&text, sampleResults()))
 	require.Contains(t, text.String(), "seed 1: ok")
 	require.Contains(t, text.String(), "seed 2: BROKEN")
+	require.Contains(t, text.String(), "logs/seed-2")
 	require.Contains(t, text.String(), "cut-store 0", "faults of a broken run")
 	require.NotContains(t, text.String(), "kill-node", "none of a clean one")
 	require.Contains(t, text.String(), "1 of 2 seeds with a broken promise")
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -28,8 +29,9 @@
 	// Prefix limits the schedule to its first faults, to minimise a failing schedule; 0
 	// keeps all.
 	Prefix int
-	// Logs is the directory for the logs; a temporary directory if empty. Each seed has a
-	// directory of its own in it, seed-N, with its schedule and its result.
+	// Logs is the directory for the logs; if empty, a temporary directory that stays only if a
+	// guarantee was violated. Each run has a directory of its own in it with its schedule and
+	// its result; see newDirectory.
 	Logs string
 }
 
@@ -60,25 +62,35 @@
 	Refused    int           `json:"refused"`
 	Starts     int           `json:"starts"`
 	Took       time.Duration `json:"took"`
+	// Logs is the run's directory; empty if it was removed.
+	Logs string `json:"logs,omitempty"`
 }
 
 // Run runs the schedule and the load of one seed and checks the guarantees.
-func Run(ctx context.Context, o Options) (_ Result, err error) {
+func Run(ctx context.Context, o Options) (r Result, err error) {
 	logs := o.Logs
 	if logs == "" {
 		if logs, err = os.MkdirTemp("", "vpier-soak-"); err != nil {
 			return Result{}, err
 		}
-		defer func() { _ = os.RemoveAll(logs) }()
+		defer func() {
+			if err == nil && len(r.Violations) == 0 {
+				r.Logs = ""
+				_ = os.RemoveAll(logs)
+			}
+		}()
 	}
-	dir := filepath.Join(logs, fmt.Sprintf("seed-%d", o.Seed))
-	if err := os.MkdirAll(dir, 0o750); err != nil {
+	dir, err := newDirectory(logs, o.Seed)
+	if err != nil {
 		return Result{}, err
 	}
 	faults := Schedule(o.Seed, o.Nodes, o.Workers, o.Length)
 	if o.Prefix > 0 && o.Prefix < len(faults) {
 		faults = faults[:o.Prefix]
 	}
+	if err := keep(dir, resultFile, []Result{{Seed: o.Seed, Length: o.Length, Faults: faults}}); err != nil {
+		return Result{}, err
+	}
 	startTime := time.Now()
 	c, err := newCluster(o, dir)
 	defer func() { err = errors.Join(err, c.close()) }()
@@ -106,17 +118,37 @@
 	load.awaitCompletion(recoveryLimit + completionLimit)
 	load.checkNoTasksRunning()
 	load.checkShutdown()
-	r := load.result(o, faults)
-	return r, errors.Join(keepResult(dir, r), ctx.Err())
+	r = load.result(o, faults)
+	r.Logs = dir
+	return r, errors.Join(keep(dir, resultFile, []Result{r}), ctx.Err())
+}
+
+// resultFile is the file of a run's directory that holds its schedule and, after it, its result.
+const resultFile = "result.json"
+
+// newDirectory makes the directory of a run, seed-N, or seed-N-2 and so on after the directories of
+// earlier runs of the seed, which stay.
+func newDirectory(logs string, seed uint64) (string, error) {
+	if err := os.MkdirAll(logs, 0o750); err != nil {
+		return "", err
+	}
+	dir := filepath.Join(logs, fmt.Sprintf("seed-%d", seed))
+	next := dir
+	for i := 2; ; i++ {
+		if err := os.Mkdir(next, 0o750); !errors.Is(err, fs.ErrExist) {
+			return next, err
+		}
+		next = fmt.Sprintf("%s-%d", dir, i)
+	}
 }
 
-// keepResult writes the result of a run, with its schedule, beside its logs.
-func keepResult(dir string, r Result) error {
-	f, err := os.Create(filepath.Join(dir, "result.json"))
+// keep writes a value to a file of a run's directory.
+func keep(dir, name string, value any) error {
+	f, err := os.Create(filepath.Join(dir, name))
 	if err != nil {
 		return err
 	}
-	return errors.Join(WriteJSON(f, []Result{r}), f.Close())
+	return errors.Join(writeJSON(f, value), f.Close())
 }
 
 // checkNoTasksRunning checks that no worker runs a task any more within taskEndLimit.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -74,6 +75,32 @@
 	}
 }
 
+// Each run of a seed wrote over the logs of the run before, and runs without a folder for logs
+// dropped them.
+func TestBrokenRunKeepsItsLogs(t *testing.T) {
+	t.Parallel()
+	o := Options{Binary: "false", Seed: 9, Nodes: 1, Workers: 1, Length: time.Second}
+	r, err := Run(t.Context(), o)
+	require.NoError(t, err)
+	require.NotEmpty(t, r.Violations, "a node that ends at once")
+	defer func() { _ = os.RemoveAll(filepath.Dir(r.Logs)) }()
+	for _, name := range []string{resultFile, "node-0.json", "node-0.log", "workers.log"} {
+		require.FileExists(t, filepath.Join(r.Logs, name))
+	}
+	data, err := os.ReadFile(filepath.Join(r.Logs, resultFile))
+	require.NoError(t, err)
+	var kept []Result
+	require.NoError(t, json.Unmarshal(data, &kept))
+	require.Equal(t, []Result{r}, kept, "its schedule and its result")
+
+	next, err := newDirectory(filepath.Dir(r.Logs), o.Seed)
+	require.NoError(t, err)
+	require.NotEqual(t, r.Logs, next, "a later run of the seed has another folder")
+	third, err := newDirectory(filepath.Dir(r.Logs), o.Seed)
+	require.NoError(t, err)
+	require.NotContains(t, []string{r.Logs, next}, third)
+}
+
 func TestScheduleIsDeterministic(t *testing.T) {
 	require.Equal(t, Schedule(3, 4, 6, time.Minute), Schedule(3, 4, 6, time.Minute))
 	require.NotEqual(t, Schedule(3, 4, 6, time.Minute), Schedule(4, 4, 6, time.Minute))
