--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
 	"github.com/vanillapier/vanillapier/platform/platformtest"
 )
@@ -48,11 +49,9 @@
 	AcceptedAt time.Time
 	// Refused means that every attempt was answered with 503 or 429.
 	Refused bool
-	// Cancelled means that the job may be cancelled.
-	Cancelled bool
 	// CancelledAt is the time at which a cancellation was acknowledged; zero before.
 	CancelledAt time.Time
-	FinalState  string
+	FinalState  fleet.State
 }
 
 // callers submits jobs, cancels some, queries job states and records violations.
@@ -61,16 +60,18 @@
 	client    *http.Client
 	startTime time.Time
 
+	history    *fleettest.History
 	mu         sync.Mutex
 	random     *rand.Rand
 	jobs       []*jobRecord
 	violations []Violation
+	calmSince  time.Duration // since the start of the run
 	calls      sync.WaitGroup
 }
 
 func newCallers(c *cluster, seed uint64, startTime time.Time) *callers {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &callers{cluster: c, startTime: startTime, random: rand.New(rand.NewPCG(seed, 12)),
+	return &callers{cluster: c, startTime: startTime, history: fleettest.NewHistory(startTime), random: rand.New(rand.NewPCG(seed, 12)),
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}}}
 }
 
@@ -128,9 +129,39 @@
 	return c.cluster.nodes[c.random.IntN(len(c.cluster.nodes))]
 }
 
-// call sends one request to a node; status 0 means no response.
-func (c *callers) call(n *node, method, id string, body []byte) (int, []byte) {
-	return route.Call(c.client, n.callerAddr, method, id, body, callTimeout)
+// callKinds are the kinds of calls by HTTP method.
+var callKinds = map[string]fleettest.CallKind{http.MethodPost: fleettest.CallSubmit, http.MethodGet: fleettest.CallState, http.MethodDelete: fleettest.CallCancel}
+
+// call sends one request to a node and records it; status 0 means no response.
+func (c *callers) call(n *node, method, id string, body []byte) (status int, state fleet.State) {
+	sent := time.Now()
+	status, answer := route.Call(c.client, n.callerAddr, method, id, body, callTimeout)
+	r := fleettest.Call{Kind: callKinds[method], Job: id, Node: n.name, Result: callResult(method, status)}
+	if r.Kind == fleettest.CallState && r.Result == fleettest.CallAccepted {
+		var shown struct {
+			State fleet.State `json:"state"`
+		}
+		if err := json.Unmarshal(answer, &shown); err != nil || shown.State == "" {
+			c.addViolation("answer of %s cannot be read: %s", n.name, answer)
+		}
+		r.State = shown.State
+	}
+	c.history.Record(r, sent)
+	return status, r.State
+}
+
+// callResult returns what the status of an answer says about its call. A cancellation without an
+// acknowledgement may still take effect.
+func callResult(method string, status int) fleettest.CallResult {
+	switch {
+	case status == http.StatusOK:
+		return fleettest.CallAccepted
+	case status == http.StatusGone:
+		return fleettest.CallGone
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable && method != http.MethodDelete:
+		return fleettest.CallRefused
+	}
+	return fleettest.CallUnknown
 }
 
 // submit submits a job until it is accepted or the attempts are used up.
@@ -166,25 +197,14 @@
 
 // cancel cancels a job: it asks until a node has acknowledged that, or the attempts are used up.
 func (c *callers) cancel(j *jobRecord) {
-	unknown := false // without a response, or after a 5xx, the cancellation may have taken effect
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		j.Cancelled = unknown || !j.CancelledAt.IsZero()
-	}()
 	for range maxCancelAttempts {
-		c.mu.Lock()
-		j.Cancelled = true // another node may show it before the answer is here
-		c.mu.Unlock()
-		status, _ := c.call(c.randomNode(), http.MethodDelete, j.ID, nil)
-		if status == http.StatusOK {
+		if status, _ := c.call(c.randomNode(), http.MethodDelete, j.ID, nil); status == http.StatusOK {
 			c.cluster.ledger.Cancelled(j.ID)
 			c.mu.Lock()
 			j.CancelledAt = time.Now()
 			c.mu.Unlock()
 			return
 		}
-		unknown = unknown || status == 0 || status >= 500
 		time.Sleep(pollInterval)
 	}
 }
@@ -194,6 +214,7 @@
 func (c *callers) checkCancelled(ctx context.Context) {
 	calmSince := time.Now()
 	c.mu.Lock()
+	c.calmSince = calmSince.Sub(c.startTime)
 	jobs := append([]*jobRecord(nil), c.jobs...)
 	c.mu.Unlock()
 	for i, j := range jobs {
@@ -250,44 +271,23 @@
 
 // queryState queries a node for the state of an accepted job, checks the state and returns
 // it. The result is empty when the node gives no state.
-func (c *callers) queryState(n *node, j *jobRecord) string {
-	status, body := c.call(n, http.MethodGet, j.ID, nil)
+func (c *callers) queryState(n *node, j *jobRecord) fleet.State {
+	status, state := c.call(n, http.MethodGet, j.ID, nil)
+	done := c.cluster.ledger.DoneTasks(j.ID)
 	switch {
 	case status == http.StatusGone:
 		c.addViolation("LOST: %s says that accepted job %s is gone", n.name, j.ID)
-		return ""
-	case status != http.StatusOK:
-		return ""
-	}
-	var answer struct {
-		State string `json:"state"`
-	}
-	if err := json.Unmarshal(body, &answer); err != nil {
-		c.addViolation("answer of %s cannot be read: %s", n.name, body)
-		return ""
+	case state == fleet.StateCompleted && done < j.Tasks:
+		c.addViolation("MIXED: %s shows job %s as completed with %d of %d tasks done", n.name, j.ID, done, j.Tasks)
+	case state == fleet.StateFailed:
+		c.addViolation("LOST: %s shows job %s as failed without a cause", n.name, j.ID)
 	}
-	c.checkState(n, j, answer.State)
-	return answer.State
-}
-
-// checkState compares a state with what is known about the job.
-func (c *callers) checkState(n *node, j *jobRecord, state string) {
-	done := c.cluster.ledger.DoneTasks(j.ID)
-	c.mu.Lock()
-	cancelled, final := j.Cancelled, j.FinalState
-	switch state {
-	case "completed", "failed", "cancelled":
+	if state.Final() {
+		c.mu.Lock()
 		j.FinalState = state
+		c.mu.Unlock()
 	}
-	c.mu.Unlock()
-	switch {
-	case state == "completed" && done < j.Tasks:
-		c.addViolation("MIXED: %s shows job %s as completed with %d of %d tasks done", n.name, j.ID, done, j.Tasks)
-	case state == "failed", state == "cancelled" && !cancelled:
-		c.addViolation("LOST: %s shows job %s as %s without a cause", n.name, j.ID, state)
-	case final == "completed" && state != "completed":
-		c.addViolation("MIXED: %s shows job %s as %s after it was %s", n.name, j.ID, state, final)
-	}
+	return state
 }
 
 // awaitCompletion waits until a node has shown a final state for every accepted job. It also
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,8 +30,8 @@
 	// keeps all.
 	Prefix int
 	// Logs is the directory for the logs; if empty, a temporary directory that stays only if a
-	// guarantee was violated. Each run has a directory of its own in it with its schedule and
-	// its result; see newDirectory.
+	// guarantee was violated. Each run has a directory of its own in it with its schedule, its
+	// result and the calls of its callers; see newDirectory.
 	Logs string
 }
 
@@ -120,7 +120,7 @@
 	load.checkShutdown()
 	r = load.result(o, faults)
 	r.Logs = dir
-	return r, errors.Join(keep(dir, resultFile, []Result{r}), ctx.Err())
+	return r, errors.Join(keep(dir, resultFile, []Result{r}), keep(dir, "calls.json", load.history.Calls()), ctx.Err())
 }
 
 // resultFile is the file of a run's directory that holds its schedule and, after it, its result.
@@ -195,6 +195,9 @@
 	defer c.mu.Unlock()
 	r := Result{Seed: o.Seed, Length: o.Length, Faults: faults, Violations: c.violations, Jobs: len(c.jobs),
 		Starts: c.cluster.ledger.StartCount(), Took: time.Since(c.startTime)}
+	for _, v := range fleettest.CheckHistory(c.history.Calls(), fleettest.HistoryBounds{Visibility: visibilityDelay, CalmSince: c.calmSince}) {
+		r.Violations = append(r.Violations, Violation{v.At, v.Text})
+	}
 	for _, text := range c.cluster.ledger.Violations() {
 		if !strings.Contains(text, fleettest.Unasked) {
 			text = "TWICE: " + text
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -84,7 +84,7 @@
 	require.NoError(t, err)
 	require.NotEmpty(t, r.Violations, "a node that ends at once")
 	defer func() { _ = os.RemoveAll(filepath.Dir(r.Logs)) }()
-	for _, name := range []string{resultFile, "node-0.json", "node-0.log", "workers.log"} {
+	for _, name := range []string{resultFile, "calls.json", "node-0.json", "node-0.log", "workers.log"} {
 		require.FileExists(t, filepath.Join(r.Logs, name))
 	}
 	data, err := os.ReadFile(filepath.Join(r.Logs, resultFile))
