fleet: a cancellation shows when the leader has stored it

What callers saw: a job that was shown as cancelled was shown as running or queued again, and one that was shown as completed became cancelled when it was cancelled afterwards.

Causes, all of one kind: "cancelled" was derived from the row of the cancellation, by nodes that read the store and by the leader at once, while all other states come from the progress that the leader stores. - A transaction that was in flight at the cancellation set the former state again when its answer came. - The leader took a cancellation between a job's end and the answer to the transaction that stored the end: it overwrote "completed". - A job that had moved was shown as cancelled by the cell that it had left, though it had been completed in the next one. - The leader of the cell to which a job had moved did not know of the cancellation that nodes read from the store.

Change: the state that callers see is the one that is stored with the job's progress, nothing else. A cancellation stops work at once, as before, and shows with the next transaction. A job that is over is not cancelled any more, also before its end is stored. The cell that a job has left shows no final state for it.

TestCancellationBeforeItsJob read the state that callers see right after the cancellation. It now requires that the job is over and cancelled then, and shown so once the next transaction is applied.

--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -66,6 +66,12 @@
 	})
 }
 
+func (h *historyCallers) cancel(m *fleettest.Member, id string) fleettest.Call {
+	return h.call(m, fleettest.CallCancel, id, func(ctx context.Context, n *fleet.Node) (fleet.State, error) {
+		return "", n.Cancel(ctx, h.c.Queue, id)
+	})
+}
+
 // check waits for the calls in flight and judges all calls.
 func (h *historyCallers) check(t *testing.T, calmSince time.Duration) {
 	t.Helper()
@@ -179,3 +185,48 @@
 		})
 	}
 }
+
+// A leader showed a job as cancelled before that was stored, and a transaction that was in flight then
+// took it back; one that had stored the end of the job was overwritten.
+func TestCancellationLeavesFinalState(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
+			runCluster(t, 490+seed, 3, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
+				const jobs, lifetime = 30, 10 // of a job, in jobs that are submitted meanwhile
+				h, start := newHistoryCallers(c), time.Now()
+				leader := c.Leader()
+				for _, m := range c.Nodes {
+					m.Peers.Cut(m != leader) // they read the store
+				}
+				c.Store.SetTransactionFaults(0.5, 0)
+				for i := range jobs {
+					h.calls.Go(func() { h.submit(leader, jobID(i), twoSteps()) })
+					for k := range 10 {
+						if k%3 == 0 && i > lifetime {
+							h.calls.Go(func() { h.cancel(leader, jobID(i-lifetime-k/3)) })
+						}
+						for _, m := range c.Nodes {
+							for k := range i {
+								h.calls.Go(func() { h.state(m, jobID(k)) })
+							}
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+				c.Store.SetTransactionFaults(0, 0)
+				calm := time.Since(start)
+				for _, m := range c.Nodes {
+					m.Peers.Cut(false)
+				}
+				time.Sleep(settleTime)
+				for range 10 {
+					for i := range jobs {
+						h.calls.Go(func() { h.state(c.Nodes[i%len(c.Nodes)], jobID(i)) })
+					}
+					time.Sleep(time.Second)
+				}
+				h.check(t, calm)
+			})
+		})
+	}
+}
--- a/internal/fleet/intake.go
+++ b/internal/fleet/intake.go
@@ -302,11 +302,6 @@
 		}
 		state, moved = p.State, p.MovedTo
 	}
-	for _, row := range jobs {
-		if row.Key == id+cancelSuffix && !state.Final() {
-			state = StateCancelled
-		}
-	}
 	return state, moved, nil
 }
 
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -156,8 +156,8 @@
 
 	account jobAccount
 
-	// visibleState is the state that callers see. A final state is shown only once it is
-	// durable.
+	// visibleState is the state that callers see: the one that is stored, so that a node that
+	// reads it from the store shows no older one.
 	visibleState State
 	// dirty marks progress that is not stored yet.
 	dirty bool
@@ -175,7 +175,7 @@
 // state derives the state from the progress.
 func (j *job) state() State {
 	switch {
-	case j.cancelled:
+	case j.cancelled && j.movedTo == 0:
 		return StateCancelled
 	case j.failureReason != "":
 		return StateFailed
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -209,6 +209,11 @@
 	row := Row{RowID: RowID{Key: jobName}, Version: 12, Value: encode(jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}})}
 	tm.cancelJob(jobName)
 	tm.applyJobRow(row, 0)
+	require.Equal(t, StateCancelled, tm.jobs[jobName].state())
+	require.True(t, tm.jobs[jobName].over())
+	require.Equal(t, StateQueued, tm.jobs[jobName].visibleState, "nothing of it is stored")
+	c, _ := tm.collectTransaction()
+	commitResult{commit: c, version: 13}.handle(tm)
 	require.Equal(t, StateCancelled, tm.jobs[jobName].visibleState)
 	delete(tm.jobs, jobName)
 	tm.now = tm.now.Add(earlyCancellationAge + time.Second)
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -259,7 +259,7 @@
 		}
 		j.restoreOccurrence(r, now, toMonotonic)
 	}
-	j.visibleState = j.state()
+	j.visibleState = p.State
 }
 
 func (j *job) restoreOccurrence(r occurrenceRecord, now time.Time, toMonotonic func(int64) time.Time) {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -163,11 +163,11 @@
 		t.earlyCancellations[id] = t.now
 		return
 	}
-	if j.cancelled || (j.visibleState.Final() && len(j.borrowed) == 0) {
+	// A transaction in flight may have stored that the job is over.
+	if j.cancelled || ((j.visibleState.Final() || j.state().Final()) && len(j.borrowed) == 0) {
 		return
 	}
 	j.cancelled, j.dirty, j.endedAt = true, true, t.now
-	j.visibleState = StateCancelled // final at once: the cancellation is stored
 	t.cancelLentTasks(j)
 	if j.movedTo > 0 {
 		if j.moveStored {
