--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"testing"
@@ -230,3 +231,59 @@
 		})
 	}
 }
+
+// TestHistoryUnderRandomFaults injects random sequences of faults while callers submit, cancel and
+// query jobs at all nodes, and judges what they were told.
+func TestHistoryUnderRandomFaults(t *testing.T) {
+	first, end := seedRange(t, 1, randomSeeds)
+	for seed := first; seed < end; seed++ {
+		for _, cells := range []int{1, 3} {
+			t.Run(strconv.Itoa(seed)+"-cells-"+strconv.Itoa(cells), func(t *testing.T) { runHistory(t, uint64(seed), cells) })
+		}
+	}
+}
+
+func runHistory(t *testing.T, seed uint64, cells int) {
+	random := rand.New(rand.NewPCG(seed, 8))
+	tasks := func(fleet.TaskName) fleettest.Task {
+		return fleettest.Task{Work: 1500 * time.Millisecond, Needs: smallNeeds, Checkpoint: true}
+	}
+	prepare := func() *fleettest.Cluster {
+		c := fleettest.NewCluster(seed, 4, 5, tasks)
+		c.Cells = cells
+		return c
+	}
+	runClusterWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
+		const jobs, callsPerJob = 24, 12
+		setHostSizes(c, 200, 800, 200, 400)
+		f := &faults{c: c, random: random, next: 5, kinds: overloadFaults}
+		h := newHistoryCallers(c)
+		start := time.Now()
+		for i := range jobs {
+			if random.IntN(3) > 0 {
+				f.injectFault()
+			}
+			m := f.node()
+			h.calls.Go(func() { h.submit(m, jobID(i), twoSteps()) })
+			for k := range callsPerJob {
+				m, id := f.node(), jobID(random.IntN(i+1))
+				if k == 0 && random.IntN(4) == 0 {
+					h.calls.Go(func() { h.cancel(m, id) })
+				}
+				h.calls.Go(func() { h.state(m, id) })
+				time.Sleep(time.Duration(random.IntN(150)) * time.Millisecond)
+			}
+		}
+		f.endFaults()
+		calm := time.Since(start)
+		time.Sleep(settleTime + historyVisibility)
+		for range 30 {
+			for i := range jobs {
+				m := f.node()
+				h.calls.Go(func() { h.state(m, jobID(i)) })
+			}
+			time.Sleep(time.Second)
+		}
+		h.check(t, calm)
+	})
+}
