vpierd: requests in flight are answered during a drain

What callers saw: a request that a node had taken before SIGTERM or during the 2.3 s after it, and that was not answered then, ended without an answer.

Cause: http.Server.Serve returns when a shutdown begins, not when it has ended. Its actor of the run group returned with it, so the group ended all the others: the servers were closed with their connections, and the node stopped, while the drain had just begun to wait for the requests.

Change: the actors of the servers return when the drain has ended, as its own actor does.

--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -188,7 +188,7 @@
 	var g run.Group
 	g.Add(func() error { return p.node.Run(ctx) }, func(error) { cancel() })
 	for i, s := range []*http.Server{p.callers, p.ready, p.metrics} {
-		g.Add(func() error { return serve(s, p.listeners[i]) }, func(error) { _ = s.Close() })
+		g.Add(func() error { return serve(ctx, s, p.listeners[i]) }, func(error) { _ = s.Close() })
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
@@ -196,10 +196,12 @@
 	return g.Run()
 }
 
-func serve(s *http.Server, ln net.Listener) error {
+// serve serves until ctx ends: Serve returns when a shutdown begins, but requests in flight go on.
+func serve(ctx context.Context, s *http.Server, ln net.Listener) error {
 	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-ctx.Done()
 	return nil
 }
 
