--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -296,6 +296,17 @@
 	return n.done
 }
 
+// dumpTime is the time for a process to write its stacks to its log.
+const dumpTime = time.Second
+
+// dumpGoroutines ends the process by a signal that makes it write the stacks of its goroutines.
+func (n *node) dumpGoroutines() {
+	select {
+	case <-n.signal(syscall.SIGQUIT):
+	case <-time.After(dumpTime):
+	}
+}
+
 // freeze stops the process until it is unfrozen, or continues it.
 func (n *node) freeze(on bool) {
 	n.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -185,6 +185,7 @@
 			}
 		case <-deadline:
 			c.addViolation("%s has not stopped within %v", n.name, grace)
+			n.dumpGoroutines()
 			return
 		}
 	}
