--- a/internal/fleet/waits_test.go
+++ b/internal/fleet/waits_test.go
@@ -25,10 +25,8 @@
 // waitTerm returns a term with one worker and jobs of one filler task each, by id.
 func waitTerm(t *testing.T, ids ...string) (*term, *worker) {
 	t.Helper()
-	tm := newTestTerm(1)
-	tm.now, tm.lastRenewal, tm.loaded, tm.runsKnown = at(10), at(10), true, true
-	tm.layout = &layout{Cells: 1}
-	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2}
+	tm := loadedTerm(t)
+	tm.now, tm.lastRenewal = at(10), at(10)
 	w := testWorker("w")
 	tm.workers["w"] = w
 	for _, id := range ids {
@@ -53,10 +51,12 @@
 		"retry": func(tm *term, _ *worker, j *job) {
 			j.occurrences[0].steps[0].tasks[0].notBefore = tm.now.Add(time.Second)
 		},
-		"workers":        func(_ *term, w *worker, _ *job) { w.listed = false },
-		"capacity":       func(_ *term, w *worker, _ *job) { w.reserved.MemoryMB = w.info.Capacity.MemoryMB },
-		"spare-capacity": func(_ *term, w *worker, _ *job) { w.fillerMilliCPU = w.info.Capacity.MilliCPU },
-		"headroom":       func(_ *term, w *worker, _ *job) { overTarget(w) },
+		"workers":  func(_ *term, w *worker, _ *job) { w.listed = false },
+		"capacity": func(_ *term, w *worker, _ *job) { w.reserved.MemoryMB = w.info.Capacity.MemoryMB },
+		"spare-capacity": func(_ *term, w *worker, _ *job) {
+			w.fillerMilliCPU, w.reserved.MilliCPU = w.info.Capacity.MilliCPU, 10_000 // else it starts at a reduced pace
+		},
+		"headroom": func(_ *term, w *worker, _ *job) { overTarget(w) },
 	}
 	for reason, shut := range gate {
 		t.Run(reason, func(t *testing.T) {
