--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -77,15 +77,21 @@
 	slices.SortFunc(idle, func(a, b idleStep) int {
 		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.job.id, b.step.job.id))
 	})
-	for _, i := range idle[:min(len(idle), limit)] {
+	workers := p.workersForReduced()
+	for _, i := range idle {
+		if limit == 0 || len(workers) == 0 {
+			return
+		}
 		w := i.step
 		if since, none := w.job.unprovenSince(); !none || since != i.since {
 			continue // another step of the job has started
 		}
 		task := w.undoneTask()
 		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[task], tasksPerWorker: runsPerWorker(w.state())}
-		if x, pace := p.findReducedPace(r); x != nil {
+		if x, pace := p.findReducedPace(workers, r); x != nil {
 			t.startReduced(w.job, w.key(task), x, pace)
+			limit--
+			workers = slices.DeleteFunc(workers, func(o *worker) bool { return o == x })
 		}
 	}
 }
@@ -130,16 +136,27 @@
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
-// findReducedPace returns the worker whose services tolerate the largest share of a filler that
-// none of them tolerates at full pace, and the pace in percent; nil if there is none. Workers
-// without processors to spare come last.
-func (p *placement) findReducedPace(r taskRequest) (*worker, int) {
+// workersForReduced returns the workers on which a filler may start at a reduced pace.
+func (p *placement) workersForReduced() []*worker {
+	var workers []*worker
+	for _, w := range p.workers {
+		if w.mayReduce() && !p.interference.overTarget(w, p.now) {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
+// findReducedPace returns the one of the workers whose services tolerate the largest share of a
+// filler that none of them tolerates at full pace, and the pace in percent; nil if there is none.
+// Workers without processors to spare come last.
+func (p *placement) findReducedPace(workers []*worker, r taskRequest) (*worker, int) {
 	var best *worker
 	most := 0.0
-	for _, w := range p.workers {
+	for _, w := range workers {
 		o, tolerated := p.obstacle(w, r), 0.0
 		switch {
-		case (o != lacksHeadroom && o != lacksSpareCapacity) || !w.mayReduce() || p.interference.overTarget(w, p.now):
+		case o != lacksHeadroom && o != lacksSpareCapacity:
 			continue
 		case o == lacksHeadroom:
 			_, tolerated = p.interference.placementCost(w, r.step, p.now)
--- /dev/null
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// pressedTerm returns a loaded term in which fillers press hard on services.
+func pressedTerm(t *testing.T) *term {
+	t.Helper()
+	tm := loadedTerm(t)
+	tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
+	return tm
+}
+
+// addWorker adds a worker with a service that does not tolerate a large filler at full pace, if its
+// headroom is small.
+func addWorker(tm *term, id string, index int, headroom float64) *worker {
+	w := testWorker(id)
+	tm.workers[w.info.Worker] = w
+	addService(tm, w, index, 4000, headroom)
+	return w
+}
+
+// addFillerJob adds an expired job of one filler step.
+func addFillerJob(tm *term, id string, step Step) *job {
+	step.Filler, step.Image = true, "f"
+	j := newJob(id, jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, tm.now.Add(-time.Minute))
+	j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[id] = j
+	return j
+}
+
+// planFor plans at each tick for d. All starts are answered.
+func planFor(tm *term, d time.Duration) {
+	for end := tm.now.Add(d); tm.now.Before(end); {
+		tm.now = tm.now.Add(tickInterval)
+		tm.lastRenewal = tm.now
+		tm.plan()
+		answerStarts(tm)
+	}
+}
+
+// Idle jobs that no worker could take kept the jobs behind them from a start at a reduced pace.
+func TestIdleJobsThatFitNowhereDelayNoOther(t *testing.T) {
+	tm := pressedTerm(t)
+	addWorker(tm, "small", 100, 1.1).info.Capacity.MemoryMB = 1000
+	addWorker(tm, "pressed", 101, 0.8)
+	for i := range maxStartsPerPlan {
+		addFillerJob(tm, fmt.Sprintf("%03d", i), Step{Count: 1, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2000}})
+	}
+	tm.now = at(0.1)
+	j := addFillerJob(tm, "last", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 100}})
+	planFor(tm, 2*time.Second)
+	_, idle := j.idleSince()
+	require.False(t, idle)
+}
