--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -60,3 +60,20 @@
 	_, idle := j.idleSince()
 	require.False(t, idle)
 }
+
+// A run at a reduced pace worked at full pace when a report listed it before its start was answered.
+func TestReducedPaceIsSetWhenReportListsTheRunFirst(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	tm.now = at(2)
+	tm.lastRenewal = tm.now
+	tm.plan()
+	r := j.occurrences[0].steps[0].tasks[0].runs[0]
+	require.True(t, r.reduced)
+	tm.applyRunning(w, []RunStatus{{RunRef: r.ref}})
+	require.Equal(t, runLive, r.state)
+	require.True(t, r.paceInFlight)
+	startReply{run: r, worker: w, reply: WorkerReply{Verdict: StartRunning}}.handle(tm)
+	require.Zero(t, r.startPace)
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -220,16 +220,11 @@
 			}
 		}
 		r.observeProgress(s, t.now)
-		r.answered, r.listed = true, true
-		if r.job != nil {
-			r.job.begun = true
-		}
+		r.listed = true
+		t.confirmStart(r)
 		if r.crashed || r.crashesBefore {
 			t.observeSurvival(r)
 		}
-		if r.state == runSent || r.state == runUnconfirmed {
-			r.state, r.stateSince = runLive, t.now
-		}
 		t.observeServingRun(r)
 	}
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -126,7 +126,10 @@
 
 // confirmStart records that a start order was carried out.
 func (t *term) confirmStart(r *run) {
-	r.answered, r.job.begun = true, true
+	r.answered = true
+	if r.job != nil {
+		r.job.begun = true
+	}
 	if r.state == runSent || r.state == runUnconfirmed {
 		r.state, r.stateSince = runLive, t.now
 		r.progressAt = t.now
