--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -77,3 +78,26 @@
 	startReply{run: r, worker: w, reply: WorkerReply{Verdict: StartRunning}}.handle(tm)
 	require.Zero(t, r.startPace)
 }
+
+// A run whose first pace order got no answer counted as reduced for good beside a service with
+// headroom: it worked at full pace, and its worker took no other start at a reduced pace.
+func TestReducedRunWithoutAnswerToItsPaceDoesNotStayReduced(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	tm.now = at(2)
+	tm.lastRenewal = tm.now
+	tm.plan()
+	r := j.occurrences[0].steps[0].tasks[0].runs[0]
+	tm.confirmStart(r)
+	paceReply{run: r, worker: w, percent: idlePace, err: context.DeadlineExceeded}.handle(tm)
+	for _, s := range w.runs {
+		s.lastSample = headroomSample{reportedAt: tm.now, headroom: 4, baseline: 7}
+	}
+	w.pacesDue, w.interferenceView = true, nil
+	tm.adjustPaces(w)
+	require.True(t, r.paceInFlight)
+	paceReply{run: r, worker: w, percent: 100}.handle(tm)
+	require.False(t, r.reduced)
+	require.Zero(t, w.reducedMilliCPU)
+}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -68,7 +68,7 @@
 		pace := t.paceFor(v, r, headroom)
 		lowHeadroom = lowHeadroom || pace < 100
 		switch {
-		case r.paceUnknown:
+		case r.paceUnknown, r.reduced && r.pace == 100: // its first pace order got no answer
 			t.setPace(r, pace)
 		case pace < r.pace && (pace+paceStep < r.pace || t.now.Sub(r.paceSetAt) > paceLowerInterval || !v.overTargetSince.IsZero()):
 			t.setPace(r, pace)
