--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -199,28 +199,34 @@
 	w.setReduced(r, true)
 }
 
-// reduceInPlace lets a paused filler go on at a reduced pace, if it is the only run of its job and
+// reduceInPlace lets a paused filler go on at a reduced pace, if nothing else of its job works and
 // no worker tolerates it at full pace: stopped, it would start again at a reduced pace elsewhere.
+// One that may not be stopped goes on in any case.
 // It reports whether it does.
 func (t *term) reduceInPlace(v *interferenceView, r *run) bool {
 	o := r.job.openOccurrenceAt(r.key.occurrence)
-	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.hasOtherRun(r) || !r.worker.mayReduce() {
+	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.worksBeside(r) || !r.worker.mayReduce() {
 		return false
 	}
 	p := t.newPlacement(r.worker.info.Service)
-	if !t.mostlyFree(p.service) || p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
+	if !t.mostlyFree(p.service) {
+		return false
+	}
+	if r.mayRestart() && p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
 		return false
 	}
 	r.worker.setReduced(r, true)
 	return true
 }
 
-// hasOtherRun reports whether a run of the job other than r has not been ordered to stop.
-func (j *job) hasOtherRun(r *run) bool {
+// worksBeside reports whether a run of the job other than r has not been ordered to pause or stop.
+func (j *job) worksBeside(r *run) bool {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			for n := range o.steps[i].tasks {
-				if slices.ContainsFunc(o.steps[i].tasks[n].runs, func(other *run) bool { return other != r && other.live() }) {
+				if slices.ContainsFunc(o.steps[i].tasks[n].runs, func(other *run) bool {
+					return other != r && other.live() && (other.pace > 0 || other.reduced || other.paceUnknown)
+				}) {
 					return true
 				}
 			}
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -101,3 +101,38 @@
 	require.False(t, r.reduced)
 	require.Zero(t, w.reducedMilliCPU)
 }
+
+// The only runs of a job were paused for good when they would have lost too much progress by a stop.
+func TestPausedRunsThatAreNotStoppedGoOnAtReducedPace(t *testing.T) {
+	for _, tasks := range []int{1, 2} {
+		t.Run(fmt.Sprint(tasks), func(t *testing.T) {
+			tm := pressedTerm(t)
+			j := addFillerJob(tm, "a", Step{Count: tasks, Needs: model.Resources{MilliCPU: 8000}})
+			var runs []*run
+			for i := range tasks {
+				w := addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+				r := tm.startAttempt(j, taskKey{0, 0, i}, w, "", 1, "")
+				tm.confirmStart(r)
+				r.percent = maxRestartPercent
+				paceReply{run: r, worker: w}.handle(tm)
+				runs = append(runs, r)
+			}
+			tm.now = tm.now.Add(pausedTimeout)
+			for range 10 {
+				tm.now = tm.now.Add(paceRaiseInterval)
+				tm.lastRenewal = tm.now
+				for _, r := range runs {
+					r.worker.pacesDue = true
+					tm.adjustPaces(r.worker)
+					if r.paceInFlight {
+						paceReply{run: r, worker: r.worker, percent: idlePace}.handle(tm)
+					}
+				}
+			}
+			require.Equal(t, idlePace, runs[0].pace)
+			for _, r := range runs {
+				require.Equal(t, runLive, r.state)
+			}
+		})
+	}
+}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -74,8 +74,8 @@
 			t.setPace(r, pace)
 		case (pace >= r.pace+minPaceRaise || r.pace < r.leastPace()) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
 			t.setPace(r, pace)
-		case r.pace == 0 && t.now.Sub(r.paceSetAt) > pausedTimeout && (r.step.Checkpoints || r.percent < maxRestartPercent):
-			if !t.reduceInPlace(v, r) {
+		case r.pace == 0 && t.now.Sub(r.paceSetAt) > pausedTimeout:
+			if !t.reduceInPlace(v, r) && r.mayRestart() {
 				t.stopRun(r, "disturbs")
 			}
 		}
@@ -87,6 +87,9 @@
 	}
 }
 
+// mayRestart reports whether a paused run may be stopped to start again elsewhere.
+func (r *run) mayRestart() bool { return r.step.Checkpoints || r.percent < maxRestartPercent }
+
 // fillersByHeadroomOrder returns the live fillers on w in the order in which they get
 // headroom.
 func (t *term) fillersByHeadroomOrder(v *interferenceView, w *worker) []*run {
