--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -136,11 +136,12 @@
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
-// workersForReduced returns the workers on which a filler may start at a reduced pace.
+// workersForReduced returns the workers on which a filler may start at a reduced pace. Such a run
+// cannot end a probation soon.
 func (p *placement) workersForReduced() []*worker {
 	var workers []*worker
 	for _, w := range p.workers {
-		if w.mayReduce() && !p.interference.overTarget(w, p.now) {
+		if w.mayReduce() && !w.health.onProbation() && !p.interference.overTarget(w, p.now) {
 			workers = append(workers, w)
 		}
 	}
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -136,3 +136,20 @@
 		})
 	}
 }
+
+// A worker on probation takes one run. One at a reduced pace shows no progress for a long time, which
+// kept all other work away.
+func TestReducedRunIsNoTrialOfWorkerOnProbation(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "probation", 100, 1.12)
+	for _, r := range w.runs {
+		r.startedAt = epoch.Add(-2 * time.Minute)
+	}
+	w.health.quarantine(epoch.Add(-time.Minute))
+	addWorker(tm, "other", 101, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	planFor(tm, 2*time.Second)
+	runs := j.occurrences[0].steps[0].tasks[0].runs
+	require.Len(t, runs, 1)
+	require.Equal(t, model.WorkerID("other"), runs[0].worker.info.Worker)
+}
