--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -153,3 +153,16 @@
 	require.Len(t, runs, 1)
 	require.Equal(t, model.WorkerID("other"), runs[0].worker.info.Worker)
 }
+
+// A job of which something became ready more often than each idleLimit was never idle.
+func TestJobIsIdleWhileMoreOfItBecomesReady(t *testing.T) {
+	tm := pressedTerm(t)
+	addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	for i := range 5 {
+		planFor(tm, idleLimit/2)
+		j.openOccurrence(i+1, tm.now, tm.now)
+	}
+	_, idle := j.idleSince()
+	require.False(t, idle)
+}
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -141,6 +141,7 @@
 // idleSince returns since when nothing of the job has run although a task is ready; false if
 // something runs or nothing is ready.
 func (j *job) idleSince() (since time.Time, idle bool) {
+	var ended time.Time // the last run of a task that is not done
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			s := &o.steps[i]
@@ -155,12 +156,18 @@
 				if tk.hasRun() {
 					return time.Time{}, false
 				}
-				if at := s.waitedSince(tk); !idle || at.After(since) {
-					since, idle = at, true
+				if tk.account.idleSince.After(ended) {
+					ended = tk.account.idleSince
+				}
+				if !idle || s.readyAt.Before(since) {
+					since, idle = s.readyAt, true
 				}
 			}
 		}
 	}
+	if ended.After(since) {
+		since = ended
+	}
 	return since, idle
 }
 
