--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -166,3 +168,37 @@
 	_, idle := j.idleSince()
 	require.False(t, idle)
 }
+
+// Runs that had started at a reduced pace beside fillers that use all processors rose to full pace:
+// the fillers of a worker demanded several times its processors.
+func TestReducedRunsRiseOnlyToSpareProcessors(t *testing.T) {
+	tm := pressedTerm(t)
+	w := testWorker("w")
+	tm.workers[w.info.Worker] = w
+	addFillerJob(tm, "long", Step{Count: 8, Needs: model.Resources{MilliCPU: 2000}})
+	planFor(tm, time.Second)
+	for i := range 20 {
+		addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Needs: model.Resources{MilliCPU: 1800}})
+	}
+	log, lines := logtest.NewNullLogger()
+	tm.log = logrus.NewEntry(log)
+	for range 20 {
+		planFor(tm, paceRaiseInterval)
+		w.pacesDue = true
+		lines.Reset()
+		tm.adjustPaces(w)
+		for _, line := range lines.AllEntries() {
+			ref := RunRef{line.Data["task"].(TaskName), line.Data["attempt"].(int)}
+			paceReply{run: w.runs[ref], worker: w, percent: line.Data["percent"].(int)}.handle(tm)
+		}
+	}
+	demand, reduced := int64(0), 0
+	for _, r := range w.runs {
+		demand += r.step.Needs.MilliCPU * int64(r.pace) / 100
+		if r.reduced {
+			reduced++
+		}
+	}
+	require.Equal(t, maxReducedRuns, reduced)
+	require.LessOrEqual(t, demand, w.info.Capacity.MilliCPU+maxReducedRuns*1800*idlePace/100)
+}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -64,8 +64,16 @@
 		headroom[s] = max(s.headroomSoon, 0)
 	}
 	lowHeadroom := !v.overTargetSince.IsZero()
+	spare := w.fillerCapacity()
 	for _, r := range t.fillersByHeadroomOrder(v, w) {
-		pace := t.paceFor(v, r, headroom)
+		limit := 1.0
+		if r.reduced {
+			limit = float64(max(spare, 0)) / float64(max(r.step.Needs.MilliCPU, 1))
+		}
+		pace := t.paceFor(v, r, headroom, limit)
+		if r.reduced {
+			spare -= r.step.Needs.MilliCPU * int64(pace) / 100
+		}
 		lowHeadroom = lowHeadroom || pace < 100
 		switch {
 		case r.paceUnknown, r.reduced && r.pace == 100: // its first pace order got no answer
@@ -142,13 +150,14 @@
 }
 
 // paceFor returns the pace, in percent, at which a filler keeps the services of its worker
-// within their targets. It subtracts the filler's pressure at that pace from headroom.
-func (t *term) paceFor(v *interferenceView, r *run, headroom map[*serviceState]float64) int {
+// within their targets, at most limit of its full speed. It subtracts the filler's pressure at that
+// pace from headroom.
+func (t *term) paceFor(v *interferenceView, r *run, headroom map[*serviceState]float64, limit float64) int {
 	if !v.overTargetSince.IsZero() && t.now.Sub(v.overTargetSince) > pauseAllAfter {
 		return 0
 	}
 	share := fillerShare(r.step, r.worker)
-	factor := 1.0
+	factor := min(limit, 1)
 	for _, s := range v.services {
 		own := s.model.plannedPressure(r.step.Image, t.now) * share
 		if own >= negligibleShare*s.model.highestHeadroom {
--- a/internal/fleet/services_test.go
+++ b/internal/fleet/services_test.go
@@ -137,7 +137,7 @@
 		f.job = nil // only its image and share count here
 		tm := &term{now: now, interference: h}
 		v := tm.interference.viewOf(w, now)
-		pace := tm.paceFor(v, f, map[*serviceState]float64{v.services["s"]: max(v.services["s"].headroomSoon, 0)})
+		pace := tm.paceFor(v, f, map[*serviceState]float64{v.services["s"]: max(v.services["s"].headroomSoon, 0)}, 1)
 		require.Equal(t, c.full, pace == 100, "%s: pace %d", c.name, pace)
 		left := c.headroom - worst*c.pressure*0.1*float64(pace)/100
 		require.GreaterOrEqual(t, left, 1.0, "%s: headroom left at pace %d", c.name, pace)
@@ -168,7 +168,7 @@
 	headroom := map[*serviceState]float64{v.services["s"]: v.services["s"].headroomSoon}
 	require.Equal(t, heavy, tm.fillersByUrgency(w)[0])
 	for _, r := range tm.fillersByHeadroomOrder(v, w) {
-		pace := tm.paceFor(v, r, headroom)
+		pace := tm.paceFor(v, r, headroom, 1)
 		if r == heavy {
 			require.Less(t, pace, 100, "the heavy one gets only what the others leave")
 		} else {
