--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -77,15 +77,21 @@
 	slices.SortFunc(idle, func(a, b idleStep) int {
 		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.job.id, b.step.job.id))
 	})
-	for _, i := range idle[:min(len(idle), limit)] {
+	workers := p.workersForReduced()
+	for _, i := range idle {
+		if limit == 0 || len(workers) == 0 {
+			return
+		}
 		w := i.step
 		if since, none := w.job.unprovenSince(); !none || since != i.since {
 			continue // another step of the job has started
 		}
 		task := w.undoneTask()
 		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[task], tasksPerWorker: runsPerWorker(w.state())}
-		if x, pace := p.findReducedPace(r); x != nil {
+		if x, pace := p.findReducedPace(workers, r); x != nil {
 			t.startReduced(w.job, w.key(task), x, pace)
+			limit--
+			workers = slices.DeleteFunc(workers, func(o *worker) bool { return o == x })
 		}
 	}
 }
@@ -130,16 +136,28 @@
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
-// findReducedPace returns the worker whose services tolerate the largest share of a filler that
-// none of them tolerates at full pace, and the pace in percent; nil if there is none. Workers
-// without processors to spare come last.
-func (p *placement) findReducedPace(r taskRequest) (*worker, int) {
+// workersForReduced returns the workers on which a filler may start at a reduced pace. Such a run
+// cannot end a probation soon.
+func (p *placement) workersForReduced() []*worker {
+	var workers []*worker
+	for _, w := range p.workers {
+		if w.mayReduce() && !w.health.onProbation() && !p.interference.overTarget(w, p.now) {
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
+// findReducedPace returns the one of the workers whose services tolerate the largest share of a
+// filler that none of them tolerates at full pace, and the pace in percent; nil if there is none.
+// Workers without processors to spare come last.
+func (p *placement) findReducedPace(workers []*worker, r taskRequest) (*worker, int) {
 	var best *worker
 	most := 0.0
-	for _, w := range p.workers {
+	for _, w := range workers {
 		o, tolerated := p.obstacle(w, r), 0.0
 		switch {
-		case (o != lacksHeadroom && o != lacksSpareCapacity) || !w.mayReduce() || p.interference.overTarget(w, p.now):
+		case o != lacksHeadroom && o != lacksSpareCapacity:
 			continue
 		case o == lacksHeadroom:
 			_, tolerated = p.interference.placementCost(w, r.step, p.now)
@@ -182,28 +200,34 @@
 	w.setReduced(r, true)
 }
 
-// reduceInPlace lets a paused filler go on at a reduced pace, if it is the only run of its job and
+// reduceInPlace lets a paused filler go on at a reduced pace, if nothing else of its job works and
 // no worker tolerates it at full pace: stopped, it would start again at a reduced pace elsewhere.
+// One that may not be stopped goes on in any case.
 // It reports whether it does.
 func (t *term) reduceInPlace(v *interferenceView, r *run) bool {
 	o := r.job.openOccurrenceAt(r.key.occurrence)
-	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.hasOtherRun(r) || !r.worker.mayReduce() {
+	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.worksBeside(r) || !r.worker.mayReduce() {
 		return false
 	}
 	p := t.newPlacement(r.worker.info.Service)
-	if !t.mostlyFree(p.service) || p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
+	if !t.mostlyFree(p.service) {
+		return false
+	}
+	if r.mayRestart() && p.chooseWorker(taskRequest{job: r.job, step: r.step, tasksPerWorker: runsPerWorker(&o.steps[r.key.step])}) != nil {
 		return false
 	}
 	r.worker.setReduced(r, true)
 	return true
 }
 
-// hasOtherRun reports whether a run of the job other than r has not been ordered to stop.
-func (j *job) hasOtherRun(r *run) bool {
+// worksBeside reports whether a run of the job other than r has not been ordered to pause or stop.
+func (j *job) worksBeside(r *run) bool {
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			for n := range o.steps[i].tasks {
-				if slices.ContainsFunc(o.steps[i].tasks[n].runs, func(other *run) bool { return other != r && other.live() }) {
+				if slices.ContainsFunc(o.steps[i].tasks[n].runs, func(other *run) bool {
+					return other != r && other.live() && (other.pace > 0 || other.reduced || other.paceUnknown)
+				}) {
 					return true
 				}
 			}
--- /dev/null
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// pressedTerm returns a loaded term in which fillers press hard on services.
+func pressedTerm(t *testing.T) *term {
+	t.Helper()
+	tm := loadedTerm(t)
+	tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
+	return tm
+}
+
+// addWorker adds a worker with a service that does not tolerate a large filler at full pace, if its
+// headroom is small.
+func addWorker(tm *term, id string, index int, headroom float64) *worker {
+	w := testWorker(id)
+	tm.workers[w.info.Worker] = w
+	addService(tm, w, index, 4000, headroom)
+	return w
+}
+
+// addFillerJob adds an expired job of one filler step.
+func addFillerJob(tm *term, id string, step Step) *job {
+	step.Filler, step.Image = true, "f"
+	j := newJob(id, jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, tm.now.Add(-time.Minute))
+	j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[id] = j
+	return j
+}
+
+// planFor plans at each tick for d. All starts are answered.
+func planFor(tm *term, d time.Duration) {
+	for end := tm.now.Add(d); tm.now.Before(end); {
+		tm.now = tm.now.Add(tickInterval)
+		tm.lastRenewal = tm.now
+		tm.plan()
+		answerStarts(tm)
+	}
+}
+
+// Idle jobs that no worker could take kept the jobs behind them from a start at a reduced pace.
+func TestIdleJobsThatFitNowhereDelayNoOther(t *testing.T) {
+	tm := pressedTerm(t)
+	addWorker(tm, "small", 100, 1.1).info.Capacity.MemoryMB = 1000
+	addWorker(tm, "pressed", 101, 0.8)
+	for i := range maxStartsPerPlan {
+		addFillerJob(tm, fmt.Sprintf("%03d", i), Step{Count: 1, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2000}})
+	}
+	tm.now = at(0.1)
+	j := addFillerJob(tm, "last", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 100}})
+	planFor(tm, 2*time.Second)
+	_, idle := j.idleSince()
+	require.False(t, idle)
+}
+
+// A run at a reduced pace worked at full pace when a report listed it before its start was answered.
+func TestReducedPaceIsSetWhenReportListsTheRunFirst(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	tm.now = at(2)
+	tm.lastRenewal = tm.now
+	tm.plan()
+	r := j.occurrences[0].steps[0].tasks[0].runs[0]
+	require.True(t, r.reduced)
+	tm.applyRunning(w, []RunStatus{{RunRef: r.ref}})
+	require.Equal(t, runLive, r.state)
+	require.True(t, r.paceInFlight)
+	startReply{run: r, worker: w, reply: WorkerReply{Verdict: StartRunning}}.handle(tm)
+	require.Zero(t, r.startPace)
+}
+
+// A run whose first pace order got no answer counted as reduced for good beside a service with
+// headroom: it worked at full pace, and its worker took no other start at a reduced pace.
+func TestReducedRunWithoutAnswerToItsPaceDoesNotStayReduced(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	tm.now = at(2)
+	tm.lastRenewal = tm.now
+	tm.plan()
+	r := j.occurrences[0].steps[0].tasks[0].runs[0]
+	tm.confirmStart(r)
+	paceReply{run: r, worker: w, percent: idlePace, err: context.DeadlineExceeded}.handle(tm)
+	for _, s := range w.runs {
+		s.lastSample = headroomSample{reportedAt: tm.now, headroom: 4, baseline: 7}
+	}
+	w.pacesDue, w.interferenceView = true, nil
+	tm.adjustPaces(w)
+	require.True(t, r.paceInFlight)
+	paceReply{run: r, worker: w, percent: 100}.handle(tm)
+	require.False(t, r.reduced)
+	require.Zero(t, w.reducedMilliCPU)
+}
+
+// The only runs of a job were paused for good when they would have lost too much progress by a stop.
+func TestPausedRunsThatAreNotStoppedGoOnAtReducedPace(t *testing.T) {
+	for _, tasks := range []int{1, 2} {
+		t.Run(fmt.Sprint(tasks), func(t *testing.T) {
+			tm := pressedTerm(t)
+			j := addFillerJob(tm, "a", Step{Count: tasks, Needs: model.Resources{MilliCPU: 8000}})
+			var runs []*run
+			for i := range tasks {
+				w := addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+				r := tm.startAttempt(j, taskKey{0, 0, i}, w, "", 1, "")
+				tm.confirmStart(r)
+				r.percent = maxRestartPercent
+				paceReply{run: r, worker: w}.handle(tm)
+				runs = append(runs, r)
+			}
+			tm.now = tm.now.Add(pausedTimeout)
+			for range 10 {
+				tm.now = tm.now.Add(paceRaiseInterval)
+				tm.lastRenewal = tm.now
+				for _, r := range runs {
+					r.worker.pacesDue = true
+					tm.adjustPaces(r.worker)
+					if r.paceInFlight {
+						paceReply{run: r, worker: r.worker, percent: idlePace}.handle(tm)
+					}
+				}
+			}
+			require.Equal(t, idlePace, runs[0].pace)
+			for _, r := range runs {
+				require.Equal(t, runLive, r.state)
+			}
+		})
+	}
+}
+
+// A worker on probation takes one run. One at a reduced pace shows no progress for a long time, which
+// kept all other work away.
+func TestReducedRunIsNoTrialOfWorkerOnProbation(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "probation", 100, 1.12)
+	for _, r := range w.runs {
+		r.startedAt = epoch.Add(-2 * time.Minute)
+	}
+	w.health.quarantine(epoch.Add(-time.Minute))
+	addWorker(tm, "other", 101, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	planFor(tm, 2*time.Second)
+	runs := j.occurrences[0].steps[0].tasks[0].runs
+	require.Len(t, runs, 1)
+	require.Equal(t, model.WorkerID("other"), runs[0].worker.info.Worker)
+}
+
+// A job of which something became ready more often than each idleLimit was never idle.
+func TestJobIsIdleWhileMoreOfItBecomesReady(t *testing.T) {
+	tm := pressedTerm(t)
+	addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	for i := range 5 {
+		planFor(tm, idleLimit/2)
+		j.openOccurrence(i+1, tm.now, tm.now)
+	}
+	_, idle := j.idleSince()
+	require.False(t, idle)
+}
+
+// Runs that had started at a reduced pace beside fillers that use all processors rose to full pace:
+// the fillers of a worker demanded several times its processors.
+func TestReducedRunsRiseOnlyToSpareProcessors(t *testing.T) {
+	tm := pressedTerm(t)
+	w := testWorker("w")
+	tm.workers[w.info.Worker] = w
+	addFillerJob(tm, "long", Step{Count: 8, Needs: model.Resources{MilliCPU: 2000}})
+	planFor(tm, time.Second)
+	for i := range 20 {
+		addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Needs: model.Resources{MilliCPU: 1800}})
+	}
+	log, lines := logtest.NewNullLogger()
+	tm.log = logrus.NewEntry(log)
+	for range 20 {
+		planFor(tm, paceRaiseInterval)
+		w.pacesDue = true
+		lines.Reset()
+		tm.adjustPaces(w)
+		for _, line := range lines.AllEntries() {
+			ref := RunRef{line.Data["task"].(TaskName), line.Data["attempt"].(int)}
+			paceReply{run: w.runs[ref], worker: w, percent: line.Data["percent"].(int)}.handle(tm)
+		}
+	}
+	demand, reduced := int64(0), 0
+	for _, r := range w.runs {
+		demand += r.step.Needs.MilliCPU * int64(r.pace) / 100
+		if r.reduced {
+			reduced++
+		}
+	}
+	require.Equal(t, maxReducedRuns, reduced)
+	require.LessOrEqual(t, demand, w.info.Capacity.MilliCPU+maxReducedRuns*1800*idlePace/100)
+}
