--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -235,3 +235,31 @@
 	}
 	return false
 }
+
+// stopReducedFor stops runs at a reduced pace on w until a lasting task has the memory that it needs
+// there, those with the least progress first. They would hold it for many times their duration.
+func (t *term) stopReducedFor(w *worker, s *Step) {
+	if w == nil {
+		return
+	}
+	lacking := s.Reserved().MemoryMB - w.free().MemoryMB
+	var reduced []*run
+	for _, r := range w.runs {
+		switch {
+		case !r.live():
+			lacking -= r.reserved.MemoryMB
+		case r.reduced && r.state == runLive && r.reserved.MemoryMB > 0:
+			reduced = append(reduced, r)
+		}
+	}
+	slices.SortFunc(reduced, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.percent, b.percent), cmp.Compare(a.ref.Task, b.ref.Task))
+	})
+	for _, r := range reduced {
+		if lacking <= 0 {
+			return
+		}
+		lacking -= r.reserved.MemoryMB
+		t.stopRun(r, "lasting")
+	}
+}
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -202,3 +202,28 @@
 	require.Equal(t, maxReducedRuns, reduced)
 	require.LessOrEqual(t, demand, w.info.Capacity.MilliCPU+maxReducedRuns*1800*idlePace/100)
 }
+
+// Runs at a reduced pace held the memory that a lost lasting task needs for as long as they took.
+func TestReducedRunsDoNotKeepLastingTaskFromRestart(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	for i := range 6 {
+		addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Checkpoints: true, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2400}, Estimate: 10 * time.Minute})
+	}
+	planFor(tm, 3*time.Second)
+	j := newJob("lasting", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}}}}}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	j.started, o.steps[0].tasks[0].attempt = true, 1
+	tm.jobs[j.id] = j
+	for range 40 {
+		planFor(tm, 500*time.Millisecond)
+		tm.checkRuns()
+		for _, r := range w.runs {
+			if r.state == runStopping {
+				tm.applyEnd(w, RunEnd{RunRef: r.ref, Number: w.lastSeenEnd + 1, How: EndStopped})
+			}
+		}
+	}
+	require.True(t, o.steps[0].tasks[0].hasRun())
+	require.False(t, w.free().Negative())
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -52,8 +52,8 @@
 // soon. It takes the worker with the most free processors among those on which the task
 // fits once all tasks that end by themselves have ended. Where services fill the fleet, the
 // capacity that a single short task frees is too small for a lasting task, and new short
-// tasks would use it up each time.
-func (p *placement) reserveWorkerFor(s *Step) {
+// tasks would use it up each time. It returns the worker, nil if there is none.
+func (p *placement) reserveWorkerFor(s *Step) *worker {
 	var best *worker
 	mostFree := int64(0)
 	for _, w := range p.workers {
@@ -71,12 +71,13 @@
 		}
 	}
 	if best == nil {
-		return
+		return nil
 	}
 	if p.reservedWorkers == nil {
 		p.reservedWorkers = map[*worker]bool{}
 	}
 	p.reservedWorkers[best] = true
+	return best
 }
 
 // demandGroup groups steps that compete for the same capacity: fillers of one image, or
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -78,7 +78,7 @@
 				continue
 			}
 			if w.restart {
-				p.reserveWorkerFor(w.step)
+				t.stopReducedFor(p.reserveWorkerFor(w.step), w.step)
 			}
 			t.lendUnplaced(w)
 		}
