--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -227,3 +227,22 @@
 	require.True(t, o.steps[0].tasks[0].hasRun())
 	require.False(t, w.free().Negative())
 }
+
+// A run at a reduced pace that hangs is the only run of its job, and nothing looked after it.
+func TestHungReducedRunIsStopped(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 1, Checkpoints: true, Needs: model.Resources{MilliCPU: 8000}, Estimate: time.Second})
+	planFor(tm, 2*time.Second)
+	runs := j.occurrences[0].steps[0].tasks[0].runs
+	require.Len(t, runs, 1)
+	r := runs[0]
+	for range 10 * 60 {
+		tm.now = tm.now.Add(time.Second)
+		tm.lastRenewal, w.lastPollSent, w.clockAt = tm.now, tm.now, tm.now
+		tm.applyRunning(w, []RunStatus{{RunRef: r.ref}})
+		tm.checkRuns()
+	}
+	t.Log("pace", r.pace, "reduced", r.reduced, "reason", r.stopReason)
+	require.Equal(t, "hung", r.stopReason, "a percent takes 0.33 s at this pace")
+}
