--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -8,11 +8,11 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// Fillers start where services tolerate them at full pace; sharing the headroom of services among
-// more of them makes every job late. Under a standing backlog that leaves some jobs without any
-// run, for as long as others have the better claim. While little more than half of the processors are
-// reserved, such a job gets one run at a pace that hardly disturbs: it yields to fillers at full
-// pace, and takes more only when they leave headroom.
+// A filler starts where the services of a worker tolerate it at full pace, as sharing their headroom
+// among more fillers makes every job late. Under a standing backlog there may never be such a worker
+// for some jobs. While no more than idleReservedShare of the processors are reserved, such a job
+// gets one run at a reduced pace. Placement at full pace does not count these runs, and their pace
+// rises only as far as the headroom and the processors that other fillers leave.
 
 const (
 	// idleLimit and idleLimitOnTime are how long nothing of a job may have run, with a task ready,
@@ -34,7 +34,7 @@
 	idleReservedShare = 0.55
 )
 
-// idleLimitOf returns how long the job of a step may be idle.
+// idleLimitOf returns how long the job of a step may be idle before it is started at a reduced pace.
 func idleLimitOf(w *waitingStep) time.Duration {
 	if w.urgency == urgencyOnTime {
 		return idleLimitOnTime
@@ -67,7 +67,7 @@
 	}
 	var idle []idleStep
 	for _, w := range waiting {
-		if t.queues[w.job.queue].Service != p.service || !w.state().waits.endsWithReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
+		if t.queues[w.job.queue].Service != p.service || !w.state().waits.allowsReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
 			continue
 		}
 		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
@@ -113,26 +113,21 @@
 		return since, true
 	}
 	n := 0
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			for k := range o.steps[i].tasks {
-				tk := &o.steps[i].tasks[k]
-				for _, r := range tk.runs {
-					if n++; !tk.mayBeDone || n == maxUnprovenRuns {
-						return time.Time{}, false
-					}
-					if r.startedAt.After(since) {
-						since = r.startedAt
-					}
-				}
+	for _, tk := range j.openTasks() {
+		for _, r := range tk.runs {
+			if n++; !tk.mayBeDone || n == maxUnprovenRuns {
+				return time.Time{}, false
+			}
+			if r.startedAt.After(since) {
+				since = r.startedAt
 			}
 		}
 	}
 	return since, n > 0
 }
 
-// endsWithReducedPace reports whether a filler that waits for this can start at a reduced pace.
-func (r waitReason) endsWithReducedPace() bool {
+// allowsReducedPace reports whether a filler that waits for this may start at a reduced pace.
+func (r waitReason) allowsReducedPace() bool {
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
@@ -222,14 +217,10 @@
 
 // worksBeside reports whether a run of the job other than r has not been ordered to pause or stop.
 func (j *job) worksBeside(r *run) bool {
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			for n := range o.steps[i].tasks {
-				if slices.ContainsFunc(o.steps[i].tasks[n].runs, func(other *run) bool {
-					return other != r && other.live() && (other.pace > 0 || other.reduced || other.paceUnknown)
-				}) {
-					return true
-				}
+	for _, tk := range j.openTasks() {
+		for _, other := range tk.runs {
+			if other != r && other.live() && (other.pace > 0 || other.reduced || other.paceUnknown) {
+				return true
 			}
 		}
 	}
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -246,17 +246,8 @@
 // there are none.
 func (t *term) whyTasksAreGated(j *job) string {
 	reason := waitsForNothing
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			if o.steps[i].readyAt.IsZero() {
-				continue
-			}
-			for n := range o.steps[i].tasks {
-				if tk := &o.steps[i].tasks[n]; !tk.done {
-					reason = max(reason, tk.gate(t.now))
-				}
-			}
-		}
+	for _, tk := range j.openTasks() {
+		reason = max(reason, tk.gate(t.now))
 	}
 	return waitTexts[reason].text
 }
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"slices"
 	"strconv"
 	"strings"
@@ -255,6 +256,25 @@
 	return o, &o.steps[k.step].tasks[k.index]
 }
 
+// openTasks yields the tasks that are not done of the steps that are ready, with their steps.
+func (j *job) openTasks() iter.Seq2[*stepState, *task] {
+	return func(yield func(*stepState, *task) bool) {
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				s := &o.steps[i]
+				if s.readyAt.IsZero() || s.remaining == 0 {
+					continue
+				}
+				for n := range s.tasks {
+					if tk := &s.tasks[n]; !tk.done && !yield(s, tk) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 // advance marks steps as ready whose predecessors are done.
 func (o *occurrence) advance(spec Spec, now time.Time) {
 	for i := range o.steps {
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -75,18 +75,7 @@
 			spare -= r.step.Needs.MilliCPU * int64(pace) / 100
 		}
 		lowHeadroom = lowHeadroom || pace < 100
-		switch {
-		case r.paceUnknown, r.reduced && r.pace == 100: // its first pace order got no answer
-			t.setPace(r, pace)
-		case pace < r.pace && (pace+paceStep < r.pace || t.now.Sub(r.paceSetAt) > paceLowerInterval || !v.overTargetSince.IsZero()):
-			t.setPace(r, pace)
-		case (pace >= r.pace+minPaceRaise || r.pace < r.leastPace()) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
-			t.setPace(r, pace)
-		case r.pace == 0 && t.now.Sub(r.paceSetAt) > pausedTimeout:
-			if !t.reduceInPlace(v, r) && r.mayRestart() {
-				t.stopRun(r, "disturbs")
-			}
-		}
+		t.orderPace(v, r, pace)
 	}
 	w.lowHeadroom = lowHeadroom
 	if lowHeadroom && t.now.Sub(w.lastProbe) > lowHeadroomPollInterval && t.now.Sub(w.clockAt) > 2*lowHeadroomPollInterval {
@@ -95,6 +84,23 @@
 	}
 }
 
+// orderPace sets the pace of a filler where it differs enough from the present one, and stops the
+// filler where it has been paused for too long.
+func (t *term) orderPace(v *interferenceView, r *run, pace int) {
+	switch {
+	case r.paceUnknown, r.reduced && r.pace == 100: // its first pace order got no answer
+		t.setPace(r, pace)
+	case pace < r.pace && (pace+paceStep < r.pace || t.now.Sub(r.paceSetAt) > paceLowerInterval || !v.overTargetSince.IsZero()):
+		t.setPace(r, pace)
+	case (pace >= r.pace+minPaceRaise || r.pace < r.leastPace()) && pace > r.pace && t.now.Sub(r.paceSetAt) > paceRaiseInterval && v.overTargetSince.IsZero():
+		t.setPace(r, pace)
+	case r.pace == 0 && t.now.Sub(r.paceSetAt) > pausedTimeout:
+		if !t.reduceInPlace(v, r) && r.mayRestart() {
+			t.stopRun(r, "disturbs")
+		}
+	}
+}
+
 // mayRestart reports whether a paused run may be stopped to start again elsewhere.
 func (r *run) mayRestart() bool { return r.step.Checkpoints || r.percent < maxRestartPercent }
 
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -142,27 +142,15 @@
 // something runs or nothing is ready.
 func (j *job) idleSince() (since time.Time, idle bool) {
 	var ended time.Time // the last run of a task that is not done
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			s := &o.steps[i]
-			if s.readyAt.IsZero() || s.remaining == 0 {
-				continue
-			}
-			for n := range s.tasks {
-				tk := &s.tasks[n]
-				if tk.done {
-					continue
-				}
-				if tk.hasRun() {
-					return time.Time{}, false
-				}
-				if tk.account.idleSince.After(ended) {
-					ended = tk.account.idleSince
-				}
-				if !idle || s.readyAt.Before(since) {
-					since, idle = s.readyAt, true
-				}
-			}
+	for s, tk := range j.openTasks() {
+		if tk.hasRun() {
+			return time.Time{}, false
+		}
+		if tk.account.idleSince.After(ended) {
+			ended = tk.account.idleSince
+		}
+		if !idle || s.readyAt.Before(since) {
+			since, idle = s.readyAt, true
 		}
 	}
 	if ended.After(since) {
@@ -208,28 +196,19 @@
 func (t *term) addWaits(sums *[waitReasons]WaitView, j *job, gate waitReason) {
 	_, idle := j.idleSince()
 	var counted [waitReasons]bool
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			s := &o.steps[i]
-			if s.readyAt.IsZero() || s.remaining == 0 {
-				continue
-			}
-			for n := range s.tasks {
-				tk := &s.tasks[n]
-				if tk.done || tk.hasRun() {
-					continue
-				}
-				reason := cmp.Or(gate, tk.gate(t.now), s.waits, waitsForTurn)
-				sum := &sums[reason]
-				sum.Tasks++
-				if waited := t.now.Sub(s.waitedSince(tk)).Milliseconds(); sum.Job == "" || waited > sum.LongestMS {
-					sum.LongestMS, sum.Job = waited, j.id
-				}
-				if idle && !counted[reason] {
-					counted[reason] = true
-					sum.IdleJobs++
-				}
-			}
+	for s, tk := range j.openTasks() {
+		if tk.hasRun() {
+			continue
+		}
+		reason := cmp.Or(gate, tk.gate(t.now), s.waits, waitsForTurn)
+		sum := &sums[reason]
+		sum.Tasks++
+		if waited := t.now.Sub(s.waitedSince(tk)).Milliseconds(); sum.Job == "" || waited > sum.LongestMS {
+			sum.LongestMS, sum.Job = waited, j.id
+		}
+		if idle && !counted[reason] {
+			counted[reason] = true
+			sum.IdleJobs++
 		}
 	}
 }
