--- a/internal/fleet/cancellations_test.go
+++ b/internal/fleet/cancellations_test.go
@@ -51,6 +51,7 @@
 // also jobs whose submission has no answer, and while workers start again. No run of a cancelled job
 // goes on after the faults have ended.
 func TestRandomCancellations(t *testing.T) {
+	t.Parallel()
 	first, end := seedRange(t, 600, cancelSeeds)
 	for seed := first; seed < end; seed++ {
 		for name, play := range map[string]struct{ kinds, cells int }{"": {commonFaults, 0}, "cells-": {allFaults, 3}, "overload-": {overloadFaults, 1 + 2*(seed%2)}} {
--- a/internal/fleet/cells_test.go
+++ b/internal/fleet/cells_test.go
@@ -223,6 +223,7 @@
 // while rows change quickly, it would fall behind and start tasks on a worker that is already
 // draining.
 func TestLeaderKeepsUpWithManyRowChanges(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 241, 3, 2, shortTask, func(t *testing.T, c *fleettest.Cluster) {
 		c.Store.SetWatchLimit(500)
 		stop := make(chan struct{})
--- a/internal/fleet/history_test.go
+++ b/internal/fleet/history_test.go
@@ -190,6 +190,7 @@
 // A leader showed a job as cancelled before that was stored, and a transaction that was in flight then
 // took it back; one that had stored the end of the job was overwritten.
 func TestCancellationLeavesFinalState(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
 			runCluster(t, 490+seed, 3, 4, shortTask, func(t *testing.T, c *fleettest.Cluster) {
@@ -235,6 +236,7 @@
 // TestHistoryUnderRandomFaults injects random sequences of faults while callers submit, cancel and
 // query jobs at all nodes, and judges what they were told.
 func TestHistoryUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	first, end := seedRange(t, 1, randomSeeds)
 	for seed := first; seed < end; seed++ {
 		for _, cells := range []int{1, 3} {
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -77,6 +77,7 @@
 // running within 2 s, in every order of submissions: with services over their targets and slow
 // workers beside others, with fillers of all sizes and with a backlog of 500 jobs.
 func TestEachJobRunsWhileProcessorsAreFree(t *testing.T) {
+	t.Parallel()
 	const bound = 2 * time.Second
 	heavy := modelOf(4, map[string]float64{"f": 8})
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/fleet/next_leader_lease_test.go
+++ b/internal/fleet/next_leader_lease_test.go
@@ -53,6 +53,7 @@
 // The clock of a worker that had been idle for minutes was taken for later than it was, if it is slow
 // as the contract allows. A lease from then on outlasted what the next leader waits for.
 func TestNextLeaderWaitsForLeaseOfIdleWorkerWithSlowClock(t *testing.T) {
+	t.Parallel()
 	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 30 * time.Second, Needs: wideNeeds} }
 	for _, idle := range []time.Duration{50 * time.Second, 5 * time.Minute, 20 * time.Minute} {
 		for _, rate := range []float64{0.98, 1} {
--- a/internal/fleet/progress_rows_test.go
+++ b/internal/fleet/progress_rows_test.go
@@ -176,6 +176,7 @@
 
 // Progress that needs a transaction of its own comes first in the next one.
 func TestLargeProgressIsNotPassedOver(t *testing.T) {
+	t.Parallel()
 	tm, large := progressTerm(Spec{Steps: []Step{{Count: maxTasks}}}, func(int) task {
 		return task{attempt: 1, failed: []int{1, 2, 3}, checkpoint: "00000bb87a21d94b", crashes: slices.Repeat([]taskCrash{{Attempt: 1, AgeMS: 700, Prime: true}}, 3)}
 	})
--- a/internal/fleet/random_test.go
+++ b/internal/fleet/random_test.go
@@ -33,6 +33,7 @@
 // arrive. It checks that no task runs twice and that every accepted job is done after the
 // faults have ended.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	first, end := seedRange(t, 1, randomSeeds)
 	for seed := first; seed < end; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) { runFaults(t, uint64(seed), false, 0) })
--- a/internal/fleet/rolling_release_test.go
+++ b/internal/fleet/rolling_release_test.go
@@ -55,6 +55,7 @@
 // Planned replacements of workers and restarts of nodes, in any phase to each other, must leave
 // no service without a run for longer than restartBound.
 func TestRollingReleaseLosesNoService(t *testing.T) {
+	t.Parallel()
 	const services, tasks, short = 6, 4, 60
 	kinds := func(n fleet.TaskName) fleettest.Task {
 		for i := range services {
--- a/internal/fleet/stalls_test.go
+++ b/internal/fleet/stalls_test.go
@@ -18,6 +18,7 @@
 
 // A percent of a long run takes longer than a short run may stand still.
 func TestLongRunsFinishOnFirstAttempt(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		work, estimate time.Duration
 		newLeader      bool
@@ -48,6 +49,7 @@
 
 // A task whose estimate is too short by more than any bound completes all the same.
 func TestLongRunOfTaskEstimatedAsShortCompletes(t *testing.T) {
+	t.Parallel()
 	long := func(fleet.TaskName) fleettest.Task {
 		return fleettest.Task{Work: time.Hour, Needs: smallNeeds}
 	}
@@ -61,6 +63,7 @@
 // A run that stands still is stopped in the time that docs/platform.md states, and its task
 // completes elsewhere.
 func TestStalledRunIsFound(t *testing.T) {
+	t.Parallel()
 	// reportTime covers the time to the report that shows the last progress or processor use, to
 	// the one that shows that there was no more, and to the next start.
 	const reportTime = 3 * time.Second
--- a/internal/fleet/store_limits_test.go
+++ b/internal/fleet/store_limits_test.go
@@ -15,6 +15,7 @@
 // The crash of a worker is recorded for each of its tasks. A job of thousands of tasks failed, as
 // its progress exceeded a row.
 func TestWideJobSurvivesCrashes(t *testing.T) {
+	t.Parallel()
 	needs := model.Resources{MilliCPU: 1, MemoryMB: 1}
 	wide := func(fleet.TaskName) fleettest.Task {
 		return fleettest.Task{Work: 9 * time.Second, Needs: needs, Checkpoint: true}
