--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -73,7 +73,7 @@
 	}
 	var idle []idleStep
 	for _, w := range waiting {
-		if t.queues[w.job.queue].Service != p.service || !w.state().waits.allowsReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
+		if w.queue.Service != p.service || !w.state().waits.allowsReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
 			continue
 		}
 		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
@@ -202,8 +202,7 @@
 
 // reduceInPlace lets a paused filler go on at a reduced pace, if nothing else of its job works and
 // no worker tolerates it at full pace: stopped, it would start again at a reduced pace elsewhere.
-// One that may not be stopped goes on in any case.
-// It reports whether it does.
+// One that may not be stopped goes on in any case. It reports whether the run goes on.
 func (t *term) reduceInPlace(v *interferenceView, r *run) bool {
 	o := r.job.openOccurrenceAt(r.key.occurrence)
 	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.worksBeside(r) || !r.worker.mayReduce() {
