--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -77,7 +77,7 @@
 		}
 		step := Step{Label: s.Label, Lasting: true, Needs: model.Resources{MilliCPU: s.MilliCPU, MemoryMB: s.MemoryMB}}
 		for range min(s.Count, left) {
-			p.reserveWorkerFor(&step)
+			p.reserveWorkerFor(taskRequest{step: &step})
 			left--
 		}
 	}
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -503,7 +503,7 @@
 	testRun(full, &service, 1)
 	p := &placement{now: epoch, workers: []*worker{half, full}, interference: &tm.interference}
 	require.Nil(t, p.chooseWorker(taskRequest{step: &service}))
-	p.reserveWorkerFor(&service)
+	p.reserveWorkerFor(taskRequest{step: &service})
 	require.False(t, p.feasible(half, taskRequest{step: short}), "reserved for the lasting task")
 	require.False(t, p.reservedWorkers[full], "the task would not fit there without short work either")
 	smaller := service
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -53,7 +53,8 @@
 // fits once all tasks that end by themselves have ended. Where services fill the fleet, the
 // capacity that a single short task frees is too small for a lasting task, and new short
 // tasks would use it up each time. It returns the worker, nil if there is none.
-func (p *placement) reserveWorkerFor(s *Step) *worker {
+func (p *placement) reserveWorkerFor(request taskRequest) *worker {
+	s := request.step
 	var best *worker
 	mostFree := int64(0)
 	for _, w := range p.workers {
@@ -63,7 +64,7 @@
 				free = free.Add(r.reserved)
 			}
 		}
-		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !s.Reserved().Fits(free) {
+		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !request.hasTaskSlot(w) || !s.Reserved().Fits(free) {
 			continue
 		}
 		if freeNow := w.free().MilliCPU; best == nil || freeNow > mostFree {
@@ -139,6 +140,11 @@
 	tickets map[model.WorkerID]string
 }
 
+// hasTaskSlot reports whether w has fewer tasks of the step than one worker may run.
+func (r *taskRequest) hasTaskSlot(w *worker) bool {
+	return r.step.PerWorker == 0 || r.tasksPerWorker[w] < r.step.PerWorker
+}
+
 // chooseWorker returns the best worker for a task, or nil.
 func (p *placement) chooseWorker(r taskRequest) *worker {
 	w, _ := p.findWorker(r)
@@ -189,7 +195,7 @@
 	switch {
 	case !w.hasLabel(s.Label):
 		return lacksLabel
-	case s.PerWorker > 0 && r.tasksPerWorker[w] >= s.PerWorker:
+	case !r.hasTaskSlot(w):
 		return lacksTaskSlot
 	case !s.Reserved().Fits(w.free()):
 		return lacksCapacity
--- /dev/null
+++ b/internal/fleet/place_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// A lost task of a service with one task a worker kept a worker free on which a task of the same
+// step ran. With as many such services as workers nothing else started anywhere.
+func TestNoWorkerIsReservedForTaskThatMayNotRunThere(t *testing.T) {
+	const workers = 4
+	tm := loadedTerm(t)
+	for i := range workers {
+		w := testWorker(fmt.Sprint("w", i))
+		tm.workers[w.info.Worker] = w
+	}
+	for i := range workers {
+		step := Step{Count: workers + 1, Lasting: true, PerWorker: 1, Image: fmt.Sprint("s", i), Needs: model.Resources{MilliCPU: 500, MemoryMB: 100}}
+		j := newJob(fmt.Sprint("service", i), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, epoch)
+		o := j.openOccurrence(0, time.Time{}, epoch)
+		j.started = true
+		for k := range o.steps[0].tasks {
+			o.steps[0].tasks[k].attempt = 1
+		}
+		tm.jobs[j.id] = j
+	}
+	planFor(tm, time.Second)
+	j := newJob("short", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
+	j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[j.id] = j
+	planFor(tm, time.Second)
+	require.True(t, j.occurrences[0].steps[0].tasks[0].hasRun())
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -78,7 +78,7 @@
 				continue
 			}
 			if w.restart {
-				t.stopReducedFor(p.reserveWorkerFor(w.step), w.step)
+				t.stopReducedFor(p.reserveWorkerFor(taskRequest{step: w.step, tasksPerWorker: runsPerWorker(w.state())}), w.step)
 			}
 			t.lendUnplaced(w)
 		}
