--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -110,10 +110,11 @@
 	return waitsForNothing
 }
 
-// recordUnplaceable records that no worker was found for a step. Steps with further conditions
-// are not recorded, as steps with the same needs and without these conditions may still fit.
-func (p *placement) recordUnplaceable(s *Step, reason waitReason) {
-	if s.Label != "" || s.PerWorker > 0 || s.SameRack || s.Gang {
+// recordUnplaceable records that no worker was found for a task. Tasks with further conditions
+// are not recorded, as those with the same needs and without these conditions may still fit.
+func (p *placement) recordUnplaceable(r taskRequest, reason waitReason) {
+	s := r.step
+	if s.Label != "" || s.PerWorker > 0 || s.SameRack || s.Gang || r.tickets != nil || (r.task != nil && len(r.task.failed) > 0) {
 		return
 	}
 	if p.unplaceable == nil {
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -36,3 +36,43 @@
 	planFor(tm, time.Second)
 	require.True(t, j.occurrences[0].steps[0].tasks[0].hasRun())
 }
+
+// A waiting task that may run on few workers kept those with the same needs and no such condition
+// from workers that were free.
+func TestTaskWithConditionsOfItsOwnBlocksNoOther(t *testing.T) {
+	needs := model.Resources{MilliCPU: 1000, MemoryMB: 100}
+	add := func(tm *term, id, queue string) *job {
+		j := newJob(id, jobRecord{Queue: queue, Spec: Spec{Steps: []Step{{Count: 1, Needs: needs}}}}, 0, tm.now)
+		j.openOccurrence(0, time.Time{}, tm.now)
+		tm.jobs[id] = j
+		return j
+	}
+	for name, restrict := range map[string]func(*term) *job{
+		"tickets": func(tm *term) *job {
+			tm.queues["advised"] = Queue{Name: "advised", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
+			j := add(tm, "a", "advised")
+			j.occurrences[0].steps[0].advice = &stepAdvice{tickets: map[model.WorkerID]string{"full": "x"}, validUntil: at(60)}
+			return j
+		},
+		"failed before": func(tm *term) *job {
+			for range quarantineFailures {
+				tm.workers["free"].health.recordFailure(epoch.Add(-quarantineTime), true)
+			}
+			j := add(tm, "a", "q")
+			j.occurrences[0].steps[0].tasks[0].failed = []int{1}
+			return j
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			for _, id := range []string{"free", "full"} {
+				tm.workers[model.WorkerID(id)] = testWorker(id)
+			}
+			testRun(tm.workers["full"], &Step{Lasting: true, Needs: tm.workers["full"].info.Capacity}, 0)
+			restricted, other := restrict(tm), add(tm, "b", "q")
+			planFor(tm, tickInterval)
+			require.False(t, restricted.occurrences[0].steps[0].tasks[0].hasRun())
+			require.True(t, other.occurrences[0].steps[0].tasks[0].hasRun())
+		})
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -157,7 +157,7 @@
 		worker, missing := p.findWorker(r)
 		if worker == nil {
 			w.state().waits = waitReasonOf(missing, w.step)
-			p.recordUnplaceable(w.step, w.state().waits)
+			p.recordUnplaceable(r, w.state().waits)
 			break
 		}
 		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
