--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -246,3 +246,19 @@
 	t.Log("pace", r.pace, "reduced", r.reduced, "reason", r.stopReason)
 	require.Equal(t, "hung", r.stopReason, "a percent takes 0.33 s at this pace")
 }
+
+// A job whose last run was done a moment ago counted as idle since its first task was ready.
+func TestJobIsNotIdleJustAfterATaskWasDone(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 2, Needs: model.Resources{MilliCPU: 8000}})
+	first := tm.startAttempt(j, taskKey{0, 0, 0}, w, "", 1, "")
+	tm.confirmStart(first)
+	planFor(tm, 5*time.Second)
+	tm.applyEnd(w, RunEnd{RunRef: first.ref, Number: 1, How: EndDone})
+	second := &j.occurrences[0].steps[0].tasks[1]
+	planFor(tm, idleLimit-tickInterval)
+	require.False(t, second.hasRun())
+	planFor(tm, 3*tickInterval)
+	require.True(t, second.hasRun())
+}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -158,6 +158,8 @@
 	waitsForCellLoads bool
 
 	account jobAccount
+	// runEndedAt is when a run of the job last ended, as far as this term knows.
+	runEndedAt time.Time
 
 	// visibleState is the state that callers see: the one that is stored, so that a node that
 	// reads it from the store shows no older one.
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -320,6 +320,7 @@
 	r.job.leaseExpired = r.job.leaseExpired || reason == reasonLeaseOver
 	t.saveCheckpoint(r.job, tk, r, r.checkpoint)
 	tk.account.endRun(r, false, tk.checkpoint != "", t.now)
+	r.job.runEndedAt = t.now
 	t.log.WithFields(logrus.Fields{"decision": "end", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
 		"choice": "lost", "reason": reason, "seen_ms": r.seenRunning().Milliseconds()}).Info("run lost")
 }
@@ -375,6 +376,7 @@
 		r = &run{ref: e.RunRef, job: j, key: key, worker: w, step: &j.spec.Steps[key.step], startedAt: t.now}
 	}
 	tk.account.endRun(r, e.How == EndDone, e.Checkpoint != "" || r.checkpoint != "", t.now)
+	j.runEndedAt = t.now
 	switch e.How {
 	case EndDone:
 		t.completeTask(w, j, o, key, r)
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -141,20 +141,16 @@
 // idleSince returns since when nothing of the job has run although a task is ready; false if
 // something runs or nothing is ready.
 func (j *job) idleSince() (since time.Time, idle bool) {
-	var ended time.Time // the last run of a task that is not done
 	for s, tk := range j.openTasks() {
 		if tk.hasRun() {
 			return time.Time{}, false
 		}
-		if tk.account.idleSince.After(ended) {
-			ended = tk.account.idleSince
-		}
 		if !idle || s.readyAt.Before(since) {
 			since, idle = s.readyAt, true
 		}
 	}
-	if ended.After(since) {
-		since = ended
+	if j.runEndedAt.After(since) {
+		since = j.runEndedAt
 	}
 	return since, idle
 }
