--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -136,12 +136,12 @@
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
-// workersForReduced returns the workers on which a filler may start at a reduced pace. Such a run
-// cannot end a probation soon.
+// workersForReduced returns the workers on which a filler may start at a reduced pace; on probation
+// they take one such run beside their trial.
 func (p *placement) workersForReduced() []*worker {
 	var workers []*worker
 	for _, w := range p.workers {
-		if w.mayReduce() && !w.health.onProbation() && !p.interference.overTarget(w, p.now) {
+		if w.mayReduce() && !(w.health.onProbation() && w.reducedMilliCPU > 0) && !p.interference.overTarget(w, p.now) {
 			workers = append(workers, w)
 		}
 	}
@@ -150,7 +150,7 @@
 
 // findReducedPace returns the one of the workers whose services tolerate the largest share of a
 // filler that none of them tolerates at full pace, and the pace in percent; nil if there is none.
-// Workers without processors to spare come last.
+// Workers without processors to spare come after others, and those on probation last.
 func (p *placement) findReducedPace(workers []*worker, r taskRequest) (*worker, int) {
 	var best *worker
 	most := 0.0
@@ -162,13 +162,25 @@
 		case o == lacksHeadroom:
 			_, tolerated = p.interference.placementCost(w, r.step, p.now)
 		}
-		if best == nil || tolerated > most || (tolerated == most && w.reducedMilliCPU < best.reducedMilliCPU) {
+		order := -1
+		if best != nil {
+			order = cmp.Or(cmp.Compare(w.probationRank(), best.probationRank()), cmp.Compare(most, tolerated), cmp.Compare(w.reducedMilliCPU, best.reducedMilliCPU))
+		}
+		if order < 0 {
 			best, most = w, tolerated
 		}
 	}
 	return best, max(roundPace(most), idlePace)
 }
 
+// probationRank returns 1 for a worker on probation and 0 for others.
+func (w *worker) probationRank() int {
+	if w.health.onProbation() {
+		return 1
+	}
+	return 0
+}
+
 // leastPace returns the least pace of a run at a reduced pace, in percent.
 func (r *run) leastPace() int {
 	if _, tk := r.job.task(r.key); tk != nil && tk.mayBeDone {
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -262,3 +262,30 @@
 	planFor(tm, 3*tickInterval)
 	require.True(t, second.hasRun())
 }
+
+// Where all workers were on probation and services tolerated no filler at full pace, idle jobs waited
+// for good. A run at a reduced pace is not the trial of such a worker, so it keeps no other work away.
+func TestIdleJobsRunWhereAllWorkersAreOnProbation(t *testing.T) {
+	tm := pressedTerm(t)
+	var workers []*worker
+	for i := range 2 {
+		w := addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+		for _, r := range w.runs {
+			r.startedAt = epoch.Add(-2 * time.Minute)
+		}
+		w.health.quarantine(epoch.Add(-time.Minute))
+		workers = append(workers, w)
+	}
+	idle := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	planFor(tm, 2*time.Second)
+	require.True(t, idle.occurrences[0].steps[0].tasks[0].hasRun())
+	for i := range workers {
+		j := newJob(fmt.Sprint("short", i), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000}}}}}, 0, tm.now)
+		j.openOccurrence(0, time.Time{}, tm.now)
+		tm.jobs[j.id] = j
+	}
+	planFor(tm, tickInterval)
+	for _, w := range workers {
+		require.True(t, w.hasTrialRun(), w.info.Worker)
+	}
+}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -272,10 +272,10 @@
 }
 
 // hasTrialRun reports whether a run has started on w since its last quarantine. Older runs
-// prove nothing, as some workers fail only new starts.
+// prove nothing, as some workers fail only new starts, and those at a reduced pace prove little.
 func (w *worker) hasTrialRun() bool {
 	for _, r := range w.runs {
-		if !r.startedAt.Before(w.health.excludedUntil) {
+		if !r.reduced && !r.startedAt.Before(w.health.excludedUntil) {
 			return true
 		}
 	}
