--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -289,3 +289,24 @@
 		require.True(t, w.hasTrialRun(), w.info.Worker)
 	}
 }
+
+// A service of many tasks had nothing running for many seconds after a burst of short work, although most
+// processors were free.
+func TestServiceDoesNotIdleBehindCapacityHeldForShortWork(t *testing.T) {
+	tm := loadedTerm(t)
+	for i := range 4 {
+		w := testWorker(fmt.Sprint("w", i))
+		tm.workers[w.info.Worker] = w
+	}
+	tm.shortWork[shortKey{"svc", 0}] = &shortDemand{peak: 200_000, observed: tm.now}
+	spec := Spec{Steps: []Step{{Count: 10, Lasting: true, Image: "s", Needs: model.Resources{MilliCPU: 4000, MemoryMB: 100}}}}
+	j := newJob("a", jobRecord{Queue: "q", Spec: spec}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[j.id] = j
+	planFor(tm, idleLimit-tickInterval)
+	require.Equal(t, waitsForHeldCapacity, o.steps[0].waits)
+	planFor(tm, 3*tickInterval)
+	_, idle := j.idleSince()
+	require.False(t, idle)
+	require.Equal(t, waitsForHeldCapacity, o.steps[0].waits, "its other tasks")
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -67,7 +67,11 @@
 			w.state().waits = waitsForWorkers
 			continue
 		}
-		if allowed := p.allowedTasks(w, held); allowed < len(w.tasks) {
+		allowed := p.allowedTasks(w, held)
+		if allowed == 0 {
+			allowed = p.allowedOfIdleJob(w, held)
+		}
+		if allowed < len(w.tasks) {
 			w.state().waits = waitsForHeldCapacity
 			w.tasks = w.tasks[:allowed] // the others wait for the next plan
 		}
--- a/internal/fleet/short_work.go
+++ b/internal/fleet/short_work.go
@@ -120,13 +120,33 @@
 	if held+short == 0 {
 		return len(w.tasks)
 	}
-	free, capacity := int64(0), int64(0)
-	for _, x := range p.workers {
-		free += x.free().MilliCPU
-		capacity += x.info.Capacity.MilliCPU
-	}
+	free, capacity := p.freeCPU()
 	if 2*free < capacity || free < 2*tasks*each {
 		held += short
 	}
 	return int(min(max((free-held)/each, 0), tasks))
 }
+
+// allowedOfIdleJob is like allowedTasks for a step of which that allows none: one task of a job that
+// has been idle for idleLimit need not leave capacity free for short work, while half of the processors
+// are free and twice what the task needs.
+func (p *placement) allowedOfIdleJob(w *waitingStep, h heldCapacity) int {
+	since, idle := w.job.idleSince()
+	if !idle || p.now.Sub(since) < idleLimit || w.step.Gang {
+		return 0
+	}
+	free, capacity := p.freeCPU()
+	if 2*free < capacity || free-h.unaccounted[w.queue.Service] < 2*w.step.Needs.MilliCPU {
+		return 0
+	}
+	return 1
+}
+
+// freeCPU returns the free processors of the workers and all of them, in thousandths of a core.
+func (p *placement) freeCPU() (free, capacity int64) {
+	for _, w := range p.workers {
+		free += w.free().MilliCPU
+		capacity += w.info.Capacity.MilliCPU
+	}
+	return free, capacity
+}
