--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -243,8 +243,55 @@
 	return false
 }
 
-// stopReducedFor stops runs at a reduced pace on w until a lasting task has the memory that it needs
-// there, those with the least progress first. They would hold it for many times their duration.
+// stopReducedForIdleJobs makes room for jobs that reserve processors, of which nothing has run for
+// idleLimit, where runs at a reduced pace hold the memory that they need.
+func (t *term) stopReducedForIdleJobs(p *placement, waiting []*waitingStep) {
+	for _, w := range waiting {
+		reason := w.state().waits
+		if w.queue.Service != p.service || w.step.Filler || w.step.Gang || w.job.over() || (reason != waitsForCapacity && reason != waitsForOtherCondition) {
+			continue
+		}
+		since, idle := w.job.idleSince()
+		if !idle || t.now.Sub(since) < idleLimit {
+			continue
+		}
+		r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state())}
+		t.stopReducedFor(p.reserveReducedFor(r), w.step)
+	}
+}
+
+// reserveReducedFor keeps new work away from one worker on which a task fits without the runs at a
+// reduced pace, and returns it; nil if there is none. It takes the worker with the most memory that is
+// free or becomes free, so that it stays with its choice while these runs are being stopped.
+func (p *placement) reserveReducedFor(request taskRequest) *worker {
+	var best *worker
+	most := int64(0)
+	for _, w := range p.workers {
+		if w.reducedMilliCPU == 0 || p.obstacle(w, request) != lacksCapacity {
+			continue
+		}
+		free := w.free()
+		freed := free.MemoryMB
+		for _, r := range w.runs {
+			if r.reduced {
+				free = free.Add(r.reserved)
+			}
+			if !r.live() {
+				freed += r.reserved.MemoryMB
+			}
+		}
+		if request.step.Reserved().Fits(free) && (best == nil || freed > most) {
+			best, most = w, freed
+		}
+	}
+	if best != nil {
+		p.reserve(best)
+	}
+	return best
+}
+
+// stopReducedFor stops runs at a reduced pace on w until a task has the memory that it needs there,
+// those with the least progress first. They would hold it for many times their duration.
 func (t *term) stopReducedFor(w *worker, s *Step) {
 	if w == nil {
 		return
@@ -267,6 +314,6 @@
 			return
 		}
 		lacking -= r.reserved.MemoryMB
-		t.stopRun(r, "lasting")
+		t.stopRun(r, "makes-room")
 	}
 }
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -310,3 +310,38 @@
 	require.False(t, idle)
 	require.Equal(t, waitsForHeldCapacity, o.steps[0].waits, "its other tasks")
 }
+
+// Runs at a reduced pace held the memory that short work and new services need for as long as they
+// took: a job idled beside free processors for minutes.
+func TestReducedRunsKeepNoOtherJobIdle(t *testing.T) {
+	for name, step := range map[string]Step{
+		"short":   {Count: 1, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}, Estimate: time.Second},
+		"lasting": {Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := pressedTerm(t)
+			w := addWorker(tm, "w", 100, 1.1)
+			for i := range 12 {
+				addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Checkpoints: true, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2400}, Estimate: 10 * time.Minute})
+			}
+			planFor(tm, 3*time.Second)
+			require.Less(t, w.free().MemoryMB, int64(4000))
+			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, tm.now)
+			o := j.openOccurrence(0, time.Time{}, tm.now)
+			tm.jobs[j.id] = j
+			end := uint64(0)
+			for range 4 {
+				planFor(tm, idleLimit/2)
+				for _, r := range w.runs {
+					if r.state == runStopping {
+						end++
+						tm.applyEnd(w, RunEnd{RunRef: r.ref, Number: end, How: EndStopped})
+						planFor(tm, 2*idleCheckInterval) // the runs end one after the other
+					}
+				}
+			}
+			require.True(t, o.steps[0].tasks[0].hasRun())
+			require.False(t, w.free().Negative())
+		})
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -74,11 +74,16 @@
 	if best == nil {
 		return nil
 	}
+	p.reserve(best)
+	return best
+}
+
+// reserve keeps new work away from a worker, restarts of lasting tasks excepted.
+func (p *placement) reserve(w *worker) {
 	if p.reservedWorkers == nil {
 		p.reservedWorkers = map[*worker]bool{}
 	}
-	p.reservedWorkers[best] = true
-	return best
+	p.reservedWorkers[w] = true
 }
 
 // demandGroup groups steps that compete for the same capacity: fillers of one image, or
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -92,6 +92,7 @@
 	}
 	t.idleJobsCheckedAt = t.now
 	for _, p := range pools {
+		t.stopReducedForIdleJobs(p, waiting)
 		t.startIdleJobs(p, waiting, left)
 	}
 }
