--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -76,3 +76,47 @@
 		})
 	}
 }
+
+// rackWorkers adds n workers in each of two racks.
+func rackWorkers(tm *term, n int) {
+	for rack := range 2 {
+		for i := range n {
+			w := testWorker(fmt.Sprint("w", rack, i))
+			w.rack = fmt.Sprint("r", rack)
+			tm.workers[w.info.Worker] = w
+		}
+	}
+}
+
+// A gang whose tasks are slow unless they share a rack never started where no rack had room for all.
+func TestGangDoesNotWaitForARackWithoutBound(t *testing.T) {
+	tm := loadedTerm(t)
+	rackWorkers(tm, 2)
+	spec := Spec{Steps: []Step{{Count: 3, Gang: true, SameRack: true, Estimate: time.Second, Needs: model.Resources{MilliCPU: 10_000, MemoryMB: 100}}}}
+	j := newJob("a", jobRecord{Queue: "q", Spec: spec}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[j.id] = j
+	planFor(tm, idleLimit)
+	require.Equal(t, waitsForGangCapacity, o.steps[0].waits)
+	planFor(tm, idleLimitOnTime-idleLimit+tickInterval)
+	_, idle := j.idleSince()
+	require.False(t, idle)
+}
+
+// A lost lasting task whose step shares a rack waited without a bound while that rack was full.
+func TestLostTaskDoesNotWaitForItsRackWithoutBound(t *testing.T) {
+	tm := loadedTerm(t)
+	rackWorkers(tm, 2)
+	spec := Spec{Steps: []Step{{Count: 2, Lasting: true, SameRack: true, Needs: model.Resources{MilliCPU: 10_000, MemoryMB: 100}}}}
+	j := newJob("a", jobRecord{Queue: "q", Spec: spec}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[j.id] = j
+	planFor(tm, tickInterval)
+	lost := o.steps[0].tasks[1].runs[0]
+	tm.markLost(lost, reasonRestarted)
+	testRun(lost.worker, &Step{Lasting: true, Needs: lost.worker.info.Capacity}, 9)
+	planFor(tm, idleLimitOnTime-tickInterval)
+	require.False(t, o.steps[0].tasks[1].hasRun())
+	planFor(tm, 2*tickInterval)
+	require.True(t, o.steps[0].tasks[1].hasRun())
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -148,7 +148,7 @@
 	}
 	if w.step.SameRack {
 		r.rack = t.chooseRack(p, w, r)
-		if r.rack == "" && w.step.Gang {
+		if r.rack == "" && w.step.Gang && !(t.waitedForRack(w, w.tasks[0]) && t.mostlyFree(p.service)) {
 			w.state().waits = waitsForGangCapacity
 			return 0
 		}
@@ -160,6 +160,10 @@
 	for _, i := range w.tasks {
 		r.task = &w.occurrence.steps[w.index].tasks[i]
 		worker, missing := p.findWorker(r)
+		if worker == nil && r.rack != "" && w.step.Lasting && t.waitedForRack(w, i) {
+			r.rack = ""
+			worker, missing = p.findWorker(r)
+		}
 		if worker == nil {
 			w.state().waits = waitReasonOf(missing, w.step)
 			p.recordUnplaceable(r, w.state().waits)
@@ -209,6 +213,13 @@
 	return best
 }
 
+// waitedForRack reports whether a task has waited long enough for a place in the rack of its step.
+// Outside it the task is slower.
+func (t *term) waitedForRack(w *waitingStep, task int) bool {
+	s := w.state()
+	return t.now.Sub(s.waitedSince(&s.tasks[task])) >= idleLimitOf(w)
+}
+
 // placeGang starts all members of a gang or none. It returns the number of starts.
 func (t *term) placeGang(p *placement, w *waitingStep, r taskRequest) int {
 	s := &w.occurrence.steps[w.index]
