--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -244,11 +244,11 @@
 }
 
 // stopReducedForIdleJobs makes room for jobs that reserve processors, of which nothing has run for
-// idleLimit, where runs at a reduced pace hold the memory that they need.
+// idleLimit, where runs at a reduced pace hold the memory that they need. For restarts the plan does it.
 func (t *term) stopReducedForIdleJobs(p *placement, waiting []*waitingStep) {
 	for _, w := range waiting {
 		reason := w.state().waits
-		if w.queue.Service != p.service || w.step.Filler || w.step.Gang || w.job.over() || (reason != waitsForCapacity && reason != waitsForOtherCondition) {
+		if w.queue.Service != p.service || w.step.Filler || w.step.Gang || w.restart || w.job.over() || (reason != waitsForCapacity && reason != waitsForOtherCondition) {
 			continue
 		}
 		since, idle := w.job.idleSince()
@@ -256,7 +256,9 @@
 			continue
 		}
 		r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state())}
-		t.stopReducedFor(p.reserveReducedFor(r), w.step)
+		if x := p.reserveReducedFor(r); x != nil {
+			t.stopReducedFor(x, w.step)
+		}
 	}
 }
 
@@ -267,7 +269,7 @@
 	var best *worker
 	most := int64(0)
 	for _, w := range p.workers {
-		if w.reducedMilliCPU == 0 || p.obstacle(w, request) != lacksCapacity {
+		if w.reducedMilliCPU == 0 || p.reservedWorkers[w] || p.obstacle(w, request) != lacksCapacity {
 			continue
 		}
 		free := w.free()
@@ -293,9 +295,6 @@
 // stopReducedFor stops runs at a reduced pace on w until a task has the memory that it needs there,
 // those with the least progress first. They would hold it for many times their duration.
 func (t *term) stopReducedFor(w *worker, s *Step) {
-	if w == nil {
-		return
-	}
 	lacking := s.Reserved().MemoryMB - w.free().MemoryMB
 	var reduced []*run
 	for _, r := range w.runs {
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -345,3 +345,31 @@
 		})
 	}
 }
+
+// The worker on which room is made for a lost lasting task changed from plan to plan, and runs at a
+// reduced pace were stopped on many workers for one task.
+func TestRoomForLostTaskIsMadeOnOneWorker(t *testing.T) {
+	tm := pressedTerm(t)
+	for i := range 6 {
+		addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+	}
+	for i := range 36 {
+		addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Checkpoints: true, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2400}, Estimate: 10 * time.Minute})
+	}
+	planFor(tm, 3*time.Second)
+	j := newJob("lasting", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}}}}}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	j.started, o.steps[0].tasks[0].attempt = true, 1
+	tm.jobs[j.id] = j
+	planFor(tm, time.Second)
+	affected := 0
+	for _, w := range tm.workers {
+		for _, r := range w.runs {
+			if r.state == runStopping {
+				affected++
+				break
+			}
+		}
+	}
+	require.Equal(t, 1, affected)
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -52,8 +52,8 @@
 // soon. It takes the worker with the most free processors among those on which the task
 // fits once all tasks that end by themselves have ended. Where services fill the fleet, the
 // capacity that a single short task frees is too small for a lasting task, and new short
-// tasks would use it up each time. It returns the worker, nil if there is none.
-func (p *placement) reserveWorkerFor(request taskRequest) *worker {
+// tasks would use it up each time.
+func (p *placement) reserveWorkerFor(request taskRequest) {
 	s := request.step
 	var best *worker
 	mostFree := int64(0)
@@ -71,11 +71,9 @@
 			best, mostFree = w, freeNow
 		}
 	}
-	if best == nil {
-		return nil
+	if best != nil {
+		p.reserve(best)
 	}
-	p.reserve(best)
-	return best
 }
 
 // reserve keeps new work away from a worker, restarts of lasting tasks excepted.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -82,7 +82,12 @@
 				continue
 			}
 			if w.restart {
-				t.stopReducedFor(p.reserveWorkerFor(taskRequest{step: w.step, tasksPerWorker: runsPerWorker(w.state())}), w.step)
+				r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
+				if x := p.reserveReducedFor(r); x != nil {
+					t.stopReducedFor(x, w.step)
+				} else {
+					p.reserveWorkerFor(r)
+				}
 			}
 			t.lendUnplaced(w)
 		}
