--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -73,7 +73,7 @@
 	}
 	var idle []idleStep
 	for _, w := range waiting {
-		if w.queue.Service != p.service || !w.state().waits.allowsReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
+		if w.queue.Service != p.service || !w.state().waits.allowsReducedPace() || w.step.Gang || w.job.over() {
 			continue
 		}
 		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
@@ -93,8 +93,13 @@
 		}
 		task := w.undoneTask()
 		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[task], tasksPerWorker: runsPerWorker(w.state())}
+		if w.queue.Advised {
+			if r.tickets = t.tickets(p, w); r.tickets == nil {
+				continue
+			}
+		}
 		if x, pace := p.findReducedPace(workers, r); x != nil {
-			t.startReduced(w.job, w.key(task), x, pace)
+			t.startReduced(w.job, w.key(task), x, r.tickets[x.info.Worker], pace)
 			limit--
 			workers = slices.DeleteFunc(workers, func(o *worker) bool { return o == x })
 		}
@@ -136,6 +141,9 @@
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
+// allowsReducedPace reports whether a filler may start at a reduced pace on a worker with this obstacle.
+func (o obstacle) allowsReducedPace() bool { return o == lacksHeadroom || o == lacksSpareCapacity }
+
 // workersForReduced returns the workers on which a filler may start at a reduced pace; on probation
 // they take one such run beside their trial.
 func (p *placement) workersForReduced() []*worker {
@@ -156,10 +164,10 @@
 	most := 0.0
 	for _, w := range workers {
 		o, tolerated := p.obstacle(w, r), 0.0
-		switch {
-		case o != lacksHeadroom && o != lacksSpareCapacity:
+		if !o.allowsReducedPace() {
 			continue
-		case o == lacksHeadroom:
+		}
+		if o == lacksHeadroom {
 			_, tolerated = p.interference.placementCost(w, r.step, p.now)
 		}
 		order := -1
@@ -205,9 +213,9 @@
 }
 
 // startReduced starts a filler that is slowed down to a pace, in percent, as soon as it runs.
-func (t *term) startReduced(j *job, key taskKey, w *worker, pace int) {
+func (t *term) startReduced(j *job, key taskKey, w *worker, ticket string, pace int) {
 	_, tk := j.task(key)
-	r := t.startAttempt(j, key, w, "", j.nextAttempt(tk, t.number), tk.checkpoint)
+	r := t.startAttempt(j, key, w, ticket, j.nextAttempt(tk, t.number), tk.checkpoint)
 	r.startPace = pace
 	w.setReduced(r, true)
 }
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -373,3 +373,40 @@
 	}
 	require.Equal(t, 1, affected)
 }
+
+// silentAdvisor answers no call; tests deliver answers to the term themselves.
+type silentAdvisor struct{}
+
+func (silentAdvisor) Advise(ctx context.Context, _ string, _ []model.WorkerID) (Advice, error) {
+	<-ctx.Done()
+	return Advice{}, ctx.Err()
+}
+
+// Fillers that need a ticket were never started at a reduced pace: the advisor was asked about no worker.
+func TestIdleJobsThatNeedTicketsRun(t *testing.T) {
+	tm := pressedTerm(t)
+	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
+	tm.cfg.Advisor = silentAdvisor{}
+	for i := range 3 {
+		addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+	}
+	j := addFillerJob(tm, "a", Step{Count: 2, Needs: model.Resources{MilliCPU: 8000}})
+	s := &j.occurrences[0].steps[0]
+	answer := func() {
+		if s.advice == nil || !s.advice.inFlight {
+			return
+		}
+		w := &waitingStep{job: j, occurrence: j.occurrences[0], step: &j.spec.Steps[0], queue: tm.queues["q"], tasks: []int{0, 1}}
+		tickets := map[model.WorkerID]string{}
+		for _, id := range tm.adviceCandidates(tm.newPlacement("svc"), w) {
+			tickets[id] = "ticket"
+		}
+		adviceReply{advice: s.advice, answer: Advice{Tickets: tickets, Valid: time.Second}, asked: tm.now}.handle(tm)
+	}
+	for range 2 * time.Second / tickInterval {
+		planFor(tm, tickInterval)
+		answer()
+	}
+	require.True(t, s.tasks[0].hasRun())
+	require.Equal(t, "ticket", s.tasks[0].runs[0].ticket)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -326,12 +326,22 @@
 	}
 }
 
-// adviceCandidates returns a random choice of workers on which the step fits.
+// adviceCandidates returns a random choice of workers on which the step fits. For an idle job of
+// fillers that fits on none it returns workers that may run it at a reduced pace.
 func (t *term) adviceCandidates(p *placement, w *waitingStep) []model.WorkerID {
+	ids := t.chooseCandidates(p.workers, func(x *worker) bool { return p.feasible(x, taskRequest{step: w.step}) })
+	if since, idle := w.job.idleSince(); len(ids) > 0 || !w.step.Filler || !idle || t.now.Sub(since) < idleLimit || !t.mostlyFree(p.service) {
+		return ids
+	}
+	return t.chooseCandidates(p.workersForReduced(), func(x *worker) bool { return p.obstacle(x, taskRequest{step: w.step}).allowsReducedPace() })
+}
+
+// chooseCandidates returns a random choice of the workers that suit.
+func (t *term) chooseCandidates(workers []*worker, suits func(*worker) bool) []model.WorkerID {
 	var ids []model.WorkerID
-	for _, i := range t.random.Perm(len(p.workers)) {
-		if p.feasible(p.workers[i], taskRequest{step: w.step}) {
-			ids = append(ids, p.workers[i].info.Worker)
+	for _, i := range t.random.Perm(len(workers)) {
+		if suits(workers[i]) {
+			ids = append(ids, workers[i].info.Worker)
 		}
 		if len(ids) == maxAdviceWorkers {
 			break
