--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -120,3 +120,24 @@
 	planFor(tm, 2*tickInterval)
 	require.True(t, o.steps[0].tasks[1].hasRun())
 }
+
+// A gang of an advised queue never started when it needed more workers than one call named.
+func TestAdviceForGangNamesEnoughWorkers(t *testing.T) {
+	tm := loadedTerm(t)
+	for i := range 3 * maxAdviceWorkers {
+		w := testWorker(fmt.Sprintf("w%02d", i))
+		tm.workers[w.info.Worker] = w
+	}
+	for _, gang := range []bool{false, true} {
+		step := Step{Count: 2 * maxAdviceWorkers, Gang: gang, Needs: model.Resources{MilliCPU: 10_000, MemoryMB: 100}}
+		j := newJob("a", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, tm.now)
+		o := j.openOccurrence(0, time.Time{}, tm.now)
+		w := &waitingStep{job: j, occurrence: o, step: &step, queue: tm.queues["q"], tasks: make([]int, step.Count)}
+		named := len(tm.adviceCandidates(tm.newPlacement("svc"), w))
+		if gang {
+			require.GreaterOrEqual(t, named, step.Count)
+		} else {
+			require.Equal(t, maxAdviceWorkers, named)
+		}
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -283,8 +283,10 @@
 
 // Times of advice.
 const (
-	// maxAdviceWorkers bounds the workers named in one call; each makes the call slower.
-	maxAdviceWorkers = 30
+	// maxAdviceWorkers bounds the workers named in one call; each makes the call slower. A gang
+	// needs enough of them at once, so its call names up to maxGangAdviceWorkers.
+	maxAdviceWorkers     = 30
+	maxGangAdviceWorkers = 100
 	// adviceTimeout bounds a call.
 	adviceTimeout = 1500 * time.Millisecond
 	// adviceRetryPause is the pause after a failed call.
@@ -329,21 +331,25 @@
 // adviceCandidates returns a random choice of workers on which the step fits. For an idle job of
 // fillers that fits on none it returns workers that may run it at a reduced pace.
 func (t *term) adviceCandidates(p *placement, w *waitingStep) []model.WorkerID {
-	ids := t.chooseCandidates(p.workers, func(x *worker) bool { return p.feasible(x, taskRequest{step: w.step}) })
+	most := maxAdviceWorkers
+	if w.step.Gang { // the advisor may allow a part of them only
+		most = min(max(2*w.step.Count, maxAdviceWorkers), maxGangAdviceWorkers)
+	}
+	ids := t.chooseCandidates(p.workers, most, func(x *worker) bool { return p.feasible(x, taskRequest{step: w.step}) })
 	if since, idle := w.job.idleSince(); len(ids) > 0 || !w.step.Filler || !idle || t.now.Sub(since) < idleLimit || !t.mostlyFree(p.service) {
 		return ids
 	}
-	return t.chooseCandidates(p.workersForReduced(), func(x *worker) bool { return p.obstacle(x, taskRequest{step: w.step}).allowsReducedPace() })
+	return t.chooseCandidates(p.workersForReduced(), most, func(x *worker) bool { return p.obstacle(x, taskRequest{step: w.step}).allowsReducedPace() })
 }
 
-// chooseCandidates returns a random choice of the workers that suit.
-func (t *term) chooseCandidates(workers []*worker, suits func(*worker) bool) []model.WorkerID {
+// chooseCandidates returns a random choice of at most the given number of workers that suit.
+func (t *term) chooseCandidates(workers []*worker, most int, suits func(*worker) bool) []model.WorkerID {
 	var ids []model.WorkerID
 	for _, i := range t.random.Perm(len(workers)) {
 		if suits(workers[i]) {
 			ids = append(ids, workers[i].info.Worker)
 		}
-		if len(ids) == maxAdviceWorkers {
+		if len(ids) == most {
 			break
 		}
 	}
