--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -19,8 +19,9 @@
 	// leaves time for tasks lent before to start there and to be counted in a later report.
 	remoteFreeInterval = 800 * time.Millisecond
 	// maxReservedForOtherCells bounds the workers that a cell reserves for unplaced tasks of
-	// other cells.
+	// other cells, and maxReservedPercent their share of its workers.
 	maxReservedForOtherCells = 6
+	maxReservedPercent       = 67
 )
 
 // freeCapacity is the free capacity of one worker.
@@ -70,7 +71,7 @@
 // cells. Otherwise short tasks would use any freed capacity at once, and the cell would
 // never report free capacity.
 func (t *term) reserveForOtherCells(p *placement, service model.ServiceName) {
-	left := maxReservedForOtherCells
+	left := min(maxReservedForOtherCells, len(p.workers)*maxReservedPercent/100)
 	for _, s := range t.unplacedInOtherCells {
 		if s.Service != service {
 			continue
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -141,3 +141,18 @@
 		}
 	}
 }
+
+// A small cell reserved all its workers for tasks of other cells, and nothing else started there.
+func TestCellDoesNotReserveAllWorkersForOtherCells(t *testing.T) {
+	tm := loadedTerm(t)
+	for i := range maxReservedForOtherCells {
+		w := testWorker(fmt.Sprint("w", i))
+		tm.workers[w.info.Worker] = w
+	}
+	tm.unplacedInOtherCells = []unplacedTask{{Service: "svc", MilliCPU: 1000, MemoryMB: 100, Count: 2 * maxReservedForOtherCells}}
+	j := newJob("short", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
+	j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[j.id] = j
+	planFor(tm, time.Second)
+	require.True(t, j.occurrences[0].steps[0].tasks[0].hasRun())
+}
