--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -73,7 +73,7 @@
 	}
 	var idle []idleStep
 	for _, w := range waiting {
-		if w.queue.Service != p.service || !w.state().waits.allowsReducedPace() || w.queue.Advised || w.step.Gang || w.job.over() {
+		if w.queue.Service != p.service || !w.state().waits.allowsReducedPace() || w.step.Gang || w.job.over() {
 			continue
 		}
 		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
@@ -93,8 +93,13 @@
 		}
 		task := w.undoneTask()
 		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[task], tasksPerWorker: runsPerWorker(w.state())}
+		if w.queue.Advised {
+			if r.tickets = t.tickets(p, w); r.tickets == nil {
+				continue
+			}
+		}
 		if x, pace := p.findReducedPace(workers, r); x != nil {
-			t.startReduced(w.job, w.key(task), x, pace)
+			t.startReduced(w.job, w.key(task), x, r.tickets[x.info.Worker], pace)
 			limit--
 			workers = slices.DeleteFunc(workers, func(o *worker) bool { return o == x })
 		}
@@ -136,12 +141,15 @@
 	return r == waitsForHeadroom || r == waitsForSpareCapacity
 }
 
-// workersForReduced returns the workers on which a filler may start at a reduced pace. Such a run
-// cannot end a probation soon.
+// allowsReducedPace reports whether a filler may start at a reduced pace on a worker with this obstacle.
+func (o obstacle) allowsReducedPace() bool { return o == lacksHeadroom || o == lacksSpareCapacity }
+
+// workersForReduced returns the workers on which a filler may start at a reduced pace; on probation
+// they take one such run beside their trial.
 func (p *placement) workersForReduced() []*worker {
 	var workers []*worker
 	for _, w := range p.workers {
-		if w.mayReduce() && !w.health.onProbation() && !p.interference.overTarget(w, p.now) {
+		if w.mayReduce() && !(w.health.onProbation() && w.reducedMilliCPU > 0) && !p.interference.overTarget(w, p.now) {
 			workers = append(workers, w)
 		}
 	}
@@ -150,25 +158,37 @@
 
 // findReducedPace returns the one of the workers whose services tolerate the largest share of a
 // filler that none of them tolerates at full pace, and the pace in percent; nil if there is none.
-// Workers without processors to spare come last.
+// Workers without processors to spare come after others, and those on probation last.
 func (p *placement) findReducedPace(workers []*worker, r taskRequest) (*worker, int) {
 	var best *worker
 	most := 0.0
 	for _, w := range workers {
 		o, tolerated := p.obstacle(w, r), 0.0
-		switch {
-		case o != lacksHeadroom && o != lacksSpareCapacity:
+		if !o.allowsReducedPace() {
 			continue
-		case o == lacksHeadroom:
+		}
+		if o == lacksHeadroom {
 			_, tolerated = p.interference.placementCost(w, r.step, p.now)
 		}
-		if best == nil || tolerated > most || (tolerated == most && w.reducedMilliCPU < best.reducedMilliCPU) {
+		order := -1
+		if best != nil {
+			order = cmp.Or(cmp.Compare(w.probationRank(), best.probationRank()), cmp.Compare(most, tolerated), cmp.Compare(w.reducedMilliCPU, best.reducedMilliCPU))
+		}
+		if order < 0 {
 			best, most = w, tolerated
 		}
 	}
 	return best, max(roundPace(most), idlePace)
 }
 
+// probationRank returns 1 for a worker on probation and 0 for others.
+func (w *worker) probationRank() int {
+	if w.health.onProbation() {
+		return 1
+	}
+	return 0
+}
+
 // leastPace returns the least pace of a run at a reduced pace, in percent.
 func (r *run) leastPace() int {
 	if _, tk := r.job.task(r.key); tk != nil && tk.mayBeDone {
@@ -193,9 +213,9 @@
 }
 
 // startReduced starts a filler that is slowed down to a pace, in percent, as soon as it runs.
-func (t *term) startReduced(j *job, key taskKey, w *worker, pace int) {
+func (t *term) startReduced(j *job, key taskKey, w *worker, ticket string, pace int) {
 	_, tk := j.task(key)
-	r := t.startAttempt(j, key, w, "", j.nextAttempt(tk, t.number), tk.checkpoint)
+	r := t.startAttempt(j, key, w, ticket, j.nextAttempt(tk, t.number), tk.checkpoint)
 	r.startPace = pace
 	w.setReduced(r, true)
 }
@@ -231,12 +251,58 @@
 	return false
 }
 
-// stopReducedFor stops runs at a reduced pace on w until a lasting task has the memory that it needs
-// there, those with the least progress first. They would hold it for many times their duration.
-func (t *term) stopReducedFor(w *worker, s *Step) {
-	if w == nil {
-		return
+// stopReducedForIdleJobs makes room for jobs that reserve processors, of which nothing has run for
+// idleLimit, where runs at a reduced pace hold the memory that they need. For restarts the plan does it.
+func (t *term) stopReducedForIdleJobs(p *placement, waiting []*waitingStep) {
+	for _, w := range waiting {
+		reason := w.state().waits
+		if w.queue.Service != p.service || w.step.Filler || w.step.Gang || w.restart || w.job.over() || (reason != waitsForCapacity && reason != waitsForOtherCondition) {
+			continue
+		}
+		since, idle := w.job.idleSince()
+		if !idle || t.now.Sub(since) < idleLimit {
+			continue
+		}
+		r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state())}
+		if x := p.reserveReducedFor(r); x != nil {
+			t.stopReducedFor(x, w.step)
+		}
+	}
+}
+
+// reserveReducedFor keeps new work away from one worker on which a task fits without the runs at a
+// reduced pace, and returns it; nil if there is none. It takes the worker with the most memory that is
+// free or becomes free, so that it stays with its choice while these runs are being stopped.
+func (p *placement) reserveReducedFor(request taskRequest) *worker {
+	var best *worker
+	most := int64(0)
+	for _, w := range p.workers {
+		if w.reducedMilliCPU == 0 || p.reservedWorkers[w] || p.obstacle(w, request) != lacksCapacity {
+			continue
+		}
+		free := w.free()
+		freed := free.MemoryMB
+		for _, r := range w.runs {
+			if r.reduced {
+				free = free.Add(r.reserved)
+			}
+			if !r.live() {
+				freed += r.reserved.MemoryMB
+			}
+		}
+		if request.step.Reserved().Fits(free) && (best == nil || freed > most) {
+			best, most = w, freed
+		}
 	}
+	if best != nil {
+		p.reserve(best)
+	}
+	return best
+}
+
+// stopReducedFor stops runs at a reduced pace on w until a task has the memory that it needs there,
+// those with the least progress first. They would hold it for many times their duration.
+func (t *term) stopReducedFor(w *worker, s *Step) {
 	lacking := s.Reserved().MemoryMB - w.free().MemoryMB
 	var reduced []*run
 	for _, r := range w.runs {
@@ -255,6 +321,6 @@
 			return
 		}
 		lacking -= r.reserved.MemoryMB
-		t.stopRun(r, "lasting")
+		t.stopRun(r, "makes-room")
 	}
 }
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -246,3 +246,167 @@
 	t.Log("pace", r.pace, "reduced", r.reduced, "reason", r.stopReason)
 	require.Equal(t, "hung", r.stopReason, "a percent takes 0.33 s at this pace")
 }
+
+// A job whose last run was done a moment ago counted as idle since its first task was ready.
+func TestJobIsNotIdleJustAfterATaskWasDone(t *testing.T) {
+	tm := pressedTerm(t)
+	w := addWorker(tm, "w", 100, 1.1)
+	j := addFillerJob(tm, "a", Step{Count: 2, Needs: model.Resources{MilliCPU: 8000}})
+	first := tm.startAttempt(j, taskKey{0, 0, 0}, w, "", 1, "")
+	tm.confirmStart(first)
+	planFor(tm, 5*time.Second)
+	tm.applyEnd(w, RunEnd{RunRef: first.ref, Number: 1, How: EndDone})
+	second := &j.occurrences[0].steps[0].tasks[1]
+	planFor(tm, idleLimit-tickInterval)
+	require.False(t, second.hasRun())
+	planFor(tm, 3*tickInterval)
+	require.True(t, second.hasRun())
+}
+
+// Where all workers were on probation and services tolerated no filler at full pace, idle jobs waited
+// for good. A run at a reduced pace is not the trial of such a worker, so it keeps no other work away.
+func TestIdleJobsRunWhereAllWorkersAreOnProbation(t *testing.T) {
+	tm := pressedTerm(t)
+	var workers []*worker
+	for i := range 2 {
+		w := addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+		for _, r := range w.runs {
+			r.startedAt = epoch.Add(-2 * time.Minute)
+		}
+		w.health.quarantine(epoch.Add(-time.Minute))
+		workers = append(workers, w)
+	}
+	idle := addFillerJob(tm, "a", Step{Count: 1, Needs: model.Resources{MilliCPU: 8000}})
+	planFor(tm, 2*time.Second)
+	require.True(t, idle.occurrences[0].steps[0].tasks[0].hasRun())
+	for i := range workers {
+		j := newJob(fmt.Sprint("short", i), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000}}}}}, 0, tm.now)
+		j.openOccurrence(0, time.Time{}, tm.now)
+		tm.jobs[j.id] = j
+	}
+	planFor(tm, tickInterval)
+	for _, w := range workers {
+		require.True(t, w.hasTrialRun(), w.info.Worker)
+	}
+}
+
+// A service of many tasks had nothing running for many seconds after a burst of short work, although most
+// processors were free.
+func TestServiceDoesNotIdleBehindCapacityHeldForShortWork(t *testing.T) {
+	tm := loadedTerm(t)
+	for i := range 4 {
+		w := testWorker(fmt.Sprint("w", i))
+		tm.workers[w.info.Worker] = w
+	}
+	tm.shortWork[shortKey{"svc", 0}] = &shortDemand{peak: 200_000, observed: tm.now}
+	spec := Spec{Steps: []Step{{Count: 10, Lasting: true, Image: "s", Needs: model.Resources{MilliCPU: 4000, MemoryMB: 100}}}}
+	j := newJob("a", jobRecord{Queue: "q", Spec: spec}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	tm.jobs[j.id] = j
+	planFor(tm, idleLimit-tickInterval)
+	require.Equal(t, waitsForHeldCapacity, o.steps[0].waits)
+	planFor(tm, 3*tickInterval)
+	_, idle := j.idleSince()
+	require.False(t, idle)
+	require.Equal(t, waitsForHeldCapacity, o.steps[0].waits, "its other tasks")
+}
+
+// Runs at a reduced pace held the memory that short work and new services need for as long as they
+// took: a job idled beside free processors for minutes.
+func TestReducedRunsKeepNoOtherJobIdle(t *testing.T) {
+	for name, step := range map[string]Step{
+		"short":   {Count: 1, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}, Estimate: time.Second},
+		"lasting": {Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := pressedTerm(t)
+			w := addWorker(tm, "w", 100, 1.1)
+			for i := range 12 {
+				addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Checkpoints: true, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2400}, Estimate: 10 * time.Minute})
+			}
+			planFor(tm, 3*time.Second)
+			require.Less(t, w.free().MemoryMB, int64(4000))
+			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{step}}}, 0, tm.now)
+			o := j.openOccurrence(0, time.Time{}, tm.now)
+			tm.jobs[j.id] = j
+			end := uint64(0)
+			for range 4 {
+				planFor(tm, idleLimit/2)
+				for _, r := range w.runs {
+					if r.state == runStopping {
+						end++
+						tm.applyEnd(w, RunEnd{RunRef: r.ref, Number: end, How: EndStopped})
+						planFor(tm, 2*idleCheckInterval) // the runs end one after the other
+					}
+				}
+			}
+			require.True(t, o.steps[0].tasks[0].hasRun())
+			require.False(t, w.free().Negative())
+		})
+	}
+}
+
+// The worker on which room is made for a lost lasting task changed from plan to plan, and runs at a
+// reduced pace were stopped on many workers for one task.
+func TestRoomForLostTaskIsMadeOnOneWorker(t *testing.T) {
+	tm := pressedTerm(t)
+	for i := range 6 {
+		addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+	}
+	for i := range 36 {
+		addFillerJob(tm, fmt.Sprint("idle", i), Step{Count: 1, Checkpoints: true, Needs: model.Resources{MilliCPU: 8000, MemoryMB: 2400}, Estimate: 10 * time.Minute})
+	}
+	planFor(tm, 3*time.Second)
+	j := newJob("lasting", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 2000, MemoryMB: 4000}}}}}, 0, tm.now)
+	o := j.openOccurrence(0, time.Time{}, tm.now)
+	j.started, o.steps[0].tasks[0].attempt = true, 1
+	tm.jobs[j.id] = j
+	planFor(tm, time.Second)
+	affected := 0
+	for _, w := range tm.workers {
+		for _, r := range w.runs {
+			if r.state == runStopping {
+				affected++
+				break
+			}
+		}
+	}
+	require.Equal(t, 1, affected)
+}
+
+// silentAdvisor answers no call; tests deliver answers to the term themselves.
+type silentAdvisor struct{}
+
+func (silentAdvisor) Advise(ctx context.Context, _ string, _ []model.WorkerID) (Advice, error) {
+	<-ctx.Done()
+	return Advice{}, ctx.Err()
+}
+
+// Fillers that need a ticket were never started at a reduced pace: the advisor was asked about no worker.
+func TestIdleJobsThatNeedTicketsRun(t *testing.T) {
+	tm := pressedTerm(t)
+	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
+	tm.cfg.Advisor = silentAdvisor{}
+	for i := range 3 {
+		addWorker(tm, fmt.Sprint("w", i), 100+i, 1.1)
+	}
+	j := addFillerJob(tm, "a", Step{Count: 2, Needs: model.Resources{MilliCPU: 8000}})
+	s := &j.occurrences[0].steps[0]
+	answer := func() {
+		if s.advice == nil || !s.advice.inFlight {
+			return
+		}
+		w := &waitingStep{job: j, occurrence: j.occurrences[0], step: &j.spec.Steps[0], queue: tm.queues["q"], tasks: []int{0, 1}}
+		tickets := map[model.WorkerID]string{}
+		for _, id := range tm.adviceCandidates(tm.newPlacement("svc"), w) {
+			tickets[id] = "ticket"
+		}
+		adviceReply{advice: s.advice, answer: Advice{Tickets: tickets, Valid: time.Second}, asked: tm.now}.handle(tm)
+	}
+	for range 2 * time.Second / tickInterval {
+		planFor(tm, tickInterval)
+		answer()
+	}
+	require.True(t, s.tasks[0].hasRun())
+	require.Equal(t, "ticket", s.tasks[0].runs[0].ticket)
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -52,8 +52,9 @@
 // soon. It takes the worker with the most free processors among those on which the task
 // fits once all tasks that end by themselves have ended. Where services fill the fleet, the
 // capacity that a single short task frees is too small for a lasting task, and new short
-// tasks would use it up each time. It returns the worker, nil if there is none.
-func (p *placement) reserveWorkerFor(s *Step) *worker {
+// tasks would use it up each time.
+func (p *placement) reserveWorkerFor(request taskRequest) {
+	s := request.step
 	var best *worker
 	mostFree := int64(0)
 	for _, w := range p.workers {
@@ -63,21 +64,24 @@
 				free = free.Add(r.reserved)
 			}
 		}
-		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !s.Reserved().Fits(free) {
+		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !request.hasTaskSlot(w) || !s.Reserved().Fits(free) {
 			continue
 		}
 		if freeNow := w.free().MilliCPU; best == nil || freeNow > mostFree {
 			best, mostFree = w, freeNow
 		}
 	}
-	if best == nil {
-		return nil
+	if best != nil {
+		p.reserve(best)
 	}
+}
+
+// reserve keeps new work away from a worker, restarts of lasting tasks excepted.
+func (p *placement) reserve(w *worker) {
 	if p.reservedWorkers == nil {
 		p.reservedWorkers = map[*worker]bool{}
 	}
-	p.reservedWorkers[best] = true
-	return best
+	p.reservedWorkers[w] = true
 }
 
 // demandGroup groups steps that compete for the same capacity: fillers of one image, or
@@ -109,10 +113,11 @@
 	return waitsForNothing
 }
 
-// recordUnplaceable records that no worker was found for a step. Steps with further conditions
-// are not recorded, as steps with the same needs and without these conditions may still fit.
-func (p *placement) recordUnplaceable(s *Step, reason waitReason) {
-	if s.Label != "" || s.PerWorker > 0 || s.SameRack || s.Gang {
+// recordUnplaceable records that no worker was found for a task. Tasks with further conditions
+// are not recorded, as those with the same needs and without these conditions may still fit.
+func (p *placement) recordUnplaceable(r taskRequest, reason waitReason) {
+	s := r.step
+	if s.Label != "" || s.PerWorker > 0 || s.SameRack || s.Gang || r.tickets != nil || (r.task != nil && len(r.task.failed) > 0) {
 		return
 	}
 	if p.unplaceable == nil {
@@ -139,6 +144,11 @@
 	tickets map[model.WorkerID]string
 }
 
+// hasTaskSlot reports whether w has fewer tasks of the step than one worker may run.
+func (r *taskRequest) hasTaskSlot(w *worker) bool {
+	return r.step.PerWorker == 0 || r.tasksPerWorker[w] < r.step.PerWorker
+}
+
 // chooseWorker returns the best worker for a task, or nil.
 func (p *placement) chooseWorker(r taskRequest) *worker {
 	w, _ := p.findWorker(r)
@@ -189,7 +199,7 @@
 	switch {
 	case !w.hasLabel(s.Label):
 		return lacksLabel
-	case s.PerWorker > 0 && r.tasksPerWorker[w] >= s.PerWorker:
+	case !r.hasTaskSlot(w):
 		return lacksTaskSlot
 	case !s.Reserved().Fits(w.free()):
 		return lacksCapacity
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -67,7 +67,11 @@
 			w.state().waits = waitsForWorkers
 			continue
 		}
-		if allowed := p.allowedTasks(w, held); allowed < len(w.tasks) {
+		allowed := p.allowedTasks(w, held)
+		if allowed == 0 {
+			allowed = p.allowedOfIdleJob(w, held)
+		}
+		if allowed < len(w.tasks) {
 			w.state().waits = waitsForHeldCapacity
 			w.tasks = w.tasks[:allowed] // the others wait for the next plan
 		}
@@ -78,7 +82,12 @@
 				continue
 			}
 			if w.restart {
-				t.stopReducedFor(p.reserveWorkerFor(w.step), w.step)
+				r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
+				if x := p.reserveReducedFor(r); x != nil {
+					t.stopReducedFor(x, w.step)
+				} else {
+					p.reserveWorkerFor(r)
+				}
 			}
 			t.lendUnplaced(w)
 		}
@@ -88,6 +97,7 @@
 	}
 	t.idleJobsCheckedAt = t.now
 	for _, p := range pools {
+		t.stopReducedForIdleJobs(p, waiting)
 		t.startIdleJobs(p, waiting, left)
 	}
 }
@@ -143,7 +153,7 @@
 	}
 	if w.step.SameRack {
 		r.rack = t.chooseRack(p, w, r)
-		if r.rack == "" && w.step.Gang {
+		if r.rack == "" && w.step.Gang && !(t.waitedForRack(w, w.tasks[0]) && t.mostlyFree(p.service)) {
 			w.state().waits = waitsForGangCapacity
 			return 0
 		}
@@ -155,9 +165,13 @@
 	for _, i := range w.tasks {
 		r.task = &w.occurrence.steps[w.index].tasks[i]
 		worker, missing := p.findWorker(r)
+		if worker == nil && r.rack != "" && w.step.Lasting && t.waitedForRack(w, i) {
+			r.rack = ""
+			worker, missing = p.findWorker(r)
+		}
 		if worker == nil {
 			w.state().waits = waitReasonOf(missing, w.step)
-			p.recordUnplaceable(w.step, w.state().waits)
+			p.recordUnplaceable(r, w.state().waits)
 			break
 		}
 		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
@@ -204,6 +218,13 @@
 	return best
 }
 
+// waitedForRack reports whether a task has waited long enough for a place in the rack of its step.
+// Outside it the task is slower.
+func (t *term) waitedForRack(w *waitingStep, task int) bool {
+	s := w.state()
+	return t.now.Sub(s.waitedSince(&s.tasks[task])) >= idleLimitOf(w)
+}
+
 // placeGang starts all members of a gang or none. It returns the number of starts.
 func (t *term) placeGang(p *placement, w *waitingStep, r taskRequest) int {
 	s := &w.occurrence.steps[w.index]
@@ -262,8 +283,10 @@
 
 // Times of advice.
 const (
-	// maxAdviceWorkers bounds the workers named in one call; each makes the call slower.
-	maxAdviceWorkers = 30
+	// maxAdviceWorkers bounds the workers named in one call; each makes the call slower. A gang
+	// needs enough of them at once, so its call names up to maxGangAdviceWorkers.
+	maxAdviceWorkers     = 30
+	maxGangAdviceWorkers = 100
 	// adviceTimeout bounds a call.
 	adviceTimeout = 1500 * time.Millisecond
 	// adviceRetryPause is the pause after a failed call.
@@ -305,14 +328,28 @@
 	}
 }
 
-// adviceCandidates returns a random choice of workers on which the step fits.
+// adviceCandidates returns a random choice of workers on which the step fits. For an idle job of
+// fillers that fits on none it returns workers that may run it at a reduced pace.
 func (t *term) adviceCandidates(p *placement, w *waitingStep) []model.WorkerID {
+	most := maxAdviceWorkers
+	if w.step.Gang { // the advisor may allow a part of them only
+		most = min(max(2*w.step.Count, maxAdviceWorkers), maxGangAdviceWorkers)
+	}
+	ids := t.chooseCandidates(p.workers, most, func(x *worker) bool { return p.feasible(x, taskRequest{step: w.step}) })
+	if since, idle := w.job.idleSince(); len(ids) > 0 || !w.step.Filler || !idle || t.now.Sub(since) < idleLimit || !t.mostlyFree(p.service) {
+		return ids
+	}
+	return t.chooseCandidates(p.workersForReduced(), most, func(x *worker) bool { return p.obstacle(x, taskRequest{step: w.step}).allowsReducedPace() })
+}
+
+// chooseCandidates returns a random choice of at most the given number of workers that suit.
+func (t *term) chooseCandidates(workers []*worker, most int, suits func(*worker) bool) []model.WorkerID {
 	var ids []model.WorkerID
-	for _, i := range t.random.Perm(len(p.workers)) {
-		if p.feasible(p.workers[i], taskRequest{step: w.step}) {
-			ids = append(ids, p.workers[i].info.Worker)
+	for _, i := range t.random.Perm(len(workers)) {
+		if suits(workers[i]) {
+			ids = append(ids, workers[i].info.Worker)
 		}
-		if len(ids) == maxAdviceWorkers {
+		if len(ids) == most {
 			break
 		}
 	}
