fleet: a start that the next lifetime carried out counts no crash once its leases end

What callers saw: a job shown as `failed` although no worker had crashed under its tasks.

Cause: an idle worker starts again unnoticed and its next lifetime carries a start out and answers it. When the leader hears of the restart, the crash of the former lifetime counts under the task. A report of the next lifetime withdraws that; if the worker is cut off instead, the run lapses with its leases and the crash stayed. Four of these gave the task up.

Change: a crash that was counted for a run in doubt, before it passed to the next lifetime, is withdrawn when the run lapses there. It counts until then, since the leader may end, and stays if a report of the next lifetime lacks the run. A run whose start went over a connection of another lifetime counts no crash of this one.

go test -run TestStartsCarriedOutByNextLifetimeAreNoCrashes ./internal/fleet: before, "4 workers crashed under task 0 of step 0" (1 of 1); after, passes.

--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -21,7 +21,7 @@
 //
 // A crash counts as soon as the worker refuses connections, since the leader may end before the
 // worker is back. It no longer counts when a report of the worker, or of its next lifetime, lists
-// the run.
+// the run, or when the next lifetime may have carried the start out and its leases end.
 
 const (
 	// earlyCrashAge is the age at the worker's last answer up to which a run is a suspect.
@@ -90,6 +90,9 @@
 func (t *term) loseRuns(w *worker, reason string) {
 	t.recordCrash(w, true, reason != reasonLeaseOver)
 	for _, r := range w.runs {
+		if reason == reasonLeaseOver {
+			t.withdrawCrashInDoubt(r)
+		}
 		t.markLost(r, reason)
 	}
 }
@@ -104,7 +107,7 @@
 	}
 	for _, r := range w.runs {
 		tk := r.trackedTask()
-		if tk == nil || !r.answered || ((!certain || r.step.Lasting) && !r.early()) {
+		if tk == nil || !r.answered || r.startedElsewhere() || ((!certain || r.step.Lasting) && !r.early()) {
 			continue
 		}
 		age, leastAge := r.seenRunning(), w.leastAgeOfOthers(r.job)
@@ -126,6 +129,19 @@
 	}
 }
 
+// startedElsewhere reports whether another lifetime than that of r.worker got the start order.
+func (r *run) startedElsewhere() bool {
+	return !r.listed && r.sentTo != 0 && r.worker.info.Born != 0 && r.sentTo != r.worker.info.Born
+}
+
+// withdrawCrashInDoubt removes the crash of a lifetime that may not have begun the run. Had the run
+// ended with that lifetime, only a report of the next one would tell.
+func (t *term) withdrawCrashInDoubt(r *run) {
+	if tk := r.trackedTask(); tk != nil && r.crashInDoubt {
+		t.withdrawCrash(r.job, tk, r.ref.Attempt)
+	}
+}
+
 // crashTimeKnown reports whether a crash of the worker that shows at now is known to have followed
 // its last answer at once. Otherwise its runs may have been much older, or have ended.
 func (w *worker) crashTimeKnown(now time.Time) bool {
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -137,6 +137,7 @@
 		"failures": w.unansweredCalls, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of an unreachable worker have ended")
 	t.recordCrash(w, true, false)
 	for _, r := range lapsed {
+		t.withdrawCrashInDoubt(r)
 		t.markLost(r, reasonLeaseOver)
 	}
 }
@@ -158,6 +159,7 @@
 func (t *term) passRun(r *run, next *worker) {
 	r.withdraw()
 	r.worker.detach(r, t.now)
+	r.crashInDoubt = r.crashed && r.sentTo == 0
 	r.worker = next
 	r.stopInFlight, r.stopAnswered, r.paceInFlight = false, false, false
 	if r.state == runSent {
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -84,8 +84,9 @@
 	// adopted runs were started by an earlier term.
 	adopted bool
 	// crashesBefore means that the task was a prime suspect of a crash before the run started,
-	// crashed that a crash of the worker under this run was counted.
-	crashesBefore, crashed bool
+	// crashed that a crash of the worker under this run was counted, crashInDoubt that it was that of
+	// a former lifetime, which may not have begun the run.
+	crashesBefore, crashed, crashInDoubt bool
 }
 
 // live reports whether the run has not been ordered to stop.
