fleet: restarts in series give no task up after two crashes

Two prime crashes at the same age made the task the sole suspect.

Ruled out: a crash under a run that never began (workers.log shows both starts carried out by the lifetimes that ended); a late order (late false); a run missing from a report of a living worker (both reports came from the next lifetime). By contract a task may be given up after two crashes, so this was allowed; the evidence was weak all the same.

Change: the end of a worker on which no run had just started tells that workers end for another cause. For 10 s after it, two crashes at the same age are not enough. The bounds of three crashes as a prime suspect and of four of any kind stay, so that a task that does crash its workers costs one more at most.

TestCrashingTaskIsGivenUpBesideRestarts: given up after 2 crashes, after 3 beside restarts.

--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -17,7 +17,8 @@
 // next leader knows it. The next start of such a task is placed away from other new runs and from
 // much other work. A task is given up, and its job fails, when it is the only prime suspect of a
 // second crash at the same age, or after three crashes as a prime suspect. By contract a task may
-// be given up after two crashes.
+// be given up after two crashes. Where workers have just ended without a suspect, others end for the
+// same cause, some of them just after a start; then two crashes are not enough.
 //
 // A crash counts as soon as the worker refuses connections, since the leader may end before the
 // worker is back. It no longer counts when a report of the worker, or of its next lifetime, lists
@@ -38,6 +39,9 @@
 	// crashWindow is the longest time from a worker's last answer to the first call without one for
 	// which the ages of its runs at the crash are known.
 	crashWindow = 250 * time.Millisecond
+	// otherCauseTime is how long the end of a worker without a suspect tells that workers end for
+	// another cause than their runs.
+	otherCauseTime = 10 * time.Second
 	// apartTime is how long no other job starts on a worker after a task that was a prime suspect.
 	apartTime = 300 * time.Millisecond
 	// crashHarmBias is the cost of each run on a worker for a task that was a prime suspect,
@@ -56,6 +60,8 @@
 	// Sole means that the task was a prime suspect before, at the same age, and that no run of
 	// another job on the worker was one this time.
 	Sole bool `cbor:"4,keyasint,omitempty"`
+	// OtherCause means that workers had just ended for another cause than their runs.
+	OtherCause bool `cbor:"5,keyasint,omitempty"`
 }
 
 // primeCrashes counts the crashes in which the task was a prime suspect.
@@ -76,10 +82,10 @@
 }
 
 // primeBefore reports whether the task was a prime suspect of the crash of another attempt at
-// the age of c.
+// the age of c, when no worker ended for another cause.
 func (tk *task) primeBefore(c taskCrash) bool {
 	return slices.ContainsFunc(tk.crashes, func(o taskCrash) bool {
-		return o.Prime && o.Attempt != c.Attempt && max(o.AgeMS-c.AgeMS, c.AgeMS-o.AgeMS) <= sameAge.Milliseconds()
+		return o.Prime && !o.OtherCause && o.Attempt != c.Attempt && max(o.AgeMS-c.AgeMS, c.AgeMS-o.AgeMS) <= sameAge.Milliseconds()
 	})
 }
 
@@ -113,7 +119,8 @@
 		age, leastAge := r.seenRunning(), w.leastAgeOfOthers(r.job)
 		c := taskCrash{Attempt: r.ref.Attempt, AgeMS: age.Milliseconds()}
 		c.Prime = w.crashTimeKnown(t.now) && r.early() && age <= leastAge+sameAge
-		c.Sole = c.Prime && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
+		c.OtherCause = !t.endedWithoutSuspect.IsZero() && t.now.Sub(t.endedWithoutSuspect) <= otherCauseTime
+		c.Sole = c.Prime && !c.OtherCause && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
 		i := slices.IndexFunc(tk.crashes, func(o taskCrash) bool { return o.Attempt == c.Attempt })
 		switch {
 		case i < 0:
@@ -125,10 +132,29 @@
 		}
 		r.job.dirty, r.crashed = true, true
 		t.log.WithFields(logrus.Fields{"decision": "crash", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": w.info.Worker, "certain": certain,
-			"seen_ms": c.AgeMS, "prime": c.Prime, "sole": c.Sole, "crashes": len(tk.crashes)}).Log(t.rowLogLevel(), "worker crashed under a run")
+			"seen_ms": c.AgeMS, "prime": c.Prime, "sole": c.Sole, "other_cause": c.OtherCause, "crashes": len(tk.crashes)}).Log(t.rowLogLevel(), "worker crashed under a run")
 	}
 }
 
+// observeEnd records the end of a lifetime that no run explains.
+func (t *term) observeEnd(w *worker) {
+	if !w.endObserved && !w.hasSuspect() && !t.departurePlanned(w) {
+		t.endedWithoutSuspect = t.now
+	}
+	w.endObserved = true // its runs are dropped now
+}
+
+// hasSuspect reports whether a run on w may have ended it: one that had just started when the worker
+// answered last, or one that no report has listed, as its start may be carried out late.
+func (w *worker) hasSuspect() bool {
+	for _, r := range w.runs {
+		if !r.listed || r.seenRunning() <= earlyCrashAge {
+			return true
+		}
+	}
+	return false
+}
+
 // startedElsewhere reports whether another lifetime than that of r.worker got the start order.
 func (r *run) startedElsewhere() bool {
 	return !r.listed && r.sentTo != 0 && r.worker.info.Born != 0 && r.sentTo != r.worker.info.Born
--- a/internal/fleet/innocent_tasks_test.go
+++ b/internal/fleet/innocent_tasks_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -58,3 +59,53 @@
 		waitState(t, c, jobID(0), fleet.StateCompleted, time.Minute)
 	})
 }
+
+// restartIdleWorkers makes idle workers start again one after the other, n times.
+func restartIdleWorkers(c *fleettest.Cluster, n int) {
+	for range n {
+		for _, w := range c.RunningWorkers() {
+			if c.Workers.RunCount(w) == 0 {
+				c.List(restart(c, w))
+				break
+			}
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+// Workers started again one after the other. Two of them did so just after a start of the same task,
+// which made it the only suspect of crashes at the same age, and its job failed.
+func TestRestartsInSeriesFailNoJob(t *testing.T) {
+	starts := 0
+	tasks := func(fleet.TaskName) fleettest.Task {
+		task := fleettest.Task{Work: 3 * time.Second, Needs: smallNeeds}
+		if starts++; starts <= 2 { // the restarts that coincide with its starts
+			task.CrashAfter = 20 * time.Millisecond
+		}
+		return task
+	}
+	runCluster(t, 408, 3, 8, tasks, func(t *testing.T, c *fleettest.Cluster) {
+		time.Sleep(5 * time.Second)
+		restartIdleWorkers(c, 1)
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: 3 * time.Second}}})
+		restartIdleWorkers(c, 12)
+		waitState(t, c, jobID(0), fleet.StateCompleted, 30*time.Second)
+	})
+}
+
+// Guards against a task that crashes its workers and counts as innocent since others start again in
+// series: it is given up within the bound of the contract. Without them two crashes are enough.
+func TestCrashingTaskIsGivenUpBesideRestarts(t *testing.T) {
+	for restarts, crashes := range map[int]int{0: 2, 60: 3} {
+		t.Run("restarts="+strconv.Itoa(restarts), func(t *testing.T) {
+			runCluster(t, 409, 3, 8, crashingTasks(0), func(t *testing.T, c *fleettest.Cluster) {
+				time.Sleep(5 * time.Second)
+				restartIdleWorkers(c, min(restarts, 1))
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}})
+				restartIdleWorkers(c, restarts)
+				waitFailed(t, c, 0, 1, 20*time.Second)
+				require.Equal(t, crashes, c.Checker.Crashes(fleet.TaskName(jobID(0)+".0.0.0")))
+			})
+		})
+	}
+}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -34,6 +34,7 @@
 // ended; the others pass to the new one.
 func (t *term) replaceWorker(w *worker, info WorkerInfo) *worker {
 	next := newWorker(info)
+	t.observeEnd(w)
 	t.recordCrash(w, true, true)
 	lost := 0
 	for _, r := range w.runs {
@@ -136,6 +137,7 @@
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "lapsed", "runs": len(lapsed), "in_doubt": len(w.runs) - len(lapsed),
 		"failures": w.unansweredCalls, "answered_ms_ago": t.now.Sub(w.clockAt).Milliseconds()}).Warn("leases of an unreachable worker have ended")
 	t.recordCrash(w, true, false)
+	w.endObserved = w.endObserved || w.hasSuspect()
 	for _, r := range lapsed {
 		t.withdrawCrashInDoubt(r)
 		t.markLost(r, reasonLeaseOver)
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -151,6 +151,7 @@
 // all runs are lost.
 func (t *term) handleReplacedLifetime(w *worker) {
 	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "replaced", "runs": len(w.runs)}).Warn("another worker has taken the address; the runs are lost")
+	t.observeEnd(w)
 	t.loseRuns(w, reasonRestarted)
 	w.runsKnown = true // none, those of earlier terms included
 	t.markUnused(w)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -62,7 +62,9 @@
 	jobs             map[string]*job
 	// earlyCancellations holds when jobs were cancelled that the term does not know yet.
 	earlyCancellations map[string]time.Time
-	workers            map[model.WorkerID]*worker
+	// endedWithoutSuspect is when a worker last ended although no run there had just started.
+	endedWithoutSuspect time.Time
+	workers             map[model.WorkerID]*worker
 	// foreignWorkers holds the cell of each worker of another cell, by key of the list of
 	// workers. unassignedWorkers holds the entries of workers whose rack has no cell yet.
 	foreignWorkers    map[string]int
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -158,6 +158,7 @@
 	unansweredCalls int       // polls and orders without an answer, in a row
 	silentSince     time.Time // the first of them
 	refusesCalls    bool      // a connection was refused since the last answer
+	endObserved     bool      // it has ended, or leases have, with a run that may be the cause
 	lastSeenEnd     uint64    // highest number of an end that was processed
 	lastStoredEnd   uint64    // highest number of an end that is durable
 	lastAckedEnd    uint64    // highest number of an end that was acknowledged
