--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -84,8 +84,9 @@
 	// adopted runs were started by an earlier term.
 	adopted bool
 	// crashesBefore means that the task was a prime suspect of a crash before the run started,
-	// crashed that a crash of the worker under this run was counted.
-	crashesBefore, crashed bool
+	// crashed that a crash of the worker under this run was counted, crashInDoubt that it was that of
+	// a former lifetime, which may not have begun the run.
+	crashesBefore, crashed, crashInDoubt bool
 }
 
 // live reports whether the run has not been ordered to stop.
@@ -157,6 +158,7 @@
 	unansweredCalls int       // polls and orders without an answer, in a row
 	silentSince     time.Time // the first of them
 	refusesCalls    bool      // a connection was refused since the last answer
+	endObserved     bool      // it has ended, or leases have, with a run that may be the cause
 	lastSeenEnd     uint64    // highest number of an end that was processed
 	lastStoredEnd   uint64    // highest number of an end that is durable
 	lastAckedEnd    uint64    // highest number of an end that was acknowledged
