fleet: fillers that hang at a reduced pace are stopped

What callers saw: a job could wait without bound while its only run, a filler at a reduced pace, made no progress.

Cause: checkFiller judged fillers at full pace only, as the progress of slow ones is a whole percent. Runs at a reduced pace may be all that runs of a job. A filler whose pace changed often was not judged either, as each order at full pace began the time anew.

Change: a run has a pace clock, which counts its time as time at full pace, at the least pace that it may have: the lower one while an order is in flight or after one without an answer, the new one 0.1 s after the answer. Fillers are judged by that clock with the limits of others. The last pace is repeated once before, as it was. A paused run is not judged, nor one whose pace is unknown. If the whole thousandths of a processor at the run's pace are none, idleness does not tell, and the limits of busy runs hold.

Why it works: a run that works makes a percent in the time of a percent on that clock, whatever its paces. The time of a percent that a run has shown stays real time, which is at least that.

TestSoundFillerIsNotHungAtAnyPace (property: changing paces, orders in flight, failed or late, late reports, steps of no or few processors): 3,000 checks passed (`go test -run TestSoundFiller ./internal/fleet -rapid.checks=3000`); with a clock that ignores the pace it fails after 67. It does not tell two more cautious rules from their absence (the lower pace of an order in doubt, and processor use that rounds to none), as the repeated order covers them there as well.

`go test -race -count=1 -run 'Stall|LongRun|Hung|Pace|Paused|Reduced|CheckpointIs|Filler|RateIs|Idle' ./internal/fleet`: ok.

--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -165,6 +165,7 @@
 	}
 	if r.step != nil && r.step.Filler {
 		r.pace, r.paceUnknown = 0, true
+		r.paceClock.order(0, t.now)
 	}
 	next.attach(r, t.now)
 }
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -203,6 +203,7 @@
 		return
 	}
 	r.paceInFlight = true
+	r.paceClock.order(percent, t.now)
 	t.metrics.paces.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "pace", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
 		"percent": percent, "was": r.pace, "report_ms_ago": t.now.Sub(r.worker.clockAt).Milliseconds()}).Info("setting pace of filler")
@@ -229,6 +230,7 @@
 	if e.err == nil {
 		r.slowed = r.slowedTime(t.now)
 		r.pace, r.paceSetAt, r.paceUnknown = e.percent, t.now, false
+		r.paceClock.answer(e.percent, t.now)
 		r.worker.setReduced(r, r.reduced && e.percent < 100)
 		r.worker.exposures.set(r, fillerShare(r.step, r.worker)*float64(e.percent)/100, t.now)
 		return
--- a/internal/fleet/run_checks.go
+++ b/internal/fleet/run_checks.go
@@ -129,7 +129,7 @@
 		// A member of a gang that is done waits for the others.
 	case r.step.Filler:
 		t.checkFiller(w, r)
-	case t.isStalled(w, r, r.progressAt):
+	case t.isStalled(w, r):
 		t.stopHungRun(w, r)
 	case r.step.Speculative && t.now.Sub(r.startedAt) > time.Duration(speculativeCopyFactor*float64(t.expectedRunTime(r.job, r.step))):
 		t.startCopy(r)
@@ -146,23 +146,18 @@
 	return slices.ContainsFunc(tasks, func(tk task) bool { return !tk.done && len(tk.runs) == 0 })
 }
 
-// checkFiller stops fillers that make no progress at full pace. The worker may have carried
-// out an older pace order after the newest one, so the pace is set once more before the run
-// counts as hung.
+// checkFiller stops fillers that make no progress in the time that their pace allows them. The
+// worker may have carried out an older pace order after the newest one, so the pace is set once more
+// before the run counts as hung.
 func (t *term) checkFiller(w *worker, r *run) {
-	since := r.progressAt
-	if r.paceSetAt.After(since) {
-		since = r.paceSetAt
-	}
-	if r.pace < readyPercent || r.paceInFlight || r.reading > 0 || !t.isStalled(w, r, since) {
-		return
-	}
-	if !r.paceRepeated {
-		r.paceRepeated = true
-		t.setPace(r, readyPercent)
-		return
+	switch {
+	case r.paceClock.pace == 0 || r.reading > 0 || !t.isStalled(w, r):
+	case r.paceRepeated:
+		t.stopHungRun(w, r)
+	case !r.paceInFlight:
+		r.paceRepeated, r.stillFrom = true, r.paceClock.latest(t.now.Add(paceTimeout+paceDelay))
+		t.setPace(r, r.pace)
 	}
-	t.stopHungRun(w, r)
 }
 
 // stopHungRun stops a run that makes no progress and quarantines its worker, so that the
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -44,7 +44,7 @@
 		tk.account.startRun(occ.steps[key.step].readyAt, t.now)
 	}
 	r := &run{ref: RunRef{key.Name(j.id), attempt}, job: j, key: key, worker: w, step: step, reserved: step.Reserved(),
-		startedAt: t.now, stateSince: t.now, progressAt: t.now, withdrawn: make(chan struct{}), pace: 100, checkpoint: checkpoint, ticket: ticket, crashesBefore: tk.primeCrashes() > 0}
+		startedAt: t.now, stateSince: t.now, progressAt: t.now, withdrawn: make(chan struct{}), pace: 100, paceClock: paceClock{since: t.now, pace: 100}, checkpoint: checkpoint, ticket: ticket, crashesBefore: tk.primeCrashes() > 0}
 	w.attach(r, t.now)
 	w.observeStart(r)
 	tk.runs = append(tk.runs, r)
@@ -132,7 +132,7 @@
 	}
 	if r.state == runSent || r.state == runUnconfirmed {
 		r.state, r.stateSince = runLive, t.now
-		r.progressAt = t.now
+		r.progressAt, r.stillFrom = t.now, r.paceClock.latest(t.now)
 		if r.startPace > 0 {
 			t.setPace(r, r.startPace)
 			r.startPace = 0
--- a/internal/fleet/stalls.go
+++ b/internal/fleet/stalls.go
@@ -26,14 +26,14 @@
 // percent; a new checkpoint is a sign of progress too.
 func (r *run) observeProgress(s RunStatus, now time.Time) {
 	if r.reading = s.Reading; s.Reading > 0 {
-		r.busyAt = now
+		r.busyAt, r.busyFrom = now, r.paceClock.latest(now)
 	}
 	saved := s.Checkpoint != "" && s.Checkpoint != r.checkpoint
 	if saved {
 		r.checkpoint = s.Checkpoint
 	}
 	if saved || s.Percent != r.percent || r.progressAt.IsZero() {
-		r.progressAt, r.paceRepeated = now, false
+		r.progressAt, r.paceRepeated, r.stillFrom = now, false, r.paceClock.latest(now)
 	}
 	if s.Percent == r.percent {
 		return
@@ -49,7 +49,7 @@
 }
 
 // percentTime returns how long a run takes for one percent of its progress: the longest time that
-// it has shown or, before that, what the estimate of its duration implies.
+// it has shown, at whatever pace, or, before that, what the estimate of its duration implies.
 func (t *term) percentTime(r *run) (d time.Duration, shown bool) {
 	if r.percentTime > 0 {
 		return r.percentTime, true
@@ -57,22 +57,39 @@
 	return t.expectedRunTime(r.job, r.step) / 100, false
 }
 
-// isStalled reports whether a run without progress since the given time counts as hung at the
-// worker's last answered poll.
-func (t *term) isStalled(w *worker, r *run, since time.Time) bool {
+// stillTime returns how long the run had shown no progress at the worker's last answered poll, and
+// no processor use either. The time of a filler is that of its pace clock.
+func (r *run) stillTime(w *worker) (still, idle time.Duration) {
+	if r.step.Filler {
+		read := r.paceClock.earliest(w.lastPollSent)
+		return read - r.stillFrom, read - max(r.stillFrom, r.busyFrom)
+	}
+	still = w.lastPollSent.Sub(r.progressAt)
+	return still, min(still, w.lastPollSent.Sub(r.busyAt))
+}
+
+// showsNoUse reports whether a report may show no processor use although the run works.
+func (r *run) showsNoUse() bool {
+	if r.step.Filler {
+		return r.step.Needs.MilliCPU*int64(r.paceClock.pace) < 100
+	}
+	return r.step.Needs.MilliCPU == 0
+}
+
+// isStalled reports whether a run without progress counts as hung at the worker's last answered
+// poll.
+func (t *term) isStalled(w *worker, r *run) bool {
 	percentTime, shown := t.percentTime(r)
+	still, idle := r.stillTime(w)
 	slow := 3*percentTime > hungTimeout
-	if r.reading > 0 || slow && r.step.Needs.MilliCPU == 0 {
-		return w.lastPollSent.Sub(since) > t.busyStallTimeout(r, percentTime, shown)
+	if r.reading > 0 || slow && r.showsNoUse() {
+		return still > t.busyStallTimeout(r, percentTime, shown)
 	}
 	if !slow {
-		return w.lastPollSent.Sub(since) > hungTimeout
+		return still > hungTimeout
 	}
 	// A percent takes so long that only lasting idleness tells a run that hangs.
-	if r.busyAt.After(since) {
-		since = r.busyAt
-	}
-	return w.lastPollSent.Sub(since) > min(max(percentTime, hungTimeout), maxHungTimeout)
+	return idle > min(max(percentTime, hungTimeout), maxHungTimeout)
 }
 
 // busyStallTimeout returns the time without progress after which a run that uses processor time
--- a/internal/fleet/stalls_decision_test.go
+++ b/internal/fleet/stalls_decision_test.go
@@ -21,7 +21,7 @@
 		t.now = t.now.Add(after)
 		r.observeProgress(s, t.now)
 		r.listed = true
-		return t.isStalled(&worker{lastPollSent: t.now}, r, r.progressAt)
+		return t.isStalled(&worker{lastPollSent: t.now}, r)
 	}
 }
 
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -61,9 +61,13 @@
 	percentTime time.Duration
 	// reading is the tail latency of a serving run in milliseconds, and for others the processors
 	// in use in thousandths; busyAt is when a report last showed more than 0.
-	reading    int
-	busyAt     time.Time
-	checkpoint string
+	reading int
+	busyAt  time.Time
+	// paceClock is the time of a filler; stillFrom and busyFrom are what it showed at the last sign
+	// of progress, or when the pace was repeated after that, and at busyAt.
+	paceClock           paceClock
+	stillFrom, busyFrom time.Duration
+	checkpoint          string
 	// ticket is the advisor's ticket of the start order.
 	ticket string
 	// overTargetSince is since when a serving task exceeds its latency target; zero otherwise.
