--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -41,8 +41,8 @@
 	startsExcusedUntil time.Time
 	// crashes counts the workers that each task has crashed, startsAfterCrashes its starts
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
-	// their worker, whatever the cause.
-	crashes, startsAfterCrashes, lostRuns map[fleet.TaskName]int
+	// their worker, whatever the cause, failedRuns those that failed.
+	crashes, startsAfterCrashes, lostRuns, failedRuns map[fleet.TaskName]int
 }
 
 // runOnWorker names a run on a lifetime of a worker.
@@ -60,7 +60,7 @@
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}, failedRuns: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -221,6 +221,19 @@
 	return false
 }
 
+// Failures returns how many runs of one task of a job have failed, of that with the most.
+func (l *RunChecker) Failures(job string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := 0
+	for task, n := range l.failedRuns {
+		if strings.HasPrefix(string(task), job+".") {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // Crashes returns how many workers a task has crashed.
 func (l *RunChecker) Crashes(task fleet.TaskName) int {
 	l.mu.Lock()
@@ -274,6 +287,9 @@
 		}
 		l.done[job][r.Task] = true
 	}
+	if how == fleet.EndFailed {
+		l.failedRuns[r.Task]++
+	}
 	delete(l.running[r.Task], string(w.Info.Worker))
 	if k := (runOnWorker{r, w}); l.runs[k] != nil {
 		l.checkCancelledRun(k, l.runs[k])
--- a/internal/fleet/fleettest/run_checker_test.go
+++ b/internal/fleet/fleettest/run_checker_test.go
@@ -198,3 +198,15 @@
 		require.Len(t, l.Violations(), 2)
 	})
 }
+
+func TestRunCheckerCountsFailures(t *testing.T) {
+	l, w := NewRunChecker(), &Worker{}
+	for _, end := range []struct {
+		task fleet.TaskName
+		how  fleet.EndKind
+	}{{"job.0.0.0", fleet.EndFailed}, {"job.0.0.0", fleet.EndStopped}, {"job.0.0.0", fleet.EndFailed}, {"job.0.0.1", fleet.EndFailed}, {"jo.0.0.0", fleet.EndLapsed}} {
+		l.ended(w, fleet.RunRef{Task: end.task}, Task{}, end.how)
+	}
+	require.Equal(t, 2, l.Failures("job"))
+	require.Zero(t, l.Failures("jo"))
+}
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -59,6 +59,8 @@
 	LostShare float64
 	// LeaseMax is the length to which workers shorten longer leases.
 	LeaseMax time.Duration
+	// ListedEnds is the number of ends that a report lists.
+	ListedEnds int
 	// Advisor, if set, must have issued the ticket of each start.
 	Advisor        *Advisor
 	ticketRefusals int // starts without a valid ticket
@@ -90,7 +92,7 @@
 
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
 func NewWorkers(seed uint64, tasks func(fleet.TaskName) Task, l *RunChecker) *Workers {
-	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, LeaseMax: leaseMax, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
+	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, LeaseMax: leaseMax, ListedEnds: maxListedEnds, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Worker is a simulated worker process.
@@ -542,17 +544,17 @@
 	return fleet.StartRunning
 }
 
-// maxListedEnds is the number of ends that a report lists.
+// maxListedEnds is the number of ends that a report of a real worker lists.
 const maxListedEnds = 500
 
 // report returns the status of the runs and the ends that are not acknowledged. The lock is
 // held.
 func (w *Worker) report() fleet.Report {
 	r := fleet.Report{Verdict: fleet.StartRunning, Born: w.Info.Born, Clock: w.clock()}
-	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
+	for _, e := range w.ended[:min(len(w.ended), w.fleet.ListedEnds)] {
 		r.Ended = append(r.Ended, e.RunEnd)
 	}
-	r.EndsCut = len(r.Ended) == maxListedEnds
+	r.EndsCut = len(r.Ended) == w.fleet.ListedEnds
 	for ref, k := range w.runs {
 		s := fleet.RunStatus{RunRef: ref, Percent: 100, Reading: int(k.task.Needs.MilliCPU)}
 		if !k.task.Lasting && k.task.Work > 0 {
--- a/internal/fleet/fleettest/worker_test.go
+++ b/internal/fleet/fleettest/worker_test.go
@@ -47,3 +47,17 @@
 		require.Empty(t, f.checker.Running("job"))
 	})
 }
+
+func TestReportCutsEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, w, _ := checkerFleet(false)
+		f.ListedEnds = 2
+		for attempt, ends := range []int{0, 1, 2, 2} {
+			r := w.report()
+			require.Len(t, r.Ended, ends)
+			require.Equal(t, ends == 2, r.EndsCut)
+			startRun(t, f, w, attempt+1, 5*time.Second)
+			time.Sleep(1100 * time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/model_check_test.go
@@ -0,0 +1,506 @@
+package fleet_test
+
+import (
+	"flag"
+	"hash/fnv"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+const (
+	modelNodes, modelWorkers = 3, 5
+	// modelAttempts is the number of attempts of a task of these jobs.
+	modelAttempts = 3
+	// modelListedEnds is the number of ends that a report lists in the model, few so that few tasks
+	// exceed it.
+	modelListedEnds = 4
+	// maxModelJobs bounds the jobs of a sequence, so that there is room for each after the faults.
+	maxModelJobs = 14
+	// maxStoreOutage bounds the time for which the store answers no node.
+	maxStoreOutage = 6 * time.Second
+
+	// modelFinishTime is the contract's time from the end of the faults until each job has something
+	// running, and maxModelIdle the longest time for which nothing of it runs then beside free room.
+	modelFinishTime = 14 * time.Second
+	maxModelIdle    = 3 * time.Second
+	// modelEndTime is the time from the end of the faults until all jobs have ended.
+	modelEndTime = 90 * time.Second
+	// modelObserveInterval is the interval at which running tasks are observed after the faults.
+	modelObserveInterval = 200 * time.Millisecond
+)
+
+// modelKind is how the tasks of a job behave.
+type modelKind int
+
+const (
+	kindMixed    modelKind = iota // short tasks in two steps
+	kindLong                      // tasks that outlast most faults
+	kindWide                      // more tasks on a worker than a report lists ends
+	kindSound                     // the first attempt fails
+	kindHopeless                  // all attempts fail
+	kindCrashing                  // each attempt crashes its worker
+	kindLasting                   // tasks without an end
+	modelKinds
+)
+
+// modelJobID returns the id of the i-th job of a sequence. It tells the job's kind.
+func modelJobID(i int, kind modelKind) string { return jobID(i*int(modelKinds) + int(kind)) }
+
+func kindOf(id string) modelKind {
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil || n == 0 {
+		return kindMixed
+	}
+	return modelKind((n - 1) % uint64(modelKinds))
+}
+
+var (
+	narrowNeeds = model.Resources{MilliCPU: 200, MemoryMB: 100}
+
+	modelSpecs = map[modelKind]fleet.Spec{
+		kindMixed: {Steps: []fleet.Step{
+			{Count: 4, Needs: smallNeeds, Estimate: 100 * time.Millisecond},
+			{Count: 3, Needs: smallNeeds, Estimate: 100 * time.Millisecond, After: []int{0}},
+		}},
+		kindLong:     {Steps: []fleet.Step{{Count: 3, Needs: smallNeeds, Estimate: 8 * time.Second}}},
+		kindWide:     {Steps: []fleet.Step{{Count: 40, Needs: narrowNeeds, Estimate: time.Second}}},
+		kindSound:    {Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}},
+		kindHopeless: {Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}},
+		kindCrashing: {Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}},
+		kindLasting:  {Steps: []fleet.Step{{Count: 2, Needs: smallNeeds, Lasting: true}}},
+	}
+)
+
+// modelTask returns the behaviour of a task by its name.
+func modelTask(n fleet.TaskName) fleettest.Task {
+	id, _, _ := strings.Cut(string(n), ".")
+	task := fleettest.Task{Work: 300 * time.Millisecond, Needs: smallNeeds}
+	switch kindOf(id) {
+	case kindMixed:
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(n))
+		task.Work = []time.Duration{5, 20, 50, 200, 800, 3000}[h.Sum32()%6] * time.Millisecond
+	case kindLong:
+		task.Work = 8 * time.Second
+	case kindWide:
+		task.Work, task.Needs = time.Second, narrowNeeds
+	case kindSound:
+		task.Work, task.Fails = 5*time.Second, 1
+	case kindHopeless:
+		task.Fails = math.MaxInt
+	case kindCrashing:
+		task.Work, task.CrashAfter = time.Second, crashDelay
+	case kindLasting:
+		task.Work, task.Lasting = 0, true
+	}
+	return task
+}
+
+// leaderModel is one sequence of actions on a cluster, and what callers were told meanwhile.
+type leaderModel struct {
+	c     *fleettest.Cluster
+	h     *historyCallers
+	begun time.Time
+	jobs  []string
+	// judged is the number of calls that were judged for failures without a cause.
+	judged int
+	// maintained is the worker whose maintenance was requested; empty for none.
+	maintained string
+}
+
+// TestLeaderModel plays random sequences of submissions, cancellations and faults, and judges what
+// callers and workers see: no two runs of a task at once, no start after an end that was acknowledged,
+// no job failed without its failures, no answers that contradict each other, maintenance ordered by
+// one holder at a time, and something of each job running whenever there is room. FLEET_SEEDS names
+// rapid's seed and the number of sequences.
+func TestLeaderModel(t *testing.T) {
+	if v := os.Getenv("FLEET_SEEDS"); v != "" { // while no parallel test runs
+		seed, checks, ok := strings.Cut(v, ",")
+		require.True(t, ok)
+		require.NoError(t, flag.Set("rapid.seed", seed))
+		require.NoError(t, flag.Set("rapid.checks", checks))
+	}
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			// A failure of rapid is a panic, which must not end the bubble.
+			defer func() { failure = recover() }()
+			playModel(rt)
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	})
+}
+
+func playModel(rt *rapid.T) {
+	c := fleettest.NewCluster(rapid.Uint64Range(1, 1<<20).Draw(rt, "seed"), modelNodes, modelWorkers, modelTask)
+	c.Configure(2, modelAttempts)
+	c.Workers.ListedEnds = modelListedEnds
+	c.Inventory = fleettest.NewInventory(c)
+	c.Inventory.Unfenced = true
+	if rapid.Bool().Draw(rt, "unequal hosts") {
+		for i, m := range c.Nodes {
+			m.MilliCPU = []int64{200, 800, 200}[i]
+		}
+	}
+	if os.Getenv("FLEET_LOG") != "" {
+		c.Log = os.Stderr
+	}
+	m := &leaderModel{c: c, h: newHistoryCallers(c)}
+	defer func() {
+		m.h.calls.Wait()
+		c.StopAll()
+		time.Sleep(linkDrain)
+	}()
+	c.StartAll()
+	time.Sleep(settleTime)
+	m.begun = time.Now()
+	c.Checker.Disturb()
+	rt.Repeat(map[string]func(*rapid.T){
+		"":                   m.check,
+		"submit":             m.submit,
+		"submit again":       m.submit,
+		"cancel":             m.cancel,
+		"ask":                m.ask,
+		"pass time":          m.passTime,
+		"lose orders":        m.loseOrders,
+		"restart workers":    m.restartWorkers,
+		"crash workers":      m.crashWorkers,
+		"cut a worker":       m.cutWorker,
+		"change the leader":  m.changeLeader,
+		"store outage":       m.storeOutage,
+		"late writes":        m.lateWrites,
+		"order maintenance":  m.orderMaintenance,
+		"disturb one leader": m.disturbLeader,
+	})
+	m.calm(rt)
+}
+
+// eighths are the parts of a time limit that actions draw from.
+var eighths = []int{1, 2, 3, 4, 5, 6, 7, 8}
+
+// upTo draws a time up to a limit.
+func upTo(rt *rapid.T, label string, limit time.Duration) time.Duration {
+	fine := rapid.SampledFrom(eighths).Draw(rt, label+" eighths")
+	if rapid.Bool().Draw(rt, label+" short") {
+		limit /= 16
+	}
+	return limit * time.Duration(fine) / time.Duration(len(eighths))
+}
+
+// pick draws an index below n, whatever n is, so that a sequence can be played again.
+func pick(rt *rapid.T, label string, n int) int {
+	return rapid.SampledFrom(pickRange).Draw(rt, label) % n
+}
+
+var pickRange = func() []int {
+	r := make([]int, 60) // divisible by the usual numbers of workers and nodes
+	for i := range r {
+		r[i] = i
+	}
+	return r
+}()
+
+func (m *leaderModel) node(rt *rapid.T) *fleettest.Member {
+	return m.c.Nodes[pick(rt, "node", modelNodes)]
+}
+
+func (m *leaderModel) submit(rt *rapid.T) {
+	if len(m.jobs) == maxModelJobs {
+		return
+	}
+	id := modelJobID(len(m.jobs), modelKind(pick(rt, "kind", int(modelKinds))))
+	m.jobs = append(m.jobs, id)
+	n := m.node(rt)
+	m.h.calls.Go(func() { m.h.submit(n, id, modelSpecs[kindOf(id)]) })
+	time.Sleep(upTo(rt, "pause", 100*time.Millisecond))
+}
+
+func (m *leaderModel) cancel(rt *rapid.T) {
+	if len(m.jobs) == 0 || pick(rt, "rarely", 4) > 0 {
+		return
+	}
+	id, n := m.jobs[pick(rt, "job", len(m.jobs))], m.node(rt)
+	m.h.calls.Go(func() {
+		if r := m.h.cancel(n, id).Result; r == fleettest.CallAccepted || r == fleettest.CallGone {
+			m.c.Checker.Cancelled(id)
+		}
+	})
+}
+
+// ask queries the state of a job at all nodes.
+func (m *leaderModel) ask(rt *rapid.T) {
+	if len(m.jobs) == 0 {
+		return
+	}
+	id := m.jobs[pick(rt, "job", len(m.jobs))]
+	for _, n := range m.c.Nodes {
+		m.h.calls.Go(func() { m.h.state(n, id) })
+	}
+}
+
+func (m *leaderModel) passTime(rt *rapid.T) { time.Sleep(upTo(rt, "time", 4*time.Second)) }
+
+// loseOrders sets the shares of calls to workers that are lost, or carried out late, also by the next
+// lifetime.
+func (m *leaderModel) loseOrders(rt *rapid.T) {
+	shares := []float64{0, 0.05, 0.2, 0.5}
+	late, lost := shares[pick(rt, "late", len(shares))], shares[pick(rt, "lost", len(shares))]
+	toNext := rapid.Bool().Draw(rt, "to the next lifetime")
+	m.c.Workers.WithLock(func() {
+		m.c.Workers.LateShare, m.c.Workers.LostShare, m.c.Workers.LateToNext = late, lost, toNext
+	})
+}
+
+// some returns one or two running workers, of which there are at least two more.
+func (m *leaderModel) some(rt *rapid.T) []*fleettest.Worker {
+	running := m.c.RunningWorkers()
+	first, two := pick(rt, "worker", 60), rapid.Bool().Draw(rt, "two")
+	if len(running) < 4 {
+		return nil
+	}
+	some := []*fleettest.Worker{running[first%len(running)]}
+	if two {
+		some = append(some, running[(first+1)%len(running)])
+	}
+	return some
+}
+
+// startLater starts the next lifetime of a worker that has ended, and lists it some time later.
+func (m *leaderModel) startLater(w *fleettest.Worker, down, entry time.Duration) {
+	time.AfterFunc(down, func() {
+		if m.c.Workers.Runs(w.Info.Addr) {
+			return
+		}
+		next := m.c.StartWorker(string(w.Info.Worker))
+		time.AfterFunc(entry, func() {
+			for _, r := range m.c.RunningWorkers() {
+				if r == next {
+					m.c.List(next)
+				}
+			}
+		})
+	})
+}
+
+// restartWorkers ends workers, whose next lifetimes start at once and are listed later.
+func (m *leaderModel) restartWorkers(rt *rapid.T) {
+	down, entry := upTo(rt, "down", 100*time.Millisecond), upTo(rt, "entry", 2*time.Second)
+	for _, w := range m.some(rt) {
+		m.c.Workers.Kill(w)
+		m.startLater(w, down, entry)
+	}
+}
+
+// crashWorkers ends workers for some seconds. Calls to them are refused, or get no answer.
+func (m *leaderModel) crashWorkers(rt *rapid.T) {
+	dark, silent := rapid.Bool().Draw(rt, "dark"), upTo(rt, "silent", time.Second)
+	down, entry := upTo(rt, "down", 5*time.Second), upTo(rt, "entry", 2*time.Second)
+	some := m.some(rt)
+	if dark {
+		for _, w := range some {
+			m.cut(w, silent+down)
+		}
+		time.Sleep(silent)
+	}
+	for _, w := range some {
+		m.c.Workers.Kill(w)
+		m.startLater(w, down, entry)
+	}
+}
+
+// cut keeps the traffic of all nodes from a worker for some time.
+func (m *leaderModel) cut(w *fleettest.Worker, length time.Duration) {
+	for _, n := range m.c.Nodes {
+		view := n.Workers
+		view.Cut(w, true)
+		time.AfterFunc(length, func() { view.Cut(w, false) })
+	}
+}
+
+// cutWorker loses what is sent to a worker, or its answers, or delays them.
+func (m *leaderModel) cutWorker(rt *rapid.T) {
+	length, how := upTo(rt, "length", maxDoubt), pick(rt, "how", 3)
+	for _, w := range m.some(rt) {
+		switch how {
+		case 0:
+			m.cut(w, length)
+		case 1:
+			m.c.Workers.SetLink(w, fleettest.Link{AnswersCut: true})
+			time.AfterFunc(length, func() { m.c.Workers.SetLink(w, fleettest.Link{}) })
+		case 2:
+			m.c.Workers.SetLink(w, fleettest.Link{AnswerDelay: 450 * time.Millisecond})
+			time.AfterFunc(length, func() { m.c.Workers.SetLink(w, fleettest.Link{}) })
+		}
+	}
+}
+
+// changeLeader ends a leader, with or without a hand-over, and starts it again.
+func (m *leaderModel) changeLeader(rt *rapid.T) {
+	graceful, down := rapid.Bool().Draw(rt, "graceful"), upTo(rt, "down", 2*time.Second)
+	l := m.c.Leader()
+	if l == nil {
+		return
+	}
+	if graceful {
+		stopLeader(m.c)
+	} else {
+		m.c.Kill(l)
+	}
+	time.Sleep(down)
+	m.c.Start(l)
+}
+
+var modelFaults = []fleettest.Fault{fleettest.Silent, fleettest.Busy, fleettest.Resetting}
+
+// storeOutage keeps the store from all nodes.
+func (m *leaderModel) storeOutage(rt *rapid.T) {
+	fault, length := modelFaults[pick(rt, "fault", len(modelFaults))], upTo(rt, "length", maxStoreOutage)
+	for _, n := range m.c.Nodes {
+		m.storeFault(n, fault, length)
+	}
+	if rapid.Bool().Draw(rt, "wait") {
+		time.Sleep(length)
+	}
+}
+
+func (m *leaderModel) storeFault(n *fleettest.Member, fault fleettest.Fault, length time.Duration) {
+	view := n.Store
+	view.SetFault(fault)
+	time.AfterFunc(length, func() { view.SetFault(fleettest.Healthy) })
+}
+
+// lateWrites sets the shares of transactions that are applied without an answer, or late.
+func (m *leaderModel) lateWrites(rt *rapid.T) {
+	shares := []float64{0, 0.1, 0.3}
+	m.c.Store.SetTransactionFaults(shares[pick(rt, "lost", len(shares))], shares[pick(rt, "late", len(shares))])
+	if rapid.Bool().Draw(rt, "compact") {
+		m.c.Store.Compact()
+	}
+}
+
+// disturbLeader cuts a leader off from the store or from the workers.
+func (m *leaderModel) disturbLeader(rt *rapid.T) {
+	length, store := upTo(rt, "length", maxDoubt), rapid.Bool().Draw(rt, "store")
+	l := m.c.Leader()
+	switch {
+	case l == nil:
+	case store:
+		m.storeFault(l, fleettest.Silent, length)
+	default:
+		view := l.Workers
+		view.CutAll(true)
+		time.AfterFunc(length, func() { view.CutAll(false) })
+	}
+}
+
+// orderMaintenance requests the maintenance of a worker that cannot be maintained, so that the orders
+// for it are repeated.
+func (m *leaderModel) orderMaintenance(*rapid.T) {
+	if m.maintained != "" {
+		return
+	}
+	m.maintained = string(m.c.Fleet[0].Info.Worker)
+	m.c.Inventory.SetBusy(m.maintained)
+	m.c.RequestWave([]string{m.maintained}, 1)
+}
+
+// check judges what has been seen so far.
+func (m *leaderModel) check(rt *rapid.T) {
+	for _, v := range m.c.Checker.Violations() {
+		rt.Fatalf("workers: %s", v)
+	}
+	calls := m.h.history.Calls()
+	for _, c := range calls[m.judged:] {
+		if c.State == fleet.StateFailed && m.c.Checker.Failures(c.Job) < modelAttempts && !m.c.Checker.MayFail(c.Job) {
+			rt.Fatalf("callers: job %s of kind %d has failed without a cause: %v", c.Job, kindOf(c.Job), c)
+		}
+	}
+	m.judged = len(calls)
+}
+
+// calm ends all faults and waits until the jobs have ended.
+func (m *leaderModel) calm(rt *rapid.T) {
+	m.c.Workers.WithLock(func() { m.c.Workers.LateShare, m.c.Workers.LostShare = 0, 0 })
+	m.c.Store.SetTransactionFaults(0, 0)
+	time.Sleep(max(maxStoreOutage, maxLateness)) // what was begun ends
+	m.c.Checker.Calm()
+	calm := time.Now()
+	idle := map[string]time.Duration{}
+	for open := m.openJobs(); len(open) > 0; open = m.openJobs() {
+		for i, id := range open {
+			n := m.c.Nodes[i%modelNodes]
+			m.h.calls.Go(func() { m.h.state(n, id) })
+		}
+		for range int(time.Second / modelObserveInterval) {
+			time.Sleep(modelObserveInterval)
+			if time.Since(calm) > modelFinishTime {
+				m.observeIdle(rt, open, idle)
+			}
+		}
+		m.check(rt)
+		if time.Since(calm) > modelEndTime {
+			rt.Fatalf("callers: job %s of kind %d has not ended %v after the faults; %v", open[0], kindOf(open[0]), time.Since(calm), m.c.Checker.Running(open[0]))
+		}
+	}
+	m.h.calls.Wait()
+	bounds := fleettest.HistoryBounds{Visibility: historyVisibility, CalmSince: calm.Sub(m.begun)}
+	for _, v := range fleettest.CheckHistory(m.h.history.Calls(), bounds) {
+		rt.Fatalf("callers: %.3f s %s", v.At.Seconds(), v.Text)
+	}
+}
+
+// openJobs returns the accepted jobs that nobody has cancelled and that were neither shown in a final
+// state nor, if they last, as running.
+func (m *leaderModel) openJobs() []string {
+	accepted, settled := map[string]bool{}, map[string]bool{}
+	for _, c := range m.h.history.Calls() {
+		accepted[c.Job] = accepted[c.Job] || (c.Kind == fleettest.CallSubmit && c.Result == fleettest.CallAccepted)
+		settled[c.Job] = settled[c.Job] || c.Kind == fleettest.CallCancel || c.State.Final()
+	}
+	var open []string
+	for _, id := range m.jobs {
+		lasts := kindOf(id) == kindLasting && len(m.c.Checker.Running(id)) == modelSpecs[kindLasting].Steps[0].Count
+		if accepted[id] && !settled[id] && !lasts {
+			open = append(open, id)
+		}
+	}
+	return open
+}
+
+// observeIdle judges for how long nothing of a job has run although under half of the capacity is in
+// use.
+func (m *leaderModel) observeIdle(rt *rapid.T, open []string, idle map[string]time.Duration) {
+	used, capacity := int64(0), int64(0)
+	for _, task := range m.c.Workers.RunningTasks() {
+		used += modelTask(task).Needs.MilliCPU
+	}
+	for _, w := range m.c.RunningWorkers() {
+		if string(w.Info.Worker) != m.maintained {
+			capacity += w.Info.Capacity.MilliCPU
+		}
+	}
+	for _, id := range open {
+		if len(m.c.Checker.Running(id)) > 0 || 2*used >= capacity {
+			idle[id] = 0
+			continue
+		}
+		if idle[id] += modelObserveInterval; idle[id] > maxModelIdle {
+			rt.Fatalf("upstreams: nothing of job %s, of kind %d, has run for %v", id, kindOf(id), idle[id])
+		}
+	}
+}
