--- a/internal/fleet/fleettest/inventory.go
+++ b/internal/fleet/fleettest/inventory.go
@@ -30,6 +30,9 @@
 	// not take turns within dutyLease.
 	lastOrders map[string]maintenanceOrder
 	busy       string // a machine that cannot be maintained at present
+	// InTouch, if set, reports whether holders are in touch: only orders given in touch are judged
+	// for turns. It is called with the fleet's lock held.
+	InTouch func() bool
 }
 
 // dutyLease is the contract's least time between orders of two holders of the maintenance duty for
@@ -37,8 +40,9 @@
 const dutyLease = 3 * time.Second
 
 type maintenanceOrder struct {
-	fence uint64
-	at    time.Time
+	fence   uint64
+	at      time.Time
+	inTouch bool
 }
 
 // NewInventory returns the inventory of a cluster.
@@ -79,11 +83,11 @@
 		i.cluster.Checker.AddViolation(fmt.Sprintf("maintenance of %s with fence %d after %d", machine, fence, i.highestFence))
 	}
 	i.highestFence = fence
-	last, ordered := i.lastOrders[machine]
-	if ordered && last.fence != fence && time.Since(last.at) < dutyLease {
+	last, inTouch := i.lastOrders[machine], i.InTouch == nil || i.InTouch()
+	if last.inTouch && inTouch && last.fence != fence && time.Since(last.at) < dutyLease {
 		i.cluster.Checker.AddViolation(fmt.Sprintf("maintenance of %s ordered with fence %d %v after fence %d", machine, fence, time.Since(last.at), last.fence))
 	}
-	i.lastOrders[machine] = maintenanceOrder{fence, time.Now()}
+	i.lastOrders[machine] = maintenanceOrder{fence, time.Now(), inTouch}
 	if machine == i.busy {
 		i.cluster.Workers.mu.Unlock()
 		return fleet.MaintainBusy, nil
