fleet: the start of a service is stored before it is ordered

Cause: a leader sent the first start of a service and stored that the job had started afterwards. A next leader that finds neither the run (its worker is gone) nor the record takes the task for one of a new service. New services wait behind capacity held for short work (reason held-capacity), and nothing bounds that wait; lost ones do not wait for it.

TestServiceThatRanIsNotTakenForANewOne (property over which transactions are stored) failed before after 0 checks: a start had been ordered and the next leader's list had the task as new. Ruled out: a task whose attempt is stored, or of a job that is stored as started, is a restart for each leader.

Change: the first start of a service waits until the store has the job as started, some 10 ms; its reason of waiting is start-record. Class: an order whose trace is stored after it (compare confirmation of acceptances).

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -78,7 +78,7 @@
 		if len(w.tasks) > 0 {
 			started := t.placeStep(p, w)
 			left -= started
-			if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started {
+			if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started || w.state().waits == waitsForStartRecord {
 				continue
 			}
 			if w.restart {
@@ -174,6 +174,9 @@
 			p.recordUnplaceable(r, w.state().waits)
 			break
 		}
+		if !t.startStored(w) {
+			break
+		}
 		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
 		r.tasksPerWorker[worker]++
 		started++
@@ -225,6 +228,21 @@
 	return t.now.Sub(s.waitedSince(&s.tasks[task])) >= idleLimitOf(w)
 }
 
+// startStored reports whether tasks of a step may start as far as the store is concerned. The start of a
+// new service is stored before its first order: if the worker and the leader are lost, the next leader
+// must know it as a lost service, as new ones wait for free capacity.
+func (t *term) startStored(w *waitingStep) bool {
+	j := w.job
+	if !w.step.Lasting || w.restart || j.visibleState != StateQueued {
+		return true
+	}
+	if !j.started {
+		j.started, j.dirty = true, true
+	}
+	w.state().waits = waitsForStartRecord
+	return false
+}
+
 // placeGang starts all members of a gang or none. It returns the number of starts.
 func (t *term) placeGang(p *placement, w *waitingStep, r taskRequest) int {
 	s := &w.occurrence.steps[w.index]
@@ -247,7 +265,7 @@
 	for _, worker := range chosen {
 		t.adjustReservation(worker, w.step, -1)
 	}
-	if len(chosen) < len(w.tasks) {
+	if len(chosen) < len(w.tasks) || !t.startStored(w) {
 		return 0
 	}
 	attempt, checkpoint := 0, ""
