--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -75,7 +75,6 @@
 			w.state().waits = waitsForHeldCapacity
 			w.tasks = w.tasks[:allowed] // the others wait for the next plan
 		}
-		w.limitTurn()
 		if len(w.tasks) > 0 {
 			started := t.placeStep(p, w)
 			left -= started
--- a/internal/fleet/waiting_steps.go
+++ b/internal/fleet/waiting_steps.go
@@ -12,9 +12,6 @@
 	expiryFactor = 3
 	// minEstimate is the lower bound for estimates of submitters.
 	minEstimate = 50 * time.Millisecond
-	// expiredTurnLimit is how long nothing of a job may have run before its expired work has a turn
-	// ahead of other expired work.
-	expiredTurnLimit = 2 * time.Second
 )
 
 // Urgency classes, in the order of placement.
@@ -42,9 +39,6 @@
 	slack time.Duration
 	// remainingWork is the remaining work of the occurrence, in core-seconds.
 	remainingWork float64
-	// idleSince is since when nothing of the job of an expired step has run, if that is longer than
-	// expiredTurnLimit; zero otherwise.
-	idleSince time.Time
 	// image is the image of a lasting step, if it has one, and perWorkerLimit is how many of
 	// its tasks one worker may run. Both are zero for other steps.
 	image          string
@@ -110,12 +104,12 @@
 // other work late; then by priority; then by the remaining work of the job, so that as many
 // jobs as possible are on time; then by slack. When a burst exceeds the capacity, an order
 // by slack alone would make all jobs late. Restarts of lasting tasks come first within a
-// priority, then other lasting steps. Expired jobs take turns (compareTurns).
+// priority, then other lasting steps.
 func sortWaitingSteps(waiting []*waitingStep) { slices.SortFunc(waiting, compareWaitingSteps) }
 
 // compareWaitingSteps orders two waiting steps.
 func compareWaitingSteps(a, b *waitingStep) int {
-	return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), compareRestarts(a, b), compareServices(a, b), compareTurns(a, b),
+	return cmp.Or(cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.priority, b.priority), compareRestarts(a, b), compareServices(a, b),
 		cmp.Compare(a.remainingWork, b.remainingWork), cmp.Compare(a.slack, b.slack), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
 }
 
@@ -152,7 +146,7 @@
 		w := waitingStep{job: j, occurrence: o, index: i, step: &j.spec.Steps[i], queue: q, tasks: startable, priority: q.Priority}
 		w.urgency, w.slack = urgencyOf(t.now, j, o, i, q)
 		if !w.step.Lasting {
-			w.remainingWork, w.idleSince = remainingWork(j.spec, o), expiredTurn(t.now, j, w.urgency)
+			w.remainingWork = remainingWork(j.spec, o)
 			waiting = append(waiting, &w)
 			continue
 		}
@@ -222,44 +216,6 @@
 	return 1
 }
 
-// compareTurns orders expired steps of jobs that have been idle for long before others, and the
-// longest idle first. By the remaining work alone large jobs would never run beside a backlog of small
-// ones. Expired work has no value, so its order costs none.
-func compareTurns(a, b *waitingStep) int {
-	switch {
-	case a.idleSince.IsZero() == b.idleSince.IsZero():
-		return a.idleSince.Compare(b.idleSince)
-	case b.idleSince.IsZero():
-		return -1
-	}
-	return 1
-}
-
-// expiredTurn returns since when the job of an expired step has been idle if it has a turn; zero
-// otherwise.
-func expiredTurn(now time.Time, j *job, urgency int) time.Time {
-	if urgency != urgencyExpired {
-		return time.Time{}
-	}
-	if since, idle := j.idleSince(); idle && now.Sub(since) > expiredTurnLimit {
-		return since
-	}
-	return time.Time{}
-}
-
-// limitTurn leaves at most one task to a step whose job has a turn, none once another step of the
-// job has started. The others wait for the next plan, where the job has no turn.
-func (w *waitingStep) limitTurn() {
-	if w.idleSince.IsZero() || w.step.Gang {
-		return
-	}
-	most := 1
-	if _, idle := w.job.idleSince(); !idle {
-		most = 0
-	}
-	w.tasks = w.tasks[:min(most, len(w.tasks))]
-}
-
 // lastingRank returns 1 for a lasting step with an image and 0 for others.
 func (w *waitingStep) lastingRank() int {
 	if w.image == "" {
