--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -273,3 +273,21 @@
 	w.inherited, w.endsCut = false, false
 	require.True(t, tm.accountedFor(w))
 }
+
+// A leader recorded that all runs on a worker were known, although the worker's last report had not
+// listed all ends. The next leader did not wait for the rest: tasks that were done started again.
+func TestLeaseRecordOfWorkerWithUnlistedEnds(t *testing.T) {
+	for cut, known := range map[bool]bool{false: true, true: false} {
+		tm := newTestTerm(1)
+		tm.now, tm.loaded, tm.storeClock = at(20), true, storeReading{now: 100 * time.Second, at: at(19)}
+		w := testWorker("w")
+		w.inherited, w.inheritedLeaseEnd, w.pollInFlight = true, at(28), true
+		tm.workers["w"] = w
+		tm.applyReport(w, pollReply{worker: w, report: Report{Verdict: StartRunning, Clock: time.Second, EndsCut: cut}, sent: at(20)})
+		w.usedRowStored, w.unansweredCalls = true, unreachableCalls
+		tm.now, tm.storeClock = at(20.5), storeReading{now: 101400 * time.Millisecond, at: at(20.4)}
+		records := recordedLeases(t, tm)
+		require.Len(t, records, 1)
+		require.Equal(t, known, records[0].RunsKnown, "ends cut %t", cut)
+	}
+}
