--- a/internal/fleet/late_orders_test.go
+++ b/internal/fleet/late_orders_test.go
@@ -77,3 +77,28 @@
 		})
 	}
 }
+
+// Starts without an answer were settled by answered stops, and the tasks were done at their next
+// attempts. The workers started again, and the next lifetimes, which know of no stop, carried the late
+// starts out before their entries were listed.
+func TestSettledStartIsCarriedOutByNextLifetime(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
+			brief := func(fleet.TaskName) fleettest.Task {
+				return fleettest.Task{Work: 100 * time.Millisecond, Needs: wideNeeds}
+			}
+			runCluster(t, 520+seed, 3, 4, brief, func(t *testing.T, c *fleettest.Cluster) {
+				c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LateToNext = 1, true })
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 8, Needs: wideNeeds, Estimate: 100 * time.Millisecond}}})
+				time.Sleep(20 * time.Millisecond) // the starts are on their way
+				c.Workers.WithLock(func() { c.Workers.LateShare = 0 })
+				waitState(t, c, jobID(0), fleet.StateCompleted, 5*time.Second)
+				for _, w := range c.RunningWorkers() {
+					next := restart(c, w)
+					time.AfterFunc(entryDelay, func() { c.List(next) })
+				}
+				time.Sleep(maxLateness)
+			})
+		})
+	}
+}
