--- a/internal/fleet/model_check_test.go
+++ b/internal/fleet/model_check_test.go
@@ -26,7 +26,7 @@
 	// modelSequences is the number of sequences that each test plays unless FLEET_SEEDS is set.
 	modelSequences = 40
 	// modelAttempts is the number of attempts of a task of these jobs.
-	modelAttempts = 3
+	modelAttempts = 4
 	// modelListedEnds is the number of ends that a report lists in the model, few so that few tasks
 	// exceed it.
 	modelListedEnds = 4
@@ -83,8 +83,8 @@
 		}},
 		kindLong:     {Steps: []fleet.Step{{Count: 3, Needs: smallNeeds, Estimate: 8 * time.Second}}},
 		kindWide:     {Steps: []fleet.Step{{Count: 40, Needs: narrowNeeds, Estimate: time.Second}}},
-		kindSound:    {Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}},
-		kindHopeless: {Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}},
+		kindSound:    {Steps: []fleet.Step{{Count: 3, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}},
+		kindHopeless: {Steps: []fleet.Step{{Count: 12, Needs: smallNeeds, Estimate: 300 * time.Millisecond}}},
 		kindCrashing: {Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}},
 		kindLasting:  {Steps: []fleet.Step{{Count: 2, Needs: smallNeeds, Lasting: true}}},
 	}
@@ -104,7 +104,7 @@
 	case kindWide:
 		task.Work, task.Needs = time.Second, narrowNeeds
 	case kindSound:
-		task.Work, task.Fails = 5*time.Second, 1
+		task.Work, task.Fails = time.Second, 1
 	case kindHopeless:
 		task.Fails = math.MaxInt
 	case kindCrashing:
@@ -122,6 +122,7 @@
 	h       *historyCallers
 	begun   time.Time
 	jobs    []string
+	kinds   []modelKind // of the jobs of this sequence
 	// judged is the number of calls that were judged for failures without a cause.
 	judged int
 	// maintained is the worker whose maintenance was requested; empty for none.
@@ -201,6 +202,13 @@
 func (m *leaderModel) play(rt *rapid.T) {
 	c := fleettest.NewCluster(rapid.Uint64Range(1, 1<<20).Draw(rt, "seed"), modelNodes, modelWorkers, modelTask)
 	c.Configure(2, modelAttempts)
+	m.kinds = []modelKind{kindMixed, kindLong, kindWide, kindSound, kindHopeless, kindLasting}
+	if m.variant.crashing {
+		m.kinds = append(m.kinds, kindCrashing)
+	}
+	if pick(rt, "failing tasks only", 4) == 0 {
+		m.kinds = []modelKind{kindSound, kindHopeless}
+	}
 	if m.variant.cutReports {
 		c.Workers.ListedEnds = modelListedEnds
 	}
@@ -279,11 +287,7 @@
 	if len(m.jobs) == maxModelJobs {
 		return
 	}
-	kinds := modelKinds
-	if !m.variant.crashing {
-		kinds = kindCrashing // the last one
-	}
-	id := modelJobID(len(m.jobs), modelKind(pick(rt, "kind", int(kinds))))
+	id := modelJobID(len(m.jobs), m.kinds[pick(rt, "kind", len(m.kinds))])
 	m.jobs = append(m.jobs, id)
 	n := m.node(rt)
 	m.log("submit %s of kind %d at %s", id, kindOf(id), n.Name)
