--- a/internal/fleet/model_check_test.go
+++ b/internal/fleet/model_check_test.go
@@ -383,6 +383,9 @@
 		for _, w := range some {
 			m.cut(w, silent+down)
 		}
+		if rapid.Bool().Draw(rt, "submit") {
+			m.submit(rt) // its starts may be sent to them
+		}
 		time.Sleep(silent)
 	}
 	for _, w := range some {
