--- a/internal/fleet/model_check_test.go
+++ b/internal/fleet/model_check_test.go
@@ -24,7 +24,7 @@
 const (
 	modelNodes, modelWorkers = 3, 5
 	// modelSequences is the number of sequences that each test plays unless FLEET_SEEDS is set.
-	modelSequences = 40
+	modelSequences = 80
 	// modelAttempts is the number of attempts of a task of these jobs.
 	modelAttempts = 4
 	// modelListedEnds is the number of ends that a report lists in the model, few so that few tasks
@@ -254,16 +254,13 @@
 	m.calm(rt)
 }
 
-// eighths are the parts of a time limit that actions draw from.
-var eighths = []int{1, 2, 3, 4, 5, 6, 7, 8}
-
-// upTo draws a time up to a limit.
+// upTo draws a time up to a limit, in eighths of it or of a much shorter one.
 func upTo(rt *rapid.T, label string, limit time.Duration) time.Duration {
-	fine := rapid.SampledFrom(eighths).Draw(rt, label+" eighths")
+	parts := rapid.SampledFrom([]int{1, 2, 3, 4, 5, 6, 7, 8}).Draw(rt, label+" eighths")
 	if rapid.Bool().Draw(rt, label+" short") {
 		limit /= 16
 	}
-	return limit * time.Duration(fine) / time.Duration(len(eighths))
+	return limit * time.Duration(parts) / 8
 }
 
 // pick draws an index below n, whatever n is, so that a sequence can be played again.
@@ -440,11 +437,10 @@
 	m.c.Start(l)
 }
 
-var modelFaults = []fleettest.Fault{fleettest.Silent, fleettest.Busy, fleettest.Resetting}
-
 // storeOutage keeps the store from all nodes.
 func (m *leaderModel) storeOutage(rt *rapid.T) {
-	fault, length := modelFaults[pick(rt, "fault", len(modelFaults))], upTo(rt, "length", maxStoreOutage)
+	faults := []fleettest.Fault{fleettest.Silent, fleettest.Busy, fleettest.Resetting}
+	fault, length := faults[pick(rt, "fault", len(faults))], upTo(rt, "length", maxStoreOutage)
 	for _, n := range m.c.Nodes {
 		m.storeFault(n, fault, length)
 	}
