fleet: lease records do not pass over ends that are not listed yet

What callers would see: after an orderly change of leader tasks that were done started again (TWICE), where a worker had more ends than a report lists.

Cause: collectLeaseRecords took a worker that had answered for one of which all runs are known. Its report may leave ends out. The next leader counted the worker as accounted for.

Change: an inherited worker whose last report left ends out is recorded without its runs being known, as accountedFor has it.

--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -117,7 +117,7 @@
 		if t.storeClock.at.Before(knownSince) {
 			continue
 		}
-		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.answered || w.runsKnown}
+		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.runsKnown || (w.answered && !(w.inherited && w.endsCut))}
 		for ref := range w.runs {
 			record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
 		}
