fleet: plans leave time for the answers of workers beside a backlog

Orders time out after 0.4 s and are repeated: their answers did not reach the leader in time. With 200 to 300 waiting steps it planned every 6 ms and after each event, and its host has a fraction of a core. Ruled out: a full worker (0 or 1 had its 12 runs), probation (none), a queue of events over its bounds (the loop never said that it was behind).

Change: the pause between plans grows with the steps that the last one has looked at, beyond 50, to 150 ms at most.

--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -10,8 +10,21 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// planInterval is the least time between plans, so that a burst of events shares one.
-const planInterval = 6 * time.Millisecond
+const (
+	// planInterval is the least time between plans, so that a burst of events shares one.
+	planInterval = 6 * time.Millisecond
+	// planIntervalPerStep is added for each waiting step beyond cheapPlanSteps that the last plan has
+	// looked at, and maxPlanInterval bounds the sum: beside a backlog, plans in a row would leave the
+	// host no time for the answers of workers.
+	planIntervalPerStep = 400 * time.Microsecond
+	cheapPlanSteps      = 50
+	maxPlanInterval     = 150 * time.Millisecond
+)
+
+// planPause returns the least time from the last plan to the next.
+func (t *term) planPause() time.Duration {
+	return min(planInterval+time.Duration(max(t.plannedSteps-cheapPlanSteps, 0))*planIntervalPerStep, maxPlanInterval)
+}
 
 // maxStartsPerPlan bounds the starts of one plan, so that the loop keeps up with answers.
 // The next plan continues.
@@ -34,6 +47,7 @@
 		w.state().waits = waitsForMove
 	}
 	t.placeSteps(waiting)
+	t.plannedSteps = len(waiting)
 	t.logLoad(waiting)
 }
 
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -113,6 +113,8 @@
 	successor model.NodeID
 	planDue   bool // a plan is due
 	lastPlan  time.Time
+	// plannedSteps is the number of waiting steps that the last plan has looked at.
+	plannedSteps int
 	// cellLoads returns the loads that the leaders of cells have reported; nil in tests
 	// without a node.
 	cellLoads func() []reportedLoad
@@ -198,7 +200,7 @@
 			start = t.now
 			t.onTick()
 		}
-		if t.loaded && t.planDue && t.ctx.Err() == nil && t.now.Sub(t.lastPlan) >= planInterval {
+		if t.loaded && t.planDue && t.ctx.Err() == nil && t.now.Sub(t.lastPlan) >= t.planPause() {
 			t.planDue, t.lastPlan = false, t.now
 			t.runEventHook()
 			t.plan()
