--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -90,29 +90,41 @@
 			w.tasks = w.tasks[:allowed] // the others wait for the next plan
 		}
 		if len(w.tasks) > 0 {
-			started := t.placeStep(p, w)
-			left -= started
-			if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started || w.state().waits == waitsForStartRecord {
-				continue
-			}
-			if w.restart {
-				r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
-				if x := p.reserveReducedFor(r); x != nil {
-					t.stopReducedFor(x, w.step)
-				} else {
-					p.reserveWorkerFor(r)
-				}
-			}
-			t.lendUnplaced(w)
+			left -= t.placeOrMakeRoom(p, w)
+		}
+	}
+	t.searchIdleJobs(pools, waiting, left)
+}
+
+// placeOrMakeRoom starts as many tasks of a step as fit and returns their number. For lost lasting tasks
+// among the others it keeps or makes room, here or in another cell.
+func (t *term) placeOrMakeRoom(p *placement, w *waitingStep) int {
+	started := t.placeStep(p, w)
+	if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started || w.state().waits == waitsForStartRecord {
+		return started
+	}
+	if w.restart {
+		r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
+		if x := p.reserveReducedFor(r); x != nil {
+			t.stopReducedFor(x, w.step)
+		} else {
+			p.reserveWorkerFor(r)
 		}
 	}
+	t.lendUnplaced(w)
+	return started
+}
+
+// searchIdleJobs makes room for idle jobs and starts them at a reduced pace, at most once every
+// idleCheckInterval.
+func (t *term) searchIdleJobs(pools map[model.ServiceName]*placement, waiting []*waitingStep, limit int) {
 	if t.now.Sub(t.idleJobsCheckedAt) < idleCheckInterval {
 		return
 	}
 	t.idleJobsCheckedAt = t.now
 	for _, p := range pools {
 		t.stopReducedForIdleJobs(p, waiting)
-		t.startIdleJobs(p, waiting, left)
+		t.startIdleJobs(p, waiting, limit)
 	}
 }
 
@@ -188,7 +200,7 @@
 			p.recordUnplaceable(r, w.state().waits)
 			break
 		}
-		if !t.startStored(w) {
+		if !t.recordStart(w) {
 			break
 		}
 		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
@@ -242,17 +254,16 @@
 	return t.now.Sub(s.waitedSince(&s.tasks[task])) >= idleLimitOf(w)
 }
 
-// startStored reports whether tasks of a step may start as far as the store is concerned. The start of a
-// new service is stored before its first order: if the worker and the leader are lost, the next leader
-// must know it as a lost service, as new ones wait for free capacity.
-func (t *term) startStored(w *waitingStep) bool {
+// recordStart reports whether the store has the job of a service as started; if not, the next
+// transaction stores it. Tasks start only then: if the worker and the leader are lost, the next leader
+// must know a lost service, as new ones wait for free capacity.
+func (t *term) recordStart(w *waitingStep) (stored bool) {
 	j := w.job
 	if !w.step.Lasting || w.restart || j.visibleState != StateQueued {
 		return true
 	}
-	if !j.started {
-		j.started, j.dirty = true, true
-	}
+	j.dirty = j.dirty || !j.started
+	j.started = true
 	w.state().waits = waitsForStartRecord
 	return false
 }
@@ -279,7 +290,7 @@
 	for _, worker := range chosen {
 		t.adjustReservation(worker, w.step, -1)
 	}
-	if len(chosen) < len(w.tasks) || !t.startStored(w) {
+	if len(chosen) < len(w.tasks) || !t.recordStart(w) {
 		return 0
 	}
 	attempt, checkpoint := 0, ""
