--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -310,7 +310,6 @@
 		t.log.WithFields(logrus.Fields{"tries": e.tries, "took_ms": time.Since(c.startedAt).Milliseconds()}).Info("transaction applied")
 	}
 	for _, s := range c.updates {
-		t.planDue = t.planDue || (s.job.visibleState == StateQueued && s.state == StateRunning) // a service may wait for that
 		s.job.visibleState = s.state
 		t.sendLentTasks(s.job, s.lent)
 		if s.moved {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -46,8 +46,8 @@
 	for _, w := range waiting {
 		w.state().waits = waitsForMove
 	}
-	t.placeSteps(waiting)
 	t.plannedSteps = len(waiting)
+	t.placeSteps(waiting)
 	t.logLoad(waiting)
 }
 
@@ -68,7 +68,7 @@
 	left := maxStartsPerPlan
 	for _, w := range waiting {
 		if left <= 0 {
-			t.planDue = true
+			t.planDue, t.plannedSteps = true, 0 // the next plan continues at once
 			return
 		}
 		p := pools[w.queue.Service]
@@ -100,7 +100,7 @@
 // among the others it keeps or makes room, here or in another cell.
 func (t *term) placeOrMakeRoom(p *placement, w *waitingStep) int {
 	started := t.placeStep(p, w)
-	if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started || w.state().waits == waitsForStartRecord {
+	if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started {
 		return started
 	}
 	if w.restart {
@@ -200,9 +200,6 @@
 			p.recordUnplaceable(r, w.state().waits)
 			break
 		}
-		if !t.recordStart(w) {
-			break
-		}
 		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
 		r.tasksPerWorker[worker]++
 		started++
@@ -254,20 +251,6 @@
 	return t.now.Sub(s.waitedSince(&s.tasks[task])) >= idleLimitOf(w)
 }
 
-// recordStart reports whether the store has the job of a service as started; if not, the next
-// transaction stores it. Tasks start only then: if the worker and the leader are lost, the next leader
-// must know a lost service, as new ones wait for free capacity.
-func (t *term) recordStart(w *waitingStep) (stored bool) {
-	j := w.job
-	if !w.step.Lasting || w.restart || j.visibleState != StateQueued {
-		return true
-	}
-	j.dirty = j.dirty || !j.started
-	j.started = true
-	w.state().waits = waitsForStartRecord
-	return false
-}
-
 // placeGang starts all members of a gang or none. It returns the number of starts.
 func (t *term) placeGang(p *placement, w *waitingStep, r taskRequest) int {
 	s := &w.occurrence.steps[w.index]
@@ -290,7 +273,7 @@
 	for _, worker := range chosen {
 		t.adjustReservation(worker, w.step, -1)
 	}
-	if len(chosen) < len(w.tasks) || !t.recordStart(w) {
+	if len(chosen) < len(w.tasks) {
 		return 0
 	}
 	attempt, checkpoint := 0, ""
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -51,7 +51,8 @@
 	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
 		Deadline: t.extendLease(w), Fence: t.number, Withdrawn: r.withdrawn}
 	if !j.started {
-		// A node that reads the job's state from the store must not show an older one.
+		// A later term must know lost services from new ones, which wait for free capacity, and a
+		// node that reads the job's state from the store must not show an older one.
 		j.started, j.dirty = true, true
 	}
 	t.metrics.starts.Inc()
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -27,7 +27,6 @@
 	waitsForWorkers
 	waitsForHeldCapacity
 	waitsForTicket
-	waitsForStartRecord
 	waitsForLabel
 	waitsForTaskSlot
 	waitsForCapacity
@@ -55,7 +54,6 @@
 	waitsForWorkers:          {"workers", "no usable worker of service"},
 	waitsForHeldCapacity:     {"held-capacity", "free capacity is kept for short work or for services of an earlier leader"},
 	waitsForTicket:           {"ticket", "no ticket of the advisor yet"},
-	waitsForStartRecord:      {"start-record", "the store does not know yet that its job starts"},
 	waitsForLabel:            {"label", "no usable worker with label"},
 	waitsForTaskSlot:         {"task-slot", "each usable worker has as many tasks of the step as allowed"},
 	waitsForCapacity:         {"capacity", "no usable worker with room"},
