fleettest: the test of cut reports holds the fleet's lock

It takes the lock now; its checks are the same. go test -race -count=20 ./internal/fleet/fleettest: ok. - TestHedgeAndRetry (internal/request): a 502 in place of a retry, once; 0 of 40 alone.

--- a/internal/fleet/fleettest/worker_test.go
+++ b/internal/fleet/fleettest/worker_test.go
@@ -53,7 +53,8 @@
 		f, w, _ := checkerFleet(false)
 		f.ListedEnds = 2
 		for attempt, ends := range []int{0, 1, 2, 2} {
-			r := w.report()
+			var r fleet.Report
+			f.WithLock(func() { r = w.report() })
 			require.Len(t, r.Ended, ends)
 			require.Equal(t, ends == 2, r.EndsCut)
 			startRun(t, f, w, attempt+1, 5*time.Second)
