--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -524,10 +524,25 @@
 }
 
 // A leader that has released leadership grants no more leases. Its last ones end maxLease after
-// the release.
+// the release, and those of a leader before it, unless it has accounted for them, maxLeaseReach after
+// that leader's last renewal.
 func TestReleasedLeadersLeases(t *testing.T) {
-	f := leaderWatch{known: true, record: leaderRecord{Released: true}, silentSince: epoch}
-	require.Equal(t, epoch.Add(maxLease), f.formerLeaderRenewedBy(epoch).Add(maxLeaseReach))
+	for _, c := range []struct {
+		name       string
+		record     leaderRecord
+		seen, want time.Time
+	}{
+		{"all runs known", leaderRecord{RunsKnown: true}, epoch, epoch.Add(maxLease)},
+		{"all runs known, seen late", leaderRecord{RunsKnown: true, FormerRenewalMS: 2000}, at(-3), epoch.Add(maxLease)},
+		{"leases of a leader before it", leaderRecord{FormerRenewalMS: 2000}, epoch, at(-2).Add(maxLeaseReach)},
+		{"the same, seen earlier", leaderRecord{FormerRenewalMS: 2000}, at(-1), at(-3).Add(maxLeaseReach)},
+		{"its own last longer", leaderRecord{FormerRenewalMS: 5000}, epoch, epoch.Add(maxLease)},
+		{"older version", leaderRecord{}, at(-0.1), at(-0.1).Add(maxLeaseReach)},
+	} {
+		c.record.Released = true
+		f := leaderWatch{known: true, record: c.record, silentSince: c.seen}
+		require.Equal(t, c.want, f.formerLeaderRenewedBy(epoch).Add(maxLeaseReach), c.name)
+	}
 }
 
 // Leaders of versions that store no lease reach grant full leases until maxOrderAge after the
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -79,14 +79,19 @@
 // its last renewal was sent before this node saw it. Its leases end at most maxLeaseReach after
 // the result. For a leader with another lease reach, the result is shifted by the difference.
 func (f *leaderWatch) formerLeaderRenewedBy(now time.Time) time.Time {
-	switch {
-	case !f.known:
+	if !f.known {
 		return now
-	case f.record.Released:
-		// It gives no more orders, so its leases end within maxLease from now.
-		return now.Add(maxLease - maxLeaseReach)
 	}
-	return f.silentSince.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
+	if !f.record.Released {
+		return f.silentSince.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
+	}
+	// It gives no more orders, so its own leases end within maxLease from now. A leader before it
+	// may still give orders to workers that it has not heard of.
+	renewedBy := now.Add(maxLease - maxLeaseReach)
+	if earlier := f.silentSince.Add(-f.record.formerRenewalAge()); !f.record.RunsKnown && earlier.After(renewedBy) {
+		return earlier
+	}
+	return renewedBy
 }
 
 // formerOrdersBy returns the latest moment at which the former leader may have renewed or given an
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -164,6 +164,12 @@
 	// LeaseRecordsSince is the first term since which all leaders honour lease records: they
 	// grant a worker nothing while its row holds one. It is 0 in rows of older versions.
 	LeaseRecordsSince uint64 `cbor:"12,keyasint,omitempty"`
+	// RunsKnown means that all runs of earlier terms are accounted for, so that no lease of theirs
+	// outlasts the leases of this term. It is false in rows of older versions.
+	RunsKnown bool `cbor:"13,keyasint,omitempty"`
+	// FormerRenewalMS is how long before this renewal the last one of earlier terms was sent, at
+	// least. Leases of theirs that are not accounted for last from that one on.
+	FormerRenewalMS int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
@@ -174,6 +180,11 @@
 	return term
 }
 
+// formerRenewalAge returns how old the last renewal of earlier terms was at least at this one.
+func (r leaderRecord) formerRenewalAge() time.Duration {
+	return time.Duration(r.FormerRenewalMS) * time.Millisecond
+}
+
 // leaseReachOrDefault returns the longest time from the renewal to the end of a lease.
 func (r leaderRecord) leaseReachOrDefault() time.Duration {
 	if r.LeaseReachMS == 0 {
