--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -344,7 +344,8 @@
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
 	if c.watch.known {
-		n.stopFormerLeader(c.watch.record, termParams{c.index, number})
+		t.former = c.watch.record
+		n.stopFormerLeader(t.former, termParams{c.index, number})
 	}
 	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
 		t.post(stepDown{})
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -195,6 +195,7 @@
 		w.nextPoll = t.now.Add(tickInterval * 2) // a completed transaction polls sooner
 	}
 	if first {
+		t.logFirstAnswer(w)
 		w.fenceFormerLeases(t.now)
 		t.refuseUnansweredStarts(w)
 		t.planDue = true
@@ -211,6 +212,21 @@
 	}
 }
 
+// promptAnswer is the time from the start of a term within which most workers answer it first.
+const promptAnswer = 500 * time.Millisecond
+
+// logFirstAnswer logs when a worker has first answered the term: it obeys no former leader from then
+// on. The many answers that come promptly are logged at debug level.
+func (t *term) logFirstAnswer(w *worker) {
+	after := t.now.Sub(t.startedAt)
+	level := logrus.InfoLevel
+	if after < promptAnswer {
+		level = logrus.DebugLevel
+	}
+	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "fenced", "inherited": w.inherited,
+		"running": len(w.runs), "term_ms": after.Milliseconds()}).Log(level, "worker has answered the term")
+}
+
 // applyRunning updates known runs from a report and adopts unknown ones of earlier terms.
 func (t *term) applyRunning(w *worker, running []RunStatus) {
 	for _, s := range running {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -77,6 +77,8 @@
 	dataCentresOut  map[model.DataCentre]bool
 	waves           map[int]*wave
 
+	// former is the last record of the former leader; empty if there was none.
+	former leaderRecord
 	// formerLeaderRenewedBy is the latest moment at which the former leader may have renewed. It
 	// gives orders for at most maxOrderAge after that.
 	formerLeaderRenewedBy time.Time
@@ -180,7 +182,8 @@
 
 // run is the term's loop. It returns when the term is over.
 func (t *term) run() {
-	t.log.WithField("fence_version", t.fenceVersion).Info("term begins")
+	t.log.WithFields(logrus.Fields{"fence_version": t.fenceVersion, "former_term": t.former.Term, "former_leader": t.former.Node, "former_released": t.former.Released,
+		"former_runs_known": t.former.RunsKnown, "former_leases_ms": t.formerLeasesEnd().Sub(t.now).Milliseconds()}).Info("term begins")
 	go t.loadTables()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -358,12 +361,18 @@
 		t.workers[u.Lifetime.Worker] = w
 	}
 	w.usedRowStored, w.inherited = true, true
-	w.inheritedLeaseEnd = t.formerLeaderRenewedBy.Add(maxRealDuration(maxLeaseReach) + leaseMargin)
+	w.inheritedLeaseEnd = t.formerLeasesEnd()
 	t.restoreFormerLeases(w, u.FormerLeaseEnd, storeNow, readAt)
 	t.restoreLeases(w, u.Leases, storeNow, readAt)
 	return true
 }
 
+// formerLeasesEnd returns when the leases of earlier terms on workers that this one has not reached
+// have ended.
+func (t *term) formerLeasesEnd() time.Time {
+	return t.formerLeaderRenewedBy.Add(maxRealDuration(maxLeaseReach) + leaseMargin)
+}
+
 // allRunsKnown reports whether all runs of earlier terms are accounted for: of every worker that
 // may hold some, they were recorded, or it has answered, or its leases have certainly ended.
 func (t *term) allRunsKnown() bool {
