fleet: TestStartsToDeadWorkersAreNoCrashes waits until the start in doubt is settled

Traced: a poll without an answer and one that the worker holds settled the doubt at the instant at which the play listed that worker again, so that the task started on it while it was up, which the play excludes. The wait covers the settling now; nothing else changes.

--- a/internal/fleet/crashes_test.go
+++ b/internal/fleet/crashes_test.go
@@ -241,6 +241,10 @@
 	return next
 }
 
+// doubtSettled is the time in which a start without an answer is settled once its worker answers: the
+// pause before the next poll, a poll without an answer and one that the worker holds.
+const doubtSettled = 3500 * time.Millisecond
+
 // Starts that were sent to workers which were already down counted as crashes of these workers under
 // the task: its job failed without a run.
 func TestStartsToDeadWorkersAreNoCrashes(t *testing.T) {
@@ -256,7 +260,7 @@
 			time.Sleep(100 * time.Millisecond)
 			darken(c, next)
 			down, next = next, brighten(c, down) // the start that is in doubt is settled, and the next one goes to the other worker
-			time.Sleep(1500 * time.Millisecond)
+			time.Sleep(doubtSettled)
 			require.False(t, c.Checker.Started(jobID(0)))
 		}
 		c.List(next)
