--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -336,6 +336,7 @@
 		t.end("released")
 		return
 	}
+	t.sendHeldStarts()
 	t.schedulePolls()
 }
 
--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -148,7 +148,7 @@
 // answered last, or one that no report has listed, as its start may be carried out late.
 func (w *worker) hasSuspect() bool {
 	for _, r := range w.runs {
-		if !r.listed || r.seenRunning() <= earlyCrashAge {
+		if r.state != runHeld && (!r.listed || r.seenRunning() <= earlyCrashAge) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/fleet/held_starts.go
@@ -0,0 +1,39 @@
+package fleet
+
+// A leader that takes over must know a lost service from a new one: new services wait for capacity that
+// is kept for short work. If a service were lost with its worker and its leader before its first start is
+// stored, nothing would tell the next leader that it ran. So the first start of a service takes its place
+// on a worker at once, and its order is held back until the job is stored as started.
+
+// holdsStart reports whether the order for a new run of a job's step must be held back. Lent tasks count
+// as lost ones for every leader of the cell that runs them.
+func (j *job) holdsStart(s *Step) bool {
+	return s.Lasting && !s.Filler && j.visibleState == StateQueued && len(j.borrowed) == 0
+}
+
+// holdStart holds the start order of a run back until its job is stored as started.
+func (t *term) holdStart(r *run) {
+	r.state, r.job.dirty = runHeld, true
+	t.heldStarts = append(t.heldStarts, r)
+}
+
+// sendHeldStarts sends the held start orders of jobs that are stored as started. A task whose worker may
+// get no start any more waits for another place.
+func (t *term) sendHeldStarts() {
+	held := t.heldStarts
+	t.heldStarts = nil
+	for _, r := range held {
+		switch {
+		case r.state != runHeld || r.worker.runs[r.ref] != r:
+			// It was stopped or lost meanwhile.
+		case r.job.visibleState == StateQueued:
+			t.heldStarts = append(t.heldStarts, r)
+		case !t.active() || t.unusableReason(r.worker) != "":
+			t.markLost(r, "not-sent")
+		default:
+			r.startedAt, r.progressAt = t.now, t.now
+			r.worker.observeStart(r)
+			t.orderStart(r)
+		}
+	}
+}
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -45,10 +45,22 @@
 		tm.now = tm.now.Add(tickInterval)
 		tm.lastRenewal = tm.now
 		tm.plan()
+		if len(tm.heldStarts) > 0 {
+			storeProgress(tm)
+		}
 		answerStarts(tm)
 	}
 }
 
+// storeProgress applies a transaction with the progress of all jobs.
+func storeProgress(tm *term) {
+	c, _ := tm.collectTransaction()
+	for _, u := range c.updates {
+		u.job.visibleState = u.state
+	}
+	tm.sendHeldStarts()
+}
+
 // Idle jobs that no worker could take kept the jobs behind them from a start at a reduced pace.
 func TestIdleJobsThatFitNowhereDelayNoOther(t *testing.T) {
 	tm := pressedTerm(t)
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -252,7 +252,7 @@
 	return waitTexts[reason].text
 }
 
-var runStateNames = map[runState]string{runSent: "sent", runLive: "running", runUnconfirmed: "in doubt", runStopping: "stopping"}
+var runStateNames = map[runState]string{runSent: "sent", runLive: "running", runUnconfirmed: "in doubt", runStopping: "stopping", runHeld: "held"}
 
 func (t *term) jobView(j *job) *JobView {
 	v := &JobView{Job: j.id, Queue: j.queue, State: j.visibleState, AgeMS: t.now.Sub(j.acceptedLocalTime).Milliseconds(), Reason: t.whyJobWaits(j)}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -126,7 +126,7 @@
 
 	cancelled           bool
 	failureReason       string        // empty when the job has not failed
-	started             bool          // a start order was sent
+	started             bool          // a start order was sent or is held back
 	begun               bool          // a worker has told that a task began
 	occurrences         []*occurrence // open occurrences
 	openedOccurrences   int           // number of occurrences opened so far
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -118,8 +118,10 @@
 			continue
 		}
 		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.runsKnown || (w.answered && !(w.inherited && w.endsCut))}
-		for ref := range w.runs {
-			record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
+		for ref, r := range w.runs {
+			if r.state != runHeld { // a worker with a record gets no start
+				record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
+			}
 		}
 		u := t.usedRecord(w)
 		u.Leases = record
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -31,14 +31,14 @@
 }
 
 // replaceWorker begins a new lifetime of a worker. The runs that the former one has listed have
-// ended; the others pass to the new one.
+// ended, and those whose start is held back never began; the others pass to the new one.
 func (t *term) replaceWorker(w *worker, info WorkerInfo) *worker {
 	next := newWorker(info)
 	t.observeEnd(w)
 	t.recordCrash(w, true, true)
 	lost := 0
 	for _, r := range w.runs {
-		if r.listed {
+		if r.listed || r.state == runHeld {
 			t.markLost(r, reasonRestarted)
 			lost++
 		} else {
@@ -103,7 +103,7 @@
 func (t *term) runLeaseEnd(r *run) time.Time {
 	w := r.worker
 	end := w.leaseEnd()
-	if r.listed || r.sentTo != 0 || w.leaseSentBy.IsZero() {
+	if r.listed || r.sentTo != 0 || r.state == runHeld || w.leaseSentBy.IsZero() {
 		return end
 	}
 	if other := w.leaseSentBy.Add(maxOrderDelay + maxRealDuration(t.workerLeaseMax()) + leaseMargin); other.After(end) {
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -293,7 +293,7 @@
 // stopSupersededRuns stops all runs of a task except that of the latest attempt.
 func (t *term) stopSupersededRuns(tk *task) {
 	latest := slices.MaxFunc(tk.runs, func(a, b *run) int { return cmp.Compare(a.ref.Attempt, b.ref.Attempt) })
-	for _, r := range tk.runs {
+	for _, r := range slices.Clone(tk.runs) {
 		if r != latest && r.live() {
 			t.log.WithFields(logrus.Fields{"task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
 				"latest": latest.ref.Attempt, "latest_worker": latest.worker.info.Worker}).Error("task has two runs")
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -48,21 +48,31 @@
 	w.attach(r, t.now)
 	w.observeStart(r)
 	tk.runs = append(tk.runs, r)
-	o := StartOrder{RunRef: r.ref, Spec: j.spec.Text, Checkpoint: checkpoint, Ticket: ticket,
-		Deadline: t.extendLease(w), Fence: t.number, Withdrawn: r.withdrawn}
 	if !j.started {
-		// A later term must know lost services from new ones, which wait for free capacity, and a
-		// node that reads the job's state from the store must not show an older one.
+		// A node that reads the job's state from the store must not show an older one.
 		j.started, j.dirty = true, true
 	}
-	t.metrics.starts.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "place", "task": r.ref.Task, "attempt": attempt, "worker": w.info.Worker,
 		"dc": w.info.DataCentre, "free_cpu": w.free().MilliCPU, "waited_ms": t.waitTime(j, key).Milliseconds(), "idle_ms": idle.Milliseconds(),
-		"seen_ms_ago": t.now.Sub(w.clockAt).Milliseconds(), "reason": startReason(tk, step)}).Info("start order sent")
-	go t.sendStart(r, w, w.info, o, t.answerTimeout.timeout())
+		"seen_ms_ago": t.now.Sub(w.clockAt).Milliseconds(), "held": j.holdsStart(step), "reason": startReason(tk, step)}).Info("task placed")
+	if j.holdsStart(step) {
+		t.holdStart(r)
+	} else {
+		t.orderStart(r)
+	}
 	return r
 }
 
+// orderStart sends the start order of a run that has its place on a worker.
+func (t *term) orderStart(r *run) {
+	r.state, r.stateSince = runSent, t.now
+	w := r.worker
+	o := StartOrder{RunRef: r.ref, Spec: r.job.spec.Text, Checkpoint: r.checkpoint, Ticket: r.ticket,
+		Deadline: t.extendLease(w), Fence: t.number, Withdrawn: r.withdrawn}
+	t.metrics.starts.Inc()
+	go t.sendStart(r, w, w.info, o, t.answerTimeout.timeout())
+}
+
 // waitTime returns the time since the task's step became ready.
 func (t *term) waitTime(j *job, key taskKey) time.Duration {
 	o := j.openOccurrenceAt(key.occurrence)
@@ -215,6 +225,10 @@
 // stopRun orders the worker to stop a run. The order is repeated until it is answered. The
 // run's capacity is freed when the worker reports its end.
 func (t *term) stopRun(r *run, reason string) {
+	if r.state == runHeld { // the worker knows nothing of it
+		t.markLost(r, "not-sent")
+		return
+	}
 	if r.state != runStopping {
 		r.withdraw()
 		r.state, r.stateSince, r.stopReason = runStopping, t.now, reason
--- a/internal/fleet/start_record_test.go
+++ b/internal/fleet/start_record_test.go
@@ -155,3 +155,47 @@
 	require.Len(t, service.occurrences[0].steps[0].tasks[0].runs, 1, "the service comes first")
 	require.Empty(t, o.steps[0].tasks[0].runs)
 }
+
+// Guards what may happen while the start of a service is being stored: its order goes to no worker that may get
+// no start any more, and the task does not wait for a run that never began.
+func TestHeldStartIsNotSentToUnusableWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		happen    func(*term, *worker, *job)
+		sent      bool
+		startable bool // the next plan may start the task elsewhere
+	}{
+		"nothing":       {func(*term, *worker, *job) {}, true, false},
+		"drains":        {func(_ *term, w *worker, _ *job) { w.info.Draining = true }, false, true},
+		"falls silent":  {func(tm *term, w *worker, _ *job) { w.countUnanswered(tm.now) }, false, true},
+		"leaves":        {func(tm *term, w *worker, _ *job) { tm.unlistWorker(w) }, false, true},
+		"is recorded":   {func(tm *term, w *worker, _ *job) { w.leaseRecordTerm = tm.number }, false, true},
+		"starts again":  {func(tm *term, w *worker, _ *job) { tm.replaceByReport(w, w.info.Born+1) }, false, true},
+		"data centre":   {func(tm *term, w *worker, _ *job) { tm.dataCentresOut[w.info.DataCentre] = true }, false, true},
+		"job cancelled": {func(tm *term, _ *worker, j *job) { tm.cancelJob(j.id) }, false, false},
+		"leader stops":  {func(tm *term, _ *worker, _ *job) { stepDown{}.handle(tm) }, false, true},
+		"renewals fail": {func(tm *term, _ *worker, _ *job) { tm.now = tm.now.Add(maxOrderAge) }, false, true},
+		"lease is over": {func(tm *term, w *worker, _ *job) { tm.loseRuns(w, reasonLeaseOver) }, false, true},
+		"another is run": {func(tm *term, w *worker, j *job) {
+			tm.applyRunning(w, []RunStatus{{RunRef: RunRef{taskKey{}.Name(j.id), 90}}})
+		}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			w := testWorker("w")
+			tm.workers[w.info.Worker] = w
+			j := newJob(fmt.Sprintf("%016x", 1), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
+			tk := &j.openOccurrence(0, time.Time{}, tm.now).steps[0].tasks[0]
+			tm.jobs[j.id] = j
+			tm.plan()
+			require.Len(t, tk.runs, 1)
+			r := tk.runs[0]
+			require.Equal(t, runHeld, r.state)
+			c.happen(tm, w, j)
+			storeProgress(tm)
+			require.Equal(t, c.sent, r.state == runSent)
+			require.Equal(t, c.sent, r.worker.runs[r.ref] == r)
+			require.Equal(t, c.startable, !j.over() && len(tk.runs) == 0)
+			require.Empty(t, tm.heldStarts)
+		})
+	}
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -106,6 +106,7 @@
 	released          bool         // a renewal that releases leadership is stored
 	usedRowsToPut     map[Lifetime]usedRecord
 	unansweredStarts  map[startKey]unansweredStart
+	heldStarts        []*run // runs whose start order is held back; see holdStart
 	usedRowsToDelete  map[Lifetime]bool
 
 	// stopping means that the term gives no more orders, since stoppedAt.
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -17,6 +17,7 @@
 	waitsForCancellationRead
 	waitsForQueue
 	waitsForBorrower
+	waitsForStartRecord
 	waitsForStartAnswer
 	waitsForStop
 	waitsForRetry
@@ -44,6 +45,7 @@
 	waitsForCancellationRead: {"cancellation-read", "its cancellation in another cell is not read yet"},
 	waitsForQueue:            {"queue", "no configuration has its queue"},
 	waitsForBorrower:         {"lent", "another cell has borrowed the task"},
+	waitsForStartRecord:      {"start-record", "the first start of a service is stored before it is ordered"},
 	waitsForStartAnswer:      {"start-answer", "a start got no answer and may still be carried out"},
 	waitsForStop:             {"stop", "a run of the task is being stopped"},
 	waitsForRetry:            {"retry", "a pause after a refused start"},
@@ -113,6 +115,8 @@
 		switch r.state {
 		case runSent, runLive:
 			return waitsForNothing
+		case runHeld:
+			reason = max(reason, waitsForStartRecord)
 		case runUnconfirmed:
 			reason = max(reason, waitsForStartAnswer)
 		case runStopping:
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -27,6 +27,8 @@
 	runUnconfirmed
 	// runStopping: a stop was ordered and the run's end has not been reported.
 	runStopping
+	// runHeld: the run has its place on the worker; its start order is held back, see holdStart.
+	runHeld
 )
 
 // run is one attempt of a task on a worker.
@@ -39,7 +41,7 @@
 	state  runState
 	// reserved is what the run reserves on its worker until its end is reported.
 	reserved model.Resources
-	// startedAt is when the start was sent, or when the run was adopted.
+	// startedAt is when the start was sent, or decided if it is held back, or when the run was adopted.
 	startedAt time.Time
 	// stateSince is when the state was entered.
 	stateSince time.Time
