--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -533,14 +533,15 @@
 		seen, want time.Time
 	}{
 		{"all runs known", leaderRecord{RunsKnown: true}, epoch, epoch.Add(maxLease)},
-		{"all runs known, seen late", leaderRecord{RunsKnown: true, FormerRenewalMS: 2000}, at(-3), epoch.Add(maxLease)},
-		{"leases of a leader before it", leaderRecord{FormerRenewalMS: 2000}, epoch, at(-2).Add(maxLeaseReach)},
-		{"the same, seen earlier", leaderRecord{FormerRenewalMS: 2000}, at(-1), at(-3).Add(maxLeaseReach)},
-		{"its own last longer", leaderRecord{FormerRenewalMS: 5000}, epoch, epoch.Add(maxLease)},
+		{"all runs known, seen late", leaderRecord{RunsKnown: true, FormerRenewedAt: 98 * time.Second}, at(-3), epoch.Add(maxLease)},
+		{"leases of a leader before it", leaderRecord{FormerRenewedAt: 98 * time.Second}, epoch, at(-2).Add(maxLeaseReach)},
+		{"the same, seen earlier", leaderRecord{FormerRenewedAt: 98 * time.Second}, at(-1), at(-2).Add(maxLeaseReach)},
+		{"leases that reach further", leaderRecord{FormerRenewedAt: 101 * time.Second}, at(-1), at(1).Add(maxLeaseReach)},
+		{"its own last longer", leaderRecord{FormerRenewedAt: 95 * time.Second}, epoch, epoch.Add(maxLease)},
 		{"older version", leaderRecord{}, at(-0.1), at(-0.1).Add(maxLeaseReach)},
 	} {
 		c.record.Released = true
-		f := leaderWatch{known: true, record: c.record, silentSince: c.seen}
+		f := leaderWatch{known: true, record: c.record, silentSince: c.seen, storeClock: storeReading{100 * time.Second, epoch}}
 		require.Equal(t, c.want, f.formerLeaderRenewedBy(epoch).Add(maxLeaseReach), c.name)
 	}
 }
--- a/internal/fleet/earlier_leases_test.go
+++ b/internal/fleet/earlier_leases_test.go
@@ -15,10 +15,11 @@
 	for _, length := range []time.Duration{50 * time.Millisecond, time.Second, 3 * time.Second} {
 		begun := epoch.Add(leaderTimeout)
 		tm := newTestTerm(1)
-		tm.formerLeaderRenewedBy = older.formerLeaderRenewedBy(begun)
+		tm.formerLeaderRenewedBy, tm.storeClock = older.formerLeaderRenewedBy(begun), storeReading{100 * time.Second, begun}
 		require.Equal(t, reach, tm.formerLeaderRenewedBy.Add(maxLeaseReach))
 		tm.now = begun.Add(length)
 		next := leaderWatch{known: true, record: tm.renewalRecord(true), silentSince: tm.now.Add(10 * time.Millisecond)}
+		next.storeClock = storeReading{100*time.Second + next.silentSince.Sub(begun), next.silentSince}
 		got := next.formerLeaderRenewedBy(next.silentSince.Add(10 * time.Millisecond)).Add(maxLeaseReach)
 		require.False(t, got.Before(reach), "handed on after %v: leases are taken for over %v too early", length, reach.Sub(got))
 	}
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -49,6 +49,8 @@
 	// silentSince is when the last renewal was seen, or when reading resumed.
 	silentSince time.Time
 	jitter      time.Duration
+	// storeClock is a reading of the store's clock that had arrived by its time.
+	storeClock storeReading
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
 	// because its host is smaller or already leads other cells.
 	extraDelay time.Duration
@@ -93,12 +95,21 @@
 // workers that it has not heard of.
 func (f *leaderWatch) renewedByOfEnded(since time.Time) time.Time {
 	renewedBy := since.Add(maxLease - maxLeaseReach)
-	if earlier := f.silentSince.Add(-f.record.formerRenewalAge()); !f.record.RunsKnown && earlier.After(renewedBy) {
+	if earlier := f.earlierLeadersRenewedBy(); !f.record.RunsKnown && earlier.After(renewedBy) {
 		return earlier
 	}
 	return renewedBy
 }
 
+// earlierLeadersRenewedBy returns the latest moment at which the leaders before the former one may have
+// renewed.
+func (f *leaderWatch) earlierLeadersRenewedBy() time.Time {
+	if f.record.FormerRenewedAt == 0 || f.storeClock.now == 0 {
+		return f.silentSince
+	}
+	return f.storeClock.at.Add(f.record.FormerRenewedAt - f.storeClock.now)
+}
+
 // formerOrdersBy returns the latest moment at which the former leader may have renewed or given an
 // order. One that has released leadership gave its last order before this node saw the release.
 func (f *leaderWatch) formerOrdersBy(now time.Time) time.Time {
@@ -256,7 +267,7 @@
 // campaign tries to take leadership of a cell with the next term number.
 func (n *Node) campaign(ctx context.Context, c *cell) {
 	f := &c.watch
-	fence, version, err := n.readFence(ctx, c)
+	fence, read, err := n.readFence(ctx, c)
 	if err != nil {
 		n.metrics.terms.WithLabelValues(resultLabel(err)).Inc()
 		f.silentSince = time.Now()
@@ -276,7 +287,7 @@
 	}
 	recordsSince := former.leaseRecordsSince(number)
 	tx := Transaction{
-		Expect: []Expectation{{id, version}},
+		Expect: []Expectation{{id, read.Version}},
 		Puts: []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})},
 			n.cfg.renewalRow(c.part, leaderRecord{Term: number, LeaseRecordsSince: recordsSince})},
 	}
@@ -294,14 +305,15 @@
 			return
 		}
 		// The result of the transaction is unknown: the fence shows whether it was applied.
-		fence, version, err = n.readFence(ctx, c)
+		fence, read, err = n.readFence(ctx, c)
 		if err != nil || fence.Nonce != nonce {
 			f.silentSince = time.Now()
 			return
 		}
-		result.Version = version
+		result = read
 	}
-	n.startTerm(ctx, c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), sent)
+	f.storeClock = storeReading{result.Now, time.Now()}
+	n.startTerm(ctx, c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), storeReading{result.Now, sent})
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -324,27 +336,28 @@
 	return false
 }
 
-func (n *Node) readFence(ctx context.Context, c *cell) (fenceRecord, uint64, error) {
+// readFence reads the fence of a cell. The result holds the version of its row, 0 if there is none.
+func (n *Node) readFence(ctx context.Context, c *cell) (fenceRecord, Commit, error) {
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	page, err := n.cfg.Store.List(call, tableFence, c.part, keyLeader, keyLeader+"\x00", 1)
 	if err != nil || len(page.Rows) == 0 {
-		return fenceRecord{}, 0, err
+		return fenceRecord{}, Commit{}, err
 	}
 	var f fenceRecord
 	if err := decodeRecord(page.Rows[0], &f); err != nil {
-		return fenceRecord{}, 0, err
+		return fenceRecord{}, Commit{}, err
 	}
-	return f, page.Rows[0].Version, nil
+	return f, Commit{Version: page.Rows[0].Version, Now: page.Now}, nil
 }
 
-// startTerm runs a term of a cell in the background. sent is when the transaction that began
-// the term was sent. Other nodes derive from the row that it wrote how long the term's leases
-// last. The term ends with ctx, which may have ended during the campaign.
-func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy, sent time.Time) {
+// startTerm runs a term of a cell in the background. begun holds when the transaction that began the
+// term was sent, and a reading of the store's clock after that. Other nodes derive from the row that it
+// wrote how long the term's leases last. The term ends with ctx, which may have ended during the campaign.
+func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy time.Time, begun storeReading) {
 	d := n.cellTable.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
-	t.lastRenewal, t.leaseRecordsSince = sent, recordsSince
+	t.lastRenewal, t.leaseRecordsSince = begun.at, recordsSince
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -167,9 +167,10 @@
 	// RunsKnown means that all runs of earlier terms are accounted for, so that no lease of theirs
 	// outlasts the leases of this term. It is false in rows of older versions.
 	RunsKnown bool `cbor:"13,keyasint,omitempty"`
-	// FormerRenewalMS is how long before this renewal the last one of earlier terms was sent, at
-	// least. Leases of theirs that are not accounted for last from that one on.
-	FormerRenewalMS int64 `cbor:"14,keyasint,omitempty"`
+	// FormerRenewedAt is the store's monotonic clock when the last renewal of earlier terms was sent,
+	// at the latest. Leases of theirs that are not accounted for last from then on. It is 0 in rows of
+	// older versions.
+	FormerRenewedAt time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
@@ -180,11 +181,6 @@
 	return term
 }
 
-// formerRenewalAge returns how old the last renewal of earlier terms was at least at this one.
-func (r leaderRecord) formerRenewalAge() time.Duration {
-	return time.Duration(r.FormerRenewalMS) * time.Millisecond
-}
-
 // leaseReachOrDefault returns the longest time from the renewal to the end of a lease.
 func (r leaderRecord) leaseReachOrDefault() time.Duration {
 	if r.LeaseReachMS == 0 {
