--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -358,6 +358,9 @@
 	d := n.cellTable.Load()
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
 	t.lastRenewal, t.leaseRecordsSince = begun.at, recordsSince
+	if begun.now > 0 {
+		t.storeClock = begun
+	}
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
