--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -46,6 +46,9 @@
 	record  leaderRecord
 	known   bool
 	version uint64
+	// unreleased is the last record of the last leader before that one which had not released
+	// leadership; empty for none.
+	unreleased leaderRecord
 	// silentSince is when the last renewal was seen, or when reading resumed.
 	silentSince time.Time
 	jitter      time.Duration
@@ -137,6 +140,9 @@
 	if row.Version == f.version {
 		return
 	}
+	if f.known && r.Term > f.record.Term && !f.record.Released {
+		f.unreleased = f.record
+	}
 	f.record, f.known, f.version, f.silentSince = r, true, row.Version, now
 	f.jitter = time.Duration(rand.Int64N(int64(campaignJitter)))
 }
@@ -366,7 +372,7 @@
 	c.term.Store(t)
 	if c.watch.known {
 		t.former = c.watch.record
-		n.stopFormerLeader(t, c.watch)
+		n.stopFormerLeaders(t, c.watch)
 	}
 	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
 		t.post(stepDown{})
--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -32,19 +32,31 @@
 	UpMS int64 `json:"up_ms"`
 }
 
-// stopFormerLeader tells the leader of the term before t that a new one has begun. A leader that the
+// stopFormerLeaders tells the leader of the term before t that a new one has begun, and the last one
+// before it that had not released leadership: its successor may not have reached it. A leader that the
 // store does not answer would give orders for some seconds more. Workers that have seen the fence of
-// the new term refuse them, but one that starts again has seen none. If a later process of that node
-// answers, the former leader has ended.
-func (n *Node) stopFormerLeader(t *term, f leaderWatch) {
+// the new term refuse them, but one that starts again has seen none. If a later process of the former
+// leader's node answers, the former leader has ended.
+func (n *Node) stopFormerLeaders(t *term, f leaderWatch) {
+	n.stopLeader(t, f.unreleased, func(termBegunReply) {})
 	former := f.record
-	if former.Released || former.Addr == "" {
+	if former.Released {
 		return
 	}
-	if former.Node == n.cfg.Node {
-		if former.Process != n.cfg.Process {
-			t.boundFormerRenewal(f.renewedByOfEnded(n.startedAt))
+	if former.Node == n.cfg.Node && former.Process != n.cfg.Process {
+		t.boundFormerRenewal(f.renewedByOfEnded(n.startedAt))
+	}
+	n.stopLeader(t, former, func(reply termBegunReply) {
+		if reply.Node == former.Node && reply.Process != 0 && reply.Process != former.Process {
+			t.post(formerLeaderEnded{f.renewedByOfEnded(time.Now().Add(-time.Duration(reply.UpMS) * time.Millisecond))})
 		}
+	})
+}
+
+// stopLeader tells a leader of an earlier term, on another node, that t has begun. It repeats the call
+// until there is an answer, which it passes to answered, or former leases have ended.
+func (n *Node) stopLeader(t *term, former leaderRecord, answered func(termBegunReply)) {
+	if former.Addr == "" || former.Node == n.cfg.Node {
 		return
 	}
 	until := t.formerLeasesEnd()
@@ -52,9 +64,7 @@
 		for {
 			reply, err := n.callFormerLeader(former, termParams{t.cell, t.number})
 			if err == nil {
-				if reply.Node == former.Node && reply.Process != 0 && reply.Process != former.Process {
-					t.post(formerLeaderEnded{f.renewedByOfEnded(time.Now().Add(-time.Duration(reply.UpMS) * time.Millisecond))})
-				}
+				answered(reply)
 				return
 			}
 			n.log.WithError(err).WithField("leader", former.Node).Debug("the former leader does not answer")
