--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -439,8 +439,9 @@
 		return fleet.Page{}, nil, model.Errorf(model.KindStale, "read the table again", "history is gone")
 	}
 	page := fleet.Page{Version: s.version, Now: time.Since(s.startedAt)}
-	for _, row := range s.history {
-		if row.Version > after && row.Table == table {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+	for _, row := range s.history[first:] {
+		if row.Table == table {
 			page.Rows = append(page.Rows, row)
 			if len(page.Rows) == s.watchLimit {
 				page.Version = row.Version
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -189,9 +189,10 @@
 type soakArgs struct {
 	Seed    uint64        `arg:"--seed,env:SEED" default:"1" placeholder:"NUMBER" help:"first seed"`
 	Seeds   int           `arg:"--seeds,env:SOAK_SEEDS" default:"1" placeholder:"COUNT" help:"number of seeds, one after the other"`
-	Nodes   int           `arg:"--nodes,env:SOAK_NODES" default:"4" placeholder:"COUNT" help:"number of nodes, 1 to 32"`
-	Workers int           `arg:"--workers,env:SOAK_WORKERS" default:"6" placeholder:"COUNT" help:"number of workers, 1 to 100"`
+	Nodes   int           `arg:"--nodes,env:SOAK_NODES" default:"4" placeholder:"COUNT" help:"number of nodes, 1 to 32, with --aim to 64"`
+	Workers int           `arg:"--workers,env:SOAK_WORKERS" default:"6" placeholder:"COUNT" help:"number of workers, 1 to 100, with --aim to 400"`
 	Cells   int           `arg:"--cells,env:SOAK_CELLS" default:"0" placeholder:"COUNT" help:"number of cells of the fleet, at most 32; 0 leaves it to the nodes"`
+	Aim     string        `arg:"--aim,env:SOAK_AIM" placeholder:"TARGET" help:"leader: faults aimed at the leader of the moment, in place of all others, on up to 64 nodes and 400 workers"`
 	Length  time.Duration `arg:"--length,env:SOAK_LENGTH" default:"14s" placeholder:"DURATION" help:"time during which faults begin, from 5s to 1h"`
 	Prefix  int           `arg:"--prefix,env:SOAK_PREFIX" default:"0" placeholder:"COUNT" help:"play only the first faults of the schedule, to shrink one that breaks a promise; 0 plays all"`
 	Binary  string        `arg:"--binary,env:SOAK_BINARY" default:"bin/vpierd" placeholder:"FILE" help:"program of the nodes"`
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -67,6 +68,8 @@
 	Nodes, Workers int
 	// Cells fixes the number of cells; with 0 the nodes choose it.
 	Cells int
+	// Aim is "leader" for faults that are aimed at the leader of the moment, else empty.
+	Aim string
 	// Length is the time during which faults begin.
 	Length time.Duration
 	// Prefix limits the schedule to its first faults; 0 keeps all.
@@ -212,19 +215,29 @@
 const (
 	maxSoakNodes   = 32
 	maxSoakWorkers = 100
-	minSoakLength  = 5 * time.Second
-	maxSoakLength  = time.Hour
+	// A run with aimed faults may be as large as the fleets on which they matter.
+	aimAtLeader     = "leader"
+	maxAimedNodes   = 64
+	maxAimedWorkers = 400
+	minSoakLength   = 5 * time.Second
+	maxSoakLength   = time.Hour
 )
 
 // soak runs vpier soak.
 func (p *Program) soak(ctx context.Context, a *soakArgs) error {
+	maxNodes, maxWorkers := maxSoakNodes, maxSoakWorkers
+	if a.Aim != "" {
+		maxNodes, maxWorkers = maxAimedNodes, maxAimedWorkers
+	}
 	switch {
 	case p.Soak == nil:
 		return model.Errorf(model.KindInvalid, "use a complete build of vpier", "this build has no soak")
-	case a.Nodes < 1 || a.Nodes > maxSoakNodes:
-		return model.Errorf(model.KindInvalid, "give --nodes from 1 to 32", "%d nodes", a.Nodes)
-	case a.Workers < 1 || a.Workers > maxSoakWorkers:
-		return model.Errorf(model.KindInvalid, "give --workers from 1 to 100", "%d workers", a.Workers)
+	case a.Aim != "" && a.Aim != aimAtLeader:
+		return model.Errorf(model.KindInvalid, "give --aim leader, or leave it out", "--aim %s", a.Aim)
+	case a.Nodes < 1 || a.Nodes > maxNodes:
+		return model.Errorf(model.KindInvalid, fmt.Sprintf("give --nodes from 1 to %d", maxNodes), "%d nodes", a.Nodes)
+	case a.Workers < 1 || a.Workers > maxWorkers:
+		return model.Errorf(model.KindInvalid, fmt.Sprintf("give --workers from 1 to %d", maxWorkers), "%d workers", a.Workers)
 	case a.Cells < 0 || a.Cells > maxSoakNodes:
 		return model.Errorf(model.KindInvalid, "give --cells from 0 to 32", "%d cells", a.Cells)
 	case a.Length < minSoakLength || a.Length > maxSoakLength:
@@ -235,7 +248,7 @@
 	if err := checkReadable(a.Binary); err != nil {
 		return err
 	}
-	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Cells: a.Cells, Length: a.Length, Prefix: a.Prefix,
+	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Cells: a.Cells, Aim: a.Aim, Length: a.Length, Prefix: a.Prefix,
 		Binary: a.Binary, Logs: a.Logs, HTMLFile: a.HTML, Output: string(p.args.Output)}, p.Stdout)
 }
 
--- /dev/null
+++ b/internal/soak/aim.go
@@ -0,0 +1,248 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// Kinds of faults that are aimed at the node that leads when they start. Their target is set then.
+const (
+	CutLeaderZone    Kind = "cut-leader-zone"    // the leader's data centre is cut off from the store and from the other data centres
+	CutLeader        Kind = "cut-leader"         // the leader reaches workers, but not the store, and its peers do not reach it
+	CutLeaderWorkers Kind = "cut-leader-workers" // the nodes of the leader's data centre reach no worker
+	FreezeLeader     Kind = "freeze-leader"      // SIGSTOP until the end
+	SlowLeader       Kind = "slow-leader"        // the leader's CPU is slow
+	StallLeader      Kind = "stall-leader"       // the links from the leader's data centre to several workers stall, then deliver
+)
+
+var aimedKinds = []Kind{CutLeaderZone, CutLeader, CutLeaderWorkers, FreezeLeader, SlowLeader, StallLeader}
+
+func (k Kind) aimed() bool { return slices.Contains(aimedKinds, k) }
+
+// Times of aimed faults. They come in series, one series after the other.
+const (
+	// A cut lasts longer than 9 s, after which the leases of a leader that is not heard of have ended.
+	minAimedCut = 9500 * time.Millisecond
+	maxAimedCut = 11 * time.Second
+	minFreeze   = time.Second
+	maxFreeze   = 6 * time.Second
+	stallTime   = 2 * time.Second
+	// minSeriesStep and maxSeriesStep bound the time between the starts of two faults of a series. In
+	// it the next leader begins.
+	minSeriesStep = 2500 * time.Millisecond
+	maxSeriesStep = 6 * time.Second
+	// minSeriesPause and maxSeriesPause bound the time between two series.
+	minSeriesPause = 3 * time.Second
+	maxSeriesPause = 6 * time.Second
+)
+
+// Numbers of faults of a series.
+const (
+	minSeriesFaults = 2
+	maxSeriesFaults = 3
+)
+
+// AimedSchedule returns the aimed faults of a seed in order of their start. It is deterministic.
+func AimedSchedule(seed uint64, workers int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 16))
+	var faults []Fault
+	for at := 2 * warmUp; at < length; {
+		start, end := at, at
+		for i := range minSeriesFaults + random.IntN(maxSeriesFaults-minSeriesFaults+1) {
+			f := Fault{At: start, Kind: aimedKinds[random.IntN(len(aimedKinds))]}
+			if i == 0 && random.IntN(2) == 0 {
+				f.Kind = CutLeaderZone
+			}
+			if f.Kind == StallLeader {
+				f.Workers = drawGroup(random, workers)
+			}
+			f.Duration = drawAimedDuration(random, f.Kind)
+			faults = append(faults, f)
+			end = max(end, f.At+f.Duration)
+			start += drawDuration(random, minSeriesStep, maxSeriesStep)
+		}
+		at = end + drawDuration(random, minSeriesPause, maxSeriesPause)
+	}
+	return faults
+}
+
+func drawAimedDuration(random *rand.Rand, k Kind) time.Duration {
+	switch k {
+	case FreezeLeader, SlowLeader:
+		return drawDuration(random, minFreeze, maxFreeze)
+	case StallLeader:
+		return stallTime
+	}
+	return drawDuration(random, minAimedCut, maxAimedCut)
+}
+
+func drawDuration(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
+// leader returns the index of the node that leads by the store's word, or that a lead was handed
+// over to; 0 before the first term.
+func (c *cluster) leader() int {
+	var newest fleet.Row
+	for _, r := range c.rows.Rows("vp-leader") {
+		if r.Key == "leader" && r.Version > newest.Version {
+			newest = r
+		}
+	}
+	var record struct {
+		Node      model.NodeID `cbor:"2,keyasint"`
+		Successor model.NodeID `cbor:"7,keyasint"`
+	}
+	_ = cbor.Unmarshal(newest.Value, &record) // a row that cannot be read names no node
+	if record.Successor != "" {
+		record.Node = record.Successor
+	}
+	return max(0, slices.IndexFunc(c.nodes, func(n *node) bool { return n.name == string(record.Node) }))
+}
+
+// startAimed starts a fault of aimedKinds.
+func (c *cluster) startAimed(f Fault) {
+	if c.aimedFaults == 0 {
+		c.ledger.Disturb()
+	}
+	c.aimedFaults++
+	switch f.Kind {
+	case FreezeLeader:
+		c.nodes[f.Target].freeze(true)
+	case SlowLeader:
+		c.nodes[f.Target].throttleCPU(f.Duration)
+	default:
+		c.holdLinks(f, true)
+	}
+}
+
+// endAimed ends a fault of aimedKinds.
+func (c *cluster) endAimed(f Fault) {
+	switch f.Kind {
+	case FreezeLeader:
+		c.nodes[f.Target].freeze(false)
+	case SlowLeader: // ends by itself
+	default:
+		c.holdLinks(f, false)
+	}
+	c.aimedFaults--
+	if c.aimedFaults == 0 {
+		c.ledger.Calm()
+	}
+}
+
+// holdLinks holds back the links that a fault cuts, or ends that.
+func (c *cluster) holdLinks(f Fault, on bool) {
+	own := f.Target % zones
+	switch f.Kind {
+	case CutLeaderZone:
+		for i := own; i < len(c.nodes); i += zones {
+			c.nodes[i].storeProxy.hold(on)
+		}
+		for from := range c.links {
+			for w := range c.workers {
+				if (from == own) != (w%zones == own) {
+					c.holdWorker(from, w, on)
+				}
+			}
+			for n := range c.nodes {
+				if (from == own) != (n%zones == own) {
+					c.links[from].peers[n].hold(on)
+				}
+			}
+		}
+	case CutLeader:
+		c.nodes[f.Target].storeProxy.hold(on)
+		for _, l := range c.links {
+			l.peers[f.Target].hold(on)
+		}
+	case CutLeaderWorkers:
+		for w := range c.workers {
+			c.holdWorker(own, w, on)
+		}
+	case StallLeader:
+		for _, w := range f.Workers {
+			c.holdWorker(own, w, on)
+		}
+	}
+}
+
+// holdWorker holds back the link from a data centre to a worker, or ends that.
+func (c *cluster) holdWorker(from, w int, on bool) {
+	c.links[from].workers[w].hold(on)
+	if !on {
+		c.ledger.HeldBack(model.WorkerID(c.workers[w].id), time.Now().Add(heldOrderTime))
+	}
+}
+
+// Load and nodes of a run with aimed faults: 30 jobs and 450 starts a second for 350 workers, and 6
+// large hosts of 45, at least two.
+const (
+	// aimedJobInterval is the mean time between two jobs for one worker.
+	aimedJobInterval = 350 * time.Second / 30
+	aimedMaxTasks    = 19
+	maxAimedTask     = 3 * time.Second
+	// One in lastingShare tasks takes lastingTime, longer than a cut, as the tasks of services do.
+	lastingShare   = 16
+	lastingTime    = 12 * time.Second
+	largeHostShare = 6.0 / 45
+	minLargeHosts  = 2
+	largeHostCPU   = 0.8
+	smallHostCPU   = 0.11
+)
+
+// aimedTaskBehaviour gives each task a run time, derived from its name.
+func aimedTaskBehaviour(name fleet.TaskName) fleettest.Task {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	random := rand.New(rand.NewPCG(h.Sum64(), 0))
+	work := drawDuration(random, 200*time.Millisecond, maxAimedTask)
+	if random.IntN(lastingShare) == 0 {
+		work = lastingTime
+	}
+	return fleettest.Task{Work: work, Needs: model.Resources{MilliCPU: taskCPU, MemoryMB: taskMemory}, Checkpoint: true}
+}
+
+// aimedCPUShare returns the processor share of a node.
+func aimedCPUShare(i, nodes int) float64 {
+	if i < max(minLargeHosts, int(largeHostShare*float64(nodes))) {
+		return largeHostCPU
+	}
+	return smallHostCPU
+}
+
+// termEnds counts the terms that ended, by the reason in the nodes' logs.
+func (c *cluster) termEnds() (map[string]int, error) {
+	var ends map[string]int
+	for _, n := range c.nodes {
+		data, err := os.ReadFile(n.logFile.Name())
+		if err != nil {
+			return nil, err
+		}
+		lines := bufio.NewScanner(bytes.NewReader(data))
+		lines.Buffer(nil, len(data)+1)
+		for lines.Scan() {
+			var line struct{ Msg, Reason string }
+			if !bytes.Contains(lines.Bytes(), []byte(`"term ends"`)) || json.Unmarshal(lines.Bytes(), &line) != nil {
+				continue
+			}
+			if ends == nil {
+				ends = map[string]int{}
+			}
+			ends[line.Reason]++
+		}
+	}
+	return ends, nil
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -59,6 +59,9 @@
 	cluster   *cluster
 	client    *http.Client
 	startTime time.Time
+	// interval is the mean time between two jobs, maxTasks the largest number of tasks of a step.
+	interval time.Duration
+	maxTasks int
 
 	history    *fleettest.History
 	mu         sync.Mutex
@@ -69,9 +72,14 @@
 	calls      sync.WaitGroup
 }
 
-func newCallers(c *cluster, seed uint64, startTime time.Time) *callers {
+func newCallers(c *cluster, o Options, startTime time.Time) *callers {
 	dialer := &net.Dialer{Timeout: time.Second}
-	return &callers{cluster: c, startTime: startTime, history: fleettest.NewHistory(startTime), random: rand.New(rand.NewPCG(seed, 12)),
+	interval, maxTasks := max(minJobInterval, min(meanJobInterval, meanJobInterval*fewWorkers/time.Duration(o.Workers))), 4
+	if o.Aim {
+		interval, maxTasks = aimedJobInterval/time.Duration(o.Workers), aimedMaxTasks
+	}
+	return &callers{cluster: c, startTime: startTime, interval: interval, maxTasks: maxTasks,
+		history: fleettest.NewHistory(startTime), random: rand.New(rand.NewPCG(o.Seed, 12)),
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}}}
 }
 
@@ -84,13 +92,12 @@
 
 // run submits jobs and queries their states until ctx ends, then waits for its calls.
 func (c *callers) run(ctx context.Context) {
-	interval := max(minJobInterval, min(meanJobInterval, meanJobInterval*fewWorkers/time.Duration(len(c.cluster.workers))))
 	for i := 0; ctx.Err() == nil; i++ {
 		j, body := c.newJob(i)
 		c.calls.Go(func() { c.submit(j, body) })
 		c.calls.Go(c.checkRandomJob)
 		c.mu.Lock()
-		pause := time.Duration((0.2 + 1.6*c.random.Float64()) * float64(interval))
+		pause := time.Duration((0.2 + 1.6*c.random.Float64()) * float64(c.interval))
 		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -107,7 +114,7 @@
 	j := &jobRecord{ID: fmt.Sprintf("%016x", i+1)}
 	var steps []platformtest.JobStep
 	for k := range 1 + c.random.IntN(2) {
-		st := platformtest.JobStep{Count: 1 + c.random.IntN(4), MilliCPU: taskCPU, MemoryMB: taskMemory, Estimate: 500 * time.Millisecond, SavesProgress: true}
+		st := platformtest.JobStep{Count: 1 + c.random.IntN(c.maxTasks), MilliCPU: taskCPU, MemoryMB: taskMemory, Estimate: 500 * time.Millisecond, SavesProgress: true}
 		if k > 0 {
 			st.After = []int{0}
 		}
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -47,8 +47,9 @@
 	nodes         []*node
 	workers       []*worker
 	restarts      sync.WaitGroup
-	addresses     net.Listener // reserves the addresses of the run
-	network       string       // the first three parts of the addresses
+	network       network
+	links         []*dataCentreLinks // of each data centre, in a run that aims at leaders
+	aimedFaults   int                // aimed faults that have not ended
 	configVersion int
 	lastStart     int64
 }
@@ -77,6 +78,7 @@
 type worker struct {
 	id       string
 	zone     string
+	listen   string        // address of the proxy
 	age      time.Duration // of the process that starts next, by its clock
 	runner   *platformtest.Runner
 	instance *fleettest.Worker
@@ -98,23 +100,36 @@
 func newCluster(o Options, dir string) (*cluster, error) {
 	c := &cluster{binary: o.Binary, cells: o.Cells, dir: dir, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewRunChecker(), lastStart: 1000,
 		clocks: rand.New(rand.NewPCG(o.Seed, 15))}
-	if err := c.reserveAddresses(); err != nil {
+	var err error
+	if c.network, err = reserveNetwork(0); err != nil {
 		return c, err
 	}
+	behaviour := taskBehaviour
+	if o.Aim {
+		behaviour = aimedTaskBehaviour
+	}
 	c.storeAccess = c.rows.View()
 	c.storeServer = platformtest.NewStore(c.storeAccess)
-	c.simWorkers = fleettest.NewWorkers(o.Seed, taskBehaviour, c.ledger)
+	c.simWorkers = fleettest.NewWorkers(o.Seed, behaviour, c.ledger)
 	c.simWorkers.Trace = &c.trace
 	c.configure()
 	for i := range o.Workers {
-		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i), age: c.drawAge()}
+		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i), age: c.drawAge(), listen: freeAddress}
+		if o.Aim {
+			w.listen = c.network.workerAddr(i)
+		}
 		c.workers = append(c.workers, w)
 		if err := c.startInstance(w); err != nil {
 			return c, err
 		}
 	}
+	if o.Aim {
+		if err := c.linkDataCentres(o.Nodes); err != nil {
+			return c, err
+		}
+	}
 	for i := range o.Nodes {
-		n, err := c.newNode(i)
+		n, err := c.newNode(i, o)
 		if err != nil {
 			return c, err
 		}
@@ -186,13 +201,13 @@
 // workers under the address of its proxy.
 func (c *cluster) startInstance(w *worker) error {
 	c.newInstance(w)
-	proxy, err := newProxy(w.runner.Listener.Addr().String())
-	if err != nil {
-		return err
-	}
 	if w.proxy != nil {
 		w.proxy.close()
 	}
+	proxy, err := newProxy(w.listen, w.runner.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
 	w.proxy = proxy
 	return w.runner.Register(c.rows, proxy.addr())
 }
@@ -213,34 +228,22 @@
 	portMetrics
 	// portReservation is the port on reservationHost that a run holds while it uses a network.
 	portReservation
-	reservationHost = 254
 )
 
-// reserveAddresses reserves a network of loopback addresses that no other run uses, of this process
-// or of another. On 127.0.0.1 an outgoing connection could take the port of a node that is down.
-func (c *cluster) reserveAddresses() error {
-	const networks = 200 * 250
-	var err error
-	for i := range networks {
-		k := (os.Getpid() + i) % networks
-		c.network = fmt.Sprintf("127.%d.%d", 16+k%200, k/200)
-		if c.addresses, err = net.Listen("tcp", fmt.Sprintf("%s.%d:%d", c.network, reservationHost, portReservation)); err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
-func (c *cluster) newNode(i int) (*node, error) {
+func (c *cluster) newNode(i int, o Options) (*node, error) {
 	n := &node{name: fmt.Sprintf("node-%d", i)}
+	store, share := c.storeServer, []float64{0.4, 0.8}[i%2]
+	if o.Aim {
+		store, share = c.links[i%zones].store, aimedCPUShare(i, o.Nodes)
+	}
 	var err error
-	if n.storeProxy, err = newProxy(c.storeServer.Addr()); err != nil {
+	if n.storeProxy, err = newProxy(freeAddress, store.Addr()); err != nil {
 		return nil, err
 	}
-	ip := fmt.Sprintf("%s.%d", c.network, i+1)
+	ip := c.network.host(i + 1)
 	n.callerAddr, n.readyAddr = net.JoinHostPort(ip, strconv.Itoa(portCallers)), net.JoinHostPort(ip, strconv.Itoa(portReady))
 	settings := platformtest.NodeSettings{Node: n.name, IP: ip, Zone: zone(i), Callers: portCallers, Ready: portReady, Peers: portPeers,
-		Metrics: portMetrics, CPUShare: []float64{0.4, 0.8}[i%2], Store: n.storeProxy.addr(),
+		Metrics: portMetrics, CPUShare: share, Store: n.storeProxy.addr(),
 		Bounds: fleet.Bounds{Grace: grace, LeaseMax: leaseMax, Retention: 2 * time.Minute, Maintenance: 2 * time.Second}}
 	data, err := settings.JSON()
 	if err != nil {
@@ -379,7 +382,10 @@
 	if c.storeServer == nil { // no network was free
 		return nil
 	}
-	_ = c.addresses.Close()
+	_ = c.network.reservation.Close()
+	for _, l := range c.links {
+		l.close()
+	}
 	c.storeServer.CloseClientConnections()
 	_ = c.storeServer.Config.Close()
 	c.simWorkers.WithLock(func() { c.simWorkers.Trace = nil })
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -23,14 +23,16 @@
 type faultEvent struct {
 	at    time.Duration
 	isEnd bool
-	Fault
+	*Fault
 }
 
 // injectFaults starts and ends the faults at their times. It returns when all have ended, or
 // when ctx ends; nodes may still be restarting then.
+// It sets the targets of aimed faults.
 func (c *cluster) injectFaults(ctx context.Context, startTime time.Time, faults []Fault) error {
 	var events []faultEvent
-	for _, f := range faults {
+	for i := range faults {
+		f := &faults[i]
 		events = append(events, faultEvent{f.At, false, f}, faultEvent{f.At + f.Duration, true, f})
 	}
 	slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
@@ -39,10 +41,13 @@
 			return ctx.Err()
 		}
 		if !event.isEnd {
-			c.startFault(event.Fault)
+			if event.Kind.aimed() {
+				event.Target = c.leader()
+			}
+			c.startFault(*event.Fault)
 			continue
 		}
-		if err := c.endFault(event.Fault); err != nil {
+		if err := c.endFault(*event.Fault); err != nil {
 			return err
 		}
 	}
@@ -119,6 +124,8 @@
 		c.takeOut(f.Target, true)
 	case Configuration:
 		c.configure()
+	default:
+		c.startAimed(f)
 	}
 }
 
@@ -182,6 +189,8 @@
 		c.simWorkers.WithLock(func() { c.simWorkers.LateShare = 0 })
 	case TakeOut:
 		c.takeOut(f.Target, false)
+	default:
+		c.endAimed(f)
 	}
 	return nil
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -34,10 +34,15 @@
 	changed      chan struct{}
 	conns        map[net.Conn]bool
 	closed       bool
+	holds        int // number of faults that hold both directions back
 }
 
-func newProxy(target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress lets the system choose the port of a listener on loopback.
+const freeAddress = "127.0.0.1:0"
+
+// newProxy starts a proxy that listens on an address.
+func newProxy(address, target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +58,7 @@
 func (p *proxy) setTarget(target string) {
 	p.mu.Lock()
 	p.target = target
-	held := p.requestMode == modeHold || p.responseMode == modeHold
+	held := p.holds > 0 || p.requestMode == modeHold || p.responseMode == modeHold
 	p.mu.Unlock()
 	if !held {
 		p.reset()
@@ -81,6 +86,22 @@
 	return released
 }
 
+// hold holds both directions back, whatever their modes, or ends one such hold. Holds of faults that
+// overlap end with the last of them.
+func (p *proxy) hold(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.holds++
+		return
+	}
+	p.holds--
+	if p.holds == 0 && !p.closed {
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+}
+
 // reset closes all connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -161,11 +182,12 @@
 func (p *proxy) throttle(mode *proxyMode) bool {
 	for {
 		p.mu.Lock()
-		m, changed, closed := *mode, p.changed, p.closed
+		m, changed, closed, held := *mode, p.changed, p.closed, p.holds > 0
 		p.mu.Unlock()
 		switch {
 		case closed:
 			return false
+		case held:
 		case m == modeForward:
 			return true
 		case m == modeDelay:
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -28,7 +28,7 @@
 // requests sent meanwhile that do not reach the process that is there at the end.
 func TestRestartBehindCut(t *testing.T) {
 	former, next := namedServer(t, "former"), namedServer(t, "next")
-	p, err := newProxy(former.Listener.Addr().String())
+	p, err := newProxy(freeAddress, former.Listener.Addr().String())
 	require.NoError(t, err)
 	defer p.close()
 	get := func() (string, error) {
@@ -70,7 +70,7 @@
 	workers := fleettest.NewWorkers(1, func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true} }, fleettest.NewRunChecker())
 	r, w := platformtest.NewRunner(workers, fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "i-0", Born: 1}, Capacity: model.Resources{MilliCPU: 1}})
 	defer r.Close()
-	p, err := newProxy(r.Listener.Addr().String())
+	p, err := newProxy(freeAddress, r.Listener.Addr().String())
 	require.NoError(t, err)
 	defer p.close()
 	p.setModes(modeHold, modeHold)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -26,6 +28,11 @@
 			r.Seed, verdict, len(r.Faults), r.Jobs, r.Accepted, r.Refused, r.Starts, r.Took.Seconds()); err != nil {
 			return err
 		}
+		for _, reason := range slices.Sorted(maps.Keys(r.Terms)) {
+			if _, err := fmt.Fprintf(w, "  %d terms ended: %s\n", r.Terms[reason], reason); err != nil {
+				return err
+			}
+		}
 		if len(r.Violations) == 0 {
 			continue
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,6 +24,8 @@
 	Nodes, Workers int
 	// Cells sets the number of cells of the fleet; 0 leaves it to the nodes.
 	Cells int
+	// Aim plays faults that are aimed at the leader of the moment, in place of all others.
+	Aim bool
 	// Length is the period in which faults start.
 	Length time.Duration
 	// Prefix limits the schedule to its first faults, to minimise a failing schedule; 0
@@ -62,6 +64,8 @@
 	Refused    int           `json:"refused"`
 	Starts     int           `json:"starts"`
 	Took       time.Duration `json:"took"`
+	// Terms counts the terms of leaders that ended, by reason.
+	Terms map[string]int `json:"terms,omitempty"`
 	// Logs is the run's directory; empty if it was removed.
 	Logs string `json:"logs,omitempty"`
 }
@@ -85,6 +89,9 @@
 		return Result{}, err
 	}
 	faults := Schedule(o.Seed, o.Nodes, o.Workers, o.Length)
+	if o.Aim {
+		faults = AimedSchedule(o.Seed, o.Workers, o.Length)
+	}
 	if o.Prefix > 0 && o.Prefix < len(faults) {
 		faults = faults[:o.Prefix]
 	}
@@ -97,7 +104,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	load := newCallers(c, o.Seed, startTime)
+	load := newCallers(c, o, startTime)
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadDone := make(chan struct{})
 	go func() {
@@ -120,6 +127,9 @@
 	load.checkShutdown()
 	r = load.result(o, faults)
 	r.Logs = dir
+	if r.Terms, err = c.termEnds(); err != nil {
+		return Result{}, err
+	}
 	return r, errors.Join(keep(dir, resultFile, []Result{r}), keep(dir, "calls.json", load.history.Calls()), ctx.Err())
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -12,7 +12,8 @@
 // Kind is a kind of fault.
 type Kind string
 
-// Kinds of faults. The target of a fault is the index of a node or of a worker.
+// Kinds of faults. The target of a fault is the index of a node or of a worker. Aimed faults are in
+// aim.go.
 const (
 	KillNode      Kind = "kill-node"      // SIGKILL; restarted at the end
 	StopNode      Kind = "stop-node"      // SIGTERM; restarted at the end
@@ -60,7 +61,7 @@
 	Duration time.Duration `json:"lasts"`
 	Kind     Kind          `json:"kind"`
 	Target   int           `json:"target"`
-	// Workers are the targets of a fault of groupKinds.
+	// Workers are the targets of a fault of groupKinds, and the workers of StallLeader.
 	Workers []int `json:"workers,omitempty"`
 }
 
