--- a/internal/soak/aim.go
+++ b/internal/soak/aim.go
@@ -94,12 +94,18 @@
 	return least + time.Duration(random.Int64N(int64(most-least)))
 }
 
+// Rows in which leaders renew.
+const (
+	leaderTable = "vp-leader"
+	leaderKey   = "leader"
+)
+
 // leader returns the index of the node that leads by the store's word, or that a lead was handed
-// over to; 0 before the first term.
+// over to; in a fleet of several cells the one that has renewed last. It is 0 before the first term.
 func (c *cluster) leader() int {
 	var newest fleet.Row
-	for _, r := range c.rows.Rows("vp-leader") {
-		if r.Key == "leader" && r.Version > newest.Version {
+	for _, r := range c.rows.Rows(leaderTable) {
+		if r.Key == leaderKey && r.Version > newest.Version {
 			newest = r
 		}
 	}
