fleet: the end of a silent worker's leases is confirmed at once (report of LOST)

A lease of a silent worker counts as over once a transaction that was sent after its end is applied, as a later leader may have extended it. That transaction was the next renewal or whatever else was to be stored, up to 0.4 s later. The leader requests one now, once for each end.

TestEndOfLeaseRequestsTransaction failed in 2 of 2 cases and passes.

--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -291,3 +291,36 @@
 		require.Equal(t, known, records[0].RunsKnown, "ends cut %t", cut)
 	}
 }
+
+// The end of a lease counts with the first transaction that is sent after it, and that was the next
+// renewal, up to 0.4 s later.
+func TestEndOfLeaseRequestsTransaction(t *testing.T) {
+	for name, inherited := range map[string]bool{"inherited": true, "own": false} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			w := testWorker("w")
+			testRun(w, &Step{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000}}, 0)
+			tm.workers[w.info.Worker] = w
+			if inherited {
+				w.inherited, w.answered, w.inheritedLeaseEnd = true, false, at(6)
+			} else {
+				w.observeClock(time.Second, at(1))
+				w.extendLease(at(1), maxLease)
+				w.countUnanswered(at(2))
+			}
+			end := tm.lastLeaseEnd(w)
+			tm.confirmedAt, tm.lastRenewal, tm.now = end.Add(-time.Millisecond), end, end
+			tm.expireLeases()
+			require.Nil(t, tm.nextTransaction(), "no end of a lease has passed")
+			tm.now = end.Add(time.Millisecond)
+			tm.expireLeases()
+			require.Len(t, w.runs, 1, "a later leader may have renewed the lease")
+			c := tm.nextTransaction()
+			require.NotNil(t, c)
+			commitResult{commit: c, version: 1, sent: tm.now}.handle(tm)
+			tm.expireLeases()
+			require.Empty(t, w.runs)
+			require.Nil(t, tm.nextTransaction(), "one transaction is enough")
+		})
+	}
+}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -127,7 +127,7 @@
 func (t *term) loseLapsedRuns(w *worker) {
 	var lapsed []*run
 	for _, r := range w.runs {
-		if t.confirmedAt.After(t.runLeaseEnd(r)) {
+		if t.confirmedAfter(t.runLeaseEnd(r)) {
 			lapsed = append(lapsed, r)
 		}
 	}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -306,12 +306,22 @@
 	w.inherited = false
 }
 
+// confirmedAfter reports whether a transaction of this term that was sent after x has been applied. If x
+// is past and none has been, it requests one.
+func (t *term) confirmedAfter(x time.Time) bool {
+	if t.confirmedAt.After(x) {
+		return true
+	}
+	t.confirmationDue = t.confirmationDue || t.now.After(x)
+	return false
+}
+
 // expireLeases marks the runs of workers whose leases have certainly ended as lost, and removes
 // workers that have left. It waits for a transaction of this term that was sent after the end
 // of a lease, which proves that no later leader has renewed the lease.
 func (t *term) expireLeases() {
 	for _, w := range t.workers {
-		if w.inherited && !w.answered && t.confirmedAt.After(t.lastLeaseEnd(w)) {
+		if w.inherited && !w.answered && t.confirmedAfter(t.lastLeaseEnd(w)) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired",
 				"listed": w.listed, "lease_end_ms_ago": t.now.Sub(w.inheritedLeaseEnd).Milliseconds(), "term_ms": t.now.Sub(t.startedAt).Milliseconds()}).Warn("leases of an unreachable worker from earlier terms have ended")
 			info, listed := w.info, w.listed
@@ -325,7 +335,7 @@
 			t.removeWorker(w, "left")
 			continue
 		}
-		if w.unansweredCalls == 0 || w.clockAt.IsZero() || !t.confirmedAt.After(w.leaseEnd()) {
+		if w.unansweredCalls == 0 || w.clockAt.IsZero() || !t.confirmedAfter(w.leaseEnd()) {
 			continue
 		}
 		if t.loseLapsedRuns(w); len(w.runs) > 0 {
