--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -220,7 +220,8 @@
 // renewalRecord returns the record that the term publishes with its next renewal.
 func (t *term) renewalRecord(release bool) leaderRecord {
 	r := leaderRecord{Term: t.number, Released: release, Successor: t.successor, Loaded: t.loaded, LeaseRecordsSince: t.leaseRecordsSince,
-		RunsKnown: t.allRunsKnown(), FormerRenewalMS: max(t.now.Sub(t.formerLeaderRenewedBy), 0).Milliseconds()}
+		RunsKnown: t.allRunsKnown()}
+	r.describeFormer(t.now, t.formerLeaderRenewedBy, t.silent)
 	if t.loaded {
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -85,14 +85,9 @@
 	if !f.record.Released {
 		return f.silentSince.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
 	}
-	return f.renewedByOfEnded(now)
-}
-
-// renewedByOfEnded is like formerLeaderRenewedBy for a former leader that gives no more orders since a
-// moment. Its own leases end within maxLease from then. A leader before it may still give orders to
-// workers that it has not heard of.
-func (f *leaderWatch) renewedByOfEnded(since time.Time) time.Time {
-	renewedBy := since.Add(maxLease - maxLeaseReach)
+	// It gives no more orders. A leader before it may still give some to workers that it has not heard
+	// of.
+	renewedBy := endedRenewal(now)
 	if earlier := f.silentSince.Add(-f.record.formerRenewalAge()); !f.record.RunsKnown && earlier.After(renewedBy) {
 		return earlier
 	}
@@ -275,10 +270,14 @@
 		former = leaderRecord{}
 	}
 	recordsSince := former.leaseRecordsSince(number)
+	record := leaderRecord{Term: number, LeaseRecordsSince: recordsSince}
+	now := time.Now()
+	formerLeaderRenewedBy, silent := n.formerLeaders(f, now)
+	record.describeFormer(now, formerLeaderRenewedBy, silent)
 	tx := Transaction{
 		Expect: []Expectation{{id, version}},
 		Puts: []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})},
-			n.cfg.renewalRow(c.part, leaderRecord{Term: number, LeaseRecordsSince: recordsSince})},
+			n.cfg.renewalRow(c.part, record)},
 	}
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
 	sent := time.Now()
@@ -301,7 +300,7 @@
 		}
 		result.Version = version
 	}
-	n.startTerm(ctx, c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), sent)
+	n.startTerm(ctx, c, number, result.Version, recordsSince, sent)
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -341,8 +340,9 @@
 // startTerm runs a term of a cell in the background. sent is when the transaction that began
 // the term was sent. Other nodes derive from the row that it wrote how long the term's leases
 // last. The term ends with ctx, which may have ended during the campaign.
-func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy, sent time.Time) {
+func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, sent time.Time) {
 	d := n.cellTable.Load()
+	formerLeaderRenewedBy, silent := n.formerLeaders(&c.watch, time.Now())
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
 	t.lastRenewal, t.leaseRecordsSince = sent, recordsSince
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
@@ -350,7 +350,8 @@
 	c.term.Store(t)
 	if c.watch.known {
 		t.former = c.watch.record
-		n.stopFormerLeader(t, c.watch)
+		t.silent = silent
+		n.stopSilentLeader(t)
 	}
 	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
 		t.post(stepDown{})
--- a/internal/fleet/ended_leader_test.go
+++ b/internal/fleet/ended_leader_test.go
@@ -78,3 +78,42 @@
 		m.Workers.Cut(w, true)
 	}
 }
+
+// The leader that followed a killed one handed the lead on before that one's process was back. The one
+// after it did not know whom to ask, and waited as for a leader that is cut off.
+func TestServicesLostBeforeHandOverRunAgainInTime(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, handOvers := range []int{0, 1, 2} { // 0: one, to the killed leader's node
+			t.Run(fmt.Sprint(seed, handOvers), func(t *testing.T) {
+				runCluster(t, 760+seed, 2+handOvers+min(handOvers, 1), 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+					const tasks = 12
+					submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
+					time.Sleep(2*time.Second + time.Duration(seed)*100*time.Millisecond)
+					w, leader := busyWorkers(c)[0], c.Leader()
+					c.Workers.Kill(w)
+					c.Kill(leader)
+					lost := time.Now()
+					time.AfterFunc(entryLifetime, func() { c.Unlist(w) })
+					for range handOvers {
+						next := leaderBeside(c, leader)
+						time.Sleep(20 * time.Millisecond)
+						next.Node.Drain(t.Context())
+						c.Kill(next)
+					}
+					last := leaderBeside(c, leader)
+					c.Start(leader)
+					if handOvers == 0 {
+						time.Sleep(20 * time.Millisecond)
+						last.Node.Drain(t.Context())
+						c.Kill(last)
+					}
+					for runningAll(c) < tasks {
+						require.Less(t, time.Since(lost), restartBound)
+						time.Sleep(50 * time.Millisecond)
+					}
+					t.Logf("all tasks run again %v after the worker was lost", time.Since(lost))
+				})
+			})
+		}
+	}
+}
--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -32,32 +32,102 @@
 	UpMS int64 `json:"up_ms"`
 }
 
-// stopFormerLeader tells the leader of the term before t that a new one has begun. A leader that the
-// store does not answer would give orders for some seconds more. Workers that have seen the fence of
-// the new term refuse them, but one that starts again has seen none. If a later process of that node
-// answers, the former leader has ended.
-func (n *Node) stopFormerLeader(t *term, f leaderWatch) {
-	former := f.record
-	if former.Released || former.Addr == "" {
-		return
-	}
-	if former.Node == n.cfg.Node {
-		if former.Process != n.cfg.Process {
-			t.boundFormerRenewal(f.renewedByOfEnded(n.startedAt))
+// silentLeader is the last leader before a term that has not released leadership. It may still give
+// orders, unless its process has ended.
+type silentLeader struct {
+	node    model.NodeID
+	process uint64
+	addr    string
+	// othersRenewedBy is formerLeaderRenewedBy for the other leaders before the term.
+	othersRenewedBy time.Time
+}
+
+// silentLeaderRecord is the stored form of a silentLeader.
+type silentLeaderRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Node    model.NodeID
+	Process uint64
+	Addr    string
+	// OthersRenewalMS is how long before the renewal othersRenewedBy was at least.
+	OthersRenewalMS int64
+}
+
+// silentLeader returns the leader that may give orders beside a term that begins now; nil if none is
+// known.
+func (f *leaderWatch) silentLeader(now time.Time) *silentLeader {
+	r := f.record
+	switch {
+	case !f.known:
+		return nil
+	case !r.Released:
+		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr}
+		if !r.RunsKnown {
+			s.othersRenewedBy = f.silentSince.Add(-r.formerRenewalAge())
 		}
+		return s
+	case r.RunsKnown || r.Silent == nil:
+		return nil
+	}
+	s := &silentLeader{node: r.Silent.Node, process: r.Silent.Process, addr: r.Silent.Addr,
+		othersRenewedBy: f.silentSince.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond)}
+	if released := endedRenewal(now); released.After(s.othersRenewedBy) {
+		s.othersRenewedBy = released
+	}
+	return s
+}
+
+// record returns what a renewal at now tells the next leader.
+func (s *silentLeader) record(now time.Time) *silentLeaderRecord {
+	age := min(max(now.Sub(s.othersRenewedBy), 0), 2*maxLeaseReach) // leases from before that are over
+	return &silentLeaderRecord{Node: s.node, Process: s.process, Addr: s.addr, OthersRenewalMS: age.Milliseconds()}
+}
+
+// renewedBy returns formerLeaderRenewedBy, which was before, once the process of s has ended by a moment.
+func (s *silentLeader) renewedBy(before, ended time.Time) time.Time {
+	renewedBy := endedRenewal(ended)
+	if s.othersRenewedBy.After(renewedBy) {
+		renewedBy = s.othersRenewedBy
+	}
+	if before.Before(renewedBy) {
+		return before
+	}
+	return renewedBy
+}
+
+// formerLeaders returns formerLeaderRenewedBy and the silent leader for a term of a cell that begins now. A
+// former process of this node has ended.
+func (n *Node) formerLeaders(f *leaderWatch, now time.Time) (renewedBy time.Time, silent *silentLeader) {
+	renewedBy, silent = f.formerLeaderRenewedBy(now), f.silentLeader(now)
+	if silent != nil && silent.node == n.cfg.Node && silent.process != n.cfg.Process {
+		return silent.renewedBy(renewedBy, n.startedAt), nil
+	}
+	return renewedBy, silent
+}
+
+// endedRenewal returns when a leader that gives no more orders since a moment would have renewed last if
+// its leases lasted maxLeaseReach: they end within maxLease.
+func endedRenewal(since time.Time) time.Time { return since.Add(maxLease - maxLeaseReach) }
+
+// stopSilentLeader tells the leader that may give orders beside t that a new term has begun. A leader
+// that the store does not answer would go on for some seconds more. Workers that have seen the fence of
+// the new term refuse its orders, but one that starts again has seen none. If a later process of its
+// node answers, it has ended.
+func (n *Node) stopSilentLeader(t *term) {
+	s := t.silent
+	if s == nil || s.addr == "" || s.node == n.cfg.Node {
 		return
 	}
 	until := t.formerLeasesEnd()
 	n.wg.Go(func() {
 		for {
-			reply, err := n.callFormerLeader(former, termParams{t.cell, t.number})
+			reply, err := n.callFormerLeader(s.addr, termParams{t.cell, t.number})
 			if err == nil {
-				if reply.Node == former.Node && reply.Process != 0 && reply.Process != former.Process {
-					t.post(formerLeaderEnded{f.renewedByOfEnded(time.Now().Add(-time.Duration(reply.UpMS) * time.Millisecond))})
+				if reply.Node == s.node && reply.Process != 0 && reply.Process != s.process {
+					t.post(formerLeaderEnded{time.Now().Add(-time.Duration(reply.UpMS) * time.Millisecond)})
 				}
 				return
 			}
-			n.log.WithError(err).WithField("leader", former.Node).Debug("the former leader does not answer")
+			n.log.WithError(err).WithField("leader", s.node).Debug("the former leader does not answer")
 			if sleep(t.ctx, formerLeaderCallPause); t.ctx.Err() != nil || time.Now().After(until) {
 				return
 			}
@@ -65,10 +135,10 @@
 	})
 }
 
-func (n *Node) callFormerLeader(former leaderRecord, p termParams) (reply termBegunReply, err error) {
+func (n *Node) callFormerLeader(addr string, p termParams) (reply termBegunReply, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	err = n.cfg.Peers.Call(ctx, former.Addr, methodTermBegun, p, &reply)
+	err = n.cfg.Peers.Call(ctx, addr, methodTermBegun, p, &reply)
 	return reply, err
 }
 
@@ -82,27 +152,25 @@
 	return termBegunReply{n.cfg.Node, n.cfg.Process, time.Since(n.startedAt).Milliseconds()}, nil
 }
 
-// formerLeaderEnded tells that the process of the former leader has ended, so that leases of earlier
-// terms last no longer than if it had renewed last at renewedBy.
-type formerLeaderEnded struct{ renewedBy time.Time }
-
-func (e formerLeaderEnded) handle(t *term) { t.boundFormerRenewal(e.renewedBy) }
+// formerLeaderEnded tells that the process of the silent leader had ended by a moment. That bounds
+// formerLeaderRenewedBy, and with it the end of leases of workers that have neither answered nor a
+// record of their own.
+type formerLeaderEnded struct{ by time.Time }
 
-// boundFormerRenewal lowers formerLeaderRenewedBy to a moment that is proven, and with it the end of
-// leases of workers that have neither answered nor a record of their own.
-func (t *term) boundFormerRenewal(renewedBy time.Time) {
-	if !renewedBy.Before(t.formerLeaderRenewedBy) {
+func (e formerLeaderEnded) handle(t *term) {
+	if t.silent == nil {
 		return
 	}
 	before := t.formerLeasesEnd()
-	t.formerLeaderRenewedBy = renewedBy
+	t.formerLeaderRenewedBy = t.silent.renewedBy(t.formerLeaderRenewedBy, e.by)
 	end, shortened := t.formerLeasesEnd(), 0
 	for _, w := range t.workers {
-		if w.inherited && !w.answered && w.longestLease == maxLease && w.inheritedLeaseEnd.Equal(before) {
+		if w.leaseEndAssumed && !w.answered && w.inheritedLeaseEnd.After(end) {
 			w.inheritedLeaseEnd = end
 			shortened++
 		}
 	}
-	t.log.WithFields(logrus.Fields{"former_leader": t.former.Node, "workers": shortened, "earlier_ms": before.Sub(end).Milliseconds(),
+	t.log.WithFields(logrus.Fields{"leader": t.silent.node, "workers": shortened, "earlier_ms": before.Sub(end).Milliseconds(),
 		"former_leases_ms": end.Sub(t.now).Milliseconds()}).Info("the process of the former leader has ended")
+	t.silent = nil
 }
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -26,6 +26,9 @@
 	// RunsKnown means that Runs holds all runs that may be on the worker.
 	RunsKnown bool        `cbor:"3,keyasint,omitempty"`
 	Runs      []storedRun `cbor:"4,keyasint,omitempty"`
+	// EndAssumed means that the term did not reach the worker, and that End is what the silence of a
+	// former leader allows.
+	EndAssumed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // storedRun is the stored form of a RunRef.
@@ -118,6 +121,7 @@
 			continue
 		}
 		record := leaseRecord{Term: t.number, End: t.storeClock.upperBound(end), RunsKnown: w.runsKnown || (w.answered && !(w.inherited && w.endsCut))}
+		record.EndAssumed = !w.answered && w.leaseEndAssumed
 		for ref, r := range w.runs {
 			if r.state != runHeld { // a worker with a record gets no start
 				record.Runs = append(record.Runs, storedRun{Task: ref.Task, Attempt: ref.Attempt})
@@ -157,7 +161,10 @@
 	if !t.recordHolds(r.Term) {
 		return
 	}
-	w.inheritedLeaseEnd = readAt.Add(r.End - storeNow)
+	end := readAt.Add(r.End - storeNow)
+	if w.leaseEndAssumed = w.leaseEndAssumed && r.EndAssumed; !w.leaseEndAssumed || end.Before(w.inheritedLeaseEnd) {
+		w.inheritedLeaseEnd = end // else this term knows better than the one that wrote the record
+	}
 	w.runsKnown = r.RunsKnown
 	for _, s := range r.Runs {
 		t.adopt(w, RunStatus{RunRef: RunRef{s.Task, s.Attempt}})
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -150,7 +150,7 @@
 	if formerEnd == 0 {
 		return
 	}
-	w.longestLease = t.workerLeaseMax()
+	w.longestLease, w.leaseEndAssumed = t.workerLeaseMax(), false
 	if end := readAt.Add(formerEnd - storeNow); end.After(w.inheritedLeaseEnd) {
 		w.inheritedLeaseEnd = end
 	}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -170,6 +170,9 @@
 	// FormerRenewalMS is how long before this renewal the last one of earlier terms was sent, at
 	// least. Leases of theirs that are not accounted for last from that one on.
 	FormerRenewalMS int64 `cbor:"14,keyasint,omitempty"`
+	// Silent is a leader of earlier terms that may still give orders while RunsKnown is false; nil if
+	// none is known.
+	Silent *silentLeaderRecord `cbor:"15,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
@@ -180,6 +183,14 @@
 	return term
 }
 
+// describeFormer records what a renewal at now tells of the leaders of earlier terms.
+func (r *leaderRecord) describeFormer(now, formerLeaderRenewedBy time.Time, silent *silentLeader) {
+	r.FormerRenewalMS = max(now.Sub(formerLeaderRenewedBy), 0).Milliseconds()
+	if silent != nil && !r.RunsKnown {
+		r.Silent = silent.record(now)
+	}
+}
+
 // formerRenewalAge returns how old the last renewal of earlier terms was at least at this one.
 func (r leaderRecord) formerRenewalAge() time.Duration {
 	return time.Duration(r.FormerRenewalMS) * time.Millisecond
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -82,6 +82,9 @@
 	// formerLeaderRenewedBy is the latest moment at which the former leader may have renewed. It
 	// gives orders for at most maxOrderAge after that.
 	formerLeaderRenewedBy time.Time
+	// silent is the former leader that may still give orders as far as this term knows; nil if none is
+	// known or its process has ended.
+	silent *silentLeader
 	// formerOrdersBy is the same for a former leader that has not released leadership, else the
 	// latest moment at which it may have given an order.
 	formerOrdersBy time.Time
@@ -362,7 +365,7 @@
 		t.workers[u.Lifetime.Worker] = w
 	}
 	w.usedRowStored, w.inherited = true, true
-	w.inheritedLeaseEnd = t.formerLeasesEnd()
+	w.inheritedLeaseEnd, w.leaseEndAssumed = t.formerLeasesEnd(), true
 	t.restoreFormerLeases(w, u.FormerLeaseEnd, storeNow, readAt)
 	t.restoreLeases(w, u.Leases, storeNow, readAt)
 	return true
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -141,6 +141,9 @@
 	usedRowStored bool
 	// inherited workers may hold runs of earlier terms that this term has not seen.
 	inherited bool
+	// leaseEndAssumed means that inheritedLeaseEnd is what the silence of a former leader allows, so that
+	// the end of that leader's process lowers it.
+	leaseEndAssumed bool
 	// inheritedAt is when this term found that a new lifetime may hold runs of its former one.
 	inheritedAt time.Time
 	// inheritedLeaseEnd is when the leases of earlier terms, and those set by orders for a former
