--- a/internal/fleet/leader_changes_test.go
+++ b/internal/fleet/leader_changes_test.go
@@ -107,3 +107,47 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestLeaderChangesBesideCutLeader plays a leader that is cut off from the store, and at times from its
+// peers, and that alone reaches a worker, whose leases it extends. Leaders after it are killed or hand
+// the lead on.
+func TestLeaderChangesBesideCutLeader(t *testing.T) {
+	first, end := seedRange(t, 0, leaderChangeSeeds)
+	for seed := first; seed < end; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { runCutLeader(t, uint64(seed)) })
+	}
+}
+
+func runCutLeader(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 8))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
+	runCluster(t, 900+seed, 5, 6, lasting, func(t *testing.T, c *fleettest.Cluster) {
+		const tasks = 12
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 3, Needs: smallNeeds, Lasting: true}}})
+		time.Sleep(2*time.Second + upTo(time.Second))
+		former, victim := c.Leader(), busyWorkers(c)[0]
+		for _, m := range c.Nodes {
+			m.Workers.Cut(victim, m != former)
+		}
+		former.Store.SetFault(fleettest.Silent)
+		former.Peers.Cut(r.IntN(3) > 0)
+		for range 1 + r.IntN(3) {
+			next := leaderBeside(c, former)
+			time.Sleep(upTo(800 * time.Millisecond))
+			if r.IntN(2) == 0 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				next.Node.Drain(ctx)
+				cancel()
+			}
+			c.Kill(next)
+			time.Sleep(upTo(600 * time.Millisecond))
+			c.Start(next)
+			next.Workers.Cut(victim, true)
+		}
+		time.Sleep(12 * time.Second)
+		former.Store.SetFault(fleettest.Healthy)
+		former.Peers.Cut(false)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, tasks, runningAll(c))
+	})
+}
