--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -221,9 +221,7 @@
 func (t *term) renewalRecord(release bool) leaderRecord {
 	r := leaderRecord{Term: t.number, Released: release, Successor: t.successor, Loaded: t.loaded, LeaseRecordsSince: t.leaseRecordsSince,
 		RunsKnown: t.allRunsKnown()}
-	if !t.storeClock.at.IsZero() {
-		r.FormerRenewedAt = t.storeClock.upperBound(t.formerLeaderRenewedBy)
-	}
+	r.describeFormer(t.now, t.formerLeaderRenewedBy, t.silent)
 	if t.loaded {
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -46,14 +46,9 @@
 	record  leaderRecord
 	known   bool
 	version uint64
-	// unreleased is the last record of the last leader before that one which had not released
-	// leadership; empty for none.
-	unreleased leaderRecord
 	// silentSince is when the last renewal was seen, or when reading resumed.
 	silentSince time.Time
 	jitter      time.Duration
-	// storeClock is a reading of the store's clock that had arrived by its time.
-	storeClock storeReading
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
 	// because its host is smaller or already leads other cells.
 	extraDelay time.Duration
@@ -90,29 +85,15 @@
 	if !f.record.Released {
 		return f.silentSince.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
 	}
-	return f.renewedByOfEnded(now)
-}
-
-// renewedByOfEnded is like formerLeaderRenewedBy for a former leader that gives no more orders since a
-// moment. Its own leases end within maxLease from then. A leader before it may still give orders to
-// workers that it has not heard of.
-func (f *leaderWatch) renewedByOfEnded(since time.Time) time.Time {
-	renewedBy := since.Add(maxLease - maxLeaseReach)
-	if earlier := f.earlierLeadersRenewedBy(); !f.record.RunsKnown && earlier.After(renewedBy) {
+	// It gives no more orders. A leader before it may still give some to workers that it has not heard
+	// of.
+	renewedBy := endedRenewal(now)
+	if earlier := f.silentSince.Add(-f.record.formerRenewalAge()); !f.record.RunsKnown && earlier.After(renewedBy) {
 		return earlier
 	}
 	return renewedBy
 }
 
-// earlierLeadersRenewedBy returns the latest moment at which the leaders before the former one may have
-// renewed.
-func (f *leaderWatch) earlierLeadersRenewedBy() time.Time {
-	if f.record.FormerRenewedAt == 0 || f.storeClock.now == 0 {
-		return f.silentSince
-	}
-	return f.storeClock.at.Add(f.record.FormerRenewedAt - f.storeClock.now)
-}
-
 // formerOrdersBy returns the latest moment at which the former leader may have renewed or given an
 // order. One that has released leadership gave its last order before this node saw the release.
 func (f *leaderWatch) formerOrdersBy(now time.Time) time.Time {
@@ -140,9 +121,6 @@
 	if row.Version == f.version {
 		return
 	}
-	if f.known && r.Term > f.record.Term && !f.record.Released {
-		f.unreleased = f.record
-	}
 	f.record, f.known, f.version, f.silentSince = r, true, row.Version, now
 	f.jitter = time.Duration(rand.Int64N(int64(campaignJitter)))
 }
@@ -292,10 +270,14 @@
 		former = leaderRecord{}
 	}
 	recordsSince := former.leaseRecordsSince(number)
+	record := leaderRecord{Term: number, LeaseRecordsSince: recordsSince}
+	now := time.Now()
+	formerLeaderRenewedBy, silent := n.formerLeaders(f, now)
+	record.describeFormer(now, formerLeaderRenewedBy, silent)
 	tx := Transaction{
 		Expect: []Expectation{{id, read.Version}},
 		Puts: []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})},
-			n.cfg.renewalRow(c.part, leaderRecord{Term: number, LeaseRecordsSince: recordsSince})},
+			n.cfg.renewalRow(c.part, record)},
 	}
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
 	sent := time.Now()
@@ -318,8 +300,7 @@
 		}
 		result = read
 	}
-	f.storeClock = storeReading{result.Now, time.Now()}
-	n.startTerm(ctx, c, number, result.Version, recordsSince, f.formerLeaderRenewedBy(time.Now()), storeReading{result.Now, sent})
+	n.startTerm(ctx, c, number, result.Version, recordsSince, storeReading{result.Now, sent})
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -360,8 +341,9 @@
 // startTerm runs a term of a cell in the background. begun holds when the transaction that began the
 // term was sent, and a reading of the store's clock after that. Other nodes derive from the row that it
 // wrote how long the term's leases last. The term ends with ctx, which may have ended during the campaign.
-func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, formerLeaderRenewedBy time.Time, begun storeReading) {
+func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, begun storeReading) {
 	d := n.cellTable.Load()
+	formerLeaderRenewedBy, silent := n.formerLeaders(&c.watch, time.Now())
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
 	t.lastRenewal, t.leaseRecordsSince = begun.at, recordsSince
 	if begun.now > 0 {
@@ -372,7 +354,8 @@
 	c.term.Store(t)
 	if c.watch.known {
 		t.former = c.watch.record
-		n.stopFormerLeaders(t, c.watch)
+		t.silent = silent
+		n.stopSilentLeader(t)
 	}
 	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
 		t.post(stepDown{})
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -167,10 +167,12 @@
 	// RunsKnown means that all runs of earlier terms are accounted for, so that no lease of theirs
 	// outlasts the leases of this term. It is false in rows of older versions.
 	RunsKnown bool `cbor:"13,keyasint,omitempty"`
-	// FormerRenewedAt is the store's monotonic clock when the last renewal of earlier terms was sent,
-	// at the latest. Leases of theirs that are not accounted for last from then on. It is 0 in rows of
-	// older versions.
-	FormerRenewedAt time.Duration `cbor:"14,keyasint,omitempty"`
+	// FormerRenewalMS is how long before this renewal the last one of earlier terms was sent, at
+	// least. Leases of theirs that are not accounted for last from that one on. It is negative where
+	// leases of older versions reach further, and 0 in rows of versions that do not tell.
+	FormerRenewalMS int64 `cbor:"14,keyasint,omitempty"`
+	// Silent is a leader of earlier terms that may still give orders; nil if none is known.
+	Silent *silentLeaderRecord `cbor:"15,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
@@ -181,6 +183,23 @@
 	return term
 }
 
+// describeFormer records what a renewal at now tells of the leaders of earlier terms.
+func (r *leaderRecord) describeFormer(now, formerLeaderRenewedBy time.Time, silent *silentLeader) {
+	r.FormerRenewalMS = leastAgeMS(now, formerLeaderRenewedBy)
+	if silent != nil && (!r.RunsKnown || now.Before(formerLeaderRenewedBy.Add(maxLeaseReach))) {
+		r.Silent = silent.record(now)
+	}
+}
+
+// leastAgeMS returns how long before now x was at least, in milliseconds. Leases from before
+// 2*maxLeaseReach are over.
+func leastAgeMS(now, x time.Time) int64 { return min(now.Sub(x), 2*maxLeaseReach).Milliseconds() - 1 }
+
+// formerRenewalAge returns how old the last renewal of earlier terms was at least at this one.
+func (r leaderRecord) formerRenewalAge() time.Duration {
+	return time.Duration(r.FormerRenewalMS) * time.Millisecond
+}
+
 // leaseReachOrDefault returns the longest time from the renewal to the end of a lease.
 func (r leaderRecord) leaseReachOrDefault() time.Duration {
 	if r.LeaseReachMS == 0 {
