--- /dev/null
+++ b/internal/fleet/former_leader_bound_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards the leases that orders for a former lifetime of a worker may have set: their end is recorded, and the end of
+// the former leader's process says nothing about them. It must not matter which of the two is known first.
+func TestEndOfFormerLeaderKeepsRecordedLeases(t *testing.T) {
+	for name, leaseMax := range map[string]time.Duration{"as long as leases": maxLease, "longer": 2 * maxLease} {
+		t.Run(name, func(t *testing.T) {
+			former := newTestTerm(1)
+			former.cfg.Bounds.LeaseMax = leaseMax
+			former.now, former.storeClock = at(20), storeReading{now: 100 * time.Second, at: at(20)}
+			w := testWorker("w")
+			former.workers["w"] = w
+			w.leaseSentBy = at(19.5)
+			r := &run{ref: RunRef{"j.0.0.0", 1}, job: &job{id: "j", visibleState: StateRunning}, worker: w, state: runUnconfirmed}
+			w.attach(r, at(20))
+			info := w.info
+			info.Born = 2
+			next := former.replaceWorker(w, info)
+			recorded := former.usedRowsToPut[info.Lifetime]
+			require.NotZero(t, recorded.FormerLeaseEnd)
+
+			restore := func(boundFirst bool) time.Time {
+				tm := newTestTerm(1)
+				tm.cfg.Bounds.LeaseMax = leaseMax
+				tm.now, tm.formerLeaderRenewedBy = at(32), at(32)
+				bound := func() { tm.boundFormerRenewal(at(31 - 4)) } // a later process began at 31
+				if boundFirst {
+					bound()
+				}
+				require.True(t, tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, info.Lifetime), Value: encode(recorded)}, 112*time.Second, at(32)))
+				if !boundFirst {
+					bound()
+				}
+				return tm.workers["w"].inheritedLeaseEnd
+			}
+			require.False(t, restore(true).Before(next.inheritedLeaseEnd.Add(-time.Millisecond)), "the row is read after the bound")
+			require.False(t, restore(false).Before(next.inheritedLeaseEnd.Add(-time.Millisecond)), "the row is read before the bound: %v too early", next.inheritedLeaseEnd.Sub(restore(false)))
+		})
+	}
+}
+
+// Guards against a machine that takes over the name of another one that still runs: only a process at the same
+// address proves that the former one has ended.
+func TestProcessAtAnotherAddressProvesNoEnd(t *testing.T) {
+	tm := newTestTerm(1)
+	n := &Node{cfg: Config{Node: "n", Process: 2, PeerAddr: "b"}, log: tm.log, startedAt: at(1)}
+	tm.now, tm.formerLeaderRenewedBy = at(2), at(2)
+	n.stopFormerLeader(tm, leaderWatch{known: true, record: leaderRecord{Term: 2, Node: "n", Process: 1, Addr: "a", RunsKnown: true}, silentSince: at(2)})
+	require.Equal(t, at(2), tm.formerLeaderRenewedBy, "process 1 at address a may be cut off only")
+}
