--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -194,7 +194,7 @@
 func (w *worker) leastAgeOfOthers(j *job) time.Duration {
 	least := time.Duration(math.MaxInt64) - sameAge
 	for _, r := range w.runs {
-		if r.job != j && !r.adopted {
+		if r.job != j && !r.adopted && r.state != runHeld {
 			least = min(least, r.seenRunning())
 		}
 	}
