--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -277,12 +277,6 @@
 	return cost
 }
 
-// keptApart reports whether a task must not start on w yet because a task of another job that
-// may crash the worker has just started there.
-func (p *placement) keptApart(w *worker, r taskRequest) bool {
-	return w.apartJob != nil && w.apartJob != r.job && p.now.Sub(w.lastStart) <= apartTime
-}
-
 // observeStart records the start of a run for the decisions about later starts on its worker.
 func (w *worker) observeStart(r *run) {
 	w.lastStart, w.lastStartJob, w.apartJob = r.startedAt, r.job, nil
@@ -290,3 +284,9 @@
 		w.apartJob = r.job
 	}
 }
+
+// keepsApart reports whether no task of j must start on w yet because a task of another job that may
+// crash the worker has just started there.
+func (w *worker) keepsApart(j *job, now time.Time) bool {
+	return w.apartJob != nil && w.apartJob != j && now.Sub(w.lastStart) <= apartTime
+}
--- a/internal/fleet/held_starts.go
+++ b/internal/fleet/held_starts.go
@@ -17,23 +17,49 @@
 	t.heldStarts = append(t.heldStarts, r)
 }
 
-// sendHeldStarts sends the held start orders of jobs that are stored as started. A task whose worker may
-// get no start any more waits for another place.
+// sendHeldStarts sends the held start orders of jobs that are stored as started. A task that may not start
+// on its worker any more waits for another place, and with it the other members of its gang.
 func (t *term) sendHeldStarts() {
 	held := t.heldStarts
 	t.heldStarts = nil
+	var ready []*run
 	for _, r := range held {
 		switch {
 		case r.state != runHeld || r.worker.runs[r.ref] != r:
 			// It was stopped or lost meanwhile.
 		case r.job.visibleState == StateQueued:
 			t.heldStarts = append(t.heldStarts, r)
-		case !t.active() || t.unusableReason(r.worker) != "":
+		case !t.mayStillStart(r):
 			t.markLost(r, "not-sent")
+			if r.step.Gang {
+				t.stopGang(r.job, r.key, "not-sent")
+			}
 		default:
+			ready = append(ready, r)
+		}
+	}
+	for _, r := range ready {
+		if r.state == runHeld && r.worker.runs[r.ref] == r {
 			r.startedAt, r.progressAt = t.now, t.now
 			r.worker.observeStart(r)
 			t.orderStart(r)
 		}
 	}
 }
+
+// mayStillStart reports whether a held start may be sent.
+func (t *term) mayStillStart(r *run) bool {
+	w := r.worker
+	free := w.free()
+	o, tk := r.job.task(r.key)
+	switch {
+	case !t.active() || t.unusableReason(w) != "" || tk == nil || len(tk.runs) > 1:
+		return false
+	case free.MilliCPU < 0 || free.MemoryMB < 0 || free.Accelerators < 0:
+		return false
+	case w.keepsApart(r.job, t.now):
+		return false
+	}
+	a := o.steps[r.key.step].advice
+	return r.ticket == "" || (a != nil && t.now.Before(a.validUntil))
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -209,7 +209,7 @@
 		w.health.onProbation() && w.hasTrialRun(),
 		!s.Lasting && r.task != nil && len(r.task.failed) > 0 && w.health.needsUntried(p.now),
 		r.task != nil && r.task.runsOn(w),
-		p.keptApart(w, r):
+		w.keepsApart(r.job, p.now):
 		return failsOtherCondition
 	case s.Filler:
 		return p.fillerObstacle(w, s)
