--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -16,6 +16,7 @@
 	index       int
 	part        string
 	term        atomic.Pointer[term]
+	termBegun   atomic.Uint64 // the latest term of another node of which a peer has told
 	leader      atomic.Pointer[leaderSnapshot]
 	leaderCalls leaderCallHealth
 	// loadStalledAt is when this node last released leadership because it could not read the tables.
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -352,6 +352,9 @@
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
+	if c.termBegun.Load() > number {
+		t.end("another node has taken the lead")
+	}
 	if c.watch.known {
 		t.former = c.watch.record
 		t.silent = silent
--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -11,9 +11,10 @@
 
 // A leader that falls silent may only be cut off from the store. It gives orders for maxOrderAge after
 // its last renewal, so a later one waits for maxLeaseReach before the tasks of workers that it does not
-// reach start elsewhere. The leases of a process that has ended last no longer than maxLease from then
-// on. A later process of the same node proves that end: a node's next process starts once the former one
-// has exited. A refused connection proves nothing here, as it may come from a link that fails.
+// reach start elsewhere. Once its term has ended, its leases last no longer than maxLease. Its process
+// tells that itself when it is told of a later term. A later process of the same node proves it too: a
+// node's next process starts once the former one has exited. A refused connection proves nothing here,
+// as it may come from a link that fails.
 
 // formerLeaderCallPause is the pause between calls to a former leader that does not answer.
 const formerLeaderCallPause = 300 * time.Millisecond
@@ -30,6 +31,20 @@
 	Process uint64       `json:"process"`
 	// UpMS is how long the process has been running at least.
 	UpMS int64 `json:"up_ms"`
+	// Ended means that this process gives no more orders of earlier terms of the cell.
+	Ended bool `json:"ended"`
+}
+
+// endedBy returns when the process of s had certainly stopped giving orders, by an answer that was
+// received at now; ok is false if it may still give some.
+func (s *silentLeader) endedBy(r termBegunReply, now time.Time) (by time.Time, ok bool) {
+	switch {
+	case r.Node != s.node || r.Process == 0:
+		return time.Time{}, false
+	case r.Process != s.process:
+		return now.Add(-time.Duration(r.UpMS) * time.Millisecond), true
+	}
+	return now, r.Ended
 }
 
 // silentLeader is the last leader before a term that has not released leadership. It may still give
@@ -97,7 +112,7 @@
 // former process of this node has ended.
 func (n *Node) formerLeaders(f *leaderWatch, now time.Time) (renewedBy time.Time, silent *silentLeader) {
 	renewedBy, silent = f.formerLeaderRenewedBy(now), f.silentLeader(now)
-	if silent != nil && silent.node == n.cfg.Node && silent.process != n.cfg.Process {
+	if silent != nil && silent.node == n.cfg.Node && silent.addr == n.cfg.PeerAddr && silent.process != n.cfg.Process {
 		return silent.renewedBy(renewedBy, n.startedAt), nil
 	}
 	return renewedBy, silent
@@ -113,7 +128,7 @@
 // node answers, it has ended.
 func (n *Node) stopSilentLeader(t *term) {
 	s := t.silent
-	if s == nil || s.addr == "" || s.node == n.cfg.Node {
+	if s == nil || s.addr == "" || s.addr == n.cfg.PeerAddr {
 		return
 	}
 	until := t.formerLeasesEnd()
@@ -121,8 +136,8 @@
 		for {
 			reply, err := n.callFormerLeader(s.addr, termParams{t.cell, t.number})
 			if err == nil {
-				if reply.Node == s.node && reply.Process != 0 && reply.Process != s.process {
-					t.post(formerLeaderEnded{time.Now().Add(-time.Duration(reply.UpMS) * time.Millisecond)})
+				if by, ok := s.endedBy(reply, time.Now()); ok {
+					t.post(formerLeaderEnded{by})
 				}
 				return
 			}
@@ -141,17 +156,27 @@
 	return reply, err
 }
 
-// handleTermBegun ends this node's term of a cell when a later one has begun.
+// handleTermBegun ends this node's term of a cell when a later one has begun. This process begins no
+// earlier one after that, though it may learn only then that it has won it.
 func (n *Node) handleTermBegun(_ context.Context, p termParams) (any, error) {
-	if c := n.cell(p.Cell); c != nil {
+	c := n.cell(p.Cell)
+	if c != nil {
+		c.learnTermBegun(p.Term)
 		if t := c.term.Load(); t != nil && t.number < p.Term {
 			t.end("another node has taken the lead")
 		}
 	}
-	return termBegunReply{n.cfg.Node, n.cfg.Process, time.Since(n.startedAt).Milliseconds()}, nil
+	return termBegunReply{Node: n.cfg.Node, Process: n.cfg.Process, UpMS: time.Since(n.startedAt).Milliseconds(), Ended: c != nil}, nil
+}
+
+// learnTermBegun notes that a term of another node has begun.
+func (c *cell) learnTermBegun(number uint64) {
+	for known := c.termBegun.Load(); known < number && !c.termBegun.CompareAndSwap(known, number); {
+		known = c.termBegun.Load()
+	}
 }
 
-// formerLeaderEnded tells that the process of the silent leader had ended by a moment. That bounds
+// formerLeaderEnded tells that the silent leader had ended, or its term had, by a moment. That bounds
 // formerLeaderRenewedBy, and with it the end of leases of workers that have neither answered nor a
 // record of their own.
 type formerLeaderEnded struct{ by time.Time }
@@ -170,6 +195,6 @@
 		}
 	}
 	t.log.WithFields(logrus.Fields{"leader": t.silent.node, "workers": shortened, "earlier_ms": before.Sub(end).Milliseconds(),
-		"former_leases_ms": end.Sub(t.now).Milliseconds()}).Info("the process of the former leader has ended")
+		"former_leases_ms": end.Sub(t.now).Milliseconds()}).Info("the former leader has ended")
 	t.silent = nil
 }
