--- a/internal/fleet/cancellations_test.go
+++ b/internal/fleet/cancellations_test.go
@@ -172,6 +172,7 @@
 	lastingJob := fleet.Spec{Steps: []fleet.Step{{Count: 2, Needs: smallNeeds, Lasting: true}}}
 	for seed := range uint64(8) {
 		runCluster(t, 620+seed, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+			sendUnverifiedStarts(c)
 			c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LateToNext = 1, true })
 			submit(t, c, jobID(0), lastingJob)
 			time.Sleep(20 * time.Millisecond) // the orders are on their way
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -136,10 +136,20 @@
 	v.connected[target.Info.Addr] = target.Info.Born
 }
 
+// anyLifetime means that a call may reach any lifetime at its address.
+const anyLifetime = 0
+
 // deliver runs do on the worker at the address if it has the id that w names, whatever its
 // lifetime. Depending on LateShare and LostShare, the call gets no answer and do runs later, or do
 // runs at once and the answer is lost.
 func (v *WorkersView) deliver(ctx context.Context, w fleet.WorkerInfo, do func(*Worker) fleet.StartVerdict) (fleet.WorkerReply, error) {
+	return v.deliverTo(ctx, w, anyLifetime, do)
+}
+
+// deliverTo is deliver on a connection to the lifetime born, which ends with that lifetime: what is sent
+// on it reaches no other one, at once or late. For anyLifetime it is not known who accepted the
+// connection.
+func (v *WorkersView) deliverTo(ctx context.Context, w fleet.WorkerInfo, born int64, do func(*Worker) fleet.StartVerdict) (fleet.WorkerReply, error) {
 	if !v.reachable(w.Addr) {
 		<-ctx.Done()
 		return fleet.WorkerReply{SentTo: v.lifetimeOfOpenConnection(w.Addr)}, unknown(ErrUnreachable)
@@ -150,6 +160,10 @@
 	f := v.workers
 	f.mu.Lock()
 	target := f.workers[w.Addr]
+	if born != anyLifetime && (target == nil || target.Info.Born != born) {
+		f.mu.Unlock()
+		return fleet.WorkerReply{SentTo: born}, unknown(ErrUnreachable)
+	}
 	if target == nil {
 		f.mu.Unlock()
 		return fleet.WorkerReply{}, model.Wrap(model.KindUnavailable, ErrUnreachable, "retry later", "connection refused")
@@ -161,7 +175,7 @@
 		time.AfterFunc(delay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if next := f.workers[w.Addr]; f.LateToNext && next != nil {
+			if next := f.workers[w.Addr]; f.LateToNext && next != nil && born == anyLifetime {
 				target = next
 			}
 			if !target.dead && target.Info.Worker == w.Worker {
@@ -186,18 +200,6 @@
 	return reply, f.passAnswer(ctx, w.Addr)
 }
 
-// Start implements fleet.Workers.
-func (v *WorkersView) Start(ctx context.Context, w fleet.WorkerInfo, o fleet.StartOrder) (fleet.WorkerReply, error) {
-	if err := v.awaitConnection(ctx, o.Withdrawn); err != nil {
-		return fleet.WorkerReply{}, err
-	}
-	return v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict {
-		verdict := t.startRun(o)
-		t.trace("start %s attempt %d, deadline %d, fence %d, late %t: verdict %v", o.Task, o.Attempt, o.Deadline.Milliseconds(), o.Fence, t.fleet.lateOrder, verdict)
-		return verdict
-	})
-}
-
 // Stop implements fleet.Workers.
 func (v *WorkersView) Stop(ctx context.Context, w fleet.WorkerInfo, r fleet.RunRef, fence uint64) (fleet.WorkerReply, error) {
 	if err := v.awaitConnection(ctx, nil); err != nil {
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -54,6 +54,11 @@
 	// LateToNext makes such a call take effect on the next lifetime of a worker that has started
 	// again meanwhile.
 	LateToNext bool
+	// UnverifiedStarts makes nodes send starts as earlier versions do, on connections of which it is not
+	// known which lifetime accepted them.
+	UnverifiedStarts bool
+	// NewConnectionShare is the share of starts that find no idle connection.
+	NewConnectionShare float64
 	// LostShare is the share of calls, polls included, that take effect at once and get no
 	// answer.
 	LostShare float64
--- a/internal/fleet/innocent_tasks_test.go
+++ b/internal/fleet/innocent_tasks_test.go
@@ -28,6 +28,7 @@
 		return fleettest.Task{Work: 20 * time.Second, Needs: smallNeeds, Checkpoint: true}
 	}
 	runCluster(t, 407, 3, 8, long, func(t *testing.T, c *fleettest.Cluster) {
+		sendUnverifiedStarts(c)
 		time.Sleep(5 * time.Second)
 		cutOff := map[string]bool{}
 		inTouch := func(visit func(w *fleettest.Worker)) {
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -219,10 +220,30 @@
 	Acknowledged uint64
 }
 
+// OtherLifetimeError means that an order was not sent, as a lifetime answers for which it was not meant.
+// It is wrapped in an error of KindExhausted.
+type OtherLifetimeError struct {
+	Meant Lifetime
+	// Born names the lifetime that answers; 0 when unknown.
+	Born int64
+}
+
+// NewOtherLifetimeError returns the error for an order for a lifetime in whose place another answers.
+func NewOtherLifetimeError(meant Lifetime, born int64) error {
+	return model.Wrap(model.KindExhausted, &OtherLifetimeError{meant, born}, "ask for a report; nothing was sent", "order for %s", meant.Worker)
+}
+
+// Error describes the lifetimes.
+func (e *OtherLifetimeError) Error() string {
+	return fmt.Sprintf("lifetime %d answers instead of %d", e.Born, e.Meant.Born)
+}
+
 // Workers sends orders to workers. An error means that the order may have been carried out
 // or may still be, unless it is of KindUnavailable (the worker refused the connection) or
-// KindExhausted (the order waited for a connection in vain): then nothing was sent. Orders name the worker's id only: a later lifetime under the same id carries
-// them out too, and only a Report tells which lifetime answered.
+// KindExhausted (the order waited for a connection in vain, or the connection is not one to the
+// lifetime that is meant): then nothing was sent. Stops, paces and polls name the worker's id only: a
+// later lifetime under the same id carries them out too, and only a Report tells which lifetime
+// answered. A start is carried out by the lifetime that w names or by none, if w names one.
 type Workers interface {
 	Start(ctx context.Context, w WorkerInfo, o StartOrder) (WorkerReply, error)
 	Stop(ctx context.Context, w WorkerInfo, r RunRef, fence uint64) (WorkerReply, error)
--- a/internal/fleet/late_orders_test.go
+++ b/internal/fleet/late_orders_test.go
@@ -19,6 +19,7 @@
 				long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 60 * time.Second, Needs: wideNeeds} }
 				prepare := func() *fleettest.Cluster {
 					c := fleettest.NewCluster(460+seed, 3, 3, long)
+					sendUnverifiedStarts(c)
 					c.Workers.LeaseMax = 10 * time.Second
 					return c
 				}
@@ -53,6 +54,7 @@
 			long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 60 * time.Second, Needs: wideNeeds} }
 			prepare := func() *fleettest.Cluster {
 				c := fleettest.NewCluster(480+seed, 3, 1, long)
+				sendUnverifiedStarts(c)
 				c.Workers.LeaseMax = 10 * time.Second
 				return c
 			}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -10,7 +10,8 @@
 // the former lifetime may be carried out by the new one, at once or late, and its answer does not
 // tell which of them did. Only reports and entries of the list name the lifetime. A run has
 // certainly ended with a lifetime only if a report of that lifetime has listed it. The others pass
-// to the new lifetime: its reports and its answers to stop orders settle them.
+// to the new lifetime: its reports and its answers to stop orders settle them. Starts reach no other
+// lifetime than the one that is meant (see Workers), but those of nodes of earlier versions may.
 
 // isOtherLifetime reports whether born names another lifetime than that of w.
 func (w *worker) isOtherLifetime(born int64) bool {
--- a/internal/fleet/lifetimes_random_test.go
+++ b/internal/fleet/lifetimes_random_test.go
@@ -147,11 +147,13 @@
 func TestLifetimesBesideDoubts(t *testing.T) {
 	first, end := seedRange(t, 700, lifetimeSeeds)
 	for seed := first; seed < end; seed++ {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) { runDoubts(t, uint64(seed)) })
+		for _, unverified := range []bool{false, true} {
+			t.Run(strconv.Itoa(seed)+"/unverified="+strconv.FormatBool(unverified), func(t *testing.T) { runDoubts(t, uint64(seed), unverified) })
+		}
 	}
 }
 
-func runDoubts(t *testing.T, seed uint64) {
+func runDoubts(t *testing.T, seed uint64, unverified bool) {
 	const jobs = 40
 	spec := fleet.Spec{Steps: []fleet.Step{
 		{Count: 4, Needs: wideNeeds, Estimate: 100 * time.Millisecond},
@@ -167,6 +169,7 @@
 			}
 		}()
 		c.Configure(2, 6)
+		c.Workers.WithLock(func() { c.Workers.UnverifiedStarts, c.Workers.NewConnectionShare = unverified, 0.3 })
 		if seed%3 == 0 {
 			c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LostShare = 0.05, 0.05 })
 		}
--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -35,20 +35,33 @@
 	return c.StartWorker(string(w.Info.Worker))
 }
 
+// sendUnverifiedStarts makes the nodes send starts as earlier versions do, of which a fleet may have some
+// during an upgrade: a next lifetime may carry them out.
+func sendUnverifiedStarts(c *fleettest.Cluster) {
+	c.Workers.WithLock(func() { c.Workers.UnverifiedStarts = true })
+}
+
 // A start that was sent to a worker on which nothing ran was carried out by its next lifetime. It
-// counted as refused or as lost, and the task started on another worker too.
+// counted as refused or as lost, and the task started on another worker too. Now the next lifetime gets
+// no start before it has reported.
 func TestNextLifetimeCarriesOutStart(t *testing.T) {
-	runCluster(t, 410, 3, 3, wideTask, func(t *testing.T, c *fleettest.Cluster) {
-		for round := range 6 {
-			w := restart(c, c.RunningWorkers()[0])
-			submit(t, c, jobID(round), wideJob())
-			time.Sleep(entryDelay)
-			c.List(w)
-			waitState(t, c, jobID(round), fleet.StateCompleted, 10*time.Second)
-			time.Sleep(time.Second)
-		}
-		require.Equal(t, 30, c.Checker.StartCount(), "each task starts once")
-	})
+	for _, unverified := range []bool{false, true} {
+		t.Run("unverified="+strconv.FormatBool(unverified), func(t *testing.T) {
+			runCluster(t, 410, 3, 3, wideTask, func(t *testing.T, c *fleettest.Cluster) {
+				c.Workers.WithLock(func() { c.Workers.UnverifiedStarts = unverified })
+				for round := range 6 {
+					w := restart(c, c.RunningWorkers()[0])
+					submit(t, c, jobID(round), wideJob())
+					time.Sleep(entryDelay)
+					require.Equal(t, unverified, c.Workers.RunCount(w) > 0, "the next lifetime has got a start")
+					c.List(w)
+					waitState(t, c, jobID(round), fleet.StateCompleted, 10*time.Second)
+					time.Sleep(time.Second)
+				}
+				require.Equal(t, 30, c.Checker.StartCount(), "each task starts once")
+			})
+		})
+	}
 }
 
 // The same with a leader that can store nothing more and ends: the next leader finds only the row of
@@ -58,6 +71,7 @@
 		t.Run("listed="+strconv.FormatBool(listed), func(t *testing.T) {
 			long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 12 * time.Second, Needs: wideNeeds} }
 			runCluster(t, 411, 3, 3, long, func(t *testing.T, c *fleettest.Cluster) {
+				sendUnverifiedStarts(c)
 				spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 12 * time.Second}}}
 				submit(t, c, jobID(0), wideJob()) // all workers are known
 				waitState(t, c, jobID(0), fleet.StateCompleted, 20*time.Second)
@@ -93,6 +107,7 @@
 	}
 	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 50 * time.Millisecond}}}
 	runCluster(t, 412, 3, 3, brief, func(t *testing.T, c *fleettest.Cluster) {
+		sendUnverifiedStarts(c)
 		for i := range 4 { // each worker has some ends
 			submit(t, c, jobID(i), spec)
 			time.Sleep(time.Second)
@@ -120,6 +135,7 @@
 	for _, late := range []bool{false, true} {
 		t.Run("late="+strconv.FormatBool(late), func(t *testing.T) {
 			runCluster(t, 413, 3, 3, long, func(t *testing.T, c *fleettest.Cluster) {
+				sendUnverifiedStarts(c)
 				w := restart(c, c.RunningWorkers()[0])
 				c.Workers.SetLink(w, fleettest.Link{AnswersCut: true})
 				c.Workers.WithLock(func() { w.Late = late })
@@ -146,6 +162,7 @@
 	}
 	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 200 * time.Millisecond}}}
 	runCluster(t, 414, 3, 3, brief, func(t *testing.T, c *fleettest.Cluster) {
+		sendUnverifiedStarts(c)
 		for i := range 3 { // each worker has some ends
 			submit(t, c, jobID(i), spec)
 			time.Sleep(time.Second)
@@ -180,6 +197,7 @@
 	}
 	spec := fleet.Spec{Steps: []fleet.Step{{Count: 3, Needs: wideNeeds, Estimate: 50 * time.Millisecond}}}
 	runCluster(t, 413, 3, 1, brief, func(t *testing.T, c *fleettest.Cluster) {
+		sendUnverifiedStarts(c)
 		for round := range 4 {
 			submit(t, c, jobID(round), spec) // the worker holds two tasks at a time
 			for c.Checker.DoneTasks(jobID(round)) == 0 {
@@ -202,17 +220,22 @@
 func TestWorkersRestartBesideLateOrders(t *testing.T) {
 	first, end := seedRange(t, 430, restartSeeds)
 	for seed := first; seed < end; seed++ {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) { runRestarts(t, uint64(seed)) })
+		for _, unverified := range []bool{false, true} {
+			t.Run(strconv.Itoa(seed)+"/unverified="+strconv.FormatBool(unverified), func(t *testing.T) { runRestarts(t, uint64(seed), unverified) })
+		}
 	}
 }
 
-func runRestarts(t *testing.T, seed uint64) {
+func runRestarts(t *testing.T, seed uint64, unverified bool) {
 	const jobs = 30
 	random := rand.New(rand.NewPCG(seed, 13))
 	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
 	runCluster(t, seed, 3, 6, shortTask, func(t *testing.T, c *fleettest.Cluster) {
 		c.Configure(2, 4)
-		c.Workers.WithLock(func() { c.Workers.LateShare, c.Workers.LostShare = 0.1*float64(seed%3), 0.1 })
+		c.Workers.WithLock(func() {
+			c.Workers.LateShare, c.Workers.LostShare = 0.1*float64(seed%3), 0.1
+			c.Workers.UnverifiedStarts, c.Workers.NewConnectionShare = unverified, 0.3
+		})
 		for i := range jobs {
 			submit(t, c, jobID(i), twoSteps())
 			time.Sleep(upTo(600 * time.Millisecond))
--- a/internal/fleet/model_check_test.go
+++ b/internal/fleet/model_check_test.go
@@ -138,7 +138,7 @@
 	_, _ = fmt.Fprintf(&m.trace, "%s "+format+"\n", append([]any{time.Now().UTC().Format("2006-01-02T15:04:05.000Z")}, args...)...)
 }
 
-// modelVariant adds to the sequences what breaks a promise at present; see KNOWN-RED.txt.
+// modelVariant adds to the sequences what breaks a promise at present, or did; see KNOWN-RED.txt.
 type modelVariant struct {
 	// lateToNext carries late orders out on the next lifetime of a worker that has started again.
 	lateToNext bool
--- a/internal/fleet/next_leader_lease_test.go
+++ b/internal/fleet/next_leader_lease_test.go
@@ -16,28 +16,34 @@
 func TestNextLeaderWaitsForLeaseOfAnsweredLifetime(t *testing.T) { runLeaderLoss(t, true) }
 
 // A next leader that found only the row of the former lifetime, and did not reach the worker, waited for
-// the former leader's leases only. The new lifetime had shortened its lease to its own limit, 10 s.
+// the former leader's leases only. The new lifetime had carried out a start that was meant for the former
+// one and shortened its lease to its own limit, 10 s. It gets no such start any more.
 func TestNextLeaderWaitsForLeaseOfUnknownLifetime(t *testing.T) { runLeaderLoss(t, false) }
 
-// runLeaderLoss plays the loss of a leader just after a worker that has started again has carried out a
-// start, and the cut of that worker. The leader has heard of the new lifetime or not.
+// runLeaderLoss plays the loss of a leader just after it has planned starts on a worker that has started
+// again, and the cut of that worker. The leader has heard of the new lifetime, which has carried a start
+// out, or not.
 func runLeaderLoss(t *testing.T, heard bool) {
 	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 30 * time.Second, Needs: wideNeeds} }
 	prepare := func() *fleettest.Cluster {
 		c := fleettest.NewCluster(414, 3, 3, long)
 		c.Workers.LeaseMax = 10 * time.Second
+		c.Workers.UnverifiedStarts = heard
 		return c
 	}
 	runClusterWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
 		time.Sleep(10 * time.Second) // the clocks of all workers are ahead of that of a new lifetime
 		w := restart(c, c.RunningWorkers()[0])
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 3, PerWorker: 1, Needs: wideNeeds, Estimate: 30 * time.Second}}})
-		for c.Workers.RunCount(w) == 0 {
+		for c.Workers.RunCount(w) == 0 && (heard || c.Checker.StartCount() < 2) {
 			time.Sleep(time.Millisecond)
 		}
 		if heard {
 			c.List(w)
 			time.Sleep(150 * time.Millisecond) // the leader has heard of the new lifetime and stored its row
+		} else {
+			time.Sleep(20 * time.Millisecond) // all orders have arrived
+			require.Zero(t, c.Workers.RunCount(w), "no start reaches a lifetime that has not reported")
 		}
 		c.Kill(c.Leader())
 		for _, m := range c.Nodes {
@@ -47,6 +53,9 @@
 		}
 		c.AddWorker("a9") // has room for the task of the worker that is cut off
 		time.Sleep(12 * time.Second)
+		if !heard {
+			require.Equal(t, 3, c.Checker.StartCount(), "each task starts once")
+		}
 	})
 }
 
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -159,7 +160,18 @@
 // out now or later. If the order was certainly not sent, the run is lost at once.
 func (t *term) handleUnansweredStart(r *run, err error) {
 	w := r.worker
-	if notSent(err) {
+	var other *OtherLifetimeError
+	switch {
+	case errors.As(err, &other):
+		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "other-lifetime", "born": other.Born,
+			"former": other.Meant.Born, "task": r.ref.Task, "attempt": r.ref.Attempt}).Warn("start order not sent: another lifetime of the worker answers")
+		if w.unansweredCalls == 0 {
+			t.probe(w) // its report begins the other lifetime
+		}
+		w.countUnanswered(t.now)
+		t.markLost(r, "not-sent")
+		return
+	case notSent(err):
 		if r.withdrawn != nil { // else the term has withdrawn it, which says nothing about the worker
 			t.recordNoAnswer(w, err)
 		}
