--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/relay"
@@ -93,17 +95,37 @@
 	defer p.mu.Unlock()
 	if on {
 		p.holds++
+		p.setQueue(0)
 		return
 	}
 	p.holds--
 	if p.holds == 0 && !p.closed {
+		p.setQueue(listenerQueue)
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
 }
 
-// awaitHolds waits until nothing holds the link back, so that new connections wait in the listener's
-// queue: callers that try again would else use up the process's files.
+// listenerQueue is the number of connections that wait to be accepted, as the system's default.
+const listenerQueue = 4096
+
+// setQueue sets the number of connections that wait to be accepted; the system drops further ones, as
+// a cut link would.
+func (p *proxy) setQueue(connections int) {
+	listener, ok := p.ln.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the proxy is closed.
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), connections) })
+}
+
+// awaitHolds waits until nothing holds the link back. Callers that try again and again would else use
+// up the process's files.
 func (p *proxy) awaitHolds() {
 	for {
 		p.mu.Lock()
@@ -143,10 +165,14 @@
 	for {
 		p.awaitHolds()
 		c, err := p.ln.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			time.Sleep(pollInterval)
+		default:
+			go p.serve(c)
 		}
-		go p.serve(c)
 	}
 }
 
