--- a/internal/fleet/model_check_test.go
+++ b/internal/fleet/model_check_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"hash/fnv"
@@ -35,8 +34,6 @@
 	maxModelJobs = 14
 	// maxStoreOutage bounds the time for which the store answers no node.
 	maxStoreOutage = 6 * time.Second
-	// maxPartition bounds the time for which a leader is cut off, longer than any lease of it reaches.
-	maxPartition = 12 * time.Second
 
 	// modelContactTime is the contract's time for which the store is unimpaired before nodes are in
 	// touch.
@@ -172,10 +169,6 @@
 // The same with tasks that crash their workers.
 func TestLeaderModelWithCrashingTasks(t *testing.T) { checkModel(t, modelVariant{crashing: true}) }
 
-// The same with leaders that are cut off from the store and their peers, not from some workers, while
-// later terms hand the lead on.
-func TestLeaderModelWithPartitions(t *testing.T) { checkModel(t, modelVariant{partitions: true}) }
-
 func checkModel(t *testing.T, v modelVariant) {
 	if s := os.Getenv("FLEET_SEEDS"); s != "" { // while no parallel test runs
 		seed, checks, ok := strings.Cut(s, ",")
@@ -513,73 +506,6 @@
 	}
 }
 
-// cutOffLeader cuts a leader off with some of the workers from the store and all other nodes. The terms
-// that follow are short: they hand the lead on, or end without notice.
-func (m *leaderModel) cutOffLeader(rt *rapid.T) {
-	if rapid.Bool().Draw(rt, "submit") {
-		m.submit(rt)
-		time.Sleep(upTo(rt, "age of runs", time.Second))
-	}
-	length := maxPartition * time.Duration(1+pick(rt, "quarters", 4)) / 4
-	terms := 1 + pick(rt, "terms", 3)
-	former, cutOff := m.c.Leader(), m.some(rt)
-	if former == nil {
-		return
-	}
-	m.log("%s cut off for %v with %d workers, %d short terms", former.Name, length, len(cutOff), terms)
-	cut := func(n *fleettest.Member, length time.Duration) {
-		view := n.Workers
-		for _, w := range cutOff {
-			view.Cut(w, true)
-			time.AfterFunc(length, func() { view.Cut(w, false) })
-		}
-	}
-	for _, n := range m.c.Nodes {
-		if n != former {
-			cut(n, length)
-		}
-	}
-	m.storeFault(former, fleettest.Silent, length)
-	peers := former.Peers
-	peers.Cut(true)
-	time.AfterFunc(length, func() { peers.Cut(false) })
-	end := time.Now().Add(length)
-	for range terms {
-		graceful, age := pick(rt, "graceful", 4) > 0, upTo(rt, "age", time.Second)
-		next := m.nextLeader(former, end)
-		if next == nil {
-			return
-		}
-		time.Sleep(age)
-		m.log("leader %s ends after %v, graceful %t", next.Name, age, graceful)
-		if graceful {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			next.Node.Drain(ctx)
-			cancel()
-		}
-		m.c.Kill(next)
-		m.c.Start(next)
-		if left := time.Until(end); left > 0 {
-			cut(next, left)
-		}
-	}
-	if rapid.Bool().Draw(rt, "wait") {
-		time.Sleep(time.Until(end))
-	}
-}
-
-// nextLeader waits until end for a leader beside former; nil if there is none.
-func (m *leaderModel) nextLeader(former *fleettest.Member, end time.Time) *fleettest.Member {
-	for ; time.Now().Before(end); time.Sleep(time.Millisecond) {
-		for _, n := range m.c.Nodes {
-			if n != former && n.Up() && n.Node.Leading() {
-				return n
-			}
-		}
-	}
-	return nil
-}
-
 // orderMaintenance requests the maintenance of a worker that cannot be maintained, so that the orders
 // for it are repeated.
 func (m *leaderModel) orderMaintenance(*rapid.T) {
@@ -604,80 +530,3 @@
 	}
 	m.judged = len(calls)
 }
-
-// calm ends all faults and waits until the jobs have ended.
-func (m *leaderModel) calm(rt *rapid.T) {
-	m.log("the faults end")
-	m.c.Workers.WithLock(func() { m.c.Workers.LateShare, m.c.Workers.LostShare = 0, 0 })
-	m.c.Store.SetTransactionFaults(0, 0)
-	begun := max(maxStoreOutage, maxLateness)
-	if m.variant.partitions {
-		begun = maxPartition
-	}
-	time.Sleep(begun) // what was begun ends
-	m.c.Checker.Calm()
-	calm := time.Now()
-	idle := map[string]time.Duration{}
-	for open := m.openJobs(); len(open) > 0; open = m.openJobs() {
-		for i, id := range open {
-			n := m.c.Nodes[i%modelNodes]
-			m.h.calls.Go(func() { m.h.state(n, id) })
-		}
-		for range int(time.Second / modelObserveInterval) {
-			time.Sleep(modelObserveInterval)
-			if time.Since(calm) > modelFinishTime {
-				m.observeIdle(rt, open, idle)
-			}
-		}
-		m.check(rt)
-		if time.Since(calm) > modelEndTime {
-			rt.Fatalf("callers: job %s of kind %d has not ended %v after the faults; %v", open[0], kindOf(open[0]), time.Since(calm), m.c.Checker.Running(open[0]))
-		}
-	}
-	m.h.calls.Wait()
-	bounds := fleettest.HistoryBounds{Visibility: historyVisibility, CalmSince: calm.Sub(m.begun)}
-	for _, v := range fleettest.CheckHistory(m.h.history.Calls(), bounds) {
-		rt.Fatalf("callers: %.3f s %s", v.At.Seconds(), v.Text)
-	}
-}
-
-// openJobs returns the accepted jobs that nobody has cancelled and that were neither shown in a final
-// state nor, if they last, as running.
-func (m *leaderModel) openJobs() []string {
-	accepted, settled := map[string]bool{}, map[string]bool{}
-	for _, c := range m.h.history.Calls() {
-		accepted[c.Job] = accepted[c.Job] || (c.Kind == fleettest.CallSubmit && c.Result == fleettest.CallAccepted)
-		settled[c.Job] = settled[c.Job] || c.Kind == fleettest.CallCancel || c.State.Final()
-	}
-	var open []string
-	for _, id := range m.jobs {
-		lasts := kindOf(id) == kindLasting && len(m.c.Checker.Running(id)) == modelSpecs[kindLasting].Steps[0].Count
-		if accepted[id] && !settled[id] && !lasts {
-			open = append(open, id)
-		}
-	}
-	return open
-}
-
-// observeIdle judges for how long nothing of a job has run although under half of the capacity is in
-// use.
-func (m *leaderModel) observeIdle(rt *rapid.T, open []string, idle map[string]time.Duration) {
-	used, capacity := int64(0), int64(0)
-	for _, task := range m.c.Workers.RunningTasks() {
-		used += modelTask(task).Needs.MilliCPU
-	}
-	for _, w := range m.c.RunningWorkers() {
-		if string(w.Info.Worker) != m.maintained {
-			capacity += w.Info.Capacity.MilliCPU
-		}
-	}
-	for _, id := range open {
-		if len(m.c.Checker.Running(id)) > 0 || 2*used >= capacity {
-			idle[id] = 0
-			continue
-		}
-		if idle[id] += modelObserveInterval; idle[id] > maxModelIdle {
-			rt.Fatalf("upstreams: nothing of job %s, of kind %d, has run for %v", id, kindOf(id), idle[id])
-		}
-	}
-}
