--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -96,7 +96,7 @@
 	return &silentLeaderRecord{Node: s.node, Process: s.process, Addr: s.addr, OthersRenewalMS: leastAgeMS(now, s.othersRenewedBy)}
 }
 
-// renewedBy returns formerLeaderRenewedBy, which was before, once the process of s has ended by a moment.
+// renewedBy returns formerLeaderRenewedBy, which was before, once the term of s had ended by a moment.
 func (s *silentLeader) renewedBy(before, ended time.Time) time.Time {
 	renewedBy := endedRenewal(ended)
 	if s.othersRenewedBy.After(renewedBy) {
@@ -124,8 +124,8 @@
 
 // stopSilentLeader tells the leader that may give orders beside t that a new term has begun. A leader
 // that the store does not answer would go on for some seconds more. Workers that have seen the fence of
-// the new term refuse its orders, but one that starts again has seen none. If a later process of its
-// node answers, it has ended.
+// the new term refuse its orders, but one that starts again has seen none. Its answer, or that of a later
+// process of its node, tells that it has ended.
 func (n *Node) stopSilentLeader(t *term) {
 	s := t.silent
 	if s == nil || s.addr == "" || s.addr == n.cfg.PeerAddr {
@@ -176,9 +176,8 @@
 	}
 }
 
-// formerLeaderEnded tells that the silent leader had ended, or its term had, by a moment. That bounds
-// formerLeaderRenewedBy, and with it the end of leases of workers that have neither answered nor a
-// record of their own.
+// formerLeaderEnded tells that the term of the silent leader had ended by a moment. That bounds
+// formerLeaderRenewedBy, and with it the assumed end of leases of workers that have not answered.
 type formerLeaderEnded struct{ by time.Time }
 
 func (e formerLeaderEnded) handle(t *term) {
