--- a/internal/fleet/earlier_leaders_test.go
+++ b/internal/fleet/earlier_leaders_test.go
@@ -79,14 +79,9 @@
 		}
 		cutOff := busyWorkers(c)
 		cutOff = cutOff[:1+random.IntN(len(cutOff))]
-		cut := func(m *fleettest.Member) {
-			for _, w := range cutOff {
-				m.Workers.Cut(w, true)
-			}
-		}
 		for _, m := range c.Nodes {
 			if m != former {
-				cut(m)
+				cutAll(m, cutOff)
 			}
 		}
 		former.Store.SetFault(fleettest.Silent)
@@ -124,7 +119,7 @@
 			}
 			c.Kill(next)
 			c.Start(next)
-			cut(next)
+			cutAll(next, cutOff)
 		}
 		if random.IntN(2) == 0 { // the links heal
 			for _, m := range c.Nodes {
--- a/internal/fleet/handover_partition_test.go
+++ b/internal/fleet/handover_partition_test.go
@@ -32,9 +32,7 @@
 		cutOff := busyWorkers(c)
 		for _, m := range c.Nodes {
 			if m != former {
-				for _, w := range cutOff {
-					m.Workers.Cut(w, true)
-				}
+				cutAll(m, cutOff)
 			}
 		}
 		former.Store.SetFault(fleettest.Silent)
