--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -13,12 +13,13 @@
 // cell is a node's view of one cell of the fleet. It holds the latest term in which the
 // node leads or has led the cell.
 type cell struct {
-	index       int
-	part        string
-	term        atomic.Pointer[term]
-	termBegun   atomic.Uint64 // the latest term of another node of which a peer has told
-	leader      atomic.Pointer[leaderSnapshot]
-	leaderCalls leaderCallHealth
+	index int
+	part  string
+	term  atomic.Pointer[term]
+	// confirmations is what this process remembers as a witness of the cell's leaders.
+	confirmations confirmations
+	leader        atomic.Pointer[leaderSnapshot]
+	leaderCalls   leaderCallHealth
 	// loadStalledAt is when this node last released leadership because it could not read the tables.
 	loadStalledAt atomic.Pointer[time.Time]
 	// watch is owned by the goroutine of watchLeaders.
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -42,6 +42,8 @@
 	startedAt time.Time
 	renews    bool
 	releases  bool
+	// witnesses are those that the renewal tells.
+	witnesses []witness
 	updates   []jobUpdate
 	used      []Lifetime
 	unused    []Lifetime
@@ -205,6 +207,7 @@
 	c.tx.Puts = append(c.tx.Puts, Row{RowID: fence, Value: encode(fenceRecord{t.number, c.nonce})})
 	c.renews, c.releases = renew, release
 	if renew {
+		c.witnesses = t.witnesses.declare()
 		c.tx.Puts = append(c.tx.Puts, t.cfg.renewalRow(t.part, t.renewalRecord(release)))
 		t.appendModels(c)
 	}
@@ -222,6 +225,9 @@
 	r := leaderRecord{Term: t.number, Released: release, Successor: t.successor, Loaded: t.loaded, LeaseRecordsSince: t.leaseRecordsSince,
 		RunsKnown: t.allRunsKnown()}
 	r.describeFormer(t.now, t.formerLeaderRenewedBy, t.silent)
+	if members := t.witnesses.declared; len(members) > 0 {
+		r.Witnesses = &witnessRecord{Members: members, ReachMS: witnessedReach.Milliseconds()}
+	}
 	if t.loaded {
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
@@ -301,7 +307,7 @@
 		t.confirmedAt = e.sent
 	}
 	if e.sent.After(t.lastRenewal) && c.renews {
-		t.lastRenewal = e.sent
+		t.lastRenewal, t.witnesses.stored = e.sent, c.witnesses
 	}
 	if e.storeNow > 0 {
 		t.storeClock = storeReading{e.storeNow, e.sent}
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -146,7 +146,7 @@
 		}
 		n.recordStoreAnswer()
 		after = page.Version
-		n.applyLeaderRows(page.Rows)
+		n.applyLeaderRows(ctx, page.Rows)
 		n.pauseWatch(ctx, len(page.Rows) > 0)
 	}
 }
@@ -204,12 +204,12 @@
 	for _, c := range d.cells {
 		c.watch.silentSince = time.Now()
 	}
-	n.applyLeaderRows(rows)
+	n.applyLeaderRows(ctx, rows)
 	return page.Version, true
 }
 
 // applyLeaderRows applies changed rows of the leaders' table.
-func (n *Node) applyLeaderRows(rows []Row) {
+func (n *Node) applyLeaderRows(ctx context.Context, rows []Row) {
 	for _, row := range rows {
 		if row.RowID == layoutRow() {
 			n.applyLayoutRow(row)
@@ -219,13 +219,13 @@
 	for _, row := range rows {
 		for _, c := range d.cells {
 			if c.part == row.Part && row.Key == keyLeader {
-				n.applyLeaderRow(c, row)
+				n.applyLeaderRow(ctx, c, row)
 			}
 		}
 	}
 }
 
-func (n *Node) applyLeaderRow(c *cell, row Row) {
+func (n *Node) applyLeaderRow(ctx context.Context, c *cell, row Row) {
 	before := c.watch.record
 	c.watch.update(row, time.Now())
 	if !c.watch.known {
@@ -235,6 +235,7 @@
 	c.leader.Store(&leaderSnapshot{r, c.watch.silentSince})
 	if before.Term != r.Term || before.Released != r.Released {
 		n.log.WithFields(logrus.Fields{"decision": "leader", "cell": c.index, "term": r.Term, "leader": r.Node, "address": r.Addr, "released": r.Released}).Info("leader changed")
+		n.offerWitness(ctx, c, r)
 	}
 	n.requestLeadership(c, r)
 	if t := c.term.Load(); t != nil && t.number < r.Term {
@@ -319,7 +320,7 @@
 	if page.Rows[0].Version == f.version {
 		return true
 	}
-	n.applyLeaderRow(c, page.Rows[0])
+	n.applyLeaderRow(ctx, c, page.Rows[0])
 	return false
 }
 
@@ -352,13 +353,14 @@
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
 	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
 	c.term.Store(t)
-	if c.termBegun.Load() > number {
+	if c.confirmations.latestTerm() > number {
 		t.end("another node has taken the lead")
 	}
 	if c.watch.known {
 		t.former = c.watch.record
 		t.silent = silent
 		n.stopSilentLeader(t)
+		n.boundSilentLeader(t)
 	}
 	if n.draining.Load() { // since after the decision to campaign; Drain may not know of the term
 		t.post(stepDown{})
--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -33,6 +33,9 @@
 	UpMS int64 `json:"up_ms"`
 	// Ended means that this process gives no more orders of earlier terms of the cell.
 	Ended bool `json:"ended"`
+	// ConfirmedMS is how long ago this process confirmed to a leader of the cell that the store does not
+	// answer, -1 for never; nil from versions without witnesses.
+	ConfirmedMS *int64 `json:"confirmed_ms,omitempty"`
 }
 
 // endedBy returns when the process of s had certainly stopped giving orders, by an answer that was
@@ -55,6 +58,8 @@
 	addr    string
 	// othersRenewedBy is formerLeaderRenewedBy for the other leaders before the term.
 	othersRenewedBy time.Time
+	// witnessed is nil if the leader has no witnesses.
+	witnessed *witnessed
 }
 
 // silentLeaderRecord is the stored form of a silentLeader.
@@ -75,7 +80,7 @@
 	case !f.known:
 		return nil
 	case !r.Released:
-		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr}
+		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr, witnessed: r.Witnesses.witnessedBy(f.silentSince)}
 		if !r.RunsKnown {
 			s.othersRenewedBy = f.silentSince.Add(-r.formerRenewalAge())
 		}
@@ -84,7 +89,8 @@
 		return nil
 	}
 	s := &silentLeader{node: r.Silent.Node, process: r.Silent.Process, addr: r.Silent.Addr,
-		othersRenewedBy: f.silentSince.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond)}
+		othersRenewedBy: f.silentSince.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond),
+		witnessed:       r.SilentWitnesses.witnessedBy(f.silentSince)}
 	if released := endedRenewal(now); released.After(s.othersRenewedBy) {
 		s.othersRenewedBy = released
 	}
@@ -98,7 +104,11 @@
 
 // renewedBy returns formerLeaderRenewedBy, which was before, once the term of s had ended by a moment.
 func (s *silentLeader) renewedBy(before, ended time.Time) time.Time {
-	renewedBy := endedRenewal(ended)
+	return s.boundedBy(before, endedRenewal(ended))
+}
+
+// boundedBy returns formerLeaderRenewedBy, which was before, once renewedBy holds for s.
+func (s *silentLeader) boundedBy(before, renewedBy time.Time) time.Time {
 	if s.othersRenewedBy.After(renewedBy) {
 		renewedBy = s.othersRenewedBy
 	}
@@ -160,20 +170,18 @@
 // earlier one after that, though it may learn only then that it has won it.
 func (n *Node) handleTermBegun(_ context.Context, p termParams) (any, error) {
 	c := n.cell(p.Cell)
+	reply := termBegunReply{Node: n.cfg.Node, Process: n.cfg.Process, UpMS: time.Since(n.startedAt).Milliseconds(), Ended: c != nil}
 	if c != nil {
-		c.learnTermBegun(p.Term)
+		reply.ConfirmedMS = new(int64)
+		*reply.ConfirmedMS = -1
+		if at := c.confirmations.learnTerm(p.Term); !at.IsZero() {
+			*reply.ConfirmedMS = time.Since(at).Milliseconds()
+		}
 		if t := c.term.Load(); t != nil && t.number < p.Term {
 			t.end("another node has taken the lead")
 		}
 	}
-	return termBegunReply{Node: n.cfg.Node, Process: n.cfg.Process, UpMS: time.Since(n.startedAt).Milliseconds(), Ended: c != nil}, nil
-}
-
-// learnTermBegun notes that a term of another node has begun.
-func (c *cell) learnTermBegun(number uint64) {
-	for known := c.termBegun.Load(); known < number && !c.termBegun.CompareAndSwap(known, number); {
-		known = c.termBegun.Load()
-	}
+	return reply, nil
 }
 
 // formerLeaderEnded tells that the term of the silent leader had ended by a moment. That bounds
@@ -184,8 +192,15 @@
 	if t.silent == nil {
 		return
 	}
+	t.boundFormerLeases(t.silent.renewedBy(t.formerLeaderRenewedBy, e.by), "the former leader has ended")
+	t.silent = nil
+}
+
+// boundFormerLeases sets formerLeaderRenewedBy, which may only become earlier, and the assumed end of
+// leases of workers that have not answered.
+func (t *term) boundFormerLeases(renewedBy time.Time, msg string) {
 	before := t.formerLeasesEnd()
-	t.formerLeaderRenewedBy = t.silent.renewedBy(t.formerLeaderRenewedBy, e.by)
+	t.formerLeaderRenewedBy = renewedBy
 	end, shortened := t.formerLeasesEnd(), 0
 	for _, w := range t.workers {
 		if w.leaseEndAssumed && !w.answered && w.inheritedLeaseEnd.After(end) {
@@ -194,6 +209,5 @@
 		}
 	}
 	t.log.WithFields(logrus.Fields{"leader": t.silent.node, "workers": shortened, "earlier_ms": before.Sub(end).Milliseconds(),
-		"former_leases_ms": end.Sub(t.now).Milliseconds()}).Info("the former leader has ended")
-	t.silent = nil
+		"former_leases_ms": end.Sub(t.now).Milliseconds()}).Info(msg)
 }
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -12,6 +12,7 @@
 	accepted, starts, refusals, polls, unanswered, unreadable prometheus.Counter
 	paces, moves, lent, gaveUp                                prometheus.Counter
 	stops, ends, commits, readErrors, requests, terms         *prometheus.CounterVec
+	confirmations                                             *prometheus.CounterVec
 	commitSeconds, recoverySeconds                            prometheus.Observer
 	requestSeconds                                            *prometheus.HistogramVec
 	configuration                                             prometheus.Gauge
@@ -51,6 +52,7 @@
 		readErrors:      m.Counter("fleet", "read_errors_total", "Failed reads of the store by kind.", "kind"),
 		requests:        m.Counter("fleet", "requests_total", "Requests of callers by kind and result.", "request", "result"),
 		terms:           m.Counter("fleet", "campaigns_total", "Tries to take the lead by result.", "result"),
+		confirmations:   m.Counter("fleet", "confirmations_total", "Requests to the witnesses whether the store answers, by result.", "result"),
 		commitSeconds:   m.Histogram("fleet", "transaction_seconds", "Time from the begin of a transaction to its result.", telemetry.LatencyBuckets).WithLabelValues(),
 		recoverySeconds: m.Histogram("fleet", "recovery_seconds", "Time from the begin of a term until it knows all runs of earlier ones.", telemetry.LatencyBuckets).WithLabelValues(),
 		roundSeconds:    m.Histogram("fleet", "round_seconds", "Time of one round of a leader's loop: some events, and a plan where one is due.", telemetry.LatencyBuckets).WithLabelValues(),
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -18,6 +18,8 @@
 	methodPending           = "jobs.pending"
 	methodRequestLeadership = "lead.ask"
 	methodTermBegun         = "lead.taken"
+	methodOfferWitness      = "lead.offer"
+	methodWitness           = "lead.witness"
 	methodEvacuate          = "worker.empty"
 )
 
@@ -95,6 +97,8 @@
 		}),
 		methodRequestLeadership: membership.Typed(n.handleLeadershipRequest),
 		methodTermBegun:         membership.Typed(n.handleTermBegun),
+		methodOfferWitness:      membership.Typed(n.handleWitnessOffer),
+		methodWitness:           membership.Typed(n.handleWitness),
 		methodEvacuate: membership.Typed(func(ctx context.Context, p evacuateParams) (any, error) {
 			return localEvacuate(ctx, n.cell(p.Cell), p), nil
 		}),
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -173,6 +173,10 @@
 	FormerRenewalMS int64 `cbor:"14,keyasint,omitempty"`
 	// Silent is a leader of earlier terms that may still give orders; nil if none is known.
 	Silent *silentLeaderRecord `cbor:"15,keyasint,omitempty"`
+	// Witnesses are those of this term; nil if it has none. SilentWitnesses are those of the silent
+	// leader.
+	Witnesses       *witnessRecord `cbor:"16,keyasint,omitempty"`
+	SilentWitnesses *witnessRecord `cbor:"17,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
@@ -187,7 +191,7 @@
 func (r *leaderRecord) describeFormer(now, formerLeaderRenewedBy time.Time, silent *silentLeader) {
 	r.FormerRenewalMS = leastAgeMS(now, formerLeaderRenewedBy)
 	if silent != nil && (!r.RunsKnown || now.Before(formerLeaderRenewedBy.Add(maxLeaseReach))) {
-		r.Silent = silent.record(now)
+		r.Silent, r.SilentWitnesses = silent.record(now), silent.witnessed.record(now)
 	}
 }
 
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -88,6 +88,8 @@
 	// formerOrdersBy is the same for a former leader that has not released leadership, else the
 	// latest moment at which it may have given an order.
 	formerOrdersBy time.Time
+	// witnesses are other processes that know whether the store answers; see leaseReach.
+	witnesses leaderWitnesses
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
 	// startVersion is the version of the store at the start of the term.
@@ -169,6 +171,7 @@
 		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
 		usedRowsToPut: map[Lifetime]usedRecord{}, unansweredStarts: map[startKey]unansweredStart{}, usedRowsToDelete: map[Lifetime]bool{},
 		queueRunTimes: map[string]*queueRunTime{}, shortWork: map[shortKey]*shortDemand{}, interference: newInterference(), metrics: m,
+		witnesses: leaderWitnesses{checkedAt: now, unanswered: map[uint64]int{}},
 	}
 }
 
@@ -237,6 +240,7 @@
 
 // onTick runs the work that is due by time.
 func (t *term) onTick() {
+	t.askWitnesses()
 	if !t.loaded {
 		t.releaseIfLoadStalls()
 		return
@@ -255,7 +259,7 @@
 
 // active reports whether the term may give orders: it has renewed recently.
 func (t *term) active() bool {
-	return !t.stopping && t.now.Sub(t.lastRenewal) < maxOrderAge
+	return !t.stopping && t.leaseReach().Sub(t.now) > maxLeaseReach-maxOrderAge
 }
 
 // maxScheduleAhead bounds the times that monotonicTime returns, as a Duration holds at most 292
@@ -412,7 +416,7 @@
 const maxLease = 5 * time.Second
 
 // leaseLength is the length of the leases that workers are granted now. It shrinks while
-// renewals fail, so that no lease ends later than maxLeaseReach after a renewal.
+// renewals fail, so that no lease ends later than leaseReach.
 func (t *term) leaseLength() time.Duration {
-	return min(t.cfg.Bounds.LeaseMax, maxLease, maxLeaseReach-t.now.Sub(t.lastRenewal))
+	return min(t.cfg.Bounds.LeaseMax, maxLease, t.leaseReach().Sub(t.now))
 }
--- /dev/null
+++ b/internal/fleet/witnesses_cluster_test.go
@@ -0,0 +1,107 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+)
+
+// witnessSettleTime is the time in which a leader finds its witnesses and stores them.
+const witnessSettleTime = 2 * time.Second
+
+// A leader that is gone for good answers nobody, so the next one waited for all leases that it may have
+// granted while it was silent: lasting tasks of a worker that was lost beside it did not run for 9.2 s
+// and more.
+func TestServicesLostBesideLeaderThatIsGoneRunAgainInTime(t *testing.T) {
+	for seed := range uint64(6) {
+		for _, lostNodes := range []int{1, 2} {
+			t.Run(fmt.Sprint(seed, lostNodes), func(t *testing.T) {
+				runCluster(t, 800+seed, 5, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+					const tasks = 12
+					submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
+					time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
+					w := busyWorkers(c)[0]
+					c.Workers.Kill(w)
+					lost, leader := time.Now(), c.Leader()
+					c.Kill(leader)
+					if lostNodes > 1 {
+						c.Kill(anotherNode(c, leader))
+					}
+					time.AfterFunc(entryLifetime, func() { c.Unlist(w) })
+					for runningAll(c) < tasks {
+						require.Less(t, time.Since(lost), restartBound)
+						time.Sleep(50 * time.Millisecond)
+					}
+					t.Logf("all tasks run again %v after the worker was lost", time.Since(lost))
+				})
+			})
+		}
+	}
+}
+
+// anotherNode returns a node beside m.
+func anotherNode(c *fleettest.Cluster, m *fleettest.Member) *fleettest.Member {
+	return c.Nodes[(slices.Index(c.Nodes, m)+1)%len(c.Nodes)]
+}
+
+// Guards the leases of an outage: while the store answers nobody, no node can take over, and work goes on.
+func TestRunsOutlastSilentStore(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, fault := range []fleettest.Fault{fleettest.Silent, fleettest.Busy} {
+			t.Run(fmt.Sprint(seed, fault), func(t *testing.T) {
+				runCluster(t, 820+seed, 5, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+					const tasks = 12
+					submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
+					time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
+					for _, m := range c.Nodes {
+						m.Store.SetFault(fault)
+					}
+					time.Sleep(6 * time.Second)
+					for _, m := range c.Nodes {
+						m.Store.SetFault(fleettest.Healthy)
+					}
+					time.Sleep(5 * time.Second)
+					require.Equal(t, tasks, runningAll(c))
+					require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+				})
+			})
+		}
+	}
+}
+
+// Guards the wait for a leader that most witnesses have confirmed: the store turned them away with it,
+// and served the node that took the lead. It orders on as long as it is cut off.
+func TestNextLeaderWaitsForConfirmedLeases(t *testing.T) {
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: time.Minute, Needs: smallNeeds} }
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runCluster(t, 840+seed, 6, 6, long, func(t *testing.T, c *fleettest.Cluster) {
+				const tasks = 6
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 2, Needs: smallNeeds, Estimate: time.Minute}}})
+				time.Sleep(witnessSettleTime)
+				former, cutOff := c.Leader(), busyWorkers(c)
+				at := slices.Index(c.Nodes, former)
+				for i := range 3 {
+					c.Nodes[(at+1+i)%len(c.Nodes)].Store.SetFault(fleettest.Silent)
+				}
+				time.Sleep(2 * time.Second)
+				former.Store.SetFault(fleettest.Silent)
+				for _, m := range c.Nodes {
+					if m != former {
+						cutAll(m, cutOff)
+					}
+				}
+				time.Sleep(1200*time.Millisecond + time.Duration(seed)*50*time.Millisecond)
+				former.Peers.Cut(true)
+				time.Sleep(20 * time.Second)
+				require.Equal(t, 2*tasks, c.Checker.StartCount(), "all tasks start elsewhere")
+			})
+		})
+	}
+}
