--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -83,6 +83,17 @@
 	// sent is when the successful attempt was sent.
 	sent  time.Time
 	tries int
+	// found means that the attempt found what an earlier one had written.
+	found bool
+}
+
+// renewedAt returns when the renewal of the transaction was sent at the latest before other nodes may have
+// seen it.
+func (e commitResult) renewedAt() time.Time {
+	if e.found {
+		return e.commit.startedAt
+	}
+	return e.sent
 }
 
 // commitDelayed reports whether the transaction in flight has taken too long.
@@ -250,12 +261,12 @@
 		cancel()
 		t.metrics.commits.WithLabelValues(resultLabel(err)).Inc()
 		if err == nil {
-			t.post(commitResult{c, result.Version, result.Now, sent, try + 1})
+			t.post(commitResult{c, result.Version, result.Now, sent, try + 1, false})
 			return
 		}
 		var conflict *ConflictError
 		if errors.As(err, &conflict) {
-			t.post(commitResult{c, fenceVersionOfNonce(conflict.Rows, c.nonce), 0, sent, try + 1})
+			t.post(commitResult{c, fenceVersionOfNonce(conflict.Rows, c.nonce), 0, sent, try + 1, true})
 			return
 		}
 		if try == 0 {
@@ -306,8 +317,8 @@
 	if e.sent.After(t.confirmedAt) {
 		t.confirmedAt = e.sent
 	}
-	if e.sent.After(t.lastRenewal) && c.renews {
-		t.lastRenewal, t.witnesses.stored = e.sent, c.witnesses
+	if c.renews {
+		t.lastRenewal, t.witnesses.stored = latest(t.lastRenewal, e.renewedAt()), c.witnesses
 	}
 	if e.storeNow > 0 {
 		t.storeClock = storeReading{e.storeNow, e.sent}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -411,6 +411,14 @@
 	return logrus.DebugLevel
 }
 
+// latest returns the later of two moments.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // maxLease bounds the length of leases. It is long enough to outlast a change of leader and
 // short enough that the work of a lost worker restarts soon.
 const maxLease = 5 * time.Second
--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -208,8 +208,8 @@
 		return longest
 	}
 	basis := t.lastRenewal
-	if s.confirmable() && s.confirmedAt.After(basis) {
-		basis = s.confirmedAt
+	if s.confirmable() {
+		basis = latest(basis, s.confirmedAt)
 	}
 	if reach := basis.Add(witnessedReach); reach.Before(longest) {
 		return reach
@@ -479,9 +479,6 @@
 	if s == nil || s.witnessed == nil {
 		return
 	}
-	basis := s.witnessed.renewedBy
-	if e.confirmedBy.After(basis) {
-		basis = e.confirmedBy
-	}
+	basis := latest(s.witnessed.renewedBy, e.confirmedBy)
 	t.boundFormerLeases(s.boundedBy(t.formerLeaderRenewedBy, basis.Add(s.witnessed.reach-maxLeaseReach)), "the witnesses of the former leader bound its leases")
 }
