--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -136,7 +136,7 @@
 		Store:   platform.NewStore(s.Addresses.Store, platform.NewTransport(storeConnections, link)),
 		Workers: platform.NewWorkers(platform.NewTransport(workerConnections, link)),
 		Decoder: platform.Rows{}, Log: log, Metrics: m,
-		Link: link, Usage: usage.NewMeter(link),
+		Link: link, Usage: usage.NewMeter(link), Suspended: usage.Suspended,
 	}
 	if s.Addresses.Advisor != "" {
 		cfg.Advisor = platform.NewAdvisor(s.Addresses.Advisor, platform.NewTransport(4, link))
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -314,11 +314,14 @@
 	t.fenceVersion = e.version
 	t.planConfirmedJobs()
 	// The fence proves that no later term had begun when the transaction was sent.
-	if e.sent.After(t.confirmedAt) {
-		t.confirmedAt = e.sent
+	if t.sentSinceResume(e.sent) {
+		t.confirmedAt = latest(t.confirmedAt, e.sent)
 	}
 	if c.renews {
-		t.lastRenewal, t.witnesses.stored = latest(t.lastRenewal, e.renewedAt()), c.witnesses
+		t.witnesses.stored = c.witnesses
+		if t.sentSinceResume(e.renewedAt()) {
+			t.lastRenewal = latest(t.lastRenewal, e.renewedAt())
+		}
 	}
 	if e.storeNow > 0 {
 		t.storeClock = storeReading{e.storeNow, e.sent}
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -272,7 +272,7 @@
 	}
 	recordsSince := former.leaseRecordsSince(number)
 	record := leaderRecord{Term: number, LeaseRecordsSince: recordsSince}
-	now := time.Now()
+	suspended, now := n.cfg.readSuspensions(), time.Now()
 	formerLeaderRenewedBy, silent := n.formerLeaders(f, now)
 	record.describeFormer(now, formerLeaderRenewedBy, silent)
 	tx := Transaction{
@@ -301,7 +301,7 @@
 		}
 		result = read
 	}
-	n.startTerm(ctx, c, number, result.Version, recordsSince, storeReading{result.Now, sent})
+	n.startTerm(ctx, c, number, result.Version, recordsSince, storeReading{result.Now, sent}, suspended)
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -341,12 +341,12 @@
 
 // startTerm runs a term of a cell in the background. begun holds when the transaction that began the
 // term was sent, and a reading of the store's clock after that. Other nodes derive from the row that it
-// wrote how long the term's leases last. The term ends with ctx, which may have ended during the campaign.
-func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, begun storeReading) {
+// wrote how long the term's leases last. suspended was read before that transaction. The term ends with ctx, which may have ended during the campaign.
+func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, begun storeReading, suspended suspensions) {
 	d := n.cellTable.Load()
 	formerLeaderRenewedBy, silent := n.formerLeaders(&c.watch, time.Now())
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
-	t.lastRenewal, t.leaseRecordsSince = begun.at, recordsSince
+	t.lastRenewal, t.leaseRecordsSince, t.suspensions = begun.at, recordsSince, suspended
 	if begun.now > 0 {
 		t.storeClock = begun
 	}
--- a/internal/fleet/event_queue.go
+++ b/internal/fleet/event_queue.go
@@ -160,7 +160,7 @@
 
 // handleQueued handles an event from the queue and records how long it waited.
 func (t *term) handleQueued(a queuedEvent) {
-	t.now = time.Now()
+	t.readClock()
 	age := t.now.Sub(a.queuedAt)
 	t.metrics.eventAge[a.class].Observe(age.Seconds())
 	t.loopLoad.current.oldest[a.class] = max(t.loopLoad.current.oldest[a.class], age)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -48,6 +48,8 @@
 	Link *linkmeter.Meter
 	// Usage returns what the process has used of its host; nil where that is not measured.
 	Usage func() usage.Total
+	// Suspended returns for how long the host has been suspended in all; nil where that is not measured.
+	Suspended func() time.Duration
 	// EventHook, when set, is called before each event and plan of a leader's loop. Tests use
 	// it to emulate a slow processor.
 	EventHook func()
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -89,7 +89,8 @@
 	// latest moment at which it may have given an order.
 	formerOrdersBy time.Time
 	// witnesses are other processes that know whether the store answers; see leaseReach.
-	witnesses leaderWitnesses
+	witnesses   leaderWitnesses
+	suspensions suspensions
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
 	// startVersion is the version of the store at the start of the term.
@@ -206,7 +207,7 @@
 		case a := <-t.events[classQuery]:
 			start = t.handleEvents(a)
 		case <-tick.C:
-			t.now = time.Now()
+			t.readClock()
 			start = t.now
 			t.onTick()
 		}
--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -316,7 +316,7 @@
 		return
 	}
 	held := confirmed >= majority(len(e.members)) && s.confirmable() && slices.Equal(e.members, s.stored)
-	if held {
+	if held && t.sentSinceResume(e.sent) {
 		s.confirmedAt = e.sent
 	}
 	t.metrics.confirmations.WithLabelValues(confirmationLabel(held)).Inc()
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/vanillapier/vanillapier/internal/linkmeter"
 )
 
@@ -41,6 +43,16 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// Suspended returns for how long the host has been suspended in all, or 0 where the system does not report
+// it.
+func Suspended() time.Duration {
+	var all, awake unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &awake) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &all) != nil {
+		return 0
+	}
+	return time.Duration(all.Nano() - awake.Nano())
+}
+
 // Limits are the resource limits of the host; 0 means unknown.
 type Limits struct {
 	MilliCPU  int64 // thousandths of a core
