--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -46,8 +46,9 @@
 	record  leaderRecord
 	known   bool
 	version uint64
-	// silentSince is when the last renewal was seen, or when reading resumed.
-	silentSince time.Time
+	// seenAt is when the last renewal was first seen. silentSince is the same, or when reading resumed or
+	// a campaign failed if that is later.
+	seenAt, silentSince time.Time
 	jitter      time.Duration
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
 	// because its host is smaller or already leads other cells.
@@ -76,19 +77,19 @@
 }
 
 // formerLeaderRenewedBy returns the latest moment at which the former leader may have renewed:
-// its last renewal was sent before this node saw it. Its leases end at most maxLeaseReach after
+// its last renewal was sent before this node first saw it. Its leases end at most maxLeaseReach after
 // the result. For a leader with another lease reach, the result is shifted by the difference.
 func (f *leaderWatch) formerLeaderRenewedBy(now time.Time) time.Time {
 	if !f.known {
 		return now
 	}
 	if !f.record.Released {
-		return f.silentSince.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
+		return f.seenAt.Add(f.record.leaseReachOrDefault() - maxLeaseReach)
 	}
 	// It gives no more orders. A leader before it may still give some to workers that it has not heard
 	// of.
 	renewedBy := endedRenewal(now)
-	if earlier := f.silentSince.Add(-f.record.formerRenewalAge()); !f.record.RunsKnown && earlier.After(renewedBy) {
+	if earlier := f.seenAt.Add(-f.record.formerRenewalAge()); !f.record.RunsKnown && earlier.After(renewedBy) {
 		return earlier
 	}
 	return renewedBy
@@ -98,7 +99,7 @@
 // order. One that has released leadership gave its last order before this node saw the release.
 func (f *leaderWatch) formerOrdersBy(now time.Time) time.Time {
 	if f.known && f.record.Released {
-		return f.silentSince
+		return f.seenAt
 	}
 	return f.formerLeaderRenewedBy(now)
 }
@@ -121,7 +122,7 @@
 	if row.Version == f.version {
 		return
 	}
-	f.record, f.known, f.version, f.silentSince = r, true, row.Version, now
+	f.record, f.known, f.version, f.seenAt, f.silentSince = r, true, row.Version, now, now
 	f.jitter = time.Duration(rand.Int64N(int64(campaignJitter)))
 }
 
--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -80,17 +80,17 @@
 	case !f.known:
 		return nil
 	case !r.Released:
-		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr, witnessed: r.Witnesses.witnessedBy(f.silentSince)}
+		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr, witnessed: r.Witnesses.witnessedBy(f.seenAt)}
 		if !r.RunsKnown {
-			s.othersRenewedBy = f.silentSince.Add(-r.formerRenewalAge())
+			s.othersRenewedBy = f.seenAt.Add(-r.formerRenewalAge())
 		}
 		return s
 	case r.Silent == nil:
 		return nil
 	}
 	s := &silentLeader{node: r.Silent.Node, process: r.Silent.Process, addr: r.Silent.Addr,
-		othersRenewedBy: f.silentSince.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond),
-		witnessed:       r.SilentWitnesses.witnessedBy(f.silentSince)}
+		othersRenewedBy: f.seenAt.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond),
+		witnessed:       r.SilentWitnesses.witnessedBy(f.seenAt)}
 	if released := endedRenewal(now); released.After(s.othersRenewedBy) {
 		s.othersRenewedBy = released
 	}
--- a/internal/fleet/former_leader_bound_test.go
+++ b/internal/fleet/former_leader_bound_test.go
@@ -52,7 +52,7 @@
 func TestProcessAtAnotherAddressProvesNoEnd(t *testing.T) {
 	n := &Node{cfg: Config{Node: "n", Process: 2, PeerAddr: "b"}, startedAt: at(1)}
 	record := leaderRecord{Term: 2, Node: "n", Process: 1, Addr: "a", RunsKnown: true, LeaseReachMS: maxLeaseReach.Milliseconds()}
-	renewedBy, silent := n.formerLeaders(&leaderWatch{known: true, record: record, silentSince: at(2)}, at(2))
+	renewedBy, silent := n.formerLeaders(&leaderWatch{known: true, record: record, seenAt: at(2)}, at(2))
 	require.Equal(t, at(2), renewedBy, "process 1 at address a may be cut off only")
 	require.NotNil(t, silent)
 }
