--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -440,7 +440,10 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, m := range members {
-		if _, ok := answered[m]; ok {
+		mu.Lock()
+		_, ok := answered[m]
+		mu.Unlock()
+		if ok {
 			continue
 		}
 		wg.Go(func() {
