--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -107,7 +107,7 @@
 	if number < c.begun {
 		return false
 	}
-	c.confirmedAt = now
+	c.confirmedAt = latest(c.confirmedAt, now)
 	return true
 }
 
@@ -246,11 +246,11 @@
 	return nodes
 }
 
-// askWitnesses asks the witnesses for a confirmation while renewals are missing, and otherwise now and
-// then whether they answer.
+// askWitnesses asks the stored witnesses for a confirmation while renewals are missing, and otherwise now
+// and then all, and those that were lost, whether they answer.
 func (t *term) askWitnesses() {
 	s := &t.witnesses
-	if s.asking || t.stopping || len(s.members) == 0 {
+	if s.asking || t.stopping || len(s.candidates) == 0 {
 		return
 	}
 	confirm := s.confirmable() && t.now.Sub(t.lastRenewal) >= confirmationAge && t.now.Sub(s.askedAt) >= confirmationInterval
@@ -261,7 +261,23 @@
 	if confirm {
 		s.askedAt = t.now
 	}
-	go t.callWitnesses(s.members, confirm)
+	if confirm {
+		go t.callWitnesses(s.stored, true)
+		return
+	}
+	go t.callWitnesses(append(s.lostCandidates(), s.members...), false)
+}
+
+// lostCandidates returns candidates that left too many calls unanswered. They are witnesses again once
+// they answer.
+func (s *leaderWitnesses) lostCandidates() []witness {
+	var lost []witness
+	for _, o := range s.candidates {
+		if s.unanswered[o.Process] >= maxUnansweredChecks {
+			lost = append(lost, witness{Node: o.Node, Process: o.Process, Addr: o.Addr})
+		}
+	}
+	return lost
 }
 
 // callWitnesses calls witnesses at once and posts their answers.
