--- a/internal/fleet/witnesses_cluster_test.go
+++ b/internal/fleet/witnesses_cluster_test.go
@@ -75,6 +75,39 @@
 	}
 }
 
+// The same soon after a change of leader: the witnesses of the new one were just being stored, and no
+// confirmation held until the store answered. All runs ended 5.5 s after its last renewal.
+func TestRunsOutlastSilentStoreAfterChangeOfLeader(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, after := range []time.Duration{300, 600, 900, 1200} {
+			t.Run(fmt.Sprint(seed, after), func(t *testing.T) {
+				runCluster(t, 900+seed, 6, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+					const tasks = 12
+					submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
+					time.Sleep(witnessSettleTime)
+					former := c.Leader()
+					c.Kill(former)
+					time.Sleep(100 * time.Millisecond)
+					c.Start(former)
+					for c.Leader() == nil {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(after * time.Millisecond)
+					for _, m := range c.Nodes {
+						m.Store.SetFault(fleettest.Silent)
+					}
+					time.Sleep(6 * time.Second)
+					for _, m := range c.Nodes {
+						m.Store.SetFault(fleettest.Healthy)
+					}
+					time.Sleep(5 * time.Second)
+					require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+				})
+			})
+		}
+	}
+}
+
 // Guards the wait for a leader that most witnesses have confirmed: the store turned them away with it,
 // and served the node that took the lead. It orders on as long as it is cut off.
 func TestNextLeaderWaitsForConfirmedLeases(t *testing.T) {
