--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -292,7 +292,7 @@
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	m.Store, m.Workers, m.Peers = c.Store.View(), c.Workers.View(), c.Network.Peers(m.Name)
 	cfg := fleet.Config{
-		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts, Seed: c.seed + m.starts,
+		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts<<8 + uint64(slices.Index(c.Nodes, m)), Seed: c.seed + m.starts,
 		Limits: fleet.Limits{RowBytes: rowBytes, MilliCPU: m.MilliCPU},
 		Bounds: fleet.Bounds{LeaseMax: c.Workers.LeaseMax, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: MaintenanceTime},
 		Cells:  c.Cells,
--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -141,7 +141,8 @@
 	// members are the chosen witnesses. declared and stored are those of the last renewal that was sent
 	// and of the last one that was answered.
 	members, declared, stored []witness
-	// confirmedAt is when the last request that a majority of stored confirmed was sent.
+	// confirmedAt is when the last request was sent that a majority of each set confirmed which the next
+	// leader may read.
 	confirmedAt time.Time
 	asking      bool
 	askedAt     time.Time
@@ -155,9 +156,32 @@
 // takes its place.
 const maxUnansweredChecks = 2
 
-// confirmable reports whether confirmations hold: the witnesses of the last renewal are known to be stored.
-func (s *leaderWitnesses) confirmable() bool {
-	return len(s.stored) > 0 && slices.Equal(s.stored, s.declared)
+// sets returns the sets of witnesses that the next leader may read: those of the last renewal that was
+// answered, and those of the last one that was sent.
+func (s *leaderWitnesses) sets() [][]witness {
+	var sets [][]witness
+	for _, set := range [][]witness{s.stored, s.declared} {
+		if len(set) > 0 {
+			sets = append(sets, set)
+		}
+	}
+	return sets
+}
+
+// confirmedByAll reports whether a majority of each set confirmed a request.
+func (s *leaderWitnesses) confirmedByAll(confirmed map[witness]bool) bool {
+	for _, set := range s.sets() {
+		n := 0
+		for _, m := range set {
+			if confirmed[m] {
+				n++
+			}
+		}
+		if n < majority(len(set)) {
+			return false
+		}
+	}
+	return len(s.sets()) > 0
 }
 
 // declare notes the witnesses of a renewal that is about to be sent.
@@ -207,11 +231,7 @@
 	if len(s.declared) == 0 && len(s.stored) == 0 {
 		return longest
 	}
-	basis := t.lastRenewal
-	if s.confirmable() {
-		basis = latest(basis, s.confirmedAt)
-	}
-	if reach := basis.Add(witnessedReach); reach.Before(longest) {
+	if reach := latest(t.lastRenewal, s.confirmedAt).Add(witnessedReach); reach.Before(longest) {
 		return reach
 	}
 	return longest
@@ -246,14 +266,15 @@
 	return nodes
 }
 
-// askWitnesses asks the stored witnesses for a confirmation while renewals are missing, and otherwise now
+// askWitnesses asks the sent and stored witnesses for a confirmation while renewals are missing, and otherwise now
 // and then all, and those that were lost, whether they answer.
 func (t *term) askWitnesses() {
 	s := &t.witnesses
 	if s.asking || t.stopping || len(s.candidates) == 0 {
 		return
 	}
-	confirm := s.confirmable() && t.now.Sub(t.lastRenewal) >= confirmationAge && t.now.Sub(s.askedAt) >= confirmationInterval
+	sets := s.sets()
+	confirm := len(sets) > 0 && t.now.Sub(t.lastRenewal) >= confirmationAge && t.now.Sub(s.askedAt) >= confirmationInterval
 	if check := t.now.Sub(s.checkedAt) >= witnessCheckInterval; !confirm && !check {
 		return
 	}
@@ -262,7 +283,13 @@
 		s.askedAt = t.now
 	}
 	if confirm {
-		go t.callWitnesses(s.stored, true)
+		members := slices.Clone(sets[0])
+		for _, m := range sets[len(sets)-1] {
+			if !slices.Contains(members, m) {
+				members = append(members, m)
+			}
+		}
+		go t.callWitnesses(members, true)
 		return
 	}
 	go t.callWitnesses(append(s.lostCandidates(), s.members...), false)
@@ -312,7 +339,7 @@
 func (e witnessAnswers) handle(t *term) {
 	s := &t.witnesses
 	s.asking = false
-	confirmed := 0
+	confirmed := map[witness]bool{}
 	for i, r := range e.replies {
 		switch {
 		case r.LaterTerm:
@@ -324,19 +351,19 @@
 			delete(s.unanswered, r.Process)
 		}
 		if r.Confirmed {
-			confirmed++
+			confirmed[e.members[i]] = true
 		}
 	}
 	if !e.confirm {
 		t.chooseWitnesses()
 		return
 	}
-	held := confirmed >= majority(len(e.members)) && s.confirmable() && slices.Equal(e.members, s.stored)
+	held := s.confirmedByAll(confirmed)
 	if held && t.sentSinceResume(e.sent) {
 		s.confirmedAt = e.sent
 	}
 	t.metrics.confirmations.WithLabelValues(confirmationLabel(held)).Inc()
-	t.log.WithFields(logrus.Fields{"decision": "witnesses", "confirmed": confirmed, "witnesses": len(e.members), "choice": confirmationLabel(held),
+	t.log.WithFields(logrus.Fields{"decision": "witnesses", "confirmed": len(confirmed), "witnesses": len(e.members), "choice": confirmationLabel(held),
 		"renewed_ms_ago": t.now.Sub(t.lastRenewal).Milliseconds()}).Info("asked the witnesses whether the store answers")
 }
 
--- a/internal/fleet/witnesses_test.go
+++ b/internal/fleet/witnesses_test.go
@@ -100,18 +100,23 @@
 // read the old ones.
 func TestLeasesAreShortWhileWitnessesChange(t *testing.T) {
 	old, other := []witness{{Node: "a", Process: 1}}, []witness{{Node: "b", Process: 2}}
+	changed := func(w leaderWitnesses) leaderWitnesses {
+		w.declare()
+		return w
+	}
 	for name, c := range map[string]struct {
 		w    leaderWitnesses
 		want time.Duration
 	}{
-		"none":               {leaderWitnesses{}, maxLeaseReach},
-		"chosen":             {leaderWitnesses{members: old}, maxLeaseReach},
-		"on the way":         {leaderWitnesses{members: old, declared: old}, witnessedReach},
-		"stored":             {leaderWitnesses{members: old, declared: old, stored: old}, witnessedReach},
-		"confirmed":          {leaderWitnesses{members: old, declared: old, stored: old, confirmedAt: at(2)}, 2*time.Second + witnessedReach},
-		"confirmed for long": {leaderWitnesses{members: old, declared: old, stored: old, confirmedAt: at(8)}, maxLeaseReach},
-		"changing":           {leaderWitnesses{members: other, declared: other, stored: old, confirmedAt: at(2)}, witnessedReach},
-		"being given up":     {leaderWitnesses{stored: old, confirmedAt: at(2)}, witnessedReach},
+		"none":                     {leaderWitnesses{}, maxLeaseReach},
+		"chosen":                   {leaderWitnesses{members: old}, maxLeaseReach},
+		"on the way":               {leaderWitnesses{members: old, declared: old}, witnessedReach},
+		"stored":                   {leaderWitnesses{members: old, declared: old, stored: old}, witnessedReach},
+		"confirmed":                {leaderWitnesses{members: old, declared: old, stored: old, confirmedAt: at(2)}, 2*time.Second + witnessedReach},
+		"confirmed for long":       {leaderWitnesses{members: old, declared: old, stored: old, confirmedAt: at(8)}, maxLeaseReach},
+		"changing":                 {changed(leaderWitnesses{members: other, declared: old, stored: old, confirmedAt: at(2)}), witnessedReach},
+		"being given up":           {changed(leaderWitnesses{declared: old, stored: old, confirmedAt: at(2)}), witnessedReach},
+		"changing, both confirmed": {leaderWitnesses{members: other, declared: other, stored: old, confirmedAt: at(2)}, 2*time.Second + witnessedReach},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tm := newTestTerm(1)
@@ -120,3 +125,29 @@
 		})
 	}
 }
+
+// Guards confirmations while witnesses change: the next leader may read either set.
+func TestConfirmationNeedsMajorityOfEachSet(t *testing.T) {
+	w := func(names string) []witness {
+		var set []witness
+		for _, r := range names {
+			set = append(set, witness{Node: model.NodeID(r), Process: uint64(r)})
+		}
+		return set
+	}
+	for _, c := range []struct {
+		stored, declared, confirmed string
+		want                        bool
+	}{
+		{"abc", "abc", "ab", true}, {"abc", "abc", "a", false}, {"abc", "cde", "ab", false}, {"abc", "cde", "de", false},
+		{"abc", "cde", "ac", false}, {"abc", "cde", "acd", true}, {"", "abc", "bc", true}, {"abc", "", "bc", true}, {"", "", "abc", false},
+		{"ab", "abcd", "ab", false}, {"ab", "abcd", "abc", true},
+	} {
+		confirmed := map[witness]bool{}
+		for _, m := range w(c.confirmed) {
+			confirmed[m] = true
+		}
+		s := leaderWitnesses{stored: w(c.stored), declared: w(c.declared)}
+		require.Equal(t, c.want, s.confirmedByAll(confirmed), "%+v", c)
+	}
+}
