--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -33,6 +33,8 @@
 	heldUntil map[model.WorkerID]time.Time
 	// runs holds the runs on workers whose process runs.
 	runs map[runOnWorker]*checkedRun
+	// lastingRuns holds the runs of lasting tasks that have ended.
+	lastingRuns map[fleet.TaskName][]Span
 	// disturbed means that faults are in progress, linksDisturbed that some may keep workers from
 	// being stopped; calmSince is when the last ones ended.
 	disturbed, linksDisturbed bool
@@ -56,11 +58,12 @@
 	startedAt time.Time
 	late      bool // the worker carried the order out late
 	reported  bool // as a violation
+	lasting   bool
 }
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}, failedRuns: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, lastingRuns: map[fleet.TaskName][]Span{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}, failedRuns: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -105,7 +108,7 @@
 		}
 	}
 	l.running[o.Task][string(w.Info.Worker)] = o.Attempt
-	l.runs[runOnWorker{o.RunRef, w}] = &checkedRun{startedAt: time.Now(), late: late, reported: startedAfterCancel}
+	l.runs[runOnWorker{o.RunRef, w}] = &checkedRun{startedAt: time.Now(), late: late, reported: startedAfterCancel, lasting: task.Lasting}
 	l.lastStart[o.Task] = time.Now()
 }
 
@@ -293,6 +296,9 @@
 	delete(l.running[r.Task], string(w.Info.Worker))
 	if k := (runOnWorker{r, w}); l.runs[k] != nil {
 		l.checkCancelledRun(k, l.runs[k])
+		if l.runs[k].lasting {
+			l.lastingRuns[r.Task] = append(l.lastingRuns[r.Task], Span{l.runs[k].startedAt, time.Now()})
+		}
 		delete(l.runs, k)
 	}
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -45,6 +45,8 @@
 type jobRecord struct {
 	ID    string
 	Tasks int
+	// Lasting means that the tasks run until the job is cancelled at the end of the run.
+	Lasting bool
 	// AcceptedAt is the time at which a node accepted the job; zero before.
 	AcceptedAt time.Time
 	// Refused means that every attempt was answered with 503 or 429.
@@ -92,6 +94,7 @@
 
 // run submits jobs and queries their states until ctx ends, then waits for its calls.
 func (c *callers) run(ctx context.Context) {
+	c.startLasting(ctx)
 	for i := 0; ctx.Err() == nil; i++ {
 		j, body := c.newJob(i)
 		c.calls.Go(func() { c.submit(j, body) })
@@ -129,6 +132,46 @@
 	return j, body
 }
 
+// startLasting submits the lasting jobs, each until it is accepted or ctx ends.
+func (c *callers) startLasting(ctx context.Context) {
+	body, err := platformtest.JobBody([]platformtest.JobStep{{Count: tasksPerLastingJob, MilliCPU: taskCPU, MemoryMB: taskMemory, Lasting: true}})
+	if err != nil {
+		panic(err) // these values can always be encoded
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range (len(c.cluster.workers) + workersPerLastingJob - 1) / workersPerLastingJob {
+		j := &jobRecord{ID: fmt.Sprintf("%s%015x", lastingPrefix, i+1), Tasks: tasksPerLastingJob, Lasting: true}
+		c.jobs = append(c.jobs, j)
+		c.calls.Go(func() { c.submitLasting(ctx, j, body) })
+	}
+}
+
+func (c *callers) submitLasting(ctx context.Context, j *jobRecord, body []byte) {
+	for ctx.Err() == nil {
+		if status, _ := c.call(c.randomNode(), http.MethodPost, j.ID, body); status == http.StatusOK {
+			c.mu.Lock()
+			j.AcceptedAt = time.Now()
+			c.mu.Unlock()
+			return
+		}
+		sleepUntil(ctx, time.Now().Add(pollInterval))
+	}
+}
+
+// jobsThatLast returns the lasting jobs, or all others.
+func (c *callers) jobsThatLast(lasting bool) []*jobRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var jobs []*jobRecord
+	for _, j := range c.jobs {
+		if j.Lasting == lasting {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
 // randomNode draws a node.
 func (c *callers) randomNode() *node {
 	c.mu.Lock()
@@ -222,9 +265,8 @@
 	calmSince := time.Now()
 	c.mu.Lock()
 	c.calmSince = calmSince.Sub(c.startTime)
-	jobs := append([]*jobRecord(nil), c.jobs...)
 	c.mu.Unlock()
-	for i, j := range jobs {
+	for i, j := range c.jobsThatLast(false) {
 		c.mu.Lock()
 		cancelled, cancel := !j.CancelledAt.IsZero(), !j.AcceptedAt.IsZero() && j.FinalState == "" && i%2 == 0
 		c.mu.Unlock()
@@ -241,6 +283,19 @@
 	c.calls.Wait()
 }
 
+// endLasting cancels all lasting jobs and checks that none of their tasks runs longer than the
+// contract allows.
+func (c *callers) endLasting(ctx context.Context) {
+	now := time.Now()
+	for _, j := range c.jobsThatLast(true) {
+		c.calls.Go(func() {
+			c.cancel(j)
+			c.checkGone(ctx, j, now)
+		})
+	}
+	c.calls.Wait()
+}
+
 // checkGone checks that no task of a cancelled job runs once the contract's time has passed.
 func (c *callers) checkGone(ctx context.Context, j *jobRecord, calmSince time.Time) {
 	c.mu.Lock()
@@ -297,13 +352,10 @@
 	return state
 }
 
-// awaitCompletion waits until a node has shown a final state for every accepted job. It also
-// checks that no refused job has started.
-func (c *callers) awaitCompletion(limit time.Duration) {
+// awaitCompletion waits until a node has shown a final state for every accepted one of the jobs. It
+// also checks that no refused job has started.
+func (c *callers) awaitCompletion(jobs []*jobRecord, limit time.Duration) {
 	deadline := time.Now().Add(limit)
-	c.mu.Lock()
-	jobs := append([]*jobRecord(nil), c.jobs...)
-	c.mu.Unlock()
 	for _, j := range jobs {
 		for !j.AcceptedAt.IsZero() && j.FinalState == "" {
 			state := c.queryState(c.randomNode(), j)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -50,6 +50,7 @@
 	network       network
 	links         []*dataCentreLinks // of each data centre, in a run that aims at leaders
 	aimedFaults   int                // aimed faults that have not ended
+	conditions    conditions
 	configVersion int
 	lastStart     int64
 }
@@ -110,7 +111,7 @@
 	}
 	c.storeAccess = c.rows.View()
 	c.storeServer = platformtest.NewStore(c.storeAccess)
-	c.simWorkers = fleettest.NewWorkers(o.Seed, behaviour, c.ledger)
+	c.simWorkers = fleettest.NewWorkers(o.Seed, withLasting(behaviour), c.ledger)
 	c.simWorkers.Trace = &c.trace
 	c.configure()
 	for i := range o.Workers {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,20 +36,22 @@
 		events = append(events, faultEvent{f.At, false, f}, faultEvent{f.At + f.Duration, true, f})
 	}
 	slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
+	began := map[*Fault]time.Time{}
 	for _, event := range events {
 		if !sleepUntil(ctx, startTime.Add(event.at)) {
 			return ctx.Err()
 		}
+		if event.Kind.aimed() && !event.isEnd {
+			event.Target = c.leader()
+		}
+		at := time.Now()
 		if !event.isEnd {
-			if event.Kind.aimed() {
-				event.Target = c.leader()
-			}
+			began[event.Fault] = at
 			c.startFault(*event.Fault)
-			continue
-		}
-		if err := c.endFault(*event.Fault); err != nil {
+		} else if err := c.endFault(*event.Fault); err != nil {
 			return err
 		}
+		c.conditions.faultEvent(event, began[event.Fault], at)
 	}
 	return nil
 }
@@ -199,14 +201,20 @@
 // the grace period: a process that was told to stop may still be draining.
 func (c *cluster) restart(n *node) {
 	n.freeze(false)
+	since := time.Now()
 	c.restarts.Go(func() {
+		down := true
 		select {
 		case <-n.exited():
 		case <-time.After(grace):
+			down = false
 		}
 		if err := c.start(n); err != nil {
 			c.ledger.AddViolation("node does not start: " + err.Error())
 		}
+		if down {
+			c.conditions.impaired(since)
+		}
 	})
 }
 
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -28,6 +28,12 @@
 			r.Seed, verdict, len(r.Faults), r.Jobs, r.Accepted, r.Refused, r.Starts, r.Took.Seconds()); err != nil {
 			return err
 		}
+		if l := r.Lasting; l.Tasks > 0 {
+			if _, err := fmt.Fprintf(w, "  %d lasting tasks, longest time without a run %.2f s, %.2f s of it calm; margin %.2f s\n",
+				l.Tasks, l.Longest.Seconds(), l.Calm.Seconds(), l.Margin.Seconds()); err != nil {
+				return err
+			}
+		}
 		for _, reason := range slices.Sorted(maps.Keys(r.Terms)) {
 			if _, err := fmt.Fprintf(w, "  %d terms ended: %s\n", r.Terms[reason], reason); err != nil {
 				return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -45,6 +45,9 @@
 	completionLimit = 14 * time.Second
 	// taskEndLimit is the time, one lease, until no task of a finished job may still run.
 	taskEndLimit = leaseMax
+	// lastingReserve is how much longer lasting tasks are watched after the last impairment than the
+	// rule needs: leases may end after it.
+	lastingReserve = 2 * time.Second
 )
 
 // Violation is an observed violation of a guarantee.
@@ -64,6 +67,7 @@
 	Refused    int           `json:"refused"`
 	Starts     int           `json:"starts"`
 	Took       time.Duration `json:"took"`
+	Lasting    Lasting       `json:"lasting"`
 	// Terms counts the terms of leaders that ended, by reason.
 	Terms map[string]int `json:"terms,omitempty"`
 	// Logs is the run's directory; empty if it was removed.
@@ -104,6 +108,10 @@
 	if err != nil {
 		return Result{}, err
 	}
+	c.conditions.impaired(startTime)
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go c.watchRoom(watchCtx)
 	load := newCallers(c, o, startTime)
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	loadDone := make(chan struct{})
@@ -122,11 +130,16 @@
 		return Result{}, err
 	}
 	load.checkCancelled(ctx)
-	load.awaitCompletion(recoveryLimit + completionLimit)
+	load.awaitCompletion(load.jobsThatLast(false), recoveryLimit+completionLimit)
+	sleepUntil(ctx, c.conditions.lastImpairment().Add(calmBefore+judgedTime+lastingReserve))
+	stopWatch()
+	lasting := load.checkLasting()
+	load.endLasting(ctx)
+	load.awaitCompletion(load.jobsThatLast(true), completionLimit)
 	load.checkNoTasksRunning()
 	load.checkShutdown()
 	r = load.result(o, faults)
-	r.Logs = dir
+	r.Logs, r.Lasting = dir, lasting
 	if r.Terms, err = c.termEnds(); err != nil {
 		return Result{}, err
 	}
