--- a/internal/soak/aim.go
+++ b/internal/soak/aim.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -25,11 +26,13 @@
 	FreezeLeader     Kind = "freeze-leader"      // SIGSTOP until the end
 	SlowLeader       Kind = "slow-leader"        // the leader's CPU is slow
 	StallLeader      Kind = "stall-leader"       // the links from the leader's data centre to several workers stall, then deliver
+	LoseLeader       Kind = "lose-leader"        // the leader and several workers end and answer nobody until long after their leases
 )
 
+// aimedKinds are the kinds of which series consist.
 var aimedKinds = []Kind{CutLeaderZone, CutLeader, CutLeaderWorkers, FreezeLeader, SlowLeader, StallLeader}
 
-func (k Kind) aimed() bool { return slices.Contains(aimedKinds, k) }
+func (k Kind) aimed() bool { return k == LoseLeader || slices.Contains(aimedKinds, k) }
 
 // Times of aimed faults. They come in series, one series after the other.
 const (
@@ -41,6 +44,11 @@
 	minFreeze   = time.Second
 	maxFreeze   = 6 * time.Second
 	stallTime   = 2 * time.Second
+	// A leader and workers that are lost stay away for longer than maxWithoutRun and judgedTime.
+	minLoss = 11 * time.Second
+	maxLoss = 13 * time.Second
+	// maxLostWorkers is the largest number of workers that are lost with a leader.
+	maxLostWorkers = 4
 	// minSeriesStep and maxSeriesStep bound the time between the starts of two faults of a series: the
 	// next leader has just begun, or takes the leases of the former one for over.
 	minSeriesStep = 2500 * time.Millisecond
@@ -77,7 +85,20 @@
 		}
 		at = end + drawDuration(random, minSeriesPause, maxSeriesPause)
 	}
-	return faults
+	return append(faults, lossAfter(seed, faults, workers))
+}
+
+// lossAfter returns the loss of a leader that follows the last series. It is drawn from a generator of
+// its own, so that a seed keeps its series.
+func lossAfter(seed uint64, series []Fault, workers int) Fault {
+	random := rand.New(rand.NewPCG(seed, 17))
+	f := Fault{At: firstSeries, Kind: LoseLeader, Workers: drawGroup(random, workers), Duration: drawDuration(random, minLoss, maxLoss)}
+	f.Workers = f.Workers[:min(len(f.Workers), maxLostWorkers)]
+	pause := drawDuration(random, minSeriesPause, maxSeriesPause)
+	for _, s := range series {
+		f.At = max(f.At, s.At+s.Duration+pause)
+	}
+	return f
 }
 
 func drawAimedDuration(random *rand.Rand, k Kind) time.Duration {
@@ -120,7 +141,7 @@
 	return max(0, slices.IndexFunc(c.nodes, func(n *node) bool { return n.name == string(record.Node) }))
 }
 
-// startAimed starts a fault of aimedKinds.
+// startAimed starts a fault that is aimed at the leader.
 func (c *cluster) startAimed(f Fault) {
 	if c.aimedFaults == 0 {
 		c.ledger.Disturb()
@@ -131,17 +152,28 @@
 		c.nodes[f.Target].freeze(true)
 	case SlowLeader:
 		c.nodes[f.Target].throttleCPU(f.Duration)
+	case LoseLeader:
+		c.holdLinks(f, true)
+		for _, w := range f.Workers {
+			c.killInstance(c.workers[w])
+		}
+		c.nodes[f.Target].signal(syscall.SIGKILL)
 	default:
 		c.holdLinks(f, true)
 	}
 }
 
-// endAimed ends a fault of aimedKinds.
-func (c *cluster) endAimed(f Fault) {
+// endAimed ends a fault that is aimed at the leader.
+func (c *cluster) endAimed(f Fault) error {
+	var err error
 	switch f.Kind {
 	case FreezeLeader:
 		c.nodes[f.Target].freeze(false)
 	case SlowLeader: // ends by itself
+	case LoseLeader:
+		err = c.returnWorkers(f.Workers)
+		c.holdLinks(f, false)
+		c.restart(c.nodes[f.Target])
 	default:
 		c.holdLinks(f, false)
 	}
@@ -149,6 +181,20 @@
 	if c.aimedFaults == 0 {
 		c.ledger.Calm()
 	}
+	return err
+}
+
+// returnWorkers starts new processes of workers that were lost.
+func (c *cluster) returnWorkers(workers []int) error {
+	for _, w := range workers {
+		if err := c.startInstance(c.workers[w]); err != nil {
+			return err
+		}
+		for _, l := range c.links {
+			l.workers[w].setTarget(c.workers[w].runner.Listener.Addr().String())
+		}
+	}
+	return nil
 }
 
 // holdLinks holds back the links that a fault cuts, or ends that.
@@ -173,8 +219,13 @@
 		}
 	case CutLeader:
 		c.nodes[f.Target].storeProxy.hold(on)
-		for _, l := range c.links {
-			l.peers[f.Target].hold(on)
+		c.holdPeer(f.Target, on)
+	case LoseLeader:
+		c.holdPeer(f.Target, on)
+		for from := range c.links {
+			for _, w := range f.Workers {
+				c.holdWorker(from, w, on)
+			}
 		}
 	case CutLeaderWorkers:
 		for w := range c.workers {
@@ -187,6 +238,13 @@
 	}
 }
 
+// holdPeer holds back the links of all data centres to a node, or ends that.
+func (c *cluster) holdPeer(node int, on bool) {
+	for _, l := range c.links {
+		l.peers[node].hold(on)
+	}
+}
+
 // holdWorker holds back the link from a data centre to a worker, or ends that.
 func (c *cluster) holdWorker(from, w int, on bool) {
 	c.links[from].workers[w].hold(on)
--- a/internal/soak/aim_test.go
+++ b/internal/soak/aim_test.go
@@ -39,12 +39,17 @@
 		case StallLeader:
 			require.Equal(t, stallTime, f.Duration)
 			require.NotEmpty(t, f.Workers)
+		case LoseLeader:
+			require.Zero(t, f.Target, "its target is not known yet")
+			require.NotEmpty(t, f.Workers)
+			require.Greater(t, f.Duration, maxWithoutRun+judgedTime, "a wait for it can break the rule")
 		default:
 			require.GreaterOrEqual(t, f.Duration, minFreeze)
 			require.Less(t, f.Duration, maxFreeze)
 		}
 	}
-	require.Len(t, seen, len(aimedKinds), "a long schedule holds every kind")
+	require.Len(t, seen, len(aimedKinds)+1, "a long schedule holds every kind")
+	require.Equal(t, LoseLeader, last.Kind, "nothing else happens beside it")
 	require.Positive(t, overlaps, "the next leader is hit while the former one is")
 }
 
@@ -143,14 +148,14 @@
 		}
 		answered <- err
 	}()
-	c.endAimed(first)
+	require.NoError(t, c.endAimed(first))
 	check(func(from, to int) bool { return (from == 1) != (to == 1) })
 	select {
 	case <-answered:
 		require.Fail(t, "the second cut holds the call back")
 	default:
 	}
-	c.endAimed(second)
+	require.NoError(t, c.endAimed(second))
 	require.NoError(t, <-answered, "a call that was held back arrives")
 	check(func(int, int) bool { return false })
 	for _, l := range c.links {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -192,7 +192,7 @@
 	case TakeOut:
 		c.takeOut(f.Target, false)
 	default:
-		c.endAimed(f)
+		return c.endAimed(f)
 	}
 	return nil
 }
--- a/internal/soak/lasting.go
+++ b/internal/soak/lasting.go
@@ -62,10 +62,11 @@
 }
 
 // faultEvent records what the start or the end of a fault means, given when the fault and when the
-// event began.
+// event began. A fault lasts until its end; a loss does not, as what is lost is no longer part of the
+// deployment.
 func (c *conditions) faultEvent(e faultEvent, began, now time.Time) {
 	switch {
-	case e.Kind.overAtOnce() && !e.isEnd:
+	case e.Kind == LoseLeader, e.Kind.overAtOnce() && !e.isEnd:
 		c.impaired(now)
 	case e.isEnd && !e.Kind.overAtOnce():
 		c.impaired(began)
--- a/internal/soak/lasting_test.go
+++ b/internal/soak/lasting_test.go
@@ -70,20 +70,21 @@
 	require.Equal(t, 5*time.Second, overlap(secondsSpan(10, 20), secondsSpans(0, 2, 8, 12, 13, 15, 19, 25, 26, 30)))
 }
 
-// Guards against faults that are left out of the impairments.
+// Guards against faults that are left out of the impairments, and against a loss that excuses all
+// waits until its end.
 func TestImpairmentsLastUntilTheirFaultsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var c conditions
 		begin := time.Now()
-		for _, kind := range []Kind{CutWorker, Configuration} {
+		for _, kind := range []Kind{CutWorker, Configuration, LoseLeader} {
 			began := time.Now()
 			c.faultEvent(faultEvent{Fault: &Fault{Kind: kind}}, began, began)
 			time.Sleep(2 * time.Second)
 			c.faultEvent(faultEvent{Fault: &Fault{Kind: kind}, isEnd: true}, began, time.Now())
 		}
 		at := func(s int) time.Time { return begin.Add(time.Duration(s) * time.Second) }
-		require.Equal(t, []fleettest.Span{{From: at(0), To: at(2)}, {From: at(2), To: at(2)}}, c.impairments)
-		require.Equal(t, at(2), c.lastImpairment())
+		require.Equal(t, []fleettest.Span{{From: at(0), To: at(2)}, {From: at(2), To: at(2)}, {From: at(4), To: at(4)}, {From: at(6), To: at(6)}}, c.impairments)
+		require.Equal(t, at(6), c.lastImpairment())
 	})
 }
 
