--- a/internal/soak/aim_test.go
+++ b/internal/soak/aim_test.go
@@ -158,6 +158,16 @@
 	require.NoError(t, c.endAimed(second))
 	require.NoError(t, <-answered, "a call that was held back arrives")
 	check(func(int, int) bool { return false })
+	lost := Fault{Kind: LoseLeader, Target: 3, Workers: []int{0, 2}}
+	c.holdLinks(lost, true)
+	for from, l := range c.links {
+		for i := range nodes {
+			require.Equal(t, i == 0 || i == 2, held(l.workers[i]), "worker %d from data centre %d", i, from)
+			require.Equal(t, i == 3, held(l.peers[i]), "peer %d from data centre %d", i, from)
+		}
+	}
+	c.holdLinks(lost, false)
+	check(func(int, int) bool { return false })
 	for _, l := range c.links {
 		for i := range nodes {
 			require.Equal(t, "here", answer(l.network.workerAddr(i)))
