--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -124,12 +124,14 @@
 	Usage func() usage.Total
 	// eventCost is the simulated time of each event and plan of a leader's loop, in nanoseconds.
 	eventCost atomic.Int64
+	freezer   freezer
 }
 
 // SetEventCost makes each event and plan of the leaders of this node take d; 0 for no delay.
 func (m *Member) SetEventCost(d time.Duration) { m.eventCost.Store(int64(d)) }
 
 func (m *Member) spendEventCost() {
+	m.freezer.wait()
 	if d := time.Duration(m.eventCost.Load()); d > 0 {
 		time.Sleep(d)
 	}
@@ -296,7 +298,8 @@
 		Limits: fleet.Limits{RowBytes: rowBytes, MilliCPU: m.MilliCPU},
 		Bounds: fleet.Bounds{LeaseMax: c.Workers.LeaseMax, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: MaintenanceTime},
 		Cells:  c.Cells,
-		Store:  m.Store, Workers: m.Workers, Decoder: Decoder{}, Peers: m.Peers, Log: logger.WithField("node", m.Name),
+		Store:  heldStore{m.Store, &m.freezer}, Workers: heldWorkers{m.Workers, &m.freezer}, Decoder: Decoder{},
+		Peers: heldPeers{m.Peers, &m.freezer}, Log: logger.WithField("node", m.Name),
 		EventHook: m.spendEventCost, Usage: m.Usage,
 	}
 	if c.Inventory != nil {
@@ -329,6 +332,7 @@
 	if m.cancel != nil {
 		m.current.Store(nil)
 		m.cancel()
+		m.Freeze(false)
 		<-m.done
 		m.cancel = nil
 	}
