--- /dev/null
+++ b/internal/fleet/restart_margin_bound_test.go
@@ -0,0 +1,63 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// marginSeeds is the number of plays unless FLEET_SEEDS is set; see seedRange.
+const marginSeeds = 48
+
+// Guards against a lasting task with room that does not run 9 s after its last run although nothing was
+// impaired for 7 s, as one whose worker was lost beside a leader that was gone for good. Each seed plays
+// another combination of faults of a leader, a worker and the store.
+func TestLastingTaskStaysWithoutRunInCalmTime(t *testing.T) {
+	first, end := seedRange(t, 1, marginSeeds)
+	for seed := first; seed < end; seed++ {
+		r := rand.New(rand.NewPCG(uint64(seed), 54))
+		draw := func(kinds []string) string { return kinds[r.IntN(len(kinds))] }
+		f := marginFaults{draw(marginLeaders), draw(marginWorkerKinds), draw(marginStores)}
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			playRestartMargin(t, f, uint64(seed), func(waits []restartWait) {
+				for _, w := range waits {
+					require.False(t, w.broken, "leader %s, worker %s, store %s: no run from %v to %v, calm %v, %s", f.leader, f.worker, f.store, w.from, w.until, w.calm, w.reason)
+				}
+			})
+		})
+	}
+}
+
+// Guards the judgement of the waits.
+func TestCalmPartOfAWait(t *testing.T) {
+	s := func(from, until float64) *impairment {
+		return &impairment{time.Duration(from * float64(time.Second)), time.Duration(until * float64(time.Second))}
+	}
+	const lasts = -1
+	for name, c := range map[string]struct {
+		impairments []*impairment
+		until, calm float64
+		broken      bool
+	}{
+		"at the bound":                     {[]*impairment{s(10, 10)}, 19, 9, false},
+		"over the bound":                   {[]*impairment{s(10, 10)}, 19.1, 9.1, true},
+		"calm for 7 s":                     {[]*impairment{s(10, 15)}, 22, 7, false},
+		"calm for longer":                  {[]*impairment{s(10, 15)}, 22.1, 7.1, true},
+		"impaired before the last run":     {[]*impairment{s(5, 6)}, 19.1, 9.1, true},
+		"lasting impairment":               {[]*impairment{s(12, lasts)}, 40, 2, false},
+		"impairment within another":        {[]*impairment{s(10, 18), s(11, 12)}, 24, 6, false},
+		"broken before the next one":       {[]*impairment{s(10, 10), s(19.5, 25)}, 26, 9.5, true},
+		"next one in the last second":      {[]*impairment{s(10, 10), s(18.5, 25)}, 26, 8.5, false},
+		"impairments that follow a moment": {[]*impairment{s(10, 10), s(14, 14), s(20, 20)}, 26, 6, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := restartWait{from: 10 * time.Second, until: time.Duration(c.until * float64(time.Second))}
+			calm, broken := calmPart(c.impairments, w)
+			require.InDelta(t, c.calm, calm.Seconds(), 1e-6)
+			require.Equal(t, c.broken, broken)
+		})
+	}
+}
--- a/internal/fleet/restart_margin_table_test.go
+++ b/internal/fleet/restart_margin_table_test.go
@@ -4,9 +4,9 @@
 	"encoding/csv"
 	"fmt"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -64,52 +64,54 @@
 }
 
 // TestRestartMargin plays the combinations of faults with the seeds that FLEET_MARGIN names and writes what
-// it measures to a file, such as "1,10,testdata/restart-margin/after.csv".
+// it measures, and the page of it: "1,20,after" plays seeds 1 to 20 and names them after.
 func TestRestartMargin(t *testing.T) {
 	v := os.Getenv("FLEET_MARGIN")
 	if v == "" {
 		t.Skip("FLEET_MARGIN is not set")
 	}
 	var first, count int
-	var file string
-	_, err := fmt.Sscanf(v, "%d,%d,%s", &first, &count, &file)
+	var name string
+	_, err := fmt.Sscanf(v, "%d,%d,%s", &first, &count, &name)
 	require.NoError(t, err)
-	stores := marginStores
-	if s := os.Getenv("FLEET_MARGIN_STORE"); s != "" {
-		stores = []string{s}
-	}
-	var cells []*marginCell
-	for _, store := range stores {
+	rows := [][]string{marginColumns}
+	for _, store := range marginStores {
 		for _, leader := range marginLeaders {
 			for _, worker := range marginWorkerKinds {
-				cells = append(cells, playCell(t, marginFaults{leader, worker, store}, first, count))
+				rows = append(rows, playCell(t, marginFaults{leader, worker, store}, first, count).row())
 			}
 		}
 	}
-	require.NoError(t, writeMarginCells(file, cells))
+	var out strings.Builder
+	require.NoError(t, csv.NewWriter(&out).WriteAll(rows))
+	require.NoError(t, os.WriteFile(marginFile(name), []byte(out.String()), 0o644))
 }
 
-var marginColumns = []string{"store", "leader", "worker", "plays", "lost", "median_ms", "longest_ms", "calm_ms", "reason", "seed", "calm_reason", "calm_seed", "broken", "violations"}
-
-func writeMarginCells(file string, cells []*marginCell) error {
-	if err := os.MkdirAll(filepath.Dir(file), 0o755); err != nil {
-		return err
-	}
-	out, err := os.Create(file)
-	if err != nil {
-		return err
+// TestRestartMarginPageShowsWhatWasMeasured compares the page of the margin with the figures, or writes it
+// if FLEET_MARGIN is set.
+func TestRestartMarginPageShowsWhatWasMeasured(t *testing.T) {
+	var codes []marginCode
+	for _, name := range []string{"before", "after"} {
+		codes = append(codes, readMarginCode(t, name))
 	}
-	w := csv.NewWriter(out)
-	rows := [][]string{marginColumns}
-	for _, c := range cells {
-		rows = append(rows, c.row())
-	}
-	if err := w.WriteAll(rows); err != nil {
-		return err
+	page, err := os.ReadFile(marginPage)
+	require.NoError(t, err)
+	head, _, found := strings.Cut(string(page), marginResultsHeading)
+	require.True(t, found)
+	text := head + marginResultsHeading + marginTables(codes)
+	if os.Getenv("FLEET_MARGIN") != "" {
+		require.NoError(t, os.WriteFile(marginPage, []byte(text), 0o644))
+		require.NoError(t, os.WriteFile(marginPlot, []byte(marginSVG(codes)), 0o644))
+		return
 	}
-	return out.Close()
+	require.Equal(t, text, string(page))
+	plot, err := os.ReadFile(marginPlot)
+	require.NoError(t, err)
+	require.Equal(t, marginSVG(codes), string(plot))
 }
 
+var marginColumns = []string{"store", "leader", "worker", "plays", "lost", "median_ms", "longest_ms", "calm_ms", "reason", "seed", "calm_reason", "calm_seed", "broken", "violations"}
+
 func (c *marginCell) row() []string {
 	broken := 0
 	for _, w := range c.waits {
