--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -49,7 +49,7 @@
 	// seenAt is when the last renewal was first seen. silentSince is the same, or when reading resumed or
 	// a campaign failed if that is later.
 	seenAt, silentSince time.Time
-	jitter      time.Duration
+	jitter              time.Duration
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
 	// because its host is smaller or already leads other cells.
 	extraDelay time.Duration
