--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -24,6 +24,8 @@
 	// recordedPollPause is the pause between polls of a worker that answers while a lease record
 	// is stored for it.
 	recordedPollPause = 250 * time.Millisecond
+	// doubtPollPause is the pause between polls of a worker that may not have begun a run.
+	doubtPollPause = 100 * time.Millisecond
 	// idlePollInterval is the interval between polls of a worker that runs nothing. Its clock may be
 	// slow, so that the lease of its next task is shorter the longer ago its last answer is.
 	idlePollInterval = 60 * time.Second
@@ -68,7 +70,7 @@
 	if w.unansweredCalls == 0 && w.lastAckedEnd < w.lastStoredEnd {
 		o.Acknowledged = w.lastStoredEnd
 	}
-	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait && w.leaseRecordTerm == 0 {
+	if len(w.runs) > 0 && w.answered && w.unansweredCalls == 0 && w.lastStoredEnd == w.lastSeenEnd && !w.pollWithoutWait && w.leaseRecordTerm == 0 && !w.hasRunInDoubt() {
 		o.Wait = pollWait
 		if w.lowHeadroom {
 			o.Wait = lowHeadroomPollInterval
@@ -193,6 +195,8 @@
 		w.nextPoll = t.now.Add(unstoredEndsPollPause)
 	case w.lastStoredEnd < w.lastSeenEnd:
 		w.nextPoll = t.now.Add(tickInterval * 2) // a completed transaction polls sooner
+	case w.hasRunInDoubt():
+		w.nextPoll = t.now.Add(doubtPollPause)
 	}
 	if first {
 		t.logFirstAnswer(w)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -347,6 +347,17 @@
 	return label == "" || slices.ContainsFunc(labels, func(l string) bool { return strings.EqualFold(l, label) })
 }
 
+// hasRunInDoubt reports whether a run on the worker may never have begun. Nothing ends then, so that a poll
+// that waits for an end would tell it late.
+func (w *worker) hasRunInDoubt() bool {
+	for _, r := range w.runs {
+		if r.state == runUnconfirmed || (r.state == runStopping && !r.answered) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasServingRun reports whether a run with a latency target is on the worker.
 func (w *worker) hasServingRun() bool {
 	for _, r := range w.runs {
