--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -168,6 +168,17 @@
 	return sets
 }
 
+// union returns the witnesses of all sets.
+func (s *leaderWitnesses) union() []witness {
+	var members []witness
+	for _, m := range slices.Concat(s.sets()...) {
+		if !slices.Contains(members, m) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // confirmedByAll reports whether a majority of each set confirmed a request.
 func (s *leaderWitnesses) confirmedByAll(confirmed map[witness]bool) bool {
 	for _, set := range s.sets() {
@@ -273,8 +284,7 @@
 	if s.asking || t.stopping || len(s.candidates) == 0 {
 		return
 	}
-	sets := s.sets()
-	confirm := len(sets) > 0 && t.now.Sub(t.lastRenewal) >= confirmationAge && t.now.Sub(s.askedAt) >= confirmationInterval
+	confirm := len(s.sets()) > 0 && t.now.Sub(t.lastRenewal) >= confirmationAge && t.now.Sub(s.askedAt) >= confirmationInterval
 	if check := t.now.Sub(s.checkedAt) >= witnessCheckInterval; !confirm && !check {
 		return
 	}
@@ -283,13 +293,7 @@
 		s.askedAt = t.now
 	}
 	if confirm {
-		members := slices.Clone(sets[0])
-		for _, m := range sets[len(sets)-1] {
-			if !slices.Contains(members, m) {
-				members = append(members, m)
-			}
-		}
-		go t.callWitnesses(members, true)
+		go t.callWitnesses(s.union(), true)
 		return
 	}
 	go t.callWitnesses(append(s.lostCandidates(), s.members...), false)
