--- a/internal/fleet/witnesses_cluster_test.go
+++ b/internal/fleet/witnesses_cluster_test.go
@@ -108,6 +108,29 @@
 	}
 }
 
+// A store that refuses all transactions but answers reads lets nobody take the lead. The witnesses did not
+// confirm, as they had answers, and all runs ended 5.5 s after the leader's last renewal.
+func TestRunsOutlastStoreThatRefusesTransactions(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runCluster(t, 900+seed, 6, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+				const tasks = 12
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
+				time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
+				for _, m := range c.Nodes {
+					m.Store.RefuseWrites("vp-fence")
+				}
+				time.Sleep(6 * time.Second)
+				for _, m := range c.Nodes {
+					m.Store.RefuseWrites("")
+				}
+				time.Sleep(5 * time.Second)
+				require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+			})
+		})
+	}
+}
+
 // Guards the wait for a leader that most witnesses have confirmed: the store turned them away with it,
 // and served the node that took the lead. It orders on as long as it is cut off.
 func TestNextLeaderWaitsForConfirmedLeases(t *testing.T) {
