--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -22,6 +22,8 @@
 	leaderCalls   leaderCallHealth
 	// loadStalledAt is when this node last released leadership because it could not read the tables.
 	loadStalledAt atomic.Pointer[time.Time]
+	// campaignFailedAt is when a campaign of this node last failed although no other node had taken the lead.
+	campaignFailedAt atomic.Pointer[time.Time]
 	// watch is owned by the goroutine of watchLeaders.
 	watch leaderWatch
 }
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -297,7 +297,9 @@
 		// The result of the transaction is unknown: the fence shows whether it was applied.
 		fence, read, err = n.readFence(ctx, c)
 		if err != nil || fence.Nonce != nonce {
-			f.silentSince = time.Now()
+			failedAt := time.Now()
+			f.silentSince = failedAt
+			c.campaignFailedAt.Store(&failedAt)
 			return
 		}
 		result = read
--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -40,6 +40,8 @@
 	// storeSilence is how long the store must not have answered a witness before it confirms. A node
 	// has an answer with each renewal of its leader.
 	storeSilence = 700 * time.Millisecond
+	// campaignFailureAge is how long after a refused campaign a witness confirms: until its next one.
+	campaignFailureAge = leaderTimeout + campaignTimeout
 	// witnessCheckInterval is the interval at which a leader checks that its witnesses answer.
 	witnessCheckInterval = 5 * time.Second
 	// witnessOfferJitter bounds the delay that spreads the offers of the nodes, and witnessOfferTries
@@ -385,13 +387,20 @@
 		return nil, model.Errorf(model.KindUnavailable, "retry later", "no cell %d is known here", p.Cell)
 	}
 	r := witnessReply{Process: n.cfg.Process, LaterTerm: c.confirmations.latestTerm() > p.Term}
-	if p.Confirm && !r.LaterTerm && !n.store.answeredWithin(storeSilence) {
+	if p.Confirm && !r.LaterTerm && n.storeFails(c) {
 		r.Confirmed = c.confirmations.confirm(p.Term, time.Now())
 		r.LaterTerm = !r.Confirmed
 	}
 	return r, nil
 }
 
+// storeFails reports whether the store lets this node take no lead of a cell: it does not answer, or has
+// refused a campaign.
+func (n *Node) storeFails(c *cell) bool {
+	failedAt := c.campaignFailedAt.Load()
+	return !n.store.answeredWithin(storeSilence) || (failedAt != nil && time.Since(*failedAt) < campaignFailureAge)
+}
+
 // handleWitnessOffer passes an offer to the term that it is for.
 func (n *Node) handleWitnessOffer(_ context.Context, p witnessOffer) (any, error) {
 	if c := n.cell(p.Cell); c != nil && c.leading() {
