--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -43,6 +43,9 @@
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
 	// their worker, whatever the cause, failedRuns those that failed.
 	crashes, startsAfterCrashes, lostRuns, failedRuns map[fleet.TaskName]int
+	// InTouch, if set, reports whether nodes may be in touch now. The contract's bound on starts after
+	// crashes does not hold for those that are ordered and carried out while none may be.
+	InTouch func() bool
 }
 
 // runOnWorker names a run on a lifetime of a worker.
@@ -99,7 +102,7 @@
 		startedAfterCancel = true
 		l.recordViolation("%s: task %s attempt %d starts on %s %v after its job was cancelled", Unasked, o.Task, o.Attempt, w.Info.Worker, time.Since(at))
 	}
-	if l.crashes[o.Task] >= crashBudget {
+	if l.crashes[o.Task] >= crashBudget && (late || l.InTouch == nil || l.InTouch()) {
 		if l.startsAfterCrashes[o.Task]++; l.startsAfterCrashes[o.Task] >= maxStartsAfterCrashes {
 			l.recordViolation("task %s attempt %d: start %d after %d workers have crashed under it", o.Task, o.Attempt, l.startsAfterCrashes[o.Task], crashBudget)
 		}
--- a/internal/fleet/fleettest/run_checker_test.go
+++ b/internal/fleet/fleettest/run_checker_test.go
@@ -210,3 +210,36 @@
 	require.Equal(t, 2, l.Failures("job"))
 	require.Zero(t, l.Failures("jo"))
 }
+
+// Guards against starts after crashes that the checker passes over, and against violations by starts of
+// nodes that are not in touch: the contract's bound does not hold for these.
+func TestRunCheckerFindsStartsAfterCrashes(t *testing.T) {
+	inTouch, outOfTouch := func() bool { return true }, func() bool { return false }
+	for name, test := range map[string]struct {
+		inTouch         func() bool
+		late            bool
+		crashes, starts int
+		violations      int
+	}{
+		"within the budget":          {crashes: crashBudget, starts: maxStartsAfterCrashes - 1},
+		"too few crashes":            {crashes: crashBudget - 1, starts: maxStartsAfterCrashes},
+		"too many starts":            {crashes: crashBudget, starts: maxStartsAfterCrashes, violations: 1},
+		"in touch":                   {inTouch: inTouch, crashes: crashBudget, starts: maxStartsAfterCrashes, violations: 1},
+		"out of touch":               {inTouch: outOfTouch, crashes: crashBudget, starts: 2 * maxStartsAfterCrashes},
+		"sent earlier, out of touch": {inTouch: outOfTouch, late: true, crashes: crashBudget, starts: maxStartsAfterCrashes, violations: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, w := NewRunChecker(), &Worker{}
+			l.InTouch = test.inTouch
+			for range test.crashes {
+				l.crashed(checkerTask)
+			}
+			for attempt := range test.starts {
+				o := fleet.StartOrder{RunRef: fleet.RunRef{Task: checkerTask, Attempt: attempt}}
+				l.started(w, o, Task{}, test.late)
+				l.ended(w, o.RunRef, Task{}, "")
+			}
+			require.Len(t, l.Violations(), test.violations)
+		})
+	}
+}
