--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -20,6 +20,10 @@
 // be given up after two crashes. Where workers have just ended without a suspect, others end for the
 // same cause, some of them just after a start; then two crashes are not enough.
 //
+// The answer to a start may be lost, and the worker crash before it reports the run. Such a crash
+// counts beside others, but a task is given up only if two crashes came under runs that have
+// certainly begun: a start without an answer may have been sent to a worker that was already down.
+//
 // A crash counts as soon as the worker refuses connections, since the leader may end before the
 // worker is back. It no longer counts when a report of the worker, or of its next lifetime, lists
 // the run, or when the next lifetime may have carried the start out and its leases end.
@@ -34,6 +38,11 @@
 	// more after three crashes; a change of leader may hide a crash.
 	maxPrimeCrashes = 3
 	maxCrashes      = 4
+	// minConfirmedCrashes is the number of crashes under runs that have certainly begun without which no
+	// task is given up, as by contract. maxUnansweredCrashes is the number of others that are kept: with
+	// minConfirmedCrashes they reach maxCrashes.
+	minConfirmedCrashes  = 2
+	maxUnansweredCrashes = maxCrashes - minConfirmedCrashes
 	// survivalAge is the age at which a run of a lasting task disproves earlier suspicions.
 	survivalAge = 5 * time.Second
 	// crashWindow is the longest time from a worker's last answer to the first call without one for
@@ -62,6 +71,9 @@
 	Sole bool `cbor:"4,keyasint,omitempty"`
 	// OtherCause means that workers had just ended for another cause than their runs.
 	OtherCause bool `cbor:"5,keyasint,omitempty"`
+	// Unanswered means that the start got no answer and no report has listed the run, so that it may not
+	// have begun.
+	Unanswered bool `cbor:"6,keyasint,omitempty"`
 }
 
 // primeCrashes counts the crashes in which the task was a prime suspect.
@@ -75,17 +87,41 @@
 	return n
 }
 
+// confirmedCrashes counts the crashes under runs that have certainly begun.
+func (tk *task) confirmedCrashes() int {
+	n := 0
+	for _, c := range tk.crashes {
+		if !c.Unanswered {
+			n++
+		}
+	}
+	return n
+}
+
 // crashesWorkers reports whether the crashes under a task are enough to give it up.
 func (tk *task) crashesWorkers() bool {
+	if tk.confirmedCrashes() < minConfirmedCrashes {
+		return false
+	}
 	return len(tk.crashes) >= maxCrashes || tk.primeCrashes() >= maxPrimeCrashes ||
 		slices.ContainsFunc(tk.crashes, func(c taskCrash) bool { return c.Sole })
 }
 
-// primeBefore reports whether the task was a prime suspect of the crash of another attempt at
-// the age of c, when no worker ended for another cause.
+// addCrash adds a crash. Of those under starts without an answer the latest ones are kept.
+func (tk *task) addCrash(c taskCrash) {
+	unanswered := func(o taskCrash) bool { return o.Unanswered }
+	if c.Unanswered && len(tk.crashes)-tk.confirmedCrashes() >= maxUnansweredCrashes {
+		oldest := slices.IndexFunc(tk.crashes, unanswered)
+		tk.crashes = slices.Delete(tk.crashes, oldest, oldest+1)
+	}
+	tk.crashes = append(tk.crashes, c)
+}
+
+// primeBefore reports whether the task was a prime suspect of the crash of another attempt, which had
+// certainly begun, at the age of c, when no worker ended for another cause.
 func (tk *task) primeBefore(c taskCrash) bool {
 	return slices.ContainsFunc(tk.crashes, func(o taskCrash) bool {
-		return o.Prime && !o.OtherCause && o.Attempt != c.Attempt && max(o.AgeMS-c.AgeMS, c.AgeMS-o.AgeMS) <= sameAge.Milliseconds()
+		return o.Prime && !o.OtherCause && !o.Unanswered && o.Attempt != c.Attempt && max(o.AgeMS-c.AgeMS, c.AgeMS-o.AgeMS) <= sameAge.Milliseconds()
 	})
 }
 
@@ -103,8 +139,8 @@
 	}
 }
 
-// recordCrash counts a crash of a worker for the tasks of the runs that it is known to have begun: a
-// start without an answer may have been sent to a worker that was already down. Before the crash is
+// recordCrash counts a crash of a worker for the tasks of the runs that it has begun, or may have begun:
+// a start without an answer may have been sent to a worker that was already down. Before the crash is
 // certain, it counts only for runs that had just started. Unless the lifetime has ended, the worker
 // may only be unreachable: then it must refuse connections, and no task is the sole suspect.
 func (t *term) recordCrash(w *worker, certain, lifetimeEnded bool) {
@@ -113,18 +149,18 @@
 	}
 	for _, r := range w.runs {
 		tk := r.trackedTask()
-		if tk == nil || !r.answered || r.startedElsewhere() || ((!certain || r.step.Lasting) && !r.early()) {
+		if tk == nil || r.state == runHeld || r.startedElsewhere() || ((!certain || r.step.Lasting) && !r.early()) {
 			continue
 		}
 		age, leastAge := r.seenRunning(), w.leastAgeOfOthers(r.job)
-		c := taskCrash{Attempt: r.ref.Attempt, AgeMS: age.Milliseconds()}
+		c := taskCrash{Attempt: r.ref.Attempt, AgeMS: age.Milliseconds(), Unanswered: !r.answered}
 		c.Prime = w.crashTimeKnown(t.now) && r.early() && age <= leastAge+sameAge
 		c.OtherCause = !t.endedWithoutSuspect.IsZero() && t.now.Sub(t.endedWithoutSuspect) <= otherCauseTime
-		c.Sole = c.Prime && !c.OtherCause && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
+		c.Sole = c.Prime && !c.OtherCause && !c.Unanswered && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
 		i := slices.IndexFunc(tk.crashes, func(o taskCrash) bool { return o.Attempt == c.Attempt })
 		switch {
 		case i < 0:
-			tk.crashes = append(tk.crashes, c)
+			tk.addCrash(c)
 		case tk.crashes[i] == c || !certain:
 			continue
 		default:
@@ -132,7 +168,7 @@
 		}
 		r.job.dirty, r.crashed = true, true
 		t.log.WithFields(logrus.Fields{"decision": "crash", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": w.info.Worker, "certain": certain,
-			"seen_ms": c.AgeMS, "prime": c.Prime, "sole": c.Sole, "other_cause": c.OtherCause, "crashes": len(tk.crashes)}).Log(t.rowLogLevel(), "worker crashed under a run")
+			"seen_ms": c.AgeMS, "prime": c.Prime, "sole": c.Sole, "other_cause": c.OtherCause, "unanswered": c.Unanswered, "crashes": len(tk.crashes)}).Log(t.rowLogLevel(), "worker crashed under a run")
 	}
 }
 
@@ -168,6 +204,14 @@
 	}
 }
 
+// withdrawUnansweredCrash removes the crash that counts under a run although its start got no answer, as
+// the lifetime of the worker that got the start has not begun the run.
+func (t *term) withdrawUnansweredCrash(r *run) {
+	if tk := r.trackedTask(); tk != nil && r.crashed && slices.ContainsFunc(tk.crashes, func(c taskCrash) bool { return c.Unanswered && c.Attempt == r.ref.Attempt }) {
+		t.withdrawCrash(r.job, tk, r.ref.Attempt)
+	}
+}
+
 // crashTimeKnown reports whether a crash of the worker that shows at now is known to have followed
 // its last answer at once. Otherwise its runs may have been much older, or have ended.
 func (w *worker) crashTimeKnown(now time.Time) bool {
@@ -255,11 +299,11 @@
 
 // giveUp fails a job because one of its tasks crashes its workers.
 func (t *term) giveUp(j *job, key taskKey, tk *task) {
-	j.failureReason = fmt.Sprintf("%d workers crashed under task %d of step %d", len(tk.crashes), key.index, key.step)
+	j.failureReason = fmt.Sprintf("%d workers crashed under task %d of step %d", tk.confirmedCrashes(), key.index, key.step)
 	j.endedAt, j.dirty = t.now, true
 	t.metrics.gaveUp.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "give-up", "job": j.id, "task": key.Name(j.id), "crashes": len(tk.crashes),
-		"prime": tk.primeCrashes(), "reason": j.failureReason}).Warn("giving up a task that crashes its workers")
+		"confirmed": tk.confirmedCrashes(), "prime": tk.primeCrashes(), "reason": j.failureReason}).Warn("giving up a task that crashes its workers")
 	t.cancelLentTasks(j)
 	t.stopFinishedJob(j)
 }
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -162,7 +162,7 @@
 func (t *term) passRun(r *run, next *worker) {
 	r.withdraw()
 	r.worker.detach(r, t.now)
-	r.crashInDoubt = r.crashed && r.sentTo == 0
+	r.crashInDoubt, r.passed = r.crashed && r.sentTo == 0, true
 	r.worker = next
 	r.stopInFlight, r.stopAnswered, r.paceInFlight = false, false, false
 	if r.state == runSent {
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -317,6 +317,9 @@
 		if listed[ref] || !e.sent.After(r.stateSince) {
 			continue
 		}
+		if !r.passed {
+			t.withdrawUnansweredCrash(r) // the worker has not crashed
+		}
 		switch r.state {
 		case runUnconfirmed:
 			t.stopRun(r, "start-unanswered")
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -304,7 +304,7 @@
 				continue
 			}
 			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lentTo: t.LentTo, crashes: t.Crashes, mayBeDone: t.Attempt > 0}
-			j.begun = j.begun || t.Done || len(t.Failed) > 0 || t.Checkpoint != "" || len(t.Crashes) > 0
+			j.begun = j.begun || t.Done || len(t.Failed) > 0 || t.Checkpoint != "" || s.tasks[t.Index].confirmedCrashes() > 0
 			if t.Done {
 				s.remaining--
 			}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -110,6 +110,9 @@
 	if e.err != nil && !notSent(e.err) {
 		t.recordUnansweredStart(e.worker, r.ref)
 	}
+	if !e.mayHaveStarted() {
+		t.withdrawUnansweredCrash(r)
+	}
 	if w.runs[r.ref] != r {
 		return // the run has ended or was marked lost
 	}
@@ -135,6 +138,14 @@
 	t.handleRefusedStart(r, e.reply.Verdict)
 }
 
+// mayHaveStarted reports whether the worker may have started the run, now or later.
+func (e startReply) mayHaveStarted() bool {
+	if e.err != nil {
+		return !notSent(e.err)
+	}
+	return e.reply.Verdict == StartRunning
+}
+
 // confirmStart records that a start order was carried out.
 func (t *term) confirmStart(r *run) {
 	r.answered = true
@@ -182,10 +193,11 @@
 		t.markLost(r, "not-sent")
 		return
 	case notSent(err):
-		if r.withdrawn != nil { // else the term has withdrawn it, which says nothing about the worker
+		withdrawn := r.withdrawn == nil // by the term, which says nothing about the worker
+		t.markLost(r, "not-sent")
+		if !withdrawn {
 			t.recordNoAnswer(w, err)
 		}
-		t.markLost(r, "not-sent")
 		return
 	}
 	t.recordNoAnswer(w, err)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -93,6 +93,8 @@
 	// crashed that a crash of the worker under this run was counted, crashInDoubt that it was that of
 	// a former lifetime, which may not have begun the run.
 	crashesBefore, crashed, crashInDoubt bool
+	// passed means that the start was sent to a former lifetime of the worker.
+	passed bool
 }
 
 // live reports whether the run has not been ordered to stop.
