--- a/internal/request/upstream_failure_test.go
+++ b/internal/request/upstream_failure_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -257,14 +258,20 @@
 	w := newTestEnv(t)
 	w.cfg.HedgeAfter = 10 * time.Millisecond
 	w.cfg.Balancer = roundRobin
+	// On a busy machine any request may be hedged, which takes from the budget of retries.
+	retryPercent := 100
+	w.view.Declaration.Services[0].RetryBudgetPercent = &retryPercent
 	release := make(chan bool)
 	defer close(release)
+	var failedAtR1 sync.Map // paths
 	w.runner("desk", "r1", func(rw http.ResponseWriter, r *http.Request) {
 		switch {
 		case strings.HasPrefix(r.URL.Path, "/slow"):
+			failedAtR1.Store(r.URL.Path, true)
 			<-release
 			_, _ = rw.Write([]byte("late"))
 		case strings.HasPrefix(r.URL.Path, "/reset"):
+			failedAtR1.Store(r.URL.Path, true)
 			panic(http.ErrAbortHandler)
 		}
 	})
@@ -274,8 +281,15 @@
 		require.Equal(t, 200, sendRequest(t, get, url+"/v1/services/desk/warm", nil).status)
 	}
 	for _, path := range []string{"/slow1", "/reset1", "/slow2", "/reset2"} {
-		r := sendRequest(t, get, url+"/v1/services/desk"+path, nil)
-		require.Equal(t, []any{200, "r2 " + path}, []any{r.status, string(r.body)})
+		failed := false
+		for range 10 { // until r1 has its turn
+			r := sendRequest(t, get, url+"/v1/services/desk"+path, nil)
+			require.Equal(t, []any{200, "r2 " + path}, []any{r.status, string(r.body)})
+			if _, failed = failedAtR1.Load(path); failed {
+				break
+			}
+		}
+		require.True(t, failed, path)
 	}
 }
 
