--- a/internal/fleet/fleettest/lasting.go
+++ b/internal/fleet/fleettest/lasting.go
@@ -27,6 +27,19 @@
 	return runs
 }
 
+// LastingWorkers returns the workers on which lasting tasks run.
+func (l *RunChecker) LastingWorkers() map[model.WorkerID]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	workers := map[model.WorkerID]bool{}
+	for k, r := range l.runs {
+		if r.lasting {
+			workers[k.worker.Info.Worker] = true
+		}
+	}
+	return workers
+}
+
 // Room returns how many tasks with the given needs would fit on the workers that are up.
 func (f *Workers) Room(needs model.Resources) int {
 	f.mu.Lock()
--- a/internal/soak/aim.go
+++ b/internal/soak/aim.go
@@ -141,6 +141,26 @@
 	return max(0, slices.IndexFunc(c.nodes, func(n *node) bool { return n.name == string(record.Node) }))
 }
 
+// aim sets the targets of an aimed fault that starts now: the leader and, for LoseLeader, workers with
+// lasting tasks, beginning at the first that was drawn, if there are any.
+func (c *cluster) aim(f *Fault) {
+	f.Target = c.leader()
+	if f.Kind != LoseLeader {
+		return
+	}
+	lasting := c.ledger.LastingWorkers()
+	var found []int
+	for i := range c.workers {
+		w := (f.Workers[0] + i) % len(c.workers)
+		if lasting[model.WorkerID(c.workers[w].id)] && len(found) < maxLostWorkers {
+			found = append(found, w)
+		}
+	}
+	if len(found) > 0 {
+		f.Workers = found
+	}
+}
+
 // startAimed starts a fault that is aimed at the leader.
 func (c *cluster) startAimed(f Fault) {
 	if c.aimedFaults == 0 {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,7 +42,7 @@
 			return ctx.Err()
 		}
 		if event.Kind.aimed() && !event.isEnd {
-			event.Target = c.leader()
+			c.aim(event.Fault)
 		}
 		at := time.Now()
 		if !event.isEnd {
--- a/internal/soak/lasting_test.go
+++ b/internal/soak/lasting_test.go
@@ -123,11 +123,20 @@
 		start("1.0.0.0")
 		require.Equal(t, 1, c.simWorkers.Room(taskNeeds))
 		time.Sleep(time.Second)
+		c.rows, c.workers = fleettest.NewStore(1), []*worker{{id: "v"}, {id: "w"}, {id: "x"}}
+		loss, cut := Fault{Kind: LoseLeader, Workers: []int{2, 0}}, Fault{Kind: StallLeader, Workers: []int{2, 0}}
+		c.aim(&loss)
+		require.Equal(t, []int{1}, loss.Workers, "a loss hits lasting tasks")
+		c.aim(&cut)
+		require.Equal(t, []int{2, 0}, cut.Workers)
 		want := map[fleet.TaskName][]fleettest.Span{"f1.0.0.0": {{From: begin, To: time.Now()}}}
 		require.Equal(t, want, c.ledger.LastingRuns(), "a run that goes on")
 		c.simWorkers.Kill(w)
 		time.Sleep(time.Second)
 		require.Equal(t, want, c.ledger.LastingRuns(), "a run that ended with its worker")
 		require.Zero(t, c.simWorkers.Room(taskNeeds))
+		loss.Workers = []int{2, 0}
+		c.aim(&loss)
+		require.Equal(t, []int{2, 0}, loss.Workers, "as drawn where no lasting task runs")
 	})
 }
