--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -46,11 +46,9 @@
 	record  leaderRecord
 	known   bool
 	version uint64
-	// silentSince is when the last renewal was first seen. It was sent before that.
+	// silentSince is when the last renewal was seen, or when reading resumed.
 	silentSince time.Time
-	// resumedAt is when reading the renewals last resumed. Silence counts from then on at the earliest.
-	resumedAt time.Time
-	jitter    time.Duration
+	jitter      time.Duration
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
 	// because its host is smaller or already leads other cells.
 	extraDelay time.Duration
@@ -58,12 +56,7 @@
 
 // campaignDueIn returns the time until campaignDue becomes true if no renewal is seen.
 func (f *leaderWatch) campaignDueIn(now time.Time, node model.NodeID) time.Duration {
-	return max(f.campaignDelay(node)-f.silence(now), time.Millisecond)
-}
-
-// silence returns for how long the leader's row has been read without a change.
-func (f *leaderWatch) silence(now time.Time) time.Duration {
-	return now.Sub(latest(f.silentSince, f.resumedAt))
+	return max(f.campaignDelay(node)-now.Sub(f.silentSince), time.Millisecond)
 }
 
 // campaignDelay is how long the leader's row must stay unchanged before this node campaigns.
@@ -115,7 +108,7 @@
 	if f.known && !f.record.Released && f.record.Node == node && f.record.Process != process {
 		return true // the leader was an earlier process of this node
 	}
-	return f.silence(now) >= f.campaignDelay(node)
+	return now.Sub(f.silentSince) >= f.campaignDelay(node)
 }
 
 // update applies a version of the leader's row.
@@ -209,7 +202,7 @@
 	}
 	n.recordStoreAnswer()
 	for _, c := range d.cells {
-		c.watch.resumedAt = time.Now()
+		c.watch.silentSince = time.Now()
 	}
 	n.applyLeaderRows(ctx, rows)
 	return page.Version, true
@@ -239,7 +232,7 @@
 		return
 	}
 	r := c.watch.record
-	c.leader.Store(&leaderSnapshot{r, latest(c.watch.silentSince, c.watch.resumedAt)})
+	c.leader.Store(&leaderSnapshot{r, c.watch.silentSince})
 	if before.Term != r.Term || before.Released != r.Released {
 		n.log.WithFields(logrus.Fields{"decision": "leader", "cell": c.index, "term": r.Term, "leader": r.Node, "address": r.Addr, "released": r.Released}).Info("leader changed")
 		n.offerWitness(ctx, c, r)
@@ -262,7 +255,7 @@
 	fence, read, err := n.readFence(ctx, c)
 	if err != nil {
 		n.metrics.terms.WithLabelValues(resultLabel(err)).Inc()
-		f.resumedAt = time.Now()
+		f.silentSince = time.Now()
 		return
 	}
 	// A renewal that this node has not seen would make the former leader's leases last
@@ -292,18 +285,18 @@
 	result, err := n.cfg.Store.Commit(call, tx)
 	cancel()
 	n.metrics.terms.WithLabelValues(resultLabel(err)).Inc()
-	n.log.WithFields(logrus.Fields{"decision": "campaign", "cell": c.index, "term": number, "silent_ms": f.silence(time.Now()).Milliseconds(),
+	n.log.WithFields(logrus.Fields{"decision": "campaign", "cell": c.index, "term": number, "silent_ms": time.Since(f.silentSince).Milliseconds(),
 		"choice": resultLabel(err)}).Info("campaign ended")
 	if err != nil {
 		var conflict *ConflictError
 		if errors.As(err, &conflict) {
-			f.resumedAt = time.Now()
+			f.silentSince = time.Now()
 			return
 		}
 		// The result of the transaction is unknown: the fence shows whether it was applied.
 		fence, read, err = n.readFence(ctx, c)
 		if err != nil || fence.Nonce != nonce {
-			f.resumedAt = time.Now()
+			f.silentSince = time.Now()
 			return
 		}
 		result = read
@@ -318,7 +311,7 @@
 	defer cancel()
 	page, err := n.cfg.Store.List(call, tableLeader, c.part, keyLeader, keyLeader+"\x00", 1)
 	if err != nil {
-		f.resumedAt = time.Now()
+		f.silentSince = time.Now()
 		return false
 	}
 	if len(page.Rows) == 0 {
