--- a/internal/fleet/restart_margin_bound_test.go
+++ b/internal/fleet/restart_margin_bound_test.go
@@ -22,15 +22,21 @@
 		draw := func(kinds []string) string { return kinds[r.IntN(len(kinds))] }
 		f := marginFaults{draw(marginLeaders), draw(marginWorkerKinds), draw(marginStores)}
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			playRestartMargin(t, f, uint64(seed), func(waits []restartWait) {
-				for _, w := range waits {
-					require.False(t, w.broken, "leader %s, worker %s, store %s: no run from %v to %v, calm %v, %s", f.leader, f.worker, f.store, w.from, w.until, w.calm, w.reason)
-				}
-			})
+			requireRestartsInTime(t, f, uint64(seed))
 		})
 	}
 }
 
+// requireRestartsInTime plays faults and fails if a wait breaks the bound.
+func requireRestartsInTime(t *testing.T, f marginFaults, seed uint64) {
+	t.Helper()
+	playRestartMargin(t, f, seed, func(waits []restartWait) {
+		for _, w := range waits {
+			require.False(t, w.broken, "leader %s, worker %s, store %s: no run from %v to %v, calm %v, %s", f.leader, f.worker, f.store, w.from, w.until, w.calm, w.reason)
+		}
+	})
+}
+
 // Guards the judgement of the waits.
 func TestCalmPartOfAWait(t *testing.T) {
 	s := func(from, until float64) *impairment {
--- a/internal/fleet/restart_margin_test.go
+++ b/internal/fleet/restart_margin_test.go
@@ -51,6 +51,7 @@
 
 // restartWait is a time of a task without a run.
 type restartWait struct {
+	task        fleet.TaskName
 	from, until time.Duration
 	// calm is the longest part of it in which nothing was impaired, since the last impairment.
 	calm   time.Duration
@@ -93,6 +94,10 @@
 		for i := range waits {
 			waits[i].calm, waits[i].broken = calmPart(p.impairments, waits[i])
 			waits[i].seed = seed
+			t.Logf("%s: no run from %v to %v, calm %v, broken %v, %s", waits[i].task, waits[i].from, waits[i].until, waits[i].calm, waits[i].broken, waits[i].reason)
+		}
+		for _, i := range p.impairments {
+			t.Logf("impaired from %v to %v", i.from, i.until)
 		}
 		done(waits)
 	})
@@ -215,7 +220,7 @@
 	now := time.Since(s.begun)
 	for _, task := range s.c.Workers.RunningTasks() {
 		if from, seen := s.lastRun[task]; seen && now-from > runsSample {
-			s.waits = append(s.waits, restartWait{from: from, until: now})
+			s.waits = append(s.waits, restartWait{task: task, from: from, until: now})
 		}
 		s.lastRun[task] = now
 	}
@@ -257,9 +262,9 @@
 	close(s.stopped)
 	s.done.Wait()
 	end := time.Since(s.begun)
-	for _, from := range s.lastRun {
+	for task, from := range s.lastRun {
 		if end-from > 2*runsSample {
-			s.waits = append(s.waits, restartWait{from: from, until: end})
+			s.waits = append(s.waits, restartWait{task: task, from: from, until: end})
 		}
 	}
 	for i, w := range s.waits {
