--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -43,14 +43,29 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// Suspended returns for how long the host has been suspended in all, or 0 where the system does not report
-// it.
+// clockReadTime is the longest time between two readings of the clocks of Suspended that are used together.
+const clockReadTime = time.Millisecond
+
+// Suspended returns for how long the host has been suspended in all, to within clockReadTime, or 0 where the
+// system does not report it.
 func Suspended() time.Duration {
-	var all, awake unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &awake) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &all) != nil {
-		return 0
+	for {
+		before, err := readClock(unix.CLOCK_MONOTONIC)
+		all, errAll := readClock(unix.CLOCK_BOOTTIME)
+		after, errAfter := readClock(unix.CLOCK_MONOTONIC)
+		switch {
+		case err != nil || errAll != nil || errAfter != nil:
+			return 0
+		case after-before <= clockReadTime: // else the process was preempted between the readings
+			return all - after
+		}
 	}
-	return time.Duration(all.Nano() - awake.Nano())
+}
+
+func readClock(id int32) (time.Duration, error) {
+	var now unix.Timespec
+	err := unix.ClockGettime(id, &now)
+	return time.Duration(now.Nano()), err
 }
 
 // Limits are the resource limits of the host; 0 means unknown.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -40,3 +40,12 @@
 	}
 	require.Zero(t, NewMeter(nil)().Received)
 }
+
+// Guards the total against readings of its two clocks that lie apart: a host that was not suspended between
+// two calls shows the same total.
+func TestSuspendedIsSteady(t *testing.T) {
+	first := Suspended()
+	for range 1000 {
+		require.InDelta(t, first, Suspended(), float64(2*clockReadTime))
+	}
+}
