--- a/internal/fleet/suspension.go
+++ b/internal/fleet/suspension.go
@@ -15,8 +15,8 @@
 	// clockOffsetTolerance is the change of the wall clock against the monotonic one at which a leader
 	// asks the host whether it was suspended.
 	clockOffsetTolerance = 5 * time.Millisecond
-	// minSuspension is the shortest suspension that counts.
-	minSuspension = time.Millisecond
+	// minSuspension is the shortest suspension that counts; shorter ones add up.
+	minSuspension = 5 * time.Millisecond
 )
 
 // suspensions is what a term knows of suspensions of its host.
@@ -51,11 +51,11 @@
 	}
 	read := t.cfg.readSuspensions()
 	suspended := read.total - s.total
-	s.total, s.clockOffset = read.total, read.clockOffset
+	s.clockOffset = read.clockOffset
 	if suspended < minSuspension {
 		return
 	}
-	s.resumedAt = t.now
+	s.total, s.resumedAt = read.total, t.now
 	t.lastRenewal, t.confirmedAt = t.lastRenewal.Add(-suspended), t.confirmedAt.Add(-suspended)
 	t.witnesses.confirmedAt = t.witnesses.confirmedAt.Add(-suspended)
 	t.log.WithFields(logrus.Fields{"suspended_ms": suspended.Milliseconds(), "renewed_ms_ago": t.now.Sub(t.lastRenewal).Milliseconds()}).Warn("the host was suspended")
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -43,20 +43,24 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// clockReadTime is the longest time between two readings of the clocks of Suspended that are used together.
-const clockReadTime = time.Millisecond
+const (
+	// clockReadTime is the longest time between two readings of the clocks of Suspended that are used
+	// together, and clockReadTries the number of tries to read them within it.
+	clockReadTime  = time.Millisecond
+	clockReadTries = 10
+)
 
 // Suspended returns for how long the host has been suspended in all, to within clockReadTime, or 0 where the
 // system does not report it.
 func Suspended() time.Duration {
-	for {
+	for try := 1; ; try++ {
 		before, err := readClock(unix.CLOCK_MONOTONIC)
 		all, errAll := readClock(unix.CLOCK_BOOTTIME)
 		after, errAfter := readClock(unix.CLOCK_MONOTONIC)
 		switch {
 		case err != nil || errAll != nil || errAfter != nil:
 			return 0
-		case after-before <= clockReadTime: // else the process was preempted between the readings
+		case after-before <= clockReadTime || try == clockReadTries: // else the process was preempted between the readings
 			return all - after
 		}
 	}
