--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -22,6 +22,9 @@
 	// other cells, and maxReservedPercent their share of its workers.
 	maxReservedForOtherCells = 6
 	maxReservedPercent       = 67
+	// unplacedKnownAfter is how long a cell has reported an unplaced task before all others have read
+	// that: the time between two reads, and the delay of a report.
+	unplacedKnownAfter = remoteFreeInterval + 400*time.Millisecond
 )
 
 // freeCapacity is the free capacity of one worker.
@@ -96,7 +99,7 @@
 			continue
 		}
 		for i := range workers {
-			if h := &workers[i]; need.Fits(h.resources()) && hasLabel(h.Labels, s.Label) && (best == nil || h.MilliCPU > best.MilliCPU) {
+			if h := &workers[i]; h.fits(need, s.Label) && (best == nil || h.MilliCPU > best.MilliCPU) {
 				best, cell = h, other
 			}
 		}
@@ -113,6 +116,11 @@
 	return cell, true
 }
 
+// fits reports whether a task with a need and a label fits.
+func (h freeCapacity) fits(need model.Resources, label string) bool {
+	return need.Fits(h.resources()) && hasLabel(h.Labels, label)
+}
+
 func (h freeCapacity) resources() model.Resources {
 	return model.Resources{MilliCPU: h.MilliCPU, MemoryMB: h.MemoryMB}
 }
@@ -124,23 +132,63 @@
 		return
 	}
 	t.remoteFreeReadAt, t.remoteFree, t.unplacedInOtherCells = t.now, map[int][]freeCapacity{}, nil
-	for _, o := range t.otherCellLoads() {
+	others := t.otherCellLoads()
+	shares := capacityShares{own: t.cell, cells: t.layout.Cells, unplaced: map[int]unplacedTask{}}
+	for _, o := range others {
 		if o.load.Unplaced != nil {
 			t.unplacedInOtherCells = append(t.unplacedInOtherCells, *o.load.Unplaced)
+			shares.unplaced[o.cell] = *o.load.Unplaced
 		}
-		t.remoteFree[o.cell] = freeShareOfCell(o.load.LargestFree, t.cell, o.cell, t.layout.Cells)
+	}
+	if t.unplaced != nil && !t.reportsUnplacedSince.IsZero() && t.now.Sub(t.reportsUnplacedSince) >= unplacedKnownAfter {
+		shares.unplaced[t.cell] = *t.unplaced
+	}
+	for _, o := range others {
+		t.remoteFree[o.cell] = shares.of(o.cell, o.load.LargestFree)
+	}
+}
+
+// observeReportedUnplaced notes that a report with the present unplaced task, or with none, is made.
+func (t *term) observeReportedUnplaced() {
+	switch {
+	case t.unplaced == nil:
+		t.reportsUnplacedSince = time.Time{}
+	case t.reportsUnplacedSince.IsZero():
+		t.reportsUnplacedSince = t.now
 	}
 }
 
-// freeShareOfCell returns the workers of cell other that cell own may use. Each cell gets a
-// different part, so that no two cells use the same worker.
-func freeShareOfCell(workers []freeCapacity, own, other, cells int) []freeCapacity {
+// capacityShares divides the free capacity that cells report, so that no two cells use the same
+// worker.
+type capacityShares struct {
+	own, cells int
+	// unplaced holds the unplaced tasks that cells have reported, by cell, also the own one.
+	unplaced map[int]unplacedTask
+}
+
+// of returns the workers of cell other that the own cell may use. Each cell has a fixed share. A
+// worker whose cell reports no task for it belongs to the cells that do, in turn.
+func (c capacityShares) of(other int, workers []freeCapacity) []freeCapacity {
 	var part []freeCapacity
-	offset := (own - other + cells) % cells // 1 to cells-1
 	for i, h := range workers {
-		if i%(cells-1) == offset-1 {
+		user := (other + 1 + i%(c.cells-1)) % c.cells
+		if claimants := c.claimants(other, h); len(claimants) > 0 && !slices.Contains(claimants, user) {
+			user = claimants[(other+i)%len(claimants)]
+		}
+		if user == c.own {
 			part = append(part, h)
 		}
 	}
 	return part
 }
+
+// claimants returns the cells beside other that report an unplaced task which fits on a worker.
+func (c capacityShares) claimants(other int, h freeCapacity) []int {
+	var cells []int
+	for cell := range c.cells {
+		if u, known := c.unplaced[cell]; known && cell != other && h.fits(model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}, u.Label) {
+			cells = append(cells, cell)
+		}
+	}
+	return cells
+}
--- a/internal/fleet/cell_capacity_test.go
+++ b/internal/fleet/cell_capacity_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,7 +23,7 @@
 				if own == other {
 					continue
 				}
-				for _, h := range freeShareOfCell(reported, own, other, cells) {
+				for _, h := range (capacityShares{own: own, cells: cells}).of(other, reported) {
 					users[h.MilliCPU]++
 				}
 			}
@@ -34,6 +35,61 @@
 	}
 }
 
+// The only free worker of a cell belonged to the share of one other cell, whether that needed it or
+// not, so lost tasks of all others waited for good. It must go to a cell that reports a task which
+// fits there, and still to one cell only.
+func TestUnneededShareGoesToCellsWithUnplacedTasks(t *testing.T) {
+	const cells = 4
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		unplaced := map[int]unplacedTask{}
+		for cell := range cells {
+			if random.IntN(2) == 0 {
+				unplaced[cell] = unplacedTask{MilliCPU: int64(1 + random.IntN(3)), Count: 1}
+			}
+		}
+		other, free := random.IntN(cells), freeCapacity{MilliCPU: int64(1 + random.IntN(3))}
+		var users, needing []int
+		for own := range cells {
+			if own == other {
+				continue
+			}
+			if len((capacityShares{own, cells, unplaced}).of(other, []freeCapacity{free})) > 0 {
+				users = append(users, own)
+			}
+			if u, known := unplaced[own]; known && u.MilliCPU <= free.MilliCPU {
+				needing = append(needing, own)
+			}
+		}
+		require.Len(t, users, 1, "%v", unplaced)
+		if len(needing) > 0 {
+			require.Contains(t, needing, users[0], "%v", unplaced)
+		}
+	}
+}
+
+// A cell that does not report an unplaced task yet must not use the shares of others, which it would
+// do in the same moment as they do.
+func TestCellClaimsNoShareBeforeOthersKnowOfItsTask(t *testing.T) {
+	tm := newTestTerm(4)
+	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, nil}}}
+	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} } // the share of cell 2
+	s := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}}
+	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{*s}}}, 5, epoch)
+	tm.recordUnplaced(&waitingStep{job: j, step: s})
+	tm.observeReportedUnplaced()
+	_, found := tm.takeRemoteCapacity(s, nil)
+	require.False(t, found)
+	tm.now = tm.now.Add(unplacedKnownAfter)
+	_, found = tm.takeRemoteCapacity(s, nil)
+	require.True(t, found)
+	tm.unplaced = nil
+	tm.observeReportedUnplaced()
+	tm.now = tm.now.Add(remoteFreeInterval)
+	_, found = tm.takeRemoteCapacity(s, nil)
+	require.False(t, found)
+}
+
 // Several lost tasks may be lent on the basis of one load report, as many as fit into the
 // reported free capacity. Without subtracting the tasks that are already lent, a cell would
 // lend more than the other one has capacity for.
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -244,6 +244,7 @@
 		if t.layout.Cells > 1 {
 			r.Load = t.ownLoad(t.collectWaitingSteps())
 			r.Load.LargestFree, r.Load.Unplaced = t.largestFree(), t.unplaced
+			t.observeReportedUnplaced()
 		}
 	}
 	return r
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -37,10 +37,10 @@
 	if !t.active() {
 		return
 	}
-	t.unplaced = nil
 	if t.layout.Cells > 1 {
 		t.refreshRemoteCapacity()
 	}
+	t.unplaced = nil
 	waiting := t.giveUpCrashingTasks(t.collectWaitingSteps())
 	t.observeShortWork(waiting)
 	for _, w := range waiting {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -142,6 +142,9 @@
 	// unplacedInOtherCells are the unplaced tasks that other cells report.
 	unplaced             *unplacedTask
 	unplacedInOtherCells []unplacedTask
+	// reportsUnplacedSince is since when the cell's reports have told of an unplaced task; zero if the
+	// last one did not.
+	reportsUnplacedSince time.Time
 	queueRunTimes        map[string]*queueRunTime
 	shortWork            map[shortKey]*shortDemand
 	shortWorkObserved    time.Time
