--- a/internal/fleet/choose_cell.go
+++ b/internal/fleet/choose_cell.go
@@ -27,8 +27,7 @@
 	filler   bool
 	lasting  bool
 	// hasMoved is set for jobs that have left a cell before. Services among them leave
-	// another cell only for lack of capacity: if they lose tasks, these cannot be lent to
-	// cells that the job has left.
+	// another cell only for lack of capacity.
 	hasMoved bool
 	// image is the image of lasting steps and of fillers; empty for others.
 	image string
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -426,7 +426,7 @@
 	defer cancel()
 	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{t.layout.jobRow(id), t.layout.cancelRow(id)}})
 	if err == nil && len(borrowed) > 0 {
-		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: append(borrowed, progressRow(t.part, id), movedRow(t.part, id+cancelSuffix))})
+		_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: append(borrowed, progressRow(t.part, loanKey(id)), movedRow(t.part, loanKey(id)+cancelSuffix))})
 	}
 	for _, cell := range append(previousCells, t.cell) {
 		part := t.layout.cellPart(cell)
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -174,8 +174,8 @@
 				Waited: t.now.Sub(w.occurrence.steps[w.index].readyAt).Milliseconds(), Slack: w.slack.Milliseconds(), Reason: t.describeWait(w)})
 		}
 	}
-	if j := t.jobs[q.job]; j != nil {
-		v.Job = t.jobView(j)
+	if jobs := t.jobsOf(q.job); len(jobs) > 0 {
+		v.Job = t.jobView(jobs[0])
 	}
 	q.reply <- v
 }
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -181,6 +181,15 @@
 	}
 }
 
+// key is the key of the job among those of a term and of its progress. The tasks of a job that a
+// cell borrows are apart from the job itself, which the cell may have left or may own later.
+func (j *job) key() string {
+	if len(j.borrowed) > 0 {
+		return loanKey(j.id)
+	}
+	return j.id
+}
+
 // state derives the state from the progress.
 func (j *job) state() State {
 	switch {
--- a/internal/fleet/moved_cancellations.go
+++ b/internal/fleet/moved_cancellations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -16,13 +17,14 @@
 // readCancellationsOfMovedJobs reads the cancellations of all jobs that this cell did not accept.
 func (t *term) readCancellationsOfMovedJobs() {
 	var ids []string
-	for id, j := range t.jobs {
+	for _, j := range t.jobs {
 		if len(j.previousCells) > 0 && !j.over() {
 			j.cancellationUnread = true
-			ids = append(ids, id)
+			ids = append(ids, j.id)
 		}
 	}
-	t.readCancellations(ids)
+	slices.Sort(ids)
+	t.readCancellations(slices.Compact(ids))
 }
 
 // readCancellations reads the cancellations of jobs. It repeats failed reads until they succeed or the
@@ -87,12 +89,12 @@
 }
 
 func (e cancellationRead) handle(t *term) {
-	j := t.jobs[e.id]
-	if j == nil {
-		return
+	missed := false
+	for _, j := range t.jobsOf(e.id) {
+		j.cancellationUnread, t.planDue = false, true
+		missed = missed || e.cancelled && !j.cancelled
 	}
-	j.cancellationUnread, t.planDue = false, true
-	if e.cancelled && !j.cancelled {
+	if missed {
 		t.log.WithFields(logrus.Fields{"decision": "cancel", "job": e.id, "reason": "missed"}).Info("found the cancellation of a job of another cell")
 		t.cancelJob(e.id)
 	}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -250,7 +250,7 @@
 // over or unknown.
 func (t *term) adopt(w *worker, s RunStatus) *run {
 	id, key, ok := parseTask(s.Task)
-	j := t.jobs[id]
+	j := t.jobOfTask(id, key)
 	r := &run{ref: s.RunRef, worker: w, state: runLive, startedAt: t.now, stateSince: t.now, pace: 100, adopted: true}
 	if !ok || j == nil || !t.loaded {
 		if t.loaded {
@@ -347,7 +347,10 @@
 			r = nil // only its stop was known
 		}
 	}
-	j := t.jobs[id]
+	j := t.jobOfTask(id, key)
+	if r != nil {
+		j = t.jobs[r.job.key()]
+	}
 	if !ok || j == nil {
 		return
 	}
--- a/internal/fleet/progress_rows.go
+++ b/internal/fleet/progress_rows.go
@@ -240,19 +240,19 @@
 // not fit beside what it holds; size is that of its values.
 func (t *term) addProgress(c *pendingCommit, j *job, size int) (added int, ok bool) {
 	s := t.encodeProgress(j)
-	puts, sums := []Row{{RowID: progressRow(t.part, j.id), Value: s.head}}, make([]uint64, len(s.chunks))
+	puts, sums := []Row{{RowID: progressRow(t.part, j.key()), Value: s.head}}, make([]uint64, len(s.chunks))
 	added = len(s.head)
 	for n, value := range s.chunks {
 		sums[n] = checksum(value)
 		if n < len(j.chunkSums) && j.chunkSums[n] == sums[n] {
 			continue
 		}
-		puts = append(puts, Row{RowID: chunkRow(t.part, j.id, n), Value: value})
+		puts = append(puts, Row{RowID: chunkRow(t.part, j.key(), n), Value: value})
 		added += len(value)
 	}
 	var remove []RowID
 	for n := len(s.chunks); n < len(j.chunkSums); n++ {
-		remove = append(remove, chunkRow(t.part, j.id, n))
+		remove = append(remove, chunkRow(t.part, j.key(), n))
 	}
 	several := len(puts)+len(remove) > 1
 	if several && len(c.tx.Puts) > 0 && (size+added > maxCommitBytes || len(c.tx.Puts)+len(puts)+len(c.tx.Delete)+len(remove) > maxCommitRows-2) {
@@ -281,8 +281,16 @@
 			chunks[id] = append(chunks[id], row)
 		}
 	}
+	stored := map[string]bool{}
 	for _, row := range rows {
-		if j := t.jobs[row.Key]; j != nil {
+		stored[row.Key] = true
+	}
+	for _, row := range rows {
+		j := t.jobs[row.Key]
+		if j == nil && !stored[loanKey(row.Key)] {
+			j = t.jobs[loanKey(row.Key)] // as older versions store the progress of borrowed tasks
+		}
+		if j != nil {
 			t.restoreJobProgress(j, row, chunks[row.Key])
 		}
 	}
@@ -296,7 +304,7 @@
 	}
 	for _, row := range chunks {
 		var n int
-		if _, err := fmt.Sscanf(row.Key, j.id+chunkInfix+"%d", &n); err != nil {
+		if _, err := fmt.Sscanf(row.Key, head.Key+chunkInfix+"%d", &n); err != nil {
 			continue
 		}
 		for len(j.chunkSums) <= n {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -69,25 +69,36 @@
 	if t.jobs[row.Key] != nil {
 		return
 	}
-	var r jobRecord
+	if r, ok := t.decodeJob(row); ok {
+		t.addJob(row, r, nil, storeNow)
+	}
+}
+
+// decodeJob decodes the row of a job or of a lent task.
+func (t *term) decodeJob(row Row) (r jobRecord, ok bool) {
 	err := decodeRecord(row, &r)
 	if err == nil {
 		err = r.Spec.Validate() // earlier versions accepted more
 	}
 	if err != nil {
 		t.log.WithError(err).WithField("job", row.Key).Error("ignored an undecodable or invalid job")
-		return
 	}
+	return r, err == nil
+}
+
+// addJob adds a job that is new to the term. borrowed is set for tasks that another cell has lent.
+func (t *term) addJob(row Row, r jobRecord, borrowed []RowID, storeNow time.Duration) {
 	arrived := t.now
 	if storeNow > r.AcceptedAt && r.AcceptedAt > 0 {
 		arrived = t.now.Add(r.AcceptedAt - storeNow)
 	}
 	j := newJob(row.Key, r, row.Version, arrived)
+	j.borrowed = borrowed
 	j.inherited, j.learnedAt = row.Version <= t.startVersion, t.now
 	if r.Progress != nil {
 		j.restore(*r.Progress, t.now, t.monotonicTime)
 	}
-	t.jobs[j.id] = j
+	t.jobs[j.key()] = j
 	t.restoreQueue(r)
 	t.confirmationDue = t.confirmationDue || !t.jobConfirmed(j)
 	j.openDue(t.now, 0, t.monotonicTime)
@@ -95,8 +106,8 @@
 	t.metrics.accepted.Inc()
 	t.log.WithFields(logrus.Fields{"decision": "order", "job": j.id, "queue": j.queue, "kind": j.kind(), "objective_ms": t.objective(j).Milliseconds(), "version": row.Version,
 		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps), "shape": stepLogEntries(j.spec)}).Log(t.jobLogLevel(j), "job added")
-	if _, cancelled := t.earlyCancellations[j.id]; cancelled {
-		t.cancelJob(j.id)
+	if t.cancelledEarly(j) {
+		t.applyCancellation(j)
 	} else if t.loaded && len(j.previousCells) > 0 && t.now.Sub(t.startedAt) < earlyCancellationAge {
 		j.cancellationUnread = true // it may have been cancelled before this term began
 		t.readCancellations([]string{j.id})
@@ -140,11 +151,27 @@
 // cancelJob stops all work of a job. The cancellation of an unknown job is applied when its
 // row arrives, unless the job is in another cell.
 func (t *term) cancelJob(id string) {
-	j := t.jobs[id]
-	if j == nil {
+	jobs := t.jobsOf(id)
+	if len(jobs) == 0 {
 		t.earlyCancellations[id] = t.now
-		return
 	}
+	for _, j := range jobs {
+		t.applyCancellation(j)
+	}
+}
+
+// cancelledEarly reports whether a job that is new to the term is cancelled already.
+func (t *term) cancelledEarly(j *job) bool {
+	for _, id := range []string{j.id, j.key()} {
+		if _, early := t.earlyCancellations[id]; early {
+			return true
+		}
+	}
+	return slices.ContainsFunc(t.jobsOf(j.id), func(o *job) bool { return o.cancelled })
+}
+
+// applyCancellation stops all work of a job.
+func (t *term) applyCancellation(j *job) {
 	// A transaction in flight may have stored that the job is over.
 	if j.cancelled || ((j.visibleState.Final() || j.state().Final()) && len(j.borrowed) == 0) {
 		return
@@ -167,7 +194,7 @@
 		}
 	}
 	t.planDue = true
-	t.log.WithFields(logrus.Fields{"decision": "cancel", "job": id, "runs": stopped}).Info("job cancelled")
+	t.log.WithFields(logrus.Fields{"decision": "cancel", "job": j.id, "runs": stopped}).Info("job cancelled")
 }
 
 // workerRows reports changed entries of the platform's list of workers. full is set when the
@@ -364,11 +391,11 @@
 // tasks are borrowed when it is cancelled.
 func (t *term) removeFinishedJobs() {
 	t.removeEarlyCancellations()
-	for id, j := range t.jobs {
+	for key, j := range t.jobs {
 		borrowed := len(j.borrowed) > 0 && !j.cancelled
 		if j.movedTo == 0 && !borrowed && j.visibleState.Final() && !j.dirty && t.now.Sub(j.endedAt) > t.cfg.Bounds.Retention+retentionMargin {
-			delete(t.jobs, id)
-			go t.deleteJobRows(id, slices.Clone(j.previousCells), slices.Clone(j.borrowed))
+			delete(t.jobs, key)
+			go t.deleteJobRows(j.id, slices.Clone(j.previousCells), slices.Clone(j.borrowed))
 		}
 	}
 }
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,9 +9,9 @@
 
 // A job with running tasks does not leave its cell. One of its lasting tasks that was lost,
 // or did not fit beside the others, may find no worker there while another cell has free
-// capacity. The leader then lends the task to that cell. It stores the decision under its
-// fence, never starts the task again itself, and writes a row by which the other cell runs
-// this one task until the job is cancelled.
+// capacity. The leader then lends the task to that cell, also to one that the job has left. It
+// stores the decision under its fence, never starts the task again itself, and writes a row by
+// which the other cell runs this one task until the job is cancelled (borrowed_tasks.go).
 
 const (
 	// lendDelay is how long a lasting task waits for capacity in its own cell, where the end
@@ -29,7 +27,7 @@
 // tasks the other one interrupts.
 func (t *term) lendUnplaced(w *waitingStep) {
 	o := &w.occurrence.steps[w.index]
-	if t.layout.Cells == 1 || w.step.Gang || w.step.SameRack || w.step.Near != "" || len(w.job.previousCells) >= maxMovesPerJob || w.job.spec.Repeats != 0 || w.step.Needs.Accelerators > 0 || w.step.MaxInterrupted > 0 {
+	if t.layout.Cells == 1 || w.step.Gang || w.step.SameRack || w.step.Near != "" || len(w.job.borrowed) > 0 || w.job.spec.Repeats != 0 || w.step.Needs.Accelerators > 0 || w.step.MaxInterrupted > 0 {
 		return
 	}
 	for _, i := range w.tasks {
@@ -43,7 +41,7 @@
 		if t.now.Sub(tk.unplacedSince) < lendDelay {
 			continue
 		}
-		if cell, found := t.takeRemoteCapacity(w.step, w.job.previousCells); found {
+		if cell, found := t.takeRemoteCapacity(w.step); found {
 			t.lend(w.job, w.key(i), tk, cell)
 		} else {
 			t.recordUnplaced(w)
@@ -108,7 +106,7 @@
 
 func (e lentTaskStored) handle(t *term) {
 	if e.job.cancelled {
-		go t.sendCancellation(e.job.id, e.cell)
+		go t.sendCancellation(loanKey(e.job.id), e.cell)
 	}
 }
 
@@ -127,7 +125,7 @@
 func (t *term) cancelLentTasks(j *job) {
 	for _, k := range j.lentTasks(false) {
 		_, tk := j.task(k)
-		go t.sendCancellation(j.id, tk.lentTo-1)
+		go t.sendCancellation(loanKey(j.id), tk.lentTo-1)
 	}
 }
 
@@ -150,46 +148,3 @@
 	return jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedStoreTime, PreviousCells: path, Progress: &p,
 		AttemptBase: j.attemptBase + int(t.number)*attemptsPerTerm, Settings: t.queueSettings(j.queue)}
 }
-
-// acceptLentTask applies the row of a task that another cell has lent, and reports whether
-// row is one. Tasks of one job are added to one borrowed job.
-func (t *term) acceptLentTask(row Row, storeNow time.Duration) bool {
-	id, name, lent := strings.Cut(row.Key, lentKeySeparator)
-	if !lent {
-		return false
-	}
-	j, lentRow := t.jobs[id], row.RowID
-	if j == nil {
-		row.Key = id
-		t.applyJobRow(row, storeNow)
-		if j = t.jobs[id]; j != nil {
-			j.borrowed = append(j.borrowed, lentRow)
-		}
-		return true
-	}
-	k, ok := parseLentKey(name)
-	var r jobRecord
-	_, tk := j.task(k)
-	if len(j.borrowed) == 0 {
-		return true // this cell owns the job
-	}
-	if !slices.Contains(j.borrowed, lentRow) {
-		j.borrowed = append(j.borrowed, lentRow)
-	}
-	if !ok || tk == nil || !tk.done || decodeRecord(row, &r) != nil {
-		return true // known already or invalid
-	}
-	*tk = task{}
-	j.attemptBase = max(j.attemptBase, r.AttemptBase)
-	j.occurrences[0].steps[k.step].remaining++
-	j.dirty, t.planDue = true, true
-	return true
-}
-
-// parseLentKey parses the step and index in the key of a lent task.
-func parseLentKey(name string) (taskKey, bool) {
-	step, index, ok := strings.Cut(name, ".")
-	s, errStep := strconv.Atoi(step)
-	i, errIndex := strconv.Atoi(index)
-	return taskKey{0, s, i}, ok && errStep == nil && errIndex == nil && s >= 0 && i >= 0
-}
