--- a/internal/fleet/moves_model_test.go
+++ b/internal/fleet/moves_model_test.go
@@ -149,12 +149,26 @@
 	return n
 }
 
-// explore visits all reachable states. It returns their number, whether the job runs in two
-// cells in any of them, and the number of states from which none can be reached in which the
-// job runs.
-func (m jobModel) explore() (states int, twice bool, deadEnds int) {
-	numbers := map[modelState]int{m.initialState(): 0}
-	queue := []modelState{m.initialState()}
+// runsOf returns the number of cells in which the job of a state runs.
+func (m jobModel) runsOf(s modelState) int { return s.runs() }
+
+func (m jobModel) guardOmitted() bool { return m.omittedGuard != "" }
+
+// protocolModel is a model of a protocol between cells with states S.
+type protocolModel[S comparable] interface {
+	initialState() S
+	next(s S) []S
+	// runsOf returns in how many cells something runs.
+	runsOf(s S) int
+	// guardOmitted reports whether a guard is left out, so that one fault is enough.
+	guardOmitted() bool
+}
+
+// explore visits all reachable states. It returns their number, whether something runs in two
+// cells in any of them, and the number of states from which none can be reached in which it runs.
+func explore[S comparable](m protocolModel[S]) (states int, twice bool, deadEnds int) {
+	numbers := map[S]int{m.initialState(): 0}
+	queue := []S{m.initialState()}
 	var before [][]int // predecessors of each state
 	var goal []int
 	for at := 0; at < len(queue); at++ {
@@ -162,12 +176,12 @@
 		if len(before) <= at {
 			before = append(before, nil)
 		}
-		switch s.runs() {
+		switch m.runsOf(s) {
 		case 0:
 		case 1:
 			goal = append(goal, at)
 		default:
-			if m.omittedGuard != "" {
+			if m.guardOmitted() {
 				return at, true, 0 // the expected fault is found
 			}
 			twice = true
@@ -208,7 +222,7 @@
 // once, and it must stay possible that it runs in one.
 func TestMoveProtocolModel(t *testing.T) {
 	for _, m := range []jobModel{{cells: 2, terms: 3}, {cells: modelCells, terms: 2}} {
-		states, twice, deadEnds := m.explore()
+		states, twice, deadEnds := explore(m)
 		t.Logf("%d cells, %d terms: %d states", m.cells, m.terms, states)
 		require.False(t, twice, "%+v", m)
 		require.Zero(t, deadEnds, "%+v", m)
@@ -219,7 +233,7 @@
 // would not show that the guards are needed.
 func TestMoveProtocolModelFindsMissingGuards(t *testing.T) {
 	for _, guard := range []string{"unstored", "inherited", "unconfirmed"} {
-		_, twice, _ := jobModel{cells: modelCells, terms: 2, omittedGuard: guard}.explore()
+		_, twice, _ := explore(jobModel{cells: modelCells, terms: 2, omittedGuard: guard})
 		require.True(t, twice, guard)
 	}
 }
