--- a/internal/fleet/borrowed_tasks.go
+++ b/internal/fleet/borrowed_tasks.go
@@ -5,17 +5,52 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // The tasks of one job that other cells have lent to this one form a borrowed job, which is apart
-// from the job itself: this cell may have left the job, or the job may move to it.
+// from the job itself. A borrowed task that finds no worker here while another cell has free
+// capacity is returned: a transaction under this cell's fence replaces its row by a return. The cell
+// that owns the job watches these rows. It starts the task itself or lends it again, by a row that
+// replaces the return. So the row of a task tells which of the two cells may start it, whoever
+// leads them: only the owner replaces a return, and only the borrower a loan.
 
-// loanSuffix follows the id of a job in the key of its borrowed tasks.
-const loanSuffix = "/loan"
+const (
+	// loanSuffix follows the id of a job in the key of its borrowed tasks.
+	loanSuffix = "/loan"
+	// maxReturnDelay bounds how long a borrowed task waits for a worker before it is returned. The
+	// wait doubles with each loan of the task, from lendDelay.
+	maxReturnDelay = 24 * time.Second
+	// maxReturnsPerCommit bounds the tasks of a job that one transaction returns.
+	maxReturnsPerCommit = 16
+	// returnedCapacityMaxAge is how long the capacity that a return names is kept for the task, which
+	// is the time between two reads of the reports.
+	returnedCapacityMaxAge = remoteFreeInterval
+)
 
 // loanKey returns the key of the borrowed tasks of a job.
 func loanKey(id string) string { return id + loanSuffix }
 
+// lentTaskReturn is the value of the row of a lent task that was returned. It does not decode as a
+// record of a job, so that a leader of an older version does not start the task.
+type lentTaskReturn struct {
+	_ struct{} `cbor:",toarray"`
+	// Loan is the number of the loan.
+	Loan int
+	// Attempts is the highest attempt number that the borrower may have used.
+	Attempts int
+	// Crashes lists the attempts under which a worker crashed.
+	Crashes []taskCrash
+	// CapacityIn is the cell with capacity for the task, of the share that the borrower may use.
+	CapacityIn int
+}
+
+// decodeReturn decodes the row of a lent task; ok is false if it is not a return.
+func decodeReturn(row Row) (r lentTaskReturn, ok bool) {
+	return r, !row.Removed && len(row.Value) > 0 && decodeRecord(row, &r) == nil
+}
+
 // jobsOf returns what the term knows by the id of a job: the job, and the tasks of it that other
 // cells have lent.
 func (t *term) jobsOf(id string) []*job {
@@ -48,11 +83,15 @@
 	if !lent {
 		return false
 	}
+	if returned, ok := decodeReturn(row); ok {
+		t.returnedLoans[row.Key] = max(t.returnedLoans[row.Key], returned.Loan)
+		return true
+	}
 	lentRow := row.RowID
 	row.Key = id
 	k, ok := parseLentKey(name)
 	r, valid := t.decodeJob(row)
-	if !ok || !valid {
+	if !ok || !valid || max(r.Loan, 1) <= t.returnedLoans[lentRow.Key] {
 		return true
 	}
 	if t.jobs[loanKey(id)] == nil {
@@ -62,12 +101,12 @@
 	if !slices.Contains(j.borrowed, lentRow) {
 		j.borrowed = append(j.borrowed, lentRow)
 	}
-	t.openBorrowed(j, k, r.AttemptBase)
+	t.openBorrowed(j, k, r.AttemptBase, r.Loan)
 	return true
 }
 
 // openBorrowed makes a task of a borrowed job startable unless it is so already.
-func (t *term) openBorrowed(j *job, k taskKey, attemptBase int) {
+func (t *term) openBorrowed(j *job, k taskKey, attemptBase, loan int) {
 	o, tk := j.task(k)
 	if tk == nil {
 		return
@@ -78,6 +117,7 @@
 		o.steps[k.step].remaining++
 		j.dirty, t.planDue = true, true
 	}
+	tk.loans = max(tk.loans, loan)
 }
 
 // parseLentKey parses the step and index in the key of a lent task.
@@ -87,3 +127,99 @@
 	i, errIndex := strconv.Atoi(index)
 	return taskKey{0, s, i}, ok && errStep == nil && errIndex == nil && s >= 0 && i >= 0
 }
+
+// returnUnplaced returns the borrowed tasks of a step that have found no worker for some time while
+// a worker of another cell has enough free capacity.
+func (t *term) returnUnplaced(w *waitingStep) {
+	for _, i := range w.tasks {
+		tk := &w.state().tasks[i]
+		switch {
+		case len(tk.runs) > 0, tk.loans == 0:
+			continue // an older version has lent it, which knows no returns
+		case tk.unplacedSince.IsZero():
+			tk.unplacedSince = t.now
+		}
+		if t.now.Sub(tk.unplacedSince) < returnDelay(tk.loans) {
+			continue
+		}
+		if len(w.job.returns) < maxReturnsPerCommit {
+			if cell, found := t.takeRemoteCapacity(w.step, -1); found {
+				t.returnTask(w.job, w.key(i), tk, cell)
+				continue
+			}
+		}
+		t.recordUnplaced(w)
+	}
+}
+
+// returnDelay returns how long a borrowed task waits for a worker before it is returned.
+func returnDelay(loan int) time.Duration {
+	delay := lendDelay
+	for ; loan > 1 && delay < maxReturnDelay; loan-- {
+		delay *= 2
+	}
+	return min(delay, maxReturnDelay)
+}
+
+// returnTask decides that a borrowed task without a run is returned, as a cell has capacity for it.
+// The next transaction of the job stores that in the task's row and in the progress.
+func (t *term) returnTask(j *job, k taskKey, tk *task, cell int) {
+	value := encode(lentTaskReturn{Loan: tk.loans, Attempts: j.attemptBase + int(t.number)*attemptsPerTerm, Crashes: tk.crashes, CapacityIn: cell})
+	row := Row{RowID: movedRow(t.part, lentKey(j.id, k)), Value: value}
+	t.returnedLoans[row.Key] = tk.loans
+	j.returns = append(j.returns, row)
+	tk.done, j.dirty = true, true
+	o, _ := j.task(k)
+	o.steps[k.step].remaining--
+	t.log.WithFields(logrus.Fields{"decision": "return", "job": j.id, "task": k.Name(j.id), "loan": tk.loans, "capacity_in": cell,
+		"waited_ms": t.now.Sub(tk.unplacedSince).Milliseconds()}).Info("returning a borrowed task")
+}
+
+// notifyReturned sends the stored returns of a borrowed job to the cell that has lent the tasks. It
+// would otherwise learn of them later through its watch.
+func (t *term) notifyReturned(j *job, returned []Row, version uint64) {
+	for _, row := range returned {
+		row.Version = version
+		go t.notifyCell(j.previousCells[0], row)
+	}
+}
+
+// applyReturn applies the row of a returned task if this cell owns its job. The row is in the part of
+// the borrower.
+func (t *term) applyReturn(row Row) {
+	id, name, lent := strings.Cut(row.Key, lentKeySeparator)
+	returned, isReturn := decodeReturn(row)
+	if !lent || !isReturn {
+		return
+	}
+	k, valid := parseLentKey(name)
+	j := t.jobs[id]
+	if j == nil || !valid || j.over() {
+		return
+	}
+	_, tk := j.task(k)
+	if tk == nil || tk.lentTo == 0 || tk.loans != returned.Loan || row.Part != t.layout.cellPart(tk.lentTo-1) {
+		return
+	}
+	tk.returnedBy, tk.returnedAt, tk.capacityIn, tk.unplacedSince = tk.lentTo, t.now, returned.CapacityIn, t.now.Add(-lendDelay)
+	tk.lentTo, tk.lentSent = 0, false
+	tk.attempt, j.attemptBase = max(tk.attempt, returned.Attempts), max(j.attemptBase, returned.Attempts)
+	if len(returned.Crashes) > len(tk.crashes) {
+		tk.crashes = returned.Crashes
+	}
+	j.dirty, t.planDue = true, true
+	t.log.WithFields(logrus.Fields{"decision": "returned", "job": j.id, "task": k.Name(j.id), "loan": tk.loans, "from_cell": tk.returnedBy - 1}).Info("lent task was returned")
+}
+
+// cellFor returns a cell with capacity for a task of s: of a task that was just returned the one that
+// the return names.
+func (t *term) cellFor(tk *task, s *Step) (cell int, found bool) {
+	age := t.now.Sub(tk.returnedAt)
+	switch {
+	case tk.returnedBy > 0 && age < returnedCapacityMaxAge && tk.capacityIn != t.cell:
+		return tk.capacityIn, true
+	case tk.returnedBy > 0 && age < returnDelay(tk.loans):
+		return t.takeRemoteCapacity(s, tk.returnedBy-1)
+	}
+	return t.takeRemoteCapacity(s, -1)
+}
--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -88,12 +88,15 @@
 }
 
 // takeRemoteCapacity returns another cell in which a worker has enough free capacity for a
-// task of s, and deducts the task from it.
-func (t *term) takeRemoteCapacity(s *Step) (cell int, found bool) {
+// task of s, and deducts the task from it. It excludes one cell; none if excluded is negative.
+func (t *term) takeRemoteCapacity(s *Step, excluded int) (cell int, found bool) {
 	t.refreshRemoteCapacity()
 	need := s.Reserved()
 	var best *freeCapacity
 	for other, workers := range t.remoteFree {
+		if other == excluded {
+			continue
+		}
 		for i := range workers {
 			if h := &workers[i]; h.fits(need, s.Label) && (best == nil || h.MilliCPU > best.MilliCPU) {
 				best, cell = h, other
--- a/internal/fleet/cell_capacity_test.go
+++ b/internal/fleet/cell_capacity_test.go
@@ -78,15 +78,15 @@
 	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{*s}}}, 5, epoch)
 	tm.recordUnplaced(&waitingStep{job: j, step: s})
 	tm.observeReportedUnplaced()
-	_, found := tm.takeRemoteCapacity(s)
+	_, found := tm.takeRemoteCapacity(s, -1)
 	require.False(t, found)
 	tm.now = tm.now.Add(unplacedKnownAfter)
-	_, found = tm.takeRemoteCapacity(s)
+	_, found = tm.takeRemoteCapacity(s, -1)
 	require.True(t, found)
 	tm.unplaced = nil
 	tm.observeReportedUnplaced()
 	tm.now = tm.now.Add(remoteFreeInterval)
-	_, found = tm.takeRemoteCapacity(s)
+	_, found = tm.takeRemoteCapacity(s, -1)
 	require.False(t, found)
 }
 
@@ -99,17 +99,19 @@
 	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} }
 	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}}
 	for i := range 3 { // two on the first worker, none on the second, one on the third
-		cell, found := tm.takeRemoteCapacity(s)
+		cell, found := tm.takeRemoteCapacity(s, -1)
 		require.True(t, found, "task %d", i)
 		require.Equal(t, 1, cell)
 	}
-	_, found := tm.takeRemoteCapacity(s)
+	_, found := tm.takeRemoteCapacity(s, -1)
 	require.False(t, found)
 	tm.now = tm.now.Add(remoteFreeInterval / 2)
-	_, found = tm.takeRemoteCapacity(s)
+	_, found = tm.takeRemoteCapacity(s, -1)
 	require.False(t, found, "the report may not include the lent tasks yet")
 	tm.now = tm.now.Add(remoteFreeInterval)
-	_, found = tm.takeRemoteCapacity(s)
+	_, found = tm.takeRemoteCapacity(s, 1)
+	require.False(t, found, "the only cell with capacity is excluded")
+	_, found = tm.takeRemoteCapacity(s, -1)
 	require.True(t, found)
 }
 
@@ -135,9 +137,9 @@
 	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, []string{"old"}}, {5000, 800, []string{"new"}}}}
 	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} }
 	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}, Label: "new"}
-	_, found := tm.takeRemoteCapacity(s)
+	_, found := tm.takeRemoteCapacity(s, -1)
 	require.True(t, found)
-	_, found = tm.takeRemoteCapacity(s)
+	_, found = tm.takeRemoteCapacity(s, -1)
 	require.False(t, found, "the worker with more free capacity lacks the label")
 }
 
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -71,6 +71,8 @@
 	lent []taskKey
 	// moved means that the transaction stores that the job moves to another cell.
 	moved bool
+	// returned are the rows by which the transaction returns borrowed tasks.
+	returned []Row
 }
 
 // commitResult is the result of a transaction.
@@ -142,8 +144,8 @@
 			continue
 		}
 		size += added
-		c.updates = append(c.updates, jobUpdate{j, j.state(), j.lentTasks(true), j.movedTo > 0 && !j.moveStored})
-		j.dirty = false
+		c.updates = append(c.updates, jobUpdate{j, j.state(), j.lentTasks(true), j.movedTo > 0 && !j.moveStored, j.returns})
+		j.dirty, j.returns = false, nil
 	}
 	if complete {
 		t.collectLeaseRecords(c, size)
@@ -335,6 +337,7 @@
 	for _, s := range c.updates {
 		s.job.visibleState = s.state
 		t.sendLentTasks(s.job, s.lent)
+		t.notifyReturned(s.job, s.returned, e.version)
 		if s.moved {
 			go t.sendMovedJob(s.job.id, s.job.movedTo-1, t.movedJobRecord(s.job))
 		}
@@ -421,7 +424,7 @@
 
 // deleteJobRows deletes the rows of a job after its retention time. Failures are only logged:
 // a later term removes the rows that are left.
-func (t *term) deleteJobRows(id string, previousCells []int, borrowed []RowID) {
+func (t *term) deleteJobRows(id string, previousCells []int, borrowed []RowID, lent map[string][]RowID) {
 	ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[0])
 	defer cancel()
 	_, err := t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{t.layout.jobRow(id), t.layout.cancelRow(id)}})
@@ -434,6 +437,13 @@
 			_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: []RowID{progressRow(part, id), movedRow(part, id), movedRow(part, id+cancelSuffix)}})
 		}
 	}
+	for _, rows := range lent {
+		for some := range slices.Chunk(rows, maxCommitRows) {
+			if err == nil {
+				_, err = t.cfg.Store.Commit(ctx, Transaction{Delete: some})
+			}
+		}
+	}
 	if err != nil {
 		t.log.WithError(err).WithField("job", id).Warn("rows of a finished job were not all deleted")
 	}
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -70,7 +70,13 @@
 	// lentTo is one more than the cell that borrows the task; 0 for none.
 	lentTo   int
 	lentSent bool // the row for the other cell is being written or exists
-	account  taskAccount
+	// loans counts how often the task was lent. In a borrowed job it is the number of the loan.
+	loans int
+	// returnedBy is one more than the cell that returned the task last, at returnedAt, as cell
+	// capacityIn had capacity for it; 0 for none.
+	returnedBy, capacityIn int
+	returnedAt             time.Time
+	account                taskAccount
 	// unplacedSince is when a lasting task of a started job was first found without a worker.
 	unplacedSince time.Time
 }
@@ -152,6 +158,10 @@
 	// borrowed holds the rows by which another cell, which owns the job, has lent some of
 	// its tasks to this cell; empty for the cell's own jobs.
 	borrowed []RowID
+	// formerlyLent names the tasks that were lent before this term, of a job that is over.
+	formerlyLent []string
+	// returns are the rows that return borrowed tasks with the next transaction.
+	returns []Row
 	// nextMoveCheck is the earliest time of the next check for a better cell. waitsForCellLoads
 	// means that the job does not start before newer loads of other cells are known.
 	nextMoveCheck     time.Time
--- a/internal/fleet/lent_tasks_faults_test.go
+++ b/internal/fleet/lent_tasks_faults_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"bytes"
+	"context"
+	"math/rand/v2"
 	"os"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -104,3 +109,101 @@
 	time.Sleep(4 * time.Second)
 	require.Zero(t, runningOf(c, id))
 }
+
+// A lent task waited for good when the workers of its borrower had gone for good, although its own
+// cell had a worker for it again.
+func TestLentTaskRunsAgainWhenWorkersOfItsBorrowerGoForGood(t *testing.T) {
+	for seed := range uint64(3) {
+		lendOneWith(t, 296+seed, func(*fleettest.Cluster) {}, func(t *testing.T, c *fleettest.Cluster) {
+			running := c.RunningWorkers()
+			lost := c.AllWorkers()[slices.IndexFunc(c.AllWorkers(), func(w *fleettest.Worker) bool { return !slices.Contains(running, w) })]
+			lent := c.Workers.LatestRun()
+			loseWorkers(c, append(workersOf(c, false), lent)...)
+			addAgain(c, []*fleettest.Worker{lost})
+			time.Sleep(lentTaskLimit)
+			require.Equal(t, 2, runningAll(c), "the lent task runs again in its own cell")
+			for _, name := range leaders(t, c) { // later leaders know that it was returned
+				if m := member(c, name); m.Up() {
+					c.Kill(m)
+					time.Sleep(100 * time.Millisecond)
+					c.Start(m)
+				}
+				time.Sleep(6 * time.Second)
+				require.Equal(t, 2, runningAll(c))
+			}
+			cancelAll(t, c)
+			for _, table := range []string{"vp-moved", "vp-progress"} {
+				require.Empty(t, c.Store.Rows(table), "no row of the removed job is left")
+			}
+		})
+	}
+}
+
+// Whatever fails while tasks of services are lent and returned, none runs twice, and all run once
+// the faults have ended and workers have room. None starts once its job is cancelled.
+func TestLentTasksUnderRandomFaults(t *testing.T) {
+	t.Parallel()
+	first, end := seedRange(t, 1, 6)
+	for seed := first; seed < end; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { runLendingFaults(t, uint64(seed)) })
+	}
+}
+
+func runLendingFaults(t *testing.T, seed uint64) {
+	const services, tasks = 3, 4
+	needs := model.Resources{MilliCPU: 3000, MemoryMB: 500}
+	step := fleet.Step{Count: tasks, Needs: needs, Lasting: true, PerWorker: int(seed % 3)}
+	random := rand.New(rand.NewPCG(seed, 11))
+	prepare := func() *fleettest.Cluster {
+		c := fleettest.NewCluster(seed, 4, 9, func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true, Needs: needs} })
+		c.Cells = 3
+		return c
+	}
+	runClusterWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
+		f := &faults{c: c, random: random, next: 9, kinds: allFaults}
+		for i := range services {
+			submit(t, c, jobID(i), fleet.Spec{Steps: []fleet.Step{step}})
+		}
+		time.Sleep(3 * time.Second)
+		for range 24 {
+			if random.IntN(2) == 0 {
+				f.injectFault()
+			} else if running := c.RunningWorkers(); len(running) > 4 {
+				loseWorkers(c, running[random.IntN(len(running))])
+			} else {
+				c.AddWorker("w" + strconv.Itoa(random.IntN(10)))
+			}
+			time.Sleep(time.Duration(200+random.IntN(3000)) * time.Millisecond)
+		}
+		f.endFaults()
+		up := map[string]bool{}
+		for _, w := range c.RunningWorkers() {
+			up[string(w.Info.Worker)] = true
+		}
+		for i := range 10 {
+			if id := "w" + strconv.Itoa(i); !up[id] {
+				c.AddWorker(id)
+			}
+		}
+		deadline := time.Now().Add(time.Minute)
+		for runningServices(c, services) < services*tasks && time.Now().Before(deadline) {
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, services*tasks, runningServices(c, services), strings.Join(c.Checker.Violations(), "\n"))
+		for i := range services {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			require.NoError(t, c.Nodes[i].Node.Cancel(ctx, c.Queue, jobID(i)))
+			cancel()
+			c.Checker.Cancelled(jobID(i))
+		}
+		time.Sleep(5 * time.Second)
+		require.Zero(t, runningServices(c, services))
+		for range 2 { // after a change of leaders, and after the jobs are removed
+			c.StopAll()
+			time.Sleep(time.Second)
+			c.StartAll()
+			time.Sleep(3 * time.Minute)
+			require.Zero(t, runningServices(c, services))
+		}
+	})
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -225,6 +225,13 @@
 // putUntilDone repeats a transaction that writes one row until it is applied or the row
 // exists. It returns false when the term is over; the next term repeats the transaction.
 func (t *term) putUntilDone(tx Transaction, row *Row) bool {
+	_, ok := t.writeRemoteRow(tx, row)
+	return ok
+}
+
+// writeRemoteRow is like putUntilDone and returns the row that exists if the condition of the
+// transaction does not hold; it has no version if there is none.
+func (t *term) writeRemoteRow(tx Transaction, row *Row) (existing Row, ok bool) {
 	for pause := commitBackoff; t.ctx.Err() == nil; pause = min(2*pause, commitBackoffMax) {
 		ctx, cancel := context.WithTimeout(t.ctx, commitTimeouts[len(commitTimeouts)-1])
 		result, err := t.cfg.Store.Commit(ctx, tx)
@@ -233,15 +240,15 @@
 		switch {
 		case err == nil:
 			row.Version = result.Version
-			return true
+			return Row{}, true
 		case errors.As(err, &conflict) && len(conflict.Rows) > 0:
 			row.Version = conflict.Rows[0].Version
-			return true
+			return conflict.Rows[0], true
 		}
 		t.log.WithError(err).WithField("job", row.Key).Debug("writing a row for another cell failed; retrying")
 		sleep(t.ctx, pause+jitter())
 	}
-	return false
+	return Row{}, false
 }
 
 // notifyCell sends a row to the leader of another cell, which would otherwise learn of it
@@ -296,6 +303,8 @@
 type movedRows struct {
 	rows     []Row
 	storeNow time.Duration
+	// full means that rows is the whole content of the cell's part: changes may have been missed.
+	full bool
 }
 
 func (e movedRows) handle(t *term) {
@@ -304,10 +313,21 @@
 		return cmp.Or(cmp.Compare(cancellationRank(a), cancellationRank(b)), cmp.Compare(a.Key, b.Key))
 	})
 	for _, row := range rows {
-		if row.Part == t.part && (row.Removed || !t.acceptLentTask(row, e.storeNow)) {
+		if t.applyReturn(row); row.Part != t.part {
+			continue
+		}
+		if row.Removed {
+			delete(t.returnedLoans, row.Key)
+		}
+		if row.Removed || !t.acceptLentTask(row, e.storeNow) {
 			t.applyJobRow(row, e.storeNow)
 		}
 	}
+	if e.full {
+		for _, j := range t.jobs {
+			t.sendLentTasks(j, j.sentTasks()) // to learn of returns that were missed
+		}
+	}
 }
 
 func cancellationRank(row Row) int {
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -122,7 +122,7 @@
 		return
 	}
 	if row.Table == tableMoved {
-		c.term.Load().post(movedRows{[]Row{row}, storeNow})
+		c.term.Load().post(movedRows{[]Row{row}, storeNow, false})
 		return
 	}
 	c.term.Load().post(jobRows{rows: []Row{row}, storeNow: storeNow})
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -79,6 +79,9 @@
 		}
 		if len(p.workers) == 0 {
 			w.state().waits = waitsForWorkers
+			if w.mayBeLent() {
+				t.lendUnplaced(w)
+			}
 			continue
 		}
 		allowed := p.allowedTasks(w, held)
@@ -100,7 +103,7 @@
 // among the others it keeps or makes room, here or in another cell.
 func (t *term) placeOrMakeRoom(p *placement, w *waitingStep) int {
 	started := t.placeStep(p, w)
-	if started == len(w.tasks) || !w.step.Lasting || w.step.Filler || !w.job.started {
+	if started == len(w.tasks) || !w.mayBeLent() {
 		return started
 	}
 	if w.restart {
--- a/internal/fleet/progress_rows.go
+++ b/internal/fleet/progress_rows.go
@@ -170,7 +170,7 @@
 	if r.Done {
 		return taskRecord{Index: r.Index, Done: true}
 	}
-	return taskRecord{Index: r.Index, Attempt: r.Attempt, LentTo: r.LentTo}
+	return taskRecord{Index: r.Index, Attempt: r.Attempt, LentTo: r.LentTo, Loans: r.Loans}
 }
 
 // hasDetails reports whether the head does not hold all that later starts depend on.
@@ -250,6 +250,7 @@
 		puts = append(puts, Row{RowID: chunkRow(t.part, j.key(), n), Value: value})
 		added += len(value)
 	}
+	puts = append(puts, j.returns...)
 	var remove []RowID
 	for n := len(s.chunks); n < len(j.chunkSums); n++ {
 		remove = append(remove, chunkRow(t.part, j.key(), n))
--- a/internal/fleet/progress_rows_test.go
+++ b/internal/fleet/progress_rows_test.go
@@ -95,7 +95,7 @@
 func TestProgressOfLargestJobIsStored(t *testing.T) {
 	full := func(int) task {
 		crash := taskCrash{Attempt: math.MaxUint16, AgeMS: 999, Prime: true, Sole: true}
-		return task{attempt: math.MaxUint16, failed: slices.Repeat([]int{math.MaxUint16}, 4), lentTo: 200,
+		return task{attempt: math.MaxUint16, failed: slices.Repeat([]int{math.MaxUint16}, 4), lentTo: 200, loans: math.MaxUint16,
 			checkpoint: "00000bb87a21d94b", crashes: slices.Repeat([]taskCrash{crash}, maxCrashes-1)}
 	}
 	for name, spec := range map[string]Spec{
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -67,6 +67,8 @@
 	// Settings are those of the queue, by which the job runs should the configuration drop the
 	// queue. It is nil in rows of older versions.
 	Settings *queueSettings `cbor:"7,keyasint,omitempty"`
+	// Loan is the number of the loan in the row of a lent task. It is 0 in rows of older versions.
+	Loan int `cbor:"8,keyasint,omitempty"`
 }
 
 // queueSettings is the stored form of what a queue's jobs run by.
@@ -101,6 +103,8 @@
 	LentTo int `cbor:"6,keyasint,omitempty"`
 	// Crashes lists the attempts under which a worker crashed.
 	Crashes []taskCrash `cbor:"7,keyasint,omitempty"`
+	// Loans counts how often the task was lent.
+	Loans int `cbor:"8,keyasint,omitempty"`
 }
 
 // occurrenceRecord is the stored form of an open occurrence.
@@ -127,6 +131,10 @@
 	// FinishedBits holds a bit for each finished occurrence, in place of Finished where that would
 	// exceed a row.
 	FinishedBits []byte `cbor:"9,keyasint,omitempty"`
+	// AttemptBase is the highest attempt number that borrowers of tasks may have used.
+	AttemptBase int `cbor:"10,keyasint,omitempty"`
+	// LentTasks names the tasks of a job that is over that were lent, as the keys of their rows do.
+	LentTasks []string `cbor:"11,keyasint,omitempty"`
 }
 
 // fenceRecord is the value of the fence row.
@@ -255,19 +263,20 @@
 
 // progress returns the stored form of j's progress.
 func (j *job) progress() progressRecord {
-	p := progressRecord{State: j.state(), Failed: j.failureReason, Started: j.started, MovedTo: j.movedTo, MoveStored: j.moveStored}
+	p := progressRecord{State: j.state(), Failed: j.failureReason, Started: j.started, MovedTo: j.movedTo, MoveStored: j.moveStored, AttemptBase: j.attemptBase}
 	for k := range j.finishedOccurrences {
 		p.Finished = append(p.Finished, k)
 	}
 	if p.State.Final() {
+		p.LentTasks = j.lentNames()
 		return p
 	}
 	for _, o := range j.occurrences {
 		r := occurrenceRecord{Number: o.number, Steps: make([][]taskRecord, len(o.steps))}
 		for i := range o.steps {
 			for n := range o.steps[i].tasks {
-				if t := &o.steps[i].tasks[n]; t.done || t.lentTo > 0 || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 {
-					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint, t.lentTo, t.crashes})
+				if t := &o.steps[i].tasks[n]; t.done || t.loans > 0 || t.attempt > 0 || len(t.failed) > 0 || t.checkpoint != "" || len(t.crashes) > 0 {
+					r.Steps[i] = append(r.Steps[i], taskRecord{n, t.done, t.failed, t.attempt, t.checkpoint, t.lentTo, t.crashes, t.loans})
 				}
 			}
 		}
@@ -279,11 +288,11 @@
 // restore applies stored progress to a job that was just read.
 func (j *job) restore(p progressRecord, now time.Time, toMonotonic func(int64) time.Time) {
 	j.started, j.failureReason = p.Started, p.Failed
-	j.movedTo, j.moveStored = p.MovedTo, p.MoveStored
+	j.movedTo, j.moveStored, j.attemptBase = p.MovedTo, p.MoveStored, max(j.attemptBase, p.AttemptBase)
 	j.cancelled = p.State == StateCancelled || (j.cancelled && !p.State.Final())
 	p.finished(func(k int) { j.finishedOccurrences[k], j.begun = true, true })
 	if p.State.Final() {
-		j.visibleState, j.endedAt = p.State, now
+		j.visibleState, j.endedAt, j.formerlyLent = p.State, now, p.LentTasks
 		return
 	}
 	for _, r := range p.Open {
@@ -303,7 +312,7 @@
 			if t.Index < 0 || t.Index >= len(s.tasks) {
 				continue
 			}
-			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lentTo: t.LentTo, crashes: t.Crashes, mayBeDone: t.Attempt > 0}
+			s.tasks[t.Index] = task{done: t.Done, failed: t.Failed, attempt: t.Attempt, checkpoint: t.Checkpoint, lentTo: t.LentTo, loans: max(t.Loans, min(t.LentTo, 1)), crashes: t.Crashes, mayBeDone: t.Attempt > 0}
 			j.begun = j.begun || t.Done || len(t.Failed) > 0 || t.Checkpoint != "" || len(t.Crashes) > 0
 			if t.Done {
 				s.remaining--
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -112,6 +112,9 @@
 		j.cancellationUnread = true // it may have been cancelled before this term began
 		t.readCancellations([]string{j.id})
 	}
+	if t.loaded && len(borrowed) == 0 {
+		t.resendLentTasks(j) // a borrower may have returned one before the job moved here
+	}
 }
 
 // stepLogEntry describes a step in the log line about a job, for traces derived from logs.
@@ -395,7 +398,7 @@
 		borrowed := len(j.borrowed) > 0 && !j.cancelled
 		if j.movedTo == 0 && !borrowed && j.visibleState.Final() && !j.dirty && t.now.Sub(j.endedAt) > t.cfg.Bounds.Retention+retentionMargin {
 			delete(t.jobs, key)
-			go t.deleteJobRows(j.id, slices.Clone(j.previousCells), slices.Clone(j.borrowed))
+			go t.deleteJobRows(j.id, slices.Clone(j.previousCells), slices.Clone(j.borrowed), t.lentRows(j))
 		}
 	}
 }
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -224,7 +224,7 @@
 		buffer.post(e)
 	})
 	workers := t.newSource(workersTable, []string{""}, t.workerPause(), func(rows []Row, full bool, _ Page) { buffer.post(workerRows{rows, full}) })
-	moved := t.newSource(tableMoved, []string{t.part}, jobWatchPause, func(rows []Row, _ bool, p Page) { buffer.post(movedRows{rows, p.Now}) })
+	moved := t.newSource(tableMoved, []string{t.part}, jobWatchPause, func(rows []Row, full bool, p Page) { buffer.post(movedRows{rows, p.Now, full}) })
 	progress := t.newSource(tableProgress, []string{t.part}, 0, nil)
 	used := t.newSource(tableUsed, []string{t.part}, 0, nil)
 	models := t.newSource(tableModels, []string{t.part}, 0, nil)
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,8 +11,9 @@
 // A job with running tasks does not leave its cell. One of its lasting tasks that was lost,
 // or did not fit beside the others, may find no worker there while another cell has free
 // capacity. The leader then lends the task to that cell, also to one that the job has left. It
-// stores the decision under its fence, never starts the task again itself, and writes a row by
-// which the other cell runs this one task until the job is cancelled (borrowed_tasks.go).
+// stores the decision under its fence, does not start the task itself, and writes a row by which
+// the other cell runs this one task until the job is cancelled or the task is returned
+// (borrowed_tasks.go).
 
 const (
 	// lendDelay is how long a lasting task waits for capacity in its own cell, where the end
@@ -19,19 +21,32 @@
 	lendDelay = 1500 * time.Millisecond
 	// lentKeySeparator precedes step and index in the key of a lent task's row.
 	lentKeySeparator = "/task-"
+	// maxLentNames bounds the tasks of a job of which borrowers' rows are deleted with the job.
+	maxLentNames = 500
 )
 
-// lendUnplaced lends the tasks of a lasting step that have found no worker for lendDelay. It
-// is called when a plan could not place all waiting tasks of the step. Steps that limit how
-// many tasks may be interrupted at once are not lent: neither of two cells would know which
-// tasks the other one interrupts.
+// mayBeLent reports whether tasks of a waiting step may run in other cells. Steps that limit how
+// many tasks may be interrupted at once are not lent: neither of two cells would know which tasks
+// the other one interrupts.
+func (w *waitingStep) mayBeLent() bool {
+	s := w.step
+	return s.Lasting && !s.Filler && w.job.started && !s.Gang && !s.SameRack && s.Near == "" && w.job.spec.Repeats == 0 &&
+		s.Needs.Accelerators == 0 && s.MaxInterrupted == 0
+}
+
+// lendUnplaced lends the tasks of a lasting step that have found no worker for lendDelay, or
+// returns them if they are borrowed. It is called when a plan could not place all waiting tasks of
+// the step.
 func (t *term) lendUnplaced(w *waitingStep) {
-	o := &w.occurrence.steps[w.index]
-	if t.layout.Cells == 1 || w.step.Gang || w.step.SameRack || w.step.Near != "" || len(w.job.borrowed) > 0 || w.job.spec.Repeats != 0 || w.step.Needs.Accelerators > 0 || w.step.MaxInterrupted > 0 {
+	if t.layout.Cells == 1 || !w.mayBeLent() {
+		return
+	}
+	if len(w.job.borrowed) > 0 {
+		t.returnUnplaced(w)
 		return
 	}
 	for _, i := range w.tasks {
-		tk := &o.tasks[i]
+		tk := &w.state().tasks[i]
 		switch {
 		case len(tk.runs) > 0 || tk.lentTo > 0:
 			continue
@@ -41,7 +56,7 @@
 		if t.now.Sub(tk.unplacedSince) < lendDelay {
 			continue
 		}
-		if cell, found := t.takeRemoteCapacity(w.step); found {
+		if cell, found := t.cellFor(tk, w.step); found {
 			t.lend(w.job, w.key(i), tk, cell)
 		} else {
 			t.recordUnplaced(w)
@@ -52,8 +67,9 @@
 // lend decides that another cell runs a task. The next transaction stores the decision.
 func (t *term) lend(j *job, key taskKey, tk *task, cell int) {
 	tk.lentTo, tk.attempt, j.dirty = cell+1, 0, true
+	tk.loans++
 	t.metrics.lent.Inc()
-	t.log.WithFields(logrus.Fields{"decision": "lend", "job": j.id, "task": key.Name(j.id), "to_cell": cell,
+	t.log.WithFields(logrus.Fields{"decision": "lend", "job": j.id, "task": key.Name(j.id), "to_cell": cell, "loan": tk.loans,
 		"waited_ms": t.now.Sub(tk.unplacedSince).Milliseconds()}).Info("lending task to another cell")
 }
 
@@ -73,13 +89,58 @@
 	return keys
 }
 
+// sentTasks returns the lent tasks of a job whose rows this term has sent.
+func (j *job) sentTasks() []taskKey {
+	return slices.DeleteFunc(j.lentTasks(false), func(k taskKey) bool {
+		_, tk := j.task(k)
+		return !tk.lentSent
+	})
+}
+
+// lentName names a lent task in the key of its row.
+func lentName(k taskKey) string { return strconv.Itoa(k.step) + "." + strconv.Itoa(k.index) }
+
 // lentKey returns the key of the row of a lent task.
-func lentKey(job string, k taskKey) string {
-	return job + lentKeySeparator + strconv.Itoa(k.step) + "." + strconv.Itoa(k.index)
+func lentKey(job string, k taskKey) string { return job + lentKeySeparator + lentName(k) }
+
+// lentNames returns the names of the tasks of a job that were lent, at most maxLentNames.
+func (j *job) lentNames() []string {
+	names := slices.Clone(j.formerlyLent)
+	if len(j.borrowed) > 0 {
+		return nil // the loans of a borrowed job are those of its owner
+	}
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			for i := range o.steps[s].tasks {
+				if o.steps[s].tasks[i].loans > 0 && len(names) < maxLentNames {
+					names = append(names, lentName(taskKey{o.number, s, i}))
+				}
+			}
+		}
+	}
+	return names
+}
+
+// lentRows returns the rows that borrowers may have left of a job, by part. The progress of their
+// tasks comes last, as it shows that these are cancelled.
+func (t *term) lentRows(j *job) map[string][]RowID {
+	names := j.lentNames()
+	if len(names) == 0 {
+		return nil
+	}
+	rows := map[string][]RowID{}
+	for cell := range t.layout.Cells {
+		part := t.layout.cellPart(cell)
+		for _, name := range names {
+			rows[part] = append(rows[part], movedRow(part, j.id+lentKeySeparator+name))
+		}
+		rows[part] = append(rows[part], progressRow(part, loanKey(j.id)), movedRow(part, loanKey(j.id)+cancelSuffix))
+	}
+	return rows
 }
 
-// sendLentTasks writes the rows of lent tasks. The decisions must have been stored before.
-// An existing row has the same content. A cancellation is sent after the rows.
+// sendLentTasks writes the rows of lent tasks. The decisions must have been stored before. A
+// cancellation is sent after the rows.
 func (t *term) sendLentTasks(j *job, keys []taskKey) {
 	for _, k := range keys {
 		_, tk := j.task(k)
@@ -87,13 +148,30 @@
 			continue
 		}
 		tk.lentSent = true
-		cell := tk.lentTo - 1
+		cell, loan := tk.lentTo-1, tk.loans
 		row := Row{RowID: movedRow(t.layout.cellPart(cell), lentKey(j.id, k)), Value: encode(t.lentRecord(j, k))}
-		go func() {
-			if t.storeRemoteRow(cell, row) {
-				t.post(lentTaskStored{j, cell})
-			}
-		}()
+		go t.sendLentTask(j, cell, loan, row)
+	}
+}
+
+// sendLentTask writes the row of a lent task, in place of the return of an earlier loan. A row of
+// this loan has the same content, and the return of it shows that the row was written before.
+func (t *term) sendLentTask(j *job, cell, loan int, row Row) {
+	for replaced := uint64(0); ; {
+		existing, ok := t.writeRemoteRow(Transaction{Expect: []Expectation{{row.RowID, replaced}}, Puts: []Row{row}}, &row)
+		if !ok {
+			return
+		}
+		if returned, isReturn := decodeReturn(existing); isReturn && returned.Loan < loan {
+			replaced = existing.Version
+			continue
+		} else if isReturn {
+			t.post(movedRows{rows: []Row{existing}})
+			return
+		}
+		t.notifyCell(cell, row)
+		t.post(lentTaskStored{j, cell})
+		return
 	}
 }
 
@@ -145,6 +223,7 @@
 	for len(path) < maxMovesPerJob {
 		path = append(path, t.cell) // uses up all moves, so that the borrowed task stays
 	}
-	return jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedStoreTime, PreviousCells: path, Progress: &p,
+	_, tk := j.task(k)
+	return jobRecord{Queue: j.queue, Spec: j.spec, AcceptedAt: j.acceptedStoreTime, PreviousCells: path, Progress: &p, Loan: tk.loans,
 		AttemptBase: j.attemptBase + int(t.number)*attemptsPerTerm, Settings: t.queueSettings(j.queue)}
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -145,13 +145,16 @@
 	// reportsUnplacedSince is since when the cell's reports have told of an unplaced task; zero if the
 	// last one did not.
 	reportsUnplacedSince time.Time
-	queueRunTimes        map[string]*queueRunTime
-	shortWork            map[shortKey]*shortDemand
-	shortWorkObserved    time.Time
-	loadLoggedAt         time.Time
-	idleJobsCheckedAt    time.Time
-	answerTimeout        answerTimeout
-	interference         interference
+	// returnedLoans holds, by the key of a lent task's row, the number of the loan that this cell
+	// returned last.
+	returnedLoans     map[string]int
+	queueRunTimes     map[string]*queueRunTime
+	shortWork         map[shortKey]*shortDemand
+	shortWorkObserved time.Time
+	loadLoggedAt      time.Time
+	idleJobsCheckedAt time.Time
+	answerTimeout     answerTimeout
+	interference      interference
 	// modelsStoredAt is when the interference models of images were last stored.
 	modelsStoredAt time.Time
 	// modelsReadAt is when models of other cells were last read. lastModelOffset is the offset
@@ -169,7 +172,7 @@
 	return &term{
 		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, currentLayout: l, number: number, ctx: ctx, cancel: cancel,
 		events: newEventQueue(), loopLoad: loopLoad{windowStart: now}, now: now, startedAt: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
-		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, workers: map[model.WorkerID]*worker{},
+		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, returnedLoans: map[string]int{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
@@ -307,9 +310,9 @@
 	for _, row := range e.jobs {
 		t.handleJobRow(row, e.storeNow)
 	}
-	movedRows{e.moved, e.storeNow}.handle(t)
+	movedRows{e.moved, e.storeNow, false}.handle(t)
 	t.restoreProgress(e.progress)
-	movedRows{e.moved, e.storeNow}.handle(t) // again, for tasks lent since the progress was stored
+	movedRows{e.moved, e.storeNow, false}.handle(t) // again, for tasks lent since the progress was stored
 	for _, row := range e.waves {
 		t.restoreWave(row)
 	}
