--- a/internal/fleet/fleettest/freeze_test.go
+++ b/internal/fleet/fleettest/freeze_test.go
@@ -17,27 +17,26 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, f := NewStore(1), &freezer{}
 		s := heldStore{store.View(), f}
-		put := fleet.Transaction{Puts: []fleet.Row{{RowID: fleet.RowID{Table: "t", Key: "k"}}}}
-		commit := func(limit time.Duration) error {
+		commit := func(key string, limit time.Duration) error {
 			ctx, cancel := context.WithTimeout(t.Context(), limit)
 			defer cancel()
-			_, err := s.Commit(ctx, put)
+			_, err := s.Commit(ctx, fleet.Transaction{Puts: []fleet.Row{{RowID: fleet.RowID{Table: "t", Key: key}}}})
 			return err
 		}
 		begun := time.Now()
 		f.set(true)
 		time.AfterFunc(2*time.Second, func() {
-			require.Zero(t, store.Transactions)
+			require.Empty(t, store.Rows("t"))
 			f.set(false)
 		})
-		require.NoError(t, commit(3*time.Second))
+		require.NoError(t, commit("first", 3*time.Second))
 		require.Equal(t, 2*time.Second+2*store.Latency, time.Since(begun))
 
 		time.AfterFunc(store.Latency, func() { f.set(true) }) // while the call is on its way
 		time.AfterFunc(2*time.Second, func() {
-			require.Equal(t, 2, store.Transactions)
+			require.Len(t, store.Rows("t"), 2)
 			f.set(false)
 		})
-		require.Error(t, commit(time.Second), "the answer is read after the limit of the call")
+		require.Error(t, commit("second", time.Second), "the answer is read after the limit of the call")
 	})
 }
