--- a/internal/fleet/restart_margin_bound_test.go
+++ b/internal/fleet/restart_margin_bound_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -12,6 +13,9 @@
 // marginSeeds is the number of plays unless FLEET_SEEDS is set; see seedRange.
 const marginSeeds = 48
 
+// marginPlaysEach is the number of plays of a combination that has broken the bound.
+const marginPlaysEach = 20
+
 // Guards against a lasting task with room that does not run 9 s after its last run although nothing was
 // impaired for 7 s, as one whose worker was lost beside a leader that was gone for good. Each seed plays
 // another combination of faults of a leader, a worker and the store.
@@ -27,6 +31,24 @@
 	}
 }
 
+// Answers of the store to transactions are lost, so that the lead changes, and the next leader is lost at
+// the begin of its term, when it has stored no witnesses yet: the one after it waits for the longest leases
+// that it could have granted.
+func TestLastingTaskStaysWithoutRunAfterLostAnswersOfStore(t *testing.T) {
+	for _, f := range []marginFaults{
+		{leaderGone, workerGone, storeAnswersCut},
+		{leaderGone, workerRack, storeAnswersCut},
+		{leaderBackSoon, workerGone, storeAnswersCut},
+		{leaderHandedOn, workerRack, storeAnswersCut},
+	} {
+		for seed := range uint64(marginPlaysEach) {
+			t.Run(fmt.Sprintf("leader %s, worker %s/%d", f.leader, f.worker, seed), func(t *testing.T) {
+				requireRestartsInTime(t, f, seed)
+			})
+		}
+	}
+}
+
 // requireRestartsInTime plays faults and fails if a wait breaks the bound.
 func requireRestartsInTime(t *testing.T, f marginFaults, seed uint64) {
 	t.Helper()
