--- a/internal/fleet/crash_decisions_test.go
+++ b/internal/fleet/crash_decisions_test.go
@@ -74,16 +74,21 @@
 	require.Empty(t, o.steps[0].tasks[0].crashes)
 }
 
-// Guards against progress rows that grow with each start that gets no answer.
+// Guards against progress rows that grow with each start that gets no answer, and against tasks that are
+// given up without two crashes as a prime suspect under runs that have begun.
 func TestUnansweredCrashesAreBounded(t *testing.T) {
 	tk := &task{}
 	for attempt := range 10 {
-		tk.addCrash(taskCrash{Attempt: attempt, Prime: true, Unanswered: true})
+		tk.addCrash(taskCrash{Attempt: attempt, Unanswered: true})
 	}
-	require.Equal(t, []taskCrash{{Attempt: 8, Prime: true, Unanswered: true}, {Attempt: 9, Prime: true, Unanswered: true}}, tk.crashes)
+	require.Equal(t, []taskCrash{{Attempt: 9, Unanswered: true}}, tk.crashes)
 	require.False(t, tk.crashesWorkers())
-	tk.addCrash(taskCrash{Attempt: 10})
-	require.False(t, tk.crashesWorkers(), "one run has certainly begun")
-	tk.addCrash(taskCrash{Attempt: 11})
+	for attempt := 10; attempt < 10+maxCrashes-1; attempt++ {
+		tk.addCrash(taskCrash{Attempt: attempt})
+		require.False(t, tk.crashesWorkers(), "no prime suspect of a crash under a run that has begun")
+	}
+	tk.crashes[1].Prime = true
+	require.False(t, tk.crashesWorkers(), "one such crash")
+	tk.crashes[2].Prime = true
 	require.True(t, tk.crashesWorkers())
 }
--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -21,8 +21,8 @@
 // same cause, some of them just after a start; then two crashes are not enough.
 //
 // The answer to a start may be lost, and the worker crash before it reports the run. Such a crash
-// counts beside others, but a task is given up only if two crashes came under runs that have
-// certainly begun: a start without an answer may have been sent to a worker that was already down.
+// counts for one of the three as a prime suspect, and for no more: a start without an answer may have
+// been sent to a worker that was already down, and the other two are enough by contract.
 //
 // A crash counts as soon as the worker refuses connections, since the leader may end before the
 // worker is back. It no longer counts when a report of the worker, or of its next lifetime, lists
@@ -38,11 +38,9 @@
 	// more after three crashes; a change of leader may hide a crash.
 	maxPrimeCrashes = 3
 	maxCrashes      = 4
-	// minConfirmedCrashes is the number of crashes under runs that have certainly begun without which no
-	// task is given up, as by contract. maxUnansweredCrashes is the number of others that are kept: with
-	// minConfirmedCrashes they reach maxCrashes.
-	minConfirmedCrashes  = 2
-	maxUnansweredCrashes = maxCrashes - minConfirmedCrashes
+	// maxUnansweredCrashes is how many of maxPrimeCrashes may have come under starts without an answer. By
+	// contract no task is given up without two crashes under runs that have begun.
+	maxUnansweredCrashes = maxPrimeCrashes - 2
 	// survivalAge is the age at which a run of a lasting task disproves earlier suspicions.
 	survivalAge = 5 * time.Second
 	// crashWindow is the longest time from a worker's last answer to the first call without one for
@@ -64,7 +62,8 @@
 	Attempt int `cbor:"1,keyasint"`
 	// AgeMS is the age of the run at the worker's last answer, in milliseconds.
 	AgeMS int64 `cbor:"2,keyasint,omitempty"`
-	// Prime means that no run of another job had started on the worker clearly later.
+	// Prime means that no run of another job had started on the worker clearly later. It is false for
+	// Unanswered.
 	Prime bool `cbor:"3,keyasint,omitempty"`
 	// Sole means that the task was a prime suspect before, at the same age, and that no run of
 	// another job on the worker was one this time.
@@ -100,28 +99,25 @@
 
 // crashesWorkers reports whether the crashes under a task are enough to give it up.
 func (tk *task) crashesWorkers() bool {
-	if tk.confirmedCrashes() < minConfirmedCrashes {
-		return false
-	}
-	return len(tk.crashes) >= maxCrashes || tk.primeCrashes() >= maxPrimeCrashes ||
+	confirmed := tk.confirmedCrashes()
+	return confirmed >= maxCrashes || tk.primeCrashes()+len(tk.crashes)-confirmed >= maxPrimeCrashes ||
 		slices.ContainsFunc(tk.crashes, func(c taskCrash) bool { return c.Sole })
 }
 
-// addCrash adds a crash. Of those under starts without an answer the latest ones are kept.
+// addCrash adds a crash. Of those under starts without an answer the latest maxUnansweredCrashes are kept.
 func (tk *task) addCrash(c taskCrash) {
-	unanswered := func(o taskCrash) bool { return o.Unanswered }
 	if c.Unanswered && len(tk.crashes)-tk.confirmedCrashes() >= maxUnansweredCrashes {
-		oldest := slices.IndexFunc(tk.crashes, unanswered)
+		oldest := slices.IndexFunc(tk.crashes, func(o taskCrash) bool { return o.Unanswered })
 		tk.crashes = slices.Delete(tk.crashes, oldest, oldest+1)
 	}
 	tk.crashes = append(tk.crashes, c)
 }
 
-// primeBefore reports whether the task was a prime suspect of the crash of another attempt, which had
-// certainly begun, at the age of c, when no worker ended for another cause.
+// primeBefore reports whether the task was a prime suspect of the crash of another attempt at
+// the age of c, when no worker ended for another cause.
 func (tk *task) primeBefore(c taskCrash) bool {
 	return slices.ContainsFunc(tk.crashes, func(o taskCrash) bool {
-		return o.Prime && !o.OtherCause && !o.Unanswered && o.Attempt != c.Attempt && max(o.AgeMS-c.AgeMS, c.AgeMS-o.AgeMS) <= sameAge.Milliseconds()
+		return o.Prime && !o.OtherCause && o.Attempt != c.Attempt && max(o.AgeMS-c.AgeMS, c.AgeMS-o.AgeMS) <= sameAge.Milliseconds()
 	})
 }
 
@@ -140,9 +136,10 @@
 }
 
 // recordCrash counts a crash of a worker for the tasks of the runs that it has begun, or may have begun:
-// a start without an answer may have been sent to a worker that was already down. Before the crash is
-// certain, it counts only for runs that had just started. Unless the lifetime has ended, the worker
-// may only be unreachable: then it must refuse connections, and no task is the sole suspect.
+// a start without an answer, which may have been sent to a worker that was already down, counts for less.
+// Before the crash is certain, it counts only for runs that had just started. Unless the lifetime has
+// ended, the worker may only be unreachable: then it must refuse connections, and no task is the sole
+// suspect.
 func (t *term) recordCrash(w *worker, certain, lifetimeEnded bool) {
 	if len(w.runs) == 0 || !w.answered || !(lifetimeEnded || w.refusesCalls) || t.departurePlanned(w) {
 		return
@@ -154,9 +151,9 @@
 		}
 		age, leastAge := r.seenRunning(), w.leastAgeOfOthers(r.job)
 		c := taskCrash{Attempt: r.ref.Attempt, AgeMS: age.Milliseconds(), Unanswered: !r.answered}
-		c.Prime = w.crashTimeKnown(t.now) && r.early() && age <= leastAge+sameAge
+		c.Prime = r.answered && w.crashTimeKnown(t.now) && r.early() && age <= leastAge+sameAge
 		c.OtherCause = !t.endedWithoutSuspect.IsZero() && t.now.Sub(t.endedWithoutSuspect) <= otherCauseTime
-		c.Sole = c.Prime && !c.OtherCause && !c.Unanswered && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
+		c.Sole = c.Prime && !c.OtherCause && lifetimeEnded && age+sameAge < leastAge && tk.primeBefore(c)
 		i := slices.IndexFunc(tk.crashes, func(o taskCrash) bool { return o.Attempt == c.Attempt })
 		switch {
 		case i < 0:
