--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -89,8 +89,8 @@
 	found bool
 }
 
-// renewedAt returns when the renewal of the transaction was sent at the latest before other nodes may have
-// seen it.
+// renewedAt returns when the renewal was sent; no later than other nodes may have seen it, where it is not
+// known which attempt wrote it.
 func (e commitResult) renewedAt() time.Time {
 	if e.found {
 		return e.commit.startedAt
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -344,7 +344,8 @@
 
 // startTerm runs a term of a cell in the background. begun holds when the transaction that began the
 // term was sent, and a reading of the store's clock after that. Other nodes derive from the row that it
-// wrote how long the term's leases last. suspended was read before that transaction. The term ends with ctx, which may have ended during the campaign.
+// wrote how long the term's leases last. suspended was read before that transaction. The term ends with
+// ctx, which may have ended during the campaign.
 func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, begun storeReading, suspended suspensions) {
 	d := n.cellTable.Load()
 	formerLeaderRenewedBy, silent := n.formerLeaders(&c.watch, time.Now())
