--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -187,6 +187,8 @@
 	readLoss float64
 	// refusedTable is a table of which writes are refused; empty for none.
 	refusedTable string
+	// silentPart is a part of which calls have no effect and get no answer; empty for none.
+	silentPart string
 }
 
 // View returns a new view of the store.
@@ -213,6 +215,25 @@
 	v.refusedTable = table
 }
 
+// SilencePart makes calls about a part, but for watches, have no effect and get no answer; empty for none.
+func (v *View) SilencePart(part string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.silentPart = part
+}
+
+// awaitPart returns at once unless the part is silent, else an error when ctx ends.
+func (v *View) awaitPart(ctx context.Context, part string) error {
+	v.mu.Lock()
+	silent := v.silentPart != "" && v.silentPart == part
+	v.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return unknown(ctx.Err())
+}
+
 func (v *View) refuses(tx fleet.Transaction) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -335,6 +356,11 @@
 	if err := v.delayOrFail(ctx, 2); err != nil {
 		return fleet.Commit{}, err
 	}
+	if len(tx.Puts) > 0 {
+		if err := v.awaitPart(ctx, tx.Puts[0].Part); err != nil {
+			return fleet.Commit{}, err
+		}
+	}
 	if v.refuses(tx) {
 		return fleet.Commit{}, errBusy
 	}
@@ -371,6 +397,9 @@
 	if err := v.delayOrFail(ctx, 1); err != nil {
 		return fleet.Page{}, err
 	}
+	if err := v.awaitPart(ctx, part); err != nil {
+		return fleet.Page{}, err
+	}
 	if err := v.receiveAnswer(ctx); err != nil {
 		return fleet.Page{}, err
 	}
--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -35,6 +35,9 @@
 	// storeSilence is how long the store must not have answered a witness before it confirms. A node
 	// has an answer with each renewal of its leader.
 	storeSilence = 700 * time.Millisecond
+	// partProbeTimeout bounds the read by which a witness finds out whether the store answers for a cell's
+	// part. It leaves time for the answer to the leader within notifyTimeout.
+	partProbeTimeout = 200 * time.Millisecond
 	// campaignFailureAge is how long after a refused campaign a witness confirms: until its next one.
 	campaignFailureAge = leaderTimeout + campaignTimeout
 	// witnessCheckInterval is the interval at which a leader checks that its witnesses answer.
@@ -133,24 +136,30 @@
 }
 
 // handleWitness answers the leader of a term as its witness.
-func (n *Node) handleWitness(_ context.Context, p witnessParams) (any, error) {
+func (n *Node) handleWitness(ctx context.Context, p witnessParams) (any, error) {
 	c := n.cell(p.Cell)
 	if c == nil {
 		return nil, model.Errorf(model.KindUnavailable, "retry later", "no cell %d is known here", p.Cell)
 	}
 	r := witnessReply{Process: n.cfg.Process, LaterTerm: c.confirmations.latestTerm() > p.Term}
-	if p.Confirm && !r.LaterTerm && n.storeFails(c) {
+	if p.Confirm && !r.LaterTerm && n.storeFails(ctx, c) {
 		r.Confirmed = c.confirmations.confirm(p.Term, time.Now())
 		r.LaterTerm = !r.Confirmed
 	}
 	return r, nil
 }
 
-// storeFails reports whether the store lets this node take no lead of a cell: it does not answer, or has
-// refused a campaign.
-func (n *Node) storeFails(c *cell) bool {
+// storeFails reports whether the store lets this node take no lead of a cell: it does not answer, at least
+// not for the part of the cell, or has refused a campaign.
+func (n *Node) storeFails(ctx context.Context, c *cell) bool {
 	failedAt := c.campaignFailedAt.Load()
-	return !n.store.answeredWithin(storeSilence) || (failedAt != nil && time.Since(*failedAt) < campaignFailureAge)
+	if !n.store.answeredWithin(storeSilence) || (failedAt != nil && time.Since(*failedAt) < campaignFailureAge) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, partProbeTimeout)
+	defer cancel()
+	_, _, err := n.readFence(ctx, c)
+	return err != nil
 }
 
 // handleWitnessOffer passes an offer to the term that it is for.
--- a/internal/fleet/witnesses_cluster_test.go
+++ b/internal/fleet/witnesses_cluster_test.go
@@ -131,6 +131,29 @@
 	}
 }
 
+// The store was silent for the part of the cell alone, where nobody could take the lead. The witnesses had
+// answers about other parts and did not confirm, and all runs ended 5.5 s after the leader's last renewal.
+func TestRunsOutlastStoreThatIsSilentForOnePart(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runCluster(t, 920+seed, 6, 4, lasting, func(t *testing.T, c *fleettest.Cluster) {
+				const tasks = 12
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
+				time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
+				for _, m := range c.Nodes {
+					m.Store.SilencePart("leader")
+				}
+				time.Sleep(6 * time.Second)
+				for _, m := range c.Nodes {
+					m.Store.SilencePart("")
+				}
+				time.Sleep(5 * time.Second)
+				require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+			})
+		})
+	}
+}
+
 // Guards the wait for a leader that most witnesses have confirmed: the store turned them away with it,
 // and served the node that took the lead. It orders on as long as it is cut off.
 func TestNextLeaderWaitsForConfirmedLeases(t *testing.T) {
