fleet: one play for outages that runs outlast; witnesses that have not answered are found before they are asked

Four tests shared an outage of 6 s and its judgement; the three that did not ask whether all tasks still run do so now. Asking former witnesses needs no lock to find those that are missing.

--- a/internal/fleet/former_witnesses.go
+++ b/internal/fleet/former_witnesses.go
@@ -67,13 +67,11 @@
 func (n *Node) askFormerWitnesses(t *term, members []witness, answered map[witness]time.Time) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, m := range members {
-		mu.Lock()
+	missing := slices.DeleteFunc(slices.Clone(members), func(m witness) bool {
 		_, ok := answered[m]
-		mu.Unlock()
-		if ok {
-			continue
-		}
+		return ok
+	})
+	for _, m := range missing {
 		wg.Go(func() {
 			if at, ok := n.lastConfirmation(t, m); ok {
 				mu.Lock()
--- a/internal/fleet/witnesses_cluster_test.go
+++ b/internal/fleet/witnesses_cluster_test.go
@@ -50,6 +50,21 @@
 	return c.Nodes[(slices.Index(c.Nodes, m)+1)%len(c.Nodes)]
 }
 
+// requireRunsOutlast impairs the store for all nodes for 6 s. The tasks run on, each in its first run.
+func requireRunsOutlast(t *testing.T, c *fleettest.Cluster, tasks int, impair, restore func(*fleettest.View)) {
+	t.Helper()
+	for _, m := range c.Nodes {
+		impair(m.Store)
+	}
+	time.Sleep(6 * time.Second)
+	for _, m := range c.Nodes {
+		restore(m.Store)
+	}
+	time.Sleep(5 * time.Second)
+	require.Equal(t, tasks, runningAll(c))
+	require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+}
+
 // Guards the leases of an outage: while the store answers nobody, no node can take over, and work goes on.
 func TestRunsOutlastSilentStore(t *testing.T) {
 	for seed := range uint64(4) {
@@ -59,16 +74,7 @@
 					const tasks = 12
 					submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
 					time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
-					for _, m := range c.Nodes {
-						m.Store.SetFault(fault)
-					}
-					time.Sleep(6 * time.Second)
-					for _, m := range c.Nodes {
-						m.Store.SetFault(fleettest.Healthy)
-					}
-					time.Sleep(5 * time.Second)
-					require.Equal(t, tasks, runningAll(c))
-					require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+					requireRunsOutlast(t, c, tasks, func(v *fleettest.View) { v.SetFault(fault) }, func(v *fleettest.View) { v.SetFault(fleettest.Healthy) })
 				})
 			})
 		}
@@ -93,15 +99,7 @@
 						time.Sleep(time.Millisecond)
 					}
 					time.Sleep(after * time.Millisecond)
-					for _, m := range c.Nodes {
-						m.Store.SetFault(fleettest.Silent)
-					}
-					time.Sleep(6 * time.Second)
-					for _, m := range c.Nodes {
-						m.Store.SetFault(fleettest.Healthy)
-					}
-					time.Sleep(5 * time.Second)
-					require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+					requireRunsOutlast(t, c, tasks, func(v *fleettest.View) { v.SetFault(fleettest.Silent) }, func(v *fleettest.View) { v.SetFault(fleettest.Healthy) })
 				})
 			})
 		}
@@ -117,15 +115,7 @@
 				const tasks = 12
 				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
 				time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
-				for _, m := range c.Nodes {
-					m.Store.RefuseWrites("vp-fence")
-				}
-				time.Sleep(6 * time.Second)
-				for _, m := range c.Nodes {
-					m.Store.RefuseWrites("")
-				}
-				time.Sleep(5 * time.Second)
-				require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+				requireRunsOutlast(t, c, tasks, func(v *fleettest.View) { v.RefuseWrites("vp-fence") }, func(v *fleettest.View) { v.RefuseWrites("") })
 			})
 		})
 	}
@@ -140,15 +130,7 @@
 				const tasks = 12
 				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: tasks, PerWorker: 4, Needs: smallNeeds, Lasting: true}}})
 				time.Sleep(witnessSettleTime + time.Duration(seed)*130*time.Millisecond)
-				for _, m := range c.Nodes {
-					m.Store.SilencePart("leader")
-				}
-				time.Sleep(6 * time.Second)
-				for _, m := range c.Nodes {
-					m.Store.SilencePart("")
-				}
-				time.Sleep(5 * time.Second)
-				require.Equal(t, tasks, c.Checker.StartCount(), "no run was lost")
+				requireRunsOutlast(t, c, tasks, func(v *fleettest.View) { v.SilencePart("leader") }, func(v *fleettest.View) { v.SilencePart("") })
 			})
 		})
 	}
