--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -238,9 +238,7 @@
 	r := leaderRecord{Term: t.number, Released: release, Successor: t.successor, Loaded: t.loaded, LeaseRecordsSince: t.leaseRecordsSince,
 		RunsKnown: t.allRunsKnown()}
 	r.describeFormer(t.now, t.formerLeaderRenewedBy, t.silent)
-	if members := t.witnesses.declared; len(members) > 0 {
-		r.Witnesses = &witnessRecord{Members: members, ReachMS: witnessedReach.Milliseconds()}
-	}
+	r.Witnesses = recordOf(t.witnesses.declared)
 	if t.loaded {
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -267,15 +267,8 @@
 	}
 	number, nonce := fence.Term+1, rand.Uint64()
 	id := RowID{tableFence, c.part, keyLeader}
-	former := f.record
-	if !f.known {
-		former = leaderRecord{}
-	}
-	recordsSince := former.leaseRecordsSince(number)
-	record := leaderRecord{Term: number, LeaseRecordsSince: recordsSince}
-	suspended, now := n.cfg.readSuspensions(), time.Now()
-	formerLeaderRenewedBy, silent := n.formerLeaders(f, now)
-	record.describeFormer(now, formerLeaderRenewedBy, silent)
+	suspended := n.cfg.readSuspensions()
+	record := n.campaignRecord(f, number, time.Now())
 	tx := Transaction{
 		Expect: []Expectation{{id, read.Version}},
 		Puts: []Row{{RowID: id, Value: encode(fenceRecord{number, nonce})},
@@ -304,7 +297,19 @@
 		}
 		result = read
 	}
-	n.startTerm(ctx, c, number, result.Version, recordsSince, storeReading{result.Now, sent}, suspended)
+	n.startTerm(ctx, c, record, result.Version, storeReading{result.Now, sent}, suspended)
+}
+
+// campaignRecord returns the row with which a term begins.
+func (n *Node) campaignRecord(f *leaderWatch, number uint64, now time.Time) leaderRecord {
+	former := f.record
+	if !f.known {
+		former = leaderRecord{}
+	}
+	r := leaderRecord{Term: number, LeaseRecordsSince: former.leaseRecordsSince(number), Witnesses: recordOf(f.inheritedWitnesses(n.cfg.Node))}
+	renewedBy, silent := n.formerLeaders(f, now)
+	r.describeFormer(now, renewedBy, silent)
+	return r
 }
 
 // leaderUnchanged reads the leader's row and reports whether it is the version already seen.
@@ -342,15 +347,16 @@
 	return f, Commit{Version: page.Rows[0].Version, Now: page.Now}, nil
 }
 
-// startTerm runs a term of a cell in the background. begun holds when the transaction that began the
-// term was sent, and a reading of the store's clock after that. Other nodes derive from the row that it
-// wrote how long the term's leases last. suspended was read before that transaction. The term ends with
-// ctx, which may have ended during the campaign.
-func (n *Node) startTerm(ctx context.Context, c *cell, number, fenceVersion, recordsSince uint64, begun storeReading, suspended suspensions) {
-	d := n.cellTable.Load()
+// startTerm runs the term of a cell that began with a record in the background. begun holds when the
+// transaction that began the term was sent, and a reading of the store's clock after that. Other nodes
+// derive from the record how long the term's leases last. suspended was read before that transaction. The
+// term ends with ctx, which may have ended during the campaign.
+func (n *Node) startTerm(ctx context.Context, c *cell, record leaderRecord, fenceVersion uint64, begun storeReading, suspended suspensions) {
+	d, number := n.cellTable.Load(), record.Term
 	formerLeaderRenewedBy, silent := n.formerLeaders(&c.watch, time.Now())
 	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
-	t.lastRenewal, t.leaseRecordsSince, t.suspensions = begun.at, recordsSince, suspended
+	t.lastRenewal, t.leaseRecordsSince, t.suspensions = begun.at, record.LeaseRecordsSince, suspended
+	t.witnesses.inherit(record.Witnesses, t.now)
 	if begun.now > 0 {
 		t.storeClock = begun
 	}
--- a/internal/fleet/former_leader.go
+++ b/internal/fleet/former_leader.go
@@ -55,11 +55,15 @@
 type silentLeader struct {
 	node    model.NodeID
 	process uint64
-	addr    string
-	// othersRenewedBy is formerLeaderRenewedBy for the other leaders before the term.
-	othersRenewedBy time.Time
-	// witnessed is nil if the leader has no witnesses.
+	// addr is empty once the process is known to have ended.
+	addr string
+	// renewedBy is formerLeaderRenewedBy for this leader, and othersRenewedBy for other leaders before the
+	// term that are not in earlier.
+	renewedBy, othersRenewedBy time.Time
+	// witnessed is nil if the leader has no witnesses, or once they have answered.
 	witnessed *witnessed
+	// earlier are leaders before this one whose witnesses have not answered.
+	earlier []*witnessed
 }
 
 // silentLeaderRecord is the stored form of a silentLeader.
@@ -68,10 +72,21 @@
 	Node    model.NodeID
 	Process uint64
 	Addr    string
-	// OthersRenewalMS is how long before the renewal othersRenewedBy was at least.
+	// OthersRenewalMS is how long before the renewal othersRenewedBy and the renewals of earlier leaders
+	// were at least.
 	OthersRenewalMS int64
 }
 
+// earlierLeadersRecord tells of the leaders before a silent one, some of them with witnesses.
+type earlierLeadersRecord struct {
+	Witnesses []witnessRecord `cbor:"1,keyasint"`
+	// OthersRenewalMS is how long before the renewal othersRenewedBy was at least.
+	OthersRenewalMS int64 `cbor:"2,keyasint"`
+}
+
+// maxEarlierLeaders bounds the leaders before a silent one whose witnesses are asked.
+const maxEarlierLeaders = 3
+
 // silentLeader returns the leader that may give orders beside a term that begins now; nil if none is
 // known.
 func (f *leaderWatch) silentLeader(now time.Time) *silentLeader {
@@ -80,50 +95,99 @@
 	case !f.known:
 		return nil
 	case !r.Released:
-		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr, witnessed: r.Witnesses.witnessedBy(f.seenAt)}
+		s := &silentLeader{node: r.Node, process: r.Process, addr: r.Addr, renewedBy: f.formerLeaderRenewedBy(now), witnessed: r.Witnesses.witnessedBy(f.seenAt)}
 		if !r.RunsKnown {
-			s.othersRenewedBy = f.seenAt.Add(-r.formerRenewalAge())
+			s.othersRenewedBy, s.earlier = r.leadersBefore(f.seenAt)
 		}
 		return s
 	case r.Silent == nil:
 		return nil
 	}
-	s := &silentLeader{node: r.Silent.Node, process: r.Silent.Process, addr: r.Silent.Addr,
-		othersRenewedBy: f.seenAt.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond),
-		witnessed:       r.SilentWitnesses.witnessedBy(f.seenAt)}
-	if released := endedRenewal(now); released.After(s.othersRenewedBy) {
-		s.othersRenewedBy = released
-	}
+	s := &silentLeader{node: r.Silent.Node, process: r.Silent.Process, addr: r.Silent.Addr, renewedBy: f.seenAt.Add(-r.formerRenewalAge()),
+		witnessed: r.SilentWitnesses.witnessedBy(f.seenAt)}
+	s.othersRenewedBy, s.earlier = r.leadersBeforeSilent(f.seenAt)
+	s.othersRenewedBy = latest(s.othersRenewedBy, endedRenewal(now))
 	return s
 }
 
+// leadersBefore returns what a row that was seen at a moment tells of all leaders before its term: those
+// whose witnesses have not answered, and by when the others renewed.
+func (r leaderRecord) leadersBefore(seen time.Time) (othersRenewedBy time.Time, earlier []*witnessed) {
+	all := seen.Add(-r.formerRenewalAge())
+	silent := r.SilentWitnesses.witnessedBy(seen)
+	if r.Silent == nil || silent == nil {
+		return all, nil
+	}
+	othersRenewedBy, earlier = r.leadersBeforeSilent(seen)
+	earlier = append([]*witnessed{silent}, earlier...)
+	if len(earlier) > maxEarlierLeaders {
+		for _, w := range earlier[maxEarlierLeaders:] {
+			othersRenewedBy = latest(othersRenewedBy, w.renewedBy)
+		}
+		earlier = earlier[:maxEarlierLeaders]
+	}
+	return earliest(othersRenewedBy, all), earlier
+}
+
+// leadersBeforeSilent is the same for the leaders before the silent one that the row names.
+func (r leaderRecord) leadersBeforeSilent(seen time.Time) (othersRenewedBy time.Time, earlier []*witnessed) {
+	if r.Earlier == nil {
+		return seen.Add(-time.Duration(r.Silent.OthersRenewalMS) * time.Millisecond), nil
+	}
+	for i := range r.Earlier.Witnesses {
+		if w := r.Earlier.Witnesses[i].witnessedBy(seen); w != nil {
+			earlier = append(earlier, w)
+		}
+	}
+	return seen.Add(-time.Duration(r.Earlier.OthersRenewalMS) * time.Millisecond), earlier
+}
+
 // record returns what a renewal at now tells the next leader.
 func (s *silentLeader) record(now time.Time) *silentLeaderRecord {
-	return &silentLeaderRecord{Node: s.node, Process: s.process, Addr: s.addr, OthersRenewalMS: leastAgeMS(now, s.othersRenewedBy)}
+	return &silentLeaderRecord{Node: s.node, Process: s.process, Addr: s.addr, OthersRenewalMS: leastAgeMS(now, s.beforeRenewedBy())}
 }
 
-// renewedBy returns formerLeaderRenewedBy, which was before, once the term of s had ended by a moment.
-func (s *silentLeader) renewedBy(before, ended time.Time) time.Time {
-	return s.boundedBy(before, endedRenewal(ended))
+// earlierRecord returns what a renewal at now tells the next leader of the leaders before s; nil if none of
+// them has witnesses.
+func (s *silentLeader) earlierRecord(now time.Time) *earlierLeadersRecord {
+	if len(s.earlier) == 0 {
+		return nil
+	}
+	r := &earlierLeadersRecord{OthersRenewalMS: leastAgeMS(now, s.othersRenewedBy)}
+	for _, w := range s.earlier {
+		r.Witnesses = append(r.Witnesses, *w.record(now))
+	}
+	return r
 }
 
-// boundedBy returns formerLeaderRenewedBy, which was before, once renewedBy holds for s.
-func (s *silentLeader) boundedBy(before, renewedBy time.Time) time.Time {
-	if s.othersRenewedBy.After(renewedBy) {
-		renewedBy = s.othersRenewedBy
-	}
-	if before.Before(renewedBy) {
-		return before
+// beforeRenewedBy returns formerLeaderRenewedBy for the leaders before s.
+func (s *silentLeader) beforeRenewedBy() time.Time {
+	renewedBy := s.othersRenewedBy
+	for _, w := range s.earlier {
+		renewedBy = latest(renewedBy, w.renewedBy)
 	}
 	return renewedBy
 }
 
+// allRenewedBy returns formerLeaderRenewedBy for s and the leaders before it.
+func (s *silentLeader) allRenewedBy() time.Time { return latest(s.renewedBy, s.beforeRenewedBy()) }
+
+// end notes that the process of s gave no more orders since a moment.
+func (s *silentLeader) end(since time.Time) {
+	s.renewedBy = earliest(s.renewedBy, endedRenewal(since))
+	s.addr, s.witnessed = "", nil
+}
+
 // formerLeaders returns formerLeaderRenewedBy and the silent leader for a term of a cell that begins now. A
 // former process of this node has ended.
 func (n *Node) formerLeaders(f *leaderWatch, now time.Time) (renewedBy time.Time, silent *silentLeader) {
 	renewedBy, silent = f.formerLeaderRenewedBy(now), f.silentLeader(now)
 	if silent != nil && silent.node == n.cfg.Node && silent.addr == n.cfg.PeerAddr && silent.process != n.cfg.Process {
-		return silent.renewedBy(renewedBy, n.startedAt), nil
+		silent.end(n.startedAt)
+		renewedBy = earliest(renewedBy, silent.allRenewedBy())
+		if len(silent.earlier) == 0 {
+			return renewedBy, nil
+		}
 	}
 	return renewedBy, silent
 }
@@ -189,18 +253,22 @@
 type formerLeaderEnded struct{ by time.Time }
 
 func (e formerLeaderEnded) handle(t *term) {
-	if t.silent == nil {
+	s := t.silent
+	if s == nil {
 		return
 	}
-	t.boundFormerLeases(t.silent.renewedBy(t.formerLeaderRenewedBy, e.by), "the former leader has ended")
-	t.silent = nil
+	s.end(e.by)
+	t.boundFormerLeases("the former leader has ended")
+	if len(s.earlier) == 0 {
+		t.silent = nil
+	}
 }
 
-// boundFormerLeases sets formerLeaderRenewedBy, which may only become earlier, and the assumed end of
-// leases of workers that have not answered.
-func (t *term) boundFormerLeases(renewedBy time.Time, msg string) {
+// boundFormerLeases sets formerLeaderRenewedBy by what is known of the leaders before the term, and the
+// assumed end of leases of workers that have not answered. Both may only become earlier.
+func (t *term) boundFormerLeases(msg string) {
 	before := t.formerLeasesEnd()
-	t.formerLeaderRenewedBy = renewedBy
+	t.formerLeaderRenewedBy = earliest(t.formerLeaderRenewedBy, t.silent.allRenewedBy())
 	end, shortened := t.formerLeasesEnd(), 0
 	for _, w := range t.workers {
 		if w.leaseEndAssumed && !w.answered && w.inheritedLeaseEnd.After(end) {
--- a/internal/fleet/former_witnesses.go
+++ b/internal/fleet/former_witnesses.go
@@ -1,21 +1,40 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// witnessed is what a term knows of the witnesses of the silent leader.
+// witnessed is what a term knows of an earlier leader and its witnesses.
 type witnessed struct {
 	members []witness
 	// reach is the longest time from a renewal or a confirmation to the end of a lease.
 	reach time.Duration
-	// renewedBy is the latest moment at which the silent leader may have renewed.
+	// renewedBy is the latest moment at which the leader may have renewed.
 	renewedBy time.Time
 }
 
+// inheritedWitnesses returns the witnesses with which a term of node begins: those of the leader before it.
+// It has none of its own before others offer themselves, and would be waited for longest if it were lost.
+func (f *leaderWatch) inheritedWitnesses(node model.NodeID) []witness {
+	r := f.record.Witnesses
+	if r == nil {
+		r = f.record.SilentWitnesses
+	}
+	if !f.known || r == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.Members), func(m witness) bool { return m.Node == node })
+}
+
+// boundBy returns formerLeaderRenewedBy for the leader once its last confirmation is known.
+func (w *witnessed) boundBy(confirmed time.Time) time.Time {
+	return earliest(w.renewedBy, latest(w.renewedBy, confirmed).Add(w.reach-maxLeaseReach))
+}
+
 // record returns what a renewal at now tells the next leader.
 func (w *witnessed) record(now time.Time) *witnessRecord {
 	if w == nil {
@@ -42,26 +61,59 @@
 	return slices.SortedFunc(slices.Values(answered), time.Time.Compare)[need-1], true
 }
 
-// boundSilentLeader asks the witnesses of the silent leader when they confirmed last, until enough have
-// answered or its leases are over.
+// confirmedBy returns the same for the witnesses of w, by the answers of processes.
+func (w *witnessed) confirmedBy(answered map[witness]time.Time) (latest time.Time, ok bool) {
+	var confirmed []time.Time
+	for _, m := range w.members {
+		if at, ok := answered[m]; ok {
+			confirmed = append(confirmed, at)
+		}
+	}
+	return confirmedBy(len(w.members), confirmed)
+}
+
+// unanswered returns the earlier leaders whose witnesses have not answered.
+func (s *silentLeader) unanswered() []*witnessed {
+	if s.witnessed == nil {
+		return s.earlier
+	}
+	return append([]*witnessed{s.witnessed}, s.earlier...)
+}
+
+// boundSilentLeader asks the witnesses of the silent leader and of those before it when they confirmed
+// last, until enough of each have answered or all leases are over.
 func (n *Node) boundSilentLeader(t *term) {
-	if t.silent == nil || t.silent.witnessed == nil {
+	if t.silent == nil {
 		return
 	}
-	w, until := t.silent.witnessed, t.formerLeasesEnd()
+	waiting, until := slices.Clone(t.silent.unanswered()), t.formerLeasesEnd()
 	n.wg.Go(func() {
-		asked := map[witness]time.Time{}
-		for t.ctx.Err() == nil && time.Now().Before(until) {
-			n.askFormerWitnesses(t, w.members, asked)
-			if by, ok := confirmedBy(len(w.members), slices.Collect(maps.Values(asked))); ok {
-				t.post(witnessesAnswered{by})
-				return
+		answered := map[witness]time.Time{}
+		for len(waiting) > 0 && t.ctx.Err() == nil && time.Now().Before(until) {
+			n.askFormerWitnesses(t, membersOf(waiting), answered)
+			waiting = slices.DeleteFunc(waiting, func(w *witnessed) bool {
+				by, ok := w.confirmedBy(answered)
+				if ok {
+					t.post(witnessesAnswered{w, by})
+				}
+				return ok
+			})
+			if len(waiting) > 0 {
+				sleep(t.ctx, formerLeaderCallPause)
 			}
-			sleep(t.ctx, formerLeaderCallPause)
 		}
 	})
 }
 
+// membersOf returns the witnesses of all leaders, each once.
+func membersOf(leaders []*witnessed) []witness {
+	var sets [][]witness
+	for _, w := range leaders {
+		sets = append(sets, w.members)
+	}
+	return unionOf(sets)
+}
+
 // askFormerWitnesses asks those witnesses of an earlier term that have not answered yet, and adds when
 // they confirmed last.
 func (n *Node) askFormerWitnesses(t *term, members []witness, answered map[witness]time.Time) {
@@ -100,14 +152,26 @@
 	return time.Now().Add(-time.Duration(*reply.ConfirmedMS) * time.Millisecond), true
 }
 
-// witnessesAnswered tells that the silent leader had its last confirmation by a moment; zero for none.
-type witnessesAnswered struct{ confirmedBy time.Time }
+// witnessesAnswered tells that an earlier leader had its last confirmation by a moment; zero for none.
+type witnessesAnswered struct {
+	leader      *witnessed
+	confirmedBy time.Time
+}
 
 func (e witnessesAnswered) handle(t *term) {
 	s := t.silent
-	if s == nil || s.witnessed == nil {
+	if s == nil {
+		return
+	}
+	bound := e.leader.boundBy(e.confirmedBy)
+	i := slices.Index(s.earlier, e.leader)
+	switch {
+	case e.leader == s.witnessed:
+		s.renewedBy, s.witnessed = earliest(s.renewedBy, bound), nil
+	case i >= 0:
+		s.othersRenewedBy, s.earlier = latest(s.othersRenewedBy, bound), slices.Delete(s.earlier, i, i+1)
+	default:
 		return
 	}
-	basis := latest(s.witnessed.renewedBy, e.confirmedBy)
-	t.boundFormerLeases(s.boundedBy(t.formerLeaderRenewedBy, basis.Add(s.witnessed.reach-maxLeaseReach)), "the witnesses of the former leader bound its leases")
+	t.boundFormerLeases("the witnesses of an earlier leader bound its leases")
 }
--- a/internal/fleet/leader_witnesses.go
+++ b/internal/fleet/leader_witnesses.go
@@ -18,6 +18,8 @@
 	// members are the chosen witnesses. declared and stored are those of the last renewal that was sent
 	// and of the last one that was answered.
 	members, declared, stored []witness
+	// inheritedUntil is until when the witnesses of the leader before are kept; zero for no longer.
+	inheritedUntil time.Time
 	// confirmedAt is when the last request was sent that a majority of each set confirmed which the next
 	// leader may read.
 	confirmedAt time.Time
@@ -45,10 +47,10 @@
 	return sets
 }
 
-// union returns the witnesses of all sets.
-func (s *leaderWitnesses) union() []witness {
+// unionOf returns the witnesses of all sets, each once.
+func unionOf(sets [][]witness) []witness {
 	var members []witness
-	for _, m := range slices.Concat(s.sets()...) {
+	for _, m := range slices.Concat(sets...) {
 		if !slices.Contains(members, m) {
 			members = append(members, m)
 		}
@@ -72,6 +74,17 @@
 	return len(s.sets()) > 0
 }
 
+// inheritedTime is how long a leader keeps the witnesses of the one before it, while other processes
+// offer themselves.
+const inheritedTime = witnessOfferJitter + notifyTimeout
+
+// inherit takes over the witnesses that the row names with which the term began at now.
+func (s *leaderWitnesses) inherit(r *witnessRecord, now time.Time) {
+	if r != nil {
+		s.members, s.declared, s.stored, s.inheritedUntil = r.Members, r.Members, r.Members, now.Add(inheritedTime)
+	}
+}
+
 // declare notes the witnesses of a renewal that is about to be sent.
 func (s *leaderWitnesses) declare() []witness {
 	if !slices.Equal(s.declared, s.members) {
@@ -138,6 +151,9 @@
 
 func (t *term) chooseWitnesses() {
 	s := &t.witnesses
+	if !s.inheritedUntil.IsZero() {
+		return
+	}
 	members := chooseWitnesses(s.members, s.candidates, s.unanswered, t.cfg.DataCentre)
 	if slices.Equal(members, s.members) {
 		return
@@ -158,7 +174,11 @@
 // whether they answer, those that were lost too.
 func (t *term) askWitnesses() {
 	s := &t.witnesses
-	if s.asking || t.stopping || len(s.candidates) == 0 {
+	if !s.inheritedUntil.IsZero() && !t.now.Before(s.inheritedUntil) {
+		s.inheritedUntil = time.Time{}
+		t.chooseWitnesses()
+	}
+	if s.asking || t.stopping || (len(s.candidates) == 0 && len(s.sets()) == 0) {
 		return
 	}
 	confirm := len(s.sets()) > 0 && t.now.Sub(t.lastRenewal) >= confirmationAge && t.now.Sub(s.askedAt) >= confirmationInterval
@@ -168,7 +188,7 @@
 	s.asking, s.checkedAt = true, t.now
 	if confirm {
 		s.askedAt = t.now
-		go t.callWitnesses(s.union(), true)
+		go t.callWitnesses(unionOf(s.sets()), true)
 		return
 	}
 	go t.callWitnesses(append(s.lostCandidates(), s.members...), false)
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -185,6 +185,9 @@
 	// leader.
 	Witnesses       *witnessRecord `cbor:"16,keyasint,omitempty"`
 	SilentWitnesses *witnessRecord `cbor:"17,keyasint,omitempty"`
+	// Earlier tells of the leaders before the silent one; nil if none of them has witnesses that have not
+	// answered.
+	Earlier *earlierLeadersRecord `cbor:"18,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
@@ -199,7 +202,7 @@
 func (r *leaderRecord) describeFormer(now, formerLeaderRenewedBy time.Time, silent *silentLeader) {
 	r.FormerRenewalMS = leastAgeMS(now, formerLeaderRenewedBy)
 	if silent != nil && (!r.RunsKnown || now.Before(formerLeaderRenewedBy.Add(maxLeaseReach))) {
-		r.Silent, r.SilentWitnesses = silent.record(now), silent.witnessed.record(now)
+		r.Silent, r.SilentWitnesses, r.Earlier = silent.record(now), silent.witnessed.record(now), silent.earlierRecord(now)
 	}
 }
 
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -426,6 +426,14 @@
 	return b
 }
 
+// earliest returns the earlier of two moments.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // maxLease bounds the length of leases. It is long enough to outlast a change of leader and
 // short enough that the work of a lost worker restarts soon.
 const maxLease = 5 * time.Second
--- a/internal/fleet/witnesses.go
+++ b/internal/fleet/witnesses.go
@@ -68,6 +68,14 @@
 	RenewalMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
+// recordOf tells of the witnesses of the term that writes a row; nil if it has none.
+func recordOf(members []witness) *witnessRecord {
+	if len(members) == 0 {
+		return nil
+	}
+	return &witnessRecord{Members: members, ReachMS: witnessedReach.Milliseconds()}
+}
+
 // majority returns how many of n witnesses must confirm.
 func majority(n int) int { return n/2 + 1 }
 
--- a/internal/fleet/witnesses_model_test.go
+++ b/internal/fleet/witnesses_model_test.go
@@ -38,7 +38,9 @@
 	campaigns, restarts, cuts, changes, releases float64
 
 	bounded int // terms that witnesses bounded
-	held    int // confirmations that held
+	// boundedEarlier counts bounds by witnesses of leaders before the silent one.
+	boundedEarlier int
+	held           int // confirmations that held
 }
 
 // modelNode is a process of a node.
@@ -54,7 +56,7 @@
 }
 
 type modelCampaign struct {
-	number  uint64
+	record  leaderRecord
 	sent    time.Time
 	version uint64 // expected of the fence
 	row     Row
@@ -146,18 +148,16 @@
 		return
 	}
 	x.observe(n) // see leaderUnchanged
-	r := leaderRecord{Term: x.fence.Term + 1, LeaseRecordsSince: 1}
-	renewedBy, silent := n.node.formerLeaders(&n.watch, x.now)
-	r.describeFormer(x.now, renewedBy, silent)
-	row := n.node.cfg.renewalRow("", x.version(n, r))
-	n.campaign = &modelCampaign{number: r.Term, sent: x.now, version: x.fenceVersion, row: row}
+	r := x.version(n, n.node.campaignRecord(&n.watch, x.fence.Term+1, x.now))
+	row := n.node.cfg.renewalRow("", r)
+	n.campaign = &modelCampaign{record: r, sent: x.now, version: x.fenceVersion, row: row}
 	x.note("%s campaigns for %d", n.node.cfg.Node, r.Term)
 }
 
 // version returns a record as the version of a node writes it.
 func (x *leaseModel) version(n *modelNode, r leaderRecord) leaderRecord {
 	if n.old {
-		r.Witnesses, r.SilentWitnesses = nil, nil
+		r.Witnesses, r.SilentWitnesses, r.Earlier = nil, nil, nil
 	}
 	return r
 }
@@ -169,13 +169,14 @@
 	if c == nil {
 		return
 	}
+	number := c.record.Term
 	if !c.applied {
 		if c.version != x.fenceVersion {
 			n.campaign = nil
 			return
 		}
 		c.applied = true
-		x.put(c.row, fenceRecord{Term: c.number})
+		x.put(c.row, fenceRecord{Term: number})
 		c.result = x.fenceVersion
 		x.note("campaign of %s applied", n.node.cfg.Node)
 		if x.chance(0.5) {
@@ -189,11 +190,12 @@
 	}
 	renewedBy, silent := n.node.formerLeaders(&n.watch, x.now)
 	if silent != nil && n.old {
-		silent.witnessed = nil
+		silent.witnessed, silent.othersRenewedBy, silent.earlier = nil, silent.beforeRenewedBy(), nil
 	}
-	t := &modelTerm{term: newTerm(n.node.cfg, 0, x.layout, c.number, c.result, renewedBy, x.log, x.metrics), owner: n, applied: -1, answers: map[witness]time.Time{}}
+	t := &modelTerm{term: newTerm(n.node.cfg, 0, x.layout, number, c.result, renewedBy, x.log, x.metrics), owner: n, applied: -1, answers: map[witness]time.Time{}}
 	t.now, t.startedAt, t.lastRenewal, t.confirmedAt, t.loaded, t.leaseRecordsSince = x.now, x.now, c.sent, c.sent, true, 1
 	t.usedReadAt = x.now
+	t.witnesses.inherit(c.record.Witnesses, x.now)
 	if n.watch.known {
 		t.former, t.silent = n.watch.record, silent
 	}
@@ -204,11 +206,11 @@
 		t.workers[w.info.Worker] = w
 	}
 	n.term = t
-	if n.confirmations.latestTerm() > c.number {
+	if n.confirmations.latestTerm() > number {
 		t.end("another node has taken the lead")
 	}
 	x.terms = append(x.terms, t)
-	x.note("%s begins %d, former leases until %.3f, silent %v", n.node.cfg.Node, c.number, t.formerLeasesEnd().Sub(epoch).Seconds(), silent != nil)
+	x.note("%s begins %d, former leases until %.3f, silent %v", n.node.cfg.Node, number, t.formerLeasesEnd().Sub(epoch).Seconds(), silent != nil)
 }
 
 func (x *leaseModel) put(row Row, f fenceRecord) {
@@ -282,7 +284,7 @@
 
 // request sends a request for confirmations, or passes earlier ones on.
 func (x *leaseModel) request(t *modelTerm) {
-	if members := t.witnesses.union(); len(members) > 0 && len(t.requests) < 3 {
+	if members := unionOf(t.witnesses.sets()); len(members) > 0 && len(t.requests) < 3 {
 		t.requests = append(t.requests, &modelRequest{members, make([]witnessReply, len(members)), x.now})
 	}
 	for _, r := range t.requests {
@@ -338,10 +340,11 @@
 			}
 		}
 	}
-	if s.witnessed == nil || t.owner.old {
+	waiting := slices.Clone(s.unanswered())
+	if t.owner.old {
 		return
 	}
-	for _, m := range s.witnessed.members {
+	for _, m := range membersOf(waiting) {
 		n := x.process(m)
 		if _, ok := t.answers[m]; ok || n == nil || x.chance(0.5) {
 			continue
@@ -355,14 +358,17 @@
 			t.answers[m] = x.now.Add(-time.Duration(*reply.ConfirmedMS) * time.Millisecond)
 		}
 	}
-	var answers []time.Time
-	for _, at := range t.answers {
-		answers = append(answers, at)
-	}
-	if by, ok := confirmedBy(len(s.witnessed.members), answers); ok {
-		before := t.formerLeaderRenewedBy
-		witnessesAnswered{by}.handle(t.term)
-		if before != t.formerLeaderRenewedBy {
+	for _, w := range waiting {
+		by, ok := w.confirmedBy(t.answers)
+		if !ok {
+			continue
+		}
+		before, earlier := t.formerLeaderRenewedBy, w != s.witnessed
+		witnessesAnswered{w, by}.handle(t.term)
+		switch {
+		case earlier:
+			x.boundedEarlier++
+		case before != t.formerLeaderRenewedBy:
 			x.bounded++
 			x.note("%d: witnesses bound former leases, until %.3f", t.number, t.formerLeasesEnd().Sub(epoch).Seconds())
 		}
@@ -477,7 +483,7 @@
 	log.SetOutput(io.Discard)
 	log.SetLevel(logrus.PanicLevel)
 	m := newMetrics(telemetry.NewMetrics("test"))
-	bounded, held, terms := 0, 0, 0
+	bounded, boundedEarlier, held, terms := 0, 0, 0, 0
 	for seed := range uint64(plays) {
 		x := newLeaseModel(seed, 7, logrus.NewEntry(log), m)
 		for range steps {
@@ -486,14 +492,15 @@
 				require.Empty(t, v, "seed %d\n%s", seed, fmt.Sprint(x.trace))
 			}
 		}
-		bounded, held, terms = bounded+x.bounded, held+x.held, terms+len(x.terms)
+		bounded, boundedEarlier, held, terms = bounded+x.bounded, boundedEarlier+x.boundedEarlier, held+x.held, terms+len(x.terms)
 		for _, tm := range x.terms {
 			tm.cancel()
 		}
 	}
-	t.Logf("%d terms, %d confirmations, %d bounds by witnesses", terms, held, bounded)
+	t.Logf("%d terms, %d confirmations, %d bounds by witnesses, %d of earlier leaders", terms, held, bounded, boundedEarlier)
 	// The plays must reach what they are for.
 	require.Greater(t, terms, plays)
 	require.Greater(t, held, 1000)
 	require.Greater(t, bounded, 100)
+	require.Greater(t, boundedEarlier, 100)
 }
