--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -118,8 +118,9 @@
 	starts  uint64
 	// current is the node while its process runs, nil otherwise.
 	current atomic.Pointer[fleet.Node]
-	// MilliCPU is the configured CPU limit of the node, in thousandths of a core.
-	MilliCPU int64
+	// MilliCPU is the configured CPU limit of the node, in thousandths of a core, and LinkBytes the
+	// bandwidth of its link to the store in bytes per second; 0 for no limit.
+	MilliCPU, LinkBytes int64
 	// Usage returns the resource usage that the node reads of its process; nil if unknown.
 	Usage func() usage.Total
 	// eventCost is the simulated time of each event and plan of a leader's loop, in nanoseconds.
@@ -292,10 +293,10 @@
 	logger := logrus.New()
 	logger.SetOutput(&lockedWriter{&c.logMu, c.Log})
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	m.Store, m.Workers, m.Peers = c.Store.View(), c.Workers.View(), c.Network.Peers(m.Name)
+	m.Store, m.Workers, m.Peers = c.Store.ViewOver(m.LinkBytes), c.Workers.View(), c.Network.Peers(m.Name)
 	cfg := fleet.Config{
 		Node: model.NodeID(m.Name), PeerAddr: m.Name, Process: m.starts<<8 + uint64(slices.Index(c.Nodes, m)), Seed: c.seed + m.starts,
-		Limits: fleet.Limits{RowBytes: rowBytes, MilliCPU: m.MilliCPU},
+		Limits: fleet.Limits{RowBytes: rowBytes, MilliCPU: m.MilliCPU, LinkBytes: m.LinkBytes},
 		Bounds: fleet.Bounds{LeaseMax: c.Workers.LeaseMax, Grace: 6 * time.Second, Retention: 2 * time.Minute, Maintenance: MaintenanceTime},
 		Cells:  c.Cells,
 		Store:  heldStore{m.Store, &m.freezer}, Workers: heldWorkers{m.Workers, &m.freezer}, Decoder: Decoder{},
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -183,6 +183,11 @@
 	// one answer at a time.
 	transferTime time.Duration
 	link         chan struct{}
+	// linkBytes is the bandwidth of the node's link in bytes per second, 0 for no limit. It carries the
+	// answers to all calls, and what opens a connection for each, one at a time. linkFree is when those on
+	// the way have arrived.
+	linkBytes int64
+	linkFree  time.Time
 	// readLoss is the share of reads whose answer is lost.
 	readLoss float64
 	// refusedTable is a table of which writes are refused; empty for none.
@@ -194,6 +199,36 @@
 // View returns a new view of the store.
 func (s *Store) View() *View { return &View{store: s, link: make(chan struct{}, 1)} }
 
+// ViewOver returns a new view over a link of some bytes per second, 0 for no limit.
+func (s *Store) ViewOver(linkBytes int64) *View {
+	v := s.View()
+	v.linkBytes = linkBytes
+	return v
+}
+
+// answerOverhead is the size of an answer and of a row in it beside the values, in bytes.
+const answerOverhead = 150
+
+// transfer waits until an answer with rows has come over the link, or ctx ends. The answer to a call that
+// is given up still occupies the link.
+func (v *View) transfer(ctx context.Context, rows []fleet.Row) error {
+	if v.linkBytes == 0 {
+		return nil
+	}
+	bytes := answerOverhead
+	for _, row := range rows {
+		bytes += base64.StdEncoding.EncodedLen(len(row.Value)) + answerOverhead
+	}
+	v.mu.Lock()
+	if now := time.Now(); v.linkFree.Before(now) {
+		v.linkFree = now
+	}
+	v.linkFree = v.linkFree.Add(time.Duration(bytes) * time.Second / time.Duration(v.linkBytes))
+	wait := time.Until(v.linkFree)
+	v.mu.Unlock()
+	return sleep(ctx, wait)
+}
+
 // SetFault changes the fault of the view.
 func (v *View) SetFault(f Fault) {
 	v.mu.Lock()
@@ -305,6 +340,9 @@
 	case Resetting:
 		return unknown(errReset)
 	}
+	if err := v.transfer(ctx, nil); err != nil { // of a new connection
+		return err
+	}
 	return sleep(ctx, time.Duration(times)*v.store.latency()+delay)
 }
 
@@ -388,6 +426,9 @@
 		<-ctx.Done()
 		return fleet.Commit{}, unknown(ctx.Err())
 	}
+	if err := v.transfer(ctx, nil); err != nil {
+		return fleet.Commit{}, err
+	}
 	return fleet.Commit{Version: version, Now: time.Since(s.startedAt)}, err
 }
 
@@ -403,7 +444,11 @@
 	if err := v.receiveAnswer(ctx); err != nil {
 		return fleet.Page{}, err
 	}
-	s := v.store
+	page := v.store.page(table, part, from, to, limit)
+	return page, v.transfer(ctx, page.Rows)
+}
+
+func (s *Store) page(table, part, from, to string, limit int) fleet.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rows := s.selectRows(func(id fleet.RowID) bool {
@@ -413,7 +458,7 @@
 	if more {
 		rows = rows[:limit]
 	}
-	return fleet.Page{Rows: rows, More: more, Version: s.version, Now: time.Since(s.startedAt)}, nil
+	return fleet.Page{Rows: rows, More: more, Version: s.version, Now: time.Since(s.startedAt)}
 }
 
 // Watch implements fleet.Store.
@@ -432,7 +477,10 @@
 					return fleet.Page{}, err
 				}
 			}
-			return page, err
+			if err != nil {
+				return page, err
+			}
+			return page, v.transfer(ctx, page.Rows)
 		}
 		select {
 		case <-changed:
--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -132,7 +132,7 @@
 // proposeLayout returns the layout for a deployment without one. A deployment that was led by
 // a version without cells keeps its single cell.
 func (n *Node) proposeLayout(ctx context.Context) (*layout, error) {
-	fences, _, err := listAll(ctx, n.cfg.Store, tableFence, singleCellPart)
+	fences, _, err := listAll(ctx, n.cfg.Store, tableFence, singleCellPart, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -172,8 +172,8 @@
 // readFleet reads the hosts' limits and the number of workers of each rack.
 func (n *Node) readFleet(ctx context.Context) ([]Limits, map[string]int, error) {
 	table, _ := n.cfg.Decoder.Tables()
-	hosts, _, errHosts := listAll(ctx, n.cfg.Store, tableHosts, "")
-	workers, _, errWorkers := listAll(ctx, n.cfg.Store, table, "")
+	hosts, _, errHosts := listAll(ctx, n.cfg.Store, tableHosts, "", nil)
+	workers, _, errWorkers := listAll(ctx, n.cfg.Store, table, "", nil)
 	if err := errors.Join(errHosts, errWorkers); err != nil {
 		return nil, nil, err
 	}
--- a/internal/fleet/loading.go
+++ b/internal/fleet/loading.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -19,6 +21,75 @@
 	loadRetryPause = 5 * time.Second
 )
 
+// A host's link may be so narrow that the tables take seconds to arrive. Renewals share the link: behind
+// reads of all tables at once they come too late, the next leader takes over and reads the same tables.
+
+const (
+	// maxReadDelay bounds the time for which the answers to reads of tables that are in flight occupy the
+	// host's link. It is well below the timeout of a renewal.
+	maxReadDelay = 200 * time.Millisecond
+	// limitedPageBytes is about the size of a page where the link bounds the reads.
+	limitedPageBytes = 64 << 10
+	// maxLimitedReads is the number of such pages in flight from which the link bounds nothing.
+	maxLimitedReads = 64
+	// firstPageRows is the number of rows of a page before the size of rows is known; minPageRows is the
+	// least number.
+	firstPageRows = 50
+	minPageRows   = 10
+	// rowOverhead is what a row adds to an answer beside its value, in bytes.
+	rowOverhead = 150
+)
+
+// readLimiter bounds the reads of a term's tables by the link of its host. Nil bounds nothing.
+type readLimiter struct {
+	slots chan struct{}
+	mu    sync.Mutex
+	// rows is the number of rows of the next page.
+	rows int
+}
+
+// newReadLimiter returns the limiter for a link of some bytes per second, 0 for an unknown one.
+func newReadLimiter(linkBytes int64) *readLimiter {
+	n := int(float64(linkBytes) * maxReadDelay.Seconds() / limitedPageBytes)
+	if linkBytes <= 0 || n >= maxLimitedReads {
+		return nil
+	}
+	return &readLimiter{slots: make(chan struct{}, max(n, 1)), rows: firstPageRows}
+}
+
+// acquire waits until a page may be read and returns the largest number of its rows.
+func (l *readLimiter) acquire(ctx context.Context) (rows int, err error) {
+	if l == nil {
+		return maxPageRows, nil
+	}
+	select {
+	case l.slots <- struct{}{}:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rows, nil
+}
+
+// release ends the read of a page with these rows.
+func (l *readLimiter) release(rows []Row) {
+	if l == nil {
+		return
+	}
+	<-l.slots
+	if len(rows) == 0 {
+		return
+	}
+	bytes := 0
+	for _, r := range rows {
+		bytes += base64.StdEncoding.EncodedLen(len(r.Value)) + rowOverhead
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rows = min(max(limitedPageBytes*len(rows)/bytes, minPageRows), maxPageRows)
+}
+
 // observedStore notes when a read of rows was last answered.
 type observedStore struct {
 	Store
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -131,7 +131,7 @@
 
 // reload reads the whole table, when the changes since the last version are not available.
 func (o *operatorTable) reload(ctx context.Context, s Store, table string, failed func(error)) {
-	rows, page, err := listAll(ctx, s, table, "")
+	rows, page, err := listAll(ctx, s, table, "", nil)
 	if err == nil {
 		o.apply(rows, true, page.Version)
 	} else if !errors.Is(err, context.Canceled) {
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -39,15 +39,13 @@
 )
 
 // listAll reads all rows of a part of a table. The returned page is the first one, whose
-// version is the one to watch from.
-func listAll(ctx context.Context, s Store, table, part string) ([]Row, Page, error) {
+// version is the one to watch from. limiter may be nil.
+func listAll(ctx context.Context, s Store, table, part string, limiter *readLimiter) ([]Row, Page, error) {
 	var rows []Row
 	var first Page
 	from := ""
 	for {
-		call, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := s.List(call, table, part, from, "", maxPageRows)
-		cancel()
+		page, err := listPage(ctx, s, table, part, from, limiter)
 		if err != nil {
 			return nil, Page{}, err
 		}
@@ -62,6 +60,18 @@
 	}
 }
 
+func listPage(ctx context.Context, s Store, table, part, from string, limiter *readLimiter) (Page, error) {
+	limit, err := limiter.acquire(ctx)
+	if err != nil {
+		return Page{}, err
+	}
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	page, err := s.List(call, table, part, from, "", limit)
+	limiter.release(page.Rows)
+	return page, err
+}
+
 // tableSource reads a table, or some parts of it, in full and then watches it.
 type tableSource struct {
 	store Store
@@ -74,6 +84,8 @@
 	// onError gets the errors of calls.
 	onError func(error)
 	jitter  func() time.Duration
+	// limiter bounds the reads of all rows; nil for no bound.
+	limiter *readLimiter
 }
 
 // listUntil reads all parts concurrently and repeats failed reads until they succeed or ctx
@@ -106,7 +118,7 @@
 // repeated on its own: on a narrow link, or while the store loses calls, a read of all parts
 // together might never succeed. slots bounds the concurrent repetitions.
 func (s tableSource) listPart(ctx context.Context, part string, slots chan struct{}) ([]Row, Page) {
-	rows, page, err := listAll(ctx, s.store, s.table, part)
+	rows, page, err := listAll(ctx, s.store, s.table, part, s.limiter)
 	for err != nil && ctx.Err() == nil {
 		s.onError(err)
 		sleep(ctx, readPause+s.jitter())
@@ -115,7 +127,7 @@
 		case <-ctx.Done():
 			return nil, Page{}
 		}
-		rows, page, err = listAll(ctx, s.store, s.table, part)
+		rows, page, err = listAll(ctx, s.store, s.table, part, s.limiter)
 		<-slots
 	}
 	return rows, page
@@ -172,7 +184,7 @@
 			t.metrics.readErrors.WithLabelValues(resultLabel(err)).Inc()
 			t.log.WithError(err).WithField("table", table).Debug("read failed")
 		},
-		jitter: jitter,
+		jitter: jitter, limiter: t.readLimiter,
 	}
 }
 
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -54,6 +54,7 @@
 	adoptedRuns    int // runs adopted from earlier terms
 	loaded         bool
 	readAnsweredAt atomic.Pointer[time.Time] // the last answered read; nil before the first
+	readLimiter    *readLimiter
 	// renewalsFailedAt is when renewals failed last before the tables were read. loadStalled means
 	// that the term ends because they could not be read.
 	renewalsFailedAt time.Time
@@ -170,7 +171,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	now := time.Now()
 	return &term{
-		cfg: cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, currentLayout: l, number: number, ctx: ctx, cancel: cancel,
+		readLimiter: newReadLimiter(cfg.Limits.LinkBytes),
+		cfg:         cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, currentLayout: l, number: number, ctx: ctx, cancel: cancel,
 		events: newEventQueue(), loopLoad: loopLoad{windowStart: now}, now: now, startedAt: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
 		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, returnedLoans: map[string]int{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
