--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -109,14 +109,14 @@
 
 // campaignExtraDelay is how much longer than other nodes this node waits before a campaign.
 // Small hosts and hosts that already lead cells wait longer, so that few nodes campaign at
-// the same time.
+// the same time, and the lead of a large host goes to another one without a hand-over.
 func (n *Node) campaignExtraDelay(d *cellTable) time.Duration {
-	if len(d.cells) == 1 {
-		return 0
+	h, largest := time.Duration(n.ledCells())*ledCellDelay, n.maxMilliCPU(d)
+	if len(d.cells) > 1 {
+		largest = max(largest, largeHostMilliCPU)
 	}
-	h := time.Duration(n.ledCells()) * ledCellDelay
 	if own := n.cfg.Limits.MilliCPU; own > 0 {
-		ratio := float64(max(n.maxMilliCPU(d), largeHostMilliCPU))/float64(own) - 1
+		ratio := float64(largest)/float64(own) - 1
 		h += min(time.Duration(ratio*float64(smallHostDelay)), smallHostDelayMax)
 	}
 	return h
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -35,8 +35,8 @@
 	smallHostDelay    = 120 * time.Millisecond
 	smallHostDelayMax = 800 * time.Millisecond
 	ledCellDelay      = 200 * time.Millisecond
-	// largeHostMilliCPU is the lower bound of the largest processor share in this comparison,
-	// in thousandths of a core. It applies also while no leader is known.
+	// largeHostMilliCPU is the lower bound of the largest processor share in this comparison in a
+	// fleet of several cells, in thousandths of a core. It applies also while no leader is known.
 	largeHostMilliCPU = 800
 )
 
--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -39,6 +39,20 @@
 	})
 }
 
+// A small host took the lead of a lost large one before other large hosts campaigned, and handed it on: a
+// second change of leader, which delays starts and all that waits for leases of earlier leaders.
+func TestLargeHostFollowsLostLargeLeader(t *testing.T) {
+	for seed := range uint64(8) {
+		runCluster(t, 960+seed, 7, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+			setHostSizes(c, 192, 800, 192, 192, 800, 192, 192)
+			former := c.Leader()
+			require.EqualValues(t, 800, former.MilliCPU)
+			c.Kill(former)
+			require.EqualValues(t, 800, leaderBeside(c, former).MilliCPU)
+		})
+	}
+}
+
 func TestHostsOfSimilarSizeKeepTheLead(t *testing.T) {
 	runCluster(t, 71, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
 		setHostSizes(c, 800, 1100, 1000)
