--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -405,11 +405,15 @@
 	return false
 }
 
-// stepDown asks the loop to release leadership, in favour of successor if it is set.
-type stepDown struct{ successor model.NodeID }
+// stepDown asks the loop to release leadership, in favour of successor if it is set. overloaded means that
+// this host itself may be what delays transactions.
+type stepDown struct {
+	successor  model.NodeID
+	overloaded bool
+}
 
 func (e stepDown) handle(t *term) {
-	if t.stopping || (e.successor != "" && !t.mayHandOver()) {
+	if t.stopping || (e.successor != "" && !e.overloaded && !t.mayHandOver()) {
 		return
 	}
 	t.stopping, t.successor = true, e.successor
--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -82,7 +82,7 @@
 	if t.number != p.Term {
 		return nil, nil
 	}
-	t.post(stepDown{successor: p.Node}) // dropped when the term is over
+	t.post(stepDown{p.Node, n.overloaded()}) // dropped when the term is over
 	return nil, nil
 }
 
--- a/internal/fleet/handover_test.go
+++ b/internal/fleet/handover_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/usage"
 )
 
 // setHostSizes restarts all nodes with the given CPU limits, in thousandths of a core.
@@ -97,6 +98,34 @@
 	})
 }
 
+// A small host that was too slow to lead kept the lead while larger ones asked for it, since its transactions
+// were slow, until it had no time left to renew.
+func TestOverloadedHostHandsLeadOn(t *testing.T) {
+	runCluster(t, 74, 3, 4, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		begun := time.Now()
+		busy := func() usage.Total { return usage.Total{CPU: time.Since(begun)} }
+		for _, m := range c.Nodes {
+			m.Usage = busy
+		}
+		setHostSizes(c, 200, 200, 200)
+		leader := c.Leader()
+		submit(t, c, jobID(0), twoSteps())
+		leader.Store.SetDelay(300 * time.Millisecond)
+		time.Sleep(time.Second)
+		for _, m := range c.Nodes {
+			if m != leader {
+				c.Kill(m)
+				m.MilliCPU = 800
+				c.Start(m)
+			}
+		}
+		time.Sleep(settleTime)
+		require.NotSame(t, leader, c.Leader())
+		require.EqualValues(t, 800, c.Leader().MilliCPU)
+		waitAll(t, c, 1, 30*time.Second)
+	})
+}
+
 // The designated successor may die before it takes leadership. The other nodes must leave it
 // only a short time before they campaign.
 func TestSuccessorDies(t *testing.T) {
--- a/internal/fleet/host_usage.go
+++ b/internal/fleet/host_usage.go
@@ -49,6 +49,12 @@
 	}
 }
 
+// overloaded reports whether this process used its processor share or its link up in the last interval.
+func (n *Node) overloaded() bool {
+	u := n.usage.Load()
+	return u != nil && max(u.CPU, u.Link) > usageLimitShare
+}
+
 func (n *Node) recordUsage(s usage.Utilization) {
 	n.usage.Store(&s)
 	for of, share := range map[string]float64{"processor": s.CPU, "memory": s.Memory, "link": s.Link} {
