--- a/internal/fleet/loading.go
+++ b/internal/fleet/loading.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // A term starts nothing before it has read its tables. Its node may be unable to read them although
@@ -121,6 +123,16 @@
 	stepDown{}.handle(t)
 }
 
+// recordLoading counts a term that ends before it has read its tables. A hand-over soon after its begin is
+// such a term; many in a row mean that no leader gets that far.
+func (t *term) recordLoading() {
+	if t.loaded {
+		return
+	}
+	t.metrics.unloadedTerms.Inc()
+	t.log.WithFields(logrus.Fields{"took_ms": time.Since(t.startedAt).Milliseconds(), "released": t.released}).Warn("term ended before it had loaded its tables")
+}
+
 // lastReadAnswer returns when a read of the tables was last answered; zero before the first.
 func (t *term) lastReadAnswer() time.Time {
 	if at := t.readAnsweredAt.Load(); at != nil {
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -10,7 +10,7 @@
 type metrics struct {
 	leading, waiting, cells, held, unaccounted                prometheus.Gauge
 	accepted, starts, refusals, polls, unanswered, unreadable prometheus.Counter
-	paces, moves, lent, gaveUp                                prometheus.Counter
+	paces, moves, lent, gaveUp, unloadedTerms                 prometheus.Counter
 	stops, ends, commits, readErrors, requests, terms         *prometheus.CounterVec
 	confirmations                                             *prometheus.CounterVec
 	commitSeconds, recoverySeconds                            prometheus.Observer
@@ -45,6 +45,7 @@
 		lent:            counter("lent_tasks_total", "Lasting tasks that another cell runs for this one, which had no room."),
 		moves:           counter("moves_total", "Jobs that left for another cell before they began."),
 		gaveUp:          counter("given_up_total", "Jobs that failed because a task crashes its workers."),
+		unloadedTerms:   counter("unloaded_terms_total", "Terms of this node that ended before they had read their tables."),
 		paces:           counter("paces_total", "Orders that set the pace of a filler."),
 		stops:           m.Counter("fleet", "stops_total", "Stops by reason.", "reason"),
 		ends:            m.Counter("fleet", "ends_total", "Ends of runs by kind.", "how"),
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -201,6 +201,7 @@
 	t.log.WithFields(logrus.Fields{"fence_version": t.fenceVersion, "former_term": t.former.Term, "former_leader": t.former.Node, "former_released": t.former.Released,
 		"former_runs_known": t.former.RunsKnown, "former_leases_ms": t.formerLeasesEnd().Sub(t.now).Milliseconds()}).Info("term begins")
 	go t.loadTables()
+	defer t.recordLoading()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for t.ctx.Err() == nil {
@@ -335,7 +336,7 @@
 	t.resendMoves()
 	t.readCancellationsOfMovedJobs()
 	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
-		"recorded_workers": recorded, "recorded_runs": recordedRuns, "records_since": t.leaseRecordsSince, "configuration": t.configurationVersion()}).Info("term has loaded its tables")
+		"recorded_workers": recorded, "recorded_runs": recordedRuns, "took_ms": time.Since(t.startedAt).Milliseconds(), "records_since": t.leaseRecordsSince, "configuration": t.configurationVersion()}).Info("term has loaded its tables")
 	t.schedulePolls()
 }
 
