--- a/internal/fleet/gates_decisions_test.go
+++ b/internal/fleet/gates_decisions_test.go
@@ -66,7 +66,7 @@
 	unknown := testWorker("u")
 	unknown.answered, unknown.inherited, unknown.inheritedLeaseEnd = false, true, at(15)
 	tm.workers["u"] = unknown
-	tm.markLost(runs[0], "missing")
+	tm.markLost(runs[0], reasonMissing)
 	tm.checkRuns()
 	require.True(t, runs[1].live())
 	tm.confirmedAt = at(16)
--- a/internal/fleet/held_starts.go
+++ b/internal/fleet/held_starts.go
@@ -30,9 +30,9 @@
 		case r.job.visibleState == StateQueued:
 			t.heldStarts = append(t.heldStarts, r)
 		case !t.mayStillStart(r):
-			t.markLost(r, "not-sent")
+			t.markLost(r, reasonNotSent)
 			if r.step.Gang {
-				t.stopGang(r.job, r.key, "not-sent")
+				t.stopGang(r.job, r.key, reasonNotSent)
 			}
 		default:
 			ready = append(ready, r)
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -214,6 +214,39 @@
 	}
 }
 
+// A task whose start got no answer before its worker was lost was taken for one that is certainly not done, and its
+// next run for a proof that something of its job runs.
+func TestTaskOfUnansweredStartMayBeDone(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(tm *term, r *run)
+		reason  string
+		want    bool
+	}{
+		"answered, leases end":                  {func(tm *term, r *run) { tm.confirmStart(r) }, reasonLeaseOver, true},
+		"not answered, leases end":              {nil, reasonLeaseOver, true},
+		"not answered, worker restarts":         {nil, reasonRestarted, true},
+		"not answered, passed, then missing":    {func(tm *term, r *run) { tm.passRun(r, testWorker("w")) }, reasonMissing, true},
+		"not answered, passed, then stopped":    {func(tm *term, r *run) { tm.passRun(r, testWorker("w")) }, reasonStoppedUnseen, true},
+		"not answered, stopped by the lifetime": {nil, reasonStoppedUnseen, false},
+		"refused":                               {nil, reasonRefused, false},
+		"not sent":                              {nil, reasonNotSent, false},
+		"held back, worker restarts":            {func(_ *term, r *run) { r.state = runHeld }, reasonRestarted, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}}, 0, epoch)
+			o := j.openOccurrence(0, time.Time{}, epoch)
+			tm.jobs["j"] = j
+			r := tm.startAttempt(j, taskKey{0, 0, 0}, testWorker("w"), "", 1, "")
+			if c.prepare != nil {
+				c.prepare(tm, r)
+			}
+			tm.markLost(r, c.reason)
+			require.Equal(t, c.want, o.steps[0].tasks[0].mayBeDone)
+		})
+	}
+}
+
 // A plan whose last step started more than was left of its bound ended the leader's process.
 func TestPlanMayExceedItsBoundOfStarts(t *testing.T) {
 	tm := newTestTerm(1)
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -180,13 +180,13 @@
 func (t *term) applyFormerStartReply(r *run, e startReply) {
 	switch {
 	case notSent(e.err):
-		t.markLost(r, "not-sent")
+		t.markLost(r, reasonNotSent)
 	case e.err != nil: // the run stays in doubt
 	case e.reply.Verdict == StartRunning:
 		t.confirmStart(r)
 	case e.reply.Verdict == StartFenced:
 		t.end("a worker has seen a higher fence")
 	default:
-		t.markLost(r, "refused")
+		t.markLost(r, reasonRefused)
 	}
 }
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -328,13 +328,13 @@
 		case runUnconfirmed:
 			t.stopRun(r, "start-unanswered")
 		case runLive:
-			t.markLost(r, "missing")
+			t.markLost(r, reasonMissing)
 		case runStopping:
 			if r.stopAnswered {
 				t.settleUnansweredStart(w, ref)
-				t.markLost(r, "stopped-unseen")
+				t.markLost(r, reasonStoppedUnseen)
 			} else if e.sent.After(r.startArrivesBy()) {
-				t.markLost(r, "missing")
+				t.markLost(r, reasonMissing)
 			}
 		}
 	}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -190,11 +190,11 @@
 			t.probe(w) // its report begins the other lifetime
 		}
 		w.countUnanswered(t.now)
-		t.markLost(r, "not-sent")
+		t.markLost(r, reasonNotSent)
 		return
 	case notSent(err):
 		withdrawn := r.withdrawn == nil // by the term, which says nothing about the worker
-		t.markLost(r, "not-sent")
+		t.markLost(r, reasonNotSent)
 		if !withdrawn {
 			t.recordNoAnswer(w, err)
 		}
@@ -232,7 +232,7 @@
 		}
 		w.health.exclude(t.now)
 	}
-	t.markLost(r, "refused")
+	t.markLost(r, reasonRefused)
 	if _, tk := r.job.task(r.key); tk != nil {
 		tk.notBefore = t.now.Add(taskRetryPause)
 	}
@@ -250,7 +250,7 @@
 // run's capacity is freed when the worker reports its end.
 func (t *term) stopRun(r *run, reason string) {
 	if r.state == runHeld { // the worker knows nothing of it
-		t.markLost(r, "not-sent")
+		t.markLost(r, reasonNotSent)
 		return
 	}
 	if r.state != runStopping {
@@ -334,12 +334,18 @@
 	}
 }
 
-// reasonLeaseOver is the reason of runs that are marked lost because their worker did not
-// answer for longer than its lease.
-const reasonLeaseOver = "lease-over"
-
-// reasonRestarted is the reason of runs that are marked lost because their worker runs no more.
-const reasonRestarted = "worker-restarted"
+// Reasons of runs that are marked lost.
+const (
+	// reasonLeaseOver: the worker did not answer for longer than its lease.
+	reasonLeaseOver = "lease-over"
+	// reasonRestarted: the worker runs no more.
+	reasonRestarted = "worker-restarted"
+	// reasonNotSent and reasonRefused: the worker did not get the start, or refused it.
+	reasonNotSent, reasonRefused = "not-sent", "refused"
+	// reasonMissing and reasonStoppedUnseen: a complete report lists neither the run nor its end, after it
+	// was started and after it was stopped.
+	reasonMissing, reasonStoppedUnseen = "missing", "stopped-unseen"
+)
 
 // markLost drops a run that has certainly stopped although no end was reported.
 func (t *term) markLost(r *run, reason string) {
@@ -354,7 +360,7 @@
 		return
 	}
 	t.dropRun(tk, r)
-	tk.mayBeDone = tk.mayBeDone || r.answered
+	tk.mayBeDone = tk.mayBeDone || r.mayHaveEndedUnseen(reason)
 	r.job.leaseExpired = r.job.leaseExpired || reason == reasonLeaseOver
 	t.saveCheckpoint(r.job, tk, r, r.checkpoint)
 	tk.account.endRun(r, false, tk.checkpoint != "", t.now)
@@ -363,6 +369,19 @@
 		"choice": "lost", "reason": reason, "seen_ms": r.seenRunning().Milliseconds()}).Info("run lost")
 }
 
+// mayHaveEndedUnseen reports whether a run that is lost for a reason may have ended without being listed.
+func (r *run) mayHaveEndedUnseen(reason string) bool {
+	switch {
+	case r.answered:
+		return true
+	case reason == reasonNotSent || reason == reasonRefused || r.state == runHeld:
+		return false
+	case reason == reasonMissing || reason == reasonStoppedUnseen:
+		return r.passed // an earlier lifetime may have carried the start out
+	}
+	return true
+}
+
 func (t *term) dropRun(tk *task, r *run) {
 	if i := slices.Index(tk.runs, r); i >= 0 {
 		tk.runs = slices.Delete(tk.runs, i, i+1)
