--- a/internal/fleet/loading.go
+++ b/internal/fleet/loading.go
@@ -46,8 +46,8 @@
 type readLimiter struct {
 	slots chan struct{}
 	mu    sync.Mutex
-	// rows is the number of rows of the next page.
-	rows int
+	// rows is the number of rows of the next page, by table.
+	rows map[string]int
 }
 
 // newReadLimiter returns the limiter for a link of some bytes per second, 0 for an unknown one.
@@ -56,11 +56,11 @@
 	if linkBytes <= 0 || n >= maxLimitedReads {
 		return nil
 	}
-	return &readLimiter{slots: make(chan struct{}, max(n, 1)), rows: firstPageRows}
+	return &readLimiter{slots: make(chan struct{}, max(n, 1)), rows: map[string]int{}}
 }
 
-// acquire waits until a page may be read and returns the largest number of its rows.
-func (l *readLimiter) acquire(ctx context.Context) (rows int, err error) {
+// acquire waits until a page of a table may be read and returns the largest number of its rows.
+func (l *readLimiter) acquire(ctx context.Context, table string) (rows int, err error) {
 	if l == nil {
 		return maxPageRows, nil
 	}
@@ -71,11 +71,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.rows, nil
+	if rows, seen := l.rows[table]; seen {
+		return rows, nil
+	}
+	return firstPageRows, nil
 }
 
-// release ends the read of a page with these rows.
-func (l *readLimiter) release(rows []Row) {
+// release ends the read of a page of a table with these rows.
+func (l *readLimiter) release(table string, rows []Row) {
 	if l == nil {
 		return
 	}
@@ -89,7 +92,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.rows = min(max(limitedPageBytes*len(rows)/bytes, minPageRows), maxPageRows)
+	l.rows[table] = min(max(limitedPageBytes*len(rows)/bytes, minPageRows), maxPageRows)
 }
 
 // observedStore notes when a read of rows was last answered.
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -61,14 +61,14 @@
 }
 
 func listPage(ctx context.Context, s Store, table, part, from string, limiter *readLimiter) (Page, error) {
-	limit, err := limiter.acquire(ctx)
+	limit, err := limiter.acquire(ctx, table)
 	if err != nil {
 		return Page{}, err
 	}
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	page, err := s.List(call, table, part, from, "", limit)
-	limiter.release(page.Rows)
+	limiter.release(table, page.Rows)
 	return page, err
 }
 
