--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -10,9 +10,9 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// Hosts may differ in size, and the leader's work grows with the fleet. The node that first
-// notices missing renewals takes leadership, whatever the size of its host, so that work does
-// not wait. It then hands leadership over to a clearly larger host that asks for it.
+// Hosts may differ in size, and the leader's work grows with the fleet. Small hosts campaign a
+// little later than large ones; see campaignExtraDelay. One that takes leadership all the same
+// hands it over to a clearly larger host that asks for it.
 
 const (
 	// largerHostRatio is the minimum ratio of processor shares at which leadership is handed
