--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -39,6 +39,9 @@
 	// which use the workers less well, as a job searches for free capacity in one cell at a
 	// time.
 	cellBudgetShare = 0.6
+	// lastHostsBudgetShare is the same for the smallest hosts, which lead only after all larger ones
+	// are lost. Peaks wait there.
+	lastHostsBudgetShare = 0.95
 	// hostsPerCell is how many hosts per cell should be able to lead a cell, so that there are
 	// spare hosts.
 	hostsPerCell = 2
@@ -138,23 +141,23 @@
 // singleCellLayout returns the layout of a fleet with one cell.
 func singleCellLayout() *layout { return &layout{Cells: 1, Slots: make([]byte, singleCellSlots)} }
 
-// workerCapacityOf returns the number of workers of the largest cell that a host can lead, by
-// its processor and its link. Unknown limits are not applied.
-func workerCapacityOf(h Limits) int {
+// workerCapacityOf returns the number of workers of the largest cell that a host can lead with a
+// share of its processor and its link. Unknown limits are not applied.
+func workerCapacityOf(h Limits, share float64) int {
 	n := 1 << 20
 	if h.MilliCPU > 0 {
-		n = min(n, int(cellBudgetShare*float64(h.MilliCPU)/milliCPUPerWorker))
+		n = min(n, int(share*float64(h.MilliCPU)/milliCPUPerWorker))
 	}
 	if h.LinkBytes > 0 {
-		n = min(n, int(cellBudgetShare*float64(h.LinkBytes)/bytesPerWorker))
+		n = min(n, int(share*float64(h.LinkBytes)/bytesPerWorker))
 	}
 	return n
 }
 
 // cellCount returns the number of cells for a fleet. It finds the least number for which
-// enough hosts can lead a cell. Of the numbers from there to a third more, it chooses the one
-// with the most even division of workers by racks. The result is 1 if enough hosts can lead
-// all workers. Hosts may be of different sizes.
+// enough hosts can lead a cell, and for which the hosts that are left can lead all cells after
+// the largest ones are lost. Of the numbers from there to a third more, it chooses the one
+// with the most even division of workers by racks. Hosts may be of different sizes.
 func cellCount(hosts []Limits, racks map[string]int) int {
 	workers := 0
 	for _, n := range racks {
@@ -163,7 +166,7 @@
 	most := max(1, min(len(racks), len(hosts), workers/minWorkersPerCell, MaxCells))
 	least := most
 	for n := 1; n < most; n++ {
-		if hasEnoughHosts(hosts, n, workers) {
+		if hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers) {
 			least = n
 			break
 		}
@@ -181,16 +184,45 @@
 	return best
 }
 
-// hasEnoughHosts reports whether enough hosts can lead one of n cells: hostsPerCell for each
-// cell, or all hosts if there are fewer.
+// hasEnoughHosts reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all
+// hosts if there are fewer. A large host counts for up to hostsPerCell cells.
 func hasEnoughHosts(hosts []Limits, n, workers int) bool {
-	able := 0
+	led := 0
 	for _, h := range hosts {
-		if workerCapacityOf(h)*n >= workers {
-			able++
+		led += min(cellsLed(h, cellBudgetShare, n, workers), n, hostsPerCell)
+	}
+	return led >= min(hostsPerCell*n, len(hosts))
+}
+
+// lastHostsLead reports whether n cells are small enough for the hosts that are left after the
+// largest ones are lost. A division into larger cells would leave a small host with more than it
+// carries, although the small hosts could lead the fleet together.
+func lastHostsLead(hosts []Limits, n, workers int) bool {
+	led := 0
+	for _, h := range lastHosts(hosts, workers) {
+		led += cellsLed(h, lastHostsBudgetShare, n, workers)
+	}
+	return led >= n
+}
+
+// cellsLed returns how many of n cells a host can lead with a share of its processor and its link.
+func cellsLed(h Limits, share float64, n, workers int) int {
+	return workerCapacityOf(h, share) * n / workers
+}
+
+// lastHosts returns the smallest hosts that could lead hostsPerCell times the workers together, or
+// all hosts if they cannot.
+func lastHosts(hosts []Limits, workers int) []Limits {
+	bySize := slices.SortedFunc(slices.Values(hosts), func(a, b Limits) int {
+		return cmp.Compare(workerCapacityOf(a, lastHostsBudgetShare), workerCapacityOf(b, lastHostsBudgetShare))
+	})
+	carried := 0
+	for i, h := range bySize {
+		if carried += workerCapacityOf(h, lastHostsBudgetShare); carried >= hostsPerCell*workers {
+			return bySize[:i+1]
 		}
 	}
-	return able >= min(hostsPerCell*n, len(hosts))
+	return bySize
 }
 
 // sizeExcess returns by which share the largest of n cells exceeds the mean size.
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -36,7 +38,9 @@
 		"one host carries all":                   {hostsOf(6, 400, 125_000_000), racksOf(6, 8), 1, 1},
 		"unknown hosts do not bind":              {hostsOf(6, 0, 0), racksOf(10, 20), 1, 1},
 		"no workers":                             {hostsOf(6, 400, 0), nil, 1, 1},
-		"as many as the large hosts carry":       {mixed, racksOf(55, 20), 3, 7},
+		"as many as the small hosts carry":       {mixed, racksOf(55, 20), 8, 10},
+		"one cell for large hosts only":          {hostsOf(6, 800, 25_000_000), racksOf(18, 20), 1, 1},
+		"one tiny host does not count":           {append(hostsOf(6, 800, 25_000_000), hostsOf(1, 10, 0)...), racksOf(18, 20), 1, 1},
 		"small hosts need many":                  {hostsOf(147, 192, 2_500_000), racksOf(55, 20), 10, 30},
 		"narrow links":                           {hostsOf(24, 800, 250_000), racksOf(10, 12), 3, 4},
 		"never more cells than racks":            {hostsOf(40, 10, 0), racksOf(4, 200), 4, 4},
@@ -51,6 +55,34 @@
 	}
 }
 
+// A fleet was one cell because some large hosts carried it. When these were lost, a small host led all workers
+// and could not start their work, though the small hosts could have done so together.
+func TestNoHostLeadsMoreThanItCarries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		small := rapid.Int64Range(100, 800).Draw(t, "small host")
+		hosts := hostsOf(rapid.IntRange(20, 60).Draw(t, "small hosts"), small, 1_250_000)
+		hosts = append(hosts, hostsOf(rapid.IntRange(0, 20).Draw(t, "large hosts"), rapid.Int64Range(small, 4000).Draw(t, "large host"), 25_000_000)...)
+		racks := rapid.IntRange(20, 60).Draw(t, "racks")
+		cells, workers := cellCount(hosts, racksOf(racks, 20)), racks*20
+		if cells == min(racks, len(hosts), workers/minWorkersPerCell) {
+			return // no further division is possible
+		}
+		bySize := slices.SortedFunc(slices.Values(hosts), func(a, b Limits) int { return cmp.Compare(a.MilliCPU, b.MilliCPU) })
+		for lost := range hosts { // the largest first
+			left, carried, led := bySize[:len(hosts)-lost], 0, 0
+			for _, h := range left {
+				c := workerCapacityOf(h, lastHostsBudgetShare)
+				carried += c
+				led += c * cells / workers
+			}
+			if carried < hostsPerCell*workers {
+				return // they cannot lead the fleet with a spare host for each other one
+			}
+			require.GreaterOrEqual(t, led, cells, "%d largest hosts lost", lost)
+		}
+	})
+}
+
 // Each job and each rack must have exactly one cell, and cells must be of about equal size.
 // Racks that are added later must not change the cells of the others, since the workers of a
 // rack hold runs of its cell.
