--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -44,7 +44,8 @@
 	return idleLimit
 }
 
-// mostlyFree reports whether less than idleReservedShare of a service's processors are reserved.
+// mostlyFree reports whether less than idleReservedShare of a service's processors are reserved, in
+// the cell or in all cells together: a job may not idle because its cell is fuller than others.
 // Workers that get no work for the moment count too.
 func (t *term) mostlyFree(service model.ServiceName) bool {
 	reserved, capacity := int64(0), int64(0)
@@ -54,6 +55,13 @@
 			capacity += w.info.Capacity.MilliCPU
 		}
 	}
+	if float64(reserved) < idleReservedShare*float64(capacity) {
+		return true
+	}
+	for _, o := range t.otherCellLoads() {
+		reserved += o.load.Reserved
+		capacity += o.load.Capacity
+	}
 	return float64(reserved) < idleReservedShare*float64(capacity)
 }
 
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -128,19 +128,38 @@
 	})
 }
 
-// Where services reserve the processors, fillers that no service tolerates at full pace wait.
+// Where services reserve the processors, fillers that no service tolerates at full pace wait. In a cell that is
+// fuller than others they waited until the end beside a fleet that was mostly free.
 func TestNoReducedStartWhereServicesReserveMostProcessors(t *testing.T) {
-	tm := loadedTerm(t)
-	w := testWorker("w")
-	tm.workers["w"] = w
-	tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
-	addService(tm, w, 100, 9000, 1.2)
-	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 2, Filler: true, Image: "f", Needs: model.Resources{MilliCPU: 1800}}}}}, 0, epoch)
-	j.openOccurrence(0, time.Time{}, epoch)
-	tm.jobs["j"] = j
-	tm.now, tm.lastRenewal = at(5), at(5)
-	tm.plan()
-	require.Len(t, w.runs, 1)
+	for name, c := range map[string]struct {
+		others []cellLoad
+		runs   int
+	}{
+		"one cell":            {nil, 1},
+		"other cell is full":  {[]cellLoad{{Capacity: 16_000, Reserved: 9000}}, 1},
+		"other cells are not": {[]cellLoad{{Capacity: 16_000, Reserved: 9000}, {Capacity: 16_000, Reserved: 4000}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			w := testWorker("w")
+			tm.workers["w"] = w
+			tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
+			addService(tm, w, 100, 9000, 1.2)
+			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 2, Filler: true, Image: "f", Needs: model.Resources{MilliCPU: 1800}}}}}, 0, epoch)
+			j.openOccurrence(0, time.Time{}, epoch)
+			tm.jobs["j"] = j
+			tm.now, tm.lastRenewal = at(5), at(5)
+			tm.cellLoads = func() []reportedLoad {
+				var loads []reportedLoad
+				for i, l := range c.others {
+					loads = append(loads, reportedLoad{i + 1, l, tm.now})
+				}
+				return loads
+			}
+			tm.plan()
+			require.Len(t, w.runs, c.runs)
+		})
+	}
 }
 
 // A leader stopped the fillers that an earlier one had started as paused for too long, when it had
