--- a/internal/fleet/cell.go
+++ b/internal/fleet/cell.go
@@ -109,9 +109,14 @@
 
 // campaignExtraDelay is how much longer than other nodes this node waits before a campaign.
 // Small hosts and hosts that already lead cells wait longer, so that few nodes campaign at
-// the same time, and the lead of a large host goes to another one without a hand-over.
+// the same time, and the lead of a large host goes to another one without a hand-over. A host
+// that does not carry another cell leaves it to those that do.
 func (n *Node) campaignExtraDelay(d *cellTable) time.Duration {
-	h, largest := time.Duration(n.ledCells())*ledCellDelay, n.maxMilliCPU(d)
+	led := n.ledCells()
+	h, largest := time.Duration(led)*ledCellDelay, n.maxMilliCPU(d)
+	if led > 0 && !d.layout.carries(n.cfg.Limits, led+1) {
+		h += fullHostDelay
+	}
 	if len(d.cells) > 1 {
 		largest = max(largest, largeHostMilliCPU)
 	}
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -31,10 +31,12 @@
 	leaderWatchPauseSmall = 700 * time.Millisecond
 	// smallHostDelay is how much longer a host waits before a campaign for each multiple of
 	// its own processor share by which the largest known host exceeds it, up to
-	// smallHostDelayMax. ledCellDelay is how much longer it waits for each cell that it leads.
+	// smallHostDelayMax. ledCellDelay is how much longer it waits for each cell that it leads, and
+	// fullHostDelay if it would lead more than it carries.
 	smallHostDelay    = 120 * time.Millisecond
 	smallHostDelayMax = 800 * time.Millisecond
 	ledCellDelay      = 200 * time.Millisecond
+	fullHostDelay     = 600 * time.Millisecond
 	// largeHostMilliCPU is the lower bound of the largest processor share in this comparison in a
 	// fleet of several cells, in thousandths of a core. It applies also while no leader is known.
 	largeHostMilliCPU = 800
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -56,6 +56,9 @@
 	Slots []byte `cbor:"2,keyasint"`
 	// Racks holds the cell's index for each rack group; see rackGroup.
 	Racks map[string]byte `cbor:"3,keyasint"`
+	// Workers is the number of workers in these racks when they were assigned; 0 in layouts of earlier
+	// versions.
+	Workers int `cbor:"4,keyasint,omitempty"`
 	// version is the version of the row.
 	version uint64
 }
@@ -210,6 +213,11 @@
 	return workerCapacityOf(h, share) * n / workers
 }
 
+// carries reports whether a host can lead some of the layout's cells. Unknown sizes do not bind.
+func (l *layout) carries(h Limits, cells int) bool {
+	return l.Workers == 0 || cellsLed(h, lastHostsBudgetShare, l.Cells, l.Workers) >= cells
+}
+
 // lastHosts returns the smallest hosts that could lead hostsPerCell times the workers together, or
 // all hosts if they cannot.
 func lastHosts(hosts []Limits, workers int) []Limits {
@@ -272,6 +280,7 @@
 	sizes := make([]int, cells)
 	for rack, n := range racks {
 		sizes[l.Racks[rack]] += n
+		l.Workers += n
 	}
 	for i, cell := range assignSlots(sizes, len(l.Slots)) {
 		l.Slots[i] = byte(cell)
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -149,3 +150,26 @@
 	require.False(t, (&layout{Cells: 2, Slots: []byte{0, 1}, Racks: map[string]byte{"r": 2}}).valid())
 	require.False(t, (&layout{Cells: MaxCells + 1, Slots: []byte{0}}).valid())
 }
+
+// A host that led as many cells as it carries campaigned for the next one before hosts that led none.
+func TestFullHostCampaignsAfterOthers(t *testing.T) {
+	l := newLayout(3, racksOf(18, 20))
+	delay := func(milliCPU int64, led int) time.Duration {
+		n := &Node{cfg: Config{Limits: Limits{MilliCPU: milliCPU}}}
+		d := &cellTable{layout: l}
+		for i := range l.Cells {
+			c := &cell{index: i}
+			if i < led {
+				c.term.Store(newTestTerm(i))
+			}
+			d.cells = append(d.cells, c)
+		}
+		n.cellTable.Store(d)
+		return n.campaignExtraDelay(d)
+	}
+	require.Less(t, delay(800, 2), delay(192, 1), "a large host carries three cells")
+	require.Less(t, delay(192, 0)+campaignJitter, delay(192, 1), "a small host carries one")
+	require.Less(t, delay(192, 0), delay(400, 2), "another host carries two of them")
+	l.Workers = 0
+	require.Less(t, delay(400, 2), delay(192, 1), "sizes are not known")
+}
--- a/internal/fleet/racks.go
+++ b/internal/fleet/racks.go
@@ -72,12 +72,15 @@
 // extendLayout stores a layout with new racks. It expects the version that it extends, so that
 // two leaders cannot both assign a rack.
 func (t *term) extendLayout(old *layout, racks map[string]int) {
-	l := &layout{Cells: old.Cells, Slots: old.Slots, Racks: maps.Clone(old.Racks)}
+	l := &layout{Cells: old.Cells, Slots: old.Slots, Racks: maps.Clone(old.Racks), Workers: old.Workers}
 	known := map[string]int{}
 	for rack := range old.Racks {
 		known[rack] = 1 // the sizes of other cells' racks are not known here, so all count the same
 	}
-	for rack := range racks {
+	for rack, n := range racks {
+		if old.Workers > 0 {
+			l.Workers += n
+		}
 		racks[rack] = 1
 	}
 	l.addRacks(racks, known)
