--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -119,8 +119,8 @@
 func newCluster(o Options, dir string) (*cluster, error) {
 	c := &cluster{binary: o.Binary, cells: o.Cells, dir: dir, large: largeHosts(o), narrow: o.Small > 0, rows: fleettest.NewStore(o.Seed), ledger: fleettest.NewRunChecker(), lastStart: 1000,
 		clocks: rand.New(rand.NewPCG(o.Seed, 15))}
-	if c.narrow {
-		c.cells = 1
+	if c.narrow && c.cells == 0 {
+		c.cells = 1 // as hard for a small host as can be
 	}
 	var err error
 	if c.network, err = reserveNetwork(0); err != nil {
