--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -18,6 +18,11 @@
 	// commitInterval is the least interval between the starts of two transactions. Each is
 	// charged for and takes about 12 ms, so a shorter interval would only make them smaller.
 	commitInterval = 30 * time.Millisecond
+	// progressCommitInterval is that interval while nobody waits for what there is to store. It is short
+	// enough that a worker's ends are stored before the next regular poll would list them again.
+	progressCommitInterval = 80 * time.Millisecond
+	// commitCheckInterval is the interval between two checks of whether somebody waits.
+	commitCheckInterval = 10 * time.Millisecond
 	// maxCommitRows bounds the rows of a transaction; the store allows 100 entries.
 	maxCommitRows = 90
 	// maxCommitBytes bounds the values of a transaction; the store allows 1 MB of
@@ -105,6 +110,10 @@
 		return nil
 	}
 	renew := t.now.Sub(t.lastRenewal) >= renewInterval
+	if !renew && t.now.Sub(t.lastCommitStart) < progressCommitInterval && !t.commitAwaited() {
+		t.nextCommit = t.now.Add(commitCheckInterval)
+		return nil
+	}
 	c, complete := t.collectTransaction()
 	release := t.stopping && !t.ordersPending() && !t.maintenancePending() && t.leasesRecorded(complete)
 	readingDue := t.stopping && t.storeClock.at.Before(t.stoppedAt)
@@ -113,10 +122,54 @@
 	}
 	t.addFence(c, renew || release, release)
 	t.pendingCommit, t.confirmationDue = c, false
-	t.nextCommit = t.now.Add(commitInterval)
+	t.lastCommitStart, t.nextCommit = t.now, t.now.Add(commitInterval)
 	return c
 }
 
+// commitAwaited reports whether callers, workers or other cells wait for the next transaction. Nobody waits
+// for ends of single tasks, checkpoints, and rows of workers that run nothing any more.
+func (t *term) commitAwaited() bool {
+	if t.stopping || t.confirmationDue || len(t.usedRowsToPut) > 0 {
+		return true
+	}
+	for _, j := range t.jobs {
+		if j.dirty && j.commitAwaited() {
+			return true
+		}
+	}
+	for _, w := range t.workers {
+		if t.loaded && t.leaseRecordNeeded(w) {
+			return true
+		}
+	}
+	for _, w := range t.waves {
+		if w.dirty {
+			return true
+		}
+	}
+	return false
+}
+
+// commitAwaited reports whether somebody waits until the job's progress is stored: callers for the end of the
+// job, another cell for a task or the whole job, a worker for a start that is held back, or the
+// job itself, for which an earlier transaction had too little space.
+func (j *job) commitAwaited() bool {
+	if j.needsOwnCommit || len(j.returns) > 0 || j.movedTo > 0 && !j.moveStored || j.state().Final() != j.visibleState.Final() {
+		return true
+	}
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			for i := range o.steps[s].tasks {
+				tk := &o.steps[s].tasks[i]
+				if tk.lentTo > 0 && !tk.lentSent || slices.ContainsFunc(tk.runs, func(r *run) bool { return r.state == runHeld && j.holdsStart(r.step) }) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // collectTransaction collects progress, used workers and waves for a transaction. It reports
 // whether all progress fits.
 func (t *term) collectTransaction() (*pendingCommit, bool) {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -107,6 +107,8 @@
 	startVersion  uint64
 	pendingCommit *pendingCommit
 	nextCommit    time.Time
+	// lastCommitStart is when the last transaction was started.
+	lastCommitStart time.Time
 	// lastCommitTime is how long the last transaction took.
 	lastCommitTime time.Duration
 	lastRenewal    time.Time // when the last successful renewal was sent
