Starts that wait for a call slot have a reason of their own

The runs were held back until the host may begin another call; both kinds are in state runHeld, and the gate asked for the state only.

The gate asks the held run what it waits for: `start-record` stays for first starts of services that wait for the record, `call-slot` is new.

--- a/internal/fleet/held_starts.go
+++ b/internal/fleet/held_starts.go
@@ -12,6 +12,14 @@
 	return s.Lasting && !s.Filler && j.visibleState == StateQueued && len(j.borrowed) == 0
 }
 
+// heldFor returns what the start order of a held run waits for.
+func (r *run) heldFor() waitReason {
+	if r.job.holdsStart(r.step) {
+		return waitsForStartRecord
+	}
+	return waitsForCallSlot
+}
+
 // holdStart holds the start order of a run back.
 func (t *term) holdStart(r *run) {
 	r.state = runHeld
--- a/internal/fleet/waits.go
+++ b/internal/fleet/waits.go
@@ -18,6 +18,7 @@
 	waitsForQueue
 	waitsForBorrower
 	waitsForStartRecord
+	waitsForCallSlot
 	waitsForStartAnswer
 	waitsForStop
 	waitsForRetry
@@ -46,6 +47,7 @@
 	waitsForQueue:            {"queue", "no configuration has its queue"},
 	waitsForBorrower:         {"lent", "another cell has borrowed the task"},
 	waitsForStartRecord:      {"start-record", "the first start of a service is stored before it is ordered"},
+	waitsForCallSlot:         {"call-slot", "the leader's host carries out as many calls as it can; the start has its place on a worker"},
 	waitsForStartAnswer:      {"start-answer", "a start got no answer and may still be carried out"},
 	waitsForStop:             {"stop", "a run of the task is being stopped"},
 	waitsForRetry:            {"retry", "a pause after a refused start"},
@@ -116,7 +118,7 @@
 		case runSent, runLive:
 			return waitsForNothing
 		case runHeld:
-			reason = max(reason, waitsForStartRecord)
+			reason = max(reason, r.heldFor())
 		case runUnconfirmed:
 			reason = max(reason, waitsForStartAnswer)
 		case runStopping:
