--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -26,7 +26,8 @@
 	// changes every 400 ms, so an empty answer means that renewals are missing.
 	leaderWatchWait = 900 * time.Millisecond
 	// leaderWatchPause is the pause between two watches of the renewals of several cells.
-	// leaderWatchPauseSmall is that of small hosts, which lead only when no larger host does.
+	// leaderWatchPauseSmall is that of small hosts, which lead only when no larger host does, for any number
+	// of cells.
 	leaderWatchPause      = 200 * time.Millisecond
 	leaderWatchPauseSmall = 700 * time.Millisecond
 	// smallHostDelay is how much longer a host waits before a campaign for each multiple of
@@ -50,7 +51,9 @@
 	// store's clock. silentSince is when it was first seen, or when reading resumed or a campaign failed if
 	// that is later.
 	sentBy, silentSince time.Time
-	jitter              time.Duration
+	// seenAt is when the last renewal was first seen, or when reading resumed if that is later.
+	seenAt time.Time
+	jitter time.Duration
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
 	// because its host is smaller or already leads other cells.
 	extraDelay time.Duration
@@ -123,13 +126,24 @@
 	if row.Version == f.version {
 		return
 	}
-	f.record, f.known, f.version, f.sentBy, f.silentSince = r, true, row.Version, now, now
+	f.record, f.known, f.version, f.sentBy, f.silentSince, f.seenAt = r, true, row.Version, now, now, now
 	if r.StoreNow > 0 && storeNow > r.StoreNow {
 		f.sentBy = now.Add(r.StoreNow - storeNow)
 	}
 	f.jitter = time.Duration(rand.Int64N(int64(campaignJitter)))
 }
 
+// watchPause is a pause between two watches, in which a node sees no renewals.
+type watchPause struct{ began, ended time.Time }
+
+// discountPause dates a renewal that was just seen by when it would have been seen without a pause before
+// the watch: the pause must not delay a campaign.
+func (f *leaderWatch) discountPause(p watchPause) {
+	if f.sentBy.Before(p.ended) {
+		f.silentSince = latest(f.sentBy, p.began)
+	}
+}
+
 // watchLeaders watches the renewals of all cells' leaders and campaigns where they stop.
 func (n *Node) watchLeaders(ctx context.Context) {
 	after, ok := n.awaitLayout(ctx)
@@ -178,18 +192,32 @@
 	return wait
 }
 
-// pauseWatch pauses after a watch so that the next one returns the renewals of several cells
-// together: without the pause, each renewal would wake every node.
+// pauseWatch pauses after a watch so that the next one returns several renewals together: without the
+// pause, each renewal would wake every node.
 func (n *Node) pauseWatch(ctx context.Context, changed bool) {
-	d := n.cellTable.Load()
-	if len(d.cells) == 1 || !changed {
+	n.watchPause = watchPause{}
+	pause := min(n.watchPauseTime(), n.nextWatchWait())
+	if !changed || pause <= 0 {
 		return
 	}
-	pause := leaderWatchPause
-	if n.isSmall(d) {
-		pause = leaderWatchPauseSmall
+	began := time.Now()
+	sleep(ctx, pause)
+	n.watchPause = watchPause{began, time.Now()}
+}
+
+// watchPauseTime returns how long this node pauses after renewals. One that has asked for leadership must see
+// soon that it has been released.
+func (n *Node) watchPauseTime() time.Duration {
+	d := n.cellTable.Load()
+	switch {
+	case time.Since(n.leadershipRequestedAt) < leadershipRequestInterval:
+		return 0
+	case n.isSmall(d):
+		return leaderWatchPauseSmall
+	case len(d.cells) > 1:
+		return leaderWatchPause
 	}
-	sleep(ctx, min(pause, n.nextWatchWait()))
+	return 0
 }
 
 // readLeaders reads the renewals of all cells and the layout, and restarts the time for
@@ -208,6 +236,7 @@
 	n.recordStoreAnswer()
 	for _, c := range d.cells {
 		c.watch.silentSince = time.Now()
+		c.watch.seenAt = c.watch.silentSince
 	}
 	n.applyLeaderRows(ctx, rows, page.Now)
 	return page.Version, true
@@ -232,13 +261,16 @@
 }
 
 func (n *Node) applyLeaderRow(ctx context.Context, c *cell, row Row, storeNow time.Duration) {
-	before := c.watch.record
+	before, version := c.watch.record, c.watch.version
 	c.watch.update(row, time.Now(), storeNow)
 	if !c.watch.known {
 		return
 	}
+	if c.watch.version != version {
+		c.watch.discountPause(n.watchPause)
+	}
 	r := c.watch.record
-	c.leader.Store(&leaderSnapshot{r, c.watch.silentSince})
+	c.leader.Store(&leaderSnapshot{r, c.watch.seenAt})
 	if before.Term != r.Term || before.Released != r.Released {
 		n.log.WithFields(logrus.Fields{"decision": "leader", "cell": c.index, "term": r.Term, "leader": r.Node, "address": r.Addr, "released": r.Released}).Info("leader changed")
 		n.offerWitness(ctx, c, r)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -87,6 +87,8 @@
 	// leadershipRequestedAt is when this node last asked a leader to hand over; owned by the
 	// goroutine of watchLeaders.
 	leadershipRequestedAt time.Time
+	// watchPause is the last pause of watchLeaders before its present watch; owned by the same goroutine.
+	watchPause watchPause
 }
 
 // routing is the configuration by which requests are routed.
