Pause fillers beside a service whose readings straddle its target

Cause: readings are rough. The time over target began anew with each reading below the target, however little, so a service that was kept just over it was never over it "for 1.2 s on end", and fillers were added and raised at each such reading. Fillers whose pressure is negligible one by one are slowed by nothing else, and several of them add up.

Change: a service is strained from a reading over its target until one is clearly below it or no filler works beside it; after 1.5 s all fillers there are paused.

--- a/internal/fleet/cell_load.go
+++ b/internal/fleet/cell_load.go
@@ -116,7 +116,7 @@
 // on all of its services.
 func (t *term) addLowPressureSpare(spare map[string]int64, w *worker, left int64) {
 	v := t.interference.viewOf(w, t.now)
-	if !v.overTargetSince.IsZero() {
+	if !v.acceptsFillers(t.now) {
 		return
 	}
 	for image := range spare {
--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -477,6 +477,55 @@
 	})
 }
 
+// Readings are rough: a service that many slight fillers together keep just over its target shows
+// every other reading below it. The fillers must be paused within the contract's bound all the same.
+func TestFillersArePausedWhenReadingsStraddleTheTarget(t *testing.T) {
+	for phase := range 14 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) { testStraddlingReadings(t, time.Duration(phase)*100*time.Millisecond) })
+	}
+}
+
+// testStraddlingReadings tests readings that err to the other side every 700 ms. The load rises at a
+// phase of that.
+func testStraddlingReadings(t *testing.T, phase time.Duration) {
+	const (
+		harmBound = 4 * time.Second
+		sample    = 50 * time.Millisecond
+		noise     = 0.04
+	)
+	runCluster(t, 16, 3, 1, fillerBesideService, func(t *testing.T, c *fleettest.Cluster) {
+		own, beside := 30.0, 30.0 // the service's tail latency without fillers, and beside them
+		c.Workers.WithLock(func() {
+			c.Workers.TailLatency = func(_ fleet.TaskName, fillers []fleet.TaskName) int {
+				tail := own
+				if len(fillers) > 0 {
+					tail = beside
+				}
+				if time.Now().UnixMilli()/700%2 == 0 {
+					return int(tail * (1 + noise))
+				}
+				return int(tail * (1 - noise))
+			}
+		})
+		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Lasting: true, LatencyTarget: 150 * time.Millisecond, Image: "s"}}})
+		time.Sleep(2 * time.Second)
+		submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: smallNeeds, Filler: true, Checkpoints: true, Estimate: 30 * time.Second, Image: "f"}}})
+		time.Sleep(3*time.Second + phase)
+		require.True(t, c.Workers.HasActiveFiller(c.Fleet[0]))
+		c.Workers.WithLock(func() { own, beside = 130, 153 })
+		over, longest := time.Duration(0), time.Duration(0)
+		for range 400 {
+			time.Sleep(sample)
+			over += sample
+			if !c.Workers.HasActiveFiller(c.Fleet[0]) {
+				over = 0
+			}
+			longest = max(longest, over)
+		}
+		require.Less(t, longest, harmBound)
+	})
+}
+
 // A paused filler must be moved once the pause has cost as much as a move: 400 ms for the stop
 // plus 250 ms to restore its progress. The leader notices it with the next report, up to
 // 500 ms later.
--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -225,7 +225,7 @@
 // One that may not be stopped goes on in any case. It reports whether the run goes on.
 func (t *term) reduceInPlace(v *interferenceView, r *run) bool {
 	o := r.job.openOccurrenceAt(r.key.occurrence)
-	if r.reduced || o == nil || r.step.Gang || !v.overTargetSince.IsZero() || r.job.worksBeside(r) || !r.worker.mayReduce() {
+	if r.reduced || o == nil || r.step.Gang || !v.acceptsFillers(t.now) || r.job.worksBeside(r) || !r.worker.mayReduce() {
 		return false
 	}
 	p := t.newPlacement(r.worker.info.Service)
--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -11,6 +11,9 @@
 	// headroomMargin is the share of the highest headroom that is kept as a margin above the
 	// target, as readings are inexact by some percent.
 	headroomMargin = 0.02
+	// clearHeadroom is the headroom from which a reading shows that a service is below its target.
+	// Nearer to it, single readings err to either side.
+	clearHeadroom = 1.1
 	// pressureSafetyFactor multiplies the learnt pressure of fillers, which varies within
 	// seconds. The margin thus grows with the pressure, so that fillers with low pressure
 	// continue at the peak of a service's load.
@@ -146,6 +149,12 @@
 	m := h.model(r.step.Image)
 	m.highestHeadroom = max(m.highestHeadroom, headroom)
 	fillerShares := r.worker.exposures.average(now)
+	switch {
+	case headroom >= clearHeadroom || len(fillerShares) == 0:
+		r.strainedSince = time.Time{}
+	case headroom < 1 && r.strainedSince.IsZero():
+		r.strainedSince = now
+	}
 	for image := range fillerShares {
 		h.fillerImages[image] = true
 	}
@@ -212,6 +221,31 @@
 	services   map[string]*serviceState
 	// overTargetSince is since when a service exceeds its latency target; zero if none does.
 	overTargetSince time.Time
+	// strainedSince is since when a service is strained by fillers; zero if none is.
+	strainedSince time.Time
+	// clear means that the last reading of each service is clearly below its target.
+	clear bool
+}
+
+// needsPause reports whether all fillers must be paused for a service that has been over its target,
+// or not clearly below it, for too long.
+func (v *interferenceView) needsPause(now time.Time) bool {
+	return !v.overTargetSince.IsZero() && now.Sub(v.overTargetSince) > pauseAllAfter ||
+		!v.strainedSince.IsZero() && now.Sub(v.strainedSince) > pauseStrainedAfter
+}
+
+// acceptsFillers reports whether fillers may be added or raised: no service is over its target, and
+// none is strained for so long that the fillers must be paused.
+func (v *interferenceView) acceptsFillers(now time.Time) bool {
+	return v.overTargetSince.IsZero() && !v.needsPause(now)
+}
+
+// earliestSet returns the earlier of two times; a zero time is later than any other.
+func earliestSet(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
 }
 
 // viewMaxAge is the age up to which a view is used again. Plans follow each other within
@@ -223,20 +257,20 @@
 	if w.interferenceView != nil && now.Sub(w.interferenceView.computedAt) < viewMaxAge {
 		return w.interferenceView
 	}
-	v := &interferenceView{computedAt: now, services: map[string]*serviceState{}}
+	v := &interferenceView{computedAt: now, services: map[string]*serviceState{}, clear: true}
 	w.interferenceView = v
 	for _, r := range w.runs {
 		if r.step == nil || r.step.LatencyTarget == 0 || !r.live() {
 			continue
 		}
-		if !r.overTargetSince.IsZero() && (v.overTargetSince.IsZero() || r.overTargetSince.Before(v.overTargetSince)) {
-			v.overTargetSince = r.overTargetSince
-		}
+		v.overTargetSince = earliestSet(v.overTargetSince, r.overTargetSince)
+		v.strainedSince = earliestSet(v.strainedSince, r.strainedSince)
 		m := h.model(r.step.Image)
 		keep := 1 + headroomMargin*m.highestHeadroom
 		soon, later := m.highestHeadroom/2, m.highestHeadroom/2 // before the first report
 		if !r.lastSample.reportedAt.IsZero() {
 			soon, later = h.trendOf(r).predict(&r.lastSample, now)
+			v.clear = v.clear && r.lastSample.headroom >= clearHeadroom
 		}
 		s := v.services[r.step.Image]
 		if s == nil {
@@ -275,7 +309,7 @@
 	tolerated = 1
 	for _, svc := range v.services {
 		own := svc.model.plannedPressure(s.Image, now) * share
-		if !v.overTargetSince.IsZero() {
+		if !v.acceptsFillers(now) {
 			return 0, 0
 		}
 		if own < negligibleShare*svc.model.highestHeadroom {
@@ -296,9 +330,10 @@
 // headroom is better kept for fillers with high pressure.
 const headroomBias = 0.3
 
-// overTarget reports whether a service on w exceeds its latency target.
+// overTarget reports whether a service on w exceeds its latency target, or has been strained for too
+// long.
 func (h *interference) overTarget(w *worker, now time.Time) bool {
-	return !h.viewOf(w, now).overTargetSince.IsZero()
+	return !h.viewOf(w, now).acceptsFillers(now)
 }
 
 // dropStaleTrends drops the trends of steps without a report for trendMaxAge, which would be
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -30,6 +30,9 @@
 	// pauseAllAfter is how long a service may exceed its target before all fillers beside it
 	// are paused.
 	pauseAllAfter = 1200 * time.Millisecond
+	// pauseStrainedAfter is the same for a service that is strained. With the time to the first
+	// reading and to the answer of the pace order it stays below the contract's bound.
+	pauseStrainedAfter = 1500 * time.Millisecond
 	// pausedTimeout is how long a filler may be paused before it is stopped to run elsewhere.
 	// It is about the time that this costs: 400 ms for the stop, 250 ms to restore progress,
 	// and a start.
@@ -63,7 +66,7 @@
 	for _, s := range v.services {
 		headroom[s] = max(s.headroomSoon, 0)
 	}
-	lowHeadroom := !v.overTargetSince.IsZero()
+	lowHeadroom := !v.clear || !v.overTargetSince.IsZero()
 	spare := w.fillerCapacity()
 	for _, r := range t.fillersByHeadroomOrder(v, w) {
 		limit := 1.0
@@ -159,7 +162,7 @@
 // within their targets, at most limit of its full speed. It subtracts the filler's pressure at that
 // pace from headroom.
 func (t *term) paceFor(v *interferenceView, r *run, headroom map[*serviceState]float64, limit float64) int {
-	if !v.overTargetSince.IsZero() && t.now.Sub(v.overTargetSince) > pauseAllAfter {
+	if v.needsPause(t.now) {
 		return 0
 	}
 	share := fillerShare(r.step, r.worker)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -74,7 +74,10 @@
 	ticket string
 	// overTargetSince is since when a serving task exceeds its latency target; zero otherwise.
 	overTargetSince time.Time
-	lastSample      headroomSample
+	// strainedSince is since when a serving task beside fillers has exceeded its latency target
+	// without being clearly below it again; zero otherwise.
+	strainedSince time.Time
+	lastSample    headroomSample
 	// pace is the share of its full speed at which a filler may work, in percent.
 	pace int
 	// startPace is the pace that is set once the run has started; 0 for full pace. reduced means
