Let the first host after a loss of all power lead at once

Cause: silence counts from when a node has first seen the renewal, as missing renewals may be due to the store. That protects running work; there is none once all leases of that leader have ended (9.2 s after its renewal).

Change: a node that starts and reads such a row first campaigns after its jitter and the delay for small hosts. Nodes that were up before, as in a long outage of the store, wait as before.

The new test failed before (2.03 s, 0.7 s allowed).

--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -48,7 +48,7 @@
 	version uint64
 	// sentBy is when the last renewal was sent at the latest: when it was first seen, or before that by the
 	// store's clock. silentSince is when it was first seen, or when reading resumed or a campaign failed if
-	// that is later.
+	// that is later. A node that starts does not wait for a leader whose leases have ended.
 	sentBy, silentSince time.Time
 	jitter              time.Duration
 	// extraDelay is how much longer than other nodes this node waits before a campaign,
@@ -112,6 +112,12 @@
 	return now.Sub(f.silentSince) >= f.campaignDelay(node)
 }
 
+// leasesEnded reports whether all leases of the leader that has written the row have ended, so that nothing
+// runs any more that its return would save.
+func (f *leaderWatch) leasesEnded(now time.Time) bool {
+	return now.After(formerLeasesEnd(f.formerLeaderRenewedBy(now)))
+}
+
 // update applies a version of the leader's row. storeNow is a reading of the store's clock that had arrived
 // by now; 0 for none.
 func (f *leaderWatch) update(row Row, now time.Time, storeNow time.Duration) {
@@ -123,10 +129,14 @@
 	if row.Version == f.version {
 		return
 	}
+	first := f.version == 0
 	f.record, f.known, f.version, f.sentBy, f.silentSince = r, true, row.Version, now, now
 	if r.StoreNow > 0 && storeNow > r.StoreNow {
 		f.sentBy = now.Add(r.StoreNow - storeNow)
 	}
+	if first && f.leasesEnded(now) {
+		f.silentSince = now.Add(-leaderTimeout)
+	}
 	f.jitter = time.Duration(rand.Int64N(int64(campaignJitter)))
 }
 
--- a/internal/fleet/recovery_test.go
+++ b/internal/fleet/recovery_test.go
@@ -207,3 +207,33 @@
 		require.Equal(t, 8, runningOf(c, jobID(1)))
 	})
 }
+
+// After all hosts have been without power for longer than any lease, the first one that is back must
+// lead at once, although the last leader was another. Within the leases it must wait for that leader.
+func TestFirstHostThatIsBackLeadsAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		dark, least, most time.Duration
+	}{{4 * time.Second, 1900 * time.Millisecond, 3500 * time.Millisecond}, {15 * time.Second, 0, 700 * time.Millisecond}} {
+		t.Run(c.dark.String(), func(t *testing.T) {
+			runCluster(t, 17, 3, 2, shortTask, func(t *testing.T, cluster *fleettest.Cluster) {
+				last := cluster.Leader()
+				for _, m := range cluster.Nodes {
+					cluster.Kill(m)
+				}
+				time.Sleep(c.dark)
+				first := cluster.Nodes[0]
+				if first == last {
+					first = cluster.Nodes[1]
+				}
+				cluster.Start(first)
+				began := time.Now()
+				for cluster.Leader() == nil && time.Since(began) < 10*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.Equal(t, first, cluster.Leader())
+				require.GreaterOrEqual(t, time.Since(began), c.least)
+				require.LessOrEqual(t, time.Since(began), c.most)
+			})
+		})
+	}
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -402,8 +402,11 @@
 
 // formerLeasesEnd returns when the leases of earlier terms on workers that this one has not reached
 // have ended.
-func (t *term) formerLeasesEnd() time.Time {
-	return t.formerLeaderRenewedBy.Add(maxRealDuration(maxLeaseReach) + leaseMargin)
+func (t *term) formerLeasesEnd() time.Time { return formerLeasesEnd(t.formerLeaderRenewedBy) }
+
+// formerLeasesEnd returns when the leases of a leader that last renewed at a time have ended.
+func formerLeasesEnd(renewedBy time.Time) time.Time {
+	return renewedBy.Add(maxRealDuration(maxLeaseReach) + leaseMargin)
 }
 
 // allRunsKnown reports whether all runs of earlier terms are accounted for: of every worker that
