--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -146,10 +146,10 @@
 
 // watchLeaders watches the renewals of all cells' leaders and campaigns where they stop.
 func (n *Node) watchLeaders(ctx context.Context) {
-	after, ok := n.awaitLayout(ctx)
-	if ok {
-		after, ok = n.readLeaders(ctx)
+	if !n.awaitLayout(ctx) {
+		return
 	}
+	after, ok := n.readLeaders(ctx)
 	for ok && ctx.Err() == nil {
 		n.campaignIfDue(ctx)
 		wait := n.nextWatchWait()
@@ -245,11 +245,7 @@
 // applyLeaderRows applies changed rows of the leaders' table, which were read with the store's clock at
 // storeNow.
 func (n *Node) applyLeaderRows(ctx context.Context, rows []Row, storeNow time.Duration) {
-	for _, row := range rows {
-		if row.RowID == layoutRow() {
-			n.applyLayoutRow(row)
-		}
-	}
+	n.applyLayoutRows(rows)
 	d := n.cellTable.Load()
 	for _, row := range rows {
 		for _, c := range d.cells {
--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -14,8 +14,11 @@
 
 // Times of the initial division into cells.
 const (
-	// layoutPollInterval is the pause between two reads of the layout while there is none.
-	layoutPollInterval = 250 * time.Millisecond
+	// layoutWatchWait is how long the store may hold a watch for the layout while there is none; after it, a
+	// node checks the claim to decide it again.
+	layoutWatchWait = 2000 * time.Millisecond
+	// layoutRetryPause is the pause after a failed read of the layout.
+	layoutRetryPause = 250 * time.Millisecond
 	// layoutJitter bounds the random delay that spreads the nodes that could decide the layout.
 	layoutJitter = 400 * time.Millisecond
 	// layoutClaimTTL is how long a claim to decide the layout is valid.
@@ -39,30 +42,57 @@
 func layoutClaimRow() RowID { return RowID{tableHosts, layoutPart, keyLayout} }
 
 // awaitLayout waits until there is a layout and applies it. If there is none after a delay, it
-// tries to decide one. It returns the version to watch from.
-func (n *Node) awaitLayout(ctx context.Context) (uint64, bool) {
+// tries to decide one.
+func (n *Node) awaitLayout(ctx context.Context) bool {
 	n.wg.Go(func() { n.publishHost(ctx) })
 	for first := true; ; first = false {
 		s := n.newSource(tableLeader, nil)
 		s.parts = []string{layoutPart}
 		rows, page, ok := s.listUntil(ctx)
 		if !ok {
-			return 0, false
+			return false
 		}
 		n.recordStoreAnswer()
-		for _, row := range rows {
-			n.applyLayoutRow(row)
-		}
-		switch {
-		case n.cellTable.Load() != nil:
-			return page.Version, true
-		case first:
+		n.applyLayoutRows(rows)
+		if first && n.cellTable.Load() == nil {
 			sleep(ctx, time.Duration(rand.Int64N(int64(layoutJitter)))+n.layoutExtraDelay())
-		default:
-			if n.claimLayout(ctx) {
-				n.decideLayout(ctx)
-			}
-			sleep(ctx, layoutPollInterval)
+		}
+		n.watchLayout(ctx, page.Version)
+		if n.cellTable.Load() != nil {
+			return true
+		}
+		sleep(ctx, layoutRetryPause)
+	}
+}
+
+// watchLayout watches the leaders' table until there is a layout, or a call fails. It tries to decide the
+// layout while no other node does.
+func (n *Node) watchLayout(ctx context.Context, after uint64) {
+	for ctx.Err() == nil && n.cellTable.Load() == nil {
+		if n.claimLayout(ctx) {
+			n.decideLayout(ctx)
+		}
+		call, cancel := context.WithTimeout(ctx, layoutWatchWait+watchTimeout)
+		page, err := n.cfg.Store.Watch(call, tableLeader, after, layoutWatchWait)
+		cancel()
+		if err != nil {
+			n.recordStoreFailure(err)
+			return
+		}
+		if page.Version < after {
+			return
+		}
+		n.recordStoreAnswer()
+		after = page.Version
+		n.applyLayoutRows(page.Rows)
+	}
+}
+
+// applyLayoutRows applies the layout if it is among rows of the leaders' table.
+func (n *Node) applyLayoutRows(rows []Row) {
+	for _, row := range rows {
+		if row.RowID == layoutRow() {
+			n.applyLayoutRow(row)
 		}
 	}
 }
