--- a/internal/fleet/moved_cancellations.go
+++ b/internal/fleet/moved_cancellations.go
@@ -14,6 +14,12 @@
 // borrowed tasks, it may have missed the cancellation; the leader that sends it may be down at the
 // same time. So it reads the rows in question, and starts no task of such a job before.
 
+// mayHaveMissedCancellation reports whether a job from another cell, new to this one, may have been cancelled
+// before this term watched the cancellations of all cells.
+func (t *term) mayHaveMissedCancellation(j *job) bool {
+	return t.loaded && len(j.previousCells) > 0 && t.now.Sub(t.startedAt) < earlyCancellationAge && j.acceptedStoreTime <= t.jobsReadAt
+}
+
 // readCancellationsOfMovedJobs reads the cancellations of all jobs that this cell did not accept.
 func (t *term) readCancellationsOfMovedJobs() {
 	var ids []string
--- a/internal/fleet/moved_cancellations_test.go
+++ b/internal/fleet/moved_cancellations_test.go
@@ -57,3 +57,21 @@
 		time.Sleep(2 * readTimeout)
 	})
 }
+
+// Guards against a read of the store for each task that other cells lend to a new leader, and against one that is
+// left out although the cancellation came before the leader's watch.
+func TestCancellationsSinceTheWatchBeganAreNotRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		acceptedAt time.Duration
+		read       bool
+	}{"accepted before": {99 * time.Second, true}, "accepted later": {101 * time.Second, false}, "unknown": {0, true}} {
+		t.Run(name, func(t *testing.T) {
+			tm := newTestTerm(2)
+			tm.cfg.Store, tm.loaded, tm.jobsReadAt = emptyStore{}, true, 100*time.Second
+			tm.addJob(Row{RowID: RowID{Key: jobName}}, jobRecord{Queue: "q", AcceptedAt: c.acceptedAt, PreviousCells: []int{1}, Spec: Spec{Steps: []Step{{Count: 1}}}}, nil, 0)
+			require.Equal(t, c.read, tm.jobs[jobName].cancellationUnread)
+			jobRows{fullVersion: 1, storeNow: 110 * time.Second}.handle(tm)
+			require.Equal(t, 110*time.Second, tm.jobsReadAt, "changes between two full reads may be missing")
+		})
+	}
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -21,6 +21,7 @@
 
 func (e jobRows) handle(t *term) {
 	if e.fullVersion > 0 {
+		t.jobsReadAt = e.storeNow
 		t.dropUnstoredMovedJobs(e.rows, e.fullVersion)
 	}
 	for _, row := range e.rows {
@@ -108,8 +109,8 @@
 		"age_ms": t.now.Sub(arrived).Milliseconds(), "inherited": j.inherited, "steps": len(j.spec.Steps), "shape": stepLogEntries(j.spec)}).Log(t.jobLogLevel(j), "job added")
 	if t.cancelledEarly(j) {
 		t.applyCancellation(j)
-	} else if t.loaded && len(j.previousCells) > 0 && t.now.Sub(t.startedAt) < earlyCancellationAge {
-		j.cancellationUnread = true // it may have been cancelled before this term began
+	} else if t.mayHaveMissedCancellation(j) {
+		j.cancellationUnread = true
 		t.readCancellations([]string{j.id})
 	}
 	if t.loaded && len(borrowed) == 0 {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -104,7 +104,9 @@
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
 	// startVersion is the version of the store at the start of the term.
-	startVersion  uint64
+	startVersion uint64
+	// jobsReadAt is the store's monotonic clock when the jobs' table was last read in full.
+	jobsReadAt    time.Duration
 	pendingCommit *pendingCommit
 	nextCommit    time.Time
 	// lastCommitStart is when the last transaction was started.
@@ -332,6 +334,7 @@
 		return // the term gives no orders any more, and records of earlier terms hold
 	}
 	t.applyOperatorRows(t.operator.snapshot())
+	t.jobsReadAt = e.storeNow
 	for _, row := range e.jobs {
 		t.handleJobRow(row, e.storeNow)
 	}
