Where starts are short, idle jobs go before other late work

Search and order of idle jobs are those of startIdleJobs, taken out as idleSteps; a job whose start is held back for a call slot counts no longer as idle, so it gets no second one. Late idle fillers without headroom get their turn at a reduced pace.

--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -57,53 +57,81 @@
 	return float64(reserved) < idleReservedShare*float64(capacity)
 }
 
-// startIdleJobs starts one task at a reduced pace for each job of which nothing has run for
-// idleLimit and for which the plan has found no worker, the longest idle first.
-func (t *term) startIdleJobs(p *placement, waiting []*waitingStep, limit int) {
-	if limit <= 0 || !t.mostlyFree(p.service) { // the last step of a plan may exceed its bound
-		return
-	}
-	workers := p.workersForReduced()
-	if len(workers) == 0 {
-		return
-	}
-	type idleStep struct {
-		step  *waitingStep
-		since time.Time
-	}
+// idleStep is a step whose job has been idle since a time, with the task of it to start.
+type idleStep struct {
+	step  *waitingStep
+	task  int
+	since time.Time
+}
+
+// idleSteps returns the steps that suit and whose jobs have been idle for their limit, the longest idle first.
+func (t *term) idleSteps(waiting []*waitingStep, suits func(*waitingStep) bool) []idleStep {
 	var idle []idleStep
 	for _, w := range waiting {
-		if w.queue.Service != p.service || !w.state().waits.allowsReducedPace() || w.step.Gang || w.job.over() {
+		if !suits(w) || w.job.over() {
 			continue
 		}
-		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) {
-			idle = append(idle, idleStep{w, since})
+		if since, none := w.job.unprovenSince(); none && t.now.Sub(since) >= idleLimitOf(w) && !w.job.hasHeldStart() {
+			idle = append(idle, idleStep{w, w.undoneTask(), since})
 		}
 	}
 	slices.SortFunc(idle, func(a, b idleStep) int {
-		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.job.id, b.step.job.id))
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.step.job.id, b.step.job.id), cmp.Compare(a.step.index, b.step.index))
+	})
+	return idle
+}
+
+// stillIdle reports whether no step of the job has started since it was found idle.
+func (i idleStep) stillIdle() bool {
+	since, none := i.step.job.unprovenSince()
+	return none && since.Equal(i.since) && !i.step.job.hasHeldStart()
+}
+
+// hasHeldStart reports whether a start of the job has its place and is held back.
+func (j *job) hasHeldStart() bool {
+	for _, tk := range j.openTasks() {
+		if slices.ContainsFunc(tk.runs, func(r *run) bool { return r.state == runHeld }) {
+			return true
+		}
+	}
+	return false
+}
+
+// startIdleJobs starts one task at a reduced pace for each job of which nothing has run for
+// idleLimit and for which the plan has found no worker, the longest idle first. It returns the number of starts.
+func (t *term) startIdleJobs(p *placement, waiting []*waitingStep, limit int) int {
+	if limit <= 0 || !t.mostlyFree(p.service) { // the last step of a plan may exceed its bound
+		return 0
+	}
+	workers := p.workersForReduced()
+	if len(workers) == 0 {
+		return 0
+	}
+	idle := t.idleSteps(waiting, func(w *waitingStep) bool {
+		return w.queue.Service == p.service && w.state().waits.allowsReducedPace() && !w.step.Gang
 	})
+	started := 0
 	for _, i := range idle {
-		if limit == 0 || len(workers) == 0 {
-			return
+		if started == limit || len(workers) == 0 {
+			break
 		}
 		w := i.step
-		if since, none := w.job.unprovenSince(); !none || since != i.since {
-			continue // another step of the job has started
+		if !i.stillIdle() {
+			continue
 		}
-		task := w.undoneTask()
-		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[task], tasksPerWorker: runsPerWorker(w.state())}
+		r := taskRequest{job: w.job, step: w.step, task: &w.state().tasks[i.task], tasksPerWorker: runsPerWorker(w.state())}
 		if w.queue.Advised {
 			if r.tickets = t.tickets(p, w); r.tickets == nil {
 				continue
 			}
 		}
 		if x, pace := p.findReducedPace(workers, r); x != nil {
-			t.startReduced(w.job, w.key(task), x, r.tickets[x.info.Worker], pace)
-			limit--
+			t.startReduced(w.job, w.key(i.task), x, r.tickets[x.info.Worker], pace)
+			started++
 			workers = slices.DeleteFunc(workers, func(o *worker) bool { return o == x })
 		}
 	}
+	return started
 }
 
 // undoneTask returns a task of the step that is certainly not done, else any.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -89,19 +89,22 @@
 	for _, w := range waiting {
 		w.state().waits = waitsForTurn
 	}
-	pools := map[model.ServiceName]*placement{}
+	pools := placements{}
 	left := t.startsLeft()
-	for _, w := range waiting {
+	idleFirst := t.startsAreShort()
+	for n, w := range waiting {
+		if idleFirst && left > 0 && w.urgency > urgencyOnTime {
+			idleFirst = false
+			left -= t.startIdleSteps(pools, waiting[n:], left)
+		}
 		if left <= 0 {
 			t.planDue, t.plannedSteps, short = true, 0, true // the next plan continues at once
 			return
 		}
-		p := pools[w.queue.Service]
-		if p == nil {
-			p = t.newPlacement(w.queue.Service)
-			t.reserveForOtherCells(p, w.queue.Service)
-			pools[w.queue.Service] = p
+		if len(w.tasks) == 0 {
+			continue
 		}
+		p := t.placementOf(pools, w.queue.Service)
 		if len(p.workers) == 0 {
 			w.state().waits = waitsForWorkers
 			if w.mayBeLent() {
@@ -128,6 +131,20 @@
 	t.searchIdleJobs(pools, waiting, left)
 }
 
+// placements holds the placements of a plan by service.
+type placements map[model.ServiceName]*placement
+
+// placementOf returns the placement of a plan over the workers of a service.
+func (t *term) placementOf(pools placements, service model.ServiceName) *placement {
+	p := pools[service]
+	if p == nil {
+		p = t.newPlacement(service)
+		t.reserveForOtherCells(p, service)
+		pools[service] = p
+	}
+	return p
+}
+
 // placeOrMakeRoom starts as many tasks of a step as fit and returns their number. For lost lasting tasks
 // among the others it keeps or makes room, here or in another cell.
 func (t *term) placeOrMakeRoom(p *placement, w *waitingStep) int {
@@ -149,7 +166,7 @@
 
 // searchIdleJobs makes room for idle jobs and starts them at a reduced pace, at most once every
 // idleCheckInterval.
-func (t *term) searchIdleJobs(pools map[model.ServiceName]*placement, waiting []*waitingStep, limit int) {
+func (t *term) searchIdleJobs(pools placements, waiting []*waitingStep, limit int) {
 	if t.now.Sub(t.idleJobsCheckedAt) < idleCheckInterval {
 		return
 	}
