While starts are short, a plan waits until it may decide half of what one may

A plan looks at the whole backlog. It now waits until half of what a plan may decide can be decided; held starts are sent meanwhile. TestPlansWaitForStartsToDecide fails without the change in the row for short starts.

--- a/internal/fleet/call_slots_test.go
+++ b/internal/fleet/call_slots_test.go
@@ -143,3 +143,29 @@
 		}
 	})
 }
+
+// While starts were short, a plan over the whole backlog was made for each few calls that had been answered.
+func TestPlansWaitForStartsToDecide(t *testing.T) {
+	for name, c := range map[string]struct {
+		short time.Duration
+		held  int
+		want  bool
+	}{
+		"enough starts":           {0, plannedSlots*21 - 1, true},
+		"none left":               {0, plannedSlots * 21, false},
+		"a burst":                 {shortStartsPatience - 1, plannedSlots*21 - 1, true},
+		"short, more than half":   {shortStartsPatience, plannedSlots*21/2 + 1, false},
+		"short, half are carried": {shortStartsPatience, plannedSlots * 21 / 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, jobs := crowdedTerm(t, 1, Step{Count: 1}, time.Second)
+			if c.short > 0 {
+				tm.shortSince = tm.now.Add(-c.short)
+			}
+			for range c.held {
+				tm.holdStart(&run{job: jobs[0], step: &jobs[0].spec.Steps[0]})
+			}
+			require.Equal(t, c.want, tm.hasStartsForPlan())
+		})
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -64,6 +64,16 @@
 	return max(t.callSlots.planned(maxStartsPerPlan)-held, 0)
 }
 
+// hasStartsForPlan reports whether a plan may decide enough starts to be worth its time. While starts are short and
+// those that are held back last until the next plan, that is half of what a plan may decide.
+func (t *term) hasStartsForPlan() bool {
+	left := t.startsLeft()
+	if t.startsAreShort() {
+		return 2*left >= t.callSlots.planned(maxStartsPerPlan)
+	}
+	return left > 0
+}
+
 // recordShortSlots notes whether a plan had more to start than calls could begin.
 func (t *term) recordShortSlots(short bool) {
 	switch {
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -237,7 +237,7 @@
 			start = t.now
 			t.onTick()
 		}
-		if t.loaded && t.planDue && t.ctx.Err() == nil && t.now.Sub(t.lastPlan) >= t.planPause() && t.startsLeft() > 0 {
+		if t.loaded && t.planDue && t.ctx.Err() == nil && t.now.Sub(t.lastPlan) >= t.planPause() && t.hasStartsForPlan() {
 			t.planDue, t.lastPlan = false, t.now
 			t.runEventHook()
 			t.plan()
