--- a/internal/fleet/waits_test.go
+++ b/internal/fleet/waits_test.go
@@ -46,8 +46,13 @@
 		"cancellation-read": func(_ *term, _ *worker, j *job) { j.cancellationUnread = true },
 		"queue":             func(_ *term, _ *worker, j *job) { j.queue = "gone" },
 		"lent":              func(_ *term, _ *worker, j *job) { j.occurrences[0].steps[0].tasks[0].lentTo = 1 },
-		"start-answer":      func(_ *term, w *worker, j *job) { waitRun(w, j, runUnconfirmed) },
-		"stop":              func(_ *term, w *worker, j *job) { waitRun(w, j, runStopping) },
+		"start-record": func(_ *term, w *worker, j *job) {
+			j.spec.Steps[0].Lasting, j.spec.Steps[0].Filler = true, false
+			waitRun(w, j, runHeld)
+		},
+		"call-slot":    func(_ *term, w *worker, j *job) { waitRun(w, j, runHeld) },
+		"start-answer": func(_ *term, w *worker, j *job) { waitRun(w, j, runUnconfirmed) },
+		"stop":         func(_ *term, w *worker, j *job) { waitRun(w, j, runStopping) },
 		"retry": func(tm *term, _ *worker, j *job) {
 			j.occurrences[0].steps[0].tasks[0].notBefore = tm.now.Add(time.Second)
 		},
