--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -162,10 +162,7 @@
 // the largest ones are lost. Of the numbers from there to a third more, it chooses the one
 // with the most even division of workers by racks. Hosts may be of different sizes.
 func cellCount(hosts []Limits, racks map[string]int) int {
-	workers := 0
-	for _, n := range racks {
-		workers += n
-	}
+	workers := workersIn(racks)
 	most := max(1, min(len(racks), len(hosts), workers/minWorkersPerCell, MaxCells))
 	least := most
 	for n := 1; n < most; n++ {
@@ -187,6 +184,15 @@
 	return best
 }
 
+// workersIn returns the number of workers of all racks.
+func workersIn(racks map[string]int) int {
+	sum := 0
+	for _, n := range racks {
+		sum += n
+	}
+	return sum
+}
+
 // hasEnoughHosts reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all
 // hosts if there are fewer. A large host counts for up to hostsPerCell cells.
 func hasEnoughHosts(hosts []Limits, n, workers int) bool {
--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -117,7 +117,7 @@
 // decideLayout divides the fleet into cells and stores the layout, unless another node has
 // stored one.
 func (n *Node) decideLayout(ctx context.Context) {
-	l, err := n.proposeLayout(ctx)
+	l, f, err := n.proposeLayout(ctx)
 	if err != nil {
 		n.recordStoreFailure(err)
 		return
@@ -126,47 +126,57 @@
 	call, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
 	_, err = n.cfg.Store.Commit(call, tx)
-	n.log.WithFields(logrus.Fields{"decision": "layout", "cells": l.Cells, "racks": len(l.Racks), "choice": resultLabel(err)}).Info("proposed a layout")
+	n.log.WithFields(logrus.Fields{"decision": "layout", "cells": l.Cells, "racks": len(l.Racks), "choice": resultLabel(err),
+		"hosts": len(f.hosts), "workers": workersIn(f.racks), "stable": f.stable, "waited_ms": f.waited.Milliseconds()}).Info("proposed a layout")
 }
 
 // proposeLayout returns the layout for a deployment without one. A deployment that was led by
 // a version without cells keeps its single cell.
-func (n *Node) proposeLayout(ctx context.Context) (*layout, error) {
+func (n *Node) proposeLayout(ctx context.Context) (*layout, knownFleet, error) {
 	fences, _, err := listAll(ctx, n.cfg.Store, tableFence, singleCellPart, nil)
 	if err != nil {
-		return nil, err
+		return nil, knownFleet{}, err
 	}
 	if len(fences) > 0 {
-		return singleCellLayout(), nil
+		return singleCellLayout(), knownFleet{}, nil
 	}
-	hosts, racks, err := n.readStableFleet(ctx)
+	f, err := n.readStableFleet(ctx)
 	if err != nil {
-		return nil, err
+		return nil, knownFleet{}, err
 	}
 	cells := n.cfg.Cells
 	if cells == 0 {
-		cells = cellCount(hosts, racks)
+		cells = cellCount(f.hosts, f.racks)
 	}
-	return newLayout(cells, racks), nil
+	return newLayout(cells, f.racks), f, nil
+}
+
+// knownFleet is what a division is made for: the limits of the hosts and the number of workers of each
+// rack that were known then.
+type knownFleet struct {
+	hosts []Limits
+	racks map[string]int
+	// stable means that two reads in succession were equal; waited is the time until the last of them.
+	stable bool
+	waited time.Duration
 }
 
 // readStableFleet reads hosts and workers until two reads are equal or stableReadTimeout has
 // passed.
-func (n *Node) readStableFleet(ctx context.Context) ([]Limits, map[string]int, error) {
-	var hosts []Limits
-	var racks map[string]int
+func (n *Node) readStableFleet(ctx context.Context) (knownFleet, error) {
+	var f knownFleet
 	for start := time.Now(); ctx.Err() == nil; sleep(ctx, stableReadInterval) {
-		h, r, err := n.readFleet(ctx)
+		hosts, racks, err := n.readFleet(ctx)
 		if err != nil {
-			return nil, nil, err
+			return knownFleet{}, err
 		}
-		same := len(h) == len(hosts) && maps.Equal(r, racks) && len(r) > 0
-		hosts, racks = h, r
-		if same || time.Since(start) > stableReadTimeout {
-			return hosts, racks, nil
+		stable := len(hosts) == len(f.hosts) && maps.Equal(racks, f.racks) && len(racks) > 0
+		f = knownFleet{hosts, racks, stable, time.Since(start)}
+		if stable || f.waited > stableReadTimeout {
+			return f, nil
 		}
 	}
-	return nil, nil, ctx.Err()
+	return knownFleet{}, ctx.Err()
 }
 
 // readFleet reads the hosts' limits and the number of workers of each rack.
