--- a/internal/fleet/cells_test.go
+++ b/internal/fleet/cells_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // runInCells runs a test on a cluster that is divided into cells.
@@ -253,3 +255,24 @@
 		waitAll(t, c, 4, 60*time.Second)
 	})
 }
+
+// Jobs that were accepted while nobody led their cell counted as inherited: they waited there for the end of
+// others, beside free workers of other cells.
+func TestJobsAcceptedWithoutLeaderUseOtherCells(t *testing.T) {
+	const cells, jobs = 3, 3 // one job more than a cell has workers
+	needs := model.Resources{MilliCPU: 8000, MemoryMB: 500}
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: time.Minute, Needs: needs} }
+	for seed := range uint64(3) {
+		runInCells(t, 240+seed, 4, 2*cells, cells, long, func(t *testing.T, c *fleettest.Cluster) {
+			c.Kill(member(c, leaders(t, c)[0]))
+			for i, n := 0, 0; n < jobs; i++ {
+				if xxhash.Sum64String(jobID(i))%256%cells == 0 { // the slots of equal cells alternate
+					submit(t, c, jobID(i), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: needs, Estimate: time.Minute}}})
+					n++
+				}
+			}
+			time.Sleep(10 * time.Second)
+			require.Equal(t, jobs, runningAll(c))
+		})
+	}
+}
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -262,6 +262,7 @@
 	f := &c.watch
 	suspended, readSent := n.cfg.readSuspensions(), time.Now()
 	fence, read, err := n.readFence(ctx, c)
+	formerFence := read.Version
 	if err != nil {
 		n.metrics.terms.WithLabelValues(resultLabel(err)).Inc()
 		f.silentSince = time.Now()
@@ -307,7 +308,7 @@
 		}
 		result = read
 	}
-	n.startTerm(ctx, c, record, result.Version, storeReading{result.Now, sent}, suspended)
+	n.startTerm(ctx, c, record, fenceVersions{formerFence, result.Version}, storeReading{result.Now, sent}, suspended)
 }
 
 // campaignRecord returns the row with which a term begins.
@@ -357,14 +358,18 @@
 	return f, Commit{Version: page.Rows[0].Version, Now: page.Now}, nil
 }
 
+// fenceVersions are the versions of a cell's fence before and after a campaign.
+type fenceVersions struct{ former, own uint64 }
+
 // startTerm runs the term of a cell that began with a record in the background. begun holds when the
 // record was made, and a reading of the store's clock after that. Other nodes derive from the record how
 // long the term's leases last. suspended was read before that. The term ends with ctx, which may have ended
 // during the campaign.
-func (n *Node) startTerm(ctx context.Context, c *cell, record leaderRecord, fenceVersion uint64, begun storeReading, suspended suspensions) {
+func (n *Node) startTerm(ctx context.Context, c *cell, record leaderRecord, fence fenceVersions, begun storeReading, suspended suspensions) {
 	d, number := n.cellTable.Load(), record.Term
 	formerLeaderRenewedBy, silent := n.formerLeaders(&c.watch, time.Now())
-	t := newTerm(n.cfg, c.index, d.layout, number, fenceVersion, formerLeaderRenewedBy, n.log, n.metrics)
+	t := newTerm(n.cfg, c.index, d.layout, number, fence.own, formerLeaderRenewedBy, n.log, n.metrics)
+	t.formerFenceVersion = fence.former
 	t.lastRenewal, t.leaseRecordsSince, t.suspensions = begun.at, record.LeaseRecordsSince, suspended
 	t.witnesses.inherit(record.Witnesses, t.now)
 	if begun.now > 0 {
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -125,8 +125,8 @@
 	acceptedVersion uint64
 	// acceptedLocalTime is when the job was accepted, on this node's clock.
 	acceptedLocalTime time.Time
-	// inherited jobs were accepted before this term; earlier terms may have started tasks
-	// that this term has not seen.
+	// inherited jobs were accepted before the last transaction of an earlier term, which may have
+	// started tasks that this term has not seen.
 	inherited      bool
 	chainEstimates []time.Duration
 
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -94,7 +94,7 @@
 	}
 	j := newJob(row.Key, r, row.Version, arrived)
 	j.borrowed = borrowed
-	j.inherited, j.learnedAt = row.Version <= t.startVersion, t.now
+	j.inherited, j.learnedAt = t.startedEarlier(row.Version, len(borrowed) > 0), t.now
 	if r.Progress != nil {
 		j.restore(*r.Progress, t.now, t.monotonicTime)
 	}
@@ -117,6 +117,16 @@
 	}
 }
 
+// startedEarlier reports whether an earlier term may have started tasks of a job that was accepted with a
+// version of its row; see jobConfirmed. A borrowed job gets further tasks by rows that it does not
+// wait for.
+func (t *term) startedEarlier(version uint64, borrowed bool) bool {
+	if borrowed {
+		return version <= t.startVersion
+	}
+	return version <= t.formerFenceVersion
+}
+
 // stepLogEntry describes a step in the log line about a job, for traces derived from logs.
 type stepLogEntry struct {
 	Count    int   `json:"count"`
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -51,7 +51,7 @@
 		n, c := nodeOfOneCell()
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		n.startTerm(ctx, c, leaderRecord{Term: 1, LeaseRecordsSince: 1}, 1, storeReading{at: time.Now()}, suspensions{})
+		n.startTerm(ctx, c, leaderRecord{Term: 1, LeaseRecordsSince: 1}, fenceVersions{own: 1}, storeReading{at: time.Now()}, suspensions{})
 		time.Sleep(10 * time.Second)
 		leading := c.leading()
 		c.term.Load().cancel()
@@ -66,7 +66,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, c := nodeOfOneCell()
 		n.draining.Store(true)
-		n.startTerm(t.Context(), c, leaderRecord{Term: 1, LeaseRecordsSince: 1}, 1, storeReading{at: time.Now()}, suspensions{})
+		n.startTerm(t.Context(), c, leaderRecord{Term: 1, LeaseRecordsSince: 1}, fenceVersions{own: 1}, storeReading{at: time.Now()}, suspensions{})
 		time.Sleep(time.Second)
 		c.term.Load().cancel()
 		n.wg.Wait()
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -103,10 +103,11 @@
 	suspensions suspensions
 	// fenceVersion is the version of the fence row after the last transaction.
 	fenceVersion uint64
-	// startVersion is the version of the store at the start of the term.
-	startVersion  uint64
-	pendingCommit *pendingCommit
-	nextCommit    time.Time
+	// startVersion is the version of the store at the start of the term. formerFenceVersion is that of
+	// the fence by the last transaction of an earlier term.
+	startVersion, formerFenceVersion uint64
+	pendingCommit                    *pendingCommit
+	nextCommit                       time.Time
 	// lastCommitStart is when the last transaction was started.
 	lastCommitStart time.Time
 	// lastCommitTime is how long the last transaction took.
@@ -194,7 +195,7 @@
 		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, returnedLoans: map[string]int{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
-		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, lastRenewal: now,
+		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, formerFenceVersion: fenceVersion, lastRenewal: now,
 		usedRowsToPut: map[Lifetime]usedRecord{}, unansweredStarts: map[startKey]unansweredStart{}, usedRowsToDelete: map[Lifetime]bool{},
 		queueRunTimes: map[string]*queueRunTime{}, shortWork: map[shortKey]*shortDemand{}, interference: newInterference(), metrics: m,
 		witnesses: leaderWitnesses{checkedAt: now, unanswered: map[uint64]int{}},
