--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -166,7 +166,7 @@
 	most := max(1, min(len(racks), len(hosts), workers/minWorkersPerCell, MaxCells))
 	least := most
 	for n := 1; n < most; n++ {
-		if hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers) {
+		if canLead(hosts, n, workers) {
 			least = n
 			break
 		}
@@ -176,8 +176,10 @@
 	}
 	best, bestExcess := least, 0.0
 	for n := least; n <= min(most, least+least/3); n++ {
-		excess := sizeExcess(racks, n)
-		if n == least || excess < bestExcess {
+		if n > least && !canLead(hosts, n, workers) {
+			continue // hosts lead whole cells: they may carry less of smaller ones
+		}
+		if excess := sizeExcess(racks, n); n == least || excess < bestExcess {
 			best, bestExcess = n, excess
 		}
 	}
@@ -193,6 +195,11 @@
 	return sum
 }
 
+// canLead reports whether hosts can lead n cells, also after the largest hosts are lost.
+func canLead(hosts []Limits, n, workers int) bool {
+	return hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers)
+}
+
 // hasEnoughHosts reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all
 // hosts if there are fewer. A large host counts for up to hostsPerCell cells.
 func hasEnoughHosts(hosts []Limits, n, workers int) bool {
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -84,6 +84,26 @@
 	})
 }
 
+// Of numbers that are nearly the same, one with an even division was chosen although the hosts could not lead
+// so many cells.
+func TestChosenCellsCanBeLed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		for range 20 {
+			var hosts []Limits
+			for range rapid.IntRange(1, 4).Draw(t, "sizes") {
+				hosts = append(hosts, hostsOf(rapid.IntRange(1, 20).Draw(t, "hosts"), rapid.Int64Range(20, 2000).Draw(t, "milli cpu"), 0)...)
+			}
+			racks := racksOf(rapid.IntRange(5, 60).Draw(t, "racks"), rapid.IntRange(5, 30).Draw(t, "workers"))
+			workers, cells := workersIn(racks), cellCount(hosts, racks)
+			for n := 1; n < cells; n++ {
+				if canLead(hosts, n, workers) {
+					require.True(t, canLead(hosts, cells, workers), "%d cells, %d suffice", cells, n)
+				}
+			}
+		}
+	})
+}
+
 // Each job and each rack must have exactly one cell, and cells must be of about equal size.
 // Racks that are added later must not change the cells of the others, since the workers of a
 // rack hold runs of its cell.
