--- a/internal/fleet/cells_test.go
+++ b/internal/fleet/cells_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+	"github.com/vanillapier/vanillapier/internal/model"
 )
 
 // runInCells runs a test on a cluster that is divided into cells.
@@ -253,3 +256,47 @@
 		waitAll(t, c, 4, 60*time.Second)
 	})
 }
+
+// Jobs that were accepted while nobody led their cell counted as inherited: they waited there for the end of
+// others, beside free workers of other cells.
+func TestJobsAcceptedWithoutLeaderUseOtherCells(t *testing.T) {
+	const cells, jobs = 3, 3 // one job more than a cell has workers
+	needs := model.Resources{MilliCPU: 8000, MemoryMB: 500}
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: time.Minute, Needs: needs} }
+	for seed := range uint64(3) {
+		runInCells(t, 240+seed, 4, 2*cells, cells, long, func(t *testing.T, c *fleettest.Cluster) {
+			c.Kill(member(c, leaders(t, c)[0]))
+			for i, n := 0, 0; n < jobs; i++ {
+				if xxhash.Sum64String(jobID(i))%256%cells == 0 { // the slots of equal cells alternate
+					submit(t, c, jobID(i), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: needs, Estimate: time.Minute}}})
+					n++
+				}
+			}
+			time.Sleep(10 * time.Second)
+			require.Equal(t, jobs, runningAll(c))
+		})
+	}
+}
+
+// A fleet whose workers were listed later than 5 s after its nodes had started became one cell for good.
+func TestDivisionWaitsForWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fleettest.NewCluster(245, 12, 0, shortTask)
+		defer func() {
+			c.StopAll()
+			time.Sleep(linkDrain)
+		}()
+		for _, m := range c.Nodes {
+			m.MilliCPU = 192
+		}
+		c.StartAll()
+		time.Sleep(8 * time.Second)
+		for i := range 360 {
+			c.AddWorker(fmt.Sprintf("w%d", i))
+		}
+		time.Sleep(8 * time.Second)
+		require.GreaterOrEqual(t, len(leaders(t, c)), 3, "a host carries 140 workers")
+		submit(t, c, jobID(0), twoSteps())
+		waitAll(t, c, 1, 30*time.Second)
+	})
+}
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -162,14 +162,11 @@
 // the largest ones are lost. Of the numbers from there to a third more, it chooses the one
 // with the most even division of workers by racks. Hosts may be of different sizes.
 func cellCount(hosts []Limits, racks map[string]int) int {
-	workers := 0
-	for _, n := range racks {
-		workers += n
-	}
+	workers := workersIn(racks)
 	most := max(1, min(len(racks), len(hosts), workers/minWorkersPerCell, MaxCells))
 	least := most
 	for n := 1; n < most; n++ {
-		if hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers) {
+		if canLead(hosts, n, workers) {
 			least = n
 			break
 		}
@@ -179,14 +176,30 @@
 	}
 	best, bestExcess := least, 0.0
 	for n := least; n <= min(most, least+least/3); n++ {
-		excess := sizeExcess(racks, n)
-		if n == least || excess < bestExcess {
+		if n > least && !canLead(hosts, n, workers) {
+			continue // hosts lead whole cells: they may carry less of smaller ones
+		}
+		if excess := sizeExcess(racks, n); n == least || excess < bestExcess {
 			best, bestExcess = n, excess
 		}
 	}
 	return best
 }
 
+// workersIn returns the number of workers of all racks.
+func workersIn(racks map[string]int) int {
+	sum := 0
+	for _, n := range racks {
+		sum += n
+	}
+	return sum
+}
+
+// canLead reports whether hosts can lead n cells, also after the largest hosts are lost.
+func canLead(hosts []Limits, n, workers int) bool {
+	return hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers)
+}
+
 // hasEnoughHosts reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all
 // hosts if there are fewer. A large host counts for up to hostsPerCell cells.
 func hasEnoughHosts(hosts []Limits, n, workers int) bool {
