--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -39,9 +39,6 @@
 	// which use the workers less well, as a job searches for free capacity in one cell at a
 	// time.
 	cellBudgetShare = 0.6
-	// lastHostsBudgetShare is the same for the smallest hosts, which lead only after all larger ones
-	// are lost. Peaks wait there.
-	lastHostsBudgetShare = 0.95
 	// hostsPerCell is how many hosts per cell should be able to lead a cell, so that there are
 	// spare hosts.
 	hostsPerCell = 2
@@ -49,6 +46,19 @@
 	minWorkersPerCell = 30
 )
 
+// leaderCost is the processor use of the leader of a cell in thousandths of a core: a fixed part, and
+// one for each worker.
+type leaderCost struct{ fixed, perWorker float64 }
+
+var (
+	// budgetedCost leaves room for peaks.
+	budgetedCost = leaderCost{0, milliCPUPerWorker / cellBudgetShare}
+	// fullCost leaves none. It counts for the smallest hosts, which lead only after all larger ones
+	// are lost: starts may wait there at peaks. Their links keep their room, as renewals would wait
+	// behind a full one.
+	fullCost = leaderCost{38, 0.74}
+)
+
 // layout is the value of the layout's row.
 type layout struct {
 	Cells int `cbor:"1,keyasint"`
@@ -144,19 +154,31 @@
 // singleCellLayout returns the layout of a fleet with one cell.
 func singleCellLayout() *layout { return &layout{Cells: 1, Slots: make([]byte, singleCellSlots)} }
 
-// workerCapacityOf returns the number of workers of the largest cell that a host can lead with a
-// share of its processor and its link. Unknown limits are not applied.
-func workerCapacityOf(h Limits, share float64) int {
+// workerCapacityOf returns the number of workers of the largest cell that a host can lead. Unknown
+// limits are not applied.
+func workerCapacityOf(h Limits, cost leaderCost) int {
 	n := 1 << 20
 	if h.MilliCPU > 0 {
-		n = min(n, int(share*float64(h.MilliCPU)/milliCPUPerWorker))
+		n = min(n, max(0, int((float64(h.MilliCPU)-cost.fixed)/cost.perWorker)))
 	}
 	if h.LinkBytes > 0 {
-		n = min(n, int(share*float64(h.LinkBytes)/bytesPerWorker))
+		n = min(n, int(cellBudgetShare*float64(h.LinkBytes)/bytesPerWorker))
 	}
 	return n
 }
 
+// cellsLed returns how many of n cells of equal size a host can lead.
+func cellsLed(h Limits, cost leaderCost, n, workers int) int {
+	size, led := float64(workers)/float64(n), n
+	if h.MilliCPU > 0 {
+		led = min(led, int(float64(h.MilliCPU)/(cost.fixed+cost.perWorker*size)))
+	}
+	if h.LinkBytes > 0 {
+		led = min(led, int(cellBudgetShare*float64(h.LinkBytes)/(bytesPerWorker*size)))
+	}
+	return led
+}
+
 // cellCount returns the number of cells for a fleet. It finds the least number for which
 // enough hosts can lead a cell, and for which the hosts that are left can lead all cells after
 // the largest ones are lost. Of the numbers from there to a third more, it chooses the one
@@ -205,7 +227,7 @@
 func hasEnoughHosts(hosts []Limits, n, workers int) bool {
 	led := 0
 	for _, h := range hosts {
-		led += min(cellsLed(h, cellBudgetShare, n, workers), n, hostsPerCell)
+		led += min(cellsLed(h, budgetedCost, n, workers), hostsPerCell)
 	}
 	return led >= min(hostsPerCell*n, len(hosts))
 }
@@ -216,30 +238,25 @@
 func lastHostsLead(hosts []Limits, n, workers int) bool {
 	led := 0
 	for _, h := range lastHosts(hosts, workers) {
-		led += cellsLed(h, lastHostsBudgetShare, n, workers)
+		led += cellsLed(h, fullCost, n, workers)
 	}
 	return led >= n
 }
 
-// cellsLed returns how many of n cells a host can lead with a share of its processor and its link.
-func cellsLed(h Limits, share float64, n, workers int) int {
-	return workerCapacityOf(h, share) * n / workers
-}
-
 // carries reports whether a host can lead some of the layout's cells. Unknown sizes do not bind.
 func (l *layout) carries(h Limits, cells int) bool {
-	return l.Workers == 0 || cellsLed(h, lastHostsBudgetShare, l.Cells, l.Workers) >= cells
+	return l.Workers == 0 || cellsLed(h, fullCost, l.Cells, l.Workers) >= cells
 }
 
 // lastHosts returns the smallest hosts that could lead hostsPerCell times the workers together, or
 // all hosts if they cannot.
 func lastHosts(hosts []Limits, workers int) []Limits {
 	bySize := slices.SortedFunc(slices.Values(hosts), func(a, b Limits) int {
-		return cmp.Compare(workerCapacityOf(a, lastHostsBudgetShare), workerCapacityOf(b, lastHostsBudgetShare))
+		return cmp.Compare(workerCapacityOf(a, fullCost), workerCapacityOf(b, fullCost))
 	})
 	carried := 0
 	for i, h := range bySize {
-		if carried += workerCapacityOf(h, lastHostsBudgetShare); carried >= hostsPerCell*workers {
+		if carried += workerCapacityOf(h, fullCost); carried >= hostsPerCell*workers {
 			return bySize[:i+1]
 		}
 	}
