--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -33,9 +33,11 @@
 	// the leader, and workers renew their entries constantly.
 	jobWatchPause    = 250 * time.Millisecond
 	workerWatchPause = 250 * time.Millisecond
-	// workerWatchPauseCells is workerWatchPause in a fleet of several cells, where each leader
-	// reads the entries of all workers.
+	// workerWatchPauseCells and jobWatchPauseCells are these pauses in a fleet of several cells, where
+	// each leader reads the entries of all workers and the jobs of all cells. Leaders notify each other of
+	// moved jobs and lent tasks, too.
 	workerWatchPauseCells = 600 * time.Millisecond
+	jobWatchPauseCells    = 500 * time.Millisecond
 )
 
 // listAll reads all rows of a part of a table. The returned page is the first one, whose
@@ -224,11 +226,18 @@
 	return workerWatchPause
 }
 
+func (t *term) jobPause() time.Duration {
+	if t.layout.Cells > 1 {
+		return jobWatchPauseCells
+	}
+	return jobWatchPause
+}
+
 // loadTables reads the tables from which the term starts, and watches those that change.
 func (t *term) loadTables() {
 	workersTable, operatorName := t.cfg.Decoder.Tables()
 	buffer := &changeBuffer{t: t}
-	jobs := t.newSource(tableJobs, t.layout.jobParts(t.cell), jobWatchPause, func(rows []Row, full bool, p Page) {
+	jobs := t.newSource(tableJobs, t.layout.jobParts(t.cell), t.jobPause(), func(rows []Row, full bool, p Page) {
 		e := jobRows{rows: rows, storeNow: p.Now}
 		if full {
 			e.fullVersion = p.Version
@@ -236,7 +245,7 @@
 		buffer.post(e)
 	})
 	workers := t.newSource(workersTable, []string{""}, t.workerPause(), func(rows []Row, full bool, _ Page) { buffer.post(workerRows{rows, full}) })
-	moved := t.newSource(tableMoved, []string{t.part}, jobWatchPause, func(rows []Row, full bool, p Page) { buffer.post(movedRows{rows, p.Now, full}) })
+	moved := t.newSource(tableMoved, []string{t.part}, t.jobPause(), func(rows []Row, full bool, p Page) { buffer.post(movedRows{rows, p.Now, full}) })
 	progress := t.newSource(tableProgress, []string{t.part}, 0, nil)
 	used := t.newSource(tableUsed, []string{t.part}, 0, nil)
 	models := t.newSource(tableModels, []string{t.part}, 0, nil)
