--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -47,10 +47,22 @@
 	// Go runtime.
 	memoryShare = 0.75
 	// gcPercent is high so that the heap grows before a collection: a node's live heap is a
-	// few megabytes, and frequent collections cost more than the memory.
-	gcPercent = 800
+	// few megabytes. On small hosts, which have less than largeHostMilliCPU thousandths of a core,
+	// frequent collections would cost the processor time that a leader needs.
+	gcPercent          = 300
+	gcPercentSmallHost = 800
+	largeHostMilliCPU  = 500
 )
 
+// collectionPercent returns by how much of its live part the heap grows before a collection, in percent, on a
+// host with a processor share in thousandths of a core; 0 if that is unknown.
+func collectionPercent(milliCPU int64) int {
+	if milliCPU > 0 && milliCPU < largeHostMilliCPU {
+		return gcPercentSmallHost
+	}
+	return gcPercent
+}
+
 // runOnPlatform runs a node with the platform's settings file and returns the exit code.
 func runOnPlatform(path string) int {
 	settings, err := platform.LoadSettings(path)
@@ -64,7 +76,7 @@
 	if err != nil {
 		return fail(err, exitInvalid)
 	}
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(collectionPercent(settings.Limits.MilliCPU))
 	if settings.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB<<20)))
 	}
