--- a/internal/fleet/cell_load.go
+++ b/internal/fleet/cell_load.go
@@ -26,9 +26,9 @@
 	// Spare is the capacity for more fillers, less the demand of waiting ones. It may be
 	// negative.
 	Spare int64 `cbor:"3,keyasint"`
-	// LowPressureSpare is, by image of a filler, the spare capacity on workers where the image
-	// has low pressure on all services, less the demand of waiting fillers of the image.
-	LowPressureSpare map[string]int64 `cbor:"4,keyasint,omitempty"`
+	// ToleratedSpare is, by image of a filler, the spare capacity on workers that the headroom of
+	// their services leaves to the image, less the demand of waiting fillers of the image.
+	ToleratedSpare map[string]int64 `cbor:"4,keyasint,omitempty"`
 	// LargestFree is the free capacity of the workers with most of it, the largest first.
 	LargestFree []freeCapacity `cbor:"6,keyasint,omitempty"`
 	// Unplaced is a lasting task of the cell that fits in no cell; nil for none.
@@ -41,19 +41,19 @@
 // spareShare returns the share of the capacity that is spare for fillers.
 func (r cellLoad) spareShare() float64 { return float64(r.Spare) / float64(max(r.Capacity, 1)) }
 
-// lowPressureShare returns the share of the capacity that is spare beside services on which
-// fillers of an image have low pressure.
-func (r cellLoad) lowPressureShare(image string) float64 {
-	return float64(r.LowPressureSpare[image]) / float64(max(r.Capacity, 1))
+// toleratedSpareShare returns the share of the capacity that is spare beside services which
+// tolerate fillers of an image.
+func (r cellLoad) toleratedSpareShare(image string) float64 {
+	return float64(r.ToleratedSpare[image]) / float64(max(r.Capacity, 1))
 }
 
 // add returns the load with a job of demand d added. It does not change the receiver's map.
 func (r cellLoad) add(d stepDemand) cellLoad {
 	if d.filler {
 		r.Spare -= d.milliCPU
-		if l, known := r.LowPressureSpare[d.image]; known {
-			r.LowPressureSpare = maps.Clone(r.LowPressureSpare)
-			r.LowPressureSpare[d.image] = l - d.milliCPU
+		if l, known := r.ToleratedSpare[d.image]; known {
+			r.ToleratedSpare = maps.Clone(r.ToleratedSpare)
+			r.ToleratedSpare[d.image] = l - d.milliCPU
 		}
 	} else {
 		r.Reserved += d.milliCPU
@@ -79,9 +79,9 @@
 // ownLoad returns the load of this cell from its workers, its waiting steps and unaccounted
 // services.
 func (t *term) ownLoad(waiting []*waitingStep) cellLoad {
-	r := cellLoad{LowPressureSpare: map[string]int64{}}
+	r := cellLoad{ToleratedSpare: map[string]int64{}}
 	for image := range t.interference.fillerImages {
-		r.LowPressureSpare[image] = 0
+		r.ToleratedSpare[image] = 0
 	}
 	for _, w := range t.workers {
 		if t.unusableReason(w) != "" {
@@ -92,7 +92,7 @@
 		left := w.fillerCapacity()
 		r.Spare += left
 		if left > 0 {
-			t.addLowPressureSpare(r.LowPressureSpare, w, left)
+			t.addToleratedSpare(r.ToleratedSpare, w, left)
 		}
 	}
 	for _, milliCPU := range t.unaccountedServices() {
@@ -105,31 +105,40 @@
 			continue
 		}
 		r.Spare -= need
-		if _, known := r.LowPressureSpare[w.step.Image]; known {
-			r.LowPressureSpare[w.step.Image] -= need
+		if _, known := r.ToleratedSpare[w.step.Image]; known {
+			r.ToleratedSpare[w.step.Image] -= need
 		}
 	}
 	return r
 }
 
-// addLowPressureSpare adds the spare capacity of a worker to the images that have low pressure
-// on all of its services.
-func (t *term) addLowPressureSpare(spare map[string]int64, w *worker, left int64) {
+// addToleratedSpare adds, by image of fillers, the part of a worker's spare capacity that the
+// headroom of its services leaves.
+func (t *term) addToleratedSpare(spare map[string]int64, w *worker, left int64) {
 	v := t.interference.viewOf(w, t.now)
 	if !v.overTargetSince.IsZero() {
 		return
 	}
 	for image := range spare {
-		low := true
+		share := 1.0
 		for _, s := range v.services {
-			low = low && s.model.plannedPressure(image, t.now)*typicalFillerShare <= lowPressureLimit*s.model.highestHeadroom
+			share = min(share, s.toleratedShare(s.model.plannedPressure(image, t.now)))
 		}
-		if low {
-			spare[image] += left
+		if share >= typicalFillerShare {
+			spare[image] += min(left, int64(share*float64(w.info.Capacity.MilliCPU)))
 		}
 	}
 }
 
+// toleratedShare returns the share of the worker that more fillers with a pressure may use, at
+// most 1.
+func (s *serviceState) toleratedShare(pressure float64) float64 {
+	if pressure*typicalFillerShare < negligibleShare*s.model.highestHeadroom {
+		return 1
+	}
+	return max(min((s.headroomLater-s.fillerPressure-s.reducedPressure)/pressure, 1), 0)
+}
+
 // otherCellLoads returns the recent loads of other cells, with the jobs added that were sent
 // there in the meantime.
 func (t *term) otherCellLoads() []reportedLoad {
--- a/internal/fleet/choose_cell.go
+++ b/internal/fleet/choose_cell.go
@@ -16,9 +16,9 @@
 	// fillerImbalanceLimit is by how much the spare share of another cell must exceed that of
 	// the own cell before a filler moves there.
 	fillerImbalanceLimit = 0.08
-	// lowPressureImbalanceLimit is the same for spare capacity beside services on which the
-	// filler has low pressure.
-	lowPressureImbalanceLimit = 0.01
+	// toleratedImbalanceLimit is the same for spare capacity beside services that tolerate the
+	// filler.
+	toleratedImbalanceLimit = 0.01
 )
 
 // stepDemand is the demand of the waiting tasks of a step.
@@ -55,16 +55,25 @@
 // The load of the own cell already includes the job; fits reports whether all waiting tasks
 // of its step find a worker here now. The choice is needed because jobs are hashed to cells,
 // which therefore fill unevenly. Services run for long, so they are grouped by image as far
-// as cells stay balanced. Fillers move where clearly more capacity is spare. Short urgent
+// as cells stay balanced. Fillers move where services tolerate more of them, or, while their
+// pressure is unknown, where clearly more capacity is spare. Short urgent
 // work moves only if it does not fit, as a move takes some 70 ms.
 func chooseCell(own reportedLoad, others []reportedLoad, d stepDemand, fits, burst bool, learnedAt time.Time) (cellChoice, int) {
 	switch {
 	case d.lasting:
 		return chooseServiceCell(own, others, d, fits, burst, learnedAt)
-	case d.filler && (own.load.LowPressureSpare[d.image] < 0 || !fits):
+	case d.filler:
 		// The load of the own cell already includes the job.
-		if best := mostLowPressureCell(others, d); best != nil && best.load.add(d).lowPressureShare(d.image) > own.load.lowPressureShare(d.image)+lowPressureImbalanceLimit {
+		spare, known := own.load.ToleratedSpare[d.image]
+		best := mostTolerantCell(others, d)
+		switch {
+		case !known || best == nil:
+		case spare >= 0 && fits:
+			return stayInCell, 0
+		case best.load.add(d).toleratedSpareShare(d.image) > own.load.toleratedSpareShare(d.image)+toleratedImbalanceLimit:
 			return moveToCell, best.cell
+		default:
+			return stayInCell, 0
 		}
 	}
 	best := leastLoadedCell(others, d)
@@ -122,13 +131,13 @@
 	return moveToCell, best
 }
 
-// mostLowPressureCell returns the cell with the largest share of spare capacity beside
-// services on which a filler's image has low pressure, or nil if no cell knows the image.
-func mostLowPressureCell(others []reportedLoad, d stepDemand) *reportedLoad {
+// mostTolerantCell returns the cell with the largest share of spare capacity beside services
+// that tolerate a filler's image, or nil if no cell knows the image.
+func mostTolerantCell(others []reportedLoad, d stepDemand) *reportedLoad {
 	var best *reportedLoad
 	for i := range others {
 		o := &others[i]
-		if _, known := o.load.LowPressureSpare[d.image]; known && (best == nil || o.load.lowPressureShare(d.image) > best.load.lowPressureShare(d.image)) {
+		if _, known := o.load.ToleratedSpare[d.image]; known && (best == nil || o.load.toleratedSpareShare(d.image) > best.load.toleratedSpareShare(d.image)) {
 			best = o
 		}
 	}
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -41,8 +41,8 @@
 	filler := stepDemand{milliCPU: 100, filler: true}
 	urgent := stepDemand{milliCPU: 100}
 	render := stepDemand{milliCPU: 100, filler: true, image: "render"}
-	withLowPressureSpare := func(r cellLoad, milliCPU int64) cellLoad {
-		r.LowPressureSpare = map[string]int64{"render": milliCPU}
+	withToleratedSpare := func(r cellLoad, milliCPU int64) cellLoad {
+		r.ToleratedSpare = map[string]int64{"render": milliCPU}
 		return r
 	}
 	half := cellLoad{Capacity: 1000, Reserved: 500, Spare: 300}
@@ -69,9 +69,10 @@
 		"filler, another cell has clearly more": {half, []reportedLoad{cellWith(1, 1000, 0, 700, after)}, filler, true, false, moveToCell, 1},
 		"filler that fits nowhere here":         {full, []reportedLoad{cellWith(1, 1000, 0, 150, after)}, filler, false, false, moveToCell, 1},
 		"filler, nothing is spare anywhere":     {full, []reportedLoad{cellWith(1, 1000, 0, 50, after)}, filler, false, false, stayInCell, 0},
-		"filler that presses on services here":  {withLowPressureSpare(half, -50), []reportedLoad{{1, withLowPressureSpare(half, 150), after}, {2, withLowPressureSpare(half, 300), after}}, render, true, false, moveToCell, 2},
-		"filler that presses nowhere less":      {withLowPressureSpare(half, -50), []reportedLoad{{1, withLowPressureSpare(half, 60), after}}, render, true, false, stayInCell, 0},
-		"filler that hardly presses here":       {withLowPressureSpare(half, 10), []reportedLoad{{1, withLowPressureSpare(half, 900), after}}, render, true, false, stayInCell, 0},
+		"filler that presses on services here":  {withToleratedSpare(half, -50), []reportedLoad{{1, withToleratedSpare(half, 150), after}, {2, withToleratedSpare(half, 300), after}}, render, true, false, moveToCell, 2},
+		"filler that presses nowhere less":      {withToleratedSpare(half, -50), []reportedLoad{{1, withToleratedSpare(half, 60), after}}, render, true, false, stayInCell, 0},
+		"filler that hardly presses here":       {withToleratedSpare(half, 10), []reportedLoad{{1, withToleratedSpare(half, 900), after}}, render, true, false, stayInCell, 0},
+		"filler that only services here bear":   {withToleratedSpare(half, 50), []reportedLoad{{1, withToleratedSpare(cellLoad{Capacity: 1000, Spare: 900}, 0), after}}, render, true, false, stayInCell, 0},
 		"urgent work that fits does not move":   {full, []reportedLoad{cellWith(1, 1000, 0, 0, after)}, urgent, true, false, stayInCell, 0},
 		"urgent work that does not fit":         {full, []reportedLoad{cellWith(1, 1000, 300, 0, after)}, urgent, false, false, moveToCell, 1},
 		"urgent work, all cells are full":       {full, []reportedLoad{cellWith(1, 1000, 960, 0, after)}, urgent, false, false, stayInCell, 0},
@@ -119,6 +120,32 @@
 	require.Equal(t, int64(300), others[0].load.Reserved)
 }
 
+// Processors beside services that bear no more fillers are not spare. Fillers that moved there
+// waited for headroom and moved on.
+func TestSpareForFillersIsWhatServicesTolerate(t *testing.T) {
+	for name, c := range map[string]struct {
+		headroom    float64
+		least, most int64
+	}{
+		"the service bears none":         {1.2, 0, 0},
+		"the service bears some":         {2, 4000, 7000},
+		"processors are short instead":   {4, 14_000, 14_000},
+		"the service exceeds its target": {0.9, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := newTestTerm(2)
+			w := testWorker("w")
+			w.listed = true
+			tm.workers = map[model.WorkerID]*worker{"w": w}
+			addService(tm, w, 0, 4000, c.headroom)
+			tm.interference.fillerImages["render"] = true
+			spare := tm.ownLoad(nil).ToleratedSpare["render"]
+			require.GreaterOrEqual(t, spare, c.least)
+			require.LessOrEqual(t, spare, c.most)
+		})
+	}
+}
+
 func TestDemandOfWaitingStep(t *testing.T) {
 	big := model.Resources{MilliCPU: 1000}
 	of := func(s Step) stepDemand { return demandOf(&waitingStep{job: &job{}, step: &s, tasks: []int{3, 5}}) }
