--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -36,7 +36,7 @@
 	moveChecksPerRound = 8
 	// relocateAfter is how long a step must have been waiting, with no worker of the cell able
 	// to hold its tasks, before its job moves. It applies to lasting steps of started jobs, to
-	// inherited jobs and to jobs that lost a run to an expired lease.
+	// inherited jobs that may have started, and to jobs that lost a run to an expired lease.
 	relocateAfter = 1 * time.Second
 )
 
@@ -131,7 +131,7 @@
 		return true
 	case !j.mayChangeCell():
 		return false
-	case (w.step.Lasting || j.inherited || j.leaseExpired) && (t.waitTime(j, w.key(0)) < relocateAfter || !t.noWorkerCanHold(w)):
+	case (w.step.Lasting || j.inherited && (j.started || !t.formerRunsReported) || j.leaseExpired) && (t.waitTime(j, w.key(0)) < relocateAfter || !t.noWorkerCanHold(w)):
 		// A run whose lease has expired may have completed before that without a report of its
 		// end. This cell would still receive the report, while the other one would start the
 		// task again.
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -224,3 +224,33 @@
 }
 
 const jobName = "00000000000000aa"
+
+// An inherited job that was not seen to start could run twice if it left before all workers have told their
+// runs and ends: the end of a run on a worker that fell silent would come to the cell that it has left.
+func TestInheritedJobStaysUntilRunsAreReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(tm *term, j *job, w *worker)
+		moves  bool
+	}{
+		"worker has told all":       {func(tm *term, _ *job, w *worker) { w.answered, w.inherited = true, false }, true},
+		"an earlier term had":       {func(_ *term, _ *job, w *worker) { w.runsKnown = true }, true},
+		"worker lists no ends yet":  {func(tm *term, _ *job, w *worker) { w.answered, w.endsCut, w.unansweredCalls = true, true, 1 }, false},
+		"worker has fallen silent":  {func(*term, *job, *worker) {}, false},
+		"silent worker was removed": {func(tm *term, _ *job, _ *worker) { tm.expireLeases() }, false},
+		"job has started":           {func(_ *term, j *job, w *worker) { w.answered, w.inherited, j.started = true, false, true }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := newTestTerm(3)
+			tm.loaded, tm.now, tm.confirmedAt = true, at(100), at(99)
+			j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1}}}}, 5, epoch)
+			j.inherited = true
+			j.openDue(epoch, 0, tm.monotonicTime)
+			w := testWorker("w")
+			w.inherited, w.answered, w.clockAt = true, false, epoch
+			tm.jobs["j"], tm.workers[w.info.Worker], tm.workers["other"] = j, w, testWorker("other")
+			c.change(tm, j, w)
+			require.True(t, tm.allRunsKnown())
+			require.Equal(t, c.moves, tm.mayMove(&waitingStep{job: j, occurrence: j.occurrences[0], step: &j.spec.Steps[0], queue: Queue{Service: "svc"}, tasks: []int{0}}))
+		})
+	}
+}
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -365,6 +365,7 @@
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired",
 				"listed": w.listed, "lease_end_ms_ago": t.now.Sub(w.inheritedLeaseEnd).Milliseconds(), "term_ms": t.now.Sub(t.startedAt).Milliseconds()}).Warn("leases of an unreachable worker from earlier terms have ended")
 			info, listed := w.info, w.listed
+			t.formerRunsLost = t.formerRunsLost || !w.runsKnown
 			t.removeWorker(w, reasonLeaseOver)
 			if listed { // it may come back, but nothing from before can still run there
 				t.workers[info.Worker] = newWorker(info)
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -58,12 +58,15 @@
 	startedAt time.Time
 	random    *rand.Rand
 	// runsKnown is set once all runs of earlier terms are accounted for; see allRunsKnown.
-	runsKnown      bool
-	adoptedRuns    int // runs adopted from earlier terms
-	loaded         bool
-	workersLoaded  bool                      // the workers that may hold runs are known, see workersLoaded
-	readAnsweredAt atomic.Pointer[time.Time] // the last answered read; nil before the first
-	readLimiter    *readLimiter
+	runsKnown bool
+	// formerRunsReported means that each worker with runs of earlier terms has told them and their ends, or
+	// that an earlier term had recorded them. formerRunsLost means that the leases of one ended before.
+	formerRunsReported, formerRunsLost bool
+	adoptedRuns                        int // runs adopted from earlier terms
+	loaded                             bool
+	workersLoaded                      bool                      // the workers that may hold runs are known, see workersLoaded
+	readAnsweredAt                     atomic.Pointer[time.Time] // the last answered read; nil before the first
+	readLimiter                        *readLimiter
 	// renewalsFailedAt is when renewals failed last before the tables were read. loadStalled means
 	// that the term ends because they could not be read.
 	renewalsFailedAt time.Time
@@ -423,7 +426,10 @@
 	if n > 0 {
 		return false
 	}
-	t.runsKnown = true
+	t.runsKnown, t.formerRunsReported = true, !t.formerRunsLost
+	for _, w := range t.workers {
+		t.formerRunsReported = t.formerRunsReported && !(w.inherited && (w.answered || !w.runsKnown))
+	}
 	took := t.now.Sub(t.startedAt)
 	t.metrics.recoverySeconds.Observe(took.Seconds())
 	t.log.WithFields(logrus.Fields{"took_ms": took.Milliseconds(), "adopted": t.adoptedRuns}).Info("all runs of earlier terms are accounted for")
