--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -25,6 +25,8 @@
 	// leaderWatchWait is how long the store may hold a watch of the leaders' rows. A row
 	// changes every 400 ms, so an empty answer means that renewals are missing.
 	leaderWatchWait = 900 * time.Millisecond
+	// resumeWait is that time for the first read after a failed watch, which shows that the store answers.
+	resumeWait = time.Millisecond
 	// leaderWatchPause is the pause between two watches of the renewals of several cells.
 	// leaderWatchPauseSmall is that of small hosts, which lead only when no larger host does, for any number
 	// of cells.
@@ -160,7 +162,7 @@
 			if err != nil && !model.IsKind(err, model.KindStale) && ctx.Err() == nil {
 				n.recordStoreFailure(err)
 			}
-			after, ok = n.readLeaders(ctx)
+			after, ok = n.resumeWatch(ctx, after)
 			continue
 		}
 		n.recordStoreAnswer()
@@ -234,14 +236,44 @@
 		return 0, false
 	}
 	n.recordStoreAnswer()
-	for _, c := range d.cells {
-		c.watch.silentSince = time.Now()
-		c.watch.seenAt = c.watch.silentSince
-	}
+	n.restartSilence()
 	n.applyLeaderRows(ctx, rows, page.Now)
 	return page.Version, true
 }
 
+// resumeWatch reads the renewals since a version after a failed watch, in one call for all cells, and restarts the
+// time for which renewals count as missing. It reads all renewals again when the store has dropped that
+// history, or when its version went back. It returns the version to watch from.
+func (n *Node) resumeWatch(ctx context.Context, after uint64) (uint64, bool) {
+	for ; ctx.Err() == nil; sleep(ctx, readPause+jitter()) {
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := n.cfg.Store.Watch(call, tableLeader, after, resumeWait)
+		cancel()
+		switch {
+		case model.IsKind(err, model.KindStale), err == nil && page.Version < after:
+			return n.readLeaders(ctx)
+		case err != nil:
+			if ctx.Err() == nil {
+				n.recordStoreFailure(err)
+			}
+			continue
+		}
+		n.recordStoreAnswer()
+		n.restartSilence()
+		n.applyLeaderRows(ctx, page.Rows, page.Now)
+		return page.Version, true
+	}
+	return 0, false
+}
+
+// restartSilence restarts the time for which renewals count as missing: nothing is known of the time before.
+func (n *Node) restartSilence() {
+	now := time.Now()
+	for _, c := range n.cellTable.Load().cells {
+		c.watch.silentSince, c.watch.seenAt = now, now
+	}
+}
+
 // applyLeaderRows applies changed rows of the leaders' table, which were read with the store's clock at
 // storeNow.
 func (n *Node) applyLeaderRows(ctx context.Context, rows []Row, storeNow time.Duration) {
--- a/internal/fleet/leader_watch_test.go
+++ b/internal/fleet/leader_watch_test.go
@@ -44,3 +44,22 @@
 		require.Less(t, float64(reads-before)/(small+1)/seconds, 3.0, "reads of a node in a second, operators' table included")
 	})
 }
+
+// While the store refused calls, each node asked it for the renewals of every cell by a call of its own.
+func TestReadsOfFailingStoreDoNotGrowWithCells(t *testing.T) {
+	const nodes, seconds = 6, 4
+	runInCells(t, 991, nodes, 6, 3, slowTask, func(t *testing.T, c *fleettest.Cluster) {
+		for _, m := range c.Nodes {
+			m.Store.SetFault(fleettest.Busy)
+		}
+		before, _ := c.Store.Calls()
+		time.Sleep(seconds * time.Second)
+		reads, _ := c.Store.Calls()
+		require.Less(t, float64(reads-before)/nodes/seconds, 30.0, "reads of a node in a second, those of terms included")
+		for _, m := range c.Nodes {
+			m.Store.SetFault(fleettest.Healthy)
+		}
+		time.Sleep(settleTime)
+		require.NotNil(t, c.Leader())
+	})
+}
