Strained services: shorter pauses, no closer polls before a breach

Cause: polls every 0.45 s of each worker with a reading near a target.

Change: only a strained service is polled more often, from its first reading over the target on. A service is no longer strained once all fillers beside it are paused, so that they go on with the next report and are not stopped. The time to the pause is 1.6 s for 1.5.

--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -150,7 +150,7 @@
 	m.highestHeadroom = max(m.highestHeadroom, headroom)
 	fillerShares := r.worker.exposures.average(now)
 	switch {
-	case headroom >= clearHeadroom || len(fillerShares) == 0:
+	case headroom >= clearHeadroom || !r.worker.fillersWork():
 		r.strainedSince = time.Time{}
 	case headroom < 1 && r.strainedSince.IsZero():
 		r.strainedSince = now
@@ -186,6 +186,16 @@
 	r.lastSample = headroomSample{now, headroom, fillerShares, baseline, offset}
 }
 
+// fillersWork reports whether a filler on w has not been paused.
+func (w *worker) fillersWork() bool {
+	for _, r := range w.runs {
+		if r.step != nil && r.step.Filler && (r.pace > 0 || r.paceUnknown) {
+			return true
+		}
+	}
+	return false
+}
+
 // trendOf returns the headroom trend of a serving run's step.
 func (h *interference) trendOf(r *run) *headroomTrend {
 	key := stepID{r.job.id, r.key.occurrence, r.key.step}
@@ -223,8 +233,6 @@
 	overTargetSince time.Time
 	// strainedSince is since when a service is strained by fillers; zero if none is.
 	strainedSince time.Time
-	// clear means that the last reading of each service is clearly below its target.
-	clear bool
 }
 
 // needsPause reports whether all fillers must be paused for a service that has been over its target,
@@ -257,7 +265,7 @@
 	if w.interferenceView != nil && now.Sub(w.interferenceView.computedAt) < viewMaxAge {
 		return w.interferenceView
 	}
-	v := &interferenceView{computedAt: now, services: map[string]*serviceState{}, clear: true}
+	v := &interferenceView{computedAt: now, services: map[string]*serviceState{}}
 	w.interferenceView = v
 	for _, r := range w.runs {
 		if r.step == nil || r.step.LatencyTarget == 0 || !r.live() {
@@ -270,7 +278,6 @@
 		soon, later := m.highestHeadroom/2, m.highestHeadroom/2 // before the first report
 		if !r.lastSample.reportedAt.IsZero() {
 			soon, later = h.trendOf(r).predict(&r.lastSample, now)
-			v.clear = v.clear && r.lastSample.headroom >= clearHeadroom
 		}
 		s := v.services[r.step.Image]
 		if s == nil {
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -32,7 +32,7 @@
 	pauseAllAfter = 1200 * time.Millisecond
 	// pauseStrainedAfter is the same for a service that is strained. With the time to the first
 	// reading and to the answer of the pace order it stays below the contract's bound.
-	pauseStrainedAfter = 1500 * time.Millisecond
+	pauseStrainedAfter = 1600 * time.Millisecond
 	// pausedTimeout is how long a filler may be paused before it is stopped to run elsewhere.
 	// It is about the time that this costs: 400 ms for the stop, 250 ms to restore progress,
 	// and a start.
@@ -66,7 +66,7 @@
 	for _, s := range v.services {
 		headroom[s] = max(s.headroomSoon, 0)
 	}
-	lowHeadroom := !v.clear || !v.overTargetSince.IsZero()
+	lowHeadroom := !v.strainedSince.IsZero() || !v.overTargetSince.IsZero()
 	spare := w.fillerCapacity()
 	for _, r := range t.fillersByHeadroomOrder(v, w) {
 		limit := 1.0
