--- a/internal/fleet/borrowed_tasks.go
+++ b/internal/fleet/borrowed_tasks.go
@@ -19,9 +19,10 @@
 const (
 	// loanSuffix follows the id of a job in the key of its borrowed tasks.
 	loanSuffix = "/loan"
-	// maxReturnDelay bounds how long a borrowed task waits for a worker before it is returned. The
-	// wait doubles with each loan of the task, from lendDelay.
-	maxReturnDelay = 24 * time.Second
+	// firstReturnDelay is how long a borrowed task waits for a worker before it is returned. The wait
+	// doubles with each loan of the task, up to maxReturnDelay.
+	firstReturnDelay = 1500 * time.Millisecond
+	maxReturnDelay   = 24 * time.Second
 	// maxReturnsPerCommit bounds the tasks of a job that one transaction returns.
 	maxReturnsPerCommit = 16
 	// returnedCapacityMaxAge is how long the capacity that a return names is kept for the task, which
@@ -154,7 +155,7 @@
 
 // returnDelay returns how long a borrowed task waits for a worker before it is returned.
 func returnDelay(loan int) time.Duration {
-	delay := lendDelay
+	delay := firstReturnDelay
 	for ; loan > 1 && delay < maxReturnDelay; loan-- {
 		delay *= 2
 	}
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -44,6 +44,9 @@
 	hostsPerCell = 2
 	// minWorkersPerCell keeps cells large enough for steps of many tasks.
 	minWorkersPerCell = 30
+	// minPooledWorkers is the least size of cells that are small only for the sake of the smallest
+	// hosts. In smaller ones lost lasting tasks find no room in time while services fill the fleet.
+	minPooledWorkers = 100
 )
 
 // leaderCost is the processor use of the leader of a cell in thousandths of a core: a fixed part, and
@@ -217,9 +220,21 @@
 	return sum
 }
 
-// canLead reports whether hosts can lead n cells, also after the largest hosts are lost.
+// canLead reports whether hosts can lead n cells, also after the largest hosts are lost if that is
+// planned for.
 func canLead(hosts []Limits, n, workers int) bool {
-	return hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers)
+	return hasEnoughHosts(hosts, n, workers) && (lastHostsLead(hosts, n, workers) || !planForLastHosts(hosts, workers))
+}
+
+// planForLastHosts reports whether the last hosts can lead cells that have minPooledWorkers, or the
+// fleet as one cell. Smaller cells for their sake would cost more on all other days.
+func planForLastHosts(hosts []Limits, workers int) bool {
+	for n := 1; n <= max(1, workers/minPooledWorkers); n++ {
+		if hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers) {
+			return true
+		}
+	}
+	return false
 }
 
 // hasEnoughHosts reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -18,7 +18,7 @@
 const (
 	// lendDelay is how long a lasting task waits for capacity in its own cell, where the end
 	// of short tasks may free some.
-	lendDelay = 1500 * time.Millisecond
+	lendDelay = 500 * time.Millisecond
 	// lentKeySeparator precedes step and index in the key of a lent task's row.
 	lentKeySeparator = "/task-"
 	// maxLentNames bounds the tasks of a job of which borrowers' rows are deleted with the job.
