--- a/internal/fleet/borrowed_tasks_test.go
+++ b/internal/fleet/borrowed_tasks_test.go
@@ -176,7 +176,7 @@
 	borrower.cellLoads = func() []reportedLoad {
 		return []reportedLoad{{2, cellLoad{Capacity: 10_000, LargestFree: free}, borrower.now}}
 	}
-	waitUnplaced(borrower, 10*lendDelay)
+	waitUnplaced(borrower, 10*firstReturnDelay)
 	require.Equal(t, []taskKey{{0, 0, 0}}, startable(borrower), "no cell has capacity")
 	require.NotNil(t, borrower.unplaced, "the cell reports the task")
 	free = append(free, freeCapacity{MilliCPU: 1000, MemoryMB: 1})
@@ -226,7 +226,7 @@
 	borrower.cellLoads = func() []reportedLoad {
 		return []reportedLoad{{2, cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{1000, 1, nil}}}, borrower.now}}
 	}
-	waitUnplaced(borrower, 4*lendDelay)
+	waitUnplaced(borrower, 4*firstReturnDelay)
 	row := returned(t, borrower)
 
 	next, _ := lendingTerm(t, 1)
@@ -298,7 +298,7 @@
 	borrower.cellLoads = func() []reportedLoad {
 		return []reportedLoad{{2, cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{1000, 1, nil}}}, borrower.now}}
 	}
-	waitUnplaced(borrower, 4*lendDelay)
+	waitUnplaced(borrower, 4*firstReturnDelay)
 	require.Equal(t, []taskKey{{0, 0, 0}}, startable(borrower))
 }
 
