--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -26,11 +26,8 @@
 	// stableReadInterval is the pause between two reads of hosts and workers. Those of a new
 	// deployment appear within some seconds, so the division waits for two equal reads.
 	stableReadInterval = 900 * time.Millisecond
-	// stableReadTimeout bounds that wait, from the first worker on.
+	// stableReadTimeout bounds that wait, including the wait for a first worker.
 	stableReadTimeout = 5 * time.Second
-	// firstWorkerTimeout bounds the wait for a first worker. A fleet without workers would become one
-	// cell for good, but its nodes accept no jobs before the division.
-	firstWorkerTimeout = 20 * time.Second
 )
 
 // layoutClaim is the claim of a node to decide the layout.
@@ -194,11 +191,10 @@
 	waited time.Duration
 }
 
-// readStableFleet reads hosts and workers until two reads are equal, or until firstWorkerTimeout or
-// stableReadTimeout has passed.
+// readStableFleet reads hosts and workers until two reads are equal or stableReadTimeout has
+// passed.
 func (n *Node) readStableFleet(ctx context.Context) (knownFleet, error) {
 	var f knownFleet
-	var withoutWorkers time.Duration // until the last read that showed none
 	for start := time.Now(); ctx.Err() == nil; sleep(ctx, stableReadInterval) {
 		hosts, racks, err := n.readFleet(ctx)
 		if err != nil {
@@ -206,10 +202,7 @@
 		}
 		stable := len(hosts) == len(f.hosts) && maps.Equal(racks, f.racks) && len(racks) > 0
 		f = knownFleet{hosts, racks, stable, time.Since(start)}
-		if len(racks) == 0 {
-			withoutWorkers = f.waited
-		}
-		if stable || f.waited > firstWorkerTimeout || f.waited-withoutWorkers > stableReadTimeout {
+		if stable || f.waited > stableReadTimeout {
 			return f, nil
 		}
 	}
