fleet: what a transaction is awaited for is read by the iterator and the check that exist

commitAwaited walked occurrences, steps and tasks by itself beside openTasks, and asked each worker for lease records beside leasesRecorded. Behaviour is the same: lent tasks and held runs are only in steps that are open. Tests of transactions, lease records and lent tasks pass.

--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -137,10 +137,8 @@
 			return true
 		}
 	}
-	for _, w := range t.workers {
-		if t.loaded && t.leaseRecordNeeded(w) {
-			return true
-		}
+	if t.loaded && t.leaseRecordsNeeded() {
+		return true
 	}
 	for _, w := range t.waves {
 		if w.dirty {
@@ -157,14 +155,9 @@
 	if j.needsOwnCommit || len(j.returns) > 0 || j.movedTo > 0 && !j.moveStored || j.state().Final() != j.visibleState.Final() {
 		return true
 	}
-	for _, o := range j.occurrences {
-		for s := range o.steps {
-			for i := range o.steps[s].tasks {
-				tk := &o.steps[s].tasks[i]
-				if tk.lentTo > 0 && !tk.lentSent || slices.ContainsFunc(tk.runs, func(r *run) bool { return r.state == runHeld && j.holdsStart(r.step) }) {
-					return true
-				}
-			}
+	for _, tk := range j.openTasks() {
+		if tk.lentTo > 0 && !tk.lentSent || slices.ContainsFunc(tk.runs, func(r *run) bool { return r.state == runHeld && r.heldFor() == waitsForStartRecord }) {
+			return true
 		}
 	}
 	return false
--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -95,12 +95,17 @@
 	if !t.loaded || t.now.Sub(t.stoppedAt) > maxRecordTime {
 		return true
 	}
+	return complete && !t.leaseRecordsNeeded()
+}
+
+// leaseRecordsNeeded reports whether the leases of any worker must be recorded for a later term.
+func (t *term) leaseRecordsNeeded() bool {
 	for _, w := range t.workers {
 		if t.leaseRecordNeeded(w) {
-			return false
+			return true
 		}
 	}
-	return complete
+	return false
 }
 
 // collectLeaseRecords adds the lease records that are due to a transaction that holds the ends of
