--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -47,17 +47,17 @@
 	// Go runtime.
 	memoryShare = 0.75
 	// gcPercent is high so that the heap grows before a collection: a node's live heap is a
-	// few megabytes. On small hosts, which have less than largeHostMilliCPU thousandths of a core,
+	// few megabytes. On small hosts, which have less than fewCollectionsMilliCPU thousandths of a core,
 	// frequent collections would cost the processor time that a leader needs.
 	gcPercent          = 300
 	gcPercentSmallHost = 800
-	largeHostMilliCPU  = 500
+	fewCollectionsMilliCPU  = 500
 )
 
 // collectionPercent returns by how much of its live part the heap grows before a collection, in percent, on a
 // host with a processor share in thousandths of a core; 0 if that is unknown.
 func collectionPercent(milliCPU int64) int {
-	if milliCPU > 0 && milliCPU < largeHostMilliCPU {
+	if milliCPU > 0 && milliCPU < fewCollectionsMilliCPU {
 		return gcPercentSmallHost
 	}
 	return gcPercent
