--- a/cmd/vpierd/fleet.go
+++ b/cmd/vpierd/fleet.go
@@ -49,9 +49,9 @@
 	// gcPercent is high so that the heap grows before a collection: a node's live heap is a
 	// few megabytes. On small hosts, which have less than fewCollectionsMilliCPU thousandths of a core,
 	// frequent collections would cost the processor time that a leader needs.
-	gcPercent          = 300
-	gcPercentSmallHost = 800
-	fewCollectionsMilliCPU  = 500
+	gcPercent              = 300
+	gcPercentSmallHost     = 800
+	fewCollectionsMilliCPU = 500
 )
 
 // collectionPercent returns by how much of its live part the heap grows before a collection, in percent, on a
