fleet: a division asks once which hosts are left and whether it is made for them

canLead looked for the last hosts, which sorts all hosts, and tried all divisions for them again for each number of cells that it was asked about: at the target size (400 hosts, 21,000 workers) hundreds of times for each of up to 256 numbers, on the node that every other waits for. newLeaders holds both answers. The numbers of cells are the same; the tests keep their assertions.

--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -189,9 +189,12 @@
 func cellCount(hosts []Limits, racks map[string]int) int {
 	workers := workersIn(racks)
 	most := max(1, min(len(racks), len(hosts), workers/minWorkersPerCell, MaxCells))
-	least := most
+	if most == 1 {
+		return 1
+	}
+	leaders, least := newLeaders(hosts, workers), most
 	for n := 1; n < most; n++ {
-		if canLead(hosts, n, workers) {
+		if leaders.canLead(n) {
 			least = n
 			break
 		}
@@ -201,7 +204,7 @@
 	}
 	best, bestExcess := least, 0.0
 	for n := least; n <= min(most, least+least/3); n++ {
-		if n > least && !canLead(hosts, n, workers) {
+		if n > least && !leaders.canLead(n) {
 			continue // hosts lead whole cells: they may carry less of smaller ones
 		}
 		if excess := sizeExcess(racks, n); n == least || excess < bestExcess {
@@ -220,40 +223,46 @@
 	return sum
 }
 
-// canLead reports whether hosts can lead n cells, also after the largest hosts are lost if that is
-// planned for.
-func canLead(hosts []Limits, n, workers int) bool {
-	return hasEnoughHosts(hosts, n, workers) && (lastHostsLead(hosts, n, workers) || !planForLastHosts(hosts, workers))
+// leaders are the hosts that may lead the cells of a number of workers.
+type leaders struct {
+	workers int
+	hosts   []Limits
+	// last are those that are left after the largest hosts are lost.
+	last []Limits
+	// planForLast means that they can lead cells that have minPooledWorkers, or the fleet as one cell.
+	// Smaller cells for their sake would cost more on all other days.
+	planForLast bool
 }
 
-// planForLastHosts reports whether the last hosts can lead cells that have minPooledWorkers, or the
-// fleet as one cell. Smaller cells for their sake would cost more on all other days.
-func planForLastHosts(hosts []Limits, workers int) bool {
-	for n := 1; n <= max(1, workers/minPooledWorkers); n++ {
-		if hasEnoughHosts(hosts, n, workers) && lastHostsLead(hosts, n, workers) {
-			return true
-		}
+func newLeaders(hosts []Limits, workers int) *leaders {
+	l := &leaders{workers: workers, hosts: hosts, last: lastHosts(hosts, workers)}
+	for n := 1; n <= max(1, workers/minPooledWorkers) && !l.planForLast; n++ {
+		l.planForLast = l.enough(n) && l.lastLead(n)
 	}
-	return false
+	return l
 }
 
-// hasEnoughHosts reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all
-// hosts if there are fewer. A large host counts for up to hostsPerCell cells.
-func hasEnoughHosts(hosts []Limits, n, workers int) bool {
+// canLead reports whether the hosts can lead n cells, also after the largest ones are lost if that is
+// planned for.
+func (l *leaders) canLead(n int) bool { return l.enough(n) && (!l.planForLast || l.lastLead(n)) }
+
+// enough reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all hosts if
+// there are fewer. A large host counts for up to hostsPerCell cells.
+func (l *leaders) enough(n int) bool {
 	led := 0
-	for _, h := range hosts {
-		led += min(cellsLed(h, budgetedCost, n, workers), hostsPerCell)
+	for _, h := range l.hosts {
+		led += min(cellsLed(h, budgetedCost, n, l.workers), hostsPerCell)
 	}
-	return led >= min(hostsPerCell*n, len(hosts))
+	return led >= min(hostsPerCell*n, len(l.hosts))
 }
 
-// lastHostsLead reports whether n cells are small enough for the hosts that are left after the
-// largest ones are lost. A division into larger cells would leave a small host with more than it
-// carries, although the small hosts could lead the fleet together.
-func lastHostsLead(hosts []Limits, n, workers int) bool {
+// lastLead reports whether n cells are small enough for the last hosts. A division into larger cells
+// would leave a small host with more than it carries, although the small hosts could lead the fleet
+// together.
+func (l *leaders) lastLead(n int) bool {
 	led := 0
-	for _, h := range lastHosts(hosts, workers) {
-		led += cellsLed(h, fullCost, n, workers)
+	for _, h := range l.last {
+		led += cellsLed(h, fullCost, n, l.workers)
 	}
 	return led >= n
 }
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -65,7 +65,7 @@
 		hosts = append(hosts, hostsOf(rapid.IntRange(0, 20).Draw(t, "large hosts"), rapid.Int64Range(small, 4000).Draw(t, "large host"), 25_000_000)...)
 		racks := rapid.IntRange(20, 60).Draw(t, "racks")
 		cells, workers := cellCount(hosts, racksOf(racks, 20)), racks*20
-		if cells == min(racks, len(hosts), workers/minWorkersPerCell) || !planForLastHosts(hosts, workers) {
+		if cells == min(racks, len(hosts), workers/minWorkersPerCell) || !newLeaders(hosts, workers).planForLast {
 			return // no further division is possible, or it would leave too small cells
 		}
 		bySize := slices.SortedFunc(slices.Values(hosts), func(a, b Limits) int { return cmp.Compare(a.MilliCPU, b.MilliCPU) })
@@ -93,10 +93,10 @@
 				hosts = append(hosts, hostsOf(rapid.IntRange(1, 20).Draw(t, "hosts"), rapid.Int64Range(20, 2000).Draw(t, "milli cpu"), 0)...)
 			}
 			racks := racksOf(rapid.IntRange(5, 60).Draw(t, "racks"), rapid.IntRange(5, 30).Draw(t, "workers"))
-			workers, cells := workersIn(racks), cellCount(hosts, racks)
+			leaders, cells := newLeaders(hosts, workersIn(racks)), cellCount(hosts, racks)
 			for n := 1; n < cells; n++ {
-				if canLead(hosts, n, workers) {
-					require.True(t, canLead(hosts, cells, workers), "%d cells, %d suffice", cells, n)
+				if leaders.canLead(n) {
+					require.True(t, leaders.canLead(cells), "%d cells, %d suffice", cells, n)
 				}
 			}
 		}
