fleet: one call watches a table once, for all loops that do

Three loops of this change and the one of tableSource each bounded the call, and checked for themselves whether the version went back. watchOnce does, and says so as a stale history. A stale watch of the leaders is answered by a read of their rows at once; since a second watch was sent first, which failed alike. The two pauses by the number of cells are one function. go test ./internal/fleet passes.

--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -167,20 +167,21 @@
 	for ok && ctx.Err() == nil {
 		n.campaignIfDue(ctx)
 		wait := n.nextWatchWait()
-		call, cancel := context.WithTimeout(ctx, wait+watchTimeout)
-		page, err := n.cfg.Store.Watch(call, tableLeader, after, wait)
-		cancel()
-		if err != nil || page.Version < after {
-			if err != nil && !model.IsKind(err, model.KindStale) && ctx.Err() == nil {
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, wait, watchTimeout)
+		switch {
+		case model.IsKind(err, model.KindStale):
+			after, ok = n.readLeaders(ctx)
+		case err != nil:
+			if ctx.Err() == nil {
 				n.recordStoreFailure(err)
 			}
 			after, ok = n.resumeWatch(ctx, after)
-			continue
+		default:
+			n.recordStoreAnswer()
+			after = page.Version
+			n.applyLeaderRows(ctx, page.Rows, page.Now)
+			n.pauseWatch(ctx, len(page.Rows) > 0)
 		}
-		n.recordStoreAnswer()
-		after = page.Version
-		n.applyLeaderRows(ctx, page.Rows, page.Now)
-		n.pauseWatch(ctx, len(page.Rows) > 0)
 	}
 }
 
@@ -258,11 +259,9 @@
 // history, or when its version went back. It returns the version to watch from.
 func (n *Node) resumeWatch(ctx context.Context, after uint64) (uint64, bool) {
 	for ; ctx.Err() == nil; sleep(ctx, readPause+jitter()) {
-		call, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := n.cfg.Store.Watch(call, tableLeader, after, resumeWait)
-		cancel()
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, resumeWait, readTimeout-resumeWait)
 		switch {
-		case model.IsKind(err, model.KindStale), err == nil && page.Version < after:
+		case model.IsKind(err, model.KindStale):
 			return n.readLeaders(ctx)
 		case err != nil:
 			if ctx.Err() == nil {
--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -72,16 +72,11 @@
 		if n.claimLayout(ctx) {
 			n.decideLayout(ctx)
 		}
-		call, cancel := context.WithTimeout(ctx, layoutWatchWait+watchTimeout)
-		page, err := n.cfg.Store.Watch(call, tableLeader, after, layoutWatchWait)
-		cancel()
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, layoutWatchWait, watchTimeout)
 		if err != nil {
 			n.recordStoreFailure(err)
 			return
 		}
-		if page.Version < after {
-			return
-		}
 		n.recordStoreAnswer()
 		after = page.Version
 		n.applyLayoutRows(page.Rows)
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -139,13 +139,8 @@
 // store has dropped the history since that version, or when its version goes back.
 func (s tableSource) watch(ctx context.Context, after uint64) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-		page, err := s.store.Watch(call, s.table, after, watchWait)
-		cancel()
+		page, err := watchOnce(ctx, s.store, s.table, after, watchWait, watchTimeout)
 		switch {
-		case err == nil && page.Version < after:
-			err = model.Errorf(model.KindStale, "read the table again", "watch of %s went back from %d to %d", s.table, after, page.Version)
-			fallthrough
 		case model.IsKind(err, model.KindStale):
 			s.onError(err)
 			rows, first, ok := s.listUntil(ctx)
@@ -167,6 +162,19 @@
 	}
 }
 
+// watchOnce returns the changes of a table since a version, for which the store may wait; the call may take
+// some time more. It fails with KindStale when the store has dropped the history since that version, or when
+// the table's version goes back: the table must be read again.
+func watchOnce(ctx context.Context, s Store, table string, after uint64, wait, more time.Duration) (Page, error) {
+	call, cancel := context.WithTimeout(ctx, wait+more)
+	defer cancel()
+	page, err := s.Watch(call, table, after, wait)
+	if err == nil && page.Version < after {
+		err = model.Errorf(model.KindStale, "read the table again", "watch of %s went back from %d to %d", table, after, page.Version)
+	}
+	return page, err
+}
+
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
@@ -219,33 +227,28 @@
 	c.t.post(e)
 }
 
-func (t *term) workerPause() time.Duration {
-	if t.layout.Cells > 1 {
-		return workerWatchPauseCells
-	}
-	return workerWatchPause
-}
-
-func (t *term) jobPause() time.Duration {
+// pauseByCells returns the pause between two watches in a fleet of one cell, or in one of several.
+func (t *term) pauseByCells(one, several time.Duration) time.Duration {
 	if t.layout.Cells > 1 {
-		return jobWatchPauseCells
+		return several
 	}
-	return jobWatchPause
+	return one
 }
 
 // loadTables reads the tables from which the term starts, and watches those that change.
 func (t *term) loadTables() {
 	workersTable, operatorName := t.cfg.Decoder.Tables()
 	buffer := &changeBuffer{t: t}
-	jobs := t.newSource(tableJobs, t.layout.jobParts(t.cell), t.jobPause(), func(rows []Row, full bool, p Page) {
+	jobPause := t.pauseByCells(jobWatchPause, jobWatchPauseCells)
+	jobs := t.newSource(tableJobs, t.layout.jobParts(t.cell), jobPause, func(rows []Row, full bool, p Page) {
 		e := jobRows{rows: rows, storeNow: p.Now}
 		if full {
 			e.fullVersion = p.Version
 		}
 		buffer.post(e)
 	})
-	workers := t.newSource(workersTable, []string{""}, t.workerPause(), func(rows []Row, full bool, _ Page) { buffer.post(workerRows{rows, full}) })
-	moved := t.newSource(tableMoved, []string{t.part}, t.jobPause(), func(rows []Row, full bool, p Page) { buffer.post(movedRows{rows, p.Now, full}) })
+	workers := t.newSource(workersTable, []string{""}, t.pauseByCells(workerWatchPause, workerWatchPauseCells), func(rows []Row, full bool, _ Page) { buffer.post(workerRows{rows, full}) })
+	moved := t.newSource(tableMoved, []string{t.part}, jobPause, func(rows []Row, full bool, p Page) { buffer.post(movedRows{rows, p.Now, full}) })
 	progress := t.newSource(tableProgress, []string{t.part}, 0, nil)
 	used := t.newSource(tableUsed, []string{t.part}, 0, nil)
 	models := t.newSource(tableModels, []string{t.part}, 0, nil)
