fleet: the refresh of the operators' table and the resumed watch of the leaders share their read

Both read what has changed since a version without waiting for more: one wait, one bound, one check of the version (watchOnce).

--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -25,8 +25,6 @@
 	// leaderWatchWait is how long the store may hold a watch of the leaders' rows. A row
 	// changes every 400 ms, so an empty answer means that renewals are missing.
 	leaderWatchWait = 900 * time.Millisecond
-	// resumeWait is that time for the first read after a failed watch, which shows that the store answers.
-	resumeWait = time.Millisecond
 	// leaderWatchPause is the pause between two watches of the renewals of several cells.
 	// leaderWatchPauseSmall is that of small hosts, which lead only when no larger host does, for any number
 	// of cells.
@@ -259,7 +257,7 @@
 // history, or when its version went back. It returns the version to watch from.
 func (n *Node) resumeWatch(ctx context.Context, after uint64) (uint64, bool) {
 	for ; ctx.Err() == nil; sleep(ctx, readPause+jitter()) {
-		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, resumeWait, readTimeout-resumeWait)
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, refreshWait, readTimeout-refreshWait)
 		switch {
 		case model.IsKind(err, model.KindStale):
 			return n.readLeaders(ctx)
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -109,17 +109,13 @@
 	for ctx.Err() == nil {
 		version := o.currentVersion()
 		if version > 0 {
-			call, cancel := context.WithTimeout(ctx, readTimeout)
-			page, err := s.Watch(call, table, version, refreshWait)
-			cancel()
-			if err == nil && page.Version >= version {
+			page, err := watchOnce(ctx, s, table, version, refreshWait, readTimeout-refreshWait)
+			if err == nil {
 				o.apply(page.Rows, false, page.Version)
 				return true
 			}
-			if err != nil {
-				failed(err)
-			}
-			if err == nil || model.IsKind(err, model.KindStale) {
+			failed(err)
+			if model.IsKind(err, model.KindStale) {
 				o.reload(ctx, s, table, failed)
 				continue
 			}
