fleet: what short tasks have left is kept for the next ones at once, not from the next observation on

What callers saw: short jobs that miss their objective beside services that fill the fleet.

Cause: what new services leave free is the demand of short work less what runs of it. What runs was counted at the last observation, up to a tick before, what is free at the plan.

Change: a plan with new services counts what runs anew.

The new test fails without the recount (5 for 0).

--- a/internal/fleet/short_work.go
+++ b/internal/fleet/short_work.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/model"
@@ -64,15 +65,8 @@
 	for key := range t.shortWork {
 		demand[key] = sums{}
 	}
-	for _, w := range t.workers {
-		for _, r := range w.runs {
-			if r.job != nil && r.step != nil && r.step.isShort() {
-				key := shortKey{w.info.Service, t.queues[r.job.queue].Priority}
-				s := demand[key]
-				s.running += r.reserved.MilliCPU
-				demand[key] = s
-			}
-		}
+	for key, running := range t.runningShortWork() {
+		demand[key] = sums{running: running}
 	}
 	for _, w := range waiting {
 		if w.step.isShort() && w.urgency != urgencyExpired {
@@ -90,6 +84,36 @@
 	}
 }
 
+// runningShortWork returns the processors that running short tasks reserve, in thousandths of a core.
+func (t *term) runningShortWork() map[shortKey]int64 {
+	running := map[shortKey]int64{}
+	for _, w := range t.workers {
+		for _, r := range w.runs {
+			if r.job != nil && r.step != nil && r.step.isShort() {
+				running[shortKey{w.info.Service, t.queues[r.job.queue].Priority}] += r.reserved.MilliCPU
+			}
+		}
+	}
+	return running
+}
+
+// heldCapacity returns the capacity that the new services of a plan must leave free. What short
+// tasks have left since their demand was observed counts as kept for the next ones.
+func (t *term) heldCapacity(waiting []*waitingStep) heldCapacity {
+	if len(t.shortWork) > 0 && slices.ContainsFunc(waiting, (*waitingStep).leavesCapacity) {
+		running := t.runningShortWork()
+		for key, d := range t.shortWork {
+			d.running = running[key]
+		}
+	}
+	return heldCapacity{t.unaccountedServices(), t.shortWork}
+}
+
+// leavesCapacity reports whether the step is a new service, whose start must leave capacity free.
+func (w *waitingStep) leavesCapacity() bool {
+	return !w.restart && w.step.Lasting && !w.step.Filler && w.step.Needs.MilliCPU > 0
+}
+
 // heldCapacity is capacity that new services must leave free, in thousandths of a core.
 type heldCapacity struct {
 	// unaccounted is for services of earlier terms; see unaccountedServices.
@@ -113,7 +137,7 @@
 // the processors are free and twice what they need.
 func (p *placement) allowedTasks(w *waitingStep, h heldCapacity) int {
 	tasks, each := int64(len(w.tasks)), w.step.Needs.MilliCPU
-	if w.restart || !w.step.Lasting || w.step.Filler || each <= 0 {
+	if !w.leavesCapacity() {
 		return len(w.tasks)
 	}
 	held, short := h.unaccounted[w.queue.Service], h.forShortWork(w)
--- a/internal/fleet/short_work_test.go
+++ b/internal/fleet/short_work_test.go
@@ -114,3 +114,18 @@
 	tm.observeShortWork(nil)
 	require.Zero(t, tm.shortWork[shortKey{"svc", 1}].free())
 }
+
+// A short task ends between two observations of the demand. What it has left is kept for the
+// next short tasks, not given to a new service as capacity that the demand does not ask for.
+func TestCapacityOfEndedShortTaskIsKept(t *testing.T) {
+	w := testWorker("w1")
+	tm := &term{queues: map[string]Queue{}, shortWork: map[shortKey]*shortDemand{}, workers: map[model.WorkerID]*worker{"w1": w}}
+	short := &Step{Needs: model.Resources{MilliCPU: 8000}}
+	runs := []*run{testRun(w, short, 0), testRun(w, short, 1)}
+	tm.now = at(10)
+	tm.observeShortWork(nil)
+	w.detach(runs[0], tm.now)
+	service := &waitingStep{step: &Step{Lasting: true, Needs: model.Resources{MilliCPU: 1000}}, queue: Queue{Service: "svc"}, tasks: []int{0, 1, 2, 3, 4}}
+	p := &placement{workers: []*worker{w}}
+	require.Zero(t, p.allowedTasks(service, tm.heldCapacity([]*waitingStep{service})))
+}
