--- a/internal/fleet/short_work.go
+++ b/internal/fleet/short_work.go
@@ -88,6 +88,9 @@
 func (t *term) runningShortWork() map[shortKey]int64 {
 	running := map[shortKey]int64{}
 	for _, w := range t.workers {
+		if w.shortMilliCPU == 0 {
+			continue
+		}
 		for _, r := range w.runs {
 			if r.job != nil && r.step != nil && r.step.isShort() {
 				running[shortKey{w.info.Service, t.queues[r.job.queue].Priority}] += r.reserved.MilliCPU
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -126,6 +126,8 @@
 	// servingMilliCPU is the processor capacity that lasting runs reserve, in thousandths of
 	// a core.
 	servingMilliCPU int64
+	// shortMilliCPU is the same of short runs.
+	shortMilliCPU int64
 
 	// clock is the worker's clock in its latest answer, clockAt the time of receipt.
 	clock   time.Duration
@@ -314,6 +316,9 @@
 	if r.step != nil && r.step.Lasting && !r.step.Filler {
 		w.servingMilliCPU += r.step.Needs.MilliCPU
 	}
+	if r.step != nil && r.step.isShort() {
+		w.shortMilliCPU += r.step.Needs.MilliCPU
+	}
 }
 
 // detach removes a run and frees its resources.
@@ -332,6 +337,9 @@
 	if r.step != nil && r.step.Lasting && !r.step.Filler {
 		w.servingMilliCPU -= r.step.Needs.MilliCPU
 	}
+	if r.step != nil && r.step.isShort() {
+		w.shortMilliCPU -= r.step.Needs.MilliCPU
+	}
 }
 
 // setReduced sets whether a run on the worker was started at a reduced pace and yields to others.
