fleet: the test of given-up tasks counts attempts; a restart may meet a start

Trace (three failing runs, FLEET_LOG): the idle worker that the test starts again is the one to which attempt 2 is on its way. The leader counts three crashes and gives the task up after its third attempt, as it should; the checker, which sees runs, counts two. The contract allows giving up from two crashes on.

The test asked for three crashes. It asks for three attempts now, neither fewer nor more, and for two crashes at least: the same bound on when the task is given up.

--- a/internal/fleet/fleettest/run_checker.go
+++ b/internal/fleet/fleettest/run_checker.go
@@ -45,6 +45,8 @@
 	// after the first crashBudget of them. lostRuns counts the runs of each task that ended with
 	// their worker, whatever the cause, failedRuns those that failed.
 	crashes, startsAfterCrashes, lostRuns, failedRuns map[fleet.TaskName]int
+	// lastAttempt holds the highest attempt of each task that has started.
+	lastAttempt map[fleet.TaskName]int
 	// InTouch, if set, reports whether nodes may be in touch now. The contract's bound on starts after
 	// crashes does not hold for those that are ordered and carried out while none may be.
 	InTouch func() bool
@@ -66,7 +68,7 @@
 
 // NewRunChecker returns a checker without runs.
 func NewRunChecker() *RunChecker {
-	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, lastingRuns: map[fleet.TaskName][]Span{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}, failedRuns: map[fleet.TaskName]int{}}
+	return &RunChecker{running: map[fleet.TaskName]map[string]int{}, acknowledgedDone: map[fleet.TaskName]bool{}, acknowledgedAt: map[fleet.TaskName]time.Time{}, lastStart: map[fleet.TaskName]time.Time{}, done: map[string]map[fleet.TaskName]bool{}, startedAt: time.Now(), cancelled: map[string]time.Time{}, heldUntil: map[model.WorkerID]time.Time{}, runs: map[runOnWorker]*checkedRun{}, lastingRuns: map[fleet.TaskName][]Span{}, crashes: map[fleet.TaskName]int{}, startsAfterCrashes: map[fleet.TaskName]int{}, lostRuns: map[fleet.TaskName]int{}, failedRuns: map[fleet.TaskName]int{}, lastAttempt: map[fleet.TaskName]int{}}
 }
 
 func (l *RunChecker) recordViolation(format string, args ...any) {
@@ -113,6 +115,7 @@
 	l.running[o.Task][string(w.Info.Worker)] = o.Attempt
 	l.runs[runOnWorker{o.RunRef, w}] = &checkedRun{startedAt: time.Now(), late: late, reported: startedAfterCancel, lasting: task.Lasting}
 	l.lastStart[o.Task] = time.Now()
+	l.lastAttempt[o.Task] = max(l.lastAttempt[o.Task], o.Attempt)
 }
 
 // maxStartAfterEnd is the contract's bound on the time from the acknowledgement that a task is done
@@ -247,6 +250,13 @@
 	return l.crashes[task]
 }
 
+// LastAttempt returns the highest attempt of a task that has started; 0 if it has not.
+func (l *RunChecker) LastAttempt(task fleet.TaskName) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastAttempt[task]
+}
+
 // Cancelled records that the cancellation of a job was acknowledged; the first time counts.
 func (l *RunChecker) Cancelled(job string) {
 	l.mu.Lock()
--- a/internal/fleet/innocent_tasks_test.go
+++ b/internal/fleet/innocent_tasks_test.go
@@ -97,7 +97,7 @@
 // Guards against a task that crashes its workers and counts as innocent since others start again in
 // series: it is given up within the bound of the contract. Without them two crashes are enough.
 func TestCrashingTaskIsGivenUpBesideRestarts(t *testing.T) {
-	for restarts, crashes := range map[int]int{0: 2, 60: 3} {
+	for restarts, attempts := range map[int]int{0: 2, 60: 3} {
 		t.Run("restarts="+strconv.Itoa(restarts), func(t *testing.T) {
 			runCluster(t, 409, 3, 8, crashingTasks(0), func(t *testing.T, c *fleettest.Cluster) {
 				time.Sleep(5 * time.Second)
@@ -105,7 +105,10 @@
 				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}})
 				restartIdleWorkers(c, restarts)
 				waitFailed(t, c, 0, 1, 20*time.Second)
-				require.Equal(t, crashes, c.Checker.Crashes(fleet.TaskName(jobID(0)+".0.0.0")))
+				task := fleet.TaskName(jobID(0) + ".0.0.0")
+				require.Equal(t, attempts, c.Checker.LastAttempt(task))
+				// One start may meet a restart of its worker, which counts as a crash that the task did not cause.
+				require.GreaterOrEqual(t, c.Checker.Crashes(task), 2)
 			})
 		})
 	}
