fleet: what a plan holds for short work is a value of that plan, not a change of the observation

Review of: a query of the operators (inspect) changed what the next report said of held capacity, as the recount was written into the observed demand. The count is part of the plan's value now, and is made only if a new service waits. Decisions are the same.

--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -199,7 +199,7 @@
 		return waitsForLeader
 	case len(p.workers) == 0:
 		return waitsForWorkers
-	case p.allowedTasks(w, t.heldCapacity([]*waitingStep{w})) == 0:
+	case p.allowedTasks(w, t.capacityToHold([]*waitingStep{w})) == 0:
 		return waitsForHeldCapacity
 	case w.queue.Advised && (w.state().advice == nil || len(w.state().advice.tickets) == 0):
 		return waitsForTicket
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -89,7 +89,7 @@
 func (t *term) placeSteps(waiting []*waitingStep) {
 	short := false
 	defer func() { t.recordShortSlots(short) }()
-	held := t.heldCapacity(waiting)
+	held := t.capacityToHold(waiting)
 	waiting = t.moveJobs(slices.Clone(waiting), held)
 	t.metrics.waiting.Set(float64(len(waiting)))
 	if len(waiting) == 0 {
--- a/internal/fleet/short_work.go
+++ b/internal/fleet/short_work.go
@@ -48,8 +48,11 @@
 	d.running, d.observed = running, now
 }
 
-// free returns the capacity to keep free for tasks that have not started.
-func (d *shortDemand) free() int64 { return max(int64(d.peak)-d.running, 0) }
+// free returns the capacity to keep free for tasks that had not started when the demand was observed.
+func (d *shortDemand) free() int64 { return d.beyond(d.running) }
+
+// beyond returns the part of the demand that is not running.
+func (d *shortDemand) beyond(running int64) int64 { return max(int64(d.peak)-running, 0) }
 
 // isShort reports whether the tasks of a step end by themselves and reserve processors.
 func (s *Step) isShort() bool { return !s.Lasting && !s.Filler }
@@ -100,16 +103,19 @@
 	return running
 }
 
-// heldCapacity returns the capacity that the new services of a plan must leave free. What short
-// tasks have left since their demand was observed counts as kept for the next ones.
-func (t *term) heldCapacity(waiting []*waitingStep) heldCapacity {
-	if len(t.shortWork) > 0 && slices.ContainsFunc(waiting, (*waitingStep).leavesCapacity) {
-		running := t.runningShortWork()
-		for key, d := range t.shortWork {
-			d.running = running[key]
-		}
+// capacityToHold returns the capacity that the new services among waiting steps must leave free. What
+// short tasks have left since their demand was observed is kept for the next ones.
+func (t *term) capacityToHold(waiting []*waitingStep) heldCapacity {
+	h := heldCapacity{unaccounted: t.unaccountedServices()}
+	if len(t.shortWork) == 0 || !slices.ContainsFunc(waiting, (*waitingStep).leavesCapacity) {
+		return h
+	}
+	h.shortWork = make(map[shortKey]int64, len(t.shortWork))
+	running := t.runningShortWork()
+	for key, d := range t.shortWork {
+		h.shortWork[key] = d.beyond(running[key])
 	}
-	return heldCapacity{t.unaccountedServices(), t.shortWork}
+	return h
 }
 
 // leavesCapacity reports whether the step is a new service, whose start must leave capacity free.
@@ -121,15 +127,15 @@
 type heldCapacity struct {
 	// unaccounted is for services of earlier terms; see unaccountedServices.
 	unaccounted map[model.ServiceName]int64
-	shortWork   map[shortKey]*shortDemand
+	shortWork   map[shortKey]int64
 }
 
 // forShortWork returns what short work of the same or a higher priority needs.
 func (h heldCapacity) forShortWork(w *waitingStep) int64 {
 	held := int64(0)
-	for key, d := range h.shortWork {
+	for key, demand := range h.shortWork {
 		if key.service == w.queue.Service && key.priority <= w.priority {
-			held += d.free()
+			held += demand
 		}
 	}
 	return held
--- a/internal/fleet/short_work_test.go
+++ b/internal/fleet/short_work_test.go
@@ -50,10 +50,9 @@
 }
 
 func TestNewServicesLeaveHeldCapacity(t *testing.T) {
-	demand := func(peak float64) *shortDemand { return &shortDemand{peak: peak} }
 	held := heldCapacity{
 		unaccounted: map[model.ServiceName]int64{"svc": 1000},
-		shortWork:   map[shortKey]*shortDemand{{"svc", 0}: demand(6000), {"svc", 2}: demand(5000), {"other", 0}: demand(9000)},
+		shortWork:   map[shortKey]int64{{"svc", 0}: 6000, {"svc", 2}: 5000, {"other", 0}: 9000},
 	}
 	p := &placement{workers: []*worker{testWorker("w1"), testWorker("w2")}} // 16 cores each
 	p.workers[1].reserved.MilliCPU = 16_000
@@ -80,7 +79,7 @@
 // A service that needs little of a fleet with much free capacity starts at once, however much
 // short work a burst has brought.
 func TestNewServicesStartWhereHalfIsFree(t *testing.T) {
-	h := heldCapacity{shortWork: map[shortKey]*shortDemand{{"svc", 0}: {peak: 16_000}}}
+	h := heldCapacity{shortWork: map[shortKey]int64{{"svc", 0}: 16_000}}
 	p := &placement{workers: []*worker{testWorker("w1")}}
 	w := &waitingStep{step: &Step{Lasting: true, Needs: model.Resources{MilliCPU: 4000}}, queue: Queue{Service: "svc"}, tasks: []int{0, 1}}
 	require.Equal(t, 2, p.allowedTasks(w, h))
@@ -127,5 +126,6 @@
 	w.detach(runs[0], tm.now)
 	service := &waitingStep{step: &Step{Lasting: true, Needs: model.Resources{MilliCPU: 1000}}, queue: Queue{Service: "svc"}, tasks: []int{0, 1, 2, 3, 4}}
 	p := &placement{workers: []*worker{w}}
-	require.Zero(t, p.allowedTasks(service, tm.heldCapacity([]*waitingStep{service})))
+	require.Zero(t, p.allowedTasks(service, tm.capacityToHold([]*waitingStep{service})))
+	require.Zero(t, tm.shortWork[shortKey{"svc", 0}].free(), "the observation stays as it is")
 }
