fleet: an even division does not make cells below the size that is kept for small hosts' sake

Review: of numbers up to a third more, the most even one was taken also where its cells have fewer than minPooledWorkers, against decision 0010: 352 workers, hosts of 0.19 cores and racks that divide by four became 4 cells of 88 for 3 of 117. TestEvenDivisionKeepsPooledCells fails before (4 for 3).

--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -202,8 +202,12 @@
 	if least == 1 {
 		return 1
 	}
+	most = min(most, least+least/3)
+	if leaders.planForLast {
+		most = min(most, max(least, workers/minPooledWorkers))
+	}
 	best, bestExcess := least, 0.0
-	for n := least; n <= min(most, least+least/3); n++ {
+	for n := least; n <= most; n++ {
 		if n > least && !leaders.canLead(n) {
 			continue // hosts lead whole cells: they may carry less of smaller ones
 		}
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -83,6 +83,20 @@
 	})
 }
 
+// Of numbers that are nearly the same, one with an even division was chosen although its cells are smaller than
+// those that are made for the smallest hosts.
+func TestEvenDivisionKeepsPooledCells(t *testing.T) {
+	for workers, cells := range map[int]int{352: 3, 416: 4} {
+		hosts := append(hostsOf(40, 190, 1_250_000), hostsOf(6, 4000, 25_000_000)...)
+		racks := map[string]int{}
+		for i := range 4 { // four cells are even, three are not
+			racks[fmt.Sprintf("dc%d/r", i)] = workers / 4
+		}
+		require.True(t, newLeaders(hosts, workers).planForLast)
+		require.Equal(t, cells, cellCount(hosts, racks), "%d workers", workers)
+	}
+}
+
 // Of numbers that are nearly the same, one with an even division was chosen although the hosts could not lead
 // so many cells.
 func TestChosenCellsCanBeLed(t *testing.T) {
