--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -16,7 +16,8 @@
 	// other cells together may use that many workers for their unplaced lasting tasks.
 	maxReportedFree = 16
 	// remoteFreeInterval is the interval at which the reports of other cells are read. It
-	// leaves time for tasks lent before to start there and to be counted in a later report.
+	// leaves time for tasks lent right after a read to start there and to be counted in a later
+	// report. Room that is lent just before a read may be lent once more after it.
 	remoteFreeInterval = 800 * time.Millisecond
 	// maxReservedForOtherCells bounds the workers that a cell reserves for unplaced tasks of
 	// other cells, and maxReservedPercent their share of its workers.
--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -46,7 +46,8 @@
 
 // mostlyFree reports whether less than idleReservedShare of a service's processors are reserved, in
 // the cell or in all cells together: a job may not idle because its cell is fuller than others.
-// Workers that get no work for the moment count too.
+// Workers that get no work for the moment count too. What waits in other cells counts as reserved,
+// as they report it so.
 func (t *term) mostlyFree(service model.ServiceName) bool {
 	reserved, capacity := int64(0), int64(0)
 	for _, w := range t.workers {
--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -181,7 +181,7 @@
 type knownFleet struct {
 	hosts []Limits
 	racks map[string]int
-	// stable means that two reads in succession were equal; waited is the time until the last of them.
+	// stable means that two reads in succession showed as many hosts and the same racks; waited is the time until the last of them.
 	stable bool
 	waited time.Duration
 }
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -189,8 +189,8 @@
 	// job if it must not share the worker with other new runs.
 	lastStart              time.Time
 	lastStartJob, apartJob *job
-	// lowHeadroom means that a service exceeds its target or that fillers are slowed down to
-	// keep one within it.
+	// lowHeadroom means that a service exceeds its target or is strained, or that fillers are slowed
+	// down to keep one within it.
 	lowHeadroom bool
 	// exposures is the recent filler work. lastProbe is when the worker was last probed
 	// because of low headroom.
