fleet: starts that are held no more leave room in a plan; services share the starts of idle jobs

Review: startsLeft counted held starts whose runs were stopped or lost until the next order could be sent, which waits behind stops; and each service got the whole rest of a plan's starts for its idle jobs. Both spend starts that a small host does not have, or withhold some that it has.

One predicate says whether a start is still held, in place of three forms of it. Tests: both fail before (0 starts for 64; 2 for 1). TestPlansWaitForStartsToDecide holds real runs on workers now, as a run without one is not held; its bounds are the same.

--- a/internal/fleet/call_slots_test.go
+++ b/internal/fleet/call_slots_test.go
@@ -162,8 +162,10 @@
 			if c.short > 0 {
 				tm.shortSince = tm.now.Add(-c.short)
 			}
-			for range c.held {
-				tm.holdStart(&run{job: jobs[0], step: &jobs[0].spec.Steps[0]})
+			for i := range c.held {
+				r := testRun(testWorker("w"), &jobs[0].spec.Steps[0], i)
+				r.job = jobs[0]
+				tm.holdStart(r)
 			}
 			require.Equal(t, c.want, tm.hasStartsForPlan())
 		})
--- a/internal/fleet/held_starts.go
+++ b/internal/fleet/held_starts.go
@@ -20,6 +20,10 @@
 	return waitsForCallSlot
 }
 
+// held reports whether the start order of a run is held back. A run that was stopped or lost meanwhile has left
+// its worker.
+func (r *run) held() bool { return r.state == runHeld && r.worker.runs[r.ref] == r }
+
 // holdStart holds the start order of a run back.
 func (t *term) holdStart(r *run) {
 	r.state = runHeld
@@ -38,7 +42,7 @@
 	var ready []*run
 	for _, r := range held {
 		switch {
-		case r.state != runHeld || r.worker.runs[r.ref] != r:
+		case !r.held():
 			// It was stopped or lost meanwhile.
 		case len(ready) >= free && !r.step.Gang, r.job.holdsStart(r.step):
 			t.heldStarts = append(t.heldStarts, r)
@@ -52,7 +56,7 @@
 		}
 	}
 	for _, r := range ready {
-		if r.state == runHeld && r.worker.runs[r.ref] == r {
+		if r.held() {
 			r.startedAt, r.progressAt = t.now, t.now
 			r.worker.observeStart(r)
 			t.orderStart(r)
--- a/internal/fleet/held_starts_test.go
+++ b/internal/fleet/held_starts_test.go
@@ -138,3 +138,20 @@
 	storeProgress(tm)
 	require.NotEqual(t, runSent, r.state, "the ticket was valid for 1 s")
 }
+
+// Held starts whose runs were stopped or lost took room for other starts until the next order could be sent.
+func TestStartsThatAreNotHeldAnyMoreLeaveRoom(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.callSlots = newCallSlots(100)
+	w := testWorker("w")
+	for i := range tm.callSlots.planned(maxStartsPerPlan) {
+		r := testRun(w, &Step{Needs: model.Resources{MilliCPU: 1}}, i)
+		r.job = &job{id: "j", visibleState: StateRunning}
+		tm.holdStart(r)
+	}
+	require.Zero(t, tm.startsLeft())
+	for _, r := range tm.heldStarts {
+		w.detach(r, tm.now)
+	}
+	require.Equal(t, tm.callSlots.planned(maxStartsPerPlan), tm.startsLeft())
+}
--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -99,7 +99,7 @@
 // hasHeldStart reports whether a start of the job has its place and is held back.
 func (j *job) hasHeldStart() bool {
 	for _, tk := range j.openTasks() {
-		if slices.ContainsFunc(tk.runs, func(r *run) bool { return r.state == runHeld }) {
+		if slices.ContainsFunc(tk.runs, (*run).held) {
 			return true
 		}
 	}
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -274,3 +274,33 @@
 	p := tm.newPlacement(w.info.Service)
 	require.NotPanics(t, func() { tm.startIdleJobs(p, nil, -40) })
 }
+
+// Each service had the whole rest of a plan's starts for its idle jobs.
+func TestServicesShareStartsOfIdleJobs(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.interference.models["s"] = modelOf(4, map[string]float64{"f": 8})
+	pools := placements{}
+	for i, service := range []model.ServiceName{"svc", "other"} {
+		tm.queues[string(service)] = Queue{Name: string(service), Service: service}
+		w := testWorker("w-" + string(service))
+		w.info.Service = service
+		tm.workers[w.info.Worker] = w
+		addService(tm, w, i, 4000, 1.15) // too near its target for a filler at full pace
+		spec := Spec{Steps: []Step{{Count: 1, Filler: true, Image: "f", Needs: model.Resources{MilliCPU: 1800, MemoryMB: 100}, Estimate: 3 * time.Second}}}
+		j := newJob(fmt.Sprintf("%016x", i), jobRecord{Queue: string(service), Spec: spec}, 0, epoch)
+		j.openOccurrence(0, time.Time{}, epoch)
+		tm.jobs[j.id] = j
+		tm.placementOf(pools, service)
+	}
+	tm.now, tm.lastRenewal = at(5), at(5)
+	waiting := tm.collectWaitingSteps()
+	for _, w := range waiting {
+		w.state().waits = waitsForHeadroom
+	}
+	tm.searchIdleJobs(pools, waiting, 1)
+	started := -len(tm.workers) // one service on each
+	for _, w := range tm.workers {
+		started += len(w.runs)
+	}
+	require.Equal(t, 1, started)
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -57,7 +58,7 @@
 func (t *term) startsLeft() int {
 	held := 0
 	for _, r := range t.heldStarts {
-		if !r.job.holdsStart(r.step) {
+		if r.held() && !r.job.holdsStart(r.step) {
 			held++
 		}
 	}
@@ -175,15 +176,15 @@
 }
 
 // searchIdleJobs makes room for idle jobs and starts them at a reduced pace, at most once every
-// idleCheckInterval.
+// idleCheckInterval. All services together get at most limit starts.
 func (t *term) searchIdleJobs(pools placements, waiting []*waitingStep, limit int) {
 	if t.now.Sub(t.idleJobsCheckedAt) < idleCheckInterval {
 		return
 	}
 	t.idleJobsCheckedAt = t.now
-	for _, p := range pools {
-		t.stopReducedForIdleJobs(p, waiting)
-		t.startIdleJobs(p, waiting, limit)
+	for _, service := range slices.Sorted(maps.Keys(pools)) {
+		t.stopReducedForIdleJobs(pools[service], waiting)
+		limit -= t.startIdleJobs(pools[service], waiting, limit)
 	}
 }
 
