--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -203,7 +203,7 @@
 		return 1
 	}
 	most = min(most, least+least/3)
-	if leaders.planForLast {
+	if leaders.planForLast { // more cells would be smaller than those for the smallest hosts' sake
 		most = min(most, max(least, workers/minPooledWorkers))
 	}
 	best, bestExcess := least, 0.0
