--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -309,15 +309,12 @@
 	w.runs[r.ref] = r
 	w.interferenceView = nil
 	w.reserved = w.reserved.Add(r.reserved)
-	if r.step != nil && r.step.Filler {
-		w.fillerMilliCPU += r.step.Needs.MilliCPU
-		w.exposures.set(r, fillerShare(r.step, w)*float64(r.pace)/100, now)
-	}
-	if r.step != nil && r.step.Lasting && !r.step.Filler {
-		w.servingMilliCPU += r.step.Needs.MilliCPU
+	if r.step == nil {
+		return
 	}
-	if r.step != nil && r.step.isShort() {
-		w.shortMilliCPU += r.step.Needs.MilliCPU
+	*w.milliCPUOf(r.step) += r.step.Needs.MilliCPU
+	if r.step.Filler {
+		w.exposures.set(r, fillerShare(r.step, w)*float64(r.pace)/100, now)
 	}
 }
 
@@ -330,16 +327,24 @@
 	w.interferenceView = nil
 	w.reserved = w.reserved.Sub(r.reserved)
 	w.setReduced(r, false)
-	if r.step != nil && r.step.Filler {
-		w.fillerMilliCPU -= r.step.Needs.MilliCPU
-		w.exposures.set(r, 0, now)
+	if r.step == nil {
+		return
 	}
-	if r.step != nil && r.step.Lasting && !r.step.Filler {
-		w.servingMilliCPU -= r.step.Needs.MilliCPU
+	*w.milliCPUOf(r.step) -= r.step.Needs.MilliCPU
+	if r.step.Filler {
+		w.exposures.set(r, 0, now)
 	}
-	if r.step != nil && r.step.isShort() {
-		w.shortMilliCPU -= r.step.Needs.MilliCPU
+}
+
+// milliCPUOf returns the sum to which the runs of a step count.
+func (w *worker) milliCPUOf(s *Step) *int64 {
+	switch {
+	case s.Filler:
+		return &w.fillerMilliCPU
+	case s.Lasting:
+		return &w.servingMilliCPU
 	}
+	return &w.shortMilliCPU
 }
 
 // setReduced sets whether a run on the worker was started at a reduced pace and yields to others.
