--- a/internal/fleet/choose_cell.go
+++ b/internal/fleet/choose_cell.go
@@ -63,30 +63,31 @@
 	case d.lasting:
 		return chooseServiceCell(own, others, d, fits, burst, learnedAt)
 	case d.filler:
-		// The load of the own cell already includes the job.
-		spare, known := own.load.ToleratedSpare[d.image]
-		best := mostTolerantCell(others, d)
-		switch {
-		case !known || best == nil:
-		case spare >= 0 && fits:
-			return stayInCell, 0
-		case best.load.add(d).toleratedSpareShare(d.image) > own.load.toleratedSpareShare(d.image)+toleratedImbalanceLimit:
+		return chooseFillerCell(own, others, d, fits)
+	}
+	best := leastLoadedCell(others, d)
+	if best != nil && !fits && best.load.add(d).reservedShare() < min(1, own.load.reservedShare()) {
+		return moveToCell, best.cell
+	}
+	return stayInCell, 0
+}
+
+// chooseFillerCell chooses the cell of a filler, by what services tolerate of its image or, where that is
+// not known, by the spare capacity.
+func chooseFillerCell(own reportedLoad, others []reportedLoad, d stepDemand, fits bool) (cellChoice, int) {
+	spare, known := own.load.ToleratedSpare[d.image]
+	if best := mostTolerantCell(others, d); known && best != nil {
+		if (spare < 0 || !fits) && best.load.add(d).toleratedSpareShare(d.image) > own.load.toleratedSpareShare(d.image)+toleratedImbalanceLimit {
 			return moveToCell, best.cell
-		default:
-			return stayInCell, 0
 		}
+		return stayInCell, 0
 	}
 	best := leastLoadedCell(others, d)
 	if best == nil {
 		return stayInCell, 0
 	}
 	bestAfter := best.load.add(d)
-	switch {
-	case d.filler:
-		if bestAfter.spareShare() > own.load.spareShare()+fillerImbalanceLimit || (!fits && bestAfter.Spare > 0 && bestAfter.spareShare() > own.load.spareShare()) {
-			return moveToCell, best.cell
-		}
-	case !fits && bestAfter.reservedShare() < min(1, own.load.reservedShare()):
+	if bestAfter.spareShare() > own.load.spareShare()+fillerImbalanceLimit || (!fits && bestAfter.Spare > 0 && bestAfter.spareShare() > own.load.spareShare()) {
 		return moveToCell, best.cell
 	}
 	return stayInCell, 0
