fleet: overTarget, which also meant strained, gives way to acceptsFillers

The question is asked once for a worker, not for each of its services. No behaviour changes; the test asks the same of the same view.

--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -186,7 +186,7 @@
 func (p *placement) workersForReduced() []*worker {
 	var workers []*worker
 	for _, w := range p.workers {
-		if w.mayReduce() && !(w.health.onProbation() && w.reducedMilliCPU > 0) && !p.interference.overTarget(w, p.now) {
+		if w.mayReduce() && !(w.health.onProbation() && w.reducedMilliCPU > 0) && p.interference.viewOf(w, p.now).acceptsFillers(p.now) {
 			workers = append(workers, w)
 		}
 	}
--- a/internal/fleet/idle_jobs_test.go
+++ b/internal/fleet/idle_jobs_test.go
@@ -122,7 +122,7 @@
 		for _, w := range tm.workers {
 			require.False(t, w.free().Negative(), "memory of %s", w.info.Worker)
 			for _, r := range w.runs {
-				require.False(t, r.reduced && tm.interference.overTarget(w, tm.now), "beside a service over its target")
+				require.False(t, r.reduced && !tm.interference.viewOf(w, tm.now).acceptsFillers(tm.now), "beside a service over its target")
 			}
 		}
 	})
--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -314,11 +314,11 @@
 	v := h.viewOf(w, now)
 	share := fillerShare(s, w)
 	tolerated = 1
+	if !v.acceptsFillers(now) {
+		return 0, 0
+	}
 	for _, svc := range v.services {
 		own := svc.model.plannedPressure(s.Image, now) * share
-		if !v.acceptsFillers(now) {
-			return 0, 0
-		}
 		if own < negligibleShare*svc.model.highestHeadroom {
 			cost = max(cost, headroomBias*max(svc.headroomLater, 0)/svc.model.highestHeadroom)
 			continue
@@ -337,12 +337,6 @@
 // headroom is better kept for fillers with high pressure.
 const headroomBias = 0.3
 
-// overTarget reports whether a service on w exceeds its latency target, or has been strained for too
-// long.
-func (h *interference) overTarget(w *worker, now time.Time) bool {
-	return !h.viewOf(w, now).acceptsFillers(now)
-}
-
 // dropStaleTrends drops the trends of steps without a report for trendMaxAge, which would be
 // reset at the next report anyway.
 func (h *interference) dropStaleTrends(now time.Time) {
