--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -156,7 +156,7 @@
 		return true
 	}
 	for _, tk := range j.openTasks() {
-		if tk.lentTo > 0 && !tk.lentSent || slices.ContainsFunc(tk.runs, func(r *run) bool { return r.state == runHeld && r.heldFor() == waitsForStartRecord }) {
+		if tk.lentTo > 0 && !tk.lentSent || slices.ContainsFunc(tk.runs, func(r *run) bool { return r.held() && r.heldFor() == waitsForStartRecord }) {
 			return true
 		}
 	}
