--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -165,7 +165,7 @@
 	for ok && ctx.Err() == nil {
 		n.campaignIfDue(ctx)
 		wait := n.nextWatchWait()
-		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, wait, watchTimeout)
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, wait, wait+watchTimeout)
 		switch {
 		case model.IsKind(err, model.KindStale):
 			after, ok = n.readLeaders(ctx)
@@ -257,7 +257,7 @@
 // history, or when its version went back. It returns the version to watch from.
 func (n *Node) resumeWatch(ctx context.Context, after uint64) (uint64, bool) {
 	for ; ctx.Err() == nil; sleep(ctx, readPause+jitter()) {
-		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, refreshWait, readTimeout-refreshWait)
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, refreshWait, readTimeout)
 		switch {
 		case model.IsKind(err, model.KindStale):
 			return n.readLeaders(ctx)
--- a/internal/fleet/layout_decision.go
+++ b/internal/fleet/layout_decision.go
@@ -72,7 +72,7 @@
 		if n.claimLayout(ctx) {
 			n.decideLayout(ctx)
 		}
-		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, layoutWatchWait, watchTimeout)
+		page, err := watchOnce(ctx, n.cfg.Store, tableLeader, after, layoutWatchWait, layoutWatchWait+watchTimeout)
 		if err != nil {
 			n.recordStoreFailure(err)
 			return
@@ -181,7 +181,8 @@
 type knownFleet struct {
 	hosts []Limits
 	racks map[string]int
-	// stable means that two reads in succession showed as many hosts and the same racks; waited is the time until the last of them.
+	// stable means that two reads in succession showed as many hosts and the same racks; waited is the time
+	// until the last of them.
 	stable bool
 	waited time.Duration
 }
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -109,7 +109,7 @@
 	for ctx.Err() == nil {
 		version := o.currentVersion()
 		if version > 0 {
-			page, err := watchOnce(ctx, s, table, version, refreshWait, readTimeout-refreshWait)
+			page, err := watchOnce(ctx, s, table, version, refreshWait, readTimeout)
 			if err == nil {
 				o.apply(page.Rows, false, page.Version)
 				return true
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -139,7 +139,7 @@
 // store has dropped the history since that version, or when its version goes back.
 func (s tableSource) watch(ctx context.Context, after uint64) {
 	for ctx.Err() == nil {
-		page, err := watchOnce(ctx, s.store, s.table, after, watchWait, watchTimeout)
+		page, err := watchOnce(ctx, s.store, s.table, after, watchWait, watchWait+watchTimeout)
 		switch {
 		case model.IsKind(err, model.KindStale):
 			s.onError(err)
@@ -162,11 +162,11 @@
 	}
 }
 
-// watchOnce returns the changes of a table since a version, for which the store may wait; the call may take
-// some time more. It fails with KindStale when the store has dropped the history since that version, or when
+// watchOnce returns the changes of a table since a version, for which the store may wait for a part of the
+// call's timeout. It fails with KindStale when the store has dropped the history since that version, or when
 // the table's version goes back: the table must be read again.
-func watchOnce(ctx context.Context, s Store, table string, after uint64, wait, more time.Duration) (Page, error) {
-	call, cancel := context.WithTimeout(ctx, wait+more)
+func watchOnce(ctx context.Context, s Store, table string, after uint64, wait, timeout time.Duration) (Page, error) {
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	page, err := s.Watch(call, table, after, wait)
 	if err == nil && page.Version < after {
