fleet: the test of starts in doubt waits until the leader knows of the drained workers

Trace (FLEET_LOG): the test drains two of three workers and submits at once; the leader reads the drains up to 0.25 s later, and places the task on one of them. The crash that the test is about is then not on the worker that it takes it to be on.

It waits a second before it submits.

--- a/internal/fleet/unanswered_crashes_test.go
+++ b/internal/fleet/unanswered_crashes_test.go
@@ -62,6 +62,7 @@
 	runClusterWith(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
 		c.Drain(c.Fleet[1])
 		c.Drain(c.Fleet[2])
+		time.Sleep(time.Second) // the leader has read that
 		submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 1, Needs: smallNeeds, Estimate: time.Second}}})
 		for deadline := time.Now().Add(5 * time.Second); c.Checker.Crashes(fleet.TaskName(jobID(0)+".0.0.0")) == 0; time.Sleep(time.Millisecond) {
 			require.True(t, time.Now().Before(deadline))
