fleet: a line tells lost lasting tasks and who holds the room for them

No decision changes.

The load line gives sums only: it tells neither whether a lost task would fit on one worker, nor who holds the rest of it. The line lost-tasks does, and counts quarantined workers apart.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -58,13 +58,7 @@
 	var best *worker
 	mostFree := int64(0)
 	for _, w := range p.workers {
-		free := w.free()
-		for _, r := range w.runs {
-			if r.step != nil && !r.step.Lasting {
-				free = free.Add(r.reserved)
-			}
-		}
-		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !request.hasTaskSlot(w) || !s.Reserved().Fits(free) {
+		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !request.hasTaskSlot(w) || !s.Reserved().Fits(w.endingCapacity()) {
 			continue
 		}
 		if freeNow := w.free().MilliCPU; best == nil || freeNow > mostFree {
@@ -310,13 +304,7 @@
 
 // taskCapacity returns how many tasks of a step fit on a worker.
 func taskCapacity(s *Step, w *worker) int {
-	n := 1 << 20
-	free, need := w.free(), s.Reserved()
-	for _, d := range [][2]int64{{free.MilliCPU, need.MilliCPU}, {free.MemoryMB, need.MemoryMB}, {free.Accelerators, need.Accelerators}} {
-		if d[1] > 0 {
-			n = min(n, int(d[0]/d[1]))
-		}
-	}
+	n := fitCount(s.Reserved(), w.free())
 	if s.Filler && s.Needs.MilliCPU > 0 {
 		n = min(n, int(w.fillerCapacity()/s.Needs.MilliCPU))
 	}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -51,6 +51,7 @@
 	t.plannedSteps = len(waiting)
 	t.placeSteps(waiting)
 	t.logLoad(waiting)
+	t.logLostTasks(waiting)
 }
 
 // startsLeft returns how many starts this plan may decide: as many as the host carries out until the next one,
@@ -199,6 +200,9 @@
 	return p
 }
 
+// unusableResting is the reason of a worker that is quarantined, or has just refused a start.
+const unusableResting = "resting"
+
 // unusableReason returns why no new run is sent to a worker; empty if it is usable.
 func (t *term) unusableReason(w *worker) string {
 	switch {
@@ -217,7 +221,7 @@
 	case !w.usedRowStored:
 		return "not registered yet"
 	case w.health.excluded(t.now):
-		return "resting"
+		return unusableResting
 	case t.maintenance.evacuating[w.info.Worker], t.now.Before(t.evacuatingUntil[w.info.Worker]):
 		return "upkeep"
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -176,6 +176,7 @@
 	shortWork         map[shortKey]*shortDemand
 	shortWorkObserved time.Time
 	loadLoggedAt      time.Time
+	lostTasksLoggedAt time.Time
 	idleJobsCheckedAt time.Time
 	answerTimeout     answerTimeout
 	interference      interference
