fleet: a lost lasting task starts on a quarantined worker if there is no other room

Cause: two failures in a row, which on a busy fleet happen by the tasks' own fault once a second, quarantine a worker for 4 s. Its short tasks end, and nothing may start there, also not what has no other room. Change: a lost lasting task that finds no worker and is not lent starts on a worker that is quarantined for the first time or on probation, unless the task failed there or the worker refuses starts. A refusal is kept apart from the quarantine, as it says that a start is in vain.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -31,6 +31,8 @@
 	failures      int // consecutive failed runs
 	quarantines   int // quarantines without a success in between
 	excludedUntil time.Time
+	// refusedUntil is until when the worker gets no work because it refused a start.
+	refusedUntil time.Time
 	// runTimeRatio is the mean ratio of observed to expected run times.
 	runTimeRatio float64
 	// recovered means that a success has followed the last failure.
@@ -40,7 +42,16 @@
 func newHealth() health { return health{runTimeRatio: 1} }
 
 // excluded reports whether the worker gets no work at now.
-func (h *health) excluded(now time.Time) bool { return now.Before(h.excludedUntil) }
+func (h *health) excluded(now time.Time) bool {
+	return now.Before(h.excludedUntil) || now.Before(h.refusedUntil)
+}
+
+// lastResort reports whether a worker that is excluded or on probation may run a lost lasting task for which
+// there is no other room. Two failures in a row may be those of the tasks; a worker that failed again after its
+// quarantine is left alone.
+func (h *health) lastResort(now time.Time) bool {
+	return h.quarantines == 1 && !now.Before(h.refusedUntil)
+}
 
 // recordSuccess records a successful run. ratio is the ratio of its observed to its expected
 // run time, or 0 when unknown.
@@ -82,9 +93,7 @@
 
 // exclude excludes the worker from work for refusalPause after it refused a start.
 func (h *health) exclude(now time.Time) {
-	if until := now.Add(refusalPause); until.After(h.excludedUntil) {
-		h.excludedUntil = until
-	}
+	h.refusedUntil = now.Add(refusalPause)
 }
 
 // onProbation reports whether the worker was quarantined and has had no success since. It gets one
--- a/internal/fleet/lost_tasks_test.go
+++ b/internal/fleet/lost_tasks_test.go
@@ -56,3 +56,35 @@
 		})
 	}
 }
+
+// A quarantined worker was the only one with room, and a lost service waited until the end of the quarantine.
+// Where there is other room, or where the worker failed again after a quarantine, it must not be used.
+func TestLostTaskStartsOnQuarantinedWorkerWithoutOtherRoom(t *testing.T) {
+	type load = struct{ lasting, short int64 }
+	for name, c := range map[string]struct {
+		other   load
+		prepare func(*health, time.Time)
+		worker  model.WorkerID
+	}{
+		"no other room":        {load{13_000, 0}, func(h *health, now time.Time) { h.quarantine(now) }, "w0"},
+		"other room":           {load{12_000, 0}, func(h *health, now time.Time) { h.quarantine(now) }, "w1"},
+		"refuses starts":       {load{13_000, 0}, func(h *health, now time.Time) { h.quarantine(now); h.exclude(now) }, ""},
+		"failed on probation":  {load{13_000, 0}, func(h *health, now time.Time) { h.quarantines = 1; h.quarantine(now) }, ""},
+		"refuses, has no rest": {load{13_000, 0}, func(h *health, now time.Time) { h.exclude(now) }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, w := lostTestTerm(load{8000, 0}, c.other)
+			c.prepare(&tm.workers["w0"].health, tm.now)
+			tm.layout = singleCellLayout()
+			w.tasks = []int{0}
+			tm.placeOrMakeRoom(tm.newPlacement("svc"), w)
+			tk := &w.state().tasks[0]
+			if c.worker == "" {
+				require.Empty(t, tk.runs)
+				return
+			}
+			require.Len(t, tk.runs, 1)
+			require.Equal(t, c.worker, tk.runs[0].worker.info.Worker)
+		})
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -38,9 +38,12 @@
 
 // placement holds the candidate workers of one plan.
 type placement struct {
-	now          time.Time
-	service      model.ServiceName
-	workers      []*worker
+	now     time.Time
+	service model.ServiceName
+	workers []*worker
+	// lastResort holds the workers that are quarantined or on probation and may run lost lasting tasks for which
+	// there is no other room.
+	lastResort   []*worker
 	interference *interference
 	// unplaceable holds, by group, the smallest needs for which this plan has found no worker.
 	unplaceable map[demandGroup]unplaceable
@@ -134,6 +137,8 @@
 	rack string
 	// restart is set for lasting tasks that ran before: they may use reserved workers.
 	restart bool
+	// lastResort allows workers on probation, and forbids those on which the task has failed.
+	lastResort bool
 	// tickets restricts the choice to workers with a ticket, unless nil.
 	tickets map[model.WorkerID]string
 }
@@ -170,6 +175,18 @@
 	return nil, furthest
 }
 
+// findLastResort returns the best worker for a lost lasting task among those that are quarantined or on
+// probation, or nil.
+func (p *placement) findLastResort(r taskRequest) *worker {
+	if len(p.lastResort) == 0 {
+		return nil
+	}
+	r.lastResort = true
+	last := *p
+	last.workers = p.lastResort
+	return last.chooseWorker(r)
+}
+
 // obstacle is the first condition of a task that a worker does not meet, in the order of
 // the checks.
 type obstacle int
@@ -200,7 +217,8 @@
 	case p.reservedWorkers[w] && !r.restart,
 		r.rack != "" && w.rack != r.rack,
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
-		w.health.onProbation() && w.hasTrialRun(),
+		w.health.onProbation() && w.hasTrialRun() && !r.lastResort,
+		r.lastResort && r.task != nil && slices.Contains(r.task.failedOn, w.info.Worker),
 		!s.Lasting && r.task != nil && len(r.task.failed) > 0 && w.health.needsUntried(p.now),
 		r.task != nil && r.task.runsOn(w),
 		w.keepsApart(r.job, p.now):
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -173,6 +173,31 @@
 		}
 	}
 	t.lendUnplaced(w)
+	return started + t.startAnywhere(p, w)
+}
+
+// startAnywhere starts the lost tasks of a step that neither have a worker nor are lent on workers that are
+// quarantined or on probation, and returns their number: on such a worker a service may work, without one it
+// does not.
+func (t *term) startAnywhere(p *placement, w *waitingStep) int {
+	if !w.restart {
+		return 0
+	}
+	started := 0
+	r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
+	for _, i := range w.tasks {
+		r.task = &w.state().tasks[i]
+		if len(r.task.runs) > 0 || r.task.lentTo > 0 {
+			continue
+		}
+		worker := p.findLastResort(r)
+		if worker == nil {
+			break
+		}
+		t.startTask(w.job, w.key(i), worker, "")
+		r.tasksPerWorker[worker]++
+		started++
+	}
 	return started
 }
 
@@ -193,9 +218,16 @@
 func (t *term) newPlacement(service model.ServiceName) *placement {
 	p := &placement{now: t.now, service: service, interference: &t.interference}
 	for _, w := range t.workers {
-		if w.info.Service == service && t.unusableReason(w) == "" {
+		if w.info.Service != service {
+			continue
+		}
+		reason := t.unusableReason(w)
+		if reason == "" {
 			p.workers = append(p.workers, w)
 		}
+		if (reason == "" || reason == unusableResting) && w.health.lastResort(t.now) {
+			p.lastResort = append(p.lastResort, w)
+		}
 	}
 	return p
 }
