--- a/internal/fleet/fleettest/cluster.go
+++ b/internal/fleet/fleettest/cluster.go
@@ -80,6 +80,8 @@
 	Nodes   []*Member
 	Fleet   []*Worker
 	Queue   fleet.Queue
+	// moreQueues are those that AddQueue has added.
+	moreQueues []fleet.Queue
 	// Inventory is nil unless a test sets it before the nodes start.
 	Inventory *Inventory
 	// Advisor is nil unless a test sets it before the nodes start; see UseAdvisor.
@@ -170,6 +172,16 @@
 		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
 }
 
+// AddQueue adds a queue with a priority to the configuration that Configure wrote, and returns it.
+func (c *Cluster) AddQueue(version uint64, name string, priority int) fleet.Queue {
+	q := c.Queue
+	q.Name, q.Prefix, q.Priority = name, "/"+name+"/", priority
+	c.moreQueues = append(c.moreQueues, q)
+	c.write(TableOperator, keyConfig, fleet.Configuration{Version: version, Queues: append([]fleet.Queue{c.Queue}, c.moreQueues...),
+		Services: map[model.ServiceName]fleet.ServiceSettings{Service: {Guards: true}}})
+	return q
+}
+
 // UseUnguardedWorkers makes all workers carry out starts for which they lack capacity.
 func (c *Cluster) UseUnguardedWorkers(version uint64) {
 	c.Workers.WithLock(func() { c.Workers.Unguarded = true })
--- a/internal/fleet/fleettest/lasting.go
+++ b/internal/fleet/fleettest/lasting.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"strings"
 	"time"
 
 	"github.com/vanillapier/vanillapier/internal/fleet"
@@ -52,3 +53,35 @@
 	}
 	return room
 }
+
+// RoomBesideLasting returns how many tasks with the given needs would fit on some workers once only lasting tasks
+// run there.
+func (f *Workers) RoomBesideLasting(workers []*Worker, needs model.Resources) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	room := 0
+	for _, w := range workers {
+		used := needs
+		for _, k := range w.runs {
+			if k.task.Lasting {
+				used = used.Add(k.reserved())
+			}
+		}
+		for ; used.Fits(w.Info.Capacity); used = used.Add(needs) {
+			room++
+		}
+	}
+	return room
+}
+
+// RunsTask reports whether a task runs on w whose name begins with a prefix.
+func (f *Workers) RunsTask(w *Worker, prefix string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for ref := range w.runs {
+		if strings.HasPrefix(string(ref.Task), prefix) {
+			return true
+		}
+	}
+	return false
+}
