fleet: any quarantined worker is a last resort for lost lasting tasks

A worker that failed again after its quarantine was left alone, for up to 16 s. A task that failed there does not go there again, which is enough.

--- a/internal/fleet/health.go
+++ b/internal/fleet/health.go
@@ -46,11 +46,10 @@
 	return now.Before(h.excludedUntil) || now.Before(h.refusedUntil)
 }
 
-// lastResort reports whether a worker that is excluded or on probation may run a lost lasting task for which
-// there is no other room. Two failures in a row may be those of the tasks; a worker that failed again after its
-// quarantine is left alone.
+// lastResort reports whether the worker is quarantined or on probation, and may run a lost lasting task for which
+// there is no other room. It may not while it refuses starts.
 func (h *health) lastResort(now time.Time) bool {
-	return h.quarantines == 1 && !now.Before(h.refusedUntil)
+	return h.onProbation() && !now.Before(h.refusedUntil)
 }
 
 // recordSuccess records a successful run. ratio is the ratio of its observed to its expected
