--- a/internal/fleet/account.go
+++ b/internal/fleet/account.go
@@ -127,12 +127,16 @@
 		return
 	}
 	t.loadLoggedAt = t.now
-	var capacity, free, servicesReserved, shortReserved, fillerDemand, held int64
+	var capacity, free, largestFree, largestLater, largestUnclaimed, claimed, servicesReserved, shortReserved, fillerDemand, held int64
 	services, atWork, overTarget, slowed := 0, 0, 0, 0
 	for _, w := range t.workers {
 		if t.unusableReason(w) == "" {
 			capacity += w.info.Capacity.MilliCPU
 			free += w.free().MilliCPU
+			claimed += t.claimed[w].MilliCPU
+			largestFree = max(largestFree, w.free().MilliCPU)
+			largestLater = max(largestLater, w.endingCapacity().MilliCPU)
+			largestUnclaimed = max(largestUnclaimed, w.endingCapacity().Sub(t.claimed[w]).MilliCPU)
 		}
 		fillerDemand += w.fillerMilliCPU
 		servicesReserved += w.servingMilliCPU
@@ -170,7 +174,8 @@
 	}
 	reasons := t.sumWaits()
 	t.metrics.recordWaits(reasons)
-	fields := logrus.Fields{"decision": "load", "capacity_cpu": capacity, "free_cpu": free, "services_cpu": servicesReserved,
+	fields := logrus.Fields{"decision": "load", "capacity_cpu": capacity, "free_cpu": free, "claimed_cpu": claimed,
+		"largest_free_cpu": largestFree, "largest_later_cpu": largestLater, "largest_unclaimed_cpu": largestUnclaimed, "services_cpu": servicesReserved,
 		"short_cpu": shortReserved, "filler_cpu": fillerDemand, "held_cpu": held, "waiting_short": waits[kindShort], "waiting_filler": waits[kindFiller],
 		"waiting_lasting": waits[kindLasting], "services": services, "services_at_work": atWork, "services_over_target": overTarget,
 		"fillers_slowed": slowed, "waits": reasons}
--- a/internal/fleet/borrowed_tasks.go
+++ b/internal/fleet/borrowed_tasks.go
@@ -131,11 +131,11 @@
 
 // returnUnplaced returns the borrowed tasks of a step that have found no worker for some time while
 // a worker of another cell has enough free capacity.
-func (t *term) returnUnplaced(w *waitingStep) {
-	for _, i := range w.tasks {
+func (t *term) returnUnplaced(w *waitingStep, tasks []int) {
+	for _, i := range tasks {
 		tk := &w.state().tasks[i]
 		switch {
-		case len(tk.runs) > 0, tk.loans == 0:
+		case tk.loans == 0:
 			continue // an older version has lent it, which knows no returns
 		case tk.unplacedSince.IsZero():
 			tk.unplacedSince = t.now
@@ -144,12 +144,12 @@
 			continue
 		}
 		if len(w.job.returns) < maxReturnsPerCommit {
-			if cell, found := t.takeRemoteCapacity(w.step, -1); found {
+			if cell, found := t.takeRemoteCapacity(w.step, true, -1); found {
 				t.returnTask(w.job, w.key(i), tk, cell)
 				continue
 			}
 		}
-		t.recordUnplaced(w)
+		t.recordUnplaced(w.queue.Service, w.step, true, 1)
 	}
 }
 
@@ -212,15 +212,15 @@
 	t.log.WithFields(logrus.Fields{"decision": "returned", "job": j.id, "task": k.Name(j.id), "loan": tk.loans, "from_cell": tk.returnedBy - 1}).Info("lent task was returned")
 }
 
-// cellFor returns a cell with capacity for a task of s: of a task that was just returned the one that
+// cellFor returns a cell with capacity for a task of a step: of a task that was just returned the one that
 // the return names.
-func (t *term) cellFor(tk *task, s *Step) (cell int, found bool) {
+func (t *term) cellFor(tk *task, w *waitingStep) (cell int, found bool) {
 	age := t.now.Sub(tk.returnedAt)
 	switch {
 	case tk.returnedBy > 0 && age < returnedCapacityMaxAge && tk.capacityIn != t.cell:
 		return tk.capacityIn, true
 	case tk.returnedBy > 0 && age < returnDelay(tk.loans):
-		return t.takeRemoteCapacity(s, tk.returnedBy-1)
+		return t.takeRemoteCapacity(w.step, w.restart, tk.returnedBy-1)
 	}
-	return t.takeRemoteCapacity(s, -1)
+	return t.takeRemoteCapacity(w.step, w.restart, -1)
 }
--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -12,94 +12,130 @@
 // they cannot place. Task lending (task_lending.go) decides by these reports.
 
 const (
-	// maxReportedFree bounds the workers whose free capacity a cell reports. Per report, the
-	// other cells together may use that many workers for their unplaced lasting tasks.
-	maxReportedFree = 16
+	// maxReportedFree bounds the workers whose free capacity a cell reports, and maxReportedForUnplaced those that
+	// it reports while other cells have unplaced tasks. Per report, the other cells together may use that many
+	// workers for their unplaced lasting tasks.
+	maxReportedFree        = 16
+	maxReportedForUnplaced = 64
+	// maxReportedUnplaced bounds the sizes of unplaced tasks that a cell reports.
+	maxReportedUnplaced = 16
 	// remoteFreeInterval is the interval at which the reports of other cells are read. It
 	// leaves time for tasks lent right after a read to start there and to be counted in a later
 	// report. Room that is lent just before a read may be lent once more after it.
 	remoteFreeInterval = 800 * time.Millisecond
-	// maxReservedForOtherCells bounds the workers that a cell reserves for unplaced tasks of
-	// other cells, and maxReservedPercent their share of its workers.
-	maxReservedForOtherCells = 6
+	// maxReservedForOtherCells bounds the unplaced tasks of other cells for which a cell keeps room, and
+	// maxReservedPercent their share of the number of its workers.
+	maxReservedForOtherCells = 24
 	maxReservedPercent       = 67
 	// unplacedKnownAfter is how long a cell has reported an unplaced task before all others have read
 	// that: the time between two reads, and the delay of a report.
 	unplacedKnownAfter = remoteFreeInterval + 400*time.Millisecond
 )
 
-// freeCapacity is the free capacity of one worker.
+// freeCapacity is the capacity of one worker that is free, or will be once short tasks and fillers have ended,
+// and that no lost task claims.
 type freeCapacity struct {
 	MilliCPU int64 `cbor:"1,keyasint"`
 	MemoryMB int64 `cbor:"2,keyasint"`
 	// Labels are the worker's labels without its rack.
 	Labels []string `cbor:"3,keyasint,omitempty"`
+	// FreeCPU is the part of the processors that is free now.
+	FreeCPU int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// largestFree returns the free capacity of the workers with most of it, the largest first.
+// largestFree returns the capacity of the workers with most of it, the largest first.
 func (t *term) largestFree() []freeCapacity {
 	var largest []freeCapacity
 	for _, w := range t.workers {
 		onTrial := w.health.needsUntried(t.now) || (w.health.onProbation() && w.hasTrialRun())
-		if free := w.free(); free.MilliCPU > 0 && t.unusableReason(w) == "" && !onTrial {
-			largest = append(largest, freeCapacity{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)]})
+		claimed := t.claimed[w].Sub(t.keptForOthers[w])
+		if free := w.endingCapacity().Sub(claimed); free.MilliCPU > 0 && t.unusableReason(w) == "" && !onTrial {
+			now := max(w.free().Sub(claimed).MilliCPU, 0)
+			largest = append(largest, freeCapacity{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)], now})
 		}
 	}
 	slices.SortFunc(largest, func(a, b freeCapacity) int { return cmp.Compare(b.MilliCPU, a.MilliCPU) })
-	return slices.Clip(largest[:min(len(largest), maxReportedFree)])
+	most := maxReportedFree
+	if len(t.reportedUnplaced) > 0 {
+		most = maxReportedForUnplaced
+	}
+	return slices.Clip(largest[:min(len(largest), most)])
 }
 
-// unplacedTask is a lasting task that fits in no cell.
+// unplacedTask is a lasting task without room in its cell.
 type unplacedTask struct {
 	Service  model.ServiceName `cbor:"1,keyasint"`
 	MilliCPU int64             `cbor:"2,keyasint"`
 	MemoryMB int64             `cbor:"3,keyasint"`
 	Label    string            `cbor:"4,keyasint,omitempty"`
-	// Count is the number of such tasks in the cell, of any size.
+	// Count is the number of such tasks in the cell.
 	Count int `cbor:"5,keyasint"`
 }
 
-// recordUnplaced counts an unplaced task of a step. The cell reports the smallest one.
-func (t *term) recordUnplaced(w *waitingStep) {
-	need, count := w.step.Reserved(), 0
-	if t.unplaced != nil {
-		count = t.unplaced.Count
+// unplacedOf returns a number of tasks of a step as unplaced tasks.
+func unplacedOf(service model.ServiceName, s *Step, count int) unplacedTask {
+	need := s.Reserved()
+	return unplacedTask{service, need.MilliCPU, need.MemoryMB, s.Label, count}
+}
+
+// isFor reports whether u is of the size of s.
+func (u unplacedTask) isFor(s *Step) bool {
+	need := s.Reserved()
+	return u.MilliCPU == need.MilliCPU && u.MemoryMB == need.MemoryMB && u.Label == s.Label
+}
+
+// asStep returns a step with a task like u.
+func (u unplacedTask) asStep() Step {
+	return Step{Label: u.Label, Lasting: true, Needs: model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}}
+}
+
+// recordUnplaced counts unplaced tasks of a step, at most maxReportedUnplaced sizes.
+func (t *term) recordUnplaced(service model.ServiceName, s *Step, lost bool, count int) {
+	if count <= 0 {
+		return
 	}
-	if t.unplaced == nil || need.MilliCPU < t.unplaced.MilliCPU {
-		t.unplaced = &unplacedTask{w.queue.Service, need.MilliCPU, need.MemoryMB, w.step.Label, 0}
+	t.unplaced = addUnplaced(t.unplaced, unplacedOf(service, s, count))
+	if lost {
+		t.lostUnplaced = addUnplaced(t.lostUnplaced, unplacedOf(service, s, count))
 	}
-	t.unplaced.Count = count + 1
 }
 
-// reserveForOtherCells keeps new work away from some workers for unplaced tasks of other
-// cells. Otherwise short tasks would use any freed capacity at once, and the cell would
-// never report free capacity.
-func (t *term) reserveForOtherCells(p *placement, service model.ServiceName) {
-	left := min(maxReservedForOtherCells, len(p.workers)*maxReservedPercent/100)
-	for _, s := range t.unplacedInOtherCells {
-		if s.Service != service {
-			continue
-		}
-		step := Step{Label: s.Label, Lasting: true, Needs: model.Resources{MilliCPU: s.MilliCPU, MemoryMB: s.MemoryMB}}
-		for range min(s.Count, left) {
-			p.reserveWorkerFor(taskRequest{step: &step})
-			left--
+func addUnplaced(all []unplacedTask, u unplacedTask) []unplacedTask {
+	for i := range all {
+		same := all[i]
+		if same.Count = u.Count; same == u {
+			all[i].Count += u.Count
+			return all
 		}
 	}
+	if len(all) < maxReportedUnplaced {
+		all = append(all, u)
+	}
+	return all
 }
 
-// takeRemoteCapacity returns another cell in which a worker has enough free capacity for a
-// task of s, and deducts the task from it. It excludes one cell; none if excluded is negative.
-func (t *term) takeRemoteCapacity(s *Step, excluded int) (cell int, found bool) {
+// takeRemoteCapacity returns another cell in which a worker has capacity for a task of s, and deducts the task
+// from it. Capacity that is free now goes first; that of work that ends by itself is for lost tasks only. It
+// excludes one cell; none if excluded is negative.
+func (t *term) takeRemoteCapacity(s *Step, lost bool, excluded int) (cell int, found bool) {
+	if lost {
+		if cell, found = t.takeGrant(s, excluded); found {
+			return cell, true
+		}
+	}
 	t.refreshRemoteCapacity()
 	need := s.Reserved()
 	var best *freeCapacity
 	for other, workers := range t.remoteFree {
-		if other == excluded {
+		if other == excluded || (lost && t.roomExchange(other).answered(t.now)) {
 			continue
 		}
 		for i := range workers {
-			if h := &workers[i]; h.fits(need, s.Label) && (best == nil || h.MilliCPU > best.MilliCPU) {
+			h := &workers[i]
+			if !h.fits(need, s.Label) || (!lost && h.FreeCPU < need.MilliCPU) {
+				continue
+			}
+			if best == nil || h.compare(*best, need.MilliCPU) > 0 {
 				best, cell = h, other
 			}
 		}
@@ -112,10 +148,17 @@
 		return cell, true
 	}
 	best.MilliCPU -= need.MilliCPU
+	best.FreeCPU = max(best.FreeCPU-need.MilliCPU, 0)
 	best.MemoryMB -= need.MemoryMB
 	return cell, true
 }
 
+// compare is positive if h is the better capacity for a task that needs milliCPU.
+func (h freeCapacity) compare(o freeCapacity, milliCPU int64) int {
+	free := func(c freeCapacity) int64 { return min(c.FreeCPU, milliCPU) }
+	return cmp.Or(cmp.Compare(free(h), free(o)), cmp.Compare(h.MilliCPU, o.MilliCPU))
+}
+
 // fits reports whether a task with a need and a label fits.
 func (h freeCapacity) fits(need model.Resources, label string) bool {
 	return need.Fits(h.resources()) && hasLabel(h.Labels, label)
@@ -131,17 +174,17 @@
 	if t.now.Sub(t.remoteFreeReadAt) < remoteFreeInterval {
 		return
 	}
-	t.remoteFreeReadAt, t.remoteFree, t.unplacedInOtherCells = t.now, map[int][]freeCapacity{}, nil
+	t.remoteFreeReadAt, t.remoteFree, t.reportedUnplaced = t.now, map[int][]freeCapacity{}, map[int][]unplacedTask{}
 	others := t.otherCellLoads()
-	shares := capacityShares{own: t.cell, cells: t.layout.Cells, unplaced: map[int]unplacedTask{}}
+	shares := capacityShares{own: t.cell, cells: t.layout.Cells, unplaced: map[int][]unplacedTask{}}
 	for _, o := range others {
-		if o.load.Unplaced != nil {
-			t.unplacedInOtherCells = append(t.unplacedInOtherCells, *o.load.Unplaced)
-			shares.unplaced[o.cell] = *o.load.Unplaced
+		if len(o.load.Unplaced) > 0 {
+			t.reportedUnplaced[o.cell] = o.load.Unplaced
 		}
+		shares.unplaced[o.cell] = o.load.Unplaced
 	}
-	if t.unplaced != nil && !t.reportsUnplacedSince.IsZero() && t.now.Sub(t.reportsUnplacedSince) >= unplacedKnownAfter {
-		shares.unplaced[t.cell] = *t.unplaced
+	if len(t.unplaced) > 0 && !t.reportsUnplacedSince.IsZero() && t.now.Sub(t.reportsUnplacedSince) >= unplacedKnownAfter {
+		shares.unplaced[t.cell] = t.unplaced
 	}
 	for _, o := range others {
 		t.remoteFree[o.cell] = shares.of(o.cell, o.load.LargestFree)
@@ -151,7 +194,7 @@
 // observeReportedUnplaced notes that a report with the present unplaced task, or with none, is made.
 func (t *term) observeReportedUnplaced() {
 	switch {
-	case t.unplaced == nil:
+	case len(t.unplaced) == 0:
 		t.reportsUnplacedSince = time.Time{}
 	case t.reportsUnplacedSince.IsZero():
 		t.reportsUnplacedSince = t.now
@@ -163,7 +206,7 @@
 type capacityShares struct {
 	own, cells int
 	// unplaced holds the unplaced tasks that cells have reported, by cell, also the own one.
-	unplaced map[int]unplacedTask
+	unplaced map[int][]unplacedTask
 }
 
 // of returns the workers of cell other that the own cell may use. Each cell has a fixed share. A
@@ -186,7 +229,9 @@
 func (c capacityShares) claimants(other int, h freeCapacity) []int {
 	var cells []int
 	for cell := range c.cells {
-		if u, known := c.unplaced[cell]; known && cell != other && h.fits(model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}, u.Label) {
+		if cell != other && slices.ContainsFunc(c.unplaced[cell], func(u unplacedTask) bool {
+			return h.fits(model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}, u.Label)
+		}) {
 			cells = append(cells, cell)
 		}
 	}
--- a/internal/fleet/cell_capacity_test.go
+++ b/internal/fleet/cell_capacity_test.go
@@ -42,10 +42,10 @@
 	const cells = 4
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 2000 {
-		unplaced := map[int]unplacedTask{}
+		unplaced := map[int][]unplacedTask{}
 		for cell := range cells {
 			if random.IntN(2) == 0 {
-				unplaced[cell] = unplacedTask{MilliCPU: int64(1 + random.IntN(3)), Count: 1}
+				unplaced[cell] = []unplacedTask{{MilliCPU: int64(1 + random.IntN(3)), Count: 1}}
 			}
 		}
 		other, free := random.IntN(cells), freeCapacity{MilliCPU: int64(1 + random.IntN(3))}
@@ -57,7 +57,7 @@
 			if len((capacityShares{own, cells, unplaced}).of(other, []freeCapacity{free})) > 0 {
 				users = append(users, own)
 			}
-			if u, known := unplaced[own]; known && u.MilliCPU <= free.MilliCPU {
+			if u := unplaced[own]; len(u) > 0 && u[0].MilliCPU <= free.MilliCPU {
 				needing = append(needing, own)
 			}
 		}
@@ -72,21 +72,20 @@
 // do in the same moment as they do.
 func TestCellClaimsNoShareBeforeOthersKnowOfItsTask(t *testing.T) {
 	tm := newTestTerm(4)
-	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, nil}}}
+	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, nil, 8000}}}
 	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} } // the share of cell 2
 	s := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}}
-	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{*s}}}, 5, epoch)
-	tm.recordUnplaced(&waitingStep{job: j, step: s})
+	tm.recordUnplaced("svc", s, true, 1)
 	tm.observeReportedUnplaced()
-	_, found := tm.takeRemoteCapacity(s, -1)
+	_, found := tm.takeRemoteCapacity(s, false, -1)
 	require.False(t, found)
 	tm.now = tm.now.Add(unplacedKnownAfter)
-	_, found = tm.takeRemoteCapacity(s, -1)
+	_, found = tm.takeRemoteCapacity(s, false, -1)
 	require.True(t, found)
 	tm.unplaced = nil
 	tm.observeReportedUnplaced()
 	tm.now = tm.now.Add(remoteFreeInterval)
-	_, found = tm.takeRemoteCapacity(s, -1)
+	_, found = tm.takeRemoteCapacity(s, false, -1)
 	require.False(t, found)
 }
 
@@ -95,23 +94,23 @@
 // lend more than the other one has capacity for.
 func TestSeveralTasksAreLentAtOnce(t *testing.T) {
 	tm := newTestTerm(2)
-	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, nil}, {5000, 100, nil}, {3000, 5000, []string{"gpu"}}}}
+	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, nil, 8000}, {5000, 100, nil, 5000}, {3000, 5000, []string{"gpu"}, 3000}}}
 	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} }
 	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}}
 	for i := range 3 { // two on the first worker, none on the second, one on the third
-		cell, found := tm.takeRemoteCapacity(s, -1)
+		cell, found := tm.takeRemoteCapacity(s, false, -1)
 		require.True(t, found, "task %d", i)
 		require.Equal(t, 1, cell)
 	}
-	_, found := tm.takeRemoteCapacity(s, -1)
+	_, found := tm.takeRemoteCapacity(s, false, -1)
 	require.False(t, found)
 	tm.now = tm.now.Add(remoteFreeInterval / 2)
-	_, found = tm.takeRemoteCapacity(s, -1)
+	_, found = tm.takeRemoteCapacity(s, false, -1)
 	require.False(t, found, "the report may not include the lent tasks yet")
 	tm.now = tm.now.Add(remoteFreeInterval)
-	_, found = tm.takeRemoteCapacity(s, 1)
+	_, found = tm.takeRemoteCapacity(s, false, 1)
 	require.False(t, found, "the only cell with capacity is excluded")
-	_, found = tm.takeRemoteCapacity(s, -1)
+	_, found = tm.takeRemoteCapacity(s, false, -1)
 	require.True(t, found)
 }
 
@@ -134,12 +133,12 @@
 // A task that needs a label is lent only for free capacity on a worker with that label.
 func TestLabelOfLentTask(t *testing.T) {
 	tm := newTestTerm(2)
-	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, []string{"old"}}, {5000, 800, []string{"new"}}}}
+	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 800, []string{"old"}, 8000}, {5000, 800, []string{"new"}, 5000}}}
 	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} }
 	s := &Step{Needs: model.Resources{MilliCPU: 3000, MemoryMB: 200}, Label: "new"}
-	_, found := tm.takeRemoteCapacity(s, -1)
+	_, found := tm.takeRemoteCapacity(s, false, -1)
 	require.True(t, found)
-	_, found = tm.takeRemoteCapacity(s, -1)
+	_, found = tm.takeRemoteCapacity(s, false, -1)
 	require.False(t, found, "the worker with more free capacity lacks the label")
 }
 
@@ -156,38 +155,43 @@
 	require.True(t, waiting[0].restart)
 }
 
-// A cell reports the lasting tasks that it cannot place, and the other cells reserve workers
+// A cell reports the lasting tasks that it cannot place, and the other cells keep room
 // for them. Otherwise short work would use all free capacity at once, and no cell would report
 // enough for them.
 func TestWorkersAreReservedForOtherCells(t *testing.T) {
 	tm := newTestTerm(2)
 	service := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 7000, MemoryMB: 100}}
-	j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{*service}}}, 5, epoch)
-	w := &waitingStep{job: j, step: service, queue: Queue{Service: "svc"}}
-	tm.recordUnplaced(w)
-	tm.recordUnplaced(w)
-	require.Equal(t, &unplacedTask{Service: "svc", MilliCPU: 7000, MemoryMB: 100, Count: 2}, tm.unplaced)
+	tm.recordUnplaced("svc", service, true, 1)
+	tm.recordUnplaced("svc", service, true, 1)
+	require.Equal(t, []unplacedTask{{Service: "svc", MilliCPU: 7000, MemoryMB: 100, Count: 2}}, tm.unplaced)
 
 	other := newTestTerm(2)
 	load := cellLoad{Capacity: 10_000, Unplaced: tm.unplaced}
 	other.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, other.now}} }
 	other.refreshRemoteCapacity()
-	p := &placement{now: epoch, workers: []*worker{testWorker("a"), testWorker("b"), testWorker("c")}, interference: &other.interference}
-	other.reserveForOtherCells(p, "other")
-	require.Empty(t, p.reservedWorkers)
-	other.reserveForOtherCells(p, "svc")
-	require.Len(t, p.reservedWorkers, 2)
+	for _, id := range []model.WorkerID{"a", "b", "c", "d"} {
+		other.workers[id] = testWorker(string(id))
+	}
+	other.workers["d"].info.Service = "other"
+	pools := placements{}
+	other.reserveForOtherCells(pools)
+	kept := model.Resources{}
+	for w, r := range other.keptForOthers {
+		kept = kept.Add(r)
+		require.NotEqual(t, "other", string(w.info.Service))
+		require.False(t, pools["svc"].feasible(w, taskRequest{step: &Step{Needs: model.Resources{MilliCPU: 10_000}}}), "new work may not use it")
+	}
+	require.Equal(t, model.Resources{MilliCPU: 14_000, MemoryMB: 200}, kept)
 }
 
-// The number of workers that are reserved for other cells is bounded, however many unplaced
-// tasks they report.
+// The room that is kept for other cells is bounded, however many unplaced tasks they report.
 func TestReservedWorkersAreBounded(t *testing.T) {
 	tm := newTestTerm(2)
-	tm.unplacedInOtherCells = []unplacedTask{{Service: "svc", MilliCPU: 1000, MemoryMB: 1, Count: 100}, {Service: "svc", MilliCPU: 1000, MemoryMB: 1, Count: 100}}
-	p := &placement{now: epoch, interference: &tm.interference}
+	tm.reportedUnplaced = map[int][]unplacedTask{1: {{Service: "svc", MilliCPU: 10_000, MemoryMB: 1, Count: 100}, {Service: "svc", MilliCPU: 9000, MemoryMB: 1, Count: 100}}}
 	for i := range 3 * maxReservedForOtherCells {
-		p.workers = append(p.workers, testWorker(string(rune('a'+i))))
+		w := testWorker(string(rune('a' + i)))
+		tm.workers[w.info.Worker] = w
 	}
-	tm.reserveForOtherCells(p, "svc")
-	require.Len(t, p.reservedWorkers, maxReservedForOtherCells)
+	tm.reserveForOtherCells(placements{})
+	require.Len(t, tm.keptForOthers, maxReservedForOtherCells)
 }
--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -481,7 +481,7 @@
 }
 
 // A lasting task that has run before is placed before tasks that never ran, which would take
-// the capacity that it has lost. If it fits on no worker now, one is reserved: short work is
+// the capacity that it has lost. If it fits on no worker now, it claims the room of one: other work is
 // kept away from it until the task fits.
 func TestWorkerIsReservedForRestart(t *testing.T) {
 	tm := newTestTerm(1)
@@ -501,14 +501,18 @@
 	half, full := testWorker("half"), testWorker("full")
 	testRun(half, short, 0)
 	testRun(full, &service, 1)
-	p := &placement{now: epoch, workers: []*worker{half, full}, interference: &tm.interference}
+	tm.workers["half"], tm.workers["full"] = half, full
+	pools := placements{}
+	tm.claimRoom(pools, waiting)
+	p := pools["svc"]
 	require.Nil(t, p.chooseWorker(taskRequest{step: &service}))
-	p.reserveWorkerFor(taskRequest{step: &service})
-	require.False(t, p.feasible(half, taskRequest{step: short}), "reserved for the lasting task")
-	require.False(t, p.reservedWorkers[full], "the task would not fit there without short work either")
+	require.False(t, p.feasible(half, taskRequest{step: short}), "claimed for the lasting task")
+	require.NotContains(t, p.claimed, full, "the task would not fit there without short work either")
 	smaller := service
+	smaller.Needs.MilliCPU = 6000
+	require.True(t, p.feasible(half, taskRequest{step: &smaller, restart: true}), "another restart that fits now beside the claim may use the worker")
 	smaller.Needs.MilliCPU = 7000
-	require.True(t, p.feasible(half, taskRequest{step: &smaller, restart: true}), "another restart that fits now may use the reserved worker")
+	require.False(t, p.feasible(half, taskRequest{step: &smaller, restart: true}), "it would take what is claimed")
 }
 
 // Without renewals leases get shorter, so that all of them end within maxLeaseReach after the
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -444,7 +444,7 @@
 	}
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
 	t.hostUse = n.hostUse
-	t.cellLoads, t.notify, t.evacuate, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, &n.operator
+	t.cellLoads, t.notify, t.evacuate, t.askForRoom, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, n.askForRoom, &n.operator
 	c.term.Store(t)
 	if c.confirmations.latestTerm() > number {
 		t.end("another node has taken the lead")
--- a/internal/fleet/event_queue.go
+++ b/internal/fleet/event_queue.go
@@ -47,7 +47,7 @@
 	switch e.(type) {
 	case stateQuery, pendingQuery, inspectQuery:
 		return classQuery
-	case startReply, paceReply, adviceReply, inventoryRead, maintainReply, waveStatusWritten, evacuateQuery, remoteEvacuationReply, layoutChanged, racksAssigned, cellModelsRead:
+	case startReply, paceReply, adviceReply, inventoryRead, maintainReply, waveStatusWritten, evacuateQuery, remoteEvacuationReply, layoutChanged, racksAssigned, cellModelsRead, roomQuery, roomAnswered:
 		return classOrder
 	}
 	return classState
--- a/internal/fleet/job.go
+++ b/internal/fleet/job.go
@@ -103,6 +103,8 @@
 	// readyAt is when all preceding steps were done; zero until then.
 	readyAt time.Time
 	advice  *stepAdvice
+	// claims holds the workers whose room lost tasks of the step claim.
+	claims []*worker
 	// waits is why the last plan did not place all startable tasks.
 	waits waitReason
 }
--- a/internal/fleet/lost_tasks.go
+++ b/internal/fleet/lost_tasks.go
@@ -10,13 +10,7 @@
 
 // endingCapacity returns the capacity of a worker that is free once its short tasks and fillers have ended.
 func (w *worker) endingCapacity() model.Resources {
-	free := w.free()
-	for _, r := range w.runs {
-		if r.step != nil && !r.step.Lasting {
-			free = free.Add(r.reserved)
-		}
-	}
-	return free
+	return w.free().Add(w.ending)
 }
 
 // lostTasksView sums up the lost lasting tasks of a cell that have no run, and the room for them.
@@ -121,6 +115,7 @@
 	if w := v.nearest; w != nil {
 		later := w.endingCapacity()
 		fields["nearest"], fields["nearest_free_cpu"], fields["nearest_later_cpu"], fields["nearest_later_mb"] = w.info.Worker, w.free().MilliCPU, later.MilliCPU, later.MemoryMB
+		fields["nearest_claimed_cpu"], fields["nearest_quarantines"] = t.claimed[w].MilliCPU, w.health.quarantines
 		fields["nearest_short_cpu"], fields["nearest_filler_cpu"] = w.shortMilliCPU, w.fillerMilliCPU
 	}
 	t.log.WithFields(fields).Info("lost lasting tasks wait for a worker")
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -21,6 +21,7 @@
 	methodOfferWitness      = "lead.offer"
 	methodWitness           = "lead.witness"
 	methodEvacuate          = "worker.empty"
+	methodRoom              = "room.keep"
 )
 
 const (
@@ -102,6 +103,9 @@
 		methodEvacuate: membership.Typed(func(ctx context.Context, p evacuateParams) (any, error) {
 			return localEvacuate(ctx, n.cell(p.Cell), p), nil
 		}),
+		methodRoom: membership.Typed(func(ctx context.Context, r roomRequest) (any, error) {
+			return localRoom(ctx, n.cell(r.Cell), r), nil
+		}),
 	} {
 		n.cfg.Peers.Handle(method, handler)
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -45,34 +45,20 @@
 	// there is no other room.
 	lastResort   []*worker
 	interference *interference
+	// claimed is what lost lasting tasks claim on workers; see claims.go.
+	claimed         map[*worker]model.Resources
+	expectedRunTime func(*job, *Step) time.Duration
+	// usable, runEnds and smallestUnclaimable are computed when claims need them: the set of workers, the
+	// expected ends of their runs, and the smallest needs for which there is no room to claim.
+	usable              map[*worker]bool
+	runEnds             map[*worker][]runEnd
+	smallestUnclaimable *model.Resources
 	// unplaceable holds, by group, the smallest needs for which this plan has found no worker.
 	unplaceable map[demandGroup]unplaceable
 	// reservedWorkers holds workers that are kept free for restarts of lasting tasks.
 	reservedWorkers map[*worker]bool
 }
 
-// reserveWorkerFor keeps new work away from one worker so that a lasting task fits there
-// soon. It takes the worker with the most free processors among those on which the task
-// fits once all tasks that end by themselves have ended. Where services fill the fleet, the
-// capacity that a single short task frees is too small for a lasting task, and new short
-// tasks would use it up each time.
-func (p *placement) reserveWorkerFor(request taskRequest) {
-	s := request.step
-	var best *worker
-	mostFree := int64(0)
-	for _, w := range p.workers {
-		if p.reservedWorkers[w] || !w.hasLabel(s.Label) || !request.hasTaskSlot(w) || !s.Reserved().Fits(w.endingCapacity()) {
-			continue
-		}
-		if freeNow := w.free().MilliCPU; best == nil || freeNow > mostFree {
-			best, mostFree = w, freeNow
-		}
-	}
-	if best != nil {
-		p.reserve(best)
-	}
-}
-
 // reserve keeps new work away from a worker, restarts of lasting tasks excepted.
 func (p *placement) reserve(w *worker) {
 	if p.reservedWorkers == nil {
@@ -215,6 +201,7 @@
 	case !s.Reserved().Fits(w.free()):
 		return lacksCapacity
 	case p.reservedWorkers[w] && !r.restart,
+		!p.fitsBesideClaims(w, r),
 		r.rack != "" && w.rack != r.rack,
 		r.tickets != nil && r.tickets[w.info.Worker] == "",
 		w.health.onProbation() && w.hasTrialRun() && !r.lastResort,
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -149,7 +149,8 @@
 		w := testWorker(fmt.Sprint("w", i))
 		tm.workers[w.info.Worker] = w
 	}
-	tm.unplacedInOtherCells = []unplacedTask{{Service: "svc", MilliCPU: 1000, MemoryMB: 100, Count: 2 * maxReservedForOtherCells}}
+	tm.layout = &layout{Cells: 2}
+	tm.roomRequests[1] = roomRequest{From: 1, at: tm.now, Tasks: []unplacedTask{{Service: "svc", MilliCPU: 16_000, MemoryMB: 100, Count: 2 * maxReservedForOtherCells}}}
 	j := newJob("short", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
 	j.openOccurrence(0, time.Time{}, tm.now)
 	tm.jobs[j.id] = j
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -42,7 +42,6 @@
 	if t.layout.Cells > 1 {
 		t.refreshRemoteCapacity()
 	}
-	t.unplaced = nil
 	waiting := t.giveUpCrashingTasks(t.collectWaitingSteps())
 	t.observeShortWork(waiting)
 	for _, w := range waiting {
@@ -50,6 +49,7 @@
 	}
 	t.plannedSteps = len(waiting)
 	t.placeSteps(waiting)
+	t.requestRoom()
 	t.logLoad(waiting)
 	t.logLostTasks(waiting)
 }
@@ -94,14 +94,15 @@
 	held := t.capacityToHold(waiting)
 	waiting = t.moveJobs(slices.Clone(waiting), held)
 	t.metrics.waiting.Set(float64(len(waiting)))
+	sortWaitingSteps(waiting)
+	pools := placements{}
+	t.claimRoom(pools, waiting)
 	if len(waiting) == 0 {
 		return
 	}
-	sortWaitingSteps(waiting)
 	for _, w := range waiting {
 		w.state().waits = waitsForTurn
 	}
-	pools := placements{}
 	left := t.startsLeft()
 	idleFirst := t.startsAreShort()
 	for n, w := range waiting {
@@ -151,28 +152,39 @@
 	p := pools[service]
 	if p == nil {
 		p = t.newPlacement(service)
-		t.reserveForOtherCells(p, service)
 		pools[service] = p
 	}
 	return p
 }
 
-// placeOrMakeRoom starts as many tasks of a step as fit and returns their number. For lost lasting tasks
-// among the others it keeps or makes room, here or in another cell.
+// placeOrMakeRoom starts as many tasks of a step as fit and returns their number. The lost lasting tasks among
+// the others keep their claims, or find room in another cell.
 func (t *term) placeOrMakeRoom(p *placement, w *waitingStep) int {
-	started := t.placeStep(p, w)
-	if started == len(w.tasks) || !w.mayBeLent() {
+	c := w.claimant
+	if c == nil {
+		started := t.placeStep(p, w)
+		if started < len(w.tasks) && w.mayBeLent() {
+			t.lendUnplaced(w)
+		}
 		return started
 	}
-	if w.restart {
-		r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
-		if x := p.reserveReducedFor(r); x != nil {
+	p.withdrawClaims(c)
+	started := t.placeStep(p, w)
+	c.lost -= started
+	p.keepClaims(c)
+	p.addClaims(c, c.lost)
+	p.addClaims(c, c.lost+c.expected)
+	for _, x := range c.state.claims {
+		if x.reducedMilliCPU > 0 {
 			t.stopReducedFor(x, w.step)
-		} else {
-			p.reserveWorkerFor(r)
 		}
 	}
-	t.lendUnplaced(w)
+	if len(c.state.claims) >= c.lost {
+		return started
+	}
+	if w.mayBeLent() {
+		t.lendUnplaced(w)
+	}
 	return started + t.startAnywhere(p, w)
 }
 
@@ -180,14 +192,11 @@
 // quarantined or on probation, and returns their number: on such a worker a service may work, without one it
 // does not.
 func (t *term) startAnywhere(p *placement, w *waitingStep) int {
-	if !w.restart {
-		return 0
-	}
 	started := 0
 	r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
-	for _, i := range w.tasks {
+	for _, i := range w.tasksWithoutRoom() {
 		r.task = &w.state().tasks[i]
-		if len(r.task.runs) > 0 || r.task.lentTo > 0 {
+		if r.task.lentTo > 0 {
 			continue
 		}
 		worker := p.findLastResort(r)
@@ -216,7 +225,7 @@
 
 // newPlacement returns a placement over the usable workers of a service.
 func (t *term) newPlacement(service model.ServiceName) *placement {
-	p := &placement{now: t.now, service: service, interference: &t.interference}
+	p := &placement{now: t.now, service: service, interference: &t.interference, claimed: t.claimed, expectedRunTime: t.expectedRunTime}
 	for _, w := range t.workers {
 		if w.info.Service != service {
 			continue
--- /dev/null
+++ b/internal/fleet/room_requests.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// The leader of a cell whose lost lasting tasks have no room there asks the leaders of the other cells for it. A
+// leader that is asked keeps room for these tasks behind those of its own cell and ahead of all new work, as if it
+// were their claims, and answers what it keeps. So one leader decides who gets the room of a cell. Where leaders do
+// not reach each other, the reports in the store serve (cell_capacity.go).
+
+const (
+	// roomRequestInterval is the pause between two requests to one cell.
+	roomRequestInterval = 100 * time.Millisecond
+	// roomRequestTimeout bounds a request.
+	roomRequestTimeout = 300 * time.Millisecond
+	// roomRequestMaxAge is how long room is kept for a request, and how long its answer counts.
+	roomRequestMaxAge = time.Second
+	// loanArrival is the time in which the row of a lent task reaches its borrower.
+	loanArrival = 500 * time.Millisecond
+)
+
+// roomRequest asks a cell to keep room for unplaced tasks of another one.
+type roomRequest struct {
+	Cell int `json:"cell"`
+	From int `json:"from"`
+	// Arriving are tasks that were lent to the cell and may not have reached it yet, Tasks those to be lent.
+	Arriving []unplacedTask `json:"arriving,omitempty"`
+	Tasks    []unplacedTask `json:"tasks"`
+	at       time.Time
+}
+
+// roomGrant is the room that a cell keeps for tasks of one size. Now counts those that fit at once.
+type roomGrant struct {
+	Task unplacedTask `json:"task"`
+	Now  int          `json:"now"`
+}
+
+// roomAnswer is the answer to a request. Known is false if the answering node could not tell.
+type roomAnswer struct {
+	Known  bool        `json:"known"`
+	Grants []roomGrant `json:"grants"`
+}
+
+// roomQuery passes a request to the term's loop.
+type roomQuery struct {
+	request roomRequest
+	reply   chan roomAnswer
+}
+
+func (q roomQuery) handle(t *term) {
+	if !t.active() || !t.allRunsKnown() {
+		q.reply <- roomAnswer{}
+		return
+	}
+	q.request.at = t.now
+	t.roomRequests[q.request.From] = q.request
+	q.reply <- roomAnswer{true, t.reserveForOtherCells(placements{})[q.request.From]}
+}
+
+// askForRoom asks the leader of a cell, which may be this node, to keep room.
+func (n *Node) askForRoom(ctx context.Context, r roomRequest) roomAnswer {
+	ctx, cancel := context.WithTimeout(ctx, roomRequestTimeout)
+	defer cancel()
+	c := n.cell(r.Cell)
+	if c == nil {
+		return roomAnswer{}
+	}
+	a := localRoom(ctx, c, r)
+	if !a.Known {
+		n.callLeader(ctx, c, methodRoom, r, &a)
+	}
+	return a
+}
+
+func localRoom(ctx context.Context, c *cell, r roomRequest) roomAnswer {
+	q := roomQuery{r, make(chan roomAnswer, 1)}
+	return queryCell(ctx, c, q, q.reply)
+}
+
+// roomExchange is what a leader knows of another cell's room for its tasks.
+type roomExchange struct {
+	inFlight bool
+	// outdated means that tasks were lent to the cell after the request that is in flight.
+	outdated            bool
+	askedAt, answeredAt time.Time
+	grants              []roomGrant
+	// loans are the tasks that were lent to the cell lately.
+	loans []recentLoan
+}
+
+// recentLoan is a task that was lent to another cell.
+type recentLoan struct {
+	task unplacedTask
+	at   time.Time
+}
+
+// answered reports whether the cell has answered a request lately.
+func (x *roomExchange) answered(now time.Time) bool {
+	return now.Sub(x.answeredAt) <= roomRequestMaxAge
+}
+
+// roomExchange returns the exchange with another cell.
+func (t *term) roomExchange(cell int) *roomExchange {
+	if t.roomExchanges[cell] == nil {
+		t.roomExchanges[cell] = &roomExchange{}
+	}
+	return t.roomExchanges[cell]
+}
+
+// requestRoom asks all other cells for room while lost tasks of this one have none.
+func (t *term) requestRoom() {
+	if len(t.lostUnplaced) == 0 || t.askForRoom == nil {
+		return
+	}
+	for cell := range t.layout.Cells {
+		x := t.roomExchange(cell)
+		if cell == t.cell || x.inFlight || t.now.Sub(x.askedAt) < roomRequestInterval {
+			continue
+		}
+		x.inFlight, x.outdated, x.askedAt = true, false, t.now
+		x.loans = slices.DeleteFunc(x.loans, func(l recentLoan) bool { return t.now.Sub(l.at) > loanArrival })
+		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced)}
+		for _, l := range x.loans {
+			r.Arriving = append(r.Arriving, l.task)
+		}
+		go func() { t.post(roomAnswered{cell, t.askForRoom(t.ctx, r)}) }()
+	}
+}
+
+// roomAnswered is the answer of another cell.
+type roomAnswered struct {
+	cell   int
+	answer roomAnswer
+}
+
+func (e roomAnswered) handle(t *term) {
+	x := t.roomExchange(e.cell)
+	x.inFlight = false
+	if e.answer.Known && !x.outdated {
+		x.answeredAt, x.grants = t.now, e.answer.Grants
+		t.planDue = t.planDue || len(x.grants) > 0
+	}
+}
+
+// takeGrant returns a cell that keeps room for a task of s, preferably room that is free now, and deducts the task.
+// It excludes one cell; none if excluded is negative.
+func (t *term) takeGrant(s *Step, excluded int) (cell int, found bool) {
+	var best *roomGrant
+	for _, other := range slices.Sorted(maps.Keys(t.roomExchanges)) {
+		x := t.roomExchanges[other]
+		if other == excluded || !x.answered(t.now) {
+			continue
+		}
+		for i := range x.grants {
+			g := &x.grants[i]
+			if g.Task.Count > 0 && g.Task.isFor(s) && (best == nil || (g.Now > 0 && best.Now == 0)) {
+				best, cell = g, other
+			}
+		}
+	}
+	if best == nil {
+		return 0, false
+	}
+	best.Task.Count--
+	best.Now = max(best.Now-1, 0)
+	return cell, true
+}
+
+// recordLoan notes that a task was lent to a cell.
+func (t *term) recordLoan(cell int, service model.ServiceName, s *Step) {
+	x := t.roomExchange(cell)
+	x.outdated = true
+	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), t.now})
+}
+
+// reserveForOtherCells keeps room for unplaced tasks of other cells behind the claims of this cell, and returns it
+// by cell. Otherwise short tasks would use any freed capacity at once, and the tasks that are lent to the cell
+// would wait for it.
+func (t *term) reserveForOtherCells(pools placements) map[int][]roomGrant {
+	for w, kept := range t.keptForOthers {
+		t.claimed[w] = t.claimed[w].Sub(kept)
+	}
+	clear(t.keptForOthers)
+	grants := map[int][]roomGrant{}
+	reserved := map[model.ServiceName]int{}
+	for n := range t.layout.Cells {
+		from := (t.cell + 1 + n) % t.layout.Cells // none goes first everywhere
+		r := t.roomRequests[from]
+		if t.now.Sub(r.at) > roomRequestMaxAge {
+			t.keepRoom(pools, t.reportedUnplaced[from], reserved)
+			continue
+		}
+		t.keepRoom(pools, r.Arriving, reserved)
+		grants[from] = t.keepRoom(pools, r.Tasks, reserved)
+	}
+	return grants
+}
+
+// keepRoom keeps room for unplaced tasks of another cell. reserved counts those of all other cells by service.
+func (t *term) keepRoom(pools placements, tasks []unplacedTask, reserved map[model.ServiceName]int) []roomGrant {
+	var grants []roomGrant
+	for _, u := range tasks {
+		p := t.placementOf(pools, u.Service)
+		left := min(maxReservedForOtherCells, len(p.workers)*maxReservedPercent/100) - reserved[u.Service]
+		step := u.asStep()
+		g := roomGrant{Task: u}
+		g.Task.Count = 0
+		for range min(u.Count, left) {
+			w := p.soonest(taskRequest{step: &step})
+			if w == nil {
+				break
+			}
+			if p.waitFor(w, p.claimed[w].Add(step.Reserved())) == 0 {
+				g.Now++
+			}
+			p.claimed[w] = p.claimed[w].Add(step.Reserved())
+			t.keptForOthers[w] = t.keptForOthers[w].Add(step.Reserved())
+			g.Task.Count++
+		}
+		reserved[u.Service] += g.Task.Count
+		if g.Task.Count > 0 {
+			grants = append(grants, g)
+		}
+	}
+	return grants
+}
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -16,7 +16,7 @@
 // (borrowed_tasks.go).
 
 const (
-	// lendDelay is how long a lasting task waits for capacity in its own cell, where the end
+	// lendDelay is how long a lasting task that has not run waits for capacity in its own cell, where the end
 	// of short tasks may free some.
 	lendDelay = 500 * time.Millisecond
 	// lentKeySeparator precedes step and index in the key of a lent task's row.
@@ -34,32 +34,42 @@
 		s.Needs.Accelerators == 0 && s.MaxInterrupted == 0
 }
 
-// lendUnplaced lends the tasks of a lasting step that have found no worker for lendDelay, or
-// returns them if they are borrowed. It is called when a plan could not place all waiting tasks of
-// the step.
+// tasksWithoutRoom returns the waiting tasks of a lasting step that have neither a run nor a claim.
+func (w *waitingStep) tasksWithoutRoom() []int {
+	tasks := slices.DeleteFunc(slices.Clone(w.tasks), func(i int) bool { return len(w.state().tasks[i].runs) > 0 })
+	if w.claimant == nil {
+		return tasks
+	}
+	return tasks[min(len(w.state().claims), len(tasks)):]
+}
+
+// lendUnplaced lends the tasks of a lasting step that have no room in this cell, or returns them if they are
+// borrowed. It is called when a plan could not place all waiting tasks of the step.
 func (t *term) lendUnplaced(w *waitingStep) {
 	if t.layout.Cells == 1 || !w.mayBeLent() {
 		return
 	}
+	tasks := w.tasksWithoutRoom()
 	if len(w.job.borrowed) > 0 {
-		t.returnUnplaced(w)
+		t.returnUnplaced(w, tasks)
 		return
 	}
-	for _, i := range w.tasks {
+	for _, i := range tasks {
 		tk := &w.state().tasks[i]
 		switch {
-		case len(tk.runs) > 0 || tk.lentTo > 0:
+		case tk.lentTo > 0:
 			continue
 		case tk.unplacedSince.IsZero():
 			tk.unplacedSince = t.now
 		}
-		if t.now.Sub(tk.unplacedSince) < lendDelay {
+		if !w.restart && t.now.Sub(tk.unplacedSince) < lendDelay {
 			continue
 		}
-		if cell, found := t.cellFor(tk, w.step); found {
+		if cell, found := t.cellFor(tk, w); found {
 			t.lend(w.job, w.key(i), tk, cell)
+			t.recordLoan(cell, w.queue.Service, w.step)
 		} else {
-			t.recordUnplaced(w)
+			t.recordUnplaced(w.queue.Service, w.step, w.restart, 1)
 		}
 	}
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -162,10 +162,21 @@
 	// cell.
 	remoteFree       map[int][]freeCapacity
 	remoteFreeReadAt time.Time
-	// unplaced is a task for which the last plan found free capacity in no cell.
-	// unplacedInOtherCells are the unplaced tasks that other cells report.
-	unplaced             *unplacedTask
-	unplacedInOtherCells []unplacedTask
+	// claimed is what lost lasting tasks claim on workers.
+	claimed map[*worker]model.Resources
+	// keptForOthers is the part of it for unplaced tasks of other cells.
+	keptForOthers map[*worker]model.Resources
+	// unplaced are the lasting tasks that have no room in this cell. reportedUnplaced are those that
+	// other cells report.
+	unplaced         []unplacedTask
+	reportedUnplaced map[int][]unplacedTask
+	// lostUnplaced are those of them that have run. roomRequests are the requests of other cells for such
+	// tasks, roomExchanges what they have answered to those of this one, by cell; askForRoom sends a request
+	// and is nil in tests without a node.
+	lostUnplaced  []unplacedTask
+	roomRequests  map[int]roomRequest
+	roomExchanges map[int]*roomExchange
+	askForRoom    func(context.Context, roomRequest) roomAnswer
 	// reportsUnplacedSince is since when the cell's reports have told of an unplaced task; zero if the
 	// last one did not.
 	reportsUnplacedSince time.Time
@@ -198,7 +209,7 @@
 		readLimiter: newReadLimiter(cfg.Limits.LinkBytes),
 		cfg:         cfg, log: log.WithFields(logrus.Fields{"cell": cell, "term": number}), cell: cell, part: l.cellPart(cell), layout: l, currentLayout: l, number: number, ctx: ctx, cancel: cancel,
 		events: newEventQueue(), callSlots: newCallSlots(cfg.Limits.MilliCPU), pollSlots: newCallSlots(cfg.Limits.MilliCPU), loopLoad: loopLoad{windowStart: now}, now: now, startedAt: now, random: rand.New(rand.NewPCG(cfg.Seed+uint64(cell), number)),
-		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, returnedLoans: map[string]int{}, workers: map[model.WorkerID]*worker{},
+		jobs: map[string]*job{}, earlyCancellations: map[string]time.Time{}, returnedLoans: map[string]int{}, claimed: map[*worker]model.Resources{}, keptForOthers: map[*worker]model.Resources{}, roomRequests: map[int]roomRequest{}, roomExchanges: map[int]*roomExchange{}, workers: map[model.WorkerID]*worker{},
 		foreignWorkers: map[string]int{}, unassignedWorkers: map[string]Row{}, evacuatingUntil: map[model.WorkerID]time.Time{},
 		queues: map[string]Queue{}, dataCentresOut: map[model.DataCentre]bool{}, waves: map[int]*wave{},
 		formerLeaderRenewedBy: formerLeaderRenewedBy, formerOrdersBy: formerLeaderRenewedBy, leaseRecordsSince: number, fenceVersion: fenceVersion, startVersion: fenceVersion, formerFenceVersion: fenceVersion, lastRenewal: now,
@@ -289,6 +300,7 @@
 	t.openOccurrences()
 	t.expireLeases()
 	t.dropUnansweredStarts()
+	t.requestRoom()
 	if begun := time.Now(); !begun.Before(t.checksDueAt) {
 		t.checkRuns()
 		t.checksDueAt = time.Now().Add(workPause(time.Since(begun)))
--- a/internal/fleet/unaccounted.go
+++ b/internal/fleet/unaccounted.go
@@ -67,6 +67,14 @@
 		return nil
 	}
 	unaccounted := map[model.ServiceName]int64{}
+	t.unaccountedSteps(func(j *job, s *stepState, step *Step) {
+		unaccounted[t.queues[j.queue].Service] += int64(s.tasksWithoutRun()) * step.Needs.MilliCPU
+	})
+	return unaccounted
+}
+
+// unaccountedSteps calls visit with the lasting steps that earlier terms may have started.
+func (t *term) unaccountedSteps(visit func(*job, *stepState, *Step)) {
 	for _, j := range t.jobs {
 		if !j.inherited || j.over() || j.visibleState.Final() || j.movedTo > 0 {
 			continue
@@ -74,12 +82,11 @@
 		for _, o := range j.occurrences {
 			for i := range o.steps {
 				if j.spec.Steps[i].Lasting && !o.steps[i].readyAt.IsZero() {
-					unaccounted[t.queues[j.queue].Service] += int64(o.steps[i].tasksWithoutRun()) * j.spec.Steps[i].Needs.MilliCPU
+					visit(j, &o.steps[i], &j.spec.Steps[i])
 				}
 			}
 		}
 	}
-	return unaccounted
 }
 
 // tasksWithoutRun counts the tasks of a step that are not done, have no known run and are
--- a/internal/fleet/waiting_steps.go
+++ b/internal/fleet/waiting_steps.go
@@ -45,6 +45,8 @@
 	perWorkerLimit int
 	// restart is set for lasting tasks that have run before.
 	restart bool
+	// claimant has the claims of the step's lost tasks; nil if they have none.
+	claimant *claimant
 }
 
 // state returns the state of the step.
@@ -205,9 +207,11 @@
 }
 
 // compareRestarts orders restarts of lasting tasks before other work, so that new work does
-// not take the capacity that they lost.
+// not take the capacity that they lost, and small ones before large ones, so that as many as possible run.
 func compareRestarts(a, b *waitingStep) int {
 	switch {
+	case a.restart && b.restart:
+		return cmp.Or(cmp.Compare(a.step.Needs.MilliCPU, b.step.Needs.MilliCPU), cmp.Compare(a.step.Needs.MemoryMB, b.step.Needs.MemoryMB))
 	case a.restart == b.restart:
 		return 0
 	case a.restart:
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -129,6 +129,8 @@
 	// shortMilliCPU is the same of short runs.
 	shortMilliCPU int64
 
+	// ending is what short runs and fillers reserve.
+	ending model.Resources
 	// clock is the worker's clock in its latest answer, clockAt the time of receipt.
 	clock   time.Duration
 	clockAt time.Time
@@ -313,6 +315,9 @@
 		return
 	}
 	*w.milliCPUOf(r.step) += r.step.Needs.MilliCPU
+	if !r.step.Lasting {
+		w.ending = w.ending.Add(r.reserved)
+	}
 	if r.step.Filler {
 		w.exposures.set(r, fillerShare(r.step, w)*float64(r.pace)/100, now)
 	}
@@ -331,6 +336,9 @@
 		return
 	}
 	*w.milliCPUOf(r.step) -= r.step.Needs.MilliCPU
+	if !r.step.Lasting {
+		w.ending = w.ending.Sub(r.reserved)
+	}
 	if r.step.Filler {
 		w.exposures.set(r, 0, now)
 	}
