fleet: starts on quarantined workers are not lost, and none is on one that is emptied

A lost task was not started on a quarantined worker if no worker of its service was usable, as after a drain of the others. A start there that waited for a call slot was withdrawn, and decided again by the next plan. And a quarantined worker that was being emptied for its upkeep got lost tasks, as "resting" hid "upkeep". Each of the three tests failed before.

--- a/internal/fleet/held_starts.go
+++ b/internal/fleet/held_starts.go
@@ -69,8 +69,10 @@
 	w := r.worker
 	free := w.free()
 	o, tk := r.job.task(r.key)
+	reason := t.unusableReason(w)
+	usable := reason == "" || (r.lastResort && reason == unusableResting && w.health.lastResort(t.now))
 	switch {
-	case !t.active() || t.unusableReason(w) != "" || tk == nil || (len(tk.runs) > 1 && !r.step.Speculative):
+	case !t.active() || !usable || tk == nil || (len(tk.runs) > 1 && !r.step.Speculative):
 		return false
 	case free.MilliCPU < 0 || free.MemoryMB < 0 || free.Accelerators < 0:
 		return false
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -123,6 +123,10 @@
 			if w.mayBeLent() {
 				t.lendUnplaced(w)
 			}
+			if w.claimant != nil {
+				w.tasks = w.tasks[:min(left, len(w.tasks))]
+				left -= t.startAnywhere(p, w)
+			}
 			continue
 		}
 		allowed := p.allowedTasks(w, held)
@@ -203,7 +207,7 @@
 		if worker == nil {
 			break
 		}
-		t.startTask(w.job, w.key(i), worker, "")
+		t.startTask(w.job, w.key(i), worker, "").lastResort = true
 		r.tasksPerWorker[worker]++
 		started++
 	}
@@ -261,10 +265,10 @@
 		return "leases recorded"
 	case !w.usedRowStored:
 		return "not registered yet"
-	case w.health.excluded(t.now):
-		return unusableResting
 	case t.maintenance.evacuating[w.info.Worker], t.now.Before(t.evacuatingUntil[w.info.Worker]):
 		return "upkeep"
+	case w.health.excluded(t.now):
+		return unusableResting
 	}
 	return ""
 }
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -29,9 +29,9 @@
 }
 
 // startTask starts a task on a worker with enough free capacity.
-func (t *term) startTask(j *job, key taskKey, w *worker, ticket string) {
+func (t *term) startTask(j *job, key taskKey, w *worker, ticket string) *run {
 	_, tk := j.task(key)
-	t.startAttempt(j, key, w, ticket, j.nextAttempt(tk, t.number), tk.checkpoint)
+	return t.startAttempt(j, key, w, ticket, j.nextAttempt(tk, t.number), tk.checkpoint)
 }
 
 // startAttempt starts a task with a given attempt number and checkpoint, which the members
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -96,6 +96,8 @@
 	// crashed that a crash of the worker under this run was counted, crashInDoubt that it was that of
 	// a former lifetime, which may not have begun the run.
 	crashesBefore, crashed, crashInDoubt bool
+	// lastResort means that the worker was quarantined or on probation when the run was placed on it.
+	lastResort bool
 	// passed means that the start was sent to a former lifetime of the worker.
 	passed bool
 }
