fleet: no claims and requests for tasks that cannot use them

- Other cells kept room for tasks on lost workers that are never lent (accelerators, max_interrupted, near).
- After a change of leader jobs that never started claimed the room of those that may be lost, by the order of ids.
- Room that a claim left because its task started elsewhere was not seen by larger tasks of the same plan, which were lent or went to a quarantined worker.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -61,7 +61,7 @@
 	runsKnown := t.allRunsKnown()
 	for _, c := range all {
 		t.placementOf(pools, c.service).addClaims(c, c.lost+c.expected)
-		if missing := c.lost + c.expected - len(c.state.claims); runsKnown {
+		if missing := c.lost + c.expected - len(c.state.claims); runsKnown && c.job.mayLend(c.step) {
 			t.recordUnplaced(c.service, c.step, true, min(missing, c.expected))
 		}
 	}
@@ -95,7 +95,8 @@
 	}
 	if !t.allRunsKnown() {
 		t.unaccountedSteps(func(j *job, s *stepState, step *Step) {
-			if step.mayClaim(t.queues[j.queue]) {
+			// A job that is not stored as started has no runs, see held_starts.go.
+			if j.started && step.mayClaim(t.queues[j.queue]) {
 				add(s, j, step).expected += s.tasksWithoutRun()
 			}
 		})
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -174,6 +174,9 @@
 	}
 	p.withdrawClaims(c)
 	started := t.placeStep(p, w)
+	if started > 0 {
+		p.smallestUnclaimable = nil // they may leave the room that they claimed
+	}
 	c.lost -= started
 	p.keepClaims(c)
 	p.addClaims(c, c.lost)
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -28,9 +28,11 @@
 // mayBeLent reports whether tasks of a waiting step may run in other cells. Steps that limit how
 // many tasks may be interrupted at once are not lent: neither of two cells would know which tasks
 // the other one interrupts.
-func (w *waitingStep) mayBeLent() bool {
-	s := w.step
-	return s.Lasting && !s.Filler && w.job.started && !s.Gang && !s.SameRack && s.Near == "" && w.job.spec.Repeats == 0 &&
+func (w *waitingStep) mayBeLent() bool { return w.job.mayLend(w.step) }
+
+// mayLend is mayBeLent for a step of j.
+func (j *job) mayLend(s *Step) bool {
+	return s.Lasting && !s.Filler && j.started && !s.Gang && !s.SameRack && s.Near == "" && j.spec.Repeats == 0 &&
 		s.Needs.Accelerators == 0 && s.MaxInterrupted == 0
 }
 
