fleet: a failed request for room suspends no other call to a leader, and loans are forgotten

A request that fails (an older version, or a busy leader that misses the 300 ms) suspended all calls of the node to that leader for 500 ms, ten times a second: submissions, questions, and the rows of lent tasks. The record of loans grew with each loan while no lost task was without room. Both tests failed before.

--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -165,18 +165,24 @@
 // callLeader calls the leader of a cell on another node and reports whether it succeeded. It
 // makes no call to a leader that recently did not answer.
 func (n *Node) callLeader(ctx context.Context, c *cell, method string, params, result any) bool {
+	term, err := n.tryLeader(ctx, c, method, params, result)
+	if err != nil && !model.IsKind(err, model.KindExhausted) {
+		c.leaderCalls.recordFailure(term)
+	}
+	return err == nil && term > 0
+}
+
+// tryLeader is callLeader for calls whose failure does not tell that the leader does not answer. It returns the
+// term of the leader that was called, 0 for none.
+func (n *Node) tryLeader(ctx context.Context, c *cell, method string, params, result any) (term uint64, err error) {
 	leader := c.leader.Load()
 	if leader == nil || leader.Released || leader.Node == n.cfg.Node || !c.leaderCalls.usable(leader.Term) {
-		return false
+		return 0, nil
 	}
-	if err := n.cfg.Peers.Call(ctx, leader.Addr, method, params, result); err != nil {
-		if !model.IsKind(err, model.KindExhausted) {
-			c.leaderCalls.recordFailure(leader.Term)
-		}
+	if err = n.cfg.Peers.Call(ctx, leader.Addr, method, params, result); err != nil {
 		n.log.WithError(err).WithField("method", method).Debug("call to the leader failed")
-		return false
 	}
-	return true
+	return leader.Term, err
 }
 
 // queryLeaderState asks the leader of a job's cell for the job's state. If the job has moved, it
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -73,7 +73,10 @@
 	}
 	a := localRoom(ctx, c, r)
 	if !a.Known {
-		n.callLeader(ctx, c, methodRoom, r, &a)
+		// An older version does not know the method, and a busy leader may miss the short timeout.
+		if _, err := n.tryLeader(ctx, c, methodRoom, r, &a); err != nil {
+			return roomAnswer{}
+		}
 	}
 	return a
 }
@@ -105,6 +108,11 @@
 	return now.Sub(x.answeredAt) <= roomRequestMaxAge
 }
 
+// forgetLoans forgets the loans that have arrived.
+func (x *roomExchange) forgetLoans(now time.Time) {
+	x.loans = slices.DeleteFunc(x.loans, func(l recentLoan) bool { return now.Sub(l.at) > loanArrival })
+}
+
 // roomExchange returns the exchange with another cell.
 func (t *term) roomExchange(cell int) *roomExchange {
 	if t.roomExchanges[cell] == nil {
@@ -124,7 +132,7 @@
 			continue
 		}
 		x.inFlight, x.outdated, x.askedAt = true, false, t.now
-		x.loans = slices.DeleteFunc(x.loans, func(l recentLoan) bool { return t.now.Sub(l.at) > loanArrival })
+		x.forgetLoans(t.now)
 		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced)}
 		for _, l := range x.loans {
 			r.Arriving = append(r.Arriving, l.task)
@@ -176,6 +184,7 @@
 func (t *term) recordLoan(cell int, service model.ServiceName, s *Step) {
 	x := t.roomExchange(cell)
 	x.outdated = true
+	x.forgetLoans(t.now)
 	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), t.now})
 }
 
--- /dev/null
+++ b/internal/fleet/room_requests_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// failingPeers answers no call.
+type failingPeers struct{}
+
+func (failingPeers) Handle(string, func(context.Context, json.RawMessage) (any, error)) {}
+func (failingPeers) Run(context.Context) error                                          { return nil }
+func (failingPeers) Call(context.Context, string, string, any, any) error {
+	return errors.New("unknown method")
+}
+
+// While a cell asked a leader of an older version, or a busy one, for room, its node sent that leader no submissions,
+// no rows of lent tasks and no questions.
+func TestFailedRoomRequestSuspendsNoOtherCall(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &Node{cfg: Config{Node: "a", Peers: failingPeers{}}, log: log.WithField("test", true)}
+	c := &cell{index: 1}
+	c.leader.Store(&leaderSnapshot{leaderRecord: leaderRecord{Term: 7, Node: "b"}})
+	n.cellTable.Store(&cellTable{cells: []*cell{{}, c}})
+	require.False(t, n.askForRoom(t.Context(), roomRequest{Cell: 1}).Known)
+	require.True(t, c.leaderCalls.usable(7))
+	require.False(t, n.callLeader(t.Context(), c, methodState, nil, nil))
+	require.False(t, c.leaderCalls.usable(7))
+}
+
+// The record of loans grew with each loan for as long as no lost task was without room.
+func TestLoansAreForgotten(t *testing.T) {
+	tm := newTestTerm(2)
+	s := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 1000}}
+	for range 10 {
+		tm.now = tm.now.Add(time.Second)
+		tm.recordLoan(1, "svc", s)
+	}
+	require.Len(t, tm.roomExchange(1).loans, 1)
+}
