--- a/internal/fleet/claims_test.go
+++ b/internal/fleet/claims_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -47,6 +48,54 @@
 	require.True(t, tm.mayStillStart(r))
 }
 
+// A lost task that claims room which becomes free in minutes must still be lent to a cell that has free room now.
+func TestClaimBehindLongWorkKeepsNoTaskFromFreeRoomElsewhere(t *testing.T) {
+	tm, w := lostTestTerm(lostTestLoad{4000, 11_000})
+	w.tasks = []int{0}
+	for _, r := range tm.workers["w0"].runs {
+		if !r.step.Lasting {
+			r.step.Estimate = 10 * time.Minute
+		}
+	}
+	load := cellLoad{Capacity: 10_000, LargestFree: []freeCapacity{{8000, 8000, nil, 8000}}}
+	tm.cellLoads = func() []reportedLoad { return []reportedLoad{{1, load, tm.now}} }
+	for range 20 {
+		tm.refreshRemoteCapacity()
+		tm.placeSteps([]*waitingStep{w})
+		tm.now = tm.now.Add(100 * time.Millisecond)
+	}
+	require.Equal(t, 2, w.state().tasks[0].lentTo, "lent to cell 1")
+}
+
+// The same holds for a quarantined worker with free room.
+func TestClaimBehindLongWorkKeepsNoTaskFromLastResort(t *testing.T) {
+	tm, w := lostTestTerm(lostTestLoad{4000, 11_000}, lostTestLoad{8000, 0})
+	tm.layout, w.tasks = singleCellLayout(), []int{0}
+	for _, r := range tm.workers["w0"].runs {
+		if !r.step.Lasting {
+			r.step.Estimate = 10 * time.Minute
+		}
+	}
+	tm.workers["w1"].health.quarantine(tm.now)
+	for range 20 {
+		tm.placeSteps([]*waitingStep{w})
+		tm.now = tm.now.Add(100 * time.Millisecond)
+	}
+	require.Len(t, w.state().tasks[0].runs, 1)
+}
+
+// A claim stayed with a worker whose work takes minutes, although the task fits on another one much sooner.
+func TestClaimLeavesLongWork(t *testing.T) {
+	tm, w := lostTestTerm(lostTestLoad{4000, 11_000}, lostTestLoad{4000, 11_000})
+	tm.layout, w.tasks = singleCellLayout(), []int{0}
+	for _, r := range tm.workers["w0"].runs {
+		r.step.Estimate = 10 * time.Minute
+	}
+	w.state().claims = []*worker{tm.workers["w0"]}
+	tm.claimRoom(placements{}, []*waitingStep{w})
+	require.Equal(t, []*worker{tm.workers["w1"]}, w.state().claims)
+}
+
 // No other cell may be asked for room for a task that is never lent.
 func TestNoRoomIsAskedForTasksThatAreNotLent(t *testing.T) {
 	for name, change := range map[string]func(*Step){
@@ -106,3 +155,107 @@
 	require.Empty(t, o.steps[0].claims)
 	require.Len(t, w.state().claims, 2)
 }
+
+// Lost tasks of queues with advice had room kept before there were claims, those of one rack never had.
+func TestRoomIsKeptForLostTasksWithConditions(t *testing.T) {
+	for name, change := range map[string]func(*waitingStep){
+		"advised":   func(w *waitingStep) { w.queue.Advised = true },
+		"same rack": func(w *waitingStep) { w.step.SameRack = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, w := lostTestTerm(lostTestLoad{8000, 6000})
+			tm.layout, w.tasks = singleCellLayout(), []int{0}
+			change(w)
+			tm.queues["q"] = w.queue
+			pools := placements{}
+			tm.claimRoom(pools, []*waitingStep{w})
+			tm.placeOrMakeRoom(tm.placementOf(pools, "svc"), w)
+			short := &Step{Needs: model.Resources{MilliCPU: 2000}}
+			require.False(t, pools["svc"].feasible(tm.workers["w0"], taskRequest{step: short}), "new work takes the room of the lost task")
+		})
+	}
+}
+
+// BenchmarkClaims measures a plan in which 250 lost tasks find no worker.
+func BenchmarkClaims(b *testing.B) {
+	for _, workers := range []int{350, 2000} {
+		for name, c := range map[string]struct {
+			label    string
+			milliCPU int64
+			anew     bool // no task has a claim before the plan
+		}{
+			"first claims":       {"", 3000, true},
+			"kept claims":        {"", 3000, false},
+			"no room":            {"", 15_000, false},
+			"no room with label": {"a", 15_000, false},
+		} {
+			b.Run(strconv.Itoa(workers)+" workers, "+name, func(b *testing.B) {
+				tm, waiting := claimsBenchTerm(workers, 250, c.label, c.milliCPU)
+				b.ReportAllocs()
+				for b.Loop() {
+					tm.now = tm.now.Add(20 * time.Millisecond)
+					for _, w := range waiting {
+						if c.anew {
+							w.state().claims = nil
+						}
+					}
+					tm.placeSteps(waiting)
+				}
+			})
+		}
+	}
+}
+
+// claimsBenchTerm returns a term whose workers have 20 short runs each and no free room, and steps with a lost task each.
+func claimsBenchTerm(workers, steps int, label string, needs int64) (*term, []*waitingStep) {
+	tm := newTestTerm(7)
+	tm.queues["q"] = Queue{Name: "q", Service: "svc"}
+	service, short := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 5600}}, &Step{Needs: model.Resources{MilliCPU: 520}, Estimate: time.Second}
+	for i := range workers {
+		w := testWorker("w" + strconv.Itoa(i))
+		tm.workers[w.info.Worker] = w
+		testRun(w, service, 100*i)
+		for n := range 20 {
+			testRun(w, short, 100*i+n+1).startedAt = epoch.Add(time.Duration(n) * 10 * time.Millisecond)
+		}
+	}
+	var waiting []*waitingStep
+	for i := range steps {
+		j := newJob("lost"+strconv.Itoa(i), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Label: label, Needs: model.Resources{MilliCPU: needs, MemoryMB: 10}}}}}, 5, epoch)
+		j.started = true
+		tm.jobs[j.id] = j
+		o := j.openOccurrence(0, time.Time{}, tm.now)
+		o.steps[0].tasks[0].attempt = 1
+		waiting = append(waiting, &waitingStep{job: j, occurrence: o, step: &j.spec.Steps[0], queue: tm.queues["q"], tasks: []int{0}, restart: true})
+	}
+	return tm, waiting
+}
+
+// BenchmarkRoomRequest measures the answer to a request of one of six other cells that ask for room.
+func BenchmarkRoomRequest(b *testing.B) {
+	for _, workers := range []int{50, 350} {
+		b.Run(strconv.Itoa(workers)+" workers", func(b *testing.B) {
+			tm, _ := claimsBenchTerm(workers, 0, "", 0)
+			tm.loaded, tm.runsKnown = true, true
+			var sizes []unplacedTask
+			for i := range maxReportedUnplaced {
+				sizes = append(sizes, unplacedTask{Service: "svc", MilliCPU: int64(3000 + i), MemoryMB: 10, Count: 4})
+			}
+			for from := 1; from < 7; from++ {
+				tm.roomRequests[from] = roomRequest{Cell: 0, From: from, Tasks: sizes, at: tm.now}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				tm.reserveForOtherCells(placements{})
+			}
+		})
+	}
+}
+
+// BenchmarkViewLostTasks measures the view for the line on lost tasks, which the leader logs once a second.
+func BenchmarkViewLostTasks(b *testing.B) {
+	tm, waiting := claimsBenchTerm(350, 250, "", 15_000)
+	for b.Loop() {
+		tm.viewLostTasks(waiting)
+	}
+}
--- a/internal/fleet/room_requests_test.go
+++ b/internal/fleet/room_requests_test.go
@@ -48,3 +48,23 @@
 	}
 	require.Len(t, tm.roomExchange(1).loans, 1)
 }
+
+// Room that a cell had granted to one cell was granted to another one, too, which came before it in the order of cells.
+func TestGrantedRoomIsNotGrantedTwice(t *testing.T) {
+	tm := newTestTerm(4)
+	tm.loaded, tm.runsKnown, tm.lastRenewal = true, true, tm.now
+	w := testWorker("w")
+	tm.workers["w"] = w
+	tm.workers["full"] = testWorker("full")
+	tm.workers["full"].reserved = tm.workers["full"].info.Capacity
+	ask := func(from int) int {
+		q := roomQuery{roomRequest{From: from, Tasks: []unplacedTask{{Service: "svc", MilliCPU: 10_000, MemoryMB: 1, Count: 1}}}, make(chan roomAnswer, 1)}
+		q.handle(tm)
+		a := <-q.reply
+		require.True(t, a.Known)
+		return len(a.Grants)
+	}
+	require.Equal(t, 1, ask(2))
+	tm.now = tm.now.Add(roomRequestInterval / 2)
+	require.Zero(t, ask(1), "cell 2 may lend its task now")
+}
