fleet: a claim behind long work keeps its task from no other room

A claim to room that is free only after minutes kept its task from other cells, from quarantined workers and from a worker that is free sooner. A claim is kept where its room is expected within 2.5 s; a task behind it looks for room elsewhere. Queues with advice and steps of one rack have claims again (advised ones had a worker kept before), but no start without a ticket. The cell that asked first for room goes first, so that what was granted is granted again.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -24,6 +24,8 @@
 	overdueShare = 0.25
 	// stopTime is how long the end of a run takes that is or can be stopped.
 	stopTime = 300 * time.Millisecond
+	// maxClaimWait is the longest expected wait for the room of a claim at which its task looks for no other room.
+	maxClaimWait = 2500 * time.Millisecond
 	// pausedTime is how long a run at pace 0 is expected to take.
 	pausedTime = time.Minute
 )
@@ -36,14 +38,14 @@
 	service model.ServiceName
 	// lost counts tasks that wait for a worker, expected those that may be lost soon.
 	lost, expected int
+	// prompt counts the claims to room that is expected to be free within maxClaimWait.
+	prompt int
 	// before are workers that tasks which may be lost have claimed in the last plan.
 	before []*worker
 }
 
-// mayClaim reports whether lost tasks of a step have claims. Others need more than room on one worker.
-func (s *Step) mayClaim(q Queue) bool {
-	return s.Lasting && !s.Filler && !s.Gang && !s.SameRack && !q.Advised
-}
+// mayClaim reports whether lost tasks of a step have claims. A gang needs more than room on one worker.
+func (s *Step) mayClaim() bool { return s.Lasting && !s.Filler && !s.Gang }
 
 // claimRoom decides anew which workers the lost tasks among waiting steps, and those that may be lost, claim. The
 // order is that of the waiting steps. Tasks that are known to be lost go first, and each keeps its worker.
@@ -82,7 +84,7 @@
 		return c
 	}
 	for _, w := range waiting {
-		if w.restart && w.step.mayClaim(w.queue) {
+		if w.restart && w.step.mayClaim() {
 			w.claimant = add(w.state(), w.job, w.step)
 			w.claimant.lost += len(w.tasks)
 		}
@@ -96,7 +98,7 @@
 	if !t.allRunsKnown() {
 		t.unaccountedSteps(func(j *job, s *stepState, step *Step) {
 			// A job that is not stored as started has no runs, see held_starts.go.
-			if j.started && step.mayClaim(t.queues[j.queue]) {
+			if j.started && step.mayClaim() {
 				add(s, j, step).expected += s.tasksWithoutRun()
 			}
 		})
@@ -113,7 +115,7 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.job != nil && r.step != nil && r.live() && !r.job.over() && r.step.mayClaim(t.queues[r.job.queue]) {
+			if r.job != nil && r.step != nil && r.live() && !r.job.over() && r.step.mayClaim() {
 				ending = append(ending, r)
 			}
 		}
@@ -130,18 +132,18 @@
 	return r
 }
 
-// keepClaims claims room for the lost tasks of c where they had claims, as far as they still fit there. Further
+// keepClaims claims room for the lost tasks of c where they had claims, as far as they fit there soon. Further
 // claims of c are left to addClaims.
 func (p *placement) keepClaims(c *claimant) {
 	before := c.state.claims
-	c.state.claims, c.before = nil, nil
+	c.state.claims, c.before, c.prompt = nil, nil, 0
 	r := c.request()
 	for i, w := range before {
 		switch {
 		case len(c.state.claims) == c.lost:
 			c.before = before[i:]
 			return
-		case p.isUsable(w) && p.mayClaim(w, r):
+		case p.isPrompt(w, r):
 			p.addClaim(c, w, r)
 		}
 	}
@@ -154,7 +156,7 @@
 		w := (*worker)(nil)
 		if len(c.before) > 0 {
 			w, c.before = c.before[0], c.before[1:]
-			if !p.isUsable(w) || !p.mayClaim(w, r) {
+			if !p.isPrompt(w, r) {
 				continue
 			}
 		} else if w = p.soonest(r); w == nil {
@@ -166,10 +168,18 @@
 
 func (p *placement) addClaim(c *claimant, w *worker, r taskRequest) {
 	p.claimed[w] = p.claimed[w].Add(c.step.Reserved())
+	if p.waitFor(w, p.claimed[w]) <= maxClaimWait {
+		c.prompt++
+	}
 	c.state.claims = append(c.state.claims, w)
 	r.tasksPerWorker[w]++
 }
 
+// isPrompt reports whether a task may keep its claim on w: there is room, soon enough.
+func (p *placement) isPrompt(w *worker, r taskRequest) bool {
+	return p.isUsable(w) && p.mayClaim(w, r) && p.waitFor(w, p.claimed[w].Add(r.step.Reserved())) <= maxClaimWait
+}
+
 // withdrawClaims withdraws the claims of c while its tasks are placed.
 func (p *placement) withdrawClaims(c *claimant) {
 	for _, w := range c.state.claims {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -186,7 +186,7 @@
 			t.stopReducedFor(x, w.step)
 		}
 	}
-	if len(c.state.claims) >= c.lost {
+	if c.prompt >= c.lost {
 		return started
 	}
 	if w.mayBeLent() {
@@ -197,8 +197,11 @@
 
 // startAnywhere starts the lost tasks of a step that neither have a worker nor are lent on workers that are
 // quarantined or on probation, and returns their number: on such a worker a service may work, without one it
-// does not.
+// does not. It starts none that need a ticket.
 func (t *term) startAnywhere(p *placement, w *waitingStep) int {
+	if w.queue.Advised {
+		return 0
+	}
 	started := 0
 	r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
 	for _, i := range w.tasksWithoutRoom() {
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -32,9 +33,13 @@
 	// Arriving are tasks that were lent to the cell and may not have reached it yet, Tasks those to be lent.
 	Arriving []unplacedTask `json:"arriving,omitempty"`
 	Tasks    []unplacedTask `json:"tasks"`
-	at       time.Time
+	// at is when the request arrived, since when the first of those that followed each other did.
+	at, since time.Time
 }
 
+// present reports whether room is kept for the request.
+func (r roomRequest) present(now time.Time) bool { return now.Sub(r.at) <= roomRequestMaxAge }
+
 // roomGrant is the room that a cell keeps for tasks of one size. Now counts those that fit at once.
 type roomGrant struct {
 	Task unplacedTask `json:"task"`
@@ -58,7 +63,10 @@
 		q.reply <- roomAnswer{}
 		return
 	}
-	q.request.at = t.now
+	q.request.at, q.request.since = t.now, t.now
+	if before := t.roomRequests[q.request.From]; before.present(t.now) {
+		q.request.since = before.since
+	}
 	t.roomRequests[q.request.From] = q.request
 	q.reply <- roomAnswer{true, t.reserveForOtherCells(placements{})[q.request.From]}
 }
@@ -198,13 +206,14 @@
 	clear(t.keptForOthers)
 	requests := t.presentRequests()
 	grants := map[int][]roomGrant{}
-	for n := range t.layout.Cells {
-		from := (t.cell + 1 + n) % t.layout.Cells // none goes first everywhere
-		if r, present := requests[from]; present {
-			share := roomShare{len(requests), map[model.ServiceName]int{}}
-			t.keepRoom(pools, r.Arriving, share)
-			grants[from] = t.keepRoom(pools, r.Tasks, share)
-		}
+	// The cell that asked first goes first, so that what was granted is granted again.
+	order := slices.SortedFunc(maps.Keys(requests), func(a, b int) int {
+		return cmp.Or(requests[a].since.Compare(requests[b].since), cmp.Compare(a, b))
+	})
+	for _, from := range order {
+		share := roomShare{len(requests), map[model.ServiceName]int{}}
+		t.keepRoom(pools, requests[from].Arriving, share)
+		grants[from] = t.keepRoom(pools, requests[from].Tasks, share)
 	}
 	return grants
 }
@@ -217,7 +226,7 @@
 		requests[from] = roomRequest{Tasks: tasks}
 	}
 	for from, r := range t.roomRequests {
-		if t.now.Sub(r.at) <= roomRequestMaxAge {
+		if r.present(t.now) {
 			requests[from] = r
 		}
 	}
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -36,13 +36,14 @@
 		s.Needs.Accelerators == 0 && s.MaxInterrupted == 0
 }
 
-// tasksWithoutRoom returns the waiting tasks of a lasting step that have neither a run nor a claim.
+// tasksWithoutRoom returns the waiting tasks of a lasting step that have neither a run nor a claim to room that is
+// free soon.
 func (w *waitingStep) tasksWithoutRoom() []int {
 	tasks := slices.DeleteFunc(slices.Clone(w.tasks), func(i int) bool { return len(w.state().tasks[i].runs) > 0 })
 	if w.claimant == nil {
 		return tasks
 	}
-	return tasks[min(len(w.state().claims), len(tasks)):]
+	return tasks[min(w.claimant.prompt, len(tasks)):]
 }
 
 // lendUnplaced lends the tasks of a lasting step that have no room in this cell, or returns them if they are
