fleet: only an active leader asks for room

One that may give no orders any more repeated its last request each tick, beside those of its successor, and each replaced the other's at the cell that was asked. TestInactiveLeaderAsksForNoRoom failed before.

--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -123,7 +123,7 @@
 
 // requestRoom asks all other cells for room while lost tasks of this one have none.
 func (t *term) requestRoom() {
-	if len(t.lostUnplaced) == 0 || t.askForRoom == nil {
+	if len(t.lostUnplaced) == 0 || t.askForRoom == nil || !t.active() {
 		return
 	}
 	for cell := range t.layout.Cells {
--- a/internal/fleet/room_requests_test.go
+++ b/internal/fleet/room_requests_test.go
@@ -49,6 +49,19 @@
 	require.Len(t, tm.roomExchange(1).loans, 1)
 }
 
+// A leader that may give no orders any more repeated its last request, beside those of its successor.
+func TestInactiveLeaderAsksForNoRoom(t *testing.T) {
+	tm := newTestTerm(2)
+	tm.lostUnplaced = []unplacedTask{{Service: "svc", MilliCPU: 1000, Count: 1}}
+	tm.askForRoom = func(context.Context, roomRequest) roomAnswer { return roomAnswer{} }
+	tm.stopping = true
+	tm.requestRoom()
+	require.False(t, tm.roomExchange(1).inFlight)
+	tm.stopping = false
+	tm.requestRoom()
+	require.True(t, tm.roomExchange(1).inFlight)
+}
+
 // Room that a cell had granted to one cell was granted to another one, too, which came before it in the order of cells.
 func TestGrantedRoomIsNotGrantedTwice(t *testing.T) {
 	tm := newTestTerm(4)
