fleet: reports in the store tell what is free, as before; claims after the review

Leaders that ask each other need no reports of what will be free, so the reports keep their former content and keys: leaders of the former version and of this one lend to each other during an upgrade, by what is free. After the review of claims: room is granted to other cells only where it is expected within 2.5 s; a last request without tasks ends what they keep; where there are several cells, a lost task goes to a quarantined worker only once they could answer (300 ms); runs at a reduced pace are stopped for tasks that are lost, not for those that may be; steps of one job claim in their order.

--- a/internal/fleet/cell_capacity.go
+++ b/internal/fleet/cell_capacity.go
@@ -12,13 +12,9 @@
 // they cannot place. Task lending (task_lending.go) decides by these reports.
 
 const (
-	// maxReportedFree bounds the workers whose free capacity a cell reports, and maxReportedForUnplaced those that
-	// it reports while other cells have unplaced tasks. Per report, the other cells together may use that many
-	// workers for their unplaced lasting tasks.
-	maxReportedFree        = 16
-	maxReportedForUnplaced = 64
-	// maxReportedUnplaced bounds the sizes of unplaced tasks that a cell reports.
-	maxReportedUnplaced = 16
+	// maxReportedFree bounds the workers whose free capacity a cell reports. Per report, the
+	// other cells together may use that many workers for their unplaced lasting tasks.
+	maxReportedFree = 16
 	// remoteFreeInterval is the interval at which the reports of other cells are read. It
 	// leaves time for tasks lent right after a read to start there and to be counted in a later
 	// report. Room that is lent just before a read may be lent once more after it.
@@ -26,39 +22,34 @@
 	// maxReservedPercent bounds the unplaced tasks of other cells for which a cell keeps room at a time, in
 	// percent of the number of its workers.
 	maxReservedPercent = 67
+	// maxRequestedUnplaced bounds the sizes of unplaced tasks for which a cell asks for room.
+	maxRequestedUnplaced = 16
 	// unplacedKnownAfter is how long a cell has reported an unplaced task before all others have read
 	// that: the time between two reads, and the delay of a report.
 	unplacedKnownAfter = remoteFreeInterval + 400*time.Millisecond
 )
 
-// freeCapacity is the capacity of one worker that is free, or will be once short tasks and fillers have ended,
-// and that no lost task claims.
+// freeCapacity is the free capacity of one worker.
 type freeCapacity struct {
 	MilliCPU int64 `cbor:"1,keyasint"`
 	MemoryMB int64 `cbor:"2,keyasint"`
 	// Labels are the worker's labels without its rack.
 	Labels []string `cbor:"3,keyasint,omitempty"`
-	// FreeCPU is the part of the processors that is free now.
-	FreeCPU int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// largestFree returns the capacity of the workers with most of it, the largest first.
+// largestFree returns the free capacity that no lost task of the cell claims, of the workers with most of it, the
+// largest first.
 func (t *term) largestFree() []freeCapacity {
 	var largest []freeCapacity
 	for _, w := range t.workers {
 		onTrial := w.health.needsUntried(t.now) || (w.health.onProbation() && w.hasTrialRun())
-		claimed := t.claimed[w].Sub(t.keptForOthers[w])
-		if free := w.endingCapacity().Sub(claimed); free.MilliCPU > 0 && t.unusableReason(w) == "" && !onTrial {
-			now := max(w.free().Sub(claimed).MilliCPU, 0)
-			largest = append(largest, freeCapacity{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)], now})
+		free := w.free().Sub(t.claimed[w].Sub(t.keptForOthers[w]))
+		if free.MilliCPU > 0 && t.unusableReason(w) == "" && !onTrial {
+			largest = append(largest, freeCapacity{free.MilliCPU, free.MemoryMB, w.info.Labels[:max(len(w.info.Labels)-1, 0)]})
 		}
 	}
 	slices.SortFunc(largest, func(a, b freeCapacity) int { return cmp.Compare(b.MilliCPU, a.MilliCPU) })
-	most := maxReportedFree
-	if len(t.reportedUnplaced) > 0 {
-		most = maxReportedForUnplaced
-	}
-	return slices.Clip(largest[:min(len(largest), most)])
+	return slices.Clip(largest[:min(len(largest), maxReportedFree)])
 }
 
 // unplacedTask is a lasting task without room in its cell.
@@ -67,7 +58,7 @@
 	MilliCPU int64             `cbor:"2,keyasint"`
 	MemoryMB int64             `cbor:"3,keyasint"`
 	Label    string            `cbor:"4,keyasint,omitempty"`
-	// Count is the number of such tasks in the cell.
+	// Count is the number of such tasks in the cell; in a report, of any size.
 	Count int `cbor:"5,keyasint"`
 }
 
@@ -88,14 +79,24 @@
 	return Step{Label: u.Label, Lasting: true, Needs: model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}}
 }
 
-// recordUnplaced counts unplaced tasks of a step, at most maxReportedUnplaced sizes.
+// recordUnplaced counts unplaced tasks of a step. The cell reports the smallest one, and asks for room for those
+// that are lost.
 func (t *term) recordUnplaced(service model.ServiceName, s *Step, lost bool, count int) {
 	if count <= 0 {
 		return
 	}
-	t.unplaced = addUnplaced(t.unplaced, unplacedOf(service, s, count))
+	u := unplacedOf(service, s, count)
+	if t.unplaced == nil || u.MilliCPU < t.unplaced.MilliCPU {
+		smallest := u
+		if t.unplaced != nil {
+			smallest.Count += t.unplaced.Count
+		}
+		t.unplaced = &smallest
+	} else {
+		t.unplaced.Count += count
+	}
 	if lost {
-		t.lostUnplaced = addUnplaced(t.lostUnplaced, unplacedOf(service, s, count))
+		t.lostUnplaced = addUnplaced(t.lostUnplaced, u)
 	}
 }
 
@@ -107,15 +108,14 @@
 			return all
 		}
 	}
-	if len(all) < maxReportedUnplaced {
+	if len(all) < maxRequestedUnplaced {
 		all = append(all, u)
 	}
 	return all
 }
 
-// takeRemoteCapacity returns another cell in which a worker has capacity for a task of s, and deducts the task
-// from it. Capacity that is free now goes first; that of work that ends by itself is for lost tasks only. It
-// excludes one cell; none if excluded is negative.
+// takeRemoteCapacity returns another cell that keeps room for a lost task of s, or in which a worker has enough free
+// capacity for a task of s, and deducts the task from it. It excludes one cell; none if excluded is negative.
 func (t *term) takeRemoteCapacity(s *Step, lost bool, excluded int) (cell int, found bool) {
 	if lost {
 		if cell, found = t.takeGrant(s, excluded); found {
@@ -130,11 +130,7 @@
 			continue
 		}
 		for i := range workers {
-			h := &workers[i]
-			if !h.fits(need, s.Label) || (!lost && h.FreeCPU < need.MilliCPU) {
-				continue
-			}
-			if best == nil || h.compare(*best, need.MilliCPU) > 0 {
+			if h := &workers[i]; h.fits(need, s.Label) && (best == nil || h.MilliCPU > best.MilliCPU) {
 				best, cell = h, other
 			}
 		}
@@ -147,17 +143,10 @@
 		return cell, true
 	}
 	best.MilliCPU -= need.MilliCPU
-	best.FreeCPU = max(best.FreeCPU-need.MilliCPU, 0)
 	best.MemoryMB -= need.MemoryMB
 	return cell, true
 }
 
-// compare is positive if h is the better capacity for a task that needs milliCPU.
-func (h freeCapacity) compare(o freeCapacity, milliCPU int64) int {
-	free := func(c freeCapacity) int64 { return min(c.FreeCPU, milliCPU) }
-	return cmp.Or(cmp.Compare(free(h), free(o)), cmp.Compare(h.MilliCPU, o.MilliCPU))
-}
-
 // fits reports whether a task with a need and a label fits.
 func (h freeCapacity) fits(need model.Resources, label string) bool {
 	return need.Fits(h.resources()) && hasLabel(h.Labels, label)
@@ -173,17 +162,17 @@
 	if t.now.Sub(t.remoteFreeReadAt) < remoteFreeInterval {
 		return
 	}
-	t.remoteFreeReadAt, t.remoteFree, t.reportedUnplaced = t.now, map[int][]freeCapacity{}, map[int][]unplacedTask{}
+	t.remoteFreeReadAt, t.remoteFree, t.reportedUnplaced = t.now, map[int][]freeCapacity{}, map[int]unplacedTask{}
 	others := t.otherCellLoads()
-	shares := capacityShares{own: t.cell, cells: t.layout.Cells, unplaced: map[int][]unplacedTask{}}
+	shares := capacityShares{own: t.cell, cells: t.layout.Cells, unplaced: map[int]unplacedTask{}}
 	for _, o := range others {
-		if len(o.load.Unplaced) > 0 {
-			t.reportedUnplaced[o.cell] = o.load.Unplaced
+		if o.load.Unplaced != nil {
+			t.reportedUnplaced[o.cell] = *o.load.Unplaced
+			shares.unplaced[o.cell] = *o.load.Unplaced
 		}
-		shares.unplaced[o.cell] = o.load.Unplaced
 	}
-	if len(t.unplaced) > 0 && !t.reportsUnplacedSince.IsZero() && t.now.Sub(t.reportsUnplacedSince) >= unplacedKnownAfter {
-		shares.unplaced[t.cell] = t.unplaced
+	if t.unplaced != nil && !t.reportsUnplacedSince.IsZero() && t.now.Sub(t.reportsUnplacedSince) >= unplacedKnownAfter {
+		shares.unplaced[t.cell] = *t.unplaced
 	}
 	for _, o := range others {
 		t.remoteFree[o.cell] = shares.of(o.cell, o.load.LargestFree)
@@ -193,7 +182,7 @@
 // observeReportedUnplaced notes that a report with the present unplaced task, or with none, is made.
 func (t *term) observeReportedUnplaced() {
 	switch {
-	case len(t.unplaced) == 0:
+	case t.unplaced == nil:
 		t.reportsUnplacedSince = time.Time{}
 	case t.reportsUnplacedSince.IsZero():
 		t.reportsUnplacedSince = t.now
@@ -205,7 +194,7 @@
 type capacityShares struct {
 	own, cells int
 	// unplaced holds the unplaced tasks that cells have reported, by cell, also the own one.
-	unplaced map[int][]unplacedTask
+	unplaced map[int]unplacedTask
 }
 
 // of returns the workers of cell other that the own cell may use. Each cell has a fixed share. A
@@ -228,9 +217,7 @@
 func (c capacityShares) claimants(other int, h freeCapacity) []int {
 	var cells []int
 	for cell := range c.cells {
-		if cell != other && slices.ContainsFunc(c.unplaced[cell], func(u unplacedTask) bool {
-			return h.fits(model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}, u.Label)
-		}) {
+		if u, known := c.unplaced[cell]; known && cell != other && h.fits(model.Resources{MilliCPU: u.MilliCPU, MemoryMB: u.MemoryMB}, u.Label) {
 			cells = append(cells, cell)
 		}
 	}
--- a/internal/fleet/cell_load.go
+++ b/internal/fleet/cell_load.go
@@ -29,11 +29,10 @@
 	// ToleratedSpare is, by image of a filler, the spare capacity on workers that the headroom of
 	// their services leaves to the image, less the demand of waiting fillers of the image.
 	ToleratedSpare map[string]int64 `cbor:"4,keyasint,omitempty"`
-	// LargestFree is the capacity of the workers with most of it, the largest first. Key 6 was that of
-	// versions which told only what is free.
-	LargestFree []freeCapacity `cbor:"8,keyasint,omitempty"`
-	// Unplaced are lasting tasks that have no room in the cell. Key 7 was a single one.
-	Unplaced []unplacedTask `cbor:"9,keyasint,omitempty"`
+	// LargestFree is the free capacity of the workers with most of it, the largest first.
+	LargestFree []freeCapacity `cbor:"6,keyasint,omitempty"`
+	// Unplaced is a lasting task of the cell that fits in no cell; nil for none.
+	Unplaced *unplacedTask `cbor:"7,keyasint,omitempty"`
 }
 
 // reservedShare returns the reserved share of the capacity.
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -35,6 +35,7 @@
 	state   *stepState
 	job     *job
 	step    *Step
+	index   int // of the step in its job
 	service model.ServiceName
 	// lost counts tasks that wait for a worker, expected those that may be lost soon.
 	lost, expected int
@@ -74,10 +75,10 @@
 func (t *term) claimants(waiting []*waitingStep) []*claimant {
 	var all []*claimant
 	byState := map[*stepState]*claimant{}
-	add := func(s *stepState, j *job, step *Step) *claimant {
+	add := func(s *stepState, j *job, index int) *claimant {
 		c := byState[s]
 		if c == nil {
-			c = &claimant{state: s, job: j, step: step, service: t.queues[j.queue].Service}
+			c = &claimant{state: s, job: j, step: &j.spec.Steps[index], index: index, service: t.queues[j.queue].Service}
 			byState[s] = c
 			all = append(all, c)
 		}
@@ -85,25 +86,27 @@
 	}
 	for _, w := range waiting {
 		if w.restart && w.step.mayClaim() {
-			w.claimant = add(w.state(), w.job, w.step)
+			w.claimant = add(w.state(), w.job, w.index)
 			w.claimant.lost += len(w.tasks)
 		}
 	}
 	lost := len(all)
 	for _, r := range t.endingServices() {
 		if o, _ := r.job.task(r.key); o != nil {
-			add(&o.steps[r.key.step], r.job, r.step).expected++
+			add(&o.steps[r.key.step], r.job, r.key.step).expected++
 		}
 	}
 	if !t.allRunsKnown() {
-		t.unaccountedSteps(func(j *job, s *stepState, step *Step) {
+		t.unaccountedSteps(func(j *job, s *stepState, index int) {
 			// A job that is not stored as started has no runs, see held_starts.go.
-			if j.started && step.mayClaim() {
-				add(s, j, step).expected += s.tasksWithoutRun()
+			if j.started && j.spec.Steps[index].mayClaim() {
+				add(s, j, index).expected += s.tasksWithoutRun()
 			}
 		})
 	}
-	slices.SortFunc(all[lost:], func(a, b *claimant) int { return cmp.Compare(a.job.id, b.job.id) })
+	slices.SortFunc(all[lost:], func(a, b *claimant) int {
+		return cmp.Or(cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+	})
 	return all
 }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -55,7 +55,7 @@
 	smallestUnclaimable *model.Resources
 	// unplaceable holds, by group, the smallest needs for which this plan has found no worker.
 	unplaceable map[demandGroup]unplaceable
-	// reservedWorkers holds workers that are kept free for restarts of lasting tasks.
+	// reservedWorkers holds workers that are kept free for jobs of which nothing runs.
 	reservedWorkers map[*worker]bool
 }
 
@@ -121,7 +121,8 @@
 	tasksPerWorker map[*worker]int
 	// rack restricts the choice, unless empty.
 	rack string
-	// restart is set for lasting tasks that ran before: they may use reserved workers.
+	// restart is set for lasting tasks that ran before: they may use reserved workers, and room that is not free
+	// yet for claims of others.
 	restart bool
 	// lastResort allows workers on probation, and forbids those on which the task has failed.
 	lastResort bool
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -125,7 +125,7 @@
 			}
 			if w.claimant != nil {
 				w.tasks = w.tasks[:min(left, len(w.tasks))]
-				left -= t.startAnywhere(p, w)
+				left -= t.startOnLastResort(p, w)
 			}
 			continue
 		}
@@ -181,7 +181,7 @@
 	p.keepClaims(c)
 	p.addClaims(c, c.lost)
 	p.addClaims(c, c.lost+c.expected)
-	for _, x := range c.state.claims {
+	for _, x := range c.state.claims[:min(len(c.state.claims), c.lost)] {
 		if x.reducedMilliCPU > 0 {
 			t.stopReducedFor(x, w.step)
 		}
@@ -192,13 +192,13 @@
 	if w.mayBeLent() {
 		t.lendUnplaced(w)
 	}
-	return started + t.startAnywhere(p, w)
+	return started + t.startOnLastResort(p, w)
 }
 
-// startAnywhere starts the lost tasks of a step that neither have a worker nor are lent on workers that are
+// startOnLastResort starts the lost tasks of a step that neither have a worker nor are lent on workers that are
 // quarantined or on probation, and returns their number: on such a worker a service may work, without one it
 // does not. It starts none that need a ticket.
-func (t *term) startAnywhere(p *placement, w *waitingStep) int {
+func (t *term) startOnLastResort(p *placement, w *waitingStep) int {
 	if w.queue.Advised {
 		return 0
 	}
@@ -206,7 +206,8 @@
 	r := taskRequest{job: w.job, step: w.step, tasksPerWorker: runsPerWorker(w.state()), restart: true}
 	for _, i := range w.tasksWithoutRoom() {
 		r.task = &w.state().tasks[i]
-		if r.task.lentTo > 0 {
+		awaitsAnswer := t.layout.Cells > 1 && w.mayBeLent() && t.now.Sub(r.task.unplacedSince) < roomRequestTimeout
+		if r.task.lentTo > 0 || awaitsAnswer {
 			continue
 		}
 		worker := p.findLastResort(r)
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -106,7 +106,9 @@
 type roomExchange struct {
 	inFlight bool
 	// outdated means that tasks were lent to the cell after the request that is in flight.
-	outdated            bool
+	outdated bool
+	// keepsRoom means that the last request named tasks.
+	keepsRoom           bool
 	askedAt, answeredAt time.Time
 	grants              []roomGrant
 	// loans are the tasks that were lent to the cell lately.
@@ -137,17 +139,19 @@
 	return t.roomExchanges[cell]
 }
 
-// requestRoom asks all other cells for room while lost tasks of this one have none.
+// requestRoom asks all other cells for room while lost tasks of this one have none. A last request without tasks
+// ends what they keep.
 func (t *term) requestRoom() {
-	if len(t.lostUnplaced) == 0 || t.askForRoom == nil || !t.active() {
+	if t.askForRoom == nil || !t.active() {
 		return
 	}
 	for cell := range t.layout.Cells {
 		x := t.roomExchange(cell)
-		if cell == t.cell || x.inFlight || t.now.Sub(x.askedAt) < roomRequestInterval {
+		idle := len(t.lostUnplaced) == 0 && !x.keepsRoom
+		if cell == t.cell || idle || x.inFlight || t.now.Sub(x.askedAt) < roomRequestInterval {
 			continue
 		}
-		x.inFlight, x.outdated, x.askedAt = true, false, t.now
+		x.inFlight, x.outdated, x.askedAt, x.keepsRoom = true, false, t.now, len(t.lostUnplaced) > 0
 		x.forgetLoans(t.now)
 		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced)}
 		for _, l := range x.loans {
@@ -225,8 +229,8 @@
 // its request if there is none.
 func (t *term) presentRequests() map[int]roomRequest {
 	requests := map[int]roomRequest{}
-	for from, tasks := range t.reportedUnplaced {
-		requests[from] = roomRequest{Tasks: tasks}
+	for from, task := range t.reportedUnplaced {
+		requests[from] = roomRequest{Tasks: []unplacedTask{task}}
 	}
 	for from, r := range t.roomRequests {
 		if r.present(t.now) {
@@ -261,7 +265,11 @@
 			if w == nil {
 				break
 			}
-			if p.waitFor(w, p.claimed[w].Add(step.Reserved())) == 0 {
+			wait := p.waitFor(w, p.claimed[w].Add(step.Reserved()))
+			if wait > maxClaimWait {
+				break
+			}
+			if wait == 0 {
 				g.Now++
 			}
 			p.claimed[w] = p.claimed[w].Add(step.Reserved())
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -168,8 +168,8 @@
 	keptForOthers map[*worker]model.Resources
 	// unplaced are the lasting tasks that have no room in this cell. reportedUnplaced are those that
 	// other cells report.
-	unplaced         []unplacedTask
-	reportedUnplaced map[int][]unplacedTask
+	unplaced         *unplacedTask
+	reportedUnplaced map[int]unplacedTask
 	// lostUnplaced are those of them that have run. roomRequests are the requests of other cells for such
 	// tasks, roomExchanges what they have answered to those of this one, by cell; askForRoom sends a request
 	// and is nil in tests without a node.
--- a/internal/fleet/unaccounted.go
+++ b/internal/fleet/unaccounted.go
@@ -67,14 +67,14 @@
 		return nil
 	}
 	unaccounted := map[model.ServiceName]int64{}
-	t.unaccountedSteps(func(j *job, s *stepState, step *Step) {
-		unaccounted[t.queues[j.queue].Service] += int64(s.tasksWithoutRun()) * step.Needs.MilliCPU
+	t.unaccountedSteps(func(j *job, s *stepState, index int) {
+		unaccounted[t.queues[j.queue].Service] += int64(s.tasksWithoutRun()) * j.spec.Steps[index].Needs.MilliCPU
 	})
 	return unaccounted
 }
 
 // unaccountedSteps calls visit with the lasting steps that earlier terms may have started.
-func (t *term) unaccountedSteps(visit func(*job, *stepState, *Step)) {
+func (t *term) unaccountedSteps(visit func(j *job, s *stepState, index int)) {
 	for _, j := range t.jobs {
 		if !j.inherited || j.over() || j.visibleState.Final() || j.movedTo > 0 {
 			continue
@@ -82,7 +82,7 @@
 		for _, o := range j.occurrences {
 			for i := range o.steps {
 				if j.spec.Steps[i].Lasting && !o.steps[i].readyAt.IsZero() {
-					visit(j, &o.steps[i], &j.spec.Steps[i])
+					visit(j, &o.steps[i], i)
 				}
 			}
 		}
