soak: each run tells how long its own process stood still

A process that did nothing but sleep was up to 2.05 s late on the machine in the same minutes.

Change: the lateness of timers is watched in all runs, with the time of the longest and the number of delays of a second or more. It is told, and excuses nothing: all checks are as before.

--- a/internal/soak/lead.go
+++ b/internal/soak/lead.go
@@ -32,8 +32,6 @@
 	// Return is the longest time from the return of the first large host until a large host led.
 	Return     time.Duration `json:"return"`
 	LargeAtEnd bool          `json:"large_at_end"`
-	// Late is the longest delay of this process's own timer: what the machine adds to the faults.
-	Late time.Duration `json:"late"`
 }
 
 // leadWatch records the renewals of leaders.
@@ -44,7 +42,6 @@
 	silences []fleettest.Span
 	returned time.Time // when a large host returned while none led; else zero
 	toReturn time.Duration
-	late     time.Duration
 }
 
 // hostReturns records that a large host returns.
@@ -57,10 +54,9 @@
 }
 
 // observe records the newest renewal and whether it is of a large host.
-func (l *leadWatch) observe(version uint64, large bool, late time.Duration, now time.Time) {
+func (l *leadWatch) observe(version uint64, large bool, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.late = max(l.late, late)
 	if version != l.version {
 		if l.version != 0 {
 			l.silences = append(l.silences, fleettest.Span{From: l.renewed, To: now})
@@ -75,7 +71,7 @@
 // watchLead observes the renewals of leaders until ctx ends.
 func (c *cluster) watchLead(ctx context.Context) {
 	last := -1
-	for due := time.Now(); sleepUntil(ctx, due); due = time.Now().Add(leadInterval) {
+	for sleepUntil(ctx, time.Now().Add(leadInterval)) {
 		now := time.Now()
 		node, version := c.newestRenewal()
 		if node < 0 {
@@ -85,7 +81,7 @@
 			c.callWorkersFrom(node)
 		}
 		last = node
-		c.lead.observe(version, node < c.large, now.Sub(due), now)
+		c.lead.observe(version, node < c.large, now)
 	}
 }
 
@@ -160,14 +156,14 @@
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	lead.Silence, lead.Calm = longest(watch.silences, calm)
-	lead.Return, lead.Late = watch.toReturn, watch.late
+	lead.Return = watch.toReturn
 	return lead, err
 }
 
 // String describes the lead on one line of the report.
 func (l Lead) String() string {
-	return fmt.Sprintf("%d terms began, %d of small hosts; longest time without a renewal %.2f s, without impairment %.2f s; a large host led %.2f s after its return; at the end: %v; timers at most %.2f s late",
-		l.Terms, l.SmallTerms, l.Silence.Seconds(), l.Calm.Seconds(), l.Return.Seconds(), l.LargeAtEnd, l.Late.Seconds())
+	return fmt.Sprintf("%d terms began, %d of small hosts; longest time without a renewal %.2f s, without impairment %.2f s; a large host led %.2f s after its return; at the end: %v",
+		l.Terms, l.SmallTerms, l.Silence.Seconds(), l.Calm.Seconds(), l.Return.Seconds(), l.LargeAtEnd)
 }
 
 // logLines calls a function with the lines of the nodes' logs that contain a mark.
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -39,6 +39,9 @@
 				return err
 			}
 		}
+		if _, err := fmt.Fprintf(w, "  %s\n", r.Late); err != nil {
+			return err
+		}
 		for _, reason := range slices.Sorted(maps.Keys(r.Terms)) {
 			if _, err := fmt.Fprintf(w, "  %d terms ended: %s\n", r.Terms[reason], reason); err != nil {
 				return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -76,6 +76,8 @@
 	Terms map[string]int `json:"terms,omitempty"`
 	// Lead is nil in a run without small hosts.
 	Lead *Lead `json:"lead,omitempty"`
+	// Late tells how long this process stood still at most.
+	Late Lateness `json:"late"`
 	// Logs is the run's directory; empty if it was removed.
 	Logs string `json:"logs,omitempty"`
 }
@@ -121,6 +123,10 @@
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
 	go c.watchRoom(watchCtx)
+	var timers timerWatch
+	timersCtx, stopTimers := context.WithCancel(ctx)
+	defer stopTimers()
+	go timers.run(timersCtx, startTime)
 	if o.Small > 0 {
 		leadCtx, stopLead := context.WithCancel(ctx)
 		defer stopLead()
@@ -159,7 +165,7 @@
 	}
 	load.checkShutdown()
 	r = load.result(o, faults)
-	r.Logs, r.Lasting, r.Lead = dir, lasting, lead
+	r.Logs, r.Lasting, r.Lead, r.Late = dir, lasting, lead, timers.lateness()
 	if r.Terms, err = c.termEnds(); err != nil {
 		return Result{}, err
 	}
--- a/internal/soak/small_test.go
+++ b/internal/soak/small_test.go
@@ -122,14 +122,13 @@
 func TestLeadIsMeasured(t *testing.T) {
 	at := func(s float64) time.Time { return time.Time{}.Add(time.Duration(s * float64(time.Second))) }
 	l := &leadWatch{}
-	l.observe(1, true, 0, at(1))
-	l.observe(1, true, 0, at(1.2))
-	l.observe(2, false, time.Millisecond, at(1.5))
+	l.observe(1, true, at(1))
+	l.observe(1, true, at(1.2))
+	l.observe(2, false, at(1.5))
 	l.hostReturns(at(2))
 	l.hostReturns(at(3))
-	l.observe(3, false, 0, at(4))
-	l.observe(4, true, 0, at(4.5))
-	require.Equal(t, time.Millisecond, l.late)
+	l.observe(3, false, at(4))
+	l.observe(4, true, at(4.5))
 	require.Equal(t, 2500*time.Millisecond, l.toReturn)
 	length, calm := longest(l.silences, []fleettest.Span{{From: at(0), To: at(3)}, {From: at(3.2), To: at(9)}})
 	require.Equal(t, 2500*time.Millisecond, length)
