--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"io/fs"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -345,6 +347,31 @@
 	}
 }
 
+// processState tells how the kernel sees the node's process: a process that has exited but was not
+// waited for yet (Z) is late in this process's eyes only.
+func (n *node) processState() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return processState(n.cmd.Process.Pid)
+}
+
+// processState tells the state of a process as its line in /proc names it.
+func processState(pid int) string {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if errors.Is(err, fs.ErrNotExist) {
+		return "its process has ended"
+	}
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(data)) {
+		if state, ok := strings.CutPrefix(line, "State:"); ok {
+			return "its process is " + strings.TrimSpace(state)
+		}
+	}
+	return "the state of its process is not known"
+}
+
 // dumpTime is the time for a process to write its stacks to its log.
 const dumpTime = time.Second
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -233,7 +233,7 @@
 				c.addViolation("%s ended with code %d: %s", n.name, code, n.lastErrorLine())
 			}
 		case <-deadline:
-			c.addViolation("%s has not stopped within %v", n.name, grace)
+			c.addViolation("%s has not stopped within %v; %s", n.name, grace, n.processState())
 			n.dumpGoroutines()
 			return
 		}
