--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -147,6 +147,7 @@
 		return
 	}
 	if e.err == nil && w.isOtherLifetime(e.report.Born) {
+		e.logOtherLifetime(t)
 		w = t.replaceByReport(w, e.report.Born)
 		e.report.Acknowledged = 0 // an end of the former lifetime
 	} else if t.settleLaterLifetime(w, e) {
@@ -167,6 +168,13 @@
 	}
 }
 
+// logOtherLifetime logs what a poll that was meant for another lifetime than the one that has answered it carried.
+func (e pollReply) logOtherLifetime(t *term) {
+	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": e.worker.info.Worker, "choice": "other-lifetime", "born": e.report.Born,
+		"former": e.worker.info.Born, "clock_ms": e.report.Clock.Milliseconds(), "deadline_ms": e.order.Deadline.Milliseconds(),
+		"acknowledged": e.report.Acknowledged, "took_ms": e.took.Milliseconds(), "probe": e.probe}).Warn("another lifetime of the worker has answered a poll")
+}
+
 // recordNoAnswer records a call without an answer and delays the next poll.
 func (t *term) recordNoAnswer(w *worker, err error) {
 	w.countUnanswered(t.now)
