--- a/internal/fleet/early_reports.go
+++ b/internal/fleet/early_reports.go
@@ -64,6 +64,9 @@
 		w.observeClock(e.report.Clock, t.now)
 		w.fenceFormerLeases(t.now)
 		w.earlyReport = &e
+		if w.countWithheld(e); w.withheld == 1 {
+			w.nextPoll = t.now // on the connection of this answer
+		}
 	}
 }
 
--- a/internal/fleet/early_reports_test.go
+++ b/internal/fleet/early_reports_test.go
@@ -61,14 +61,16 @@
 	tm.now = tm.now.Add(earlyPollPause)
 	tm.lastRenewal = tm.now
 	tm.poll(w)
-	require.NotZero(t, (<-log.orders).Deadline)
+	o := <-log.orders
+	require.NotZero(t, o.Deadline)
 	end := w.leaseEnd()
 	for range 5 {
-		pollReply{worker: w, sent: tm.now, err: errors.New("no answer")}.handle(tm)
+		pollReply{worker: w, order: o, report: Report{Deadline: o.Deadline}, sent: tm.now, err: errors.New("no answer")}.handle(tm)
 		tm.now = tm.now.Add(earlyPollPause)
 		tm.lastRenewal = tm.now
 		tm.schedulePolls()
-		require.Zero(t, (<-log.orders).Deadline, "it has not answered")
+		o = <-log.orders
+		require.Zero(t, o.Deadline, "it has not answered")
 	}
 	require.Equal(t, end, w.leaseEnd())
 }
--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -158,6 +158,9 @@
 		return fleet.WorkerReply{}, err
 	}
 	f := v.workers
+	if err := f.awaitConnection(ctx, w.Addr, born); err != nil {
+		return fleet.WorkerReply{SentTo: born}, err
+	}
 	f.mu.Lock()
 	target := f.workers[w.Addr]
 	if born != anyLifetime && (target == nil || target.Info.Born != born) {
@@ -200,6 +203,29 @@
 	return reply, f.passAnswer(ctx, w.Addr)
 }
 
+// connectionRetryPause is the time after which a connection attempt without an answer is repeated.
+const connectionRetryPause = time.Second
+
+// awaitConnection waits while an address is silent: on a connection to the lifetime born nothing comes
+// back, and the attempt to make one is repeated until the next lifetime answers it.
+func (f *Workers) awaitConnection(ctx context.Context, addr string, born int64) error {
+	for {
+		f.mu.Lock()
+		silent := f.silent[addr]
+		f.mu.Unlock()
+		switch {
+		case !silent:
+			return nil
+		case born != anyLifetime:
+			<-ctx.Done()
+			return unknown(ctx.Err())
+		}
+		if sleep(ctx, connectionRetryPause) != nil {
+			return model.Errorf(model.KindExhausted, "retry later; nothing was sent", "no connection")
+		}
+	}
+}
+
 // Stop implements fleet.Workers.
 func (v *WorkersView) Stop(ctx context.Context, w fleet.WorkerInfo, r fleet.RunRef, fence uint64) (fleet.WorkerReply, error) {
 	if err := v.awaitConnection(ctx, nil); err != nil {
@@ -225,13 +251,33 @@
 	})
 }
 
+// pollConnection returns the lifetime to which a poll is sent, and what is sent. Like the platform's
+// adapter it sends acknowledgements and deadlines only on a connection on which the lifetime that w names
+// has reported.
+func (v *WorkersView) pollConnection(w fleet.WorkerInfo, o fleet.PollOrder) (int64, fleet.PollOrder) {
+	switch {
+	case w.Born == 0 || o.Acknowledged == 0 && o.Deadline == 0:
+		return anyLifetime, o
+	case !v.workers.drawNewConnection() && v.hasConnectionTo(w):
+		return w.Born, o
+	case v.workers.sendsUnverifiedDeadlines():
+		o.Acknowledged = 0
+		return anyLifetime, o
+	case o.Deadline > 0:
+		o.Deadline, o.Wait = 0, 0
+	}
+	o.Acknowledged = 0
+	return anyLifetime, o
+}
+
 // Poll implements fleet.Workers.
 func (v *WorkersView) Poll(ctx context.Context, w fleet.WorkerInfo, o fleet.PollOrder) (fleet.Report, error) {
 	var wake chan struct{}
 	var report fleet.Report
 	var polled *Worker
-	var acknowledged uint64
-	reply, err := v.deliver(ctx, w, func(t *Worker) fleet.StartVerdict {
+	born, o := v.pollConnection(w, o)
+	unanswered := fleet.Report{Deadline: o.Deadline} // the poll may still take effect
+	reply, err := v.deliverTo(ctx, w, born, func(t *Worker) fleet.StartVerdict {
 		if o.Fence < t.fence {
 			return fleet.StartFenced
 		}
@@ -239,21 +285,18 @@
 		if o.Deadline > 0 {
 			t.extendLease(o.Deadline)
 		}
-		if v.lifetimeOfConnection(t) == w.Born {
-			acknowledged = o.Acknowledged
-			t.forgetEnds(acknowledged)
-		}
+		t.forgetEnds(o.Acknowledged)
 		report, wake, polled = t.report(), t.wake, t
 		return fleet.StartRunning
 	})
 	if err != nil {
-		return fleet.Report{}, err // the poll may still take effect
+		return unanswered, err
 	}
 	if polled != nil {
 		v.setLifetimeOfConnection(polled)
 	}
 	if reply.Verdict != fleet.StartRunning || o.Wait == 0 || len(report.Ended) > 0 {
-		report.Verdict, report.Clock, report.Acknowledged = reply.Verdict, reply.Clock, acknowledged
+		report.Verdict, report.Clock, report.Acknowledged, report.Deadline = reply.Verdict, reply.Clock, o.Acknowledged, o.Deadline
 		return report, nil
 	}
 	timer := time.NewTimer(o.Wait)
@@ -262,22 +305,26 @@
 	case <-wake:
 	case <-timer.C:
 	case <-ctx.Done():
-		return fleet.Report{}, unknown(ctx.Err())
+		return unanswered, unknown(ctx.Err())
 	}
 	if !v.reachable(w.Addr) {
 		<-ctx.Done()
-		return fleet.Report{}, unknown(ErrUnreachable)
+		return unanswered, unknown(ErrUnreachable)
 	}
 	if err := v.workers.passAnswer(ctx, w.Addr); err != nil {
-		return fleet.Report{}, err
+		return unanswered, err
 	}
 	v.workers.mu.Lock()
 	defer v.workers.mu.Unlock()
-	if v.workers.workers[w.Addr] != polled {
-		return fleet.Report{}, unknown(ErrUnreachable)
+	switch {
+	case polled.lastReport != nil:
+		report = *polled.lastReport
+	case v.workers.workers[w.Addr] != polled:
+		return unanswered, unknown(ErrUnreachable)
+	default:
+		report = polled.report()
 	}
-	report = polled.report()
-	report.Acknowledged = acknowledged
+	report.Acknowledged, report.Deadline = o.Acknowledged, o.Deadline
 	return report, nil
 }
 
--- a/internal/fleet/fleettest/starts.go
+++ b/internal/fleet/fleettest/starts.go
@@ -68,7 +68,14 @@
 	return f.UnverifiedStarts
 }
 
-// drawNewConnection draws whether a start finds no idle connection.
+// sendsUnverifiedDeadlines reports whether polls carry deadlines to whichever lifetime answers.
+func (f *Workers) sendsUnverifiedDeadlines() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.UnverifiedDeadlines || f.UnverifiedStarts
+}
+
+// drawNewConnection draws whether a call finds no idle connection.
 func (f *Workers) drawNewConnection() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -44,6 +44,9 @@
 	mu      sync.Mutex
 	workers map[string]*Worker // by address
 	links   map[string]Link    // by address
+	// silent holds the addresses that neither accept nor refuse connections until a lifetime is up.
+	silent  map[string]bool
+	clocks  *rand.Rand // of lifetimes that begin
 	tasks   func(fleet.TaskName) Task
 	checker *RunChecker
 	random  *rand.Rand
@@ -57,7 +60,10 @@
 	// UnverifiedStarts makes nodes send starts as earlier versions do, on connections of which it is not
 	// known which lifetime accepted them.
 	UnverifiedStarts bool
-	// NewConnectionShare is the share of starts that find no idle connection.
+	// UnverifiedDeadlines makes polls carry lease deadlines on such connections, as earlier versions do.
+	UnverifiedDeadlines bool
+	// NewConnectionShare is the share of starts, and of polls with a deadline or an acknowledgement, that
+	// find no idle connection.
 	NewConnectionShare float64
 	// LostShare is the share of calls, polls included, that take effect at once and get no
 	// answer.
@@ -97,7 +103,7 @@
 
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
 func NewWorkers(seed uint64, tasks func(fleet.TaskName) Task, l *RunChecker) *Workers {
-	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, LeaseMax: leaseMax, ListedEnds: maxListedEnds, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
+	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, silent: map[string]bool{}, clocks: rand.New(rand.NewPCG(seed, 3)), LeaseMax: leaseMax, ListedEnds: maxListedEnds, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Worker is a simulated worker process.
@@ -117,6 +123,7 @@
 	highestAttempt map[fleet.TaskName]int
 	wake           chan struct{}
 	dead           bool
+	lastReport     *fleet.Report // set by Silence
 	expiry         *time.Timer
 	fillerLoads    []fillerLoad
 	// fillerShare is the share of their CPU demand that fillers get; see InterferenceModel.
@@ -154,6 +161,9 @@
 	fails bool
 }
 
+// maxClockAtStart bounds what the clock of a lifetime reads when it begins.
+const maxClockAtStart = 30 * time.Minute
+
 // Add starts a worker. A worker that still runs at its address ends without notice.
 func (f *Workers) Add(info fleet.WorkerInfo) *Worker {
 	f.mu.Lock()
@@ -161,7 +171,8 @@
 	if former := f.workers[info.Addr]; former != nil {
 		f.kill(former)
 	}
-	w := &Worker{Info: info, fleet: f, startedAt: time.Now(), clockAtStart: time.Second, clockRate: 1, runs: map[fleet.RunRef]*simulatedRun{}, highestAttempt: map[fleet.TaskName]int{}, wake: make(chan struct{}), fillerShare: 1}
+	delete(f.silent, info.Addr)
+	w := &Worker{Info: info, fleet: f, startedAt: time.Now(), clockAtStart: time.Duration(f.clocks.Int64N(int64(maxClockAtStart))), clockRate: 1, runs: map[fleet.RunRef]*simulatedRun{}, highestAttempt: map[fleet.TaskName]int{}, wake: make(chan struct{}), fillerShare: 1}
 	f.workers[info.Addr] = w
 	return w
 }
@@ -181,6 +192,19 @@
 	f.kill(w)
 }
 
+// Silence ends a worker without notice, and its host with it: nobody refuses or resets connections. A
+// connection attempt waits until the next lifetime is up. Answers to long polls that are on their way
+// still arrive, so that the next polls find the address silent.
+func (f *Workers) Silence(w *Worker) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := w.report()
+	w.lastReport = &last
+	f.kill(w)
+	f.silent[w.Info.Addr] = true
+	close(w.wake)
+}
+
 // kill ends a worker without notice. The lock is held.
 func (f *Workers) kill(w *Worker) {
 	w.dead = true
--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -200,7 +200,9 @@
 	// ends up to it. It is sent only to the lifetime that the worker's info names: ends of the
 	// next one have the same numbers.
 	Acknowledged uint64
-	// Deadline is the new end of the lease on the worker's clock; 0 leaves the lease as it is.
+	// Deadline is the new end of the lease on the worker's clock; 0 leaves the lease as it is. It is
+	// sent only to the lifetime that the worker's info names: on the clock of the next one it means
+	// nothing.
 	Deadline time.Duration
 	// Wait is how long the worker may hold its answer until a run ends.
 	Wait time.Duration
@@ -218,6 +220,8 @@
 	EndsCut bool
 	// Acknowledged is that of the order, or 0 if it was not sent.
 	Acknowledged uint64
+	// Deadline is that of the order, or 0 if it was not sent. It is also set beside an error.
+	Deadline time.Duration
 }
 
 // OtherLifetimeError means that an order was not sent, as a lifetime answers for which it was not meant.
--- /dev/null
+++ b/internal/fleet/lease_offers_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/model"
+)
+
+// A poll whose deadline was not sent counted as one that has extended the lease.
+func TestLeaseIsNotExtendedByWithheldDeadline(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent, answered, extended bool
+	}{
+		"sent":                {sent: true, answered: true, extended: true},
+		"sent, no answer":     {sent: true, extended: true},
+		"withheld":            {answered: true},
+		"withheld, no answer": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			log := pollLog{orders: make(chan PollOrder, 10)}
+			tm.cfg.Workers, tm.cfg.Bounds.LeaseMax = log, 8*time.Second
+			w := testWorker("w")
+			tm.workers[w.info.Worker] = w
+			w.observeClock(time.Minute, tm.now)
+			w.extendLease(tm.now, maxLease)
+			testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+			before, granted := w.leaseEnd(), w.leaseDeadline
+
+			tm.now = tm.now.Add(2 * time.Second)
+			tm.lastRenewal = tm.now
+			tm.poll(w)
+			o := <-log.orders
+			require.NotZero(t, o.Deadline)
+			require.Greater(t, w.leaseEnd(), before, "the poll in flight may extend the lease")
+
+			e := pollReply{worker: w, order: o, sent: tm.now}
+			if test.sent {
+				e.report.Deadline = o.Deadline
+			}
+			if test.answered {
+				e.report.Clock, e.report.Born = w.clock+2*time.Second, w.info.Born
+				e.report.Running = []RunStatus{{RunRef: RunRef{"j.0.0.0", 1}}}
+			} else {
+				e.err = errors.New("no answer")
+			}
+			e.handle(tm)
+			require.Equal(t, test.extended, w.leaseDeadline > granted)
+			require.Equal(t, test.answered, w.pollInFlight, "the next poll goes on the connection of the answer")
+		})
+	}
+}
+
+// A worker on whose connections no report has come gets its next poll at once, and one that closes each
+// connection after its answer is not polled without a pause.
+func TestPollsAfterWithheldDeadline(t *testing.T) {
+	for _, loaded := range []bool{true, false} {
+		tm, all, log := loadingTerm(t, 1)
+		w := all[0]
+		tm.loaded = loaded
+		if loaded {
+			w.answered = true
+			testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+		}
+		earlyAnswer(tm, w)
+		for i := range 3 {
+			tm.now = w.nextPoll
+			tm.lastRenewal = tm.now
+			if !w.pollInFlight {
+				tm.poll(w)
+			}
+			o := <-log.orders
+			require.NotZero(t, o.Deadline)
+			pollReply{worker: w, order: o, sent: tm.now, report: Report{Verdict: StartRunning, Born: w.info.Born, Clock: w.clock + time.Second,
+				Running: []RunStatus{{RunRef: RunRef{"0000000000000001.0.0.0", 1}}}}}.handle(tm)
+			if i == 0 && !w.pollInFlight {
+				require.Equal(t, tm.now, w.nextPoll)
+			}
+			if i > 0 {
+				require.False(t, w.pollInFlight)
+				require.False(t, w.nextPoll.Before(tm.now.Add(pollRetryPause)))
+			}
+		}
+	}
+}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -92,12 +92,25 @@
 // workerLeaseMax bounds a lease whose deadline means nothing on the worker's clock.
 func (t *term) workerLeaseMax() time.Duration { return max(t.cfg.Bounds.LeaseMax, maxLease) }
 
-// extendLease returns the deadline of an order that is sent to w now.
+// extendLease returns the deadline of a start that is sent to w now.
 func (t *term) extendLease(w *worker) time.Duration {
 	w.leaseSentBy = t.now.Add(t.answerTimeout.timeout())
 	return w.extendLease(t.now, t.leaseLength())
 }
 
+// offerLease returns the deadline of a poll that is sent to w now. It extends the lease if the poll's
+// connection turns out to be one to the lifetime that w is; see settleOffer.
+func (t *term) offerLease(w *worker) time.Duration {
+	w.leaseSentBy = t.now.Add(t.answerTimeout.timeout())
+	w.offeredDeadline = w.deadline(t.now, t.leaseLength())
+	return w.offeredDeadline
+}
+
+// settleOffer records what the poll in flight has sent of its deadline.
+func (w *worker) settleOffer(r Report) {
+	w.offeredDeadline, w.leaseDeadline = 0, max(w.leaseDeadline, r.Deadline)
+}
+
 // runLeaseEnd returns when the lease of a run has certainly ended. If neither a report nor the
 // connection has told which lifetime got the start order, the worker may have started again unnoticed
 // before that. Its clock begins anew then, so that only its own limit bounds the leases.
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -107,7 +107,7 @@
 	// The lease of a worker that does not answer is not extended, so that it ends at a
 	// known time.
 	if w.holdsRuns() && w.reached() && w.unansweredCalls == 0 && w.leaseRecordTerm == 0 && t.active() {
-		o.Deadline = t.extendLease(w)
+		o.Deadline = t.offerLease(w)
 	}
 	w.pollInFlight, w.pollWithoutWait = true, false
 	t.metrics.polls.Inc()
@@ -138,6 +138,7 @@
 	}
 	if !e.probe {
 		w.pollInFlight = false
+		w.settleOffer(e.report)
 	}
 	if t.workers[w.info.Worker] != w {
 		return // it has started again or left since
@@ -175,6 +176,20 @@
 		"acknowledged": e.report.Acknowledged, "took_ms": e.took.Milliseconds(), "probe": e.probe}).Warn("another lifetime of the worker has answered a poll")
 }
 
+// withheld reports whether the poll went without its acknowledgement or deadline, as its connection was
+// not known to be one to the lifetime that is meant.
+func (e pollReply) withheld() bool {
+	return e.report.Acknowledged != e.order.Acknowledged || e.report.Deadline != e.order.Deadline
+}
+
+// countWithheld counts the answered polls in a row that went without a part of their order.
+func (w *worker) countWithheld(e pollReply) {
+	w.withheld++
+	if !e.withheld() {
+		w.withheld = 0
+	}
+}
+
 // recordNoAnswer records a call without an answer and delays the next poll.
 func (t *term) recordNoAnswer(w *worker, err error) {
 	w.countUnanswered(t.now)
@@ -232,12 +247,9 @@
 		t.resolveMissingRuns(w, e)
 	}
 	w.nextPoll = t.now
-	w.withheldAcks++
-	if e.report.Acknowledged == e.order.Acknowledged {
-		w.withheldAcks = 0
-	}
+	w.countWithheld(e)
 	switch {
-	case w.withheldAcks > 1: // the worker may close each connection after its answer
+	case w.withheld > 1: // the worker may close each connection after its answer
 		w.nextPoll = t.now.Add(pollRetryPause)
 	case w.lastStoredEnd < w.lastSeenEnd && len(e.report.Ended) > 0 && t.commitDelayed():
 		w.nextPoll = t.now.Add(unstoredEndsPollPause)
--- /dev/null
+++ b/internal/fleet/silent_restart_test.go
@@ -0,0 +1,54 @@
+package fleet_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/vanillapier/vanillapier/internal/fleet"
+	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
+)
+
+// restartSilently ends a worker with its host and starts its next lifetime after some time. It is listed
+// entryDelay later.
+func restartSilently(c *fleettest.Cluster, w *fleettest.Worker, down time.Duration) *fleettest.Worker {
+	c.Workers.Silence(w)
+	time.Sleep(down)
+	next := c.StartWorker(string(w.Info.Worker))
+	time.AfterFunc(entryDelay, func() { c.List(next) })
+	return next
+}
+
+// A poll that waited for its connection over a silent restart set a lease in the next lifetime that was
+// longer than its leader counted on. Cut off soon after, that lifetime ran tasks that had started elsewhere.
+func TestPollAcrossSilentRestartSetsNoLease(t *testing.T) {
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 20 * time.Second, Needs: wideNeeds} }
+	spec := fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 20 * time.Second}}}
+	for seed := range uint64(6) {
+		t.Run(strconv.Itoa(int(seed)), func(t *testing.T) {
+			runCluster(t, 760+seed, 3, 5, long, func(t *testing.T, c *fleettest.Cluster) {
+				c.Workers.WithLock(func() { c.Workers.LeaseMax, c.Workers.NewConnectionShare = 10*time.Second, 0.3 })
+				submit(t, c, jobID(0), spec)
+				time.Sleep(2*time.Second + time.Duration(seed)*170*time.Millisecond)
+				for round := range 4 {
+					w := c.Workers.LatestRun()
+					require.NotNil(t, w)
+					next := restartSilently(c, w, 600*time.Millisecond)
+					submit(t, c, jobID(1+round), spec)
+					time.Sleep(1500*time.Millisecond + time.Duration(seed*uint64(round))*110*time.Millisecond)
+					for _, n := range c.Nodes {
+						n.Workers.Cut(next, true)
+					}
+					time.Sleep(9 * time.Second)
+					for _, n := range c.Nodes {
+						n.Workers.Cut(next, false)
+					}
+					time.Sleep(time.Second)
+				}
+				require.Empty(t, c.Checker.Violations())
+			})
+		})
+	}
+}
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -136,8 +136,9 @@
 	// clock is the worker's clock in its latest answer, clockAt the time of receipt.
 	clock   time.Duration
 	clockAt time.Time
-	// leaseDeadline is the latest lease deadline that was sent, on the worker's clock.
-	leaseDeadline time.Duration
+	// leaseDeadline is the latest lease deadline that was sent, on the worker's clock. offeredDeadline is
+	// that of the poll in flight, which may go without it; 0 for none.
+	leaseDeadline, offeredDeadline time.Duration
 	// leaseSentBy is when the last order with a lease deadline had been sent.
 	leaseSentBy time.Time
 	// ordersArriveBy is until when this lifetime may carry out orders for a former one; zero if there
@@ -186,7 +187,7 @@
 	lastSeenEnd     uint64    // highest number of an end that was processed
 	lastStoredEnd   uint64    // highest number of an end that is durable
 	lastAckedEnd    uint64    // highest number of an end that was acknowledged
-	withheldAcks    int       // answered polls in a row whose acknowledgement was not sent
+	withheld        int       // answered polls in a row whose acknowledgement or deadline was not sent
 
 	health health
 	// lastStart and lastStartJob are the time and the job of the last start; apartJob is that
@@ -236,10 +237,15 @@
 	w.unansweredCalls++
 }
 
-// extendLease returns a deadline on the worker's clock that lies at most length after now, and
-// records it. The worker's clock must be known; since its latest answer it may have been slow.
+// deadline returns a time on the worker's clock that lies at most length after now. The clock must be
+// known; since the worker's latest answer it may have been slow.
+func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
+	return w.clock + minClockDuration(now.Sub(w.clockAt)) + length
+}
+
+// extendLease records a deadline that is sent to the worker, and returns it.
 func (w *worker) extendLease(now time.Time, length time.Duration) time.Duration {
-	d := w.clock + minClockDuration(now.Sub(w.clockAt)) + length
+	d := w.deadline(now, length)
 	w.leaseDeadline = max(w.leaseDeadline, d)
 	return d
 }
@@ -259,7 +265,8 @@
 	if w.clockAt.IsZero() {
 		return end
 	}
-	if own := w.clockAt.Add(maxRealDuration(w.leaseDeadline-w.clock) + leaseMargin); own.After(end) {
+	deadline := max(w.leaseDeadline, w.offeredDeadline)
+	if own := w.clockAt.Add(maxRealDuration(deadline-w.clock) + leaseMargin); own.After(end) {
 		end = own
 	}
 	return end
