--- a/internal/fleet/interfaces.go
+++ b/internal/fleet/interfaces.go
@@ -153,10 +153,10 @@
 // WorkerReply is the common part of a worker's answers.
 type WorkerReply struct {
 	Verdict StartVerdict
-	// Clock is the worker's monotonic clock when it answered.
+	// Clock is the monotonic clock of the lifetime that answered. Each one's begins anew, anywhere.
 	Clock time.Duration
-	// SentTo is the Born of the lifetime to which the order was sent, if a report or the clock of an
-	// answer on the same connection has told it, else 0. It is also set when the order got no answer.
+	// SentTo is the Born of the lifetime to which the order was sent, if a report on the same connection
+	// has told it, else 0. It is also set when the order got no answer.
 	SentTo int64
 }
 
@@ -247,7 +247,9 @@
 // KindExhausted (the order waited for a connection in vain, or the connection is not one to the
 // lifetime that is meant): then nothing was sent. Stops, paces and polls name the worker's id only: a
 // later lifetime under the same id carries them out too, and only a Report tells which lifetime
-// answered. A start is carried out by the lifetime that w names or by none, if w names one.
+// answered. What belongs to one lifetime reaches no other one: a start is carried out by the lifetime
+// that w names or by none, and so are the acknowledgement and the deadline of a poll. Where w names no
+// lifetime, that is one whose reports name none either.
 type Workers interface {
 	Start(ctx context.Context, w WorkerInfo, o StartOrder) (WorkerReply, error)
 	Stop(ctx context.Context, w WorkerInfo, r RunRef, fence uint64) (WorkerReply, error)
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -18,6 +18,19 @@
 	return born != 0 && w.info.Born != 0 && born != w.info.Born
 }
 
+// learnLifetime records the lifetime that a worker's first report names where its entry names none. Only
+// the rows of the term's tables name it by the other form.
+func (t *term) learnLifetime(w *worker, born int64) {
+	if w.info.Born != 0 || born == 0 {
+		return
+	}
+	if w.usedRowStored {
+		t.usedRowsToDelete[w.info.Lifetime], w.usedRowStored = true, false
+	}
+	delete(t.usedRowsToPut, w.info.Lifetime)
+	w.info.Born = born
+}
+
 // replaceByReport begins the lifetime that has answered a poll of w. Nothing starts on it before
 // its entry tells its capacity.
 func (t *term) replaceByReport(w *worker, born int64) *worker {
--- a/internal/fleet/lifetimes_test.go
+++ b/internal/fleet/lifetimes_test.go
@@ -29,10 +29,13 @@
 	return fleet.Spec{Steps: []fleet.Step{{Count: 5, Needs: wideNeeds, Estimate: 2 * time.Second}}}
 }
 
-// restart ends a worker without notice and starts its next lifetime, which is not listed yet.
+// restart ends a worker without notice and starts its next lifetime, which is not listed yet. Its clock
+// begins behind those of all former ones, so that deadlines for these lie ahead.
 func restart(c *fleettest.Cluster, w *fleettest.Worker) *fleettest.Worker {
 	c.Workers.Kill(w)
-	return c.StartWorker(string(w.Info.Worker))
+	next := c.StartWorker(string(w.Info.Worker))
+	c.Workers.SetClock(next, 0, 1)
+	return next
 }
 
 // sendUnverifiedStarts makes the nodes send starts as earlier versions do, of which a fleet may have some
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -143,6 +143,7 @@
 	if t.workers[w.info.Worker] != w {
 		return // it has started again or left since
 	}
+	t.learnLifetime(w, e.report.Born)
 	if !t.loaded {
 		t.keepEarlyReport(w, e)
 		return
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -132,9 +132,7 @@
 		t.handleUnansweredStart(r, e.err)
 		return
 	}
-	if e.reply.Clock > 0 && e.reply.Verdict != StartOtherLifetime {
-		w.observeClock(e.reply.Clock, t.now)
-	}
+	w.observeReply(e.reply, t.now)
 	if e.reply.Verdict == StartRunning {
 		t.confirmStart(r)
 		if pause := t.pollPause(); pause > 0 { // the start has set the lease
@@ -230,6 +228,8 @@
 	case StartNoCapacity, StartUnhealthy:
 		w.health.exclude(t.now)
 		t.probe(w)
+	case StartDeadlinePassed:
+		t.probe(w) // its report tells its clock
 	case StartOtherLifetime:
 		t.handleReplacedLifetime(w)
 	case StartNoTicket:
@@ -318,7 +318,7 @@
 	case e.reply.Verdict == StartUnhealthy:
 		return // the worker did nothing; retryStops repeats the order
 	}
-	w.observeClock(e.reply.Clock, t.now)
+	w.observeReply(e.reply, t.now)
 	r.stopAnswered, r.stateSince = true, t.now
 	// The next report lists the end, or the run never existed.
 	w.pollWithoutWait = true
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -229,6 +229,14 @@
 	w.unansweredCalls, w.refusesCalls = 0, false
 }
 
+// observeReply records the clock in an answer to an order. An answer that may be another lifetime's tells
+// nothing about this one's clock.
+func (w *worker) observeReply(r WorkerReply, now time.Time) {
+	if r.Clock > 0 && r.Verdict != StartOtherLifetime && r.SentTo == w.info.Born {
+		w.observeClock(r.Clock, now)
+	}
+}
+
 // countUnanswered counts a call without an answer.
 func (w *worker) countUnanswered(now time.Time) {
 	if w.unansweredCalls == 0 {
