--- a/internal/fleet/decisions_test.go
+++ b/internal/fleet/decisions_test.go
@@ -182,7 +182,7 @@
 		"label there":          {func(_ *worker, r *taskRequest) { r.step.Label = "a" }, true},
 		"bound per worker":     {func(w *worker, r *taskRequest) { r.step.PerWorker = 2; r.tasksPerWorker[w] = 2 }, false},
 		"other rack":           {func(_ *worker, r *taskRequest) { r.rack = "r2" }, false},
-		"no ticket":            {func(_ *worker, r *taskRequest) { r.tickets = map[model.WorkerID]string{"x": "t"} }, false},
+		"no ticket":            {func(_ *worker, r *taskRequest) { r.tickets = map[Lifetime]string{{Worker: "x"}: "t"} }, false},
 		"its copy is there":    {func(w *worker, r *taskRequest) { r.task.runs = []*run{{worker: w}} }, false},
 		"probation":            {func(w *worker, _ *taskRequest) { w.health.quarantines = 1 }, true},
 		"probation with a run": {func(w *worker, r *taskRequest) { w.health.quarantines = 1; testRun(w, r.step, 1) }, false},
--- a/internal/fleet/held_starts_test.go
+++ b/internal/fleet/held_starts_test.go
@@ -120,6 +120,37 @@
 	require.Empty(t, other.runs, "the suspect is alone for 300 ms, whatever was held back before it")
 }
 
+// A ticket is valid in one lifetime of its worker. The next one was sent it and refused the start.
+func TestTicketOfFormerLifetimeIsNotUsed(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		tm := loadedTerm(t)
+		tm.cfg.Advisor = silentAdvisor{}
+		tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
+		former := testWorker("w")
+		j := newJob(fmt.Sprintf("%016x", 1), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
+		s := &j.openOccurrence(0, time.Time{}, tm.now).steps[0]
+		asked := []Lifetime{former.info.Lifetime}
+		tm.workers["w"] = former
+		if others {
+			tm.workers["x"] = testWorker("x")
+			asked = append(asked, tm.workers["x"].info.Lifetime)
+		}
+		s.advice = &stepAdvice{inFlight: true}
+		info := former.info
+		info.Born++
+		next := tm.replaceWorker(former, info) // while the advisor decides
+		next.answered, next.usedRowStored = true, true
+		adviceReply{advice: s.advice, workers: asked, answer: Advice{Tickets: map[model.WorkerID]string{"w": "ticket", "x": "other"}, Valid: time.Minute}, asked: tm.now}.handle(tm)
+		tm.jobs[j.id] = j
+		tm.plan()
+		require.Empty(t, tm.workers["w"].runs)
+		require.Equal(t, !others, s.advice.inFlight, "the advisor is asked again when no ticket is left")
+		if others {
+			require.Len(t, tm.workers["x"].runs, 1)
+		}
+	}
+}
+
 // Guards against a held start that is sent with a ticket that is valid no more.
 func TestHeldStartIsNotSentWithExpiredTicket(t *testing.T) {
 	tm := loadedTerm(t)
@@ -128,7 +159,7 @@
 	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
 	j := newJob(fmt.Sprintf("%016x", 1), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
 	s := &j.openOccurrence(0, time.Time{}, tm.now).steps[0]
-	s.advice = &stepAdvice{tickets: map[model.WorkerID]string{"w": "ticket"}, validUntil: tm.now.Add(time.Second)}
+	s.advice = &stepAdvice{tickets: map[Lifetime]string{w.info.Lifetime: "ticket"}, validUntil: tm.now.Add(time.Second)}
 	tm.jobs[j.id] = j
 	tm.plan()
 	require.Len(t, s.tasks[0].runs, 1)
--- a/internal/fleet/idle_jobs.go
+++ b/internal/fleet/idle_jobs.go
@@ -135,7 +135,7 @@
 			}
 		}
 		if x, pace := p.findReducedPace(workers, r); x != nil {
-			t.startReduced(w.job, w.key(i.task), x, r.tickets[x.info.Worker], pace)
+			t.startReduced(w.job, w.key(i.task), x, r.tickets[x.info.Lifetime], pace)
 			started++
 			workers = slices.DeleteFunc(workers, func(o *worker) bool { return o == x })
 		}
--- a/internal/fleet/idle_jobs_faults_test.go
+++ b/internal/fleet/idle_jobs_faults_test.go
@@ -410,10 +410,11 @@
 		}
 		w := &waitingStep{job: j, occurrence: j.occurrences[0], step: &j.spec.Steps[0], queue: tm.queues["q"], tasks: []int{0, 1}}
 		tickets := map[model.WorkerID]string{}
-		for _, id := range tm.adviceCandidates(tm.newPlacement("svc"), w) {
-			tickets[id] = "ticket"
+		candidates := tm.adviceCandidates(tm.newPlacement("svc"), w)
+		for _, c := range candidates {
+			tickets[c.Worker] = "ticket"
 		}
-		adviceReply{advice: s.advice, answer: Advice{Tickets: tickets, Valid: time.Second}, asked: tm.now}.handle(tm)
+		adviceReply{advice: s.advice, workers: candidates, answer: Advice{Tickets: tickets, Valid: time.Second}, asked: tm.now}.handle(tm)
 	}
 	for range 2 * time.Second / tickInterval {
 		planFor(tm, tickInterval)
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -127,7 +127,7 @@
 	// lastResort allows workers on probation, and forbids those on which the task has failed.
 	lastResort bool
 	// tickets restricts the choice to workers with a ticket, unless nil.
-	tickets map[model.WorkerID]string
+	tickets map[Lifetime]string
 }
 
 // hasTaskSlot reports whether w has fewer tasks of the step than one worker may run.
@@ -204,7 +204,7 @@
 	case p.reservedWorkers[w] && !r.restart,
 		!p.fitsBesideClaims(w, r),
 		r.rack != "" && w.rack != r.rack,
-		r.tickets != nil && r.tickets[w.info.Worker] == "",
+		r.tickets != nil && r.tickets[w.info.Lifetime] == "",
 		w.health.onProbation() && w.hasTrialRun() && !r.lastResort,
 		r.lastResort && r.task != nil && slices.Contains(r.task.failedOn, w.info.Worker),
 		!s.Lasting && r.task != nil && len(r.task.failed) > 0 && w.health.needsUntried(p.now),
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -51,7 +51,7 @@
 		"tickets": func(tm *term) *job {
 			tm.queues["advised"] = Queue{Name: "advised", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
 			j := add(tm, "a", "advised")
-			j.occurrences[0].steps[0].advice = &stepAdvice{tickets: map[model.WorkerID]string{"full": "x"}, validUntil: at(60)}
+			j.occurrences[0].steps[0].advice = &stepAdvice{tickets: map[Lifetime]string{tm.workers["full"].info.Lifetime: "x"}, validUntil: at(60)}
 			return j
 		},
 		"failed before": func(tm *term) *job {
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -318,7 +318,7 @@
 			p.recordUnplaceable(r, w.state().waits)
 			break
 		}
-		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Worker])
+		t.startTask(w.job, w.key(i), worker, r.tickets[worker.info.Lifetime])
 		r.tasksPerWorker[worker]++
 		ranks.update(worker, r)
 		started++
@@ -403,7 +403,7 @@
 		}
 	}
 	for n, i := range w.tasks {
-		t.startAttempt(w.job, w.key(i), chosen[n], r.tickets[chosen[n].info.Worker], attempt, checkpoint)
+		t.startAttempt(w.job, w.key(i), chosen[n], r.tickets[chosen[n].info.Lifetime], attempt, checkpoint)
 	}
 	return len(w.tasks)
 }
@@ -420,7 +420,7 @@
 
 // stepAdvice is the advisor's latest answer for a step and the state of its next call.
 type stepAdvice struct {
-	tickets    map[model.WorkerID]string
+	tickets    map[Lifetime]string
 	validUntil time.Time
 	inFlight   bool
 	retryAt    time.Time
@@ -442,13 +442,13 @@
 
 // tickets returns the valid tickets of a step. If there are none, it asks the advisor and
 // returns nil.
-func (t *term) tickets(p *placement, w *waitingStep) map[model.WorkerID]string {
+func (t *term) tickets(p *placement, w *waitingStep) map[Lifetime]string {
 	s := &w.occurrence.steps[w.index]
 	if s.advice == nil {
 		s.advice = &stepAdvice{}
 	}
 	a := s.advice
-	if len(a.tickets) > 0 && t.now.Before(a.validUntil) {
+	if t.now.Before(a.validUntil) && t.ticketsSuffice(a, w.step) {
 		return a.tickets
 	}
 	if a.inFlight || t.now.Before(a.retryAt) || t.cfg.Advisor == nil {
@@ -459,6 +459,18 @@
 	return nil
 }
 
+// ticketsSuffice reports whether tickets are left for present lifetimes of workers; a gang needs all that
+// the advisor has issued.
+func (t *term) ticketsSuffice(a *stepAdvice, s *Step) bool {
+	present := 0
+	for l := range a.tickets {
+		if w := t.workers[l.Worker]; w != nil && w.info.Lifetime == l {
+			present++
+		}
+	}
+	return present > 0 && (!s.Gang || present == len(a.tickets))
+}
+
 // dropTicket discards the whole advice when a worker refused one of its tickets, so that
 // the advisor is asked again. Other workers may refuse the remaining tickets too.
 func (t *term) dropTicket(r *run) {
@@ -467,7 +479,7 @@
 		return
 	}
 	a := o.steps[r.key.step].advice
-	if a != nil && a.tickets[r.worker.info.Worker] == r.ticket {
+	if a != nil && a.tickets[r.worker.info.Lifetime] == r.ticket {
 		a.tickets = nil
 		a.retryAt = t.now.Add(adviceRetryPause)
 	}
@@ -475,7 +487,7 @@
 
 // adviceCandidates returns a random choice of workers on which the step fits. For an idle job of
 // fillers that fits on none it returns workers that may run it at a reduced pace.
-func (t *term) adviceCandidates(p *placement, w *waitingStep) []model.WorkerID {
+func (t *term) adviceCandidates(p *placement, w *waitingStep) []Lifetime {
 	most := maxAdviceWorkers
 	if w.step.Gang { // the advisor may allow a part of them only
 		most = min(max(2*w.step.Count, maxAdviceWorkers), maxGangAdviceWorkers)
@@ -488,11 +500,11 @@
 }
 
 // chooseCandidates returns a random choice of at most the given number of workers that suit.
-func (t *term) chooseCandidates(workers []*worker, most int, suits func(*worker) bool) []model.WorkerID {
-	var ids []model.WorkerID
+func (t *term) chooseCandidates(workers []*worker, most int, suits func(*worker) bool) []Lifetime {
+	var ids []Lifetime
 	for _, i := range t.random.Perm(len(workers)) {
 		if suits(workers[i]) {
-			ids = append(ids, workers[i].info.Worker)
+			ids = append(ids, workers[i].info.Lifetime)
 		}
 		if len(ids) == most {
 			break
@@ -505,17 +517,23 @@
 type adviceReply struct {
 	advice *stepAdvice
 	step   string
-	answer Advice
-	asked  time.Time
-	err    error
+	// workers are those that were asked for. A ticket is valid in one lifetime only; the advisor names ids.
+	workers []Lifetime
+	answer  Advice
+	asked   time.Time
+	err     error
 }
 
-func (t *term) askAdvisor(a *stepAdvice, step string, workers []model.WorkerID) {
+func (t *term) askAdvisor(a *stepAdvice, step string, workers []Lifetime) {
 	ctx, cancel := context.WithTimeout(t.ctx, adviceTimeout)
 	defer cancel()
+	ids := make([]model.WorkerID, len(workers))
+	for i, w := range workers {
+		ids[i] = w.Worker
+	}
 	asked := time.Now()
-	answer, err := t.cfg.Advisor.Advise(ctx, step, workers)
-	t.post(adviceReply{a, step, answer, asked, err})
+	answer, err := t.cfg.Advisor.Advise(ctx, step, ids)
+	t.post(adviceReply{a, step, workers, answer, asked, err})
 }
 
 func (e adviceReply) handle(t *term) {
@@ -523,7 +541,12 @@
 	if e.err != nil || len(e.answer.Tickets) == 0 {
 		e.advice.retryAt = t.now.Add(adviceRetryPause)
 	}
-	e.advice.tickets = e.answer.Tickets
+	e.advice.tickets = make(map[Lifetime]string, len(e.answer.Tickets))
+	for _, w := range e.workers {
+		if ticket := e.answer.Tickets[w.Worker]; ticket != "" {
+			e.advice.tickets[w] = ticket
+		}
+	}
 	e.advice.validUntil = e.asked.Add(e.answer.Valid - adviceMargin)
 	t.planDue = true
 	entry := t.log.WithFields(logrus.Fields{"decision": "advice", "step": e.step, "candidates": len(e.answer.Tickets)})
