--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -288,6 +288,7 @@
 		RunsKnown: t.allRunsKnown()}
 	r.describeFormer(t.now, t.formerLeaderRenewedBy, t.silent)
 	r.Witnesses = recordOf(t.witnesses.declared)
+	r.UnverifiedOrdersEnd = t.unverifiedOrdersEnd()
 	if t.sentSinceResume(t.storeClock.at) {
 		r.StoreNow = t.storeClock.upperBound(t.now)
 	}
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -385,6 +385,9 @@
 		former = leaderRecord{}
 	}
 	r := leaderRecord{Term: number, LeaseRecordsSince: former.leaseRecordsSince(number), Witnesses: recordOf(f.inheritedWitnesses(n.cfg.Node))}
+	if r.UnverifiedOrdersEnd = former.UnverifiedOrdersEnd; !f.known {
+		r.UnverifiedOrdersEnd = new(time.Duration)
+	}
 	renewedBy, silent := n.formerLeaders(f, now)
 	r.describeFormer(now, renewedBy, silent)
 	return r
@@ -443,6 +446,7 @@
 		t.storeClock = begun
 	}
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
+	t.unverifiedOrdersBy = unverifiedOrdersBy(record.UnverifiedOrdersEnd, begun, t.formerOrdersBy)
 	t.hostUse = n.hostUse
 	t.cellLoads, t.notify, t.evacuate, t.askForRoom, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, n.askForRoom, &n.operator
 	c.term.Store(t)
--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -87,3 +87,66 @@
 		}
 	}
 }
+
+// During an upgrade a poll of a former leader, which sent its deadline to whichever lifetime answered, set a
+// lease that outlasts those of the term that follows.
+func TestLeasesBesideEarlierVersionsAreBounded(t *testing.T) {
+	const ownLimit = 10 * time.Second
+	lease := maxRealDuration(ownLimit) + leaseMargin
+	for name, test := range map[string]struct {
+		ordersBy time.Duration // after the worker's first answer
+		bound    time.Duration
+	}{
+		"orders may be on their way": {8 * time.Second, lease},
+		"the last has arrived":       {-3 * time.Second, lease - 3*time.Second},
+		"its leases are over":        {-11 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, loaded := range []bool{true, false} {
+				tm, all, _ := loadingTerm(t, 1)
+				tm.loaded, tm.cfg.Bounds.LeaseMax = loaded, ownLimit
+				tm.formerLeaderRenewedBy = tm.now.Add(-maxLeaseReach - time.Second)
+				tm.unverifiedOrdersBy = tm.now.Add(test.ordersBy)
+				w := all[0]
+				w.inheritedLeaseEnd = tm.formerLeasesEnd()
+				answered := tm.now
+				earlyAnswer(tm, w)
+				w.leaseDeadline, w.offeredDeadline = 0, 0
+				if test.bound == 0 {
+					require.True(t, w.leaseEnd().Before(answered))
+					continue
+				}
+				require.Equal(t, answered.Add(test.bound), w.leaseEnd())
+				tm.now = tm.now.Add(2 * time.Second)
+				tm.fenceFormerLeases(w)
+				require.Equal(t, answered.Add(test.bound), w.leaseEnd(), "it carries out no order of earlier terms any more")
+
+				end := tm.unverifiedOrdersEnd()
+				require.Nil(t, end, "the store's clock is not known")
+				tm.storeClock = storeReading{time.Hour, tm.now}
+				end = tm.unverifiedOrdersEnd()
+				require.WithinDuration(t, tm.unverifiedOrdersBy, tm.now.Add(*end-time.Hour), 0)
+				tm.now = tm.unverifiedOrdersBy.Add(lease + time.Millisecond)
+				require.Zero(t, *tm.unverifiedOrdersEnd())
+			}
+		})
+	}
+	formerOrders := epoch.Add(-time.Second)
+	require.Equal(t, formerOrders.Add(maxOrderAge+answerTimeoutMax+maxOrderDelay), unverifiedOrdersBy(nil, storeReading{time.Hour, epoch}, formerOrders), "a row of an earlier version")
+	require.Zero(t, unverifiedOrdersBy(new(time.Duration), storeReading{time.Hour, epoch}, formerOrders))
+}
+
+// A worker whose lease may outlast those of the term left the list and came back as one that has none.
+func TestUnknownLeaseOutlastsTheEntryOfItsWorker(t *testing.T) {
+	tm := loadedTerm(t)
+	w := testWorker("w")
+	w.observeClock(time.Minute, tm.now)
+	w.longestLease, w.inheritedLeaseEnd = 10*time.Second, tm.now.Add(8*time.Second)
+	tm.workers["w"], tm.confirmedAt = w, tm.now
+	tm.unlistWorker(w)
+	tm.expireLeases()
+	require.Same(t, w, tm.workers["w"])
+	tm.now = tm.now.Add(8 * time.Second)
+	tm.expireLeases()
+	require.Empty(t, tm.workers)
+}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -216,3 +216,44 @@
 		t.markLost(r, reasonRefused)
 	}
 }
+
+// Versions before the rule of Workers sent the deadline of a poll to whichever lifetime answered. During an
+// upgrade a worker may have taken one from a former leader, or take it until it has answered this term.
+
+// unverifiedOrdersBy returns the local time by which the last order of such a version has arrived, for a
+// term that began with a record. formerOrdersBy is when the former leader gave its last order.
+func unverifiedOrdersBy(end *time.Duration, begun storeReading, formerOrdersBy time.Time) time.Time {
+	switch {
+	case end == nil || *end > 0 && begun.now == 0:
+		return formerOrdersBy.Add(maxOrderAge + answerTimeoutMax + maxOrderDelay)
+	case *end == 0:
+		return time.Time{}
+	}
+	return time.Now().Add(*end - begun.now)
+}
+
+// unverifiedOrdersEnd returns the term's UnverifiedOrdersEnd for the next one. It is nil until the store's
+// clock is known.
+func (t *term) unverifiedOrdersEnd() *time.Duration {
+	switch {
+	case t.now.After(t.unverifiedOrdersBy.Add(maxRealDuration(t.workerLeaseMax()) + leaseMargin)):
+		return new(time.Duration)
+	case t.storeClock.at.IsZero():
+		return nil
+	}
+	end := t.storeClock.upperBound(t.unverifiedOrdersBy)
+	return &end
+}
+
+// fenceFormerLeases bounds the leases of earlier terms on a worker that has answered this one. Deadlines
+// that were meant for a former lifetime are bounded by the worker's own limit only.
+func (t *term) fenceFormerLeases(w *worker) {
+	if !w.fenced && !t.unverifiedOrdersBy.IsZero() {
+		lease := t.workerLeaseMax()
+		if end := earliest(t.now, t.unverifiedOrdersBy).Add(maxRealDuration(lease) + leaseMargin); end.After(t.now) {
+			w.longestLease, w.inheritedLeaseEnd = lease, latest(w.inheritedLeaseEnd, end)
+		}
+	}
+	w.fenced = true
+	w.fenceFormerLeases(t.now)
+}
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -261,7 +261,7 @@
 	}
 	if first {
 		t.logFirstAnswer(w)
-		w.fenceFormerLeases(t.now)
+		t.fenceFormerLeases(w)
 		t.refuseUnansweredStarts(w)
 		t.planDue = true
 	}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -191,6 +191,10 @@
 	// StoreNow is the store's monotonic clock when the row was made, at the latest; 0 if unknown. A node
 	// that first sees the row later, as after an outage, knows by it how old the renewal is.
 	StoreNow time.Duration `cbor:"19,keyasint,omitempty"`
+	// UnverifiedOrdersEnd is the store's monotonic clock when the last order of a version has arrived that
+	// sent deadlines to whichever lifetime of a worker answered; 0 if there is none that matters. It is nil
+	// in rows of such versions.
+	UnverifiedOrdersEnd *time.Duration `cbor:"20,keyasint,omitempty"`
 }
 
 // leaseRecordsSince returns LeaseRecordsSince of the term that follows r.
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -373,7 +373,7 @@
 			}
 			continue
 		}
-		if w.departedIdle() {
+		if w.departedIdle() && !w.leaseUnknown(t.now) {
 			t.removeWorker(w, "left")
 			continue
 		}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -101,6 +101,9 @@
 	// formerOrdersBy is the same for a former leader that has not released leadership, else the
 	// latest moment at which it may have given an order.
 	formerOrdersBy time.Time
+	// unverifiedOrdersBy is when the last order of a version has arrived that sent deadlines to whichever
+	// lifetime of a worker answered; zero if there is none.
+	unverifiedOrdersBy time.Time
 	// witnesses are other processes that know whether the store answers; see leaseReach.
 	witnesses   leaderWitnesses
 	suspensions suspensions
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -145,8 +145,9 @@
 	// are none.
 	ordersArriveBy time.Time
 
-	// answered means that the worker has answered in this term.
-	answered bool
+	// answered means that the worker has answered in this term, fenced that it carries out no order of
+	// earlier terms since.
+	answered, fenced bool
 	// earlyReport is the worker's latest report while the term reads its tables; see applyEarlyReports.
 	earlyReport *pollReply
 	// recordedRuns are those of a lease record until the term has read its tables.
@@ -312,6 +313,12 @@
 	return !w.listed && w.answered && len(w.runs) == 0 && w.lastAckedEnd >= w.lastSeenEnd
 }
 
+// leaseUnknown reports whether a lease may outlast those of this term at now, which its entry does not tell
+// when it comes back.
+func (w *worker) leaseUnknown(now time.Time) bool {
+	return w.longestLease > maxLease && now.Before(w.inheritedLeaseEnd)
+}
+
 // hasTrialRun reports whether a run has started on w since its last quarantine. Older runs
 // prove nothing, as some workers fail only new starts, and those at a reduced pace prove little.
 func (w *worker) hasTrialRun() bool {
