--- a/internal/fleet/model_check_test.go
+++ b/internal/fleet/model_check_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -127,6 +128,8 @@
 	judged int
 	// maintained is the worker whose maintenance was requested; empty for none.
 	maintained string
+	// restarts are the series of silent restarts that are under way.
+	restarts sync.WaitGroup
 	// storeImpairedUntil is when the last fault of the store ends, in nanoseconds.
 	storeImpairedUntil atomic.Int64
 	// trace holds the actions and what workers did, and with FLEET_LOG the nodes' lines too.
@@ -146,9 +149,12 @@
 	crashing bool
 	// cutReports makes reports list modelListedEnds.
 	cutReports bool
-	// partitions cuts leaders off with some workers, beside which the lead is handed on. No worker
-	// starts again then: that breaks a promise by itself (KNOWN-RED 11).
+	// partitions cuts leaders off with some workers, beside which the lead is handed on. Workers
+	// start again silently only then.
 	partitions bool
+	// unverifiedDeadlines makes polls carry lease deadlines to whichever lifetime answers, as earlier
+	// versions do. FLEET_UNVERIFIED_DEADLINES sets it.
+	unverifiedDeadlines bool
 }
 
 // TestLeaderModel plays random sequences of submissions, cancellations and faults, and judges what
@@ -176,6 +182,7 @@
 		require.NoError(t, flag.Set("rapid.seed", seed))
 		require.NoError(t, flag.Set("rapid.checks", checks))
 	}
+	v.unverifiedDeadlines = os.Getenv("FLEET_UNVERIFIED_DEADLINES") != ""
 	t.Parallel()
 	played, failed := 0, false
 	rapid.Check(t, func(rt *rapid.T) {
@@ -227,8 +234,10 @@
 	}
 	c.Workers.Trace = &m.trace
 	m.c, m.h = c, newHistoryCallers(c)
+	m.drawLeases(rt)
 	c.Inventory.InTouch, c.Checker.InTouch = m.storeStable, m.storeStable
 	defer func() {
+		m.restarts.Wait()
 		m.h.calls.Wait()
 		c.StopAll()
 		time.Sleep(linkDrain)
@@ -247,6 +256,7 @@
 		"lose orders":        m.loseOrders,
 		"restart workers":    m.restartWorkers,
 		"crash workers":      m.crashWorkers,
+		"restart silently":   m.restartSilently,
 		"cut a worker":       m.cutWorker,
 		"change the leader":  m.changeLeader,
 		"store outage":       m.storeOutage,
@@ -259,6 +269,9 @@
 		delete(actions, "crash workers")
 		actions["cut off a leader"], actions["cut off one leader"] = m.cutOffLeader, m.cutOffLeader
 	}
+	if pick(rt, "mostly silent restarts", 3) == 0 {
+		actions = m.mostlySilentRestarts(actions)
+	}
 	rt.Repeat(actions)
 	m.calm(rt)
 }
@@ -290,10 +303,14 @@
 }
 
 func (m *leaderModel) submit(rt *rapid.T) {
+	m.submitKind(rt, m.kinds[pick(rt, "kind", len(m.kinds))])
+}
+
+func (m *leaderModel) submitKind(rt *rapid.T, kind modelKind) {
 	if len(m.jobs) == maxModelJobs {
 		return
 	}
-	id := modelJobID(len(m.jobs), m.kinds[pick(rt, "kind", len(m.kinds))])
+	id := modelJobID(len(m.jobs), kind)
 	m.jobs = append(m.jobs, id)
 	n := m.node(rt)
 	m.log("submit %s of kind %d at %s", id, kindOf(id), n.Name)
--- a/internal/fleet/model_judgement_test.go
+++ b/internal/fleet/model_judgement_test.go
@@ -17,6 +17,7 @@
 	if m.variant.partitions {
 		begun = maxPartition
 	}
+	m.restarts.Wait()
 	time.Sleep(begun) // what was begun ends
 	m.c.Checker.Calm()
 	calm := time.Now()
--- a/internal/fleet/silent_restart_test.go
+++ b/internal/fleet/silent_restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -52,3 +53,54 @@
 		})
 	}
 }
+
+// The simulated workers show the fault if polls carry deadlines to whoever answers, as those of earlier
+// versions do, and don't otherwise.
+func TestStandInsShowLeaseOfNextLifetime(t *testing.T) {
+	const restarted = 2 // of 3 workers, which have room for two tasks each
+	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 20 * time.Second, Needs: wideNeeds} }
+	spec := fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: wideNeeds, Estimate: 20 * time.Second}}}
+	for _, unverified := range []bool{false, true} {
+		t.Run("unverified="+strconv.FormatBool(unverified), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := fleettest.NewCluster(770, 3, 3, long)
+				c.Workers.WithLock(func() {
+					c.Workers.LeaseMax, c.Workers.UnverifiedDeadlines = longLease, unverified
+				})
+				for _, w := range c.AllWorkers() {
+					c.Workers.SetClock(w, time.Hour, 1) // deadlines lie far ahead for lifetimes to come
+				}
+				defer func() {
+					c.StopAll()
+					time.Sleep(linkDrain)
+				}()
+				c.StartAll()
+				time.Sleep(settleTime)
+				submit(t, c, jobID(0), spec)
+				time.Sleep(2 * time.Second)
+				c.Workers.WithLock(func() { c.Workers.NewConnectionShare = 1 })
+				for _, w := range c.AllWorkers()[:restarted] {
+					c.Workers.Silence(w)
+				}
+				time.Sleep(600 * time.Millisecond)
+				c.Workers.WithLock(func() { c.Workers.NewConnectionShare = 0 })
+				var next []*fleettest.Worker
+				for _, w := range c.AllWorkers()[:restarted] {
+					n := c.StartWorker(string(w.Info.Worker))
+					c.Workers.SetClock(n, time.Second, 1)
+					time.AfterFunc(entryDelay, func() { c.List(n) })
+					next = append(next, n)
+				}
+				time.Sleep(2 * time.Second)
+				c.AddWorker("w3") // room for tasks that are taken for lost
+				for _, n := range c.Nodes {
+					for _, w := range next {
+						n.Workers.Cut(w, true)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				require.Equal(t, unverified, len(c.Checker.Violations()) > 0, "%v", c.Checker.Violations())
+			})
+		})
+	}
+}
