--- a/internal/fleet/interference.go
+++ b/internal/fleet/interference.go
@@ -149,11 +149,13 @@
 	m := h.model(r.step.Image)
 	m.highestHeadroom = max(m.highestHeadroom, headroom)
 	fillerShares := r.worker.exposures.average(now)
-	switch {
-	case headroom >= clearHeadroom || !r.worker.fillersWork():
-		r.strainedSince = time.Time{}
-	case headroom < 1 && r.strainedSince.IsZero():
-		r.strainedSince = now
+	if headroom >= clearHeadroom || !r.worker.fillersWork() {
+		r.nearTargetSince, r.strainedSince = time.Time{}, time.Time{}
+	} else {
+		r.nearTargetSince = earliestSet(r.nearTargetSince, now)
+		if headroom < 1 && r.strainedSince.IsZero() {
+			r.strainedSince = strainStart(r.nearTargetSince, now)
+		}
 	}
 	for image := range fillerShares {
 		h.fillerImages[image] = true
@@ -186,6 +188,13 @@
 	r.lastSample = headroomSample{now, headroom, fillerShares, baseline, offset}
 }
 
+// strainStart returns since when a service counts as strained whose reading is over its target at now
+// and has not been clearly below it since nearSince. The readings between may have erred to the lower
+// side.
+func strainStart(nearSince, now time.Time) time.Time {
+	return earliest(latest(nearSince.Add(pollWait), now.Add(-strainBackdate)), now)
+}
+
 // fillersWork reports whether a filler on w has not been paused.
 func (w *worker) fillersWork() bool {
 	for _, r := range w.runs {
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -33,6 +33,10 @@
 	// pauseStrainedAfter is the same for a service that is strained. With the time to the first
 	// reading and to the answer of the pace order it stays below the contract's bound.
 	pauseStrainedAfter = 1600 * time.Millisecond
+	// strainBackdate is how much of the time with readings near the target, before the first one
+	// over it, counts as strained at most. What is left of pauseStrainedAfter leaves room for a
+	// second reading.
+	strainBackdate = 1000 * time.Millisecond
 	// pausedTimeout is how long a filler may be paused before it is stopped to run elsewhere.
 	// It is about the time that this costs: 400 ms for the stop, 250 ms to restore progress,
 	// and a start.
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -77,7 +77,10 @@
 	// strainedSince is since when a serving task beside fillers has exceeded its latency target
 	// without being clearly below it again; zero otherwise.
 	strainedSince time.Time
-	lastSample    headroomSample
+	// nearTargetSince is since when no reading of a serving task beside fillers has been clearly
+	// below its latency target; zero otherwise.
+	nearTargetSince time.Time
+	lastSample      headroomSample
 	// pace is the share of its full speed at which a filler may work, in percent.
 	pace int
 	// startPace is the pace that is set once the run has started; 0 for full pace. reduced means
