--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -202,8 +202,11 @@
 }
 
 // dirtyJobs returns the jobs whose progress is not stored, first those that found too little space
-// in an earlier transaction.
+// in an earlier transaction. Until the tables are applied, what is stored may be newer.
 func (t *term) dirtyJobs() []*job {
+	if len(t.tableSteps) > 0 {
+		return nil
+	}
 	var first, others []*job
 	for _, j := range t.jobs {
 		switch {
--- a/internal/fleet/early_reports_test.go
+++ b/internal/fleet/early_reports_test.go
@@ -91,7 +91,7 @@
 	info := w.info
 	info.Born++
 	// the change that handleWorkerRow gets from tablesLoaded.changes
-	tablesLoaded{changes: []event{replaceEntry{w, info}}}.handle(tm)
+	tablesLoaded{changes: &changeBuffer{held: []event{replaceEntry{w, info}}}}.handle(tm)
 	next := tm.workers[info.Worker]
 	if next != w {
 		require.False(t, tm.lastLeaseEnd(next).Before(granted), "counts as over %v before a lease that this term has granted to the lifetime that answers", granted.Sub(tm.lastLeaseEnd(next)))
--- a/internal/fleet/fleettest/host.go
+++ b/internal/fleet/fleettest/host.go
@@ -21,14 +21,14 @@
 	WorkerCall, NewConnection, StoreCall, PeerCall time.Duration
 	// StoreMB is the time of a megabyte of values, written or read.
 	StoreMB time.Duration
-	// Event and Plan are those of a leader's loop.
-	Event, Plan time.Duration
+	// Event and Plan are those of a leader's loop, Row that of a row that it applies when its term begins.
+	Event, Plan, Row time.Duration
 }
 
 // LeaderCosts are those in the profile of a leader of 350 workers.
 var LeaderCosts = Costs{
 	WorkerCall: 300 * time.Microsecond, NewConnection: 500 * time.Microsecond, StoreCall: 300 * time.Microsecond, PeerCall: 300 * time.Microsecond,
-	StoreMB: 10 * time.Millisecond, Event: 100 * time.Microsecond, Plan: time.Millisecond,
+	StoreMB: 10 * time.Millisecond, Event: 100 * time.Microsecond, Plan: time.Millisecond, Row: 40 * time.Microsecond,
 }
 
 const (
@@ -129,10 +129,7 @@
 	if !h.modelled() {
 		return
 	}
-	cost := h.costs.Event
-	if plans() {
-		cost = h.costs.Plan
-	}
+	cost := h.loopCost()
 	h.mu.Lock()
 	now := time.Now()
 	wait := h.queue(cost)
@@ -147,17 +144,19 @@
 	}
 }
 
-// plans reports whether a plan has called the event hook, and no event.
-func plans() bool {
+// loopCost returns the processor time of what has called the event hook.
+func (h *host) loopCost() time.Duration {
 	callers := make([]uintptr, 8)
 	frames := runtime.CallersFrames(callers[:runtime.Callers(1, callers)])
 	for {
 		f, more := frames.Next()
-		if strings.HasSuffix(f.Function, ").handleQueued") {
-			return false
-		}
-		if !more {
-			return true
+		switch {
+		case strings.HasSuffix(f.Function, ").handleQueued"):
+			return h.costs.Event
+		case strings.HasSuffix(f.Function, ").applyTables"):
+			return h.costs.Row
+		case !more:
+			return h.costs.Plan
 		}
 	}
 }
--- a/internal/fleet/loading.go
+++ b/internal/fleet/loading.go
@@ -118,7 +118,7 @@
 		t.renewalsFailedAt = t.now
 	}
 	since := slices.MaxFunc([]time.Time{t.startedAt, t.renewalsFailedAt, t.lastReadAnswer()}, time.Time.Compare)
-	if t.stopping || t.now.Sub(since) <= loadStallTimeout {
+	if t.stopping || len(t.tableSteps) > 0 || t.now.Sub(since) <= loadStallTimeout {
 		return
 	}
 	t.log.WithField("stalled_ms", t.now.Sub(since).Milliseconds()).Warn("the tables cannot be read; another node may lead")
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -308,25 +308,38 @@
 }
 
 func (e movedRows) handle(t *term) {
+	for _, apply := range e.steps(t) {
+		apply()
+	}
+	if e.full {
+		for _, j := range t.jobs {
+			t.sendLentTasks(j, j.sentTasks()) // to learn of returns that were missed
+		}
+	}
+}
+
+// steps returns a step for each row that applies it.
+func (e movedRows) steps(t *term) []func() {
 	rows := slices.Clone(e.rows)
 	slices.SortFunc(rows, func(a, b Row) int { // a job, or a task of it, before its cancellation
 		return cmp.Or(cmp.Compare(cancellationRank(a), cancellationRank(b)), cmp.Compare(a.Key, b.Key))
 	})
+	var steps []func()
 	for _, row := range rows {
-		if t.applyReturn(row); row.Part != t.part {
-			continue
-		}
-		if row.Removed {
-			delete(t.returnedLoans, row.Key)
-		}
-		if row.Removed || !t.acceptLentTask(row, e.storeNow) {
-			t.applyJobRow(row, e.storeNow)
-		}
+		steps = append(steps, func() { e.apply(t, row) })
 	}
-	if e.full {
-		for _, j := range t.jobs {
-			t.sendLentTasks(j, j.sentTasks()) // to learn of returns that were missed
-		}
+	return steps
+}
+
+func (e movedRows) apply(t *term, row Row) {
+	if t.applyReturn(row); row.Part != t.part {
+		return
+	}
+	if row.Removed {
+		delete(t.returnedLoans, row.Key)
+	}
+	if row.Removed || !t.acceptLentTask(row, e.storeNow) {
+		t.applyJobRow(row, e.storeNow)
 	}
 }
 
--- a/internal/fleet/progress_rows.go
+++ b/internal/fleet/progress_rows.go
@@ -273,9 +273,9 @@
 // unknownSum marks a chunk of an earlier term, which is written again.
 const unknownSum = 0
 
-// restoreProgress applies the progress of jobs that an earlier term has stored. The chunks of a
-// job follow its head.
-func (t *term) restoreProgress(rows []Row) {
+// progressSteps returns a step for each job that restores the progress that an earlier term has stored. The chunks
+// of a job follow its head.
+func (t *term) progressSteps(rows []Row) []func() {
 	chunks := map[string][]Row{}
 	for _, row := range rows {
 		if id, _, ok := strings.Cut(row.Key, chunkInfix); ok {
@@ -286,15 +286,19 @@
 	for _, row := range rows {
 		stored[row.Key] = true
 	}
+	var steps []func()
 	for _, row := range rows {
-		j := t.jobs[row.Key]
-		if j == nil && !stored[loanKey(row.Key)] {
-			j = t.jobs[loanKey(row.Key)] // as older versions store the progress of borrowed tasks
-		}
-		if j != nil {
-			t.restoreJobProgress(j, row, chunks[row.Key])
-		}
+		steps = append(steps, func() {
+			j := t.jobs[row.Key]
+			if j == nil && !stored[loanKey(row.Key)] {
+				j = t.jobs[loanKey(row.Key)] // as older versions store the progress of borrowed tasks
+			}
+			if j != nil {
+				t.restoreJobProgress(j, row, chunks[row.Key])
+			}
+		})
 	}
+	return steps
 }
 
 func (t *term) restoreJobProgress(j *job, head Row, chunks []Row) {
--- a/internal/fleet/progress_rows_test.go
+++ b/internal/fleet/progress_rows_test.go
@@ -231,3 +231,10 @@
 	require.NoError(t, Limits{RowBytes: 4096}.checkProgress(Spec{Steps: []Step{{Count: 2000}}}))
 	require.True(t, model.IsKind(Limits{RowBytes: 4096}.checkProgress(often), model.KindInvalid))
 }
+
+// restoreProgress applies rows of progress in one piece.
+func (t *term) restoreProgress(rows []Row) {
+	for _, step := range t.progressSteps(rows) {
+		step()
+	}
+}
--- a/internal/fleet/small_hosts_test.go
+++ b/internal/fleet/small_hosts_test.go
@@ -226,3 +226,15 @@
 		}
 	}
 }
+
+// A small leader applied the rows of thousands of jobs in one piece, without a renewal for longer than nodes wait for
+// one: each term ended when it had read its tables, and none started work.
+func TestSmallHostAppliesManyJobs(t *testing.T) {
+	slow := hostSize{60, 4 * narrowLink}
+	playRestart(t, 990, restartSize{60, 2, 4 * storedJobs, slow}, func(t *testing.T, p *restartPlay) {
+		r := p.run(t, smallLead)
+		t.Logf("%d terms; tables read, lasting tasks run, half and all in use after %v", r.terms, r.seconds())
+		require.Equal(t, 1, r.terms, "terms")
+		require.Less(t, r.half, smallLead)
+	})
+}
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -198,7 +198,7 @@
 	}
 }
 
-// changeBuffer holds back the changes of watched tables until the term has read all tables.
+// changeBuffer holds back the changes of watched tables until the term has applied all tables.
 // Each table is watched as soon as it has been read: reading the others may take seconds, and
 // a start must not be decided on outdated rows.
 type changeBuffer struct {
@@ -219,12 +219,16 @@
 	c.held = append(c.held, e)
 }
 
-// release posts the rows that were read to the loop, with the changes held back since.
-func (c *changeBuffer) release(e tablesLoaded) {
+// release returns the changes held back so far, in order. Later ones are posted.
+func (c *changeBuffer) release() []event {
+	if c == nil {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e.changes, c.held, c.released = c.held, nil, true
-	c.t.post(e)
+	held := c.held
+	c.held, c.released = nil, true
+	return held
 }
 
 // pauseByCells returns the pause between two watches in a fleet of one cell, or in one of several.
@@ -302,9 +306,9 @@
 			return
 		}
 	}
-	e := tablesLoaded{jobs: rows[2], progress: rows[3], models: rows[4], waves: rows[5], storeNow: pages[2].Now}
+	e := tablesLoaded{jobs: rows[2], progress: rows[3], models: rows[4], waves: rows[5], storeNow: pages[2].Now, changes: buffer}
 	if t.layout.Cells > 1 {
 		e.moved = rows[6]
 	}
-	buffer.release(e)
+	t.post(e)
 }
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -65,6 +65,7 @@
 	adoptedRuns                        int // runs adopted from earlier terms
 	loaded                             bool
 	workersLoaded                      bool                      // the workers that may hold runs are known, see workersLoaded
+	tableSteps                         []func()                  // what is left to do before the term has loaded its tables, see applyTables
 	readAnsweredAt                     atomic.Pointer[time.Time] // the last answered read; nil before the first
 	readLimiter                        *readLimiter
 	// renewalsFailedAt is when renewals failed last before the tables were read. loadStalled means
@@ -292,6 +293,9 @@
 // onTick runs the work that is due by time.
 func (t *term) onTick() {
 	t.askWitnesses()
+	if !t.loaded {
+		t.applyTables()
+	}
 	if !t.loaded {
 		t.releaseIfLoadStalls()
 		if t.workersLoaded {
@@ -340,45 +344,6 @@
 	}
 }
 
-// tablesLoaded carries the rows from which a term starts, but for those of workersLoaded.
-type tablesLoaded struct {
-	jobs, moved, progress, models, waves []Row
-	storeNow                             time.Duration
-	// changes are the changes since the tables were read, in order.
-	changes []event
-}
-
-func (e tablesLoaded) handle(t *term) {
-	if t.stopping {
-		return // the term gives no orders any more, and records of earlier terms hold
-	}
-	t.applyOperatorRows(t.operator.snapshot())
-	t.jobsReadAt = e.storeNow
-	for _, row := range e.jobs {
-		t.handleJobRow(row, e.storeNow)
-	}
-	movedRows{e.moved, e.storeNow, false}.handle(t)
-	t.restoreProgress(e.progress)
-	movedRows{e.moved, e.storeNow, false}.handle(t) // again, for tasks lent since the progress was stored
-	for _, row := range e.waves {
-		t.restoreWave(row)
-	}
-	for _, row := range e.models {
-		t.restoreModels(row)
-	}
-	t.loaded, t.planDue = true, true
-	inherited, recorded, recordedRuns := t.adoptRecordedRuns()
-	for _, c := range e.changes {
-		c.handle(t)
-	}
-	early := t.applyEarlyReports()
-	t.resendMoves()
-	t.readCancellationsOfMovedJobs()
-	t.log.WithFields(logrus.Fields{"jobs": len(t.jobs), "workers": len(t.workers), "used_workers": inherited,
-		"recorded_workers": recorded, "recorded_runs": recordedRuns, "early_reports": early, "took_ms": time.Since(t.startedAt).Milliseconds(), "records_since": t.leaseRecordsSince, "configuration": t.configurationVersion()}).Info("term has loaded its tables")
-	t.schedulePolls()
-}
-
 func (t *term) configurationVersion() uint64 {
 	if t.configuration == nil {
 		return 0
