--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -20,7 +20,7 @@
 	l := logrus.New()
 	l.SetOutput(out)
 	l.SetLevel(lvl)
-	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000000Z07:00"})
+	l.SetFormatter(lineFormatter{})
 	return l.WithField("node", string(node)), nil
 }
 
