--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -100,6 +100,9 @@
 		j.restore(*r.Progress, t.now, t.monotonicTime)
 	}
 	t.jobs[j.key()] = j
+	if j.spec.Repeats > 0 {
+		t.scheduledJobs = append(t.scheduledJobs, j)
+	}
 	t.restoreQueue(r)
 	t.confirmationDue = t.confirmationDue || !t.jobConfirmed(j)
 	j.openDue(t.now, 0, t.monotonicTime)
@@ -408,12 +411,18 @@
 	unreachableTimeout = 15 * time.Second
 	// retentionMargin is added to the retention time of finished jobs.
 	retentionMargin = 30 * time.Second
+	// finishedJobsInterval is the interval at which jobs are looked for that are past it.
+	finishedJobsInterval = time.Second
 )
 
 // removeFinishedJobs drops finished jobs after their retention time and deletes their rows. A
 // job that has moved to another cell is dropped when its last cell deletes its row, and one whose
 // tasks are borrowed when it is cancelled.
 func (t *term) removeFinishedJobs() {
+	if t.now.Sub(t.finishedJobsCheckedAt) < finishedJobsInterval {
+		return
+	}
+	t.finishedJobsCheckedAt = t.now
 	t.removeEarlyCancellations()
 	for key, j := range t.jobs {
 		borrowed := len(j.borrowed) > 0 && !j.cancelled
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,9 @@
 	loadStalled      bool
 	assigningRacks   bool // a layout with new racks is being stored
 	jobs             map[string]*job
+	scheduledJobs    []*job // those of them that have a schedule
+	// finishedJobsCheckedAt is when finished jobs were last looked for, see removeFinishedJobs.
+	finishedJobsCheckedAt time.Time
 	// earlyCancellations holds when jobs were cancelled that the term does not know yet.
 	earlyCancellations map[string]time.Time
 	// endedWithoutSuspect is when a worker last ended although no run there had just started.
@@ -337,7 +341,8 @@
 
 // openOccurrences opens the scheduled occurrences that are due.
 func (t *term) openOccurrences() {
-	for _, j := range t.jobs {
+	t.scheduledJobs = slices.DeleteFunc(t.scheduledJobs, func(j *job) bool { return t.jobs[j.key()] != j })
+	for _, j := range t.scheduledJobs {
 		if j.openedOccurrences < j.spec.Occurrences() && !j.over() {
 			j.openDue(t.now, 0, t.monotonicTime)
 		}
--- a/internal/fleet/waits_bench_test.go
+++ b/internal/fleet/waits_bench_test.go
@@ -52,3 +52,20 @@
 		})
 	}
 }
+
+// BenchmarkTickBesideFinishedJobs measures the regular work of the loop beside jobs that are done and kept for
+// their callers.
+func BenchmarkTickBesideFinishedJobs(b *testing.B) {
+	tm := backlogTerm(b, 1000)
+	tm.cfg.Bounds.Retention = 24 * time.Hour
+	for i := range 2500 {
+		j := newJob(fmt.Sprintf("%016x", 1000+i), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 8}}}}, 0, epoch)
+		j.visibleState, j.endedAt, j.openedOccurrences, j.finishedOccurrences[0] = StateCompleted, tm.now, 1, true
+		tm.jobs[j.id] = j
+	}
+	for b.Loop() {
+		tm.now = tm.now.Add(tickInterval)
+		tm.openOccurrences()
+		tm.expireLeases()
+	}
+}
