--- /dev/null
+++ b/internal/fleet/learned_lifetimes_test.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// unnamedWorker returns the info of a worker whose entry names no lifetime.
+func unnamedWorker() WorkerInfo {
+	info := testWorker("w").info
+	info.Born = 0
+	return info
+}
+
+func report(tm *term, w *worker, born int64, clock time.Duration, running ...RunStatus) {
+	w.pollInFlight = true
+	pollReply{worker: w, sent: tm.now, report: Report{Verdict: StartRunning, Born: born, Clock: clock, Running: running}}.handle(tm)
+}
+
+// The row of a worker whose runs go on was deleted, and none was stored in its place, when its report named
+// the lifetime: the next leader did not know that it holds runs.
+func TestLearnedLifetimeKeepsRowOfWorkerWithRuns(t *testing.T) {
+	for name, loaded := range map[string]bool{"while the tables are read": false, "unlisted": true} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			tm.loaded, tm.runsKnown = loaded, false
+			info := unnamedWorker()
+			require.True(t, tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, info.Lifetime), Value: encode(newWorker(info).usedIdentity())}, 0, tm.now))
+			w := tm.workers[info.Worker]
+			w.listed = !loaded
+			report(tm, w, 7, time.Minute, RunStatus{RunRef: RunRef{"0000000000000001.0.0.0", 1}})
+			c, _ := tm.collectTransaction()
+			require.True(t, w.usedRowStored || len(c.tx.Puts) >= len(c.tx.Delete), "deletes %v, puts %v", c.tx.Delete, c.tx.Puts)
+		})
+	}
+}
+
+// Entries that name no lifetime told nothing more of a worker whose report had named it.
+func TestEntryWithoutLifetimeStillTellsDraining(t *testing.T) {
+	tm := loadedTerm(t)
+	w := newWorker(unnamedWorker())
+	tm.workers[w.info.Worker] = w
+	report(tm, w, 7, time.Minute)
+	info := unnamedWorker()
+	info.Draining = true
+	tm.updateWorker(w, info)
+	require.True(t, w.info.Draining)
+	require.Equal(t, int64(7), w.info.Born)
+}
+
+// The row of the former lifetime stayed when the next one was the first to tell its name.
+func TestLearnedLifetimeDropsRowOfFormerOne(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.runsKnown = false
+	tm.workers["w"] = newWorker(unnamedWorker())
+	former := testWorker("w")
+	require.True(t, tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, former.info.Lifetime), Value: encode(former.usedIdentity())}, 0, tm.now))
+	w := tm.workers["w"]
+	report(tm, w, 7, time.Minute)
+	require.True(t, tm.usedRowsToDelete[former.info.Lifetime], "rows to delete: %v", tm.usedRowsToDelete)
+}
+
+// The runs that were recorded for a former lifetime counted as all that its next one may hold, as the entry
+// named no lifetime: tasks of that one started elsewhere while they ran.
+func TestRecordOfFormerLifetimeTellsNothingOfNextOne(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.runsKnown, tm.leaseRecordsSince = false, 1
+	tm.workers["w"] = newWorker(unnamedWorker())
+	former, next := testWorker("w"), testWorker("w")
+	next.info.Born++
+	u := former.usedIdentity()
+	u.Leases = leaseRecord{Term: 1, RunsKnown: true, Runs: []storedRun{{Task: "0000000000000001.0.0.0", Attempt: 1}}}
+	tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, former.info.Lifetime), Value: encode(u)}, time.Minute, tm.now)
+	tm.restoreUsedWorker(Row{RowID: usedRow(tm.part, next.info.Lifetime), Value: encode(next.usedIdentity())}, time.Minute, tm.now)
+	w := tm.workers["w"]
+	require.False(t, w.runsKnown)
+	require.Empty(t, w.recordedRuns)
+	require.False(t, tm.accountedFor(w), "its runs are not known")
+}
+
+// The clock in an answer to a stop, on a connection on which nobody had reported, counted as that of the
+// lifetime that reported later: the deadlines for it lay far ahead of its clock.
+func TestClockBeforeFirstReportIsNotThatOfLearnedLifetime(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.runsKnown = false
+	w := newWorker(unnamedWorker())
+	tm.workers["w"] = w
+	w.observeReply(WorkerReply{Verdict: StartRunning, Clock: time.Hour}, tm.now)
+	report(tm, w, 7, time.Minute)
+	require.Equal(t, time.Minute+maxLease, w.deadline(tm.now, maxLease))
+}
+
+// A worker that left the list idle and came back began without the leases that orders for a former lifetime
+// had set: a deadline never shortens one.
+func TestRelistedWorkerKeepsLeasesOfFormerOrders(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.cfg.Bounds.LeaseMax = 10 * time.Second
+	w := testWorker("w")
+	tm.workers["w"] = w
+	w.observeClock(time.Minute, tm.now)
+	w.inheritedLeaseEnd = tm.now.Add(10 * time.Second)
+	granted, info := w.leaseEnd(), w.info
+	tm.unlistWorker(w)
+	tm.expireLeases()
+	if tm.workers["w"] == nil {
+		tm.workers["w"] = newWorker(info)
+	}
+	next := tm.workers["w"]
+	tm.updateWorker(next, info)
+	report(tm, next, info.Born, time.Minute)
+	next.extendLease(tm.now, maxLease)
+	require.False(t, next.leaseEnd().Before(granted), "counts as over %v early", granted.Sub(next.leaseEnd()))
+}
