--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -87,3 +87,40 @@
 		}
 	}
 }
+
+// The answer to a probe settled the deadline of the poll in flight, which may still extend the lease.
+func TestProbeDoesNotSettleDeadlineOfPoll(t *testing.T) {
+	tm := loadedTerm(t)
+	log := pollLog{orders: make(chan PollOrder, 10)}
+	tm.cfg.Workers, tm.cfg.Bounds.LeaseMax = log, 8*time.Second
+	w := testWorker("w")
+	tm.workers[w.info.Worker] = w
+	w.observeClock(time.Minute, tm.now)
+	testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+	tm.poll(w)
+	o := <-log.orders
+	require.NotZero(t, o.Deadline)
+	end := w.leaseEnd()
+	pollReply{worker: w, order: PollOrder{Fence: tm.number}, sent: tm.now, probe: true, err: errors.New("no answer")}.handle(tm)
+	require.Equal(t, end, w.leaseEnd())
+	require.True(t, w.pollInFlight)
+}
+
+// The clock in an answer to a stop counted although another lifetime may have given it: the deadlines for the
+// known one lay far ahead of its clock.
+func TestClockOfUnknownLifetimeIsNotTaken(t *testing.T) {
+	for name, sentTo := range map[string]int64{"unknown": 0, "another": 2} {
+		t.Run(name, func(t *testing.T) {
+			tm := loadedTerm(t)
+			tm.cfg.Workers = pollLog{orders: make(chan PollOrder, 10)}
+			w := testWorker("w")
+			tm.workers[w.info.Worker] = w
+			w.observeClock(time.Minute, tm.now)
+			r := testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+			r.state, r.stopInFlight = runStopping, true
+			stopReply{run: r, worker: w, reply: WorkerReply{Verdict: StartRunning, Clock: time.Hour, SentTo: sentTo}}.handle(tm)
+			require.True(t, r.stopAnswered)
+			require.Equal(t, time.Minute, w.clock)
+		})
+	}
+}
