--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -380,6 +380,7 @@
 	}
 	if e.storeNow > 0 {
 		t.storeClock = storeReading{e.storeNow, e.sent}
+		t.storeTime.observe(e.storeNow)
 	}
 	t.lastCommitTime = time.Since(c.startedAt)
 	t.metrics.commitSeconds.Observe(t.lastCommitTime.Seconds())
--- a/internal/fleet/fleettest/store.go
+++ b/internal/fleet/fleettest/store.go
@@ -192,6 +192,8 @@
 	refusedTable string
 	// silentPart is a part of which calls have no effect and get no answer; empty for none.
 	silentPart string
+	// silentReads are tables of which reads and watches get no answer.
+	silentReads []string
 }
 
 // View returns a new view of the store.
@@ -253,6 +255,26 @@
 	return unknown(ctx.Err())
 }
 
+// SilenceReads makes reads and watches of some tables get no answer, and those of all others get theirs
+// again.
+func (v *View) SilenceReads(tables ...string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.silentReads = tables
+}
+
+// awaitTable returns at once unless reads of the table are silent, else an error when ctx ends.
+func (v *View) awaitTable(ctx context.Context, table string) error {
+	v.mu.Lock()
+	silent := slices.Contains(v.silentReads, table)
+	v.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return unknown(ctx.Err())
+}
+
 func (v *View) refuses(tx fleet.Transaction) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -425,6 +447,9 @@
 	if err := v.awaitPart(ctx, part); err != nil {
 		return fleet.Page{}, err
 	}
+	if err := v.awaitTable(ctx, table); err != nil {
+		return fleet.Page{}, err
+	}
 	if err := v.receiveAnswer(ctx); err != nil {
 		return fleet.Page{}, err
 	}
@@ -454,6 +479,9 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
+		if err := v.awaitTable(ctx, table); err != nil {
+			return fleet.Page{}, err
+		}
 		page, changed, err := v.store.changes(table, after)
 		if err != nil || len(page.Rows) > 0 {
 			if _, delay := v.faultAndDelay(); delay > 0 {
@@ -469,6 +497,9 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
+			if err := v.awaitTable(ctx, table); err != nil {
+				return fleet.Page{}, err
+			}
 			if fault, _ := v.faultAndDelay(); fault == Resetting {
 				return fleet.Page{}, unknown(errReset)
 			}
--- a/internal/fleet/held_starts.go
+++ b/internal/fleet/held_starts.go
@@ -33,8 +33,8 @@
 // sendHeldStarts sends the held start orders that may be sent now, in the order of their plan. A task that
 // may not start on its worker any more waits for another place, and with it the other members of its gang.
 func (t *term) sendHeldStarts() {
-	if t.stopsWait {
-		return // stops go first
+	if t.stopsWait || t.jobsOutdated() {
+		return // stops go first, and so do cancellations
 	}
 	held := t.heldStarts
 	t.heldStarts = nil
--- a/internal/fleet/inspect.go
+++ b/internal/fleet/inspect.go
@@ -195,7 +195,7 @@
 func (t *term) whyStepWaits(w *waitingStep) waitReason {
 	p := t.newPlacement(w.queue.Service)
 	switch {
-	case !t.active():
+	case !t.mayPlace():
 		return waitsForLeader
 	case len(p.workers) == 0:
 		return waitsForWorkers
--- a/internal/fleet/loading.go
+++ b/internal/fleet/loading.go
@@ -95,10 +95,11 @@
 	l.rows[table] = min(max(limitedPageBytes*len(rows)/bytes, minPageRows), maxPageRows)
 }
 
-// observedStore notes when a read of rows was last answered.
+// observedStore notes when a read of rows was last answered, and the store's clock by reads and watches.
 type observedStore struct {
 	Store
 	answeredAt *atomic.Pointer[time.Time]
+	time       *storeTime
 }
 
 // List implements Store.
@@ -107,6 +108,16 @@
 	if err == nil {
 		now := time.Now()
 		s.answeredAt.Store(&now)
+		s.time.observe(page.Now)
+	}
+	return page, err
+}
+
+// Watch implements Store.
+func (s observedStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+	page, err := s.Store.Watch(ctx, table, after, wait)
+	if err == nil {
+		s.time.observe(page.Now)
 	}
 	return page, err
 }
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -36,7 +36,7 @@
 // moves jobs that another cell serves better, holds capacity back from new services, and
 // starts what finds a worker.
 func (t *term) plan() {
-	if !t.active() {
+	if !t.mayPlace() {
 		return
 	}
 	if t.layout.Cells > 1 {
--- a/internal/fleet/pressure.go
+++ b/internal/fleet/pressure.go
@@ -33,7 +33,7 @@
 		pending = t.now.Sub(c.startedAt).Milliseconds()
 	}
 	return logrus.Fields{"renewed_ms_ago": t.now.Sub(t.lastRenewal).Milliseconds(), "transaction_ms": t.lastCommitTime.Milliseconds(), "transaction_pending_ms": pending,
-		"longest_round_ms": longest.Milliseconds(), "plan_ms": t.planTime.Milliseconds(), "answer_ms": t.answerTimeout.typical.Milliseconds(), "host_cpu": use.CPU, "host_link": use.Link}
+		"longest_round_ms": longest.Milliseconds(), "plan_ms": t.planTime.Milliseconds(), "answer_ms": t.answerTimeout.typical.Milliseconds(), "jobs_lag_ms": t.jobsLag().Milliseconds(), "host_cpu": use.CPU, "host_link": use.Link}
 }
 
 // logPressure logs, once per pressureLogInterval, how far the work of the term is behind.
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -17,6 +17,8 @@
 	// fullVersion is the version of the store at which rows was the whole content of the
 	// cell's parts; 0 if rows holds changes.
 	fullVersion uint64
+	// knownAt is the store's clock when no other changes had happened; 0 if others may have.
+	knownAt time.Duration
 }
 
 func (e jobRows) handle(t *term) {
@@ -27,6 +29,7 @@
 	for _, row := range e.rows {
 		t.handleJobRow(row, e.storeNow)
 	}
+	t.jobsKnown(e.knownAt)
 	if e.fullVersion > 0 && t.loaded {
 		t.readCancellationsOfMovedJobs()
 	}
--- a/internal/fleet/run_checks.go
+++ b/internal/fleet/run_checks.go
@@ -176,7 +176,7 @@
 // slow. The first run to complete counts.
 func (t *term) startCopy(r *run) {
 	_, tk := r.job.task(r.key)
-	if r.job.cancellationUnread || tk == nil || tk.done || len(tk.runs) != 1 || t.now.Before(tk.notBefore) {
+	if !t.mayPlace() || r.job.cancellationUnread || tk == nil || tk.done || len(tk.runs) != 1 || t.now.Before(tk.notBefore) {
 		return
 	}
 	if len(tk.failed) > 0 || len(tk.crashes) > 0 {
--- a/internal/fleet/tables.go
+++ b/internal/fleet/tables.go
@@ -189,7 +189,7 @@
 // newSource returns a source whose failed reads are logged and counted.
 func (t *term) newSource(table string, parts []string, pause time.Duration, onRows func([]Row, bool, Page)) tableSource {
 	return tableSource{
-		store: observedStore{t.cfg.Store, &t.readAnsweredAt}, table: table, parts: parts, pause: pause, onRows: onRows,
+		store: observedStore{t.cfg.Store, &t.readAnsweredAt, &t.storeTime}, table: table, parts: parts, pause: pause, onRows: onRows,
 		onError: func(err error) {
 			t.metrics.readErrors.WithLabelValues(resultLabel(err)).Inc()
 			t.log.WithError(err).WithField("table", table).Debug("read failed")
@@ -245,6 +245,9 @@
 		if full {
 			e.fullVersion = p.Version
 		}
+		if full || len(rows) < denseWatchPage {
+			e.knownAt = p.Now
+		}
 		buffer.post(e)
 	})
 	workers := t.newSource(workersTable, []string{""}, t.pauseByCells(workerWatchPause, workerWatchPauseCells), func(rows []Row, full bool, _ Page) { buffer.post(workerRows{rows, full}) })
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -110,7 +110,12 @@
 	// the fence by the last transaction of an earlier term.
 	startVersion, formerFenceVersion uint64
 	// jobsReadAt is the store's monotonic clock when the jobs' table was last read in full.
-	jobsReadAt    time.Duration
+	jobsReadAt time.Duration
+	// jobsKnownAt is the store's monotonic clock up to which the term knows all changes of the jobs.
+	// storeTime is that of the store's last answer; see jobs_lag.go.
+	jobsKnownAt   time.Duration
+	jobsLagLogged bool // the last line told that the jobs are outdated
+	storeTime     storeTime
 	pendingCommit *pendingCommit
 	nextCommit    time.Time
 	// lastCommitStart is when the last transaction was started.
@@ -299,6 +304,7 @@
 		}
 		return
 	}
+	t.logJobsLag()
 	t.openOccurrences()
 	t.expireLeases()
 	t.dropUnansweredStarts()
@@ -354,6 +360,7 @@
 	}
 	t.applyOperatorRows(t.operator.snapshot())
 	t.jobsReadAt = e.storeNow
+	t.jobsKnown(e.storeNow)
 	for _, row := range e.jobs {
 		t.handleJobRow(row, e.storeNow)
 	}
