--- a/internal/fleet/table_steps.go
+++ b/internal/fleet/table_steps.go
@@ -27,6 +27,7 @@
 	steps := []func(){func() {
 		t.applyOperatorRows(t.operator.snapshot())
 		t.jobsReadAt = e.storeNow
+		t.jobsKnown(e.storeNow)
 	}}
 	for _, row := range e.jobs {
 		steps = append(steps, func() { t.handleJobRow(row, e.storeNow) })
