--- a/internal/fleet/silent_restarts_random_test.go
+++ b/internal/fleet/silent_restarts_random_test.go
@@ -45,9 +45,9 @@
 		log := func(format string, args ...any) {
 			trace = append(trace, fmt.Sprintf("%v: ", time.Since(begun).Round(time.Millisecond))+fmt.Sprintf(format, args...))
 		}
-		cutAll := func(w *fleettest.Worker, cut bool) {
-			for _, n := range c.Nodes {
-				n.Workers.Cut(w, cut)
+		cutAll := func(views []*fleettest.WorkersView, w *fleettest.Worker, cut bool) {
+			for _, v := range views {
+				v.Cut(w, cut)
 			}
 		}
 		for i := range 24 {
@@ -65,14 +65,18 @@
 				if unlisted {
 					c.Unlist(w)
 				}
+				var views []*fleettest.WorkersView // a node that starts again reaches the worker
+				for _, n := range c.Nodes {
+					views = append(views, n.Workers)
+				}
 				go func() {
 					time.Sleep(down)
 					next := c.StartWorker(string(w.Info.Worker))
 					time.AfterFunc(entry, func() { c.List(next) })
 					time.Sleep(cutAt)
-					cutAll(next, true)
+					cutAll(views, next, true)
 					time.Sleep(cutFor)
-					cutAll(next, false)
+					cutAll(views, next, false)
 				}()
 			}
 			switch l := c.Leader(); {
@@ -83,8 +87,9 @@
 				c.Start(l)
 			case random.IntN(8) == 0:
 				log("store silent for leader %s", l.Name)
-				l.Store.SetFault(fleettest.Silent)
-				time.AfterFunc(upTo(4*time.Second), func() { l.Store.SetFault(fleettest.Healthy) })
+				view := l.Store
+				view.SetFault(fleettest.Silent)
+				time.AfterFunc(upTo(4*time.Second), func() { view.SetFault(fleettest.Healthy) })
 			}
 		}
 		time.Sleep(20 * time.Second)
