fleet: tasks lost in other cells get room before tasks that may be lost

Cause: a leader that is asked for room kept it behind all claims of its own cell, also behind those of tasks on workers that are gone, which may be lost in up to 2 s. Change: one order over cells: lost here, lost elsewhere, may be lost here, may be lost elsewhere. Tests that call reserveForOtherCells pass the requests. go test ./internal/fleet passes.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -49,10 +49,13 @@
 func (s *Step) mayClaim() bool { return s.Lasting && !s.Filler && !s.Gang }
 
 // claimRoom decides anew which workers the lost tasks among waiting steps, and those that may be lost, claim. The
-// order is that of the waiting steps. Tasks that are known to be lost go first, and each keeps its worker.
+// order is that of the waiting steps. Tasks that are known to be lost go first, in this cell and then in others, and
+// each keeps its worker.
 func (t *term) claimRoom(pools placements, waiting []*waitingStep) {
 	clear(t.claimed)
-	t.unplaced, t.lostUnplaced = nil, nil
+	clear(t.keptForOthers)
+	clear(t.roomGrants)
+	t.unplaced, t.lostUnplaced, t.expectedUnplaced = nil, nil, nil
 	all := t.claimants(waiting)
 	for _, c := range all {
 		t.placementOf(pools, c.service).keepClaims(c)
@@ -60,14 +63,17 @@
 	for _, c := range all {
 		t.placementOf(pools, c.service).addClaims(c, c.lost)
 	}
+	requests := t.presentRequests()
+	t.reserveForOtherCells(pools, requests, roomRequest.lostTasks)
 	runsKnown := t.allRunsKnown()
 	for _, c := range all {
 		t.placementOf(pools, c.service).addClaims(c, c.lost+c.expected)
-		if missing := c.lost + c.expected - len(c.state.claims); runsKnown && c.job.mayLend(c.step) {
-			t.recordUnplaced(c.service, c.step, true, min(missing, c.expected))
+		if missing := min(c.lost+c.expected-len(c.state.claims), c.expected); missing > 0 && runsKnown && c.job.mayLend(c.step) {
+			t.recordUnplaced(c.service, c.step, false, missing)
+			t.expectedUnplaced = addUnplaced(t.expectedUnplaced, unplacedOf(c.service, c.step, missing))
 		}
 	}
-	t.reserveForOtherCells(pools)
+	t.reserveForOtherCells(pools, requests, roomRequest.expectedTasks)
 	t.answerRoomRequests()
 }
 
--- a/internal/fleet/claims_test.go
+++ b/internal/fleet/claims_test.go
@@ -246,7 +246,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				tm.reserveForOtherCells(placements{})
+				tm.reserveForOtherCells(placements{}, tm.presentRequests(), roomRequest.lostTasks)
 			}
 		})
 	}
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -11,9 +11,9 @@
 )
 
 // The leader of a cell whose lost lasting tasks have no room there asks the leaders of the other cells for it. A
-// leader that is asked keeps room for these tasks behind those of its own cell and ahead of all new work, as if it
-// were their claims, and answers what it keeps. So one leader decides who gets the room of a cell. Where leaders do
-// not reach each other, the reports in the store serve (cell_capacity.go).
+// leader that is asked keeps room for these tasks behind the lost ones of its own cell and ahead of those that may be
+// lost and of all new work, as if it were their claims, and answers what it keeps. So one leader decides who gets the
+// room of a cell. Where leaders do not reach each other, the reports in the store serve (cell_capacity.go).
 
 const (
 	// roomRequestInterval is the pause between two requests to one cell.
@@ -33,6 +33,8 @@
 	// Arriving are tasks that were lent to the cell and may not have reached it yet, Tasks those to be lent.
 	Arriving []unplacedTask `json:"arriving,omitempty"`
 	Tasks    []unplacedTask `json:"tasks"`
+	// Expected are tasks that may be lost soon.
+	Expected []unplacedTask `json:"expected,omitempty"`
 	// at is when the request arrived, since when the first of those that followed each other did.
 	at, since time.Time
 }
@@ -145,15 +147,16 @@
 	if t.askForRoom == nil || !t.active() {
 		return
 	}
+	asks := len(t.lostUnplaced)+len(t.expectedUnplaced) > 0
 	for cell := range t.layout.Cells {
 		x := t.roomExchange(cell)
-		idle := len(t.lostUnplaced) == 0 && !x.keepsRoom
+		idle := !asks && !x.keepsRoom
 		if cell == t.cell || idle || x.inFlight || t.now.Sub(x.askedAt) < roomRequestInterval {
 			continue
 		}
-		x.inFlight, x.outdated, x.askedAt, x.keepsRoom = true, false, t.now, len(t.lostUnplaced) > 0
+		x.inFlight, x.outdated, x.askedAt, x.keepsRoom = true, false, t.now, asks
 		x.forgetLoans(t.now)
-		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced)}
+		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced), Expected: slices.Clone(t.expectedUnplaced)}
 		for _, l := range x.loans {
 			r.Arriving = append(r.Arriving, l.task)
 		}
@@ -208,35 +211,48 @@
 	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), t.now})
 }
 
-// reserveForOtherCells keeps room for unplaced tasks of other cells behind the claims of this cell. Otherwise short
-// tasks would use any freed capacity at once, and the tasks that are lent to the cell would wait for it.
-func (t *term) reserveForOtherCells(pools placements) {
-	clear(t.keptForOthers)
-	clear(t.roomGrants)
-	requests := t.presentRequests()
-	// The cell that asked first goes first, so that what was granted is granted again.
-	order := slices.SortedFunc(maps.Keys(requests), func(a, b int) int {
-		return cmp.Or(requests[a].since.Compare(requests[b].since), cmp.Compare(a, b))
-	})
-	for _, from := range order {
-		share := roomShare{len(requests), map[model.ServiceName]int{}}
-		t.keepRoom(pools, requests[from].Arriving, share)
-		t.roomGrants[from] = t.keepRoom(pools, requests[from].Tasks, share)
+// lostTasks returns the tasks of r that are known to be lost: those that were lent, and those to be lent.
+func (r roomRequest) lostTasks() (arriving, asked []unplacedTask) { return r.Arriving, r.Tasks }
+
+// expectedTasks returns the tasks of r that may be lost soon.
+func (r roomRequest) expectedTasks() (arriving, asked []unplacedTask) { return nil, r.Expected }
+
+// reserveForOtherCells keeps room for some of the tasks of other cells behind the claims that there are. Otherwise
+// short tasks would use any freed capacity at once, and the tasks that are lent to the cell would wait for it.
+func (t *term) reserveForOtherCells(pools placements, requests []presentRequest, tasks func(roomRequest) (arriving, asked []unplacedTask)) {
+	for _, r := range requests {
+		arriving, asked := tasks(r.roomRequest)
+		t.keepRoom(pools, arriving, r.share)
+		t.roomGrants[r.from] = append(t.roomGrants[r.from], t.keepRoom(pools, asked, r.share)...)
 	}
 }
 
-// presentRequests returns the requests of other cells that count, by cell. The report of a cell takes the place of
-// its request if there is none.
-func (t *term) presentRequests() map[int]roomRequest {
-	requests := map[int]roomRequest{}
+// presentRequest is a request of another cell that counts, and its share of the room.
+type presentRequest struct {
+	roomRequest
+	from  int
+	share roomShare
+}
+
+// presentRequests returns the requests of other cells that count. The report of a cell takes the place of its request
+// if there is none. The cell that asked first goes first, so that what was granted is granted again.
+func (t *term) presentRequests() []presentRequest {
+	byCell := map[int]roomRequest{}
 	for from, task := range t.reportedUnplaced {
-		requests[from] = roomRequest{Tasks: []unplacedTask{task}}
+		byCell[from] = roomRequest{Tasks: []unplacedTask{task}}
 	}
 	for from, r := range t.roomRequests {
 		if r.present(t.now) {
-			requests[from] = r
+			byCell[from] = r
 		}
 	}
+	requests := make([]presentRequest, 0, len(byCell))
+	for from, r := range byCell {
+		requests = append(requests, presentRequest{r, from, roomShare{len(byCell), map[model.ServiceName]int{}}})
+	}
+	slices.SortFunc(requests, func(a, b presentRequest) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.from, b.from))
+	})
 	return requests
 }
 
--- a/internal/fleet/room_requests_test.go
+++ b/internal/fleet/room_requests_test.go
@@ -82,3 +82,33 @@
 	tm.now = tm.now.Add(roomRequestInterval / 2)
 	require.Zero(t, ask(1), "cell 2 may lend its task now")
 }
+
+// Room stood empty for tasks that might be lost two seconds later, while tasks of another cell had been lost for 30 s.
+func TestLostTaskOfAnotherCellGoesBeforeTasksThatMayBeLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		request roomRequest
+		granted int
+	}{
+		"lost":        {roomRequest{Tasks: []unplacedTask{{Service: "svc", MilliCPU: 10_000, MemoryMB: 1, Count: 1}}}, 1},
+		"may be lost": {roomRequest{Expected: []unplacedTask{{Service: "svc", MilliCPU: 10_000, MemoryMB: 1, Count: 1}}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, w := lostTestTerm(lostTestLoad{0, 0}, lostTestLoad{16_000, 0})
+			tm.loaded, tm.runsKnown, tm.lastRenewal = true, true, tm.now
+			gone := testWorker("gone")
+			gone.listed = false
+			tm.workers["gone"] = gone
+			for i := range w.state().tasks {
+				r := &run{ref: RunRef{w.key(i).Name(w.job.id), 1}, job: w.job, key: w.key(i), worker: gone, step: w.step, reserved: w.step.Reserved(), state: runLive}
+				gone.attach(r, tm.now)
+				w.state().tasks[i].runs = append(w.state().tasks[i].runs, r)
+			}
+			c.request.From = 1
+			q := roomQuery{c.request, make(chan roomAnswer, 1)}
+			q.handle(tm)
+			tm.claimRoom(placements{}, nil)
+			require.Len(t, (<-q.reply).Grants, c.granted)
+			require.Len(t, w.state().claims, 2-c.granted)
+		})
+	}
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -170,15 +170,15 @@
 	// other cells report.
 	unplaced         *unplacedTask
 	reportedUnplaced map[int]unplacedTask
-	// lostUnplaced are those of them that have run. roomRequests are the requests of other cells for such
-	// tasks, roomExchanges what they have answered to those of this one, by cell; askForRoom sends a request
-	// and is nil in tests without a node.
-	lostUnplaced  []unplacedTask
-	roomRequests  map[int]roomRequest
-	roomQueries   []roomQuery         // requests that wait for an answer
-	roomGrants    map[int][]roomGrant // room that the last plan keeps, by cell
-	roomExchanges map[int]*roomExchange
-	askForRoom    func(context.Context, roomRequest) roomAnswer
+	// lostUnplaced are those of them that have run, expectedUnplaced are tasks that may be lost soon and would have no
+	// room either. roomRequests are the requests of other cells for such tasks, roomExchanges what they have answered
+	// to those of this one, by cell; askForRoom sends a request and is nil in tests without a node.
+	lostUnplaced, expectedUnplaced []unplacedTask
+	roomRequests                   map[int]roomRequest
+	roomQueries                    []roomQuery         // requests that wait for an answer
+	roomGrants                     map[int][]roomGrant // room that the last plan keeps, by cell
+	roomExchanges                  map[int]*roomExchange
+	askForRoom                     func(context.Context, roomRequest) roomAnswer
 	// reportsUnplacedSince is since when the cell's reports have told of an unplaced task; zero if the
 	// last one did not.
 	reportsUnplacedSince time.Time
