--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -70,6 +70,7 @@
 	workers := fleettest.NewWorkers(1, func(fleet.TaskName) fleettest.Task { return fleettest.Task{Lasting: true} }, fleettest.NewRunChecker())
 	r, w := platformtest.NewRunner(workers, fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "i-0", Born: 1}, Capacity: model.Resources{MilliCPU: 1}})
 	defer r.Close()
+	workers.SetClock(w, newClock, 1) // the deadline below is on this clock
 	p, err := newProxy(freeAddress, r.Listener.Addr().String())
 	require.NoError(t, err)
 	defer p.close()
