--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -256,7 +256,7 @@
 // has reported.
 func (v *WorkersView) pollConnection(w fleet.WorkerInfo, o fleet.PollOrder) (int64, fleet.PollOrder) {
 	switch {
-	case w.Born == 0 || o.Acknowledged == 0 && o.Deadline == 0:
+	case o.Acknowledged == 0 && o.Deadline == 0:
 		return anyLifetime, o
 	case !v.workers.drawNewConnection() && v.hasConnectionTo(w):
 		return w.Born, o
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -459,8 +459,8 @@
 	return nil
 }
 
-// ticketsSuffice reports whether tickets are left for present lifetimes of workers; a gang needs all that
-// the advisor has issued.
+// ticketsSuffice reports whether tickets are left for present lifetimes of workers: for a gang all that were
+// issued, or as many as it has members.
 func (t *term) ticketsSuffice(a *stepAdvice, s *Step) bool {
 	present := 0
 	for l := range a.tickets {
@@ -468,7 +468,7 @@
 			present++
 		}
 	}
-	return present > 0 && (!s.Gang || present == len(a.tickets))
+	return present > 0 && (!s.Gang || present == len(a.tickets) || present >= s.Count)
 }
 
 // dropTicket discards the whole advice when a worker refused one of its tickets, so that
@@ -538,15 +538,15 @@
 
 func (e adviceReply) handle(t *term) {
 	e.advice.inFlight = false
-	if e.err != nil || len(e.answer.Tickets) == 0 {
-		e.advice.retryAt = t.now.Add(adviceRetryPause)
-	}
 	e.advice.tickets = make(map[Lifetime]string, len(e.answer.Tickets))
 	for _, w := range e.workers {
 		if ticket := e.answer.Tickets[w.Worker]; ticket != "" {
 			e.advice.tickets[w] = ticket
 		}
 	}
+	if e.err != nil || len(e.advice.tickets) == 0 {
+		e.advice.retryAt = t.now.Add(adviceRetryPause)
+	}
 	e.advice.validUntil = e.asked.Add(e.answer.Valid - adviceMargin)
 	t.planDue = true
 	entry := t.log.WithFields(logrus.Fields{"decision": "advice", "step": e.step, "candidates": len(e.answer.Tickets)})
