fleet: no room is kept for lent tasks that have arrived

Cause: a cell keeps room for tasks that were lent to it until 0.5 s after each loan, also for those that have arrived, which run or have claims. Change: a request names the rows of the lent tasks, and the cell that is asked keeps no room for those whose rows it has. Requests of leaders of the former version name none and are answered as before. Test: TestNoRoomIsKeptForLentTasksThatHaveArrived (the field did not exist before). go test ./internal/fleet passes.

--- a/internal/fleet/borrowed_tasks.go
+++ b/internal/fleet/borrowed_tasks.go
@@ -106,6 +106,13 @@
 	return true
 }
 
+// hasBorrowed reports whether the row of a lent task has reached this cell and is not returned.
+func (t *term) hasBorrowed(row string) bool {
+	id, _, _ := strings.Cut(row, lentKeySeparator)
+	j := t.jobs[loanKey(id)]
+	return j != nil && slices.ContainsFunc(j.borrowed, func(r RowID) bool { return r.Key == row })
+}
+
 // openBorrowed makes a task of a borrowed job startable unless it is so already.
 func (t *term) openBorrowed(j *job, k taskKey, attemptBase, loan int) {
 	o, tk := j.task(k)
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -31,8 +31,10 @@
 	Cell int `json:"cell"`
 	From int `json:"from"`
 	// Arriving are tasks that were lent to the cell and may not have reached it yet, Tasks those to be lent.
-	Arriving []unplacedTask `json:"arriving,omitempty"`
-	Tasks    []unplacedTask `json:"tasks"`
+	// ArrivingRows are the keys of the rows of Arriving; a request of a leader of an older version has none.
+	Arriving     []unplacedTask `json:"arriving,omitempty"`
+	ArrivingRows []string       `json:"arriving_rows,omitempty"`
+	Tasks        []unplacedTask `json:"tasks"`
 	// Expected are tasks that may be lost soon.
 	Expected []unplacedTask `json:"expected,omitempty"`
 	// at is when the request arrived, since when the first of those that followed each other did.
@@ -120,6 +122,7 @@
 // recentLoan is a task that was lent to another cell.
 type recentLoan struct {
 	task unplacedTask
+	row  string // the key of its row
 	at   time.Time
 }
 
@@ -158,7 +161,7 @@
 		x.forgetLoans(t.now)
 		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced), Expected: slices.Clone(t.expectedUnplaced)}
 		for _, l := range x.loans {
-			r.Arriving = append(r.Arriving, l.task)
+			r.Arriving, r.ArrivingRows = append(r.Arriving, l.task), append(r.ArrivingRows, l.row)
 		}
 		go func() { t.post(roomAnswered{cell, t.askForRoom(t.ctx, r)}) }()
 	}
@@ -203,12 +206,12 @@
 	return cell, true
 }
 
-// recordLoan notes that a task was lent to a cell.
-func (t *term) recordLoan(cell int, service model.ServiceName, s *Step) {
+// recordLoan notes that a task was lent to a cell by the row with a key.
+func (t *term) recordLoan(cell int, service model.ServiceName, s *Step, row string) {
 	x := t.roomExchange(cell)
 	x.outdated = true
 	x.forgetLoans(t.now)
-	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), t.now})
+	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), row, t.now})
 }
 
 // lostTasks returns the tasks of r that are known to be lost: those that were lent, and those to be lent.
@@ -243,6 +246,7 @@
 	}
 	for from, r := range t.roomRequests {
 		if r.present(t.now) {
+			r.Arriving = t.stillArriving(r)
 			byCell[from] = r
 		}
 	}
@@ -256,6 +260,21 @@
 	return requests
 }
 
+// stillArriving returns the tasks of r that were lent to this cell and have not reached it. Those that have, run or
+// have claims.
+func (t *term) stillArriving(r roomRequest) []unplacedTask {
+	if len(r.ArrivingRows) != len(r.Arriving) {
+		return r.Arriving
+	}
+	var arriving []unplacedTask
+	for i, row := range r.ArrivingRows {
+		if !t.hasBorrowed(row) {
+			arriving = append(arriving, r.Arriving[i])
+		}
+	}
+	return arriving
+}
+
 // roomShare is the part of the kept room that one of several cells gets.
 type roomShare struct {
 	cells int
--- a/internal/fleet/room_requests_test.go
+++ b/internal/fleet/room_requests_test.go
@@ -44,7 +44,7 @@
 	s := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 1000}}
 	for range 10 {
 		tm.now = tm.now.Add(time.Second)
-		tm.recordLoan(1, "svc", s)
+		tm.recordLoan(1, "svc", s, "")
 	}
 	require.Len(t, tm.roomExchange(1).loans, 1)
 }
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// Room was kept for lent tasks that had reached the cell and ran there, so others waited for it for half a second.
+func TestNoRoomIsKeptForLentTasksThatHaveArrived(t *testing.T) {
+	tm := newTestTerm(2)
+	tm.loaded, tm.runsKnown, tm.lastRenewal = true, true, tm.now
+	for _, id := range []string{"a", "b", "c", "d", "e"} { // more than it keeps for others
+		tm.workers[model.WorkerID(id)] = testWorker(id)
+	}
+	size := unplacedTask{Service: "svc", MilliCPU: 4000, MemoryMB: 1, Count: 1}
+	rows := []string{lentKey("a", taskKey{0, 0, 1}), lentKey("a", taskKey{0, 0, 2}), lentKey("b", taskKey{0, 0, 1})}
+	tm.roomRequests[1] = roomRequest{From: 1, Arriving: []unplacedTask{size, size, size}, ArrivingRows: rows, at: tm.now}
+	kept := func() (milliCPU int64) {
+		tm.claimRoom(placements{}, nil)
+		for _, r := range tm.keptForOthers {
+			milliCPU += r.MilliCPU
+		}
+		return milliCPU
+	}
+	require.Equal(t, int64(12_000), kept())
+	borrowed := newJob("a", jobRecord{Spec: Spec{Steps: []Step{{Count: 3, Lasting: true}}}}, 5, epoch)
+	borrowed.borrowed = []RowID{movedRow(tm.part, rows[1])}
+	tm.jobs[loanKey("a")] = borrowed
+	require.Equal(t, int64(8000), kept())
+	r := tm.roomRequests[1]
+	r.ArrivingRows = nil
+	tm.roomRequests[1] = r
+	require.Equal(t, int64(12_000), kept(), "a leader of an older version names no rows")
+}
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -70,7 +70,7 @@
 		}
 		if cell, found := t.cellFor(tk, w); found {
 			t.lend(w.job, w.key(i), tk, cell)
-			t.recordLoan(cell, w.queue.Service, w.step)
+			t.recordLoan(cell, w.queue.Service, w.step, lentKey(w.job.id, w.key(i)))
 		} else {
 			t.recordUnplaced(w.queue.Service, w.step, w.restart, 1)
 		}
