--- a/cmd/vpier/soak.go
+++ b/cmd/vpier/soak.go
@@ -25,7 +25,7 @@
 	violated := false
 	for i := range a.Seeds {
 		r, err := soak.Run(ctx, soak.Options{Binary: binary, Seed: a.Seed + uint64(i), Nodes: a.Nodes, Workers: a.Workers, Cells: a.Cells,
-			Aim: a.Aim != "", Small: a.Small, Length: a.Length, Prefix: a.Prefix, Logs: a.Logs})
+			Aim: a.Aim != "", Small: a.Small, SilentRestarts: a.SilentRestarts, Length: a.Length, Prefix: a.Prefix, Logs: a.Logs})
 		if err != nil {
 			return err
 		}
--- a/internal/operator/args.go
+++ b/internal/operator/args.go
@@ -187,18 +187,19 @@
 }
 
 type soakArgs struct {
-	Seed    uint64        `arg:"--seed,env:SEED" default:"1" placeholder:"NUMBER" help:"first seed"`
-	Seeds   int           `arg:"--seeds,env:SOAK_SEEDS" default:"1" placeholder:"COUNT" help:"number of seeds, one after the other"`
-	Nodes   int           `arg:"--nodes,env:SOAK_NODES" default:"4" placeholder:"COUNT" help:"number of nodes, 1 to 32, with --aim to 64"`
-	Workers int           `arg:"--workers,env:SOAK_WORKERS" default:"6" placeholder:"COUNT" help:"number of workers, 1 to 100, with --aim to 400"`
-	Cells   int           `arg:"--cells,env:SOAK_CELLS" default:"0" placeholder:"COUNT" help:"number of cells of the fleet, at most 32; 0 leaves it to the nodes"`
-	Aim     string        `arg:"--aim,env:SOAK_AIM" placeholder:"TARGET" help:"leader: faults aimed at the leader of the moment, in place of all others, on up to 64 nodes and 400 workers"`
-	Small   int           `arg:"--small,env:SOAK_SMALL" default:"0" placeholder:"COUNT" help:"with --aim leader: number of nodes with 0.19 of a processor and links of 10 Mbit/s; the large hosts are lost one after the other"`
-	Length  time.Duration `arg:"--length,env:SOAK_LENGTH" default:"14s" placeholder:"DURATION" help:"time during which faults begin, from 5s to 1h"`
-	Prefix  int           `arg:"--prefix,env:SOAK_PREFIX" default:"0" placeholder:"COUNT" help:"play only the first faults of the schedule, to shrink one that breaks a promise; 0 plays all"`
-	Binary  string        `arg:"--binary,env:SOAK_BINARY" default:"bin/vpierd" placeholder:"FILE" help:"program of the nodes"`
-	Logs    string        `arg:"--logs,env:SOAK_LOGS" placeholder:"FOLDER" help:"folder for the logs, with one of its own for each run; when absent, the logs of runs that broke a promise stay in a temporary folder"`
-	HTML    string        `arg:"--html,env:SOAK_HTML" placeholder:"FILE" help:"page with a timeline of faults and broken promises"`
+	Seed           uint64        `arg:"--seed,env:SEED" default:"1" placeholder:"NUMBER" help:"first seed"`
+	Seeds          int           `arg:"--seeds,env:SOAK_SEEDS" default:"1" placeholder:"COUNT" help:"number of seeds, one after the other"`
+	Nodes          int           `arg:"--nodes,env:SOAK_NODES" default:"4" placeholder:"COUNT" help:"number of nodes, 1 to 32, with --aim to 64"`
+	Workers        int           `arg:"--workers,env:SOAK_WORKERS" default:"6" placeholder:"COUNT" help:"number of workers, 1 to 100, with --aim to 400"`
+	Cells          int           `arg:"--cells,env:SOAK_CELLS" default:"0" placeholder:"COUNT" help:"number of cells of the fleet, at most 32; 0 leaves it to the nodes"`
+	Aim            string        `arg:"--aim,env:SOAK_AIM" placeholder:"TARGET" help:"leader: faults aimed at the leader of the moment, in place of all others, on up to 64 nodes and 400 workers"`
+	Small          int           `arg:"--small,env:SOAK_SMALL" default:"0" placeholder:"COUNT" help:"with --aim leader: number of nodes with 0.19 of a processor and links of 10 Mbit/s; the large hosts are lost one after the other"`
+	SilentRestarts bool          `arg:"--silent-restarts,env:SOAK_SILENT_RESTARTS" help:"workers fall silent, start again and are cut off soon after, beside long tasks, signals and restarts"`
+	Length         time.Duration `arg:"--length,env:SOAK_LENGTH" default:"14s" placeholder:"DURATION" help:"time during which faults begin, from 5s to 1h"`
+	Prefix         int           `arg:"--prefix,env:SOAK_PREFIX" default:"0" placeholder:"COUNT" help:"play only the first faults of the schedule, to shrink one that breaks a promise; 0 plays all"`
+	Binary         string        `arg:"--binary,env:SOAK_BINARY" default:"bin/vpierd" placeholder:"FILE" help:"program of the nodes"`
+	Logs           string        `arg:"--logs,env:SOAK_LOGS" placeholder:"FOLDER" help:"folder for the logs, with one of its own for each run; when absent, the logs of runs that broke a promise stay in a temporary folder"`
+	HTML           string        `arg:"--html,env:SOAK_HTML" placeholder:"FILE" help:"page with a timeline of faults and broken promises"`
 }
 
 type traceSummaryArgs struct {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -72,6 +72,8 @@
 	Aim string
 	// Small is the number of nodes on small hosts, in a run with Aim.
 	Small int
+	// SilentRestarts plays silent restarts of workers that are cut off soon after.
+	SilentRestarts bool
 	// Length is the time during which faults begin.
 	Length time.Duration
 	// Prefix limits the schedule to its first faults; 0 keeps all.
@@ -244,6 +246,8 @@
 		return model.Errorf(model.KindInvalid, "give --cells from 0 to 32", "%d cells", a.Cells)
 	case a.Small != 0 && (a.Aim == "" || a.Small < 0 || a.Small > a.Nodes || a.Cells > 1):
 		return model.Errorf(model.KindInvalid, "give --small from 1 to --nodes, with --aim leader and one cell", "--small %d", a.Small)
+	case a.SilentRestarts && a.Aim != "":
+		return model.Errorf(model.KindInvalid, "give --silent-restarts or --aim", "--silent-restarts with --aim %s", a.Aim)
 	case a.Length < minSoakLength || a.Length > maxSoakLength:
 		return model.Errorf(model.KindInvalid, "give --length from 5s to 1h", "--length %s", a.Length)
 	case a.Seeds < 1 || a.Prefix < 0:
@@ -252,7 +256,7 @@
 	if err := checkReadable(a.Binary); err != nil {
 		return err
 	}
-	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Cells: a.Cells, Aim: a.Aim, Small: a.Small, Length: a.Length, Prefix: a.Prefix,
+	return p.Soak(ctx, SoakArgs{Seed: a.Seed, Seeds: a.Seeds, Nodes: a.Nodes, Workers: a.Workers, Cells: a.Cells, Aim: a.Aim, Small: a.Small, SilentRestarts: a.SilentRestarts, Length: a.Length, Prefix: a.Prefix,
 		Binary: a.Binary, Logs: a.Logs, HTMLFile: a.HTML, Output: string(p.args.Output)}, p.Stdout)
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -324,7 +324,9 @@
 	assert.Equal(t, SoakArgs{Seed: 1, Seeds: 1, Nodes: 64, Workers: 400, Aim: "leader", Length: 14 * time.Second, Binary: file, Output: "text"}, got)
 	assert.Equal(t, ExitOK, p.Run(ctx, []string{"soak", "--binary", file, "--aim", "leader", "--nodes", "9", "--small", "9"}))
 	assert.Equal(t, 9, got.Small)
-	for _, bad := range [][]string{{"--small", "2"}, {"--aim", "leader", "--small", "5"}, {"--aim", "leader", "--small", "-1"}, {"--aim", "leader", "--small", "2", "--cells", "2"},
+	assert.Equal(t, ExitOK, p.Run(ctx, []string{"soak", "--binary", file, "--silent-restarts"}))
+	assert.True(t, got.SilentRestarts)
+	for _, bad := range [][]string{{"--small", "2"}, {"--aim", "leader", "--silent-restarts"}, {"--aim", "leader", "--small", "5"}, {"--aim", "leader", "--small", "-1"}, {"--aim", "leader", "--small", "2", "--cells", "2"},
 		{"--nodes", "0"}, {"--nodes", "33"}, {"--workers", "101"}, {"--length", "1s"}, {"--length", "2h"},
 		{"--aim", "worker"}, {"--aim", "leader", "--nodes", "65"}, {"--aim", "leader", "--workers", "401"},
 		{"--seeds", "0"}, {"--prefix", "-1"}, {"--binary", file + ".none"}} {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -30,8 +30,8 @@
 var route = platformtest.Route{Host: "shop.example", Prefix: "/q/", Service: "svc", Attempts: 50}
 
 const (
-	// leaseMax is the longest lease that workers grant, as on the first deployment.
-	leaseMax = 6 * time.Second
+	// shortLeaseMax is the longest lease that workers grant, as on the first deployment.
+	shortLeaseMax = 6 * time.Second
 	// grace is the time in which a process must exit after SIGTERM.
 	grace = 6 * time.Second
 	zones = 3
@@ -104,6 +104,7 @@
 	runner   *platformtest.Runner
 	instance *fleettest.Worker
 	proxy    *proxy
+	silent   []*proxy // held by silences that have not ended
 }
 
 // taskBehaviour gives each task a run time between 0.2 and 0.9 s, derived from its name; one in
@@ -129,13 +130,16 @@
 		return c, err
 	}
 	behaviour := taskBehaviour
-	if o.Aim {
+	switch {
+	case o.Aim:
 		behaviour = aimedTaskBehaviour
+	case o.SilentRestarts:
+		behaviour = silentTaskBehaviour
 	}
 	c.storeAccess = c.rows.View()
 	c.storeServer = platformtest.NewStore(c.storeAccess)
 	c.simWorkers = fleettest.NewWorkers(o.Seed, withLasting(behaviour), c.ledger)
-	c.simWorkers.Trace = &c.trace
+	c.simWorkers.Trace, c.simWorkers.LeaseMax = &c.trace, o.leaseMax()
 	c.configure()
 	for i := range o.Workers {
 		w := &worker{id: fmt.Sprintf("i-%d", i), zone: zone(i), age: c.drawAge(), listen: freeAddress}
@@ -284,7 +288,7 @@
 	n.callerAddr, n.readyAddr = net.JoinHostPort(ip, strconv.Itoa(portCallers)), net.JoinHostPort(ip, strconv.Itoa(portReady))
 	settings := platformtest.NodeSettings{Node: n.name, IP: ip, Zone: zone(i), Callers: portCallers, Ready: portReady, Peers: portPeers,
 		Metrics: portMetrics, CPUShare: share, LinkMbps: mbps, Store: n.storeProxy.addr(),
-		Bounds: fleet.Bounds{Grace: grace, LeaseMax: leaseMax, Retention: 2 * time.Minute, Maintenance: 2 * time.Second}}
+		Bounds: fleet.Bounds{Grace: grace, LeaseMax: o.leaseMax(), Retention: 2 * time.Minute, Maintenance: 2 * time.Second}}
 	data, err := settings.JSON()
 	if err != nil {
 		return nil, err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -110,8 +110,13 @@
 		c.killInstance(c.workers[f.Target])
 	case RestartWorker:
 		c.restartInstance(c.workers[f.Target])
-	case CutWorkers:
+	case CutWorkers, CutRestarted:
 		c.setLinkModes(f.Workers, modeHold, modeHold)
+	case SilenceWorkers:
+		for _, w := range f.Workers {
+			c.silence(c.workers[w])
+		}
+	case ListWorkers: // at its end
 	case MuteWorkers:
 		c.setLinkModes(f.Workers, modeForward, modeHold)
 	case ResetWorkers:
@@ -183,8 +188,18 @@
 		return c.startInstance(c.workers[f.Target])
 	case RestartWorker:
 		return c.list(c.workers[f.Target])
-	case CutWorkers, MuteWorkers:
+	case CutWorkers, MuteWorkers, CutRestarted:
 		c.setLinkModes(f.Workers, modeForward, modeForward)
+	case SilenceWorkers:
+		for _, w := range f.Workers {
+			c.wake(c.workers[w])
+		}
+	case ListWorkers:
+		for _, w := range f.Workers {
+			if err := c.list(c.workers[w]); err != nil {
+				return err
+			}
+		}
 	case FailWorker, HangWorker:
 		c.setTaskFault(c.workers[f.Target], f.Kind, false)
 	case LateOrders:
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -40,6 +40,7 @@
 	conns        map[net.Conn]bool
 	closed       bool
 	holds        int // number of faults that hold both directions back
+	silences     int // number of faults in which new connections are neither accepted nor refused
 }
 
 // freeAddress lets the system choose the port of a listener on loopback.
@@ -93,20 +94,29 @@
 
 // hold holds both directions back, whatever their modes, or ends one such hold. Holds of faults that
 // overlap end with the last of them.
-func (p *proxy) hold(on bool) {
+func (p *proxy) hold(on bool) { p.count(&p.holds, on) }
+
+// silence neither accepts nor refuses new connections, or ends one such silence. Present connections go on.
+func (p *proxy) silence(on bool) { p.count(&p.silences, on) }
+
+// count counts a fault that begins or ends. New connections wait while there is any.
+func (p *proxy) count(faults *int, on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if on {
-		p.holds++
+		*faults++
 		p.setQueue(0)
 		return
 	}
-	p.holds--
-	if p.holds == 0 && !p.closed {
+	*faults--
+	if p.closed {
+		return
+	}
+	if p.holds+p.silences == 0 {
 		p.setQueue(listenerQueue)
-		close(p.changed)
-		p.changed = make(chan struct{})
 	}
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // listenerQueue is the number of connections that wait to be accepted, as the system's default.
@@ -127,12 +137,12 @@
 	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), connections) })
 }
 
-// awaitHolds waits until nothing holds the link back. Callers that try again and again would else use
+// awaitHolds waits until nothing holds the link or new connections back. Callers that try again and again would else use
 // up the process's files.
 func (p *proxy) awaitHolds() {
 	for {
 		p.mu.Lock()
-		changed, wait := p.changed, p.holds > 0 && !p.closed
+		changed, wait := p.changed, p.holds+p.silences > 0 && !p.closed
 		p.mu.Unlock()
 		if !wait {
 			return
@@ -204,8 +214,9 @@
 	if !p.track(client, true) {
 		return
 	}
-	// A connection that is opened while the link is cut reaches the process that is there at the
-	// end of the cut.
+	// A connection that is opened while the link is cut or the host is silent reaches the process that is
+	// there at the end.
+	p.awaitHolds()
 	if !p.throttle(&p.requestMode) {
 		return
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,6 +30,9 @@
 	// processor and a narrow link, and the faults are those of SmallSchedule. With 0 all links are wide
 	// and processors are not limited.
 	Small int
+	// SilentRestarts plays silent restarts of workers that are cut off soon after, beside long tasks and the
+	// faults of besideSilence. Workers grant long leases.
+	SilentRestarts bool
 	// Length is the period in which faults start.
 	Length time.Duration
 	// Prefix limits the schedule to its first faults, to minimise a failing schedule; 0
@@ -47,8 +50,6 @@
 	recoveryLimit = 15 * time.Second
 	// completionLimit is the time after recovery until all remaining jobs must be finished.
 	completionLimit = 14 * time.Second
-	// taskEndLimit is the time, one lease, until no task of a finished job may still run.
-	taskEndLimit = leaseMax
 	// lastingReserve is how much longer lasting tasks are watched after the last impairment than the
 	// rule needs: leases may end after it.
 	lastingReserve = 2 * time.Second
@@ -107,6 +108,9 @@
 	if o.Small > 0 {
 		faults = SmallSchedule(o.Seed, largeHosts(o), o.Workers, o.Length)
 	}
+	if o.SilentRestarts {
+		faults = SilentSchedule(faults, o.Seed, o.Workers, o.Length)
+	}
 	if o.Prefix > 0 && o.Prefix < len(faults) {
 		faults = faults[:o.Prefix]
 	}
@@ -156,7 +160,7 @@
 	lasting := load.checkLasting()
 	load.endLasting(ctx)
 	load.awaitCompletion(load.jobsThatLast(true), completionLimit)
-	load.checkNoTasksRunning()
+	load.checkNoTasksRunning(o.leaseMax())
 	var lead *Lead
 	if o.Small > 0 {
 		if lead, err = load.checkLead(ctx); err != nil {
@@ -200,9 +204,9 @@
 	return errors.Join(writeJSON(f, value), f.Close())
 }
 
-// checkNoTasksRunning checks that no worker runs a task any more within taskEndLimit.
-func (c *callers) checkNoTasksRunning() {
-	deadline := time.Now().Add(taskEndLimit)
+// checkNoTasksRunning checks that no worker runs a task of a finished job for longer than a lease.
+func (c *callers) checkNoTasksRunning(lease time.Duration) {
+	deadline := time.Now().Add(lease)
 	for {
 		running := 0
 		for _, w := range c.cluster.workers {
@@ -212,7 +216,7 @@
 			return
 		}
 		if time.Now().After(deadline) {
-			c.addViolation("%d tasks still run %v after all jobs were over", running, taskEndLimit)
+			c.addViolation("%d tasks still run %v after all jobs were over", running, lease)
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,20 @@
 	runAll(t, seeds, Options{Nodes: 9, Workers: 30, Aim: true, Length: 20 * time.Second, Logs: logs})
 }
 
+// Guards against numbers of one lifetime that reach the next, on workers that are cut off soon after.
+func TestSoakWithSilentRestarts(t *testing.T) {
+	t.Parallel()
+	seeds := []uint64{2}
+	if os.Getenv("SOAK_SEEDS") != "" {
+		seeds = seedsFrom(seedRange(t))
+	}
+	logs := os.Getenv("SOAK_LOGS")
+	if logs != "" {
+		logs = filepath.Join(logs, "silent")
+	}
+	runAll(t, seeds, Options{Nodes: 4, Workers: 24, SilentRestarts: true, Length: 4 * time.Second, Logs: logs})
+}
+
 func seedsFrom(first, count int) []uint64 {
 	var seeds []uint64
 	for seed := first; seed < first+count; seed++ {
