--- a/internal/fleet/fleettest/calls.go
+++ b/internal/fleet/fleettest/calls.go
@@ -107,8 +107,22 @@
 
 func (v *WorkersView) reachable(addr string) bool {
 	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.allCut && !v.cut[addr]
+	reachable := !v.allCut && !v.cut[addr]
+	v.mu.Unlock()
+	v.workers.mu.Lock()
+	defer v.workers.mu.Unlock()
+	return reachable && v.workers.cutOff[addr] == 0
+}
+
+// CutOff cuts the host of w off from all nodes, also those that start meanwhile, or ends one such cut.
+func (f *Workers) CutOff(w *Worker, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if on {
+		f.cutOff[w.Info.Addr]++
+	} else {
+		f.cutOff[w.Info.Addr]--
+	}
 }
 
 // lifetimeOfConnection returns the lifetime that has reported on the connection to the target, 0
--- a/internal/fleet/fleettest/worker.go
+++ b/internal/fleet/fleettest/worker.go
@@ -45,7 +45,9 @@
 	workers map[string]*Worker // by address
 	links   map[string]Link    // by address
 	// silent holds the addresses that neither accept nor refuse connections until a lifetime is up.
-	silent  map[string]bool
+	silent map[string]bool
+	// cutOff counts the cuts that keep all nodes from an address.
+	cutOff  map[string]int
 	clocks  *rand.Rand // of lifetimes that begin
 	tasks   func(fleet.TaskName) Task
 	checker *RunChecker
@@ -103,7 +105,7 @@
 
 // NewWorkers returns an empty fleet. The function tasks defines the behaviour of each task.
 func NewWorkers(seed uint64, tasks func(fleet.TaskName) Task, l *RunChecker) *Workers {
-	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, silent: map[string]bool{}, clocks: rand.New(rand.NewPCG(seed, 3)), LeaseMax: leaseMax, ListedEnds: maxListedEnds, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
+	return &Workers{workers: map[string]*Worker{}, links: map[string]Link{}, silent: map[string]bool{}, cutOff: map[string]int{}, clocks: rand.New(rand.NewPCG(seed, 3)), LeaseMax: leaseMax, ListedEnds: maxListedEnds, tasks: tasks, checker: l, random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Worker is a simulated worker process.
--- a/internal/fleet/lifetimes_random_test.go
+++ b/internal/fleet/lifetimes_random_test.go
@@ -108,13 +108,9 @@
 		next := d.c.StartWorker(id)
 		time.AfterFunc(entry, func() { d.c.List(next) })
 		time.Sleep(cut)
-		for _, m := range d.c.Nodes {
-			m.Workers.Cut(next, true)
-		}
+		d.c.Workers.CutOff(next, true)
 		time.Sleep(length)
-		for _, m := range d.c.Nodes {
-			m.Workers.Cut(next, false)
-		}
+		d.c.Workers.CutOff(next, false)
 		d.setRestarting(id, false)
 	})
 }
--- a/internal/fleet/model_silent_restarts_test.go
+++ b/internal/fleet/model_silent_restarts_test.go
@@ -102,7 +102,8 @@
 			}
 		})
 		time.Sleep(r.cut)
-		m.cut(w, r.cutLength)
+		m.c.Workers.CutOff(w, true)
 		time.Sleep(r.cutLength)
+		m.c.Workers.CutOff(w, false)
 	}
 }
--- a/internal/soak/lasting_test.go
+++ b/internal/soak/lasting_test.go
@@ -113,6 +113,7 @@
 		c.simWorkers = fleettest.NewWorkers(1, withLasting(taskBehaviour), c.ledger)
 		info := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "w", Born: 1}, Addr: "w", Capacity: taskNeeds.Add(taskNeeds).Add(taskNeeds)}
 		w := c.simWorkers.Add(info)
+		c.simWorkers.SetClock(w, newClock, 1) // the deadlines below are on this clock
 		require.Equal(t, 3, c.simWorkers.Room(taskNeeds))
 		start := func(task fleet.TaskName) {
 			_, err := c.simWorkers.ViewOf(w).Start(t.Context(), info, fleet.StartOrder{RunRef: fleet.RunRef{Task: task, Attempt: 1}, Deadline: time.Minute, Fence: 1})
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -74,18 +74,22 @@
 	p, err := newProxy(freeAddress, r.Listener.Addr().String())
 	require.NoError(t, err)
 	defer p.close()
-	p.setModes(modeHold, modeHold)
 	ctx, cancel := context.WithCancel(t.Context())
 	var link linkmeter.Meter
+	client := platform.NewWorkers(platform.NewTransport(1, &link))
+	worker := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "i-0", Born: 1}, Addr: p.addr()}
+	_, err = client.Poll(ctx, worker, fleet.PollOrder{Fence: 1}) // the connection is known to be the worker's
+	require.NoError(t, err)
+	_, before := link.Totals()
+	p.setModes(modeHold, modeHold)
 	returned := make(chan struct{})
 	go func() {
 		defer close(returned)
-		worker := fleet.WorkerInfo{Lifetime: fleet.Lifetime{Worker: "i-0"}, Addr: p.addr()}
 		order := fleet.StartOrder{RunRef: fleet.RunRef{Task: "0000000000000001.0.0.0", Attempt: 1}, Deadline: 6 * time.Second, Fence: 1}
-		_, _ = platform.NewWorkers(platform.NewTransport(1, &link)).Start(ctx, worker, order) // it gets no answer
+		_, _ = client.Start(ctx, worker, order) // it gets no answer
 	}()
 	// The order fits into one write. httptrace's WroteRequest precedes that write.
-	require.Eventually(t, func() bool { _, sent := link.Totals(); return sent > 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { _, sent := link.Totals(); return sent > before }, 5*time.Second, time.Millisecond)
 	cancel()
 	<-returned
 	require.Zero(t, workers.RunCount(w))
