--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -203,8 +203,8 @@
 	}
 }
 
-// Versions before the rule of Workers sent the deadline of a poll to whichever lifetime answered. During an
-// upgrade a worker may have taken one from a former leader, or take it until it has answered this term.
+// Earlier versions sent the deadline of a poll to whichever lifetime answered. During an upgrade a worker may
+// have taken one from a former leader, or take it until it has answered this term.
 
 // unverifiedOrdersBy returns the local time by which the last order of such a version has arrived, for a
 // term that began with a record. formerOrdersBy is when the former leader gave its last order.
