--- a/internal/fleet/early_reports.go
+++ b/internal/fleet/early_reports.go
@@ -62,7 +62,7 @@
 		w.countUnanswered(t.now)
 	case e.report.Clock >= w.clock:
 		w.observeClock(e.report.Clock, t.now)
-		t.fenceFormerLeases(w)
+		t.fenceWorker(w)
 		w.earlyReport = &e
 		if w.countWithheld(e); w.withheld == 1 {
 			w.nextPoll = t.now // on the connection of this answer
--- a/internal/fleet/election.go
+++ b/internal/fleet/election.go
@@ -446,7 +446,7 @@
 		t.storeClock = begun
 	}
 	t.formerOrdersBy = c.watch.formerOrdersBy(time.Now())
-	t.unverifiedOrdersBy = unverifiedOrdersBy(record.UnverifiedOrdersEnd, begun, t.formerOrdersBy)
+	t.unverifiedOrdersBy = lastUnverifiedOrder(record.UnverifiedOrdersEnd, begun, t.formerOrdersBy)
 	t.hostUse = n.hostUse
 	t.cellLoads, t.notify, t.evacuate, t.askForRoom, t.operator = d.cellLoads, n.notifyCell, n.evacuateWorker, n.askForRoom, &n.operator
 	c.term.Store(t)
--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -118,7 +118,7 @@
 				}
 				require.Equal(t, answered.Add(test.bound), w.leaseEnd())
 				tm.now = tm.now.Add(2 * time.Second)
-				tm.fenceFormerLeases(w)
+				tm.fenceWorker(w)
 				require.Equal(t, answered.Add(test.bound), w.leaseEnd(), "it carries out no order of earlier terms any more")
 
 				end := tm.unverifiedOrdersEnd()
@@ -132,8 +132,8 @@
 		})
 	}
 	formerOrders := epoch.Add(-time.Second)
-	require.Equal(t, formerOrders.Add(maxOrderAge+answerTimeoutMax+maxOrderDelay), unverifiedOrdersBy(nil, storeReading{time.Hour, epoch}, formerOrders), "a row of an earlier version")
-	require.Zero(t, unverifiedOrdersBy(new(time.Duration), storeReading{time.Hour, epoch}, formerOrders))
+	require.Equal(t, formerOrders.Add(maxOrderAge+answerTimeoutMax+maxOrderDelay), lastUnverifiedOrder(nil, storeReading{time.Hour, epoch}, formerOrders), "a row of an earlier version")
+	require.Zero(t, lastUnverifiedOrder(new(time.Duration), storeReading{time.Hour, epoch}, formerOrders))
 }
 
 // A worker whose lease may outlast those of the term left the list and came back as one that has none.
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -206,9 +206,9 @@
 // Earlier versions sent the deadline of a poll to whichever lifetime answered. During an upgrade a worker may
 // have taken one from a former leader, or take it until it has answered this term.
 
-// unverifiedOrdersBy returns the local time by which the last order of such a version has arrived, for a
+// lastUnverifiedOrder returns the local time by which the last order of such a version has arrived, for a
 // term that began with a record. formerOrdersBy is when the former leader gave its last order.
-func unverifiedOrdersBy(end *time.Duration, begun storeReading, formerOrdersBy time.Time) time.Time {
+func lastUnverifiedOrder(end *time.Duration, begun storeReading, formerOrdersBy time.Time) time.Time {
 	switch {
 	case end == nil || *end > 0 && begun.now == 0:
 		return formerOrdersBy.Add(maxOrderAge + answerTimeoutMax + maxOrderDelay)
@@ -231,9 +231,9 @@
 	return &end
 }
 
-// fenceFormerLeases bounds the leases of earlier terms on a worker that has answered this one. Deadlines
+// fenceWorker bounds the leases of earlier terms on a worker that has answered this one. Deadlines
 // that were meant for a former lifetime are bounded by the worker's own limit only.
-func (t *term) fenceFormerLeases(w *worker) {
+func (t *term) fenceWorker(w *worker) {
 	if !w.fenced && !t.unverifiedOrdersBy.IsZero() {
 		lease := t.workerLeaseMax()
 		if end := earliest(t.now, t.unverifiedOrdersBy).Add(maxRealDuration(lease) + leaseMargin); end.After(t.now) {
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -260,7 +260,7 @@
 	}
 	if first {
 		t.logFirstAnswer(w)
-		t.fenceFormerLeases(w)
+		t.fenceWorker(w)
 		t.refuseUnansweredStarts(w)
 		t.planDue = true
 	}
