--- a/internal/fleet/odd_entries_test.go
+++ b/internal/fleet/odd_entries_test.go
@@ -60,6 +60,29 @@
 	})
 }
 
+// A lost answer beside such an entry counted as proof that the worker had started again: its tasks started a second
+// time while their runs went on.
+func TestEntryOfLaterLifetimeUnderWorkerWithoutAnswer(t *testing.T) {
+	for name, silentFor := range map[string]time.Duration{"the probe gets no answer": 0, "a call has got no answer": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 68, 3, 2, lasting, func(t *testing.T, c *fleettest.Cluster) {
+				submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: smallNeeds, Lasting: true}}})
+				time.Sleep(time.Second)
+				for _, w := range c.Fleet {
+					c.Workers.SetLink(w, fleettest.Link{AnswersCut: true})
+					time.Sleep(silentFor)
+					putEntry(t, c, string(w.Info.Worker), withBorn(w, math.MaxInt64))
+					time.Sleep(2500*time.Millisecond - silentFor) // less than a lease
+					c.Workers.SetLink(w, fleettest.Link{})
+					time.Sleep(time.Second)
+					c.List(w)
+					require.Equal(t, 6, c.Checker.StartCount(), "the runs of the worker continue")
+				}
+			})
+		})
+	}
+}
+
 // A worker that starts again under its id at another address is used at once.
 func TestWorkerStartsAgainElsewhere(t *testing.T) {
 	runCluster(t, 62, 3, 1, lasting, func(t *testing.T, c *fleettest.Cluster) {
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -38,9 +38,10 @@
 	report Report
 	err    error
 	sent   time.Time
-	// probe marks a probe, which is sent beside the worker's regular polls.
-	probe bool
-	took  time.Duration
+	// probe marks a probe, which is sent beside the worker's regular polls, later one to the address of its
+	// laterEntry.
+	probe, later bool
+	took         time.Duration
 }
 
 // schedulePolls sends the polls that are due, as many as the host carries, see pollOrder.
@@ -110,25 +111,39 @@
 		o.Deadline = t.offerLease(w)
 	}
 	w.pollInFlight, w.pollWithoutWait = true, false
+	if w.laterEntry != nil && t.loaded {
+		t.probeLater(w)
+	}
 	t.metrics.polls.Inc()
-	go t.sendPoll(w, w.info, o, false, t.answerTimeout.timeout(), t.pollSlots.begin(t.now))
+	go t.sendPoll(pollReply{worker: w, order: o}, w.info, t.answerTimeout.timeout(), t.pollSlots.begin(t.now))
 }
 
 // probe asks a worker for its report at once, even while a poll is in flight. It acknowledges
 // nothing.
 func (t *term) probe(w *worker) {
 	t.metrics.polls.Inc()
-	go t.sendPoll(w, w.info, PollOrder{Fence: t.number}, true, t.answerTimeout.timeout(), t.pollSlots.begin(t.now))
+	go t.sendPoll(pollReply{worker: w, order: PollOrder{Fence: t.number}, probe: true}, w.info, t.answerTimeout.timeout(), t.pollSlots.begin(t.now))
+}
+
+// probeLater asks for the report of a later lifetime of w that has another address.
+func (t *term) probeLater(w *worker) {
+	if w.laterEntry.Addr == w.info.Addr {
+		return
+	}
+	t.metrics.polls.Inc()
+	go t.sendPoll(pollReply{worker: w, order: PollOrder{Fence: t.number}, probe: true, later: true}, *w.laterEntry, t.answerTimeout.timeout(), t.pollSlots.begin(t.now))
 }
 
-func (t *term) sendPoll(w *worker, info WorkerInfo, o PollOrder, probe bool, limit time.Duration, slot uint64) {
+// sendPoll sends the poll that e describes and posts e with its result.
+func (t *term) sendPoll(e pollReply, info WorkerInfo, limit time.Duration, slot uint64) {
 	defer t.calls.begin(&t.calls.polls)()
 	defer t.pollSlots.end(slot)
-	ctx, cancel := context.WithTimeout(t.ctx, o.Wait+limit)
+	ctx, cancel := context.WithTimeout(t.ctx, e.order.Wait+limit)
 	defer cancel()
-	sent := time.Now()
-	report, err := t.cfg.Workers.Poll(ctx, info, o)
-	t.post(pollReply{w, o, report, err, sent, probe, time.Since(sent)})
+	e.sent = time.Now()
+	e.report, e.err = t.cfg.Workers.Poll(ctx, info, e.order)
+	e.took = time.Since(e.sent)
+	t.post(e)
 }
 
 func (e pollReply) handle(t *term) {
@@ -143,6 +158,9 @@
 	if t.workers[w.info.Worker] != w {
 		return // it has started again or left since
 	}
+	if e.later && !e.confirmsEntry() {
+		return // it says nothing of this lifetime
+	}
 	if !t.loaded {
 		t.keepEarlyReport(w, e)
 		return
@@ -151,8 +169,8 @@
 		e.logOtherLifetime(t)
 		w = t.replaceByReport(w, e.report.Born)
 		e.report.Acknowledged = 0 // an end of the former lifetime
-	} else if t.settleLaterLifetime(w, e) {
-		return
+	} else {
+		t.settleLaterLifetime(w, e)
 	}
 	switch {
 	case e.err != nil:
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -281,38 +281,40 @@
 		t.checkLaterLifetime(w, info) // later all the same if the time of day has stepped back
 	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
-	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered && w.unansweredCalls == 0):
+	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered):
 		t.checkLaterLifetime(w, info)
 	default:
 		t.replaceWorker(w, info)
 	}
 }
 
-// checkLaterLifetime probes a worker that answers although an entry names another lifetime of
-// it. The entry may come from another writer, and then the runs of the worker go on.
+// checkLaterLifetime probes a worker that may still run although an entry names another lifetime of it. The entry may
+// come from another writer, and then the runs of the worker go on. It counts once that lifetime has answered, or once
+// the leases of this one have ended.
 func (t *term) checkLaterLifetime(w *worker, later WorkerInfo) {
-	if w.laterEntry == nil {
+	known := w.laterEntry != nil
+	w.laterEntry = &later
+	if !known {
 		w.laterEntrySeen = t.now
 		t.probe(w)
+		t.probeLater(w)
 	}
-	w.laterEntry = &later
 }
 
-// settleLaterLifetime applies a poll's result to an entry that checkLaterLifetime has kept. It
-// reports whether the worker was replaced: its lifetime no longer answers.
-func (t *term) settleLaterLifetime(w *worker, e pollReply) (replaced bool) {
-	if w.laterEntry == nil || e.sent.Before(w.laterEntrySeen) || t.workers[w.info.Worker] != w {
-		return false
+// settleLaterLifetime drops an entry that checkLaterLifetime has kept if this lifetime has answered since.
+func (t *term) settleLaterLifetime(w *worker, e pollReply) {
+	if w.laterEntry == nil || e.sent.Before(w.laterEntrySeen) || e.err != nil || e.report.Verdict != StartRunning && e.report.Verdict != StartFenced {
+		return
 	}
-	later := *w.laterEntry
+	t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "entry ignored", "runs": len(w.runs),
+		"born": w.laterEntry.Born, "answering": w.info.Born}).Warn("worker answers although its entry names a later lifetime")
 	w.laterEntry = nil
-	if e.err == nil && (e.report.Verdict == StartRunning || e.report.Verdict == StartFenced) {
-		t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "entry ignored", "runs": len(w.runs),
-			"born": later.Born, "answering": w.info.Born}).Warn("worker answers although its entry names a later lifetime")
-		return false
-	}
-	t.replaceWorker(w, later)
-	return true
+}
+
+// confirmsEntry reports whether the lifetime that the worker's laterEntry names has answered.
+func (e pollReply) confirmsEntry() bool {
+	l := e.worker.laterEntry
+	return l != nil && e.err == nil && e.report.Verdict == StartRunning && e.report.Born == l.Born
 }
 
 // updateWorker applies a newer entry of the same lifetime of a worker.
@@ -371,11 +373,14 @@
 		if w.inherited && !w.answered && t.confirmedAfter(t.lastLeaseEnd(w)) {
 			t.log.WithFields(logrus.Fields{"decision": "worker", "worker": w.info.Worker, "choice": "expired",
 				"listed": w.listed, "lease_end_ms_ago": t.now.Sub(w.inheritedLeaseEnd).Milliseconds(), "term_ms": t.now.Sub(t.startedAt).Milliseconds()}).Warn("leases of an unreachable worker from earlier terms have ended")
-			entry, listed := w.listedEntry()
 			t.formerRunsLost = t.formerRunsLost || !w.runsKnown
+			if w.laterEntry != nil { // that lifetime may have carried out orders for this one
+				t.replaceWorker(w, *w.laterEntry)
+				continue
+			}
 			t.removeWorker(w, reasonLeaseOver)
-			if listed { // it may come back, but nothing from before can still run there
-				t.workers[entry.Worker] = newWorker(entry)
+			if w.listed { // it may come back, but nothing from before can still run there
+				t.workers[w.info.Worker] = newWorker(w.info)
 			}
 			continue
 		}
@@ -389,6 +394,10 @@
 		if t.loseLapsedRuns(w); len(w.runs) > 0 {
 			continue
 		}
+		if w.laterEntry != nil {
+			t.replaceWorker(w, *w.laterEntry)
+			continue
+		}
 		t.markUnused(w)
 		if !w.listed && t.now.Sub(w.clockAt) > unreachableTimeout {
 			t.removeWorker(w, "left")
@@ -398,15 +407,6 @@
 	t.interference.dropStaleTrends(t.now)
 }
 
-// listedEntry returns the entry of the worker in the list; listed is false if there is none. It may name a
-// later lifetime.
-func (w *worker) listedEntry() (entry WorkerInfo, listed bool) {
-	if w.laterEntry != nil {
-		return *w.laterEntry, true
-	}
-	return w.info, w.listed
-}
-
 const (
 	// unreachableTimeout is how long an unreachable worker that is not listed is kept and
 	// polled, and how long work waits for listed workers that are unreachable. It is the
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -119,7 +119,7 @@
 	// listed is false once the platform's list lacks the entry.
 	listed bool
 	// laterEntry is an entry that names a later lifetime of the worker, seen first at
-	// laterEntrySeen, until a probe has settled whether this lifetime still answers.
+	// laterEntrySeen, until one of both has answered or the leases of this one have ended.
 	laterEntry     *WorkerInfo
 	laterEntrySeen time.Time
 	runs           map[RunRef]*run
