--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -409,7 +409,10 @@
 		}
 	}
 	for _, life := range c.used {
-		if w := t.workers[life.Worker]; w != nil && w.info.Lifetime == life && !t.usedRowsToDelete[life] {
+		switch w := t.workers[life.Worker]; {
+		case w == nil || w.info.Lifetime != life:
+			t.usedRowsToDelete[life] = true // the lifetime was replaced, or has left, since the transaction began
+		case !t.usedRowsToDelete[life]:
 			w.usedRowStored, w.leaseRecordTerm, w.nextPoll, t.planDue = true, 0, t.now, true
 		}
 	}
