--- a/internal/fleet/early_reports.go
+++ b/internal/fleet/early_reports.go
@@ -64,7 +64,7 @@
 		w.observeClock(e.report.Clock, t.now)
 		t.fenceWorker(w)
 		w.earlyReport = &e
-		if w.countWithheld(e); w.withheld == 1 {
+		if w.withheld == 1 {
 			w.nextPoll = t.now // on the connection of this answer
 		}
 	}
--- a/internal/fleet/early_reports_test.go
+++ b/internal/fleet/early_reports_test.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// An early report that went without a part of its order counted once more when the tables had been read, as though the
+// worker closed its connections, and a probe's answer began the count anew.
+func TestWithheldPollCountsOnce(t *testing.T) {
+	tm, all, log := loadingTerm(t, 1)
+	w := all[0]
+	earlyAnswer(tm, w)
+	tm.now = tm.now.Add(earlyPollPause)
+	tm.lastRenewal = tm.now
+	tm.poll(w)
+	report := Report{Verdict: StartRunning, Born: w.info.Born, Clock: w.clock + time.Second}
+	pollReply{worker: w, order: <-log.orders, report: report, sent: tm.now}.handle(tm)
+	require.Equal(t, 1, w.withheld)
+	tablesLoaded{}.handle(tm)
+	require.Equal(t, 1, w.withheld)
+	pollReply{worker: w, order: PollOrder{Fence: tm.number}, report: report, sent: tm.now, probe: true}.handle(tm)
+	require.Equal(t, 1, w.withheld)
+}
+
 // Polls of all workers that had answered early began at the same moment when the tables had been read.
 func TestPollsAfterLoadAreSpread(t *testing.T) {
 	tm, all, _ := loadingTerm(t, 350)
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -105,9 +105,16 @@
 	return w.offeredDeadline
 }
 
-// settleOffer records what the poll in flight has sent of its deadline.
-func (w *worker) settleOffer(r Report) {
-	w.offeredDeadline, w.leaseDeadline = 0, max(w.leaseDeadline, r.Deadline)
+// settleOffer records what the poll in flight has sent of its order.
+func (w *worker) settleOffer(e pollReply) {
+	w.offeredDeadline, w.leaseDeadline = 0, max(w.leaseDeadline, e.report.Deadline)
+	switch {
+	case e.err != nil || e.report.Verdict != StartRunning:
+	case e.report.Acknowledged != e.order.Acknowledged || e.report.Deadline != e.order.Deadline:
+		w.withheld++ // its connection was not known to be one to the lifetime that is meant
+	default:
+		w.withheld = 0
+	}
 }
 
 // runLeaseEnd returns when the lease of a run has certainly ended. If neither a report nor the
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -153,7 +153,7 @@
 	}
 	if !e.probe {
 		w.pollInFlight = false
-		w.settleOffer(e.report)
+		w.settleOffer(e)
 	}
 	if t.workers[w.info.Worker] != w {
 		return // it has started again or left since
@@ -194,20 +194,6 @@
 		"acknowledged": e.report.Acknowledged, "took_ms": e.took.Milliseconds(), "probe": e.probe}).Warn("another lifetime of the worker has answered a poll")
 }
 
-// withheld reports whether the poll went without its acknowledgement or deadline, as its connection was
-// not known to be one to the lifetime that is meant.
-func (e pollReply) withheld() bool {
-	return e.report.Acknowledged != e.order.Acknowledged || e.report.Deadline != e.order.Deadline
-}
-
-// countWithheld counts the answered polls in a row that went without a part of their order.
-func (w *worker) countWithheld(e pollReply) {
-	w.withheld++
-	if !e.withheld() {
-		w.withheld = 0
-	}
-}
-
 // recordNoAnswer records a call without an answer and delays the next poll.
 func (t *term) recordNoAnswer(w *worker, err error) {
 	w.countUnanswered(t.now)
@@ -265,7 +251,6 @@
 		t.resolveMissingRuns(w, e)
 	}
 	w.nextPoll = t.now
-	w.countWithheld(e)
 	switch {
 	case w.withheld > 1: // the worker may close each connection after its answer
 		w.nextPoll = t.now.Add(pollRetryPause)
