--- a/internal/fleet/learned_lifetimes_test.go
+++ b/internal/fleet/learned_lifetimes_test.go
@@ -81,24 +81,55 @@
 	require.Equal(t, time.Minute+maxLease, tm.workers["w"].deadline(tm.now, maxLease))
 }
 
-// A worker that left the list idle and came back began without the leases that orders for a former lifetime
-// had set: a deadline never shortens one.
-func TestRelistedWorkerKeepsLeasesOfFormerOrders(t *testing.T) {
-	tm := loadedTerm(t)
-	tm.cfg.Bounds.LeaseMax = 10 * time.Second
-	w := testWorker("w")
-	tm.workers["w"] = w
-	w.observeClock(time.Minute, tm.now)
-	w.inheritedLeaseEnd = tm.now.Add(10 * time.Second)
-	granted, info := w.leaseEnd(), w.info
-	tm.unlistWorker(w)
-	tm.expireLeases()
-	if tm.workers["w"] == nil {
-		tm.workers["w"] = newWorker(info)
+// A worker that came back under its id, after it had left the list idle or an entry of another writer had replaced it,
+// began without the leases that the term or orders for a former lifetime had set: a deadline never shortens one.
+func TestWorkerThatIsBackKeepsItsLeases(t *testing.T) {
+	const reach = 10 * time.Second
+	leases := map[string]func(*term, *worker){
+		"of former orders": func(tm *term, w *worker) { w.longestLease, w.inheritedLeaseEnd = reach, tm.now.Add(reach) },
+		"of the term":      func(tm *term, w *worker) { w.extendLease(tm.now, maxLease) },
+		"of former orders, not answered": func(tm *term, w *worker) {
+			w.answered, w.inherited, w.inheritedLeaseEnd = false, true, tm.now.Add(2*reach)
+		},
+	}
+	ways := map[string]func(*term, *worker){
+		"left the list": func(tm *term, w *worker) {
+			tm.unlistWorker(w)
+			tm.expireLeases()
+			if tm.workers["w"] == nil {
+				tm.workers["w"] = newWorker(w.info)
+			}
+		},
+		"was replaced": func(tm *term, w *worker) {
+			other := w.info
+			other.Born++
+			tm.replaceWorker(w, other)
+		},
+	}
+	for lease, set := range leases {
+		for way, leave := range ways {
+			t.Run(lease+"/"+way, func(t *testing.T) {
+				tm := loadedTerm(t)
+				tm.cfg.Bounds.LeaseMax = reach
+				w := testWorker("w")
+				tm.workers["w"] = w
+				w.observeClock(time.Minute, tm.now)
+				set(tm, w)
+				granted, info := w.leaseEnd(), w.info
+				leave(tm, w)
+				require.False(t, tm.workers["w"].leaseEnd().Before(granted), "counts as over %v early", granted.Sub(tm.workers["w"].leaseEnd()))
+				tm.handleEntry(info)
+				report(tm, tm.workers["w"], info.Born, time.Minute)
+				next := tm.workers["w"]
+				require.EqualValues(t, info.Born, next.info.Born)
+				next.extendLease(tm.now, time.Second)
+				if lease != "of former orders, not answered" { // it obeys no earlier term from its answer on
+					require.False(t, next.leaseEnd().Before(granted), "counts as over %v early", granted.Sub(next.leaseEnd()))
+				}
+			})
+		}
 	}
-	next := tm.workers["w"]
-	tm.updateWorker(next, info)
-	report(tm, next, info.Born, time.Minute)
-	next.extendLease(tm.now, maxLease)
-	require.False(t, next.leaseEnd().Before(granted), "counts as over %v early", granted.Sub(next.leaseEnd()))
 }
+
+// handleEntry applies an entry of the list of workers.
+func (t *term) handleEntry(info WorkerInfo) { replaceEntry{info: info}.handle(t) }
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -34,6 +34,8 @@
 // ended, and those whose start is held back never began; the others pass to the new one.
 func (t *term) replaceWorker(w *worker, info WorkerInfo) *worker {
 	next := newWorker(info)
+	// An entry of another writer may begin a lifetime that ends with the next report of w.
+	next.inheritedLeaseEnd, next.longestLease = w.leaseEnd(), w.longestLease
 	t.observeEnd(w)
 	t.recordCrash(w, true, true)
 	lost := 0
@@ -75,7 +77,7 @@
 	if next.ordersArriveBy.After(lastOrder) {
 		lastOrder = next.ordersArriveBy
 	}
-	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
+	next.inheritedLeaseEnd = latest(next.inheritedLeaseEnd, lastOrder.Add(maxRealDuration(next.longestLease)+leaseMargin))
 	t.usedRowsToPut[next.info.Lifetime] = t.usedRecord(next)
 }
 
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -384,7 +384,7 @@
 			}
 			continue
 		}
-		if w.departedIdle() && !t.now.Before(w.inheritedLeaseEnd) { // if it comes back, its entry does not tell these leases
+		if w.departedIdle() && !t.now.Before(w.leaseEnd()) { // if it comes back, its entry does not tell the leases
 			t.removeWorker(w, "left")
 			continue
 		}
