--- a/internal/fleet/early_reports.go
+++ b/internal/fleet/early_reports.go
@@ -60,6 +60,9 @@
 	case e.report.Verdict == StartOtherLifetime, w.isOtherLifetime(e.report.Born):
 		w.inheritedLeaseEnd, w.earlyReport = w.leaseEnd(), nil
 		w.countUnanswered(t.now)
+		if e.report.Verdict == StartRunning { // that lifetime may have carried out orders for w
+			t.extendByOrders(w, t.lastOrder(w))
+		}
 	case e.report.Clock >= w.clock:
 		w.observeClock(e.report.Clock, t.now)
 		t.fenceWorker(w)
--- a/internal/fleet/handover_lifetimes_test.go
+++ b/internal/fleet/handover_lifetimes_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,13 +16,15 @@
 // reach the worker, took the lease for a usual one and started the task elsewhere too early.
 func TestLeaderAfterHandOverWaitsForLeaseOfAnsweredLifetime(t *testing.T) {
 	for _, age := range []time.Duration{15 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond} {
-		t.Run(age.String(), func(t *testing.T) { runHandOverBesideNewLifetime(t, age) })
+		for _, listed := range []bool{true, false} {
+			t.Run(fmt.Sprint(age, "/listed=", listed), func(t *testing.T) { runHandOverBesideNewLifetime(t, age, listed) })
+		}
 	}
 }
 
 // runHandOverBesideNewLifetime ends a leader just after a worker that has started again has carried out
 // a start. The next leader hears from the worker and releases the lead at an age, as the worker is cut off.
-func runHandOverBesideNewLifetime(t *testing.T, age time.Duration) {
+func runHandOverBesideNewLifetime(t *testing.T, age time.Duration, listed bool) {
 	long := func(fleet.TaskName) fleettest.Task { return fleettest.Task{Work: 30 * time.Second, Needs: wideNeeds} }
 	prepare := func() *fleettest.Cluster {
 		c := fleettest.NewCluster(415, 4, 3, long)
@@ -37,7 +40,9 @@
 		}
 		former := c.Leader()
 		c.Kill(former)
-		c.List(w)
+		if listed {
+			c.List(w)
+		}
 		short := leaderBeside(c, former)
 		time.Sleep(age)
 		for _, m := range c.Nodes {
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -59,28 +59,34 @@
 }
 
 // inheritOrders makes a new lifetime answer for the orders that were sent to the former one: it may
-// have carried them out. Their leases end at times on the clock of the former lifetime, so only the
-// worker's own limit bounds them.
+// have carried them out.
 func (t *term) inheritOrders(former, next *worker) {
-	lastOrder := t.now
-	if former.inherited && !former.answered && former.leaseSentBy.IsZero() {
-		lastOrder = t.formerLeaderRenewedBy.Add(maxOrderAge)
-	}
 	next.inherited, next.inheritedAt, next.leaseSentBy = true, t.now, former.leaseSentBy
-	next.longestLease = t.workerLeaseMax()
 	next.ordersArriveBy = former.ordersArriveBy
 	for _, r := range next.runs {
 		if arriveBy := former.leaseSentBy.Add(maxOrderDelay); r.sentTo == 0 && arriveBy.After(next.ordersArriveBy) {
 			next.ordersArriveBy = arriveBy
 		}
 	}
-	if next.ordersArriveBy.After(lastOrder) {
-		lastOrder = next.ordersArriveBy
-	}
-	next.inheritedLeaseEnd = latest(next.inheritedLeaseEnd, lastOrder.Add(maxRealDuration(next.longestLease)+leaseMargin))
+	t.extendByOrders(next, latest(t.lastOrder(former), next.ordersArriveBy))
 	t.usedRowsToPut[next.info.Lifetime] = t.usedRecord(next)
 }
 
+// lastOrder returns when the last order may have been sent to a worker that another lifetime has followed.
+func (t *term) lastOrder(w *worker) time.Time {
+	if w.inherited && !w.answered && w.leaseSentBy.IsZero() {
+		return t.formerLeaderRenewedBy.Add(maxOrderAge)
+	}
+	return t.now
+}
+
+// extendByOrders bounds the leases that orders for a former lifetime may have set in w by a last one. They end at
+// times on the clock of that lifetime, so only the worker's own limit bounds them.
+func (t *term) extendByOrders(w *worker, lastOrder time.Time) {
+	w.longestLease, w.leaseEndAssumed = t.workerLeaseMax(), false
+	w.inheritedLeaseEnd = latest(w.inheritedLeaseEnd, lastOrder.Add(maxRealDuration(w.longestLease)+leaseMargin))
+}
+
 // usedRecord returns the row of tableUsed of w without a lease record.
 func (t *term) usedRecord(w *worker) usedRecord {
 	u := w.usedIdentity()
