--- a/internal/fleet/learned_lifetimes_test.go
+++ b/internal/fleet/learned_lifetimes_test.go
@@ -131,5 +131,25 @@
 	}
 }
 
+// A worker that was cut off while it wrote its entry counted as replaced when its leases ended, by an entry of another
+// writer that was older than its own: it was not used again before its next entry.
+func TestOwnEntryFollowsEntryOfAnotherWriter(t *testing.T) {
+	tm := loadedTerm(t)
+	w := testWorker("w")
+	tm.workers["w"] = w
+	w.observeClock(time.Minute, tm.now)
+	testRun(w, &Step{Count: 1}, 0)
+	own, other := w.info, w.info
+	other.Born++
+	tm.handleEntry(other)
+	tm.handleEntry(own)
+	w.countUnanswered(tm.now)
+	tm.now = w.leaseEnd().Add(time.Second)
+	tm.confirmedAt = tm.now
+	tm.expireLeases()
+	require.Empty(t, w.runs)
+	require.Same(t, w, tm.workers["w"])
+}
+
 // handleEntry applies an entry of the list of workers.
 func (t *term) handleEntry(info WorkerInfo) { replaceEntry{info: info}.handle(t) }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -325,7 +325,7 @@
 			"draining": info.Draining, "leaving_ms": info.Leaving.Milliseconds()}).Info("worker updated")
 	}
 	if w.info.Born == 0 || info.Born != 0 {
-		w.info = info
+		w.info, w.laterEntry = info, nil // this lifetime has written after the other
 	}
 	w.listed, w.rack = true, rackOf(info.Labels)
 	if w.answered && w.unansweredCalls == 0 && !w.usedRowStored {
