--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -81,6 +81,7 @@
 // remoteEvacuationReply is another cell's answer to an evacuation request.
 type remoteEvacuationReply struct {
 	evacuation *machineEvacuation
+	worker     model.WorkerID
 	answer     evacuationStatus
 	asked      time.Time
 }
@@ -88,7 +89,7 @@
 func (e remoteEvacuationReply) handle(t *term) {
 	e.evacuation.requestInFlight = false
 	if e.answer.Known {
-		e.evacuation.remoteStatus, e.evacuation.remoteAskedAt = e.answer, e.asked
+		e.evacuation.remoteStatus, e.evacuation.remoteWorker, e.evacuation.remoteAskedAt = e.answer, e.worker, e.asked
 	}
 }
 
@@ -99,9 +100,9 @@
 	if t.evacuate != nil && !evacuation.requestInFlight && t.now.Sub(evacuation.requestedAt) > evacuateInterval {
 		evacuation.requestInFlight, evacuation.requestedAt = true, t.now
 		p, asked := evacuateParams{cell, worker, waited}, t.now
-		go func() { t.post(remoteEvacuationReply{evacuation, t.evacuate(t.ctx, p), asked}) }()
+		go func() { t.post(remoteEvacuationReply{evacuation, worker, t.evacuate(t.ctx, p), asked}) }()
 	}
-	if evacuation.remoteAskedAt.IsZero() || t.now.Sub(evacuation.remoteAskedAt) > evacuationStatusMaxAge {
+	if evacuation.remoteWorker != worker || evacuation.remoteAskedAt.IsZero() || t.now.Sub(evacuation.remoteAskedAt) > evacuationStatusMaxAge {
 		return false
 	}
 	return !evacuation.remoteStatus.Blocked && (evacuation.remoteStatus.Runs == 0 || waited >= evacuationGrace+evictionWait)
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -189,6 +189,16 @@
 	require.False(t, tm.leaseRecordNeeded(idle))
 }
 
+// The runs of a machine's former worker in another cell counted as those of the next one: its maintenance could begin
+// beside work.
+func TestEvacuationOfFormerWorkerSaysNothingOfNextOne(t *testing.T) {
+	tm := newTestTerm(2)
+	e := &machineEvacuation{startedAt: tm.now}
+	remoteEvacuationReply{e, "former", evacuationStatus{Known: true}, tm.now}.handle(tm)
+	require.True(t, tm.evacuateRemote("former", 1, e))
+	require.False(t, tm.evacuateRemote("next", 1, e))
+}
+
 // A term that released leadership just after it had loaded its tables recorded leases of all workers
 // without their runs, and the next term had to replace each record before it could use the worker.
 func TestReleaseAfterLoadRecordsNoUnaskedWorkers(t *testing.T) {
--- a/internal/fleet/maintenance.go
+++ b/internal/fleet/maintenance.go
@@ -48,9 +48,10 @@
 	startedAt        time.Time // zero while the machine waits for its turn
 	maintainInFlight bool
 	// remoteStatus is the latest status from the leader of the machine's cell, if that is
-	// another cell. remoteAskedAt is when that status was requested, requestedAt when the last
-	// request was sent.
+	// another cell, of remoteWorker. remoteAskedAt is when that status was requested, requestedAt when the
+	// last request was sent.
 	remoteStatus               evacuationStatus
+	remoteWorker               model.WorkerID
 	remoteAskedAt, requestedAt time.Time
 	requestInFlight            bool
 }
