--- a/internal/fleet/lease_records.go
+++ b/internal/fleet/lease_records.go
@@ -52,7 +52,7 @@
 // leasesEndBy returns when all leases on w have ended, and since when that is known.
 func (t *term) leasesEndBy(w *worker) (end, knownSince time.Time) {
 	switch {
-	case t.stopping:
+	case t.stopping && !w.leaseEndAtStop.IsZero(): // zero for a lifetime that has begun since
 		return w.leaseEndAtStop, t.stoppedAt
 	case !w.answered && w.inheritedAt.After(t.usedReadAt):
 		return w.leaseEnd(), w.inheritedAt
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// A lifetime that began while the term released leadership was recorded with leases that had ended long ago: tasks that
+// it ran by orders for the former one started elsewhere.
+func TestRecordOfLifetimeThatBeginsWhileStopping(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.operator = &operatorTable{}
+	w := testWorker("w")
+	w.observeClock(time.Second, tm.now)
+	tm.workers["w"] = w
+	testRun(w, &Step{Count: 1}, 0).state = runUnconfirmed
+	stepDown{}.handle(tm)
+	next := w.info
+	next.Born++
+	tm.replaceWorker(w, next).usedRowStored = true
+	clear(tm.usedRowsToPut)
+	tm.workers["w"].countUnanswered(tm.now)
+	tm.storeClock = storeReading{100 * time.Second, tm.now.Add(time.Millisecond)}
+	ends := recordedLeases(t, tm)
+	require.Len(t, ends, 1)
+	require.GreaterOrEqual(t, ends[0].End, tm.storeClock.upperBound(tm.workers["w"].leaseEnd()))
+}
+
 // A run that was recorded with a former lifetime of a worker stayed with its task for good when the
 // row of a newer lifetime replaced that worker.
 func TestRecordedRunOfReplacedLifetimeIsDropped(t *testing.T) {
