--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -373,3 +373,18 @@
 	require.EqualValues(t, 2, tm.workers["w"].info.Born)
 	require.True(t, tm.workers["w"].listed)
 }
+
+// The entry of a lifetime was forgotten when the rows of two former ones were read.
+func TestEntryOutlastsRowsOfFormerLifetimes(t *testing.T) {
+	tm := loadedTerm(t)
+	entry := testWorker("w").info
+	entry.Born = 3
+	tm.workers["w"] = newWorker(entry)
+	for born := range int64(2) {
+		require.True(t, tm.restoreUsedWorker(Row{Value: encode(usedRecord{Lifetime: Lifetime{Worker: "w", Born: 1 + born}})}, 0, tm.now))
+	}
+	w := tm.workers["w"]
+	require.EqualValues(t, 2, w.info.Born)
+	require.NotNil(t, w.laterEntry)
+	require.Equal(t, entry, *w.laterEntry)
+}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -391,7 +391,7 @@
 			t.workers[u.Lifetime.Worker] = w
 		default:
 			t.removeWorker(w, reasonRestarted)
-			w = nil
+			later, w = w.laterEntry, nil
 		}
 	}
 	if w == nil {
