--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -51,7 +51,6 @@
 	witnesses []witness
 	updates   []jobUpdate
 	used      []Lifetime
-	unused    []Lifetime
 	// ends maps workers to the highest run end that the transaction makes durable; empty when
 	// some progress did not fit into the transaction.
 	ends map[*worker]uint64
@@ -245,7 +244,6 @@
 			return
 		}
 		c.tx.Delete = append(c.tx.Delete, usedRow(t.part, life))
-		c.unused = append(c.unused, life)
 		delete(t.usedRowsToDelete, life)
 	}
 }
--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -92,7 +92,7 @@
 // lease that outlasts those of the term that follows.
 func TestLeasesBesideEarlierVersionsAreBounded(t *testing.T) {
 	const ownLimit = 10 * time.Second
-	lease := maxRealDuration(ownLimit) + leaseMargin
+	lease := leaseTime(ownLimit)
 	for name, test := range map[string]struct {
 		ordersBy time.Duration // after the worker's first answer
 		bound    time.Duration
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -84,7 +84,7 @@
 // times on the clock of that lifetime, so only the worker's own limit bounds them.
 func (t *term) extendByOrders(w *worker, lastOrder time.Time) {
 	w.longestLease, w.leaseEndAssumed = t.workerLeaseMax(), false
-	w.inheritedLeaseEnd = latest(w.inheritedLeaseEnd, lastOrder.Add(maxRealDuration(w.longestLease)+leaseMargin))
+	w.inheritedLeaseEnd = latest(w.inheritedLeaseEnd, lastOrder.Add(leaseTime(w.longestLease)))
 }
 
 // usedRecord returns the row of tableUsed of w without a lease record.
@@ -134,7 +134,7 @@
 	if r.listed || r.sentTo != 0 || r.state == runHeld || w.leaseSentBy.IsZero() {
 		return end
 	}
-	if other := w.leaseSentBy.Add(maxOrderDelay + maxRealDuration(t.workerLeaseMax()) + leaseMargin); other.After(end) {
+	if other := w.leaseSentBy.Add(maxOrderDelay + leaseTime(t.workerLeaseMax())); other.After(end) {
 		return other
 	}
 	return end
@@ -237,7 +237,7 @@
 // clock is known.
 func (t *term) unverifiedOrdersEnd() *time.Duration {
 	switch {
-	case t.now.After(t.unverifiedOrdersBy.Add(maxRealDuration(t.workerLeaseMax()) + leaseMargin)):
+	case t.now.After(t.unverifiedOrdersBy.Add(leaseTime(t.workerLeaseMax()))):
 		return new(time.Duration)
 	case t.storeClock.at.IsZero():
 		return nil
@@ -251,7 +251,7 @@
 func (t *term) fenceWorker(w *worker) {
 	if !w.fenced && !t.unverifiedOrdersBy.IsZero() {
 		lease := t.workerLeaseMax()
-		if end := earliest(t.now, t.unverifiedOrdersBy).Add(maxRealDuration(lease) + leaseMargin); end.After(t.now) {
+		if end := earliest(t.now, t.unverifiedOrdersBy).Add(leaseTime(lease)); end.After(t.now) {
 			w.longestLease, w.inheritedLeaseEnd = lease, latest(w.inheritedLeaseEnd, end)
 		}
 	}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -412,7 +412,7 @@
 
 // formerLeasesEnd returns when the leases of a leader that last renewed at a time have ended.
 func formerLeasesEnd(renewedBy time.Time) time.Time {
-	return renewedBy.Add(maxRealDuration(maxLeaseReach) + leaseMargin)
+	return renewedBy.Add(leaseTime(maxLeaseReach))
 }
 
 // allRunsKnown reports whether all runs of earlier terms are accounted for: of every worker that
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -270,6 +270,9 @@
 // maxRealDuration returns how long d on a worker's clock takes at most in real time.
 func maxRealDuration(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 
+// leaseTime returns for how long a lease of length d on a worker's clock lasts at most.
+func leaseTime(d time.Duration) time.Duration { return maxRealDuration(d) + leaseMargin }
+
 // leaseEnd returns when all runs under the leases sent so far have ended, even if the
 // worker's clock is slow. Leases of earlier terms count too, as a worker never shortens one.
 func (w *worker) leaseEnd() time.Time {
@@ -278,7 +281,7 @@
 		return end
 	}
 	deadline := max(w.leaseDeadline, w.offeredDeadline)
-	if own := w.clockAt.Add(maxRealDuration(deadline-w.clock) + leaseMargin); own.After(end) {
+	if own := w.clockAt.Add(leaseTime(deadline - w.clock)); own.After(end) {
 		end = own
 	}
 	return end
@@ -290,7 +293,7 @@
 	if w.ordersArriveBy.After(now) {
 		now = w.ordersArriveBy
 	}
-	if end := now.Add(maxRealDuration(w.longestLease) + leaseMargin); end.Before(w.inheritedLeaseEnd) {
+	if end := now.Add(leaseTime(w.longestLease)); end.Before(w.inheritedLeaseEnd) {
 		w.inheritedLeaseEnd = end
 	}
 }
