--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -108,10 +108,12 @@
 				tm.formerLeaderRenewedBy = tm.now.Add(-maxLeaseReach - time.Second)
 				tm.unverifiedOrdersBy = tm.now.Add(test.ordersBy)
 				w := all[0]
-				w.inheritedLeaseEnd = tm.formerLeasesEnd()
+				w.inheritedLeaseEnd, w.leaseEndAssumed = tm.formerLeasesEnd(), true
 				answered := tm.now
 				earlyAnswer(tm, w)
 				w.leaseDeadline, w.offeredDeadline = 0, 0
+				tm.silent = &silentLeader{renewedBy: tm.formerLeaderRenewedBy}
+				tm.boundFormerLeases("the former leader has ended")
 				if test.bound == 0 {
 					require.True(t, w.leaseEnd().Before(answered))
 					continue
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -249,11 +249,8 @@
 // fenceWorker bounds the leases of earlier terms on a worker that has answered this one. Deadlines
 // that were meant for a former lifetime are bounded by the worker's own limit only.
 func (t *term) fenceWorker(w *worker) {
-	if !w.fenced && !t.unverifiedOrdersBy.IsZero() {
-		lease := t.workerLeaseMax()
-		if end := earliest(t.now, t.unverifiedOrdersBy).Add(leaseTime(lease)); end.After(t.now) {
-			w.longestLease, w.inheritedLeaseEnd = lease, latest(w.inheritedLeaseEnd, end)
-		}
+	if last := earliest(t.now, t.unverifiedOrdersBy); !w.fenced && t.now.Before(last.Add(leaseTime(t.workerLeaseMax()))) {
+		t.extendByOrders(w, last)
 	}
 	w.fenced = true
 	w.fenceFormerLeases(t.now)
