--- a/internal/fleet/early_reports.go
+++ b/internal/fleet/early_reports.go
@@ -60,11 +60,14 @@
 	case e.report.Verdict == StartOtherLifetime, w.isOtherLifetime(e.report.Born):
 		w.inheritedLeaseEnd, w.earlyReport = w.leaseEnd(), nil
 		w.countUnanswered(t.now)
+		if e.report.Verdict == StartRunning { // that lifetime may have carried out orders for w
+			t.extendByOrders(w, t.lastOrder(w))
+		}
 	case e.report.Clock >= w.clock:
 		w.observeClock(e.report.Clock, t.now)
 		t.fenceWorker(w)
 		w.earlyReport = &e
-		if w.countWithheld(e); w.withheld == 1 {
+		if w.withheld == 1 {
 			w.nextPoll = t.now // on the connection of this answer
 		}
 	}
--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -92,7 +92,7 @@
 // lease that outlasts those of the term that follows.
 func TestLeasesBesideEarlierVersionsAreBounded(t *testing.T) {
 	const ownLimit = 10 * time.Second
-	lease := maxRealDuration(ownLimit) + leaseMargin
+	lease := leaseTime(ownLimit)
 	for name, test := range map[string]struct {
 		ordersBy time.Duration // after the worker's first answer
 		bound    time.Duration
@@ -108,10 +108,12 @@
 				tm.formerLeaderRenewedBy = tm.now.Add(-maxLeaseReach - time.Second)
 				tm.unverifiedOrdersBy = tm.now.Add(test.ordersBy)
 				w := all[0]
-				w.inheritedLeaseEnd = tm.formerLeasesEnd()
+				w.inheritedLeaseEnd, w.leaseEndAssumed = tm.formerLeasesEnd(), true
 				answered := tm.now
 				earlyAnswer(tm, w)
 				w.leaseDeadline, w.offeredDeadline = 0, 0
+				tm.silent = &silentLeader{renewedBy: tm.formerLeaderRenewedBy}
+				tm.boundFormerLeases("the former leader has ended")
 				if test.bound == 0 {
 					require.True(t, w.leaseEnd().Before(answered))
 					continue
--- a/internal/fleet/lease_records_test.go
+++ b/internal/fleet/lease_records_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// A lifetime that began while the term released leadership was recorded with leases that had ended long ago: tasks that
+// it ran by orders for the former one started elsewhere.
+func TestRecordOfLifetimeThatBeginsWhileStopping(t *testing.T) {
+	tm := loadedTerm(t)
+	tm.operator = &operatorTable{}
+	w := testWorker("w")
+	w.observeClock(time.Second, tm.now)
+	tm.workers["w"] = w
+	testRun(w, &Step{Count: 1}, 0).state = runUnconfirmed
+	stepDown{}.handle(tm)
+	next := w.info
+	next.Born++
+	tm.replaceWorker(w, next).usedRowStored = true
+	clear(tm.usedRowsToPut)
+	tm.workers["w"].countUnanswered(tm.now)
+	tm.storeClock = storeReading{100 * time.Second, tm.now.Add(time.Millisecond)}
+	ends := recordedLeases(t, tm)
+	require.Len(t, ends, 1)
+	require.GreaterOrEqual(t, ends[0].End, tm.storeClock.upperBound(tm.workers["w"].leaseEnd()))
+}
+
 // A run that was recorded with a former lifetime of a worker stayed with its task for good when the
 // row of a newer lifetime replaced that worker.
 func TestRecordedRunOfReplacedLifetimeIsDropped(t *testing.T) {
@@ -189,6 +210,16 @@
 	require.False(t, tm.leaseRecordNeeded(idle))
 }
 
+// The runs of a machine's former worker in another cell counted as those of the next one: its maintenance could begin
+// beside work.
+func TestEvacuationOfFormerWorkerSaysNothingOfNextOne(t *testing.T) {
+	tm := newTestTerm(2)
+	e := &machineEvacuation{startedAt: tm.now}
+	remoteEvacuationReply{e, "former", evacuationStatus{Known: true}, tm.now}.handle(tm)
+	require.True(t, tm.evacuateRemote("former", 1, e))
+	require.False(t, tm.evacuateRemote("next", 1, e))
+}
+
 // A term that released leadership just after it had loaded its tables recorded leases of all workers
 // without their runs, and the next term had to replace each record before it could use the worker.
 func TestReleaseAfterLoadRecordsNoUnaskedWorkers(t *testing.T) {
@@ -342,3 +373,18 @@
 	require.EqualValues(t, 2, tm.workers["w"].info.Born)
 	require.True(t, tm.workers["w"].listed)
 }
+
+// The entry of a lifetime was forgotten when the rows of two former ones were read.
+func TestEntryOutlastsRowsOfFormerLifetimes(t *testing.T) {
+	tm := loadedTerm(t)
+	entry := testWorker("w").info
+	entry.Born = 3
+	tm.workers["w"] = newWorker(entry)
+	for born := range int64(2) {
+		require.True(t, tm.restoreUsedWorker(Row{Value: encode(usedRecord{Lifetime: Lifetime{Worker: "w", Born: 1 + born}})}, 0, tm.now))
+	}
+	w := tm.workers["w"]
+	require.EqualValues(t, 2, w.info.Born)
+	require.NotNil(t, w.laterEntry)
+	require.Equal(t, entry, *w.laterEntry)
+}
--- a/internal/fleet/lifetimes.go
+++ b/internal/fleet/lifetimes.go
@@ -34,6 +34,8 @@
 // ended, and those whose start is held back never began; the others pass to the new one.
 func (t *term) replaceWorker(w *worker, info WorkerInfo) *worker {
 	next := newWorker(info)
+	// An entry of another writer may begin a lifetime that ends with the next report of w.
+	next.inheritedLeaseEnd, next.longestLease = w.leaseEnd(), w.longestLease
 	t.observeEnd(w)
 	t.recordCrash(w, true, true)
 	lost := 0
@@ -57,28 +59,34 @@
 }
 
 // inheritOrders makes a new lifetime answer for the orders that were sent to the former one: it may
-// have carried them out. Their leases end at times on the clock of the former lifetime, so only the
-// worker's own limit bounds them.
+// have carried them out.
 func (t *term) inheritOrders(former, next *worker) {
-	lastOrder := t.now
-	if former.inherited && !former.answered && former.leaseSentBy.IsZero() {
-		lastOrder = t.formerLeaderRenewedBy.Add(maxOrderAge)
-	}
 	next.inherited, next.inheritedAt, next.leaseSentBy = true, t.now, former.leaseSentBy
-	next.longestLease = t.workerLeaseMax()
 	next.ordersArriveBy = former.ordersArriveBy
 	for _, r := range next.runs {
 		if arriveBy := former.leaseSentBy.Add(maxOrderDelay); r.sentTo == 0 && arriveBy.After(next.ordersArriveBy) {
 			next.ordersArriveBy = arriveBy
 		}
 	}
-	if next.ordersArriveBy.After(lastOrder) {
-		lastOrder = next.ordersArriveBy
-	}
-	next.inheritedLeaseEnd = lastOrder.Add(maxRealDuration(next.longestLease) + leaseMargin)
+	t.extendByOrders(next, latest(t.lastOrder(former), next.ordersArriveBy))
 	t.usedRowsToPut[next.info.Lifetime] = t.usedRecord(next)
 }
 
+// lastOrder returns when the last order may have been sent to a worker that another lifetime has followed.
+func (t *term) lastOrder(w *worker) time.Time {
+	if w.inherited && !w.answered && w.leaseSentBy.IsZero() {
+		return t.formerLeaderRenewedBy.Add(maxOrderAge)
+	}
+	return t.now
+}
+
+// extendByOrders bounds the leases that orders for a former lifetime may have set in w by a last one. They end at
+// times on the clock of that lifetime, so only the worker's own limit bounds them.
+func (t *term) extendByOrders(w *worker, lastOrder time.Time) {
+	w.longestLease, w.leaseEndAssumed = t.workerLeaseMax(), false
+	w.inheritedLeaseEnd = latest(w.inheritedLeaseEnd, lastOrder.Add(leaseTime(w.longestLease)))
+}
+
 // usedRecord returns the row of tableUsed of w without a lease record.
 func (t *term) usedRecord(w *worker) usedRecord {
 	u := w.usedIdentity()
@@ -105,9 +113,16 @@
 	return w.offeredDeadline
 }
 
-// settleOffer records what the poll in flight has sent of its deadline.
-func (w *worker) settleOffer(r Report) {
-	w.offeredDeadline, w.leaseDeadline = 0, max(w.leaseDeadline, r.Deadline)
+// settleOffer records what the poll in flight has sent of its order.
+func (w *worker) settleOffer(e pollReply) {
+	w.offeredDeadline, w.leaseDeadline = 0, max(w.leaseDeadline, e.report.Deadline)
+	switch {
+	case e.err != nil || e.report.Verdict != StartRunning:
+	case e.report.Acknowledged != e.order.Acknowledged || e.report.Deadline != e.order.Deadline:
+		w.withheld++ // its connection was not known to be one to the lifetime that is meant
+	default:
+		w.withheld = 0
+	}
 }
 
 // runLeaseEnd returns when the lease of a run has certainly ended. If neither a report nor the
@@ -119,7 +134,7 @@
 	if r.listed || r.sentTo != 0 || r.state == runHeld || w.leaseSentBy.IsZero() {
 		return end
 	}
-	if other := w.leaseSentBy.Add(maxOrderDelay + maxRealDuration(t.workerLeaseMax()) + leaseMargin); other.After(end) {
+	if other := w.leaseSentBy.Add(maxOrderDelay + leaseTime(t.workerLeaseMax())); other.After(end) {
 		return other
 	}
 	return end
@@ -222,7 +237,7 @@
 // clock is known.
 func (t *term) unverifiedOrdersEnd() *time.Duration {
 	switch {
-	case t.now.After(t.unverifiedOrdersBy.Add(maxRealDuration(t.workerLeaseMax()) + leaseMargin)):
+	case t.now.After(t.unverifiedOrdersBy.Add(leaseTime(t.workerLeaseMax()))):
 		return new(time.Duration)
 	case t.storeClock.at.IsZero():
 		return nil
@@ -234,11 +249,8 @@
 // fenceWorker bounds the leases of earlier terms on a worker that has answered this one. Deadlines
 // that were meant for a former lifetime are bounded by the worker's own limit only.
 func (t *term) fenceWorker(w *worker) {
-	if !w.fenced && !t.unverifiedOrdersBy.IsZero() {
-		lease := t.workerLeaseMax()
-		if end := earliest(t.now, t.unverifiedOrdersBy).Add(maxRealDuration(lease) + leaseMargin); end.After(t.now) {
-			w.longestLease, w.inheritedLeaseEnd = lease, latest(w.inheritedLeaseEnd, end)
-		}
+	if last := earliest(t.now, t.unverifiedOrdersBy); !w.fenced && t.now.Before(last.Add(leaseTime(t.workerLeaseMax()))) {
+		t.extendByOrders(w, last)
 	}
 	w.fenced = true
 	w.fenceFormerLeases(t.now)
