fleet: lost tasks use the room of stopped services when it is free, not with the next plan

Change: runs that are being stopped count as ending by themselves, so their room is claimed; the end of a run that frees claimed room makes a plan due at once.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -9,8 +9,9 @@
 )
 
 // A lasting task that has lost its run has a claim to the room of one worker that is free or held by work that
-// ends by itself. New work starts beside the claims only, whatever its priority, so the task starts once that work
-// has ended. A claim keeps its worker from plan to plan while the task fits there.
+// ends by itself or is being stopped. New work starts beside the claims only, whatever its priority, so the task
+// starts once that work has ended: a plan is due at once then. A claim keeps its worker from plan to plan while the
+// task fits there.
 //
 // Tasks that may turn out to be lost have claims, too: those on workers that are gone and have leases left, and
 // after a change of leader those that are not accounted for. Otherwise short work would take the room that is
@@ -57,6 +58,7 @@
 	clear(t.roomGrants)
 	t.unplaced, t.lostUnplaced, t.expectedUnplaced = nil, nil, nil
 	all := t.claimants(waiting)
+	t.claiming = all
 	for _, c := range all {
 		t.placementOf(pools, c.service).keepClaims(c)
 	}
@@ -189,6 +191,19 @@
 	return p.isUsable(w) && p.mayClaim(w, r) && p.waitFor(w, p.claimed[w].Add(r.step.Reserved())) <= maxClaimWait
 }
 
+// hasFreeClaim reports whether a lost task claims room on w that is free now.
+func (t *term) hasFreeClaim(w *worker) bool {
+	if _, some := t.claimed[w]; !some {
+		return false
+	}
+	return slices.ContainsFunc(t.claiming, func(c *claimant) bool {
+		return slices.Contains(c.lostClaims(), w) && c.step.Reserved().Fits(w.free())
+	})
+}
+
+// lostClaims returns the workers that lost tasks of c claim.
+func (c *claimant) lostClaims() []*worker { return c.state.claims[:min(len(c.state.claims), c.lost)] }
+
 // withdrawClaims withdraws the claims of c while its tasks are placed.
 func (p *placement) withdrawClaims(c *claimant) {
 	for _, w := range c.state.claims {
@@ -196,7 +211,7 @@
 	}
 }
 
-// mayClaim reports whether a task fits on w beside all claims once the work that ends by itself has ended.
+// mayClaim reports whether a task fits on w beside all claims once the work that ends has ended.
 func (p *placement) mayClaim(w *worker, r taskRequest) bool {
 	return r.step.Reserved().Fits(w.endingCapacity().Sub(p.claimed[w])) && w.hasLabel(r.step.Label) && r.hasTaskSlot(w) &&
 		!(w.health.onProbation() && w.hasTrialRun()) && !w.keepsApart(r.job, p.now)
@@ -238,7 +253,7 @@
 	return best
 }
 
-// runEnd is the expected end of a run that ends by itself, from now, and what it frees.
+// runEnd is the expected end of a run that ends by itself or is being stopped, from now, and what it frees.
 type runEnd struct {
 	after time.Duration
 	freed model.Resources
@@ -253,7 +268,7 @@
 	ends, known := p.runEnds[w]
 	if !known {
 		for _, r := range w.runs {
-			if r.step != nil && !r.step.Lasting {
+			if r.ending() {
 				ends = append(ends, runEnd{p.timeLeft(r), r.reserved})
 			}
 		}
--- a/internal/fleet/lost_tasks.go
+++ b/internal/fleet/lost_tasks.go
@@ -8,7 +8,8 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
-// endingCapacity returns the capacity of a worker that is free once its short tasks and fillers have ended.
+// endingCapacity returns the capacity of a worker that is free once its short tasks, its fillers and the runs that
+// are being stopped have ended.
 func (w *worker) endingCapacity() model.Resources {
 	return w.free().Add(w.ending)
 }
--- a/internal/fleet/lost_tasks_cluster_test.go
+++ b/internal/fleet/lost_tasks_cluster_test.go
@@ -321,3 +321,33 @@
 	v := l.Node.Inspect(t.Context(), "")
 	return v.Fleet != nil && v.Fleet.AllRunsKnown
 }
+
+// noticeAndStart is the time that the system takes from the end of a run to the start of what follows it.
+const noticeAndStart = 80 * time.Millisecond
+
+// Room of a cancelled service stood empty until the next plan, which waits beside many steps.
+func TestLostTaskStartsWhenCancelledServiceEnds(t *testing.T) {
+	lc := lostTasksCase{cells: 1, workers: 20, lostWorkers: 4, tasksPerWorker: 2, needs: model.Resources{MilliCPU: 4000, MemoryMB: 500},
+		leaves: func(int, bool) bool { return false }, priorities: []int{1}, lease: lostLease}
+	forSeeds(t, func(t *testing.T, seed uint64) { lc.play(t, seed, cancelServicesBesideLostTasks) })
+}
+
+func cancelServicesBesideLostTasks(t *testing.T, p *lostTasksPlay) {
+	p.lose()
+	time.Sleep(45 * time.Second) // hundreds of steps wait then
+	for i, started := 0, 0; started < p.lostTasks(); i++ {
+		id := jobID(firstLargeJob + i)
+		if len(p.Checker.Running(id)) == 0 {
+			continue // it found no room
+		}
+		require.Len(t, p.Checker.Running(jobID(0)), started)
+		require.NoError(t, p.Nodes[0].Node.Cancel(t.Context(), p.Queue, id))
+		p.Checker.Cancelled(id)
+		for len(p.Checker.Running(id)) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(noticeAndStart)
+		started++
+		require.Len(t, p.Checker.Running(jobID(0)), started, "%v after the end of a service", noticeAndStart)
+	}
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -22,10 +22,14 @@
 	maxPlanInterval     = 150 * time.Millisecond
 )
 
-// planPause returns the least time from the begin of the last plan to that of the next.
+// planPause returns the least time from the begin of the last plan to that of the next. A lost task that can start
+// does not wait for the steps of a backlog.
 func (t *term) planPause() time.Duration {
-	bySteps := min(planInterval+time.Duration(max(t.plannedSteps-cheapPlanSteps, 0))*planIntervalPerStep, maxPlanInterval)
-	return max(bySteps, t.planTime+workPause(t.planTime))
+	pause := planInterval
+	if !t.freeClaims {
+		pause = min(planInterval+time.Duration(max(t.plannedSteps-cheapPlanSteps, 0))*planIntervalPerStep, maxPlanInterval)
+	}
+	return max(pause, t.planTime+workPause(t.planTime))
 }
 
 // maxStartsPerPlan bounds the starts of one plan, so that the loop keeps up with answers.
@@ -181,7 +185,7 @@
 	p.keepClaims(c)
 	p.addClaims(c, c.lost)
 	p.addClaims(c, c.lost+c.expected)
-	for _, x := range c.state.claims[:min(len(c.state.claims), c.lost)] {
+	for _, x := range c.lostClaims() {
 		if x.reducedMilliCPU > 0 {
 			t.stopReducedFor(x, w.step)
 		}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -263,7 +263,7 @@
 	}
 	if r.state != runStopping {
 		r.withdraw()
-		r.state, r.stateSince, r.stopReason = runStopping, t.now, reason
+		r.setStopping(reason, t.now)
 		t.metrics.stops.WithLabelValues(reason).Inc()
 		t.log.WithFields(logrus.Fields{"decision": "stop", "task": r.ref.Task, "attempt": r.ref.Attempt, "worker": r.worker.info.Worker,
 			"reason": reason, "percent": r.percent, "reading": r.reading}).Info("stopping run")
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -175,8 +175,11 @@
 	// cell.
 	remoteFree       map[int][]freeCapacity
 	remoteFreeReadAt time.Time
-	// claimed is what lost lasting tasks claim on workers.
-	claimed map[*worker]model.Resources
+	// claimed is what lost lasting tasks claim on workers, claiming are their steps by the last plan. freeClaims means
+	// that a lost task can start since on the room that it claims.
+	claimed    map[*worker]model.Resources
+	claiming   []*claimant
+	freeClaims bool
 	// keptForOthers is the part of it for unplaced tasks of other cells.
 	keptForOthers map[*worker]model.Resources
 	// unplaced are the lasting tasks that have no room in this cell. reportedUnplaced are those that
@@ -273,7 +276,7 @@
 			t.onTick()
 		}
 		if t.loaded && t.planDue && t.ctx.Err() == nil && t.now.Sub(t.lastPlan) >= t.planPause() && t.hasStartsForPlan() {
-			t.planDue, t.lastPlan = false, t.now
+			t.planDue, t.freeClaims, t.lastPlan = false, false, t.now
 			t.runEventHook()
 			t.plan()
 			t.planTime = time.Since(t.lastPlan)
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -108,6 +108,9 @@
 // live reports whether the run has not been ordered to stop.
 func (r *run) live() bool { return r.state != runStopping }
 
+// ending reports whether the run ends by itself or is being stopped.
+func (r *run) ending() bool { return r.step != nil && (!r.step.Lasting || !r.live()) }
+
 // seenRunning returns the time from the start of the run to the worker's last answer: the least
 // age at which the worker can have crashed under it.
 func (r *run) seenRunning() time.Duration { return max(r.worker.clockAt.Sub(r.startedAt), 0) }
@@ -134,7 +137,7 @@
 	// shortMilliCPU is the same of short runs.
 	shortMilliCPU int64
 
-	// ending is what short runs and fillers reserve.
+	// ending is what runs reserve that end by themselves or are being stopped.
 	ending model.Resources
 	// clock is the worker's clock in its latest answer, clockAt the time of receipt.
 	clock   time.Duration
@@ -336,7 +339,7 @@
 		return
 	}
 	*w.milliCPUOf(r.step) += r.step.Needs.MilliCPU
-	if !r.step.Lasting {
+	if r.ending() {
 		w.ending = w.ending.Add(r.reserved)
 	}
 	if r.step.Filler {
@@ -344,6 +347,15 @@
 	}
 }
 
+// setStopping notes that the run has been ordered to stop.
+func (r *run) setStopping(reason string, now time.Time) {
+	before := r.ending()
+	r.state, r.stateSince, r.stopReason = runStopping, now, reason
+	if !before && r.ending() && r.worker.runs[r.ref] == r {
+		r.worker.ending = r.worker.ending.Add(r.reserved)
+	}
+}
+
 // detach removes a run and frees its resources.
 func (w *worker) detach(r *run, now time.Time) {
 	if w.runs[r.ref] != r {
@@ -357,7 +369,7 @@
 		return
 	}
 	*w.milliCPUOf(r.step) -= r.step.Needs.MilliCPU
-	if !r.step.Lasting {
+	if r.ending() {
 		w.ending = w.ending.Sub(r.reserved)
 	}
 	if r.step.Filler {
