--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -48,6 +48,16 @@
 // runClusterWith is like runCluster with a cluster that prepare returns; its nodes are not
 // started yet.
 func runClusterWith(t *testing.T, prepare func() *fleettest.Cluster, test func(*testing.T, *fleettest.Cluster)) {
+	t.Helper()
+	playCluster(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
+		test(t, c)
+		c.StopAll()
+		require.Empty(t, c.Checker.Violations())
+	})
+}
+
+// playCluster is like runClusterWith and leaves violations to the test.
+func playCluster(t *testing.T, prepare func() *fleettest.Cluster, test func(*testing.T, *fleettest.Cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := prepare()
@@ -62,8 +72,6 @@
 		time.Sleep(settleTime)
 		require.NotNil(t, c.Leader(), "a leader after %v", settleTime)
 		test(t, c)
-		c.StopAll()
-		require.Empty(t, c.Checker.Violations())
 	})
 }
 
--- a/internal/fleet/early_reports_test.go
+++ b/internal/fleet/early_reports_test.go
@@ -52,16 +52,21 @@
 		Running: []RunStatus{{RunRef: RunRef{"0000000000000001.0.0.0", 1}}}}}.handle(tm)
 }
 
+// earlyPoll lets a worker answer and returns the order of the poll that follows.
+func earlyPoll(tm *term, w *worker, log pollLog) PollOrder {
+	earlyAnswer(tm, w)
+	tm.now = tm.now.Add(earlyPollPause)
+	tm.lastRenewal = tm.now
+	tm.poll(w)
+	return <-log.orders
+}
+
 // The lease of a worker that had answered once while the tables were read was extended by every poll that got no
 // answer: its tasks wait for the whole load and a lease more.
 func TestLeaseOfWorkerLostDuringLoadIsNotExtended(t *testing.T) {
 	tm, all, log := loadingTerm(t, 1)
 	w := all[0]
-	earlyAnswer(tm, w)
-	tm.now = tm.now.Add(earlyPollPause)
-	tm.lastRenewal = tm.now
-	tm.poll(w)
-	o := <-log.orders
+	o := earlyPoll(tm, w, log)
 	require.NotZero(t, o.Deadline)
 	end := w.leaseEnd()
 	for range 5 {
@@ -81,11 +86,7 @@
 	tm, all, log := loadingTerm(t, 1)
 	w := all[0]
 	for range 10 { // a load of 10 s
-		earlyAnswer(tm, w)
-		tm.now = tm.now.Add(earlyPollPause)
-		tm.lastRenewal = tm.now
-		tm.poll(w)
-		<-log.orders
+		earlyPoll(tm, w, log)
 	}
 	granted := w.leaseEnd()
 	info := w.info
@@ -103,12 +104,9 @@
 func TestWithheldPollCountsOnce(t *testing.T) {
 	tm, all, log := loadingTerm(t, 1)
 	w := all[0]
-	earlyAnswer(tm, w)
-	tm.now = tm.now.Add(earlyPollPause)
-	tm.lastRenewal = tm.now
-	tm.poll(w)
+	o := earlyPoll(tm, w, log)
 	report := Report{Verdict: StartRunning, Born: w.info.Born, Clock: w.clock + time.Second}
-	pollReply{worker: w, order: <-log.orders, report: report, sent: tm.now}.handle(tm)
+	pollReply{worker: w, order: o, report: report, sent: tm.now}.handle(tm)
 	require.Equal(t, 1, w.withheld)
 	tablesLoaded{}.handle(tm)
 	require.Equal(t, 1, w.withheld)
--- a/internal/fleet/held_starts_test.go
+++ b/internal/fleet/held_starts_test.go
@@ -120,15 +120,20 @@
 	require.Empty(t, other.runs, "the suspect is alone for 300 ms, whatever was held back before it")
 }
 
+// advisedJob returns a term and a job of it with a lasting task whose start needs a ticket.
+func advisedJob(t *testing.T) (*term, *job, *stepState) {
+	tm := loadedTerm(t)
+	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
+	j := newJob(fmt.Sprintf("%016x", 1), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
+	return tm, j, &j.openOccurrence(0, time.Time{}, tm.now).steps[0]
+}
+
 // A ticket is valid in one lifetime of its worker. The next one was sent it and refused the start.
 func TestTicketOfFormerLifetimeIsNotUsed(t *testing.T) {
 	for _, others := range []bool{false, true} {
-		tm := loadedTerm(t)
+		tm, j, s := advisedJob(t)
 		tm.cfg.Advisor = silentAdvisor{}
-		tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
 		former := testWorker("w")
-		j := newJob(fmt.Sprintf("%016x", 1), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
-		s := &j.openOccurrence(0, time.Time{}, tm.now).steps[0]
 		asked := []Lifetime{former.info.Lifetime}
 		tm.workers["w"] = former
 		if others {
@@ -153,12 +158,9 @@
 
 // Guards against a held start that is sent with a ticket that is valid no more.
 func TestHeldStartIsNotSentWithExpiredTicket(t *testing.T) {
-	tm := loadedTerm(t)
+	tm, j, s := advisedJob(t)
 	w := testWorker("w")
 	tm.workers[w.info.Worker] = w
-	tm.queues["q"] = Queue{Name: "q", Service: "svc", Stretch: 2, Objective: time.Second, Advised: true}
-	j := newJob(fmt.Sprintf("%016x", 1), jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 1000, MemoryMB: 100}}}}}, 0, tm.now)
-	s := &j.openOccurrence(0, time.Time{}, tm.now).steps[0]
 	s.advice = &stepAdvice{tickets: map[Lifetime]string{w.info.Lifetime: "ticket"}, validUntil: tm.now.Add(time.Second)}
 	tm.jobs[j.id] = j
 	tm.plan()
--- a/internal/fleet/jobs_lag_cluster_test.go
+++ b/internal/fleet/jobs_lag_cluster_test.go
@@ -32,20 +32,22 @@
 	t.Fatal("no other node is up")
 }
 
-// A leader whose watch of the jobs gets no answers, although its renewals do, starts no job that has
-// been cancelled meanwhile.
-func TestLeaderWithoutAnswersAboutJobsStartsNoCancelledJob(t *testing.T) {
+// playCancelBeside plays a leader that learns nothing of the jobs from some time on, although its renewals are
+// answered, beside the cancellation of a job that waits for room. outdate returns that leader, and between is what
+// happens after the cancellation.
+func playCancelBeside(t *testing.T, firstSeed uint64, outdate func(*fleettest.Cluster) *fleettest.Member, between func(*fleettest.Member)) {
+	t.Helper()
 	for seed := range uint64(6) {
-		runCluster(t, 700+seed, 3, 1, wholeWorkerTask, func(t *testing.T, c *fleettest.Cluster) {
+		runCluster(t, firstSeed+seed, 3, 1, wholeWorkerTask, func(t *testing.T, c *fleettest.Cluster) {
 			submit(t, c, jobID(0), wholeWorkerJob)
 			time.Sleep(500 * time.Millisecond)
 			submit(t, c, jobID(1), wholeWorkerJob)
 			time.Sleep(time.Second)
-			leader := c.Leader()
-			leader.Store.SilenceReads("vp-jobs")
+			leader := outdate(c)
+			require.NotNil(t, leader)
 			leader.Peers.Cut(true)
 			cancelBeside(t, c, leader, jobID(1))
-			time.Sleep(10 * time.Second)
+			between(leader)
 			require.Equal(t, leader, c.Leader(), "its renewals are answered")
 			require.Equal(t, 1, c.Checker.StartCount(), "the cancelled job is not started")
 			leader.Peers.Cut(false)
@@ -56,34 +58,33 @@
 	}
 }
 
+// A leader whose watch of the jobs gets no answers, although its renewals do, starts no job that has
+// been cancelled meanwhile.
+func TestLeaderWithoutAnswersAboutJobsStartsNoCancelledJob(t *testing.T) {
+	playCancelBeside(t, 700, func(c *fleettest.Cluster) *fleettest.Member {
+		leader := c.Leader()
+		leader.Store.SilenceReads("vp-jobs")
+		return leader
+	}, func(*fleettest.Member) { time.Sleep(10 * time.Second) })
+}
+
 // A new leader that reads its last table long after the jobs starts no job that has been cancelled
 // between.
 func TestNewLeaderWithOldJobsStartsNoCancelledJob(t *testing.T) {
-	for seed := range uint64(6) {
-		runCluster(t, 710+seed, 3, 1, wholeWorkerTask, func(t *testing.T, c *fleettest.Cluster) {
-			submit(t, c, jobID(0), wholeWorkerJob)
-			time.Sleep(500 * time.Millisecond)
-			submit(t, c, jobID(1), wholeWorkerJob)
-			time.Sleep(time.Second)
-			for _, m := range c.Nodes {
-				m.Store.SilenceReads("vp-progress")
-			}
-			c.Kill(c.Leader())
-			time.Sleep(4 * time.Second)
-			leader := c.Leader()
-			require.NotNil(t, leader)
+	playCancelBeside(t, 710, func(c *fleettest.Cluster) *fleettest.Member {
+		for _, m := range c.Nodes {
+			m.Store.SilenceReads("vp-progress")
+		}
+		c.Kill(c.Leader())
+		time.Sleep(4 * time.Second)
+		leader := c.Leader()
+		if leader != nil {
 			leader.Store.SilenceReads("vp-progress", "vp-jobs")
-			leader.Peers.Cut(true)
-			cancelBeside(t, c, leader, jobID(1))
-			time.Sleep(3500 * time.Millisecond)
-			leader.Store.SilenceReads("vp-jobs")
-			time.Sleep(8 * time.Second)
-			require.Equal(t, leader, c.Leader(), "its renewals are answered")
-			require.Equal(t, 1, c.Checker.StartCount(), "the cancelled job is not started")
-			leader.Peers.Cut(false)
-			leader.Store.SilenceReads()
-			submit(t, c, jobID(2), wholeWorkerJob)
-			waitState(t, c, jobID(2), fleet.StateCompleted, 15*time.Second)
-		})
-	}
+		}
+		return leader
+	}, func(leader *fleettest.Member) {
+		time.Sleep(3500 * time.Millisecond)
+		leader.Store.SilenceReads("vp-jobs")
+		time.Sleep(8 * time.Second)
+	})
 }
--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -10,6 +10,17 @@
 	"github.com/vanillapier/vanillapier/internal/model"
 )
 
+// polledWorker returns a term that knows a worker with a run, and the orders of its polls, which get no answer.
+func polledWorker(t *testing.T) (*term, *worker, *run, pollLog) {
+	tm := loadedTerm(t)
+	log := pollLog{orders: make(chan PollOrder, 10)}
+	tm.cfg.Workers, tm.cfg.Bounds.LeaseMax = log, 8*time.Second
+	w := testWorker("w")
+	tm.workers[w.info.Worker] = w
+	w.observeClock(time.Minute, tm.now)
+	return tm, w, testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0), log
+}
+
 // A poll whose deadline was not sent counted as one that has extended the lease.
 func TestLeaseIsNotExtendedByWithheldDeadline(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -21,14 +32,8 @@
 		"withheld, no answer": {},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tm := loadedTerm(t)
-			log := pollLog{orders: make(chan PollOrder, 10)}
-			tm.cfg.Workers, tm.cfg.Bounds.LeaseMax = log, 8*time.Second
-			w := testWorker("w")
-			tm.workers[w.info.Worker] = w
-			w.observeClock(time.Minute, tm.now)
+			tm, w, _, log := polledWorker(t)
 			w.extendLease(tm.now, maxLease)
-			testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
 			before, granted := w.leaseEnd(), w.leaseDeadline
 
 			tm.now = tm.now.Add(2 * time.Second)
@@ -155,13 +160,7 @@
 
 // The answer to a probe settled the deadline of the poll in flight, which may still extend the lease.
 func TestProbeDoesNotSettleDeadlineOfPoll(t *testing.T) {
-	tm := loadedTerm(t)
-	log := pollLog{orders: make(chan PollOrder, 10)}
-	tm.cfg.Workers, tm.cfg.Bounds.LeaseMax = log, 8*time.Second
-	w := testWorker("w")
-	tm.workers[w.info.Worker] = w
-	w.observeClock(time.Minute, tm.now)
-	testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+	tm, w, _, log := polledWorker(t)
 	tm.poll(w)
 	o := <-log.orders
 	require.NotZero(t, o.Deadline)
@@ -176,12 +175,7 @@
 func TestClockOfUnknownLifetimeIsNotTaken(t *testing.T) {
 	for name, sentTo := range map[string]int64{"unknown": 0, "another": 2} {
 		t.Run(name, func(t *testing.T) {
-			tm := loadedTerm(t)
-			tm.cfg.Workers = pollLog{orders: make(chan PollOrder, 10)}
-			w := testWorker("w")
-			tm.workers[w.info.Worker] = w
-			w.observeClock(time.Minute, tm.now)
-			r := testRun(w, &Step{Count: 1, Needs: model.Resources{MilliCPU: 1000}}, 0)
+			tm, w, r, _ := polledWorker(t)
 			r.state, r.stopInFlight = runStopping, true
 			stopReply{run: r, worker: w, reply: WorkerReply{Verdict: StartRunning, Clock: time.Hour, SentTo: sentTo}}.handle(tm)
 			require.True(t, r.stopAnswered)
--- a/internal/fleet/lifetimes_random_test.go
+++ b/internal/fleet/lifetimes_random_test.go
@@ -91,8 +91,9 @@
 	draw := func(least, most time.Duration) time.Duration {
 		return least + time.Duration(d.silences.Int64N(int64(most-least)))
 	}
-	at, down, entry := d.silences.IntN(60), draw(200*time.Millisecond, 1400*time.Millisecond), draw(0, 1500*time.Millisecond)
-	cut, length := draw(500*time.Millisecond, 2500*time.Millisecond), draw(5*time.Second, 10*time.Second)
+	at := d.silences.IntN(60)
+	r := silentRestart{down: draw(200*time.Millisecond, 1400*time.Millisecond), entry: draw(0, 1500*time.Millisecond),
+		cut: draw(500*time.Millisecond, 2500*time.Millisecond), cutLength: draw(5*time.Second, 10*time.Second)}
 	if len(running) < 3 {
 		return
 	}
@@ -101,16 +102,10 @@
 	if d.setRestarting(id, true) {
 		return
 	}
-	d.log("%s silent, starts again after %v, entry after %v, cut off after %v for %v", id, down, entry, cut, length)
+	d.log("%s silent, starts again after %v, entry after %v, cut off after %v for %v", id, r.down, r.entry, r.cut, r.cutLength)
 	d.c.Workers.Silence(w)
 	d.silent.Go(func() {
-		time.Sleep(down)
-		next := d.c.StartWorker(id)
-		time.AfterFunc(entry, func() { d.c.List(next) })
-		time.Sleep(cut)
-		d.c.Workers.CutOff(next, true)
-		time.Sleep(length)
-		d.c.Workers.CutOff(next, false)
+		r.play(d.c, w)
 		d.setRestarting(id, false)
 	})
 }
--- a/internal/fleet/model_silent_restarts_test.go
+++ b/internal/fleet/model_silent_restarts_test.go
@@ -90,20 +90,36 @@
 		}
 		m.log("%s silent, starts again after %v, entry after %v, cut off after %v", w.Info.Worker, r.down, r.entry, r.cut)
 		m.c.Workers.Silence(w)
-		time.Sleep(r.down)
-		if m.c.Workers.Runs(w.Info.Addr) {
+		if w = r.play(m.c, w); w == nil {
 			return
 		}
-		next := m.c.StartWorker(string(w.Info.Worker))
-		w = next
-		time.AfterFunc(r.entry, func() {
-			if slices.Contains(m.c.RunningWorkers(), next) {
-				m.c.List(next)
-			}
-		})
+	}
+}
+
+// play plays the restart of w, whose host has fallen silent, and returns its next lifetime, nil if something else has
+// begun one.
+func (r silentRestart) play(c *fleettest.Cluster, w *fleettest.Worker) *fleettest.Worker {
+	next := r.begin(c, w)
+	if next != nil {
 		time.Sleep(r.cut)
-		m.c.Workers.CutOff(w, true)
+		c.Workers.CutOff(next, true)
 		time.Sleep(r.cutLength)
-		m.c.Workers.CutOff(w, false)
+		c.Workers.CutOff(next, false)
+	}
+	return next
+}
+
+// begin plays the restart without the cut.
+func (r silentRestart) begin(c *fleettest.Cluster, w *fleettest.Worker) *fleettest.Worker {
+	time.Sleep(r.down)
+	if c.Workers.Runs(w.Info.Addr) {
+		return nil
 	}
+	next := c.StartWorker(string(w.Info.Worker))
+	time.AfterFunc(r.entry, func() {
+		if slices.Contains(c.RunningWorkers(), next) {
+			c.List(next)
+		}
+	})
+	return next
 }
--- a/internal/fleet/silent_restart_test.go
+++ b/internal/fleet/silent_restart_test.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -12,16 +11,6 @@
 	"github.com/vanillapier/vanillapier/internal/fleet/fleettest"
 )
 
-// restartSilently ends a worker with its host and starts its next lifetime after some time. It is listed
-// entryDelay later.
-func restartSilently(c *fleettest.Cluster, w *fleettest.Worker, down time.Duration) *fleettest.Worker {
-	c.Workers.Silence(w)
-	time.Sleep(down)
-	next := c.StartWorker(string(w.Info.Worker))
-	time.AfterFunc(entryDelay, func() { c.List(next) })
-	return next
-}
-
 // A poll that waited for its connection over a silent restart set a lease in the next lifetime that was
 // longer than its leader counted on. Cut off soon after, that lifetime ran tasks that had started elsewhere.
 func TestPollAcrossSilentRestartSetsNoLease(t *testing.T) {
@@ -36,16 +25,13 @@
 				for round := range 4 {
 					w := c.Workers.LatestRun()
 					require.NotNil(t, w)
-					next := restartSilently(c, w, 600*time.Millisecond)
+					c.Workers.Silence(w)
+					next := silentRestart{down: 600 * time.Millisecond, entry: entryDelay}.begin(c, w)
 					submit(t, c, jobID(1+round), spec)
 					time.Sleep(1500*time.Millisecond + time.Duration(seed*uint64(round))*110*time.Millisecond)
-					for _, n := range c.Nodes {
-						n.Workers.Cut(next, true)
-					}
+					c.Workers.CutOff(next, true)
 					time.Sleep(9 * time.Second)
-					for _, n := range c.Nodes {
-						n.Workers.Cut(next, false)
-					}
+					c.Workers.CutOff(next, false)
 					time.Sleep(time.Second)
 				}
 				require.Empty(t, c.Checker.Violations())
@@ -62,20 +48,15 @@
 	spec := fleet.Spec{Steps: []fleet.Step{{Count: 6, Needs: wideNeeds, Estimate: 20 * time.Second}}}
 	for _, unverified := range []bool{false, true} {
 		t.Run("unverified="+strconv.FormatBool(unverified), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			prepare := func() *fleettest.Cluster {
 				c := fleettest.NewCluster(770, 3, 3, long)
-				c.Workers.WithLock(func() {
-					c.Workers.LeaseMax, c.Workers.UnverifiedDeadlines = longLease, unverified
-				})
+				c.Workers.LeaseMax, c.Workers.UnverifiedDeadlines = longLease, unverified
 				for _, w := range c.AllWorkers() {
 					c.Workers.SetClock(w, time.Hour, 1) // deadlines lie far ahead for lifetimes to come
 				}
-				defer func() {
-					c.StopAll()
-					time.Sleep(linkDrain)
-				}()
-				c.StartAll()
-				time.Sleep(settleTime)
+				return c
+			}
+			playCluster(t, prepare, func(t *testing.T, c *fleettest.Cluster) {
 				submit(t, c, jobID(0), spec)
 				time.Sleep(2 * time.Second)
 				c.Workers.WithLock(func() { c.Workers.NewConnectionShare = 1 })
@@ -93,10 +74,8 @@
 				}
 				time.Sleep(2 * time.Second)
 				c.AddWorker("w3") // room for tasks that are taken for lost
-				for _, n := range c.Nodes {
-					for _, w := range next {
-						n.Workers.Cut(w, true)
-					}
+				for _, w := range next {
+					c.Workers.CutOff(w, true)
 				}
 				time.Sleep(10 * time.Second)
 				require.Equal(t, unverified, len(c.Checker.Violations()) > 0, "%v", c.Checker.Violations())
