--- a/internal/fleet/learned_lifetimes_test.go
+++ b/internal/fleet/learned_lifetimes_test.go
@@ -151,5 +151,20 @@
 	require.Same(t, w, tm.workers["w"])
 }
 
+// A worker that had not answered a new leader was asked no more once an entry of another writer named another address:
+// its runs, whose leases nobody extended, ended.
+func TestEntryUnderWorkerThatHasNotAnswered(t *testing.T) {
+	tm := loadedTerm(t)
+	w := testWorker("w")
+	w.answered, w.inherited, w.inheritedLeaseEnd = false, true, tm.now.Add(maxLease)
+	tm.workers["w"] = w
+	other := w.info
+	other.Born, other.Addr = other.Born+1, "elsewhere:1"
+	tm.handleEntry(other)
+	require.Same(t, w, tm.workers["w"], "it is asked at its own address")
+	report(tm, w, w.info.Born, time.Minute, RunStatus{RunRef: RunRef{"0000000000000001.0.0.0", 1}})
+	require.Nil(t, w.laterEntry)
+}
+
 // handleEntry applies an entry of the list of workers.
 func (t *term) handleEntry(info WorkerInfo) { replaceEntry{info: info}.handle(t) }
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -281,7 +281,7 @@
 		t.checkLaterLifetime(w, info) // later all the same if the time of day has stepped back
 	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
-	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered):
+	case info.Born > w.info.Born && (w.laterEntry != nil || w.inherited || len(w.runs) > 0):
 		t.checkLaterLifetime(w, info)
 	default:
 		t.replaceWorker(w, info)
