--- a/internal/fleet/learned_lifetimes_test.go
+++ b/internal/fleet/learned_lifetimes_test.go
@@ -151,6 +151,18 @@
 	require.Same(t, w, tm.workers["w"])
 }
 
+// An entry that named no lifetime moved a worker whose lifetime is known to another rack.
+func TestEntryWithoutLifetimeTellsNothingOfKnownOne(t *testing.T) {
+	tm := loadedTerm(t)
+	w := testWorker("w")
+	tm.workers["w"] = w
+	known, rack, other := w.info, w.rack, unnamedWorker()
+	other.Labels = []string{"a", "r2"}
+	tm.handleEntry(other)
+	require.Equal(t, known, w.info)
+	require.Equal(t, rack, w.rack)
+}
+
 // A worker that had not answered a new leader was asked no more once an entry of another writer named another address:
 // its runs, whose leases nobody extended, ended.
 func TestEntryUnderWorkerThatHasNotAnswered(t *testing.T) {
--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -327,7 +327,7 @@
 	if w.info.Born == 0 || info.Born != 0 {
 		w.info, w.laterEntry = info, nil // this lifetime has written after the other
 	}
-	w.listed, w.rack = true, rackOf(info.Labels)
+	w.listed, w.rack = true, rackOf(w.info.Labels)
 	if w.answered && w.unansweredCalls == 0 && !w.usedRowStored {
 		t.markUsed(w) // its reports came while it was not listed
 	}
