--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -281,7 +281,7 @@
 		t.checkLaterLifetime(w, info) // later all the same if the time of day has stepped back
 	case info.Born < w.info.Born && (w.answered || w.inherited || len(w.runs) > 0):
 		return // an entry of an earlier lifetime
-	case info.Born > w.info.Born && (w.laterEntry != nil || len(w.runs) > 0 && w.answered):
+	case info.Born > w.info.Born && (w.laterEntry != nil || w.inherited || len(w.runs) > 0):
 		t.checkLaterLifetime(w, info)
 	default:
 		t.replaceWorker(w, info)
@@ -327,7 +327,7 @@
 	if w.info.Born == 0 || info.Born != 0 {
 		w.info, w.laterEntry = info, nil // this lifetime has written after the other
 	}
-	w.listed, w.rack = true, rackOf(info.Labels)
+	w.listed, w.rack = true, rackOf(w.info.Labels)
 	if w.answered && w.unansweredCalls == 0 && !w.usedRowStored {
 		t.markUsed(w) // its reports came while it was not listed
 	}
