--- a/internal/fleet/handover_leases_test.go
+++ b/internal/fleet/handover_leases_test.go
@@ -224,3 +224,43 @@
 		})
 	}
 }
+
+// The row of a worker that had left idle stayed while its last lease lasted: a leader that began beside a killed one
+// waited for that worker before it started what other workers had lost.
+func TestIdleDepartureDelaysNoRestartAfterKilledLeader(t *testing.T) {
+	tasks := func(n fleet.TaskName) fleettest.Task {
+		if n[:16] == fleet.TaskName(jobID(0)) {
+			return lasting(n)
+		}
+		return fleettest.Task{Work: time.Second, Needs: wideNeeds}
+	}
+	for seed := range uint64(3) {
+		runCluster(t, 133+seed, 4, 4, tasks, func(t *testing.T, c *fleettest.Cluster) {
+			submit(t, c, jobID(0), fleet.Spec{Steps: []fleet.Step{{Count: 2, PerWorker: 1, Needs: smallNeeds, Lasting: true}}})
+			time.Sleep(2 * time.Second)
+			lost := busyWorkers(c)[0]
+			submit(t, c, jobID(1), fleet.Spec{Steps: []fleet.Step{{Count: 4, PerWorker: 1, Needs: wideNeeds, Estimate: time.Second}}})
+			time.Sleep(500 * time.Millisecond)
+			var idle *fleettest.Worker
+			for _, w := range busyWorkers(c) {
+				if c.Workers.RunsTask(w, jobID(1)) && !c.Workers.RunsTask(w, jobID(0)) {
+					idle = w
+				}
+			}
+			require.NotNil(t, idle)
+			waitState(t, c, jobID(1), fleet.StateCompleted, 10*time.Second)
+			c.Drain(idle)
+			time.Sleep(500 * time.Millisecond)
+			leave(c, idle)
+			leave(c, lost)
+			left := time.Now()
+			time.Sleep(time.Second)
+			c.Kill(c.Leader())
+			for runningAll(c) < 2 {
+				require.Less(t, time.Since(left), lostTaskLimit)
+				time.Sleep(50 * time.Millisecond)
+			}
+			t.Logf("all tasks run again %v after the worker left", time.Since(left))
+		})
+	}
+}
