--- a/internal/fleet/rows.go
+++ b/internal/fleet/rows.go
@@ -384,8 +384,11 @@
 			}
 			continue
 		}
-		if w.departedIdle() && !t.now.Before(w.leaseEnd()) { // if it comes back, its entry does not tell the leases
-			t.removeWorker(w, "left")
+		if w.departedIdle() && !t.now.Before(w.inheritedLeaseEnd) {
+			t.markUnused(w)
+			if !t.now.Before(w.leaseEnd()) { // if it comes back, its entry does not tell the leases
+				t.removeWorker(w, "left")
+			}
 			continue
 		}
 		if w.unansweredCalls == 0 || w.clockAt.IsZero() || !t.confirmedAfter(w.leaseEnd()) {
