--- a/internal/fleet/learned_lifetimes_test.go
+++ b/internal/fleet/learned_lifetimes_test.go
@@ -96,9 +96,6 @@
 		"left the list": func(tm *term, w *worker) {
 			tm.unlistWorker(w)
 			tm.expireLeases()
-			if tm.workers["w"] == nil {
-				tm.workers["w"] = newWorker(w.info)
-			}
 		},
 		"was replaced": func(tm *term, w *worker) {
 			other := w.info
@@ -117,6 +114,7 @@
 				set(tm, w)
 				granted, info := w.leaseEnd(), w.info
 				leave(tm, w)
+				require.Equal(t, way == "left the list", tm.workers["w"] == w)
 				require.False(t, tm.workers["w"].leaseEnd().Before(granted), "counts as over %v early", granted.Sub(tm.workers["w"].leaseEnd()))
 				tm.handleEntry(info)
 				report(tm, tm.workers["w"], info.Born, time.Minute)
@@ -126,6 +124,10 @@
 				if lease != "of former orders, not answered" { // it obeys no earlier term from its answer on
 					require.False(t, next.leaseEnd().Before(granted), "counts as over %v early", granted.Sub(next.leaseEnd()))
 				}
+				tm.unlistWorker(next)
+				tm.now = next.leaseEnd()
+				tm.expireLeases()
+				require.Empty(t, tm.workers, "its leases have ended")
 			})
 		}
 	}
--- a/internal/fleet/lease_offers_test.go
+++ b/internal/fleet/lease_offers_test.go
@@ -143,21 +143,6 @@
 	require.Zero(t, lastUnverifiedOrder(new(time.Duration), storeReading{time.Hour, epoch}, formerOrders))
 }
 
-// A worker whose lease may outlast those of the term left the list and came back as one that has none.
-func TestUnknownLeaseOutlastsTheEntryOfItsWorker(t *testing.T) {
-	tm := loadedTerm(t)
-	w := testWorker("w")
-	w.observeClock(time.Minute, tm.now)
-	w.longestLease, w.inheritedLeaseEnd = 10*time.Second, tm.now.Add(8*time.Second)
-	tm.workers["w"], tm.confirmedAt = w, tm.now
-	tm.unlistWorker(w)
-	tm.expireLeases()
-	require.Same(t, w, tm.workers["w"])
-	tm.now = tm.now.Add(8 * time.Second)
-	tm.expireLeases()
-	require.Empty(t, tm.workers)
-}
-
 // The answer to a probe settled the deadline of the poll in flight, which may still extend the lease.
 func TestProbeDoesNotSettleDeadlineOfPoll(t *testing.T) {
 	tm, w, _, log := polledWorker(t)
