--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -191,13 +191,19 @@
 	return p.isUsable(w) && p.mayClaim(w, r) && p.waitFor(w, p.claimed[w].Add(r.step.Reserved())) <= maxClaimWait
 }
 
-// hasFreeClaim reports whether a lost task claims room on w that is free now.
-func (t *term) hasFreeClaim(w *worker) bool {
-	if _, some := t.claimed[w]; !some {
+// hasRoomForLost reports whether a lost task can start on w now: one that claims room there, or one without a claim
+// that fits beside all claims, as the work that has just ended was no room to claim in the last plan.
+func (t *term) hasRoomForLost(w *worker) bool {
+	if len(t.claiming) == 0 || t.unusableReason(w) != "" {
 		return false
 	}
+	unclaimed := w.free().Sub(t.claimed[w])
 	return slices.ContainsFunc(t.claiming, func(c *claimant) bool {
-		return slices.Contains(c.lostClaims(), w) && c.step.Reserved().Fits(w.free())
+		need := c.step.Reserved()
+		if slices.Contains(c.lostClaims(), w) {
+			return need.Fits(w.free())
+		}
+		return len(c.state.claims) < c.lost && c.service == w.info.Service && w.hasLabel(c.step.Label) && need.Fits(unclaimed)
 	})
 }
 
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -26,7 +26,7 @@
 // does not wait for the steps of a backlog.
 func (t *term) planPause() time.Duration {
 	pause := planInterval
-	if !t.freeClaims {
+	if !t.lostMayStart {
 		pause = min(planInterval+time.Duration(max(t.plannedSteps-cheapPlanSteps, 0))*planIntervalPerStep, maxPlanInterval)
 	}
 	return max(pause, t.planTime+workPause(t.planTime))
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -413,7 +413,7 @@
 	r := w.runs[e.RunRef]
 	if r != nil {
 		w.detach(r, t.now)
-		t.freeClaims = t.freeClaims || t.hasFreeClaim(w)
+		t.lostMayStart = t.lostMayStart || t.hasRoomForLost(w)
 		if r.job == nil {
 			r = nil // only its stop was known
 		}
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -175,11 +175,11 @@
 	// cell.
 	remoteFree       map[int][]freeCapacity
 	remoteFreeReadAt time.Time
-	// claimed is what lost lasting tasks claim on workers, claiming are their steps by the last plan. freeClaims means
-	// that a lost task can start since on the room that it claims.
-	claimed    map[*worker]model.Resources
-	claiming   []*claimant
-	freeClaims bool
+	// claimed is what lost lasting tasks claim on workers, claiming are their steps by the last plan. lostMayStart
+	// means that room for a lost task has become free since.
+	claimed      map[*worker]model.Resources
+	claiming     []*claimant
+	lostMayStart bool
 	// keptForOthers is the part of it for unplaced tasks of other cells.
 	keptForOthers map[*worker]model.Resources
 	// unplaced are the lasting tasks that have no room in this cell. reportedUnplaced are those that
@@ -276,7 +276,7 @@
 			t.onTick()
 		}
 		if t.loaded && t.planDue && t.ctx.Err() == nil && t.now.Sub(t.lastPlan) >= t.planPause() && t.hasStartsForPlan() {
-			t.planDue, t.freeClaims, t.lastPlan = false, false, t.now
+			t.planDue, t.lostMayStart, t.lastPlan = false, false, t.now
 			t.runEventHook()
 			t.plan()
 			t.planTime = time.Since(t.lastPlan)
