--- a/internal/fleet/borrowed_tasks.go
+++ b/internal/fleet/borrowed_tasks.go
@@ -123,7 +123,7 @@
 	if tk.done {
 		*tk = task{}
 		o.steps[k.step].remaining++
-		j.dirty, t.planDue = true, true
+		j.dirty, t.planDue, t.lostMayStart = true, true, true
 	}
 	tk.loans = max(tk.loans, loan)
 }
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -179,6 +179,7 @@
 	if e.answer.Known && !x.outdated {
 		x.answeredAt, x.grants = t.now, e.answer.Grants
 		t.planDue = t.planDue || len(x.grants) > 0
+		t.lostMayStart = t.lostMayStart || len(x.grants) > 0 && len(t.lostUnplaced) > 0
 	}
 }
 
--- a/internal/fleet/term.go
+++ b/internal/fleet/term.go
@@ -176,7 +176,8 @@
 	remoteFree       map[int][]freeCapacity
 	remoteFreeReadAt time.Time
 	// claimed is what lost lasting tasks claim on workers, claiming are their steps by the last plan. lostMayStart
-	// means that room for a lost task has become free since.
+	// means that room for a lost task has become free since, that another cell keeps some, or that a lent task has
+	// arrived.
 	claimed      map[*worker]model.Resources
 	claiming     []*claimant
 	lostMayStart bool
