fleet: free room serves lost tasks that fit there before claims that wait

Cause: a lost task claims the room of a worker, free or held by short work, and keeps it for up to 2.5 s until the short work has ended. The free part of that room stood empty for as long, as claims of a cell and of tasks that it has borrowed went before lost tasks of other cells whatever they waited for, and claims of the last plan before new ones.

Change: free room is claimed first, by lost tasks of the cell and then of others; claims that wait come after it. Small tasks go before large ones among lost tasks already, so that as many as possible run.

TestFreeRoomServesLostTasksBeforeClaimsThatWait fails before in both cases (no run, no grant).

--- a/internal/fleet/cell_capacity_test.go
+++ b/internal/fleet/cell_capacity_test.go
@@ -174,7 +174,7 @@
 	}
 	other.workers["d"].info.Service = "other"
 	pools := placements{}
-	other.reserveForOtherCells(pools, other.presentRequests(), roomRequest.lostTasks)
+	other.reserveForOtherCells(pools, other.presentRequests(), roomRequest.lostTasks, maxClaimWait)
 	kept := model.Resources{}
 	for w, r := range other.keptForOthers {
 		kept = kept.Add(r)
@@ -192,6 +192,6 @@
 		w := testWorker(string(rune('a' + i)))
 		tm.workers[w.info.Worker] = w
 	}
-	tm.reserveForOtherCells(placements{}, tm.presentRequests(), roomRequest.lostTasks)
+	tm.reserveForOtherCells(placements{}, tm.presentRequests(), roomRequest.lostTasks, maxClaimWait)
 	require.Len(t, tm.keptForOthers, 30*maxReservedPercent/100)
 }
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,6 +13,9 @@
 // ends by itself. New work starts beside the claims only, whatever its priority, so the task starts once that work
 // has ended. A claim keeps its worker from plan to plan while the task fits there.
 //
+// Room that is free is claimed first, by lost tasks of any cell that fit there. Behind a claim that waits for other work
+// it would stand empty until that has ended.
+//
 // Tasks that may turn out to be lost have claims, too: those on workers that are gone and have leases left, and
 // after a change of leader those that are not accounted for. Otherwise short work would take the room that is
 // free just before the loss is known.
@@ -28,6 +32,8 @@
 	maxClaimWait = 2500 * time.Millisecond
 	// pausedTime is how long a run at pace 0 is expected to take.
 	pausedTime = time.Minute
+	// anyTime is a limit for waits that excludes none.
+	anyTime = time.Duration(math.MaxInt64)
 )
 
 // claimant is a step with lasting tasks that have claims.
@@ -41,7 +47,7 @@
 	lost, expected int
 	// prompt counts the claims to room that is expected to be free within maxClaimWait.
 	prompt int
-	// before are workers that tasks which may be lost have claimed in the last plan.
+	// before are the workers of the last plan's claims that this one has not decided on.
 	before []*worker
 }
 
@@ -50,30 +56,39 @@
 
 // claimRoom decides anew which workers the lost tasks among waiting steps, and those that may be lost, claim. The
 // order is that of the waiting steps. Tasks that are known to be lost go first, in this cell and then in others, and
-// each keeps its worker.
+// each keeps its worker: those that fit into free room, then the others.
 func (t *term) claimRoom(pools placements, waiting []*waitingStep) {
 	clear(t.claimed)
 	clear(t.keptForOthers)
 	clear(t.roomGrants)
 	t.unplaced, t.lostUnplaced, t.expectedUnplaced = nil, nil, nil
-	all := t.claimants(waiting)
+	all, requests := t.claimants(waiting), t.presentRequests()
+	for _, c := range all {
+		c.before, c.state.claims = c.state.claims, nil
+	}
+	for _, c := range all {
+		t.placementOf(pools, c.service).keepClaims(c, 0)
+	}
+	for _, c := range all {
+		t.placementOf(pools, c.service).addClaims(c, c.lost, 0)
+	}
+	t.reserveForOtherCells(pools, requests, roomRequest.lostTasks, 0)
 	for _, c := range all {
-		t.placementOf(pools, c.service).keepClaims(c)
+		t.placementOf(pools, c.service).keepClaims(c, maxClaimWait)
 	}
 	for _, c := range all {
-		t.placementOf(pools, c.service).addClaims(c, c.lost)
+		t.placementOf(pools, c.service).addClaims(c, c.lost, anyTime)
 	}
-	requests := t.presentRequests()
-	t.reserveForOtherCells(pools, requests, roomRequest.lostTasks)
+	t.reserveForOtherCells(pools, requests, roomRequest.lostTasks, maxClaimWait)
 	runsKnown := t.allRunsKnown()
 	for _, c := range all {
-		t.placementOf(pools, c.service).addClaims(c, c.lost+c.expected)
+		t.placementOf(pools, c.service).addClaims(c, c.lost+c.expected, anyTime)
 		if missing := min(c.lost+c.expected-len(c.state.claims), c.expected); missing > 0 && runsKnown && c.job.mayLend(c.step) {
 			t.recordUnplaced(c.service, c.step, false, missing)
 			t.expectedUnplaced = addUnplaced(t.expectedUnplaced, unplacedOf(c.service, c.step, missing))
 		}
 	}
-	t.reserveForOtherCells(pools, requests, roomRequest.expectedTasks)
+	t.reserveForOtherCells(pools, requests, roomRequest.expectedTasks, maxClaimWait)
 	t.answerRoomRequests()
 }
 
@@ -141,34 +156,29 @@
 	return r
 }
 
-// keepClaims claims room for the lost tasks of c where they had claims, as far as they fit there soon. Further
-// claims of c are left to addClaims.
-func (p *placement) keepClaims(c *claimant) {
-	before := c.state.claims
-	c.state.claims, c.before, c.prompt = nil, nil, 0
+// keepClaims claims room for the lost tasks of c where they had claims, as far as they fit there within a limit.
+func (p *placement) keepClaims(c *claimant, limit time.Duration) {
 	r := c.request()
-	for i, w := range before {
-		switch {
-		case len(c.state.claims) == c.lost:
-			c.before = before[i:]
-			return
-		case p.isPrompt(w, r):
-			p.addClaim(c, w, r)
+	c.before = slices.DeleteFunc(c.before, func(w *worker) bool {
+		if len(c.state.claims) >= c.lost || !p.fitsWithin(w, r, limit) {
+			return false
 		}
-	}
+		p.addClaim(c, w, r)
+		return true
+	})
 }
 
-// addClaims claims room for the tasks of c until it has as many claims as wanted.
-func (p *placement) addClaims(c *claimant, wanted int) {
+// addClaims claims room that is free within a limit for the tasks of c until it has as many claims as wanted.
+func (p *placement) addClaims(c *claimant, wanted int, limit time.Duration) {
 	r := c.request()
 	for len(c.state.claims) < wanted {
 		w := (*worker)(nil)
-		if len(c.before) > 0 {
+		if limit > 0 && len(c.before) > 0 {
 			w, c.before = c.before[0], c.before[1:]
-			if !p.isPrompt(w, r) {
+			if !p.fitsWithin(w, r, maxClaimWait) {
 				continue
 			}
-		} else if w = p.soonest(r); w == nil {
+		} else if w = p.soonest(r, limit); w == nil {
 			return
 		}
 		p.addClaim(c, w, r)
@@ -184,9 +194,9 @@
 	r.tasksPerWorker[w]++
 }
 
-// isPrompt reports whether a task may keep its claim on w: there is room, soon enough.
-func (p *placement) isPrompt(w *worker, r taskRequest) bool {
-	return p.isUsable(w) && p.mayClaim(w, r) && p.waitFor(w, p.claimed[w].Add(r.step.Reserved())) <= maxClaimWait
+// fitsWithin reports whether a task may keep its claim on w: there is room within a limit.
+func (p *placement) fitsWithin(w *worker, r taskRequest, limit time.Duration) bool {
+	return p.isUsable(w) && p.mayClaim(w, r) && p.waitFor(w, p.claimed[w].Add(r.step.Reserved())) <= limit
 }
 
 // withdrawClaims withdraws the claims of c while its tasks are placed.
@@ -194,6 +204,7 @@
 	for _, w := range c.state.claims {
 		p.claimed[w] = p.claimed[w].Sub(c.step.Reserved())
 	}
+	c.before, c.state.claims, c.prompt = c.state.claims, nil, 0
 }
 
 // mayClaim reports whether a task fits on w beside all claims once the work that ends by itself has ended.
@@ -214,26 +225,33 @@
 }
 
 // soonest returns the worker on which a task fits soonest beside all claims, of several the one on which it
-// leaves least; nil if there is none.
-func (p *placement) soonest(r taskRequest) *worker {
+// leaves least; nil if there is none within a limit.
+func (p *placement) soonest(r taskRequest, limit time.Duration) *worker {
 	need := r.step.Reserved()
-	if p.smallestUnclaimable != nil && p.smallestUnclaimable.Fits(need) {
+	smallest := &p.smallestUnclaimable
+	if limit == 0 {
+		smallest = &p.smallestNotFree
+	}
+	if *smallest != nil && (*smallest).Fits(need) {
 		return nil
 	}
 	var best *worker
 	var bestWait time.Duration
 	var bestLeft int64
 	for _, w := range p.workers {
-		if !p.mayClaim(w, r) {
+		if (limit == 0 && !need.Fits(w.free().Sub(p.claimed[w]))) || !p.mayClaim(w, r) {
 			continue
 		}
 		wait, left := p.waitFor(w, p.claimed[w].Add(need)), w.endingCapacity().MilliCPU-p.claimed[w].MilliCPU
+		if wait > limit {
+			continue
+		}
 		if best == nil || wait < bestWait || (wait == bestWait && left < bestLeft) {
 			best, bestWait, bestLeft = w, wait, left
 		}
 	}
 	if best == nil && r.step.Label == "" && r.step.PerWorker == 0 {
-		p.smallestUnclaimable = &need
+		*smallest = &need
 	}
 	return best
 }
--- a/internal/fleet/claims_test.go
+++ b/internal/fleet/claims_test.go
@@ -127,17 +127,43 @@
 	tm.layout, w.tasks = singleCellLayout(), []int{0}
 	w.state().claims = []*worker{tm.workers["w0"]}
 	tm.workers["w2"].health.quarantine(tm.now)
-	large := Step{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: 10_000, MemoryMB: 10}}
-	j := newJob("large", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{large}}}, 5, epoch)
+	second := addLostTask(tm, 10_000)
+	tm.placeSteps([]*waitingStep{w, second})
+	require.Equal(t, "w1", string(w.state().tasks[0].runs[0].worker.info.Worker))
+	require.Empty(t, second.state().tasks[0].runs)
+	require.Equal(t, []*worker{tm.workers["w0"]}, second.state().claims)
+}
+
+// addLostTask adds a job with a lost task and returns its waiting step.
+func addLostTask(tm *term, milliCPU int64) *waitingStep {
+	j := newJob("large", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: true, Needs: model.Resources{MilliCPU: milliCPU, MemoryMB: 10}}}}}, 5, epoch)
 	j.started = true
 	tm.jobs[j.id] = j
 	o := j.openOccurrence(0, time.Time{}, tm.now)
 	o.steps[0].tasks[0].attempt = 1
-	second := &waitingStep{job: j, occurrence: o, step: &j.spec.Steps[0], queue: tm.queues["q"], tasks: []int{0}, restart: true}
-	tm.placeSteps([]*waitingStep{w, second})
-	require.Equal(t, "w1", string(w.state().tasks[0].runs[0].worker.info.Worker))
-	require.Empty(t, o.steps[0].tasks[0].runs)
-	require.Equal(t, []*worker{tm.workers["w0"]}, o.steps[0].claims)
+	return &waitingStep{job: j, occurrence: o, step: &j.spec.Steps[0], queue: tm.queues["q"], tasks: []int{0}, restart: true}
+}
+
+// A claim that waited for short work kept the free part of its room for up to 2.5 s from lost tasks that fit there, of the
+// same cell and of others.
+func TestFreeRoomServesLostTasksBeforeClaimsThatWait(t *testing.T) {
+	for name, other := range map[string]bool{"same cell": false, "another cell": true} {
+		t.Run(name, func(t *testing.T) {
+			tm, w := lostTestTerm(lostTestLoad{5000, 6000})
+			tm.loaded, tm.runsKnown, tm.lastRenewal, w.tasks = true, true, tm.now, []int{0}
+			large, w0 := addLostTask(tm, 10_000), tm.workers["w0"]
+			large.state().claims = []*worker{w0}
+			q := roomQuery{roomRequest{From: 1, Tasks: []unplacedTask{unplacedOf("svc", w.step, 1)}}, make(chan roomAnswer, 1)}
+			if other {
+				q.handle(tm)
+				tm.placeSteps([]*waitingStep{large})
+				require.Equal(t, []roomGrant{{q.request.Tasks[0], 1}}, (<-q.reply).Grants)
+				return
+			}
+			tm.placeSteps([]*waitingStep{w, large})
+			require.Len(t, w.state().tasks[0].runs, 1)
+		})
+	}
 }
 
 // After a change of leader services that have never run claimed the room of those that may be lost.
@@ -246,7 +272,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				tm.reserveForOtherCells(placements{}, tm.presentRequests(), roomRequest.lostTasks)
+				tm.reserveForOtherCells(placements{}, tm.presentRequests(), roomRequest.lostTasks, maxClaimWait)
 			}
 		})
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -48,11 +48,12 @@
 	// claimed is what lost lasting tasks claim on workers; see claims.go.
 	claimed         map[*worker]model.Resources
 	expectedRunTime func(*job, *Step) time.Duration
-	// usable, runEnds and smallestUnclaimable are computed when claims need them: the set of workers, the
-	// expected ends of their runs, and the smallest needs for which there is no room to claim.
-	usable              map[*worker]bool
-	runEnds             map[*worker][]runEnd
-	smallestUnclaimable *model.Resources
+	// usable and runEnds are computed when claims need them: the set of workers and the expected ends of their runs.
+	usable  map[*worker]bool
+	runEnds map[*worker][]runEnd
+	// smallestUnclaimable and smallestNotFree are the smallest needs for which there is no room to claim, and none
+	// that is free.
+	smallestUnclaimable, smallestNotFree *model.Resources
 	// unplaceable holds, by group, the smallest needs for which this plan has found no worker.
 	unplaceable map[demandGroup]unplaceable
 	// reservedWorkers holds workers that are kept free for jobs of which nothing runs.
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -178,9 +178,9 @@
 		p.smallestUnclaimable = nil // they may leave the room that they claimed
 	}
 	c.lost -= started
-	p.keepClaims(c)
-	p.addClaims(c, c.lost)
-	p.addClaims(c, c.lost+c.expected)
+	p.keepClaims(c, maxClaimWait)
+	p.addClaims(c, c.lost, anyTime)
+	p.addClaims(c, c.lost+c.expected, anyTime)
 	for _, x := range c.state.claims[:min(len(c.state.claims), c.lost)] {
 		if x.reducedMilliCPU > 0 {
 			t.stopReducedFor(x, w.step)
--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -220,17 +220,19 @@
 // expectedTasks returns the tasks of r that may be lost soon.
 func (r roomRequest) expectedTasks() (arriving, asked []unplacedTask) { return nil, r.Expected }
 
-// reserveForOtherCells keeps room for some of the tasks of other cells behind the claims that there are. Otherwise
-// short tasks would use any freed capacity at once, and the tasks that are lent to the cell would wait for it.
-func (t *term) reserveForOtherCells(pools placements, requests []presentRequest, tasks func(roomRequest) (arriving, asked []unplacedTask)) {
+// reserveForOtherCells keeps room that is free within a limit for some of the tasks of other cells, behind the claims
+// that there are. Otherwise short tasks would use any freed capacity at once, and the tasks that are lent to the cell
+// would wait for it.
+func (t *term) reserveForOtherCells(pools placements, requests []presentRequest, tasks func(roomRequest) (arriving, asked []unplacedTask), limit time.Duration) {
 	for _, r := range requests {
 		arriving, asked := tasks(r.roomRequest)
-		t.keepRoom(pools, arriving, r.share)
-		t.roomGrants[r.from] = append(t.roomGrants[r.from], t.keepRoom(pools, asked, r.share)...)
+		t.keepRoom(pools, arriving, r.share, limit)
+		t.roomGrants[r.from] = append(t.roomGrants[r.from], t.keepRoom(pools, asked, r.share, limit)...)
 	}
 }
 
-// presentRequest is a request of another cell that counts, and its share of the room.
+// presentRequest is a request of another cell that counts, with the tasks for which no room is kept yet, and its share
+// of the room.
 type presentRequest struct {
 	roomRequest
 	from  int
@@ -252,6 +254,7 @@
 	}
 	requests := make([]presentRequest, 0, len(byCell))
 	for from, r := range byCell {
+		r.Arriving, r.Tasks, r.Expected = slices.Clone(r.Arriving), slices.Clone(r.Tasks), slices.Clone(r.Expected)
 		requests = append(requests, presentRequest{r, from, roomShare{len(byCell), map[model.ServiceName]int{}}})
 	}
 	slices.SortFunc(requests, func(a, b presentRequest) int {
@@ -287,31 +290,29 @@
 	return max(len(p.workers)*maxReservedPercent/100/s.cells, 1) - s.used[p.service]
 }
 
-// keepRoom keeps room for unplaced tasks of another cell.
-func (t *term) keepRoom(pools placements, tasks []unplacedTask, share roomShare) []roomGrant {
+// keepRoom keeps room that is free within a limit for unplaced tasks of another cell, and deducts those from them.
+func (t *term) keepRoom(pools placements, tasks []unplacedTask, share roomShare, limit time.Duration) []roomGrant {
 	var grants []roomGrant
-	for _, u := range tasks {
+	for i := range tasks {
+		u := &tasks[i]
 		p := t.placementOf(pools, u.Service)
 		step := u.asStep()
-		g := roomGrant{Task: u}
+		g := roomGrant{Task: *u}
 		g.Task.Count = 0
-		for range min(u.Count, share.left(p)) {
-			w := p.soonest(taskRequest{step: &step})
+		for u.Count > 0 && share.left(p) > 0 {
+			w := p.soonest(taskRequest{step: &step}, limit)
 			if w == nil {
 				break
 			}
-			wait := p.waitFor(w, p.claimed[w].Add(step.Reserved()))
-			if wait > maxClaimWait {
-				break
-			}
-			if wait == 0 {
+			p.claimed[w] = p.claimed[w].Add(step.Reserved())
+			if p.waitFor(w, p.claimed[w]) == 0 {
 				g.Now++
 			}
-			p.claimed[w] = p.claimed[w].Add(step.Reserved())
 			t.keptForOthers[w] = t.keptForOthers[w].Add(step.Reserved())
 			g.Task.Count++
+			u.Count--
+			share.used[u.Service]++
 		}
-		share.used[u.Service] += g.Task.Count
 		if g.Task.Count > 0 {
 			grants = append(grants, g)
 		}
