fleet: a request for room is answered when there is some

Cause: a leader asked the others for room every 0.1 s, and each answered at once with what it had at that moment. Room that became free right after that was granted with the next request, whose answer was dropped if a task had been lent to the cell meanwhile, so that the same room was asked for once more. Pieces stood free for 0.15 to 0.45 s, while tasks of other cells fitted there.

Change: the answer to a request waits for room for up to 0.1 s, or until the next request of that cell. Room that tasks were lent to after a request was sent is deducted from its answer, in place of dropping that. After an answer that grants room the next request follows at once.

TestRoomIsGrantedWhenItBecomesFree fails without either part (the answer is given before there is room; the loan is not deducted).

--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -26,7 +26,7 @@
 	loanArrival = 500 * time.Millisecond
 )
 
-// roomRequest asks a cell to keep room for unplaced tasks of another one.
+// roomRequest asks a cell to keep room for unplaced tasks of another one. The answer is due once there is some.
 type roomRequest struct {
 	Cell int `json:"cell"`
 	From int `json:"from"`
@@ -37,6 +37,8 @@
 	Tasks        []unplacedTask `json:"tasks"`
 	// Expected are tasks that may be lost soon.
 	Expected []unplacedTask `json:"expected,omitempty"`
+	// WaitMS is how long the answer may wait for room.
+	WaitMS int64 `json:"wait_ms,omitempty"`
 	// at is when the request arrived, since when the first of those that followed each other did.
 	at, since time.Time
 }
@@ -72,15 +74,26 @@
 		q.request.since = before.since
 	}
 	t.roomRequests[q.request.From] = q.request
+	t.roomQueries = slices.DeleteFunc(t.roomQueries, func(earlier roomQuery) bool {
+		if earlier.request.From != q.request.From {
+			return false
+		}
+		earlier.reply <- roomAnswer{Known: true}
+		return true
+	})
 	t.roomQueries, t.planDue = append(t.roomQueries, q), true
 }
 
-// answerRoomRequests answers the requests that have come since the last plan with what this one keeps.
+// answerRoomRequests answers requests with what the present plan keeps. Those for which it keeps nothing may wait.
 func (t *term) answerRoomRequests() {
-	for _, q := range t.roomQueries {
-		q.reply <- roomAnswer{true, t.roomGrants[q.request.From]}
-	}
-	t.roomQueries = nil
+	t.roomQueries = slices.DeleteFunc(t.roomQueries, func(q roomQuery) bool {
+		grants := t.roomGrants[q.request.From]
+		if len(grants) == 0 && t.now.Sub(q.request.at).Milliseconds() < q.request.WaitMS {
+			return false
+		}
+		q.reply <- roomAnswer{true, grants}
+		return true
+	})
 }
 
 // askForRoom asks the leader of a cell, which may be this node, to keep room.
@@ -108,9 +121,10 @@
 
 // roomExchange is what a leader knows of another cell's room for its tasks.
 type roomExchange struct {
-	inFlight bool
-	// outdated means that tasks were lent to the cell after the request that is in flight.
-	outdated bool
+	// requests counts the requests, answered is the last one with an answer. inFlight means that the last request
+	// has none yet, granted that room was granted since.
+	requests, answeredRequest int
+	inFlight, granted         bool
 	// keepsRoom means that the last request named tasks.
 	keepsRoom           bool
 	askedAt, answeredAt time.Time
@@ -121,9 +135,10 @@
 
 // recentLoan is a task that was lent to another cell.
 type recentLoan struct {
-	task unplacedTask
-	row  string // the key of its row
-	at   time.Time
+	task    unplacedTask
+	row     string // the key of its row
+	at      time.Time
+	request int // the last request before it
 }
 
 // answered reports whether the cell has answered a request lately.
@@ -154,31 +169,56 @@
 	for cell := range t.layout.Cells {
 		x := t.roomExchange(cell)
 		idle := !asks && !x.keepsRoom
-		if cell == t.cell || idle || x.inFlight || t.now.Sub(x.askedAt) < roomRequestInterval {
+		if cell == t.cell || idle || (t.now.Sub(x.askedAt) < roomRequestInterval && !x.granted) {
 			continue
 		}
-		x.inFlight, x.outdated, x.askedAt, x.keepsRoom = true, false, t.now, asks
+		x.inFlight, x.granted, x.askedAt, x.keepsRoom = true, false, t.now, asks
+		x.requests++
 		x.forgetLoans(t.now)
 		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced), Expected: slices.Clone(t.expectedUnplaced)}
+		if asks {
+			r.WaitMS = roomRequestInterval.Milliseconds()
+		}
 		for _, l := range x.loans {
 			r.Arriving, r.ArrivingRows = append(r.Arriving, l.task), append(r.ArrivingRows, l.row)
 		}
-		go func() { t.post(roomAnswered{cell, t.askForRoom(t.ctx, r)}) }()
+		n := x.requests
+		go func() { t.post(roomAnswered{cell, n, t.askForRoom(t.ctx, r)}) }()
 	}
 }
 
-// roomAnswered is the answer of another cell.
+// roomAnswered is the answer of another cell to a request.
 type roomAnswered struct {
-	cell   int
-	answer roomAnswer
+	cell, request int
+	answer        roomAnswer
 }
 
 func (e roomAnswered) handle(t *term) {
 	x := t.roomExchange(e.cell)
-	x.inFlight = false
-	if e.answer.Known && !x.outdated {
-		x.answeredAt, x.grants = t.now, e.answer.Grants
-		t.planDue = t.planDue || len(x.grants) > 0
+	x.inFlight = x.inFlight && e.request != x.requests
+	if !e.answer.Known || e.request < x.answeredRequest {
+		return
+	}
+	x.answeredRequest, x.answeredAt, x.grants = e.request, t.now, e.answer.Grants
+	x.granted = len(x.grants) > 0
+	t.planDue = t.planDue || x.granted
+	for _, l := range x.loans {
+		if l.request >= e.request { // the request did not name it
+			x.deduct(l.task)
+		}
+	}
+}
+
+// deduct takes the room for a task from the grants.
+func (x *roomExchange) deduct(u unplacedTask) {
+	for i := range x.grants {
+		g := &x.grants[i]
+		if same := g.Task; same.Count > 0 {
+			if same.Count = u.Count; same == u {
+				g.Task.Count, g.Now = g.Task.Count-1, max(g.Now-1, 0)
+				return
+			}
+		}
 	}
 }
 
@@ -209,9 +249,8 @@
 // recordLoan notes that a task was lent to a cell by the row with a key.
 func (t *term) recordLoan(cell int, service model.ServiceName, s *Step, row string) {
 	x := t.roomExchange(cell)
-	x.outdated = true
 	x.forgetLoans(t.now)
-	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), row, t.now})
+	x.loans = append(x.loans, recentLoan{unplacedOf(service, s, 1), row, t.now, x.requests})
 }
 
 // lostTasks returns the tasks of r that are known to be lost: those that were lent, and those to be lent.
--- a/internal/fleet/room_requests_test.go
+++ b/internal/fleet/room_requests_test.go
@@ -113,6 +113,40 @@
 	}
 }
 
+// Room that became free between two requests was granted with the next one only, up to 0.1 s later, and the answer to
+// a request was lost if tasks were lent meanwhile.
+func TestRoomIsGrantedWhenItBecomesFree(t *testing.T) {
+	tm := newTestTerm(2)
+	tm.loaded, tm.runsKnown, tm.lastRenewal = true, true, tm.now
+	s := &Step{Lasting: true, Needs: model.Resources{MilliCPU: 4000, MemoryMB: 1}}
+	ask := func(wait time.Duration) roomQuery {
+		q := roomQuery{roomRequest{From: 1, Tasks: []unplacedTask{unplacedOf("svc", s, 2)}, WaitMS: wait.Milliseconds()}, make(chan roomAnswer, 1)}
+		q.handle(tm)
+		tm.claimRoom(placements{}, nil)
+		return q
+	}
+	first, second := ask(roomRequestInterval), ask(roomRequestInterval)
+	require.Equal(t, roomAnswer{Known: true}, <-first.reply, "a later request takes its place")
+	require.Empty(t, second.reply)
+	for _, id := range []model.WorkerID{"a", "b", "c"} {
+		tm.workers[id] = testWorker(string(id))
+	}
+	tm.claimRoom(placements{}, nil)
+	answer := <-second.reply
+	require.Equal(t, 2, answer.Grants[0].Now)
+
+	x := tm.roomExchange(0)
+	x.requests = 1
+	tm.recordLoan(0, "svc", s, "row")
+	roomAnswered{0, 1, answer}.handle(tm)
+	require.Equal(t, 1, x.grants[0].Task.Count, "the loan uses one")
+	clear(tm.workers)
+	late := ask(roomRequestInterval)
+	tm.now = tm.now.Add(roomRequestInterval)
+	tm.claimRoom(placements{}, nil)
+	require.Equal(t, roomAnswer{Known: true}, <-late.reply)
+}
+
 // Room was kept for lent tasks that had reached the cell and ran there, so others waited for it for half a second.
 func TestNoRoomIsKeptForLentTasksThatHaveArrived(t *testing.T) {
 	tm := newTestTerm(2)
