fleet: lay out the services of a burst over the cells by image

A filler is limited by the most sensitive service of its worker, for as long as services run. Cells chose by loads that were reported before the burst, sums changed while jobs moved, and services beyond the eighth of a plan were started where they had been hashed, unchecked.

Change: cells report, by image, the services that they hold and those that they have accepted. The latter sum stays the same while jobs move. In a burst all leaders divide the same line of services among the cells, once the reports of all others are newer than the job. Other services prefer the cell with most of their image. No service is started before it was checked.

The other rows of TestChooseCell are as they were.

--- a/internal/fleet/cell_load.go
+++ b/internal/fleet/cell_load.go
@@ -33,6 +33,11 @@
 	LargestFree []freeCapacity `cbor:"6,keyasint,omitempty"`
 	// Unplaced is a lasting task of the cell that fits in no cell; nil for none.
 	Unplaced *unplacedTask `cbor:"7,keyasint,omitempty"`
+	// Services is, by image, what lasting tasks in the cell reserve or wait for.
+	Services map[string]int64 `cbor:"8,keyasint,omitempty"`
+	// Accepted is, by image, the demand of the lasting jobs that the cell has accepted, wherever they are. So the
+	// sum over all cells stays the same while jobs move.
+	Accepted map[string]int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // reservedShare returns the reserved share of the capacity.
@@ -47,7 +52,7 @@
 	return float64(r.ToleratedSpare[image]) / float64(max(r.Capacity, 1))
 }
 
-// add returns the load with a job of demand d added. It does not change the receiver's map.
+// add returns the load with a job of demand d added. It does not change the receiver's maps.
 func (r cellLoad) add(d stepDemand) cellLoad {
 	if d.filler {
 		r.Spare -= d.milliCPU
@@ -58,6 +63,10 @@
 	} else {
 		r.Reserved += d.milliCPU
 		r.Spare -= d.milliCPU / 2
+		if d.lasting && d.image != "" && r.Services != nil {
+			r.Services = maps.Clone(r.Services)
+			r.Services[d.image] += d.milliCPU
+		}
 	}
 	return r
 }
@@ -112,6 +121,36 @@
 	return r
 }
 
+// addServices sets the demand of services by image.
+func (t *term) addServices(r *cellLoad, waiting []*waitingStep) {
+	r.Services, r.Accepted = map[string]int64{}, map[string]int64{}
+	for _, w := range t.workers {
+		if w.servingMilliCPU == 0 {
+			continue
+		}
+		for _, run := range w.runs {
+			if run.step != nil && run.step.Lasting && run.step.Image != "" && run.live() {
+				r.Services[run.step.Image] += run.reserved.MilliCPU
+			}
+		}
+	}
+	for _, w := range waiting {
+		if w.step.Lasting && w.step.Image != "" {
+			r.Services[w.step.Image] += int64(len(w.tasks)) * w.step.Needs.MilliCPU
+		}
+	}
+	for _, j := range t.jobs {
+		if len(j.previousCells) > 0 || j.cancelled || j.failureReason != "" || j.visibleState.Final() {
+			continue
+		}
+		for i := range j.spec.Steps {
+			if s := &j.spec.Steps[i]; s.Lasting && s.Image != "" {
+				r.Accepted[s.Image] += int64(s.Count) * s.Needs.MilliCPU
+			}
+		}
+	}
+}
+
 // addToleratedSpare adds, by image of fillers, the part of a worker's spare capacity that the
 // headroom of its services leaves.
 func (t *term) addToleratedSpare(spare map[string]int64, w *worker, left int64) {
--- a/internal/fleet/choose_cell.go
+++ b/internal/fleet/choose_cell.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -19,6 +21,8 @@
 	// toleratedImbalanceLimit is the same for spare capacity beside services that tolerate the
 	// filler.
 	toleratedImbalanceLimit = 0.01
+	// cellLoadDelay is the longest time by which a report is older than its receipt, if all is well.
+	cellLoadDelay = 400 * time.Millisecond
 )
 
 // stepDemand is the demand of the waiting tasks of a step.
@@ -31,11 +35,13 @@
 	hasMoved bool
 	// image is the image of lasting steps and of fillers; empty for others.
 	image string
+	// job is the id of the step's job.
+	job string
 }
 
 // demandOf returns the demand of a waiting step.
 func demandOf(w *waitingStep) stepDemand {
-	d := stepDemand{milliCPU: int64(len(w.tasks)) * w.step.Needs.MilliCPU, filler: w.step.Filler, lasting: w.step.Lasting, hasMoved: len(w.job.previousCells) > 0}
+	d := stepDemand{milliCPU: int64(len(w.tasks)) * w.step.Needs.MilliCPU, filler: w.step.Filler, lasting: w.step.Lasting, hasMoved: len(w.job.previousCells) > 0, job: w.job.id}
 	if d.filler || d.lasting {
 		d.image = w.step.Image
 	}
@@ -93,12 +99,12 @@
 	return stayInCell, 0
 }
 
-// chooseServiceCell chooses the cell of a lasting job. Each image prefers cells in an order
-// of its own, so that a cell holds few images. Tasks of one image share workers best, steps
-// with a limit per worker need many workers with their image, and the pressure of fillers on
-// an image is learnt where the image is common. Cells that would become clearly fuller than
-// the fleet are skipped. In a burst, loads that other cells reported before the job arrived
-// do not show their part of the burst, so the job may wait for newer reports.
+// chooseServiceCell chooses the cell of a lasting job so that each cell holds few images. Tasks of one image
+// share workers best, steps with a limit per worker need many workers with their image, and a filler is
+// limited by the most sensitive service of its worker. The services of a burst go to their planned cells. Loads
+// that other cells reported before they arrived do not show their part of the burst, so they wait for newer
+// reports. Others prefer the cell with most of their image. Cells that would become clearly fuller than the fleet
+// are skipped.
 func chooseServiceCell(own reportedLoad, others []reportedLoad, d stepDemand, fits, burst bool, learnedAt time.Time) (cellChoice, int) {
 	total, oldest := own.load, learnedAt.Add(time.Hour)
 	for _, o := range others {
@@ -109,27 +115,72 @@
 		}
 	}
 	limit := total.reservedShare() + serviceImbalanceLimit
-	best, rank := -1, uint64(0)
-	for _, o := range others {
-		if r := imagePreference(d.image, o.cell); o.load.add(d).reservedShare() <= limit && (best < 0 || r > rank) {
-			best, rank = o.cell, r
+	var best *reportedLoad
+	for i, o := range others {
+		if o.load.add(d).reservedShare() <= limit && (best == nil || comparePreference(d.image, o, *best) > 0) {
+			best = &others[i]
 		}
 	}
+	elsewhere := own
+	elsewhere.load = own.load.add(stepDemand{milliCPU: -d.milliCPU, lasting: true, image: d.image})
+	hasRoom := own.load.reservedShare() <= limit
+	planned, known := 0, false
+	if burst && !d.hasMoved {
+		planned, known = plannedCell(append([]reportedLoad{own}, others...), d)
+	}
 	switch {
-	case !fits && best >= 0:
-		return moveToCell, best
+	case burst && !d.hasMoved && !oldest.After(learnedAt.Add(cellLoadDelay)) && (known || !hasRoom):
+		return waitForCellLoads, 0
+	case known && planned != own.cell:
+		return moveToCell, planned
+	case !fits && best != nil:
+		return moveToCell, best.cell
 	case !fits && len(others) > 0:
 		return waitForCellLoads, 0
-	case d.hasMoved:
-		return stayInCell, 0
-	case own.load.reservedShare() <= limit && (best < 0 || d.image == "" || imagePreference(d.image, own.cell) > rank):
+	case d.hasMoved, best == nil, known:
 		return stayInCell, 0
-	case burst && !oldest.After(learnedAt) && own.load.reservedShare() > limit:
-		return waitForCellLoads, 0
-	case best < 0:
+	case hasRoom && (d.image == "" || comparePreference(d.image, elsewhere, *best) > 0):
 		return stayInCell, 0
 	}
-	return moveToCell, best
+	return moveToCell, best.cell
+}
+
+// comparePreference compares two cells for services of an image. The one with more of them is preferred, of equal
+// ones the one that the image ranks higher.
+func comparePreference(image string, a, b reportedLoad) int {
+	return cmp.Or(cmp.Compare(a.load.Services[image], b.load.Services[image]), cmp.Compare(imagePreference(image, a.cell), imagePreference(image, b.cell)))
+}
+
+// plannedCell returns the cell for a service of a burst. The services of the fleet lie on a line, ordered by
+// image, and each cell has the part of it that its capacity is of the fleet's. So all leaders find the same cells
+// by the same reports, and few images are in more than one.
+func plannedCell(cells []reportedLoad, d stepDemand) (cell int, known bool) {
+	slices.SortFunc(cells, func(a, b reportedLoad) int { return cmp.Compare(a.cell, b.cell) })
+	before, own, after, capacity := int64(0), int64(0), int64(0), int64(0)
+	for _, c := range cells {
+		capacity += c.load.Capacity
+		for image, milliCPU := range c.load.Accepted {
+			switch cmp.Compare(image, d.image) {
+			case -1:
+				before += milliCPU
+			case 0:
+				own += milliCPU
+			default:
+				after += milliCPU
+			}
+		}
+	}
+	if own == 0 {
+		return 0, false
+	}
+	at := float64(before) + float64(own)*float64(xxhash.Sum64String(d.job))/math.MaxUint64
+	left := at / float64(before+own+after) * float64(capacity)
+	for _, c := range cells {
+		if left -= float64(c.load.Capacity); left < 0 {
+			return c.cell, true
+		}
+	}
+	return cells[len(cells)-1].cell, true
 }
 
 // mostTolerantCell returns the cell with the largest share of spare capacity beside services
--- a/internal/fleet/commit.go
+++ b/internal/fleet/commit.go
@@ -298,7 +298,9 @@
 	if t.loaded {
 		r.Pending = t.pendingCounts()
 		if t.layout.Cells > 1 {
-			r.Load = t.ownLoad(t.collectWaitingSteps())
+			waiting := t.collectWaitingSteps()
+			r.Load = t.ownLoad(waiting)
+			t.addServices(&r.Load, waiting)
 			r.Load.LargestFree, r.Load.Unplaced = t.largestFree(), t.unplaced
 			t.observeReportedUnplaced()
 		}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -51,6 +51,9 @@
 		return waiting
 	}
 	m.own = t.ownLoad(waiting)
+	if slices.ContainsFunc(waiting, func(w *waitingStep) bool { return w.step.Lasting && t.mayMove(w) }) {
+		t.addServices(&m.own, waiting)
+	}
 	m.serviceBurst = waitingServiceDemand(waiting) > int64(serviceBurstShare*float64(m.own.Capacity))
 	return slices.DeleteFunc(waiting, m.moveOrDefer)
 }
@@ -73,6 +76,9 @@
 	switch {
 	case !t.mayMove(w):
 		return j.movedTo > 0
+	case w.step.Lasting && m.checks >= moveChecksPerRound && j.nextMoveCheck.IsZero():
+		t.planDue = true // it would stay where it starts
+		return true
 	case t.now.Before(j.nextMoveCheck) || m.checks >= moveChecksPerRound:
 		return j.waitsForCellLoads && t.now.Sub(j.learnedAt) < cellLoadWait
 	}
@@ -87,7 +93,9 @@
 		if !t.fitsInRow(encode(t.movedJobRecord(j))) {
 			return false
 		}
-		m.own = m.own.add(stepDemand{milliCPU: -d.milliCPU, filler: d.filler, lasting: d.lasting})
+		left := d
+		left.milliCPU = -d.milliCPU
+		m.own = m.own.add(left)
 		for i := range m.others {
 			if m.others[i].cell == cell {
 				m.others[i].load = m.others[i].load.add(d)
--- a/internal/fleet/moves_test.go
+++ b/internal/fleet/moves_test.go
@@ -45,6 +45,10 @@
 		r.ToleratedSpare = map[string]int64{"render": milliCPU}
 		return r
 	}
+	withServices := func(r cellLoad, present, before, after int64) cellLoad {
+		r.Services, r.Accepted = map[string]int64{"web": present}, map[string]int64{"a": before, "web": 10, "z": after}
+		return r
+	}
 	half := cellLoad{Capacity: 1000, Reserved: 500, Spare: 300}
 	full := cellLoad{Capacity: 1000, Reserved: 950, Spare: 20}
 	for name, c := range map[string]struct {
@@ -63,6 +67,10 @@
 		"service, its image prefers another":    {half, []reportedLoad{cellWith(preferred, 1000, 450, 0, before)}, imaged, true, false, moveToCell, preferred},
 		"service, its image prefers this one":   {half, []reportedLoad{cellWith(unpreferred, 1000, 400, 0, before)}, imaged, true, false, stayInCell, 0},
 		"service, the preferred cell is full":   {half, []reportedLoad{cellWith(preferred, 1000, 700, 0, before)}, imaged, true, false, stayInCell, 0},
+		"service, another cell has its image":   {withServices(half, 10, 0, 0), []reportedLoad{{unpreferred, withServices(half, 20, 0, 0), before}}, imaged, true, false, moveToCell, unpreferred},
+		"service, its image is here":            {withServices(half, 40, 0, 0), []reportedLoad{{preferred, withServices(half, 20, 0, 0), before}}, imaged, true, false, stayInCell, 0},
+		"service of a burst, planned here":      {withServices(full, 10, 0, 900), []reportedLoad{{1, withServices(half, 90, 0, 900), after}}, imaged, true, true, stayInCell, 0},
+		"service of a burst, planned elsewhere": {withServices(half, 90, 900, 0), []reportedLoad{{1, withServices(full, 0, 900, 0), after}}, imaged, true, true, moveToCell, 1},
 		"service that does not fit here":        {half, []reportedLoad{cellWith(1, 1000, 450, 0, before)}, service, false, false, moveToCell, 1},
 		"service that fits nowhere waits":       {half, []reportedLoad{cellWith(1, 1000, 900, 0, before)}, service, false, false, waitForCellLoads, 0},
 		"filler, spare is even":                 {half, []reportedLoad{cellWith(1, 1000, 0, 400, after)}, filler, true, false, stayInCell, 0},
