--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -397,9 +397,7 @@
 	return true
 }
 
-// dropRun takes a run from its task. A service that has no run then need not wait for a backlog.
 func (t *term) dropRun(tk *task, r *run) {
-	t.lostMayStart = t.lostMayStart || r.step != nil && r.step.mayClaim() && !r.job.over()
 	if i := slices.Index(tk.runs, r); i >= 0 {
 		tk.runs = slices.Delete(tk.runs, i, i+1)
 	}
