--- a/internal/fleet/plan_pause_test.go
+++ b/internal/fleet/plan_pause_test.go
@@ -87,26 +87,3 @@
 	lastStart, _ := playBacklog(t, 350, 2400, 1000, 5*time.Second, (*term).planPause)
 	require.Less(t, lastStart, 1400*time.Millisecond)
 }
-
-// A service whose run had ended, or was lost, waited beside a backlog for up to 150 ms although there was room for it.
-func TestServiceWithoutRunDoesNotWaitForBacklog(t *testing.T) {
-	for name, end := range map[string]func(*term, *run){
-		"failed": func(tm *term, r *run) { tm.applyEnd(r.worker, RunEnd{RunRef: r.ref, Number: 1, How: EndFailed}) },
-		"lost":   func(tm *term, r *run) { tm.markLost(r, reasonLeaseOver) },
-	} {
-		for _, lasting := range []bool{true, false} {
-			t.Run(fmt.Sprint(name, "/lasting=", lasting), func(t *testing.T) {
-				tm := loadedTerm(t)
-				w := testWorker("w")
-				tm.workers["w"], tm.plannedSteps = w, 1<<20
-				j := newJob("j", jobRecord{Queue: "q", Spec: Spec{Steps: []Step{{Count: 1, Lasting: lasting, Needs: model.Resources{MilliCPU: 1000}}}}}, 0, tm.now)
-				o := j.openOccurrence(0, time.Time{}, tm.now)
-				r := testRun(w, &j.spec.Steps[0], 0)
-				r.job, o.steps[0].tasks[0].runs, tm.jobs["j"] = j, []*run{r}, j
-				end(tm, r)
-				require.True(t, tm.planDue)
-				require.Equal(t, lasting, tm.planPause() == planInterval)
-			})
-		}
-	}
-}
