fleet: divide for smallest hosts that lead cells of about 100 workers with waiting starts

Cause: the division asked for cells of 100 workers or more that the smallest hosts lead without starts that wait. These carry 97 workers, so the fleet stayed whole and they led 350.

Deployments that have a layout keep it.

TestCellCount failed before: 1 cell for 3.

--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -47,6 +47,9 @@
 	// minPooledWorkers is the least size of cells that are small only for the sake of the smallest
 	// hosts. In smaller ones lost lasting tasks find no room in time while services fill the fleet.
 	minPooledWorkers = 100
+	// maxCrowding is how much more than fullCost cells of about minPooledWorkers may take of the smallest hosts,
+	// if these carry no such cells otherwise. Starts wait longer there; in larger cells they would wait longest.
+	maxCrowding = 1.2
 )
 
 // leaderCost is the processor use of the leader of a cell in thousandths of a core: a fixed part, and
@@ -62,6 +65,9 @@
 	fullCost = leaderCost{38, 0.74}
 )
 
+// dividedBy returns a part of the cost.
+func (c leaderCost) dividedBy(n float64) leaderCost { return leaderCost{c.fixed / n, c.perWorker / n} }
+
 // layout is the value of the layout's row.
 type layout struct {
 	Cells int `cbor:"1,keyasint"`
@@ -203,8 +209,8 @@
 		return 1
 	}
 	most = min(most, least+least/3)
-	if leaders.planForLast { // more cells would be smaller than those for the smallest hosts' sake
-		most = min(most, max(least, workers/minPooledWorkers))
+	if leaders.planForLast || leaders.crowded { // more cells would be smaller than those for the smallest hosts' sake
+		most = min(most, max(least, leaders.mostPooled()))
 	}
 	best, bestExcess := least, 0.0
 	for n := least; n <= most; n++ {
@@ -236,19 +242,30 @@
 	// planForLast means that they can lead cells that have minPooledWorkers, or the fleet as one cell.
 	// Smaller cells for their sake would cost more on all other days.
 	planForLast bool
+	// crowded means that they can do so with maxCrowding only. The fleet then has as many cells with
+	// minPooledWorkers as there may be.
+	crowded bool
 }
 
 func newLeaders(hosts []Limits, workers int) *leaders {
 	l := &leaders{workers: workers, hosts: hosts, last: lastHosts(hosts, workers)}
-	for n := 1; n <= max(1, workers/minPooledWorkers) && !l.planForLast; n++ {
+	for n := 1; n <= l.mostPooled() && !l.planForLast; n++ {
 		l.planForLast = l.enough(n) && l.lastLead(n)
 	}
+	if n := l.mostPooled(); !l.planForLast {
+		l.crowded = n > 1 && l.enough(n) && l.ledByLast(n, fullCost.dividedBy(maxCrowding)) >= n
+	}
 	return l
 }
 
+// mostPooled returns the largest number of cells with minPooledWorkers.
+func (l *leaders) mostPooled() int { return max(1, l.workers/minPooledWorkers) }
+
 // canLead reports whether the hosts can lead n cells, also after the largest ones are lost if that is
 // planned for.
-func (l *leaders) canLead(n int) bool { return l.enough(n) && (!l.planForLast || l.lastLead(n)) }
+func (l *leaders) canLead(n int) bool {
+	return l.enough(n) && (!l.planForLast || l.lastLead(n)) && (!l.crowded || n >= l.mostPooled())
+}
 
 // enough reports whether enough hosts can lead n cells: hostsPerCell for each cell, or all hosts if
 // there are fewer. A large host counts for up to hostsPerCell cells.
@@ -263,12 +280,15 @@
 // lastLead reports whether n cells are small enough for the last hosts. A division into larger cells
 // would leave a small host with more than it carries, although the small hosts could lead the fleet
 // together.
-func (l *leaders) lastLead(n int) bool {
+func (l *leaders) lastLead(n int) bool { return l.ledByLast(n, fullCost) >= n }
+
+// ledByLast returns how many of n cells the last hosts can lead at a cost.
+func (l *leaders) ledByLast(n int, cost leaderCost) int {
 	led := 0
 	for _, h := range l.last {
-		led += cellsLed(h, fullCost, n, l.workers)
+		led += cellsLed(h, cost, n, l.workers)
 	}
-	return led >= n
+	return led
 }
 
 // carries reports whether a host can lead some of the layout's cells. Unknown sizes do not bind.
--- a/internal/fleet/layout_test.go
+++ b/internal/fleet/layout_test.go
@@ -37,6 +37,8 @@
 		least, most int
 	}{
 		"one host carries all":                   {hostsOf(6, 400, 125_000_000), racksOf(6, 8), 1, 1},
+		"crowded by cells that stay pooled":      {append(hostsOf(10, 800, 25_000_000), hostsOf(33, 110, 1_250_000)...), racksOf(18, 20), 3, 3},
+		"too small to lead pooled cells":         {append(hostsOf(10, 800, 25_000_000), hostsOf(33, 60, 1_250_000)...), racksOf(18, 20), 1, 1},
 		"unknown hosts do not bind":              {hostsOf(6, 0, 0), racksOf(10, 20), 1, 1},
 		"no workers":                             {hostsOf(6, 400, 0), nil, 1, 1},
 		"as many as the small hosts carry":       {mixed, racksOf(55, 20), 6, 8},
