--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -48,7 +48,7 @@
 	// hosts. In smaller ones lost lasting tasks find no room in time while services fill the fleet.
 	minPooledWorkers = 100
 	// maxCrowding is how much more than fullCost cells of about minPooledWorkers may take of the smallest hosts,
-	// if these carry no such cells otherwise. Starts wait longer there; in larger cells they would wait for good.
+	// if these carry no such cells otherwise. Starts wait longer there; in larger cells they would wait longest.
 	maxCrowding = 1.2
 )
 
