fleet: services without an image wait no longer than before for loads of other cells

Callers saw services of a burst begin up to 0.4 s later than before where they have no image and their cell is fuller than others: they waited for reports that are 0.4 s newer than the job, which only the layout by image needs.

--- a/internal/fleet/choose_cell.go
+++ b/internal/fleet/choose_cell.go
@@ -129,7 +129,8 @@
 		planned, known = plannedCell(append([]reportedLoad{own}, others...), d)
 	}
 	switch {
-	case burst && !d.hasMoved && !oldest.After(learnedAt.Add(cellLoadDelay)) && (known || !hasRoom):
+	case known && !oldest.After(learnedAt.Add(cellLoadDelay)),
+		burst && !known && !d.hasMoved && !hasRoom && !oldest.After(learnedAt):
 		return waitForCellLoads, 0
 	case known && planned != own.cell:
 		return moveToCell, planned
