fleet: a returned task is not started on a quarantined worker by the same plan

Cause: a plan that finds no worker for a borrowed task returns it if another cell has room, and then starts the lost tasks that are left without room on quarantined workers. It left out lent tasks, but not returned ones. The owner starts a returned task elsewhere.

Change: a task that is done in this cell, as a returned one is, is none without room.

TestReturnedTaskIsNotStartedOnLastResort failed before: the plan returned the task and started it on the quarantined worker.

--- a/internal/fleet/borrowed_tasks_test.go
+++ b/internal/fleet/borrowed_tasks_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// The plan that returned a borrowed task started it on a quarantined worker, too: it ran twice once its owner had
+// started it elsewhere.
+func TestReturnedTaskIsNotStartedOnLastResort(t *testing.T) {
+	_, borrower, _ := borrowedTask(t)
+	borrower.cfg.Workers = pollLog{}
+	free := []freeCapacity{}
+	borrower.cellLoads = func() []reportedLoad {
+		return []reportedLoad{{2, cellLoad{Capacity: 10_000, LargestFree: free}, borrower.now}}
+	}
+	waitUnplaced(borrower, 2*firstReturnDelay)
+	free = append(free, freeCapacity{MilliCPU: 1000, MemoryMB: 1})
+	w := testWorker("w")
+	w.health.quarantine(borrower.now)
+	borrower.workers["w"] = w
+	borrower.now = borrower.now.Add(remoteFreeInterval)
+	waitUnplaced(borrower, time.Millisecond) // one plan
+	returned(t, borrower)
+	require.Empty(t, w.runs)
+}
+
 // A borrowed task for which its borrower has no worker any more waited for good. It must be returned
 // once another cell has a worker for it, and its owner must start it with a later attempt.
 func TestBorrowedTaskIsReturned(t *testing.T) {
--- a/internal/fleet/task_lending.go
+++ b/internal/fleet/task_lending.go
@@ -39,7 +39,10 @@
 // tasksWithoutRoom returns the waiting tasks of a lasting step that have neither a run nor a claim to room that is
 // free soon.
 func (w *waitingStep) tasksWithoutRoom() []int {
-	tasks := slices.DeleteFunc(slices.Clone(w.tasks), func(i int) bool { return len(w.state().tasks[i].runs) > 0 })
+	tasks := slices.DeleteFunc(slices.Clone(w.tasks), func(i int) bool {
+		tk := &w.state().tasks[i]
+		return len(tk.runs) > 0 || tk.done // a returned task is the owner's again
+	})
 	if w.claimant == nil {
 		return tasks
 	}
