fleet: a search for room that is free soon hides no later room

What callers saw (found by reading, reproduced as a unit): beside lost tasks of other cells, tasks on workers that are gone, which may be lost soon, made no claim to room that is free later than 2.5 s.

Cause: since soonest has a limit, and noted the needs for which it found nothing as without room at all, whatever the limit.

Change: it notes them for no limit and for free room, which have a note each.

TestSearchWithinLimitHidesNoLaterRoom failed before.

--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -271,7 +271,7 @@
 			best, bestWait, bestLeft = w, wait, left
 		}
 	}
-	if best == nil && r.step.Label == "" && r.step.PerWorker == 0 {
+	if best == nil && (limit == 0 || limit == anyTime) && r.step.Label == "" && r.step.PerWorker == 0 {
 		*smallest = &need
 	}
 	return best
--- a/internal/fleet/claims_test.go
+++ b/internal/fleet/claims_test.go
@@ -285,3 +285,17 @@
 		tm.viewLostTasks(waiting)
 	}
 }
+
+// A search for room that is free soon hid the room that is free later from the tasks that may wait for it.
+func TestSearchWithinLimitHidesNoLaterRoom(t *testing.T) {
+	tm, w := lostTestTerm(lostTestLoad{4000, 11_000})
+	tm.layout = singleCellLayout()
+	p := tm.newPlacement("svc")
+	p.expectedRunTime = func(*job, *Step) time.Duration { return time.Minute }
+	for _, r := range tm.workers["w0"].runs {
+		r.job = w.job
+	}
+	r := taskRequest{job: w.job, step: w.step}
+	require.Nil(t, p.soonest(r, maxClaimWait))
+	require.NotNil(t, p.soonest(r, anyTime))
+}
