fleet: no state of requests for room that nothing reads

Since a request does not wait for the answer to the one before, so inFlight was written and read by a test only. TestInactiveLeaderAsksForNoRoom counts the requests in its place: none while the leader is stopping, exactly one after. Behaviour is unchanged.

--- a/internal/fleet/room_requests.go
+++ b/internal/fleet/room_requests.go
@@ -121,10 +121,10 @@
 
 // roomExchange is what a leader knows of another cell's room for its tasks.
 type roomExchange struct {
-	// requests counts the requests, answered is the last one with an answer. inFlight means that the last request
-	// has none yet, granted that room was granted since.
+	// requests counts the requests, answeredRequest is the last one with an answer. granted means that room was
+	// granted since the last request.
 	requests, answeredRequest int
-	inFlight, granted         bool
+	granted                   bool
 	// keepsRoom means that the last request named tasks.
 	keepsRoom           bool
 	askedAt, answeredAt time.Time
@@ -172,7 +172,7 @@
 		if cell == t.cell || idle || (t.now.Sub(x.askedAt) < roomRequestInterval && !x.granted) {
 			continue
 		}
-		x.inFlight, x.granted, x.askedAt, x.keepsRoom = true, false, t.now, asks
+		x.granted, x.askedAt, x.keepsRoom = false, t.now, asks
 		x.requests++
 		x.forgetLoans(t.now)
 		r := roomRequest{Cell: cell, From: t.cell, Tasks: slices.Clone(t.lostUnplaced), Expected: slices.Clone(t.expectedUnplaced)}
@@ -195,7 +195,6 @@
 
 func (e roomAnswered) handle(t *term) {
 	x := t.roomExchange(e.cell)
-	x.inFlight = x.inFlight && e.request != x.requests
 	if !e.answer.Known || e.request < x.answeredRequest {
 		return
 	}
--- a/internal/fleet/room_requests_test.go
+++ b/internal/fleet/room_requests_test.go
@@ -56,10 +56,10 @@
 	tm.askForRoom = func(context.Context, roomRequest) roomAnswer { return roomAnswer{} }
 	tm.stopping = true
 	tm.requestRoom()
-	require.False(t, tm.roomExchange(1).inFlight)
+	require.Zero(t, tm.roomExchange(1).requests)
 	tm.stopping = false
 	tm.requestRoom()
-	require.True(t, tm.roomExchange(1).inFlight)
+	require.Equal(t, 1, tm.roomExchange(1).requests)
 }
 
 // Room that a cell had granted to one cell was granted to another one, too, which came before it in the order of cells.
